Ledger: what is in use on each owned worker

Room, request slots and connections are counted in memory by the owner of a rack; nothing is let in that doesn't fit. A worker taken over is the union of its lagging report and the recorded intents; absence from a report proves an end only when the report was true a lag bound after the start was first counted, and a report older than a noted end can't bring it back.

Ruled out: a flat map per kind (tasks, requests) with three release paths; one map of holds has one path for entering and one for taking out. Growing known holds to the observed use in `adopt`: that is the caller's decision, and would let a report make any worker over-full. Noting an end for a lapsed reservation: if it runs after all, the next report must count it.

--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,327 @@
+//! What is in use on each worker that this member owns.
+//!
+//! The owner of a rack is the only one that sends work to its workers, so their room, request slots
+//! and connections are counted here, in memory, and this count has the last word: whoever chose a
+//! worker (`decide::place`, `decide::gang`, `decide::choose`) still has to get the room from the
+//! ledger. Nothing is let in that does not fit. Only [`Ledger::adopt`] can find a worker with more
+//! than it holds; such a worker is given nothing until it fits again.
+
+mod account;
+mod adopt;
+
+pub use self::account::{Held, Load, Refusal, Worker};
+
+use {
+    crate::{
+        Time,
+        ids::{Attempt, PoolId, RackId, RequestId, TaskId, WorkerId},
+        units::Size,
+    },
+    rustc_hash::FxHashMap,
+    std::{
+        collections::{BTreeMap, BTreeSet, VecDeque},
+        time::Duration,
+    },
+};
+
+/// One thing that occupies a worker.
+#[derive(Clone, Debug)]
+struct Hold {
+    worker: WorkerId,
+    load: Load,
+    /// When it lapses by itself.
+    ends: Time,
+    /// When it may have begun at the latest known; `None` where a report's silence proves nothing.
+    since: Option<Time>,
+}
+
+/// The free request slots of a pool's workers.
+#[derive(Clone, Debug, Default)]
+struct Pool {
+    idle: BTreeSet<(u32, WorkerId)>,
+    slots: u32,
+    free: u32,
+}
+
+/// The accounts of all workers owned.
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    lag: Duration,
+    workers: BTreeMap<WorkerId, Worker>,
+    holds: FxHashMap<Held, Hold>,
+    deadlines: BTreeSet<(Time, Held)>,
+    pools: FxHashMap<PoolId, Pool>,
+    gone: FxHashMap<Held, Time>,
+    graves: VecDeque<(Time, Held)>,
+}
+
+impl Ledger {
+    /// An empty ledger, for reports that trail the truth by at most `lag`.
+    ///
+    /// `lag` covers the age of the oldest report that may still come in and a start order's longest
+    /// flight: an attempt whose start was sent may show in reports only after both.
+    pub fn new(lag: Duration) -> Self {
+        Ledger {
+            lag,
+            workers: BTreeMap::new(),
+            holds: FxHashMap::default(),
+            deadlines: BTreeSet::new(),
+            pools: FxHashMap::default(),
+            gone: FxHashMap::default(),
+            graves: VecDeque::new(),
+        }
+    }
+
+    /// Enters a worker, or changes what a known one has; what occupies it stays.
+    ///
+    /// After a takeover keep it cordoned until [`Ledger::adopt`] saw a report that was true after
+    /// the former owner's last dispatch: requests leave no intents, only reports show them.
+    pub fn add(
+        &mut self,
+        worker: &WorkerId,
+        pool: &PoolId,
+        rack: &RackId,
+        size: Size,
+        slots: u32,
+        connections: u32,
+    ) {
+        self.unlist(worker);
+        let limit = Load { size, slots, connections };
+        let entry = self.workers.entry(worker.clone()).or_insert_with(|| Worker {
+            pool: pool.clone(),
+            rack: rack.clone(),
+            limit,
+            used: Load::default(),
+            cordoned: false,
+            held: BTreeSet::new(),
+        });
+        (entry.pool, entry.rack, entry.limit) = (pool.clone(), rack.clone(), limit);
+        self.list(worker);
+    }
+
+    /// Takes a worker out and returns what occupied it; that may still be running there.
+    pub fn remove(&mut self, worker: &WorkerId) -> Vec<Held> {
+        self.unlist(worker);
+        let Some(entry) = self.workers.remove(worker) else { return Vec::new() };
+        for held in &entry.held {
+            if let Some(hold) = self.holds.remove(held) {
+                self.deadlines.remove(&(hold.ends, held.clone()));
+            }
+        }
+        entry.held.into_iter().collect()
+    }
+
+    /// Lets a worker take new work, or not; what runs there goes on.
+    pub fn cordon(&mut self, worker: &WorkerId, on: bool) {
+        self.change(worker, |w| w.cordoned = on);
+    }
+
+    /// Reserves room for an attempt until `expires`, or changes the size of one held there.
+    ///
+    /// Errs, and changes nothing, where the room is lacking, the worker takes no new work, or the
+    /// attempt is held on another worker. A started attempt stays started.
+    pub fn reserve(
+        &mut self,
+        task: &TaskId,
+        attempt: Attempt,
+        worker: &WorkerId,
+        size: Size,
+        expires: Time,
+    ) -> Result<(), Refusal> {
+        let held = Held::Task(task.clone(), attempt);
+        let old = self.holds.get(&held);
+        if old.is_some_and(|h| h.worker != *worker) {
+            return Err(Refusal::Elsewhere);
+        }
+        let w = self.workers.get(worker).ok_or(Refusal::Unknown)?;
+        let (mut room, mut since, mut ends) = (w.room(), None, expires);
+        if let Some(h) = old {
+            room += h.load.size;
+            since = h.since;
+            ends = if h.since.is_some() { h.ends } else { expires };
+        } else if w.cordoned {
+            return Err(Refusal::Cordoned);
+        } else if w.over() {
+            return Err(Refusal::Room);
+        }
+        if !size.fits(&room) {
+            return Err(Refusal::Room);
+        }
+        let load = Load { size, ..Load::default() };
+        self.put(held, Hold { worker: worker.clone(), load, ends, since });
+        Ok(())
+    }
+
+    /// Marks a reserved attempt as started, so that only its end frees the room.
+    ///
+    /// Call it when the intent is committed, before the start is sent. Returns false where the
+    /// reservation has lapsed; then nothing may be sent. Without this a start that is on its way
+    /// while its reservation lapses would run in room that was given to another.
+    pub fn confirm(&mut self, task: &TaskId, attempt: Attempt, now: Time) -> bool {
+        let held = Held::Task(task.clone(), attempt);
+        let Some(hold) = self.holds.get(&held) else { return false };
+        let since = hold.since.or(Some(now));
+        let hold = Hold { ends: Time::NEVER, since, ..hold.clone() };
+        self.put(held, hold);
+        true
+    }
+
+    /// Frees the room of an attempt that has ended or never started; again, it does nothing.
+    ///
+    /// Returns whether it was held.
+    pub fn release(&mut self, task: &TaskId, attempt: Attempt, now: Time) -> bool {
+        self.end(&Held::Task(task.clone(), attempt), now)
+    }
+
+    /// Frees the reservations and slots that have lapsed by `now`, and returns them, oldest first.
+    pub fn expire(&mut self, now: Time) -> Vec<Held> {
+        while let Some((at, held)) = self.graves.front()
+            && *at + self.lag < now
+        {
+            if self.gone.get(held) == Some(at) {
+                self.gone.remove(held);
+            }
+            self.graves.pop_front();
+        }
+        let mut out = Vec::new();
+        while let Some((at, held)) = self.deadlines.first().cloned()
+            && at <= now
+        {
+            match held {
+                // No end is noted: if the attempt runs after all, the next report must count it.
+                Held::Task(..) => self.take(&held),
+                Held::Request(_) => self.end(&held, now),
+            };
+            out.push(held);
+        }
+        out
+    }
+
+    /// Takes a request slot until the request's lease ends; for a request held there, renews it.
+    ///
+    /// Errs where no slot is free, the worker takes no new work, or the request is held on another
+    /// worker.
+    pub fn take_slot(
+        &mut self,
+        request: RequestId,
+        worker: &WorkerId,
+        ends: Time,
+    ) -> Result<(), Refusal> {
+        let held = Held::Request(request);
+        let w = self.workers.get(worker).ok_or(Refusal::Unknown)?;
+        let load = match self.holds.get(&held) {
+            Some(h) if h.worker != *worker => return Err(Refusal::Elsewhere),
+            Some(h) => h.load,
+            None if w.cordoned => return Err(Refusal::Cordoned),
+            None if w.free() == 0 => return Err(Refusal::Slots),
+            None => Load { slots: 1, ..Load::default() },
+        };
+        self.put(held, Hold { worker: worker.clone(), load, ends, since: None });
+        Ok(())
+    }
+
+    /// Frees a request's slot; again, it does nothing. Returns whether it was held.
+    pub fn free_slot(&mut self, request: RequestId, now: Time) -> bool {
+        self.end(&Held::Request(request), now)
+    }
+
+    /// Counts a connection that is about to be opened to a worker; errs where none is free.
+    pub fn connect(&mut self, worker: &WorkerId) -> Result<(), Refusal> {
+        let w = self.workers.get_mut(worker).ok_or(Refusal::Unknown)?;
+        if w.over() || w.used.connections >= w.limit.connections {
+            return Err(Refusal::Connections);
+        }
+        w.used.connections += 1;
+        Ok(())
+    }
+
+    /// Counts a connection as closed; call it once for each that was counted.
+    pub fn disconnect(&mut self, worker: &WorkerId) {
+        self.change(worker, |w| w.used.connections = w.used.connections.saturating_sub(1));
+    }
+
+    /// The account of a worker.
+    pub fn worker(&self, worker: &WorkerId) -> Option<&Worker> {
+        self.workers.get(worker)
+    }
+
+    /// All accounts, by the workers' names.
+    pub fn workers(&self) -> impl Iterator<Item = (&WorkerId, &Worker)> {
+        self.workers.iter()
+    }
+
+    /// Where an attempt or a request is held.
+    pub fn place(&self, held: &Held) -> Option<&WorkerId> {
+        self.holds.get(held).map(|h| &h.worker)
+    }
+
+    /// The worker of a pool with the most free slots, if one has any.
+    pub fn idlest(&self, pool: &PoolId) -> Option<&WorkerId> {
+        let (free, worker) = self.pools.get(pool)?.idle.last()?;
+        (*free > 0).then_some(worker)
+    }
+
+    /// All slots of a pool's workers, and how many of them are free.
+    pub fn slots(&self, pool: &PoolId) -> (u32, u32) {
+        self.pools.get(pool).map_or((0, 0), |p| (p.slots, p.free))
+    }
+
+    /// Enters a hold in place of the one there was.
+    fn put(&mut self, held: Held, hold: Hold) {
+        self.take(&held);
+        if hold.ends != Time::NEVER {
+            self.deadlines.insert((hold.ends, held.clone()));
+        }
+        self.change(&hold.worker, |w| {
+            w.used.add(&hold.load);
+            w.held.insert(held.clone());
+        });
+        self.gone.remove(&held);
+        self.holds.insert(held, hold);
+    }
+
+    /// Frees a hold and notes its end, for reports that are older than it.
+    fn end(&mut self, held: &Held, now: Time) -> bool {
+        let was = self.take(held);
+        if was {
+            self.gone.insert(held.clone(), now);
+            self.graves.push_back((now, held.clone()));
+        }
+        was
+    }
+
+    fn take(&mut self, held: &Held) -> bool {
+        let Some(hold) = self.holds.remove(held) else { return false };
+        self.deadlines.remove(&(hold.ends, held.clone()));
+        self.change(&hold.worker, |w| {
+            w.used.sub(&hold.load);
+            w.held.remove(held);
+        });
+        true
+    }
+
+    /// Changes a worker's account and keeps its pool's free slots in step.
+    fn change(&mut self, worker: &WorkerId, f: impl FnOnce(&mut Worker)) {
+        self.unlist(worker);
+        if let Some(w) = self.workers.get_mut(worker) {
+            f(w);
+        }
+        self.list(worker);
+    }
+
+    fn unlist(&mut self, worker: &WorkerId) {
+        let Some(w) = self.workers.get(worker) else { return };
+        let Some(pool) = self.pools.get_mut(&w.pool) else { return };
+        pool.idle.remove(&(w.free(), worker.clone()));
+        pool.slots -= w.limit.slots;
+        pool.free -= w.free();
+    }
+
+    fn list(&mut self, worker: &WorkerId) {
+        let Some(w) = self.workers.get(worker) else { return };
+        let pool = self.pools.entry(w.pool.clone()).or_default();
+        pool.idle.insert((w.free(), worker.clone()));
+        pool.slots += w.limit.slots;
+        pool.free += w.free();
+    }
+}
--- /dev/null
+++ b/src/ledger/account.rs
@@ -0,0 +1,115 @@
+//! One worker's account.
+
+use {
+    crate::{
+        ids::{Attempt, PoolId, RackId, RequestId, TaskId},
+        units::Size,
+    },
+    displaydoc::Display,
+    std::collections::BTreeSet,
+};
+
+/// Why the ledger lets something not in.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Refusal {
+    /// the worker is not owned here
+    Unknown,
+    /// the worker takes no new work
+    Cordoned,
+    /// the worker has not the room
+    Room,
+    /// the worker has no free request slot
+    Slots,
+    /// the worker has no free connection
+    Connections,
+    /// it is held on another worker
+    Elsewhere,
+}
+
+impl std::error::Error for Refusal {}
+
+/// What occupies a worker.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Held {
+    /// An attempt of a task.
+    Task(TaskId, Attempt),
+    /// A request.
+    Request(RequestId),
+}
+
+/// Room, request slots and connections: what a worker has, or what is in use of it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Processors, memory and accelerators.
+    pub size: Size,
+    /// Request slots.
+    pub slots: u32,
+    /// Connections.
+    pub connections: u32,
+}
+
+impl Load {
+    pub(super) fn add(&mut self, other: &Load) {
+        self.size += other.size;
+        self.slots += other.slots;
+        self.connections += other.connections;
+    }
+
+    pub(super) fn sub(&mut self, other: &Load) {
+        self.size = self.size.saturating_sub(&other.size);
+        self.slots = self.slots.saturating_sub(other.slots);
+        self.connections = self.connections.saturating_sub(other.connections);
+    }
+}
+
+/// One worker's account.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Its pool.
+    pub pool: PoolId,
+    /// Its rack.
+    pub rack: RackId,
+    pub(super) limit: Load,
+    pub(super) used: Load,
+    pub(super) cordoned: bool,
+    pub(super) held: BTreeSet<Held>,
+}
+
+impl Worker {
+    /// What it has.
+    pub fn limit(&self) -> &Load {
+        &self.limit
+    }
+
+    /// What is in use of it; above the limit only after [`Ledger::adopt`] or a smaller limit.
+    pub fn used(&self) -> &Load {
+        &self.used
+    }
+
+    /// Whether more is in use than it has, in any respect.
+    pub fn over(&self) -> bool {
+        !self.used.size.fits(&self.limit.size)
+            || self.used.slots > self.limit.slots
+            || self.used.connections > self.limit.connections
+    }
+
+    /// The room for tasks; zero while it is over-full.
+    pub fn room(&self) -> Size {
+        if self.over() { Size::default() } else { self.limit.size.saturating_sub(&self.used.size) }
+    }
+
+    /// The request slots free; none while it is over-full or cordoned.
+    pub fn free(&self) -> u32 {
+        if self.over() || self.cordoned { 0 } else { self.limit.slots - self.used.slots }
+    }
+
+    /// Whether it takes no new work.
+    pub fn cordoned(&self) -> bool {
+        self.cordoned
+    }
+
+    /// What occupies it, in order.
+    pub fn held(&self) -> impl Iterator<Item = &Held> {
+        self.held.iter()
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod decide;
 mod error;
+pub mod ledger;
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)] // generated
 #[path = "gen/messages.rs"]
