The operators' text and the settings, read and checked

Plan::read takes a text whole or tells every fault of it with line, cause and remedy; settings::read does the same by schema/settings.json, from which the types are generated, so that a key added there is known to the reader.

Lines and sections come from ini_core; what both files share is in src/ini.rs.

limits and log get a default in the schema, so Settings has them without Option. The generated settings unwrap their own defaults and bring a type that is not used: both are allowed for that module alone.

--- a/src/gen/settings.rs
+++ b/src/gen/settings.rs
@@ -77,11 +77,11 @@
 #[serde(deny_unknown_fields)]
 pub struct Settings {
     ///Limits towards callers.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub limits: ::std::option::Option<LimitSettings>,
+    #[serde(default = "defaults::settings_limits")]
+    pub limits: LimitSettings,
     ///Logging.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub log: ::std::option::Option<LogSettings>,
+    #[serde(default = "defaults::settings_log")]
+    pub log: LogSettings,
     ///The member itself.
     pub member: MemberSettings,
     ///The platform's addresses.
@@ -125,6 +125,19 @@
     pub(super) fn log_settings_level() -> ::std::boxed::Box<str> {
         ::serde_json::from_str::<::std::boxed::Box<str>>("\"info\"").unwrap()
     }
+    pub(super) fn settings_limits() -> super::LimitSettings {
+        super::LimitSettings {
+            body: 16777216_u64,
+            connections: 4096_u64,
+            deadline: ::serde_json::from_str::<u64>("10000").unwrap(),
+            header: ::serde_json::from_str::<u64>("5000").unwrap(),
+        }
+    }
+    pub(super) fn settings_log() -> super::LogSettings {
+        super::LogSettings {
+            level: ::serde_json::from_str::<::std::boxed::Box<str>>("\"info\"").unwrap(),
+        }
+    }
 }
 /// Error types.
 pub mod error {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,13 @@
 #[path = "gen/messages.rs"]
 pub mod messages;
 pub mod ids;
+mod ini;
+#[rustfmt::skip]
+#[allow(missing_docs, dead_code, clippy::all, clippy::unwrap_used)] // generated
+#[path = "gen/settings.rs"]
+mod schema;
+pub mod settings;
+pub mod text;
 pub mod time;
 pub mod units;
 
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,228 @@
+//! A member's settings, read from an INI file and checked before anything starts.
+//!
+//! The sections and keys are those of `schema/settings.json`, from which the types are generated;
+//! a key added there is known here.
+
+pub use crate::schema::{LimitSettings, LogSettings, MemberSettings, PlatformSettings, Settings};
+
+use {
+    crate::{
+        Error, Kind,
+        ini::{self, Entry, Faults, NAME, Section, short},
+        text::duration,
+    },
+    serde::Deserialize,
+    serde_json::{Map, Value},
+    std::{collections::BTreeMap, net::SocketAddr},
+};
+
+/// The shortest secret, in bytes: 16 random characters are beyond guessing over a network.
+const SECRET: usize = 16;
+
+/// The log levels, from none to all.
+const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+
+/// What the schema says of the sections.
+#[derive(Deserialize)]
+struct Schema {
+    definitions: BTreeMap<Box<str>, Table>,
+}
+
+/// What the schema says of one section, or of the sections of the file.
+#[derive(Deserialize)]
+struct Table {
+    properties: BTreeMap<Box<str>, Property>,
+    required: Vec<Box<str>>,
+}
+
+/// What the schema says of one key or section.
+#[derive(Deserialize)]
+struct Property {
+    description: Box<str>,
+    format: Option<Box<str>>,
+    #[serde(rename = "type")]
+    kind: Option<Box<str>>,
+    #[serde(default, rename = "allOf")]
+    parts: Vec<Part>,
+}
+
+/// A section's type, as `#/definitions/NAME`.
+#[derive(Deserialize)]
+struct Part {
+    #[serde(rename = "$ref")]
+    name: Box<str>,
+}
+
+/// What was met so far.
+#[derive(Default)]
+struct Seen<'a> {
+    /// The lines of sections and keys; a section is under the empty key.
+    lines: BTreeMap<(&'a str, &'a str), u32>,
+    /// The keys and lines of addresses, of which no two may be alike.
+    addrs: BTreeMap<SocketAddr, (&'a str, u32)>,
+}
+
+/// Reads and checks settings.
+///
+/// # Errors
+///
+/// [`Kind::BadSettings`]; the detail has one line for each fault, with the fault's line, cause and
+/// remedy.
+pub fn read(text: &str) -> Result<Settings, Error> {
+    read_bytes(text.as_bytes())
+}
+
+/// Reads and checks settings that may not be UTF-8.
+///
+/// # Errors
+///
+/// As [`read`].
+pub fn read_bytes(bytes: &[u8]) -> Result<Settings, Error> {
+    let mut faults = Faults::new();
+    let settings = checked(bytes, &mut faults);
+    match settings {
+        Some(settings) if faults.is_empty() => Ok(settings),
+        _ => {
+            let lines: Vec<_> = faults.finish().iter().map(ToString::to_string).collect();
+            Err(Error::new(Kind::BadSettings, lines.join("\n")))
+        }
+    }
+}
+
+fn checked(bytes: &[u8], faults: &mut Faults) -> Option<Settings> {
+    let text = ini::clean(bytes, faults)?;
+    let schema: Schema = serde_json::from_str(include_str!("../schema/settings.json"))
+        .expect("the schema is part of the build, and every test of settings reads it");
+    let sections = ini::sections(&text, faults);
+    let mut seen = Seen::default();
+    let mut tables = Map::new();
+    let top = schema.definitions.get("Settings")?;
+    for section in &sections {
+        let Some(property) = top.properties.get(section.head) else {
+            let remedy = faults.hint(section.head, top.properties.keys().map(|k| &**k));
+            let cause = format!("no section is called {:?}", short(section.head));
+            faults.add(section.line, cause, remedy);
+            continue;
+        };
+        if let Some(first) = seen.lines.insert((section.head, ""), section.line) {
+            let cause = format!("[{}] stands here and in line {first}", section.head);
+            faults.add(section.line, cause, "join the two");
+            continue;
+        }
+        let part = property.parts.first().and_then(|p| p.name.rsplit('/').next());
+        let table = schema.definitions.get(part?)?;
+        tables.insert(section.head.into(), Value::Object(keys(section, table, &mut seen, faults)));
+    }
+    for name in &top.required {
+        if !seen.lines.contains_key(&(&**name, "")) {
+            let table = &top.properties[name];
+            let cause = format!("the section [{name}] is missing");
+            faults.add(1, cause, format!("add it: {}", table.description));
+        }
+    }
+    if !faults.is_empty() {
+        return None;
+    }
+    match serde_json::from_value(Value::Object(tables)) {
+        Ok(settings) => Some(settings),
+        Err(e) => {
+            faults.add(1, e.to_string(), "write what the settings table shows");
+            None
+        }
+    }
+}
+
+/// The keys of one section, each of the schema's type.
+fn keys<'a>(
+    section: &Section<'a>,
+    table: &Table,
+    seen: &mut Seen<'a>,
+    faults: &mut Faults,
+) -> Map<String, Value> {
+    let mut out = Map::new();
+    for entry in &section.entries {
+        let Some(property) = table.properties.get(entry.key) else {
+            let cause = format!("[{}] has no key {:?}", section.head, short(entry.key));
+            let remedy = faults.hint(entry.key, table.properties.keys().map(|k| &**k));
+            faults.add(entry.line, cause, remedy);
+            continue;
+        };
+        if let Some(first) = seen.lines.insert((section.head, entry.key), entry.line) {
+            let cause = format!("{:?} stands here and in line {first}", entry.key);
+            faults.add(entry.line, cause, "keep one of the two");
+            continue;
+        }
+        match value(entry, property) {
+            Ok(value) => drop(out.insert(entry.key.into(), value)),
+            Err(remedy) => refuse(entry, remedy, faults),
+        }
+        alone(entry, property, seen, faults);
+    }
+    for name in &table.required {
+        if !seen.lines.contains_key(&(section.head, &**name)) {
+            let cause = format!("[{}] lacks {name:?}", section.head);
+            faults.add(
+                section.line,
+                cause,
+                format!("add it: {}", table.properties[name].description),
+            );
+        }
+    }
+    out
+}
+
+fn refuse(entry: &Entry<'_>, remedy: &str, faults: &mut Faults) {
+    let cause = match entry.key {
+        // The detail goes to logs, which a secret must not.
+        "secret" => format!("the secret has {} characters", entry.value.len()),
+        key => format!("{key:?} cannot be {:?}", short(entry.value)),
+    };
+    faults.add(entry.line, cause, remedy);
+}
+
+/// A value of the schema's type, or what would be right.
+fn value(entry: &Entry<'_>, property: &Property) -> Result<Value, &'static str> {
+    let text = entry.value;
+    match (property.kind.as_deref(), property.format.as_deref()) {
+        (Some("integer"), Some("milliseconds")) => {
+            let ms = duration(text).and_then(|d| u64::try_from(d.as_millis()).ok());
+            ms.filter(|ms| *ms > 0)
+                .map(Value::from)
+                .ok_or("a whole number above 0 with ms, s, m or h, like 10s")
+        }
+        (Some("integer"), _) => {
+            let number = text.parse::<u64>().ok().filter(|n| *n > 0 && !text.starts_with('+'));
+            number.map(Value::from).ok_or("a whole number above 0, without a unit")
+        }
+        (_, Some("socket-addr")) => match text.parse::<SocketAddr>() {
+            Ok(addr) if addr.ip().is_unspecified() => Err("the IP number that others reach it by"),
+            Ok(addr) if addr.port() == 0 => Err("a port from 1 to 65535, as others are told it"),
+            Ok(_) => Ok(text.into()),
+            Err(_) => Err("an IP number and a port, like 10.0.0.1:7001"),
+        },
+        (_, Some("zone")) if text.is_empty() || text.len() > NAME => Err("a name of 1 to 63 bytes"),
+        _ => special(entry),
+    }
+}
+
+/// A value of a key of which the schema knows less than this code.
+fn special(entry: &Entry<'_>) -> Result<Value, &'static str> {
+    let text = entry.value;
+    match entry.key {
+        "secret" if text.len() < SECRET => Err("16 characters or more, made at random"),
+        "level" if !LEVELS.contains(&text) => Err("off, error, warn, info, debug or trace"),
+        _ => Ok(text.into()),
+    }
+}
+
+/// Tells an address that another key has too: the second listener could not open it.
+fn alone<'a>(entry: &Entry<'a>, property: &Property, seen: &mut Seen<'a>, faults: &mut Faults) {
+    if property.format.as_deref() != Some("socket-addr") {
+        return;
+    }
+    let Ok(addr) = entry.value.parse() else { return };
+    if let Some((other, first)) = seen.addrs.insert(addr, (entry.key, entry.line)) {
+        let cause = format!("{:?} and {other:?} of line {first} are both {addr}", entry.key);
+        faults.add(entry.line, cause, "give each an address of its own");
+    }
+}
