--- /dev/null
+++ b/src/callers.rs
@@ -0,0 +1,249 @@
+//! The callers' duty: takes requests from callers, and from members that forward them.
+
+use {
+    crate::{
+        error::{Error, Kind},
+        event::{Ask, Event, Load, Ticket, Verdict},
+        http::{CALLER, DEADLINE, HOPS, KEY, Limits, REQUEST, RUN, SECRET, answer, refusal, serve},
+        ids::{CallerId, Incarnation, Key, RequestId, ServiceId},
+        member::{Clock, Gate, Inbox},
+        metrics::Metrics,
+    },
+    async_channel::{Receiver, TrySendError},
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        HeaderMap, Response,
+        header::{CONNECTION, CONTENT_TYPE, HeaderValue},
+        http::request::Parts,
+    },
+    rustc_hash::FxHashMap,
+    std::{
+        future::Future,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{net::TcpListener, sync::oneshot},
+};
+
+/// The longest name of a caller or key that is taken, in bytes.
+const NAME: usize = 128;
+/// The longest deadline that is taken.
+const LONGEST: Duration = Duration::from_secs(3600);
+
+/// What the callers' duty needs.
+pub struct Callers {
+    /// This member's run, the upper half of its requests' ids.
+    pub me: Incarnation,
+    /// The listener for callers.
+    pub callers: TcpListener,
+    /// The listener for members that forward.
+    pub bodies: TcpListener,
+    /// The limits towards callers.
+    pub limits: Limits,
+    /// What forwarding members must show.
+    pub secret: Gate,
+    /// The way to the decisions.
+    pub inbox: Inbox,
+    /// The decisions' final answers.
+    pub replies: Receiver<(Ticket, Verdict)>,
+    /// The member's clock.
+    pub clock: Clock,
+    /// The member's metrics.
+    pub metrics: Arc<Metrics>,
+}
+
+#[derive(Clone)]
+struct Shared {
+    me: Incarnation,
+    waiting: Arc<Mutex<FxHashMap<Ticket, oneshot::Sender<Verdict>>>>,
+    next: Arc<AtomicU64>,
+    inbox: Inbox,
+    clock: Clock,
+    metrics: Arc<Metrics>,
+    secret: Gate,
+    body: usize,
+}
+
+impl Callers {
+    /// Serves until `stop` ends and the last request has its answer.
+    pub async fn run<S: Future<Output = ()> + Send>(self, stop: impl Fn() -> S) {
+        let shared = Shared {
+            me: self.me,
+            waiting: Arc::default(),
+            next: Arc::new(AtomicU64::new(1)),
+            inbox: self.inbox,
+            clock: self.clock,
+            metrics: self.metrics,
+            secret: self.secret,
+            body: self.limits.body,
+        };
+        let waiting = shared.waiting.clone();
+        let replies = self.replies;
+        tokio::spawn(async move {
+            while let Ok((ticket, verdict)) = replies.recv().await {
+                let to = waiting.lock().expect("no holder panics").remove(&ticket);
+                if let Some(to) = to {
+                    let _ = to.send(verdict);
+                }
+            }
+        });
+        let wide = Limits { connections: 4 * self.limits.connections, ..self.limits };
+        let (a, b) = (shared.clone(), shared);
+        let callers = serve(self.callers, self.limits, stop(), move |head, body| {
+            a.clone().request(head, body, false)
+        });
+        let bodies =
+            serve(self.bodies, wide, stop(), move |head, body| b.clone().request(head, body, true));
+        tokio::join!(callers, bodies);
+    }
+}
+
+impl Shared {
+    /// Takes one request to its final answer.
+    async fn request(
+        self,
+        head: Parts,
+        body: Result<Bytes, Error>,
+        forwarded: bool,
+    ) -> Response<Full<Bytes>> {
+        let begun = self.clock.now();
+        let asked = match body {
+            _ if forwarded && !self.secret.admits(&head.headers) => Err(Kind::Unauthorized.into()),
+            Err(e) => Err(e),
+            Ok(body) => self.read(&head, body, forwarded),
+        };
+        let (id, verdict) = match asked {
+            Err(e) => {
+                self.metrics.refused(e.kind());
+                (None, Err(e))
+            }
+            Ok(ask) => (Some(ask.id), self.decide(ask).await),
+        };
+        self.metrics.took(self.clock.now() - begun);
+        let mut response = match verdict {
+            Err(e) => refusal(&e),
+            Ok(a) => {
+                let mut r = answer(a.status, a.body);
+                if let Ok(kind) = HeaderValue::from_str(&a.kind) {
+                    r.headers_mut().insert(CONTENT_TYPE, kind);
+                }
+                r
+            }
+        };
+        if let Some(id) = id
+            && let Ok(id) = HeaderValue::from_str(&id.to_string())
+        {
+            response.headers_mut().insert(REQUEST, id);
+        }
+        if self.clock.draining() {
+            // A caller that keeps its connection would otherwise come back to a stopped member.
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        response
+    }
+
+    async fn decide(&self, ask: Ask) -> Verdict {
+        let ticket = ask.ticket;
+        let (to, from) = oneshot::channel();
+        self.waiting.lock().expect("no holder panics").insert(ticket, to);
+        let mut left = Left { shared: self, ticket, done: false };
+        match self.inbox.try_send(Event::Ask(Box::new(ask))) {
+            Ok(()) => {}
+            Err(TrySendError::Full(_) | TrySendError::Closed(_)) => {
+                left.done = true;
+                self.waiting.lock().expect("no holder panics").remove(&ticket);
+                self.metrics.refused(Kind::RingFull);
+                return Err(Kind::RingFull.into());
+            }
+        }
+        let verdict = from.await;
+        left.done = true;
+        verdict.unwrap_or_else(|_| Err(Kind::OutcomeUnknown.into()))
+    }
+
+    fn read(&self, head: &Parts, body: Bytes, forwarded: bool) -> Result<Ask, Error> {
+        let h = &head.headers;
+        let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+        let path = path.strip_prefix('/').unwrap_or(path);
+        let cut = path.find(['/', '?']).unwrap_or(path.len());
+        let (service, rest) = path.split_at(cut);
+        let bad = |what: &str| Error::new(Kind::BadRequest, what);
+        if body.len() > self.body {
+            return Err(Kind::TooLarge.into());
+        }
+        let deadline = millis(h, DEADLINE, "x-dwr-deadline-ms is not a number of milliseconds")?;
+        let run = millis(h, RUN, "x-dwr-run-ms is not a number of milliseconds")?;
+        let key = text(h, KEY)?;
+        let caller = text(h, CALLER)?;
+        let (id, hops) = if forwarded {
+            let id = text(h, REQUEST)?.parse().map_err(|_| bad("no request id"))?;
+            (id, text(h, HOPS)?.parse().unwrap_or(1))
+        } else {
+            let n = self.next.fetch_add(1, Ordering::Relaxed);
+            (RequestId(u128::from(self.me.0) << 64 | u128::from(n)), 0)
+        };
+        let ticket = self.next.fetch_add(1, Ordering::Relaxed);
+        let now = self.clock.now();
+        Ok(Ask {
+            ticket,
+            id,
+            service: ServiceId::from(service),
+            caller: CallerId::from(if caller.is_empty() { "anonymous" } else { caller }),
+            // The member that forwarded has made the claim.
+            key: (!key.is_empty() && !forwarded).then(|| Key::from(key)),
+            deadline: deadline.map(|d| now + d.min(LONGEST)),
+            run,
+            hops,
+            load: Load {
+                method: head.method.as_str().into(),
+                path: rest.into(),
+                kind: h.get(CONTENT_TYPE).and_then(|v| v.to_str().ok()).unwrap_or("").into(),
+                key: key.into(),
+                body,
+            },
+        })
+    }
+}
+
+/// Tells the decisions that a caller has hung up, when its call is dropped unanswered.
+struct Left<'a> {
+    shared: &'a Shared,
+    ticket: Ticket,
+    done: bool,
+}
+
+impl Drop for Left<'_> {
+    fn drop(&mut self) {
+        if !self.done {
+            self.shared.waiting.lock().expect("no holder panics").remove(&self.ticket);
+            let _ = self.shared.inbox.try_send(Event::Gone(self.ticket));
+        }
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Result<&'a str, Error> {
+    let bad = |why| Error::new(Kind::BadRequest, format!("{name} {why}"));
+    let Some(value) = headers.get(name) else { return Ok("") };
+    let value = value.to_str().map_err(|_| bad("is not plain text"))?;
+    if value.len() > NAME { Err(bad("is longer than 128 bytes")) } else { Ok(value) }
+}
+
+fn millis(headers: &HeaderMap, name: &str, error: &str) -> Result<Option<Duration>, Error> {
+    let value = text(headers, name)?;
+    if value.is_empty() {
+        return Ok(None);
+    }
+    let ms = value.parse().map_err(|_| Error::new(Kind::BadRequest, error))?;
+    Ok(Some(Duration::from_millis(ms)))
+}
+
+impl Gate {
+    /// Whether the headers show the secret; compared in constant time.
+    pub fn admits(&self, headers: &HeaderMap) -> bool {
+        headers.get(SECRET).is_some_and(|s| self.matches(s.as_bytes()))
+    }
+}
--- /dev/null
+++ b/src/config.rs
@@ -0,0 +1,188 @@
+//! The configuration in force: which version a member holds, and what becomes of a submission.
+//!
+//! Accepted means that the compare-and-swap took effect in the key-value service. Members hear of
+//! a version by their watch and from their peers, whichever is first, and never go back.
+
+use {
+    crate::{
+        event::Ticket,
+        ids::{Revision, SubmissionId, Version},
+        messages::{ConfigRecord, KvEntry, KvPutReply, Submit, SubmitReply},
+        text::Plan,
+        time::Time,
+    },
+    std::{rc::Rc, time::Duration},
+};
+
+/// The record's key.
+pub const KEY: &str = "shared/config";
+/// How long a submission may stay undecided before its outcome is called unknown.
+pub const SETTLE: Duration = Duration::from_secs(5);
+/// The pause before a record is read again after a failure.
+const AGAIN: Duration = Duration::from_millis(300);
+
+/// The configuration that a member holds.
+#[derive(Default)]
+pub struct Config {
+    revision: Revision,
+    record: Option<ConfigRecord>,
+    plan: Rc<Plan>,
+    pending: Option<Pending>,
+}
+
+struct Pending {
+    ticket: Ticket,
+    record: ConfigRecord,
+    base: Version,
+    since: Time,
+    stage: Stage,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Writing,
+    /// The write's answer was lost; a read is due at this time.
+    Unsure(Time),
+    Reading,
+}
+
+/// What a step of a submission calls for.
+#[derive(Debug)]
+pub enum Step {
+    /// Write the record if it has this version.
+    Write(Revision, ConfigRecord),
+    /// Read the record.
+    Read,
+    /// Answer the operator; none says that the outcome is unknown.
+    Answer(Ticket, Option<SubmitReply>),
+}
+
+impl Config {
+    /// The version in force here.
+    pub fn version(&self) -> Version {
+        self.record.as_ref().map_or(Version(0), |r| r.version)
+    }
+
+    /// The plan in force here.
+    pub fn plan(&self) -> &Rc<Plan> {
+        &self.plan
+    }
+
+    /// The record in force here and its revision.
+    pub fn record(&self) -> Option<(Revision, &ConfigRecord)> {
+        self.record.as_ref().map(|r| (self.revision, r))
+    }
+
+    /// Takes in a record, from the service or a peer; returns whether it is newer and in force now.
+    ///
+    /// Guards against stale reads and slow peers: they would put an older text back in force, and
+    /// operators would see a change undone. Versions only grow, so an older record changes nothing.
+    pub fn take(&mut self, revision: Revision, record: ConfigRecord) -> bool {
+        if record.version <= self.version() {
+            return false;
+        }
+        match Plan::read(&record.text) {
+            Ok(plan) => self.plan = Rc::new(plan),
+            Err(faults) => {
+                // Written by a newer release with another grammar: keep the plan that is known.
+                log::error!(target: "config", "Version {} cannot be read: {} errors.", record.version, faults.len());
+                return false;
+            }
+        }
+        self.revision = revision;
+        self.record = Some(record);
+        true
+    }
+
+    /// Takes a submission whose text was read without errors.
+    pub fn submit(&mut self, ticket: Ticket, ask: Submit, now: Time) -> Step {
+        if self.record.as_ref().is_some_and(|r| r.submission == ask.submission) {
+            return Step::Answer(ticket, Some(self.reply(true)));
+        }
+        if ask.base != self.version() || self.pending.is_some() {
+            return Step::Answer(ticket, Some(self.reply(false)));
+        }
+        let record = ConfigRecord {
+            version: Version(self.version().0 + 1),
+            submission: ask.submission,
+            by: ask.by,
+            text: ask.text,
+        };
+        let stage = Stage::Writing;
+        let (base, copy) = (ask.base, record.clone());
+        self.pending = Some(Pending { ticket, record, base, since: now, stage });
+        Step::Write(self.revision, copy)
+    }
+
+    /// Takes the answer to the write.
+    ///
+    /// A lost answer may hide a write that took effect. A blind repeat would then be refused, and
+    /// an operator told of a conflict with his own text; so the record is read instead.
+    pub fn written(&mut self, reply: Option<KvPutReply>, now: Time) -> Option<Step> {
+        let p = self.pending.as_mut().filter(|p| p.stage == Stage::Writing)?;
+        match reply {
+            Some(r) if r.done => {
+                let p = self.pending.take()?;
+                self.take(r.revision, p.record);
+                Some(Step::Answer(p.ticket, Some(self.reply(true))))
+            }
+            Some(_) => {
+                p.stage = Stage::Reading;
+                Some(Step::Read)
+            }
+            None => {
+                p.stage = Stage::Unsure(now + AGAIN);
+                None
+            }
+        }
+    }
+
+    /// Takes the answer to a read.
+    pub fn read(&mut self, entry: Option<KvEntry>, now: Time) -> Option<Step> {
+        let entry = entry.and_then(|e| {
+            let record: ConfigRecord = serde_json::from_str(&e.value).ok()?;
+            Some((e.revision, record))
+        });
+        if let Some((revision, record)) = entry {
+            self.take(revision, record);
+        }
+        let p = self.pending.as_mut().filter(|p| p.stage == Stage::Reading)?;
+        if self.record.as_ref().is_some_and(|r| r.submission == p.record.submission) {
+            let p = self.pending.take()?;
+            return Some(Step::Answer(p.ticket, Some(self.reply(true))));
+        }
+        if self.record.as_ref().is_some_and(|r| r.version > p.base) {
+            let p = self.pending.take()?;
+            return Some(Step::Answer(p.ticket, Some(self.reply(false))));
+        }
+        // The write may still be on its way, or the read is a stale one.
+        p.stage = Stage::Unsure(now + AGAIN);
+        None
+    }
+
+    /// What is due.
+    pub fn tick(&mut self, now: Time) -> Option<Step> {
+        let p = self.pending.as_mut()?;
+        if now - p.since > SETTLE {
+            let p = self.pending.take()?;
+            return Some(Step::Answer(p.ticket, None));
+        }
+        match p.stage {
+            Stage::Unsure(at) if at <= now => {
+                p.stage = Stage::Reading;
+                Some(Step::Read)
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether this submission is the one in force.
+    pub fn holds(&self, submission: SubmissionId) -> bool {
+        self.record.as_ref().is_some_and(|r| r.submission == submission)
+    }
+
+    fn reply(&self, accepted: bool) -> SubmitReply {
+        let text = self.record.as_ref().filter(|_| !accepted).map(|r| r.text.clone());
+        SubmitReply { accepted, version: self.version(), errors: vec![], text }
+    }
+}
--- /dev/null
+++ b/src/endpoints.rs
@@ -0,0 +1,101 @@
+//! The endpoints' duty: sends requests and orders to workers; their wire form stands only here.
+//!
+//! Assumed of a worker (no published form is known): it takes requests at `/v1/run` with an id, an
+//! epoch and a lease, answers with the same id, and stops the request when the lease ends; it
+//! refuses an epoch lower than the highest it has seen, and says so (`x-dwr-ran: no`); it takes
+//! starts, renewals and stops of tasks at `/v1/orders`, and a start twice is one start; its report
+//! at `/v1/report` lags, and says by how much.
+
+use {
+    crate::{
+        error::Kind,
+        event::{Answer, Event, Order, Outcome, Run},
+        http::{Client, EPOCH, Failure, KEY, LEASE, RAN, REQUEST, RUN, uri},
+        member::{Clock, Inbox},
+        messages::{FenceAsk, Report, WorkerReply},
+    },
+    async_channel::Receiver,
+    http_body_util::Full,
+    hyper::{Request, header::CONTENT_TYPE},
+    std::time::Duration,
+};
+
+/// The deadline of an order, a fence or a report.
+const CALL: Duration = Duration::from_secs(1);
+/// The unused connections kept to each worker: its 8 slots, and one for orders.
+pub const IDLE: usize = 9;
+
+/// Sends what the decisions order until their ring is closed.
+pub async fn run(orders: Receiver<Order>, inbox: Inbox, clock: Clock) {
+    let client = Client::new(IDLE);
+    while let Ok(order) = orders.recv().await {
+        let (client, inbox) = (client.clone(), inbox.clone());
+        tokio::spawn(async move {
+            if let Some(event) = one(order, &client, clock).await {
+                let _ = inbox.send(event).await;
+            }
+        });
+    }
+}
+
+async fn one(order: Order, client: &Client, clock: Clock) -> Option<Event> {
+    match order {
+        Order::Run(run) => {
+            let outcome = dispatch(&run, client).await;
+            Some(Event::Ran { request: run.request, worker: run.worker, outcome })
+        }
+        Order::Worker(worker, addr, ask) => {
+            let sent = clock.now();
+            let reply: Result<WorkerReply, Failure> =
+                client.json("PUT", &uri(addr, "/v1/orders"), &*ask, CALL).await;
+            Some(Event::Ordered { worker, ask, sent, reply })
+        }
+        Order::Report(worker, addr) => {
+            let report: Result<Report, Failure> =
+                client.json("GET", &uri(addr, "/v1/report"), &(), CALL).await;
+            Some(Event::Reported { worker, report })
+        }
+        Order::Fence(worker, addr, epoch) => {
+            let reply: Result<FenceAsk, Failure> =
+                client.json("PUT", &uri(addr, "/v1/fence"), &FenceAsk { epoch }, CALL).await;
+            Some(Event::Fenced { worker, epoch, reply: reply.map(|r| r.epoch) })
+        }
+        _ => None,
+    }
+}
+
+async fn dispatch(run: &Run, client: &Client) -> Outcome {
+    let load = &run.load;
+    let mut b = Request::builder()
+        .method(&*load.method)
+        .uri(uri(run.addr, &format!("/v1/run{}", load.path)))
+        .header(REQUEST, run.request.to_string())
+        .header(EPOCH, run.epoch.to_string())
+        .header(LEASE, run.lease.as_millis().to_string());
+    if let Some(time) = run.run {
+        b = b.header(RUN, time.as_millis().to_string());
+    }
+    if !load.kind.is_empty() {
+        b = b.header(CONTENT_TYPE, &*load.kind);
+    }
+    if !load.key.is_empty() {
+        b = b.header(KEY, &*load.key);
+    }
+    let Ok(request) = b.body(Full::new(load.body.clone())) else {
+        return Outcome::Refused(Kind::BadRequest.into());
+    };
+    let (head, body) = match client.send(request, run.lease).await {
+        Ok(whole) => whole,
+        Err(failure) => return Outcome::Failed(failure),
+    };
+    let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("");
+    if text(RAN) == "no" {
+        return Outcome::Refused(Kind::EndpointRefused.into());
+    }
+    // Guards against an answer to another request, which would be given to the wrong caller.
+    if text(REQUEST).parse() != Ok(run.request) && head.status.is_success() {
+        return Outcome::Failed(Failure::Broken);
+    }
+    let kind = text(CONTENT_TYPE.as_str()).into();
+    Outcome::Answered(Answer { status: head.status.as_u16(), kind, body })
+}
--- a/src/gen/messages.rs
+++ b/src/gen/messages.rs
@@ -5,6 +5,8 @@
 ///What a member tells every peer a few times a second.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Beat {
+    ///The jobs of its buckets that have ended and that others depend on.
+    pub done: ::std::vec::Vec<crate::ids::JobId>,
     ///Whether the sender is stopping.
     pub draining: bool,
     ///The sender.
@@ -35,6 +37,8 @@
     pub epoch: crate::ids::Epoch,
     ///That owner.
     pub owner: crate::ids::Incarnation,
+    ///Counts the writes of that owner, so that a lost answer can be settled by reading.
+    pub serial: u64,
     ///The attempts of tasks that have not been forgotten.
     pub tasks: ::std::vec::Vec<TaskRow>,
 }
@@ -242,6 +246,8 @@
     Unowned,
     #[serde(rename = "kv_down")]
     KvDown,
+    #[serde(rename = "full")]
+    Full,
 }
 impl ::std::fmt::Display for ClaimVerdict {
     fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
@@ -253,6 +259,7 @@
             Self::Mismatch => f.write_str("mismatch"),
             Self::Unowned => f.write_str("unowned"),
             Self::KvDown => f.write_str("kv_down"),
+            Self::Full => f.write_str("full"),
         }
     }
 }
@@ -269,6 +276,7 @@
             "mismatch" => Ok(Self::Mismatch),
             "unowned" => Ok(Self::Unowned),
             "kv_down" => Ok(Self::KvDown),
+            "full" => Ok(Self::Full),
             _ => Err("invalid value".into()),
         }
     }
@@ -313,7 +321,7 @@
     ///Where it ran.
     pub worker: crate::ids::WorkerId,
 }
-///Tells a bucket's owner which attempts run or ended.
+///Tells a bucket's owner of attempts that run or ended.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct EndTell {
     ///The bucket.
@@ -374,6 +382,8 @@
     pub at: crate::ids::Revision,
     ///The records.
     pub entries: ::std::vec::Vec<KvEntry>,
+    ///The keys of records removed since the version asked after.
+    pub gone: ::std::vec::Vec<::std::boxed::Box<str>>,
 }
 ///A compare-and-swap.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -455,6 +465,44 @@
     ///The rows by their name.
     pub rows: ::std::collections::HashMap<::std::string::String, Row>,
 }
+///Asks a rack's owner what became of attempts.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProbeAsk {
+    ///The attempts.
+    pub items: ::std::vec::Vec<ProbeItem>,
+    ///The rack.
+    pub rack: crate::ids::RackId,
+}
+///An attempt that a bucket's owner wants to hear of.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProbeItem {
+    ///The attempt.
+    pub attempt: crate::ids::Attempt,
+    ///The task.
+    pub task: crate::ids::TaskId,
+    ///Where it was placed.
+    pub worker: crate::ids::WorkerId,
+}
+///The answer to a probe.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProbeReply {
+    ///A row for each worker asked for.
+    pub rows: ::std::vec::Vec<ProbeRow>,
+}
+///What a rack's owner knows of one worker.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ProbeRow {
+    ///How long ago its newest report was true; none where there is none since the owner changed.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub age: ::std::option::Option<u64>,
+    ///How long attempts there may still run, where their leases are renewed no more.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub cut: ::std::option::Option<u64>,
+    ///The attempts asked for that the report shows.
+    pub tasks: ::std::vec::Vec<TaskReport>,
+    ///The worker.
+    pub worker: crate::ids::WorkerId,
+}
 ///What is free on a rack.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct RackLoad {
@@ -481,13 +529,13 @@
     ///The tasks running, and those that ended of late.
     pub tasks: ::std::vec::Vec<TaskReport>,
 }
-///Asks a rack's owner for room; a reservation expires by itself.
+///Asks an owner of racks for room; a reservation expires by itself.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReserveAsk {
     ///The wishes.
     pub items: ::std::vec::Vec<ReserveItem>,
-    ///The rack.
-    pub rack: crate::ids::RackId,
+    ///The pool.
+    pub pool: crate::ids::PoolId,
     ///Whether all or none are to be placed.
     pub whole: bool,
 }
@@ -510,21 +558,22 @@
 ///The answer to wishes.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReserveReply {
-    ///The epoch of the rack.
-    pub epoch: crate::ids::Epoch,
-    ///An answer for each wish.
+    ///A row for each wish that has room.
     pub rows: ::std::vec::Vec<ReserveRow>,
 }
-///The answer to one wish.
+///The answer to a wish that has room.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ReserveRow {
     ///The attempt.
     pub attempt: crate::ids::Attempt,
+    ///The epoch of that rack.
+    pub epoch: crate::ids::Epoch,
+    ///The rack of that worker.
+    pub rack: crate::ids::RackId,
     ///The task.
     pub task: crate::ids::TaskId,
-    ///Where it has room; none where it has not.
-    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
-    pub worker: ::std::option::Option<crate::ids::WorkerId>,
+    ///Where it has room.
+    pub worker: crate::ids::WorkerId,
 }
 ///Who owns a rack or a bucket.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
@@ -552,6 +601,8 @@
 ///What an operator sees of one member.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Show {
+    ///The member that answers.
+    pub member: crate::ids::Incarnation,
     ///The members that this one knows.
     pub members: ::std::vec::Vec<MemberShow>,
     ///The tasks whose bucket this one owns.
@@ -565,24 +616,26 @@
     ///The workers that this one owns.
     pub workers: ::std::vec::Vec<WorkerShow>,
 }
-///Starts reserved attempts, or stops them.
+///Starts reserved attempts, and stops others.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct StartAsk {
     ///The epoch that the reservations were made under.
     pub epoch: crate::ids::Epoch,
+    ///How long the starts may still take effect.
+    pub left: u64,
     ///The rack.
     pub rack: crate::ids::RackId,
     ///The attempts to start.
     pub start: ::std::vec::Vec<StartItem>,
     ///The attempts to stop.
-    pub stop: ::std::vec::Vec<TaskRow>,
+    pub stop: ::std::vec::Vec<StartItem>,
 }
 ///A start of an attempt whose intent is committed.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct StartItem {
     ///The attempt.
     pub attempt: crate::ids::Attempt,
-    ///How long the stand-in work lasts; 0 is for ever.
+    ///How long it is declared to run; 0 is for ever.
     pub run: u64,
     ///What is reserved.
     pub size: crate::units::Size,
@@ -591,6 +644,12 @@
     ///Where it was placed.
     pub worker: crate::ids::WorkerId,
 }
+///The answer to starts and stops.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct StartReply {
+    ///The starts that will never take effect.
+    pub refused: ::std::vec::Vec<EndItem>,
+}
 ///An operator's submission of a text.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct Submit {
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,273 @@
+//! HTTP plumbing that every duty shares: a server with limits and a client with deadlines.
+
+use {
+    crate::error::{Error, Kind},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
+        http::{request::Parts, response},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::{
+        client::legacy::{Client as Pool, connect::HttpConnector},
+        rt::{TokioExecutor, TokioIo, TokioTimer},
+        server::graceful::GracefulShutdown,
+    },
+    std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::Semaphore,
+        time::timeout,
+    },
+};
+
+/// The request's id, on requests to workers and on their answers.
+pub const REQUEST: &str = "x-dwr-request";
+/// The epoch of the dispatching owner.
+pub const EPOCH: &str = "x-dwr-epoch";
+/// How long the request may run, in milliseconds.
+pub const LEASE: &str = "x-dwr-lease-ms";
+/// Whether a refused or failed request was run: `no` or `unknown`.
+pub const RAN: &str = "x-dwr-ran";
+/// The label of the error's kind.
+pub const REASON: &str = "x-dwr-reason";
+/// When to come back, in milliseconds; `retry-after` says the same in whole seconds.
+pub const BACK: &str = "x-dwr-retry-ms";
+/// Who calls.
+pub const CALLER: &str = "x-dwr-caller";
+/// How long the caller waits for the answer, in milliseconds.
+pub const DEADLINE: &str = "x-dwr-deadline-ms";
+/// How long the request is expected to run, in milliseconds.
+pub const RUN: &str = "x-dwr-run-ms";
+/// The key of a non-idempotent request.
+pub const KEY: &str = "idempotency-key";
+/// How often a request was forwarded between members.
+pub const HOPS: &str = "x-dwr-hops";
+/// The key that members and operators show.
+pub const SECRET: &str = "x-dwr-secret";
+
+/// How long an open connection may stay idle before it is closed.
+///
+/// Something between two ends may forget a connection after minutes; a connection that young is
+/// still known to it.
+const IDLE: Duration = Duration::from_secs(20);
+/// How long a connection may take to open, within one availability zone's reach.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// The most bytes of a request's head.
+const HEAD: usize = 64 * 1024;
+const CLOSE: HeaderValue = HeaderValue::from_static("close");
+
+/// A whole message, head and body.
+pub type Whole<T> = (T, Bytes);
+
+/// Limits of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// The largest body, in bytes.
+    pub body: usize,
+    /// The most connections at once.
+    pub connections: usize,
+    /// How long a sender may take for its headers, and again for its body.
+    pub patience: Duration,
+}
+
+/// A client whose connections are kept and whose calls have deadlines.
+#[derive(Clone)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+}
+
+/// Why a call brought no whole answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The connection could not be opened: nothing was sent.
+    Unsent,
+    /// The connection broke, or the answer was cut short.
+    Broken,
+    /// No whole answer came in time.
+    Timeout,
+}
+
+impl Client {
+    /// A client that keeps up to `idle` unused connections to each address.
+    pub fn new(idle: usize) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT));
+        let pool = Pool::builder(TokioExecutor::new())
+            .pool_idle_timeout(IDLE)
+            .pool_timer(TokioTimer::new())
+            .pool_max_idle_per_host(idle)
+            // A repeat by the library would be a second dispatch of the same request.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Client { pool }
+    }
+
+    /// Sends a request and reads its whole answer within `limit`.
+    ///
+    /// Dropping a call that ran out of time closes its connection, so that an answer that comes
+    /// late can never be read as the answer to the next request.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Whole<response::Parts>, Failure> {
+        let call = async {
+            let response = self
+                .pool
+                .request(request)
+                .await
+                .map_err(|e| if e.is_connect() { Failure::Unsent } else { Failure::Broken })?;
+            let (head, body) = response.into_parts();
+            let said = head.headers.get(CONTENT_LENGTH).cloned();
+            let body = body.collect().await.map_err(|_| Failure::Broken)?.to_bytes();
+            // A body cut short by a proxy that closes cleanly would pass for a whole one.
+            match said.and_then(|s| s.to_str().ok()?.parse::<usize>().ok()) {
+                Some(n) if n != body.len() => Err(Failure::Broken),
+                _ => Ok((head, body)),
+            }
+        };
+        timeout(limit, call).await.unwrap_or(Err(Failure::Timeout))
+    }
+
+    /// Sends `ask` as JSON and reads the answer as JSON; errs on any status but 200.
+    pub async fn json<A: serde::Serialize, R: serde::de::DeserializeOwned>(
+        &self,
+        method: &str,
+        uri: &str,
+        ask: &A,
+        limit: Duration,
+    ) -> Result<R, Failure> {
+        let body = serde_json::to_vec(ask).map_err(|_| Failure::Unsent)?;
+        let request = Request::builder().method(method).uri(uri).body(Full::new(body.into()));
+        let (head, body) = self.send(request.map_err(|_| Failure::Unsent)?, limit).await?;
+        if !head.status.is_success() {
+            return Err(Failure::Broken);
+        }
+        serde_json::from_slice(&body).map_err(|_| Failure::Broken)
+    }
+}
+
+/// Serves `handle` until `stop` ends, then lets the requests in progress finish.
+pub async fn serve<F, A>(
+    listener: TcpListener,
+    limits: Limits,
+    stop: impl Future<Output = ()> + Send,
+    handle: F,
+) where
+    F: Fn(Parts, Result<Bytes, Error>) -> A + Clone + Send + 'static,
+    A: Future<Output = Response<Full<Bytes>>> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let room = Arc::new(Semaphore::new(limits.connections));
+    tokio::pin!(stop);
+    loop {
+        let stream = tokio::select! {
+            () = &mut stop => break,
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => stream,
+                Err(_) => {
+                    // Out of file descriptors: accepting again at once would spin.
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                    continue;
+                }
+            },
+        };
+        let _ = stream.set_nodelay(true);
+        let Ok(permit) = room.clone().try_acquire_owned() else {
+            tokio::spawn(turn_away(stream));
+            continue;
+        };
+        let handle = handle.clone();
+        let service = service_fn(move |request| one(request, limits, handle.clone()));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.patience)
+            .max_buf_size(HEAD)
+            .serve_connection(TokioIo::new(stream), service);
+        let watched = graceful.watch(connection);
+        tokio::spawn(async move {
+            let _ = watched.await;
+            drop(permit);
+        });
+    }
+    drop(listener);
+    graceful.shutdown().await;
+}
+
+/// The answer for an error, by the table from kind to answer.
+pub fn refusal(error: &Error) -> Response<Full<Bytes>> {
+    let answer = error.kind().answer();
+    let mut b = Response::builder()
+        .status(answer.status)
+        .header(RAN, if answer.ran == crate::Ran::No { "no" } else { "unknown" })
+        .header(REASON, answer.label);
+    if let Some(back) = error.back() {
+        let ms = back.as_millis();
+        b = b.header("retry-after", ms.div_ceil(1000).to_string()).header(BACK, ms.to_string());
+    }
+    b.body(Full::new(format!("{error}\n").into())).unwrap_or_default()
+}
+
+/// A plain answer.
+pub fn answer(status: u16, body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut r = Response::new(Full::new(body.into()));
+    *r.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or_default();
+    r
+}
+
+/// The address in a form that a URI takes.
+pub fn uri(addr: SocketAddr, path: &str) -> String {
+    format!("http://{addr}{path}")
+}
+
+async fn one<F, A>(
+    request: Request<Incoming>,
+    limits: Limits,
+    handle: F,
+) -> Result<Response<Full<Bytes>>, Infallible>
+where
+    F: Fn(Parts, Result<Bytes, Error>) -> A,
+    A: Future<Output = Response<Full<Bytes>>>,
+{
+    let (head, body) = request.into_parts();
+    let body = read(body, limits).await;
+    let failed = body.is_err();
+    let mut response = handle(head, body).await;
+    if failed {
+        // The rest of the body is unread: the connection can't carry a next request.
+        response.headers_mut().insert(CONNECTION, CLOSE);
+    }
+    Ok(response)
+}
+
+/// Reads a whole body, within the limits.
+async fn read(body: Incoming, limits: Limits) -> Result<Bytes, Error> {
+    let whole = Limited::new(body, limits.body).collect();
+    match timeout(limits.patience, whole).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Kind::TooLarge.into()),
+        Ok(Err(_)) => Err(Kind::BadRequest.into()),
+        Err(_) => Err(Kind::SlowSender.into()),
+    }
+}
+
+/// Answers a connection over the limit; a silent close would look like a broken network.
+async fn turn_away(stream: TcpStream) {
+    let service = service_fn(|_: Request<Incoming>| async {
+        let mut r = refusal(&Kind::Connections.into());
+        r.headers_mut().insert(CONNECTION, CLOSE);
+        Ok::<_, Infallible>(r)
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_secs(1))
+        .serve_connection(TokioIo::new(stream), service);
+    let _ = timeout(Duration::from_secs(2), served).await;
+}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -255,6 +255,11 @@
         self.holds.get(held).map(|h| &h.worker)
     }
 
+    /// What is counted for an attempt or a request.
+    pub fn load(&self, held: &Held) -> Option<&Load> {
+        self.holds.get(held).map(|h| &h.load)
+    }
+
     /// The worker of a pool with the most free slots, if one has any.
     pub fn idlest(&self, pool: &PoolId) -> Option<&WorkerId> {
         let (free, worker) = self.pools.get(pool)?.idle.last()?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,15 +2,36 @@
 //!
 //! The types and the deciding code stand here; the binary only reads its command line.
 
+pub mod attempts;
+pub mod bucket;
+mod callers;
+pub mod claims;
+pub mod commit;
+pub mod config;
+pub mod core;
 pub mod decide;
+mod endpoints;
 mod error;
+pub mod event;
+pub mod http;
+pub mod ids;
+mod ini;
+pub mod jobs;
+pub mod kv;
 pub mod ledger;
+pub mod member;
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)] // generated
 #[path = "gen/messages.rs"]
 pub mod messages;
-pub mod ids;
-mod ini;
+pub mod metrics;
+pub mod operators;
+pub mod ownership;
+mod peers;
+mod platform;
+pub mod racks;
+pub mod requests;
+mod rpc;
 #[rustfmt::skip]
 #[allow(missing_docs, dead_code, clippy::all, clippy::unwrap_used)] // generated
 #[path = "gen/settings.rs"]
--- /dev/null
+++ b/src/member.rs
@@ -0,0 +1,395 @@
+//! One member process: a thread for each duty, joined by bounded rings.
+
+use {
+    crate::{
+        callers::Callers,
+        core::Core,
+        endpoints,
+        error::{Error, Kind},
+        event::{Event, Operated, Order, Outcome, Ticket, Verdict},
+        http::{Failure, Limits, serve},
+        ids::Incarnation,
+        kv::Kv,
+        messages::MemberRecord,
+        metrics::Metrics,
+        operators::Operators,
+        peers::Peers,
+        platform::Platform,
+        settings::Settings,
+        time::Time,
+    },
+    async_channel::{Receiver, Sender, TrySendError, bounded},
+    std::{
+        future::Future,
+        io,
+        net::{SocketAddr, TcpListener},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        thread::{self, JoinHandle},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    subtle::ConstantTimeEq,
+    tokio::{
+        runtime::{Builder, Runtime},
+        signal::unix::{SignalKind, signal},
+        sync::watch,
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// How many events may wait for the decisions; a burst of a second at the peak.
+const INBOX: usize = 16 * 1024;
+/// How many orders may wait for a duty.
+const RING: usize = 8 * 1024;
+/// How often time is let pass for the decisions.
+const TICK: Duration = Duration::from_millis(20);
+
+/// The way to the decisions' duty.
+pub(crate) type Inbox = Sender<Event>;
+
+/// The clock that all duties of a member share.
+#[derive(Clone, Copy)]
+pub(crate) struct Clock {
+    start: Instant,
+}
+
+static DRAINING: AtomicBool = AtomicBool::new(false);
+
+impl Clock {
+    /// The present time.
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.start.elapsed()
+    }
+
+    /// Whether the member is stopping.
+    pub fn draining(&self) -> bool {
+        DRAINING.load(Ordering::Relaxed)
+    }
+}
+
+/// The secret that peers and operators must show.
+#[derive(Clone)]
+pub(crate) struct Gate {
+    secret: Arc<str>,
+    metrics: Arc<Metrics>,
+}
+
+impl Gate {
+    /// Whether `shown` is the secret; takes as long for each guess of the same length.
+    pub fn matches(&self, shown: &[u8]) -> bool {
+        self.secret.as_bytes().ct_eq(shown).into()
+    }
+
+    /// The secret, to be shown to a peer.
+    pub fn show(&self) -> &str {
+        &self.secret
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self) {
+        self.metrics.refused(Kind::Unauthorized);
+    }
+}
+
+/// The addresses that a running member listens on.
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    control: TcpListener,
+    bodies: TcpListener,
+    metrics: TcpListener,
+}
+
+/// Runs a member until it is told to stop and has handed over all that it owns.
+///
+/// Errs with [`Kind::BadSettings`] where an address can't be listened on, before anything starts.
+pub fn run(settings: &Settings) -> Result<(), Error> {
+    let listeners = Listeners::bind(settings)?;
+    let local =
+        |l: &TcpListener| l.local_addr().map_err(|e| Error::new(Kind::BadSettings, e.to_string()));
+    let record = MemberRecord {
+        incarnation: Incarnation(fastrand::u64(1..)),
+        zone: settings.member.zone.clone(),
+        control: local(&listeners.control)?,
+        bodies: local(&listeners.bodies)?,
+        callers: local(&listeners.callers)?,
+        draining: false,
+    };
+    println!(
+        "ready member={} callers={} operators={} metrics={}",
+        record.incarnation,
+        record.callers,
+        local(&listeners.operators)?,
+        local(&listeners.metrics)?,
+    );
+    start(settings, listeners, record).map_err(|e| Error::new(Kind::BadSettings, e.to_string()))
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Self, Error> {
+        let m = &settings.member;
+        let bind = |addr: SocketAddr, key: &str| {
+            let tcp = TcpListener::bind(addr).and_then(|l| {
+                l.set_nonblocking(true)?;
+                Ok(l)
+            });
+            tcp.map_err(|e| Error::new(Kind::BadSettings, format!("[member] {key} = {addr}: {e}")))
+        };
+        Ok(Listeners {
+            callers: bind(m.callers, "callers")?,
+            operators: bind(m.operators, "operators")?,
+            control: bind(m.control, "control")?,
+            bodies: bind(m.bodies, "bodies")?,
+            metrics: bind(m.metrics, "metrics")?,
+        })
+    }
+}
+
+/// The decisions' ends of the rings to the other duties.
+struct Rings {
+    replies: Sender<(Ticket, Verdict)>,
+    endpoints: Sender<Order>,
+    peers: Sender<Order>,
+    operators: Sender<(Ticket, Operated)>,
+    platform: Sender<Order>,
+}
+
+fn start(settings: &Settings, listeners: Listeners, record: MemberRecord) -> io::Result<()> {
+    let metrics = Arc::new(Metrics::new());
+    let clock = Clock { start: Instant::now() };
+    let gate = Gate { secret: (&*settings.member.secret).into(), metrics: metrics.clone() };
+    let (inbox, events) = bounded(INBOX);
+    let (replies, reply) = bounded(RING);
+    let (to_endpoints, endpoint) = bounded(RING);
+    let (to_peers, peer) = bounded(RING);
+    let (to_operators, operator) = bounded(RING);
+    let (to_platform, platform) = bounded(RING);
+    let (stop, stopped) = watch::channel(false);
+    let limits = settings.limits.clone();
+    let limits = Limits {
+        body: usize::try_from(limits.body).unwrap_or(usize::MAX),
+        connections: usize::try_from(limits.connections).unwrap_or(usize::MAX),
+        patience: Duration::from_millis(limits.header),
+    };
+    let wait = move || {
+        let mut stopped = stopped.clone();
+        async move {
+            // An end of the sender means the same.
+            while !*stopped.borrow_and_update() && stopped.changed().await.is_ok() {}
+        }
+    };
+    let mut threads: Vec<JoinHandle<()>> = vec![];
+    let (box_inbox, box_metrics, me) = (inbox.clone(), metrics.clone(), record.incarnation);
+    let (callers, bodies) = (listeners.callers, listeners.bodies);
+    let (callers_gate, callers_stop) = (gate.clone(), wait.clone());
+    threads.push(duty("callers", move || async move {
+        let callers = Callers {
+            me,
+            callers: tokio::net::TcpListener::from_std(callers)?,
+            bodies: tokio::net::TcpListener::from_std(bodies)?,
+            limits,
+            secret: callers_gate,
+            inbox: box_inbox,
+            replies: reply,
+            clock,
+            metrics: box_metrics,
+        };
+        callers.run(callers_stop).await;
+        Ok(())
+    })?);
+    let endpoint_inbox = inbox.clone();
+    threads.push(duty("endpoints", move || async move {
+        endpoints::run(endpoint, endpoint_inbox, clock).await;
+        Ok(())
+    })?);
+    let peers = Peers {
+        control: listeners.control,
+        secret: gate.clone(),
+        inbox: inbox.clone(),
+        orders: peer,
+    };
+    threads.push(duty("peers", move || peers.run())?);
+    let operators = Operators {
+        listener: listeners.operators,
+        secret: gate,
+        inbox: inbox.clone(),
+        answers: operator,
+    };
+    threads.push(duty("operators", move || operators.run())?);
+    let duty_of_platform = Platform {
+        kv: Kv::new(settings.platform.kv),
+        vms: settings.platform.vms,
+        record: record.clone(),
+        inbox: inbox.clone(),
+        orders: platform,
+        clock,
+        metrics: metrics.clone(),
+    };
+    threads.push(duty("platform", move || async move {
+        duty_of_platform.run().await;
+        Ok(())
+    })?);
+    let (pages, page_metrics, page_stop) = (listeners.metrics, metrics.clone(), wait());
+    threads.push(duty("metrics", move || async move {
+        let listener = tokio::net::TcpListener::from_std(pages)?;
+        let limits = Limits { body: 0, connections: 64, patience: Duration::from_secs(5) };
+        serve(listener, limits, page_stop, move |head, _| {
+            let page = page_metrics.page(head.uri.path());
+            async move { page }
+        })
+        .await;
+        Ok(())
+    })?);
+    threads.push(duty("signals", move || signals(inbox))?);
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
+    let rings = Rings {
+        replies,
+        endpoints: to_endpoints,
+        peers: to_peers,
+        operators: to_operators,
+        platform: to_platform,
+    };
+    let core = Core::new(record, unix, metrics.clone());
+    runtime()?.block_on(decide(core, events, rings, clock, &metrics));
+    stop.send_replace(true);
+    // The signals' thread never ends; the others end with their rings and their last answers.
+    for thread in threads.into_iter().filter(|t| t.thread().name() != Some("signals")) {
+        let _ = thread.join();
+    }
+    log::info!(target: "member", "Stopped.");
+    Ok(())
+}
+
+/// The decisions' duty: takes in events, lets time pass, and spreads the orders.
+async fn decide(
+    mut core: Core,
+    events: Receiver<Event>,
+    rings: Rings,
+    clock: Clock,
+    metrics: &Metrics,
+) {
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        let mut event = tokio::select! {
+            biased;
+            _ = ticks.tick() => Event::Tick,
+            event = events.recv() => match event {
+                Ok(event) => event,
+                Err(_) => return,
+            },
+        };
+        loop {
+            let mut bounced = vec![];
+            for order in core.on(event, clock.now()) {
+                if matches!(order, Order::Stop) {
+                    return;
+                }
+                bounced.extend(rings.send(order, metrics));
+            }
+            if core.draining() {
+                DRAINING.store(true, Ordering::Relaxed);
+            }
+            let Some(next) = bounced.pop() else { break };
+            event = next;
+            for next in bounced {
+                for order in core.on(next, clock.now()) {
+                    let _ = rings.send(order, metrics);
+                }
+            }
+        }
+    }
+}
+
+impl Rings {
+    /// Passes an order on; returns what follows where the ring is full.
+    ///
+    /// A final answer is never dropped: its duty takes answers without waiting for anything, so the
+    /// wait is short and can't be circular.
+    fn send(&self, order: Order, metrics: &Metrics) -> Option<Event> {
+        let (ring, name) = match order {
+            Order::Reply(ticket, verdict) => {
+                let _ = self.replies.send_blocking((ticket, verdict));
+                return None;
+            }
+            Order::Operated(ticket, answer) => {
+                let _ = self.operators.send_blocking((ticket, answer));
+                return None;
+            }
+            Order::Back(..) => {
+                let _ = self.peers.send_blocking(order);
+                return None;
+            }
+            Order::Run(_) | Order::Worker(..) | Order::Report(..) | Order::Fence(..) => {
+                (&self.endpoints, "endpoints")
+            }
+            Order::Forward(_) | Order::Call(..) => (&self.peers, "peers"),
+            Order::Get(..) | Order::Put(..) | Order::Register(_) => (&self.platform, "platform"),
+            Order::Stop => return None,
+        };
+        match ring.try_send(order) {
+            Ok(()) => None,
+            Err(TrySendError::Full(order) | TrySendError::Closed(order)) => {
+                metrics.full.with_label_values(&[name]).inc();
+                bounced(order)
+            }
+        }
+    }
+}
+
+/// What follows from an order that its duty never got.
+fn bounced(order: Order) -> Option<Event> {
+    let full = || Outcome::Refused(Kind::RingFull.into());
+    match order {
+        Order::Run(r) => Some(Event::Ran { request: r.request, worker: r.worker, outcome: full() }),
+        Order::Forward(f) => {
+            Some(Event::Forwarded { request: f.request, to: f.to, outcome: full() })
+        }
+        Order::Worker(worker, _, ask) => {
+            Some(Event::Ordered { worker, ask, sent: Time::ZERO, reply: Err(Failure::Unsent) })
+        }
+        Order::Report(worker, _) => Some(Event::Reported { worker, report: Err(Failure::Unsent) }),
+        Order::Call(to, _, call) => Some(Event::Called { to, call, back: Err(Failure::Unsent) }),
+        Order::Get(purpose, _) => Some(Event::Got(purpose, Err(Failure::Unsent))),
+        Order::Put(purpose, ..) => Some(Event::Put(purpose, Err(Failure::Unsent))),
+        _ => None,
+    }
+}
+
+/// Stops the member in order at the first signal, and at once at the second.
+async fn signals(inbox: Inbox) -> io::Result<()> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut told = false;
+    loop {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        if told {
+            log::warn!(target: "member", "Stopped at once.");
+            std::process::exit(1);
+        }
+        told = true;
+        let _ = inbox.send(Event::Drain).await;
+    }
+}
+
+fn duty<F>(name: &str, run: impl FnOnce() -> F + Send + 'static) -> io::Result<JoinHandle<()>>
+where
+    F: Future<Output = io::Result<()>>,
+{
+    let own: Box<str> = name.into();
+    thread::Builder::new().name(name.into()).spawn(move || {
+        let done = runtime().and_then(|r| r.block_on(run()));
+        if let Err(e) = done {
+            log::error!(target: "member", "The duty {own} has ended: {e}.");
+        }
+    })
+}
+
+fn runtime() -> io::Result<Runtime> {
+    Builder::new_current_thread().enable_all().build()
+}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,129 @@
+//! The counters and levels of a member, and the pages that show them.
+
+use {
+    crate::{error::Kind, event::Verdict, http::answer},
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::Response,
+    prometheus::{
+        Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder,
+    },
+    std::time::Duration,
+};
+
+/// The metrics of a member.
+pub struct Metrics {
+    registry: Registry,
+    verdicts: IntCounterVec,
+    retries: IntCounterVec,
+    /// KV calls by kind and outcome.
+    pub kv: IntCounterVec,
+    /// Messages dropped because a ring was full, by ring.
+    pub full: IntCounterVec,
+    /// Bytes between members and to workers, by duty.
+    pub bytes: IntCounterVec,
+    levels: IntGaugeVec,
+    ready: IntGauge,
+    wait: Histogram,
+}
+
+impl Metrics {
+    /// All metrics, at zero. Every kind of refusal and retry is there from the start.
+    pub fn new() -> Self {
+        let counter = |name: &str, help: &str, label: &str| {
+            IntCounterVec::new(Opts::new(name, help), &[label]).expect("the names are well-formed")
+        };
+        let m = Metrics {
+            registry: Registry::new(),
+            verdicts: counter(
+                "dwr_verdicts_total",
+                "Final answers to callers by reason.",
+                "reason",
+            ),
+            retries: counter("dwr_retries_total", "Dispatches made again by reason.", "reason"),
+            kv: counter("dwr_kv_calls_total", "Calls of the key-value service.", "call"),
+            full: counter("dwr_ring_full_total", "Messages dropped at a full ring.", "ring"),
+            bytes: counter("dwr_control_bytes_total", "Bytes sent for control.", "duty"),
+            levels: IntGaugeVec::new(Opts::new("dwr_level", "Levels of a member."), &["what"])
+                .expect("the names are well-formed"),
+            ready: IntGauge::new("dwr_ready", "Whether callers are served.")
+                .expect("the names are well-formed"),
+            wait: Histogram::with_opts(HistogramOpts::new(
+                "dwr_answer_seconds",
+                "From a request to its final answer.",
+            ))
+            .expect("the names are well-formed"),
+        };
+        for kind in Kind::ALL {
+            m.verdicts.with_label_values(&[kind.answer().label]);
+            m.retries.with_label_values(&[kind.answer().label]);
+        }
+        let all: [Box<dyn prometheus::core::Collector>; 8] = [
+            Box::new(m.verdicts.clone()),
+            Box::new(m.retries.clone()),
+            Box::new(m.kv.clone()),
+            Box::new(m.full.clone()),
+            Box::new(m.bytes.clone()),
+            Box::new(m.levels.clone()),
+            Box::new(m.ready.clone()),
+            Box::new(m.wait.clone()),
+        ];
+        for c in all {
+            m.registry.register(c).expect("no name is taken twice");
+        }
+        m
+    }
+
+    /// Counts a final answer.
+    pub fn verdict(&self, verdict: &Verdict) {
+        let label = verdict.as_ref().map_or_else(|e| e.kind().answer().label, |_| "answered");
+        self.verdicts.with_label_values(&[label]).inc();
+    }
+
+    /// Counts a refusal made before the decisions' duty.
+    pub fn refused(&self, kind: Kind) {
+        self.verdicts.with_label_values(&[kind.answer().label]).inc();
+    }
+
+    /// Counts a dispatch made again.
+    pub fn retry(&self, kind: Kind) {
+        self.retries.with_label_values(&[kind.answer().label]).inc();
+    }
+
+    /// Notes how long a request took.
+    pub fn took(&self, time: Duration) {
+        self.wait.observe(time.as_secs_f64());
+    }
+
+    /// Notes the levels.
+    pub fn state(&self, racks: usize, buckets: usize, version: u64, requests: usize, ready: bool) {
+        let set = |what: &str, n: usize| {
+            let n = i64::try_from(n).unwrap_or(i64::MAX);
+            self.levels.with_label_values(&[what]).set(n);
+        };
+        set("racks", racks);
+        set("buckets", buckets);
+        set("requests", requests);
+        set("version", usize::try_from(version).unwrap_or(usize::MAX));
+        self.ready.set(i64::from(ready));
+    }
+
+    /// The page at `path`: `/metrics`, or `/ready` for the balancer.
+    pub fn page(&self, path: &str) -> Response<Full<Bytes>> {
+        match path {
+            "/metrics" => match TextEncoder::new().encode_to_string(&self.registry.gather()) {
+                Ok(text) => answer(200, text),
+                Err(e) => answer(500, e.to_string()),
+            },
+            "/ready" if self.ready.get() == 1 => answer(200, "ready\n"),
+            "/ready" => answer(503, "not ready\n"),
+            _ => answer(404, "no such page\n"),
+        }
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Metrics::new()
+    }
+}
--- /dev/null
+++ b/src/operators.rs
@@ -0,0 +1,162 @@
+//! The operators' duty, and the client that operators' commands use.
+
+use {
+    crate::{
+        error::{Error, Kind},
+        event::{Event, Operate, Operated, Ticket},
+        member::{Gate, Inbox},
+        messages::{Show, Submit, SubmitReply},
+        rpc,
+    },
+    async_channel::Receiver,
+    jsonrpsee::{
+        RpcModule,
+        core::client::{ClientT, Error as ClientError},
+        rpc_params,
+        types::ErrorObjectOwned,
+    },
+    rustc_hash::FxHashMap,
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::oneshot,
+};
+
+/// The deadline of an operator's call; longer than a submission may stay undecided.
+const CALL: Duration = Duration::from_secs(8);
+const REFUSED: i32 = -32000;
+
+type Waiting = Arc<Mutex<FxHashMap<Ticket, oneshot::Sender<Operated>>>>;
+
+/// What the operators' duty needs.
+pub(crate) struct Operators {
+    /// The listener for operators.
+    pub listener: TcpListener,
+    /// What operators must show.
+    pub secret: Gate,
+    /// The way to the decisions.
+    pub inbox: Inbox,
+    /// The decisions' answers.
+    pub answers: Receiver<(Ticket, Operated)>,
+}
+
+impl Operators {
+    /// Serves operators until the decisions' ring is closed.
+    pub async fn run(self) -> std::io::Result<()> {
+        let waiting = Waiting::default();
+        let asks =
+            Asks { inbox: self.inbox, waiting: waiting.clone(), next: Arc::new(AtomicU64::new(1)) };
+        let server = rpc::serve(self.listener, self.secret, module(asks)).await?;
+        while let Ok((ticket, answer)) = self.answers.recv().await {
+            let to = waiting.lock().expect("no holder panics").remove(&ticket);
+            if let Some(to) = to {
+                let _ = to.send(answer);
+            }
+        }
+        let _ = server.stop();
+        Ok(())
+    }
+}
+
+#[derive(Clone)]
+struct Asks {
+    inbox: Inbox,
+    waiting: Waiting,
+    next: Arc<AtomicU64>,
+}
+
+impl Asks {
+    async fn ask(&self, ask: Operate) -> Result<Operated, ErrorObjectOwned> {
+        let ticket = self.next.fetch_add(1, Ordering::Relaxed);
+        let (to, from) = oneshot::channel();
+        self.waiting.lock().expect("no holder panics").insert(ticket, to);
+        if self.inbox.try_send(Event::Operator(ticket, ask)).is_err() {
+            self.waiting.lock().expect("no holder panics").remove(&ticket);
+            return Err(bad(Kind::RingFull));
+        }
+        from.await.map_err(|_| bad(Kind::OutcomeUnknown))
+    }
+}
+
+fn bad(kind: Kind) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(REFUSED, kind.answer().label, None::<()>)
+}
+
+fn module(asks: Asks) -> RpcModule<Asks> {
+    let mut module = RpcModule::new(asks);
+    let submit = module.register_async_method("submit", |params, asks, _| async move {
+        let ask: Submit = params.one()?;
+        match asks.ask(Operate::Submit(ask)).await? {
+            Operated::Submit(reply) => Ok(reply),
+            _ => Err(bad(Kind::Peer)),
+        }
+    });
+    submit.expect("the names differ");
+    let show = module.register_async_method("show", |_, asks, _| async move {
+        match asks.ask(Operate::Show).await? {
+            Operated::Show(show) => Ok(*show),
+            _ => Err(bad(Kind::Peer)),
+        }
+    });
+    show.expect("the names differ");
+    let drain = module.register_async_method("drain", |_, asks, _| async move {
+        asks.ask(Operate::Drain).await.map(|_| true)
+    });
+    drain.expect("the names differ");
+    module
+}
+
+/// Submits a text; errs with [`Kind::OutcomeUnknown`] where no answer came.
+pub async fn submit(at: SocketAddr, secret: &str, ask: &Submit) -> Result<SubmitReply, Error> {
+    call(at, secret, "submit", rpc_params![ask]).await
+}
+
+/// Shows a member's state.
+pub async fn show(at: SocketAddr, secret: &str) -> Result<Show, Error> {
+    call(at, secret, "show", rpc_params![]).await
+}
+
+/// Tells a member to stop, with no request interrupted.
+pub async fn drain(at: SocketAddr, secret: &str) -> Result<bool, Error> {
+    call(at, secret, "drain", rpc_params![]).await
+}
+
+async fn call<R: serde::de::DeserializeOwned>(
+    at: SocketAddr,
+    secret: &str,
+    name: &str,
+    params: jsonrpsee::core::params::ArrayParams,
+) -> Result<R, Error> {
+    let client =
+        rpc::client(at, secret, CALL).map_err(|e| Error::new(Kind::Peer, e.to_string()))?;
+    client.request(name, params).await.map_err(|e| match e {
+        ClientError::Call(e) => match Kind::from_label(e.message()) {
+            Some(kind) => kind.into(),
+            None => Error::new(Kind::Peer, e.message()),
+        },
+        ClientError::Transport(e) if e.to_string().contains("401") => Kind::Unauthorized.into(),
+        ClientError::Transport(e) if unsent(&*e) => {
+            Error::new(Kind::Peer, format!("{at} cannot be reached"))
+        }
+        e => Error::new(Kind::OutcomeUnknown, e.to_string()),
+    })
+}
+
+/// Whether a call failed before it was sent: no connection was made.
+fn unsent(e: &(dyn std::error::Error + 'static)) -> bool {
+    let mut at = Some(e);
+    while let Some(e) = at {
+        if e.downcast_ref::<std::io::Error>()
+            .is_some_and(|e| e.kind() == std::io::ErrorKind::ConnectionRefused)
+        {
+            return true;
+        }
+        at = e.source();
+    }
+    false
+}
--- /dev/null
+++ b/src/ownership.rs
@@ -0,0 +1,312 @@
+//! Who owns a rack or a bucket: takeover, release, and when an owner may act.
+//!
+//! Every row (a rack's workers, or a bucket of jobs and keys) has one owner at a time. The table
+//! stands in the key-value service and changes by compare-and-swap; rendezvous hashing over the
+//! live members says who should own a row. Each change of a row's owner counts its epoch up, and a
+//! worker refuses dispatches of a lower epoch than the highest it has seen.
+
+use {
+    crate::{
+        ids::{Epoch, Incarnation, Revision, RowId, Zone},
+        messages::{MemberRecord, OwnersRecord, Row},
+        time::Time,
+    },
+    rendezvous_hash::{IdNode, Node, NodeHasher, RendezvousNodes},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        hash::{Hash, Hasher},
+        time::Duration,
+    },
+    xxhash_rust::xxh3::Xxh3Default,
+};
+
+/// How long a member's lease at the key-value service lasts.
+///
+/// A dead member's racks stand idle for as long, so it is short; a renewal goes out every third of
+/// it, so that two may be lost.
+pub const LEASE: Duration = Duration::from_secs(3);
+/// How much of the lease an owner leaves unused.
+///
+/// Covers the drift of two clocks over one lease and a dispatch's longest flight to a worker.
+pub const MARGIN: Duration = Duration::from_millis(600);
+/// How long a member waits, after the service answers again, before it takes over from others.
+///
+/// During an outage nobody could renew. The first member back would otherwise see every lease
+/// lapsed and take over everything.
+pub const GRACE: Duration = Duration::from_secs(3);
+/// How long an unanswered write may take effect after its call was given up.
+const UNSURE: Duration = Duration::from_secs(1);
+
+/// One record of the table: the rows of an availability zone, or all buckets.
+#[derive(Default)]
+struct Table {
+    revision: Revision,
+    rows: BTreeMap<RowId, Row>,
+    wanted: BTreeSet<RowId>,
+    zone: Option<Zone>,
+    write: Write,
+}
+
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+enum Write {
+    #[default]
+    None,
+    Flying,
+    /// The answer was lost: read before the next write, but not before this time.
+    Unsure(Time),
+}
+
+/// A compare-and-swap of one table to be sent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Swap {
+    /// The table's name.
+    pub table: Box<str>,
+    /// The version that it must still have.
+    pub expect: Revision,
+    /// The new rows.
+    pub record: OwnersRecord,
+}
+
+/// What became of a swap.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// It took effect and made this version.
+    Done(Revision),
+    /// Another write was first.
+    Refused,
+    /// No answer: it may have taken effect.
+    Unknown,
+}
+
+/// What a change of the table means for this member.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// The row is this member's now, with this epoch.
+    Gained(RowId, Epoch),
+    /// The row was this member's with the first epoch, and has passed to this member.
+    Lost(RowId, Epoch, Option<Incarnation>),
+}
+
+/// The ownership table as one member knows it.
+pub struct Ownership {
+    me: Incarnation,
+    members: BTreeMap<Incarnation, MemberRecord>,
+    tables: BTreeMap<Box<str>, Table>,
+    renewed: Option<Time>,
+    answered: Option<Time>,
+    resumed: Time,
+}
+
+impl Ownership {
+    /// A table in which nothing is known yet.
+    pub fn new(me: Incarnation) -> Self {
+        Ownership {
+            me,
+            members: BTreeMap::new(),
+            tables: BTreeMap::new(),
+            renewed: None,
+            answered: None,
+            resumed: Time::ZERO,
+        }
+    }
+
+    /// The owner of a row and its epoch, if it has one.
+    pub fn owner(&self, row: &RowId) -> Option<(Incarnation, Epoch)> {
+        let row = self.tables.values().find_map(|t| t.rows.get(row))?;
+        Some((row.owner?, row.epoch))
+    }
+
+    /// Whether this member's lease lets it act as an owner.
+    ///
+    /// The lease is counted from before the renewal was sent: the service's own count starts later,
+    /// so it ends later, and nobody takes over before this member has stopped by itself. A member
+    /// that is paused between this check and its send is stopped by the epoch at the worker.
+    pub fn leased(&self, now: Time) -> bool {
+        self.renewed.is_some_and(|r| now + MARGIN < r + LEASE)
+    }
+
+    /// Until when nobody takes over from this member, where it has a lease.
+    pub fn until(&self) -> Option<Time> {
+        self.renewed.map(|r| r + LEASE - MARGIN)
+    }
+
+    /// The live members, this one included once it is registered.
+    pub fn members(&self) -> &BTreeMap<Incarnation, MemberRecord> {
+        &self.members
+    }
+
+    /// How many rows this member owns.
+    pub fn count(&self) -> usize {
+        self.rows(self.me) as usize
+    }
+
+    /// How many rows a member owns.
+    pub fn rows(&self, member: Incarnation) -> u32 {
+        let rows = self.tables.values().flat_map(|t| t.rows.values());
+        rows.filter(|r| r.owner == Some(member)).map(|_| 1).sum()
+    }
+
+    /// How long ago the key-value service last answered.
+    pub fn silence(&self, now: Time) -> Duration {
+        self.answered.map_or(Duration::MAX, |a| now - a)
+    }
+
+    /// A renewal that was sent at `sent` succeeded.
+    pub fn renewed(&mut self, sent: Time) {
+        self.renewed = self.renewed.max(Some(sent));
+    }
+
+    /// The service answered a call.
+    pub fn answered(&mut self, now: Time) {
+        if self.silence(now) > LEASE {
+            self.resumed = now;
+        }
+        self.answered = Some(now);
+    }
+
+    /// A member registered or changed its record.
+    pub fn joined(&mut self, record: MemberRecord) {
+        self.members.insert(record.incarnation, record);
+    }
+
+    /// A member's record is gone: its lease lapsed, or it stopped.
+    pub fn left(&mut self, member: Incarnation) {
+        self.members.remove(&member);
+    }
+
+    /// Says which rows a table should have, and in which availability zone they are.
+    pub fn want(&mut self, table: &str, zone: Option<Zone>, rows: BTreeSet<RowId>) {
+        let t = self.tables.entry(table.into()).or_default();
+        t.wanted = rows;
+        t.zone = zone;
+    }
+
+    /// The tables that no longer have a VM behind them keep their rows; nothing is wanted of them.
+    pub fn tables(&self) -> impl Iterator<Item = &str> {
+        self.tables.keys().map(|k| &**k)
+    }
+
+    /// Takes in a table as the service has it.
+    ///
+    /// An older version than the one held is a stale read and changes nothing.
+    pub fn read(&mut self, table: &str, revision: Revision, record: OwnersRecord) -> Vec<Change> {
+        let me = self.me;
+        let t = self.tables.entry(table.into()).or_default();
+        if matches!(t.write, Write::Unsure(_)) {
+            t.write = Write::None;
+        }
+        if revision <= t.revision {
+            return vec![];
+        }
+        let mut changes = vec![];
+        let rows: BTreeMap<RowId, Row> =
+            record.rows.into_iter().map(|(k, v)| (RowId(k.into()), v)).collect();
+        for (id, row) in &rows {
+            let before = t.rows.get(id).filter(|r| r.owner == Some(me)).map(|r| r.epoch);
+            let after = (row.owner == Some(me)).then_some(row.epoch);
+            if before == after {
+                continue;
+            }
+            if let Some(epoch) = before {
+                changes.push(Change::Lost(id.clone(), epoch, row.owner));
+            }
+            if let Some(epoch) = after {
+                changes.push(Change::Gained(id.clone(), epoch));
+            }
+        }
+        t.revision = revision;
+        t.rows = rows;
+        changes
+    }
+
+    /// The swaps to send now: rows to take over, to claim for the first time, and to hand over.
+    ///
+    /// `busy` says of a row of this member's whether it can't be handed over yet.
+    pub fn step(&mut self, now: Time, busy: impl Fn(&RowId) -> bool) -> Vec<Swap> {
+        if !self.leased(now) || now < self.resumed + GRACE && !self.all_here() {
+            return vec![];
+        }
+        let names: Vec<Box<str>> = self.tables.keys().cloned().collect();
+        names.iter().filter_map(|name| self.swap(name, &busy)).collect()
+    }
+
+    /// The tables to read again, after a write whose answer was lost.
+    pub fn unsure(&self, now: Time) -> Vec<Box<str>> {
+        let unsure = |t: &Table| matches!(t.write, Write::Unsure(at) if at <= now);
+        self.tables.iter().filter(|(_, t)| unsure(t)).map(|(n, _)| n.clone()).collect()
+    }
+
+    /// What became of a swap of this table.
+    pub fn swapped(&mut self, swap: Swap, fate: Fate, now: Time) -> Vec<Change> {
+        let Some(t) = self.tables.get_mut(&swap.table) else { return vec![] };
+        t.write = match fate {
+            Fate::Unknown => Write::Unsure(now + UNSURE),
+            _ => Write::None,
+        };
+        match fate {
+            Fate::Done(revision) => self.read(&swap.table, revision, swap.record),
+            _ => vec![],
+        }
+    }
+
+    /// The member that should own a row.
+    pub fn desired(&self, row: &RowId, zone: Option<&Zone>) -> Option<Incarnation> {
+        let able: Vec<&MemberRecord> = self.members.values().filter(|m| !m.draining).collect();
+        let near: Vec<&MemberRecord> =
+            able.iter().copied().filter(|m| zone.is_none_or(|z| *z == m.zone)).collect();
+        let nodes = if near.is_empty() { able } else { near };
+        let mut ring = RendezvousNodes::new(Rendezvous);
+        nodes.iter().for_each(|m| {
+            ring.insert(IdNode::new(m.incarnation));
+        });
+        ring.calc_candidates(row).next().map(|n| *n.node_id())
+    }
+
+    /// Whether every owner that the tables name is registered, so that nobody is still missing
+    /// after an outage.
+    fn all_here(&self) -> bool {
+        let mut owners = self.tables.values().flat_map(|t| t.rows.values()).filter_map(|r| r.owner);
+        owners.all(|o| self.members.contains_key(&o))
+    }
+
+    fn swap(&mut self, name: &str, busy: &impl Fn(&RowId) -> bool) -> Option<Swap> {
+        let t = self.tables.get(name)?;
+        if t.write != Write::None {
+            return None;
+        }
+        let mut rows = t.rows.clone();
+        let mut changed = false;
+        for id in t.wanted.iter().chain(t.rows.keys().filter(|k| !t.wanted.contains(*k))) {
+            let to = self.desired(id, t.zone.as_ref())?;
+            let row = rows.get(id);
+            let owner = row.and_then(|r| r.owner);
+            let orphan = owner.is_none_or(|o| !self.members.contains_key(&o));
+            let take = orphan && to == self.me;
+            let give = owner == Some(self.me) && to != self.me && !busy(id);
+            if take || give {
+                let epoch = Epoch(row.map_or(0, |r| r.epoch.0) + 1);
+                rows.insert(id.clone(), Row { owner: Some(to), epoch });
+                changed = true;
+            }
+        }
+        if !changed {
+            return None;
+        }
+        let rows = rows.into_iter().map(|(k, v)| (k.0.into(), v)).collect();
+        let expect = t.revision;
+        self.tables.get_mut(name)?.write = Write::Flying;
+        Some(Swap { table: name.into(), expect, record: OwnersRecord { rows } })
+    }
+}
+
+/// Hashes with a function whose values are the same in every build, as members must agree.
+struct Rendezvous;
+
+impl<N: Hash> NodeHasher<N> for Rendezvous {
+    fn hash<T: Hash>(&self, node: &N, item: &T) -> u64 {
+        let mut h = Xxh3Default::new();
+        node.hash(&mut h);
+        item.hash(&mut h);
+        h.finish()
+    }
+}
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,176 @@
+//! The peers' duty: control calls between members, and requests that are forwarded.
+
+use {
+    crate::{
+        error::{Error, Kind},
+        event::{Answer, Back, Call, Event, Forward, Order, Outcome, Ticket},
+        http::{
+            BACK, CALLER, Client, DEADLINE, Failure, HOPS, KEY, RAN, REASON, REQUEST, RUN, SECRET,
+            uri,
+        },
+        member::{Gate, Inbox},
+        rpc,
+    },
+    async_channel::Receiver,
+    http_body_util::Full,
+    hyper::{Request, header::CONTENT_TYPE},
+    jsonrpsee::{
+        RpcModule, core::client::ClientT, http_client::HttpClient, types::ErrorObjectOwned,
+    },
+    rustc_hash::FxHashMap,
+    serde_json::{Map, Value},
+    std::{
+        net::{SocketAddr, TcpListener},
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::sync::oneshot,
+};
+
+/// The deadline of a call. A member that takes longer is not in a state to decide anything.
+const CALL: Duration = Duration::from_secs(1);
+/// How long a claim may take at its owner, which may have to settle a lost answer.
+const CLAIM: Duration = Duration::from_secs(5);
+/// What the codes of JSON-RPC leave to an application.
+const REFUSED: i32 = -32000;
+
+type Waiting = Arc<Mutex<FxHashMap<Ticket, oneshot::Sender<Back>>>>;
+
+/// What the peers' duty needs.
+pub struct Peers {
+    /// The listener for control calls.
+    pub control: TcpListener,
+    /// What peers must show.
+    pub secret: Gate,
+    /// The way to the decisions.
+    pub inbox: Inbox,
+    /// What the decisions order.
+    pub orders: Receiver<Order>,
+}
+
+impl Peers {
+    /// Serves and calls peers until the decisions' ring is closed.
+    pub async fn run(self) -> std::io::Result<()> {
+        let waiting = Waiting::default();
+        let module = module(self.inbox.clone(), waiting.clone());
+        let server = rpc::serve(self.control, self.secret.clone(), module).await?;
+        let client = Client::new(32);
+        let mut clients: FxHashMap<SocketAddr, HttpClient> = FxHashMap::default();
+        while let Ok(order) = self.orders.recv().await {
+            let inbox = self.inbox.clone();
+            match order {
+                Order::Back(ticket, back) => {
+                    let to = waiting.lock().expect("no holder panics").remove(&ticket);
+                    if let Some(to) = to {
+                        let _ = to.send(back);
+                    }
+                }
+                Order::Forward(forward) => {
+                    let (client, secret) = (client.clone(), self.secret.clone());
+                    tokio::spawn(async move {
+                        let outcome = pass(&forward, &client, &secret).await;
+                        let (request, to) = (forward.request, forward.to);
+                        let _ = inbox.send(Event::Forwarded { request, to, outcome }).await;
+                    });
+                }
+                Order::Call(to, addr, call) => {
+                    let limit = if matches!(*call, Call::Claim(_)) { CLAIM } else { CALL };
+                    if !clients.contains_key(&addr)
+                        && let Ok(c) = rpc::client(addr, self.secret.show(), CLAIM)
+                    {
+                        clients.insert(addr, c);
+                    }
+                    let Some(client) = clients.get(&addr).cloned() else { continue };
+                    tokio::spawn(async move {
+                        let back = tokio::time::timeout(limit, ask(&client, &call)).await;
+                        let back = back.unwrap_or(Err(Failure::Timeout));
+                        let _ = inbox.send(Event::Called { to, call, back }).await;
+                    });
+                }
+                _ => {}
+            }
+        }
+        let _ = server.stop();
+        Ok(())
+    }
+}
+
+fn module(inbox: Inbox, waiting: Waiting) -> RpcModule<()> {
+    let mut module = RpcModule::new(());
+    let next = Arc::new(AtomicU64::new(1));
+    for name in Call::NAMES {
+        let (inbox, waiting, next) = (inbox.clone(), waiting.clone(), next.clone());
+        let added = module.register_async_method(name, move |params, _, _| {
+            let (inbox, waiting) = (inbox.clone(), waiting.clone());
+            let ticket = next.fetch_add(1, Ordering::Relaxed);
+            async move {
+                let bad = |why: String| ErrorObjectOwned::owned(REFUSED, why, None::<()>);
+                let value: Value = params.one().map_err(|e| bad(e.to_string()))?;
+                let tagged = Value::Object(Map::from_iter([(name.into(), value)]));
+                let call: Call = serde_json::from_value(tagged).map_err(|e| bad(e.to_string()))?;
+                let (to, from) = oneshot::channel();
+                waiting.lock().expect("no holder panics").insert(ticket, to);
+                if inbox.try_send(Event::Asked(ticket, call)).is_err() {
+                    waiting.lock().expect("no holder panics").remove(&ticket);
+                    return Err(bad(Kind::RingFull.answer().label.into()));
+                }
+                from.await.map_err(|_| bad(Kind::Draining.answer().label.into()))
+            }
+        });
+        added.expect("the names differ");
+    }
+    module
+}
+
+async fn ask(client: &HttpClient, call: &Call) -> Result<Back, Failure> {
+    let Ok(Value::Object(tagged)) = serde_json::to_value(call) else { return Err(Failure::Unsent) };
+    let Some((name, value)) = tagged.into_iter().next() else { return Err(Failure::Unsent) };
+    client.request(&name, [value]).await.map_err(|_| Failure::Broken)
+}
+
+/// Sends a request to a peer and reads its final answer.
+async fn pass(f: &Forward, client: &Client, secret: &Gate) -> Outcome {
+    let mut b = Request::builder()
+        .method(&*f.load.method)
+        .uri(uri(f.addr, &format!("/{}{}", f.service, f.load.path)))
+        .header(SECRET, secret.show())
+        .header(REQUEST, f.request.to_string())
+        .header(HOPS, f.hops.to_string())
+        .header(CALLER, f.caller.as_str())
+        .header(DEADLINE, f.left.as_millis().to_string());
+    if let Some(run) = f.run {
+        b = b.header(RUN, run.as_millis().to_string());
+    }
+    if !f.load.kind.is_empty() {
+        b = b.header(CONTENT_TYPE, &*f.load.kind);
+    }
+    if !f.load.key.is_empty() {
+        b = b.header(KEY, &*f.load.key);
+    }
+    let Ok(request) = b.body(Full::new(f.load.body.clone())) else {
+        return Outcome::Refused(Kind::BadRequest.into());
+    };
+    let (head, body) = match client.send(request, f.left).await {
+        Ok(whole) => whole,
+        Err(failure) => return Outcome::Failed(failure),
+    };
+    let text = |name: &str| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("");
+    if let Some(kind) = Kind::from_label(text(REASON)) {
+        let mut error = Error::new(kind, "");
+        if let Ok(ms) = text(BACK).parse() {
+            error = error.after(Duration::from_millis(ms));
+        }
+        // A refusal is taken for what it says itself.
+        let says_no = text(RAN) == "no";
+        let no = kind.answer().ran == crate::Ran::No;
+        return Outcome::Refused(if no && !says_no { Kind::Broken.into() } else { error });
+    }
+    if text(REQUEST).parse() != Ok(f.request) {
+        return Outcome::Failed(Failure::Broken);
+    }
+    let kind = text(CONTENT_TYPE.as_str()).into();
+    Outcome::Answered(Answer { status: head.status.as_u16(), kind, body })
+}
--- /dev/null
+++ b/src/racks.rs
@@ -0,0 +1,666 @@
+//! The racks that a member owns: their workers' accounts, leases, reports and orders.
+//!
+//! A worker of a rack that was taken over gets nothing until it has taken the new epoch and has
+//! sent a report that was true after that. From then on nothing of a former owner can start there,
+//! and what had started is in the report. Where the former owner hands over what is in flight, the
+//! report need not be waited for.
+
+use {
+    crate::{
+        Time,
+        attempts::{FLIGHT, LEASE},
+        event::{Order, Outcome},
+        http::Failure,
+        ids::{Attempt, Epoch, PoolId, RackId, RequestId, TaskId, WorkerId},
+        ledger::{Held, Ledger},
+        messages::{
+            EndItem, FlightRow, Handover, ProbeAsk, ProbeReply, ProbeRow, RackLoad, Report,
+            ReserveAsk, ReserveReply, ReserveRow, StartAsk, StartItem, StartReply, TaskOrder,
+            TaskReport, TaskRow, TaskState, Vm, VmState, WorkerAsk, WorkerReply, WorkerShow,
+        },
+        units::Size,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+/// How often a worker is asked for its report. Half of the time that urgent work may wait.
+const POLL: Duration = Duration::from_millis(500);
+/// The pause before an unanswered fence is repeated.
+const REFENCE: Duration = Duration::from_millis(200);
+/// How long a reservation lasts; the intent's commit takes a few milliseconds when all is well.
+const RESERVE: Duration = Duration::from_secs(5);
+/// How far a worker's reports may lag, and a start's longest flight on top.
+pub const LAG: Duration = Duration::from_secs(4);
+/// How long a worker may be silent before its leases are renewed no more.
+///
+/// Long enough for a restarted switch to come back, short beside the lease that then still runs.
+const SILENT: Duration = Duration::from_secs(10);
+
+/// The racks that a member owns.
+pub struct Racks {
+    ledger: Ledger,
+    vms: BTreeMap<WorkerId, Vm>,
+    racks: BTreeMap<RackId, Epoch>,
+    links: BTreeMap<WorkerId, Link>,
+    tell: BTreeMap<(TaskId, Attempt), EndItem>,
+}
+
+/// What is known of one worker since its rack was gained.
+struct Link {
+    epoch: Epoch,
+    fenced: Option<Time>,
+    fence: Time,
+    ready: bool,
+    heard: Time,
+    report: Option<(Time, Vec<TaskReport>)>,
+    poll: Time,
+    asked: Option<Time>,
+    ordering: bool,
+    starts: Vec<(TaskOrder, Time)>,
+    stops: Vec<TaskOrder>,
+    renewed: Time,
+    due: Time,
+    cut: bool,
+    handed: bool,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub struct Spot {
+    /// The endpoint.
+    pub worker: WorkerId,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// The epoch of its rack.
+    pub epoch: Epoch,
+}
+
+impl Racks {
+    /// No racks yet.
+    pub fn new() -> Self {
+        Racks {
+            ledger: Ledger::new(LAG),
+            vms: BTreeMap::new(),
+            racks: BTreeMap::new(),
+            links: BTreeMap::new(),
+            tell: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a slot of a pool for a request until `ends`.
+    pub fn take(&mut self, pool: &PoolId, request: RequestId, ends: Time) -> Option<Spot> {
+        let worker = self.ledger.idlest(pool)?.clone();
+        self.ledger.take_slot(request, &worker, ends).ok()?;
+        let link = self.links.get(&worker)?;
+        let addr = self.vms.get(&worker)?.addr;
+        Some(Spot { worker, addr, epoch: link.epoch })
+    }
+
+    /// A dispatch is over; frees the slot unless the request may still run there.
+    pub fn ran(&mut self, request: RequestId, outcome: &Outcome, now: Time) {
+        match outcome {
+            // It may run on: its slot is free when its lease ends or a report shows it gone.
+            Outcome::Failed(Failure::Broken | Failure::Timeout) => {}
+            _ => {
+                self.ledger.free_slot(request, now);
+            }
+        }
+    }
+
+    /// All slots of a pool here, and the free ones.
+    pub fn slots(&self, pool: &PoolId) -> (u32, u32) {
+        self.ledger.slots(pool)
+    }
+
+    /// Takes in the platform's list; a leaving worker gets nothing new from now on.
+    pub fn listed(&mut self, vms: BTreeMap<WorkerId, Vm>, now: Time) {
+        self.vms = vms;
+        let racks: Vec<(RackId, Epoch)> = self.racks.iter().map(|(r, e)| (r.clone(), *e)).collect();
+        for (rack, epoch) in racks {
+            self.link(&rack, epoch, now);
+        }
+        let gone: Vec<WorkerId> =
+            self.links.keys().filter(|w| !self.vms.contains_key(*w)).cloned().collect();
+        for worker in gone {
+            // The VM is gone, and with it what ran there; its leases are renewed no more.
+            if let Some(link) = self.links.get_mut(&worker) {
+                link.cut = true;
+            }
+        }
+        self.gate();
+    }
+
+    /// A rack is this member's now.
+    pub fn gained(&mut self, rack: &RackId, epoch: Epoch, now: Time) {
+        self.racks.insert(rack.clone(), epoch);
+        self.link(rack, epoch, now);
+    }
+
+    /// A rack has passed to another member; returns what is in flight there.
+    pub fn lost(&mut self, rack: &RackId, epoch: Epoch) -> Handover {
+        self.racks.remove(rack);
+        let mut over = Handover { rack: rack.clone(), epoch, requests: vec![], tasks: vec![] };
+        let workers: Vec<WorkerId> = self.on(rack).cloned().collect();
+        for worker in workers {
+            let Some(link) = self.links.remove(&worker) else { continue };
+            let account = self.ledger.worker(&worker);
+            let held: Vec<(Held, Size)> = account
+                .into_iter()
+                .flat_map(|a| a.held())
+                .map(|h| (h.clone(), self.ledger.load(h).map_or(Size::default(), |l| l.size)))
+                .collect();
+            self.ledger.remove(&worker);
+            for (held, size) in held {
+                match held {
+                    Held::Request(request) => {
+                        over.requests.push(FlightRow { request, worker: worker.clone(), left: 0 })
+                    }
+                    Held::Task(task, attempt) => over.tasks.push(TaskRow {
+                        size,
+                        task,
+                        attempt,
+                        state: TaskState::Running,
+                        worker: Some(worker.clone()),
+                        rack: Some(rack.clone()),
+                        epoch: Some(epoch),
+                        tries: None,
+                        reason: None,
+                    }),
+                }
+            }
+            // A worker that was not ready here is not known well enough to be handed over.
+            if !link.ready {
+                over.requests.retain(|r| r.worker != worker);
+                over.tasks.retain(|t| t.worker.as_ref() != Some(&worker));
+                over.tasks.push(unready(&worker, rack, epoch));
+            }
+        }
+        over
+    }
+
+    /// Takes over what the former owner of a rack has in flight there.
+    ///
+    /// Returns whether the rack is this member's already; otherwise it must be told again.
+    pub fn handover(&mut self, over: &Handover, now: Time) -> bool {
+        if self.racks.get(&over.rack).is_none_or(|e| e.0 != over.epoch.0 + 1) {
+            return false;
+        }
+        let workers: Vec<WorkerId> = self.on(&over.rack).cloned().collect();
+        for worker in workers {
+            let tasks: Vec<TaskRow> =
+                over.tasks.iter().filter(|t| t.worker.as_ref() == Some(&worker)).cloned().collect();
+            if tasks.iter().any(|t| t.state == TaskState::Lost) {
+                continue;
+            }
+            let flights = over.requests.iter().filter(|r| r.worker == worker);
+            let report = Report {
+                age: 0,
+                epoch: over.epoch,
+                requests: flights.map(|r| r.request).collect(),
+                tasks: vec![],
+            };
+            self.ledger.adopt(&worker, &report, &tasks, now);
+            if let Some(link) = self.links.get_mut(&worker) {
+                link.handed = true;
+                link.ready |= link.fenced.is_some();
+            }
+        }
+        self.gate();
+        true
+    }
+
+    /// Does what is due: fences, reports, renewals, starts and stops. Nothing without a lease.
+    pub fn tick(&mut self, now: Time, leased: bool, out: &mut Vec<Order>) {
+        for held in self.ledger.expire(now) {
+            log::debug!(target: "racks", "Lapsed: {held:?}.");
+        }
+        if !leased {
+            return;
+        }
+        let workers: Vec<WorkerId> = self.links.keys().cloned().collect();
+        for worker in workers {
+            self.serve(&worker, now, out);
+        }
+    }
+
+    /// Takes a worker's answer to a fence.
+    pub fn fenced(
+        &mut self,
+        worker: &WorkerId,
+        epoch: Epoch,
+        reply: Result<Epoch, Failure>,
+        now: Time,
+    ) {
+        let Some(link) = self.links.get_mut(worker).filter(|l| l.epoch == epoch) else { return };
+        if reply == Ok(epoch) {
+            link.fenced.get_or_insert(now);
+            link.heard = now;
+            link.ready |= link.handed;
+            link.poll = now;
+        }
+        self.gate();
+    }
+
+    /// Takes a worker's report.
+    pub fn reported(&mut self, worker: &WorkerId, report: Result<Report, Failure>, now: Time) {
+        let Some(link) = self.links.get_mut(worker) else { return };
+        let Some(sent) = link.asked.take() else { return };
+        link.poll = now + POLL;
+        let Ok(mut report) = report else { return };
+        link.heard = now;
+        // What the report says was true at the latest when it was asked for, less its age: the way
+        // back must not make it look younger.
+        let taken = sent - Duration::from_millis(report.age);
+        let Some(fenced) = link.fenced else { return };
+        report.age = u64::try_from((now - taken).as_millis()).unwrap_or(u64::MAX) + 1;
+        if taken <= fenced {
+            link.poll = now + POLL / 5;
+            return;
+        }
+        link.ready = true;
+        link.report = Some((taken, report.tasks.clone()));
+        let running = report.tasks.iter().filter(|t| t.state == TaskState::Running);
+        let running: Vec<(TaskId, Attempt)> =
+            running.map(|t| (t.task.clone(), t.attempt)).collect();
+        let ended = self.ledger.adopt(worker, &report, &[], now);
+        for (task, attempt) in ended {
+            let said = report.tasks.iter().find(|t| t.task == task && t.attempt == attempt);
+            self.say(task, attempt, said.map_or(TaskState::Lost, |t| t.state), worker);
+        }
+        if let Some(link) = self.links.get_mut(worker) {
+            link.starts.retain(|(o, _)| !running.contains(&(o.task.clone(), o.attempt)));
+        }
+        self.gate();
+    }
+
+    /// Takes a worker's answer to orders.
+    pub fn ordered(
+        &mut self,
+        worker: &WorkerId,
+        ask: &WorkerAsk,
+        sent: Time,
+        reply: Result<WorkerReply, Failure>,
+        now: Time,
+    ) {
+        let Some(link) = self.links.get_mut(worker) else { return };
+        link.ordering = false;
+        // The renewal may have arrived although its answer did not.
+        if !ask.renew.is_empty() || !ask.start.is_empty() {
+            link.renewed = link.renewed.max(sent);
+        }
+        let Ok(reply) = reply else {
+            link.due = now + REFENCE;
+            return;
+        };
+        link.heard = now;
+        if reply.epoch > link.epoch {
+            log::info!(target: "racks", "Worker {worker} has a newer owner.");
+            return;
+        }
+        let sent_starts: BTreeSet<_> =
+            ask.start.iter().map(|o| (o.task.clone(), o.attempt)).collect();
+        link.starts.retain(|(o, _)| !sent_starts.contains(&(o.task.clone(), o.attempt)));
+        link.stops
+            .retain(|o| !reply.stopped.iter().any(|s| s.task == o.task && s.attempt == o.attempt));
+        let refused: BTreeSet<_> =
+            reply.refused.iter().map(|o| (o.task.clone(), o.attempt)).collect();
+        for (task, attempt) in &sent_starts {
+            let no = refused.contains(&(task.clone(), *attempt));
+            if no {
+                self.ledger.release(task, *attempt, now);
+            }
+            let state = if no { TaskState::Lost } else { TaskState::Running };
+            self.say(task.clone(), *attempt, state, worker);
+        }
+        for stop in reply.stopped {
+            if self.ledger.release(&stop.task, stop.attempt, now) {
+                self.say(stop.task, stop.attempt, TaskState::Checkpointed, worker);
+            }
+        }
+    }
+
+    /// Finds room for attempts; all or none where `whole` is asked for.
+    pub fn reserve(&mut self, ask: &ReserveAsk, now: Time) -> ReserveReply {
+        let mut rows = vec![];
+        for item in &ask.items {
+            let found = self.room(&ask.pool, item.size, item.spread, &item.avoid, &item.task);
+            let reserved = found.and_then(|(worker, rack, epoch)| {
+                let ends = now + RESERVE;
+                self.ledger.reserve(&item.task, item.attempt, &worker, item.size, ends).ok()?;
+                let (task, attempt) = (item.task.clone(), item.attempt);
+                Some(ReserveRow { task, attempt, worker, rack, epoch })
+            });
+            rows.extend(reserved);
+            if ask.whole && rows.is_empty() {
+                break;
+            }
+        }
+        if ask.whole && rows.len() < ask.items.len() {
+            for row in rows.drain(..) {
+                self.ledger.release(&row.task, row.attempt, now);
+            }
+        }
+        ReserveReply { rows }
+    }
+
+    /// Starts reserved attempts whose intents are committed, and stops others.
+    pub fn start(&mut self, ask: StartAsk, now: Time) -> Option<StartReply> {
+        if self.racks.get(&ask.rack) != Some(&ask.epoch) && !ask.start.is_empty() {
+            return None;
+        }
+        let mut refused = vec![];
+        let until = now + Duration::from_millis(ask.left);
+        for item in ask.start {
+            let ok = self.links.contains_key(&item.worker)
+                && self.ledger.place(&Held::Task(item.task.clone(), item.attempt))
+                    == Some(&item.worker)
+                && self.ledger.confirm(&item.task, item.attempt, now);
+            if !ok {
+                refused.push(EndItem {
+                    task: item.task,
+                    attempt: item.attempt,
+                    state: TaskState::Lost,
+                    worker: item.worker,
+                });
+                continue;
+            }
+            if let Some(link) = self.links.get_mut(&item.worker) {
+                link.starts.push((order(&item), until));
+                link.due = now;
+            }
+        }
+        for item in ask.stop {
+            let Some(link) = self.links.get_mut(&item.worker) else { continue };
+            let same = |o: &TaskOrder| o.task == item.task && o.attempt == item.attempt;
+            if !link.stops.iter().any(same) {
+                link.stops.push(order(&item));
+                link.due = now;
+            }
+        }
+        Some(StartReply { refused })
+    }
+
+    /// Says what became of attempts.
+    pub fn probe(&self, ask: &ProbeAsk, now: Time) -> Option<ProbeReply> {
+        self.racks.get(&ask.rack)?;
+        let workers: BTreeSet<&WorkerId> = ask.items.iter().map(|i| &i.worker).collect();
+        let rows = workers.into_iter().map(|worker| {
+            let link = self.links.get(worker);
+            let report = link.and_then(|l| l.report.as_ref());
+            let items = ask.items.iter().filter(|i| i.worker == *worker);
+            let asked: BTreeSet<(&TaskId, Attempt)> = items.map(|i| (&i.task, i.attempt)).collect();
+            let tasks = report.map_or(&[][..], |(_, tasks)| tasks);
+            ProbeRow {
+                worker: worker.clone(),
+                age: report.map(|(taken, _)| millis(now - *taken) + 1),
+                cut: match link {
+                    Some(l) if l.cut => Some(millis((l.renewed + LEASE) - now)),
+                    Some(_) => None,
+                    // Not on this rack any more: what ran there can have had no renewal since.
+                    None => Some(millis(LEASE)),
+                },
+                tasks: tasks
+                    .iter()
+                    .filter(|t| asked.contains(&(&t.task, t.attempt)))
+                    .cloned()
+                    .collect(),
+            }
+        });
+        Some(ProbeReply { rows: rows.collect() })
+    }
+
+    /// What is to be told to the buckets' owners; each stays until [`Racks::told`].
+    pub fn tell(&self) -> impl Iterator<Item = &EndItem> {
+        self.tell.values()
+    }
+
+    /// The buckets' owners have taken these in.
+    pub fn told(&mut self, items: &[EndItem]) {
+        for item in items {
+            let key = (item.task.clone(), item.attempt);
+            if self.tell.get(&key).is_some_and(|i| i.state == item.state) {
+                self.tell.remove(&key);
+            }
+        }
+    }
+
+    /// What is free on each rack.
+    pub fn loads(&self) -> Vec<RackLoad> {
+        let racks = self.racks.keys().filter_map(|rack| {
+            let mut load = RackLoad {
+                rack: rack.clone(),
+                pool: self.vms.get(self.on(rack).next()?)?.pool.clone(),
+                free: Size::default(),
+                widest: Size::default(),
+                workers: 0,
+            };
+            for worker in self.on(rack) {
+                let Some(account) = self.ledger.worker(worker) else { continue };
+                if account.cordoned() {
+                    continue;
+                }
+                load.free += account.room();
+                load.widest = load.widest.max(&account.room());
+                load.workers += 1;
+            }
+            Some(load)
+        });
+        racks.collect()
+    }
+
+    /// The workers, for operators.
+    pub fn show(&self) -> Vec<WorkerShow> {
+        let rows = self.links.iter().filter_map(|(id, link)| {
+            let account = self.ledger.worker(id)?;
+            let state = match (link.ready, link.cut, self.vms.get(id).map(|v| v.state)) {
+                (_, true, _) => "silent",
+                (_, _, None | Some(VmState::Leaving)) => "leaving",
+                (false, _, _) => "taking over",
+                _ => "ready",
+            };
+            Some(WorkerShow {
+                worker: id.clone(),
+                pool: account.pool.clone(),
+                rack: account.rack.clone(),
+                slots: account.limit().slots,
+                busy: account.used().slots,
+                room: account.room(),
+                state: state.into(),
+            })
+        });
+        rows.collect()
+    }
+
+    /// How many racks are owned.
+    pub fn count(&self) -> usize {
+        self.racks.len()
+    }
+
+    fn link(&mut self, rack: &RackId, epoch: Epoch, now: Time) {
+        let vms: Vec<Vm> = self.vms.values().filter(|v| v.rack == *rack).cloned().collect();
+        for vm in vms {
+            self.ledger.add(&vm.worker, &vm.pool, rack, vm.size, vm.slots, vm.connections);
+            let link = self.links.entry(vm.worker).or_insert_with(|| Link::new(epoch, now));
+            if link.epoch != epoch {
+                *link = Link::new(epoch, now);
+            }
+        }
+        self.gate();
+    }
+
+    /// Lets each worker take new work, or not.
+    fn gate(&mut self) {
+        for (worker, link) in &self.links {
+            let live = self.vms.get(worker).is_some_and(|v| v.state == VmState::Live);
+            self.ledger.cordon(worker, !(live && link.ready && !link.cut));
+        }
+    }
+
+    fn serve(&mut self, worker: &WorkerId, now: Time, out: &mut Vec<Order>) {
+        let (Some(link), Some(vm)) = (self.links.get_mut(worker), self.vms.get(worker)) else {
+            return self.bury(worker, now);
+        };
+        if link.fenced.is_none() {
+            if link.fence <= now {
+                link.fence = now + REFENCE;
+                out.push(Order::Fence(worker.clone(), vm.addr, link.epoch));
+            }
+            return;
+        }
+        let was = link.cut;
+        link.cut |= now - link.heard > SILENT;
+        if link.asked.is_none() && link.poll <= now {
+            link.asked = Some(now);
+            out.push(Order::Report(worker.clone(), vm.addr));
+        }
+        if link.cut && !was {
+            log::warn!(target: "racks", "Worker {worker} is silent; its leases run out.");
+            self.gate();
+            return;
+        }
+        if link.cut {
+            return self.bury(worker, now);
+        }
+        // Past its not-after time a start must not go out: another attempt may have been made.
+        let dead: Vec<TaskOrder> = link
+            .starts
+            .extract_if(.., |(_, until)| *until <= now + FLIGHT / 4)
+            .map(|(o, _)| o)
+            .collect();
+        if !link.ordering && (link.due <= now) {
+            let epoch = link.epoch;
+            let held = self.ledger.worker(worker).map(|a| a.held().cloned().collect::<Vec<_>>());
+            let renew = held.into_iter().flatten().filter_map(|h| match h {
+                Held::Task(task, attempt) => {
+                    Some(TaskOrder { task, attempt, size: Size::default(), run: 0 })
+                }
+                Held::Request(_) => None,
+            });
+            let ask = WorkerAsk {
+                epoch,
+                lease: millis(LEASE),
+                start: link.starts.iter().map(|(o, _)| o.clone()).collect(),
+                renew: renew.collect(),
+                stop: link.stops.clone(),
+            };
+            link.due = now + LEASE / 5;
+            if !(ask.start.is_empty() && ask.renew.is_empty() && ask.stop.is_empty()) {
+                link.ordering = true;
+                out.push(Order::Worker(worker.clone(), vm.addr, Box::new(ask)));
+            }
+        }
+        for order in dead {
+            // Never sent, or sent and unanswered: reports tell which, so the room stays taken.
+            log::warn!(target: "racks", "Start of {} was given up.", order.task);
+        }
+    }
+
+    /// Ends what a silent worker still holds, once no lease of it can run any more.
+    fn bury(&mut self, worker: &WorkerId, now: Time) {
+        let Some(link) = self.links.get_mut(worker) else { return };
+        if now < link.renewed + LEASE + FLIGHT {
+            return;
+        }
+        let back = link.heard > link.renewed + LEASE + FLIGHT;
+        let held: Vec<Held> =
+            self.ledger.worker(worker).map(|a| a.held().cloned().collect()).unwrap_or_default();
+        for held in held {
+            if let Held::Task(task, attempt) = held {
+                self.ledger.release(&task, attempt, now);
+                self.say(task, attempt, TaskState::Lost, worker);
+            }
+        }
+        if let Some(link) = self.links.get_mut(worker).filter(|_| back) {
+            link.cut = false;
+            self.gate();
+        }
+    }
+
+    /// The best-fitting worker with room: packed on the fullest, or spread to the emptiest.
+    fn room(
+        &self,
+        pool: &PoolId,
+        size: Size,
+        spread: bool,
+        avoid: &[WorkerId],
+        task: &TaskId,
+    ) -> Option<(WorkerId, RackId, Epoch)> {
+        let fits = self.ledger.workers().filter(|(id, a)| {
+            a.pool == *pool && !a.cordoned() && size.fits(&a.room()) && !avoid.contains(id)
+        });
+        let same = |a: &crate::ledger::Worker| {
+            a.held().filter(|h| matches!(h, Held::Task(t, _) if t.job == task.job)).count()
+        };
+        let (id, account) = fits.min_by_key(|(_, a)| {
+            let free = a.room().cores.0;
+            if spread { (same(a), u64::MAX - free) } else { (0, free) }
+        })?;
+        let epoch = *self.racks.get(&account.rack)?;
+        Some((id.clone(), account.rack.clone(), epoch))
+    }
+
+    fn on(&self, rack: &RackId) -> impl Iterator<Item = &WorkerId> {
+        self.vms.values().filter(move |v| v.rack == *rack).map(|v| &v.worker)
+    }
+
+    fn say(&mut self, task: TaskId, attempt: Attempt, state: TaskState, worker: &WorkerId) {
+        let item = EndItem { task: task.clone(), attempt, state, worker: worker.clone() };
+        self.tell.insert((task, attempt), item);
+    }
+}
+
+impl Default for Racks {
+    fn default() -> Self {
+        Racks::new()
+    }
+}
+
+impl Link {
+    fn new(epoch: Epoch, now: Time) -> Self {
+        Link {
+            epoch,
+            fenced: None,
+            fence: now,
+            ready: false,
+            heard: now,
+            report: None,
+            poll: now,
+            asked: None,
+            ordering: false,
+            starts: vec![],
+            stops: vec![],
+            // The former owner may have renewed just before.
+            renewed: now,
+            due: now,
+            cut: false,
+            handed: false,
+        }
+    }
+}
+
+/// Marks a worker in a handover as one whose load the former owner did not know itself.
+fn unready(worker: &WorkerId, rack: &RackId, epoch: Epoch) -> TaskRow {
+    TaskRow {
+        task: TaskId { job: "".into(), index: Default::default() },
+        attempt: Attempt(0),
+        state: TaskState::Lost,
+        worker: Some(worker.clone()),
+        rack: Some(rack.clone()),
+        epoch: Some(epoch),
+        size: Size::default(),
+        tries: None,
+        reason: None,
+    }
+}
+
+fn order(item: &StartItem) -> TaskOrder {
+    TaskOrder { task: item.task.clone(), attempt: item.attempt, size: item.size, run: item.run }
+}
+
+fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/requests.rs
@@ -0,0 +1,447 @@
+//! The requests at one member: claimed, waiting, running at an endpoint, or passed on to a peer.
+//!
+//! Every request gets exactly one final answer, the moment that it is decided.
+
+use {
+    crate::{
+        core::{Core, OWN_END},
+        error::{Error, Kind, Ran},
+        event::{Answer, Ask, Call, Forward, Order, Outcome, Run, Ticket, Verdict},
+        http::Failure,
+        ids::{Incarnation, Key, RequestId, ServiceId},
+        jobs::bucket_of,
+        messages::{ClaimAsk, ClaimEnd, ClaimFate, ClaimReply, ClaimVerdict},
+        text::Service,
+        time::Time,
+    },
+    rustc_hash::FxHashMap,
+    std::{
+        collections::{BTreeMap, VecDeque},
+        fmt::Write,
+        time::Duration,
+    },
+    xxhash_rust::xxh3::Xxh3Default,
+};
+
+/// The largest answer that is kept with a key, in bytes.
+///
+/// A repeat of a bound cover or a paid grant needs its confirmation, which is short; the bucket's
+/// record has to stay far below the key-value service's megabyte.
+const KEPT: usize = 2048;
+/// How often a request may be dispatched that certainly did not run before.
+const TRIES: u32 = 3;
+/// How many requests of a service may wait at a member for each slot it owns.
+const QUEUE: usize = 4;
+/// The pause before an unanswered word of a claim's end is sent again.
+const AGAIN: Duration = Duration::from_millis(500);
+
+/// The requests at one member.
+#[derive(Default)]
+pub struct Requests {
+    table: FxHashMap<RequestId, Pending>,
+    tickets: FxHashMap<Ticket, RequestId>,
+    queues: BTreeMap<ServiceId, VecDeque<RequestId>>,
+    ends: BTreeMap<(Key, RequestId), (ClaimEnd, Time)>,
+    told: FxHashMap<Ticket, (Key, RequestId)>,
+    own: Ticket,
+}
+
+struct Pending {
+    ask: Ask,
+    deadline: Time,
+    stage: Stage,
+    claim: Option<Key>,
+    tries: u32,
+    shunned: Vec<Incarnation>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    Claiming,
+    Waiting,
+    Running,
+    Forwarded(Incarnation),
+}
+
+impl Requests {
+    /// How many requests have no answer yet.
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Whether no request waits for its answer and no claim's end has to be told.
+    pub fn is_empty(&self) -> bool {
+        self.table.is_empty() && self.ends.is_empty()
+    }
+
+    /// How many requests of a service wait for a slot.
+    pub fn waiting(&self, service: &ServiceId) -> usize {
+        self.queues.get(service).map_or(0, VecDeque::len)
+    }
+}
+
+impl Core {
+    /// Takes in a request.
+    pub(crate) fn ask(&mut self, ask: Ask, now: Time) {
+        let ticket = ask.ticket;
+        let refused = match self.config.plan().services.get(&ask.service) {
+            _ if !self.current(now) => Kind::Stale,
+            None if self.config.version().0 == 0 => Kind::Stale,
+            None => Kind::UnknownService,
+            Some(service) => {
+                let deadline = ask.deadline.unwrap_or(now + service.deadline);
+                return self.admit(ask, deadline, now);
+            }
+        };
+        self.reply(ticket, Err(refused.into()));
+    }
+
+    /// A caller has hung up: what has not been dispatched is dropped.
+    pub(crate) fn gone(&mut self, ticket: Ticket, now: Time) {
+        let Some(id) = self.requests.tickets.get(&ticket).copied() else { return };
+        if self.requests.table.get(&id).is_some_and(|p| p.stage == Stage::Waiting) {
+            self.finish(id, Err(Kind::Expired.into()), now);
+        }
+    }
+
+    /// Takes a claim's answer.
+    pub(crate) fn claimed(&mut self, request: RequestId, reply: Option<ClaimReply>, now: Time) {
+        let Some(p) = self.requests.table.get_mut(&request) else {
+            return;
+        };
+        if p.stage != Stage::Claiming {
+            return;
+        }
+        let Some(reply) = reply else {
+            // The owner may have granted the claim although its answer was lost.
+            return self.finish(request, Err(Kind::KeyUnowned.into()), now);
+        };
+        let kind = match reply.verdict {
+            ClaimVerdict::Granted => return self.route(request, now),
+            ClaimVerdict::Answered => {
+                p.claim = None;
+                let kept = kept(reply);
+                return self.finish(request, kept, now);
+            }
+            ClaimVerdict::Running => Kind::KeyRunning,
+            ClaimVerdict::Unknown => Kind::KeyUnknown,
+            ClaimVerdict::Mismatch => Kind::KeyMismatch,
+            ClaimVerdict::Unowned => Kind::KeyUnowned,
+            ClaimVerdict::KvDown | ClaimVerdict::Full => Kind::KvDown,
+        };
+        if !matches!(kind, Kind::KeyUnowned | Kind::KvDown) {
+            p.claim = None;
+        }
+        self.finish(request, Err(kind.into()), now);
+    }
+
+    /// Takes the outcome of a dispatch to an endpoint of this member's.
+    pub(crate) fn ran(&mut self, request: RequestId, outcome: Outcome, now: Time) {
+        self.racks.ran(request, &outcome, now);
+        self.settle(request, outcome, now);
+        self.pump(now);
+    }
+
+    /// Takes the outcome of a forwarding.
+    pub(crate) fn forwarded(
+        &mut self,
+        request: RequestId,
+        to: Incarnation,
+        outcome: Outcome,
+        now: Time,
+    ) {
+        if let Some(p) = self.requests.table.get_mut(&request) {
+            p.shunned.push(to);
+        }
+        self.settle(request, outcome, now);
+    }
+
+    /// Takes the answer to the word of a claim's end.
+    pub(crate) fn claim_told(&mut self, end: &ClaimEnd, taken: bool) {
+        if taken {
+            self.requests.ends.remove(&(end.key.clone(), end.request));
+        }
+    }
+
+    /// The word of a claim's end that this member told itself is committed.
+    pub(crate) fn kept(&mut self, ticket: Ticket) {
+        if let Some(at) = self.requests.told.remove(&ticket) {
+            self.requests.ends.remove(&at);
+        }
+    }
+
+    /// Answers what can no longer be run in time, and tells claims' ends again.
+    pub(crate) fn expire(&mut self, now: Time) {
+        let waiting = self.requests.queues.values().flatten();
+        let late: Vec<RequestId> = waiting
+            .filter(|id| self.requests.table.get(id).is_none_or(|p| p.deadline <= now))
+            .copied()
+            .collect();
+        for id in late {
+            self.finish(id, Err(Kind::Expired.into()), now);
+        }
+        let due: Vec<ClaimEnd> = self
+            .requests
+            .ends
+            .values_mut()
+            .filter(|(_, at)| *at <= now)
+            .map(|(end, at)| {
+                *at = now + AGAIN;
+                end.clone()
+            })
+            .collect();
+        for end in due {
+            self.tell_end(end, now);
+        }
+        self.pump(now);
+    }
+
+    /// Sends waiting requests to the slots that are free.
+    pub(crate) fn pump(&mut self, now: Time) {
+        let services: Vec<ServiceId> = self.requests.queues.keys().cloned().collect();
+        for service in services {
+            while let Some(id) = self.requests.queues.get(&service).and_then(|q| q.front().copied())
+            {
+                if !self.dispatch(id, now) {
+                    break;
+                }
+                self.unqueue(&service, id);
+            }
+        }
+    }
+
+    fn admit(&mut self, ask: Ask, deadline: Time, now: Time) {
+        let (id, ticket) = (ask.id, ask.ticket);
+        if deadline <= now {
+            return self.reply(ticket, Err(Kind::Late.into()));
+        }
+        if self.requests.table.contains_key(&id) {
+            return self.reply(ticket, Err(Kind::BadRequest.into()));
+        }
+        let claim = ask.key.clone();
+        let stage = if claim.is_some() { Stage::Claiming } else { Stage::Waiting };
+        let wish = claim.as_ref().map(|key| ClaimAsk {
+            key: key.clone(),
+            digest: digest(&ask).into(),
+            request: id,
+        });
+        let p = Pending { ask, deadline, stage, claim, tries: 0, shunned: vec![] };
+        self.requests.tickets.insert(ticket, id);
+        self.requests.table.insert(id, p);
+        match wish {
+            None => self.route(id, now),
+            Some(wish) => self.claim(wish, now),
+        }
+    }
+
+    fn claim(&mut self, wish: ClaimAsk, now: Time) {
+        let request = wish.request;
+        match self.bucket_owner(bucket_of(wish.key.as_str())) {
+            Some(owner) if owner == self.me() => self.jobs.claim(wish, now),
+            Some(owner) => self.call(owner, Call::Claim(wish)),
+            None => {
+                if let Some(p) = self.requests.table.get_mut(&request) {
+                    p.claim = None;
+                }
+                self.finish(request, Err(Kind::KeyUnowned.into()), now);
+            }
+        }
+    }
+
+    /// Sends a request to an endpoint here, to a peer with a free slot, or lets it wait.
+    fn route(&mut self, id: RequestId, now: Time) {
+        if self.dispatch(id, now) {
+            return;
+        }
+        let Some(p) = self.requests.table.get_mut(&id) else { return };
+        p.stage = Stage::Waiting;
+        let (service, hops) = (p.ask.service.clone(), p.ask.hops);
+        let Some(s) = self.service(&service) else {
+            return self.finish(id, Err(Kind::UnknownService.into()), now);
+        };
+        let (slots, _) = self.racks.slots(&s.pool);
+        let shunned = p_shunned(&self.requests, id);
+        if hops == 0
+            && let Some(to) = self.peer_for(&service, &shunned, slots == 0 || self.draining(), now)
+        {
+            return self.forward(id, to, now);
+        }
+        if slots == 0 {
+            return self.finish(id, Err(Kind::NoEndpoint.into()), now);
+        }
+        let queue = self.requests.queues.entry(service).or_default();
+        if queue.len() >= QUEUE * slots as usize {
+            return self.finish(id, Err(Kind::QueueFull.into()), now);
+        }
+        queue.push_back(id);
+    }
+
+    /// Sends a request to an endpoint here; false where none has a free slot.
+    fn dispatch(&mut self, id: RequestId, now: Time) -> bool {
+        // An owner whose lease is over may have been replaced.
+        if !self.may_dispatch(now) {
+            return false;
+        }
+        let Some(p) = self.requests.table.get(&id) else { return true };
+        let Some(s) = self.config.plan().services.get(&p.ask.service) else { return false };
+        if p.deadline <= now {
+            return false;
+        }
+        let Some(spot) = self.racks.take(&s.pool, id, p.deadline + SPARE) else { return false };
+        let Some(p) = self.requests.table.get_mut(&id) else { return true };
+        p.stage = Stage::Running;
+        p.tries += 1;
+        let run = Run {
+            request: id,
+            worker: spot.worker,
+            addr: spot.addr,
+            epoch: spot.epoch,
+            lease: p.deadline - now,
+            run: p.ask.run,
+            load: p.ask.load.clone(),
+        };
+        self.out.push(Order::Run(Box::new(run)));
+        true
+    }
+
+    fn forward(&mut self, id: RequestId, to: Incarnation, now: Time) {
+        let Some(addr) = self.ownership().members().get(&to).map(|m| m.bodies) else { return };
+        let Some(p) = self.requests.table.get_mut(&id) else { return };
+        p.stage = Stage::Forwarded(to);
+        p.tries += 1;
+        let forward = Forward {
+            to,
+            addr,
+            request: id,
+            service: p.ask.service.clone(),
+            caller: p.ask.caller.clone(),
+            left: p.deadline - now,
+            run: p.ask.run,
+            hops: p.ask.hops + 1,
+            load: p.ask.load.clone(),
+        };
+        self.sent_to(to, &forward.service);
+        self.out.push(Order::Forward(Box::new(forward)));
+    }
+
+    /// Decides what follows from an outcome: the final answer, or another try.
+    ///
+    /// Only what certainly did not run is tried again; a second dispatch of what may be running
+    /// would run it in two places.
+    fn settle(&mut self, id: RequestId, outcome: Outcome, now: Time) {
+        let Some(p) = self.requests.table.get(&id) else { return };
+        let again = p.tries < TRIES && p.deadline > now;
+        let error = match outcome {
+            Outcome::Answered(answer) => return self.finish(id, Ok(answer), now),
+            Outcome::Refused(e) if e.kind().answer().ran == Ran::No => {
+                if again && self.retry(e.kind()) {
+                    return self.route(id, now);
+                }
+                e
+            }
+            Outcome::Refused(e) => e,
+            Outcome::Failed(Failure::Unsent) => {
+                if again && self.retry(Kind::NoEndpoint) {
+                    return self.route(id, now);
+                }
+                Kind::NoEndpoint.into()
+            }
+            Outcome::Failed(Failure::Broken) => Kind::Broken.into(),
+            Outcome::Failed(Failure::Timeout) => Kind::Timeout.into(),
+        };
+        self.finish(id, Err(error), now);
+    }
+
+    /// Gives a request its final answer.
+    fn finish(&mut self, id: RequestId, verdict: Verdict, now: Time) {
+        let Some(p) = self.requests.table.remove(&id) else { return };
+        self.requests.tickets.remove(&p.ask.ticket);
+        if p.stage == Stage::Waiting {
+            self.unqueue(&p.ask.service, id);
+        }
+        if let Some(key) = p.claim {
+            self.tell_end(end(key, id, &verdict), now);
+        }
+        self.reply(p.ask.ticket, verdict);
+    }
+
+    fn tell_end(&mut self, end: ClaimEnd, now: Time) {
+        let at = (end.key.clone(), end.request);
+        self.requests.ends.insert(at.clone(), (end.clone(), now + AGAIN));
+        match self.bucket_owner(bucket_of(end.key.as_str())) {
+            Some(owner) if owner == self.me() => {
+                self.requests.told.retain(|_, t| *t != at);
+                self.requests.own += 1;
+                let ticket = OWN_END | self.requests.own;
+                self.requests.told.insert(ticket, at);
+                self.jobs.claim_end(end, ticket);
+            }
+            Some(owner) => self.call(owner, Call::ClaimEnd(end)),
+            None => {}
+        }
+    }
+
+    fn unqueue(&mut self, service: &ServiceId, id: RequestId) {
+        if let Some(queue) = self.requests.queues.get_mut(service) {
+            queue.retain(|q| *q != id);
+        }
+    }
+
+    fn service(&self, id: &ServiceId) -> Option<&Service> {
+        self.config.plan().services.get(id)
+    }
+
+    fn reply(&mut self, ticket: Ticket, verdict: Verdict) {
+        self.metrics.verdict(&verdict);
+        self.out.push(Order::Reply(ticket, verdict));
+    }
+}
+
+/// What a slot stays taken beyond the request's lease: the drift of two clocks and one flight.
+const SPARE: Duration = Duration::from_millis(500);
+
+fn p_shunned(requests: &Requests, id: RequestId) -> Vec<Incarnation> {
+    requests.table.get(&id).map_or_else(Vec::new, |p| p.shunned.clone())
+}
+
+/// How a claimed request ended, for the key's owner.
+fn end(key: Key, request: RequestId, verdict: &Verdict) -> ClaimEnd {
+    let (fate, status, answer) = match verdict {
+        Ok(a) => {
+            let body = std::str::from_utf8(&a.body).ok().filter(|b| b.len() <= KEPT);
+            let text = body.map(|b| format!("{}\n{b}", a.kind).into());
+            (ClaimFate::Answered, Some(u32::from(a.status)), text)
+        }
+        Err(e) if e.kind().answer().ran == Ran::No => (ClaimFate::NotRun, None, None),
+        Err(_) => (ClaimFate::Unknown, None, None),
+    };
+    ClaimEnd { key, request, fate, status, answer }
+}
+
+/// The answer kept with a key.
+fn kept(reply: ClaimReply) -> Verdict {
+    let (Some(status), Some(text)) = (reply.status, reply.answer) else {
+        return Err(Error::new(
+            Kind::KeyUnknown,
+            "it was answered, and the answer was too long to keep",
+        ));
+    };
+    let (kind, body) = text.split_once('\n').unwrap_or(("", &text));
+    let status = u16::try_from(status).unwrap_or(200);
+    Ok(Answer { status, kind: kind.into(), body: body.to_owned().into() })
+}
+
+/// A digest by which another request with the same key is told apart.
+fn digest(ask: &Ask) -> String {
+    let mut h = Xxh3Default::new();
+    for part in
+        [ask.service.as_str().as_bytes(), ask.load.method.as_bytes(), ask.load.path.as_bytes()]
+    {
+        h.update(&(part.len() as u64).to_le_bytes());
+        h.update(part);
+    }
+    h.update(&ask.load.body);
+    let mut text = String::new();
+    let _ = write!(text, "{:032x}", h.digest128());
+    text
+}
--- /dev/null
+++ b/src/rpc.rs
@@ -0,0 +1,96 @@
+//! JSON-RPC as peers and operators speak it: a server that admits only who shows the secret.
+
+use {
+    crate::{http::SECRET, member::Gate},
+    jsonrpsee::{
+        RpcModule,
+        http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder},
+        server::{HttpBody, HttpRequest, HttpResponse, Server, ServerHandle},
+    },
+    std::{
+        error,
+        future::Future,
+        net::{SocketAddr, TcpListener},
+        pin::Pin,
+        task::{Context, Poll},
+        time::Duration,
+    },
+    tower::{Layer, Service},
+};
+
+/// The largest message: a text of a megabyte and its escapes.
+const LARGEST: u32 = 8 << 20;
+
+type Failure = Box<dyn error::Error + Send + Sync>;
+
+/// Serves a module.
+pub async fn serve(
+    listener: TcpListener,
+    gate: Gate,
+    module: RpcModule<impl Send + Sync + 'static>,
+) -> Result<ServerHandle, std::io::Error> {
+    let config = jsonrpsee::server::ServerConfig::builder()
+        .max_request_body_size(LARGEST)
+        .max_response_body_size(LARGEST)
+        .max_connections(2048)
+        .build();
+    let builder = Server::builder()
+        .set_config(config)
+        .set_http_middleware(tower::ServiceBuilder::new().layer(Guard { gate }));
+    Ok(builder.build_from_tcp(listener)?.start(module))
+}
+
+/// A client of the server at `addr`.
+pub fn client(addr: SocketAddr, secret: &str, limit: Duration) -> Result<HttpClient, Failure> {
+    let mut headers = HeaderMap::new();
+    headers.insert(SECRET, HeaderValue::from_str(secret)?);
+    let builder = HttpClientBuilder::default()
+        .set_headers(headers)
+        .request_timeout(limit)
+        .max_request_size(LARGEST)
+        .max_response_size(LARGEST);
+    Ok(builder.build(format!("http://{addr}"))?)
+}
+
+#[derive(Clone)]
+struct Guard {
+    gate: Gate,
+}
+
+#[derive(Clone)]
+struct Guarded<S> {
+    gate: Gate,
+    inner: S,
+}
+
+impl<S> Layer<S> for Guard {
+    type Service = Guarded<S>;
+
+    fn layer(&self, inner: S) -> Guarded<S> {
+        Guarded { gate: self.gate.clone(), inner }
+    }
+}
+
+impl<S, B> Service<HttpRequest<B>> for Guarded<S>
+where
+    S: Service<HttpRequest<B>, Response = HttpResponse, Error = Failure>,
+    S::Future: Send + 'static,
+{
+    type Response = HttpResponse;
+    type Error = Failure;
+    type Future = Pin<Box<dyn Future<Output = Result<HttpResponse, Failure>> + Send>>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Failure>> {
+        self.inner.poll_ready(cx)
+    }
+
+    fn call(&mut self, request: HttpRequest<B>) -> Self::Future {
+        if self.gate.admits(request.headers()) {
+            return Box::pin(self.inner.call(request));
+        }
+        self.gate.refused();
+        let mut response = HttpResponse::new(HttpBody::from("the key does not match\n"));
+        *response.status_mut() = hyper::StatusCode::UNAUTHORIZED;
+        Box::pin(std::future::ready(Ok(response)))
+    }
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,3 +1,190 @@
-//! Stand-ins for the platform, the workers and the callers.
+//! Stand-ins for the platform, the workers and the callers, and the measurements. Not shipped.
 
-fn main() {}
+mod kv;
+mod vms;
+mod web;
+mod worker;
+
+use {
+    bytes::Bytes,
+    dogwoodreach::{
+        Error,
+        http::{Client, answer, serve, uri},
+        ids::{PoolId, RackId, WorkerId, Zone},
+        messages::{Vm, VmList, VmState},
+        units::{Accels, Cores, Memory, Size},
+    },
+    hyper::http::request::Parts,
+    lexopt::prelude::*,
+    std::{
+        error,
+        future::Future,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    tokio::net::TcpListener,
+};
+
+const HELP: &str = "\
+standin platform [--kv ADDR] [--vms ADDR]   the key-value service and the VM list
+standin workers --vms ADDR --pool NAME --zone NAME [--racks N] [--per-rack N]
+                [--cores N] [--memory SIZE] [--accels N] [--slots N]
+";
+
+type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
+
+fn main() -> Result<()> {
+    env_logger::init();
+    let mut args = lexopt::Parser::from_env();
+    let Some(Value(command)) = args.next()? else {
+        print!("{HELP}");
+        return Ok(());
+    };
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
+    match command.to_str() {
+        Some("platform") => runtime.block_on(platform(args)),
+        Some("workers") => runtime.block_on(workers(args)),
+        _ => Err(HELP.into()),
+    }
+}
+
+async fn platform(mut args: lexopt::Parser) -> Result<()> {
+    let mut kv: SocketAddr = "127.0.0.1:0".parse()?;
+    let mut vms = kv;
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("kv") => kv = args.value()?.parse()?,
+            Long("vms") => vms = args.value()?.parse()?,
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let store = kv::Kv::new();
+    let kept = store.clone();
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            kept.lapse(Instant::now());
+        }
+    });
+    let list = vms::Vms::default();
+    let kv = listen(kv, move |head, body| {
+        let store = store.clone();
+        async move { store.handle(head, &body).await }
+    });
+    let kv = kv.await?;
+    let vms = listen(vms, move |head, body| {
+        let list = list.clone();
+        async move { list.handle(head, &body).await }
+    });
+    let vms = vms.await?;
+    println!("ready kv={kv} vms={vms}");
+    forever().await
+}
+
+struct Fleet {
+    vms: Option<SocketAddr>,
+    pool: Box<str>,
+    zone: Box<str>,
+    racks: u32,
+    each: u32,
+    size: Size,
+    slots: u32,
+}
+
+async fn workers(mut args: lexopt::Parser) -> Result<()> {
+    let size = Size { cores: Cores(16_000), memory: Memory(64 << 10), accels: Accels(0) };
+    let mut f =
+        Fleet { vms: None, pool: "".into(), zone: "".into(), racks: 1, each: 5, size, slots: 8 };
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("vms") => f.vms = Some(args.value()?.parse()?),
+            Long("pool") => f.pool = args.value()?.string()?.into(),
+            Long("zone") => f.zone = args.value()?.string()?.into(),
+            Long("racks") => f.racks = args.value()?.parse()?,
+            Long("per-rack") => f.each = args.value()?.parse()?,
+            Long("cores") => f.size.cores = args.value()?.parse()?,
+            Long("memory") => f.size.memory = args.value()?.parse()?,
+            Long("accels") => f.size.accels = args.value()?.parse()?,
+            Long("slots") => f.slots = args.value()?.parse()?,
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let vms = f.vms.ok_or("--vms is missing")?;
+    let witness = Arc::new(Mutex::new(worker::Witness::default()));
+    let mut list = VmList { vms: vec![] };
+    let mut all = vec![];
+    for rack in 0..f.racks {
+        for n in 0..f.each {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let vm = describe(&f, rack, n, listener.local_addr()?);
+            let worker = worker::Worker::new(vm.clone(), witness.clone());
+            all.push(worker.clone());
+            start(listener, move |head, body| worker.clone().handle(head, body));
+            list.vms.push(vm);
+        }
+    }
+    tokio::spawn(async move {
+        loop {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            all.iter().for_each(|w| w.tick(Instant::now()));
+        }
+    });
+    let client = Client::new(1);
+    let entered =
+        client.json::<_, serde_json::Value>("PUT", &uri(vms, "/enter"), &list, CALL).await;
+    entered.map_err(|e| format!("the VM list at {vms} did not answer: {e:?}"))?;
+    let first = list.vms.first().ok_or("no workers")?;
+    println!("ready pool={} workers={} first={}", f.pool, list.vms.len(), first.addr);
+    forever().await
+}
+
+const CALL: Duration = Duration::from_secs(5);
+
+fn describe(f: &Fleet, rack: u32, n: u32, addr: SocketAddr) -> Vm {
+    let rack = format!("{}-{}-r{rack}", f.pool, f.zone);
+    Vm {
+        worker: WorkerId(format!("{rack}-w{n}").into()),
+        pool: PoolId(f.pool.clone()),
+        rack: RackId(rack.into()),
+        zone: Zone(f.zone.clone()),
+        addr,
+        size: f.size,
+        slots: f.slots,
+        connections: 64,
+        state: VmState::Live,
+    }
+}
+
+async fn listen<F, A>(addr: SocketAddr, handle: F) -> Result<SocketAddr>
+where
+    F: Fn(Parts, Bytes) -> A + Clone + Send + 'static,
+    A: Future<Output = web::Reply> + Send + 'static,
+{
+    let listener = TcpListener::bind(addr).await?;
+    let addr = listener.local_addr()?;
+    start(listener, handle);
+    Ok(addr)
+}
+
+fn start<F, A>(listener: TcpListener, handle: F)
+where
+    F: Fn(Parts, Bytes) -> A + Clone + Send + 'static,
+    A: Future<Output = web::Reply> + Send + 'static,
+{
+    let handle = move |head, body: std::result::Result<Bytes, Error>| {
+        let handle = handle.clone();
+        async move {
+            match body {
+                Ok(body) => handle(head, body).await,
+                Err(e) => answer(400, e.to_string()),
+            }
+        }
+    };
+    tokio::spawn(serve(listener, web::LIMITS, std::future::pending(), handle));
+}
+
+async fn forever() -> Result<()> {
+    std::future::pending().await
+}
--- /dev/null
+++ b/standin/src/worker.rs
@@ -0,0 +1,352 @@
+//! The stand-in for a worker, which also witnesses what must never happen.
+
+use {
+    crate::web::{Reply, header, json},
+    bytes::Bytes,
+    dogwoodreach::{
+        http::{EPOCH, KEY, LEASE, RAN, REQUEST, RUN, answer},
+        ids::{Attempt, Epoch, RequestId, TaskId},
+        messages::{
+            FenceAsk, Report, TaskOrder, TaskReport, TaskState, Vm, WorkerAsk, WorkerReply,
+        },
+        units::Size,
+    },
+    hyper::http::request::Parts,
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, HashMap, VecDeque},
+        sync::{Arc, Mutex, MutexGuard},
+        time::{Duration, Instant},
+    },
+};
+
+/// How long a request runs that names no time, in milliseconds.
+const RUN_MS: u64 = 5;
+/// How long an ended task stays in the reports.
+const KEEP: Duration = Duration::from_secs(60);
+
+/// The faults that a worker plays.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// How much longer each request runs, in milliseconds.
+    pub slow: u64,
+    /// Whether every task and request fails.
+    pub fail: bool,
+    /// Whether nothing is answered any more, with the connections left open.
+    pub silent: bool,
+    /// How far the reports lag, in milliseconds.
+    pub lag: u64,
+}
+
+/// What happened over all workers of this process.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Witness {
+    /// Requests run.
+    pub requests: u64,
+    /// Tasks started.
+    pub starts: u64,
+    /// Tasks ended by themselves.
+    pub ended: u64,
+    /// Requests or tasks that ran in two places at once.
+    pub doubled: u64,
+    /// Keys of non-idempotent requests that ran more than once.
+    pub repeated: u64,
+    /// Starts over a worker's processors, memory, accelerators or slots.
+    pub over: u64,
+    /// Dispatches refused for their low epoch.
+    pub fenced: u64,
+    /// What the violations were.
+    pub notes: Vec<Box<str>>,
+    #[serde(skip)]
+    running: HashMap<Box<str>, u32>,
+    #[serde(skip)]
+    keys: HashMap<Box<str>, u32>,
+}
+
+struct Task {
+    attempt: Attempt,
+    size: Size,
+    end: Option<Instant>,
+    lease: Instant,
+    state: TaskState,
+    over: Option<Instant>,
+}
+
+#[derive(Default)]
+struct State {
+    epoch: Epoch,
+    requests: Vec<RequestId>,
+    tasks: BTreeMap<TaskId, Task>,
+    history: VecDeque<(Instant, Report)>,
+    faults: Faults,
+}
+
+/// One worker.
+#[derive(Clone)]
+pub struct Worker {
+    vm: Vm,
+    state: Arc<Mutex<State>>,
+    witness: Arc<Mutex<Witness>>,
+}
+
+impl Worker {
+    /// A worker as the VM list describes it.
+    pub fn new(vm: Vm, witness: Arc<Mutex<Witness>>) -> Self {
+        Worker { vm, state: Arc::default(), witness }
+    }
+
+    /// Answers one call.
+    pub async fn handle(self, head: Parts, body: Bytes) -> Reply {
+        if head.uri.path() == "/fault" {
+            return match serde_json::from_slice(&body) {
+                Ok(faults) => {
+                    self.lock().faults = faults;
+                    answer(200, "{}")
+                }
+                Err(e) => answer(400, e.to_string()),
+            };
+        }
+        if head.uri.path() == "/witness" {
+            return json(&*self.witness.lock().expect("no holder panics"));
+        }
+        if self.lock().faults.silent {
+            std::future::pending::<()>().await;
+        }
+        match (head.method.as_str(), head.uri.path()) {
+            ("GET", "/v1/report") => json(&self.report()),
+            ("PUT", "/v1/fence") => match serde_json::from_slice::<FenceAsk>(&body) {
+                Ok(ask) => {
+                    let mut state = self.lock();
+                    state.epoch = state.epoch.max(ask.epoch);
+                    json(&FenceAsk { epoch: state.epoch })
+                }
+                Err(e) => answer(400, e.to_string()),
+            },
+            ("PUT", "/v1/orders") => match serde_json::from_slice::<WorkerAsk>(&body) {
+                Ok(ask) => json(&self.orders(ask)),
+                Err(e) => answer(400, e.to_string()),
+            },
+            (_, path) if path.starts_with("/v1/run") => self.run(&head, body).await,
+            _ => answer(404, "no such call"),
+        }
+    }
+
+    /// Ends what is over: run times, and leases that were not renewed. Records the report.
+    pub fn tick(&self, now: Instant) {
+        let mut state = self.lock();
+        let fail = state.faults.fail;
+        for (id, task) in &mut state.tasks {
+            if task.state != TaskState::Running {
+                continue;
+            }
+            let ended = task.end.is_some_and(|e| e <= now);
+            if !ended && !fail && task.lease > now {
+                continue;
+            }
+            task.state = match (fail, ended) {
+                (true, _) => TaskState::Failed,
+                (_, true) => TaskState::Ended,
+                _ => TaskState::Lost,
+            };
+            task.over = Some(now);
+            self.leave(&id.to_string());
+            if task.state == TaskState::Ended {
+                self.witness.lock().expect("no holder panics").ended += 1;
+            }
+        }
+        state.tasks.retain(|_, t| t.over.is_none_or(|o| now - o < KEEP));
+        let report = Report {
+            age: 0,
+            epoch: state.epoch,
+            requests: state.requests.clone(),
+            tasks: state
+                .tasks
+                .iter()
+                .map(|(id, t)| TaskReport {
+                    task: id.clone(),
+                    attempt: t.attempt,
+                    state: t.state,
+                    used: t.size,
+                })
+                .collect(),
+        };
+        state.history.push_back((now, report));
+        while state.history.len() > 400 {
+            state.history.pop_front();
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no holder panics")
+    }
+
+    /// The newest report that is at least as old as the lag.
+    fn report(&self) -> Report {
+        let state = self.lock();
+        let now = Instant::now();
+        let lag = Duration::from_millis(state.faults.lag);
+        let found = state.history.iter().rev().find(|(at, _)| now - *at >= lag);
+        let Some((at, report)) = found else {
+            return Report { age: 0, epoch: state.epoch, requests: vec![], tasks: vec![] };
+        };
+        Report { age: (now - *at).as_millis() as u64 + 1, ..report.clone() }
+    }
+
+    fn orders(&self, ask: WorkerAsk) -> WorkerReply {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if ask.epoch < state.epoch {
+            self.witness.lock().expect("no holder panics").fenced += 1;
+            return WorkerReply { epoch: state.epoch, refused: ask.start, stopped: vec![] };
+        }
+        state.epoch = ask.epoch;
+        let lease = now + Duration::from_millis(ask.lease);
+        let mut reply = WorkerReply { epoch: ask.epoch, refused: vec![], stopped: vec![] };
+        for order in ask.renew {
+            if let Some(task) = state.tasks.get_mut(&order.task)
+                && task.attempt == order.attempt
+            {
+                task.lease = lease;
+            }
+        }
+        for order in ask.stop {
+            if let Some(task) = state.tasks.get_mut(&order.task)
+                && task.attempt == order.attempt
+                && task.state == TaskState::Running
+            {
+                task.state = TaskState::Checkpointed;
+                task.over = Some(now);
+                self.leave(&order.task.to_string());
+            }
+            reply.stopped.push(order);
+        }
+        for order in ask.start {
+            self.start(&mut state, order, lease, now, &mut reply);
+        }
+        reply
+    }
+
+    fn start(
+        &self,
+        state: &mut State,
+        order: TaskOrder,
+        lease: Instant,
+        now: Instant,
+        reply: &mut WorkerReply,
+    ) {
+        if state.tasks.get(&order.task).is_some_and(|t| t.attempt >= order.attempt) {
+            return;
+        }
+        let running = state.tasks.values().filter(|t| t.state == TaskState::Running);
+        let used: Size = running.map(|t| t.size).sum();
+        if !(used + order.size).fits(&self.vm.size) {
+            self.note(|w| &mut w.over, format!("{} over on {}", order.task, self.vm.worker));
+            reply.refused.push(order);
+            return;
+        }
+        let name = order.task.to_string();
+        self.enter(&name);
+        self.witness.lock().expect("no holder panics").starts += 1;
+        let end = (order.run > 0).then(|| now + Duration::from_millis(order.run));
+        let task = Task {
+            attempt: order.attempt,
+            size: order.size,
+            end,
+            lease,
+            state: TaskState::Running,
+            over: None,
+        };
+        state.tasks.insert(order.task, task);
+    }
+
+    async fn run(&self, head: &Parts, body: Bytes) -> Reply {
+        let refuse = |why: &'static str| {
+            let mut r = answer(409, why);
+            r.headers_mut().insert(RAN, hyper::header::HeaderValue::from_static("no"));
+            r
+        };
+        let Ok(id) = header(head, REQUEST).parse::<RequestId>() else {
+            return refuse("no request id");
+        };
+        let epoch = Epoch(header(head, EPOCH).parse().unwrap_or(0));
+        let lease = header(head, LEASE).parse().unwrap_or(60_000);
+        let (wait, fail) = {
+            let mut state = self.lock();
+            if epoch < state.epoch {
+                self.witness.lock().expect("no holder panics").fenced += 1;
+                return refuse("low epoch");
+            }
+            state.epoch = epoch;
+            if state.requests.len() >= self.vm.slots as usize {
+                self.note(|w| &mut w.over, format!("{id} over slots on {}", self.vm.worker));
+                return refuse("no slot");
+            }
+            state.requests.push(id);
+            let wait = header(head, RUN).parse().unwrap_or(RUN_MS) + state.faults.slow;
+            (wait, state.faults.fail)
+        };
+        let name = id.to_string();
+        self.enter(&name);
+        self.count(header(head, KEY));
+        // The work goes on to its end when the connection breaks, as real work would.
+        let worker = self.clone();
+        let work = tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(wait.min(lease))).await;
+            worker.lock().requests.retain(|r| *r != id);
+            worker.leave(&name);
+        });
+        let _ = work.await;
+        if fail {
+            return answer(500, "failed");
+        }
+        let mut r = answer(200, body);
+        let h = r.headers_mut();
+        h.insert(REQUEST, hyper::header::HeaderValue::from_str(&id.to_string()).expect("hex"));
+        if let Ok(w) = hyper::header::HeaderValue::from_str(self.vm.worker.as_str()) {
+            h.insert("x-worker", w);
+        }
+        r
+    }
+
+    fn enter(&self, name: &str) {
+        let mut w = self.witness.lock().expect("no holder panics");
+        if !name.contains('/') {
+            w.requests += 1;
+        }
+        let n = w.running.entry(name.into()).or_default();
+        *n += 1;
+        if *n > 1 {
+            w.doubled += 1;
+            w.notes.push(format!("{name} twice at once, now on {}", self.vm.worker).into());
+        }
+    }
+
+    fn leave(&self, name: &str) {
+        let mut w = self.witness.lock().expect("no holder panics");
+        let Some(n) = w.running.get_mut(name) else { return };
+        *n -= 1;
+        if *n == 0 {
+            w.running.remove(name);
+        }
+    }
+
+    fn count(&self, key: &str) {
+        if key.is_empty() {
+            return;
+        }
+        let mut w = self.witness.lock().expect("no holder panics");
+        let n = w.keys.entry(key.into()).or_default();
+        *n += 1;
+        if *n > 1 {
+            w.repeated += 1;
+            w.notes.push(format!("key {key} again on {}", self.vm.worker).into());
+        }
+    }
+
+    fn note(&self, counter: impl Fn(&mut Witness) -> &mut u64, text: String) {
+        let mut w = self.witness.lock().expect("no holder panics");
+        *counter(&mut w) += 1;
+        w.notes.push(text.into());
+    }
+}
