--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The types and the deciding code stand here; the binary only reads its command line.
 
+pub mod cli;
 pub mod decide;
 mod error;
 #[rustfmt::skip]
