--- a/tests/text.rs
+++ b/tests/text.rs
@@ -154,6 +154,24 @@
     assert_eq!(&*faults[FAULTS].cause, "499000 more errors are not listed");
 }
 
+#[test]
+fn the_examples_are_good_and_have_the_sizes_of_today() {
+    let cases = [
+        (include_str!("../examples/tausi.ini"), "quoting", "engineering", (128, 512)),
+        (include_str!("../examples/tsagaan-deel.ini"), "grants", "survey", (64, 256)),
+    ];
+    for (text, small, large, (cores, gb)) in cases {
+        let plan = Plan::read(text).unwrap_or_else(|faults| panic!("{}", told(&faults)));
+        let pool = |size, workers| Pool { size, workers, slots: 8, connections: 64 };
+        assert_eq!(plan.pools.len(), 2);
+        assert_eq!(plan.pools[&small.into()], pool(Size::new(16, 64 * 1024, 0), 35));
+        assert_eq!(plan.pools[&large.into()], pool(Size::new(cores, gb * 1024, 8), 13));
+        for kind in [JobKind::Replicas, JobKind::Batch, JobKind::Gang] {
+            assert!(plan.jobs.values().any(|j| j.kind == kind), "{small}: no {kind}");
+        }
+    }
+}
+
 /// A text near the limit: a chain of jobs, each after the one before.
 fn chain(jobs: u32) -> String {
     let mut text = String::from(GOOD);
