--- a/tests/text.rs
+++ b/tests/text.rs
@@ -3,7 +3,7 @@
 use {
     dogwoodreach::{
         ids::{JobId, PoolId, ServiceId, TeamId},
-        text::{FAULTS, Fault, Job, JobKind, LIMIT, Plan, Pool, Service, Team, diff},
+        text::{FAULTS, Fault, Job, JobKind, LIMIT, Plan, Pool, Service, Team, VALUE, diff},
         units::Size,
     },
     std::{fmt::Write, time::Duration},
@@ -146,6 +146,15 @@
     assert_eq!(told(&faults(&text)), want);
 }
 
+#[test]
+fn a_value_over_its_limit_is_told_without_being_repeated() {
+    let fits = "x".repeat(VALUE);
+    let cause = faults(&format!("[pool a]\ncores = {fits}\n"))[1].cause.len();
+    assert!(cause < 100, "{cause} bytes");
+    let told = told(&faults(&format!("[pool a]\ncores = {fits}x\n")));
+    assert!(told.contains("line 2: the value of \"cores\" has 4097 bytes; the limit is 4096\n"));
+}
+
 #[test]
 fn a_text_of_nothing_but_faults_is_told_in_part_and_counted_whole() {
     let text = "x\n".repeat(LIMIT / 2);
