--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,161 @@
+//! The commands that run a member or ask one.
+
+use {
+    crate::{
+        cli::{Command, Exit, HELP, Target, check, fail, read, say, write_json},
+        error::{Error, Kind},
+        ids::{SubmissionId, Version},
+        member,
+        messages::{Show, Submit},
+        operators, settings,
+        text::{Plan, diff},
+    },
+    std::path::Path,
+    tokio::runtime::Builder,
+};
+
+/// Carries out a command.
+pub fn run(command: Command) -> Exit {
+    match command {
+        Command::Help => say(format_args!("{}", HELP.trim_end())),
+        Command::Version => say(format_args!("dogwoodreach {}", env!("CARGO_PKG_VERSION"))),
+        Command::Check { text, json } => return check(&text, json),
+        Command::Serve { settings } => return serve(&settings),
+        Command::Submit { text, base, by, target } => return submit(&text, base, by, &target),
+        Command::Show(target) => return show(&target),
+        Command::Drain(target) => return drain(&target),
+    }
+    Exit::Done
+}
+
+fn serve(path: &Path) -> Exit {
+    let bytes = match read(path) {
+        Ok(bytes) => bytes,
+        Err(e) => return fail(Exit::Usage, &format!("cannot read {}: {e}", path.display()), false),
+    };
+    let settings = match settings::read_bytes(&bytes) {
+        Ok(settings) => settings,
+        Err(e) => return fail(Exit::Faulty, &format!("{}: {e}", path.display()), false),
+    };
+    env_logger::Builder::new()
+        .parse_filters(&format!("{},hyper=warn,jsonrpsee=warn,soketto=warn", settings.log.level))
+        .init();
+    match member::run(&settings) {
+        Ok(()) => Exit::Done,
+        Err(e) => fail(e.kind().into(), &e.to_string(), false),
+    }
+}
+
+fn submit(path: &Path, base: Option<Version>, by: Option<Box<str>>, target: &Target) -> Exit {
+    let bytes = match read(path) {
+        Ok(bytes) => bytes,
+        Err(e) => {
+            return fail(Exit::Usage, &format!("cannot read {}: {e}", path.display()), target.json);
+        }
+    };
+    // A text with errors is not worth a call, and is reported in the same words.
+    if Plan::read_bytes(&bytes).is_err() {
+        return check(path, target.json);
+    }
+    let text: Box<str> = String::from_utf8_lossy(&bytes).into();
+    asking(target, async |secret: &str| {
+        let base = match base {
+            Some(base) => base,
+            None => operators::show(target.to, secret).await?.version,
+        };
+        let by = by.clone().unwrap_or_else(|| "operator".into());
+        let submission = SubmissionId(fastrand::u64(1..));
+        let ask = Submit { submission, base, by, text: text.clone() };
+        let reply = operators::submit(target.to, secret, &ask).await?;
+        if reply.errors.iter().any(|e| **e == *Kind::OutcomeUnknown.answer().label) {
+            return Err(Kind::OutcomeUnknown.into());
+        }
+        if target.json {
+            write_json(&reply);
+        }
+        if reply.accepted {
+            if !target.json {
+                say(format_args!("accepted: version {} is in force", reply.version));
+            }
+            return Ok(Exit::Done);
+        }
+        if target.json {
+            return Ok(if reply.errors.is_empty() { Exit::Conflict } else { Exit::Faulty });
+        }
+        if !reply.errors.is_empty() {
+            reply.errors.iter().for_each(|e| say(format_args!("{e}")));
+            return Ok(Exit::Faulty);
+        }
+        let theirs = reply.text.unwrap_or_default();
+        say(format_args!("version {} was first; it differs from yours by:", reply.version));
+        say(format_args!("{}", diff(&text, &theirs).trim_end()));
+        Ok(Exit::Conflict)
+    })
+}
+
+fn show(target: &Target) -> Exit {
+    asking(target, async |secret: &str| {
+        let show = operators::show(target.to, secret).await?;
+        if target.json {
+            write_json(&show)
+        } else {
+            print(&show)
+        }
+        Ok(Exit::Done)
+    })
+}
+
+fn drain(target: &Target) -> Exit {
+    asking(target, async |secret: &str| {
+        operators::drain(target.to, secret).await?;
+        if target.json {
+            write_json(&true);
+        } else {
+            say(format_args!("{} stops once its requests have ended", target.to));
+        }
+        Ok(Exit::Done)
+    })
+}
+
+/// Asks a member with the secret from the target's file, and reports what went wrong.
+fn asking(target: &Target, ask: impl AsyncFnOnce(&str) -> Result<Exit, Error>) -> Exit {
+    let secret = match read(&target.secret) {
+        Ok(bytes) => String::from_utf8_lossy(&bytes).trim().to_owned(),
+        Err(e) => {
+            let cause = format!("cannot read {}: {e}", target.secret.display());
+            return fail(Exit::Usage, &cause, target.json);
+        }
+    };
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(Exit::Refused, &e.to_string(), target.json),
+    };
+    match runtime.block_on(ask(&secret)) {
+        Ok(exit) => exit,
+        Err(e) if e.kind() == Kind::Peer => fail(Exit::Unreachable, &e.to_string(), target.json),
+        Err(e) => fail(e.kind().into(), &e.to_string(), target.json),
+    }
+}
+
+fn print(show: &Show) {
+    say(format_args!("version {} in force; {} requests open", show.version, show.waiting));
+    for m in &show.members {
+        let state = if m.draining { ", stopping" } else { "" };
+        let here = if m.incarnation == show.member { " (this one)" } else { "" };
+        say(format_args!(
+            "member {}{here}: {}, version {}, owns {} rows{state}",
+            m.incarnation, m.zone, m.version, m.rows
+        ));
+    }
+    for w in &show.workers {
+        say(format_args!(
+            "worker {}: {}, {} of {} slots busy, free {}",
+            w.worker, w.state, w.busy, w.slots, w.room
+        ));
+    }
+    for t in &show.tasks {
+        let at = t.worker.as_ref().map(|w| format!(" on {w}")).unwrap_or_default();
+        let why = t.reason.as_ref().map(|r| format!(": {r}")).unwrap_or_default();
+        say(format_args!("task {} attempt {}: {}{at}{why}", t.task, t.attempt, t.state));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod bucket;
 mod callers;
 pub mod claims;
+pub mod cli;
+pub mod commands;
 pub mod commit;
 pub mod config;
 pub mod core;
