Tests of a task's attempts under random orders of events

Cause: two owners of a bucket that both believe in a start would run a grant task twice. The property test (2,000 fixed seeds) moves the bucket by release and by takeover while the old owner works on, loses KV answers, delays and repeats word of ends, and lets a worker's clock be as slow as DRIFT allows; the end of each run checks that every task can be placed again.

--- /dev/null
+++ b/tests/attempts.rs
@@ -0,0 +1,305 @@
+//! Attempts of tasks under random orders of events; the invariant has the name of the model.
+
+mod fake;
+
+use {
+    arbtest::arbitrary::{Result, Unstructured},
+    dogwoodreach::{
+        Time,
+        attempts::{DRIFT, FLIGHT, LEASE, Place, Refused},
+        bucket::Order,
+        ids::{Attempt, Epoch, TaskId, TaskIndex, WorkerId},
+        messages::{EndItem, TaskReport, TaskRow, TaskState},
+        units::Size,
+    },
+    fake::{Kv, Member, runs},
+    std::{cell::Cell, time::Duration},
+};
+
+const TASKS: u32 = 2;
+const WORKERS: [&str; 2] = ["w0", "w1"];
+
+struct Run {
+    row: TaskRow,
+    lease: Time,
+}
+
+/// What is on its way to the rack's owner or back, or lost; it comes in any order, some twice.
+#[derive(Clone)]
+enum Mail {
+    Start(TaskRow, Time),
+    Stop(TaskRow),
+    End(EndItem),
+    Report(WorkerId, Time, Vec<TaskReport>),
+}
+
+#[derive(Default)]
+struct World {
+    now: Time,
+    kv: Kv,
+    members: Vec<Member>,
+    /// The end of the newest member's lease on the bucket.
+    sure: Time,
+    epoch: u64,
+    mail: Vec<Mail>,
+    running: Vec<Run>,
+    /// Attempts that the rack's owner won't start, or renew, any more.
+    refused: Vec<(TaskId, Attempt)>,
+    cut: Vec<(TaskId, Attempt)>,
+    starts: u32,
+    repeats: u32,
+}
+
+fn task(i: u32) -> TaskId {
+    TaskId { job: "audit".into(), index: TaskIndex(i) }
+}
+
+fn place(i: u32, worker: usize) -> Place {
+    let worker = WORKERS[worker].into();
+    Place { task: task(i), worker, rack: "r".into(), epoch: Epoch(1), size: Size::new(1, 1, 0) }
+}
+
+fn told(row: &TaskRow, state: TaskState) -> Mail {
+    let worker = row.worker.clone().expect("it was placed");
+    Mail::End(EndItem { attempt: row.attempt, state, task: row.task.clone(), worker })
+}
+
+impl World {
+    fn newest(&mut self) -> &mut Member {
+        self.members.last_mut().expect("there is a member")
+    }
+
+    fn carry(&mut self, order: Order) {
+        match order {
+            Order::Start { row, until } => self.mail.push(Mail::Start(row, until)),
+            Order::Stop { row } => self.mail.push(Mail::Stop(row)),
+            _ => {}
+        }
+    }
+
+    fn drain(&mut self) {
+        for m in 0..self.members.len() {
+            for order in self.members[m].orders(self.now) {
+                self.carry(order);
+            }
+        }
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now = self.now + time;
+        // The worker's clock is as slow as it may be.
+        self.running.retain(|run| self.now < run.lease + DRIFT);
+    }
+
+    fn start(&mut self, row: TaskRow, until: Time) {
+        if self.now > until || self.refused.contains(&(row.task.clone(), row.attempt)) {
+            return;
+        }
+        let twin = self.running.iter().find(|run| run.row.task == row.task);
+        assert!(twin.is_none(), "OneAttempt: {row:?} beside {:?}", twin.map(|t| &t.row));
+        self.starts += 1;
+        self.repeats += u32::from(row.attempt > Attempt(1));
+        self.mail.push(told(&row, TaskState::Running));
+        self.running.push(Run { row, lease: self.now + LEASE });
+    }
+
+    fn stop(&mut self, row: &TaskRow) {
+        self.refused.push((row.task.clone(), row.attempt));
+        self.running.retain(|run| run.row.task != row.task || run.row.attempt != row.attempt);
+        self.mail.push(told(row, TaskState::Checkpointed));
+    }
+
+    fn deliver(&mut self, mail: Mail, m: usize) {
+        let bucket = &mut self.members[m].bucket;
+        match mail {
+            Mail::Start(row, until) => self.start(row, until),
+            Mail::Stop(row) => self.stop(&row),
+            Mail::End(item) => bucket.heard(&item),
+            Mail::Report(worker, taken, tasks) => bucket.report(&worker, taken, &tasks),
+        }
+    }
+
+    fn report(&mut self, worker: usize) {
+        let worker = WorkerId::from(WORKERS[worker]);
+        let here = self.running.iter().filter(|run| run.row.worker.as_ref() == Some(&worker));
+        let tasks = here
+            .map(|run| TaskReport {
+                attempt: run.row.attempt,
+                state: TaskState::Running,
+                task: run.row.task.clone(),
+                used: run.row.size,
+            })
+            .collect();
+        self.mail.push(Mail::Report(worker, self.now, tasks));
+    }
+
+    /// The rack's owner gives an attempt up: it renews it no more and says how long it may last.
+    fn give_up(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let i = u.int_in_range(0..=TASKS - 1)?;
+        let now = self.now;
+        let Some(row) = self.newest().bucket.attempts().get(&task(i)).cloned() else {
+            return Ok(());
+        };
+        let same = |run: &&Run| run.row.task == row.task && run.row.attempt == row.attempt;
+        let until = self.running.iter().find(same).map_or(now, |run| run.lease);
+        self.cut.push((row.task.clone(), row.attempt));
+        self.newest().bucket.cut(&row.task, row.attempt, until);
+        Ok(())
+    }
+
+    /// The bucket moves: by release, after which the old owner does nothing, or by takeover, after
+    /// its lease, while it works on.
+    fn move_owner(&mut self, release: bool) {
+        if release {
+            self.members.pop();
+        } else if self.now < self.sure + DRIFT {
+            return;
+        }
+        self.epoch += 1;
+        self.members.push(Member::new(self.epoch));
+        self.renew();
+    }
+
+    fn renew(&mut self) {
+        let sure = self.now + Duration::from_secs(6);
+        self.sure = sure;
+        self.newest().bucket.renew(sure);
+    }
+
+    fn step(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let m = u.choose_index(self.members.len())?;
+        match u.int_in_range(0..=23)? {
+            0..=2 => {
+                let (i, worker) = (u.int_in_range(0..=TASKS - 1)?, u.choose_index(2)?);
+                let now = self.now;
+                let _ = self.members[m].bucket.place(place(i, worker), now);
+            }
+            3..=7 if !self.mail.is_empty() => {
+                let i = u.choose_index(self.mail.len())?;
+                let start = matches!(self.mail[i], Mail::Start(..));
+                let again = !start && u.ratio(1, 4)?;
+                let mail = if again { self.mail[i].clone() } else { self.mail.remove(i) };
+                self.deliver(mail, m);
+            }
+            8 if !self.mail.is_empty() => {
+                let _lost = self.mail.remove(u.choose_index(self.mail.len())?);
+            }
+            9 if !self.running.is_empty() => {
+                let run = self.running.remove(u.choose_index(self.running.len())?);
+                let state = *u.choose(&[TaskState::Ended, TaskState::Failed])?;
+                self.mail.push(told(&run.row, state));
+            }
+            10 => self.report(u.choose_index(2)?),
+            11 => self.members[m].bucket.stop(&task(u.int_in_range(0..=TASKS - 1)?)),
+            12 if u.ratio(1, 4)? => self.give_up(u)?,
+            13 => {
+                let cut = &self.cut;
+                for run in &mut self.running {
+                    if !cut.contains(&(run.row.task.clone(), run.row.attempt)) {
+                        run.lease = self.now + LEASE;
+                    }
+                }
+            }
+            14 if u.ratio(1, 2)? => self.move_owner(u.ratio(1, 3)?),
+            15 => self.renew(),
+            16 => self.kv.down = u.ratio(1, 4)?,
+            17 if u.ratio(1, 20)? => self.pass(LEASE),
+            17..=18 => self.pass(Duration::from_millis(u.int_in_range(0..=900)?)),
+            _ => self.members[m].turn(u, &mut self.kv, self.now)?,
+        }
+        Ok(())
+    }
+
+    /// With all failures over and two reports of each worker, every task can be placed again.
+    fn finish(&mut self) {
+        self.kv.down = false;
+        self.mail.clear();
+        self.running.clear();
+        for _ in 0..2 {
+            let (kv, now) = (&mut self.kv, &mut self.now);
+            self.members.last_mut().expect("there is a member").settle(kv, now);
+            self.pass(FLIGHT * 2);
+            for worker in 0..WORKERS.len() {
+                self.report(worker);
+            }
+            for mail in std::mem::take(&mut self.mail) {
+                self.deliver(mail, self.members.len() - 1);
+            }
+        }
+        for i in 0..TASKS {
+            let now = self.now;
+            let placed = self.newest().bucket.place(place(i, 0), now);
+            assert!(placed.is_ok(), "task {i} can never run again: {placed:?}");
+        }
+    }
+}
+
+// A grant task is placed; its bucket's owner dies, pauses past its lease or hands over; the KV loses
+// answers; the worker's reports lag and word of the end is late. Whoever owns the bucket next must
+// not start the task while an attempt may be running: the grant would be paid twice.
+#[test]
+fn one_attempt() {
+    let seen = [const { Cell::new(0) }; 3];
+    runs(2000, 2000, |u| {
+        let mut world = World { members: vec![Member::new(1)], epoch: 1, ..World::default() };
+        world.renew();
+        while !u.is_empty() {
+            world.step(u)?;
+            world.drain();
+        }
+        world.finish();
+        let news = [world.starts, world.repeats, world.epoch as u32 - 1];
+        for (total, n) in seen.iter().zip(news) {
+            total.set(total.get() + n);
+        }
+        Ok(())
+    });
+    for (what, n) in ["starts", "repeats", "owners"].iter().zip(&seen) {
+        assert!(n.get() > 1000, "{} {what} in all runs", n.get());
+    }
+}
+
+// An owner commits an intent and dies before, or after, it sends the start: the next one can't tell
+// which. It must hold the task back while the start may be on its way, and must let it go once a
+// report that is younger than that shows no such task.
+#[test]
+fn intent_of_a_dead_owner_may_be_running() {
+    for sent in [true, false] {
+        let (mut kv, mut now, mut old) = (Kv::default(), Time::ZERO, Member::new(1));
+        old.bucket.renew(Time::NEVER);
+        old.settle(&mut kv, &mut now);
+        assert_eq!(old.bucket.place(place(0, 0), now), Ok(Attempt(1)));
+        if sent {
+            let orders = old.settle(&mut kv, &mut now);
+            assert!(matches!(&orders[..], [Order::Start { .. }]), "{orders:?}");
+        } else {
+            assert_eq!(old.orders(now), []);
+            old.effect_then_lose(&mut kv, now);
+        }
+        let mut next = Member::new(2);
+        assert_eq!(next.bucket.place(place(0, 1), now), Err(Refused::Unowned));
+        next.settle(&mut kv, &mut now);
+        assert_eq!(next.bucket.place(place(0, 1), now), Err(Refused::Live));
+        next.bucket.report(&WORKERS[0].into(), Time::ZERO, &[]);
+        assert_eq!(next.bucket.place(place(0, 1), now), Err(Refused::Live));
+        next.bucket.report(&WORKERS[0].into(), now + FLIGHT + DRIFT, &[]);
+        assert_eq!(next.bucket.place(place(0, 1), now), Ok(Attempt(2)));
+    }
+}
+
+// An owner's write of an intent takes effect, and the process is paused before it reads the answer.
+// Its lease ends, another member takes over, sees that the worker runs nothing, and starts the task
+// elsewhere. The first owner resumes with a good answer in its hands: it must not send the start.
+#[test]
+fn paused_owner_sends_no_start() {
+    let (mut kv, mut now, mut old) = (Kv::default(), Time::ZERO, Member::new(1));
+    old.settle(&mut kv, &mut now);
+    let sure = now + FLIGHT * 2;
+    old.bucket.renew(sure);
+    assert_eq!(old.bucket.place(place(0, 0), now), Ok(Attempt(1)));
+    assert_eq!(old.orders(now), []);
+    old.effect(&mut kv);
+    now = sure + DRIFT;
+    old.deliver(now);
+    assert_eq!(old.orders(now), [], "a start went out without a lease");
+}
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -82,7 +82,7 @@
             }
             4..=7 if !self.replies.is_empty() => {
                 let (call, reply) = self.replies.remove(u.choose_index(self.replies.len())?);
-                self.answer(call, Some(reply), now);
+                self.answer(call, reply, now);
             }
             8 if !self.replies.is_empty() => {
                 let (call, reply) = self.replies.remove(u.choose_index(self.replies.len())?);
@@ -104,20 +104,30 @@
         let mut out = Vec::new();
         for _ in 0..40 {
             out.extend(self.orders(*now));
-            for (call, waited) in std::mem::take(&mut self.calls) {
-                let reply = kv.run(&call);
-                if waited {
-                    self.replies.push((number(&call), reply));
-                }
-            }
-            for (call, reply) in std::mem::take(&mut self.replies) {
-                self.answer(call, Some(reply), *now);
-            }
+            self.effect(kv);
+            self.deliver(*now);
             *now = *now + Duration::from_millis(100);
         }
         out
     }
 
+    /// Lets the calls take effect; the answers stay on their way.
+    pub fn effect(&mut self, kv: &mut Kv) {
+        for (call, waited) in std::mem::take(&mut self.calls) {
+            let reply = kv.run(&call);
+            if waited {
+                self.replies.push((number(&call), reply));
+            }
+        }
+    }
+
+    /// Brings the answers that are on their way.
+    pub fn deliver(&mut self, now: Time) {
+        for (call, reply) in std::mem::take(&mut self.replies) {
+            self.answer(call, reply, now);
+        }
+    }
+
     /// Lets the calls take effect, and loses their answers.
     pub fn effect_then_lose(&mut self, kv: &mut Kv, now: Time) {
         for (call, _) in std::mem::take(&mut self.calls) {
@@ -126,11 +136,10 @@
         }
     }
 
-    fn answer(&mut self, call: u64, reply: Option<Reply>, now: Time) {
+    fn answer(&mut self, call: u64, reply: Reply, now: Time) {
         match reply {
-            Some(Reply::Read(found)) => self.bucket.read(call, Some(found), now),
-            Some(Reply::Write(reply)) => self.bucket.wrote(call, Some(&reply), now),
-            None => {}
+            Reply::Read(found) => self.bucket.read(call, Some(found), now),
+            Reply::Write(reply) => self.bucket.wrote(call, Some(&reply), now),
         }
     }
 
