Texts that are too long in their record are refused by the check

A text of 999,984 bytes in lines of the usual length takes 1,095,222 as JSON, more than the key-value service's 1,048,576: check found it good, and its submission would have been refused. The check counts the escapes now. Ruled out: a lower LIMIT, which would have to be half a megabyte to be safe.

The new test failed before the guard and with the guard doubled. The text of nothing but faults has this fault too, so its count of unlisted ones is 499,001.

--- a/src/ini.rs
+++ b/src/ini.rs
@@ -10,6 +10,10 @@
 /// The most bytes of a text: the key-value service's megabyte, less room for the record's frame.
 pub const LIMIT: usize = 1_000_000;
 
+/// The most bytes of a text as JSON: a megabyte less 4 KiB for the rest of the record, which is
+/// numbers and the name of who submitted it.
+pub const RECORD: usize = (1 << 20) - (4 << 10);
+
 /// The longest name, in bytes. Names become parts of record keys and counter labels, which other
 /// systems hold to 63.
 pub const NAME: usize = 63;
@@ -166,6 +170,21 @@
     Some(out.into())
 }
 
+/// Refuses a text that is too long once it stands in its record.
+///
+/// The failure: a text just under [`LIMIT`] is checked and found good, and the key-value service
+/// refuses its record, since JSON writes a line end, tab, quote or backslash as two bytes. It shows
+/// at submission only. Odd characters, which take more, are refused already.
+pub(crate) fn record(text: &str, faults: &mut Faults) {
+    let twice = text.bytes().filter(|b| b"\n\r\t\"\\".contains(b)).count();
+    let len = text.len() + twice + "\"\"".len();
+    if len > RECORD {
+        let remedy =
+            format!("the limit is {RECORD}; each line end, tab, quote and backslash counts twice");
+        faults.add(1, format!("the text takes {len} bytes in its record"), remedy);
+    }
+}
+
 /// Whether a character has no place in a line: it cannot be seen, and hides what a line says.
 fn odd(c: char) -> bool {
     c.is_control() && c != '\t'
--- a/src/text/mod.rs
+++ b/src/text/mod.rs
@@ -16,5 +16,5 @@
         diff::diff,
         plan::{Job, JobKind, Plan, Pool, Service, Team},
     },
-    crate::ini::{FAULTS, Fault, LIMIT, NAME, VALUE},
+    crate::ini::{FAULTS, Fault, LIMIT, NAME, RECORD, VALUE},
 };
--- a/src/text/read.rs
+++ b/src/text/read.rs
@@ -88,6 +88,7 @@
     pub fn read_bytes(bytes: &[u8]) -> Result<Plan, Vec<Fault>> {
         let mut faults = Faults::new();
         let Some(text) = ini::clean(bytes, &mut faults) else { return Err(faults.finish()) };
+        ini::record(&text, &mut faults);
         let sections = ini::sections(&text, &mut faults);
         if sections.is_empty() && faults.is_empty() {
             faults.add(1, "the text is empty", "declare at least one section like [pool NAME]");
--- a/tests/text.rs
+++ b/tests/text.rs
@@ -3,7 +3,9 @@
 use {
     dogwoodreach::{
         ids::{JobId, PoolId, ServiceId, TeamId},
-        text::{FAULTS, Fault, Job, JobKind, LIMIT, Plan, Pool, Service, Team, VALUE, diff},
+        text::{
+            FAULTS, Fault, Job, JobKind, LIMIT, Plan, Pool, RECORD, Service, Team, VALUE, diff,
+        },
         units::Size,
     },
     std::{fmt::Write, time::Duration},
@@ -146,6 +148,21 @@
     assert_eq!(told(&faults(&text)), want);
 }
 
+// An operator checks a text of short lines just under the limit, is told that it is good, and
+// submits it; the key-value service refuses the record, as every line end takes two bytes there.
+#[test]
+fn a_text_that_is_too_long_in_its_record_is_refused_by_the_check() {
+    let mut text = format!("{GOOD}{};", ";\n".repeat(100_000));
+    let record = |text: &str| serde_json::to_string(text).expect("JSON").len();
+    text.extend(std::iter::repeat_n('x', RECORD - record(&text)));
+    assert!(text.len() < LIMIT);
+    Plan::read(&text).expect("a good text");
+    text.push('x');
+    let told = told(&faults(&text));
+    assert_eq!(record(&text), 1_044_481);
+    assert!(told.starts_with("line 1: the text takes 1044481 bytes in its record; "), "{told}");
+}
+
 #[test]
 fn a_value_over_its_limit_is_told_without_being_repeated() {
     let fits = "x".repeat(VALUE);
@@ -160,7 +177,7 @@
     let text = "x\n".repeat(LIMIT / 2);
     let faults = faults(&text);
     assert_eq!(faults.len(), FAULTS + 1);
-    assert_eq!(&*faults[FAULTS].cause, "499000 more errors are not listed");
+    assert_eq!(&*faults[FAULTS].cause, "499001 more errors are not listed");
 }
 
 #[test]
