--- a/src/settings.rs
+++ b/src/settings.rs
@@ -53,6 +53,14 @@
     name: Box<str>,
 }
 
+impl Schema {
+    /// The keys of a section.
+    fn table(&self, section: &Property) -> &Table {
+        let name = section.parts.first().and_then(|p| p.name.strip_prefix("#/definitions/"));
+        &self.definitions[name.expect("a section of the schema names its definition")]
+    }
+}
+
 /// What was met so far.
 #[derive(Default)]
 struct Seen<'a> {
@@ -62,6 +70,12 @@
     addrs: BTreeMap<SocketAddr, (&'a str, u32)>,
 }
 
+impl Seen<'_> {
+    fn has(&self, section: &str, key: &str) -> bool {
+        self.lines.contains_key(&(section, key))
+    }
+}
+
 /// Reads and checks settings.
 ///
 /// # Errors
@@ -93,11 +107,25 @@
     let text = ini::clean(bytes, faults)?;
     let schema: Schema = serde_json::from_str(include_str!("../schema/settings.json"))
         .expect("the schema is part of the build, and every test of settings reads it");
-    let sections = ini::sections(&text, faults);
+    let tables = tables(&ini::sections(&text, faults), &schema, faults);
+    if !faults.is_empty() {
+        return None;
+    }
+    match serde_json::from_value(Value::Object(tables)) {
+        Ok(settings) => Some(settings),
+        Err(e) => {
+            faults.add(1, e.to_string(), "write what the settings table shows");
+            None
+        }
+    }
+}
+
+/// The sections of the file, each of the schema's type.
+fn tables(sections: &[Section<'_>], schema: &Schema, faults: &mut Faults) -> Map<String, Value> {
     let mut seen = Seen::default();
-    let mut tables = Map::new();
-    let top = schema.definitions.get("Settings")?;
-    for section in &sections {
+    let mut out = Map::new();
+    let top = &schema.definitions["Settings"];
+    for section in sections {
         let Some(property) = top.properties.get(section.head) else {
             let remedy = faults.hint(section.head, top.properties.keys().map(|k| &**k));
             let cause = format!("no section is called {:?}", short(section.head));
@@ -109,27 +137,14 @@
             faults.add(section.line, cause, "join the two");
             continue;
         }
-        let part = property.parts.first().and_then(|p| p.name.rsplit('/').next());
-        let table = schema.definitions.get(part?)?;
-        tables.insert(section.head.into(), Value::Object(keys(section, table, &mut seen, faults)));
-    }
-    for name in &top.required {
-        if !seen.lines.contains_key(&(&**name, "")) {
-            let table = &top.properties[name];
-            let cause = format!("the section [{name}] is missing");
-            faults.add(1, cause, format!("add it: {}", table.description));
-        }
-    }
-    if !faults.is_empty() {
-        return None;
+        let keys = keys(section, schema.table(property), &mut seen, faults);
+        out.insert(section.head.into(), Value::Object(keys));
     }
-    match serde_json::from_value(Value::Object(tables)) {
-        Ok(settings) => Some(settings),
-        Err(e) => {
-            faults.add(1, e.to_string(), "write what the settings table shows");
-            None
-        }
+    for name in top.required.iter().filter(|n| !seen.has(n, "")) {
+        let remedy = format!("add it: {}", top.properties[name].description);
+        faults.add(1, format!("the section [{name}] is missing"), remedy);
     }
+    out
 }
 
 /// The keys of one section, each of the schema's type.
@@ -158,15 +173,9 @@
         }
         alone(entry, property, seen, faults);
     }
-    for name in &table.required {
-        if !seen.lines.contains_key(&(section.head, &**name)) {
-            let cause = format!("[{}] lacks {name:?}", section.head);
-            faults.add(
-                section.line,
-                cause,
-                format!("add it: {}", table.properties[name].description),
-            );
-        }
+    for name in table.required.iter().filter(|n| !seen.has(section.head, n)) {
+        let remedy = format!("add it: {}", table.properties[name].description);
+        faults.add(section.line, format!("[{}] lacks {name:?}", section.head), remedy);
     }
     out
 }
--- a/src/text/read.rs
+++ b/src/text/read.rs
@@ -104,36 +104,28 @@
     let mut plan = Plan::default();
     let mut places = Places::new();
     for (section, head) in sections.iter().zip(heads) {
-        let Some((kind, name)) = head else { continue };
-        match kind {
-            "pool" => {
-                if let Some(pool) = pool(section, faults) {
-                    plan.pools.insert(PoolId::from(name), pool);
-                }
+        match head {
+            None => {}
+            Some(("pool", name)) => {
+                let pool = pool(section, faults).map(|p| (PoolId::from(name), p));
+                plan.pools.extend(pool);
             }
-            "team" => {
-                if let Some(team) = team(section, faults) {
-                    plan.teams.insert(TeamId::from(name), team);
-                }
+            Some(("team", name)) => {
+                let team = team(section, faults).map(|t| (TeamId::from(name), t));
+                plan.teams.extend(team);
             }
-            "service" => {
+            Some(("service", name)) => {
                 let mut keys = Keys::new(section, &SERVICE, faults);
                 places.insert(name, lines(&keys, section));
-                if let Some(service) = service(&mut keys, &names) {
-                    plan.services.insert(ServiceId::from(name), service);
-                }
+                let service = service(&mut keys, &names).map(|s| (ServiceId::from(name), s));
+                plan.services.extend(service);
             }
-            _ => {
-                let (kind, known) = match kind {
-                    "replicas" => (JobKind::Replicas, &REPLICAS[..]),
-                    "batch" => (JobKind::Batch, &JOB[..]),
-                    _ => (JobKind::Gang, &JOB[..]),
-                };
+            Some((kind, name)) => {
+                let (kind, known) = job_kind(kind);
                 let mut keys = Keys::new(section, known, faults);
                 places.insert(name, lines(&keys, section));
-                if let Some(job) = job(&mut keys, kind, &names) {
-                    plan.jobs.insert(JobId::from(name), job);
-                }
+                let job = job(&mut keys, kind, &names).map(|j| (JobId::from(name), j));
+                plan.jobs.extend(job);
             }
         }
     }
@@ -142,6 +134,15 @@
     plan
 }
 
+/// The kind of a job's section, and the keys that it knows.
+fn job_kind(kind: &str) -> (JobKind, &'static [&'static str]) {
+    match kind {
+        "replicas" => (JobKind::Replicas, &REPLICAS),
+        "batch" => (JobKind::Batch, &JOB),
+        _ => (JobKind::Gang, &JOB),
+    }
+}
+
 impl<'a> Names<'a> {
     /// The kind and name of a section, entered among the names; nothing where it is at fault.
     fn head(&mut self, section: &Section<'a>, faults: &mut Faults) -> Option<(&'a str, &'a str)> {
