Placement: which worker a task goes to

A treap of workers by fullness whose nodes know the greatest room below them in each dimension: pack takes the first that fits, spread the last in a rack without replicas.

Weighed: best-fit on the scarcest dimension, as the task named it.

Tried with the guard left out, each failed: order, fresh racks, shunning, avoid, closed workers, the greatest room of children.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,1 +1,3 @@
 //! The decisions, without network or clock: the present time is an argument throughout.
+
+pub mod place;
--- /dev/null
+++ b/tests/place.rs
@@ -0,0 +1,318 @@
+//! Which worker a task goes to.
+
+use {
+    arbtest::{arbitrary, arbtest},
+    dogwoodreach::{
+        decide::place::Index,
+        ids::{RackId, WorkerId},
+        units::Size,
+    },
+    std::{
+        cell::RefCell,
+        cmp::Reverse,
+        collections::{BTreeMap, BTreeSet},
+        fmt::Debug,
+    },
+};
+
+const WHOLE: Size = Size::new(16, 65536, 0);
+
+fn worker(n: usize) -> WorkerId {
+    WorkerId::from(&*format!("w{n:02}"))
+}
+
+fn rack(n: usize) -> RackId {
+    RackId::from(&*format!("r{n}"))
+}
+
+fn index(workers: usize, by_rack: usize, size: Size) -> Index {
+    let mut index = Index::new();
+    for n in 0..workers {
+        index.add(&worker(n), &rack(n / by_rack), size);
+    }
+    index
+}
+
+fn occupy(index: &mut Index, worker: &WorkerId, size: &Size) {
+    let left = index.free(worker).and_then(|f| f.checked_sub(size));
+    index.set(worker, left.expect("the room was proposed"), true);
+}
+
+struct Spot {
+    rack: usize,
+    size: Size,
+    free: Size,
+    open: bool,
+}
+
+impl Spot {
+    fn accel(&self) -> bool {
+        self.size.accels.0 > 0
+    }
+}
+
+/// All workers in a plain map, scanned anew for every question.
+#[derive(Default)]
+struct Scan(BTreeMap<WorkerId, Spot>);
+
+fn amounts(s: &Size) -> [u64; 3] {
+    [s.cores.0, s.memory.0, s.accels.0]
+}
+
+impl Scan {
+    fn fit(&self, need: &Size, avoid: &WorkerId) -> impl Iterator<Item = &WorkerId> {
+        let ok = move |(w, s): &(&WorkerId, &Spot)| {
+            let kind = need.accels.0 == 0 || s.accel();
+            s.open && kind && need.fits(&s.free) && *w != avoid
+        };
+        self.0.iter().filter(ok).map(|(w, _)| w)
+    }
+
+    fn emptiness(&self, worker: &WorkerId) -> u64 {
+        let spot = &self.0[worker];
+        let pairs = amounts(&spot.free).into_iter().zip(amounts(&spot.size));
+        let share = |(free, size): (u64, u64)| (free << 32) / size.max(1);
+        pairs.map(share).sum()
+    }
+
+    fn pack_key(&self, worker: &WorkerId, need: &Size) -> (bool, u64) {
+        let spot = &self.0[worker];
+        if spot.accel() && need.accels.0 == 0 {
+            return (true, spot.free.accels.0);
+        }
+        (false, self.emptiness(worker))
+    }
+
+    fn spread_key(
+        &self,
+        worker: &WorkerId,
+        need: &Size,
+        replicas: &[WorkerId],
+    ) -> impl Ord + Debug + use<> {
+        let spot = &self.0[worker];
+        let known = replicas.iter().filter_map(|r| self.0.get(r));
+        let racked = known.filter(|r| r.rack == spot.rack).count();
+        let own = replicas.iter().filter(|r| *r == worker).count();
+        (spot.accel() && need.accels.0 == 0, racked, own, Reverse(self.emptiness(worker)))
+    }
+}
+
+fn change(
+    u: &mut arbitrary::Unstructured<'_>,
+    index: &mut Index,
+    scan: &mut Scan,
+) -> arbitrary::Result<()> {
+    let n = u.int_in_range(0..=29usize)?;
+    let w = worker(n);
+    let whole = Size::new(16, 64, if n % 4 == 0 { 8 } else { 0 });
+    let (cores, memory) = (u.int_in_range(0..=16)?, u.int_in_range(0..=64)?);
+    let part = Size::new(cores, memory, u.int_in_range(0..=whole.accels.0)?);
+    match u.int_in_range(0..=9)? {
+        0 => {
+            index.remove(&w);
+            scan.0.remove(&w);
+        }
+        1..=3 => {
+            index.add(&w, &rack(n / 3), whole);
+            scan.0.insert(w, Spot { rack: n / 3, size: whole, free: whole, open: true });
+        }
+        _ => {
+            let open = u.ratio(9, 10)?;
+            index.set(&w, part, open);
+            if let Some(spot) = scan.0.get_mut(&w) {
+                (spot.free, spot.open) = (part, open);
+            }
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn the_index_finds_what_a_scan_of_all_workers_finds() {
+    for seed in 0..150u64 {
+        arbtest(|u| {
+            let (mut index, mut scan) = (Index::new(), Scan::default());
+            while !u.is_empty() {
+                change(u, &mut index, &mut scan)?;
+                let accels = u.int_in_range(0..=6u64)?.saturating_sub(4);
+                let need = Size::new(u.int_in_range(0..=8)?, u.int_in_range(0..=32)?, accels);
+                let avoid = worker(u.int_in_range(0..=29)?);
+                let mut replicas = Vec::new();
+                for _ in 0..u.int_in_range(0..=6)? {
+                    replicas.push(worker(u.int_in_range(0..=29)?));
+                }
+                let key = |w: &WorkerId| scan.pack_key(w, &need);
+                let found = index.pack(&need, std::slice::from_ref(&avoid));
+                assert_eq!(found.map(key), scan.fit(&need, &avoid).map(key).min());
+                let key = |w: &WorkerId| scan.spread_key(w, &need, &replicas);
+                let found = index.spread(&need, &replicas, std::slice::from_ref(&avoid));
+                assert_eq!(found.map(key), scan.fit(&need, &avoid).map(key).min());
+                assert!(found.is_none_or(|w| *w != avoid));
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | 4096);
+    }
+}
+
+/// A branch's batch: many small assessments, some that need much memory, a few large ones.
+fn branch(rng: &mut fastrand::Rng) -> Vec<Size> {
+    let one = |_| match rng.u32(0..10) {
+        0..=4 => Size::new(rng.u64(1..=3), 1024 * rng.u64(2..=6), 0),
+        5..=7 => Size::new(rng.u64(1..=4), 1024 * rng.u64(16..=40), 0),
+        _ => Size::new(rng.u64(6..=11), 1024 * rng.u64(8..=24), 0),
+    };
+    (0..80).map(one).collect()
+}
+
+/// One way of choosing among the workers with room, by their place and free room.
+type Choose<'a> = &'a dyn Fn(&[Size], &Size) -> Option<usize>;
+
+fn first_fit(free: &[Size], need: &Size) -> Option<usize> {
+    free.iter().position(|f| need.fits(f))
+}
+
+/// The least left in the dimension of which the task takes the largest share; in use before idle.
+fn scarcest_fit(free: &[Size], need: &Size) -> Option<usize> {
+    let all: Size = free.iter().copied().sum();
+    let share = |d: &usize| (amounts(need)[*d] << 32) / amounts(&all)[*d].max(1);
+    let by = (0..3).rev().max_by_key(share).unwrap_or_default();
+    let fit = (0..free.len()).filter(|n| need.fits(&free[*n]));
+    fit.min_by_key(|n| (free[*n] == WHOLE, amounts(&free[*n])[by]))
+}
+
+fn packed(free: &[Size], need: &Size, index: &mut Index) -> Option<usize> {
+    for (n, f) in free.iter().enumerate() {
+        if index.free(&worker(n)) != Some(*f) {
+            index.set(&worker(n), *f, true);
+        }
+    }
+    let found = index.pack(need, &[])?;
+    (0..free.len()).find(|n| worker(*n) == *found)
+}
+
+/// VMs in use, on average over a run in which tasks of branches' batches come and go.
+fn in_use(choose: Choose<'_>, seed: u64) -> usize {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (mut free, mut ends, mut waiting) =
+        (vec![WHOLE; 100], BTreeMap::<(u32, u32), (usize, Size)>::new(), Vec::new());
+    let mut sum = 0;
+    for now in 0..3000u32 {
+        while let Some(e) = ends.first_entry().filter(|e| e.key().0 <= now) {
+            let (n, size) = e.remove();
+            free[n] += size;
+        }
+        if waiting.is_empty() {
+            waiting = branch(&mut rng);
+        }
+        let Some(need) = waiting.pop() else { continue };
+        let n = choose(&free, &need).expect("100 workers are enough for this load");
+        free[n] = free[n].saturating_sub(&need);
+        let long = if rng.u32(0..10) == 0 { 800 } else { 110 };
+        ends.insert((now + rng.u32(1..2 * long), now), (n, need));
+        if now >= 1000 {
+            sum += free.iter().filter(|f| **f != WHOLE).count();
+        }
+    }
+    sum / 2000
+}
+
+// More VMs than needed stay in use all night: tasks of mixed sizes come and go, and new ones keep
+// going to VMs that would otherwise have become idle.
+#[test]
+fn tasks_that_come_and_go_keep_fewer_workers_in_use_than_first_fit() {
+    let (mut pack, mut first, mut scarcest) = (0, 0, 0);
+    for seed in 0..5 {
+        let cell = RefCell::new(index(100, 5, WHOLE));
+        pack += in_use(&|free, need| packed(free, need, &mut cell.borrow_mut()), seed);
+        first += in_use(&first_fit, seed);
+        scarcest += in_use(&scarcest_fit, seed);
+    }
+    println!("VMs in use: packed {pack}, first-fit {first}, scarcest dimension {scarcest}");
+    assert!(pack < first && pack < scarcest);
+}
+
+// A branch's batch occupies more VMs than it needs: its tasks of mixed sizes go first-fit in the
+// order of the text, and the large ones that come late find room only on further VMs.
+#[test]
+fn a_branch_batch_takes_fewer_workers_packed_than_first_fit() {
+    let (mut pack, mut first, mut bound) = (0, 0, 0);
+    for seed in 0..100 {
+        let batch = branch(&mut fastrand::Rng::with_seed(seed));
+        let all: Size = batch.iter().copied().sum();
+        let ratio = |d: usize| amounts(&all)[d].div_ceil(amounts(&WHOLE)[d]);
+        bound += ratio(0).max(ratio(1));
+        let mut index = index(100, 5, WHOLE);
+        let mut used = BTreeSet::new();
+        for n in index.order(&batch) {
+            let w = index.pack(&batch[n], &[]).unwrap().clone();
+            occupy(&mut index, &w, &batch[n]);
+            used.insert(w);
+        }
+        pack += used.len() as u64;
+        let mut free = vec![WHOLE; 100];
+        for need in &batch {
+            let n = first_fit(&free, need).unwrap();
+            free[n] = free[n].saturating_sub(need);
+        }
+        first += free.iter().filter(|f| **f != WHOLE).count() as u64;
+    }
+    println!("VMs used: packed {pack}, first-fit {first}, lower bound {bound}");
+    assert!(pack < first);
+    assert!(pack * 100 <= bound * 108);
+}
+
+// A service loses half of its replicas at once: a rack's switch fails, and chance had put them
+// there together.
+#[test]
+fn a_rack_failure_takes_no_more_replicas_than_must_be() {
+    let need = Size::new(2, 4096, 0);
+    let mut worst = 0;
+    for seed in 0..20 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut index = index(35, 5, Size::new(16, 65536, 0));
+        let mut replicas: Vec<WorkerId> = Vec::new();
+        for n in 0..14 {
+            let w = index.spread(&need, &replicas, &[]).unwrap().clone();
+            occupy(&mut index, &w, &need);
+            replicas.push(w);
+            for r in 0..7 {
+                let members: Vec<WorkerId> = (r * 5..r * 5 + 5).map(worker).collect();
+                let lost = replicas.iter().filter(|w| members.contains(w)).count();
+                assert!(lost <= 1 + n / 7);
+            }
+        }
+        assert_eq!(replicas.iter().collect::<BTreeSet<_>>().len(), 14);
+        let mut lost = [0; 7];
+        (0..14).for_each(|_| lost[rng.usize(0..35) / 5] += 1);
+        worst += lost.into_iter().max().unwrap();
+    }
+    assert!(worst > 2 * 20, "random spread loses {worst} in the sum of 20 runs, spread 40");
+}
+
+#[test]
+fn plain_work_shuns_accelerators_while_others_have_room() {
+    let need = Size::new(8, 1024, 0);
+    let mut index = index(1, 5, Size::new(16, 65536, 0));
+    index.add(&worker(1), &rack(1), Size::new(128, 524_288, 8));
+    index.add(&worker(2), &rack(1), Size::new(128, 524_288, 8));
+    index.set(&worker(2), Size::new(128, 524_288, 2), true);
+    for want in [0, 0, 2] {
+        let w = index.pack(&need, &[]).unwrap().clone();
+        assert_eq!(w, worker(want));
+        occupy(&mut index, &w, &need);
+    }
+    assert_eq!(index.pack(&Size::new(1, 1024, 4), &[]), Some(&worker(1)));
+}
+
+#[test]
+fn leaving_quarantined_and_avoided_workers_get_nothing() {
+    let need = Size::new(1, 1024, 0);
+    let mut index = index(3, 1, Size::new(16, 65536, 0));
+    index.set(&worker(0), Size::new(16, 65536, 0), false);
+    assert_eq!(index.pack(&need, &[worker(1)]), Some(&worker(2)));
+    assert_eq!(index.spread(&need, &[], &[worker(1)]), Some(&worker(2)));
+    index.remove(&worker(2));
+    assert_eq!(index.pack(&need, &[worker(1)]), None);
+    assert_eq!(index.spread(&need, &[worker(1)], &[worker(1)]), None);
+}
