--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the platform, the workers and the callers, and the measurements. Not shipped.
 
 mod kv;
+mod measure_place;
 mod vms;
 mod web;
 mod worker;
@@ -28,6 +29,7 @@
 
 const HELP: &str = "\
 standin platform [--kv ADDR] [--vms ADDR]   the key-value service and the VM list
+standin measure-place [--workers LIST] [--tasks N] [--runs N]
 standin workers --vms ADDR --pool NAME --zone NAME [--racks N] [--per-rack N]
                 [--cores N] [--memory SIZE] [--accels N] [--slots N]
 ";
@@ -41,6 +43,9 @@
         print!("{HELP}");
         return Ok(());
     };
+    if command == "measure-place" {
+        return Ok(measure_place::run(args)?);
+    }
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
     match command.to_str() {
