Judge workers against their peers, jobs by good workers; cancel in bounded ticks

Cause: a worker that fails fast draws most starts, a job that can never run is retried for ever, and a cancellation wave would hold up the loop.

Ruled out: counting failures by worker (blames all workers for a bad job) and by attempts (a black hole's starts set the peers' rate). Quarantine alone left 400 failures in the test's first 10 s, when no peer had ended a task; so starts are spaced after four failures in a row.

Cancel wave of 5,000 (1,000 running): 16 ticks of at most 64 stops, none started after the cancel; without the gate 160.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,1 +1,6 @@
 //! The decisions, without network or clock: the present time is an argument throughout.
+
+pub mod cancel;
+mod evidence;
+mod standing;
+pub mod suspect;
--- /dev/null
+++ b/tests/cancel.rs
@@ -0,0 +1,78 @@
+//! Cancellation waves.
+
+use {
+    dogwoodreach::{
+        Time,
+        decide::cancel::{Busy, Cancels},
+        ids::{TaskId, TaskIndex},
+    },
+    std::{collections::VecDeque, time::Duration},
+};
+
+const TICK: Duration = Duration::from_millis(10);
+
+fn task(job: &str, index: u32) -> TaskId {
+    TaskId { job: job.into(), index: TaskIndex(index) }
+}
+
+// An operator takes back a text with 5,000 tasks of which 1,000 run. Starts go on meanwhile, from a
+// queue that holds the cancelled ones as well. With stops that are only queued, and no gate, tasks
+// further back are started after they were cancelled, and their work is done for nothing.
+#[test]
+fn a_wave_is_stopped_in_bounded_ticks_and_starts_nothing() {
+    let mut c = Cancels::default();
+    let mut waiting: VecDeque<_> = (1000..5000).map(|i| task("wave", i)).collect();
+    assert!((0..1000).all(|i| c.start(&task("wave", i))));
+    let mut stopped = VecDeque::from_iter(["wave".into()]);
+    c.job(&stopped.pop_front().unwrap());
+    let (mut stops, mut ticks, mut started, mut plain) = (0, 0, 0, 0);
+    let mut now = Time::ZERO;
+    while stops < 1000 {
+        let sent = c.tick(now);
+        assert!(sent.len() <= 64 && !sent.is_empty());
+        stops += sent.len();
+        sent.iter().for_each(|t| c.ended(t));
+        // The baseline: starts ten a tick from the queue without the gate.
+        for t in waiting.drain(..10) {
+            plain += 1;
+            started += u32::from(c.start(&t));
+        }
+        now = now + TICK;
+        ticks += 1;
+    }
+    assert_eq!((started, plain, ticks), (0, 160, 16));
+    assert!(c.tick(now).is_empty());
+    assert_eq!(c.relist(&"wave".into()), Ok(()));
+    assert!(c.start(&task("wave", 7)));
+}
+
+// A stop order is lost with its connection. The task was to stop, and runs on for hours, if the order
+// goes out once only.
+#[test]
+fn a_lost_stop_is_sent_again_until_the_task_has_ended() {
+    let mut c = Cancels::default();
+    assert!(c.start(&task("a", 1)) && c.start(&task("a", 2)));
+    c.task(&task("a", 1));
+    assert_eq!(c.tick(Time::ZERO), [task("a", 1)]);
+    assert!(c.tick(Time::from_millis(1999)).is_empty());
+    assert_eq!(c.tick(Time::from_millis(2000)), [task("a", 1)]);
+    assert_eq!(c.relist(&"a".into()), Err(Busy(2)));
+    c.ended(&task("a", 1));
+    assert!(c.tick(Time::from_millis(9000)).is_empty());
+    assert_eq!(c.pending(), 0);
+    assert!(!c.start(&task("a", 1)), "cancelled, so no second attempt");
+}
+
+// A wave must not hold up the stop of a single task that comes after it for longer than its own
+// ticks; nor may ended tasks in the queue be walked over without bound.
+#[test]
+fn a_single_cancel_behind_a_wave_waits_for_the_waves_ticks_only() {
+    let mut c = Cancels::default();
+    assert!((0..640).all(|i| c.start(&task("wave", i))) && c.start(&task("one", 0)));
+    (0..640).for_each(|i| c.task(&task("wave", i)));
+    c.task(&task("one", 0));
+    (0..640).for_each(|i| c.ended(&task("wave", i)));
+    let sent: Vec<_> = (0..11).map(|_| c.tick(Time::ZERO)).collect();
+    assert_eq!(sent[10], [task("one", 0)]);
+    assert!(sent[..10].iter().all(Vec::is_empty));
+}
--- /dev/null
+++ b/tests/suspect.rs
@@ -0,0 +1,297 @@
+//! Bad workers told apart from bad jobs, against a baseline that retries for ever.
+
+use {
+    dogwoodreach::{
+        Time,
+        decide::suspect::{Fault, Outcome, Suspects, Trust, Verdict},
+        ids::{TaskId, TaskIndex, WorkerId},
+    },
+    fastrand::Rng,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap},
+        time::Duration,
+    },
+};
+
+/// Slots of a worker in the fake.
+const SLOTS: u32 = 4;
+
+/// A pool that plays tasks in virtual time: a task runs 10 s, a failing one ends after 100 ms.
+struct Fake {
+    suspects: Suspects,
+    judged: bool,
+    workers: Vec<(WorkerId, bool, u32)>,
+    rng: Rng,
+    now: Time,
+    ends: BinaryHeap<Reverse<(Time, u32, u32, usize)>>,
+    waits: BinaryHeap<Reverse<(Time, u32, u32)>>,
+    bad_jobs: Vec<u32>,
+    failures: u32,
+    done: u32,
+    given_up: BTreeMap<u32, Fault>,
+}
+
+fn id(job: u32, index: u32) -> TaskId {
+    TaskId { job: format!("job{job}").as_str().into(), index: TaskIndex(index) }
+}
+
+impl Fake {
+    fn new(workers: usize, bad: &[usize], judged: bool) -> Self {
+        let mut suspects = Suspects::new(7);
+        let name = |i: usize| WorkerId::from(format!("w{i:03}").as_str());
+        for i in 0..workers {
+            suspects.join(&name(i), &"pool".into(), &format!("rack{}", i / 5).as_str().into());
+        }
+        let workers = (0..workers).map(|i| (name(i), bad.contains(&i), 0)).collect();
+        Fake {
+            suspects,
+            judged,
+            workers,
+            rng: Rng::with_seed(11),
+            now: Time::ZERO,
+            ends: BinaryHeap::new(),
+            waits: BinaryHeap::new(),
+            bad_jobs: Vec::new(),
+            failures: 0,
+            done: 0,
+            given_up: BTreeMap::new(),
+        }
+    }
+
+    fn submit(&mut self, job: u32, tasks: u32) {
+        (0..tasks).for_each(|i| self.waits.push(Reverse((self.now, job, i))));
+    }
+
+    fn free(&self, job: u32, index: u32) -> Vec<usize> {
+        let task = id(job, index);
+        let open = |i: &usize| {
+            let (worker, _, busy) = &self.workers[*i];
+            let most = match self.suspects.trust(self.now, worker) {
+                _ if !self.judged => SLOTS,
+                Trust::Full => SLOTS,
+                Trust::Probe => 1,
+                Trust::Held(_) => 0,
+            };
+            *busy < most && !(self.judged && self.suspects.failed_on(&task).contains(worker))
+        };
+        (0..self.workers.len()).filter(open).collect()
+    }
+
+    fn start_waiting(&mut self) {
+        let mut held = Vec::new();
+        while let Some(&Reverse((at, job, index))) = self.waits.peek() {
+            if at > self.now {
+                break;
+            }
+            self.waits.pop();
+            if self.judged && self.suspects.fault(&id(job, index).job).is_some() {
+                continue;
+            }
+            let free = self.free(job, index);
+            if free.is_empty() {
+                held.push(Reverse((at, job, index)));
+                if held.len() > 8 {
+                    break;
+                }
+                continue;
+            }
+            let i = free[self.rng.usize(..free.len())];
+            self.workers[i].2 += 1;
+            self.suspects.started(self.now, &id(job, index), &self.workers[i].0);
+            let bad = self.workers[i].1 || self.bad_jobs.contains(&job);
+            let run = Duration::from_millis(if bad { 100 } else { 10_000 });
+            self.ends.push(Reverse((self.now + run, job, index, i)));
+        }
+        self.waits.extend(held);
+    }
+
+    fn end(&mut self, job: u32, index: u32, i: usize) {
+        self.workers[i].2 -= 1;
+        let failed = self.workers[i].1 || self.bad_jobs.contains(&job);
+        self.failures += u32::from(failed);
+        self.done += u32::from(!failed);
+        let outcome = if failed { Outcome::Failed } else { Outcome::Done };
+        let verdict = self.suspects.ended(self.now, &id(job, index), &self.workers[i].0, outcome);
+        match verdict {
+            _ if !self.judged && failed => self.waits.push(Reverse((self.now, job, index))),
+            Verdict::Retry(at) => self.waits.push(Reverse((at, job, index))),
+            Verdict::GiveUp(fault) => drop(self.given_up.insert(job, fault)),
+            Verdict::Over => {}
+        }
+    }
+
+    /// Plays until nothing is left, or until `end`.
+    fn play(&mut self, end: Time) {
+        while self.now < end {
+            self.start_waiting();
+            let next_end = self.ends.peek().map(|Reverse(e)| e.0);
+            let later = self.waits.iter().map(|Reverse(w)| w.0).filter(|t| *t > self.now).min();
+            let held = self.waits.peek().map(|_| self.now + Duration::from_secs(1));
+            let Some(next) = [next_end, later, held].into_iter().flatten().min() else { return };
+            self.now = next;
+            while self.ends.peek().is_some_and(|Reverse(e)| e.0 <= next) {
+                let Some(Reverse((_, job, index, i))) = self.ends.pop() else { break };
+                self.end(job, index, i);
+            }
+        }
+    }
+}
+
+// One worker of 35 fails all that it starts, in a tenth of a second, so its slots are free first and
+// it draws most of the starts. Users see their batches fail or crawl. Retried for ever, the tasks go
+// back to it again and again; judged against its peers, it is out after a few.
+#[test]
+fn a_black_hole_worker_is_quarantined_and_no_job_is_blamed() {
+    let play = |judged| {
+        let mut f = Fake::new(35, &[3], judged);
+        (0..8).for_each(|job| f.submit(job, 100));
+        f.play(Time::from_millis(3_600_000));
+        f
+    };
+    let (judged, plain) = (play(true), play(false));
+    println!("failures: judged {}, retried for ever {}", judged.failures, plain.failures);
+    assert_eq!((judged.done, judged.given_up.len()), (800, 0));
+    assert_eq!(judged.suspects.quarantined(), [&WorkerId::from("w003")]);
+    // Peers end nothing for 10 s; without the space between starts it fails 400 tasks until then.
+    assert!(judged.failures < 20 && judged.failures * 50 < plain.failures);
+}
+
+// One job of eight fails wherever it runs; each worker has its failures. Counted alone, they would
+// put all the workers under suspicion; retried for ever, the job takes starts from the others.
+#[test]
+fn a_bad_job_is_given_up_and_no_worker_is_blamed() {
+    let play = |judged| {
+        let mut f = Fake::new(35, &[], judged);
+        f.bad_jobs = vec![5];
+        (0..8).for_each(|job| f.submit(job, 100));
+        f.play(Time::from_millis(60_000));
+        f
+    };
+    let (judged, plain) = (play(true), play(false));
+    println!("failures: judged {}, retried for ever {}", judged.failures, plain.failures);
+    assert_eq!(judged.done, 700);
+    assert!(matches!(judged.given_up.get(&5), Some(Fault::Job(n)) if *n >= 4));
+    assert_eq!(judged.given_up.len(), 1);
+    assert!(judged.suspects.quarantined().is_empty());
+    assert!(judged.failures * 5 < plain.failures);
+}
+
+// Both at once: a black hole that draws most starts, and a job that fails everywhere.
+#[test]
+fn a_bad_worker_and_a_bad_job_at_once_are_told_apart() {
+    let mut f = Fake::new(35, &[0, 17], true);
+    f.bad_jobs = vec![2, 6];
+    (0..8).for_each(|job| f.submit(job, 60));
+    f.play(Time::from_millis(3_600_000));
+    println!("failures {}, given up {:?}", f.failures, f.given_up);
+    assert_eq!(f.done, 360);
+    assert_eq!(f.given_up.keys().copied().collect::<Vec<_>>(), [2, 6]);
+    assert!(f.suspects.quarantined().iter().all(|w| ["w000", "w017"].contains(&w.as_str())));
+    assert_eq!(f.suspects.trust(f.now, &"w001".into()), Trust::Full);
+}
+
+// On a cell that runs nothing else, no worker can be shown to be good. The job is given up all the
+// same, and the reason says what is not known.
+#[test]
+fn a_bad_job_alone_on_the_cell_is_given_up_too() {
+    let mut f = Fake::new(35, &[], true);
+    f.bad_jobs = vec![0];
+    f.submit(0, 1);
+    f.play(Time::from_millis(7_200_000));
+    assert_eq!(f.given_up.get(&0), Some(&Fault::Attempts(12)));
+    assert_eq!(f.failures, 12);
+}
+
+fn probe(s: &mut Suspects, at: Time, index: u32, outcome: Outcome) {
+    let w = WorkerId::from("w0");
+    assert_eq!(s.trust(at, &w), Trust::Probe);
+    s.started(at, &id(0, index), &w);
+    assert_eq!(s.trust(at, &w), Trust::Held(Time::NEVER), "one probe at a time");
+    s.ended(at, &id(0, index), &w, outcome);
+}
+
+fn pool_with_bad(n: usize, bad: usize) -> Suspects {
+    let mut s = Suspects::new(1);
+    for i in 0..n {
+        let w = WorkerId::from(format!("w{i}").as_str());
+        s.join(&w, &"p".into(), &format!("r{}", i % 2).as_str().into());
+    }
+    for round in 0..12u32 {
+        for i in (0..n).rev() {
+            let w = WorkerId::from(format!("w{i}").as_str());
+            let outcome = if i < bad { Outcome::Failed } else { Outcome::Done };
+            s.ended(Time::ZERO, &id(0, round * 100 + i as u32), &w, outcome);
+        }
+    }
+    s
+}
+
+// A worker is mended while it is in quarantine. It must come back, by probes; while it is broken, the
+// probes must grow rare.
+#[test]
+fn probes_bring_a_mended_worker_back_and_grow_rare_for_a_broken_one() {
+    let mut s = pool_with_bad(10, 1);
+    let w = WorkerId::from("w0");
+    assert_eq!(s.trust(Time::ZERO, &w), Trust::Held(Time::from_millis(30_000)));
+    let mut at = Time::from_millis(30_000);
+    let mut waits = Vec::new();
+    for i in 0..8 {
+        probe(&mut s, at, 9000 + i, Outcome::Failed);
+        let Trust::Held(next) = s.trust(at, &w) else { panic!("still broken") };
+        waits.push((next - at).as_secs());
+        at = next;
+    }
+    assert_eq!(waits, [60, 120, 240, 480, 960, 1800, 1800, 1800]);
+    probe(&mut s, at, 9100, Outcome::Stopped);
+    (0..3).for_each(|i| probe(&mut s, at, 9200 + i, Outcome::Done));
+    assert_eq!(s.trust(at, &w), Trust::Full);
+}
+
+// A mount that half of the pool needs is gone. Quarantine of all that fail would leave too few
+// workers for the work that still runs.
+#[test]
+fn no_more_than_a_fifth_of_a_pool_is_quarantined() {
+    let s = pool_with_bad(20, 6);
+    assert_eq!(s.quarantined().len(), 4);
+    assert!(s.spared() > 0);
+    assert_eq!(pool_with_bad(5, 1).quarantined().len(), 1);
+}
+
+// A rack's switch fails and its five workers fail at once what they start, before any is judged. The
+// first job to meet them must not be blamed for the rack.
+#[test]
+fn failures_in_one_rack_alone_do_not_blame_a_job() {
+    let mut s = pool_with_bad(10, 0);
+    for i in [0, 2, 4, 6, 8] {
+        let w = WorkerId::from(format!("w{i}").as_str());
+        assert!(matches!(s.ended(Time::ZERO, &id(1, 0), &w, Outcome::Failed), Verdict::Retry(_)));
+    }
+    let last = s.ended(Time::ZERO, &id(1, 0), &"w1".into(), Outcome::Failed);
+    assert_eq!(last, Verdict::GiveUp(Fault::Job(6)));
+}
+
+// Four broken workers in quarantine each pass one probe by luck and then fail a sound new job. It must
+// not be blamed for them.
+#[test]
+fn failures_on_quarantined_workers_do_not_blame_a_job() {
+    let mut s = pool_with_bad(20, 4);
+    let at = Time::from_millis(30_000);
+    for i in 0..4 {
+        let w = WorkerId::from(format!("w{i}").as_str());
+        s.started(at, &id(0, 5000), &w);
+        s.ended(at, &id(0, 5000), &w, Outcome::Done);
+        assert!(matches!(s.ended(at, &id(1, 0), &w, Outcome::Failed), Verdict::Retry(_)));
+    }
+}
+
+// A worker mended at once passes its probes within the minute. The next failure must not send it back
+// on what it did before.
+#[test]
+fn a_returned_worker_is_judged_by_new_evidence() {
+    let mut s = pool_with_bad(10, 1);
+    let at = Time::from_millis(30_000);
+    (0..3).for_each(|i| probe(&mut s, at, 9200 + i, Outcome::Done));
+    s.ended(at, &id(0, 9300), &"w0".into(), Outcome::Failed);
+    assert_eq!(s.trust(at, &"w0".into()), Trust::Full);
+}
