Order tasks by share between teams and by least slack within one; lend idle quota

Cause: first come, first served lets one team's thousands of tasks stand before a branch's batch; hard quotas leave room idle; free borrowing keeps it.

Ruled out: starts by age to the job whose latest start is longest past. Two jobs of the same arrival tied, and the busy team took these starts too, so the team with a great share never ran in the test; now they go to the team without a start for longest. Also ruled out: letting later jobs of a team take own room that an earlier, larger one waits for (it starved in the test).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,5 +2,7 @@
 
 pub mod cancel;
 mod evidence;
+pub mod order;
+pub mod quota;
 mod standing;
 pub mod suspect;
--- a/src/decide/standing.rs
+++ b/src/decide/standing.rs
@@ -38,7 +38,7 @@
 pub enum Trust {
     /// Any work.
     Full,
-    /// One task, best a short one, which [`Suspects::started`] then takes as the probe.
+    /// One task, best a short one, which [`super::suspect::Suspects::started`] then takes as the probe.
     Probe,
     /// Nothing until this time; [`Time::NEVER`] while a probe runs.
     Held(Time),
--- /dev/null
+++ b/tests/quota.rs
@@ -0,0 +1,96 @@
+//! Team quotas: lending, return, and what is refused.
+
+use dogwoodreach::{
+    Time,
+    decide::quota::{Ask, Back, Grant, Quotas, Refusal},
+    ids::{TaskId, TaskIndex},
+    units::Size,
+};
+
+fn ask(team: &str, index: u32, back: Back) -> Ask {
+    let task = TaskId { job: team.into(), index: TaskIndex(index) };
+    Ask { team: team.into(), task, size: Size::new(1, 1024, 0), back }
+}
+
+fn cores(n: u64) -> Size {
+    Size::new(n, n * 1024, 0)
+}
+
+/// Teams `a` and `b` with 50 cores each, of which `a` runs as many of 200 tasks as it may.
+fn a_alone(back: Back) -> (Quotas, u32) {
+    let mut q = Quotas::default();
+    q.set(&"a".into(), cores(50), 1);
+    q.set(&"b".into(), cores(50), 1);
+    q.wait(&"a".into(), cores(1), 200);
+    let ran = (0..200).filter(|i| q.start(&ask("a", *i, back)) != Grant::Wait).count();
+    (q, ran as u32)
+}
+
+// Team b is idle while a has work for the whole cell. Under hard quotas (what may never be given back
+// stands for them) half of the cell idles. When b comes with work, it has its quota back in seconds;
+// under free borrowing it would wait until tasks of a end, hours later.
+#[test]
+fn idle_quota_is_lent_and_goes_back_at_a_bounded_rate() {
+    let (_, hard) = a_alone(Back::Never);
+    let (mut q, lent) = a_alone(Back::Checkpoint);
+    assert_eq!((hard, lent), (50, 100));
+    assert!(q.returns(Time::from_millis(10_000)).is_empty(), "nobody wants it yet");
+    q.wait(&"b".into(), cores(1), 50);
+    let (mut running, mut seconds) = (0, 0);
+    while running < 50 {
+        let back = q.returns(Time::from_millis(10_000 + seconds * 1000));
+        assert!((1..=20).contains(&back.len()) && back.iter().all(|t| q.borrows(t)));
+        assert!(q.returns(Time::from_millis(10_000 + seconds * 1000)).is_empty(), "named once");
+        for task in &back {
+            q.ended(task);
+            assert_eq!(q.start(&ask("b", running, Back::Never)), Grant::Own);
+            running += 1;
+        }
+        seconds += 1;
+    }
+    assert_eq!((seconds, q.held(&"a".into())), (3, (cores(50), cores(0))));
+    assert!(q.returns(Time::from_millis(60_000)).is_empty());
+}
+
+// A service in borrowed room would never give it back.
+#[test]
+fn only_work_that_can_be_given_back_may_borrow() {
+    let (mut q, _) = a_alone(Back::Never);
+    assert_eq!(q.start(&ask("a", 300, Back::Never)), Grant::Wait);
+    assert_eq!(q.start(&ask("a", 301, Back::Brief)), Grant::Borrowed);
+    q.wait(&"b".into(), cores(1), 50);
+    assert!(q.returns(Time::from_millis(10_000)).is_empty(), "brief work is waited for");
+}
+
+// A gang larger than its team's quota waits for ever, and its team sees no reason.
+#[test]
+fn a_gang_over_its_quota_is_refused_with_the_figures() {
+    let (q, _) = a_alone(Back::Never);
+    assert_eq!(q.check(&"a".into(), cores(50)), Ok(()));
+    let refusal = q.check(&"a".into(), Size::new(8, 1024, 1)).unwrap_err();
+    let text = "all its tasks at once need 8 cores, 1GB, 1 accelerators, more than the team's quota \
+                of 50 cores, 50GB, 0 accelerators";
+    assert_eq!(refusal.to_string(), text);
+    assert_eq!(q.check(&"c".into(), cores(1)), Err(Refusal::Unknown));
+}
+
+// Two teams have borrowed, one much more. The one that has most gives first, its newest task; and a
+// loan becomes its team's own when own room frees, so that it is not preempted without need.
+#[test]
+fn the_greatest_borrower_gives_back_first_and_loans_become_own() {
+    let mut q = Quotas::default();
+    for (team, size) in [("a", 20), ("c", 20), ("b", 60)] {
+        q.set(&team.into(), cores(size), 1);
+    }
+    (0..60).for_each(|i| assert_ne!(q.start(&ask("a", i, Back::Checkpoint)), Grant::Wait));
+    (0..40).for_each(|i| assert_ne!(q.start(&ask("c", i, Back::Checkpoint)), Grant::Wait));
+    assert_eq!((q.held(&"a".into()).1, q.held(&"c".into()).1), (cores(40), cores(20)));
+    q.ended(&ask("a", 0, Back::Never).task);
+    assert!(
+        !q.borrows(&ask("a", 20, Back::Never).task) && q.borrows(&ask("a", 21, Back::Never).task)
+    );
+    q.wait(&"b".into(), cores(1), 5);
+    let back = q.returns(Time::from_millis(10_000));
+    let newest: Vec<_> = (56..60).rev().map(|i| ask("a", i, Back::Never).task).collect();
+    assert_eq!(back, newest, "one of the five cores is idle already");
+}
