Preempt for urgent work at the least cost; correct sizes and run times from history

Cause: urgent work would wait behind batch work for hours, and declared sizes and run times are often far off.

Ruled out: victims as found (services, gangs' members, most work lost); shares of urgent work by rate alone (a slow, steady abuse) or by size alone (a burst of checkpoints); run times from the first sample on (one odd run replaces them).

--- /dev/null
+++ b/tests/estimate.rs
@@ -0,0 +1,88 @@
+//! Sizes and run times from history, against declared ones.
+
+use {
+    dogwoodreach::{
+        decide::estimate::{Action, Estimates},
+        units::{Cores, Memory, Size},
+    },
+    fastrand::Rng,
+    std::time::Duration,
+};
+
+const DECLARED: Size =
+    Size { cores: Cores(1000), memory: Memory(1024), accels: dogwoodreach::units::Accels(0) };
+
+// Operators declare 1 GB and a minute; the tasks use up to 3 GB and run five. Reserved as declared,
+// most workers are driven over their memory. By history, only the first task is.
+#[test]
+fn history_corrects_memory_and_run_time() {
+    let (mut e, mut rng) = (Estimates::default(), Rng::with_seed(3));
+    let job = "j".into();
+    let (mut over, mut plain, mut late, mut plain_late) = (0, 0, 0, 0);
+    for _ in 0..200 {
+        let used = Size { memory: Memory(rng.u64(2700..=3000)), ..DECLARED };
+        let run = Duration::from_secs(rng.u64(240..=360));
+        over += u32::from(!used.fits(&e.reserve(&job, DECLARED)));
+        plain += u32::from(!used.fits(&DECLARED));
+        late += u32::from(run > e.run(&job, Duration::from_secs(60)));
+        plain_late += u32::from(run > Duration::from_secs(60));
+        e.ended(&job, run, used);
+    }
+    println!("over memory {over} (declared {plain}), longer than reckoned {late} ({plain_late})");
+    assert_eq!((over, plain, plain_late), (1, 200, 200));
+    assert!(late <= 30);
+    let run = e.run(&job, Duration::from_secs(60)).as_secs();
+    assert!((330..=390).contains(&run), "not so long that each batch looks late: {run}");
+}
+
+// A job that uses less than declared keeps its reservation: the need may yet come. One odd run among
+// the first must not replace the declared time.
+#[test]
+fn declared_sizes_are_the_least_and_two_runs_prove_nothing() {
+    let mut e = Estimates::default();
+    let (job, declared) = ("j".into(), Duration::from_secs(600));
+    (0..2).for_each(|_| e.ended(&job, Duration::from_secs(1), Size::new(0, 10, 0)));
+    assert_eq!((e.reserve(&job, DECLARED), e.run(&job, declared)), (DECLARED, declared));
+    e.ended(&job, Duration::from_secs(1), Size::new(0, 10, 0));
+    assert!(e.run(&job, declared) < Duration::from_secs(5));
+}
+
+// Nineteen tasks of twenty use 1 to 3 cores, one uses 8. Reserved by the peak, workers stand half idle;
+// by the mean, most of its tasks are throttled.
+#[test]
+fn processors_are_reserved_by_a_high_quantile() {
+    let (mut e, mut rng) = (Estimates::default(), Rng::with_seed(5));
+    let (job, mut short) = ("j".into(), 0);
+    for i in 0..2000 {
+        let cores = if rng.u32(0..20) == 0 { 8000 } else { rng.u64(1000..3000) };
+        let used = Size { cores: Cores(cores), ..DECLARED };
+        short += u32::from(i >= 200 && !used.fits(&e.reserve(&job, DECLARED)));
+        e.ended(&job, Duration::from_secs(60), used);
+    }
+    let cores = e.reserve(&job, DECLARED).cores;
+    println!("reserved {cores} cores, {short} of 1800 used more");
+    assert!((2600..=4000).contains(&cores.0) && (90..=270).contains(&short));
+}
+
+// A task leaks memory on a full worker. Left alone it takes its neighbours' memory, and the kernel
+// kills one of them; stopped and started again with the same size, it comes to the same end for ever.
+#[test]
+fn an_outgrown_task_is_raised_or_stopped_and_its_next_attempt_reserves_more() {
+    let mut e = Estimates::default();
+    let job = "j".into();
+    let used = Size { memory: Memory(1100), ..DECLARED };
+    let busy = Size { cores: Cores(1500), ..DECLARED };
+    let (full, room) = (Size::default(), Size::new(0, 4096, 0));
+    assert_eq!(e.check(&job, DECLARED, DECLARED, full), Action::Keep);
+    assert_eq!(e.check(&job, busy, DECLARED, room), Action::Throttle);
+    let more = Size { memory: Memory(1650), ..DECLARED };
+    assert_eq!(e.check(&job, used, DECLARED, room), Action::Raise(more));
+    assert_eq!(e.check(&job, used, DECLARED, full), Action::Stop);
+    let needs = Memory(2600);
+    let attempts = (0..20).find(|_| {
+        let reserved = e.reserve(&job, DECLARED);
+        let used = Size { memory: Memory(needs.0.min(reserved.memory.0 + 1)), ..DECLARED };
+        e.check(&job, used, reserved, full) == Action::Keep || reserved.memory >= needs
+    });
+    assert_eq!(attempts, Some(1), "each stop adds half, so few attempts are lost");
+}
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -1,4 +1,4 @@
-//! Whose task is next, against first come, first served.
+//! Whose task is next, against first come, first served; and urgent work.
 
 use {
     dogwoodreach::{
@@ -6,8 +6,9 @@
         decide::{
             order::{Job, Order},
             quota::{Back, Grant, Quotas},
+            urgent::{self, Allowances, Kind, Place, Running},
         },
-        ids::{JobId, TaskId},
+        ids::{JobId, TaskId, TaskIndex},
         units::Size,
     },
     std::{
@@ -72,7 +73,7 @@
         let Some(first) = &mut self.first else {
             return self.order.push(now, job, &mut self.quotas);
         };
-        let task = |i| TaskId { job: job.id.clone(), index: dogwoodreach::ids::TaskIndex(i) };
+        let task = |i| TaskId { job: job.id.clone(), index: TaskIndex(i) };
         first.extend((0..job.tasks).map(|i| (task(i), job.run)));
     }
 
@@ -228,3 +229,88 @@
         f.starts.contains(&(minutes(8), TaskId { job: "large".into(), index: Default::default() }))
     );
 }
+
+/// 16 workers of 16 cores, full: each runs a service, a gang's member, a long batch task that can't be
+/// checkpointed, and two that can, one of them borrowed and one started of late.
+fn full_cell(now: Time) -> Vec<Place> {
+    let mut rng = fastrand::Rng::with_seed(9);
+    let task = |w: u32, i| TaskId { job: format!("w{w}").as_str().into(), index: TaskIndex(i) };
+    let mut worker = |w: u32| {
+        let mut running = |i, kind, borrowed, cores| Running {
+            task: task(w, i),
+            size: Size::new(cores, cores * 4096, 0),
+            kind,
+            borrowed,
+            saved: now - Duration::from_secs(rng.u64(60..7200)),
+            save: Duration::from_millis(if w == 0 { 900 } else { 300 }),
+        };
+        let running = vec![
+            running(0, Kind::Service, false, 4),
+            running(1, Kind::Gang, false, 4),
+            running(2, Kind::Plain, true, 2),
+            running(3, Kind::Checkpoint, w.is_multiple_of(2), 4),
+            running(4, Kind::Checkpoint, false, 2),
+        ];
+        Place { worker: format!("w{w}").as_str().into(), free: Size::default(), running }
+    };
+    (0..16).map(&mut worker).collect()
+}
+
+// All workers are full when a family stands at the counter. Without preemption the urgent task waits
+// for a batch task's end, minutes to hours. With victims as found, a service or a gang's member is
+// stopped; the chosen ones can be checkpointed in time and lose least, borrowed room first.
+#[test]
+fn urgent_work_starts_at_once_at_the_least_cost() {
+    let now = minutes(600);
+    let places = full_cell(now);
+    let need = Size::new(4, 8192, 0);
+    let plan = urgent::plan(now, need, &places).expect("there are victims");
+    let place = places.iter().find(|p| p.worker == plan.worker).unwrap();
+    let victim = place.running.iter().find(|r| r.task == plan.victims[0]).unwrap();
+    assert_eq!((plan.victims.len(), plan.cost.owners), (1, 0));
+    assert!(victim.kind == Kind::Checkpoint && victim.borrowed);
+    let lost = |r: &Running| now.since(r.saved).as_secs() * r.size.cores.0 / 1000 + 30;
+    let fit = |r: &&Running| r.kind == Kind::Checkpoint && r.borrowed && r.save.as_millis() < 700;
+    let all: Vec<_> = places.iter().flat_map(|p| p.running.iter().filter(fit).map(lost)).collect();
+    assert_eq!(plan.cost.lost, *all.iter().min().unwrap());
+    println!("lost {} core-seconds, first found {}", plan.cost.lost, all[0]);
+    assert!(plan.cost.lost < all[0], "first found");
+    assert_eq!(urgent::plan(now, need, &places[..1]), None, "w0 checkpoints too slowly");
+    assert_eq!(urgent::plan(now, Size::new(8, 8192, 0), &places), None, "services and gangs stay");
+    let both = urgent::plan(now, Size::new(6, 8192, 0), &places).expect("two victims do");
+    assert_eq!((both.victims.len(), both.cost.owners), (2, 1));
+}
+
+// A small victim is chosen, then a large one is needed too and makes room alone. The small one must
+// not be stopped for nothing; and where there is room, nobody is.
+#[test]
+fn no_victim_is_stopped_without_need() {
+    let now = minutes(600);
+    let mut places = full_cell(now).split_off(15);
+    places[0].running[4].borrowed = true;
+    let plan = urgent::plan(now, Size::new(4, 8192, 0), &places).unwrap();
+    assert_eq!(plan.victims, [places[0].running[3].task.clone()]);
+    (places[0].running[3].borrowed, places[0].running[4].saved) = (false, Time::ZERO);
+    let plan = urgent::plan(now, Size::new(2, 8192, 0), &places).unwrap();
+    assert_eq!(plan.victims, [places[0].running[4].task.clone()], "borrowed, though more is lost");
+    places[0].free = Size::new(4, 8192, 0);
+    assert!(urgent::plan(now, Size::new(4, 8192, 0), &places).unwrap().victims.is_empty());
+}
+
+// A team marks its nightly batch of 5,000 urgent. Without an allowance it would preempt everybody.
+#[test]
+fn a_team_that_marks_all_its_work_urgent_preempts_little() {
+    let (mut a, team) = (Allowances::default(), "t".into());
+    let (size, quota) = (Size::new(1, 1024, 0), Size::new(500, 512_000, 0));
+    let mut started = [0; 3];
+    for second in 0..300 {
+        let now = Time::from_millis(second * 1000);
+        let n = (0..5000).filter(|_| a.start(now, &team, size, quota)).count();
+        started[(second / 100) as usize] += n;
+    }
+    println!("urgent starts in each 100 s: {started:?}");
+    assert_eq!(started, [39, 11, 0], "a burst, then one in 5 s, at most a tenth of the quota");
+    a.ended(&team, size);
+    assert!(a.start(minutes(10), &team, size, quota));
+    assert!(!a.start(minutes(10), &team, Size::new(80, 0, 0), quota));
+}
