--- /dev/null
+++ b/tests/order.rs
@@ -0,0 +1,316 @@
+//! Whose task is next, against first come, first served; and urgent work.
+
+use {
+    dogwoodreach::{
+        Time,
+        decide::{
+            order::{Job, Order},
+            quota::{Back, Grant, Quotas},
+            urgent::{self, Allowances, Kind, Place, Running},
+        },
+        ids::{JobId, TaskId, TaskIndex},
+        units::Size,
+    },
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, BinaryHeap, VecDeque},
+        time::Duration,
+    },
+};
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+fn minutes(n: u32) -> Time {
+    Time::ZERO + MINUTE * n
+}
+
+fn job(team: &str, id: &str, tasks: u32, run: u32) -> Job {
+    Job {
+        id: id.into(),
+        team: team.into(),
+        deadline: Time::NEVER,
+        priority: 0,
+        run: MINUTE * run,
+        width: 100,
+        tasks,
+        size: Size::new(1, 1024, 0),
+        back: Back::Checkpoint,
+    }
+}
+
+/// Slots that play jobs in virtual time, by `Order` or first come, first served.
+struct Fake {
+    order: Order,
+    quotas: Quotas,
+    first: Option<VecDeque<(TaskId, Duration)>>,
+    runs: BTreeMap<JobId, Duration>,
+    ends: BinaryHeap<Reverse<(Time, TaskId)>>,
+    slots: usize,
+    over: BTreeMap<JobId, Time>,
+    starts: Vec<(Time, TaskId)>,
+}
+
+impl Fake {
+    fn new(slots: usize, fair: bool, teams: &[(&str, u64, u32)]) -> Self {
+        let mut quotas = Quotas::default();
+        for (team, size, weight) in teams {
+            quotas.set(&(*team).into(), Size::new(*size, size * 1024, 0), *weight);
+        }
+        Fake {
+            order: Order::default(),
+            quotas,
+            first: (!fair).then(VecDeque::new),
+            runs: BTreeMap::new(),
+            ends: BinaryHeap::new(),
+            slots,
+            over: BTreeMap::new(),
+            starts: Vec::new(),
+        }
+    }
+
+    fn push(&mut self, now: Time, job: Job) {
+        self.runs.insert(job.id.clone(), job.run);
+        let Some(first) = &mut self.first else {
+            return self.order.push(now, job, &mut self.quotas);
+        };
+        let task = |i| TaskId { job: job.id.clone(), index: TaskIndex(i) };
+        first.extend((0..job.tasks).map(|i| (task(i), job.run)));
+    }
+
+    fn next(&mut self, now: Time) -> Option<TaskId> {
+        if let Some(first) = &mut self.first {
+            return first.pop_front().map(|(task, _)| task);
+        }
+        let pick = self.order.next(now, &self.quotas)?;
+        assert_ne!(self.order.take(now, &pick, &mut self.quotas), Grant::Wait);
+        Some(pick.ask.task)
+    }
+
+    fn fill(&mut self, now: Time) {
+        self.order.wake(&self.quotas);
+        while self.ends.len() < self.slots {
+            let Some(task) = self.next(now) else { break };
+            self.starts.push((now, task.clone()));
+            self.ends.push(Reverse((now + self.runs[&task.job], task)));
+        }
+    }
+
+    /// Plays until `end`, when the next tasks to end are left running.
+    fn play(&mut self, mut now: Time, end: Time) {
+        self.fill(now);
+        while let Some(Reverse((at, _))) = self.ends.peek() {
+            if *at > end {
+                return;
+            }
+            now = *at;
+            while self.ends.peek().is_some_and(|Reverse((at, _))| *at == now) {
+                let Some(Reverse((_, task))) = self.ends.pop() else { break };
+                self.quotas.ended(&task);
+                self.order.ended(&task, &self.quotas);
+                self.over.insert(task.job, now);
+            }
+            self.fill(now);
+        }
+    }
+
+    fn running(&self, team: &str) -> usize {
+        let of =
+            |Reverse((_, task)): &&Reverse<(Time, TaskId)>| task.job.as_str().starts_with(team);
+        self.ends.iter().filter(of).count()
+    }
+}
+
+// One team submits 5,000 tasks in the evening; a branch's batch of 200 comes a minute later and must be
+// over by the ministry's hour. First come, first served, it is over after the 5,000, eight hours late.
+#[test]
+fn a_branchs_batch_is_over_before_the_ministrys_hour() {
+    let hour = minutes(120);
+    let play = |fair| {
+        let mut f = Fake::new(100, fair, &[("big", 50, 1), ("branch", 50, 1)]);
+        f.push(Time::ZERO, job("big", "big", 5000, 10));
+        f.push(minutes(1), Job { deadline: hour, ..job("branch", "branch", 200, 10) });
+        f.play(minutes(1), minutes(2000));
+        f.over[&"branch".into()]
+    };
+    let (fair, first) = (play(true), play(false));
+    println!(
+        "batch over after {} min, first come {} min",
+        fair.0 / 60_000_000,
+        first.0 / 60_000_000
+    );
+    assert!(fair <= hour && first > hour);
+}
+
+// Within one team: a long batch with a far deadline came first, a short one has a near deadline, and
+// both could be in time. By arrival the short one is late. A corrected run time moves a job forward.
+#[test]
+fn least_slack_goes_first_within_a_team_by_corrected_run_times() {
+    let play = |fair, run| {
+        let mut f = Fake::new(10, fair, &[("t", 10, 1)]);
+        f.push(Time::ZERO, Job { deadline: minutes(230), width: 10, ..job("t", "far", 100, 10) });
+        let near = Job { deadline: minutes(60), width: 10, ..job("t", "near", 20, 10) };
+        f.push(Time::ZERO, near);
+        f.order.correct(&"far".into(), MINUTE * run, &f.quotas);
+        f.play(Time::ZERO, minutes(1000));
+        f
+    };
+    let (fair, first) = (play(true, 10), play(false, 10));
+    assert!(fair.over[&"near".into()] <= minutes(60) && first.over[&"near".into()] > minutes(60));
+    assert!(fair.over[&"far".into()] <= minutes(230));
+    assert_eq!(play(true, 20).starts[0].1.job, "far".into(), "twice the work has no slack");
+}
+
+// Weights 3 and 1, both with more work than fits. Fair shares must follow the weights, not how many
+// tasks each submits; first come, first served gives all to the first.
+#[test]
+fn shares_follow_the_weights() {
+    let play = |fair| {
+        let mut f = Fake::new(100, fair, &[("a", 100, 1), ("b", 100, 3)]);
+        f.push(Time::ZERO, job("a", "a", 5000, 10));
+        f.push(Time::ZERO, job("b", "b", 1000, 7));
+        f.play(Time::ZERO, minutes(60));
+        (f.running("a"), f.running("b"))
+    };
+    let (fair, first) = (play(true), play(false));
+    println!("running: fair {fair:?}, first come {first:?}");
+    assert!((22..=28).contains(&fair.0) && fair.0 + fair.1 == 100);
+    assert_eq!(first, (100, 0));
+}
+
+// A team holds much of the cell by its services, so its share is never the least while others have
+// work all day, and its batch would wait for ever. By age it gets its part of the starts.
+#[test]
+fn a_team_with_a_great_share_is_not_starved() {
+    let mut f = Fake::new(100, true, &[("held", 100, 1), ("busy", 100, 1)]);
+    f.push(Time::ZERO, job("held", "held-services", 60, 5000));
+    f.fill(Time::ZERO);
+    f.push(Time::ZERO, job("held", "held-batch", 10, 1));
+    f.push(Time::ZERO, job("busy", "busy", 40_000, 1));
+    f.play(Time::ZERO, minutes(1000));
+    let waited = f.over[&"held-batch".into()];
+    println!("batch of a team with a great share over after {} min", waited.0 / 60_000_000);
+    // All slots of the fake end in the same instants, one a minute, and each gives one start by age.
+    assert!(waited <= minutes(240 + 12));
+}
+
+// In one team, dated jobs come without end and each is close to its deadline, or past it. An undated
+// job must still run within its patience, and a higher priority one earlier.
+#[test]
+fn dated_work_does_not_starve_undated_work_of_its_team() {
+    let mut f = Fake::new(1, true, &[("t", 1, 1)]);
+    f.push(Time::ZERO, job("t", "undated", 1, 1));
+    f.push(Time::ZERO, Job { priority: 3, ..job("t", "preferred", 1, 1) });
+    for i in 0..300 {
+        let now = minutes(i);
+        f.push(now, Job { deadline: now + MINUTE, ..job("t", &format!("dated{i}"), 2, 1) });
+        f.play(now, now);
+    }
+    f.play(minutes(300), minutes(1000));
+    let (last, first) = (f.over[&"undated".into()], f.over[&"preferred".into()]);
+    println!("undated {} min, preferred {} min", last.0 / 60_000_000, first.0 / 60_000_000);
+    assert!(last > first && last <= minutes(2 * 240 + 2) && first <= minutes(2 * 60 + 2));
+}
+
+// A large task waits for its team's own quota; small ones of the same team come without end. If they
+// took what frees, the large one would never run.
+#[test]
+fn small_tasks_do_not_take_the_room_that_a_large_one_waits_for() {
+    let mut f = Fake::new(100, true, &[("t", 10, 1), ("idle", 4, 1)]);
+    f.push(Time::ZERO, job("t", "running", 5, 5));
+    f.push(Time::ZERO, job("t", "longer", 5, 8));
+    f.fill(Time::ZERO);
+    let large = Job { size: Size::new(8, 8192, 0), back: Back::Never, ..job("t", "large", 1, 5) };
+    f.push(Time::ZERO, large);
+    f.push(minutes(2), job("t", "small", 500, 4));
+    f.play(minutes(2), minutes(60));
+    let small = f.starts.iter().filter(|(at, task)| *at < minutes(8) && task.job == "small".into());
+    assert_eq!(small.count(), 4, "the idle team's quota is borrowed meanwhile");
+    assert!(
+        f.starts.contains(&(minutes(8), TaskId { job: "large".into(), index: Default::default() }))
+    );
+}
+
+/// 16 workers of 16 cores, full: each runs a service, a gang's member, a long batch task that can't be
+/// checkpointed, and two that can, one of them borrowed and one started of late.
+fn full_cell(now: Time) -> Vec<Place> {
+    let mut rng = fastrand::Rng::with_seed(9);
+    let task = |w: u32, i| TaskId { job: format!("w{w}").as_str().into(), index: TaskIndex(i) };
+    let mut worker = |w: u32| {
+        let mut running = |i, kind, borrowed, cores| Running {
+            task: task(w, i),
+            size: Size::new(cores, cores * 4096, 0),
+            kind,
+            borrowed,
+            saved: now - Duration::from_secs(rng.u64(60..7200)),
+            save: Duration::from_millis(if w == 0 { 900 } else { 300 }),
+        };
+        let running = vec![
+            running(0, Kind::Service, false, 4),
+            running(1, Kind::Gang, false, 4),
+            running(2, Kind::Plain, true, 2),
+            running(3, Kind::Checkpoint, w.is_multiple_of(2), 4),
+            running(4, Kind::Checkpoint, false, 2),
+        ];
+        Place { worker: format!("w{w}").as_str().into(), free: Size::default(), running }
+    };
+    (0..16).map(&mut worker).collect()
+}
+
+// All workers are full when a family stands at the counter. Without preemption the urgent task waits
+// for a batch task's end, minutes to hours. With victims as found, a service or a gang's member is
+// stopped; the chosen ones can be checkpointed in time and lose least, borrowed room first.
+#[test]
+fn urgent_work_starts_at_once_at_the_least_cost() {
+    let now = minutes(600);
+    let places = full_cell(now);
+    let need = Size::new(4, 8192, 0);
+    let plan = urgent::plan(now, need, &places).expect("there are victims");
+    let place = places.iter().find(|p| p.worker == plan.worker).unwrap();
+    let victim = place.running.iter().find(|r| r.task == plan.victims[0]).unwrap();
+    assert_eq!((plan.victims.len(), plan.cost.owners), (1, 0));
+    assert!(victim.kind == Kind::Checkpoint && victim.borrowed);
+    let lost = |r: &Running| now.since(r.saved).as_secs() * r.size.cores.0 / 1000 + 30;
+    let fit = |r: &&Running| r.kind == Kind::Checkpoint && r.borrowed && r.save.as_millis() < 700;
+    let all: Vec<_> = places.iter().flat_map(|p| p.running.iter().filter(fit).map(lost)).collect();
+    assert_eq!(plan.cost.lost, *all.iter().min().unwrap());
+    println!("lost {} core-seconds, first found {}", plan.cost.lost, all[0]);
+    assert!(plan.cost.lost < all[0], "first found");
+    assert_eq!(urgent::plan(now, need, &places[..1]), None, "w0 checkpoints too slowly");
+    assert_eq!(urgent::plan(now, Size::new(8, 8192, 0), &places), None, "services and gangs stay");
+    let both = urgent::plan(now, Size::new(6, 8192, 0), &places).expect("two victims do");
+    assert_eq!((both.victims.len(), both.cost.owners), (2, 1));
+}
+
+// A small victim is chosen, then a large one is needed too and makes room alone. The small one must
+// not be stopped for nothing; and where there is room, nobody is.
+#[test]
+fn no_victim_is_stopped_without_need() {
+    let now = minutes(600);
+    let mut places = full_cell(now).split_off(15);
+    places[0].running[4].borrowed = true;
+    let plan = urgent::plan(now, Size::new(4, 8192, 0), &places).unwrap();
+    assert_eq!(plan.victims, [places[0].running[3].task.clone()]);
+    (places[0].running[3].borrowed, places[0].running[4].saved) = (false, Time::ZERO);
+    let plan = urgent::plan(now, Size::new(2, 8192, 0), &places).unwrap();
+    assert_eq!(plan.victims, [places[0].running[4].task.clone()], "borrowed, though more is lost");
+    places[0].free = Size::new(4, 8192, 0);
+    assert!(urgent::plan(now, Size::new(4, 8192, 0), &places).unwrap().victims.is_empty());
+}
+
+// A team marks its nightly batch of 5,000 urgent. Without an allowance it would preempt everybody.
+#[test]
+fn a_team_that_marks_all_its_work_urgent_preempts_little() {
+    let (mut a, team) = (Allowances::default(), "t".into());
+    let (size, quota) = (Size::new(1, 1024, 0), Size::new(500, 512_000, 0));
+    let mut started = [0; 3];
+    for second in 0..300 {
+        let now = Time::from_millis(second * 1000);
+        let n = (0..5000).filter(|_| a.start(now, &team, size, quota)).count();
+        started[(second / 100) as usize] += n;
+    }
+    println!("urgent starts in each 100 s: {started:?}");
+    assert_eq!(started, [39, 11, 0], "a burst, then one in 5 s, at most a tenth of the quota");
+    a.ended(&team, size);
+    assert!(a.start(minutes(10), &team, size, quota));
+    assert!(!a.start(minutes(10), &team, Size::new(80, 0, 0), quota));
+}
