--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -25,7 +25,7 @@
 
 /// The longest flight of a start, from this owner to the worker by way of the rack's owner. It goes
 /// along as the start's not-after time; whoever gets it later drops it.
-pub const FLIGHT: Duration = Duration::from_secs(2);
+pub const FLIGHT: Duration = Duration::from_secs(1);
 
 /// How long a worker runs a task without a renewal.
 pub const LEASE: Duration = Duration::from_secs(20);
--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -1,8 +1,9 @@
 //! The endpoints' duty: sends requests and orders to workers; their wire form stands only here.
 //!
 //! Assumed of a worker (no published form is known): it takes requests at `/v1/run` with an id, an
-//! epoch and a lease, answers with the same id, and stops the request when the lease ends; it
-//! refuses an epoch lower than the highest it has seen, and says so (`x-dwr-ran: no`); it takes
+//! epoch, a lease and a not-after time, answers with the same id, and stops the request when the lease ends; it
+//! refuses an epoch lower than the highest it has seen and what comes after its not-after time, and
+//! says so (`x-dwr-ran: no`); it takes
 //! starts, renewals and stops of tasks at `/v1/orders`, and a start twice is one start; its report
 //! at `/v1/report` lags, and says by how much.
 
@@ -10,14 +11,14 @@
     crate::{
         error::Kind,
         event::{Answer, Event, Order, Outcome, Run},
-        http::{Client, EPOCH, Failure, KEY, LEASE, RAN, REQUEST, RUN, uri},
+        http::{Client, EPOCH, Failure, KEY, LEASE, RAN, REQUEST, RUN, UNTIL, uri},
         member::{Clock, Inbox},
         messages::{FenceAsk, Report, WorkerReply},
     },
     async_channel::Receiver,
     http_body_util::Full,
     hyper::{Request, header::CONTENT_TYPE},
-    std::time::Duration,
+    std::time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 /// The deadline of an order, a fence or a report.
@@ -44,7 +45,8 @@
             let outcome = dispatch(&run, client).await;
             Some(Event::Ran { request: run.request, worker: run.worker, outcome })
         }
-        Order::Worker(worker, addr, ask) => {
+        Order::Worker(worker, addr, mut ask) => {
+            ask.until = unix(CALL);
             let sent = clock.now();
             let reply: Result<WorkerReply, Failure> =
                 client.json("PUT", &uri(addr, "/v1/orders"), &*ask, CALL).await;
@@ -64,6 +66,16 @@
     }
 }
 
+/// The Unix time so far ahead, in milliseconds: after it, what is sent now must not take effect.
+///
+/// Guards against a worker that was paused, or bytes that were held up, while this end had given
+/// the call up: the work would start after another attempt of it had. The clocks of VMs may differ
+/// by [`crate::attempts::DRIFT`], which the attempts wait for on top.
+fn unix(ahead: Duration) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from((now + ahead).as_millis()).unwrap_or(u64::MAX)
+}
+
 async fn dispatch(run: &Run, client: &Client) -> Outcome {
     let load = &run.load;
     let mut b = Request::builder()
@@ -71,7 +83,8 @@
         .uri(uri(run.addr, &format!("/v1/run{}", load.path)))
         .header(REQUEST, run.request.to_string())
         .header(EPOCH, run.epoch.to_string())
-        .header(LEASE, run.lease.as_millis().to_string());
+        .header(LEASE, run.lease.as_millis().to_string())
+        .header(UNTIL, unix(run.lease).to_string());
     if let Some(time) = run.run {
         b = b.header(RUN, time.as_millis().to_string());
     }
--- a/src/gen/messages.rs
+++ b/src/gen/messages.rs
@@ -913,6 +913,8 @@
     pub start: ::std::vec::Vec<TaskOrder>,
     ///To stop.
     pub stop: ::std::vec::Vec<TaskOrder>,
+    ///The time after which nothing of it may take effect, in milliseconds of the Unix clock.
+    pub until: u64,
 }
 ///A worker's answer to orders.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
--- a/src/http.rs
+++ b/src/http.rs
@@ -31,6 +31,8 @@
 pub const EPOCH: &str = "x-dwr-epoch";
 /// How long the request may run, in milliseconds.
 pub const LEASE: &str = "x-dwr-lease-ms";
+/// The time after which a dispatch must not take effect, in milliseconds of the Unix clock.
+pub const UNTIL: &str = "x-dwr-until";
 /// Whether a refused or failed request was run: `no` or `unknown`.
 pub const RAN: &str = "x-dwr-ran";
 /// The label of the error's kind.
--- a/src/ownership.rs
+++ b/src/ownership.rs
@@ -22,9 +22,9 @@
 
 /// How long a member's lease at the key-value service lasts.
 ///
-/// A dead member's racks stand idle for as long, so it is short; a renewal goes out every third of
-/// it, so that two may be lost.
-pub const LEASE: Duration = Duration::from_secs(3);
+/// A dead member's racks stand idle for as long, so it is short; a renewal goes out every quarter
+/// of it, so that two may be lost, and what is left always exceeds the flight of a task's start.
+pub const LEASE: Duration = Duration::from_secs(4);
 /// How much of the lease an owner leaves unused.
 ///
 /// Covers the drift of two clocks over one lease and a dispatch's longest flight to a worker.
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -131,7 +131,7 @@
             pause = BACKOFF.0;
             let _ = self.inbox.send(Event::Renewed(sent)).await;
             tokio::select! {
-                () = sleep(LEASE / 3) => {}
+                () = sleep(LEASE / 4) => {}
                 changed = records.changed() => {
                     if changed.is_err() {
                         return;
--- a/src/racks.rs
+++ b/src/racks.rs
@@ -543,6 +543,7 @@
             let ask = WorkerAsk {
                 epoch,
                 lease: millis(LEASE),
+                until: 0,
                 start: link.starts.iter().map(|(o, _)| o.clone()).collect(),
                 renew: renew.collect(),
                 stop: link.stops.clone(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,6 +19,9 @@
 /// The shortest secret, in bytes: 16 random characters are beyond guessing over a network.
 const SECRET: usize = 16;
 
+/// The addresses that others serve, so that their ports must be named.
+const PLATFORM: [&str; 2] = ["kv", "vms"];
+
 /// The log levels, from none to all.
 const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 
@@ -205,7 +208,6 @@
         }
         (_, Some("socket-addr")) => match text.parse::<SocketAddr>() {
             Ok(addr) if addr.ip().is_unspecified() => Err("the IP number that others reach it by"),
-            Ok(addr) if addr.port() == 0 => Err("a port from 1 to 65535, as others are told it"),
             Ok(_) => Ok(text.into()),
             Err(_) => Err("an IP number and a port, like 10.0.0.1:7001"),
         },
@@ -229,7 +231,15 @@
     if property.format.as_deref() != Some("socket-addr") {
         return;
     }
-    let Ok(addr) = entry.value.parse() else { return };
+    let Ok(addr) = entry.value.parse::<SocketAddr>() else { return };
+    // Port 0 is whichever is free: never the same twice, and peers learn it from the record.
+    if addr.port() == 0 {
+        if PLATFORM.contains(&entry.key) {
+            let cause = format!("{:?} cannot be {addr}", entry.key);
+            faults.add(entry.line, cause, "the port that the platform serves it at");
+        }
+        return;
+    }
     if let Some((other, first)) = seen.addrs.insert(addr, (entry.key, entry.line)) {
         let cause = format!("{:?} and {other:?} of line {first} are both {addr}", entry.key);
         faults.add(entry.line, cause, "give each an address of its own");
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -4,7 +4,7 @@
     crate::web::{Reply, header, json},
     bytes::Bytes,
     dogwoodreach::{
-        http::{EPOCH, KEY, LEASE, RAN, REQUEST, RUN, answer},
+        http::{EPOCH, KEY, LEASE, RAN, REQUEST, RUN, UNTIL, answer},
         ids::{Attempt, Epoch, RequestId, TaskId},
         messages::{
             FenceAsk, Report, TaskOrder, TaskReport, TaskState, Vm, WorkerAsk, WorkerReply,
@@ -16,7 +16,7 @@
     std::{
         collections::{BTreeMap, HashMap, VecDeque},
         sync::{Arc, Mutex, MutexGuard},
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -200,6 +200,9 @@
             self.witness.lock().expect("no holder panics").fenced += 1;
             return WorkerReply { epoch: state.epoch, refused: ask.start, stopped: vec![] };
         }
+        if ask.until < unix() {
+            return WorkerReply { epoch: ask.epoch, refused: ask.start, stopped: vec![] };
+        }
         state.epoch = ask.epoch;
         let lease = now + Duration::from_millis(ask.lease);
         let mut reply = WorkerReply { epoch: ask.epoch, refused: vec![], stopped: vec![] };
@@ -277,6 +280,9 @@
                 self.witness.lock().expect("no holder panics").fenced += 1;
                 return refuse("low epoch");
             }
+            if header(head, UNTIL).parse().is_ok_and(|until: u64| until < unix()) {
+                return refuse("too late");
+            }
             state.epoch = epoch;
             if state.requests.len() >= self.vm.slots as usize {
                 self.note(|w| &mut w.over, format!("{id} over slots on {}", self.vm.worker));
@@ -350,3 +356,8 @@
         w.notes.push(text.into());
     }
 }
+
+fn unix() -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
