--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod cancel;
 pub mod estimate;
 mod evidence;
+pub mod gang;
 pub mod order;
 pub mod place;
 pub mod quota;
