--- a/src/decide/order.rs
+++ b/src/decide/order.rs
@@ -261,6 +261,12 @@
         }
     }
 
+    /// Lists all teams anew, after [`Quotas::set`]; O(n log n) of the teams, once for a configuration.
+    pub fn relist(&mut self, quotas: &Quotas) {
+        let teams: Vec<_> = self.teams.keys().cloned().collect();
+        teams.iter().for_each(|team| self.list(team, quotas));
+    }
+
     /// How many tasks wait, counted over all jobs: for reports, not for each step.
     pub fn waiting(&self) -> usize {
         self.jobs.values().map(|e| e.waiting.len()).sum()
