Mend the merge of the measurements; the platform's port is named by its line

The case of tests/settings.rs that replaced the one on port 0 lacked the line number that every fault begins with.

--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for the platform, the workers and the callers, and the measurements. Not shipped.
 
-<<<<<<< HEAD
 mod kv;
+mod measure_order;
 mod measure_place;
 mod vms;
 mod web;
@@ -31,6 +31,7 @@
 const HELP: &str = "\
 standin platform [--kv ADDR] [--vms ADDR]   the key-value service and the VM list
 standin measure-place [--workers LIST] [--tasks N] [--runs N]
+standin measure-order [--slots N] [--hours N] [--seeds N] [--load X]
 standin workers --vms ADDR --pool NAME --zone NAME [--racks N] [--per-rack N]
                 [--cores N] [--memory SIZE] [--accels N] [--slots N]
 ";
@@ -47,6 +48,9 @@
     if command == "measure-place" {
         return Ok(measure_place::run(args)?);
     }
+    if command == "measure-order" {
+        return measure_order::run(args);
+    }
     let runtime =
         tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
     match command.to_str() {
@@ -193,22 +197,4 @@
 
 async fn forever() -> Result<()> {
     std::future::pending().await
-=======
-mod measure_order;
-
-use {
-    lexopt::{Arg, Parser},
-    std::error::Error,
-};
-
-fn main() -> Result<(), Box<dyn Error>> {
-    let mut args = Parser::from_env();
-    match args.next()? {
-        Some(Arg::Value(name)) if name == "measure-order" => measure_order::run(args),
-        _ => {
-            Err("usage: standin measure-order [--slots N] [--hours N] [--seeds N] [--load X]"
-                .into())
-        }
-    }
->>>>>>> order
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -54,7 +54,7 @@
             "0.0.0.0:8080",
             "line 6: \"callers\" cannot be \"0.0.0.0:8080\"; the IP",
         ),
-        ("10.20.0.5:7001", "10.20.0.5:0", "\"kv\" cannot be 10.20.0.5:0; the port"),
+        ("10.20.0.5:7001", "10.20.0.5:0", "line 15: \"kv\" cannot be 10.20.0.5:0; the port"),
         (
             ":8084",
             ":8083",
