Tasks by the deciding modules: order, quotas, gangs, preemption, suspects, estimates, cancels

Cause: the first path placed tasks in the order of their names, counted failures to five, scanned workers one by one, and could place a gang only on the racks of one member. Change: a team's jobs stand in one bucket, so one member counts its quota; Order, Quotas, Suspects, Estimates, Cancels and Allowances decide in src/tasks.rs; src/gangs.rs takes a gang's room rack by rack through decide::gang::Claim and releases what it does not need; a rack's owner packs by place::Index, makes room for urgent work by checkpoints, raises or stops tasks that outgrow their memory, and lets leases run out that no bucket's owner has spoken for in a minute. Weighed for quotas: buckets by job with a quota lease from each team's home (more messages, and a grant lags), against buckets by team (exact, one record holds a team's rows: 400 KB, some 1,600).

--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -70,6 +70,11 @@
         self.sure = self.sure.max(sure);
     }
 
+    /// Whether the record has been taken over, so that attempts can be made.
+    pub fn ready(&self) -> bool {
+        self.commit.ready() && !self.commit.lost()
+    }
+
     /// The attempts, to be read.
     pub fn attempts(&self) -> &Attempts {
         &self.attempts
--- a/src/core.rs
+++ b/src/core.rs
@@ -13,9 +13,9 @@
         ids::{Bucket, Epoch, Incarnation, RackId, RequestId, RowId, ServiceId, WorkerId, Zone},
         jobs::{BUCKETS, Jobs, Want, bucket_of, call},
         messages::{
-            Beat, BeatReply, ClaimReply, ClaimVerdict, EndItem, EndTell, Handover, KvList, KvPut,
-            MemberRecord, MemberShow, OwnersRecord, ReserveAsk, ServiceLoad, Show, SubmitReply, Vm,
-            VmList,
+            Beat, BeatReply, ClaimReply, ClaimVerdict, EndTell, Handover, KvList, KvPut,
+            MemberRecord, MemberShow, OwnersRecord, RackLoad, ReserveAsk, ReserveReply,
+            ServiceLoad, Show, SubmitReply, Vm, VmList,
         },
         metrics::Metrics,
         ownership::{Change, Fate, LEASE, Ownership, Swap},
@@ -51,6 +51,9 @@
 /// The most requests that a member lets be sent to a peer beyond the free slots it last told of.
 const OVERSEND: u32 = 0;
 
+/// How long a wish for urgent work waits until room has been made; a caller's call lasts longer.
+const PREEMPT: Duration = Duration::from_millis(900);
+
 /// Marks the ticket of a claim's end that this member tells itself.
 pub(crate) const OWN_END: Ticket = 1 << 63;
 
@@ -90,6 +93,15 @@
     idle: Option<Time>,
     fetching: bool,
     fetch: Time,
+    urgent: Vec<Urgent>,
+    unreached: Vec<(Incarnation, Call)>,
+}
+
+/// A wish for urgent work, which waits until room has been made.
+struct Urgent {
+    ticket: Option<Ticket>,
+    ask: ReserveAsk,
+    until: Time,
 }
 
 impl Core {
@@ -114,6 +126,8 @@
             idle: None,
             fetching: false,
             fetch: Time::ZERO,
+            urgent: vec![],
+            unreached: vec![],
         }
     }
 
@@ -130,6 +144,7 @@
             }
             Event::Ordered { worker, ask, sent, reply } => {
                 self.racks.ordered(&worker, &ask, sent, reply, now);
+                self.answer_urgent(now);
             }
             Event::Fenced { worker, epoch, reply } => {
                 self.racks.fenced(&worker, epoch, reply, now);
@@ -228,7 +243,7 @@
         if let Some(addr) = self.ownership.members().get(&to).map(|m| m.control) {
             self.out.push(Order::Call(to, addr, Box::new(call)));
         } else {
-            self.lost_call(to, call);
+            self.unreached.push((to, call));
         }
     }
 
@@ -277,7 +292,11 @@
     }
 
     fn tick(&mut self, now: Time) {
+        for (to, call) in mem::take(&mut self.unreached) {
+            self.lost_call(to, call, now);
+        }
         self.expire(now);
+        self.answer_urgent(now);
         if self.own <= now {
             self.own = now + OWN;
             for swap in self.ownership.step(now, |_| false) {
@@ -310,7 +329,13 @@
 
     /// Carries out what the buckets call for.
     fn work(&mut self, now: Time) {
-        let wants = self.jobs.tick(now, self.sure(now), &mut self.out);
+        let sure = self.sure(now);
+        let racks = if self.jobs.due(now) { self.all_racks(now) } else { vec![] };
+        let wants = self.jobs.tick(now, sure, &racks, &mut self.out);
+        self.carry_out(wants, now);
+    }
+
+    fn carry_out(&mut self, wants: Vec<Want>, now: Time) {
         for want in wants {
             match want {
                 Want::Claimed(request, reply) => match self.claims.remove(&request) {
@@ -320,6 +345,7 @@
                 Want::Kept(ticket) if ticket & OWN_END != 0 => self.kept(ticket),
                 Want::Kept(ticket) => self.out.push(Order::Back(ticket, Back::Done)),
                 Want::Reserve(ask) => self.reserve(ask, now),
+                Want::Release(ref rack, _) => self.at_rack(rack.clone(), want, now),
                 Want::Start(ref ask) => self.at_rack(ask.rack.clone(), want, now),
                 Want::Probe(ref ask) => self.at_rack(ask.rack.clone(), want, now),
             }
@@ -345,31 +371,90 @@
 
     /// Sends a wish for room to the member that is likeliest to have it.
     fn reserve(&mut self, ask: ReserveAsk, now: Time) {
+        if let Some(rack) = ask.rack.clone() {
+            let known = self.ownership.owner(&rack_row(&rack)).is_some();
+            return match known {
+                true => self.at_rack(rack, Want::Reserve(ask), now),
+                false => self.reserved(ask, None, now),
+            };
+        }
         let Some(first) = ask.items.first() else { return };
-        let (size, spread) = (first.size, first.spread);
+        let (size, spread, urgent) = (first.size, first.spread, first.urgent);
         let mine = self.racks.loads();
-        let mut best: Option<(u64, Incarnation)> = None;
+        let mut best: Option<(bool, u64, Incarnation)> = None;
         let peers = self.peers.iter().filter(|(_, p)| now - p.heard < TOUCH);
         let theirs = peers.filter_map(|(id, p)| Some((*id, &p.beat.as_ref()?.racks)));
         for (id, racks) in theirs.chain([(self.me(), &mine)]) {
-            for rack in racks.iter().filter(|r| r.pool == ask.pool && size.fits(&r.widest)) {
+            for rack in racks.iter().filter(|r| r.pool == ask.pool) {
+                let full = !size.fits(&rack.widest);
+                // Where nobody has room, an owner can make some for urgent work.
+                if full && !(urgent && rack.workers > 0) {
+                    continue;
+                }
                 let free = rack.free.cores.0;
-                let rank = if spread { u64::MAX - free } else { free };
-                if best.is_none_or(|b| (rank, id) < b) {
-                    best = Some((rank, id));
+                let rank = (full, if spread { u64::MAX - free } else { free }, id);
+                if best.is_none_or(|b| rank < b) {
+                    best = Some(rank);
                 }
             }
         }
         match best {
-            None => self.jobs.reserved(&ask, None, now),
-            Some((_, id)) if id == self.me() => {
-                let reply = self.racks.reserve(&ask, now);
-                self.jobs.reserved(&ask, Some(reply), now);
+            None => self.reserved(ask, None, now),
+            Some((.., id)) if id == self.me() => self.reserve_here(None, ask, now),
+            Some((.., id)) => self.call(id, Call::Reserve(ask)),
+        }
+    }
+
+    /// Finds room on this member's racks; for urgent work, answers once room has been made.
+    fn reserve_here(&mut self, ticket: Option<Ticket>, ask: ReserveAsk, now: Time) {
+        let reply = match self.may_dispatch(now) {
+            true => self.racks.reserve(&ask, now),
+            false => ReserveReply { rows: vec![] },
+        };
+        if reply.rows.is_empty() && self.racks.preempt(&ask, now) {
+            self.urgent.push(Urgent { ticket, ask, until: now + PREEMPT });
+            return;
+        }
+        self.reserve_answer(ticket, ask, reply, now);
+    }
+
+    fn reserve_answer(
+        &mut self,
+        ticket: Option<Ticket>,
+        ask: ReserveAsk,
+        reply: ReserveReply,
+        now: Time,
+    ) {
+        match ticket {
+            Some(ticket) => self.out.push(Order::Back(ticket, Back::Reserve(reply))),
+            None => self.reserved(ask, Some(reply), now),
+        }
+    }
+
+    /// Answers the urgent wishes whose room has been made, or whose time is over.
+    fn answer_urgent(&mut self, now: Time) {
+        for u in mem::take(&mut self.urgent) {
+            let reply = self.racks.reserve(&u.ask, now);
+            if reply.rows.is_empty() && now < u.until {
+                self.urgent.push(u);
+            } else {
+                self.reserve_answer(u.ticket, u.ask, reply, now);
             }
-            Some((_, id)) => self.call(id, Call::Reserve(ask)),
         }
     }
 
+    fn reserved(&mut self, ask: ReserveAsk, reply: Option<ReserveReply>, now: Time) {
+        let wants = self.jobs.reserved(&ask, reply, now);
+        self.carry_out(wants, now);
+    }
+
+    /// What is free on all racks, as far as is known here.
+    fn all_racks(&self, now: Time) -> Vec<RackLoad> {
+        let peers = self.peers.values().filter(|p| now - p.heard < TOUCH);
+        let theirs = peers.filter_map(|p| p.beat.as_ref()).flat_map(|b| b.racks.iter().cloned());
+        theirs.chain(self.racks.loads()).collect()
+    }
+
     /// Takes in the platform's list.
     fn listed(&mut self, list: VmList, now: Time) {
         let mut zones: BTreeMap<Zone, BTreeSet<RowId>> = BTreeMap::new();
@@ -387,6 +472,7 @@
         for (zone, rows) in zones {
             self.ownership.want(&zone.0.clone(), Some(zone), rows);
         }
+        self.jobs.workers(vms.values());
         self.racks.listed(vms, now);
     }
 
@@ -700,15 +786,10 @@
 
     /// Tells the buckets' owners what became of their attempts.
     fn tell(&mut self, now: Time) {
-        let mut words: BTreeMap<Bucket, Vec<EndItem>> = BTreeMap::new();
-        for item in self.racks.tell() {
-            words.entry(bucket_of(item.task.job.as_str())).or_default().push(item.clone());
-        }
-        for (bucket, items) in words {
+        for (bucket, items) in self.racks.tell() {
             match self.bucket_owner(bucket) {
-                Some(owner) if owner == self.me() => {
-                    let taken = self.jobs.heard(items, now);
-                    self.racks.told(&taken);
+                Some(owner) if owner == self.me() && self.jobs.heard(bucket, &items, now) => {
+                    self.racks.told(&items);
                 }
                 Some(owner) => self.call(owner, Call::End(EndTell { bucket, items })),
                 None => {}
@@ -734,6 +815,9 @@
                 false => self.out.push(Order::Back(ticket, Back::Unowned)),
             };
         }
+        if let Call::Reserve(ask) = call {
+            return self.reserve_here(Some(ticket), ask, now);
+        }
         let back = self.serve(call, now).unwrap_or(Back::Unowned);
         self.out.push(Order::Back(ticket, back));
     }
@@ -743,15 +827,13 @@
         match call {
             Call::Beat(beat) => Some(Back::Beat(self.heard(beat, now))),
             Call::Claim(_) | Call::ClaimEnd(_) => None,
-            Call::Reserve(ask) => {
-                let may = self.may_dispatch(now);
-                may.then(|| Back::Reserve(self.racks.reserve(&ask, now)))
+            Call::Reserve(ask) => Some(Back::Reserve(self.racks.reserve(&ask, now))),
+            Call::Release(rows) => {
+                self.racks.release(&rows.rows, now);
+                Some(Back::Done)
             }
             Call::Start(ask) => self.racks.start(ask, now).map(Back::Start),
-            Call::End(word) => {
-                let all = word.items.len();
-                (self.jobs.heard(word.items, now).len() == all).then_some(Back::Done)
-            }
+            Call::End(word) => self.jobs.heard(word.bucket, &word.items, now).then_some(Back::Done),
             Call::Probe(ask) => self.racks.probe(&ask, now).map(Back::Probe),
             Call::Handover(over) => {
                 if !self.racks.handover(&over, now) {
@@ -806,11 +888,11 @@
                 self.claimed(ask.request, Some(reply), now);
             }
             (Call::ClaimEnd(end), back) => self.claim_told(&end, matches!(back, Ok(Back::Done))),
-            (Call::Reserve(ask), Ok(Back::Reserve(reply))) => {
-                self.jobs.reserved(&ask, Some(reply), now);
-            }
-            (Call::Start(_), Ok(Back::Start(reply))) => {
-                self.jobs.heard(reply.refused, now);
+            (Call::Reserve(ask), Ok(Back::Reserve(reply))) => self.reserved(ask, Some(reply), now),
+            (Call::Start(ask), Ok(Back::Start(reply))) => {
+                if let Some(first) = ask.start.first() {
+                    self.jobs.heard(first.bucket, &reply.refused, now);
+                }
             }
             (Call::End(word), Ok(Back::Done)) => self.racks.told(&word.items),
             (Call::Probe(ask), Ok(Back::Probe(reply))) => self.jobs.probed(&ask, reply, now),
@@ -823,13 +905,12 @@
                     self.take_config(revision, record);
                 }
             }
-            (call, _) => self.lost_call(to, call),
+            (call, _) => self.lost_call(to, call, now),
         }
     }
 
     /// What follows from a call that was not answered.
-    fn lost_call(&mut self, to: Incarnation, call: Call) {
-        let now = Time::ZERO;
+    fn lost_call(&mut self, to: Incarnation, call: Call, now: Time) {
         match call {
             Call::Beat(_) => {
                 if let Some(peer) = self.peers.get_mut(&to) {
@@ -837,7 +918,7 @@
                 }
             }
             Call::Claim(ask) => self.claimed(ask.request, None, now),
-            Call::Reserve(ask) => self.jobs.reserved(&ask, None, now),
+            Call::Reserve(ask) => self.reserved(ask, None, now),
             _ => {}
         }
     }
--- a/src/decide/order.rs
+++ b/src/decide/order.rs
@@ -174,6 +174,39 @@
         self.place(&task.job, quotas);
     }
 
+    /// Takes a task that a former owner has started, or has seen to end, out of those that wait.
+    pub fn adopt(&mut self, task: &TaskId, ended: bool, quotas: &mut Quotas) {
+        let Some(e) = self.jobs.get_mut(&task.job) else { return };
+        if !e.waiting.remove(&task.index) {
+            return;
+        }
+        let job = &e.job;
+        if ended {
+            quotas.leave(&job.team, job.size, 1);
+            return self.ended(task, quotas);
+        }
+        let (team, task) = (job.team.clone(), task.clone());
+        quotas.adopt(&Ask { team, task: task.clone(), size: job.size, back: job.back });
+        self.place(&task.job, quotas);
+    }
+
+    /// Whether a job is known, with tasks that have not ended.
+    pub fn has(&self, job: &JobId) -> bool {
+        self.jobs.contains_key(job)
+    }
+
+    /// The tasks of a job that wait, as asks; for a gang, which is taken whole.
+    pub fn asks(&self, job: &JobId) -> Vec<Ask> {
+        let Some(e) = self.jobs.get(job) else { return Vec::new() };
+        let ask = |index: &TaskIndex| Ask {
+            team: e.job.team.clone(),
+            task: TaskId { job: job.clone(), index: *index },
+            size: e.job.size,
+            back: e.job.back,
+        };
+        e.waiting.iter().map(ask).collect()
+    }
+
     /// Removes a job and its waiting tasks.
     pub fn remove(&mut self, job: &JobId, quotas: &mut Quotas) {
         let Some(e) = self.jobs.remove(job) else { return };
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -16,7 +16,7 @@
     crate::{
         Time,
         ids::{TaskId, TeamId},
-        units::{Accels, Cores, Memory, Size},
+        units::Size,
     },
     derive_more::Display,
     rustc_hash::FxHashMap,
@@ -170,12 +170,12 @@
 
     /// Notes so many tasks of a team that wait, so that its quota is not lent on.
     pub fn wait(&mut self, team: &TeamId, size: Size, count: usize) {
-        self.change(team, |a| a.waiting += times(size, count));
+        self.change(team, |a| a.waiting += size.times(count as u64));
     }
 
     /// Notes that so many tasks no longer wait, other than by [`Quotas::start`].
     pub fn leave(&mut self, team: &TeamId, size: Size, count: usize) {
-        self.change(team, |a| a.waiting = a.waiting.saturating_sub(&times(size, count)));
+        self.change(team, |a| a.waiting = a.waiting.saturating_sub(&size.times(count as u64)));
     }
 
     /// What the task might take now.
@@ -196,16 +196,16 @@
             Grant::Borrowed => State::Borrowed,
             Grant::Wait => return grant,
         };
-        self.leave(&ask.team, ask.size, 1);
-        let number = self.next;
-        self.next += 1;
-        let team = ask.team.clone();
-        let held = Held { team, size: ask.size, back: ask.back, number, state };
-        self.hold(&ask.task, &held);
-        self.tasks.insert(ask.task.clone(), held);
+        self.enter(ask, state);
         grant
     }
 
+    /// Counts a task that runs already, started by a former owner, whatever is idle.
+    pub fn adopt(&mut self, ask: &Ask) {
+        let own = self.teams.get(&ask.team).is_some_and(|a| a.has_own(&ask.size));
+        self.enter(ask, if own { State::Own } else { State::Borrowed });
+    }
+
     /// Frees what the task held; room of the team's own goes to its oldest loans first.
     pub fn ended(&mut self, task: &TaskId) {
         let Some(held) = self.tasks.remove(task) else { return };
@@ -259,6 +259,16 @@
         u64::try_from(share).unwrap_or(u64::MAX)
     }
 
+    fn enter(&mut self, ask: &Ask, state: State) {
+        self.leave(&ask.team, ask.size, 1);
+        let number = self.next;
+        self.next += 1;
+        let team = ask.team.clone();
+        let held = Held { team, size: ask.size, back: ask.back, number, state };
+        self.hold(&ask.task, &held);
+        self.tasks.insert(ask.task.clone(), held);
+    }
+
     fn change(&mut self, team: &TeamId, f: impl FnOnce(&mut Account)) {
         let a = self.teams.entry(team.clone()).or_default();
         let before = a.lendable();
@@ -331,12 +341,3 @@
         }
     }
 }
-
-fn times(size: Size, count: usize) -> Size {
-    let n = count as u64;
-    Size {
-        cores: Cores(size.cores.0.saturating_mul(n)),
-        memory: Memory(size.memory.0.saturating_mul(n)),
-        accels: Accels(size.accels.0.saturating_mul(n)),
-    }
-}
--- a/src/event.rs
+++ b/src/event.rs
@@ -99,6 +99,8 @@
     ClaimEnd(ClaimEnd),
     /// Room for attempts.
     Reserve(ReserveAsk),
+    /// Room that is not needed after all.
+    Release(ReserveReply),
     /// Starts and stops.
     Start(StartAsk),
     /// Attempts that run or ended.
@@ -113,8 +115,18 @@
 
 impl Call {
     /// The names of the calls on the wire.
-    pub const NAMES: [&str; 9] =
-        ["beat", "claim", "claim_end", "reserve", "start", "end", "probe", "handover", "config"];
+    pub const NAMES: [&str; 10] = [
+        "beat",
+        "claim",
+        "claim_end",
+        "reserve",
+        "release",
+        "start",
+        "end",
+        "probe",
+        "handover",
+        "config",
+    ];
 }
 
 /// The answer to a call between members.
--- a/src/gen/messages.rs
+++ b/src/gen/messages.rs
@@ -318,6 +318,9 @@
     pub state: TaskState,
     ///The task.
     pub task: crate::ids::TaskId,
+    ///The most that it was seen to use.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub used: ::std::option::Option<crate::units::Size>,
     ///Where it ran.
     pub worker: crate::ids::WorkerId,
 }
@@ -357,6 +360,65 @@
     ///The attempts reserved or running.
     pub tasks: ::std::vec::Vec<TaskRow>,
 }
+///How a task's room can be had back.
+#[derive(
+    ::serde::Deserialize,
+    ::serde::Serialize,
+    Clone,
+    Copy,
+    Debug,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd
+)]
+pub enum Hold {
+    #[serde(rename = "never")]
+    Never,
+    #[serde(rename = "checkpoint")]
+    Checkpoint,
+    #[serde(rename = "brief")]
+    Brief,
+}
+impl ::std::fmt::Display for Hold {
+    fn fmt(&self, f: &mut ::std::fmt::Formatter<'_>) -> ::std::fmt::Result {
+        match *self {
+            Self::Never => f.write_str("never"),
+            Self::Checkpoint => f.write_str("checkpoint"),
+            Self::Brief => f.write_str("brief"),
+        }
+    }
+}
+impl ::std::str::FromStr for Hold {
+    type Err = self::error::ConversionError;
+    fn from_str(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        match value {
+            "never" => Ok(Self::Never),
+            "checkpoint" => Ok(Self::Checkpoint),
+            "brief" => Ok(Self::Brief),
+            _ => Err("invalid value".into()),
+        }
+    }
+}
+impl ::std::convert::TryFrom<&str> for Hold {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: &str,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
+impl ::std::convert::TryFrom<::std::string::String> for Hold {
+    type Error = self::error::ConversionError;
+    fn try_from(
+        value: ::std::string::String,
+    ) -> ::std::result::Result<Self, self::error::ConversionError> {
+        value.parse()
+    }
+}
 ///A record of the key-value service.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct KvEntry {
@@ -468,6 +530,8 @@
 ///Asks a rack's owner what became of attempts.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ProbeAsk {
+    ///The bucket that they belong to.
+    pub bucket: crate::ids::Bucket,
     ///The attempts.
     pub items: ::std::vec::Vec<ProbeItem>,
     ///The rack.
@@ -536,6 +600,9 @@
     pub items: ::std::vec::Vec<ReserveItem>,
     ///The pool.
     pub pool: crate::ids::PoolId,
+    ///The only rack asked for.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub rack: ::std::option::Option<crate::ids::RackId>,
     ///Whether all or none are to be placed.
     pub whole: bool,
 }
@@ -635,6 +702,12 @@
 pub struct StartItem {
     ///The attempt.
     pub attempt: crate::ids::Attempt,
+    ///Whether it runs in room that other teams lend.
+    pub borrowed: bool,
+    ///The bucket whose owner hears of it.
+    pub bucket: crate::ids::Bucket,
+    ///How its room can be had back.
+    pub hold: Hold,
     ///How long it is declared to run; 0 is for ever.
     pub run: u64,
     ///What is reserved.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 mod endpoints;
 mod error;
 pub mod event;
+mod gangs;
 pub mod http;
 pub mod ids;
 mod ini;
@@ -39,6 +40,7 @@
 #[path = "gen/settings.rs"]
 mod schema;
 pub mod settings;
+pub mod tasks;
 pub mod text;
 pub mod time;
 pub mod units;
--- a/src/racks.rs
+++ b/src/racks.rs
@@ -9,14 +9,20 @@
     crate::{
         Time,
         attempts::{FLIGHT, LEASE},
+        decide::{
+            estimate::{Action, Estimates},
+            place::Index,
+            urgent::{self, Running},
+        },
         event::{Order, Outcome},
         http::Failure,
-        ids::{Attempt, Epoch, PoolId, RackId, RequestId, TaskId, WorkerId},
+        ids::{Attempt, Bucket, Epoch, PoolId, RackId, RequestId, TaskId, WorkerId},
         ledger::{Held, Ledger},
         messages::{
-            EndItem, FlightRow, Handover, ProbeAsk, ProbeReply, ProbeRow, RackLoad, Report,
-            ReserveAsk, ReserveReply, ReserveRow, StartAsk, StartItem, StartReply, TaskOrder,
-            TaskReport, TaskRow, TaskState, Vm, VmState, WorkerAsk, WorkerReply, WorkerShow,
+            EndItem, FlightRow, Handover, Hold, ProbeAsk, ProbeReply, ProbeRow, RackLoad, Report,
+            ReserveAsk, ReserveItem, ReserveReply, ReserveRow, StartAsk, StartItem, StartReply,
+            TaskOrder, TaskReport, TaskRow, TaskState, Vm, VmState, WorkerAsk, WorkerReply,
+            WorkerShow,
         },
         units::Size,
     },
@@ -40,6 +46,13 @@
 /// Long enough for a restarted switch to come back, short beside the lease that then still runs.
 const SILENT: Duration = Duration::from_secs(10);
 
+/// How long an attempt is renewed that no bucket's owner has spoken for.
+///
+/// Longer than a bucket takes to change its owner twice; a probe comes every two seconds.
+const VOUCH: Duration = Duration::from_secs(60);
+/// How long a checkpoint takes; until workers report it, the time that urgent work can wait.
+const CHECKPOINT: Duration = Duration::from_millis(500);
+
 /// The racks that a member owns.
 pub struct Racks {
     ledger: Ledger,
@@ -47,6 +60,19 @@
     racks: BTreeMap<RackId, Epoch>,
     links: BTreeMap<WorkerId, Link>,
     tell: BTreeMap<(TaskId, Attempt), EndItem>,
+    facts: BTreeMap<(TaskId, Attempt), Facts>,
+    marks: BTreeMap<WorkerId, (TaskId, Time)>,
+    indexes: BTreeMap<PoolId, Index>,
+    estimates: Estimates,
+}
+
+/// What an attempt's bucket said of it.
+struct Facts {
+    bucket: Bucket,
+    vouched: Time,
+    since: Time,
+    /// How its room can be had back, where it was started by this member.
+    hold: Option<(Hold, bool)>,
 }
 
 /// What is known of one worker since its rack was gained.
@@ -66,6 +92,7 @@
     due: Time,
     cut: bool,
     handed: bool,
+    since: Time,
 }
 
 /// Where a request goes.
@@ -88,6 +115,10 @@
             racks: BTreeMap::new(),
             links: BTreeMap::new(),
             tell: BTreeMap::new(),
+            facts: BTreeMap::new(),
+            marks: BTreeMap::new(),
+            indexes: BTreeMap::new(),
+            estimates: Estimates::default(),
         }
     }
 
@@ -154,6 +185,7 @@
                 .map(|h| (h.clone(), self.ledger.load(h).map_or(Size::default(), |l| l.size)))
                 .collect();
             self.ledger.remove(&worker);
+            self.indexes.values_mut().for_each(|i| i.remove(&worker));
             for (held, size) in held {
                 match held {
                     Held::Request(request) => {
@@ -217,6 +249,10 @@
     pub fn tick(&mut self, now: Time, leased: bool, out: &mut Vec<Order>) {
         for held in self.ledger.expire(now) {
             log::debug!(target: "racks", "Lapsed: {held:?}.");
+            if let Held::Task(..) = held {
+                let all: Vec<WorkerId> = self.links.keys().cloned().collect();
+                all.iter().for_each(|w| self.reindex(w));
+            }
         }
         if !leased {
             return;
@@ -266,6 +302,7 @@
         let running = report.tasks.iter().filter(|t| t.state == TaskState::Running);
         let running: Vec<(TaskId, Attempt)> =
             running.map(|t| (t.task.clone(), t.attempt)).collect();
+        self.outgrown(worker, &report.tasks, now);
         let ended = self.ledger.adopt(worker, &report, &[], now);
         for (task, attempt) in ended {
             let said = report.tasks.iter().find(|t| t.task == task && t.attempt == attempt);
@@ -275,6 +312,7 @@
             link.starts.retain(|(o, _)| !running.contains(&(o.task.clone(), o.attempt)));
         }
         self.gate();
+        self.reindex(worker);
     }
 
     /// Takes a worker's answer to orders.
@@ -312,12 +350,14 @@
             let no = refused.contains(&(task.clone(), *attempt));
             if no {
                 self.ledger.release(task, *attempt, now);
+                self.reindex(worker);
             }
             let state = if no { TaskState::Lost } else { TaskState::Running };
             self.say(task.clone(), *attempt, state, worker);
         }
         for stop in reply.stopped {
             if self.ledger.release(&stop.task, stop.attempt, now) {
+                self.reindex(worker);
                 self.say(stop.task, stop.attempt, TaskState::Checkpointed, worker);
             }
         }
@@ -325,26 +365,76 @@
 
     /// Finds room for attempts; all or none where `whole` is asked for.
     pub fn reserve(&mut self, ask: &ReserveAsk, now: Time) -> ReserveReply {
+        self.marks.retain(|_, (_, until)| *until > now);
+        let needs: Vec<Size> = ask.items.iter().map(|i| i.size).collect();
+        let order = self.indexes.get(&ask.pool).map_or(vec![], |index| index.order(&needs));
         let mut rows = vec![];
-        for item in &ask.items {
-            let found = self.room(&ask.pool, item.size, item.spread, &item.avoid, &item.task);
-            let reserved = found.and_then(|(worker, rack, epoch)| {
+        for item in order.into_iter().filter_map(|i| ask.items.get(i)) {
+            let found = self.room(ask, item);
+            let row = found.and_then(|(worker, rack, epoch)| {
                 let ends = now + RESERVE;
                 self.ledger.reserve(&item.task, item.attempt, &worker, item.size, ends).ok()?;
+                self.reindex(&worker);
                 let (task, attempt) = (item.task.clone(), item.attempt);
                 Some(ReserveRow { task, attempt, worker, rack, epoch })
             });
-            rows.extend(reserved);
-            if ask.whole && rows.is_empty() {
+            if row.is_none() && ask.whole {
                 break;
             }
+            rows.extend(row);
         }
         if ask.whole && rows.len() < ask.items.len() {
-            for row in rows.drain(..) {
+            self.release(&rows, now);
+            rows.clear();
+        }
+        ReserveReply { rows }
+    }
+
+    /// Frees room that was reserved and is not needed after all.
+    pub fn release(&mut self, rows: &[ReserveRow], now: Time) {
+        for row in rows {
+            if !self.facts.contains_key(&(row.task.clone(), row.attempt)) {
                 self.ledger.release(&row.task, row.attempt, now);
+                self.reindex(&row.worker);
             }
         }
-        ReserveReply { rows }
+    }
+
+    /// Makes room for urgent work: stops the cheapest tasks that can be checkpointed on one worker,
+    /// whose room then is the urgent task's. Returns whether room is on its way.
+    pub fn preempt(&mut self, ask: &ReserveAsk, now: Time) -> bool {
+        let mut made = false;
+        for item in ask.items.iter().filter(|i| i.urgent) {
+            if self.marks.values().any(|(task, _)| *task == item.task) {
+                made = true;
+                continue;
+            }
+            let places: Vec<urgent::Place> = self
+                .links
+                .keys()
+                .filter(|w| !item.avoid.contains(w) && !self.marks.contains_key(*w))
+                .filter_map(|w| self.scene(w, &ask.pool))
+                .collect();
+            let Some(plan) = urgent::plan(now, item.size, &places) else { continue };
+            made = true;
+            self.marks.insert(plan.worker.clone(), (item.task.clone(), now + RESERVE));
+            let Some(link) = self.links.get_mut(&plan.worker) else { continue };
+            for victim in plan.victims {
+                let held = self.ledger.worker(&plan.worker).into_iter().flat_map(|a| a.held());
+                let attempt = held.filter_map(|h| match h {
+                    Held::Task(task, attempt) if *task == victim => Some(*attempt),
+                    _ => None,
+                });
+                link.stops.extend(attempt.map(|attempt| TaskOrder {
+                    task: victim.clone(),
+                    attempt,
+                    size: Size::default(),
+                    run: 0,
+                }));
+                link.due = now;
+            }
+        }
+        made
     }
 
     /// Starts reserved attempts whose intents are committed, and stops others.
@@ -365,15 +455,25 @@
                     attempt: item.attempt,
                     state: TaskState::Lost,
                     worker: item.worker,
+                    used: None,
                 });
                 continue;
             }
+            self.marks.retain(|_, (task, _)| *task != item.task);
+            let facts = Facts {
+                bucket: item.bucket,
+                vouched: now,
+                since: now,
+                hold: Some((item.hold, item.borrowed)),
+            };
+            self.facts.insert((item.task.clone(), item.attempt), facts);
             if let Some(link) = self.links.get_mut(&item.worker) {
                 link.starts.push((order(&item), until));
                 link.due = now;
             }
         }
         for item in ask.stop {
+            self.vouch(item.task.clone(), item.attempt, item.bucket, now);
             let Some(link) = self.links.get_mut(&item.worker) else { continue };
             let same = |o: &TaskOrder| o.task == item.task && o.attempt == item.attempt;
             if !link.stops.iter().any(same) {
@@ -385,8 +485,11 @@
     }
 
     /// Says what became of attempts.
-    pub fn probe(&self, ask: &ProbeAsk, now: Time) -> Option<ProbeReply> {
+    pub fn probe(&mut self, ask: &ProbeAsk, now: Time) -> Option<ProbeReply> {
         self.racks.get(&ask.rack)?;
+        for item in &ask.items {
+            self.vouch(item.task.clone(), item.attempt, ask.bucket, now);
+        }
         let workers: BTreeSet<&WorkerId> = ask.items.iter().map(|i| &i.worker).collect();
         let rows = workers.into_iter().map(|worker| {
             let link = self.links.get(worker);
@@ -414,8 +517,15 @@
     }
 
     /// What is to be told to the buckets' owners; each stays until [`Racks::told`].
-    pub fn tell(&self) -> impl Iterator<Item = &EndItem> {
-        self.tell.values()
+    pub fn tell(&self) -> BTreeMap<Bucket, Vec<EndItem>> {
+        let mut words: BTreeMap<Bucket, Vec<EndItem>> = BTreeMap::new();
+        for (key, item) in &self.tell {
+            // Of an attempt that no bucket's owner has spoken for yet, the next probe hears.
+            if let Some(facts) = self.facts.get(key) {
+                words.entry(facts.bucket).or_default().push(item.clone());
+            }
+        }
+        words
     }
 
     /// The buckets' owners have taken these in.
@@ -424,6 +534,9 @@
             let key = (item.task.clone(), item.attempt);
             if self.tell.get(&key).is_some_and(|i| i.state == item.state) {
                 self.tell.remove(&key);
+                if item.state != TaskState::Running {
+                    self.facts.remove(&key);
+                }
             }
         }
     }
@@ -484,6 +597,10 @@
         let vms: Vec<Vm> = self.vms.values().filter(|v| v.rack == *rack).cloned().collect();
         for vm in vms {
             self.ledger.add(&vm.worker, &vm.pool, rack, vm.size, vm.slots, vm.connections);
+            let index = self.indexes.entry(vm.pool.clone()).or_default();
+            if index.free(&vm.worker).is_none() {
+                index.add(&vm.worker, rack, vm.size);
+            }
             let link = self.links.entry(vm.worker).or_insert_with(|| Link::new(epoch, now));
             if link.epoch != epoch {
                 *link = Link::new(epoch, now);
@@ -498,6 +615,8 @@
             let live = self.vms.get(worker).is_some_and(|v| v.state == VmState::Live);
             self.ledger.cordon(worker, !(live && link.ready && !link.cut));
         }
+        let all: Vec<WorkerId> = self.links.keys().cloned().collect();
+        all.iter().for_each(|w| self.reindex(w));
     }
 
     fn serve(&mut self, worker: &WorkerId, now: Time, out: &mut Vec<Order>) {
@@ -534,9 +653,13 @@
         if !link.ordering && (link.due <= now) {
             let epoch = link.epoch;
             let held = self.ledger.worker(worker).map(|a| a.held().cloned().collect::<Vec<_>>());
+            // What no bucket's owner speaks for is nobody's: its lease runs out.
             let renew = held.into_iter().flatten().filter_map(|h| match h {
                 Held::Task(task, attempt) => {
-                    Some(TaskOrder { task, attempt, size: Size::default(), run: 0 })
+                    let facts = self.facts.get(&(task.clone(), attempt));
+                    let spoken = facts.map_or(link.since, |f| f.vouched);
+                    let order = TaskOrder { task, attempt, size: Size::default(), run: 0 };
+                    (now - spoken < VOUCH).then_some(order)
                 }
                 Held::Request(_) => None,
             });
@@ -572,6 +695,7 @@
         for held in held {
             if let Held::Task(task, attempt) = held {
                 self.ledger.release(&task, attempt, now);
+                self.reindex(worker);
                 self.say(task, attempt, TaskState::Lost, worker);
             }
         }
@@ -581,27 +705,35 @@
         }
     }
 
-    /// The best-fitting worker with room: packed on the fullest, or spread to the emptiest.
-    fn room(
-        &self,
-        pool: &PoolId,
-        size: Size,
-        spread: bool,
-        avoid: &[WorkerId],
-        task: &TaskId,
-    ) -> Option<(WorkerId, RackId, Epoch)> {
-        let fits = self.ledger.workers().filter(|(id, a)| {
-            a.pool == *pool && !a.cordoned() && size.fits(&a.room()) && !avoid.contains(id)
-        });
-        let same = |a: &crate::ledger::Worker| {
-            a.held().filter(|h| matches!(h, Held::Task(t, _) if t.job == task.job)).count()
+    /// The worker for an attempt: packed on the fullest, or spread over racks.
+    fn room(&self, ask: &ReserveAsk, item: &ReserveItem) -> Option<(WorkerId, RackId, Epoch)> {
+        let mut avoid = item.avoid.clone();
+        // Room that is being made for urgent work is not for others.
+        let marked = self.marks.iter().filter(|(_, (task, _))| *task != item.task);
+        avoid.extend(marked.map(|(w, _)| w.clone()));
+        if let Some(rack) = &ask.rack {
+            let others = self
+                .links
+                .keys()
+                .filter(|w| self.ledger.worker(w).is_some_and(|a| a.rack != *rack));
+            avoid.extend(others.cloned());
+        }
+        let index = self.indexes.get(&ask.pool)?;
+        let id = if item.spread {
+            index.spread(&item.size, &self.replicas(&item.task), &avoid)?
+        } else {
+            index.pack(&item.size, &avoid)?
         };
-        let (id, account) = fits.min_by_key(|(_, a)| {
-            let free = a.room().cores.0;
-            if spread { (same(a), u64::MAX - free) } else { (0, free) }
-        })?;
-        let epoch = *self.racks.get(&account.rack)?;
-        Some((id.clone(), account.rack.clone(), epoch))
+        let rack = self.ledger.worker(id)?.rack.clone();
+        let epoch = *self.racks.get(&rack)?;
+        Some((id.clone(), rack, epoch))
+    }
+
+    /// The workers that hold tasks of the same job, once for each.
+    fn replicas(&self, task: &TaskId) -> Vec<WorkerId> {
+        let here = self.ledger.workers().flat_map(|(id, a)| a.held().map(move |h| (id, h)));
+        let same = here.filter(|(_, h)| matches!(h, Held::Task(t, _) if t.job == task.job));
+        same.map(|(id, _)| id.clone()).collect()
     }
 
     fn on(&self, rack: &RackId) -> impl Iterator<Item = &WorkerId> {
@@ -609,9 +741,84 @@
     }
 
     fn say(&mut self, task: TaskId, attempt: Attempt, state: TaskState, worker: &WorkerId) {
-        let item = EndItem { task: task.clone(), attempt, state, worker: worker.clone() };
+        let report = self.links.get(worker).and_then(|l| l.report.as_ref());
+        let seen = report.and_then(|(_, tasks)| {
+            tasks.iter().find(|t| t.task == task && t.attempt == attempt).map(|t| t.used)
+        });
+        let worker = worker.clone();
+        let item = EndItem { task: task.clone(), attempt, state, worker, used: seen };
         self.tell.insert((task, attempt), item);
     }
+
+    /// Notes that the owner of a bucket knows of an attempt and wants it to go on.
+    fn vouch(&mut self, task: TaskId, attempt: Attempt, bucket: Bucket, now: Time) {
+        let new = Facts { bucket, vouched: now, since: now, hold: None };
+        let facts = self.facts.entry((task, attempt)).or_insert(new);
+        (facts.bucket, facts.vouched) = (bucket, now);
+    }
+
+    /// Keeps the index of a worker's pool in step with the ledger.
+    fn reindex(&mut self, worker: &WorkerId) {
+        let Some(account) = self.ledger.worker(worker) else { return };
+        let Some(index) = self.indexes.get_mut(&account.pool) else { return };
+        index.set(worker, account.room(), !account.cordoned());
+    }
+
+    /// What runs on a worker, as the choice of victims sees it.
+    fn scene(&self, worker: &WorkerId, pool: &PoolId) -> Option<urgent::Place> {
+        let account = self.ledger.worker(worker).filter(|a| a.pool == *pool && !a.cordoned())?;
+        let tasks = account.held().filter_map(|held| {
+            let Held::Task(task, attempt) = held else { return None };
+            let facts = self.facts.get(&(task.clone(), *attempt));
+            let kind = match facts.and_then(|f| f.hold) {
+                Some((Hold::Checkpoint, _)) => urgent::Kind::Checkpoint,
+                Some((Hold::Brief, _)) => urgent::Kind::Plain,
+                Some((Hold::Never, _)) | None => urgent::Kind::Service,
+            };
+            Some(Running {
+                task: task.clone(),
+                size: self.ledger.load(held)?.size,
+                kind,
+                borrowed: facts.and_then(|f| f.hold).is_some_and(|(_, borrowed)| borrowed),
+                saved: facts.map_or(Time::ZERO, |f| f.since),
+                save: CHECKPOINT,
+            })
+        });
+        Some(urgent::Place {
+            worker: worker.clone(),
+            free: account.room(),
+            running: tasks.collect(),
+        })
+    }
+
+    /// Acts on tasks that use more than is reserved for them.
+    ///
+    /// A worker's memory can't be shared out twice: a task that outgrows its reservation gets more
+    /// where its worker has room, and is checkpointed and stopped where not, before the worker is
+    /// full and its kernel kills a neighbour.
+    fn outgrown(&mut self, worker: &WorkerId, tasks: &[TaskReport], now: Time) {
+        for t in tasks.iter().filter(|t| t.state == TaskState::Running) {
+            let held = Held::Task(t.task.clone(), t.attempt);
+            let Some(reserved) = self.ledger.load(&held).map(|l| l.size) else { continue };
+            let room = self.ledger.worker(worker).map_or(Size::default(), |a| a.room());
+            match self.estimates.check(&t.task.job, t.used, reserved, room) {
+                Action::Keep | Action::Throttle => {}
+                Action::Raise(size) => {
+                    let _ = self.ledger.reserve(&t.task, t.attempt, worker, size, Time::NEVER);
+                }
+                Action::Stop => {
+                    let Some(link) = self.links.get_mut(worker) else { continue };
+                    if link.stops.iter().any(|s| s.task == t.task) {
+                        continue;
+                    }
+                    log::warn!(target: "racks", "Task {} outgrew its memory and is stopped.", t.task);
+                    let (task, attempt) = (t.task.clone(), t.attempt);
+                    link.stops.push(TaskOrder { task, attempt, size: Size::default(), run: 0 });
+                    link.due = now;
+                }
+            }
+        }
+    }
 }
 
 impl Default for Racks {
@@ -639,6 +846,7 @@
             due: now,
             cut: false,
             handed: false,
+            since: now,
         }
     }
 }
--- a/src/units.rs
+++ b/src/units.rs
@@ -122,6 +122,23 @@
         }
     }
 
+    /// So many times this, no dimension beyond what can be counted.
+    pub fn times(&self, n: u64) -> Size {
+        Size {
+            cores: Cores(self.cores.0.saturating_mul(n)),
+            memory: Memory(self.memory.0.saturating_mul(n)),
+            accels: Accels(self.accels.0.saturating_mul(n)),
+        }
+    }
+
+    /// How often this fits into `room`.
+    pub fn count(&self, room: &Size) -> u64 {
+        let times = |need: u64, room: u64| room.checked_div(need).unwrap_or(u64::MAX);
+        times(self.cores.0, room.cores.0)
+            .min(times(self.memory.0, room.memory.0))
+            .min(times(self.accels.0, room.accels.0))
+    }
+
     /// The greater of the two in each dimension.
     pub fn max(&self, other: &Size) -> Size {
         Size {
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -61,7 +61,7 @@
 
 fn told(row: &TaskRow, state: TaskState) -> Mail {
     let worker = row.worker.clone().expect("it was placed");
-    Mail::End(EndItem { attempt: row.attempt, state, task: row.task.clone(), worker })
+    Mail::End(EndItem { attempt: row.attempt, state, task: row.task.clone(), used: None, worker })
 }
 
 impl World {
