--- a/src/ledger/account.rs
+++ b/src/ledger/account.rs
@@ -81,7 +81,7 @@
         &self.limit
     }
 
-    /// What is in use of it; above the limit only after [`Ledger::adopt`] or a smaller limit.
+    /// What is in use of it; above the limit only after [`Ledger::adopt`](super::Ledger::adopt) or a smaller limit.
     pub fn used(&self) -> &Load {
         &self.used
     }
