Fair queue and admission by deadline for requests

Cause: a first-come queue without bound serves requests whose callers have given up, and lets one caller or one long request delay all others.

Conclusion: goodput holds at 1.5 and 3 times load.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,1 +1,4 @@
 //! The decisions, without network or clock: the present time is an argument throughout.
+
+pub mod admit;
+pub mod fair;
--- /dev/null
+++ b/tests/admit.rs
@@ -0,0 +1,157 @@
+//! Admission by deadline: bursts, saturation, stalled endpoints, and times to come back.
+
+mod fake;
+
+use {
+    dogwoodreach::{
+        Kind, Ran, Time,
+        decide::{admit::Gate, fair::Queue},
+    },
+    fake::{Ask, Door, Fate, Outcome, ask, ms, play, stream},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::Duration,
+    },
+};
+
+const SLOTS: u32 = 16;
+const RUN: u64 = 50;
+/// Requests a second that 16 slots can serve at 50 ms each.
+const CAPACITY: f64 = 320.0;
+
+fn gate() -> Door {
+    Door::Gate(Box::new(Gate::new(fastrand::Rng::with_seed(7))), Queue::new(SLOTS, ms(400)))
+}
+
+/// 20 s of arrivals from ten callers at `load` times the capacity, each due within half a second.
+fn saturation(load: f64) -> Vec<Ask> {
+    let until = Time::from_millis(20_000);
+    let rate = CAPACITY * load / 10.0;
+    (0..10).flat_map(|i| stream(i, &format!("caller{i}"), rate, until, 500, RUN)).collect()
+}
+
+/// The requests answered in time, as a part of what the slots could serve in 20 s.
+fn goodput(outcomes: &[Outcome]) -> f64 {
+    outcomes.iter().filter(|o| o.good()).count() as f64 / (CAPACITY * 20.0)
+}
+
+fn percentile(outcomes: &[Outcome], percent: usize) -> Duration {
+    let mut waits: Vec<_> = outcomes.iter().filter_map(Outcome::wait).collect();
+    waits.sort();
+    waits[waits.len() * percent / 100]
+}
+
+// Ten callers send 1.5, then 3 times what the workers can do. With an unbounded first-come queue
+// every slot stays busy and hardly anyone gets an answer in time, since each request has waited
+// past its deadline when it starts. The gate refuses what can't be served, at once.
+#[test]
+fn goodput_holds_under_saturation() {
+    for load in [1.5, 3.0] {
+        let ours = play(saturation(load), SLOTS, gate());
+        let plain = play(saturation(load), SLOTS, Door::Plain(VecDeque::new()));
+        let (good, base) = (goodput(&ours), goodput(&plain));
+        let expired = ours.iter().filter(|o| matches!(o.fate, Fate::Expired(_))).count();
+        let (p50, p99) = (percentile(&ours, 50), percentile(&ours, 99));
+        println!("load {load}: goodput {good:.3}, plain {base:.3}; wait {p50:?}, p99 {p99:?}");
+        println!("  expired {expired} of {}", ours.len());
+        assert!(good > 0.9, "goodput {good} at {load}");
+        assert!(base < 0.2, "plain goodput {base} at {load}");
+        assert!(p50 < ms(150) && p99 < ms(400));
+        // Who is let in is served: what expires in the queue has waited for nothing.
+        assert!(expired * 100 < ours.len());
+    }
+}
+
+#[test]
+fn refusals_say_why_and_when() {
+    let outcomes = play(saturation(3.0), SLOTS, gate());
+    let refused: Vec<_> = outcomes
+        .iter()
+        .filter_map(|o| if let Fate::Refused(e) = &o.fate { Some(e) } else { None })
+        .collect();
+    assert!(refused.len() > outcomes.len() / 2);
+    for e in refused {
+        assert!(matches!(e.kind(), Kind::Late | Kind::OverShare), "{e}");
+        assert_eq!(e.kind().answer().ran, Ran::No);
+        let back = e.back().expect("a time to come back");
+        assert!(back > Duration::ZERO && back < Duration::from_secs(45), "{back:?}");
+    }
+}
+
+// Three hundred brokers ask in the same instant, more than can be served within the deadline, then
+// nothing for a while. What fits is served at once or after a wait; the rest hears so immediately,
+// rather than after its deadline.
+#[test]
+fn burst_is_served_as_far_as_deadlines_allow() {
+    let burst = || (0..300).map(|i| ask(&format!("broker{i}"), Time::ZERO, ms(500), ms(RUN)));
+    let ours = play(burst(), SLOTS, gate());
+    let plain = play(burst(), SLOTS, Door::Plain(VecDeque::new()));
+    let good = |outcomes: &[Outcome]| outcomes.iter().filter(|o| o.good()).count();
+    let late = |outcomes: &[Outcome]| {
+        let answered = |o: &&Outcome| matches!(o.fate, Fate::Answered { .. });
+        outcomes.iter().filter(answered).filter(|o| !o.good()).count()
+    };
+    println!("burst: good {} of 300, plain {}", good(&ours), good(&plain));
+    // 160 at most can end within 500 ms.
+    assert!(good(&ours) >= 110, "{}", good(&ours));
+    assert_eq!(late(&ours), 0);
+    assert_eq!(late(&plain), 140);
+}
+
+// A burst is refused, and each caller comes back when told. Told one fixed time, they all return
+// in the same instant and are refused again, for as long as they keep coming.
+#[test]
+fn refused_callers_come_back_at_the_drain_rate() {
+    let burst = (0..2000).map(|i| ask(&format!("broker{i}"), Time::ZERO, ms(500), ms(RUN)));
+    let outcomes = play(burst, SLOTS, gate());
+    let (mut ours, mut fixed) = (BTreeMap::new(), BTreeMap::new());
+    for o in &outcomes {
+        let Fate::Refused(e) = &o.fate else { continue };
+        let step = |d: Duration| d.as_millis() / 500;
+        *ours.entry(step(e.back().expect("a time"))).or_insert(0) += 1;
+        *fixed.entry(step(e.kind().answer().back.expect("a time"))).or_insert(0) += 1;
+    }
+    let most = |steps: &BTreeMap<u128, u32>| steps.values().copied().max();
+    println!("most returns in half a second: {:?}, fixed {:?}", most(&ours), most(&fixed));
+    // The slots serve 160 in half a second.
+    assert!(most(&ours) <= Some(200));
+    assert!(most(&fixed) > Some(1500));
+}
+
+// All endpoints of a service stop answering while requests wait. No request leaves the queue any
+// more, so nothing is measured; a gate that goes by its last measurement lets every caller in to
+// wait for nothing. The gate must notice the gap.
+#[test]
+fn stalled_endpoints_close_the_gate() {
+    let mut gate = Gate::new(fastrand::Rng::with_seed(1));
+    let mut queue = Queue::new(SLOTS, ms(400));
+    let mut admit = |i: u64, at: u64| {
+        let now = Time::from_millis(at);
+        let mut item = ask(&format!("caller{i}"), now, ms(5000), ms(RUN)).item;
+        item.id.0 = i.into();
+        let result = gate.admit(&mut queue, item, now);
+        // One leaves, so that the drain rate is known, and then none.
+        if i == 40 {
+            gate.pop(&mut queue, now);
+        }
+        result
+    };
+    for i in 0..=40 {
+        admit(i, i).expect("room for a burst");
+    }
+    admit(41, 60).expect("a gap of 20 ms is no stall");
+    let refused = admit(42, 4000).expect_err("nothing has left the queue for four seconds");
+    assert_eq!(refused.kind(), Kind::Late);
+    assert!(refused.back() > Some(ms(1000)), "{refused:?}");
+}
+
+// Workers run everything three times as slow as expected. The measured drain rate must say so:
+// a gate that trusts the expected run times lets in three times what can be served.
+#[test]
+fn drain_rate_is_measured() {
+    let slow = saturation(1.0).into_iter().map(|a| Ask { real: a.real * 3, ..a });
+    let outcomes = play(slow, SLOTS, gate());
+    let expired = outcomes.iter().filter(|o| matches!(o.fate, Fate::Expired(_))).count();
+    println!("three times as slow: expired {expired} of {}", outcomes.len());
+    assert!(expired * 50 < outcomes.len());
+}
