--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,8 +1,10 @@
 //! The decisions, without network or clock: the present time is an argument throughout.
 
+pub mod admit;
 pub mod cancel;
 pub mod estimate;
 mod evidence;
+pub mod fair;
 pub mod gang;
 pub mod order;
 pub mod place;
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts of tasks under random orders of events; the invariant has the name of the model.
 
-mod fake;
+mod bucket;
 
 use {
     arbtest::arbitrary::{Result, Unstructured},
@@ -12,7 +12,7 @@
         messages::{EndItem, TaskReport, TaskRow, TaskState},
         units::Size,
     },
-    fake::{Kv, Member, runs},
+    bucket::{Kv, Member, runs},
     std::{cell::Cell, time::Duration},
 };
 
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -1,6 +1,6 @@
 //! Claims on keys under random orders of events; the invariants have the names of the model.
 
-mod fake;
+mod bucket;
 
 use {
     arbtest::arbitrary::{Result, Unstructured},
@@ -11,7 +11,7 @@
         ids::{Key, RequestId},
         messages::{ClaimAsk, ClaimEnd, ClaimFate, ClaimVerdict},
     },
-    fake::{Kv, Member, runs},
+    bucket::{Kv, Member, runs},
     std::{cell::Cell, time::Duration},
 };
 
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -1,167 +1,171 @@
-//! A fake KV of one record, and a member that owns, or thinks that it owns, one bucket there.
+//! A service's slots in virtual time, and arrivals for them.
+
+#![allow(dead_code)] // each test file uses a part
 
 use {
-    arbtest::arbitrary::{Result, Unstructured},
     dogwoodreach::{
-        Time,
-        bucket::{Bucket, Order},
-        commit::Call,
-        ids::{Epoch, Incarnation, Revision},
-        messages::{BucketRecord, KvPutReply},
+        Error, Time,
+        decide::{
+            admit::Gate,
+            fair::{Item, Queue},
+        },
+        ids::RequestId,
+    },
+    std::{
+        collections::{BTreeMap, VecDeque},
+        time::Duration,
     },
-    std::time::Duration,
 };
 
-/// The Unix clock at [`Time::ZERO`].
-pub const UNIX: u64 = 1_700_000_000;
+/// Events by time, then by entry.
+pub struct Agenda<E> {
+    events: BTreeMap<(Time, u64), E>,
+    seq: u64,
+}
 
-type Found = Option<(Revision, Box<BucketRecord>)>;
+impl<E> Agenda<E> {
+    pub fn new() -> Self {
+        Agenda { events: BTreeMap::new(), seq: 0 }
+    }
 
-/// One record with compare-and-swap; it may be down.
-#[derive(Default)]
-pub struct Kv {
-    pub found: Found,
-    pub down: bool,
-}
+    pub fn add(&mut self, at: Time, event: E) {
+        self.seq += 1;
+        self.events.insert((at, self.seq), event);
+    }
 
-enum Reply {
-    Read(Found),
-    Write(KvPutReply),
+    pub fn next(&mut self) -> Option<(Time, E)> {
+        self.events.pop_first().map(|((at, _), event)| (at, event))
+    }
 }
 
-impl Kv {
-    fn run(&mut self, call: &Call) -> Reply {
-        let current = self.found.as_ref().map_or(Revision(0), |f| f.0);
-        let Call::Write { expect, record, .. } = call else {
-            return Reply::Read(self.found.clone());
-        };
-        if *expect != current {
-            return Reply::Write(KvPutReply { done: false, revision: current });
-        }
-        let revision = Revision(current.0 + 1);
-        self.found = Some((revision, record.clone()));
-        Reply::Write(KvPutReply { done: true, revision })
-    }
+pub const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
 }
 
-/// A member with the calls that are on their way to the KV, and the answers on their way back.
-pub struct Member {
-    pub bucket: Bucket,
-    calls: Vec<(Call, bool)>,
-    replies: Vec<(u64, Reply)>,
+/// An exponentially distributed duration.
+pub fn exp(rng: &mut fastrand::Rng, mean: Duration) -> Duration {
+    mean.mul_f64(-(1.0 - rng.f64()).ln())
 }
 
-impl Member {
-    pub fn new(epoch: u64) -> Self {
-        let bucket = Bucket::new(Epoch(epoch), Incarnation(epoch * 17), UNIX);
-        Member { bucket, calls: Vec::new(), replies: Vec::new() }
-    }
+/// A request that really runs for `real`.
+#[derive(Clone)]
+pub struct Ask {
+    pub item: Item,
+    pub real: Duration,
+}
 
-    /// The orders that are not for the KV.
-    pub fn orders(&mut self, now: Time) -> Vec<Order> {
-        let (kv, rest) =
-            self.bucket.orders(now).into_iter().partition(|o| matches!(o, Order::Kv(_)));
-        let kv: Vec<Order> = kv;
-        self.calls.extend(kv.into_iter().filter_map(|o| match o {
-            Order::Kv(call) => Some((call, true)),
-            _ => None,
-        }));
-        rest
-    }
+/// A request of this caller, alone in its team, that runs as expected.
+pub fn ask(caller: &str, born: Time, left: Duration, run: Duration) -> Ask {
+    let (caller, team) = (caller.into(), caller.into());
+    let item = Item { id: RequestId(0), caller, team, born, deadline: born + left, run };
+    Ask { item, real: run }
+}
 
-    /// Lets one thing happen to the calls: effect, answer, loss before or after the effect. A call
-    /// that was given up may take effect at any later time.
-    pub fn turn(&mut self, u: &mut Unstructured<'_>, kv: &mut Kv, now: Time) -> Result<()> {
-        match u.int_in_range(0..=9)? {
-            0..=3 if !self.calls.is_empty() && !kv.down => {
-                let (call, waited) = self.calls.remove(u.choose_index(self.calls.len())?);
-                let reply = kv.run(&call);
-                if waited {
-                    self.replies.push((number(&call), reply));
-                }
-            }
-            4..=7 if !self.replies.is_empty() => {
-                let (call, reply) = self.replies.remove(u.choose_index(self.replies.len())?);
-                self.answer(call, reply, now);
-            }
-            8 if !self.replies.is_empty() => {
-                let (call, reply) = self.replies.remove(u.choose_index(self.replies.len())?);
-                self.lose(call, matches!(reply, Reply::Read(_)), now);
-            }
-            9 => {
-                let Some(entry) = self.calls.iter_mut().find(|c| c.1) else { return Ok(()) };
-                entry.1 = false;
-                let (call, read) = (number(&entry.0), matches!(entry.0, Call::Read { .. }));
-                self.lose(call, read, now);
-            }
-            _ => {}
+/// Poisson arrivals of one caller at `rate` a second from 0 to `until`, runs distributed
+/// exponentially round `run`.
+pub fn stream(seed: u64, caller: &str, rate: f64, until: Time, left: u64, run: u64) -> Vec<Ask> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (mut now, mut asks) = (Time::ZERO, Vec::new());
+    loop {
+        now = now + exp(&mut rng, Duration::from_secs_f64(1.0 / rate));
+        if now > until {
+            return asks;
         }
-        Ok(())
+        let real = exp(&mut rng, ms(run));
+        asks.push(Ask { real, ..ask(caller, now, ms(left), ms(run)) });
     }
+}
 
-    /// Lets all calls through, with their answers, for longer than the longest rest.
-    pub fn settle(&mut self, kv: &mut Kv, now: &mut Time) -> Vec<Order> {
-        let mut out = Vec::new();
-        for _ in 0..40 {
-            out.extend(self.orders(*now));
-            self.effect(kv);
-            self.deliver(*now);
-            *now = *now + Duration::from_millis(100);
-        }
-        out
-    }
+/// What a caller got.
+#[derive(Debug)]
+pub enum Fate {
+    Answered { wait: Duration, end: Time },
+    Refused(Error),
+    Expired(Duration),
+}
 
-    /// Lets the calls take effect; the answers stay on their way.
-    pub fn effect(&mut self, kv: &mut Kv) {
-        for (call, waited) in std::mem::take(&mut self.calls) {
-            let reply = kv.run(&call);
-            if waited {
-                self.replies.push((number(&call), reply));
-            }
-        }
+/// A request's end.
+pub struct Outcome {
+    pub item: Item,
+    pub fate: Fate,
+}
+
+impl Outcome {
+    /// Whether the whole answer came by the deadline.
+    pub fn good(&self) -> bool {
+        matches!(self.fate, Fate::Answered { end, .. } if end <= self.item.deadline)
     }
 
-    /// Brings the answers that are on their way.
-    pub fn deliver(&mut self, now: Time) {
-        for (call, reply) in std::mem::take(&mut self.replies) {
-            self.answer(call, reply, now);
-        }
+    /// The wait of a request that ran.
+    pub fn wait(&self) -> Option<Duration> {
+        if let Fate::Answered { wait, .. } = self.fate { Some(wait) } else { None }
     }
+}
 
-    /// Lets the calls take effect, and loses their answers.
-    pub fn effect_then_lose(&mut self, kv: &mut Kv, now: Time) {
-        for (call, _) in std::mem::take(&mut self.calls) {
-            kv.run(&call);
-            self.lose(number(&call), matches!(call, Call::Read { .. }), now);
+/// How requests are let in and put in order.
+pub enum Door {
+    /// First come, first served, without bound.
+    Plain(VecDeque<Item>),
+    Fair(Queue),
+    Gate(Box<Gate>, Queue),
+}
+
+impl Door {
+    fn push(&mut self, item: Item, now: Time) -> Result<(), Error> {
+        match self {
+            Door::Plain(queue) => queue.push_back(item),
+            Door::Fair(queue) => queue.push(item, now)?,
+            Door::Gate(gate, queue) => gate.admit(queue, item, now)?,
         }
+        Ok(())
     }
 
-    fn answer(&mut self, call: u64, reply: Reply, now: Time) {
-        match reply {
-            Reply::Read(found) => self.bucket.read(call, Some(found), now),
-            Reply::Write(reply) => self.bucket.wrote(call, Some(&reply), now),
+    fn pop(&mut self, now: Time) -> Option<Item> {
+        match self {
+            Door::Plain(queue) => queue.pop_front(),
+            Door::Fair(queue) => queue.pop(now),
+            Door::Gate(gate, queue) => gate.pop(queue, now),
         }
     }
 
-    fn lose(&mut self, call: u64, read: bool, now: Time) {
-        if read {
-            self.bucket.read(call, None, now);
-        } else {
-            self.bucket.wrote(call, None, now);
+    fn queue(&mut self) -> Option<&mut Queue> {
+        match self {
+            Door::Plain(_) => None,
+            Door::Fair(queue) | Door::Gate(_, queue) => Some(queue),
         }
     }
 }
 
-fn number(call: &Call) -> u64 {
-    match call {
-        Call::Read { call } | Call::Write { call, .. } => *call,
+/// Plays arrivals against `slots` slots until all have ended.
+pub fn play(asks: impl IntoIterator<Item = Ask>, slots: u32, mut door: Door) -> Vec<Outcome> {
+    let (mut agenda, mut reals, mut outcomes) = (Agenda::new(), Vec::new(), Vec::new());
+    for ask in asks {
+        let id = RequestId(reals.len() as u128);
+        reals.push(ask.real);
+        agenda.add(ask.item.born, (Item { id, ..ask.item }, None));
     }
-}
-
-/// Runs `property` from fixed seeds, each with so many bytes of choices.
-pub fn runs(count: u64, size: u64, property: impl Fn(&mut Unstructured<'_>) -> Result<()>) {
-    for seed in 0..count {
-        let mixed = (seed + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
-        arbtest::arbtest(&property).seed(mixed << 32 | size);
+    let mut free = slots;
+    while let Some((now, (item, started))) = agenda.next() {
+        if let Some(start) = started {
+            free += 1;
+            let wait = now.since(item.born) - now.since(start);
+            if let Some(queue) = door.queue() {
+                queue.done(&item, now.since(start));
+            }
+            outcomes.push(Outcome { item, fate: Fate::Answered { wait, end: now } });
+        } else if let Err(e) = door.push(item.clone(), now) {
+            outcomes.push(Outcome { item, fate: Fate::Refused(e) });
+        }
+        for item in door.queue().map(|q| q.expire(now)).unwrap_or_default() {
+            let wait = now.since(item.born);
+            outcomes.push(Outcome { item, fate: Fate::Expired(wait) });
+        }
+        while free > 0
+            && let Some(item) = door.pop(now)
+        {
+            free -= 1;
+            agenda.add(now + reals[item.id.0 as usize], (item, Some(now)));
+        }
     }
+    outcomes
 }
