An open-loop load tool and experiments on the whole path

`standin load` sends requests at a fixed rate, counts latency from the time each was due, and checks that each answer is the whole answer to its own request. `standin experiment` starts a cell of processes, runs a load or a change against it, prints a table, and ends its processes by id.

--- /dev/null
+++ b/standin/src/experiment.rs
@@ -0,0 +1,132 @@
+//! Experiments on the whole path: processes on this machine, a load, a table.
+//!
+//! Each compares with a baseline in the same run; ratios carry over to other machines, absolute
+//! figures don't. Whatever happens, the processes that an experiment started are ended, by id.
+
+mod cell;
+mod config;
+mod control;
+mod faults;
+mod leaving;
+mod path;
+mod starts;
+mod usage;
+
+use {
+    crate::Result,
+    cell::{Fleet, ZONES},
+    lexopt::prelude::*,
+    std::{fs, time::Duration},
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+/// What an experiment is told.
+struct Args {
+    runs: usize,
+    time: Duration,
+    members: Vec<usize>,
+    part: Box<str>,
+}
+
+/// Runs `standin experiment`; errs on a name that it doesn't know and where a cell is not ready.
+pub async fn command(mut args: lexopt::Parser) -> Result<()> {
+    let mut name = String::new();
+    let mut told =
+        Args { runs: 3, time: Duration::from_secs(4), members: vec![], part: "all".into() };
+    while let Some(arg) = args.next()? {
+        match arg {
+            Value(value) if name.is_empty() => name = value.string()?,
+            Long("runs") => told.runs = args.value()?.parse()?,
+            Long("seconds") => told.time = Duration::from_secs(args.value()?.parse()?),
+            Long("members") => {
+                let list = args.value()?.string()?;
+                told.members =
+                    list.split(',').map(str::parse).collect::<std::result::Result<_, _>>()?;
+            }
+            Long("part") => told.part = args.value()?.string()?.into(),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    println!("load average at the start: {}", average());
+    // A signal drops the experiment, and with it the processes that it started.
+    tokio::select! {
+        done = run(&name, &told) => done?,
+        _ = term.recv() => return Err("ended by a signal".into()),
+        _ = int.recv() => return Err("ended by a signal".into()),
+    }
+    println!("load average at the end: {}", average());
+    Ok(())
+}
+
+async fn run(name: &str, args: &Args) -> Result<()> {
+    match name {
+        "path" => path::run(args).await,
+        "faults" => faults::run(args).await,
+        "config" => config::run(args).await,
+        "control" => control::run(args).await,
+        "leaving" => leaving::run(args).await,
+        "starts" => starts::run(args).await,
+        _ => Err("one of path, faults, config, control, leaving, starts".into()),
+    }
+}
+
+fn average() -> String {
+    let text = fs::read_to_string("/proc/loadavg").unwrap_or_default();
+    text.split(' ').take(3).collect::<Vec<_>>().join(" ")
+}
+
+/// Tausi's workers of today: 35 for quoting in racks of five, 13 for engineering in racks of
+/// three, but for one rack of four.
+fn today() -> Vec<Fleet> {
+    let quoting = |zone, racks| Fleet {
+        pool: "quoting",
+        zone,
+        racks,
+        each: 5,
+        cores: 16,
+        memory: 64,
+        accels: 0,
+    };
+    let engineering = |zone, racks, each| Fleet {
+        pool: "engineering",
+        zone,
+        racks,
+        each,
+        cores: 128,
+        memory: 512,
+        accels: 8,
+    };
+    vec![
+        quoting(ZONES[0], 3),
+        quoting(ZONES[1], 2),
+        quoting(ZONES[2], 2),
+        engineering(ZONES[0], 2, 3),
+        engineering(ZONES[1], 1, 3),
+        engineering(ZONES[2], 1, 4),
+    ]
+}
+
+/// The text of today's size, without tasks.
+const TODAY: &str = "\
+[pool quoting]
+cores = 16
+memory = 64GB
+workers = 35
+
+[pool engineering]
+cores = 128
+memory = 512GB
+accelerators = 8
+workers = 13
+
+[team underwriting]
+weight = 4
+
+[service quoting]
+team = underwriting
+pool = quoting
+deadline = 2s
+run = 100ms
+";
--- /dev/null
+++ b/standin/src/experiment/control.rs
@@ -0,0 +1,203 @@
+//! What control costs: processor time, memory, bytes and calls of the key-value service.
+
+use {
+    super::{
+        Args, TODAY,
+        cell::{Cell, Fleet, ZONES},
+        config::large_text,
+        path::quotes,
+        today,
+        usage::{self, Usage, line, spread},
+    },
+    crate::{Result, load},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// How long a cell is left alone before it is watched.
+const SETTLE: Duration = Duration::from_secs(3);
+/// How long tasks may take to start.
+const STARTS: Duration = Duration::from_secs(60);
+/// The pause between two changes of the text, where changes are made: 8,640 a day.
+const CHANGE: Duration = Duration::from_secs(10);
+
+/// One condition under which a cell is watched; `x` is what varies.
+struct Case {
+    x: f64,
+    name: String,
+    members: usize,
+    workers: u32,
+    text: String,
+    tasks: u32,
+    load: f64,
+}
+
+type Figure = fn(&Row) -> f64;
+
+struct Row {
+    x: f64,
+    members: Vec<Usage>,
+    calls: BTreeMap<Box<str>, f64>,
+}
+
+/// Prints the tables, or one of them.
+pub async fn run(args: &Args) -> Result<()> {
+    let parts: [(&str, &str, Vec<Case>); 6] = [
+        ("workers", "worker", [48, 200, 800].map(|n| sized(3, n, n)).into()),
+        ("members", "member", [3, 9, 18].map(|n| sized(n as usize, 48, n)).into()),
+        ("tasks", "task", [0, 1000, 4000].map(tasks).into()),
+        ("teams", "team", [1, 100, 310].map(teams).into()),
+        ("text", "KB of text", vec![sized(3, 48, 0), text()]),
+        ("load", "request/s", [0.0, 0.25, 0.5].map(loaded).into()),
+    ];
+    for (part, unit, cases) in parts {
+        if &*args.part == "all" || &*args.part == part {
+            table(part, unit, cases, args).await?;
+        }
+    }
+    Ok(())
+}
+
+async fn table(part: &str, unit: &str, cases: Vec<Case>, args: &Args) -> Result<()> {
+    println!(
+        "\nControl by {part}; a member's least / median / greatest over {} s.\n",
+        args.time.as_secs()
+    );
+    println!(
+        "| condition | cpu % of a core | MB | KB/s sent | KB/s received | KV calls/s, all members |"
+    );
+    println!("|---|---|---|---|---|---|");
+    let mut rows = vec![];
+    for case in cases {
+        let row = measure(&case, args.time).await?;
+        let each = |f: fn(&Usage) -> f64| row.members.iter().map(f).collect::<Vec<_>>();
+        let calls: Vec<String> = row.calls.iter().map(|(k, n)| format!("{k} {n:.1}")).collect();
+        println!(
+            "| {} | {} | {} | {} | {} | {} |",
+            case.name,
+            spread(each(|u| u.cpu), 2),
+            spread(each(|u| u.memory), 1),
+            spread(each(|u| u.sent), 1),
+            spread(each(|u| u.received), 1),
+            calls.join(", ")
+        );
+        rows.push(row);
+    }
+    let slope = |f: fn(&Row) -> f64| {
+        let points: Vec<(f64, f64)> = rows.iter().map(|r| (r.x, f(r))).collect();
+        line(&points)
+    };
+    // Summed over members, as the work is shared by them, but for a member's own share.
+    let figures: [(&str, Figure); 4] = [
+        ("cpu, ms/s", |r| r.members.iter().map(|u| u.cpu * 10.0).sum()),
+        ("memory, KB", |r| r.members.iter().map(|u| u.memory * 1024.0).sum()),
+        ("bytes/s sent", |r| r.members.iter().map(|u| u.sent * 1024.0).sum()),
+        ("KV calls/s", |r| r.calls.values().sum()),
+    ];
+    println!("\nSlopes, least squares, summed over members, for each {unit} (and at none):");
+    for (what, f) in figures {
+        let (slope, none) = slope(f);
+        println!("- {what}: {slope:.4} (and {none:.1})");
+    }
+    Ok(())
+}
+
+async fn measure(case: &Case, time: Duration) -> Result<Row> {
+    let fleets = if case.workers == 48 { today() } else { fleets(case.workers) };
+    let mut cell = Cell::start(case.members, &fleets, &case.text).await?;
+    let begun = Instant::now();
+    while cell.witness("starts").await? < u64::from(case.tasks) {
+        if begun.elapsed() > STARTS {
+            let n = cell.witness("starts").await?;
+            println!("(only {n} of {} tasks started within {} s)", case.tasks, STARTS.as_secs());
+            break;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    sleep(SETTLE).await;
+    let ids: Vec<u32> = cell.members.iter().map(|m| m.id()).collect();
+    let load = quotes(cell.callers()?, false, case.load, time + CHANGE);
+    let load = (case.load > 0.0).then(|| tokio::spawn(load::run(load)));
+    if load.is_some() {
+        sleep(SETTLE).await;
+    }
+    let before = cell.kv_calls().await?;
+    let members = usage::watch(&ids, time).await;
+    let after = cell.kv_calls().await?;
+    let seconds = time.as_secs_f64();
+    let mut calls = after;
+    for (kind, n) in before {
+        *calls.entry(kind).or_default() -= n;
+    }
+    let calls = calls.into_iter().map(|(kind, n)| (kind, n as f64 / seconds)).collect();
+    if let Some(load) = load {
+        load.abort();
+    }
+    cell.members.iter_mut().for_each(|m| m.kill());
+    Ok(Row { x: case.x, members, calls })
+}
+
+fn sized(members: usize, workers: u32, x: u32) -> Case {
+    let name = format!("{members} members, {workers} workers");
+    let text = TODAY.replace("workers = 35", &format!("workers = {workers}"));
+    Case { x: f64::from(x), name, members, workers, text, tasks: 0, load: 0.0 }
+}
+
+fn tasks(n: u32) -> Case {
+    let mut case = sized(3, 48, n);
+    case.name = format!("{n} replicas run, in jobs of 20");
+    case.tasks = n;
+    case.text += &(0..n / 20)
+        .map(|n| {
+            format!(
+                "\n[replicas feed-{n}]\nteam = underwriting\npool = quoting\ntasks = 20\n\
+                 cores = 100m\nmemory = 64MB\n"
+            )
+        })
+        .collect::<String>();
+    case
+}
+
+fn teams(n: u32) -> Case {
+    let mut case = sized(3, 48, n);
+    case.name = format!("{n} teams");
+    let each = (1..n).map(|n| format!("\n[team t{n}]\nweight = 2\ncores = 10\nmemory = 10GB\n"));
+    case.text += &each.collect::<String>();
+    case
+}
+
+fn text() -> Case {
+    let mut case = sized(3, 48, 900);
+    case.name = "a text of 900 KB, its jobs ended".into();
+    case.text = large_text(0);
+    case.tasks = u32::try_from(case.text.matches("[batch").count()).unwrap_or(0);
+    case
+}
+
+fn loaded(share: f64) -> Case {
+    let mut case = sized(3, 48, 0);
+    case.x = 2800.0 * share;
+    case.name = format!("{:.0} requests/s", 2800.0 * share);
+    case.load = share;
+    case
+}
+
+/// Workers of one pool, five to a rack, evenly over the availability zones.
+fn fleets(workers: u32) -> Vec<Fleet> {
+    let racks = workers / 5;
+    let share = |n: u32| (racks + n) / 3;
+    let zones = ZONES.iter().zip(0..);
+    let fleet = |(zone, n): (&&'static str, u32)| Fleet {
+        pool: "quoting",
+        zone,
+        racks: share(n),
+        each: 5,
+        cores: 16,
+        memory: 64,
+        accels: 0,
+    };
+    zones.map(fleet).collect()
+}
--- /dev/null
+++ b/standin/src/experiment/path.rs
@@ -0,0 +1,107 @@
+//! The whole path against the same load sent straight to the workers.
+
+use {
+    super::{
+        Args, TODAY,
+        cell::Cell,
+        today,
+        usage::{self, spread},
+    },
+    crate::{
+        Result,
+        load::{self, Load, Outcome},
+    },
+    std::{net::SocketAddr, time::Duration},
+};
+
+/// The slots of the quoting workers: 35 with 8 each.
+pub const SLOTS: f64 = 280.0;
+/// How long a request runs; 280 slots then carry 2,800 a second.
+pub const RUN: Duration = Duration::from_millis(100);
+/// The shares of the slots' capacity that are offered.
+const SHARES: [f64; 4] = [0.5, 0.8, 0.95, 1.3];
+
+/// A load of quotes at a share of the slots' capacity.
+pub fn quotes(to: Vec<SocketAddr>, direct: bool, share: f64, time: Duration) -> Load {
+    Load {
+        to,
+        direct,
+        service: "quoting".into(),
+        rate: share * SLOTS / RUN.as_secs_f64(),
+        time,
+        run: RUN,
+        callers: 40,
+        deadline: Duration::from_secs(2),
+        keys: 0.0,
+    }
+}
+
+/// The addresses of the quoting workers.
+pub async fn workers(cell: &Cell) -> Result<Vec<SocketAddr>> {
+    let vms = cell.vms().await?.vms;
+    Ok(vms.into_iter().filter(|v| v.pool.as_str() == "quoting").map(|v| v.addr).collect())
+}
+
+/// Prints the table.
+pub async fn run(args: &Args) -> Result<()> {
+    let sizes = if args.members.is_empty() { vec![3, 9] } else { args.members.clone() };
+    let bare = Cell::start(0, &today(), TODAY).await?;
+    let straight = workers(&bare).await?;
+    let mut cells = vec![];
+    for size in &sizes {
+        cells.push(Cell::start(*size, &today(), TODAY).await?);
+    }
+    println!("\nLeast / median / greatest of {} runs of {} s.\n", args.runs, args.time.as_secs());
+    println!(
+        "| offered | path | good/s | of straight | p50 ms | p99 ms | p99.9 ms | greatest ms | \
+         p50 beyond the run ms | refused % | members' cpu us/request |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
+    let mut reasons = vec![];
+    for share in SHARES {
+        let mut rows: Vec<Vec<(Outcome, f64)>> = vec![vec![]; cells.len() + 1];
+        for _ in 0..args.runs {
+            let load = quotes(straight.clone(), true, share, args.time);
+            rows[0].push((load::run(load).await, 0.0));
+            for (cell, row) in cells.iter().zip(&mut rows[1..]) {
+                let ids: Vec<u32> = cell.members.iter().map(|m| m.id()).collect();
+                let used = || ids.iter().filter_map(|id| usage::cpu(*id)).sum::<f64>();
+                let before = used();
+                let outcome = load::run(quotes(cell.callers()?, false, share, args.time)).await;
+                let micros = 1e6 * (used() - before) / outcome.due as f64;
+                row.push((outcome, micros));
+            }
+        }
+        for (n, row) in rows.iter().enumerate() {
+            let name = if n == 0 { "straight".into() } else { format!("{} members", sizes[n - 1]) };
+            print(share, &name, row, &rows[0]);
+            for (o, _) in row.iter().filter(|(o, _)| !o.reasons.is_empty()) {
+                reasons.push(format!("{:.0}% {name}: {}", 100.0 * share, o.why()));
+            }
+        }
+    }
+    println!("\nReasons: {}", if reasons.is_empty() { "none".into() } else { reasons.join("; ") });
+    for cell in &cells {
+        println!("Violations witnessed by workers: {}", cell.violations().await?);
+    }
+    Ok(())
+}
+
+fn print(share: f64, name: &str, row: &[(Outcome, f64)], base: &[(Outcome, f64)]) {
+    let each = |f: &dyn Fn(&Outcome) -> f64| row.iter().map(|(o, _)| f(o)).collect::<Vec<_>>();
+    let ratio = row.iter().zip(base).map(|((o, _), (b, _))| o.goodput / b.goodput);
+    let beyond = each(&|o| o.latency[0] - RUN.as_secs_f64() * 1000.0);
+    println!(
+        "| {:.0}% | {name} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
+        100.0 * share,
+        spread(each(&|o| o.goodput), 0),
+        spread(ratio, 3),
+        spread(each(&|o| o.latency[0]), 1),
+        spread(each(&|o| o.latency[2]), 1),
+        spread(each(&|o| o.latency[3]), 1),
+        spread(each(&|o| o.latency[4]), 1),
+        spread(beyond, 2),
+        spread(each(&|o| 100.0 * (o.due - o.good) as f64 / o.due as f64), 2),
+        if name == "straight" { "-".into() } else { spread(row.iter().map(|(_, c)| *c), 0) },
+    );
+}
--- /dev/null
+++ b/standin/src/experiment/usage.rs
@@ -0,0 +1,112 @@
+//! What a process uses: processor time, memory, and bytes over its connections.
+
+use {
+    std::{
+        collections::BTreeMap,
+        fs,
+        process::Command,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// The kernel's clock ticks a second, as `/proc` counts processor time on Linux.
+const TICKS: f64 = 100.0;
+/// How often the connections are looked at.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// What a process used a second, over a while.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    /// Percent of one core.
+    pub cpu: f64,
+    /// Megabytes in memory at the end.
+    pub memory: f64,
+    /// Kilobytes sent a second, over connections that were seen.
+    pub sent: f64,
+    /// Kilobytes received a second, likewise.
+    pub received: f64,
+}
+
+/// The processor time that a process has used, in seconds; none where it has ended.
+pub fn cpu(id: u32) -> Option<f64> {
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+    let rest = stat.rsplit_once(')')?.1;
+    let field = |n: usize| rest.split_whitespace().nth(n)?.parse::<f64>().ok();
+    Some((field(11)? + field(12)?) / TICKS)
+}
+
+fn memory(id: u32) -> Option<f64> {
+    let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+    let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:"))?;
+    Some(line.trim().trim_end_matches(" kB").parse::<f64>().ok()? / 1024.0)
+}
+
+/// Bytes sent and received by process and connection, as `ss` shows them.
+fn connections() -> BTreeMap<(u32, Box<str>), (u64, u64)> {
+    let shown = Command::new("ss").args(["-tinpHO", "state", "established"]).output();
+    let text = shown.map(|o| String::from_utf8_lossy(&o.stdout).into_owned()).unwrap_or_default();
+    let rows = text.lines().filter_map(|line| {
+        let id = line.split_once("pid=")?.1.split(',').next()?.parse().ok()?;
+        let number = |name: &str| {
+            let rest = line.split_once(name).map_or("0", |(_, r)| r);
+            rest.split(' ').next().unwrap_or("0").parse().unwrap_or(0)
+        };
+        let ends = line.split_whitespace().skip(2).take(2).collect::<Vec<_>>().join(" ");
+        Some(((id, ends.into()), (number(" bytes_sent:"), number(" bytes_received:"))))
+    });
+    rows.collect()
+}
+
+/// Watches processes for a while.
+///
+/// Bytes are those of connections seen at both ends of a look; what a connection carried before
+/// its first look or after its last is missed, so they are a lower bound.
+pub async fn watch(ids: &[u32], time: Duration) -> Vec<Usage> {
+    let begun = Instant::now();
+    let before: Vec<Option<f64>> = ids.iter().map(|id| cpu(*id)).collect();
+    let mut bytes: BTreeMap<u32, (u64, u64)> = BTreeMap::new();
+    let mut last = connections();
+    while begun.elapsed() < time {
+        sleep(LOOK.min(time - begun.elapsed().min(time))).await;
+        let next = connections();
+        for (at, (sent, received)) in &next {
+            let old = last.get(at).copied().unwrap_or((0, 0));
+            let sum = bytes.entry(at.0).or_default();
+            sum.0 += sent.saturating_sub(old.0);
+            sum.1 += received.saturating_sub(old.1);
+        }
+        last = next;
+    }
+    let seconds = begun.elapsed().as_secs_f64();
+    let each = ids.iter().zip(before).map(|(id, before)| {
+        let used = cpu(*id).zip(before).map_or(0.0, |(after, before)| after - before);
+        let (sent, received) = bytes.get(id).copied().unwrap_or_default();
+        Usage {
+            cpu: 100.0 * used / seconds,
+            memory: memory(*id).unwrap_or(0.0),
+            sent: sent as f64 / 1024.0 / seconds,
+            received: received as f64 / 1024.0 / seconds,
+        }
+    });
+    each.collect()
+}
+
+/// The least, median and greatest of some figures, with a number of decimals.
+pub fn spread(figures: impl IntoIterator<Item = f64>, decimals: usize) -> String {
+    let mut f: Vec<f64> = figures.into_iter().collect();
+    f.sort_by(f64::total_cmp);
+    let (Some(least), Some(greatest)) = (f.first(), f.last()) else { return "-".into() };
+    let median = f[f.len() / 2];
+    format!("{least:.decimals$} / {median:.decimals$} / {greatest:.decimals$}")
+}
+
+/// The slope and the intercept of the least-squares line through points.
+pub fn line(points: &[(f64, f64)]) -> (f64, f64) {
+    let n = points.len() as f64;
+    let (x, y) = points.iter().fold((0.0, 0.0), |(x, y), p| (x + p.0 / n, y + p.1 / n));
+    let above: f64 = points.iter().map(|p| (p.0 - x) * (p.1 - y)).sum();
+    let below: f64 = points.iter().map(|p| (p.0 - x).powi(2)).sum();
+    let slope = if below == 0.0 { 0.0 } else { above / below };
+    (slope, y - slope * x)
+}
--- /dev/null
+++ b/standin/src/load.rs
@@ -0,0 +1,364 @@
+//! An open-loop load of requests, and what became of each of them.
+//!
+//! Requests become due at a fixed rate, whether or not earlier ones were answered, and a latency
+//! counts from the time its request was due: a stall shows in all requests that it held up.
+
+use {
+    crate::Result,
+    bytes::Bytes,
+    dogwoodreach::http::{
+        CALLER, Client, DEADLINE, EPOCH, Failure, KEY, LEASE, RAN, REASON, REQUEST, RUN, uri,
+    },
+    hdrhistogram::Histogram,
+    http_body_util::Full,
+    hyper::{HeaderMap, Request, http::request::Builder},
+    lexopt::prelude::*,
+    serde::Serialize,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU32, AtomicUsize, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::time::{MissedTickBehavior, interval, sleep},
+};
+
+/// How often due requests are sent; far below the latencies that matter.
+const STEP: Duration = Duration::from_millis(1);
+/// How long an answer is waited for beyond the deadline.
+const SPARE: Duration = Duration::from_secs(2);
+/// How long a balancer leaves a member out that no connection could be opened to.
+const OUT: Duration = Duration::from_secs(1);
+/// The longest latency told apart, in microseconds.
+const MICROS: u64 = 120_000_000;
+/// How long a load runs before its goodput counts: no answer can come before a run's end.
+const WARM: Duration = Duration::from_secs(1);
+/// The bytes of a body: a premium's question.
+const BODY: usize = 256;
+/// The most requests without an answer; beyond, the tool itself is overloaded.
+const OPEN: usize = 20_000;
+
+/// What to send, and where.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// The members' addresses for callers, taken in turn; or the workers' with `direct`.
+    pub to: Vec<SocketAddr>,
+    /// Whether `to` are workers, of which the one with the fewest open requests is taken.
+    pub direct: bool,
+    /// The service.
+    pub service: Box<str>,
+    /// Requests a second.
+    pub rate: f64,
+    /// How long requests become due.
+    pub time: Duration,
+    /// How long each runs at the worker.
+    pub run: Duration,
+    /// How many callers there are.
+    pub callers: u64,
+    /// How long a caller waits.
+    pub deadline: Duration,
+    /// The share of requests with a key of their own.
+    pub keys: f64,
+}
+
+/// What became of the requests.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Outcome {
+    /// Requests that became due.
+    pub due: u64,
+    /// Whole answers to their own requests, within the deadline.
+    pub good: u64,
+    /// Whole answers after the deadline.
+    pub late: u64,
+    /// Answers that were not to their own request, or not whole.
+    pub wrong: u64,
+    /// Answers by status.
+    pub statuses: BTreeMap<u16, u64>,
+    /// Refusals and errors by reason.
+    pub reasons: BTreeMap<Box<str>, u64>,
+    /// Refusals that say that the request was not run.
+    pub not_run: u64,
+    /// Errors that leave open whether it was run.
+    pub unknown: u64,
+    /// Requests sent to another member since no connection could be opened.
+    pub rerouted: u64,
+    /// Good answers a second, from the first second to the end of the load's time.
+    pub goodput: f64,
+    /// Latencies of good answers, in milliseconds: p50, p90, p99, p99.9 and the greatest.
+    pub latency: [f64; 5],
+    /// Latencies of refusals, likewise.
+    pub refusal: [f64; 5],
+    /// Good and other ends of the requests that became due in each second.
+    pub seconds: Vec<(u64, u64)>,
+}
+
+struct Shared {
+    load: Load,
+    client: Client,
+    begun: Instant,
+    /// Tells this run's keys from those of others.
+    run: u64,
+    open: AtomicUsize,
+    at: Vec<AtomicU32>,
+    out: Mutex<Vec<Option<Instant>>>,
+    sums: Mutex<Sums>,
+}
+
+struct Sums {
+    outcome: Outcome,
+    warm: u64,
+    good: Histogram<u64>,
+    bad: Histogram<u64>,
+}
+
+/// Runs `standin load`; errs on arguments that it can't read.
+pub async fn command(mut args: lexopt::Parser) -> Result<()> {
+    let mut load = Load {
+        to: vec![],
+        direct: false,
+        service: "".into(),
+        rate: 100.0,
+        time: Duration::from_secs(10),
+        run: Duration::from_millis(5),
+        callers: 10,
+        deadline: Duration::from_secs(2),
+        keys: 0.0,
+    };
+    let mut json = false;
+    let millis = |v: u64| Duration::from_millis(v);
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("to") => load.to = addrs(&args.value()?.string()?)?,
+            Long("direct") => (load.to, load.direct) = (addrs(&args.value()?.string()?)?, true),
+            Long("service") => load.service = args.value()?.string()?.into(),
+            Long("rate") => load.rate = args.value()?.parse()?,
+            Long("seconds") => load.time = Duration::from_secs(args.value()?.parse()?),
+            Long("run-ms") => load.run = millis(args.value()?.parse()?),
+            Long("callers") => load.callers = args.value()?.parse()?,
+            Long("deadline-ms") => load.deadline = millis(args.value()?.parse()?),
+            Long("keys") => load.keys = args.value()?.parse()?,
+            Long("json") => json = true,
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    if load.to.is_empty() || (load.service.is_empty() && !load.direct) || load.rate <= 0.0 {
+        return Err("--to and --service, or --direct; and a --rate above 0".into());
+    }
+    let outcome = run(load).await;
+    match json {
+        true => println!("{}", serde_json::to_string(&outcome)?),
+        false => outcome.print(),
+    }
+    Ok(())
+}
+
+fn addrs(list: &str) -> Result<Vec<SocketAddr>> {
+    Ok(list.split(',').map(str::parse).collect::<std::result::Result<_, _>>()?)
+}
+
+/// Sends the load and waits for the last answer.
+pub async fn run(load: Load) -> Outcome {
+    let histogram = || Histogram::new_with_bounds(1, MICROS, 3).expect("the bounds are sound");
+    let sums = Sums { outcome: Outcome::default(), warm: 0, good: histogram(), bad: histogram() };
+    let shared = Arc::new(Shared {
+        client: Client::new(OPEN),
+        begun: Instant::now(),
+        run: fastrand::u64(..),
+        open: AtomicUsize::new(0),
+        at: load.to.iter().map(|_| AtomicU32::new(0)).collect(),
+        out: Mutex::new(vec![None; load.to.len()]),
+        sums: Mutex::new(sums),
+        load,
+    });
+    let mut ticks = interval(STEP);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Burst);
+    let mut n = 0;
+    loop {
+        ticks.tick().await;
+        let due = |n: u64| Duration::from_secs_f64(n as f64 / shared.load.rate);
+        while due(n) < shared.begun.elapsed().min(shared.load.time) {
+            let at = shared.begun + due(n);
+            tokio::spawn(shared.clone().request(n, at));
+            n += 1;
+        }
+        if due(n) >= shared.load.time {
+            break;
+        }
+    }
+    while Arc::strong_count(&shared) > 1 {
+        sleep(STEP).await;
+    }
+    let sums = shared.sums.lock().expect("no holder panics");
+    let mut outcome = sums.outcome.clone();
+    let warm = shared.load.time.saturating_sub(WARM).as_secs_f64();
+    outcome.goodput = sums.warm as f64 / warm.max(f64::MIN_POSITIVE);
+    outcome.latency = quantiles(&sums.good);
+    outcome.refusal = quantiles(&sums.bad);
+    outcome
+}
+
+fn quantiles(h: &Histogram<u64>) -> [f64; 5] {
+    [0.5, 0.9, 0.99, 0.999, 1.0].map(|q| h.value_at_quantile(q) as f64 / 1000.0)
+}
+
+/// How one request ended.
+enum End {
+    Answer(u16, HeaderMap, bool),
+    Failed(Failure),
+    Full,
+}
+
+impl Shared {
+    async fn request(self: Arc<Self>, n: u64, due: Instant) {
+        let end = if self.open.fetch_add(1, Ordering::Relaxed) < OPEN {
+            self.send(n).await
+        } else {
+            End::Full
+        };
+        self.open.fetch_sub(1, Ordering::Relaxed);
+        self.count(due, end);
+    }
+
+    async fn send(&self, n: u64) -> End {
+        let body = body(n);
+        let limit = self.load.deadline + SPARE;
+        for shift in 0..self.load.to.len() {
+            let at = self.pick(n as usize + shift);
+            let addr = self.load.to[at];
+            let request = if self.load.direct { self.direct(addr, n) } else { self.call(addr, n) };
+            let request = request.body(Full::new(body.clone())).expect("the parts are well-formed");
+            self.at[at].fetch_add(1, Ordering::Relaxed);
+            let sent = self.client.send(request, limit).await;
+            self.at[at].fetch_sub(1, Ordering::Relaxed);
+            match sent {
+                Ok((head, got)) => {
+                    let whole = got == body && head.headers.contains_key(REQUEST);
+                    return End::Answer(head.status.as_u16(), head.headers, whole);
+                }
+                // Certainly not sent: the platform's balancer takes the next member.
+                Err(Failure::Unsent) if !self.load.direct => {
+                    self.out.lock().expect("no holder panics")[at] = Some(Instant::now());
+                    self.sums.lock().expect("no holder panics").outcome.rerouted += 1;
+                }
+                Err(failure) => return End::Failed(failure),
+            }
+        }
+        End::Failed(Failure::Unsent)
+    }
+
+    /// The next member that can be connected to, or the idlest worker.
+    fn pick(&self, n: usize) -> usize {
+        let len = self.load.to.len();
+        let turns = (0..len).map(|i| (n + i) % len);
+        if self.load.direct {
+            let open = |i: &usize| self.at[*i].load(Ordering::Relaxed);
+            return turns.min_by_key(open).unwrap_or(0);
+        }
+        let out = self.out.lock().expect("no holder panics");
+        let up = |i: &usize| out[*i].is_none_or(|at| at.elapsed() > OUT);
+        turns.clone().find(up).unwrap_or(n % len)
+    }
+
+    fn call(&self, addr: SocketAddr, n: u64) -> Builder {
+        let load = &self.load;
+        let b = Request::post(uri(addr, &format!("/{}/load", load.service)))
+            .header(CALLER, format!("caller-{}", n % load.callers.max(1)))
+            .header(DEADLINE, load.deadline.as_millis().to_string())
+            .header(RUN, load.run.as_millis().to_string());
+        // Spread evenly: a key wherever the running share passes a whole number.
+        let keyed = ((n + 1) as f64 * load.keys).floor() > (n as f64 * load.keys).floor();
+        if keyed { b.header(KEY, format!("load-{:016x}-{n}", self.run)) } else { b }
+    }
+
+    fn direct(&self, addr: SocketAddr, n: u64) -> Builder {
+        let id = fastrand::u64(..);
+        Request::post(uri(addr, "/v1/run"))
+            .header(REQUEST, format!("{:032x}", u128::from(id) << 64 | u128::from(n)))
+            .header(EPOCH, "0")
+            .header(LEASE, self.load.deadline.as_millis().to_string())
+            .header(RUN, self.load.run.as_millis().to_string())
+    }
+
+    fn count(&self, due: Instant, end: End) {
+        let took = due.elapsed();
+        let micros = u64::try_from(took.as_micros()).unwrap_or(MICROS).clamp(1, MICROS);
+        let second = (due - self.begun).as_secs() as usize;
+        let mut sums = self.sums.lock().expect("no holder panics");
+        let s = &mut *sums;
+        let o = &mut s.outcome;
+        o.due += 1;
+        let mut good = false;
+        match end {
+            End::Answer(status, _, whole) if status == 200 => {
+                *o.statuses.entry(status).or_default() += 1;
+                good = whole && took <= self.load.deadline;
+                match whole {
+                    false => o.wrong += 1,
+                    true if good => o.good += 1,
+                    true => o.late += 1,
+                }
+            }
+            End::Answer(status, head, _) => {
+                *o.statuses.entry(status).or_default() += 1;
+                let text = |name| head.get(name).and_then(|v| v.to_str().ok());
+                let reason = text(REASON).unwrap_or("none").into();
+                *o.reasons.entry(reason).or_default() += 1;
+                let not_run = text(RAN) == Some("no");
+                *if not_run { &mut o.not_run } else { &mut o.unknown } += 1;
+            }
+            End::Failed(failure) => {
+                let reason = format!("connection {failure:?}").to_lowercase();
+                *o.reasons.entry(reason.into()).or_default() += 1;
+                let unsent = failure == Failure::Unsent;
+                *if unsent { &mut o.not_run } else { &mut o.unknown } += 1;
+            }
+            End::Full => *o.reasons.entry("load tool full".into()).or_default() += 1,
+        }
+        if o.seconds.len() <= second {
+            o.seconds.resize(second + 1, (0, 0));
+        }
+        let window = WARM..self.load.time;
+        s.warm += u64::from(good && window.contains(&self.begun.elapsed()));
+        let slot = &mut o.seconds[second];
+        *if good { &mut slot.0 } else { &mut slot.1 } += 1;
+        let histogram = if good { &mut s.good } else { &mut s.bad };
+        histogram.record(micros).expect("the value is within the bounds");
+    }
+}
+
+/// A body that no other request has.
+fn body(n: u64) -> Bytes {
+    let mut rng = fastrand::Rng::with_seed(n);
+    let mut text = format!("{n:016x} ");
+    text.extend(std::iter::repeat_with(|| rng.alphanumeric()).take(BODY - text.len()));
+    text.into()
+}
+
+impl Outcome {
+    /// Refusals and errors by reason, in one line.
+    pub fn why(&self) -> String {
+        let each = self.reasons.iter().map(|(r, n)| format!("{r} {n}"));
+        let all = each.collect::<Vec<_>>().join(", ");
+        if all.is_empty() { "none".into() } else { all }
+    }
+
+    fn print(&self) {
+        println!(
+            "due {}, good {}, late {}, wrong {}, not run {}, unknown {}, rerouted {}",
+            self.due, self.good, self.late, self.wrong, self.not_run, self.unknown, self.rerouted
+        );
+        println!(
+            "goodput {:.0}/s; statuses {:?}; reasons: {}",
+            self.goodput,
+            self.statuses,
+            self.why()
+        );
+        println!(
+            "ms at p50, p90, p99, p99.9, max: good {:?}, others {:?}",
+            self.latency, self.refusal
+        );
+    }
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the platform, the workers and the callers, and the measurements. Not shipped.
 
+mod experiment;
 mod kv;
+mod load;
 mod measure_order;
 mod measure_place;
 mod vms;
@@ -30,6 +32,11 @@
 
 const HELP: &str = "\
 standin platform [--kv ADDR] [--vms ADDR]   the key-value service and the VM list
+standin load --to ADDR[,ADDR...] --service NAME --rate N --seconds N [--run-ms N] [--callers N]
+             [--deadline-ms N] [--keys SHARE] [--json]
+standin load --direct ADDR[,ADDR...] --rate N ...   the same load, straight to workers
+standin experiment path|faults|config|control|leaving|starts
+                   [--runs N] [--seconds N] [--members LIST] [--part NAME]
 standin measure-place [--workers LIST] [--tasks N] [--runs N]
 standin measure-order [--slots N] [--hours N] [--seeds N] [--load X]
 standin workers --vms ADDR --pool NAME --zone NAME [--racks N] [--per-rack N]
@@ -55,6 +62,8 @@
         tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build()?;
     match command.to_str() {
         Some("platform") => runtime.block_on(platform(args)),
+        Some("load") => runtime.block_on(load::command(args)),
+        Some("experiment") => runtime.block_on(experiment::command(args)),
         Some("workers") => runtime.block_on(workers(args)),
         _ => Err(HELP.into()),
     }
