Requests wait in fair order and are let in by deadline

Cause: requests waited first come, first served, four to a slot, and were refused by that count alone. Change: decide::fair and decide::admit stand behind every service of a member; a request expires with a measured time to come back; run times of ended requests are charged to their callers.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -128,7 +128,9 @@
             Err(e) => refusal(&e),
             Ok(a) => {
                 let mut r = answer(a.status, a.body);
-                if let Ok(kind) = HeaderValue::from_str(&a.kind) {
+                if !a.kind.is_empty()
+                    && let Ok(kind) = HeaderValue::from_str(&a.kind)
+                {
                     r.headers_mut().insert(CONTENT_TYPE, kind);
                 }
                 r
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,7 +15,7 @@
 mod endpoints;
 mod error;
 pub mod event;
-mod gangs;
+pub mod gangs;
 pub mod http;
 pub mod ids;
 mod ini;
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -5,6 +5,10 @@
 use {
     crate::{
         core::{Core, OWN_END},
+        decide::{
+            admit::Gate,
+            fair::{Item, Queue},
+        },
         error::{Error, Kind, Ran},
         event::{Answer, Ask, Call, Forward, Order, Outcome, Run, Ticket, Verdict},
         http::Failure,
@@ -15,11 +19,7 @@
         time::Time,
     },
     rustc_hash::FxHashMap,
-    std::{
-        collections::{BTreeMap, VecDeque},
-        fmt::Write,
-        time::Duration,
-    },
+    std::{collections::BTreeMap, fmt::Write, time::Duration},
     xxhash_rust::xxh3::Xxh3Default,
 };
 
@@ -30,8 +30,9 @@
 const KEPT: usize = 2048;
 /// How often a request may be dispatched that certainly did not run before.
 const TRIES: u32 = 3;
-/// How many requests of a service may wait at a member for each slot it owns.
-const QUEUE: usize = 4;
+/// How many times a service's usual run time makes a request a long one, which leaves some slots to
+/// the others: below that the variation of usual requests would count as long.
+const LONG: u32 = 4;
 /// The pause before an unanswered word of a claim's end is sent again.
 const AGAIN: Duration = Duration::from_millis(500);
 
@@ -40,12 +41,19 @@
 pub struct Requests {
     table: FxHashMap<RequestId, Pending>,
     tickets: FxHashMap<Ticket, RequestId>,
-    queues: BTreeMap<ServiceId, VecDeque<RequestId>>,
+    lines: BTreeMap<ServiceId, Line>,
     ends: BTreeMap<(Key, RequestId), (ClaimEnd, Time)>,
     told: FxHashMap<Ticket, (Key, RequestId)>,
     own: Ticket,
 }
 
+/// The requests of one service that wait here, and those that run at endpoints of this member's.
+struct Line {
+    gate: Gate,
+    queue: Queue,
+    running: FxHashMap<RequestId, (Item, Time)>,
+}
+
 struct Pending {
     ask: Ask,
     deadline: Time,
@@ -76,7 +84,7 @@
 
     /// How many requests of a service wait for a slot.
     pub fn waiting(&self, service: &ServiceId) -> usize {
-        self.queues.get(service).map_or(0, VecDeque::len)
+        self.lines.get(service).map_or(0, |l| l.queue.len())
     }
 }
 
@@ -138,6 +146,12 @@
     /// Takes the outcome of a dispatch to an endpoint of this member's.
     pub(crate) fn ran(&mut self, request: RequestId, outcome: Outcome, now: Time) {
         self.racks.ran(request, &outcome, now);
+        let ran = !matches!(outcome, Outcome::Refused(_) | Outcome::Failed(Failure::Unsent));
+        for line in self.requests.lines.values_mut() {
+            if let Some((item, at)) = line.running.remove(&request) {
+                line.queue.done(&item, if ran { now - at } else { Duration::ZERO });
+            }
+        }
         self.settle(request, outcome, now);
         self.pump(now);
     }
@@ -172,13 +186,14 @@
 
     /// Answers what can no longer be run in time, and tells claims' ends again.
     pub(crate) fn expire(&mut self, now: Time) {
-        let waiting = self.requests.queues.values().flatten();
-        let late: Vec<RequestId> = waiting
-            .filter(|id| self.requests.table.get(id).is_none_or(|p| p.deadline <= now))
-            .copied()
-            .collect();
-        for id in late {
-            self.finish(id, Err(Kind::Expired.into()), now);
+        let mut late = vec![];
+        for line in self.requests.lines.values_mut() {
+            for item in line.queue.expire(now) {
+                late.push((item.id, line.gate.expired(&line.queue, &item, now)));
+            }
+        }
+        for (id, error) in late {
+            self.finish(id, Err(error), now);
         }
         let due: Vec<ClaimEnd> = self
             .requests
@@ -198,14 +213,20 @@
 
     /// Sends waiting requests to the slots that are free.
     pub(crate) fn pump(&mut self, now: Time) {
-        let services: Vec<ServiceId> = self.requests.queues.keys().cloned().collect();
-        for service in services {
-            while let Some(id) = self.requests.queues.get(&service).and_then(|q| q.front().copied())
-            {
-                if !self.dispatch(id, now) {
-                    break;
-                }
-                self.unqueue(&service, id);
+        // An owner whose lease is over may have been replaced.
+        if !self.may_dispatch(now) {
+            return;
+        }
+        let plan = self.config.plan().clone();
+        for (id, service) in &plan.services {
+            let (slots, mut free) = self.racks.slots(&service.pool);
+            let Some(line) = self.requests.lines.get_mut(id) else { continue };
+            line.queue.resize(slots);
+            while free > 0 {
+                let Some(line) = self.requests.lines.get_mut(id) else { break };
+                let Some(item) = line.gate.pop(&mut line.queue, now) else { break };
+                self.dispatch(service, item, now);
+                free = self.racks.slots(&service.pool).1;
             }
         }
     }
@@ -248,47 +269,62 @@
         }
     }
 
-    /// Sends a request to an endpoint here, to a peer with a free slot, or lets it wait.
+    /// Lets a request wait for a slot here, or sends it to a peer that has one free.
     fn route(&mut self, id: RequestId, now: Time) {
-        if self.dispatch(id, now) {
-            return;
-        }
         let Some(p) = self.requests.table.get_mut(&id) else { return };
         p.stage = Stage::Waiting;
-        let (service, hops) = (p.ask.service.clone(), p.ask.hops);
-        let Some(s) = self.service(&service) else {
+        let (name, hops, shunned) = (p.ask.service.clone(), p.ask.hops, p.shunned.clone());
+        let Some(service) = self.config.plan().services.get(&name).cloned() else {
             return self.finish(id, Err(Kind::UnknownService.into()), now);
         };
-        let (slots, _) = self.racks.slots(&s.pool);
-        let shunned = p_shunned(&self.requests, id);
-        if hops == 0
-            && let Some(to) = self.peer_for(&service, &shunned, slots == 0 || self.draining(), now)
-        {
-            return self.forward(id, to, now);
-        }
-        if slots == 0 {
-            return self.finish(id, Err(Kind::NoEndpoint.into()), now);
+        let (slots, free) = self.racks.slots(&service.pool);
+        let free = free as usize > self.requests.waiting(&name) && self.may_dispatch(now);
+        if !free && hops == 0 {
+            let must = slots == 0 || !self.may_dispatch(now);
+            if let Some(to) = self.peer_for(&name, &shunned, must, now) {
+                return self.forward(id, to, now);
+            }
         }
-        let queue = self.requests.queues.entry(service).or_default();
-        if queue.len() >= QUEUE * slots as usize {
-            return self.finish(id, Err(Kind::QueueFull.into()), now);
+        if let Err(error) = self.wait(id, &name, &service, slots, now) {
+            return self.finish(id, Err(error), now);
         }
-        queue.push_back(id);
+        self.pump(now);
     }
 
-    /// Sends a request to an endpoint here; false where none has a free slot.
-    fn dispatch(&mut self, id: RequestId, now: Time) -> bool {
-        // An owner whose lease is over may have been replaced.
-        if !self.may_dispatch(now) {
-            return false;
-        }
-        let Some(p) = self.requests.table.get(&id) else { return true };
-        let Some(s) = self.config.plan().services.get(&p.ask.service) else { return false };
-        if p.deadline <= now {
-            return false;
-        }
-        let Some(spot) = self.racks.take(&s.pool, id, p.deadline + SPARE) else { return false };
-        let Some(p) = self.requests.table.get_mut(&id) else { return true };
+    fn wait(
+        &mut self,
+        id: RequestId,
+        name: &ServiceId,
+        service: &Service,
+        slots: u32,
+        now: Time,
+    ) -> Result<(), Error> {
+        let Some(p) = self.requests.table.get(&id) else { return Ok(()) };
+        let item = Item {
+            id,
+            caller: p.ask.caller.clone(),
+            team: service.team.clone(),
+            born: now,
+            deadline: p.deadline,
+            run: p.ask.run.unwrap_or(service.run),
+        };
+        let seed = self.me().0;
+        let line = self.requests.lines.entry(name.clone()).or_insert_with(|| Line {
+            gate: Gate::new(fastrand::Rng::with_seed(seed)),
+            queue: Queue::new(slots, service.run * LONG),
+            running: FxHashMap::default(),
+        });
+        line.queue.resize(slots);
+        line.gate.admit(&mut line.queue, item, now)
+    }
+
+    /// Sends a request that is next to an endpoint with a free slot.
+    fn dispatch(&mut self, service: &Service, item: Item, now: Time) {
+        let id = item.id;
+        let Some(p) = self.requests.table.get_mut(&id) else { return };
+        let Some(spot) = self.racks.take(&service.pool, id, p.deadline + SPARE) else {
+            return self.finish(id, Err(Kind::NoEndpoint.into()), now);
+        };
         p.stage = Stage::Running;
         p.tries += 1;
         let run = Run {
@@ -300,8 +336,10 @@
             run: p.ask.run,
             load: p.ask.load.clone(),
         };
+        if let Some(line) = self.requests.lines.get_mut(&p.ask.service) {
+            line.running.insert(id, (item, now));
+        }
         self.out.push(Order::Run(Box::new(run)));
-        true
     }
 
     fn forward(&mut self, id: RequestId, to: Incarnation, now: Time) {
@@ -356,8 +394,10 @@
     fn finish(&mut self, id: RequestId, verdict: Verdict, now: Time) {
         let Some(p) = self.requests.table.remove(&id) else { return };
         self.requests.tickets.remove(&p.ask.ticket);
-        if p.stage == Stage::Waiting {
-            self.unqueue(&p.ask.service, id);
+        if p.stage == Stage::Waiting
+            && let Some(line) = self.requests.lines.get_mut(&p.ask.service)
+        {
+            line.queue.cancel(id);
         }
         if let Some(key) = p.claim {
             self.tell_end(end(key, id, &verdict), now);
@@ -381,16 +421,6 @@
         }
     }
 
-    fn unqueue(&mut self, service: &ServiceId, id: RequestId) {
-        if let Some(queue) = self.requests.queues.get_mut(service) {
-            queue.retain(|q| *q != id);
-        }
-    }
-
-    fn service(&self, id: &ServiceId) -> Option<&Service> {
-        self.config.plan().services.get(id)
-    }
-
     fn reply(&mut self, ticket: Ticket, verdict: Verdict) {
         self.metrics.verdict(&verdict);
         self.out.push(Order::Reply(ticket, verdict));
@@ -400,10 +430,6 @@
 /// What a slot stays taken beyond the request's lease: the drift of two clocks and one flight.
 const SPARE: Duration = Duration::from_millis(500);
 
-fn p_shunned(requests: &Requests, id: RequestId) -> Vec<Incarnation> {
-    requests.table.get(&id).map_or_else(Vec::new, |p| p.shunned.clone())
-}
-
 /// How a claimed request ended, for the key's owner.
 fn end(key: Key, request: RequestId, verdict: &Verdict) -> ClaimEnd {
     let (fate, status, answer) = match verdict {
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -4,6 +4,7 @@
 
 use {
     arbtest::arbitrary::{Result, Unstructured},
+    bucket::{Kv, Member, runs},
     dogwoodreach::{
         Time,
         attempts::{DRIFT, FLIGHT, LEASE, Place, Refused},
@@ -12,7 +13,6 @@
         messages::{EndItem, TaskReport, TaskRow, TaskState},
         units::Size,
     },
-    bucket::{Kv, Member, runs},
     std::{cell::Cell, time::Duration},
 };
 
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -4,6 +4,7 @@
 
 use {
     arbtest::arbitrary::{Result, Unstructured},
+    bucket::{Kv, Member, runs},
     dogwoodreach::{
         Time,
         bucket::Order,
@@ -11,7 +12,6 @@
         ids::{Key, RequestId},
         messages::{ClaimAsk, ClaimEnd, ClaimFate, ClaimVerdict},
     },
-    bucket::{Kv, Member, runs},
     std::{cell::Cell, time::Duration},
 };
 
