--- a/standin/src/measure_place.rs
+++ b/standin/src/measure_place.rs
@@ -116,10 +116,8 @@
         };
         for n in 0..tasks {
             let service = (n % 5 == 0).then_some(n / 5 / REPLICAS);
-            while {
-                let size = bench.draw(service);
-                !bench.start(size, service)
-            } {}
+            let size = bench.draw(service);
+            bench.start(size, service);
         }
         bench
     }
@@ -240,11 +238,12 @@
     }
 }
 
-/// What one run gave.
+/// What one run gave; `running` is the population that found room to begin with.
 struct Outcome {
     latency: Histogram<u64>,
     took: Duration,
     refused: u64,
+    running: usize,
 }
 
 impl Outcome {
@@ -261,7 +260,8 @@
 fn measure(workers: usize, tasks: usize, indexed: bool, seed: u64) -> Outcome {
     let mut bench = Bench::new(workers, tasks, indexed, seed);
     let latency = Histogram::new_with_bounds(1, NANOS, 3).expect("the bounds are in order");
-    let mut out = Outcome { latency, took: Duration::ZERO, refused: 0 };
+    let mut out =
+        Outcome { latency, took: Duration::ZERO, refused: 0, running: bench.running.len() };
     for _ in 0..STEPS {
         bench.step(&mut out);
     }
@@ -282,7 +282,7 @@
 fn report(args: &Args) {
     println!("Least / median / greatest of {} runs of {STEPS} steps each.\n", args.runs);
     println!(
-        "| workers | tasks | by | decisions/s | p50 us | p99 us | p99.9 us | greatest us | no room |"
+        "| workers | running | by | decisions/s | p50 us | p99 us | p99.9 us | greatest us | no room |"
     );
     println!("|---|---|---|---|---|---|---|---|---|");
     let mut means = [Vec::new(), Vec::new()];
@@ -296,9 +296,10 @@
             }
         }
         for (n, by) in ["index", "scan"].into_iter().enumerate() {
+            let running = runs[n].iter().map(|r| r.running).min().unwrap_or_default();
             let quantile = |q| show(runs[n].iter().map(|r| r.at(q)), 1);
             println!(
-                "| {workers} | {tasks} | {by} | {} | {} | {} | {} | {} | {} |",
+                "| {workers} | {running} | {by} | {} | {} | {} | {} | {} | {} |",
                 show(runs[n].iter().map(Outcome::rate), 0),
                 quantile(0.5),
                 quantile(0.99),
@@ -317,6 +318,9 @@
     for (workers, ratio) in ratios {
         println!("| {workers} | {ratio} |");
     }
+    if args.workers.len() < 2 {
+        return;
+    }
     println!("\nSlope of the mean time of a decision, least squares against log2(workers):");
     for (n, by) in ["index", "scan"].into_iter().enumerate() {
         println!("- {by}: {:.3} us for each doubling of the workers", slope(&means[n]));
