--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod admit;
 pub mod cancel;
+pub mod choose;
+pub mod eject;
 pub mod estimate;
 mod evidence;
 pub mod fair;
