Endpoints are chosen by observed time, and ejected when they fail

Cause: a request went to the worker with the most free slots, so a slow endpoint got as many as a fast one, and one that failed fast got the most. Change: decide::choose and decide::eject stand behind each pool of a member's workers; the ledger keeps the last word on slots.

--- a/src/core.rs
+++ b/src/core.rs
@@ -111,7 +111,7 @@
         Core {
             me,
             ownership: Ownership::new(id),
-            racks: Racks::new(),
+            racks: Racks::new(id.0),
             jobs: Jobs::new(id, unix),
             config: Config::default(),
             requests: Requests::default(),
@@ -136,7 +136,7 @@
         match event {
             Event::Ask(ask) => self.ask(*ask, now),
             Event::Gone(ticket) => self.gone(ticket, now),
-            Event::Ran { request, outcome, .. } => self.ran(request, outcome, now),
+            Event::Ran { request, worker, outcome } => self.ran(request, &worker, outcome, now),
             Event::Forwarded { request, to, outcome } => self.forwarded(request, to, outcome, now),
             Event::Reported { worker, report } => {
                 self.racks.reported(&worker, report, now);
@@ -763,7 +763,7 @@
 
     fn beat(&self, now: Time) -> Beat {
         let services = self.config.plan().services.iter().map(|(id, s)| {
-            let (slots, free) = self.racks.slots(&s.pool);
+            let (slots, free) = self.racks.slots(&s.pool, now);
             let waiting = self.requests.waiting(id);
             ServiceLoad {
                 service: id.clone(),
--- a/src/decide/choose.rs
+++ b/src/decide/choose.rs
@@ -105,6 +105,13 @@
         Some(endpoint.worker.clone())
     }
 
+    /// Counts a request at an endpoint that was chosen otherwise.
+    pub fn count(&mut self, worker: &WorkerId) {
+        if let Some(e) = self.get(worker) {
+            e.busy += 1;
+        }
+    }
+
     /// Records that a request ended without an answer that tells the endpoint's speed.
     pub fn release(&mut self, worker: &WorkerId) {
         if let Some(e) = self.get(worker) {
--- a/src/racks.rs
+++ b/src/racks.rs
@@ -10,6 +10,8 @@
         Time,
         attempts::{FLIGHT, LEASE},
         decide::{
+            choose::Scores,
+            eject::Ejector,
             estimate::{Action, Estimates},
             place::Index,
             urgent::{self, Running},
@@ -26,6 +28,7 @@
         },
         units::Size,
     },
+    fastrand::Rng,
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
@@ -50,6 +53,8 @@
 ///
 /// Longer than a bucket takes to change its owner twice; a probe comes every two seconds.
 const VOUCH: Duration = Duration::from_secs(60);
+/// How many endpoints are drawn before the one with the most free slots is taken.
+const PICKS: usize = 4;
 /// How long a checkpoint takes; until workers report it, the time that urgent work can wait.
 const CHECKPOINT: Duration = Duration::from_millis(500);
 
@@ -64,6 +69,14 @@
     marks: BTreeMap<WorkerId, (TaskId, Time)>,
     indexes: BTreeMap<PoolId, Index>,
     estimates: Estimates,
+    choices: BTreeMap<PoolId, Choice>,
+    seed: u64,
+}
+
+/// How the endpoints of one pool do.
+struct Choice {
+    scores: Scores,
+    ejector: Ejector,
 }
 
 /// What an attempt's bucket said of it.
@@ -107,9 +120,11 @@
 }
 
 impl Racks {
-    /// No racks yet.
-    pub fn new() -> Self {
+    /// No racks yet; `seed` draws the choices of endpoints.
+    pub fn new(seed: u64) -> Self {
         Racks {
+            choices: BTreeMap::new(),
+            seed,
             ledger: Ledger::new(LAG),
             vms: BTreeMap::new(),
             racks: BTreeMap::new(),
@@ -122,29 +137,75 @@
         }
     }
 
-    /// Takes a slot of a pool for a request until `ends`.
-    pub fn take(&mut self, pool: &PoolId, request: RequestId, ends: Time) -> Option<Spot> {
-        let worker = self.ledger.idlest(pool)?.clone();
+    /// Chooses an endpoint of a pool that has a slot free; [`Racks::take`] or [`Racks::pass`] follows.
+    pub fn choose(&mut self, pool: &PoolId, now: Time) -> Option<WorkerId> {
+        let choice = self.choices.get_mut(pool)?;
+        for _ in 0..PICKS {
+            let worker = choice.scores.pick(&choice.ejector, now)?;
+            // A request that was given up on may still hold a slot there.
+            if self.ledger.worker(&worker).is_some_and(|a| a.free() > 0) {
+                return Some(worker);
+            }
+            choice.scores.release(&worker);
+        }
+        let worker = self.ledger.idlest(pool)?;
+        choice.scores.count(worker);
+        Some(worker.clone())
+    }
+
+    /// Takes a slot of a chosen endpoint for a request until `ends`.
+    pub fn take(&mut self, worker: WorkerId, request: RequestId, ends: Time) -> Option<Spot> {
         self.ledger.take_slot(request, &worker, ends).ok()?;
-        let link = self.links.get(&worker)?;
+        let epoch = self.links.get(&worker)?.epoch;
         let addr = self.vms.get(&worker)?.addr;
-        Some(Spot { worker, addr, epoch: link.epoch })
+        Some(Spot { worker, addr, epoch })
     }
 
-    /// A dispatch is over; frees the slot unless the request may still run there.
-    pub fn ran(&mut self, request: RequestId, outcome: &Outcome, now: Time) {
+    /// Lets a chosen endpoint go unused.
+    pub fn pass(&mut self, worker: &WorkerId) {
+        for choice in self.choices.values_mut() {
+            choice.scores.release(worker);
+        }
+    }
+
+    /// A dispatch is over after `ran`, where `run` was expected; frees the slot unless the request
+    /// may still run there.
+    pub fn ran(
+        &mut self,
+        request: RequestId,
+        worker: &WorkerId,
+        outcome: &Outcome,
+        (run, ran): (Duration, Duration),
+        now: Time,
+    ) {
+        // It may run on: its slot is free when its lease ends or a report shows it gone.
+        if !matches!(outcome, Outcome::Failed(Failure::Broken | Failure::Timeout)) {
+            self.ledger.free_slot(request, now);
+        }
+        let Some(pool) = self.vms.get(worker).map(|v| &v.pool) else { return };
+        let Some(choice) = self.choices.get_mut(pool) else { return };
         match outcome {
-            // It may run on: its slot is free when its lease ends or a report shows it gone.
-            Outcome::Failed(Failure::Broken | Failure::Timeout) => {}
+            Outcome::Answered(a) if a.status < 500 => {
+                let slowness = choice.scores.answered(worker, run, ran, now);
+                if choice.ejector.answered(worker, slowness, now) {
+                    choice.scores.restart(worker, now);
+                }
+            }
+            Outcome::Refused(_) => choice.scores.release(worker),
             _ => {
-                self.ledger.free_slot(request, now);
+                choice.scores.release(worker);
+                if choice.ejector.failed(worker, now) {
+                    log::warn!(target: "racks", "Endpoint {worker} is ejected for a while.");
+                }
             }
         }
     }
 
     /// All slots of a pool here, and the free ones.
-    pub fn slots(&self, pool: &PoolId) -> (u32, u32) {
-        self.ledger.slots(pool)
+    pub fn slots(&self, pool: &PoolId, now: Time) -> (u32, u32) {
+        let (slots, free) = self.ledger.slots(pool);
+        let open = self.choices.get(pool).map_or(0, |c| c.scores.slots(&c.ejector, now).1);
+        (slots, free.min(open))
     }
 
     /// Takes in the platform's list; a leaving worker gets nothing new from now on.
@@ -162,7 +223,7 @@
                 link.cut = true;
             }
         }
-        self.gate();
+        self.gate(now);
     }
 
     /// A rack is this member's now.
@@ -186,6 +247,10 @@
                 .collect();
             self.ledger.remove(&worker);
             self.indexes.values_mut().for_each(|i| i.remove(&worker));
+            for choice in self.choices.values_mut() {
+                choice.scores.remove(&worker);
+                choice.ejector.forget(&worker);
+            }
             for (held, size) in held {
                 match held {
                     Held::Request(request) => {
@@ -241,7 +306,7 @@
                 link.ready |= link.fenced.is_some();
             }
         }
-        self.gate();
+        self.gate(now);
         true
     }
 
@@ -278,7 +343,7 @@
             link.ready |= link.handed;
             link.poll = now;
         }
-        self.gate();
+        self.gate(now);
     }
 
     /// Takes a worker's report.
@@ -311,7 +376,7 @@
         if let Some(link) = self.links.get_mut(worker) {
             link.starts.retain(|(o, _)| !running.contains(&(o.task.clone(), o.attempt)));
         }
-        self.gate();
+        self.gate(now);
         self.reindex(worker);
     }
 
@@ -606,14 +671,30 @@
                 *link = Link::new(epoch, now);
             }
         }
-        self.gate();
+        self.gate(now);
     }
 
     /// Lets each worker take new work, or not.
-    fn gate(&mut self) {
+    fn gate(&mut self, now: Time) {
         for (worker, link) in &self.links {
             let live = self.vms.get(worker).is_some_and(|v| v.state == VmState::Live);
-            self.ledger.cordon(worker, !(live && link.ready && !link.cut));
+            let open = live && link.ready && !link.cut;
+            self.ledger.cordon(worker, !open);
+            let Some(vm) = self.vms.get(worker) else { continue };
+            let seed = self.seed;
+            let choice = self.choices.entry(vm.pool.clone()).or_insert_with(|| Choice {
+                scores: Scores::new(Rng::with_seed(seed)),
+                ejector: Ejector::default(),
+            });
+            if open {
+                choice.scores.add(worker.clone(), vm.slots, now);
+            } else {
+                choice.scores.remove(worker);
+            }
+        }
+        for (pool, choice) in &mut self.choices {
+            let count = self.ledger.workers().filter(|(_, a)| a.pool == *pool).count();
+            choice.ejector.resize(count);
         }
         let all: Vec<WorkerId> = self.links.keys().cloned().collect();
         all.iter().for_each(|w| self.reindex(w));
@@ -638,7 +719,7 @@
         }
         if link.cut && !was {
             log::warn!(target: "racks", "Worker {worker} is silent; its leases run out.");
-            self.gate();
+            self.gate(now);
             return;
         }
         if link.cut {
@@ -701,7 +782,7 @@
         }
         if let Some(link) = self.links.get_mut(worker).filter(|_| back) {
             link.cut = false;
-            self.gate();
+            self.gate(now);
         }
     }
 
@@ -821,12 +902,6 @@
     }
 }
 
-impl Default for Racks {
-    fn default() -> Self {
-        Racks::new()
-    }
-}
-
 impl Link {
     fn new(epoch: Epoch, now: Time) -> Self {
         Link {
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -12,7 +12,7 @@
         error::{Error, Kind, Ran},
         event::{Answer, Ask, Call, Forward, Order, Outcome, Run, Ticket, Verdict},
         http::Failure,
-        ids::{Incarnation, Key, RequestId, ServiceId},
+        ids::{Incarnation, Key, RequestId, ServiceId, WorkerId},
         jobs::bucket_of,
         messages::{ClaimAsk, ClaimEnd, ClaimFate, ClaimReply, ClaimVerdict},
         text::Service,
@@ -144,14 +144,22 @@
     }
 
     /// Takes the outcome of a dispatch to an endpoint of this member's.
-    pub(crate) fn ran(&mut self, request: RequestId, outcome: Outcome, now: Time) {
-        self.racks.ran(request, &outcome, now);
+    pub(crate) fn ran(
+        &mut self,
+        request: RequestId,
+        worker: &WorkerId,
+        outcome: Outcome,
+        now: Time,
+    ) {
         let ran = !matches!(outcome, Outcome::Refused(_) | Outcome::Failed(Failure::Unsent));
+        let mut times = (Duration::ZERO, Duration::ZERO);
         for line in self.requests.lines.values_mut() {
             if let Some((item, at)) = line.running.remove(&request) {
+                times = (item.run, now - at);
                 line.queue.done(&item, if ran { now - at } else { Duration::ZERO });
             }
         }
+        self.racks.ran(request, worker, &outcome, times, now);
         self.settle(request, outcome, now);
         self.pump(now);
     }
@@ -219,14 +227,17 @@
         }
         let plan = self.config.plan().clone();
         for (id, service) in &plan.services {
-            let (slots, mut free) = self.racks.slots(&service.pool);
+            let (slots, _) = self.racks.slots(&service.pool, now);
             let Some(line) = self.requests.lines.get_mut(id) else { continue };
             line.queue.resize(slots);
-            while free > 0 {
+            while self.requests.waiting(id) > 0 {
+                let Some(worker) = self.racks.choose(&service.pool, now) else { break };
                 let Some(line) = self.requests.lines.get_mut(id) else { break };
-                let Some(item) = line.gate.pop(&mut line.queue, now) else { break };
-                self.dispatch(service, item, now);
-                free = self.racks.slots(&service.pool).1;
+                let Some(item) = line.gate.pop(&mut line.queue, now) else {
+                    self.racks.pass(&worker);
+                    break;
+                };
+                self.dispatch(worker, item, now);
             }
         }
     }
@@ -277,7 +288,7 @@
         let Some(service) = self.config.plan().services.get(&name).cloned() else {
             return self.finish(id, Err(Kind::UnknownService.into()), now);
         };
-        let (slots, free) = self.racks.slots(&service.pool);
+        let (slots, free) = self.racks.slots(&service.pool, now);
         let free = free as usize > self.requests.waiting(&name) && self.may_dispatch(now);
         if !free && hops == 0 {
             let must = slots == 0 || !self.may_dispatch(now);
@@ -319,10 +330,10 @@
     }
 
     /// Sends a request that is next to an endpoint with a free slot.
-    fn dispatch(&mut self, service: &Service, item: Item, now: Time) {
+    fn dispatch(&mut self, worker: WorkerId, item: Item, now: Time) {
         let id = item.id;
         let Some(p) = self.requests.table.get_mut(&id) else { return };
-        let Some(spot) = self.racks.take(&service.pool, id, p.deadline + SPARE) else {
+        let Some(spot) = self.racks.take(worker, id, p.deadline + SPARE) else {
             return self.finish(id, Err(Kind::NoEndpoint.into()), now);
         };
         p.stage = Stage::Running;
