Ledger: owners change and reports lag, against what truly runs

A worker's truth, starts under way for up to a second, reports up to three seconds old and owners that change: in 100 fixed seeds nothing is ever over the worker's size, and after 20 quiet seconds the ledger agrees with the truth. Fails without the lag bound, without the intents and without the reported tasks.

--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -271,3 +271,51 @@
     assert_eq!(ledger.remove(&worker(0)), [Held::Task(task(1), Attempt(1))]);
     assert_eq!(ledger.slots(&PoolId::from("quoting")), (16, 16));
 }
+
+// A worker runs more than it has. Its owner changes again and again, starts are under way for up to
+// a second, and each owner sees only reports that are up to three seconds old.
+#[test]
+fn no_worker_is_over_its_size_when_owners_change_and_reports_lag() {
+    for seed in 0..100u64 {
+        arbtest(|u| {
+            let (mut owner, mut intents) = (ledger(), Vec::<TaskRow>::new());
+            let (mut flights, mut running, mut past) = (Vec::new(), Vec::<TaskRow>::new(), vec![]);
+            let mut now = secs(100);
+            for n in 0..1500 {
+                now = now + Duration::from_millis(100);
+                let quiet = n >= 1300;
+                let arrived = flights.extract_if(.., |(at, _)| *at <= now);
+                running.extend(arrived.map(|(_, row): (Time, TaskRow)| row));
+                let used: Size = running.iter().map(|r| r.size).sum();
+                assert!(used.fits(&Size::new(16, 65536, 0)), "{used} is in use");
+                if !quiet && !running.is_empty() && u.ratio(1, 20)? {
+                    running.swap_remove(u.choose_index(running.len())?);
+                }
+                past.push(running.iter().map(|r| (r.task.index.0, TaskState::Running)).collect());
+                let age = u.int_in_range(0..=30usize)?.min(n as usize);
+                let seen: &Vec<_> = &past[n as usize - age];
+                let seen = report(Duration::from_millis(100 * age as u64), seen, &[]);
+                if !quiet && u.ratio(1, 40)? {
+                    owner = ledger();
+                    owner.adopt(&worker(0), &seen, &intents, now);
+                } else if u.ratio(1, 4)? {
+                    let ended = owner.adopt(&worker(0), &seen, &[], now);
+                    intents.retain(|r| ended.iter().all(|(task, _)| r.task != *task));
+                }
+                let size = Size::new(u.int_in_range(3..=9)?, 1024, 0);
+                let expires = now + Duration::from_secs(1);
+                if !quiet && owner.reserve(&task(n), Attempt(1), &worker(0), size, expires).is_ok()
+                {
+                    assert!(owner.confirm(&task(n), Attempt(1), now));
+                    intents.push(intent(n, size));
+                    let flight = Duration::from_millis(u.int_in_range(0..=1000)?);
+                    flights.push((now + flight, intent(n, size)));
+                }
+            }
+            let used: Size = running.iter().map(|r| r.size).sum();
+            assert_eq!(owner.worker(&worker(0)).unwrap().used().size, used);
+            Ok(())
+        })
+        .seed(seed << 32 | 32768);
+    }
+}
