Retry budget and choice of a peer member

Cause: retries multiply the load when least can be served; a report that is older than a request runs sends every member to the same peer.

Not caught: RAMP near zero; in this fake the two random choices smooth the switch by themselves.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,3 +4,5 @@
 pub mod choose;
 pub mod eject;
 pub mod fair;
+pub mod retry;
+pub mod shift;
--- /dev/null
+++ b/tests/shift.rs
@@ -0,0 +1,204 @@
+//! Load between members: stale reports, and availability zones without oscillation.
+
+mod fake;
+
+use {
+    dogwoodreach::{
+        Time,
+        decide::shift::Spread,
+        ids::{Incarnation, Zone},
+        messages::ServiceLoad,
+    },
+    fake::{Agenda, exp, ms},
+    std::{collections::VecDeque, time::Duration},
+};
+
+const RUN: Duration = ms(50);
+const SLOTS: usize = 16;
+/// Members that own workers, the first half in the senders' availability zone.
+const OWNERS: usize = 6;
+/// Between a member's reports, which are as old when they come.
+const REPORT: Duration = ms(400);
+
+fn zone(owner: usize) -> Zone {
+    Zone::from(if owner < OWNERS / 2 { "near" } else { "far" })
+}
+
+fn load(free: usize, waiting: usize) -> ServiceLoad {
+    let wait = RUN.as_millis() as usize * waiting / SLOTS;
+    ServiceLoad {
+        service: "quotes".into(),
+        slots: SLOTS as u32,
+        free: free as u32,
+        waiting: waiting as u32,
+        wait: wait as u64,
+    }
+}
+
+enum Event {
+    Arrive,
+    End(usize),
+    Measure,
+    Report(Vec<ServiceLoad>),
+}
+
+struct Played {
+    /// The waits at the owners.
+    waits: Vec<Duration>,
+    /// The requests for which no owner was expected to have room.
+    lost: usize,
+    /// The part sent to the other availability zone, in each 400 ms.
+    far: Vec<f64>,
+}
+
+impl Played {
+    fn p95(&self) -> Duration {
+        let mut waits = self.waits.clone();
+        waits.sort();
+        waits[waits.len() * 95 / 100]
+    }
+
+    /// The mean change of the far part from one span to the next, after the first two seconds.
+    fn swing(&self) -> f64 {
+        let pairs = || self.far[5..].windows(2);
+        pairs().map(|p| (p[1] - p[0]).abs()).sum::<f64>() / pairs().count() as f64
+    }
+}
+
+/// Plays 20 s at `rate` parts of all owners' capacity, sent by so many members; `ours`, or the least loaded by the report,
+/// near ones first.
+fn play(ours: bool, senders: usize, rate: f64) -> Played {
+    let mut rng = fastrand::Rng::with_seed(11);
+    let new = |seed| Spread::new("near".into(), fastrand::Rng::with_seed(seed));
+    let mut spreads: Vec<_> = (0..senders as u64).map(new).collect();
+    let mut queues = vec![VecDeque::new(); OWNERS];
+    let (mut busy, mut known) = ([0; OWNERS], vec![load(SLOTS, 0); OWNERS]);
+    let mut agenda = Agenda::new();
+    let (mut now, gap) = (Time::ZERO, RUN.div_f64(rate * (SLOTS * OWNERS) as f64));
+    while now < Time::from_millis(20_000) {
+        now = now + exp(&mut rng, gap);
+        agenda.add(now, Event::Arrive);
+    }
+    for i in 0..50 {
+        agenda.add(Time::ZERO + REPORT * i, Event::Measure);
+    }
+    let mut played = Played { waits: Vec::new(), lost: 0, far: Vec::new() };
+    let mut sent = [0; 2];
+    while let Some((now, event)) = agenda.next() {
+        match event {
+            Event::Arrive => {
+                let sender = &mut spreads[rng.usize(..senders)];
+                let owner = match ours {
+                    true => sender.pick(Duration::MAX, RUN, now).map(|i| i.0 as usize),
+                    false => least(&known),
+                };
+                played.lost += usize::from(owner.is_none());
+                let owner = owner.unwrap_or_else(|| rng.usize(..OWNERS));
+                sent[owner / (OWNERS / 2)] += 1;
+                queues[owner].push_back(now);
+            }
+            Event::End(owner) => busy[owner] -= 1,
+            Event::Measure => {
+                let far = f64::from(sent[1]) / f64::from((sent[0] + sent[1]).max(1));
+                played.far.push(far);
+                sent = [0; 2];
+                let loads = (0..OWNERS).map(|o| load(SLOTS - busy[o], queues[o].len())).collect();
+                agenda.add(now + REPORT, Event::Report(loads));
+            }
+            Event::Report(loads) => {
+                for (o, load) in loads.iter().enumerate() {
+                    let peer = Incarnation(o as u64);
+                    for spread in &mut spreads {
+                        spread.report(peer, &zone(o), load.clone(), REPORT, now);
+                    }
+                }
+                known = loads;
+            }
+        }
+        for owner in 0..OWNERS {
+            while busy[owner] < SLOTS
+                && let Some(born) = queues[owner].pop_front()
+            {
+                busy[owner] += 1;
+                played.waits.push(now.since(born));
+                agenda.add(now + exp(&mut rng, RUN), Event::End(owner));
+            }
+        }
+    }
+    played
+}
+
+/// The first near owner with the most free slots, a far one where none near has any.
+fn least(known: &[ServiceLoad]) -> Option<usize> {
+    let best = |side: std::ops::Range<usize>| {
+        side.min_by_key(|&o| (known[o].waiting as i64) - i64::from(known[o].free))
+    };
+    let near = best(0..OWNERS / 2)?;
+    if known[near].free > 0 { Some(near) } else { best(OWNERS / 2..OWNERS) }
+}
+
+// Reports are 400 to 800 ms old, and a request runs 50 ms. By the last report each member sends all
+// to the least loaded peer; it fills up and the others run dry, until the next report names
+// another.
+#[test]
+fn stale_reports_do_not_draw_a_crowd() {
+    let (ours, base) = (play(true, 3, 0.7), play(false, 3, 0.7));
+    println!("p95 wait {:?}, least loaded {:?}", ours.p95(), base.p95());
+    assert!(ours.p95() < ms(50));
+    assert!(base.p95() > ms(500));
+}
+
+// The near half can't serve all, so a part must go to the other availability zone. That part is to
+// be steady: switched at a threshold by old reports, it swings between none and all.
+#[test]
+fn zones_share_without_swinging() {
+    let (ours, base) = (play(true, 3, 0.7), play(false, 3, 0.7));
+    println!("swing {:.3}, least loaded {:.3}", ours.swing(), base.swing());
+    println!("far part {:.2?}", &ours.far[5..15]);
+    assert!(ours.swing() < 0.1);
+    assert!(base.swing() > 0.2);
+}
+
+#[test]
+fn light_load_stays_in_the_zone() {
+    let far = play(true, 3, 0.15).far;
+    let mean = far[5..].iter().sum::<f64>() / (far.len() - 5) as f64;
+    println!("far part at 15% load {mean:.3}");
+    assert!(mean < 0.02);
+}
+
+// A broker's connections all fall on one member. It takes the others to send as much as itself, as
+// they mostly do, and so finds the peers full when they are not.
+#[test]
+fn single_sender_finds_room() {
+    for senders in [1, 6] {
+        let ours = play(true, senders, 0.7);
+        println!("{senders} senders: lost {} of {}", ours.lost, ours.waits.len());
+        println!("p95 wait {:?}", ours.p95());
+        assert!(ours.lost * 10 < ours.waits.len());
+        assert!(ours.p95() < ms(50));
+    }
+}
+
+#[test]
+fn peers_that_are_no_help_are_left_out() {
+    let mut spread = Spread::new("near".into(), fastrand::Rng::with_seed(1));
+    let (peer, long) = (Incarnation(1), Duration::from_secs(5));
+    let report = |spread: &mut Spread, free, waiting, at| {
+        spread.report(peer, &"far".into(), load(free, waiting), ms(0), at);
+    };
+    let at = Time::from_millis;
+    report(&mut spread, 2, 0, at(0));
+    assert_eq!(spread.pick(long, long, at(1)), Some(peer));
+    spread.refused(peer);
+    assert_eq!(spread.pick(long, RUN, at(1)), None, "it said that it has no slot");
+    report(&mut spread, 2, 0, at(100));
+    assert_eq!(spread.pick(long, RUN, at(101)), Some(peer));
+    assert_eq!(spread.pick(long, RUN, at(3101)), None, "its report is too old");
+    // It would wait 100 ms there.
+    report(&mut spread, 0, 32, at(4000));
+    assert_eq!(spread.pick(ms(150), RUN, at(4000)), None);
+    assert_eq!(spread.pick(ms(300), RUN, at(4000)), Some(peer));
+    spread.forget(peer);
+    assert_eq!(spread.pick(long, RUN, at(4000)), None);
+}
