--- a/src/decide/fair.rs
+++ b/src/decide/fair.rs
@@ -20,6 +20,7 @@
 use {
     crate::{
         Error, Kind, Time,
+        decide::flow::{LANES, Lane, STEPS, Team, cost, served},
         ids::{CallerId, RequestId, TeamId},
     },
     rustc_hash::FxHashMap,
@@ -42,8 +43,6 @@
 /// Slots are kept for short work for this long after the last of it came, so that a service with
 /// long work only has all its slots.
 const KEEP_FOR: Duration = Duration::from_secs(10);
-/// Tags count this many steps for a microsecond at weight 1, so that weights up to it divide well.
-const STEPS: u64 = 1 << 10;
 /// The weight of one run in the mean overrun; about the last 32 count, a few callers' worth.
 const GAIN: f64 = 1.0 / 32.0;
 /// Callers that owe nothing are forgotten once in this many arrivals.
@@ -82,66 +81,6 @@
     pub slots: u32,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Lane {
-    Short,
-    Long,
-}
-
-const LANES: [Lane; 2] = [Lane::Short, Lane::Long];
-
-#[derive(Default)]
-struct Caller {
-    tag: u64,
-    /// The requests by their order of arrival, for each lane.
-    lanes: [BTreeMap<u64, (RequestId, Duration)>; 2],
-}
-
-impl Caller {
-    fn len(&self) -> usize {
-        self.lanes.iter().map(BTreeMap::len).sum()
-    }
-
-    fn work(&self, lanes: &[Lane]) -> u64 {
-        let waiting = lanes.iter().flat_map(|&l| self.lanes[l as usize].values());
-        waiting.map(|&(_, run)| cost(run)).sum()
-    }
-}
-
-#[derive(Default)]
-struct Team {
-    tag: u64,
-    /// The tag of the caller served last.
-    clock: u64,
-    len: usize,
-    work: [u64; 2],
-    callers: FxHashMap<CallerId, Caller>,
-    /// The callers with waiting requests, by tag and by the arrival of their first.
-    order: [BTreeSet<(u64, u64, CallerId)>; 2],
-}
-
-impl Team {
-    /// Changes a caller and keeps the order true to it.
-    fn edit(&mut self, id: &CallerId, change: impl FnOnce(&mut Caller)) {
-        let caller = self.callers.entry(id.clone()).or_default();
-        for (lane, order) in caller.lanes.iter().zip(&mut self.order) {
-            if let Some(&seq) = lane.keys().next() {
-                order.remove(&(caller.tag, seq, id.clone()));
-            }
-        }
-        change(caller);
-        for (lane, order) in caller.lanes.iter().zip(&mut self.order) {
-            if let Some(&seq) = lane.keys().next() {
-                order.insert((caller.tag, seq, id.clone()));
-            }
-        }
-    }
-
-    fn work(&self, lanes: &[Lane]) -> u64 {
-        lanes.iter().map(|&l| self.work[l as usize]).sum()
-    }
-}
-
 /// The waiting requests of one service.
 pub struct Queue {
     slots: u32,
@@ -339,18 +278,7 @@
     /// The steps of work that fair order puts before `item`, first in its team, then among teams.
     fn before(&self, item: &Item, lanes: &[Lane]) -> u64 {
         let team = self.teams.get(&item.team);
-        let own = team.map_or(0, |t| {
-            let caller = t.callers.get(&item.caller);
-            let mine = caller.map_or(0, |c| c.work(lanes));
-            let start = caller.map_or(0, |c| c.tag).max(t.clock) + mine;
-            let waiting = lanes
-                .iter()
-                .flat_map(|&l| t.order[l as usize].range(..(start + 1, 0, no_caller())));
-            let others: BTreeSet<_> =
-                waiting.map(|(_, _, c)| c).filter(|&c| *c != item.caller).collect();
-            let others = others.into_iter().map(|c| &t.callers[c]);
-            mine + others.map(|c| served(c.work(lanes), c.len(), start - c.tag)).sum::<u64>()
-        });
+        let own = team.map_or(0, |t| t.before(&item.caller, lanes));
         let tag = team.map_or(0, |t| t.tag).max(self.clock);
         let start = tag + own / self.weight(&item.team);
         let others = self.teams.iter().filter(|(id, t)| **id != item.team && t.tag <= start);
@@ -429,20 +357,3 @@
         self.teams.retain(|_, t| t.len > 0 || t.tag > clock);
     }
 }
-
-/// What a flow with `work` in `len` requests is served until its tag has advanced by `lead`; it is
-/// served whole requests, so one more than fits is begun.
-fn served(work: u64, len: usize, lead: u64) -> u64 {
-    work.min(lead.saturating_add(work / (len.max(1) as u64)))
-}
-
-/// Sorts before every caller.
-fn no_caller() -> CallerId {
-    CallerId::from("")
-}
-
-/// The steps of a run time; at least a microsecond's, so that each request costs something.
-fn cost(run: Duration) -> u64 {
-    let us = u64::try_from(run.as_micros()).unwrap_or(u64::MAX);
-    us.clamp(1, u64::MAX >> 20) * STEPS
-}
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -4,5 +4,6 @@
 pub mod choose;
 pub mod eject;
 pub mod fair;
+mod flow;
 pub mod retry;
 pub mod shift;
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -84,7 +84,6 @@
     Expired(Duration),
 }
 
-/// A request's end.
 pub struct Outcome {
     pub item: Item,
     pub fate: Fate,
