Take lost deadlines out of the order; compare orders, and reject the paper's

Jobs that can't be in time any more went first and made those behind them late.

Now a job whose remaining time no longer fits before its deadline goes by its age alone. Its place is looked at again when it is picked, as time alone can move it. The clamp of the latest start to the arrival is gone: with this rule no test could tell it from its absence.

The jobs' keys stand in waiting.rs, to keep order.rs short.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -8,3 +8,4 @@
 mod standing;
 pub mod suspect;
 pub mod urgent;
+mod waiting;
--- a/src/decide/order.rs
+++ b/src/decide/order.rs
@@ -10,37 +10,31 @@
 //! estimated run times. Slack falls alike for all that wait, so this order is that of least slack, and
 //! needs no sorting as time passes. Then priority decides, then arrival.
 //!
-//! Nothing starves. Within a team, a job's latest start is at most `PATIENCE` after its arrival and
-//! never before it (a deadline that can't be kept any more must not overtake for ever), so only work
-//! that came within that time can pass it. Between teams, one start in `AGED` goes, whatever its share, to
-//! the team that has had no start for longest while its first job's latest start is past.
+//! Nothing starves. Within a team, a job's latest start is at most `PATIENCE` after its arrival, and
+//! before it by half of its work at most: a deadline that can't be kept any more, by the estimate and
+//! [`Job::width`], counts for nothing. So only work that came within that time can pass a job. Between
+//! teams, one start in `AGED` goes, whatever its share, to the team that has had no start for longest
+//! while its first job's latest start is past.
 //!
 //! A step takes O(log n) of the teams and of the team's jobs; tasks of a job are alike and stand in it.
 
+pub use super::waiting::Job;
 use {
-    super::quota::{Ask, Back, Grant, Quotas, Rank},
+    super::{
+        quota::{Ask, Grant, Quotas, Rank},
+        waiting::{Entry, Key},
+    },
     crate::{
         Time,
-        ids::{JobId, TaskId, TaskIndex, TeamId},
-        units::Size,
+        ids::{JobId, TaskId, TeamId},
     },
     rustc_hash::FxHashMap,
     std::{
-        cmp::Reverse,
         collections::{BTreeMap, BTreeSet, VecDeque},
         time::Duration,
     },
 };
 
-/// The longest that work without a deadline stands behind later work of its team: four hours, half of
-/// the night in which batches run, so that what came in the evening is over in the morning.
-const PATIENCE: Duration = Duration::from_secs(4 * 3600);
-/// Latest starts this close together count as equal, so that priority decides: estimates are not
-/// better than a minute.
-const GRAIN: u64 = 60_000_000;
-/// What is added to the estimated time of the remaining tasks, one part in so many: run times are
-/// often off by half, and a batch that is early harms nobody.
-const MARGIN: u32 = 2;
 /// One start in so many goes by age alone. An eighth takes little from fair shares, and at 940 starts
 /// a second each of 310 teams that are all overdue has a start within three seconds.
 const AGED: u32 = 8;
@@ -51,29 +45,6 @@
 /// more would only repeat the search on workers that are still full.
 const WAKE: usize = 64;
 
-/// A job whose tasks wait.
-#[derive(Clone, Debug)]
-pub struct Job {
-    /// Its name.
-    pub id: JobId,
-    /// The team that pays.
-    pub team: TeamId,
-    /// When all its tasks must have ended, or [`Time::NEVER`].
-    pub deadline: Time,
-    /// Higher goes first.
-    pub priority: u8,
-    /// A task's run time, declared or estimated.
-    pub run: Duration,
-    /// How many of its tasks can run at once; zero counts as one.
-    pub width: u32,
-    /// How many tasks it has.
-    pub tasks: u32,
-    /// What a task reserves.
-    pub size: Size,
-    /// How a task's room can be had back.
-    pub back: Back,
-}
-
 /// The task that is next, and what its team may give it.
 #[derive(Clone, Debug)]
 pub struct Pick {
@@ -98,17 +69,6 @@
     turn: u32,
 }
 
-#[derive(Debug)]
-struct Entry {
-    job: Job,
-    arrival: Time,
-    key: Key,
-    /// Tasks that have not ended.
-    left: u32,
-    waiting: BTreeSet<TaskIndex>,
-    parked: bool,
-}
-
 #[derive(Debug, Default)]
 struct Queue {
     jobs: BTreeSet<Key>,
@@ -119,59 +79,24 @@
     served: Time,
 }
 
-/// A job's place within its team.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Key {
-    grain: u64,
-    priority: Reverse<u8>,
-    arrival: Time,
-    job: JobId,
-}
-
-impl Entry {
-    fn key(&self) -> Key {
-        let job = &self.job;
-        let rounds = self.left.div_ceil(job.width.max(1));
-        let work = job.run.saturating_mul(rounds);
-        let dated = job.deadline - (work + work / MARGIN);
-        let aged = self.arrival + PATIENCE / (1 + u32::from(job.priority));
-        let latest = dated.min(aged).max(self.arrival);
-        Key {
-            grain: latest.0 / GRAIN,
-            priority: Reverse(job.priority),
-            arrival: self.arrival,
-            job: job.id.clone(),
-        }
-    }
-
-    fn ask(&self) -> Option<Ask> {
-        let job = &self.job;
-        let task = TaskId { job: job.id.clone(), index: *self.waiting.first()? };
-        Some(Ask { team: job.team.clone(), task, size: job.size, back: job.back })
-    }
-}
-
 impl Order {
     /// Adds a job; its tasks wait, and its team's quota is no longer idle. One of the same name is
     /// replaced.
     pub fn push(&mut self, now: Time, job: Job, quotas: &mut Quotas) {
         self.remove(&job.id, quotas);
         quotas.wait(&job.team, job.size, job.tasks as usize);
-        let key = Key { grain: 0, priority: Reverse(0), arrival: now, job: job.id.clone() };
-        let waiting = (0..job.tasks).map(TaskIndex).collect();
-        let (id, left) = (job.id.clone(), job.tasks);
-        let entry = Entry { job, arrival: now, key, left, waiting, parked: false };
-        self.jobs.insert(id.clone(), entry);
-        self.place(&id, quotas);
+        let id = job.id.clone();
+        self.jobs.insert(id.clone(), Entry::new(now, job));
+        self.place(now, &id, quotas);
     }
 
     /// Puts a task back that failed or was preempted, after [`Quotas::ended`]; its job's place stays.
-    pub fn requeue(&mut self, task: &TaskId, quotas: &mut Quotas) {
+    pub fn requeue(&mut self, now: Time, task: &TaskId, quotas: &mut Quotas) {
         let Some(e) = self.jobs.get_mut(&task.job) else { return };
         if e.waiting.insert(task.index) {
             quotas.wait(&e.job.team, e.job.size, 1);
         }
-        self.place(&task.job, quotas);
+        self.place(now, &task.job, quotas);
     }
 
     /// Removes a job and its waiting tasks.
@@ -186,23 +111,20 @@
 
     /// Takes the end of a task, after [`Quotas::ended`]: less remains of its job, so its latest start
     /// moves back.
-    pub fn ended(&mut self, task: &TaskId, quotas: &Quotas) {
+    pub fn ended(&mut self, now: Time, task: &TaskId, quotas: &mut Quotas) {
         let Some(e) = self.jobs.get_mut(&task.job) else { return };
         e.left = e.left.saturating_sub(1);
-        self.place(&task.job, quotas);
-        let Some(e) = self.jobs.get(&task.job) else { return };
-        let team = e.job.team.clone();
-        if e.left == 0 {
-            self.jobs.remove(&task.job);
+        self.place(now, &task.job, quotas);
+        if self.jobs.get(&task.job).is_some_and(|e| e.left == 0) {
+            self.remove(&task.job, quotas);
         }
-        self.list(&team, quotas);
     }
 
     /// Corrects a job's run time.
-    pub fn correct(&mut self, job: &JobId, run: Duration, quotas: &Quotas) {
+    pub fn correct(&mut self, now: Time, job: &JobId, run: Duration, quotas: &Quotas) {
         let Some(e) = self.jobs.get_mut(job) else { return };
         e.job.run = run;
-        self.place(job, quotas);
+        self.place(now, job, quotas);
     }
 
     /// The task that is next; the caller then calls [`Order::take`] or [`Order::park`].
@@ -210,6 +132,10 @@
         loop {
             let team = self.next_team(now)?;
             if let Some(pick) = self.try_team(&team, quotas) {
+                if self.moved(now, &pick.ask.task.job) {
+                    self.place(now, &pick.ask.task.job, quotas);
+                    continue;
+                }
                 return Some(pick);
             }
             if let Some(queue) = self.teams.get_mut(&team) {
@@ -230,23 +156,23 @@
             if let Some(queue) = self.teams.get_mut(&pick.ask.team) {
                 queue.served = now;
             }
-            self.place(&pick.ask.task.job, quotas);
+            self.place(now, &pick.ask.task.job, quotas);
         }
         grant
     }
 
     /// Sets a job aside until [`Order::wake`], as no worker has room for its task.
-    pub fn park(&mut self, job: &JobId, quotas: &Quotas) {
+    pub fn park(&mut self, now: Time, job: &JobId, quotas: &Quotas) {
         let Some(e) = self.jobs.get_mut(job) else { return };
         if !e.parked {
             e.parked = true;
             self.parked.push_back(job.clone());
         }
-        self.place(job, quotas);
+        self.place(now, job, quotas);
     }
 
     /// Brings back teams that had no quota and jobs that found no room; once a tick.
-    pub fn wake(&mut self, quotas: &Quotas) {
+    pub fn wake(&mut self, now: Time, quotas: &Quotas) {
         for team in std::mem::take(&mut self.blocked) {
             if let Some(queue) = self.teams.get_mut(&team) {
                 queue.blocked = false;
@@ -257,7 +183,7 @@
             let Some(job) = self.parked.pop_front() else { break };
             let Some(e) = self.jobs.get_mut(&job) else { continue };
             e.parked = false;
-            self.place(&job, quotas);
+            self.place(now, &job, quotas);
         }
     }
 
@@ -272,6 +198,11 @@
         self.jobs.values().map(|e| e.waiting.len()).sum()
     }
 
+    /// Whether the job's place has changed with time alone: its deadline is lost.
+    fn moved(&self, now: Time, job: &JobId) -> bool {
+        self.jobs.get(job).is_some_and(|e| e.key != e.key(now))
+    }
+
     fn next_team(&self, now: Time) -> Option<TeamId> {
         let overdue = self.ages.first().filter(|(since, _)| *since < now);
         match overdue {
@@ -297,11 +228,11 @@
     }
 
     /// Puts the job where it now belongs in its team, and the team among teams.
-    fn place(&mut self, job: &JobId, quotas: &Quotas) {
+    fn place(&mut self, now: Time, job: &JobId, quotas: &Quotas) {
         let Some(e) = self.jobs.get_mut(job) else { return };
         let queue = self.teams.entry(e.job.team.clone()).or_default();
         queue.jobs.remove(&e.key);
-        e.key = e.key();
+        e.key = e.key(now);
         if !e.parked && !e.waiting.is_empty() {
             queue.jobs.insert(e.key.clone());
         }
@@ -317,7 +248,7 @@
         }
         let Some(key) = queue.jobs.first().filter(|_| !queue.blocked) else { return };
         let rank = quotas.rank(team);
-        let since = queue.served.max(Time(key.grain.saturating_mul(GRAIN)));
+        let since = queue.served.max(key.latest());
         self.ranks.insert((rank, team.clone()));
         self.ages.insert((since, team.clone()));
         queue.listed = Some((rank, since));
--- /dev/null
+++ b/standin/src/measure_order/jobs.rs
@@ -0,0 +1,75 @@
+//! The jobs that the orders are compared on.
+
+use {
+    super::{LARGE, Options, USERS},
+    dogwoodreach::Time,
+    fastrand::Rng,
+    std::time::Duration,
+};
+
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Load {
+    /// All users alike, 10 to 30 tasks a job.
+    Uniform,
+    /// All users alike, tasks by a bounded Pareto distribution (1.1, from 4 to 4,000).
+    Heavy,
+    /// All users alike, 10 to 100 tasks; a third of the jobs are due after twice the time that they
+    /// need in their user's part of the slots, the others have no deadline.
+    Dated,
+    /// Three users bring half of the work in jobs of 500 to 1,500 tasks, the others 2 to 10.
+    Unlike,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Work {
+    pub(super) user: usize,
+    pub(super) arrival: Time,
+    pub(super) tasks: u32,
+    pub(super) run: Duration,
+    /// What the operator says of `run`, off by up to a factor of two either way.
+    pub(super) declared: Duration,
+    pub(super) deadline: Time,
+}
+
+/// Jobs of each user at random times until its part of the work is reached.
+pub(super) fn generate(o: &Options, load: Load, seed: u64) -> Vec<Work> {
+    let mut rng = Rng::with_seed(seed);
+    let horizon = o.hours * 3600;
+    let total = o.load * o.slots as f64 * horizon as f64;
+    let mut work = Vec::new();
+    for user in 0..USERS {
+        let part = match load {
+            Load::Unlike if user < LARGE => 0.5 / LARGE as f64,
+            Load::Unlike => 0.5 / (USERS - LARGE) as f64,
+            Load::Uniform | Load::Heavy | Load::Dated => 1.0 / USERS as f64,
+        };
+        let mut left = total * part;
+        while left > 0.0 {
+            let w = draw(&mut rng, load, user, horizon, o.slots);
+            left -= f64::from(w.tasks) * w.run.as_secs_f64();
+            work.push(w);
+        }
+    }
+    work.sort_by_key(|w| (w.arrival, w.user));
+    work
+}
+
+fn draw(rng: &mut Rng, load: Load, user: usize, horizon: u64, slots: usize) -> Work {
+    let tasks = match load {
+        Load::Uniform => rng.u32(10..=30),
+        Load::Dated => rng.u32(10..=100),
+        Load::Heavy => (4.0 / (1.0 - rng.f64()).powf(1.0 / 1.1)).min(4000.0) as u32,
+        Load::Unlike if user < LARGE => rng.u32(500..=1500),
+        Load::Unlike => rng.u32(2..=10),
+    };
+    let arrival = Time(rng.u64(0..horizon * 1_000_000));
+    let run = Duration::from_millis(rng.u64(30_000..90_000));
+    let declared = run.mul_f64(2f64.powf(rng.f64() * 2.0 - 1.0));
+    let rounds = |slots: usize| tasks.div_ceil(slots as u32);
+    let deadline = match load {
+        Load::Dated if rng.u8(0..3) > 0 => Time::NEVER,
+        Load::Dated => arrival + run * rounds(slots.div_ceil(USERS)) * 2,
+        _ => arrival + run * rounds(slots / 4) * 2 + Duration::from_secs(600),
+    };
+    Work { user, arrival, tasks, run, declared, deadline }
+}
--- a/tests/order.rs
+++ b/tests/order.rs
@@ -87,7 +87,7 @@
     }
 
     fn fill(&mut self, now: Time) {
-        self.order.wake(&self.quotas);
+        self.order.wake(now, &self.quotas);
         while self.ends.len() < self.slots {
             let Some(task) = self.next(now) else { break };
             self.starts.push((now, task.clone()));
@@ -106,7 +106,7 @@
             while self.ends.peek().is_some_and(|Reverse((at, _))| *at == now) {
                 let Some(Reverse((_, task))) = self.ends.pop() else { break };
                 self.quotas.ended(&task);
-                self.order.ended(&task, &self.quotas);
+                self.order.ended(now, &task, &mut self.quotas);
                 self.over.insert(task.job, now);
             }
             self.fill(now);
@@ -150,7 +150,7 @@
         f.push(Time::ZERO, Job { deadline: minutes(230), width: 10, ..job("t", "far", 100, 10) });
         let near = Job { deadline: minutes(60), width: 10, ..job("t", "near", 20, 10) };
         f.push(Time::ZERO, near);
-        f.order.correct(&"far".into(), MINUTE * run, &f.quotas);
+        f.order.correct(Time::ZERO, &"far".into(), MINUTE * run, &f.quotas);
         f.play(Time::ZERO, minutes(1000));
         f
     };
@@ -160,6 +160,22 @@
     assert_eq!(play(true, 20).starts[0].1.job, "far".into(), "twice the work has no slack");
 }
 
+// A batch waits while another team's work runs, until by its estimate it can't be over in time. By
+// slack it would still go first, and make the batch behind it late as well.
+#[test]
+fn a_batch_that_has_lost_its_deadline_does_not_make_the_next_one_late() {
+    let play = |fair| {
+        let mut f = Fake::new(10, fair, &[("other", 10, 1), ("t", 10, 1)]);
+        f.push(Time::ZERO, job("other", "other", 10, 30));
+        f.fill(Time::ZERO);
+        f.push(Time::ZERO, Job { deadline: minutes(60), width: 10, ..job("t", "lost", 40, 10) });
+        f.push(Time::ZERO, Job { deadline: minutes(100), width: 10, ..job("t", "near", 40, 10) });
+        f.play(Time::ZERO, minutes(1000));
+        (f.over[&"lost".into()], f.over[&"near".into()])
+    };
+    assert_eq!((play(true), play(false).1), ((minutes(110), minutes(70)), minutes(110)));
+}
+
 // Weights 3 and 1, both with more work than fits. Fair shares must follow the weights, not how many
 // tasks each submits; first come, first served gives all to the first.
 #[test]
