Put a failing job on trial before it is given up

Cause: a job was given up as soon as it had failed on four good workers. A job of many tasks does so within a second, so a restart of the database that it needs would have had it given up for good; in a pool of one worker one failure was enough.

Now a job, and a task, must still fail five minutes later. Until then one of the job's tasks starts at a time, every ten seconds, until one ends well (Suspects::job_trust, read with trust before each start; started takes now).

--- a/src/decide/suspect.rs
+++ b/src/decide/suspect.rs
@@ -14,7 +14,8 @@
 //! this falls below `exp(-EVIDENCE)`. A job's attempts count only once `PEERS` others have ended it.
 //!
 //! A job is at fault when it has never ended well and failed on `WORKERS` distinct good workers in
-//! two racks; a task likewise by itself. A worker is good for this purpose when it is not in
+//! two racks, and still fails `TRIAL` later; a task likewise by itself. Meanwhile a job is on trial: one
+//! of its tasks starts at a time, so that what it depends on may come back and little is lost if not. A worker is good for this purpose when it is not in
 //! quarantine and its last ended task of *another* job ended well.
 //!
 //! Peers' ends may be long in coming: of tasks that run ten minutes, nothing is known for ten minutes,
@@ -45,6 +46,11 @@
 /// Racks that these must stand in, where the pool has as many: a rack that loses its switch or its
 /// mount turns several workers bad at once, before any of them can be judged.
 const RACKS: usize = 2;
+/// How long a job or task must have failed: a database that restarts or fails over takes a minute or
+/// two, in which each job that needs it fails on all workers, and must not be given up for good.
+const TRIAL: Duration = Duration::from_secs(300);
+/// The space between starts of a job on trial: thirty in all, however many tasks it has.
+const TRIAL_SPACE: Duration = Duration::from_secs(10);
 /// Failed attempts after which a task is given up although no worker is known to be good, as on a
 /// cell that runs nothing else. By the back-off these take about a quarter of an hour.
 const ATTEMPTS: u32 = 12;
@@ -116,12 +122,20 @@
     done: bool,
     failed: Vec<WorkerId>,
     tasks: FxHashMap<TaskIndex, Tries>,
+    trial: Option<Trial>,
     fault: Option<Fault>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct Trial {
+    since: Time,
+    next: Time,
+}
+
 #[derive(Debug, Default)]
 struct Tries {
     failures: u32,
+    first: Time,
     workers: Vec<WorkerId>,
 }
 
@@ -181,8 +195,21 @@
         w.standing.trust(now)
     }
 
+    /// What may be started of the job now; nothing of one that has a [`Suspects::fault`].
+    pub fn job_trust(&self, now: Time, job: &JobId) -> Trust {
+        match self.jobs.get(job) {
+            Some(Job { fault: Some(_), .. }) => Trust::Held(Time::NEVER),
+            Some(Job { trial: Some(t), .. }) if now < t.next => Trust::Held(t.next),
+            Some(Job { trial: Some(_), .. }) => Trust::Probe,
+            _ => Trust::Full,
+        }
+    }
+
     /// Notes that an attempt of `task` goes to `worker`.
     pub fn started(&mut self, now: Time, task: &TaskId, worker: &WorkerId) {
+        if let Some(trial) = self.jobs.get_mut(&task.job).and_then(|j| j.trial.as_mut()) {
+            trial.next = now + TRIAL_SPACE;
+        }
         let Some(w) = self.workers.get_mut(worker) else { return };
         w.standing.started(now, task);
     }
@@ -209,6 +236,7 @@
                 let job = self.jobs.entry(task.job.clone()).or_default();
                 job.done = true;
                 job.failed = Vec::new();
+                job.trial = None;
                 job.tasks.remove(&task.index);
                 Verdict::Over
             }
@@ -294,12 +322,15 @@
             job.failed.push(worker.clone());
         }
         let tries = job.tasks.entry(task.index).or_default();
+        if tries.failures == 0 {
+            tries.first = now;
+        }
         tries.failures += 1;
         if !tries.workers.contains(worker) {
             tries.workers.push(worker.clone());
         }
         let (failures, fault) = (tries.failures, job.fault);
-        if let Some(fault) = fault.or_else(|| self.find_fault(task)) {
+        if let Some(fault) = fault.or_else(|| self.find_fault(now, task)) {
             if let (Fault::Job(_), Some(job)) = (fault, self.jobs.get_mut(&task.job)) {
                 job.fault = Some(fault);
             }
@@ -308,16 +339,23 @@
         Verdict::Retry(now + self.backoff(failures))
     }
 
-    fn find_fault(&self, task: &TaskId) -> Option<Fault> {
+    fn find_fault(&mut self, now: Time, task: &TaskId) -> Option<Fault> {
         let job = self.jobs.get(&task.job)?;
         let tries = job.tasks.get(&task.index)?;
-        if let Some(n) = self.enough(&task.job, &job.failed) {
-            return Some(Fault::Job(n));
+        let (job_on, task_on) =
+            (self.enough(&task.job, &job.failed), self.enough(&task.job, &tries.workers));
+        let (first, failures) = (tries.first, tries.failures);
+        if let Some(n) = job_on {
+            let trial = Trial { since: now, next: now };
+            let trial = self.jobs.get_mut(&task.job)?.trial.get_or_insert(trial);
+            if now.since(trial.since) >= TRIAL {
+                return Some(Fault::Job(n));
+            }
         }
-        if let Some(n) = self.enough(&task.job, &tries.workers) {
-            return Some(Fault::Task(n));
+        match task_on {
+            Some(n) if now.since(first) >= TRIAL => Some(Fault::Task(n)),
+            _ => (failures >= ATTEMPTS).then_some(Fault::Attempts(failures)),
         }
-        (tries.failures >= ATTEMPTS).then_some(Fault::Attempts(tries.failures))
     }
 
     /// How many of `failed` are good workers, if these are enough to blame the job.
