--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,3 +17,4 @@
 mod standing;
 pub mod suspect;
 pub mod urgent;
+mod waiting;
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -216,12 +216,12 @@
         let rows = reply.map_or_else(Vec::new, |r| r.rows);
         let given: BTreeSet<TaskId> = rows.iter().map(|r| r.task.clone()).collect();
         for item in ask.items.iter().filter(|i| !given.contains(&i.task)) {
-            self.tasks.unplaced(&item.task);
+            self.tasks.unplaced(&item.task, now);
         }
         for row in rows {
             let size = ask.items.iter().find(|i| i.task == row.task).map(|i| i.size);
             if !size.is_some_and(|size| self.place(&row, size, now)) {
-                self.tasks.unplaced(&row.task);
+                self.tasks.unplaced(&row.task, now);
             }
         }
         vec![]
@@ -438,7 +438,7 @@
             gangs::Step::Wait => vec![],
             gangs::Step::Ask(ask) => vec![Want::Reserve(ask)],
             gangs::Step::Drop(rows, tasks) => {
-                tasks.iter().for_each(|t| self.tasks.unplaced(t));
+                tasks.iter().for_each(|t| self.tasks.unplaced(t, now));
                 release(rows)
             }
             gangs::Step::Place(rows) => {
@@ -454,7 +454,7 @@
                     if placed {
                         self.buckets.values_mut().for_each(|o| o.state.stop(&row.task));
                     } else {
-                        self.tasks.unplaced(&row.task);
+                        self.tasks.unplaced(&row.task, now);
                     }
                 }
                 release(rows)
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -99,20 +99,21 @@
                 self.abandon(&name, fault);
                 continue;
             }
-            if !self.ready(&job) {
-                self.order.park(&name, &self.quotas);
+            let held = matches!(self.suspects.job_trust(now, &name), Trust::Held(_));
+            if held || !self.ready(&job) {
+                self.order.park(now, &name, &self.quotas);
                 continue;
             }
             if job.kind == JobKind::Gang {
                 match self.gang(&name, now) {
                     Some(asks) => return Some(Pick { asks, job }),
-                    None => self.order.park(&name, &self.quotas),
+                    None => self.order.park(now, &name, &self.quotas),
                 }
                 continue;
             }
             let grant = self.order.take(now, &pick, &mut self.quotas);
             if grant == Grant::Wait {
-                self.order.park(&name, &self.quotas);
+                self.order.park(now, &name, &self.quotas);
                 continue;
             }
             if !self.cancels.start(&pick.ask.task) {
@@ -130,10 +131,10 @@
     }
 
     /// A picked task found no room: it waits again, behind others for a while.
-    pub fn unplaced(&mut self, task: &TaskId) {
+    pub fn unplaced(&mut self, task: &TaskId, now: Time) {
         self.release(task);
-        self.back(task);
-        self.order.park(&task.job, &self.quotas);
+        self.back(task, now);
+        self.order.park(now, &task.job, &self.quotas);
     }
 
     /// Takes the end of an attempt, as it stands in the record now.
@@ -154,7 +155,7 @@
         if let (Outcome::Done, Some(ran)) = (outcome, ran) {
             self.estimates.ended(&task.job, ran, used);
             let run = self.estimates.run(&task.job, job.run);
-            self.order.correct(&task.job, run, &self.quotas);
+            self.order.correct(now, &task.job, run, &self.quotas);
         } else if !used.fits(&job.size) {
             self.estimates.check(&task.job, used, job.size, Size::default());
         }
@@ -169,7 +170,7 @@
             }
             Verdict::Over => {
                 *self.ended.entry(task.job.clone()).or_default() += 1;
-                self.order.ended(task, &self.quotas);
+                self.order.ended(now, task, &mut self.quotas);
             }
             Verdict::Retry(at) => {
                 self.paused.insert((at, task.clone()));
@@ -192,9 +193,9 @@
     pub fn wake(&mut self, now: Time) {
         while self.paused.first().is_some_and(|(at, _)| *at <= now) {
             let Some((_, task)) = self.paused.pop_first() else { break };
-            self.back(&task);
+            self.back(&task, now);
         }
-        self.order.wake(&self.quotas);
+        self.order.wake(now, &self.quotas);
     }
 
     /// Takes the plan in force: quotas, and the jobs that it no longer lists.
@@ -398,7 +399,7 @@
                 return None;
             }
             self.urgent.remove(&task);
-            self.order.adopt(&task, false, &mut self.quotas);
+            self.order.adopt(now, &task, false, &mut self.quotas);
             if self.cancels.start(&task) {
                 return Some(Pick { asks: vec![(ask, Grant::Own)], job });
             }
@@ -423,7 +424,7 @@
                 for (ask, _) in taken {
                     let ask: Ask = ask;
                     self.release(&ask.task);
-                    self.back(&ask.task);
+                    self.back(&ask.task, now);
                 }
                 return None;
             }
@@ -435,17 +436,17 @@
     fn take_row(&mut self, row: &TaskRow, job: &Job, now: Time) {
         match row.state {
             s if live(s) => {
-                self.order.adopt(&row.task, false, &mut self.quotas);
+                self.order.adopt(now, &row.task, false, &mut self.quotas);
                 self.cancels.start(&row.task);
                 self.began.insert(row.task.clone(), now);
             }
             TaskState::Ended if job.kind != JobKind::Replicas => {
-                self.order.adopt(&row.task, true, &mut self.quotas);
+                self.order.adopt(now, &row.task, true, &mut self.quotas);
                 *self.ended.entry(row.task.job.clone()).or_default() += 1;
             }
             TaskState::Failed if row.tries.unwrap_or(0) >= TRIES => {
                 self.given.insert(row.task.clone(), Fault::Attempts(row.tries.unwrap_or(0)));
-                self.order.adopt(&row.task, true, &mut self.quotas);
+                self.order.adopt(now, &row.task, true, &mut self.quotas);
             }
             _ => {}
         }
@@ -467,8 +468,8 @@
         }
     }
 
-    fn back(&mut self, task: &TaskId) {
-        self.order.requeue(task, &mut self.quotas);
+    fn back(&mut self, task: &TaskId, now: Time) {
+        self.order.requeue(now, task, &mut self.quotas);
         if self.listed.get(&task.job).is_some_and(|j| j.urgent) {
             self.urgent.insert(task.clone());
         }
