--- /dev/null
+++ b/standin/src/fleet.rs
@@ -0,0 +1,52 @@
+//! All workers of one process, and the control of their faults and links.
+
+use {
+    crate::{
+        link::Link,
+        web::{Reply, json, query},
+        worker::Worker,
+    },
+    dogwoodreach::{http::answer, ids::WorkerId},
+    hyper::http::request::Parts,
+    std::time::Instant,
+};
+
+/// The workers, each with the link that lies before it.
+#[derive(Clone, Default)]
+pub struct Fleet {
+    workers: Vec<(WorkerId, Worker, Link)>,
+}
+
+impl Fleet {
+    /// Adds a worker.
+    pub fn add(&mut self, id: WorkerId, worker: Worker, link: Link) {
+        self.workers.push((id, worker, link));
+    }
+
+    /// Lets time pass for all.
+    pub fn tick(&self, now: Instant) {
+        self.workers.iter().for_each(|(_, w, _)| w.tick(now));
+    }
+
+    /// Answers a call of the control: faults of workers and of links, for all whose name begins
+    /// with `worker`, and what was witnessed.
+    pub fn handle(&self, head: &Parts, body: &[u8]) -> Reply {
+        let q = query(head);
+        let begin = q.get("worker").map_or("", |w| w);
+        let mut named = self.workers.iter().filter(|(id, ..)| id.as_str().starts_with(begin));
+        let Some(first) = named.next() else { return answer(404, "no such worker") };
+        let each = |set: &dyn Fn(&Worker, &Link) -> Reply| {
+            let done = set(&first.1, &first.2);
+            named.clone().for_each(|(_, w, l)| drop(set(w, l)));
+            done
+        };
+        match head.uri.path() {
+            "/fault" => each(&|w, _| w.fault(body)),
+            "/link" => each(&|_, l| l.fault(body)),
+            "/last" => json(&first.1.last(Instant::now())),
+            "/witness" => json(&*first.1.witness()),
+            "/witness/ran" => json(&first.1.witness().runs()),
+            _ => answer(404, "no such call"),
+        }
+    }
+}
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the platform, the workers and the callers, and the measurements. Not shipped.
 
+mod fleet;
 mod kv;
+mod link;
 mod measure_order;
 mod measure_place;
 mod vms;
@@ -32,8 +34,9 @@
 standin platform [--kv ADDR] [--vms ADDR]   the key-value service and the VM list
 standin measure-place [--workers LIST] [--tasks N] [--runs N]
 standin measure-order [--slots N] [--hours N] [--seeds N] [--load X]
-standin workers --vms ADDR --pool NAME --zone NAME [--racks N] [--per-rack N]
-                [--cores N] [--memory SIZE] [--accels N] [--slots N]
+standin workers --vms ADDR --pool NAME --zone NAMES [--racks N] [--per-rack N]
+                [--cores N] [--memory SIZE] [--accels N] [--slots N] [--through-link]
+standin link --to ADDR                      what lies between two ends
 ";
 
 type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
@@ -56,6 +59,7 @@
     match command.to_str() {
         Some("platform") => runtime.block_on(platform(args)),
         Some("workers") => runtime.block_on(workers(args)),
+        Some("link") => runtime.block_on(link(args)),
         _ => Err(HELP.into()),
     }
 }
@@ -93,52 +97,96 @@
     forever().await
 }
 
-struct Fleet {
+async fn link(mut args: lexopt::Parser) -> Result<()> {
+    let mut to = None;
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("to") => to = Some(args.value()?.parse()?),
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    let link = link::Link::new(to.ok_or("--to is missing")?);
+    let addr = link.listen().await?;
+    let control = listen("127.0.0.1:0".parse()?, move |head, body| {
+        let link = link.clone();
+        async move {
+            match head.uri.path() {
+                "/fault" => link.fault(&body),
+                _ => answer(404, "no such call"),
+            }
+        }
+    });
+    println!("ready link={addr} control={}", control.await?);
+    forever().await
+}
+
+struct Options {
     vms: Option<SocketAddr>,
     pool: Box<str>,
-    zone: Box<str>,
+    zones: Box<str>,
     racks: u32,
     each: u32,
     size: Size,
     slots: u32,
+    through: bool,
 }
 
 async fn workers(mut args: lexopt::Parser) -> Result<()> {
     let size = Size { cores: Cores(16_000), memory: Memory(64 << 10), accels: Accels(0) };
-    let mut f =
-        Fleet { vms: None, pool: "".into(), zone: "".into(), racks: 1, each: 5, size, slots: 8 };
+    let mut f = Options {
+        vms: None,
+        pool: "".into(),
+        zones: "".into(),
+        racks: 1,
+        each: 5,
+        size,
+        slots: 8,
+        through: false,
+    };
     while let Some(arg) = args.next()? {
         match arg {
             Long("vms") => f.vms = Some(args.value()?.parse()?),
             Long("pool") => f.pool = args.value()?.string()?.into(),
-            Long("zone") => f.zone = args.value()?.string()?.into(),
+            Long("zone") => f.zones = args.value()?.string()?.into(),
             Long("racks") => f.racks = args.value()?.parse()?,
             Long("per-rack") => f.each = args.value()?.parse()?,
             Long("cores") => f.size.cores = args.value()?.parse()?,
             Long("memory") => f.size.memory = args.value()?.parse()?,
             Long("accels") => f.size.accels = args.value()?.parse()?,
             Long("slots") => f.slots = args.value()?.parse()?,
+            Long("through-link") => f.through = true,
             _ => return Err(arg.unexpected().into()),
         }
     }
     let vms = f.vms.ok_or("--vms is missing")?;
     let witness = Arc::new(Mutex::new(worker::Witness::default()));
     let mut list = VmList { vms: vec![] };
-    let mut all = vec![];
-    for rack in 0..f.racks {
-        for n in 0..f.each {
+    let mut all = fleet::Fleet::default();
+    for zone in f.zones.split(',') {
+        for (rack, n) in (0..f.racks).flat_map(|r| (0..f.each).map(move |n| (r, n))) {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
-            let vm = describe(&f, rack, n, listener.local_addr()?);
+            let mut vm = describe(&f, zone, rack, n, listener.local_addr()?);
             let worker = worker::Worker::new(vm.clone(), witness.clone());
-            all.push(worker.clone());
-            start(listener, move |head, body| worker.clone().handle(head, body));
+            let served = worker.clone();
+            start(listener, move |head, body| served.clone().handle(head, body));
+            let link = link::Link::new(vm.addr);
+            if f.through {
+                vm.addr = link.listen().await?;
+            }
+            all.add(vm.worker.clone(), worker, link);
             list.vms.push(vm);
         }
     }
+    let controlled = all.clone();
+    let control = listen("127.0.0.1:0".parse()?, move |head, body| {
+        let fleet = controlled.clone();
+        async move { fleet.handle(&head, &body) }
+    });
+    let control = control.await?;
     tokio::spawn(async move {
         loop {
             tokio::time::sleep(Duration::from_millis(10)).await;
-            all.iter().for_each(|w| w.tick(Instant::now()));
+            all.tick(Instant::now());
         }
     });
     let client = Client::new(1);
@@ -146,19 +194,20 @@
         client.json::<_, serde_json::Value>("PUT", &uri(vms, "/enter"), &list, CALL).await;
     entered.map_err(|e| format!("the VM list at {vms} did not answer: {e:?}"))?;
     let first = list.vms.first().ok_or("no workers")?;
-    println!("ready pool={} workers={} first={}", f.pool, list.vms.len(), first.addr);
+    let (pool, count) = (&f.pool, list.vms.len());
+    println!("ready pool={pool} workers={count} first={} control={control}", first.addr);
     forever().await
 }
 
 const CALL: Duration = Duration::from_secs(5);
 
-fn describe(f: &Fleet, rack: u32, n: u32, addr: SocketAddr) -> Vm {
-    let rack = format!("{}-{}-r{rack}", f.pool, f.zone);
+fn describe(f: &Options, zone: &str, rack: u32, n: u32, addr: SocketAddr) -> Vm {
+    let rack = format!("{}-{zone}-r{rack}", f.pool);
     Vm {
         worker: WorkerId(format!("{rack}-w{n}").into()),
         pool: PoolId(f.pool.clone()),
         rack: RackId(rack.into()),
-        zone: Zone(f.zone.clone()),
+        zone: Zone(zone.into()),
         addr,
         size: f.size,
         slots: f.slots,
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -14,7 +14,7 @@
     hyper::http::request::Parts,
     serde::{Deserialize, Serialize},
     std::{
-        collections::{BTreeMap, HashMap, VecDeque},
+        collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
         sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
@@ -62,6 +62,24 @@
     running: HashMap<Box<str>, u32>,
     #[serde(skip)]
     keys: HashMap<Box<str>, u32>,
+    #[serde(skip)]
+    ids: BTreeSet<Box<str>>,
+}
+
+/// The requests that have run, for a check of every "not run".
+#[derive(Clone, Debug, Serialize)]
+pub struct Runs {
+    /// The ids of all.
+    pub ids: BTreeSet<Box<str>>,
+    /// The keys of those that had one.
+    pub keys: BTreeSet<Box<str>>,
+}
+
+impl Witness {
+    /// Which requests have run.
+    pub fn runs(&self) -> Runs {
+        Runs { ids: self.ids.clone(), keys: self.keys.keys().cloned().collect() }
+    }
 }
 
 struct Task {
@@ -80,6 +98,7 @@
     tasks: BTreeMap<TaskId, Task>,
     history: VecDeque<(Instant, Report)>,
     faults: Faults,
+    last: Option<Instant>,
 }
 
 /// One worker.
@@ -99,13 +118,7 @@
     /// Answers one call.
     pub async fn handle(self, head: Parts, body: Bytes) -> Reply {
         if head.uri.path() == "/fault" {
-            return match serde_json::from_slice(&body) {
-                Ok(faults) => {
-                    self.lock().faults = faults;
-                    answer(200, "{}")
-                }
-                Err(e) => answer(400, e.to_string()),
-            };
+            return self.fault(&body);
         }
         if head.uri.path() == "/witness" {
             return json(&*self.witness.lock().expect("no holder panics"));
@@ -132,6 +145,28 @@
         }
     }
 
+    /// Plays the faults that a body asks for.
+    pub fn fault(&self, body: &[u8]) -> Reply {
+        match serde_json::from_slice(body) {
+            Ok(faults) => {
+                self.lock().faults = faults;
+                answer(200, "{}")
+            }
+            Err(e) => answer(400, e.to_string()),
+        }
+    }
+
+    /// How long ago the last new work came, in milliseconds.
+    pub fn last(&self, now: Instant) -> Option<u64> {
+        let ago = now.saturating_duration_since(self.lock().last?);
+        u64::try_from(ago.as_millis()).ok()
+    }
+
+    /// What all workers of this process witnessed.
+    pub fn witness(&self) -> MutexGuard<'_, Witness> {
+        self.witness.lock().expect("no holder panics")
+    }
+
     /// Ends what is over: run times, and leases that were not renewed. Records the report.
     pub fn tick(&self, now: Instant) {
         let mut state = self.lock();
@@ -261,6 +296,7 @@
             over: None,
         };
         state.tasks.insert(order.task, task);
+        state.last = Some(now);
     }
 
     async fn run(&self, head: &Parts, body: Bytes) -> Reply {
@@ -289,6 +325,7 @@
                 return refuse("no slot");
             }
             state.requests.push(id);
+            state.last = Some(Instant::now());
             let wait = header(head, RUN).parse().unwrap_or(RUN_MS) + state.faults.slow;
             (wait, state.faults.fail)
         };
@@ -319,6 +356,7 @@
         let mut w = self.witness.lock().expect("no holder panics");
         if !name.contains('/') {
             w.requests += 1;
+            w.ids.insert(name.into());
         }
         let n = w.running.entry(name.into()).or_default();
         *n += 1;
