Retries under a budget, and load shifted between members by measured waits

Cause: a refused request was tried up to three times whatever the load, which triples it in an outage; a member sent to the peer with the most free slots it last told of, so that all members sent to the same one. Change: decide::retry and decide::shift replace both; a beat tells a service's expected wait; the queue is as long as the slots that the choice of endpoints opens.

--- a/src/core.rs
+++ b/src/core.rs
@@ -10,7 +10,7 @@
         error::Kind,
         event::{Back, Call, Event, Operate, Operated, Order, Purpose, Ticket},
         http::Failure,
-        ids::{Bucket, Epoch, Incarnation, RackId, RequestId, RowId, ServiceId, WorkerId, Zone},
+        ids::{Bucket, Epoch, Incarnation, RackId, RequestId, RowId, WorkerId, Zone},
         jobs::{BUCKETS, Jobs, Want, bucket_of, call},
         messages::{
             Beat, BeatReply, ClaimReply, ClaimVerdict, EndTell, Handover, KvList, KvPut,
@@ -48,8 +48,6 @@
 const OWN: Duration = Duration::from_millis(100);
 /// How long a stopping member goes on after its last work, so that a balancer has seen it leave.
 const QUIET: Duration = Duration::from_secs(1);
-/// The most requests that a member lets be sent to a peer beyond the free slots it last told of.
-const OVERSEND: u32 = 0;
 
 /// How long a wish for urgent work waits until room has been made; a caller's call lasts longer.
 const PREEMPT: Duration = Duration::from_millis(900);
@@ -61,7 +59,6 @@
 struct Peer {
     heard: Time,
     beat: Option<Beat>,
-    sent: BTreeMap<ServiceId, u32>,
     due: Time,
     flying: bool,
 }
@@ -247,50 +244,6 @@
         }
     }
 
-    /// Takes a token for one more try; retries are bounded by the number of first tries.
-    pub(crate) fn retry(&mut self, kind: Kind) -> bool {
-        self.metrics.retry(kind);
-        true
-    }
-
-    /// The peer to which a request for a service goes, if one is better than waiting here.
-    pub(crate) fn peer_for(
-        &self,
-        service: &ServiceId,
-        shunned: &[Incarnation],
-        must: bool,
-        now: Time,
-    ) -> Option<Incarnation> {
-        let mut best: Option<(u32, bool, Incarnation)> = None;
-        for (id, peer) in &self.peers {
-            let known = self.ownership.members().get(id).is_some_and(|m| !m.draining);
-            if !known || shunned.contains(id) || now - peer.heard > TOUCH {
-                continue;
-            }
-            let load =
-                peer.beat.as_ref().and_then(|b| b.services.iter().find(|s| s.service == *service));
-            let Some(load) = load.filter(|l| l.slots > 0) else { continue };
-            let sent = peer.sent.get(service).copied().unwrap_or(0);
-            let free = (load.free + OVERSEND).saturating_sub(sent);
-            if free == 0 && !must {
-                continue;
-            }
-            let near = self.ownership.members().get(id).is_some_and(|m| m.zone == self.me.zone);
-            let rank = (free, near, *id);
-            if best.is_none_or(|b| rank > b) {
-                best = Some(rank);
-            }
-        }
-        best.map(|(_, _, id)| id)
-    }
-
-    /// Counts a request sent to a peer since its last beat.
-    pub(crate) fn sent_to(&mut self, to: Incarnation, service: &ServiceId) {
-        if let Some(peer) = self.peers.get_mut(&to) {
-            *peer.sent.entry(service.clone()).or_default() += 1;
-        }
-    }
-
     fn tick(&mut self, now: Time) {
         for (to, call) in mem::take(&mut self.unreached) {
             self.lost_call(to, call, now);
@@ -485,11 +438,15 @@
             if let Some(id) = key.strip_prefix(MEMBERS).and_then(|id| id.parse().ok()) {
                 self.ownership.left(id);
                 self.peers.remove(&id);
+                self.requests.forget(id);
             }
         }
         for entry in list.entries {
             if entry.key.starts_with(MEMBERS) {
                 if let Ok(record) = serde_json::from_str::<MemberRecord>(&entry.value) {
+                    if record.draining {
+                        self.requests.forget(record.incarnation);
+                    }
                     self.ownership.joined(record);
                 }
             } else if let Some(table) = entry.key.strip_prefix(OWNERS) {
@@ -770,7 +727,7 @@
                 slots,
                 free: free.saturating_sub(u32::try_from(waiting).unwrap_or(u32::MAX)),
                 waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
-                wait: 0,
+                wait: u64::try_from(self.requests.wait(id, s, now).as_millis()).unwrap_or(u64::MAX),
             }
         });
         Beat {
@@ -851,9 +808,11 @@
         let from = beat.from;
         self.jobs.ended(mem::take(&mut beat.done));
         self.newer(from, beat.version, now);
+        if let Some(record) = self.ownership.members().get(&from).filter(|_| !beat.draining) {
+            self.requests.report(record, &self.me, &beat.services, now);
+        }
         let peer = self.peers.entry(from).or_insert_with(|| Peer::new(now));
         peer.heard = now;
-        peer.sent.clear();
         peer.beat = Some(beat);
         BeatReply {
             version: self.config.version(),
@@ -926,7 +885,7 @@
 
 impl Peer {
     fn new(now: Time) -> Self {
-        Peer { heard: now, beat: None, sent: BTreeMap::new(), due: now, flying: false }
+        Peer { heard: now, beat: None, due: now, flying: false }
     }
 }
 
--- a/src/decide/admit.rs
+++ b/src/decide/admit.rs
@@ -115,6 +115,12 @@
         Ok(())
     }
 
+    /// How long a request would wait if it were let in now.
+    pub fn wait(&self, queue: &Queue, item: &Item, now: Time) -> Duration {
+        let ahead = queue.ahead(item, now);
+        self.time(ahead.work, ahead.slots, now)
+    }
+
     /// Takes the request that is next for a free slot, and measures the drain rate by it.
     pub fn pop(&mut self, queue: &mut Queue, now: Time) -> Option<Item> {
         let usable = queue.usable(now);
--- a/src/racks.rs
+++ b/src/racks.rs
@@ -195,6 +195,7 @@
             _ => {
                 choice.scores.release(worker);
                 if choice.ejector.failed(worker, now) {
+                    choice.scores.restart(worker, now);
                     log::warn!(target: "racks", "Endpoint {worker} is ejected for a while.");
                 }
             }
@@ -204,8 +205,9 @@
     /// All slots of a pool here, and the free ones.
     pub fn slots(&self, pool: &PoolId, now: Time) -> (u32, u32) {
         let (slots, free) = self.ledger.slots(pool);
-        let open = self.choices.get(pool).map_or(0, |c| c.scores.slots(&c.ejector, now).1);
-        (slots, free.min(open))
+        let choice = self.choices.get(pool);
+        let (usable, open) = choice.map_or((0, 0), |c| c.scores.slots(&c.ejector, now));
+        (slots.min(usable), free.min(open))
     }
 
     /// Takes in the platform's list; a leaving worker gets nothing new from now on.
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -8,16 +8,21 @@
         decide::{
             admit::Gate,
             fair::{Item, Queue},
+            retry::Budget,
+            shift::Spread,
         },
         error::{Error, Kind, Ran},
         event::{Answer, Ask, Call, Forward, Order, Outcome, Run, Ticket, Verdict},
         http::Failure,
-        ids::{Incarnation, Key, RequestId, ServiceId, WorkerId},
+        ids::{CallerId, Incarnation, Key, RequestId, ServiceId, WorkerId},
         jobs::bucket_of,
-        messages::{ClaimAsk, ClaimEnd, ClaimFate, ClaimReply, ClaimVerdict},
+        messages::{
+            ClaimAsk, ClaimEnd, ClaimFate, ClaimReply, ClaimVerdict, MemberRecord, ServiceLoad,
+        },
         text::Service,
         time::Time,
     },
+    fastrand::Rng,
     rustc_hash::FxHashMap,
     std::{collections::BTreeMap, fmt::Write, time::Duration},
     xxhash_rust::xxh3::Xxh3Default,
@@ -28,8 +33,6 @@
 /// A repeat of a bound cover or a paid grant needs its confirmation, which is short; the bucket's
 /// record has to stay far below the key-value service's megabyte.
 const KEPT: usize = 2048;
-/// How often a request may be dispatched that certainly did not run before.
-const TRIES: u32 = 3;
 /// How many times a service's usual run time makes a request a long one, which leaves some slots to
 /// the others: below that the variation of usual requests would count as long.
 const LONG: u32 = 4;
@@ -37,7 +40,6 @@
 const AGAIN: Duration = Duration::from_millis(500);
 
 /// The requests at one member.
-#[derive(Default)]
 pub struct Requests {
     table: FxHashMap<RequestId, Pending>,
     tickets: FxHashMap<Ticket, RequestId>,
@@ -45,6 +47,8 @@
     ends: BTreeMap<(Key, RequestId), (ClaimEnd, Time)>,
     told: FxHashMap<Ticket, (Key, RequestId)>,
     own: Ticket,
+    spreads: BTreeMap<ServiceId, Spread>,
+    budget: Budget,
 }
 
 /// The requests of one service that wait here, and those that run at endpoints of this member's.
@@ -60,7 +64,6 @@
     stage: Stage,
     claim: Option<Key>,
     tries: u32,
-    shunned: Vec<Incarnation>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -72,6 +75,56 @@
 }
 
 impl Requests {
+    /// No requests yet.
+    pub fn new() -> Self {
+        Requests {
+            table: FxHashMap::default(),
+            tickets: FxHashMap::default(),
+            lines: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            told: FxHashMap::default(),
+            own: 0,
+            spreads: BTreeMap::new(),
+            budget: Budget::new(Time::ZERO),
+        }
+    }
+
+    /// Takes a peer's word of how busy its services are.
+    pub fn report(
+        &mut self,
+        peer: &MemberRecord,
+        me: &MemberRecord,
+        loads: &[ServiceLoad],
+        now: Time,
+    ) {
+        for load in loads {
+            let spread = self
+                .spreads
+                .entry(load.service.clone())
+                .or_insert_with(|| Spread::new(me.zone.clone(), Rng::with_seed(me.incarnation.0)));
+            spread.report(peer.incarnation, &peer.zone, load.clone(), Duration::ZERO, now);
+        }
+    }
+
+    /// Forgets a peer that is stopping or gone.
+    pub fn forget(&mut self, peer: Incarnation) {
+        self.spreads.values_mut().for_each(|s| s.forget(peer));
+    }
+
+    /// How long a request of a service's usual kind would wait here.
+    pub fn wait(&self, id: &ServiceId, service: &Service, now: Time) -> Duration {
+        let Some(line) = self.lines.get(id) else { return Duration::ZERO };
+        let usual = Item {
+            id: RequestId(0),
+            caller: CallerId("".into()),
+            team: service.team.clone(),
+            born: now,
+            deadline: now + service.deadline,
+            run: service.run,
+        };
+        line.gate.wait(&line.queue, &usual, now)
+    }
+
     /// How many requests have no answer yet.
     pub fn len(&self) -> usize {
         self.table.len()
@@ -88,6 +141,12 @@
     }
 }
 
+impl Default for Requests {
+    fn default() -> Self {
+        Requests::new()
+    }
+}
+
 impl Core {
     /// Takes in a request.
     pub(crate) fn ask(&mut self, ask: Ask, now: Time) {
@@ -172,8 +231,11 @@
         outcome: Outcome,
         now: Time,
     ) {
-        if let Some(p) = self.requests.table.get_mut(&request) {
-            p.shunned.push(to);
+        let answered = matches!(outcome, Outcome::Answered(_));
+        if let Some(p) = self.requests.table.get(&request).filter(|_| !answered)
+            && let Some(spread) = self.requests.spreads.get_mut(&p.ask.service)
+        {
+            spread.refused(to);
         }
         self.settle(request, outcome, now);
     }
@@ -257,7 +319,8 @@
             digest: digest(&ask).into(),
             request: id,
         });
-        let p = Pending { ask, deadline, stage, claim, tries: 0, shunned: vec![] };
+        let tries = ask.hops;
+        let p = Pending { ask, deadline, stage, claim, tries };
         self.requests.tickets.insert(ticket, id);
         self.requests.table.insert(id, p);
         match wish {
@@ -280,19 +343,25 @@
         }
     }
 
-    /// Lets a request wait for a slot here, or sends it to a peer that has one free.
+    /// Lets a request wait for a slot here, or sends it to a peer that is expected to serve it sooner.
     fn route(&mut self, id: RequestId, now: Time) {
         let Some(p) = self.requests.table.get_mut(&id) else { return };
         p.stage = Stage::Waiting;
-        let (name, hops, shunned) = (p.ask.service.clone(), p.ask.hops, p.shunned.clone());
+        let (name, hops, tries) = (p.ask.service.clone(), p.ask.hops, p.tries);
         let Some(service) = self.config.plan().services.get(&name).cloned() else {
             return self.finish(id, Err(Kind::UnknownService.into()), now);
         };
+        self.requests.budget.tried(tries);
         let (slots, free) = self.racks.slots(&service.pool, now);
-        let free = free as usize > self.requests.waiting(&name) && self.may_dispatch(now);
-        if !free && hops == 0 {
-            let must = slots == 0 || !self.may_dispatch(now);
-            if let Some(to) = self.peer_for(&name, &shunned, must, now) {
+        let able = slots > 0 && self.may_dispatch(now);
+        let idle = able && free as usize > self.requests.waiting(&name);
+        if hops == 0 && !idle {
+            let wait = match able {
+                true => self.requests.wait(&name, &service, now),
+                false => Duration::MAX,
+            };
+            let spread = self.requests.spreads.get_mut(&name);
+            if let Some(to) = spread.and_then(|s| s.pick(wait, service.run, now)) {
                 return self.forward(id, to, now);
             }
         }
@@ -321,7 +390,7 @@
         };
         let seed = self.me().0;
         let line = self.requests.lines.entry(name.clone()).or_insert_with(|| Line {
-            gate: Gate::new(fastrand::Rng::with_seed(seed)),
+            gate: Gate::new(Rng::with_seed(seed)),
             queue: Queue::new(slots, service.run * LONG),
             running: FxHashMap::default(),
         });
@@ -369,7 +438,6 @@
             hops: p.ask.hops + 1,
             load: p.ask.load.clone(),
         };
-        self.sent_to(to, &forward.service);
         self.out.push(Order::Forward(Box::new(forward)));
     }
 
@@ -379,26 +447,23 @@
     /// would run it in two places.
     fn settle(&mut self, id: RequestId, outcome: Outcome, now: Time) {
         let Some(p) = self.requests.table.get(&id) else { return };
-        let again = p.tries < TRIES && p.deadline > now;
-        let error = match outcome {
+        let error: Error = match outcome {
             Outcome::Answered(answer) => return self.finish(id, Ok(answer), now),
-            Outcome::Refused(e) if e.kind().answer().ran == Ran::No => {
-                if again && self.retry(e.kind()) {
-                    return self.route(id, now);
-                }
-                e
-            }
             Outcome::Refused(e) => e,
-            Outcome::Failed(Failure::Unsent) => {
-                if again && self.retry(Kind::NoEndpoint) {
-                    return self.route(id, now);
-                }
-                Kind::NoEndpoint.into()
-            }
+            Outcome::Failed(Failure::Unsent) => Kind::NoEndpoint.into(),
             Outcome::Failed(Failure::Broken) => Kind::Broken.into(),
             Outcome::Failed(Failure::Timeout) => Kind::Timeout.into(),
         };
-        self.finish(id, Err(error), now);
+        let (kind, late) = (error.kind(), p.deadline <= now);
+        let caller = p.ask.caller.clone();
+        match self.requests.budget.retry(&caller, error, p.tries, now) {
+            Ok(()) if !late => {
+                self.metrics.retry(kind);
+                self.route(id, now);
+            }
+            Ok(()) => self.finish(id, Err(kind.into()), now),
+            Err(error) => self.finish(id, Err(error), now),
+        }
     }
 
     /// Gives a request its final answer.
