--- a/tests/admit.rs
+++ b/tests/admit.rs
@@ -7,7 +7,10 @@
         Kind, Ran, Time,
         decide::{admit::Gate, fair::Queue},
     },
-    fake::{Ask, Door, Fate, Outcome, ask, ms, play, stream},
+    fake::{
+        ms,
+        slots::{Ask, Door, Fate, Outcome, ask, play, stream},
+    },
     std::{
         collections::{BTreeMap, VecDeque},
         time::Duration,
--- a/tests/fair.rs
+++ b/tests/fair.rs
@@ -8,7 +8,10 @@
         decide::fair::{Item, Queue},
         ids::RequestId,
     },
-    fake::{Ask, Door, Outcome, ask, ms, play, stream},
+    fake::{
+        ms,
+        slots::{Ask, Door, Outcome, ask, play, stream},
+    },
     std::{
         collections::{BTreeMap, VecDeque},
         time::Duration,
