Admission tested with heavy callers, and with long work among short

Guards removed once each, a test failed: wait by fair order (whole queue, own backlog only), wait by the lane's own backlog. That one was not caught with all models from one caller, so the test has twenty.

--- a/tests/admit.rs
+++ b/tests/admit.rs
@@ -148,6 +148,53 @@
     assert!(refused.back() > Some(ms(1000)), "{refused:?}");
 }
 
+// Two callers send three times what the workers can do; twenty send a little, a tenth of it in all.
+// The twenty are to be served as if the two were not there, and the refusals to go to the two.
+#[test]
+fn refusals_go_to_who_sends_too_much() {
+    let until = Time::from_millis(20_000);
+    let asks = || {
+        let heavy = (0..2).flat_map(|i| stream(i, &format!("heavy{i}"), 480.0, until, 500, RUN));
+        let light = (2..22).flat_map(|i| stream(i, &format!("light{i}"), 1.6, until, 500, RUN));
+        heavy.chain(light).collect::<Vec<_>>()
+    };
+    let served = |outcomes: &[Outcome]| {
+        let light = |o: &&Outcome| o.item.caller.as_str().starts_with("light");
+        let good = outcomes.iter().filter(light).filter(|o| o.good()).count();
+        good as f64 / outcomes.iter().filter(light).count() as f64
+    };
+    let ours = play(asks(), SLOTS, gate());
+    let plain = play(asks(), SLOTS, Door::Plain(VecDeque::new()));
+    let (light, base, all) = (served(&ours), served(&plain), goodput(&ours));
+    println!("light callers served {light:.3}, plain {base:.3}; goodput {all:.3}");
+    assert!(light > 0.95 && all > 0.9);
+    assert!(base < 0.2);
+}
+
+// Models of two seconds at 1.5 times what the workers can do, and indications of 20 ms that are due
+// within a fifth of a second. Neither is to be refused for the other's sake.
+#[test]
+fn long_and_short_are_admitted_apart() {
+    let until = Time::from_millis(60_000);
+    let asks = || {
+        let long = |i| stream(i, &format!("models{i}"), 0.6, until, 20_000, 2000);
+        let short = stream(30, "quotes", 40.0, until, 200, 20);
+        (0..20).flat_map(long).chain(short).collect::<Vec<_>>()
+    };
+    let good = |outcomes: &[Outcome], who: &str| {
+        let of = |o: &&Outcome| o.item.caller.as_str().starts_with(who);
+        outcomes.iter().filter(of).filter(|o| o.good()).count()
+    };
+    let ours = play(asks(), SLOTS, gate());
+    let plain = play(asks(), SLOTS, Door::Plain(VecDeque::new()));
+    let (quotes, models) = (good(&ours, "quotes"), good(&ours, "models"));
+    let (plain_quotes, plain_models) = (good(&plain, "quotes"), good(&plain, "models"));
+    println!("quotes {quotes}, plain {plain_quotes}; models {models}, {plain_models}");
+    assert!(quotes > 2300 && plain_quotes < 1200);
+    // Twelve slots serve 360 models in a minute.
+    assert!(models > 330);
+}
+
 // Workers run everything three times as slow as expected. The measured drain rate must say so:
 // a gate that trusts the expected run times lets in three times what can be served.
 #[test]
