--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -43,6 +43,7 @@
         match head.uri.path() {
             "/fault" => each(&|w, _| w.fault(body)),
             "/link" => each(&|_, l| l.fault(body)),
+            "/running" => json(&first.1.witness().tasks()),
             "/last" => json(&first.1.last(Instant::now())),
             "/witness" => json(&*first.1.witness()),
             "/witness/ran" => json(&first.1.witness().runs()),
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -33,6 +33,8 @@
     pub slow: u64,
     /// Whether every task and request fails.
     pub fail: bool,
+    /// The job of which every task fails.
+    pub job: Box<str>,
     /// Whether nothing is answered any more, with the connections left open.
     pub silent: bool,
     /// How far the reports lag, in milliseconds.
@@ -76,6 +78,11 @@
 }
 
 impl Witness {
+    /// How many tasks run now.
+    pub fn tasks(&self) -> usize {
+        self.running.keys().filter(|name| name.contains('/')).count()
+    }
+
     /// Which requests have run.
     pub fn runs(&self) -> Runs {
         Runs { ids: self.ids.clone(), keys: self.keys.keys().cloned().collect() }
@@ -170,8 +177,9 @@
     /// Ends what is over: run times, and leases that were not renewed. Records the report.
     pub fn tick(&self, now: Instant) {
         let mut state = self.lock();
-        let fail = state.faults.fail;
+        let (all, job) = (state.faults.fail, state.faults.job.clone());
         for (id, task) in &mut state.tasks {
+            let fail = all || *job == *id.job.as_str();
             if task.state != TaskState::Running {
                 continue;
             }
--- a/tests/scenario/load.rs
+++ b/tests/scenario/load.rs
@@ -83,6 +83,8 @@
 
 /// A load: its callers go on until `total` calls are made or it is told to end.
 pub struct Load {
+    /// The members behind the balancer.
+    pub members: Arc<Mutex<Vec<Member>>>,
     pub answered: Arc<AtomicU64>,
     end: Arc<AtomicBool>,
     seen: Arc<Mutex<Seen>>,
@@ -94,8 +96,12 @@
 pub struct Seen {
     pub reasons: BTreeMap<String, u64>,
     pub wrong: Vec<String>,
-    /// Ids and keys of what was said not to have run.
+    /// Ids of what was said not to have run.
     pub refused: BTreeSet<String>,
+    /// Keys of the same.
+    pub keys: BTreeSet<String>,
+    /// Keys that were answered.
+    pub done: BTreeSet<String>,
 }
 
 /// A member as the balancer knows it: callers' address, metrics' address.
@@ -103,15 +109,25 @@
 
 impl Load {
     /// Starts callers; must be called within a runtime.
-    pub fn start(members: &[Member], call: &Call, name: &str, parallel: u64, total: u64) -> Self {
+    ///
+    /// With `twice`, each call is sent to two members at once.
+    pub fn start(
+        members: &[Member],
+        call: &Call,
+        name: &str,
+        parallel: u64,
+        total: u64,
+        twice: bool,
+    ) -> Self {
         let load = Load {
+            members: Arc::new(Mutex::new(members.to_vec())),
             answered: Arc::default(),
             end: Arc::default(),
             seen: Arc::default(),
             callers: vec![],
         };
         let ready = Arc::new(Mutex::new(vec![]));
-        tokio::spawn(look(members.to_vec(), ready.clone(), load.end.clone()));
+        tokio::spawn(look(load.members.clone(), ready.clone(), load.end.clone()));
         let next = Arc::new(AtomicU64::new(0));
         let client = Client::new(64);
         let callers = (0..parallel).map(|_| {
@@ -124,6 +140,7 @@
                 answered: load.answered.clone(),
                 end: load.end.clone(),
                 seen: load.seen.clone(),
+                twice,
             };
             tokio::spawn(caller.run(total))
         });
@@ -146,11 +163,16 @@
 }
 
 /// Keeps the list of ready members, as a balancer does.
-async fn look(members: Vec<Member>, ready: Arc<Mutex<Vec<String>>>, end: Arc<AtomicBool>) {
+async fn look(
+    members: Arc<Mutex<Vec<Member>>>,
+    ready: Arc<Mutex<Vec<String>>>,
+    end: Arc<AtomicBool>,
+) {
     let client = Client::new(0);
     let mut ticks: Interval = interval(LOOK);
     while !end.load(Ordering::Relaxed) {
         let mut found = vec![];
+        let members = members.lock().expect("no holder panics").clone();
         for (callers, metrics) in &members {
             let page = Request::builder().uri(format!("http://{metrics}/ready"));
             let page = page.body(Full::default()).expect("a request");
@@ -172,11 +194,11 @@
     answered: Arc<AtomicU64>,
     end: Arc<AtomicBool>,
     seen: Arc<Mutex<Seen>>,
+    twice: bool,
 }
 
 impl Caller {
     async fn run(self, total: u64) {
-        let mut ticks = interval(LOOK / 5);
         while !self.end.load(Ordering::Relaxed) {
             let n = self.next.fetch_add(1, Ordering::Relaxed);
             if n >= total {
@@ -185,37 +207,50 @@
             let mut call = self.call.clone();
             call.body = format!("{}-{n} {}", self.name, call.body);
             call.key = call.key.map(|k| format!("{k}-{}-{n}", self.name));
-            let fate = loop {
-                let ready = self.ready.lock().expect("no holder panics").clone();
-                let fate = match ready.get(n as usize % ready.len().max(1)) {
-                    Some(addr) => send(&self.client, addr, &call).await,
-                    None => {
-                        ticks.tick().await;
-                        continue;
-                    }
-                };
-                // A balancer passes a connection that cannot be opened to another member.
+            if self.twice {
+                let both = tokio::join!(
+                    self.balance(n as usize, &call),
+                    self.balance(n as usize + 1, &call)
+                );
+                self.note(&call, both.0);
+                self.note(&call, both.1);
+            } else {
+                let fate = self.balance(n as usize, &call).await;
+                self.note(&call, fate);
+            }
+        }
+    }
+
+    /// Sends a call to the n-th ready member; one that can't be reached is passed over, as a
+    /// balancer does.
+    async fn balance(&self, n: usize, call: &Call) -> Fate {
+        let mut ticks = interval(LOOK / 5);
+        loop {
+            let ready = self.ready.lock().expect("no holder panics").clone();
+            if let Some(addr) = ready.get(n % ready.len().max(1)) {
+                let fate = send(&self.client, addr, call).await;
                 if fate.reason != "unsent" {
-                    break fate;
+                    return fate;
                 }
-                ticks.tick().await;
-            };
-            self.note(call, fate);
+            }
+            ticks.tick().await;
         }
     }
 
-    fn note(&self, call: Call, fate: Fate) {
+    fn note(&self, call: &Call, fate: Fate) {
         let mut seen = self.seen.lock().expect("no holder panics");
         match fate.status {
             Some(200) if fate.body == call.body => {
                 self.answered.fetch_add(1, Ordering::Relaxed);
+                seen.done.extend(call.key.clone());
                 return;
             }
             Some(200) => seen.wrong.push(format!("{:?} got {:?}", call.body, fate.body)),
             _ => {}
         }
         if fate.ran == "no" {
-            seen.refused.insert(call.key.unwrap_or(fate.id));
+            seen.refused.insert(fate.id);
+            seen.keys.extend(call.key.clone());
         }
         let reason = match fate.status {
             Some(status) if fate.reason.is_empty() => status.to_string(),
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -144,7 +144,12 @@
         fs::write(&settings, text).expect("a file");
         let settings = settings.to_string_lossy().into_owned();
         self.members.insert(name.clone());
-        self.start(&name, DAEMON.into(), &["serve", "--settings", &settings])
+        self.start(&name, DAEMON.into(), &["serve", "--settings", &settings]);
+        let doors = self.doors(&name);
+        for load in self.loads.values() {
+            load.members.lock().expect("no holder panics").push(doors.clone());
+        }
+        "".into()
     }
 
     fn submit(&mut self, args: &mut Args, text: &str) -> String {
@@ -191,18 +196,17 @@
     }
 
     fn request(&mut self, args: &mut Args) -> String {
-        let call = args.call();
-        let via = args.need("via");
-        let addr = self.process(&via).word("callers").to_owned();
-        let client = self.client.clone();
+        let (via, call) = (args.need("via"), args.call());
+        let Some(name) = args.take("as") else { return told(&self.send(&via, &call)) };
+        let (addr, client) = (self.doors(&via).0, self.client.clone());
         let sent = async move { load::send(&client, &addr, &call).await };
-        match args.take("as") {
-            Some(name) => {
-                self.requests.insert(name, self.runtime.spawn(sent));
-                "".into()
-            }
-            None => told(&self.runtime.block_on(sent)),
-        }
+        self.requests.insert(name, self.runtime.spawn(sent));
+        "".into()
+    }
+
+    fn send(&mut self, via: &str, call: &Call) -> Fate {
+        let addr = self.doors(via).0;
+        self.runtime.block_on(load::send(&self.client, &addr, call))
     }
 
     fn load(&mut self, args: &mut Args) -> String {
@@ -211,10 +215,10 @@
         let parallel = args.need("parallel").parse().expect("a number");
         let (total, name) = (args.take("n"), args.take("as"));
         let count = total.as_ref().map_or(u64::MAX, |n| n.parse().expect("a number"));
-        let call = args.call();
+        let (call, twice) = (args.call(), args.flag("twice"));
         let own = name.clone().unwrap_or_else(|| "load".into());
         let entered = self.runtime.enter();
-        let load = Load::start(&members, &call, &own, parallel, count);
+        let load = Load::start(&members, &call, &own, parallel, count, twice);
         drop(entered);
         match name {
             Some(name) => {
@@ -235,7 +239,9 @@
     fn seen(&mut self, load: Load, now: bool, allowed: &[String]) -> String {
         let (answered, mut seen) = self.runtime.block_on(load.end(now));
         let ran: BTreeSet<String> = self.ran();
-        let lies: Vec<&String> = seen.refused.intersection(&ran).collect();
+        // With `twice`, the other call with the key may have been answered.
+        let refused = seen.refused.iter().chain(seen.keys.difference(&seen.done));
+        let lies: Vec<&String> = refused.filter(|id| ran.contains(*id)).collect();
         let answered =
             if now || !allowed.is_empty() { "many".into() } else { answered.to_string() };
         seen.reasons.retain(|reason, _| !allowed.contains(reason));
--- a/tests/scenario/process.rs
+++ b/tests/scenario/process.rs
@@ -12,6 +12,7 @@
 pub struct Process {
     child: Child,
     words: BTreeMap<String, String>,
+    paused: bool,
     _out: BufReader<ChildStdout>,
 }
 
@@ -32,7 +33,7 @@
         };
         let pairs = words.split_whitespace().filter_map(|w| w.split_once('='));
         let words = pairs.map(|(k, v)| (k.into(), v.into())).collect();
-        Process { child, words, _out: out }
+        Process { child, words, paused: false, _out: out }
     }
 
     /// A word of the ready line.
@@ -46,7 +47,8 @@
     }
 
     /// Sends a signal, like `STOP`.
-    pub fn signal(&self, name: &str) {
+    pub fn signal(&mut self, name: &str) {
+        self.paused = name == "STOP";
         let line = format!("kill -{name} {}", self.child.id());
         let sent = Command::new("sh").args(["-c", &line]).status();
         assert!(sent.is_ok_and(|s| s.success()), "no signal {name}");
@@ -58,6 +60,11 @@
         self.child.wait().expect("a child of ours");
     }
 
+    /// Whether it runs and is not paused.
+    pub fn awake(&mut self) -> bool {
+        !self.paused && self.ended().is_none()
+    }
+
     /// How it ended, if it has.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().expect("a child of ours")
--- a/tests/scenario/wait.rs
+++ b/tests/scenario/wait.rs
@@ -37,20 +37,23 @@
         }
     }
 
-    /// The live members of which one owns a rack: those that show a worker of it.
+    /// The members that show a worker of a rack as theirs.
     fn owners(&mut self, rack: &str) -> Vec<String> {
-        let members: Vec<String> = self.members.iter().cloned().collect();
-        let shows = members.into_iter().filter(|m| self.process(m).ended().is_none());
-        let live: Vec<String> = shows.collect();
         let owns = |show: &Value| rows(show, "workers").any(|w| w["rack"] == *rack);
-        live.into_iter().filter(|m| self.show(m).is_some_and(|s| owns(&s))).collect()
+        let awake = self.awake();
+        awake.into_iter().filter(|m| self.show(m).is_some_and(|s| owns(&s))).collect()
     }
 
     fn all_shown(&mut self, what: &str) -> Vec<Value> {
-        let members: Vec<String> = self.members.iter().cloned().collect();
-        let shows = members.iter().filter_map(|m| self.show(m));
+        let awake = self.awake();
+        let shows = awake.iter().filter_map(|m| self.show(m));
         shows.flat_map(|s| rows(&s, what).cloned().collect::<Vec<_>>()).collect()
     }
+
+    fn awake(&mut self) -> Vec<String> {
+        let members: Vec<String> = self.members.iter().cloned().collect();
+        members.into_iter().filter(|m| self.process(m).awake()).collect()
+    }
 }
 
 fn rows<'a>(show: &'a Value, what: &str) -> impl Iterator<Item = &'a Value> {
@@ -113,6 +116,23 @@
     if let Some(key) = args.take("ran") {
         return Box::new(move |cell| (cell.ran().contains(&key), "not yet run".into()));
     }
+    if let Some(reason) = args.take("reply") {
+        let (via, call) = (args.need("via"), args.call());
+        return Box::new(move |cell| {
+            let fate = cell.send(&via, &call);
+            let whole = fate.status == Some(200) && fate.body == call.body;
+            let answered = if whole { "answered" } else { &fate.reason };
+            (answered == reason, format!("{fate:?}"))
+        });
+    }
+    if args.flag("idle") {
+        return Box::new(move |cell| {
+            let pools = cell.pools();
+            let counts = pools.iter().map(|p| cell.get(&format!("{p}/running")));
+            let counts: Vec<Option<Value>> = counts.collect();
+            (counts.iter().all(|n| *n == Some(0.into())), format!("{counts:?} tasks"))
+        });
+    }
     if let Some(what) = args.take("witness") {
         return Box::new(move |cell| {
             let pools = cell.pools();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -6,3 +6,33 @@
 fn member_killed() {
     scenario::run("member-killed");
 }
+
+#[test]
+fn owner_paused() {
+    scenario::run("owner-paused");
+}
+
+#[test]
+fn same_key() {
+    scenario::run("same-key");
+}
+
+#[test]
+fn kv_outage() {
+    scenario::run("kv-outage");
+}
+
+#[test]
+fn two_operators() {
+    scenario::run("two-operators");
+}
+
+#[test]
+fn worker_leaving() {
+    scenario::run("worker-leaving");
+}
+
+#[test]
+fn rolling_stop() {
+    scenario::run("rolling-stop");
+}
