Model: a flight of two ticks, so that leaving it out of the wait shows

Cause: with a flight of one tick the wait of DM + DW alone was just long enough, and the mutation FLIGHT had to be run with other bounds than the check of what holds. Now both have the same.

--- a/model/place.pml
+++ b/model/place.pml
@@ -33,7 +33,7 @@
 
 #define LEASE 3                 /* ticks of a KV lease */
 #ifndef FLIGHT
-#define FLIGHT 1                /* ticks from the owner's check to a dispatch's not-after time */
+#define FLIGHT 2                /* ticks from the owner's check to a dispatch's not-after time */
 #endif
 #ifndef RUN
 #define RUN 1                   /* ticks that a worker runs the work without a renewal */
