A member is ready once it knows endpoints of every service

Cause: a new member said ready as soon as it held the text; the balancer sent it callers, and for about a second it knew neither its own workers nor its peers' slots, so it refused with no_endpoint. Ruled out: the stopping member (its requests go to peers: must, and a refusal by a peer is retried); the load's own connections (the refusals carried the label).

--- a/src/core.rs
+++ b/src/core.rs
@@ -48,6 +48,9 @@
 const OWN: Duration = Duration::from_millis(100);
 /// How long a stopping member goes on after its last work, so that a balancer has seen it leave.
 const QUIET: Duration = Duration::from_secs(1);
+/// How long a member that has a text waits at most for endpoints of every service: a takeover with
+/// its fences and lagging reports, after which a service still without any has none anywhere.
+const WARM: Duration = Duration::from_secs(10);
 /// The most requests that a member lets be sent to a peer beyond the free slots it last told of.
 const OVERSEND: u32 = 0;
 
@@ -86,6 +89,7 @@
     handovers: Vec<Passing>,
     early: Vec<(Handover, Time)>,
     own: Time,
+    warm: Option<Time>,
     drain: Option<Time>,
     idle: Option<Time>,
     fetching: bool,
@@ -110,6 +114,7 @@
             handovers: vec![],
             early: vec![],
             own: Time::ZERO,
+            warm: None,
             drain: None,
             idle: None,
             fetching: false,
@@ -168,7 +173,25 @@
 
     /// Whether this member may serve callers.
     pub fn ready(&self, now: Time) -> bool {
-        !self.draining() && self.config.version().0 > 0 && self.current(now)
+        !self.draining() && self.warm.is_some_and(|at| at <= now) && self.current(now)
+    }
+
+    /// Notes when this member first knows where to send requests of every service.
+    ///
+    /// Guards against a new member that says ready as soon as it has the text: it knows neither
+    /// workers nor what its peers have for a second or so, and its callers would be refused with
+    /// `no_endpoint` in every rolling replacement. Later losses don't count: they are the same for
+    /// all members, and a balancer with no member left could not even pass the refusals on.
+    fn warm_up(&mut self, now: Time) {
+        if self.config.version().0 == 0 {
+            return;
+        }
+        let latest = *self.warm.get_or_insert(now + WARM);
+        let known =
+            |id, pool| self.racks.slots(pool).0 > 0 || self.peer_for(id, &[], true, now).is_some();
+        if latest > now && self.config.plan().services.iter().all(|(id, s)| known(id, &s.pool)) {
+            self.warm = Some(now);
+        }
     }
 
     /// Whether the configuration held here can still be the one in force.
@@ -299,6 +322,7 @@
         }
         self.retry_handovers(now);
         self.stop_when_idle(now);
+        self.warm_up(now);
         self.metrics.state(
             self.racks.count(),
             self.jobs.count(),
