--- a/src/core.rs
+++ b/src/core.rs
@@ -18,7 +18,7 @@
             ServiceLoad, Show, SubmitReply, Vm, VmList,
         },
         metrics::Metrics,
-        ownership::{Change, Fate, LEASE, Ownership, Swap},
+        ownership::{Change, Fate, Ownership, Swap},
         racks::Racks,
         requests::Requests,
         text::Plan,
@@ -44,10 +44,17 @@
 const BEAT: Duration = Duration::from_millis(250);
 /// How old a peer's beat may be to count as in touch.
 const TOUCH: Duration = Duration::from_secs(3);
+/// How much later than here the service must have answered a peer to show that this member is cut
+/// off. All renew each second, so in an outage the last answers are less than two seconds apart;
+/// a lease has run for 3.4 s without an answer when this is asked.
+const BEHIND: Duration = Duration::from_secs(2);
 /// How often ownership is looked over.
 const OWN: Duration = Duration::from_millis(100);
 /// How long a stopping member goes on after its last work, so that a balancer has seen it leave.
 const QUIET: Duration = Duration::from_secs(1);
+/// How long a member that has a text waits at most for endpoints of every service: a takeover with
+/// its fences and lagging reports, after which a service still without any has none anywhere.
+const WARM: Duration = Duration::from_secs(10);
 
 /// How long a wish for urgent work waits until room has been made; a caller's call lasts longer.
 const PREEMPT: Duration = Duration::from_millis(900);
@@ -59,6 +66,8 @@
 struct Peer {
     heard: Time,
     beat: Option<Beat>,
+    /// When the key-value service last answered it.
+    contact: Time,
     due: Time,
     flying: bool,
 }
@@ -86,6 +95,7 @@
     handovers: Vec<Passing>,
     early: Vec<(Handover, Time)>,
     own: Time,
+    warm: Option<Time>,
     drain: Option<Time>,
     idle: Option<Time>,
     fetching: bool,
@@ -119,6 +129,7 @@
             handovers: vec![],
             early: vec![],
             own: Time::ZERO,
+            warm: None,
             drain: None,
             idle: None,
             fetching: false,
@@ -180,7 +191,24 @@
 
     /// Whether this member may serve callers.
     pub fn ready(&self, now: Time) -> bool {
-        !self.draining() && self.config.version().0 > 0 && self.current(now)
+        !self.draining() && self.warm.is_some_and(|at| at <= now) && self.current(now)
+    }
+
+    /// Notes when this member first knows where to send requests of every service.
+    ///
+    /// Guards against a new member that says ready as soon as it has the text: it knows neither
+    /// workers nor what its peers have for a second or so, and its callers would be refused with
+    /// `no_endpoint` in every rolling replacement. Later losses don't count: they are the same for
+    /// all members, and a balancer with no member left could not even pass the refusals on.
+    fn warm_up(&mut self, now: Time) {
+        if self.config.version().0 == 0 {
+            return;
+        }
+        let latest = *self.warm.get_or_insert(now + WARM);
+        let known = |id, pool| self.racks.slots(pool, now).0 > 0 || self.requests.served(id);
+        if latest > now && self.config.plan().services.iter().all(|(id, s)| known(id, &s.pool)) {
+            self.warm = Some(now);
+        }
     }
 
     /// Whether the configuration held here can still be the one in force.
@@ -210,24 +238,23 @@
     /// Whether this member may dispatch to its workers.
     ///
     /// Its lease runs, or the key-value service answers nobody: then nobody can take over either.
-    /// A peer that the service does answer is the sign that this member alone is cut off. Beyond
-    /// that, a worker refuses a dispatch whose epoch has been passed.
+    /// A peer that the service has answered well after it last answered here is the sign that this
+    /// member alone is cut off. Beyond that, a worker refuses a dispatch whose epoch has been passed.
     pub(crate) fn may_dispatch(&self, now: Time) -> bool {
         if self.ownership.leased(now) {
             return true;
         }
+        let Some(mine) = self.ownership.contact() else { return false };
         let others = self.ownership.members().keys().filter(|m| **m != self.me());
         let mut silent = 0;
         for member in others {
-            let Some(peer) = self.peers.get(member).filter(|p| now - p.heard < TOUCH) else {
-                silent += 1;
-                continue;
-            };
-            if peer.beat.as_ref().is_none_or(|b| b.kv < LEASE.as_millis() as u64) {
-                return false;
+            match self.peers.get(member).filter(|p| now - p.heard < TOUCH) {
+                Some(peer) if peer.contact > mine + BEHIND => return false,
+                Some(_) => {}
+                None => silent += 1,
             }
         }
-        self.ownership.silence(now) < Duration::MAX && silent * 2 <= self.ownership.members().len()
+        silent * 2 <= self.ownership.members().len()
     }
 
     /// The owner of a bucket.
@@ -271,6 +298,7 @@
         }
         self.retry_handovers(now);
         self.stop_when_idle(now);
+        self.warm_up(now);
         self.metrics.state(
             self.racks.count(),
             self.jobs.count(),
@@ -813,6 +841,7 @@
         }
         let peer = self.peers.entry(from).or_insert_with(|| Peer::new(now));
         peer.heard = now;
+        peer.contact = peer.contact.max(now - Duration::from_millis(beat.kv));
         peer.beat = Some(beat);
         BeatReply {
             version: self.config.version(),
@@ -840,6 +869,7 @@
             (Call::Beat(_), Ok(Back::Beat(reply))) => {
                 if let Some(peer) = self.peers.get_mut(&to) {
                     peer.flying = false;
+                    peer.contact = peer.contact.max(now - Duration::from_millis(reply.kv));
                 }
                 self.newer(to, reply.version, now);
             }
@@ -885,7 +915,7 @@
 
 impl Peer {
     fn new(now: Time) -> Self {
-        Peer { heard: now, beat: None, due: now, flying: false }
+        Peer { heard: now, beat: None, contact: Time::ZERO, due: now, flying: false }
     }
 }
 
--- a/src/decide/shift.rs
+++ b/src/decide/shift.rs
@@ -101,6 +101,11 @@
         self.peers.insert(peer, Peer { zone, load, at, usual, sent, full: false });
     }
 
+    /// Whether some peer has slots of the service.
+    pub fn served(&self) -> bool {
+        self.peers.values().any(|p| p.load.slots > 0)
+    }
+
     /// Forgets a peer that is stopping or gone.
     pub fn forget(&mut self, peer: Incarnation) {
         self.peers.remove(&peer);
--- a/src/ownership.rs
+++ b/src/ownership.rs
@@ -151,6 +151,11 @@
         self.answered.map_or(Duration::MAX, |a| now - a)
     }
 
+    /// When the key-value service last answered, if it has.
+    pub fn contact(&self) -> Option<Time> {
+        self.answered
+    }
+
     /// A renewal that was sent at `sent` succeeded.
     pub fn renewed(&mut self, sent: Time) {
         self.renewed = self.renewed.max(Some(sent));
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -111,6 +111,11 @@
         self.spreads.values_mut().for_each(|s| s.forget(peer));
     }
 
+    /// Whether some peer is known to serve a service.
+    pub fn served(&self, service: &ServiceId) -> bool {
+        self.spreads.get(service).is_some_and(Spread::served)
+    }
+
     /// How long a request of a service's usual kind would wait here.
     pub fn wait(&self, id: &ServiceId, service: &Service, now: Time) -> Duration {
         let Some(line) = self.lines.get(id) else { return Duration::ZERO };
@@ -361,8 +366,9 @@
                 false => Duration::MAX,
             };
             let spread = self.requests.spreads.get_mut(&name);
-            if let Some(to) = spread.and_then(|s| s.pick(wait, service.run, now)) {
-                return self.forward(id, to, now);
+            let to = spread.and_then(|s| s.pick(wait, service.run, now));
+            if to.is_some_and(|to| self.forward(id, to, now)) {
+                return;
             }
         }
         if let Err(error) = self.wait(id, &name, &service, slots, now) {
@@ -402,7 +408,8 @@
     fn dispatch(&mut self, worker: WorkerId, item: Item, now: Time) {
         let id = item.id;
         let Some(p) = self.requests.table.get_mut(&id) else { return };
-        let Some(spot) = self.racks.take(worker, id, p.deadline + SPARE) else {
+        let Some(spot) = self.racks.take(worker.clone(), id, p.deadline + SPARE) else {
+            self.racks.pass(&worker);
             return self.finish(id, Err(Kind::NoEndpoint.into()), now);
         };
         p.stage = Stage::Running;
@@ -422,9 +429,12 @@
         self.out.push(Order::Run(Box::new(run)));
     }
 
-    fn forward(&mut self, id: RequestId, to: Incarnation, now: Time) {
-        let Some(addr) = self.ownership().members().get(&to).map(|m| m.bodies) else { return };
-        let Some(p) = self.requests.table.get_mut(&id) else { return };
+    /// Sends a request to a peer; false where the peer is not registered any more.
+    fn forward(&mut self, id: RequestId, to: Incarnation, now: Time) -> bool {
+        let Some(addr) = self.ownership().members().get(&to).map(|m| m.bodies) else {
+            return false;
+        };
+        let Some(p) = self.requests.table.get_mut(&id) else { return false };
         p.stage = Stage::Forwarded(to);
         p.tries += 1;
         let forward = Forward {
@@ -439,6 +449,7 @@
             load: p.ask.load.clone(),
         };
         self.out.push(Order::Forward(Box::new(forward)));
+        true
     }
 
     /// Decides what follows from an outcome: the final answer, or another try.
