--- a/src/requests.rs
+++ b/src/requests.rs
@@ -24,7 +24,11 @@
     },
     fastrand::Rng,
     rustc_hash::FxHashMap,
-    std::{collections::BTreeMap, fmt::Write, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt::Write,
+        time::Duration,
+    },
     xxhash_rust::xxh3::Xxh3Default,
 };
 
@@ -36,6 +40,11 @@
 /// How many times a service's usual run time makes a request a long one, which leaves some slots to
 /// the others: below that the variation of usual requests would count as long.
 const LONG: u32 = 4;
+/// How long a claim is asked for again while its bucket changes hands: a planned handover takes a
+/// few writes of some milliseconds each; a takeover takes longer, and its callers come back.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The pause before it is asked for again.
+const RECLAIM: Duration = Duration::from_millis(100);
 /// The pause before an unanswered word of a claim's end is sent again.
 const AGAIN: Duration = Duration::from_millis(500);
 
@@ -49,6 +58,7 @@
     own: Ticket,
     spreads: BTreeMap<ServiceId, Spread>,
     budget: Budget,
+    again: BTreeSet<(Time, RequestId)>,
 }
 
 /// The requests of one service that wait here, and those that run at endpoints of this member's.
@@ -61,6 +71,8 @@
 struct Pending {
     ask: Ask,
     deadline: Time,
+    /// Until when its claim is asked for again while its bucket changes hands.
+    patience: Time,
     stage: Stage,
     claim: Option<Key>,
     tries: u32,
@@ -86,6 +98,7 @@
             own: 0,
             spreads: BTreeMap::new(),
             budget: Budget::new(Time::ZERO),
+            again: BTreeSet::new(),
         }
     }
 
@@ -201,6 +214,11 @@
             ClaimVerdict::Unowned => Kind::KeyUnowned,
             ClaimVerdict::KvDown | ClaimVerdict::Full => Kind::KvDown,
         };
+        if kind == Kind::KeyUnowned && now < p.patience {
+            // Its bucket is changing hands. This ask was refused for good, so another may be made.
+            self.requests.again.insert((now + RECLAIM, request));
+            return;
+        }
         if !matches!(kind, Kind::KeyUnowned | Kind::KvDown) {
             p.claim = None;
         }
@@ -270,6 +288,10 @@
         for (id, error) in late {
             self.finish(id, Err(error), now);
         }
+        while self.requests.again.first().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, id)) = self.requests.again.pop_first() else { break };
+            self.claim(id, now);
+        }
         let due: Vec<ClaimEnd> = self
             .requests
             .ends
@@ -319,31 +341,29 @@
         }
         let claim = ask.key.clone();
         let stage = if claim.is_some() { Stage::Claiming } else { Stage::Waiting };
-        let wish = claim.as_ref().map(|key| ClaimAsk {
-            key: key.clone(),
-            digest: digest(&ask).into(),
-            request: id,
-        });
         let tries = ask.hops;
-        let p = Pending { ask, deadline, stage, claim, tries };
+        let patience = deadline.min(now + PATIENCE);
+        let keyed = claim.is_some();
+        let p = Pending { ask, deadline, patience, stage, claim, tries };
         self.requests.tickets.insert(ticket, id);
         self.requests.table.insert(id, p);
-        match wish {
-            None => self.route(id, now),
-            Some(wish) => self.claim(wish, now),
-        }
+        if keyed { self.claim(id, now) } else { self.route(id, now) }
     }
 
-    fn claim(&mut self, wish: ClaimAsk, now: Time) {
-        let request = wish.request;
+    fn claim(&mut self, request: RequestId, now: Time) {
+        let Some(p) = self.requests.table.get(&request) else { return };
+        let Some(key) = p.claim.clone() else { return };
+        let wish = ClaimAsk { key, digest: digest(&p.ask).into(), request };
         match self.bucket_owner(bucket_of(wish.key.as_str())) {
             Some(owner) if owner == self.me() => self.jobs.claim(wish, now),
             Some(owner) => self.call(owner, Call::Claim(wish)),
             None => {
-                if let Some(p) = self.requests.table.get_mut(&request) {
-                    p.claim = None;
-                }
-                self.finish(request, Err(Kind::KeyUnowned.into()), now);
+                let verdict = ClaimVerdict::Unowned;
+                self.claimed(
+                    request,
+                    Some(ClaimReply { verdict, status: None, answer: None }),
+                    now,
+                );
             }
         }
     }
--- a/standin/src/kv.rs
+++ b/standin/src/kv.rs
@@ -45,6 +45,7 @@
     leases: HashMap<u64, Instant>,
     faults: Faults,
     calls: BTreeMap<Box<str>, u64>,
+    lapsed: Option<Instant>,
 }
 
 /// The service.
@@ -128,10 +129,10 @@
     /// Ends the leases that have lapsed, with their records.
     pub fn lapse(&self, now: Instant) {
         let mut store = self.lock();
+        let passed = store.lapsed.replace(now).map_or(Duration::ZERO, |before| now - before);
         if store.faults.outage {
             // Leases stand still while the service is down.
-            let step = Duration::from_millis(50);
-            store.leases.values_mut().for_each(|end| *end += step);
+            store.leases.values_mut().for_each(|end| *end += passed);
             return;
         }
         let over: Vec<u64> =
