--- a/src/requests.rs
+++ b/src/requests.rs
@@ -40,10 +40,13 @@
 /// How many times a service's usual run time makes a request a long one, which leaves some slots to
 /// the others: below that the variation of usual requests would count as long.
 const LONG: u32 = 4;
-/// How long a claim is asked for again while its bucket changes hands: a planned handover takes a
+/// How lately a service must have had an endpoint for a request to wait until racks have changed
+/// hands; where there has been none for longer, it is refused at once.
+const LIVELY: Duration = Duration::from_secs(10);
+/// How long a request is tried again while what it needs changes hands: a planned handover takes a
 /// few writes of some milliseconds each; a takeover takes longer, and its callers come back.
 const PATIENCE: Duration = Duration::from_secs(2);
-/// The pause before it is asked for again.
+/// The pause before it is tried again.
 const RECLAIM: Duration = Duration::from_millis(100);
 /// The pause before an unanswered word of a claim's end is sent again.
 const AGAIN: Duration = Duration::from_millis(500);
@@ -59,6 +62,8 @@
     spreads: BTreeMap<ServiceId, Spread>,
     budget: Budget,
     again: BTreeSet<(Time, RequestId)>,
+    /// When an endpoint of each service was last known, here or at a peer.
+    lively: BTreeMap<ServiceId, Time>,
 }
 
 /// The requests of one service that wait here, and those that run at endpoints of this member's.
@@ -71,7 +76,7 @@
 struct Pending {
     ask: Ask,
     deadline: Time,
-    /// Until when its claim is asked for again while its bucket changes hands.
+    /// Until when it is tried again while its bucket, or its service's racks, change hands.
     patience: Time,
     stage: Stage,
     claim: Option<Key>,
@@ -99,6 +104,7 @@
             spreads: BTreeMap::new(),
             budget: Budget::new(Time::ZERO),
             again: BTreeSet::new(),
+            lively: BTreeMap::new(),
         }
     }
 
@@ -260,6 +266,15 @@
         {
             spread.refused(to);
         }
+        if let Outcome::Refused(e) = &outcome
+            && matches!(e.kind(), Kind::NoEndpoint | Kind::Draining)
+            && self.requests.table.get(&request).is_some_and(|p| now < p.patience)
+        {
+            // The peer's racks have changed hands since its beat. That has cost no endpoint
+            // anything, and the peer gets nothing more until its next beat: the budget, which
+            // bounds what failing endpoints are asked, is left alone.
+            return self.route(request, now);
+        }
         self.settle(request, outcome, now);
     }
 
@@ -290,7 +305,11 @@
         }
         while self.requests.again.first().is_some_and(|(at, _)| *at <= now) {
             let Some((_, id)) = self.requests.again.pop_first() else { break };
-            self.claim(id, now);
+            match self.requests.table.get(&id).map(|p| &p.stage) {
+                Some(Stage::Claiming) => self.claim(id, now),
+                Some(Stage::Waiting) => self.route(id, now),
+                _ => {}
+            }
         }
         let due: Vec<ClaimEnd> = self
             .requests
@@ -319,6 +338,10 @@
             let (slots, _) = self.racks.slots(&service.pool, now);
             let Some(line) = self.requests.lines.get_mut(id) else { continue };
             line.queue.resize(slots);
+            if slots == 0 {
+                self.move_on(id, now);
+                continue;
+            }
             while self.requests.waiting(id) > 0 {
                 let Some(worker) = self.racks.choose(&service.pool, now) else { break };
                 let Some(line) = self.requests.lines.get_mut(id) else { break };
@@ -331,6 +354,23 @@
         }
     }
 
+    /// Sends what waits for a service elsewhere, as its racks have passed to another member.
+    fn move_on(&mut self, service: &ServiceId, now: Time) {
+        let Some(line) = self.requests.lines.get_mut(service).filter(|l| !l.queue.is_empty())
+        else {
+            return;
+        };
+        let all = self.requests.table.iter();
+        let waiting: Vec<RequestId> = all
+            .filter(|(_, p)| p.stage == Stage::Waiting && p.ask.service == *service)
+            .map(|(id, _)| *id)
+            .filter(|id| line.queue.cancel(*id).is_some())
+            .collect();
+        for id in waiting {
+            self.route(id, now);
+        }
+    }
+
     fn admit(&mut self, ask: Ask, deadline: Time, now: Time) {
         let (id, ticket) = (ask.id, ask.ticket);
         if deadline <= now {
@@ -379,6 +419,9 @@
         self.requests.budget.tried(tries);
         let (slots, free) = self.racks.slots(&service.pool, now);
         let able = slots > 0 && self.may_dispatch(now);
+        if able || self.requests.served(&name) {
+            self.requests.lively.insert(name.clone(), now);
+        }
         let idle = able && free as usize > self.requests.waiting(&name);
         if hops == 0 && !idle {
             let wait = match able {
@@ -391,10 +434,17 @@
                 return;
             }
         }
-        if let Err(error) = self.wait(id, &name, &service, slots, now) {
-            return self.finish(id, Err(error), now);
+        let Err(error) = self.wait(id, &name, &service, slots, now) else {
+            return self.pump(now);
+        };
+        let lively = self.requests.lively.get(&name).is_some_and(|at| now - *at < LIVELY);
+        let patient = self.requests.table.get(&id).is_some_and(|p| now < p.patience);
+        if error.kind() == Kind::NoEndpoint && hops == 0 && lively && patient {
+            // Its racks are changing hands; what comes next is known in milliseconds.
+            self.requests.again.insert((now + RECLAIM, id));
+            return;
         }
-        self.pump(now);
+        self.finish(id, Err(error), now);
     }
 
     fn wait(
