--- a/standin/src/experiment/cell.rs
+++ b/standin/src/experiment/cell.rs
@@ -242,9 +242,14 @@
         self.members.iter().map(|m| m.addr("callers")).collect()
     }
 
+    /// The address of the platform's list of VMs.
+    pub fn list(&self) -> Result<SocketAddr> {
+        self.platform.addr("vms")
+    }
+
     /// The platform's list of VMs.
     pub async fn vms(&self) -> Result<VmList> {
-        self.get(self.platform.addr("vms")?, "/v1/vms").await
+        self.get(self.list()?, "/v1/vms").await
     }
 
     /// Marks a VM as leaving.
--- a/standin/src/experiment/control.rs
+++ b/standin/src/experiment/control.rs
@@ -67,21 +67,22 @@
         args.time.as_secs()
     );
     println!(
-        "| condition | cpu % of a core | MB | KB/s sent | KB/s received | KV calls/s, all members |"
+        "| condition | cpu % of a core | MB | KB/s sent | KB/s received | of it the VM list | KV calls/s, all members |"
     );
-    println!("|---|---|---|---|---|---|");
+    println!("|---|---|---|---|---|---|---|");
     let mut rows = vec![];
     for case in cases {
         let row = measure(&case, args.time).await?;
         let each = |f: fn(&Usage) -> f64| row.members.iter().map(f).collect::<Vec<_>>();
         let calls: Vec<String> = row.calls.iter().map(|(k, n)| format!("{k} {n:.1}")).collect();
         println!(
-            "| {} | {} | {} | {} | {} | {} |",
+            "| {} | {} | {} | {} | {} | {} | {} |",
             case.name,
             spread(each(|u| u.cpu), 2),
             spread(each(|u| u.memory), 1),
             spread(each(|u| u.sent), 1),
             spread(each(|u| u.received), 1),
+            spread(each(|u| u.list), 1),
             calls.join(", ")
         );
         rows.push(row);
@@ -91,10 +92,12 @@
         line(&points)
     };
     // Summed over members, as the work is shared by them, but for a member's own share.
-    let figures: [(&str, Figure); 4] = [
+    let figures: [(&str, Figure); 6] = [
         ("cpu, ms/s", |r| r.members.iter().map(|u| u.cpu * 10.0).sum()),
         ("memory, KB", |r| r.members.iter().map(|u| u.memory * 1024.0).sum()),
         ("bytes/s sent", |r| r.members.iter().map(|u| u.sent * 1024.0).sum()),
+        ("bytes/s received", |r| r.members.iter().map(|u| u.received * 1024.0).sum()),
+        ("bytes/s of the VM list", |r| r.members.iter().map(|u| u.list * 1024.0).sum()),
         ("KV calls/s", |r| r.calls.values().sum()),
     ];
     println!("\nSlopes, least squares, summed over members, for each {unit} (and at none):");
@@ -125,7 +128,7 @@
         sleep(SETTLE).await;
     }
     let before = cell.kv_calls().await?;
-    let members = usage::watch(&ids, time).await;
+    let members = usage::watch(&ids, cell.list()?, time).await;
     let after = cell.kv_calls().await?;
     let seconds = time.as_secs_f64();
     let mut calls = after;
--- a/standin/src/experiment/faults.rs
+++ b/standin/src/experiment/faults.rs
@@ -54,7 +54,7 @@
          racks placed after s | not run | unknown |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|");
-    let (mut base, mut reasons) = (vec![], vec![]);
+    let (mut base, mut reasons, mut wrong) = (vec![], vec![], 0);
     for (fault, name) in FAULTS {
         if &*args.part != "all" && !name.contains(&*args.part) && fault != Fault::None {
             continue;
@@ -62,11 +62,12 @@
         let mut rows = vec![];
         for _ in 0..args.runs {
             let (outcome, placed, bad) = one(fault, members).await?;
+            wrong += outcome.wrong;
             if bad > 0 {
                 reasons.push(format!("{name}: {bad} violations witnessed"));
             }
             if !outcome.reasons.is_empty() {
-                reasons.push(format!("{name}: {} (wrong {})", outcome.why(), outcome.wrong));
+                reasons.push(format!("{name}: {}", outcome.why()));
             }
             rows.push((outcome, placed));
         }
@@ -75,7 +76,8 @@
         }
         print(name, &rows, &base);
     }
-    println!("\nReasons by run: {}", reasons.join("; "));
+    println!("\nAnswers not whole or not to their own request: {wrong}");
+    println!("Reasons by run: {}", reasons.join("; "));
     Ok(())
 }
 
--- a/standin/src/experiment/leaving.rs
+++ b/standin/src/experiment/leaving.rs
@@ -35,8 +35,10 @@
     println!("|---|---|---|---|---|");
     for lag in [0, 3] {
         let cell = Cell::start(members, &today(), TODAY).await?;
-        cell.list_lag(Duration::from_secs(lag)).await?;
         let list = cell.vms().await?.vms;
+        // The list of one lag ago must not be the empty one before the workers entered.
+        sleep(Duration::from_secs(lag)).await;
+        cell.list_lag(Duration::from_secs(lag)).await?;
         let quoting: Vec<_> = list.iter().filter(|v| v.pool.as_str() == "quoting").collect();
         let (mut last, mut after, mut beside, mut good) = (vec![], vec![], vec![], vec![]);
         for n in 0..args.runs {
--- a/standin/src/experiment/path.rs
+++ b/standin/src/experiment/path.rs
@@ -57,7 +57,7 @@
          p50 beyond the run ms | refused % | members' cpu us/request |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|");
-    let mut reasons = vec![];
+    let (mut reasons, mut wrong) = (vec![], 0);
     for share in SHARES {
         let mut rows: Vec<Vec<(Outcome, f64)>> = vec![vec![]; cells.len() + 1];
         for _ in 0..args.runs {
@@ -75,12 +75,14 @@
         for (n, row) in rows.iter().enumerate() {
             let name = if n == 0 { "straight".into() } else { format!("{} members", sizes[n - 1]) };
             print(share, &name, row, &rows[0]);
+            wrong += row.iter().map(|(o, _)| o.wrong).sum::<u64>();
             for (o, _) in row.iter().filter(|(o, _)| !o.reasons.is_empty()) {
                 reasons.push(format!("{:.0}% {name}: {}", 100.0 * share, o.why()));
             }
         }
     }
     println!("\nReasons: {}", if reasons.is_empty() { "none".into() } else { reasons.join("; ") });
+    println!("Answers not whole or not to their own request: {wrong}");
     for cell in &cells {
         println!("Violations witnessed by workers: {}", cell.violations().await?);
     }
--- a/standin/src/experiment/starts.rs
+++ b/standin/src/experiment/starts.rs
@@ -1,7 +1,12 @@
 //! Task starts a second, and the time from an accepted text to its urgent job running.
 
 use {
-    super::{Args, TODAY, cell::Cell, today, usage::spread},
+    super::{
+        Args, TODAY,
+        cell::Cell,
+        today,
+        usage::{self, spread},
+    },
     crate::Result,
     std::time::{Duration, Instant},
     tokio::time::sleep,
@@ -16,15 +21,34 @@
 /// The pause between two looks at the witness.
 const LOOK: Duration = Duration::from_millis(4);
 
-/// Prints the tables.
+/// How long each task of a steady stream runs.
+const SHORT: f64 = 1.0;
+/// The jobs of a steady stream, and the tasks of each: over all buckets, within their records.
+const STREAM: (u32, u32) = (100, 120);
+
+/// Prints the tables, or one of them.
 pub async fn run(args: &Args) -> Result<()> {
     let members = args.members.first().copied().unwrap_or(3);
-    println!("\n{members} members, 48 workers, {} runs; {TASKS} tasks in a text.\n", args.runs);
-    println!("| the text adds | first start after ms | all started after s | starts/s | started |");
+    println!("\n{members} members, 48 workers, {} runs.", args.runs);
+    let part = |name| &*args.part == "all" || &*args.part == name;
+    if part("burst") {
+        burst(members, args.runs).await?;
+    }
+    if part("stream") {
+        stream(members, args.runs).await?;
+    }
+    if part("urgent") {
+        urgent(members, args.runs).await?;
+    }
+    Ok(())
+}
+
+async fn burst(members: usize, runs: usize) -> Result<()> {
+    println!("\n| {TASKS} tasks in | first start after ms | last after s | starts/s | started |");
     println!("|---|---|---|---|---|");
     for (name, jobs) in [("1 job", 1), ("20 jobs", 20), ("200 jobs", 200)] {
         let mut rows = vec![];
-        for _ in 0..args.runs {
+        for _ in 0..runs {
             let mut cell = Cell::start(members, &today(), TODAY).await?;
             cell.submit(&format!("{TODAY}{}", batch(jobs, TASKS / jobs, "100m", "1m"))).await?;
             rows.push(started(&cell, 0, TASKS).await?);
@@ -38,14 +62,65 @@
             spread(all(&|s| f64::from(s.count)), 0)
         );
     }
+    Ok(())
+}
+
+/// Tasks that end and make room for the next: starts bounded by the places, or by the scheduler.
+async fn stream(members: usize, runs: usize) -> Result<()> {
+    println!(
+        "\n| places for tasks of 1 s | the most starts/s with no gap | starts/s | of the most | \
+         KV writes/s | members' cpu % of a core | started |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    let all = STREAM.0 * STREAM.1;
+    for (cores, places) in [("500m", 35.0 * 32.0), ("250m", 35.0 * 64.0)] {
+        let mut rows = vec![];
+        for _ in 0..runs {
+            let mut cell = Cell::start(members, &today(), TODAY).await?;
+            let ids: Vec<u32> = cell.members.iter().map(|m| m.id()).collect();
+            let used = || ids.iter().filter_map(|id| usage::cpu(*id)).sum::<f64>();
+            let text = format!("{TODAY}{}", batch(STREAM.0, STREAM.1, cores, "1s"));
+            let (writes, cpu) = (writes(&cell).await?, used());
+            cell.submit(&text).await?;
+            let s = started(&cell, 0, all).await?;
+            let done = self::writes(&cell).await?;
+            let seconds = s.last.max(f64::MIN_POSITIVE);
+            let rate = f64::from(s.count) / seconds;
+            rows.push([
+                rate,
+                (done - writes) / seconds,
+                100.0 * (used() - cpu) / seconds,
+                f64::from(s.count),
+            ]);
+        }
+        let each = |n: usize| rows.iter().map(move |r| r[n]);
+        let most = places / SHORT;
+        println!(
+            "| {places} | {most} | {} | {} | {} | {} | {} of {all} |",
+            spread(each(0), 0),
+            spread(each(0).map(|r| r / most), 2),
+            spread(each(1), 0),
+            spread(each(2), 0),
+            spread(each(3), 0)
+        );
+    }
+    Ok(())
+}
+
+async fn writes(cell: &Cell) -> Result<f64> {
+    Ok(cell.kv_calls().await?.get("PUT /v1/kv").copied().unwrap_or(0) as f64)
+}
+
+async fn urgent(members: usize, runs: usize) -> Result<()> {
     println!(
-        "\n| an urgent gang of {URGENT} | first start after ms | all started after ms | runs in which all started |"
+        "\n| an urgent gang of {URGENT} | first start after ms | all started after ms | runs in \
+         which all started |"
     );
     println!("|---|---|---|---|");
     // 35 workers of 16 cores: tasks of 4 cores leave nothing free from the 140th on.
     for (name, tasks) in [("on an empty pool", 0), ("on a full pool", 200)] {
         let mut rows = vec![];
-        for _ in 0..args.runs {
+        for _ in 0..runs {
             let mut cell = Cell::start(members, &today(), TODAY).await?;
             let mut text = TODAY.to_owned();
             let full = tasks.min(140);
@@ -63,11 +138,10 @@
         }
         let whole: Vec<&Started> = rows.iter().filter(|s| s.count >= URGENT).collect();
         println!(
-            "| {name} | {} | {} | {} of {} |",
+            "| {name} | {} | {} | {} of {runs} |",
             spread(whole.iter().map(|s| s.first * 1000.0), 0),
             spread(whole.iter().map(|s| s.last * 1000.0), 0),
             whole.len(),
-            args.runs
         );
     }
     Ok(())
--- a/standin/src/experiment/usage.rs
+++ b/standin/src/experiment/usage.rs
@@ -4,6 +4,7 @@
     std::{
         collections::BTreeMap,
         fs,
+        net::SocketAddr,
         process::Command,
         time::{Duration, Instant},
     },
@@ -26,6 +27,8 @@
     pub sent: f64,
     /// Kilobytes received a second, likewise.
     pub received: f64,
+    /// What of it is the platform's list of VMs.
+    pub list: f64,
 }
 
 /// The processor time that a process has used, in seconds; none where it has ended.
@@ -62,10 +65,13 @@
 ///
 /// Bytes are those of connections seen at both ends of a look; what a connection carried before
 /// its first look or after its last is missed, so they are a lower bound.
-pub async fn watch(ids: &[u32], time: Duration) -> Vec<Usage> {
+///
+/// `vms` is the address of the platform's list.
+pub async fn watch(ids: &[u32], vms: SocketAddr, time: Duration) -> Vec<Usage> {
+    let vms = vms.to_string();
     let begun = Instant::now();
     let before: Vec<Option<f64>> = ids.iter().map(|id| cpu(*id)).collect();
-    let mut bytes: BTreeMap<u32, (u64, u64)> = BTreeMap::new();
+    let mut bytes: BTreeMap<u32, [u64; 3]> = BTreeMap::new();
     let mut last = connections();
     while begun.elapsed() < time {
         sleep(LOOK.min(time - begun.elapsed().min(time))).await;
@@ -73,20 +79,25 @@
         for (at, (sent, received)) in &next {
             let old = last.get(at).copied().unwrap_or((0, 0));
             let sum = bytes.entry(at.0).or_default();
-            sum.0 += sent.saturating_sub(old.0);
-            sum.1 += received.saturating_sub(old.1);
+            sum[0] += sent.saturating_sub(old.0);
+            sum[1] += received.saturating_sub(old.1);
+            if at.1.ends_with(&vms) {
+                sum[2] += received.saturating_sub(old.1);
+            }
         }
         last = next;
     }
     let seconds = begun.elapsed().as_secs_f64();
     let each = ids.iter().zip(before).map(|(id, before)| {
         let used = cpu(*id).zip(before).map_or(0.0, |(after, before)| after - before);
-        let (sent, received) = bytes.get(id).copied().unwrap_or_default();
+        let sums = bytes.get(id).copied().unwrap_or_default();
+        let [sent, received, list] = sums.map(|n| n as f64 / 1024.0 / seconds);
         Usage {
             cpu: 100.0 * used / seconds,
             memory: memory(*id).unwrap_or(0.0),
-            sent: sent as f64 / 1024.0 / seconds,
-            received: received as f64 / 1024.0 / seconds,
+            sent,
+            received,
+            list,
         }
     });
     each.collect()
