racks: one module for each concept

Divided by concept into link, pass, place, serve, show and tell; the functions are moved as they were.

--- /dev/null
+++ b/src/racks/place.rs
@@ -0,0 +1,205 @@
+//! Room for tasks: reservations, room made for urgent work, starts and stops.
+
+use {
+    super::{RESERVE, Racks, tell::Facts},
+    crate::{
+        Time,
+        decide::urgent::{self, Running},
+        ids::{Epoch, PoolId, RackId, TaskId, WorkerId},
+        ledger::Held,
+        messages::{
+            EndItem, Hold, ReserveAsk, ReserveItem, ReserveReply, ReserveRow, StartAsk, StartItem,
+            StartReply, TaskOrder, TaskState,
+        },
+        units::Size,
+    },
+    std::time::Duration,
+};
+
+/// How long a checkpoint takes; until workers report it, the time that urgent work can wait.
+const CHECKPOINT: Duration = Duration::from_millis(500);
+
+impl Racks {
+    /// Finds room for attempts; all or none where `whole` is asked for.
+    pub fn reserve(&mut self, ask: &ReserveAsk, now: Time) -> ReserveReply {
+        self.marks.retain(|_, (_, until)| *until > now);
+        let needs: Vec<Size> = ask.items.iter().map(|i| i.size).collect();
+        let order = self.indexes.get(&ask.pool).map_or(vec![], |index| index.order(&needs));
+        let mut rows = vec![];
+        for item in order.into_iter().filter_map(|i| ask.items.get(i)) {
+            let found = self.room(ask, item);
+            let row = found.and_then(|(worker, rack, epoch)| {
+                let ends = now + RESERVE;
+                self.ledger.reserve(&item.task, item.attempt, &worker, item.size, ends).ok()?;
+                self.reindex(&worker);
+                let (task, attempt) = (item.task.clone(), item.attempt);
+                Some(ReserveRow { task, attempt, worker, rack, epoch })
+            });
+            if row.is_none() && ask.whole {
+                break;
+            }
+            rows.extend(row);
+        }
+        if ask.whole && rows.len() < ask.items.len() {
+            self.release(&rows, now);
+            rows.clear();
+        }
+        ReserveReply { rows }
+    }
+
+    /// Frees room that was reserved and is not needed after all.
+    pub fn release(&mut self, rows: &[ReserveRow], now: Time) {
+        for row in rows {
+            if !self.facts.contains_key(&(row.task.clone(), row.attempt)) {
+                self.ledger.release(&row.task, row.attempt, now);
+                self.reindex(&row.worker);
+            }
+        }
+    }
+
+    /// Makes room for urgent work: stops the cheapest tasks that can be checkpointed on one worker,
+    /// whose room then is the urgent task's. Returns whether room is on its way.
+    pub fn preempt(&mut self, ask: &ReserveAsk, now: Time) -> bool {
+        let mut made = false;
+        for item in ask.items.iter().filter(|i| i.urgent) {
+            if self.marks.values().any(|(task, _)| *task == item.task) {
+                made = true;
+                continue;
+            }
+            let places: Vec<urgent::Place> = self
+                .links
+                .keys()
+                .filter(|w| !item.avoid.contains(w) && !self.marks.contains_key(*w))
+                .filter_map(|w| self.scene(w, &ask.pool))
+                .collect();
+            let Some(plan) = urgent::plan(now, item.size, &places) else { continue };
+            made = true;
+            self.marks.insert(plan.worker.clone(), (item.task.clone(), now + RESERVE));
+            let Some(link) = self.links.get_mut(&plan.worker) else { continue };
+            for victim in plan.victims {
+                let held = self.ledger.worker(&plan.worker).into_iter().flat_map(|a| a.held());
+                let attempt = held.filter_map(|h| match h {
+                    Held::Task(task, attempt) if *task == victim => Some(*attempt),
+                    _ => None,
+                });
+                link.stops.extend(attempt.map(|attempt| TaskOrder {
+                    task: victim.clone(),
+                    attempt,
+                    size: Size::default(),
+                    run: 0,
+                }));
+                link.due = now;
+            }
+        }
+        made
+    }
+
+    /// Starts reserved attempts whose intents are committed, and stops others.
+    pub fn start(&mut self, ask: StartAsk, now: Time) -> Option<StartReply> {
+        if self.racks.get(&ask.rack) != Some(&ask.epoch) && !ask.start.is_empty() {
+            return None;
+        }
+        let mut refused = vec![];
+        let until = now + Duration::from_millis(ask.left);
+        for item in ask.start {
+            let ok = self.links.contains_key(&item.worker)
+                && self.ledger.place(&Held::Task(item.task.clone(), item.attempt))
+                    == Some(&item.worker)
+                && self.ledger.confirm(&item.task, item.attempt, now);
+            if !ok {
+                refused.push(EndItem {
+                    task: item.task,
+                    attempt: item.attempt,
+                    state: TaskState::Lost,
+                    worker: item.worker,
+                    used: None,
+                });
+                continue;
+            }
+            self.marks.retain(|_, (task, _)| *task != item.task);
+            let facts = Facts {
+                bucket: item.bucket,
+                vouched: now,
+                since: now,
+                hold: Some((item.hold, item.borrowed)),
+            };
+            self.facts.insert((item.task.clone(), item.attempt), facts);
+            if let Some(link) = self.links.get_mut(&item.worker) {
+                link.starts.push((order(&item), until));
+                link.due = now;
+            }
+        }
+        for item in ask.stop {
+            self.vouch(item.task.clone(), item.attempt, item.bucket, now);
+            let Some(link) = self.links.get_mut(&item.worker) else { continue };
+            let same = |o: &TaskOrder| o.task == item.task && o.attempt == item.attempt;
+            if !link.stops.iter().any(same) {
+                link.stops.push(order(&item));
+                link.due = now;
+            }
+        }
+        Some(StartReply { refused })
+    }
+
+    /// The worker for an attempt: packed on the fullest, or spread over racks.
+    fn room(&self, ask: &ReserveAsk, item: &ReserveItem) -> Option<(WorkerId, RackId, Epoch)> {
+        let mut avoid = item.avoid.clone();
+        // Room that is being made for urgent work is not for others.
+        let marked = self.marks.iter().filter(|(_, (task, _))| *task != item.task);
+        avoid.extend(marked.map(|(w, _)| w.clone()));
+        if let Some(rack) = &ask.rack {
+            let others = self
+                .links
+                .keys()
+                .filter(|w| self.ledger.worker(w).is_some_and(|a| a.rack != *rack));
+            avoid.extend(others.cloned());
+        }
+        let index = self.indexes.get(&ask.pool)?;
+        let id = if item.spread {
+            index.spread(&item.size, &self.replicas(&item.task), &avoid)?
+        } else {
+            index.pack(&item.size, &avoid)?
+        };
+        let rack = self.ledger.worker(id)?.rack.clone();
+        let epoch = *self.racks.get(&rack)?;
+        Some((id.clone(), rack, epoch))
+    }
+
+    /// The workers that hold tasks of the same job, once for each.
+    fn replicas(&self, task: &TaskId) -> Vec<WorkerId> {
+        let here = self.ledger.workers().flat_map(|(id, a)| a.held().map(move |h| (id, h)));
+        let same = here.filter(|(_, h)| matches!(h, Held::Task(t, _) if t.job == task.job));
+        same.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// What runs on a worker, as the choice of victims sees it.
+    fn scene(&self, worker: &WorkerId, pool: &PoolId) -> Option<urgent::Place> {
+        let account = self.ledger.worker(worker).filter(|a| a.pool == *pool && !a.cordoned())?;
+        let tasks = account.held().filter_map(|held| {
+            let Held::Task(task, attempt) = held else { return None };
+            let facts = self.facts.get(&(task.clone(), *attempt));
+            let kind = match facts.and_then(|f| f.hold) {
+                Some((Hold::Checkpoint, _)) => urgent::Kind::Checkpoint,
+                Some((Hold::Brief, _)) => urgent::Kind::Plain,
+                Some((Hold::Never, _)) | None => urgent::Kind::Service,
+            };
+            Some(Running {
+                task: task.clone(),
+                size: self.ledger.load(held)?.size,
+                kind,
+                borrowed: facts.and_then(|f| f.hold).is_some_and(|(_, borrowed)| borrowed),
+                saved: facts.map_or(Time::ZERO, |f| f.since),
+                save: CHECKPOINT,
+            })
+        });
+        Some(urgent::Place {
+            worker: worker.clone(),
+            free: account.room(),
+            running: tasks.collect(),
+        })
+    }
+}
+
+fn order(item: &StartItem) -> TaskOrder {
+    TaskOrder { task: item.task.clone(), attempt: item.attempt, size: item.size, run: item.run }
+}
