racks: a link's promises hold, and a tick costs what is due

Causes, and what holds now: - A lapse was announced from a renewal's sending, not its longest flight, and while one was on its way. It counts from sending plus flight plus drift, and nothing is announced while orders are out. What was announced or told as lost is not renewed again (`doomed`). - A worker that the list shows late was announced as gone, and then renewed. - After 10 s without a lease the member took all workers as silent and cut them off. A gap between ticks counts for nobody. - A worker never fenced was never cut off: its tasks waited for ever. - A late handover counted as a new, empty report and freed running tasks. - A leaving worker got starts that were reserved or waiting. They are withdrawn: unsent ones are told as lost at once. - A stop went out with its start, or overtook it; the worker confirmed the stop, then ran the start. A stop waits until its start is answered or dead. - A refused repeat of a start said nothing of the first copy, and was told as lost. Its word counts only if it was the only copy. - "Runs" could replace "ended" when the report came before the answer. - Links of VMs that left the list stayed for good, and stayed with the former owner when the rack passed on. - A worker that forgot its epoch was not fenced again. - A probe gave a report's age while a start was still on its way. - Stops of attempts that a worker doesn't know were sent for ever. - Answers to orders of another epoch changed the new link.

Cost: `serve` walked all workers each tick and each report gated them all. Now an agenda of due times, and a report gates its own worker.

Not done: a lapsed reservation still reindexes all workers (the ledger does not say where it was), and a reservation for one rack lists all others.

--- a/src/racks/link.rs
+++ b/src/racks/link.rs
@@ -1,36 +1,26 @@
-//! One worker's link: its fence, its reports, the renewals of its leases, and its orders.
+//! One worker's link: its fence, its reports, its leases, and the orders that wait for it.
 
 use {
-    super::{Racks, tell::millis},
+    super::LAPSE,
     crate::{
         Time,
-        attempts::{FLIGHT, LEASE},
-        decide::estimate::Action,
-        event::Order,
+        attempts::{DRIFT, FLIGHT},
         http::Failure,
-        ids::{Attempt, Epoch, TaskId, WorkerId},
-        ledger::Held,
-        messages::{Report, TaskOrder, TaskReport, TaskState, WorkerAsk, WorkerReply},
+        ids::{Attempt, Epoch, TaskId},
+        messages::{TaskOrder, TaskReport, WorkerAsk},
         units::Size,
     },
-    std::{collections::BTreeSet, time::Duration},
+    std::time::Duration,
 };
 
 /// How often a worker is asked for its report. Half of the time that urgent work may wait.
-const POLL: Duration = Duration::from_millis(500);
-
+pub(super) const POLL: Duration = Duration::from_millis(500);
 /// The pause before an unanswered fence is repeated.
-const REFENCE: Duration = Duration::from_millis(200);
-
+pub(super) const REFENCE: Duration = Duration::from_millis(200);
 /// How long a worker may be silent before its leases are renewed no more.
 ///
 /// Long enough for a restarted switch to come back, short beside the lease that then still runs.
-const SILENT: Duration = Duration::from_secs(10);
-
-/// How long an attempt is renewed that no bucket's owner has spoken for.
-///
-/// Longer than a bucket takes to change its owner twice; a probe comes every two seconds.
-const VOUCH: Duration = Duration::from_secs(60);
+pub(super) const SILENT: Duration = Duration::from_secs(10);
 
 /// What is known of one worker since its rack was gained.
 pub(super) struct Link {
@@ -42,14 +32,30 @@
     pub(super) report: Option<(Time, Vec<TaskReport>)>,
     pub(super) poll: Time,
     pub(super) asked: Option<Time>,
+    /// Whether orders are on their way.
     pub(super) ordering: bool,
-    pub(super) starts: Vec<(TaskOrder, Time)>,
+    pub(super) starts: Vec<Start>,
     pub(super) stops: Vec<TaskOrder>,
+    /// When a lease there can have been renewed at the latest.
     pub(super) renewed: Time,
     pub(super) due: Time,
+    /// Whether its leases are left to run out.
     pub(super) cut: bool,
     pub(super) handed: bool,
     pub(super) since: Time,
+    pub(super) listed: bool,
+    pub(super) wake: Time,
+}
+
+/// A start that the worker has not confirmed.
+pub(super) struct Start {
+    pub(super) order: TaskOrder,
+    pub(super) until: Time,
+    /// When it was sent last.
+    pub(super) sent: Option<Time>,
+    pub(super) tries: u32,
+    /// Whether it must not be sent again.
+    pub(super) off: bool,
 }
 
 impl Link {
@@ -72,241 +78,129 @@
             cut: false,
             handed: false,
             since: now,
+            listed: true,
+            wake: Time::NEVER,
         }
     }
-}
 
-impl Racks {
-    /// Does what is due: fences, reports, renewals, starts and stops. Nothing without a lease.
-    pub fn tick(&mut self, now: Time, leased: bool, out: &mut Vec<Order>) {
-        for held in self.ledger.expire(now) {
-            log::debug!(target: "racks", "Lapsed: {held:?}.");
-            if let Held::Task(..) = held {
-                let all: Vec<WorkerId> = self.links.keys().cloned().collect();
-                all.iter().for_each(|w| self.reindex(w));
-            }
-        }
-        if !leased {
+    /// From when on no lease can run that was renewed before the cut.
+    pub(super) fn lapse(&self) -> Time {
+        self.renewed + LAPSE
+    }
+
+    /// Renews no lease from now on, until all have lapsed.
+    pub(super) fn cut_off(&mut self, now: Time) {
+        if self.cut {
             return;
         }
-        let workers: Vec<WorkerId> = self.links.keys().cloned().collect();
-        for worker in workers {
-            self.serve(&worker, now, out);
+        self.cut = true;
+        // A former owner that has not heard of its loss renews until the worker is fenced.
+        if self.fenced.is_none() {
+            self.renewed = now;
         }
     }
 
-    /// Takes a worker's answer to a fence.
-    pub fn fenced(
-        &mut self,
-        worker: &WorkerId,
-        epoch: Epoch,
-        reply: Result<Epoch, Failure>,
-        now: Time,
-    ) {
-        let Some(link) = self.links.get_mut(worker).filter(|l| l.epoch == epoch) else { return };
-        if reply == Ok(epoch) {
-            link.fenced.get_or_insert(now);
-            link.heard = now;
-            link.ready |= link.handed;
-            link.poll = now;
+    /// Notes whether the platform lists the worker; a VM that is gone took with it what ran there.
+    pub(super) fn list(&mut self, listed: bool, now: Time) {
+        self.listed = listed;
+        if !listed {
+            self.cut_off(now);
         }
-        self.gate(now);
     }
 
-    /// Takes a worker's report.
-    pub fn reported(&mut self, worker: &WorkerId, report: Result<Report, Failure>, now: Time) {
-        let Some(link) = self.links.get_mut(worker) else { return };
-        let Some(sent) = link.asked.take() else { return };
-        link.poll = now + POLL;
-        let Ok(mut report) = report else { return };
-        link.heard = now;
-        // What the report says was true at the latest when it was asked for, less its age: the way
-        // back must not make it look younger.
-        let taken = sent - Duration::from_millis(report.age);
-        let Some(fenced) = link.fenced else { return };
-        report.age = u64::try_from((now - taken).as_millis()).unwrap_or(u64::MAX) + 1;
-        if taken <= fenced {
-            link.poll = now + POLL / 5;
-            return;
-        }
-        link.ready = true;
-        link.report = Some((taken, report.tasks.clone()));
-        let running = report.tasks.iter().filter(|t| t.state == TaskState::Running);
-        let running: Vec<(TaskId, Attempt)> =
-            running.map(|t| (t.task.clone(), t.attempt)).collect();
-        self.outgrown(worker, &report.tasks, now);
-        let ended = self.ledger.adopt(worker, &report, &[], now);
-        for (task, attempt) in ended {
-            let said = report.tasks.iter().find(|t| t.task == task && t.attempt == attempt);
-            self.say(task, attempt, said.map_or(TaskState::Lost, |t| t.state), worker);
-        }
-        if let Some(link) = self.links.get_mut(worker) {
-            link.starts.retain(|(o, _)| !running.contains(&(o.task.clone(), o.attempt)));
-        }
-        self.gate(now);
-        self.reindex(worker);
+    /// Sends no start any more.
+    pub(super) fn withdraw(&mut self) {
+        self.starts.iter_mut().for_each(|s| s.off = true);
     }
 
-    /// Takes a worker's answer to orders.
-    pub fn ordered(
-        &mut self,
-        worker: &WorkerId,
-        ask: &WorkerAsk,
-        sent: Time,
-        reply: Result<WorkerReply, Failure>,
-        now: Time,
-    ) {
-        let Some(link) = self.links.get_mut(worker) else { return };
-        link.ordering = false;
-        // The renewal may have arrived although its answer did not.
-        if !ask.renew.is_empty() || !ask.start.is_empty() {
-            link.renewed = link.renewed.max(sent);
+    /// Orders a stop, once.
+    pub(super) fn stop(&mut self, task: TaskId, attempt: Attempt, now: Time) {
+        for start in self.starts.iter_mut().filter(|s| same(&s.order, &task, attempt)) {
+            start.off = true;
         }
-        let Ok(reply) = reply else {
-            link.due = now + REFENCE;
-            return;
-        };
-        link.heard = now;
-        if reply.epoch > link.epoch {
-            log::info!(target: "racks", "Worker {worker} has a newer owner.");
-            return;
-        }
-        let sent_starts: BTreeSet<_> =
-            ask.start.iter().map(|o| (o.task.clone(), o.attempt)).collect();
-        link.starts.retain(|(o, _)| !sent_starts.contains(&(o.task.clone(), o.attempt)));
-        link.stops
-            .retain(|o| !reply.stopped.iter().any(|s| s.task == o.task && s.attempt == o.attempt));
-        let refused: BTreeSet<_> =
-            reply.refused.iter().map(|o| (o.task.clone(), o.attempt)).collect();
-        for (task, attempt) in &sent_starts {
-            let no = refused.contains(&(task.clone(), *attempt));
-            if no {
-                self.ledger.release(task, *attempt, now);
-                self.reindex(worker);
-            }
-            let state = if no { TaskState::Lost } else { TaskState::Running };
-            self.say(task.clone(), *attempt, state, worker);
-        }
-        for stop in reply.stopped {
-            if self.ledger.release(&stop.task, stop.attempt, now) {
-                self.reindex(worker);
-                self.say(stop.task, stop.attempt, TaskState::Checkpointed, worker);
-            }
+        if !self.stops.iter().any(|s| same(s, &task, attempt)) {
+            self.stops.push(bare(task, attempt));
+            self.due = now;
         }
     }
 
-    fn serve(&mut self, worker: &WorkerId, now: Time, out: &mut Vec<Order>) {
-        let (Some(link), Some(vm)) = (self.links.get_mut(worker), self.vms.get(worker)) else {
-            return self.bury(worker, now);
-        };
-        if link.fenced.is_none() {
-            if link.fence <= now {
-                link.fence = now + REFENCE;
-                out.push(Order::Fence(worker.clone(), vm.addr, link.epoch));
-            }
-            return;
-        }
-        let was = link.cut;
-        link.cut |= now - link.heard > SILENT;
-        if link.asked.is_none() && link.poll <= now {
-            link.asked = Some(now);
-            out.push(Order::Report(worker.clone(), vm.addr));
-        }
-        if link.cut && !was {
-            log::warn!(target: "racks", "Worker {worker} is silent; its leases run out.");
-            self.gate(now);
-            return;
-        }
-        if link.cut {
-            return self.bury(worker, now);
-        }
-        // Past its not-after time a start must not go out: another attempt may have been made.
-        let dead: Vec<TaskOrder> = link
-            .starts
-            .extract_if(.., |(_, until)| *until <= now + FLIGHT / 4)
-            .map(|(o, _)| o)
-            .collect();
-        if !link.ordering && (link.due <= now) {
-            let epoch = link.epoch;
-            let held = self.ledger.worker(worker).map(|a| a.held().cloned().collect::<Vec<_>>());
-            // What no bucket's owner speaks for is nobody's: its lease runs out.
-            let renew = held.into_iter().flatten().filter_map(|h| match h {
-                Held::Task(task, attempt) => {
-                    let facts = self.facts.get(&(task.clone(), attempt));
-                    let spoken = facts.map_or(link.since, |f| f.vouched);
-                    let order = TaskOrder { task, attempt, size: Size::default(), run: 0 };
-                    (now - spoken < VOUCH).then_some(order)
-                }
-                Held::Request(_) => None,
-            });
-            let ask = WorkerAsk {
-                epoch,
-                lease: millis(LEASE),
-                until: 0,
-                start: link.starts.iter().map(|(o, _)| o.clone()).collect(),
-                renew: renew.collect(),
-                stop: link.stops.clone(),
+    /// The stops to send now.
+    ///
+    /// Guards against a stop that overtakes its start: the worker would confirm that nothing runs,
+    /// and then the start would come. So a stop waits until the start is answered or too late.
+    pub(super) fn stoppable(&self) -> Vec<TaskOrder> {
+        let open = |o: &&TaskOrder| !self.starts.iter().any(|s| same(&s.order, &o.task, o.attempt));
+        self.stops.iter().filter(open).cloned().collect()
+    }
+
+    /// Notes that orders went without an answer.
+    pub(super) fn unanswered(&mut self, ask: &WorkerAsk, sent: Time, failure: Option<Failure>) {
+        for order in &ask.start {
+            let mut starts = self.starts.iter_mut();
+            let Some(start) = starts.find(|s| same(&s.order, &order.task, order.attempt)) else {
+                continue;
             };
-            link.due = now + LEASE / 5;
-            if !(ask.start.is_empty() && ask.renew.is_empty() && ask.stop.is_empty()) {
-                link.ordering = true;
-                out.push(Order::Worker(worker.clone(), vm.addr, Box::new(ask)));
+            if failure != Some(Failure::Unsent) {
+                start.sent = Some(sent);
+                continue;
+            }
+            start.tries -= 1;
+            if start.tries == 0 {
+                start.sent = None;
             }
-        }
-        for order in dead {
-            // Never sent, or sent and unanswered: reports tell which, so the room stays taken.
-            log::warn!(target: "racks", "Start of {} was given up.", order.task);
         }
     }
 
-    /// Ends what a silent worker still holds, once no lease of it can run any more.
-    fn bury(&mut self, worker: &WorkerId, now: Time) {
-        let Some(link) = self.links.get_mut(worker) else { return };
-        if now < link.renewed + LEASE + FLIGHT {
-            return;
+    /// When something is due.
+    pub(super) fn next(&self) -> Time {
+        let starts = self.starts.iter().map(Start::end).min().filter(|_| !self.ordering);
+        self.ask_due().min(self.order_due()).min(starts.unwrap_or(Time::NEVER))
+    }
+
+    fn ask_due(&self) -> Time {
+        match (self.listed, self.fenced) {
+            (false, _) => Time::NEVER,
+            (true, None) => self.fence,
+            (true, Some(_)) if self.asked.is_some() => Time::NEVER,
+            (true, Some(_)) => self.poll,
         }
-        let back = link.heard > link.renewed + LEASE + FLIGHT;
-        let held: Vec<Held> =
-            self.ledger.worker(worker).map(|a| a.held().cloned().collect()).unwrap_or_default();
-        for held in held {
-            if let Held::Task(task, attempt) = held {
-                self.ledger.release(&task, attempt, now);
-                self.reindex(worker);
-                self.say(task, attempt, TaskState::Lost, worker);
-            }
+    }
+
+    fn order_due(&self) -> Time {
+        if self.cut {
+            return if self.ordering { Time::NEVER } else { self.due.max(self.lapse()) };
         }
-        if let Some(link) = self.links.get_mut(worker).filter(|_| back) {
-            link.cut = false;
-            self.gate(now);
+        let silent = self.heard + SILENT + Duration::from_micros(1);
+        match self.ordering || self.fenced.is_none() || !self.ready {
+            true => silent,
+            false => self.due.min(silent),
         }
     }
+}
 
-    /// Acts on tasks that use more than is reserved for them.
-    ///
-    /// A worker's memory can't be shared out twice: a task that outgrows its reservation gets more
-    /// where its worker has room, and is checkpointed and stopped where not, before the worker is
-    /// full and its kernel kills a neighbour.
-    fn outgrown(&mut self, worker: &WorkerId, tasks: &[TaskReport], now: Time) {
-        for t in tasks.iter().filter(|t| t.state == TaskState::Running) {
-            let held = Held::Task(t.task.clone(), t.attempt);
-            let Some(reserved) = self.ledger.load(&held).map(|l| l.size) else { continue };
-            let room = self.ledger.worker(worker).map_or(Size::default(), |a| a.room());
-            match self.estimates.check(&t.task.job, t.used, reserved, room) {
-                Action::Keep | Action::Throttle => {}
-                Action::Raise(size) => {
-                    let _ = self.ledger.reserve(&t.task, t.attempt, worker, size, Time::NEVER);
-                }
-                Action::Stop => {
-                    let Some(link) = self.links.get_mut(worker) else { continue };
-                    if link.stops.iter().any(|s| s.task == t.task) {
-                        continue;
-                    }
-                    log::warn!(target: "racks", "Task {} outgrew its memory and is stopped.", t.task);
-                    let (task, attempt) = (t.task.clone(), t.attempt);
-                    link.stops.push(TaskOrder { task, attempt, size: Size::default(), run: 0 });
-                    link.due = now;
-                }
-            }
-        }
+impl Start {
+    /// Whether it may be sent: past its not-after time another attempt may have been made.
+    pub(super) fn fresh(&self, now: Time) -> bool {
+        !self.off && now + FLIGHT / 4 < self.until
+    }
+
+    /// Whether it may yet take effect although it is not sent again.
+    pub(super) fn flying(&self, now: Time) -> bool {
+        self.sent.is_some_and(|sent| now < sent + FLIGHT + DRIFT)
     }
+
+    fn end(&self) -> Time {
+        let fresh = if self.off { Time::ZERO } else { self.until - FLIGHT / 4 };
+        fresh.max(self.sent.map_or(Time::ZERO, |sent| sent + FLIGHT + DRIFT))
+    }
+}
+
+/// Whether an order is for this attempt.
+pub(super) fn same(order: &TaskOrder, task: &TaskId, attempt: Attempt) -> bool {
+    order.task == *task && order.attempt == attempt
+}
+
+/// An order that only names its attempt.
+pub(super) fn bare(task: TaskId, attempt: Attempt) -> TaskOrder {
+    TaskOrder { task, attempt, size: Size::default(), run: 0 }
 }
--- a/src/racks/pass.rs
+++ b/src/racks/pass.rs
@@ -9,53 +9,27 @@
         messages::{FlightRow, Handover, Report, TaskRow, TaskState},
         units::Size,
     },
+    std::mem,
 };
 
 impl Racks {
     /// A rack has passed to another member; returns what is in flight there.
     pub fn lost(&mut self, rack: &RackId, epoch: Epoch) -> Handover {
-        self.racks.remove(rack);
         let mut over = Handover { rack: rack.clone(), epoch, requests: vec![], tasks: vec![] };
-        let workers: Vec<WorkerId> = self.on(rack).cloned().collect();
+        let workers = match self.racks.get_mut(rack) {
+            Some(rack) => mem::take(&mut rack.workers),
+            None => return over,
+        };
         for worker in workers {
-            let Some(link) = self.links.remove(&worker) else { continue };
-            let account = self.ledger.worker(&worker);
-            let held: Vec<(Held, Size)> = account
-                .into_iter()
-                .flat_map(|a| a.held())
-                .map(|h| (h.clone(), self.ledger.load(h).map_or(Size::default(), |l| l.size)))
-                .collect();
-            self.ledger.remove(&worker);
-            self.indexes.values_mut().for_each(|i| i.remove(&worker));
-            for choice in self.choices.values_mut() {
-                choice.scores.remove(&worker);
-                choice.ejector.forget(&worker);
-            }
-            for (held, size) in held {
-                match held {
-                    Held::Request(request) => {
-                        over.requests.push(FlightRow { request, worker: worker.clone(), left: 0 })
-                    }
-                    Held::Task(task, attempt) => over.tasks.push(TaskRow {
-                        size,
-                        task,
-                        attempt,
-                        state: TaskState::Running,
-                        worker: Some(worker.clone()),
-                        rack: Some(rack.clone()),
-                        epoch: Some(epoch),
-                        tries: None,
-                        reason: None,
-                    }),
-                }
-            }
             // A worker that was not ready here is not known well enough to be handed over.
-            if !link.ready {
-                over.requests.retain(|r| r.worker != worker);
-                over.tasks.retain(|t| t.worker.as_ref() != Some(&worker));
-                over.tasks.push(unready(&worker, rack, epoch));
+            match self.links.get(&worker).is_some_and(|l| l.ready) {
+                true => self.flights(&worker, &mut over),
+                false => over.tasks.push(row(&worker, rack, epoch, TaskState::Lost)),
             }
+            self.remove(&worker);
         }
+        self.racks.remove(rack);
+        self.resize();
         over
     }
 
@@ -63,40 +37,62 @@
     ///
     /// Returns whether the rack is this member's already; otherwise it must be told again.
     pub fn handover(&mut self, over: &Handover, now: Time) -> bool {
-        if self.racks.get(&over.rack).is_none_or(|e| e.0 != over.epoch.0 + 1) {
+        let Some(rack) = self.racks.get(&over.rack).filter(|r| r.epoch.0 == over.epoch.0 + 1)
+        else {
             return false;
+        };
+        for worker in rack.workers.clone() {
+            self.adopt(&worker, over, now);
         }
-        let workers: Vec<WorkerId> = self.on(&over.rack).cloned().collect();
-        for worker in workers {
-            let tasks: Vec<TaskRow> =
-                over.tasks.iter().filter(|t| t.worker.as_ref() == Some(&worker)).cloned().collect();
-            if tasks.iter().any(|t| t.state == TaskState::Lost) {
-                continue;
-            }
-            let flights = over.requests.iter().filter(|r| r.worker == worker);
-            let report = Report {
-                age: 0,
-                epoch: over.epoch,
-                requests: flights.map(|r| r.request).collect(),
-                tasks: vec![],
-            };
-            self.ledger.adopt(&worker, &report, &tasks, now);
-            if let Some(link) = self.links.get_mut(&worker) {
-                link.handed = true;
-                link.ready |= link.fenced.is_some();
+        true
+    }
+
+    /// Enters what the former owner had in flight on one worker, unless the worker itself has said
+    /// by now: a handover that was delayed, or a repeat, is older.
+    fn adopt(&mut self, worker: &WorkerId, over: &Handover, now: Time) {
+        let Some(link) = self.links.get_mut(worker).filter(|l| !l.ready && !l.handed) else {
+            return;
+        };
+        let tasks = over.tasks.iter().filter(|t| t.worker.as_ref() == Some(worker));
+        let tasks: Vec<TaskRow> = tasks.cloned().collect();
+        if tasks.iter().any(|t| t.state == TaskState::Lost) {
+            return;
+        }
+        link.handed = true;
+        link.ready |= link.fenced.is_some();
+        let flights = over.requests.iter().filter(|r| r.worker == *worker);
+        let requests = flights.map(|r| r.request).collect();
+        let report = Report { age: 0, epoch: over.epoch, requests, tasks: vec![] };
+        self.ledger.adopt(worker, &report, &tasks, now);
+        self.gate(worker, now);
+    }
+
+    /// Adds what a worker holds to a handover.
+    fn flights(&self, worker: &WorkerId, over: &mut Handover) {
+        let held = self.ledger.worker(worker).into_iter().flat_map(|a| a.held());
+        for held in held {
+            match held {
+                Held::Request(request) => {
+                    let (request, worker) = (*request, worker.clone());
+                    over.requests.push(FlightRow { request, worker, left: 0 });
+                }
+                Held::Task(task, attempt) => {
+                    let size = self.ledger.load(held).map_or(Size::default(), |l| l.size);
+                    let row = row(worker, &over.rack, over.epoch, TaskState::Running);
+                    over.tasks.push(TaskRow { task: task.clone(), attempt: *attempt, size, ..row });
+                }
             }
         }
-        self.gate(now);
-        true
     }
 }
 
-/// Marks a worker in a handover as one whose load the former owner did not know itself.
-fn unready(worker: &WorkerId, rack: &RackId, epoch: Epoch) -> TaskRow {
+/// A row of a handover; without a task and [`TaskState::Lost`], it marks a worker whose load the
+/// former owner did not know itself.
+fn row(worker: &WorkerId, rack: &RackId, epoch: Epoch, state: TaskState) -> TaskRow {
     TaskRow {
         task: TaskId { job: "".into(), index: Default::default() },
         attempt: Attempt(0),
-        state: TaskState::Lost,
+        state,
         worker: Some(worker.clone()),
         rack: Some(rack.clone()),
         epoch: Some(epoch),
--- a/src/racks/place.rs
+++ b/src/racks/place.rs
@@ -1,7 +1,7 @@
 //! Room for tasks: reservations, room made for urgent work, starts and stops.
 
 use {
-    super::{RESERVE, Racks, tell::Facts},
+    super::{RESERVE, Racks, link::Start, tell::Facts},
     crate::{
         Time,
         decide::urgent::{self, Running},
@@ -75,72 +75,78 @@
             let Some(plan) = urgent::plan(now, item.size, &places) else { continue };
             made = true;
             self.marks.insert(plan.worker.clone(), (item.task.clone(), now + RESERVE));
-            let Some(link) = self.links.get_mut(&plan.worker) else { continue };
-            for victim in plan.victims {
-                let held = self.ledger.worker(&plan.worker).into_iter().flat_map(|a| a.held());
-                let attempt = held.filter_map(|h| match h {
-                    Held::Task(task, attempt) if *task == victim => Some(*attempt),
-                    _ => None,
-                });
-                link.stops.extend(attempt.map(|attempt| TaskOrder {
-                    task: victim.clone(),
-                    attempt,
-                    size: Size::default(),
-                    run: 0,
-                }));
-                link.due = now;
-            }
+            self.push_aside(&plan.worker, &plan.victims, now);
         }
         made
     }
 
     /// Starts reserved attempts whose intents are committed, and stops others.
     pub fn start(&mut self, ask: StartAsk, now: Time) -> Option<StartReply> {
-        if self.racks.get(&ask.rack) != Some(&ask.epoch) && !ask.start.is_empty() {
+        let owned = self.racks.get(&ask.rack).is_some_and(|r| r.epoch == ask.epoch);
+        if !owned && !ask.start.is_empty() {
             return None;
         }
-        let mut refused = vec![];
         let until = now + Duration::from_millis(ask.left);
+        let mut refused = vec![];
         for item in ask.start {
-            let ok = self.links.contains_key(&item.worker)
-                && self.ledger.place(&Held::Task(item.task.clone(), item.attempt))
-                    == Some(&item.worker)
-                && self.ledger.confirm(&item.task, item.attempt, now);
-            if !ok {
-                refused.push(EndItem {
-                    task: item.task,
-                    attempt: item.attempt,
-                    state: TaskState::Lost,
-                    worker: item.worker,
-                    used: None,
-                });
+            if self.begin(&item, until, now) {
                 continue;
             }
-            self.marks.retain(|_, (task, _)| *task != item.task);
-            let facts = Facts {
-                bucket: item.bucket,
-                vouched: now,
-                since: now,
-                hold: Some((item.hold, item.borrowed)),
-            };
-            self.facts.insert((item.task.clone(), item.attempt), facts);
-            if let Some(link) = self.links.get_mut(&item.worker) {
-                link.starts.push((order(&item), until));
-                link.due = now;
-            }
+            let StartItem { task, attempt, worker, .. } = item;
+            refused.push(EndItem { task, attempt, state: TaskState::Lost, worker, used: None });
         }
         for item in ask.stop {
             self.vouch(item.task.clone(), item.attempt, item.bucket, now);
-            let Some(link) = self.links.get_mut(&item.worker) else { continue };
-            let same = |o: &TaskOrder| o.task == item.task && o.attempt == item.attempt;
-            if !link.stops.iter().any(same) {
-                link.stops.push(order(&item));
-                link.due = now;
+            if let Some(link) = self.links.get_mut(&item.worker) {
+                link.stop(item.task, item.attempt, now);
             }
+            self.wake(&item.worker);
         }
         Some(StartReply { refused })
     }
 
+    /// Enters a start; returns false where the attempt will never run.
+    fn begin(&mut self, item: &StartItem, until: Time, now: Time) -> bool {
+        let key = (item.task.clone(), item.attempt);
+        if !self.holds(&item.worker, &item.task, item.attempt) {
+            return false;
+        }
+        // A repeat of this call must not send the start again after the attempt was stopped.
+        if self.facts.get(&key).is_some_and(|f| f.hold.is_some()) {
+            return true;
+        }
+        // Since the reservation the worker may have begun to leave.
+        let open = self.ledger.worker(&item.worker).is_some_and(|a| !a.cordoned());
+        if !open || !self.ledger.confirm(&item.task, item.attempt, now) {
+            self.ledger.release(&item.task, item.attempt, now);
+            self.reindex(&item.worker);
+            return false;
+        }
+        self.marks.retain(|_, (task, _)| *task != item.task);
+        let hold = Some((item.hold, item.borrowed));
+        self.facts.insert(key, Facts { bucket: item.bucket, vouched: now, since: now, hold });
+        if let Some(link) = self.links.get_mut(&item.worker) {
+            link.starts.push(Start { order: order(item), until, sent: None, tries: 0, off: false });
+            link.due = now;
+        }
+        self.wake(&item.worker);
+        true
+    }
+
+    /// Stops what is pushed aside on a worker.
+    fn push_aside(&mut self, worker: &WorkerId, victims: &[TaskId], now: Time) {
+        let held = self.ledger.worker(worker).into_iter().flat_map(|a| a.held());
+        let Some(link) = self.links.get_mut(worker) else { return };
+        for held in held {
+            if let Held::Task(task, attempt) = held
+                && victims.contains(task)
+            {
+                link.stop(task.clone(), *attempt, now);
+            }
+        }
+        self.wake(worker);
+    }
+
     /// The worker for an attempt: packed on the fullest, or spread over racks.
     fn room(&self, ask: &ReserveAsk, item: &ReserveItem) -> Option<(WorkerId, RackId, Epoch)> {
         let mut avoid = item.avoid.clone();
@@ -161,7 +167,7 @@
             index.pack(&item.size, &avoid)?
         };
         let rack = self.ledger.worker(id)?.rack.clone();
-        let epoch = *self.racks.get(&rack)?;
+        let epoch = self.racks.get(&rack)?.epoch;
         Some((id.clone(), rack, epoch))
     }
 
--- a/src/racks/show.rs
+++ b/src/racks/show.rs
@@ -11,15 +11,15 @@
 impl Racks {
     /// What is free on each rack.
     pub fn loads(&self) -> Vec<RackLoad> {
-        let racks = self.racks.keys().filter_map(|rack| {
+        let racks = self.racks.iter().filter_map(|(id, rack)| {
             let mut load = RackLoad {
-                rack: rack.clone(),
-                pool: self.vms.get(self.on(rack).next()?)?.pool.clone(),
+                rack: id.clone(),
+                pool: self.ledger.worker(rack.workers.first()?)?.pool.clone(),
                 free: Size::default(),
                 widest: Size::default(),
                 workers: 0,
             };
-            for worker in self.on(rack) {
+            for worker in &rack.workers {
                 let Some(account) = self.ledger.worker(worker) else { continue };
                 if account.cordoned() {
                     continue;
--- a/src/racks/tell.rs
+++ b/src/racks/tell.rs
@@ -1,17 +1,13 @@
 //! What the buckets' owners are told of their attempts, and what they say of them.
 
 use {
-    super::Racks,
+    super::{LAPSE, Racks, link::SILENT, order::VOUCH},
     crate::{
         Time,
-        attempts::LEASE,
         ids::{Attempt, Bucket, TaskId, WorkerId},
-        messages::{EndItem, Hold, ProbeAsk, ProbeReply, ProbeRow, TaskState},
-    },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
+        messages::{EndItem, Hold, ProbeAsk, ProbeItem, ProbeReply, ProbeRow, TaskState},
     },
+    std::{collections::BTreeMap, time::Duration},
 };
 
 /// What an attempt's bucket said of it.
@@ -23,37 +19,65 @@
     pub(super) hold: Option<(Hold, bool)>,
 }
 
+impl Facts {
+    /// Whether a bucket's owner may still speak for the attempt.
+    pub(super) fn fresh(&self, now: Time) -> bool {
+        now - self.vouched < VOUCH
+    }
+}
+
 impl Racks {
     /// Says what became of attempts.
     pub fn probe(&mut self, ask: &ProbeAsk, now: Time) -> Option<ProbeReply> {
-        self.racks.get(&ask.rack)?;
+        let gained = self.racks.get(&ask.rack)?.gained;
+        let mut asked: BTreeMap<&WorkerId, Vec<&ProbeItem>> = BTreeMap::new();
         for item in &ask.items {
             self.vouch(item.task.clone(), item.attempt, ask.bucket, now);
+            asked.entry(&item.worker).or_default().push(item);
         }
-        let workers: BTreeSet<&WorkerId> = ask.items.iter().map(|i| &i.worker).collect();
-        let rows = workers.into_iter().map(|worker| {
-            let link = self.links.get(worker);
-            let report = link.and_then(|l| l.report.as_ref());
-            let items = ask.items.iter().filter(|i| i.worker == *worker);
-            let asked: BTreeSet<(&TaskId, Attempt)> = items.map(|i| (&i.task, i.attempt)).collect();
-            let tasks = report.map_or(&[][..], |(_, tasks)| tasks);
-            ProbeRow {
-                worker: worker.clone(),
-                age: report.map(|(taken, _)| millis(now - *taken) + 1),
-                cut: match link {
-                    Some(l) if l.cut => Some(millis((l.renewed + LEASE) - now)),
-                    Some(_) => None,
-                    // Not on this rack any more: what ran there can have had no renewal since.
-                    None => Some(millis(LEASE)),
-                },
-                tasks: tasks
-                    .iter()
-                    .filter(|t| asked.contains(&(&t.task, t.attempt)))
-                    .cloned()
-                    .collect(),
+        let mut rows = vec![];
+        for (worker, items) in asked {
+            let row = self.row(worker, &items, gained, now);
+            if row.cut.is_some() {
+                items.iter().for_each(|i| self.doom(&i.task, i.attempt, now));
             }
-        });
-        Some(ProbeReply { rows: rows.collect() })
+            rows.push(row);
+        }
+        Some(ProbeReply { rows })
+    }
+
+    fn row(&self, worker: &WorkerId, items: &[&ProbeItem], gained: Time, now: Time) -> ProbeRow {
+        let link = self.links.get(worker);
+        let report = link.and_then(|l| l.report.as_ref());
+        let shown = report.map_or(&[][..], |(_, tasks)| tasks);
+        let find =
+            |i: &ProbeItem| shown.iter().find(|t| t.task == i.task && t.attempt == i.attempt);
+        // Of what is counted there and not listed, a report proves nothing yet: its start may be on
+        // its way, or come from a reservation that stands.
+        let open = |i: &&&ProbeItem| find(i).is_none() && self.holds(worker, &i.task, i.attempt);
+        let report = report.filter(|_| !items.iter().any(|i| open(&i)));
+        ProbeRow {
+            worker: worker.clone(),
+            age: report.map(|(taken, _)| millis(now - *taken) + 1),
+            cut: self.lapse(worker, gained, now).map(|at| millis(at - now)),
+            tasks: items.iter().filter_map(|i| find(i)).cloned().collect(),
+        }
+    }
+
+    /// When the last lease on a worker lapses, where none is renewed until then.
+    fn lapse(&self, worker: &WorkerId, gained: Time, now: Time) -> Option<Time> {
+        match self.links.get(worker) {
+            // Orders on their way may renew once more.
+            Some(link) => (link.cut && !link.ordering).then(|| link.lapse()),
+            // Not in the list: nobody renews there. It may yet come, as lists lag after a takeover.
+            None if self.vms.is_empty() || now < gained + SILENT => None,
+            None => Some(gained + SILENT + LAPSE),
+        }
+    }
+
+    /// Renews an attempt no more, as its end was told or announced.
+    pub(super) fn doom(&mut self, task: &TaskId, attempt: Attempt, now: Time) {
+        self.doomed.insert((task.clone(), attempt), now + 2 * VOUCH);
     }
 
     /// What is to be told to the buckets' owners; each stays until [`Racks::told`].
--- /dev/null
+++ b/tests/racks.rs
@@ -0,0 +1,345 @@
+//! The racks of a member against workers that lag, pause, are cut off, or lose answers.
+
+#[path = "racks/bench.rs"]
+mod bench;
+#[path = "racks/fake.rs"]
+mod fake;
+
+use {
+    bench::Bench,
+    dogwoodreach::{
+        Time,
+        attempts::LEASE,
+        event::Order,
+        http::Failure,
+        ids::{Attempt, Epoch},
+        messages::{
+            ProbeAsk, ProbeItem, ProbeRow, Report, ReserveRow, TaskReport, TaskState, VmState,
+            WorkerAsk, WorkerReply,
+        },
+        racks::Racks,
+        units::Size,
+    },
+    fake::{BUCKET, TICK, rack, start, stop, task, vm, wish, worker},
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// A bench with one worker, on which task 0 runs.
+fn running() -> (Bench, ReserveRow) {
+    let mut b = Bench::new(1);
+    b.run(1000);
+    let row = place(&mut b, 0, 0);
+    b.run(1000);
+    assert!(runs(&mut b, 0));
+    (b, row)
+}
+
+fn place(b: &mut Bench, member: usize, n: u32) -> ReserveRow {
+    let now = b.now;
+    let row = b.members[member].reserve(&wish(n, 1, 1), now).rows.pop().expect("room");
+    let reply = b.members[member].start(start(&row, 1), now).expect("the rack's owner");
+    assert!(reply.refused.is_empty());
+    row
+}
+
+fn runs(b: &mut Bench, n: u32) -> bool {
+    b.fake(0).runs.contains_key(&(task(n), Attempt(1)))
+}
+
+fn told(racks: &mut Racks) -> Vec<TaskState> {
+    racks.tell().remove(&BUCKET).unwrap_or_default().into_iter().map(|i| i.state).collect()
+}
+
+fn probe(b: &mut Bench, member: usize, row: &ReserveRow) -> ProbeRow {
+    let (task, worker) = (row.task.clone(), row.worker.clone());
+    let items = vec![ProbeItem { attempt: row.attempt, task, worker }];
+    let ask = ProbeAsk { bucket: BUCKET, rack: rack(), items };
+    let now = b.now;
+    b.members[member].probe(&ask, now).expect("the rack's owner").rows.remove(0)
+}
+
+fn open(b: &mut Bench) -> bool {
+    let now = b.now;
+    !b.members[0].reserve(&wish(99, 1, 1), now).rows.is_empty()
+}
+
+#[test]
+fn a_worker_that_was_cut_off_comes_back() {
+    // A switch fails for 40 s. The task on the worker behind it is told as lost, which must be true
+    // by then, and when the switch is back the worker must get work again. It would not, if a
+    // silent worker were no longer asked.
+    let (mut b, _) = running();
+    b.fake(0).cut = true;
+    let lost = |b: &mut Bench| told(&mut b.members[0]).contains(&TaskState::Lost);
+    for _ in 0..400 {
+        b.run(100);
+        assert!(!(lost(&mut b) && runs(&mut b, 0)), "told as lost and running");
+    }
+    assert!(lost(&mut b));
+    assert!(!open(&mut b));
+    b.fake(0).cut = false;
+    b.run(2000);
+    assert!(open(&mut b));
+}
+
+#[test]
+fn an_announced_lapse_covers_renewals_whose_answers_were_lost() {
+    // A worker hears its owner, and its answers are lost. The owner gives it up and announces when
+    // the task's lease lapses; the bucket's owner starts it elsewhere then. A renewal takes up to a
+    // second to arrive, and opens the lease from then: counted from its sending, the task ran twice.
+    let (mut b, row) = running();
+    b.flight = Duration::from_millis(900);
+    b.run(12_000);
+    b.fake(0).mute = true;
+    let mut announced = Time::NEVER;
+    while announced > b.now {
+        b.run(20);
+        if let Some(cut) = probe(&mut b, 0, &row).cut {
+            announced = announced.min(b.now + Duration::from_millis(cut));
+        }
+        assert!(b.now < Time::from_millis(120_000));
+    }
+    assert!(!runs(&mut b, 0));
+}
+
+#[test]
+fn a_lapse_is_not_announced_for_a_worker_that_the_list_shows_late() {
+    // A member starts, gains a rack, and hears of its workers a moment later. Asked in between, it
+    // took the worker as gone and announced the lapse of its tasks, and then renewed them: the
+    // bucket's owner started them a second time.
+    let (mut b, row) = running();
+    b.members[1] = Racks::new(3);
+    let now = b.now;
+    b.members[0].lost(&rack(), Epoch(1));
+    b.members[1].gained(&rack(), Epoch(2), now);
+    let cut = probe(&mut b, 1, &row).cut;
+    b.list();
+    b.run(25_000);
+    assert!(cut.is_none() || !runs(&mut b, 0));
+}
+
+#[test]
+fn a_worker_that_died_with_its_owner_gives_its_tasks_back() {
+    // A member and a worker fail together. The next owner never reaches the worker, which stays in
+    // the platform's list. Its tasks waited for as long as it did.
+    let (mut b, row) = running();
+    b.fake(0).cut = true;
+    let now = b.now;
+    b.members[0] = Racks::new(3);
+    b.members[1].gained(&rack(), Epoch(2), now);
+    b.run(15_000);
+    let cut = probe(&mut b, 1, &row).cut.expect("the lapse is announced");
+    b.run(cut);
+    assert!(!runs(&mut b, 0));
+}
+
+#[test]
+fn a_late_handover_ends_nothing() {
+    // The former owner's handover comes five seconds after the new owner has the worker's report. It
+    // was taken as a newer report that lists no task, so that the room of a running task was free.
+    let (mut b, row) = running();
+    let now = b.now;
+    let over = b.members[0].lost(&rack(), Epoch(1));
+    b.members[1].gained(&rack(), Epoch(2), now);
+    b.run(6000);
+    let now = b.now;
+    assert!(b.members[1].handover(&over, now));
+    assert!(
+        !b.members[1].reserve(&wish(1, 1, 16), now).rows.iter().any(|r| r.worker == row.worker)
+    );
+}
+
+#[test]
+fn a_leaving_worker_gets_no_start() {
+    // A worker begins to leave between the reservation and the start, or with a start waiting for
+    // orders that are on their way. Both would have gone out seconds after the list said so.
+    let mut b = Bench::new(1);
+    b.run(1000);
+    let now = b.now;
+    place(&mut b, 0, 0);
+    let row = b.members[0].reserve(&wish(1, 1, 1), now).rows.pop().unwrap();
+    b.vms.get_mut(&worker(0)).unwrap().state = VmState::Leaving;
+    b.list();
+    assert_eq!(b.members[0].start(start(&row, 1), now).unwrap().refused.len(), 1);
+    b.run(2000);
+    assert!(b.fake(0).starts.is_empty());
+    assert_eq!(told(&mut b.members[0]), [TaskState::Lost]);
+}
+
+#[test]
+fn a_stop_does_not_overtake_its_start() {
+    // A task is stopped before its start was sent. Both went out together; the worker confirmed that
+    // nothing ran, and then started it: its room was given to others.
+    let mut b = Bench::new(1);
+    b.run(1000);
+    let row = place(&mut b, 0, 0);
+    let now = b.now;
+    b.members[0].start(stop(&row), now);
+    b.run(2000);
+    assert!(!runs(&mut b, 0));
+}
+
+#[test]
+fn a_stop_waits_until_its_start_is_too_late() {
+    // The worker is paused with the start before it. The stop reaches it first, when the network
+    // turns the order round, and is confirmed; the start still counts as on its way.
+    let (mut b, row, ask) = sent();
+    let now = b.now;
+    b.members[0].ordered(&row.worker, &ask, now, Err(Failure::Timeout), now);
+    b.members[0].start(stop(&row), now);
+    let later = now + Duration::from_millis(300);
+    let ask = orders(&mut b.members[0], later);
+    assert_eq!((ask.start.len(), ask.stop.len()), (0, 0));
+    b.members[0].ordered(&row.worker, &ask, later, Err(Failure::Timeout), later);
+    let ask = orders(&mut b.members[0], now + Duration::from_secs(2));
+    assert_eq!((ask.start.len(), ask.stop.len()), (0, 1));
+}
+
+/// A bench with one worker, to which the start of task 0 was sent just now.
+fn sent() -> (Bench, ReserveRow, WorkerAsk) {
+    let mut b = Bench::new(1);
+    b.run(1000);
+    let row = place(&mut b, 0, 0);
+    let now = b.now;
+    let ask = orders(&mut b.members[0], now);
+    assert_eq!(ask.start.len(), 1);
+    (b, row, ask)
+}
+
+/// The orders that go out now, empty where none do.
+fn orders(racks: &mut Racks, now: Time) -> WorkerAsk {
+    let mut out = vec![];
+    racks.tick(now, true, &mut out);
+    let found = out.into_iter().find_map(|o| match o {
+        Order::Worker(_, _, ask) => Some(*ask),
+        _ => None,
+    });
+    let (epoch, start, stop, renew) = (Epoch(1), vec![], vec![], vec![]);
+    found.unwrap_or(WorkerAsk { epoch, lease: 0, renew, start, stop, until: 0 })
+}
+
+#[test]
+fn a_refused_repeat_ends_nothing() {
+    // A start arrives and its answer is lost. The repeat comes too late and is refused; the task
+    // runs all the same, and was told as lost.
+    let (mut b, row, ask) = sent();
+    let now = b.now;
+    b.members[0].ordered(&row.worker, &ask, now, Err(Failure::Timeout), now);
+    let now = now + Duration::from_millis(300);
+    let ask = orders(&mut b.members[0], now);
+    let reply = WorkerReply { epoch: Epoch(1), refused: ask.start.clone(), stopped: vec![] };
+    b.members[0].ordered(&row.worker, &ask, now, Ok(reply), now);
+    assert_eq!(told(&mut b.members[0]), []);
+}
+
+#[test]
+fn an_end_is_not_covered_by_a_late_start() {
+    // A short task ends at once, and the report that says so comes before the answer to its start.
+    // The word that it runs replaced the word of its end, and it was run again.
+    let (mut b, row, ask) = sent();
+    let now = b.now;
+    let later = now + Duration::from_secs(1);
+    orders(&mut b.members[0], later);
+    let (task, state, used) = (task(0), TaskState::Ended, Size::default());
+    let tasks = vec![TaskReport { attempt: Attempt(1), state, task, used }];
+    let report = Report { age: 0, epoch: Epoch(1), requests: vec![], tasks };
+    b.members[0].reported(&row.worker, Ok(report), later);
+    let reply = WorkerReply { epoch: Epoch(1), refused: vec![], stopped: vec![] };
+    b.members[0].ordered(&row.worker, &ask, now, Ok(reply), later);
+    assert_eq!(told(&mut b.members[0]), [TaskState::Ended]);
+}
+
+#[test]
+fn a_member_that_had_no_lease_takes_nobody_as_silent() {
+    // The key-value service is out for 15 s, and the member asks no worker meanwhile. When its lease
+    // was back it took all workers as silent, cut them off, and the whole cell's tasks ran out.
+    let (mut b, _) = running();
+    b.leased[0] = false;
+    b.run(15_000);
+    b.leased[0] = true;
+    b.run(30_000);
+    assert!(runs(&mut b, 0));
+}
+
+#[test]
+fn a_vm_that_is_gone_is_forgotten() {
+    // 880 VMs are replaced a day. Each left its link and account behind for good.
+    let (mut b, _) = running();
+    b.fake(0).cut = true;
+    b.vms = BTreeMap::from([(worker(1), vm(1))]);
+    b.workers.entry(worker(1)).or_default();
+    b.list();
+    b.run(30_000);
+    assert_eq!(told(&mut b.members[0]), [TaskState::Lost]);
+    assert_eq!(b.members[0].show().len(), 1);
+}
+
+#[test]
+fn a_rack_is_lost_with_the_workers_that_left_the_list() {
+    // A VM leaves the list by mistake and its rack changes its owner. The former owner kept its
+    // link, and later told as lost what the new owner had renewed.
+    let (mut b, _) = running();
+    b.vms.clear();
+    b.list();
+    assert_eq!(b.members[0].lost(&rack(), Epoch(1)).tasks.len(), 1);
+    b.run(30_000);
+    assert!(!told(&mut b.members[0]).contains(&TaskState::Lost));
+}
+
+#[test]
+fn stops_of_unknown_attempts_end() {
+    // A worker confirms only stops of what it knows. The stop of an attempt that had ended was sent
+    // for ever.
+    let (mut b, row) = running();
+    b.fake(0).strict = true;
+    let gone = ReserveRow { task: task(5), ..row };
+    let now = b.now;
+    b.members[0].start(stop(&gone), now);
+    b.run(5000);
+    let later = b.now + LEASE / 5;
+    let ask = orders(&mut b.members[0], later);
+    assert_eq!((ask.renew.len(), ask.stop.len()), (1, 0));
+}
+
+#[test]
+fn a_report_proves_nothing_of_a_start_on_its_way() {
+    // A bucket's owner asks after an attempt whose start is still on its way to the rack's owner. It
+    // took the report's silence as proof, and made the next attempt before that start came.
+    let (mut b, row) = running();
+    let now = b.now;
+    let next = b.members[0].reserve(&wish(1, 1, 1), now).rows.pop().unwrap();
+    b.run(2000);
+    assert_eq!(probe(&mut b, 0, &next).age, None);
+    assert!(probe(&mut b, 0, &row).age.is_some());
+}
+
+#[test]
+fn a_worker_that_forgot_its_epoch_is_fenced_again() {
+    // A worker's agent restarts and knows no epoch. Until an order raised it, a former owner's start
+    // that had been held up was taken.
+    let (mut b, _) = running();
+    b.fake(0).epoch = Epoch(0);
+    b.fake(0).runs.clear();
+    b.run(1200);
+    assert_eq!(b.fake(0).epoch, Epoch(1));
+}
+
+/// Prints what a quiet minute of 800 workers costs one member.
+///
+/// Run `cargo test --test racks -- --ignored --nocapture cost`.
+#[test]
+#[ignore = "a measurement"]
+fn cost() {
+    let mut b = Bench::new(800);
+    b.run(1000);
+    let begun = std::time::Instant::now();
+    let (orders, mut out) = (b.orders, vec![]);
+    for _ in 0..1000 {
+        b.now = b.now + TICK / 1000;
+        b.members[0].tick(b.now, true, &mut out);
+    }
+    println!("1000 ticks with nothing due: {:?}, {} orders", begun.elapsed(), out.len());
+    let begun = std::time::Instant::now();
+    b.run(2000);
+    println!("2 s with all reports: {:?}, {} orders", begun.elapsed(), b.orders - orders);
+}
