--- a/tests/scenario/load.rs
+++ b/tests/scenario/load.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    dogwoodreach::http::{Client, DEADLINE, Failure, KEY, RAN, REASON, REQUEST, RUN},
+    dogwoodreach::http::{CALLER, Client, DEADLINE, Failure, KEY, RAN, REASON, REQUEST, RUN},
     http_body_util::Full,
     hyper::Request,
     std::{
@@ -29,6 +29,7 @@
     pub key: Option<String>,
     pub deadline: Option<String>,
     pub run: Option<String>,
+    pub caller: Option<String>,
 }
 
 /// What came of a call.
@@ -48,7 +49,9 @@
 /// Sends one request to a member.
 pub async fn send(client: &Client, addr: &str, call: &Call) -> Fate {
     let mut b = Request::builder().method("POST").uri(format!("http://{addr}/{}/do", call.service));
-    for (name, value) in [(KEY, &call.key), (DEADLINE, &call.deadline), (RUN, &call.run)] {
+    let named =
+        [(KEY, &call.key), (DEADLINE, &call.deadline), (RUN, &call.run), (CALLER, &call.caller)];
+    for (name, value) in named {
         if let Some(value) = value {
             b = b.header(name, value);
         }
@@ -130,12 +133,14 @@
         tokio::spawn(look(load.members.clone(), ready.clone(), load.end.clone()));
         let next = Arc::new(AtomicU64::new(0));
         let client = Client::new(64);
-        let callers = (0..parallel).map(|_| {
+        let callers = (0..parallel).map(|n| {
+            // Each broker is a caller of his own, with a share of his own in the queues.
+            let call = Call { caller: Some(format!("{name}-{n}")), ..call.clone() };
             let caller = Caller {
                 ready: ready.clone(),
                 next: next.clone(),
                 client: client.clone(),
-                call: call.clone(),
+                call,
                 name: name.into(),
                 answered: load.answered.clone(),
                 end: load.end.clone(),
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -440,6 +440,7 @@
             key: self.take("key"),
             deadline: self.take("deadline"),
             run: self.take("run"),
+            caller: None,
         }
     }
 
