--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -33,7 +33,7 @@
     Silent,
     /// Those open now are dropped, and new ones refused, until the link is open again.
     Cut,
-    /// The next answer is cut in the middle and its connection closed.
+    /// Each answer is cut in the middle and its connection closed.
     Truncate,
 }
 
@@ -138,7 +138,7 @@
             if n == 0 {
                 return Ok(());
             }
-            if self.truncate.swap(false, Ordering::Relaxed) {
+            if self.truncate.load(Ordering::Relaxed) {
                 return to.write_all(&buffer[..middle(&buffer[..n])]).await;
             }
             to.write_all(&buffer[..n]).await?;
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -99,6 +99,7 @@
             "mark" => self.mark(&mut args),
             "last-work" => self.last_work(&mut args),
             "await" => self.wait(&mut args),
+            "gained" => self.gained(&mut args),
             "same-text" => self.same_text(&mut args),
             "witness" => self.witness(),
             other => panic!("no command {other}"),
@@ -303,6 +304,17 @@
         if after <= bound { "in time".into() } else { format!("{after} ms after the mark") }
     }
 
+    /// How often a rack got an owner, by the members' logs.
+    fn gained(&mut self, args: &mut Args) -> String {
+        let line = format!("Gained rack:{} ", args.need("rack"));
+        let logs = self.members.iter().map(|m| self.dir.join(format!("{m}.log")));
+        let times: usize = logs
+            .filter_map(|log| fs::read_to_string(log).ok())
+            .map(|log| log.matches(&line).count())
+            .sum();
+        times.to_string()
+    }
+
     fn same_text(&mut self, args: &mut Args) -> String {
         let shows = args.list("at").into_iter().filter_map(|m| self.show(&m));
         let texts: BTreeSet<String> = shows.map(|s| s["text"].to_string()).collect();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -36,3 +36,28 @@
 fn rolling_stop() {
     scenario::run("rolling-stop");
 }
+
+#[test]
+fn silent_connections() {
+    scenario::run("silent-connections");
+}
+
+#[test]
+fn truncated_answer() {
+    scenario::run("truncated-answer");
+}
+
+#[test]
+fn worker_cut_off() {
+    scenario::run("worker-cut-off");
+}
+
+#[test]
+fn failing_work() {
+    scenario::run("failing-work");
+}
+
+#[test]
+fn cancellation() {
+    scenario::run("cancellation");
+}
