--- a/standin/src/experiment/cell.rs
+++ b/standin/src/experiment/cell.rs
@@ -279,6 +279,11 @@
         self.get(self.platform.addr("kv")?, "/calls").await
     }
 
+    /// The writes that the key-value service has had.
+    pub async fn writes(&self) -> Result<f64> {
+        Ok(self.kv_calls().await?.get("PUT /v1/kv").copied().unwrap_or(0) as f64)
+    }
+
     /// A count that the workers witnessed, over all of them.
     pub async fn witness(&self, name: &str) -> Result<u64> {
         let mut sum = 0;
--- a/standin/src/experiment/path.rs
+++ b/standin/src/experiment/path.rs
@@ -42,8 +42,68 @@
     Ok(vms.into_iter().filter(|v| v.pool.as_str() == "quoting").map(|v| v.addr).collect())
 }
 
-/// Prints the table.
+/// Requests a second with keys; each is claimed in the key-value service before it runs.
+const KEYED: [f64; 3] = [100.0, 400.0, 1200.0];
+
+/// Prints the table of the whole path, or with `keys` that of claims.
 pub async fn run(args: &Args) -> Result<()> {
+    if &*args.part == "keys" { keys(args).await } else { whole(args).await }
+}
+
+/// Requests with keys beside the same without.
+async fn keys(args: &Args) -> Result<()> {
+    let members = args.members.first().copied().unwrap_or(3);
+    println!(
+        "\n{members} members; least / median / greatest of {} runs of {} s.\n",
+        args.runs,
+        args.time.as_secs()
+    );
+    println!(
+        "| offered/s | keys | good/s | p50 ms | p99 ms | p50 with over without | refused % | \
+         KV writes/s | members' cpu us/request | reasons |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|");
+    for rate in KEYED {
+        let mut base = vec![];
+        for share in [0.0, 1.0] {
+            let mut rows = vec![];
+            for _ in 0..args.runs {
+                // A cell of its own: claims stay in the records for a day.
+                let cell = Cell::start(members, &today(), TODAY).await?;
+                let ids: Vec<u32> = cell.members.iter().map(|m| m.id()).collect();
+                let used = || ids.iter().filter_map(|id| usage::cpu(*id)).sum::<f64>();
+                let (cpu, writes) = (used(), cell.writes().await?);
+                let mut load = quotes(cell.callers()?, false, 1.0, args.time);
+                (load.rate, load.keys) = (rate, share);
+                let o = load::run(load).await;
+                let writes = (cell.writes().await? - writes) / args.time.as_secs_f64();
+                let micros = 1e6 * (used() - cpu) / o.due as f64;
+                rows.push((o, writes, micros));
+            }
+            if share == 0.0 {
+                base = rows.iter().map(|(o, ..)| o.latency[0]).collect();
+            }
+            let each =
+                |f: &dyn Fn(&Outcome) -> f64| rows.iter().map(|(o, ..)| f(o)).collect::<Vec<_>>();
+            let reasons: Vec<String> = rows.iter().map(|(o, ..)| o.why()).collect();
+            println!(
+                "| {rate} | {} | {} | {} | {} | {} | {} | {} | {} | {} |",
+                if share == 0.0 { "none" } else { "each" },
+                spread(each(&|o| o.goodput), 0),
+                spread(each(&|o| o.latency[0]), 1),
+                spread(each(&|o| o.latency[2]), 1),
+                spread(each(&|o| o.latency[0]).iter().zip(&base).map(|(a, b)| a / b), 2),
+                spread(each(&|o| 100.0 * (o.due - o.good) as f64 / o.due as f64), 2),
+                spread(rows.iter().map(|r| r.1), 0),
+                spread(rows.iter().map(|r| r.2), 0),
+                reasons.join("; ")
+            );
+        }
+    }
+    Ok(())
+}
+
+async fn whole(args: &Args) -> Result<()> {
     let sizes = if args.members.is_empty() { vec![3, 9] } else { args.members.clone() };
     let bare = Cell::start(0, &today(), TODAY).await?;
     let straight = workers(&bare).await?;
--- a/standin/src/experiment/starts.rs
+++ b/standin/src/experiment/starts.rs
@@ -80,10 +80,10 @@
             let ids: Vec<u32> = cell.members.iter().map(|m| m.id()).collect();
             let used = || ids.iter().filter_map(|id| usage::cpu(*id)).sum::<f64>();
             let text = format!("{TODAY}{}", batch(STREAM.0, STREAM.1, cores, "1s"));
-            let (writes, cpu) = (writes(&cell).await?, used());
+            let (writes, cpu) = (cell.writes().await?, used());
             cell.submit(&text).await?;
             let s = started(&cell, 0, all).await?;
-            let done = self::writes(&cell).await?;
+            let done = cell.writes().await?;
             let seconds = s.last.max(f64::MIN_POSITIVE);
             let rate = f64::from(s.count) / seconds;
             rows.push([
@@ -107,10 +107,6 @@
     Ok(())
 }
 
-async fn writes(cell: &Cell) -> Result<f64> {
-    Ok(cell.kv_calls().await?.get("PUT /v1/kv").copied().unwrap_or(0) as f64)
-}
-
 async fn urgent(members: usize, runs: usize) -> Result<()> {
     println!(
         "\n| an urgent gang of {URGENT} | first start after ms | all started after ms | runs in \
