--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -1,13 +1,20 @@
 //! One bucket of jobs and keys at its owner: claims and attempts over one group commit.
 
-use crate::{
-    Time,
-    attempts::{Attempts, Place, Refused},
-    claims::Claims,
-    commit::{Call, Commit, Step},
-    ids::{Attempt, Epoch, Incarnation, RequestId, Revision, TaskId, WorkerId},
-    messages::{
-        BucketRecord, ClaimAsk, ClaimEnd, ClaimReply, EndItem, KvPutReply, TaskReport, TaskRow,
+mod past;
+
+pub use self::past::Past;
+use {
+    self::past::Pasts,
+    crate::{
+        Time,
+        attempts::{Attempts, Place, Refused},
+        claims::Claims,
+        commit::{Call, Commit, Step},
+        ids::{Attempt, Epoch, Incarnation, JobId, RequestId, Revision, TaskId, WorkerId},
+        messages::{
+            BucketRecord, ClaimAsk, ClaimEnd, ClaimReply, EndItem, KvPutReply, TaskReport, TaskRow,
+            TaskState,
+        },
     },
 };
 
@@ -49,6 +56,7 @@
     commit: Commit,
     claims: Claims,
     attempts: Attempts,
+    pasts: Pasts,
     sure: Time,
     out: Vec<Order>,
 }
@@ -60,6 +68,7 @@
             commit: Commit::new(epoch, owner),
             claims: Claims::new(unix),
             attempts: Attempts::default(),
+            pasts: Pasts::default(),
             sure: Time::ZERO,
             out: Vec::new(),
         }
@@ -115,6 +124,52 @@
         self.attempts.cut(task, attempt, until);
     }
 
+    /// What is kept of a job beyond its attempts.
+    pub fn past(&self, job: &JobId) -> Option<&Past> {
+        self.pasts.get(job)
+    }
+
+    /// The jobs of which anything is kept beyond their attempts.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobId> {
+        self.pasts.names()
+    }
+
+    /// Takes a job in at this time by the Unix clock, unless it is known.
+    pub fn begin(&mut self, job: &JobId, unix: u64) {
+        if self.pasts.begin(job, unix) {
+            self.commit.touch();
+        }
+    }
+
+    /// Keeps a task that has ended well by its number alone; nothing of it is started any more.
+    pub fn finish(&mut self, task: &TaskId) {
+        let ended = self.attempts.get(task).is_some_and(|r| r.state == TaskState::Ended);
+        if ended && self.pasts.finish(task) {
+            let _ = self.attempts.forget(task, &mut self.commit);
+        }
+    }
+
+    /// Drops the ended tasks of a job of which not all have ended: a gang ends whole.
+    pub fn keep_whole(&mut self, job: &JobId, tasks: u32) {
+        if self.pasts.keep_whole(job, tasks) {
+            self.commit.touch();
+        }
+    }
+
+    /// Keeps why a job was given up.
+    pub fn give_up(&mut self, job: &JobId, fault: &str) {
+        if self.pasts.give_up(job, fault) {
+            self.commit.touch();
+        }
+    }
+
+    /// Drops what is kept of a job beyond its attempts.
+    pub fn forget_job(&mut self, job: &JobId) {
+        if self.pasts.forget(job) {
+            self.commit.touch();
+        }
+    }
+
     /// Drops a task; errs where an attempt may be running.
     pub fn forget(&mut self, task: &TaskId) -> Result<(), Refused> {
         self.attempts.forget(task, &mut self.commit)
@@ -146,6 +201,7 @@
         let call = self.commit.next(now, |record| {
             record.claims.extend(self.claims.rows().cloned());
             record.tasks.extend(self.attempts.rows().cloned());
+            record.jobs.extend(self.pasts.rows());
         });
         self.out.extend(call.map(Order::Kv));
         std::mem::take(&mut self.out)
@@ -159,9 +215,11 @@
                 self.attempts.committed(now, self.sure, &mut self.commit, &mut self.out);
             }
             Step::Adopt(record) => {
-                let (claims, tasks) = record.map_or_else(Default::default, |r| (r.claims, r.tasks));
+                let (claims, tasks, jobs) =
+                    record.map_or_else(Default::default, |r| (r.claims, r.tasks, r.jobs));
                 self.claims.adopt(claims, now);
                 self.attempts.adopt(tasks, now);
+                self.pasts = Pasts::adopt(jobs);
             }
             Step::Lost => {
                 self.claims.lost(&mut self.out);
--- a/src/commit.rs
+++ b/src/commit.rs
@@ -205,6 +205,7 @@
             serial: self.sent,
             claims: Vec::new(),
             tasks: Vec::new(),
+            jobs: Vec::new(),
         };
         fill(&mut record);
         Call::Write { call: self.calls, expect: self.base, record: Box::new(record) }
--- a/src/decide/quota.rs
+++ b/src/decide/quota.rs
@@ -244,6 +244,11 @@
         self.teams.get(team).map(|a| (a.own, a.borrowed)).unwrap_or_default()
     }
 
+    /// What the team waits for.
+    pub fn waits(&self, team: &TeamId) -> Size {
+        self.teams.get(team).map(|a| a.waiting).unwrap_or_default()
+    }
+
     /// Whether the task runs in borrowed room.
     pub fn borrows(&self, task: &TaskId) -> bool {
         self.tasks.get(task).is_some_and(|h| h.state != State::Own)
--- a/src/gangs.rs
+++ b/src/gangs.rs
@@ -1,4 +1,9 @@
 //! The gangs that are being placed: each asks the owners of racks, one after another, for its room.
+//!
+//! An answer may come when its round was given up: it shows as rows for a rack that is asked anew.
+//! Counted there, the gang would start on room that was released meanwhile, one half of it without
+//! room. So a gang asks again only once its last ask was answered, or is known to be lost, and what
+//! a late answer has reserved is released.
 
 use {
     crate::{
@@ -25,6 +30,12 @@
     got: Vec<ReserveRow>,
     round: u32,
     again: Time,
+    /// Whether an ask is not answered yet.
+    flying: bool,
+    /// Whether that ask is of a round that was given up.
+    late: bool,
+    /// Whether the gang is no longer wanted.
+    gone: bool,
 }
 
 /// What follows for a gang.
@@ -61,10 +72,13 @@
             got: vec![],
             round: 0,
             again: Time::ZERO,
+            flying: false,
+            late: false,
+            gone: false,
         };
         let gang = self.all.entry(job.clone()).or_insert_with(new);
         let tasks = items.iter().map(|i| i.task.clone()).collect();
-        if gang.again > now {
+        if gang.again > now || gang.flying {
             return Step::Drop(vec![], tasks);
         }
         let Some(parts) = divide(items, pool, racks) else { return Step::Drop(vec![], tasks) };
@@ -81,6 +95,13 @@
             return Step::Drop(reply.map_or_else(Vec::new, |r| r.rows), vec![]);
         };
         let rows = reply.map_or_else(Vec::new, |r| r.rows);
+        gang.flying = false;
+        if std::mem::take(&mut gang.late) {
+            if gang.gone {
+                self.all.remove(&job);
+            }
+            return Step::Drop(rows, vec![]);
+        }
         let order = if rows.len() == ask.items.len() {
             gang.got.extend(rows);
             gang.claim.granted(rack, gang.round, now)
@@ -101,17 +122,37 @@
         steps.filter(|s| !matches!(s, Step::Wait)).collect()
     }
 
-    /// A gang has its attempts, or is no longer wanted.
-    pub fn forget(&mut self, job: &JobId) {
-        self.all.remove(job);
+    /// The gangs that are being placed.
+    pub fn jobs(&self) -> impl Iterator<Item = &JobId> {
+        self.all.iter().filter(|(_, g)| !g.gone).map(|(job, _)| job)
+    }
+
+    /// A gang is no longer wanted; returns its tasks, and the room to release.
+    pub fn forget(&mut self, job: &JobId) -> (Vec<TaskId>, Vec<ReserveRow>) {
+        let Some(gang) = self.all.get_mut(job) else { return (vec![], vec![]) };
+        let tasks = gang.tasks();
+        let got = std::mem::take(&mut gang.got);
+        if gang.flying {
+            (gang.late, gang.gone) = (true, true);
+            gang.claim = Claim::new(Time::ZERO);
+            gang.parts.clear();
+        } else {
+            self.all.remove(job);
+        }
+        (tasks, got)
     }
 }
 
 impl Gang {
+    fn tasks(&self) -> Vec<TaskId> {
+        self.parts.values().flatten().map(|i| i.task.clone()).collect()
+    }
+
     fn step(&mut self, order: Order) -> Step {
         match order {
             Order::Reserve(rack, _, round) => {
                 self.round = round;
+                self.flying = true;
                 let items = self.parts.get(&rack).cloned().unwrap_or_default();
                 Step::Ask(ReserveAsk {
                     pool: self.pool.clone(),
@@ -123,8 +164,8 @@
             Order::Start => Step::Place(std::mem::take(&mut self.got)),
             Order::Release(_, again) => {
                 self.again = again;
-                let tasks = self.parts.values().flatten().map(|i| i.task.clone()).collect();
-                Step::Drop(std::mem::take(&mut self.got), tasks)
+                self.late = self.flying;
+                Step::Drop(std::mem::take(&mut self.got), self.tasks())
             }
             Order::Nothing => Step::Wait,
         }
--- a/src/gen/messages.rs
+++ b/src/gen/messages.rs
@@ -35,6 +35,9 @@
     pub claims: ::std::vec::Vec<ClaimRow>,
     ///The epoch of the bucket's owner that wrote it.
     pub epoch: crate::ids::Epoch,
+    ///The jobs of the bucket.
+    #[serde(default, skip_serializing_if = "::std::vec::Vec::is_empty")]
+    pub jobs: ::std::vec::Vec<JobRow>,
     ///That owner.
     pub owner: crate::ids::Incarnation,
     ///Counts the writes of that owner, so that a lost answer can be settled by reading.
@@ -419,6 +422,19 @@
         value.parse()
     }
 }
+///What must last of a job beyond its attempts.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct JobRow {
+    ///The tasks that have ended well, as ranges: begin and end, the end not within.
+    pub done: ::std::vec::Vec<u32>,
+    ///Why it was given up.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub fault: ::std::option::Option<::std::boxed::Box<str>>,
+    ///The job.
+    pub job: crate::ids::JobId,
+    ///When it was taken in, in seconds of the Unix clock; its deadline counts from here.
+    pub since: u64,
+}
 ///A record of the key-value service.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct KvEntry {
--- /dev/null
+++ b/src/jobs/place.rs
@@ -0,0 +1,157 @@
+//! Picks become wishes for room, and room becomes attempts.
+
+use {
+    super::{BATCH, Jobs, Want, release, team_bucket},
+    crate::{
+        Time,
+        attempts::Place,
+        gangs,
+        ids::{Attempt, PoolId, TaskId},
+        messages::{RackLoad, ReserveAsk, ReserveItem, ReserveReply, ReserveRow},
+        tasks::Pick,
+        text::JobKind,
+        units::Size,
+    },
+    std::collections::BTreeMap,
+};
+
+impl Jobs {
+    /// Takes the answer to a wish for room: the attempts are made, and started once committed.
+    pub fn reserved(
+        &mut self,
+        ask: &ReserveAsk,
+        reply: Option<ReserveReply>,
+        now: Time,
+    ) -> Vec<Want> {
+        if ask.rack.is_some() {
+            let step = self.gangs.answered(ask, reply, now);
+            return self.gang_step(step, now);
+        }
+        let rows = reply.map_or_else(Vec::new, |r| r.rows);
+        let mut given: BTreeMap<TaskId, ReserveRow> =
+            rows.into_iter().map(|r| (r.task.clone(), r)).collect();
+        let mut spare = vec![];
+        for item in &ask.items {
+            let row = given.remove(&item.task);
+            if row.as_ref().is_some_and(|row| self.place(row, item.size, now)) {
+                continue;
+            }
+            // Room that came too late, for a job or a bucket that is gone, is given back.
+            spare.extend(row);
+            if self.tasks.asked(&item.task) {
+                self.tasks.unplaced(&item.task, now);
+            }
+        }
+        release(spare)
+    }
+
+    pub(super) fn pick(&mut self, now: Time, racks: &[RackLoad], wants: &mut Vec<Want>) {
+        let mut batches: BTreeMap<(bool, bool, PoolId), ReserveAsk> = BTreeMap::new();
+        let mut left = BATCH;
+        while left > 0 {
+            let Some(pick) = self.tasks.next(now) else { break };
+            left = left.saturating_sub(pick.asks.len());
+            let items = self.wishes(&pick, now);
+            let pool = pick.job.pool.clone();
+            if pick.job.kind == JobKind::Gang {
+                let Some(job) = items.first().map(|i| i.task.job.clone()) else { continue };
+                let step = self.gangs.begin(&job, &pool, items, racks, now);
+                wants.extend(self.gang_step(step, now));
+                continue;
+            }
+            let spread = pick.job.kind == JobKind::Replicas;
+            let batch = batches.entry((spread, pick.urgent, pool.clone()));
+            let new = || ReserveAsk { pool, rack: None, items: vec![], whole: false };
+            batch.or_insert_with(new).items.extend(items);
+        }
+        wants.extend(batches.into_values().map(Want::Reserve));
+    }
+
+    fn wishes(&self, pick: &Pick, now: Time) -> Vec<ReserveItem> {
+        let wish = |task: &TaskId| {
+            let bucket = self.buckets.get(&team_bucket(&pick.job.team));
+            let row = bucket.and_then(|o| o.state.attempts().get(task));
+            ReserveItem {
+                task: task.clone(),
+                attempt: Attempt(row.map_or(0, |r| r.attempt.0) + 1),
+                size: self.tasks.size(task, pick.job.size),
+                spread: pick.job.kind == JobKind::Replicas,
+                urgent: pick.urgent,
+                avoid: self.tasks.avoid(task, now),
+            }
+        };
+        pick.asks.iter().map(|(ask, _)| wish(&ask.task)).collect()
+    }
+
+    pub(super) fn gang_step(&mut self, step: gangs::Step, now: Time) -> Vec<Want> {
+        match step {
+            gangs::Step::Wait => vec![],
+            gangs::Step::Ask(ask) => vec![Want::Reserve(ask)],
+            gangs::Step::Drop(rows, tasks) => {
+                for task in
+                    tasks.iter().filter(|t| self.tasks.asked(t)).cloned().collect::<Vec<_>>()
+                {
+                    self.tasks.unplaced(&task, now);
+                }
+                release(rows)
+            }
+            gangs::Step::Place(rows) => {
+                let Some(job) = rows.first().map(|r| r.task.job.clone()) else { return vec![] };
+                let _ = self.gangs.forget(&job);
+                let size = self.plan.jobs.get(&job).map_or(Size::default(), |j| j.size);
+                let placed: Vec<bool> = rows.iter().map(|r| self.place(r, size, now)).collect();
+                if placed.iter().all(|p| *p) {
+                    return vec![];
+                }
+                self.withdraw(&rows, &placed, now);
+                release(rows)
+            }
+        }
+    }
+
+    /// Half a gang must not start: none of its intents is committed yet.
+    fn withdraw(&mut self, rows: &[ReserveRow], placed: &[bool], now: Time) {
+        for (row, placed) in rows.iter().zip(placed) {
+            let owned = self.tasks.bucket(&row.task).and_then(|id| self.buckets.get_mut(&id));
+            match owned.filter(|_| *placed) {
+                Some(owned) => {
+                    owned.state.stop(&row.task);
+                    (owned.touched, owned.changed) = (true, true);
+                }
+                None if self.tasks.asked(&row.task) => self.tasks.unplaced(&row.task, now),
+                None => {}
+            }
+        }
+    }
+
+    fn place(&mut self, row: &ReserveRow, size: Size, now: Time) -> bool {
+        if !self.tasks.wanted(&row.task) {
+            return false;
+        }
+        let Some(job) = self.plan.jobs.get(&row.task.job) else { return false };
+        let Some(owned) = self.buckets.get_mut(&team_bucket(&job.team)) else { return false };
+        owned.touched = true;
+        let place = Place {
+            task: row.task.clone(),
+            worker: row.worker.clone(),
+            rack: row.rack.clone(),
+            epoch: row.epoch,
+            size: self.tasks.size(&row.task, size),
+        };
+        match owned.state.place(place, now) {
+            Ok(attempt) if attempt == row.attempt => {
+                owned.running.insert(row.task.clone(), attempt);
+                self.tasks.placed(&row.task, &row.worker, now);
+                true
+            }
+            Ok(_) => {
+                owned.state.stop(&row.task);
+                false
+            }
+            Err(e) => {
+                log::warn!(target: "jobs", "No attempt of {} was made: {e}.", row.task);
+                false
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/jobs/send.rs
@@ -0,0 +1,118 @@
+//! What the buckets have to send: calls to the key-value service, starts, stops and probes.
+
+use {
+    super::{Jobs, Want},
+    crate::{
+        Time,
+        bucket::Order as Step,
+        commit::Call as Kv,
+        event::{Order, Purpose},
+        ids::{Bucket, Epoch, RackId},
+        messages::{KvPut, ProbeAsk, ProbeItem, StartAsk, StartItem, TaskRow, TaskState},
+        tasks::live,
+    },
+    std::collections::BTreeMap,
+};
+
+impl Jobs {
+    /// Sends what the buckets have to send.
+    pub fn flush(
+        &mut self,
+        now: Time,
+        sure: Option<Time>,
+        out: &mut Vec<Order>,
+        wants: &mut Vec<Want>,
+    ) {
+        let touched = self.buckets.iter().filter(|(_, o)| o.touched).map(|(id, _)| *id);
+        for id in touched.collect::<Vec<Bucket>>() {
+            let Some(owned) = self.buckets.get_mut(&id) else { continue };
+            owned.touched = false;
+            if let Some(sure) = sure {
+                owned.state.renew(sure);
+            }
+            let epoch = owned.epoch;
+            for step in owned.state.orders(now) {
+                self.step(id, epoch, step, now, out, wants);
+            }
+        }
+    }
+
+    pub(super) fn ask_after(&self, wants: &mut Vec<Want>) {
+        for (id, owned) in &self.buckets {
+            let mut asks: BTreeMap<RackId, ProbeAsk> = BTreeMap::new();
+            for row in owned.state.attempts().rows().filter(|r| live(r.state)) {
+                let (Some(rack), Some(worker)) = (&row.rack, &row.worker) else { continue };
+                let new = || ProbeAsk { rack: rack.clone(), bucket: *id, items: vec![] };
+                asks.entry(rack.clone()).or_insert_with(new).items.push(ProbeItem {
+                    task: row.task.clone(),
+                    attempt: row.attempt,
+                    worker: worker.clone(),
+                });
+                // A stop, or its confirmation, may have been lost.
+                if row.state == TaskState::Stopping {
+                    wants.extend(self.start(*id, row, 0, false));
+                }
+            }
+            wants.extend(asks.into_values().map(Want::Probe));
+        }
+    }
+
+    fn step(
+        &mut self,
+        id: Bucket,
+        epoch: Epoch,
+        step: Step,
+        now: Time,
+        out: &mut Vec<Order>,
+        wants: &mut Vec<Want>,
+    ) {
+        let key = || format!("bucket/{id}").into();
+        match step {
+            Step::Kv(Kv::Read { call }) => {
+                out.push(Order::Get(Purpose::Bucket(id, epoch, call), key()));
+            }
+            Step::Kv(Kv::Write { call, expect, record }) => {
+                let value = serde_json::to_string(&record).ok().map(Into::into);
+                let put = KvPut { expect, value, lease: None };
+                out.push(Order::Put(Purpose::Bucket(id, epoch, call), key(), put));
+            }
+            Step::Reply { request, reply } => wants.push(Want::Claimed(request, reply)),
+            Step::Kept { call } => wants.push(Want::Kept(call)),
+            // The text has changed since the intent was made, and no longer lists it.
+            Step::Start { row, .. } if self.tasks.cancelled(&row.task) => {
+                let Some(owned) = self.buckets.get_mut(&id) else { return };
+                owned.state.stop(&row.task);
+                owned.touched = true;
+            }
+            Step::Start { row, until } => {
+                let left = u64::try_from((until - now).as_millis()).unwrap_or(0);
+                wants.extend(self.start(id, &row, left, true));
+            }
+            Step::Stop { row } => wants.extend(self.start(id, &row, 0, false)),
+            Step::Lost => log::info!(target: "jobs", "Bucket {id} has another owner."),
+        }
+    }
+
+    fn start(&self, bucket: Bucket, row: &TaskRow, left: u64, go: bool) -> Option<Want> {
+        let run = self.plan.jobs.get(&row.task.job).map_or(0, |j| j.run.as_millis() as u64);
+        let (hold, borrowed) = self.tasks.hold(&row.task);
+        let item = StartItem {
+            task: row.task.clone(),
+            attempt: row.attempt,
+            worker: row.worker.clone()?,
+            size: row.size,
+            run,
+            bucket,
+            hold,
+            borrowed,
+        };
+        let (start, stop) = if go { (vec![item], vec![]) } else { (vec![], vec![item]) };
+        Some(Want::Start(StartAsk {
+            rack: row.rack.clone()?,
+            epoch: row.epoch?,
+            left,
+            start,
+            stop,
+        }))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -33,6 +33,7 @@
 mod peers;
 mod platform;
 pub mod racks;
+mod ranges;
 pub mod requests;
 mod rpc;
 #[rustfmt::skip]
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -2,21 +2,35 @@
 //!
 //! All jobs of a team stand in one bucket, so that one member counts the team's quota. Room is lent
 //! between teams whose buckets have the same owner.
-
+//!
+//! What is asked for or may run is *held*: it counts against its team, its allowance and the cancels
+//! from the pick on, until its attempt is over or it found no room. [`Tasks::release`] is the one
+//! place that gives all of it back, whatever has become of its job or its bucket meanwhile; a count
+//! that were given back by the plan in force would stay for ever once the plan has changed.
+
+mod fault;
+mod gang;
+mod list;
+mod show;
+mod urgent;
+
+pub use self::list::Past;
 use {
+    self::urgent::Urgent,
     crate::{
         Time,
         decide::{
             cancel::Cancels,
             estimate::Estimates,
-            order::{self, Order},
+            order::Order,
             quota::{Ask, BRIEF, Back, Grant, Quotas},
-            suspect::{Fault, Outcome, Suspects, Trust, Verdict},
+            suspect::{Outcome, Suspects, Trust, Verdict},
             urgent::Allowances,
         },
-        ids::{Bucket, JobId, TaskId, TaskIndex, WorkerId},
+        ids::{Bucket, JobId, PoolId, TaskId, TaskIndex, TeamId, WorkerId},
         jobs::team_bucket,
-        messages::{EndItem, Hold, TaskRow, TaskState, Vm},
+        messages::{EndItem, Hold, TaskState, Vm},
+        ranges::Ranges,
         text::{Job, JobKind, Plan},
         units::Size,
     },
@@ -29,8 +43,6 @@
 
 /// How long a replica that has ended stays down before it is started again.
 const RESTART: Duration = Duration::from_secs(1);
-/// How often a member tries a task that failed under owners before it, whose evidence it has not.
-const TRIES: u32 = 12;
 
 /// A task, or a whole gang, that is to be placed now.
 pub struct Pick {
@@ -38,6 +50,21 @@
     pub asks: Vec<(Ask, Grant)>,
     /// The job.
     pub job: Job,
+    /// Whether room may be made for it by stopping other work.
+    pub urgent: bool,
+}
+
+/// What is counted of the tasks here, to see that nothing is left when all is over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Balance {
+    /// The tasks that are asked for or may run.
+    pub held: usize,
+    /// The tasks that wait.
+    pub waiting: usize,
+    /// What the teams of the text hold, their own and borrowed.
+    pub size: Size,
+    /// What the teams of the text wait for.
+    pub waits: Size,
 }
 
 /// The tasks of a member's buckets.
@@ -50,16 +77,29 @@
     cancels: Cancels,
     allowances: Allowances,
     listed: BTreeMap<JobId, Job>,
+    held: BTreeMap<TaskId, Held>,
     paused: BTreeSet<(Time, TaskId)>,
-    urgent: BTreeSet<TaskId>,
+    urgent: Urgent,
     shaky: BTreeSet<WorkerId>,
-    given: BTreeMap<TaskId, Fault>,
-    began: BTreeMap<TaskId, Time>,
-    ended: BTreeMap<JobId, u32>,
-    joined: BTreeSet<WorkerId>,
+    /// The tasks and jobs that are given up, with the reason.
+    given: BTreeMap<TaskId, Box<str>>,
+    faults: BTreeMap<JobId, Box<str>>,
+    done: BTreeMap<JobId, Ranges>,
+    /// The jobs elsewhere that have ended.
+    afar: BTreeSet<JobId>,
+    joined: BTreeMap<WorkerId, PoolId>,
     stops: Vec<TaskId>,
 }
 
+/// A task that is asked for or may run.
+struct Held {
+    bucket: Bucket,
+    /// When its attempt was made; none while room is asked for.
+    began: Option<Time>,
+    /// What it takes of its team's allowance of urgent work.
+    urgent: Option<(TeamId, Size)>,
+}
+
 impl Tasks {
     /// No tasks; `seed` sets the jitter of the back-off.
     pub fn new(seed: u64) -> Self {
@@ -72,13 +112,15 @@
             cancels: Cancels::default(),
             allowances: Allowances::default(),
             listed: BTreeMap::new(),
+            held: BTreeMap::new(),
             paused: BTreeSet::new(),
-            urgent: BTreeSet::new(),
+            urgent: Urgent::default(),
             shaky: BTreeSet::new(),
             given: BTreeMap::new(),
-            began: BTreeMap::new(),
-            ended: BTreeMap::new(),
-            joined: BTreeSet::new(),
+            faults: BTreeMap::new(),
+            done: BTreeMap::new(),
+            afar: BTreeSet::new(),
+            joined: BTreeMap::new(),
             stops: vec![],
         }
     }
@@ -88,6 +130,7 @@
         if let Some(pick) = self.next_urgent(now) {
             return Some(pick);
         }
+        // Each turn takes a task out of those that wait, or sets its job aside until the next wake.
         loop {
             let pick = self.order.next(now, &self.quotas)?;
             let name = pick.ask.task.job.clone();
@@ -95,18 +138,13 @@
                 self.order.remove(&name, &mut self.quotas);
                 continue;
             };
-            if let Some(fault) = self.suspects.fault(&name) {
-                self.abandon(&name, fault);
-                continue;
-            }
-            let held = matches!(self.suspects.job_trust(now, &name), Trust::Held(_));
-            if held || !self.ready(&job) {
+            if !self.may_start(&name, &job, now) {
                 self.order.park(now, &name, &self.quotas);
                 continue;
             }
             if job.kind == JobKind::Gang {
                 match self.gang(&name, now) {
-                    Some(asks) => return Some(Pick { asks, job }),
+                    Some(asks) => return Some(Pick { asks, job, urgent: false }),
                     None => self.order.park(now, &name, &self.quotas),
                 }
                 continue;
@@ -116,18 +154,41 @@
                 self.order.park(now, &name, &self.quotas);
                 continue;
             }
-            if !self.cancels.start(&pick.ask.task) {
-                self.quotas.ended(&pick.ask.task);
+            self.urgent.remove(&pick.ask.task);
+            if !self.hold_asked(&pick.ask.task, &job, None) {
+                self.unplaced(&pick.ask.task, now);
                 continue;
             }
-            return Some(Pick { asks: vec![(pick.ask, grant)], job });
+            return Some(Pick { asks: vec![(pick.ask, grant)], job, urgent: false });
         }
     }
 
+    /// Whether room is still asked for a task; it is not once its job or its bucket is gone.
+    pub fn asked(&self, task: &TaskId) -> bool {
+        self.held.get(task).is_some_and(|h| h.began.is_none())
+    }
+
+    /// Whether a task for which room was asked is still to be placed.
+    pub fn wanted(&self, task: &TaskId) -> bool {
+        self.asked(task) && self.listed.contains_key(&task.job) && !self.cancels.cancelled(task)
+    }
+
+    /// Whether a task is cancelled.
+    pub fn cancelled(&self, task: &TaskId) -> bool {
+        self.cancels.cancelled(task)
+    }
+
+    /// The bucket of a task that is asked for or may run.
+    pub fn bucket(&self, task: &TaskId) -> Option<Bucket> {
+        self.held.get(task).map(|h| h.bucket)
+    }
+
     /// A task was given a worker and its attempt made.
     pub fn placed(&mut self, task: &TaskId, worker: &WorkerId, now: Time) {
         self.suspects.started(now, task, worker);
-        self.began.insert(task.clone(), now);
+        if let Some(held) = self.held.get_mut(task) {
+            held.began = Some(now);
+        }
     }
 
     /// A picked task found no room: it waits again, behind others for a while.
@@ -140,10 +201,10 @@
     /// Takes the end of an attempt, as it stands in the record now.
     pub fn over(&mut self, item: &EndItem, now: Time) {
         let task = &item.task;
+        // What is not held is counted as over already.
+        let Some(began) = self.held.get(task).map(|h| h.began) else { return };
         self.release(task);
-        let ran = self.began.remove(task).map(|at| now - at);
         let Some(job) = self.listed.get(&task.job).cloned() else { return };
-        let used = item.used.unwrap_or(job.size);
         let outcome = match item.state {
             TaskState::Ended => Outcome::Done,
             TaskState::Failed => Outcome::Failed,
@@ -152,31 +213,52 @@
         if outcome == Outcome::Failed {
             self.shaky.insert(item.worker.clone());
         }
-        if let (Outcome::Done, Some(ran)) = (outcome, ran) {
-            self.estimates.ended(&task.job, ran, used);
-            let run = self.estimates.run(&task.job, job.run);
-            self.order.correct(now, &task.job, run, &self.quotas);
-        } else if !used.fits(&job.size) {
-            self.estimates.check(&task.job, used, job.size, Size::default());
-        }
+        self.estimate(item, &job, outcome, began.map(|at| now - at), now);
         if job.kind == JobKind::Gang && outcome != Outcome::Done {
-            // The others can do nothing without it; they are stopped, and the gang starts anew.
-            let others = self.began.keys().filter(|t| t.job == task.job);
-            self.stops.extend(others.cloned());
+            self.break_up(&task.job, now);
         }
         match self.suspects.ended(now, task, &item.worker, outcome) {
             Verdict::Over if job.kind == JobKind::Replicas => {
                 self.paused.insert((now + RESTART, task.clone()));
             }
-            Verdict::Over => {
-                *self.ended.entry(task.job.clone()).or_default() += 1;
-                self.order.ended(now, task, &mut self.quotas);
-            }
+            Verdict::Over => self.ended(task, &job, now),
             Verdict::Retry(at) => {
                 self.paused.insert((at, task.clone()));
             }
-            Verdict::GiveUp(fault) => {
-                self.given.insert(task.clone(), fault);
+            Verdict::GiveUp(fault) => self.give_up(task, &job, fault),
+        }
+    }
+
+    fn estimate(
+        &mut self,
+        item: &EndItem,
+        job: &Job,
+        outcome: Outcome,
+        ran: Option<Duration>,
+        now: Time,
+    ) {
+        let (name, used) = (&item.task.job, item.used.unwrap_or(job.size));
+        if let (Outcome::Done, Some(ran)) = (outcome, ran) {
+            self.estimates.ended(name, ran, used);
+            let run = self.estimates.run(name, job.run);
+            self.order.correct(now, name, run, &self.quotas);
+        } else if !used.fits(&job.size) {
+            self.estimates.check(name, used, job.size, Size::default());
+        }
+    }
+
+    /// A task of a batch, or of a gang, has ended well.
+    fn ended(&mut self, task: &TaskId, job: &Job, now: Time) {
+        let done = self.done.entry(task.job.clone()).or_default();
+        done.insert(task.index);
+        if job.kind != JobKind::Gang {
+            return self.order.ended(now, task, &mut self.quotas);
+        }
+        // Until all have ended, one may yet fail, and then all start anew.
+        if done.len() >= job.tasks {
+            for index in (0..job.tasks).map(TaskIndex) {
+                let task = TaskId { job: task.job.clone(), index };
+                self.order.ended(now, &task, &mut self.quotas);
             }
         }
     }
@@ -195,110 +277,10 @@
             let Some((_, task)) = self.paused.pop_first() else { break };
             self.back(&task, now);
         }
+        self.urgent.wake();
         self.order.wake(now, &self.quotas);
     }
 
-    /// Takes the plan in force: quotas, and the jobs that it no longer lists.
-    pub fn planned(&mut self, plan: &Rc<Plan>) {
-        self.plan = plan.clone();
-        let all: Size = plan.pools.values().map(|p| p.size.times(u64::from(p.workers))).sum();
-        for (id, team) in &plan.teams {
-            self.quotas.set(id, team.quota.unwrap_or(all), team.weight);
-        }
-        self.order.relist(&self.quotas);
-        let gone: Vec<JobId> = self
-            .listed
-            .iter()
-            .filter(|(name, job)| plan.jobs.get(*name) != Some(*job))
-            .map(|(name, _)| name.clone())
-            .collect();
-        for name in gone {
-            let job = self.listed.remove(&name);
-            self.order.remove(&name, &mut self.quotas);
-            let still = plan.jobs.get(&name);
-            let kept = still.map_or(0, |j| j.tasks);
-            // What goes on running is counted anew when the job is taken in again.
-            let on: Vec<TaskId> =
-                self.began.keys().filter(|t| t.job == name && t.index.0 < kept).cloned().collect();
-            on.iter().for_each(|t| self.quotas.ended(t));
-            self.drop_job(&name);
-            match (still, job) {
-                (None, _) => self.cancels.job(&name),
-                (Some(_), Some(old)) => (kept..old.tasks).for_each(|i| {
-                    self.cancels.task(&TaskId { job: name.clone(), index: TaskIndex(i) });
-                }),
-                _ => {}
-            }
-        }
-    }
-
-    /// Takes in a job of the plan with the attempts that stand in its bucket's record.
-    ///
-    /// Returns false while tasks of a former job of this name are still being stopped.
-    pub fn list<'a>(
-        &mut self,
-        name: &JobId,
-        rows: impl Iterator<Item = &'a TaskRow>,
-        now: Time,
-    ) -> bool {
-        let Some(job) = self.plan.jobs.get(name).cloned() else { return true };
-        if self.cancels.relist(name).is_err() {
-            return false;
-        }
-        let back = match job.kind {
-            JobKind::Replicas | JobKind::Gang => Back::Never,
-            JobKind::Batch if job.run <= BRIEF => Back::Brief,
-            JobKind::Batch => Back::Checkpoint,
-        };
-        let entry = order::Job {
-            id: name.clone(),
-            team: job.team.clone(),
-            deadline: job.deadline.map_or(Time::NEVER, |d| now + d),
-            priority: u8::try_from(job.priority).unwrap_or(u8::MAX),
-            run: self.estimates.run(name, job.run),
-            width: job.tasks,
-            tasks: job.tasks,
-            size: job.size,
-            back,
-        };
-        self.order.push(now, entry, &mut self.quotas);
-        for row in rows.filter(|r| r.task.job == *name && r.task.index.0 < job.tasks) {
-            self.take_row(row, &job, now);
-        }
-        if job.urgent {
-            self.urgent.extend(self.order.asks(name).into_iter().map(|a| a.task));
-        }
-        self.listed.insert(name.clone(), job);
-        true
-    }
-
-    /// Marks a row of a job that the plan does not list, so that it is stopped.
-    pub fn orphan(&mut self, row: &TaskRow) {
-        if live(row.state) {
-            self.cancels.start(&row.task);
-            self.cancels.task(&row.task);
-        }
-    }
-
-    /// A bucket has passed to another member, which decides on its tasks from now on.
-    pub fn lost(&mut self, bucket: Bucket) {
-        let gone: Vec<JobId> = self
-            .listed
-            .iter()
-            .filter(|(_, j)| team_bucket(&j.team) == bucket)
-            .map(|(n, _)| n.clone())
-            .collect();
-        for name in gone {
-            self.listed.remove(&name);
-            let running: Vec<TaskId> =
-                self.began.keys().filter(|t| t.job == name).cloned().collect();
-            running.iter().for_each(|t| self.release(t));
-            self.order.remove(&name, &mut self.quotas);
-            self.cancels.job(&name);
-            self.drop_job(&name);
-        }
-    }
-
     /// Whether a job is taken in.
     pub fn lists(&self, name: &JobId) -> bool {
         self.listed.contains_key(name)
@@ -306,22 +288,31 @@
 
     /// Takes the platform's list of workers.
     pub fn workers<'a>(&mut self, vms: impl Iterator<Item = &'a Vm>) {
-        let mut now = BTreeSet::new();
+        let mut now = BTreeMap::new();
         for vm in vms {
             self.suspects.join(&vm.worker, &vm.pool, &vm.rack);
-            now.insert(vm.worker.clone());
+            now.insert(vm.worker.clone(), vm.pool.clone());
         }
-        for gone in self.joined.difference(&now) {
+        for gone in self.joined.keys().filter(|w| !now.contains_key(*w)) {
             self.suspects.leave(gone);
+            self.shaky.remove(gone);
         }
         self.joined = now;
     }
 
     /// The workers that an attempt of a task keeps away from.
+    ///
+    /// A task that has failed on each worker of a small pool may go back to them: kept away from all
+    /// of them it would wait for ever, neither run nor given up.
     pub fn avoid(&self, task: &TaskId, now: Time) -> Vec<WorkerId> {
         let held = |w: &&WorkerId| matches!(self.suspects.trust(now, w), Trust::Held(_));
         let mut avoid: BTreeSet<&WorkerId> = self.shaky.iter().filter(held).collect();
-        avoid.extend(self.suspects.failed_on(task));
+        let failed = self.suspects.failed_on(task);
+        let pool = self.listed.get(&task.job).map(|j| &j.pool);
+        let mut workers = self.joined.iter().filter(|(_, p)| Some(*p) == pool).map(|(w, _)| w);
+        if workers.any(|w| !avoid.contains(w) && !failed.contains(w)) {
+            avoid.extend(failed);
+        }
         avoid.into_iter().cloned().collect()
     }
 
@@ -332,167 +323,68 @@
 
     /// How a task's room can be had back.
     pub fn hold(&self, task: &TaskId) -> (Hold, bool) {
-        let hold = match self.listed.get(&task.job) {
-            Some(j) if j.kind == JobKind::Batch && !j.urgent && j.run > BRIEF => Hold::Checkpoint,
-            Some(j) if j.kind == JobKind::Batch && !j.urgent => Hold::Brief,
-            _ => Hold::Never,
+        let hold = match self.listed.get(&task.job).map(back_of) {
+            Some(Back::Checkpoint) => Hold::Checkpoint,
+            Some(Back::Brief) => Hold::Brief,
+            Some(Back::Never) | None => Hold::Never,
         };
         (hold, self.quotas.borrows(task))
     }
 
-    /// Whether all tasks of a job have ended.
-    pub fn finished(&self, name: &JobId) -> bool {
-        let Some(job) = self.listed.get(name) else { return false };
-        job.kind != JobKind::Replicas && self.ended.get(name).is_some_and(|n| *n >= job.tasks)
-    }
-
-    /// Why a task does not run, where that is known.
-    pub fn reason(&self, task: &TaskId) -> Option<Box<str>> {
-        if let Some(fault) = self.given.get(task) {
-            return Some(format!("given up: {fault}").into());
-        }
-        if let Some(fault) = self.suspects.fault(&task.job) {
-            return Some(format!("given up: {fault}").into());
-        }
-        let job = self.listed.get(&task.job)?;
-        if !self.ready(job) {
-            return Some(format!("waits for {}", job.after.join(", ")).into());
-        }
-        let (own, borrowed) = self.quotas.held(&job.team);
-        Some(format!("waits for room; its team holds {own}, and {borrowed} of other teams").into())
-    }
-
-    /// The jobs elsewhere that have ended, so that what depends on them may start.
-    pub fn ended_afar(&mut self, jobs: Vec<JobId>) {
-        for name in jobs.into_iter().filter(|n| !self.listed.contains_key(n)) {
-            let all = self.plan.jobs.get(&name).map_or(0, |j| j.tasks);
-            self.ended.insert(name, all);
-        }
-    }
-
-    /// The jobs here that have ended and that others depend on.
-    pub fn done(&self) -> Vec<JobId> {
-        let after: BTreeSet<&str> =
-            self.plan.jobs.values().flat_map(|j| &j.after).map(|a| &**a).collect();
-        let listed = self.listed.keys().filter(|n| after.contains(n.as_str()));
-        listed.filter(|n| self.finished(n)).cloned().collect()
-    }
-
-    /// Urgent work does not wait for its team's turn; its allowance bounds it.
-    fn next_urgent(&mut self, now: Time) -> Option<Pick> {
-        let tasks: Vec<TaskId> = self.urgent.iter().cloned().collect();
-        for task in tasks {
-            let Some(job) = self.listed.get(&task.job).cloned() else {
-                self.urgent.remove(&task);
-                continue;
-            };
-            let ask = self.order.asks(&task.job).into_iter().find(|a| a.task == task);
-            let Some(ask) = ask else {
-                self.urgent.remove(&task);
-                continue;
-            };
-            if job.kind == JobKind::Gang || !self.ready(&job) {
-                continue;
-            }
-            let quota = self.plan.teams.get(&job.team).and_then(|t| t.quota).unwrap_or(job.size);
-            if !self.allowances.start(now, &job.team, job.size, quota) {
-                return None;
-            }
-            self.urgent.remove(&task);
-            self.order.adopt(now, &task, false, &mut self.quotas);
-            if self.cancels.start(&task) {
-                return Some(Pick { asks: vec![(ask, Grant::Own)], job });
-            }
-        }
-        None
-    }
-
-    /// All tasks of a gang, if its team may hold them all.
-    fn gang(&mut self, name: &JobId, now: Time) -> Option<Vec<(Ask, Grant)>> {
-        let job = self.listed.get(name)?.clone();
-        let asks = self.order.asks(name);
-        // Those that still run, or wait out a pause, come first.
-        let ended = self.ended.get(name).copied().unwrap_or(0);
-        if asks.len() + (ended as usize) < job.tasks as usize {
-            return None;
-        }
-        let mut taken = vec![];
-        for ask in asks {
-            let pick = order::Pick { grant: self.quotas.grant(&ask), ask: ask.clone() };
-            let grant = self.order.take(now, &pick, &mut self.quotas);
-            if grant == Grant::Wait || !self.cancels.start(&ask.task) {
-                for (ask, _) in taken {
-                    let ask: Ask = ask;
-                    self.release(&ask.task);
-                    self.back(&ask.task, now);
-                }
-                return None;
-            }
-            taken.push((ask, grant));
+    /// Whether anything of a job may start now.
+    fn may_start(&self, name: &JobId, job: &Job, now: Time) -> bool {
+        match self.suspects.job_trust(now, name) {
+            Trust::Held(_) => false,
+            // The time of the last start is known only once it has found room: until then nothing
+            // else of the job is asked for, or a job on trial would start all its tasks at once.
+            Trust::Probe => !self.holds(name).any(|(_, h)| h.began.is_none()) && self.ready(job),
+            Trust::Full => self.ready(job),
         }
-        Some(taken)
     }
 
-    fn take_row(&mut self, row: &TaskRow, job: &Job, now: Time) {
-        match row.state {
-            s if live(s) => {
-                self.order.adopt(now, &row.task, false, &mut self.quotas);
-                self.cancels.start(&row.task);
-                self.began.insert(row.task.clone(), now);
-            }
-            TaskState::Ended if job.kind != JobKind::Replicas => {
-                self.order.adopt(now, &row.task, true, &mut self.quotas);
-                *self.ended.entry(row.task.job.clone()).or_default() += 1;
-            }
-            TaskState::Failed if row.tries.unwrap_or(0) >= TRIES => {
-                self.given.insert(row.task.clone(), Fault::Attempts(row.tries.unwrap_or(0)));
-                self.order.adopt(now, &row.task, true, &mut self.quotas);
-            }
-            _ => {}
-        }
+    fn holds(&self, name: &JobId) -> impl Iterator<Item = (&TaskId, &Held)> {
+        let first = TaskId { job: name.clone(), index: TaskIndex(0) };
+        self.held.range(first..).take_while(move |(t, _)| t.job == *name)
     }
 
-    /// Gives a job up: nothing of it is started any more.
-    fn abandon(&mut self, name: &JobId, fault: Fault) {
-        for ask in self.order.asks(name) {
-            self.given.insert(ask.task, fault);
-        }
-        self.order.remove(name, &mut self.quotas);
+    /// Counts a task whose room is asked for; returns false where it is cancelled.
+    fn hold_asked(&mut self, task: &TaskId, job: &Job, urgent: Option<(TeamId, Size)>) -> bool {
+        let held = Held { bucket: team_bucket(&job.team), began: None, urgent };
+        self.held.insert(task.clone(), held);
+        self.cancels.start(task)
     }
 
     fn release(&mut self, task: &TaskId) {
         self.quotas.ended(task);
         self.cancels.ended(task);
-        if let Some(job) = self.listed.get(&task.job).filter(|j| j.urgent) {
-            self.allowances.ended(&job.team, job.size);
+        if let Some((team, size)) = self.held.remove(task).and_then(|h| h.urgent) {
+            self.allowances.ended(&team, size);
+        }
+        if !self.listed.contains_key(&task.job) && self.holds(&task.job).next().is_none() {
+            // Nothing of it runs any more, so that no mark is needed.
+            let _ = self.cancels.relist(&task.job);
         }
     }
 
     fn back(&mut self, task: &TaskId, now: Time) {
-        self.order.requeue(now, task, &mut self.quotas);
-        if self.listed.get(&task.job).is_some_and(|j| j.urgent) {
-            self.urgent.insert(task.clone());
+        let Some(job) = self.listed.get(&task.job) else { return };
+        if self.faults.contains_key(&task.job) || task.index.0 >= job.tasks {
+            return;
         }
+        if job.urgent {
+            self.urgent.add(task);
+        }
+        self.order.requeue(now, task, &mut self.quotas);
     }
+}
 
-    fn drop_job(&mut self, name: &JobId) {
-        self.ended.remove(name);
-        self.suspects.forget(name);
-        self.estimates.forget(name);
-        self.given.retain(|t, _| t.job != *name);
-        self.paused.retain(|(_, t)| t.job != *name);
-        self.urgent.retain(|t| t.job != *name);
-        self.began.retain(|t, _| t.job != *name);
-    }
-
-    fn ready(&self, job: &Job) -> bool {
-        job.after.iter().all(|name| {
-            let id = JobId(name.clone());
-            // What it depends on may be a service or replicas, which are kept up all the time.
-            let Some(first) = self.plan.jobs.get(&id) else { return true };
-            first.kind == JobKind::Replicas
-                || self.ended.get(&id).is_some_and(|n| *n >= first.tasks)
-        })
+/// How the room of a job's tasks can be had back; that of urgent work not, as it would be stopped for
+/// what it has borrowed and start again at once, over and over.
+fn back_of(job: &Job) -> Back {
+    match job.kind {
+        JobKind::Batch if !job.urgent && job.run <= BRIEF => Back::Brief,
+        JobKind::Batch if !job.urgent => Back::Checkpoint,
+        _ => Back::Never,
     }
 }
 
--- /dev/null
+++ b/src/tasks/show.rs
@@ -0,0 +1,69 @@
+//! What operators and other members are told of the tasks.
+
+use {
+    super::{Balance, Tasks},
+    crate::{
+        ids::{JobId, TaskId},
+        text::{Job, JobKind},
+        units::Size,
+    },
+    std::collections::BTreeSet,
+};
+
+impl Tasks {
+    /// Why a task does not run, where that is known.
+    pub fn reason(&self, task: &TaskId) -> Option<Box<str>> {
+        if let Some(fault) = self.given.get(task).or_else(|| self.faults.get(&task.job)) {
+            return Some(format!("given up: {fault}").into());
+        }
+        let job = self.listed.get(&task.job)?;
+        if !self.ready(job) {
+            return Some(format!("waits for {}", job.after.join(", ")).into());
+        }
+        let (own, borrowed) = self.quotas.held(&job.team);
+        Some(format!("waits for room; its team holds {own}, and {borrowed} of other teams").into())
+    }
+
+    /// Whether all tasks of a job have ended.
+    pub fn finished(&self, name: &JobId) -> bool {
+        let Some(job) = self.listed.get(name) else { return false };
+        job.kind != JobKind::Replicas && self.done.get(name).is_some_and(|d| d.len() >= job.tasks)
+    }
+
+    /// The jobs elsewhere that have ended, so that what depends on them may start.
+    pub fn ended_afar(&mut self, jobs: Vec<JobId>) {
+        let known = jobs.into_iter().filter(|n| self.plan.jobs.contains_key(n));
+        self.afar.extend(known);
+    }
+
+    /// The jobs here that have ended and that others depend on.
+    pub fn done(&self) -> Vec<JobId> {
+        let after: BTreeSet<&str> =
+            self.plan.jobs.values().flat_map(|j| &j.after).map(|a| &**a).collect();
+        let names = after.into_iter().map(JobId::from);
+        names.filter(|n| self.finished(n)).collect()
+    }
+
+    /// What is counted here; all of it is zero when all is over.
+    pub fn balance(&self) -> Balance {
+        let teams = || self.plan.teams.keys();
+        let size = teams().map(|t| self.quotas.held(t)).map(|(own, lent)| own + lent).sum();
+        let waits = teams().map(|t| self.quotas.waits(t)).sum();
+        Balance { held: self.held.len(), waiting: self.order.waiting(), size, waits }
+    }
+
+    pub(super) fn ready(&self, job: &Job) -> bool {
+        job.after.iter().all(|name| {
+            let id = JobId(name.clone());
+            // What it depends on may be a service or replicas, which are kept up all the time.
+            let Some(first) = self.plan.jobs.get(&id) else { return true };
+            let here = || self.finished(&id);
+            first.kind == JobKind::Replicas || here() || self.afar.contains(&id)
+        })
+    }
+
+    /// What all workers of the text have.
+    pub(super) fn all(&self) -> Size {
+        self.plan.pools.values().map(|p| p.size.times(u64::from(p.workers))).sum()
+    }
+}
--- /dev/null
+++ b/src/tasks/urgent.rs
@@ -0,0 +1,111 @@
+//! Urgent work, which does not wait for its team's turn; the team's allowance bounds it.
+
+use {
+    super::{Pick, Tasks},
+    crate::{
+        Time,
+        decide::quota::{Ask, Grant},
+        ids::{JobId, TaskId, TaskIndex},
+        text::{Job, JobKind},
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+type Waiting = BTreeMap<JobId, BTreeSet<TaskIndex>>;
+
+/// The tasks of urgent jobs that wait.
+#[derive(Default)]
+pub(super) struct Urgent {
+    open: Waiting,
+    /// Those of jobs that could not start since the last wake.
+    parked: Waiting,
+}
+
+impl Urgent {
+    pub(super) fn add(&mut self, task: &TaskId) {
+        let parked = self.parked.contains_key(&task.job);
+        let side = if parked { &mut self.parked } else { &mut self.open };
+        side.entry(task.job.clone()).or_default().insert(task.index);
+    }
+
+    pub(super) fn remove(&mut self, task: &TaskId) {
+        for side in [&mut self.open, &mut self.parked] {
+            let Some(tasks) = side.get_mut(&task.job) else { continue };
+            tasks.remove(&task.index);
+            if tasks.is_empty() {
+                side.remove(&task.job);
+            }
+        }
+    }
+
+    pub(super) fn drop_job(&mut self, job: &JobId) {
+        self.open.remove(job);
+        self.parked.remove(job);
+    }
+
+    pub(super) fn wake(&mut self) {
+        self.open.append(&mut self.parked);
+    }
+
+    fn first(&self) -> Option<TaskId> {
+        let (job, tasks) = self.open.first_key_value()?;
+        tasks.first().map(|index| TaskId { job: job.clone(), index: *index })
+    }
+
+    fn park(&mut self, job: &JobId) {
+        self.parked.extend(self.open.remove_entry(job));
+    }
+}
+
+impl Tasks {
+    /// The next urgent task or gang that its team's allowance lets start.
+    ///
+    /// Work over the allowance waits in the usual order, and keeps nobody else's from starting.
+    pub(super) fn next_urgent(&mut self, now: Time) -> Option<Pick> {
+        while let Some(task) = self.urgent.first() {
+            if let Some(pick) = self.try_urgent(&task, now) {
+                return Some(pick);
+            }
+            // The tasks of a job are alike: where one can't start, none can.
+            self.urgent.park(&task.job);
+        }
+        None
+    }
+
+    fn try_urgent(&mut self, task: &TaskId, now: Time) -> Option<Pick> {
+        let job = self.listed.get(&task.job)?.clone();
+        if !self.may_start(&task.job, &job, now) {
+            return None;
+        }
+        let tasks = match job.kind {
+            JobKind::Gang => self.urgent_gang(&task.job, &job)?,
+            JobKind::Batch | JobKind::Replicas => vec![task.clone()],
+        };
+        let size = job.size.times(tasks.len() as u64);
+        let quota =
+            self.plan.teams.get(&job.team).and_then(|t| t.quota).unwrap_or_else(|| self.all());
+        if !self.allowances.start(now, &job.team, size, quota) {
+            return None;
+        }
+        let mut asks = vec![];
+        let mut sound = true;
+        for task in &tasks {
+            self.urgent.remove(task);
+            self.order.adopt(now, task, false, &mut self.quotas);
+            sound &= self.hold_asked(task, &job, Some((job.team.clone(), job.size)));
+            let back = super::back_of(&job);
+            let ask = Ask { team: job.team.clone(), task: task.clone(), size: job.size, back };
+            asks.push((ask, Grant::Own));
+        }
+        if !sound {
+            tasks.iter().for_each(|t| self.unplaced(t, now));
+            return None;
+        }
+        Some(Pick { asks, job, urgent: true })
+    }
+
+    fn urgent_gang(&self, name: &JobId, job: &Job) -> Option<Vec<TaskId>> {
+        let tasks: Vec<TaskId> = self.order.asks(name).into_iter().map(|a| a.task).collect();
+        (tasks.len() == job.tasks as usize).then_some(tasks)
+    }
+}
--- /dev/null
+++ b/tests/jobs.rs
@@ -0,0 +1,184 @@
+//! Jobs of the text through new texts, takeovers, failures and gangs.
+
+mod cell;
+
+use {
+    cell::{Cell, HEAD, job, task},
+    dogwoodreach::{ids::Attempt, messages::TaskState},
+};
+
+// An operator takes replicas down from six to three. Those that go on run for ever; the job was not
+// taken in again until all six had ended, so a replica that then died was never replaced.
+#[test]
+fn shrunk_replicas_are_still_replaced() {
+    let mut cell = Cell::new(&job("replicas", "feed", 6, ""));
+    cell.secs(3);
+    assert_eq!(cell.running("feed"), 6);
+    cell.submit(&job("replicas", "feed", 3, ""));
+    cell.secs(5);
+    assert_eq!(cell.running("feed"), 3);
+    cell.end(&task("feed", 0), TaskState::Failed);
+    cell.secs(10);
+    assert_eq!(cell.running("feed"), 3);
+}
+
+// The nightly batch is taken out of the text after it has ended, and listed again the next night.
+// The rows of the first night stood in the record still, so nothing of it ran.
+#[test]
+fn a_job_that_is_listed_again_runs_again() {
+    let mut cell = Cell::new(&job("batch", "nightly", 3, ""));
+    cell.finish(5);
+    cell.submit("");
+    cell.secs(3);
+    cell.submit(&job("batch", "nightly", 3, ""));
+    cell.finish(5);
+    assert_eq!(cell.floor.starts.len(), 6);
+}
+
+// Part of a text is withdrawn while its tasks still stop, and put back at once.
+#[test]
+fn a_job_listed_again_waits_for_its_old_tasks() {
+    let mut cell = Cell::new(&job("batch", "nightly", 3, ""));
+    cell.secs(3);
+    cell.submit("");
+    cell.tick();
+    cell.submit(&job("batch", "nightly", 3, ""));
+    cell.finish(8);
+    assert!(cell.show(&task("nightly", 2)).is_some_and(|s| &*s.state == "ended"));
+}
+
+// A job is resized while the owners of racks still look for room for its tasks. The answer made the
+// task count twice against its team, and the second count was never given back.
+#[test]
+fn a_job_resized_while_room_is_asked_leaves_no_count() {
+    let mut cell = Cell::new(&job("batch", "nightly", 6, ""));
+    cell.pass(cell::STEP);
+    cell.pass(cell::STEP);
+    for n in 0..20 {
+        cell.tick();
+        let text = job("batch", "nightly", 6, &format!("priority = {}", n % 2));
+        cell.submit(&text);
+        cell.tick();
+        cell.pass(cell::STEP * 3);
+    }
+    cell.finish(10);
+    cell.submit("");
+    cell.secs(3);
+    cell.submit(&job("gang", "model", 8, ""));
+    cell.secs(5);
+    assert_eq!(cell.running("model"), 8, "the team's whole quota is free");
+}
+
+// Two teams' buckets pass to another member while tasks that the text no longer lists still stop.
+#[test]
+fn a_lost_bucket_leaves_no_count() {
+    let mut cell = Cell::new(&job("batch", "nightly", 8, ""));
+    cell.secs(3);
+    cell.submit("");
+    cell.tick();
+    cell.takeover();
+    cell.secs(5);
+    assert_eq!(cell.floor.runs.len(), 0);
+    cell.pass_to(0);
+    cell.submit(&job("gang", "model", 8, ""));
+    cell.secs(5);
+    assert_eq!(cell.running("model"), 8, "the team's whole quota is free");
+}
+
+// A member starts and gains buckets before it has the text: it took all that runs for unlisted.
+#[test]
+fn an_owner_without_a_text_stops_nothing() {
+    let mut cell = Cell::new(&job("replicas", "feed", 4, ""));
+    cell.secs(3);
+    let plan = std::mem::take(&mut cell.plan);
+    cell.takeover_unplanned();
+    cell.secs(3);
+    assert_eq!(cell.running("feed"), 4);
+    cell.plan = plan.clone();
+    cell.jobs().planned(&plan);
+    cell.secs(5);
+    assert_eq!((cell.running("feed"), cell.floor.starts.len()), (4, 4));
+}
+
+// A structural model runs on eight cores at once; one part fails after another has ended. The rest
+// was started again without the part that had ended.
+#[test]
+fn a_gang_that_fails_starts_anew_whole() {
+    let mut cell = Cell::new(&job("gang", "model", 4, ""));
+    cell.secs(3);
+    cell.end(&task("model", 0), TaskState::Ended);
+    cell.secs(1);
+    cell.end(&task("model", 1), TaskState::Failed);
+    cell.secs(10);
+    assert_eq!(cell.running("model"), 4);
+    cell.finish(5);
+    assert_eq!(cell.floor.starts.len(), 8);
+}
+
+// A gang's member is lost with its worker's process. The owner of its bucket has recorded that, and
+// dies before it has stopped the others: the new owner finds half a gang.
+#[test]
+fn half_a_gang_is_stopped_by_a_new_owner() {
+    let mut cell = Cell::new(&job("gang", "model", 4, ""));
+    cell.secs(3);
+    cell.floor.vanish(&task("model", 1));
+    while !cell.store.values().any(|(_, text)| text.contains("lost")) {
+        cell.pass(cell::STEP);
+    }
+    cell.mail.clear();
+    cell.takeover();
+    cell.secs(15);
+    assert_eq!(cell.running("model"), 4);
+    let again = cell.floor.starts.iter().filter(|(_, a)| *a == Attempt(2)).count();
+    assert_eq!(again, 4);
+}
+
+// One team's counter has used up its urgent starts; the other team's urgent work stood behind it.
+#[test]
+fn urgent_work_does_not_wait_for_another_teams_allowance() {
+    let urgent = |name: &str, team: &str| {
+        let text = job("batch", name, 12, "urgent = yes").replace("cores = 1", "cores = 0.1");
+        text.replace("memory = 1GB", "memory = 100MB").replace("quoting", team)
+    };
+    let mut cell = Cell::new("");
+    cell.secs(1);
+    cell.submit(&(urgent("aaa", "quoting") + &urgent("bbb", "audit")));
+    cell.tick();
+    let asked = cell.urgent_asks();
+    assert!(asked.contains(&"aaa".into()) && asked.contains(&"bbb".into()), "{asked:?}");
+}
+
+// A job that never ran well is on trial: one start at a time. All its tasks were started at once.
+#[test]
+fn a_job_on_trial_starts_one_task_at_a_time() {
+    let good: String = (0..4).map(|n| job("replicas", &format!("feed{n}"), 1, "")).collect();
+    let mut cell = Cell::new(&(good + &job("batch", "bad", 4, "")));
+    for _ in 0..20 {
+        cell.fail_all("bad");
+        cell.end_all("feed");
+        cell.secs(2);
+    }
+    let starts =
+        |cell: &Cell| cell.floor.starts.iter().filter(|(t, _)| t.job.as_str() == "bad").count();
+    let all = starts(&cell);
+    for _ in 0..60 {
+        let before = starts(&cell);
+        cell.fail_all("bad");
+        cell.secs(1);
+        let n = starts(&cell) - before;
+        assert!(n <= 1, "{n} starts at once of a job on trial");
+    }
+    let n = starts(&cell) - all;
+    assert!((2..=7).contains(&n), "{n} starts in a minute, not one each ten seconds");
+}
+
+// A team is taken out of the text: its quota was lent on to the others for ever.
+#[test]
+fn a_team_that_is_gone_lends_nothing() {
+    let mut cell = Cell::new("");
+    cell.secs(1);
+    let one = HEAD.replace("[team audit]\ncores = 8\nmemory = 32GB\n", "");
+    cell.put(&(one + &job("batch", "nightly", 16, "")));
+    cell.secs(5);
+    assert_eq!(cell.running("nightly"), 8, "the quota, and nothing lent");
+}
