--- a/src/http.rs
+++ b/src/http.rs
@@ -92,11 +92,13 @@
     pools: Arc<Mutex<Pools>>,
 }
 
+type Connections = Pool<HttpConnector, Full<Bytes>>;
+
 /// The kept connections to each address; a set of connections has a number of its own.
 #[derive(Default)]
 struct Pools {
     last: u64,
-    of: FxHashMap<Box<str>, (u64, Pool<HttpConnector, Full<Bytes>>)>,
+    of: FxHashMap<Box<str>, (u64, Connections)>,
 }
 
 /// The most addresses whose connections are kept: twice the workers of the target.
@@ -155,7 +157,7 @@
     }
 
     /// The connections to an address, and their set's number.
-    fn pool(&self, to: &str) -> (u64, Pool<HttpConnector, Full<Bytes>>) {
+    fn pool(&self, to: &str) -> (u64, Connections) {
         let mut pools = self.pools.lock().expect("no holder panics");
         if let Some(known) = pools.of.get(to) {
             return known.clone();
@@ -196,7 +198,7 @@
     }
 }
 
-fn open(idle: usize) -> Pool<HttpConnector, Full<Bytes>> {
+fn open(idle: usize) -> Connections {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -53,8 +53,8 @@
 }
 
 #[test]
-fn failing_work() {
-    scenario::run("failing-work");
+fn failing_worker() {
+    scenario::run("failing-worker");
 }
 
 #[test]
