Wishes for room go on to the next owner; patience counts from the first trouble

Cause: (1) a task that failed on some workers was asked of the owner with the least free room each time, whose other workers it may not have; it was never tried elsewhere (scenario failing-work stuck at its third attempt for 60 s).

--- a/src/core.rs
+++ b/src/core.rs
@@ -10,7 +10,7 @@
         error::Kind,
         event::{Back, Call, Event, Operate, Operated, Order, Purpose, Ticket},
         http::Failure,
-        ids::{Bucket, Epoch, Incarnation, RackId, RequestId, RowId, WorkerId, Zone},
+        ids::{Bucket, Epoch, Incarnation, RackId, RequestId, RowId, TaskId, WorkerId, Zone},
         jobs::{BUCKETS, Jobs, Want, bucket_of, call},
         messages::{
             Beat, BeatReply, ClaimReply, ClaimVerdict, EndTell, Handover, KvList, KvPut,
@@ -366,6 +366,9 @@
         let peers = self.peers.iter().filter(|(_, p)| now - p.heard < TOUCH);
         let theirs = peers.filter_map(|(id, p)| Some((*id, &p.beat.as_ref()?.racks)));
         for (id, racks) in theirs.chain([(self.me(), &mine)]) {
+            if ask.tried.contains(&id) {
+                continue;
+            }
             for rack in racks.iter().filter(|r| r.pool == ask.pool) {
                 let full = !size.fits(&rack.widest);
                 // Where nobody has room, an owner can make some for urgent work.
@@ -408,7 +411,7 @@
     ) {
         match ticket {
             Some(ticket) => self.out.push(Order::Back(ticket, Back::Reserve(reply))),
-            None => self.reserved(ask, Some(reply), now),
+            None => self.asked_of(self.me(), ask, reply, now),
         }
     }
 
@@ -424,6 +427,27 @@
         }
     }
 
+    /// Takes the answer of one owner; what it had no room for is asked of the next.
+    ///
+    /// Guards against an owner that has room by its beat, and yet none on a worker that the attempt
+    /// may have: asked first each time, it would keep the attempt waiting for ever.
+    fn asked_of(&mut self, by: Incarnation, ask: ReserveAsk, reply: ReserveReply, now: Time) {
+        if ask.rack.is_some() {
+            return self.reserved(ask, Some(reply), now);
+        }
+        let placed = |task: &TaskId| reply.rows.iter().any(|r| r.task == *task);
+        let (done, left): (Vec<_>, Vec<_>) =
+            ask.items.iter().cloned().partition(|i| placed(&i.task));
+        if !left.is_empty() {
+            let mut tried = ask.tried.clone();
+            tried.push(by);
+            self.reserve(ReserveAsk { items: left, tried, ..ask.clone() }, now);
+        }
+        if !done.is_empty() {
+            self.reserved(ReserveAsk { items: done, ..ask }, Some(reply), now);
+        }
+    }
+
     fn reserved(&mut self, ask: ReserveAsk, reply: Option<ReserveReply>, now: Time) {
         let wants = self.jobs.reserved(&ask, reply, now);
         self.carry_out(wants, now);
@@ -877,7 +901,7 @@
                 self.claimed(ask.request, Some(reply), now);
             }
             (Call::ClaimEnd(end), back) => self.claim_told(&end, matches!(back, Ok(Back::Done))),
-            (Call::Reserve(ask), Ok(Back::Reserve(reply))) => self.reserved(ask, Some(reply), now),
+            (Call::Reserve(ask), Ok(Back::Reserve(reply))) => self.asked_of(to, ask, reply, now),
             (Call::Start(ask), Ok(Back::Start(reply))) => {
                 if let Some(first) = ask.start.first() {
                     self.jobs.heard(first.bucket, &reply.refused, now);
--- a/src/gangs.rs
+++ b/src/gangs.rs
@@ -159,6 +159,7 @@
                     rack: Some(rack),
                     items,
                     whole: true,
+                    tried: vec![],
                 })
             }
             Order::Start => Step::Place(std::mem::take(&mut self.got)),
--- a/src/gen/messages.rs
+++ b/src/gen/messages.rs
@@ -619,6 +619,8 @@
     ///The only rack asked for.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub rack: ::std::option::Option<crate::ids::RackId>,
+    ///The members that had no room for these.
+    pub tried: ::std::vec::Vec<crate::ids::Incarnation>,
     ///Whether all or none are to be placed.
     pub whole: bool,
 }
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -61,7 +61,8 @@
             }
             let spread = pick.job.kind == JobKind::Replicas;
             let batch = batches.entry((spread, pick.urgent, pool.clone()));
-            let new = || ReserveAsk { pool, rack: None, items: vec![], whole: false };
+            let new =
+                || ReserveAsk { pool, rack: None, items: vec![], whole: false, tried: vec![] };
             batch.or_insert_with(new).items.extend(items);
         }
         wants.extend(batches.into_values().map(Want::Reserve));
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -77,7 +77,7 @@
     ask: Ask,
     deadline: Time,
     /// Until when it is tried again while its bucket, or its service's racks, change hands.
-    patience: Time,
+    patience: Option<Time>,
     stage: Stage,
     claim: Option<Key>,
     tries: u32,
@@ -91,6 +91,15 @@
     Forwarded(Incarnation),
 }
 
+impl Pending {
+    /// Whether it may be tried again; counted from the first time that it had to be.
+    ///
+    /// Not from its arrival: a member that stood still would give up at once all that it holds.
+    fn patient(&mut self, now: Time) -> bool {
+        now < *self.patience.get_or_insert(self.deadline.min(now + PATIENCE))
+    }
+}
+
 impl Requests {
     /// No requests yet.
     pub fn new() -> Self {
@@ -220,7 +229,7 @@
             ClaimVerdict::Unowned => Kind::KeyUnowned,
             ClaimVerdict::KvDown | ClaimVerdict::Full => Kind::KvDown,
         };
-        if kind == Kind::KeyUnowned && now < p.patience {
+        if kind == Kind::KeyUnowned && p.patient(now) {
             // Its bucket is changing hands. This ask was refused for good, so another may be made.
             self.requests.again.insert((now + RECLAIM, request));
             return;
@@ -268,7 +277,7 @@
         }
         if let Outcome::Refused(e) = &outcome
             && matches!(e.kind(), Kind::NoEndpoint | Kind::Draining)
-            && self.requests.table.get(&request).is_some_and(|p| now < p.patience)
+            && self.requests.table.get_mut(&request).is_some_and(|p| p.patient(now))
         {
             // The peer's racks have changed hands since its beat. That has cost no endpoint
             // anything, and the peer gets nothing more until its next beat: the budget, which
@@ -382,9 +391,8 @@
         let claim = ask.key.clone();
         let stage = if claim.is_some() { Stage::Claiming } else { Stage::Waiting };
         let tries = ask.hops;
-        let patience = deadline.min(now + PATIENCE);
         let keyed = claim.is_some();
-        let p = Pending { ask, deadline, patience, stage, claim, tries };
+        let p = Pending { ask, deadline, patience: None, stage, claim, tries };
         self.requests.tickets.insert(ticket, id);
         self.requests.table.insert(id, p);
         if keyed { self.claim(id, now) } else { self.route(id, now) }
@@ -438,7 +446,7 @@
             return self.pump(now);
         };
         let lively = self.requests.lively.get(&name).is_some_and(|at| now - *at < LIVELY);
-        let patient = self.requests.table.get(&id).is_some_and(|p| now < p.patience);
+        let patient = self.requests.table.get_mut(&id).is_some_and(|p| p.patient(now));
         if error.kind() == Kind::NoEndpoint && hops == 0 && lively && patient {
             // Its racks are changing hands; what comes next is known in milliseconds.
             self.requests.again.insert((now + RECLAIM, id));
