worker-cut-off cuts the worker that runs a task of the job

With a fixed worker, the scenario passed once without its guard (racks.rs bury: no wait for the lease), as that worker held no task in that run.

--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -51,6 +51,7 @@
     loads: BTreeMap<String, Load>,
     requests: BTreeMap<String, JoinHandle<Fate>>,
     marked: Option<Instant>,
+    found: BTreeMap<String, String>,
 }
 
 impl Cell {
@@ -69,11 +70,12 @@
             loads: BTreeMap::new(),
             requests: BTreeMap::new(),
             marked: None,
+            found: BTreeMap::new(),
         }
     }
 
     fn command(&mut self, case: &TestCase) -> String {
-        let mut args = Args::of(case);
+        let mut args = Args::of(case, &self.found);
         let said = match case.directive.as_str() {
             "platform" => self.start("platform", standin(), &["platform"]),
             "workers" => self.workers(&mut args),
@@ -99,6 +101,7 @@
             "mark" => self.mark(&mut args),
             "last-work" => self.last_work(&mut args),
             "await" => self.wait(&mut args),
+            "find" => self.find(&mut args),
             "gained" => self.gained(&mut args),
             "same-text" => self.same_text(&mut args),
             "witness" => self.witness(),
@@ -304,6 +307,16 @@
         if after <= bound { "in time".into() } else { format!("{after} ms after the mark") }
     }
 
+    /// Gives the worker of a job's first task a name, which later commands may use.
+    fn find(&mut self, args: &mut Args) -> String {
+        let (job, name) = (args.need("worker-of"), args.need("as"));
+        let tasks = self.all_shown("tasks");
+        let first = |t: &&Value| t["task"]["job"] == *job && t["task"]["index"] == 0;
+        let worker = tasks.iter().find(first).and_then(|t| t["worker"].as_str());
+        self.found.insert(name, worker.expect("the task runs somewhere").into());
+        "".into()
+    }
+
     /// How often a rack got an owner, by the members' logs.
     fn gained(&mut self, args: &mut Args) -> String {
         let line = format!("Gained rack:{} ", args.need("rack"));
@@ -418,8 +431,15 @@
 pub struct Args(std::collections::HashMap<String, Vec<String>>);
 
 impl Args {
-    fn of(case: &TestCase) -> Self {
-        Args(case.args.clone())
+    /// The arguments, with what was found in the places of the names that it got.
+    fn of(case: &TestCase, found: &BTreeMap<String, String>) -> Self {
+        let mut args = case.args.clone();
+        for value in args.values_mut().flatten() {
+            if let Some(real) = found.get(value) {
+                value.clone_from(real);
+            }
+        }
+        Args(args)
     }
 
     fn take(&mut self, name: &str) -> Option<String> {
--- a/tests/scenario/wait.rs
+++ b/tests/scenario/wait.rs
@@ -44,7 +44,7 @@
         awake.into_iter().filter(|m| self.show(m).is_some_and(|s| owns(&s))).collect()
     }
 
-    fn all_shown(&mut self, what: &str) -> Vec<Value> {
+    pub(super) fn all_shown(&mut self, what: &str) -> Vec<Value> {
         let awake = self.awake();
         let shows = awake.iter().filter_map(|m| self.show(m));
         shows.flat_map(|s| rows(&s, what).cloned().collect::<Vec<_>>()).collect()
