racks: random orders of faults hold OnePlace and the truth of what is told

OnePlace: a task runs once, and no worker over its size or its 8 slots. Truth: what was told as ended doesn't run. After the faults all tasks can be placed.

Each seen to fail with a guard removed (one at a time, then restored): ready at the fence without a report, LAG of 1 ms, starts sent past their time, a sent start told as lost, a slot freed on a timeout, a lapse counted from the sending. Not found by the random test, and guarded by tests of their own: late handover, and doomed attempts (what_was_announced_to_lapse_is_not_renewed is new and fails without that guard).

--- a/tests/racks.rs
+++ b/tests/racks.rs
@@ -2,8 +2,14 @@
 
 #[path = "racks/bench.rs"]
 mod bench;
+#[path = "racks/cost.rs"]
+mod cost;
 #[path = "racks/fake.rs"]
 mod fake;
+#[path = "racks/owner.rs"]
+mod owner;
+#[path = "racks/random.rs"]
+mod random;
 
 use {
     bench::Bench,
@@ -20,7 +26,7 @@
         racks::Racks,
         units::Size,
     },
-    fake::{BUCKET, TICK, rack, start, stop, task, vm, wish, worker},
+    fake::{BUCKET, rack, start, stop, task, vm, wish, worker},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -118,6 +124,25 @@
     assert!(cut.is_none() || !runs(&mut b, 0));
 }
 
+#[test]
+fn what_was_announced_to_lapse_is_not_renewed() {
+    // The same, and the list shows the worker only after the lapse of its task was announced. The
+    // task must run out although its worker is there again, as it is started elsewhere then.
+    let (mut b, row) = running();
+    let now = b.now;
+    b.members[0].lost(&rack(), Epoch(1));
+    b.members[1] = Racks::new(3);
+    b.members[1].listed(BTreeMap::from([(worker(1), vm(1))]), now);
+    b.members[1].gained(&rack(), Epoch(2), now);
+    b.fake(0).runs.values_mut().for_each(|r| r.lease = now + LEASE);
+    b.workers.entry(worker(1)).or_default();
+    b.run(12_000);
+    let cut = probe(&mut b, 1, &row).cut.expect("the lapse is announced");
+    b.list();
+    b.run(cut);
+    assert!(!runs(&mut b, 0));
+}
+
 #[test]
 fn a_worker_that_died_with_its_owner_gives_its_tasks_back() {
     // A member and a worker fail together. The next owner never reaches the worker, which stays in
@@ -323,23 +348,3 @@
     b.run(1200);
     assert_eq!(b.fake(0).epoch, Epoch(1));
 }
-
-/// Prints what a quiet minute of 800 workers costs one member.
-///
-/// Run `cargo test --test racks -- --ignored --nocapture cost`.
-#[test]
-#[ignore = "a measurement"]
-fn cost() {
-    let mut b = Bench::new(800);
-    b.run(1000);
-    let begun = std::time::Instant::now();
-    let (orders, mut out) = (b.orders, vec![]);
-    for _ in 0..1000 {
-        b.now = b.now + TICK / 1000;
-        b.members[0].tick(b.now, true, &mut out);
-    }
-    println!("1000 ticks with nothing due: {:?}, {} orders", begun.elapsed(), out.len());
-    let begun = std::time::Instant::now();
-    b.run(2000);
-    println!("2 s with all reports: {:?}, {} orders", begun.elapsed(), b.orders - orders);
-}
--- a/tests/racks/fake.rs
+++ b/tests/racks/fake.rs
@@ -3,7 +3,10 @@
 use {
     dogwoodreach::{
         Time,
-        ids::{Attempt, Bucket, Epoch, JobId, PoolId, RackId, TaskId, TaskIndex, WorkerId, Zone},
+        ids::{
+            Attempt, Bucket, Epoch, JobId, PoolId, RackId, RequestId, TaskId, TaskIndex, WorkerId,
+            Zone,
+        },
         messages::{
             Hold, Report, ReserveAsk, ReserveItem, ReserveRow, StartAsk, StartItem, TaskOrder,
             TaskReport, TaskState, Vm, VmState, WorkerAsk, WorkerReply,
@@ -105,6 +108,8 @@
     pub mute: bool,
     /// It does nothing before this.
     pub paused: Time,
+    /// The requests that run, and until when.
+    pub requests: BTreeMap<RequestId, Time>,
     /// It confirms stops only of what it knows.
     pub strict: bool,
 }
@@ -122,7 +127,9 @@
             used,
         });
         let tasks = tasks.collect();
-        self.history.push((now, Report { age: 0, epoch: self.epoch, requests: vec![], tasks }));
+        self.requests.retain(|_, end| *end > now);
+        let requests = self.requests.keys().copied().collect();
+        self.history.push((now, Report { age: 0, epoch: self.epoch, requests, tasks }));
     }
 
     pub fn report(&self, now: Time) -> Report {
