ownership: an outage shorter than a lease moves nothing, and no epoch goes back

Two faults that the new tests found in src/ownership.rs, both seen to fail on the code before: - an_outage_moves_nothing: the pause before takeovers began only when the service had been silent for a whole lease. A member that renewed just before a shorter outage found the others' leases lapsed and took over all they had. The pause now follows two seconds of silence. - a_record_that_lost_rows_takes_no_epoch_back: rows that a newer record lacks were claimed anew from epoch 1, below what the workers know. Their epochs are kept now; a member that never saw them can't know them.

OneWriter: no two members act on a row at an epoch; epochs grow by one; no row is taken from a member that could act all along; in the end each row is with the member that should have it.

Seen to fail with one guard removed at a time: the epoch's count, the lease's margin, the grace, the stale read, the orphan check, the draining filter.

Ruled out as a fault, but open: a member whose lease lapsed and that registers again acts on rows that another is just taking over, until it reads the table. Workers refuse it by the epoch once the new owner has fenced them; a worker that knows no epochs (W2) would not.

--- a/src/ownership.rs
+++ b/src/ownership.rs
@@ -34,6 +34,12 @@
 /// During an outage nobody could renew. The first member back would otherwise see every lease
 /// lapsed and take over everything.
 pub const GRACE: Duration = Duration::from_secs(3);
+/// How long the service may be silent without an outage.
+///
+/// Shorter, and no lease can have lapsed for it: three renewals of a lease fall into the half that
+/// is left. Longer, and a member that renewed just before the outage still has its lease when it is
+/// over, while the others' have lapsed; without a pause it would take over all that they have.
+const OUTAGE: Duration = Duration::from_secs(2);
 /// How long an unanswered write may take effect after its call was given up.
 const UNSURE: Duration = Duration::from_secs(1);
 
@@ -158,7 +164,7 @@
 
     /// The service answered a call.
     pub fn answered(&mut self, now: Time) {
-        if self.silence(now) > LEASE {
+        if self.silence(now) > OUTAGE {
             self.resumed = now;
         }
         self.answered = Some(now);
@@ -199,8 +205,13 @@
             return vec![];
         }
         let mut changes = vec![];
-        let rows: BTreeMap<RowId, Row> =
+        let mut rows: BTreeMap<RowId, Row> =
             record.rows.into_iter().map(|(k, v)| (RowId(k.into()), v)).collect();
+        // Guards against a table that lost rows: claimed anew they would begin at epoch 1, and every
+        // worker that knows a higher one would refuse its owner for good.
+        for (id, row) in &t.rows {
+            rows.entry(id.clone()).or_insert(Row { owner: None, epoch: row.epoch });
+        }
         for (id, row) in &rows {
             let before = t.rows.get(id).filter(|r| r.owner == Some(me)).map(|r| r.epoch);
             let after = (row.owner == Some(me)).then_some(row.epoch);
