--- a/standin/src/experiment/control.rs
+++ b/standin/src/experiment/control.rs
@@ -6,6 +6,7 @@
         cell::{Cell, Fleet, ZONES},
         config::large_text,
         path::quotes,
+        starts::{SPREAD, teams_of},
         today,
         usage::{self, Usage, line, spread},
     },
@@ -151,12 +152,14 @@
 
 fn tasks(n: u32) -> Case {
     let mut case = sized(3, 48, n);
-    case.name = format!("{n} replicas run, in jobs of 20");
+    case.name = format!("{n} replicas run, in jobs of 20, of {SPREAD} teams");
     case.tasks = n;
+    case.text += &teams_of(SPREAD);
     case.text += &(0..n / 20)
         .map(|n| {
+            let team = n % SPREAD;
             format!(
-                "\n[replicas feed-{n}]\nteam = underwriting\npool = quoting\ntasks = 20\n\
+                "\n[replicas feed-{n}]\nteam = t{team}\npool = quoting\ntasks = 20\n\
                  cores = 100m\nmemory = 64MB\n"
             )
         })
@@ -167,8 +170,7 @@
 fn teams(n: u32) -> Case {
     let mut case = sized(3, 48, n);
     case.name = format!("{n} teams");
-    let each = (1..n).map(|n| format!("\n[team t{n}]\nweight = 2\ncores = 10\nmemory = 10GB\n"));
-    case.text += &each.collect::<String>();
+    case.text += &teams_of(n - 1);
     case
 }
 
--- a/standin/src/experiment/starts.rs
+++ b/standin/src/experiment/starts.rs
@@ -17,12 +17,14 @@
 /// The tasks of an urgent gang.
 const URGENT: u32 = 8;
 /// How long starts are waited for.
-const LIMIT: Duration = Duration::from_secs(25);
+const LIMIT: Duration = Duration::from_secs(20);
 /// The pause between two looks at the witness.
 const LOOK: Duration = Duration::from_millis(4);
 
 /// How long each task of a steady stream runs.
 const SHORT: f64 = 1.0;
+/// Teams among which work is spread: a team's tasks stand in one bucket's record.
+pub const SPREAD: u32 = 40;
 /// The jobs of a steady stream, and the tasks of each: over all buckets, within their records.
 const STREAM: (u32, u32) = (100, 120);
 
@@ -46,11 +48,14 @@
 async fn burst(members: usize, runs: usize) -> Result<()> {
     println!("\n| {TASKS} tasks in | first start after ms | last after s | starts/s | started |");
     println!("|---|---|---|---|---|");
-    for (name, jobs) in [("1 job", 1), ("20 jobs", 20), ("200 jobs", 200)] {
+    for (name, jobs, teams) in
+        [("1 job", 1, 1), ("200 jobs of 1 team", 200, 1), ("200 jobs of 40 teams", 200, SPREAD)]
+    {
         let mut rows = vec![];
         for _ in 0..runs {
             let mut cell = Cell::start(members, &today(), TODAY).await?;
-            cell.submit(&format!("{TODAY}{}", batch(jobs, TASKS / jobs, "100m", "1m"))).await?;
+            cell.submit(&format!("{TODAY}{}", batch(jobs, TASKS / jobs, teams, "100m", "1m")))
+                .await?;
             rows.push(started(&cell, 0, TASKS).await?);
         }
         let all = |f: &dyn Fn(&Started) -> f64| rows.iter().map(f).collect::<Vec<_>>();
@@ -79,7 +84,7 @@
             let mut cell = Cell::start(members, &today(), TODAY).await?;
             let ids: Vec<u32> = cell.members.iter().map(|m| m.id()).collect();
             let used = || ids.iter().filter_map(|id| usage::cpu(*id)).sum::<f64>();
-            let text = format!("{TODAY}{}", batch(STREAM.0, STREAM.1, cores, "1s"));
+            let text = format!("{TODAY}{}", batch(STREAM.0, STREAM.1, SPREAD, cores, "1s"));
             let (writes, cpu) = (cell.writes().await?, used());
             cell.submit(&text).await?;
             let s = started(&cell, 0, all).await?;
@@ -121,7 +126,7 @@
             let mut text = TODAY.to_owned();
             let full = tasks.min(140);
             if tasks > 0 {
-                text += &batch(1, tasks, "4", "1h");
+                text += &batch(1, tasks, 1, "4", "1h");
                 cell.submit(&text).await?;
                 started(&cell, 0, full).await?;
             }
@@ -166,13 +171,19 @@
     Ok(s)
 }
 
-/// Batch jobs for a text.
-pub fn batch(jobs: u32, tasks: u32, cores: &str, run: &str) -> String {
+/// Batch jobs for a text, of so many teams.
+fn batch(jobs: u32, tasks: u32, teams: u32, cores: &str, run: &str) -> String {
     let each = (0..jobs).map(|n| {
+        let team = n % teams;
         format!(
-            "\n[batch work-{n}]\nteam = underwriting\npool = quoting\ntasks = {tasks}\n\
+            "\n[batch work-{n}]\nteam = t{team}\npool = quoting\ntasks = {tasks}\n\
              cores = {cores}\nmemory = 64MB\nrun = {run}\n"
         )
     });
-    each.collect()
+    teams_of(teams) + &each.collect::<String>()
+}
+
+/// Teams for a text, without quotas.
+pub fn teams_of(count: u32) -> String {
+    (0..count).map(|n| format!("\n[team t{n}]\nweight = 2\n")).collect()
 }
