--- a/standin/src/experiment/control.rs
+++ b/standin/src/experiment/control.rs
@@ -46,9 +46,11 @@
 
 /// Prints the tables, or one of them.
 pub async fn run(args: &Args) -> Result<()> {
-    let parts: [(&str, &str, Vec<Case>); 6] = [
+    let parts: [(&str, &str, Vec<Case>); 7] = [
         ("workers", "worker", [48, 200, 800].map(|n| sized(3, n, n)).into()),
         ("members", "member", [3, 9, 18].map(|n| sized(n as usize, 48, n)).into()),
+        // Tells what each member pays for all workers from what it pays for its own.
+        ("wide", "member", [3, 9, 18].map(|n| sized(n as usize, 800, n)).into()),
         ("tasks", "task", [0, 1000, 4000].map(tasks).into()),
         ("teams", "team", [1, 100, 310].map(teams).into()),
         ("text", "KB of text", vec![sized(3, 48, 0), text()]),
