--- a/src/decide/cancel.rs
+++ b/src/decide/cancel.rs
@@ -167,7 +167,10 @@
         self.sent.pop_front().map(|(_, task)| task)
     }
 
+    /// Whether a stop is still to go out. A task that was listed anew since runs by right, and a
+    /// repeated stop of the one before it would stop it.
     fn runs(&self, task: &TaskId) -> bool {
-        self.jobs.get(&task.job).is_some_and(|j| j.running.contains(&task.index))
+        let runs = self.jobs.get(&task.job).is_some_and(|j| j.running.contains(&task.index));
+        runs && self.cancelled(task)
     }
 }
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -12,6 +12,7 @@
 mod place;
 mod send;
 
+pub use crate::tasks::Balance;
 use {
     crate::{
         Time,
@@ -28,7 +29,7 @@
             ProbeReply, RackLoad, ReserveAsk, ReserveReply, ReserveRow, StartAsk, TaskRow,
             TaskShow, TaskState, Vm,
         },
-        tasks::{Balance, Tasks, live},
+        tasks::{Tasks, live},
         text::Plan,
         units::Size,
     },
--- a/src/jobs/send.rs
+++ b/src/jobs/send.rs
@@ -7,9 +7,10 @@
         bucket::Order as Step,
         commit::Call as Kv,
         event::{Order, Purpose},
-        ids::{Bucket, Epoch, RackId},
+        ids::{Bucket, Epoch, RackId, TaskId},
         messages::{KvPut, ProbeAsk, ProbeItem, StartAsk, StartItem, TaskRow, TaskState},
         tasks::live,
+        text::{Job, JobKind},
     },
     std::collections::BTreeMap,
 };
@@ -37,6 +38,18 @@
         }
     }
 
+    /// Whether an attempt may still start: the text may have changed since its intent was made, and
+    /// list no such task any more, or a gang of another size.
+    fn may_go(&self, bucket: Bucket, row: &TaskRow) -> bool {
+        let task = &row.task;
+        let now = self.buckets.get(&bucket).and_then(|o| o.state.attempts().get(task));
+        if now.is_none_or(|r| r.attempt != row.attempt || r.state != TaskState::Intent) {
+            return false;
+        }
+        let gang = |job: &Job| job.kind == JobKind::Gang && !self.tasks.lists(&task.job);
+        !self.tasks.cancelled(task) && !self.plan.jobs.get(&task.job).is_some_and(gang)
+    }
+
     pub(super) fn ask_after(&self, wants: &mut Vec<Want>) {
         for (id, owned) in &self.buckets {
             let mut asks: BTreeMap<RackId, ProbeAsk> = BTreeMap::new();
@@ -78,9 +91,9 @@
             }
             Step::Reply { request, reply } => wants.push(Want::Claimed(request, reply)),
             Step::Kept { call } => wants.push(Want::Kept(call)),
-            // The text has changed since the intent was made, and no longer lists it.
-            Step::Start { row, .. } if self.tasks.cancelled(&row.task) => {
+            Step::Start { row, .. } if !self.may_go(id, &row) => {
                 let Some(owned) = self.buckets.get_mut(&id) else { return };
+                // Its stop may stand behind it already; then this changes nothing.
                 owned.state.stop(&row.task);
                 owned.touched = true;
             }
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -254,8 +254,13 @@
         if job.kind != JobKind::Gang {
             return self.order.ended(now, task, &mut self.quotas);
         }
+        let done = done.len();
+        if self.holds(&task.job).count() + (done as usize) < job.tasks as usize {
+            // It ran without the others, as one of a gang that is being stopped.
+            return self.break_up(&task.job, now);
+        }
         // Until all have ended, one may yet fail, and then all start anew.
-        if done.len() >= job.tasks {
+        if done >= job.tasks {
             for index in (0..job.tasks).map(TaskIndex) {
                 let task = TaskId { job: task.job.clone(), index };
                 self.order.ended(now, &task, &mut self.quotas);
