--- a/src/config.rs
+++ b/src/config.rs
@@ -36,6 +36,17 @@
     base: Version,
     since: Time,
     stage: Stage,
+    fate: Fate,
+}
+
+/// What is known of a submission's write.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Open,
+    /// It was refused, and never takes effect.
+    Refused,
+    /// Its record was seen in force.
+    Seen,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -89,6 +100,10 @@
                 return false;
             }
         }
+        if let Some(p) = self.pending.as_mut().filter(|p| p.record.submission == record.submission)
+        {
+            p.fate = Fate::Seen;
+        }
         self.revision = revision;
         self.record = Some(record);
         true
@@ -110,7 +125,7 @@
         };
         let stage = Stage::Writing;
         let (base, copy) = (ask.base, record.clone());
-        self.pending = Some(Pending { ticket, record, base, since: now, stage });
+        self.pending = Some(Pending { ticket, record, base, since: now, stage, fate: Fate::Open });
         Step::Write(self.revision, copy)
     }
 
@@ -127,6 +142,7 @@
                 Some(Step::Answer(p.ticket, Some(self.reply(true))))
             }
             Some(_) => {
+                p.fate = Fate::Refused;
                 p.stage = Stage::Reading;
                 Some(Step::Read)
             }
@@ -138,6 +154,11 @@
     }
 
     /// Takes the answer to a read.
+    ///
+    /// Of a write whose answer was lost, a version later than its own tells nothing: it may have
+    /// taken effect and been replaced since, by an operator who saw it. Called a conflict, it would
+    /// be submitted again and undo what came after it. So it stays open until [`SETTLE`] is over,
+    /// unless its record is seen meanwhile.
     pub fn read(&mut self, entry: Option<KvEntry>, now: Time) -> Option<Step> {
         let entry = entry.and_then(|e| {
             let record: ConfigRecord = serde_json::from_str(&e.value).ok()?;
@@ -147,13 +168,15 @@
             self.take(revision, record);
         }
         let p = self.pending.as_mut().filter(|p| p.stage == Stage::Reading)?;
-        if self.record.as_ref().is_some_and(|r| r.submission == p.record.submission) {
-            let p = self.pending.take()?;
-            return Some(Step::Answer(p.ticket, Some(self.reply(true))));
-        }
-        if self.record.as_ref().is_some_and(|r| r.version > p.base) {
+        let version = self.record.as_ref().map_or(Version(0), |r| r.version);
+        let accepted = match p.fate {
+            Fate::Seen => Some(true),
+            Fate::Refused => (version > p.base).then_some(false),
+            Fate::Open => (version == p.record.version).then_some(false),
+        };
+        if let Some(accepted) = accepted {
             let p = self.pending.take()?;
-            return Some(Step::Answer(p.ticket, Some(self.reply(false))));
+            return Some(Step::Answer(p.ticket, Some(self.reply(accepted))));
         }
         // The write may still be on its way, or the read is a stale one.
         p.stage = Stage::Unsure(now + AGAIN);
@@ -163,6 +186,10 @@
     /// What is due.
     pub fn tick(&mut self, now: Time) -> Option<Step> {
         let p = self.pending.as_mut()?;
+        if p.fate == Fate::Seen {
+            let p = self.pending.take()?;
+            return Some(Step::Answer(p.ticket, Some(self.reply(true))));
+        }
         if now - p.since > SETTLE {
             let p = self.pending.take()?;
             return Some(Step::Answer(p.ticket, None));
--- a/src/jobs/send.rs
+++ b/src/jobs/send.rs
@@ -7,7 +7,7 @@
         bucket::Order as Step,
         commit::Call as Kv,
         event::{Order, Purpose},
-        ids::{Bucket, Epoch, RackId, TaskId},
+        ids::{Bucket, Epoch, RackId},
         messages::{KvPut, ProbeAsk, ProbeItem, StartAsk, StartItem, TaskRow, TaskState},
         tasks::live,
         text::{Job, JobKind},
--- a/src/text/mod.rs
+++ b/src/text/mod.rs
@@ -7,6 +7,7 @@
 mod check;
 mod diff;
 mod keys;
+mod moved;
 mod plan;
 mod read;
 
