--- a/src/config.rs
+++ b/src/config.rs
@@ -18,6 +18,9 @@
 pub const KEY: &str = "shared/config";
 /// How long a submission may stay undecided before its outcome is called unknown.
 pub const SETTLE: Duration = Duration::from_secs(5);
+/// How long a write may stay unanswered: a call's answer, or its failure, comes in under a second,
+/// so this long only where its word was dropped on its way inside the member.
+const WRITE: Duration = Duration::from_secs(30);
 /// The pause before a record is read again after a failure.
 const AGAIN: Duration = Duration::from_millis(300);
 
@@ -185,7 +188,10 @@
 
     /// What is due.
     pub fn tick(&mut self, now: Time) -> Option<Step> {
-        let p = self.pending.as_mut()?;
+        // While the write is not answered, which it is within the deadline of a call, nothing else may
+        // be submitted: its answer would be taken for that of the next write.
+        let open = |p: &&mut Pending| p.stage != Stage::Writing || now - p.since > WRITE;
+        let p = self.pending.as_mut().filter(open)?;
         if p.fate == Fate::Seen {
             let p = self.pending.take()?;
             return Some(Step::Answer(p.ticket, Some(self.reply(true))));
