--- a/tests/cell/mod.rs
+++ b/tests/cell/mod.rs
@@ -311,18 +311,11 @@
         }
     }
 
-    /// Fails all that runs of a job.
-    pub fn fail_all(&mut self, job: &str) {
-        let runs: Vec<TaskId> = self.floor.runs.keys().map(|(t, _)| t.clone()).collect();
-        let runs = runs.iter().filter(|t| t.job.as_str() == job);
-        runs.for_each(|t| self.floor.end(t, TaskState::Failed));
-    }
-
     /// Ends all that runs of the jobs whose names begin so.
-    pub fn end_all(&mut self, prefix: &str) {
+    pub fn end_all(&mut self, prefix: &str, state: TaskState) {
         let runs: Vec<TaskId> = self.floor.runs.keys().map(|(t, _)| t.clone()).collect();
         let runs = runs.iter().filter(|t| t.job.as_str().starts_with(prefix));
-        runs.for_each(|t| self.floor.end(t, TaskState::Ended));
+        runs.for_each(|t| self.floor.end(t, state));
     }
 
     /// The jobs of the urgent wishes that are on their way.
--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -5,7 +5,15 @@
 use {
     arbtest::arbitrary::{Result, Unstructured},
     cell::{Cell, HEAD, job, task},
-    dogwoodreach::{ids::Attempt, jobs::Balance, messages::TaskState},
+    dogwoodreach::{
+        Time,
+        gangs::{Gangs, Step},
+        ids::Attempt,
+        jobs::Balance,
+        messages::{ReserveItem, TaskState},
+        units::Size,
+    },
+    std::time::Duration,
 };
 
 // An operator takes replicas down from six to three. Those that go on run for ever; the job was not
@@ -155,8 +163,8 @@
     let good: String = (0..4).map(|n| job("replicas", &format!("feed{n}"), 1, "")).collect();
     let mut cell = Cell::new(&(good + &job("batch", "bad", 4, "")));
     for _ in 0..20 {
-        cell.fail_all("bad");
-        cell.end_all("feed");
+        cell.end_all("bad", TaskState::Failed);
+        cell.end_all("feed", TaskState::Ended);
         cell.secs(2);
     }
     let starts =
@@ -164,7 +172,7 @@
     let all = starts(&cell);
     for _ in 0..60 {
         let before = starts(&cell);
-        cell.fail_all("bad");
+        cell.end_all("bad", TaskState::Failed);
         cell.secs(1);
         let n = starts(&cell) - before;
         assert!(n <= 1, "{n} starts at once of a job on trial");
@@ -184,6 +192,77 @@
     assert_eq!(cell.running("nightly"), 8, "the quota, and nothing lent");
 }
 
+// A branch's batch has more tasks than a record has room for rows, and its bucket changes hands in
+// the middle. Each task ran once; the record was full of ended ones before, and the batch stood still.
+#[test]
+fn a_batch_larger_than_the_record_ends() {
+    let small = job("batch", "branch", 4000, "").replace("cores = 1", "cores = 0.01");
+    let mut cell = Cell::new(&small.replace("1GB", "10MB"));
+    for n in 0..60 {
+        cell.floor.end_all();
+        cell.pass(cell::STEP * 8);
+        if n == 10 {
+            cell.takeover();
+        }
+    }
+    let rows = cell.jobs().show();
+    let ended = rows.iter().filter(|r| &*r.state == "ended").count();
+    assert_eq!((ended, cell.floor.starts.len()), (4000, 4000));
+}
+
+// A batch that must end within the hour has waited for fifty minutes when its bucket changes hands.
+// Its hour began anew there, and work that came just then went first.
+#[test]
+fn a_deadline_outlasts_a_takeover() {
+    let block = job("replicas", "block", 8, "");
+    let old = job("batch", "old", 8, "deadline = 60m");
+    let fresh = job("batch", "fresh", 8, "deadline = 30m");
+    let head = HEAD.replace("[team audit]\ncores = 8\nmemory = 32GB\n", "");
+    let mut cell = Cell::new("");
+    cell.put(&format!("{head}{block}"));
+    cell.secs(3);
+    cell.put(&format!("{head}{block}{old}"));
+    cell.secs(3);
+    cell.now = cell.now + Duration::from_secs(50 * 60);
+    cell.takeover();
+    cell.put(&format!("{head}{block}{old}{fresh}"));
+    cell.secs(3);
+    cell.put(&format!("{head}{old}{fresh}"));
+    cell.secs(5);
+    let first = cell.floor.starts.iter().find(|(t, _)| t.job.as_str() != "block");
+    assert_eq!(first.map(|(t, _)| t.job.as_str()), Some("old"));
+}
+
+// A rack's owner is slow: its answer comes when the gang has given the round up and asks anew. The
+// late answer must not count for the new round, and its room goes back.
+#[test]
+fn a_late_answer_counts_for_no_other_round() {
+    let at = |secs| Time::ZERO + Duration::from_secs(secs);
+    let floor = cell::Floor::new();
+    let item = |index| ReserveItem {
+        attempt: Attempt(1),
+        avoid: vec![],
+        size: Size::new(4, 1024, 0),
+        spread: false,
+        task: task("model", index),
+        urgent: false,
+    };
+    let items: Vec<_> = (0..4).map(item).collect();
+    let (job, pool) = ("model".into(), "p".into());
+    let mut gangs = Gangs::new(1);
+    let first = gangs.begin(&job, &pool, items.clone(), &floor.loads(), at(0));
+    let Step::Ask(ask) = first else { panic!("it asks") };
+    assert!(
+        matches!(&gangs.tick(at(6))[..], [Step::Drop(rows, tasks)] if rows.is_empty() && tasks.len() == 4)
+    );
+    let again = gangs.begin(&job, &pool, items.clone(), &floor.loads(), at(20));
+    assert!(matches!(again, Step::Drop(..)), "its ask is not answered");
+    let reply = cell::Floor::new().reserve(&ask, at(21));
+    let late = gangs.answered(&ask, Some(reply), at(21));
+    assert!(matches!(late, Step::Drop(rows, tasks) if rows.len() == 2 && tasks.is_empty()));
+    assert!(matches!(gangs.begin(&job, &pool, items, &floor.loads(), at(22)), Step::Ask(_)));
+}
+
 /// A text of some of five jobs, each of some tasks.
 fn text(u: &mut Unstructured<'_>) -> Result<String> {
     let mut text = String::new();
