--- a/tests/jobs.rs
+++ b/tests/jobs.rs
@@ -3,8 +3,17 @@
 mod cell;
 
 use {
+    arbtest::arbitrary::{Result, Unstructured},
     cell::{Cell, HEAD, job, task},
-    dogwoodreach::{ids::Attempt, messages::TaskState},
+    dogwoodreach::{
+        Time,
+        gangs::{Gangs, Step},
+        ids::Attempt,
+        jobs::Balance,
+        messages::{ReserveItem, TaskState},
+        units::Size,
+    },
+    std::time::Duration,
 };
 
 // An operator takes replicas down from six to three. Those that go on run for ever; the job was not
@@ -154,8 +163,8 @@
     let good: String = (0..4).map(|n| job("replicas", &format!("feed{n}"), 1, "")).collect();
     let mut cell = Cell::new(&(good + &job("batch", "bad", 4, "")));
     for _ in 0..20 {
-        cell.fail_all("bad");
-        cell.end_all("feed");
+        cell.end_all("bad", TaskState::Failed);
+        cell.end_all("feed", TaskState::Ended);
         cell.secs(2);
     }
     let starts =
@@ -163,7 +172,7 @@
     let all = starts(&cell);
     for _ in 0..60 {
         let before = starts(&cell);
-        cell.fail_all("bad");
+        cell.end_all("bad", TaskState::Failed);
         cell.secs(1);
         let n = starts(&cell) - before;
         assert!(n <= 1, "{n} starts at once of a job on trial");
@@ -182,3 +191,145 @@
     cell.secs(5);
     assert_eq!(cell.running("nightly"), 8, "the quota, and nothing lent");
 }
+
+// A branch's batch has more tasks than a record has room for rows, and its bucket changes hands in
+// the middle. Each task ran once; the record was full of ended ones before, and the batch stood still.
+#[test]
+fn a_batch_larger_than_the_record_ends() {
+    let small = job("batch", "branch", 4000, "").replace("cores = 1", "cores = 0.01");
+    let mut cell = Cell::new(&small.replace("1GB", "10MB"));
+    for n in 0..60 {
+        cell.floor.end_all();
+        cell.pass(cell::STEP * 8);
+        if n == 10 {
+            cell.takeover();
+        }
+    }
+    let rows = cell.jobs().show();
+    let ended = rows.iter().filter(|r| &*r.state == "ended").count();
+    assert_eq!((ended, cell.floor.starts.len()), (4000, 4000));
+}
+
+// A batch that must end within the hour has waited for fifty minutes when its bucket changes hands.
+// Its hour began anew there, and work that came just then went first.
+#[test]
+fn a_deadline_outlasts_a_takeover() {
+    let block = job("replicas", "block", 8, "");
+    let old = job("batch", "old", 8, "deadline = 60m");
+    let fresh = job("batch", "fresh", 8, "deadline = 30m");
+    let head = HEAD.replace("[team audit]\ncores = 8\nmemory = 32GB\n", "");
+    let mut cell = Cell::new("");
+    cell.put(&format!("{head}{block}"));
+    cell.secs(3);
+    cell.put(&format!("{head}{block}{old}"));
+    cell.secs(3);
+    cell.now = cell.now + Duration::from_secs(50 * 60);
+    cell.takeover();
+    cell.put(&format!("{head}{block}{old}{fresh}"));
+    cell.secs(3);
+    cell.put(&format!("{head}{old}{fresh}"));
+    cell.secs(5);
+    let first = cell.floor.starts.iter().find(|(t, _)| t.job.as_str() != "block");
+    assert_eq!(first.map(|(t, _)| t.job.as_str()), Some("old"));
+}
+
+// A rack's owner is slow: its answer comes when the gang has given the round up and asks anew. The
+// late answer must not count for the new round, and its room goes back.
+#[test]
+fn a_late_answer_counts_for_no_other_round() {
+    let at = |secs| Time::ZERO + Duration::from_secs(secs);
+    let floor = cell::Floor::new();
+    let item = |index| ReserveItem {
+        attempt: Attempt(1),
+        avoid: vec![],
+        size: Size::new(4, 1024, 0),
+        spread: false,
+        task: task("model", index),
+        urgent: false,
+    };
+    let items: Vec<_> = (0..4).map(item).collect();
+    let (job, pool) = ("model".into(), "p".into());
+    let mut gangs = Gangs::new(1);
+    let first = gangs.begin(&job, &pool, items.clone(), &floor.loads(), at(0));
+    let Step::Ask(ask) = first else { panic!("it asks") };
+    assert!(
+        matches!(&gangs.tick(at(6))[..], [Step::Drop(rows, tasks)] if rows.is_empty() && tasks.len() == 4)
+    );
+    let again = gangs.begin(&job, &pool, items.clone(), &floor.loads(), at(20));
+    assert!(matches!(again, Step::Drop(..)), "its ask is not answered");
+    let reply = cell::Floor::new().reserve(&ask, at(21));
+    let late = gangs.answered(&ask, Some(reply), at(21));
+    assert!(matches!(late, Step::Drop(rows, tasks) if rows.len() == 2 && tasks.is_empty()));
+    assert!(matches!(gangs.begin(&job, &pool, items, &floor.loads(), at(22)), Step::Ask(_)));
+}
+
+/// A text of some of five jobs, each of some tasks.
+fn text(u: &mut Unstructured<'_>) -> Result<String> {
+    let mut text = String::new();
+    for (kind, name, more) in [
+        ("batch", "nightly", ""),
+        ("gang", "model", ""),
+        ("gang", "other", "after = nightly"),
+        ("replicas", "feed", ""),
+        ("batch", "rush", "urgent = yes"),
+    ] {
+        let known = !more.contains("nightly") || text.contains("nightly");
+        if known && u.ratio(3, 4)? {
+            text += &job(kind, name, u.int_in_range(1..=5)?, more);
+        }
+    }
+    Ok(text)
+}
+
+/// Lets one thing happen to the cell.
+fn step(cell: &mut Cell, u: &mut Unstructured<'_>) -> Result<()> {
+    let running: Vec<_> = cell.floor.runs.keys().map(|(t, _)| t.clone()).collect();
+    match u.int_in_range(0..=59)? {
+        0 => cell.submit(&text(u)?),
+        1 if cell.owners.len() < 4 => cell.takeover(),
+        2 => {
+            let owner = u.choose_index(cell.owners.len())?;
+            cell.pass_to(owner);
+        }
+        3..=8 if !running.is_empty() => {
+            let state = [TaskState::Ended, TaskState::Failed];
+            cell.end(u.choose(&running)?, *u.choose(&state)?);
+        }
+        9 if !running.is_empty() => cell.floor.vanish(u.choose(&running)?),
+        _ => cell.turn(u)?,
+    }
+    Ok(())
+}
+
+// Texts, ends, failures, takeovers, lost calls and late answers in any order. `OneAttempt`, `Listed`,
+// `Whole` and `NoOvercommit` are checked at each step; when all is over, what is listed has ended,
+// and once nothing is listed any more, nothing is counted or recorded.
+#[test]
+fn any_order_keeps_the_invariants() {
+    let starts = std::cell::Cell::new(0);
+    cell::runs(150, 4000, |u| {
+        let mut cell = Cell::new(&text(u)?);
+        while !u.is_empty() {
+            step(&mut cell, u)?;
+        }
+        starts.set(starts.get() + cell.floor.starts.len());
+        cell.submit(
+            &(job("batch", "nightly", 3, "") + &job("gang", "model", 2, "after = nightly")),
+        );
+        cell.finish(40);
+        for t in [task("nightly", 0), task("nightly", 2), task("model", 1)] {
+            let show = cell.show(&t).expect("it is listed");
+            assert_eq!(&*show.state, "ended", "{show:?}");
+        }
+        cell.submit("");
+        cell.finish(40);
+        for owner in &cell.owners {
+            assert_eq!(owner.balance(), Balance::default());
+        }
+        for (_, record) in cell.store.values() {
+            assert!(record.contains("\"tasks\":[]") && !record.contains("\"jobs\""), "{record}");
+        }
+        Ok(())
+    });
+    assert!(starts.get() > 1500, "{} starts are too few to mean much", starts.get());
+}
