A text that moves a job to another team is refused at submission

Cause: a team's jobs stand in one bucket, so a job that changes its team changes its bucket's owner, who could start its tasks while the former owner still stops them: two places.

--- a/src/core.rs
+++ b/src/core.rs
@@ -666,18 +666,21 @@
 
     fn operate(&mut self, ticket: Ticket, ask: Operate, now: Time) {
         match ask {
-            Operate::Submit(ask) => match Plan::read(&ask.text) {
-                Ok(_) => {
+            Operate::Submit(ask) => {
+                let read = Plan::read(&ask.text);
+                let faults = match &read {
+                    Ok(plan) => plan.moved(self.config.plan(), &ask.text),
+                    Err(faults) => faults.clone(),
+                };
+                if faults.is_empty() {
                     let step = self.config.submit(ticket, ask, now);
-                    self.config_step(step);
-                }
-                Err(faults) => {
-                    let errors = faults.iter().map(|f| f.to_string().into()).collect();
-                    let version = self.config.version();
-                    let reply = SubmitReply { accepted: false, version, errors, text: None };
-                    self.out.push(Order::Operated(ticket, Operated::Submit(reply)));
+                    return self.config_step(step);
                 }
-            },
+                let errors = faults.iter().map(|f| f.to_string().into()).collect();
+                let version = self.config.version();
+                let reply = SubmitReply { accepted: false, version, errors, text: None };
+                self.out.push(Order::Operated(ticket, Operated::Submit(reply)));
+            }
             Operate::Show => {
                 let show = self.show();
                 self.out.push(Order::Operated(ticket, Operated::Show(Box::new(show))));
