racks: a stale entry of the agenda is dropped, not served

A link that was replaced under a new epoch left its old entry behind, which then served the worker twice at each turn. Entries count only if they are the link's own.

--- a/src/racks/order.rs
+++ b/src/racks/order.rs
@@ -39,9 +39,8 @@
             && at <= now
         {
             self.agenda.pop_first();
-            if let Some(link) = self.links.get_mut(&worker) {
-                link.wake = Time::NEVER;
-            }
+            let Some(link) = self.links.get_mut(&worker).filter(|l| l.wake == at) else { continue };
+            link.wake = Time::NEVER;
             self.serve(&worker, now, out);
             self.later(&worker, now);
         }
--- a/tests/racks.rs
+++ b/tests/racks.rs
@@ -90,9 +90,8 @@
 
 #[test]
 fn a_lapse_covers_renewals_whose_answers_were_lost() {
-    // A worker hears its owner, and its answers are lost. The owner gives it up and says when its
-    // leases have lapsed; the bucket's owner starts the task elsewhere then. A renewal takes up to a
-    // second to arrive, and opens the lease from then: counted from its sending, the task ran twice.
+    // A worker's answers are lost, and its owner says when its leases have lapsed. A renewal takes up
+    // to a second to arrive, and opens the lease from then: counted from its sending, it ran on.
     let (mut b, row) = running();
     b.flight = Duration::from_millis(900);
     b.run(12_000);
@@ -106,9 +105,8 @@
 
 #[test]
 fn a_lapse_is_not_announced_by_an_owner_that_may_die_before() {
-    // A rack's owner finds a worker silent, announces the lapse of its leases, and dies. The worker
-    // comes back, the next owner renews, and the bucket's owner, which counts on the announcement,
-    // starts the task elsewhere: it ran twice.
+    // A rack's owner finds a worker silent, announces when its leases lapse, and dies. The worker is
+    // back, the next owner renews, and the bucket's owner starts the task elsewhere as announced.
     let (mut b, row) = running();
     b.fake(0).mute = true;
     let mut announced = Time::NEVER;
@@ -131,9 +129,8 @@
 
 #[test]
 fn a_lapse_is_not_announced_for_a_worker_that_the_list_shows_late() {
-    // A member starts, gains a rack, and hears of its workers a moment later. Asked in between, it
-    // took the worker as gone and announced the lapse of its tasks, and then renewed them: the
-    // bucket's owner started them a second time.
+    // A member starts, gains a rack, and hears of its workers later. Asked in between, it took the
+    // worker as gone and announced the lapse of its tasks, and then renewed them.
     let (mut b, row) = running();
     b.members[1] = Racks::new(3);
     let now = b.now;
