--- a/src/racks/order.rs
+++ b/src/racks/order.rs
@@ -39,9 +39,8 @@
             && at <= now
         {
             self.agenda.pop_first();
-            if let Some(link) = self.links.get_mut(&worker) {
-                link.wake = Time::NEVER;
-            }
+            let Some(link) = self.links.get_mut(&worker).filter(|l| l.wake == at) else { continue };
+            link.wake = Time::NEVER;
             self.serve(&worker, now, out);
             self.later(&worker, now);
         }
@@ -193,16 +192,14 @@
         out.push(Order::Worker(worker.clone(), vm.addr, Box::new(ask)));
     }
 
-    /// The attempts to renew: what no bucket's owner speaks for is nobody's and runs out, and what
-    /// was announced to lapse does.
+    /// The attempts to renew; what no bucket's owner speaks for is nobody's, and runs out.
     fn renewals(&self, worker: &WorkerId, since: Time, now: Time) -> Vec<TaskOrder> {
         let held = self.ledger.worker(worker).into_iter().flat_map(|a| a.held());
         let renew = held.filter_map(|h| {
             let Held::Task(task, attempt) = h else { return None };
             let key = (task.clone(), *attempt);
             let spoken = self.facts.get(&key).map_or(since, |f| f.vouched.max(since));
-            let goes = now - spoken < VOUCH && !self.doomed.contains_key(&key);
-            goes.then(|| bare(key.0, key.1))
+            (now - spoken < VOUCH).then(|| bare(key.0, key.1))
         });
         renew.collect()
     }
@@ -250,7 +247,6 @@
             Held::Request(_) => None,
         });
         for (task, attempt) in tasks.collect::<Vec<_>>() {
-            self.doom(&task, attempt, now);
             self.end(worker, task, attempt, TaskState::Lost, now);
         }
         if !self.vms.contains_key(worker) {
