--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -70,6 +70,8 @@
     tasks: Tasks,
     gangs: Gangs,
     scan: Time,
+    /// When all buckets are next looked over; a scan that an end brings forward leaves this as it is.
+    sweep: Time,
     probe: Time,
     /// Whether a plan has come at all.
     known: bool,
@@ -118,6 +120,7 @@
             tasks: Tasks::new(me.0),
             gangs: Gangs::new(me.0),
             scan: Time::ZERO,
+            sweep: Time::ZERO,
             probe: Time::ZERO,
             known: false,
             stale: false,
@@ -260,9 +263,12 @@
         out: &mut Vec<Order>,
     ) -> Vec<Want> {
         let mut wants = vec![];
+        if self.sweep <= now {
+            self.sweep = now + SCAN;
+            self.buckets.values_mut().for_each(|o| o.touched = true);
+        }
         if self.scan <= now {
             self.scan = now + SCAN;
-            self.buckets.values_mut().for_each(|o| o.touched = true);
             self.load(now, &mut wants);
             self.settle_changed(self.probe <= now, now);
             self.stop(now);
