--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -4,7 +4,7 @@
 //! between teams whose buckets have the same owner.
 //!
 //! What is asked for or may run is *held*: it counts against its team, its allowance and the cancels
-//! from the pick on, until its attempt is over or it found no room. [`Tasks::release`] is the one
+//! from the pick on, until its attempt is over or it found no room. `Tasks::release` is the one
 //! place that gives all of it back, whatever has become of its job or its bucket meanwhile; a count
 //! that were given back by the plan in force would stay for ever once the plan has changed.
 
