--- a/tests/racks.rs
+++ b/tests/racks.rs
@@ -6,6 +6,8 @@
 mod cost;
 #[path = "racks/fake.rs"]
 mod fake;
+#[path = "racks/marks.rs"]
+mod marks;
 #[path = "racks/owner.rs"]
 mod owner;
 #[path = "racks/random.rs"]
@@ -71,9 +73,8 @@
 
 #[test]
 fn a_worker_that_was_cut_off_comes_back() {
-    // A switch fails for 40 s. The task on the worker behind it is told as lost, which must be true
-    // by then, and when the switch is back the worker must get work again. It would not, if a
-    // silent worker were no longer asked.
+    // A switch fails for 40 s. The task behind it is told as lost, which must be true by then. The
+    // worker must get work again; it would not, if a silent one were no longer asked.
     let (mut b, _) = running();
     b.fake(0).cut = true;
     let lost = |b: &mut Bench| told(&mut b.members[0]).contains(&TaskState::Lost);
@@ -206,8 +207,7 @@
 
 #[test]
 fn a_stop_waits_until_its_start_is_too_late() {
-    // The worker is paused with the start before it. The stop reaches it first, when the network
-    // turns the order round, and is confirmed; the start still counts as on its way.
+    // A start is unanswered and may be on its way still. The stop overtakes it and is confirmed.
     let (mut b, row, ask) = sent();
     let now = b.now;
     b.members[0].ordered(&row.worker, &ask, now, Err(Failure::Timeout), now);
