--- a/standin/src/experiment/path.rs
+++ b/standin/src/experiment/path.rs
@@ -11,6 +11,7 @@
         Result,
         load::{self, Load, Outcome},
     },
+    serde_json::json,
     std::{net::SocketAddr, time::Duration},
 };
 
@@ -42,16 +43,22 @@
     Ok(vms.into_iter().filter(|v| v.pool.as_str() == "quoting").map(|v| v.addr).collect())
 }
 
+/// How much later the key-value service answers with `slow-keys`: it is said to take milliseconds.
+const SLOW_MS: u64 = 5;
 /// Requests a second with keys; each is claimed in the key-value service before it runs.
 const KEYED: [f64; 3] = [100.0, 400.0, 1200.0];
 
-/// Prints the table of the whole path, or with `keys` that of claims.
+/// Prints the table of the whole path, or with `keys` or `slow-keys` that of claims.
 pub async fn run(args: &Args) -> Result<()> {
-    if &*args.part == "keys" { keys(args).await } else { whole(args).await }
+    match &*args.part {
+        "keys" => keys(args, 0).await,
+        "slow-keys" => keys(args, SLOW_MS).await,
+        _ => whole(args).await,
+    }
 }
 
 /// Requests with keys beside the same without.
-async fn keys(args: &Args) -> Result<()> {
+async fn keys(args: &Args, slow: u64) -> Result<()> {
     let members = args.members.first().copied().unwrap_or(3);
     println!(
         "\n{members} members; least / median / greatest of {} runs of {} s.\n",
@@ -70,6 +77,7 @@
             for _ in 0..args.runs {
                 // A cell of its own: claims stay in the records for a day.
                 let cell = Cell::start(members, &today(), TODAY).await?;
+                cell.kv_fault(json!({"slow": slow})).await?;
                 let ids: Vec<u32> = cell.members.iter().map(|m| m.id()).collect();
                 let used = || ids.iter().filter_map(|id| usage::cpu(*id)).sum::<f64>();
                 let (cpu, writes) = (used(), cell.writes().await?);
