--- a/src/claims.rs
+++ b/src/claims.rs
@@ -106,7 +106,7 @@
             return self.held.push_back((now, ask));
         }
         match self.rows.get(&ask.key) {
-            Some(entry) => out.push(known(entry, &ask)),
+            Some(entry) => out.push(known(&entry.row, &ask)),
             None => self.claim(ask, now, commit, out),
         }
     }
@@ -293,15 +293,9 @@
 ///
 /// The same request that asks again hears `running`, too: a grant is given once, so that a copy of
 /// the ask that was delayed on its way can't make a request run that was told off meanwhile.
-fn known(entry: &Entry, ask: &ClaimAsk) -> Order {
-    let row = &entry.row;
+fn known(row: &ClaimRow, ask: &ClaimAsk) -> Order {
     let verdict = match row.state {
         _ if row.digest != ask.digest => ClaimVerdict::Mismatch,
-        // The former owner's commit took effect, and yet it had to tell the request that it was
-        // not the owner any more. A request is dispatched once however often its claim is granted.
-        ClaimState::Running if row.request == ask.request && entry.ticket.is_none() => {
-            ClaimVerdict::Granted
-        }
         ClaimState::Running => ClaimVerdict::Running,
         ClaimState::Answered => ClaimVerdict::Answered,
         ClaimState::Unknown => ClaimVerdict::Unknown,
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -2,23 +2,23 @@
 //!
 //! Every request gets exactly one final answer, the moment that it is decided.
 
+mod keys;
+
 use {
+    self::keys::{Claim, Keys},
     crate::{
-        core::{Core, OWN_END},
+        core::Core,
         decide::{
             admit::Gate,
             fair::{Item, Queue},
             retry::Budget,
             shift::Spread,
         },
-        error::{Error, Kind, Ran},
-        event::{Answer, Ask, Call, Forward, Order, Outcome, Run, Ticket, Verdict},
+        error::{Error, Kind},
+        event::{Ask, Forward, Order, Outcome, Run, Ticket, Verdict},
         http::Failure,
-        ids::{CallerId, Incarnation, Key, RequestId, ServiceId, WorkerId},
-        jobs::bucket_of,
-        messages::{
-            ClaimAsk, ClaimEnd, ClaimFate, ClaimReply, ClaimVerdict, MemberRecord, ServiceLoad,
-        },
+        ids::{CallerId, Incarnation, RequestId, ServiceId, WorkerId},
+        messages::{MemberRecord, ServiceLoad},
         text::Service,
         time::Time,
     },
@@ -26,17 +26,10 @@
     rustc_hash::FxHashMap,
     std::{
         collections::{BTreeMap, BTreeSet},
-        fmt::Write,
         time::Duration,
     },
-    xxhash_rust::xxh3::Xxh3Default,
 };
 
-/// The largest answer that is kept with a key, in bytes.
-///
-/// A repeat of a bound cover or a paid grant needs its confirmation, which is short; the bucket's
-/// record has to stay far below the key-value service's megabyte.
-const KEPT: usize = 2048;
 /// How many times a service's usual run time makes a request a long one, which leaves some slots to
 /// the others: below that the variation of usual requests would count as long.
 const LONG: u32 = 4;
@@ -48,22 +41,16 @@
 const PATIENCE: Duration = Duration::from_secs(2);
 /// The pause before it is tried again.
 const RECLAIM: Duration = Duration::from_millis(100);
-/// The pause before an unanswered word of a claim's end is sent again.
-const AGAIN: Duration = Duration::from_millis(500);
 
 /// The requests at one member.
 pub struct Requests {
     table: FxHashMap<RequestId, Pending>,
     tickets: FxHashMap<Ticket, RequestId>,
     lines: BTreeMap<ServiceId, Line>,
-    ends: BTreeMap<(Key, RequestId), (ClaimEnd, Time)>,
-    told: FxHashMap<Ticket, (Key, RequestId)>,
-    own: Ticket,
+    keys: Keys,
     spreads: BTreeMap<ServiceId, Spread>,
     budget: Budget,
     again: BTreeSet<(Time, RequestId)>,
-    /// When requests whose claim was asked for have to be answered, granted or not.
-    limits: BTreeSet<(Time, RequestId)>,
     /// When an endpoint of each service was last known, here or at a peer.
     lively: BTreeMap<ServiceId, Time>,
 }
@@ -81,7 +68,7 @@
     /// Until when it is tried again while its bucket, or its service's racks, change hands.
     patience: Option<Time>,
     stage: Stage,
-    claim: Option<Key>,
+    claim: Option<Claim>,
     tries: u32,
 }
 
@@ -109,13 +96,10 @@
             table: FxHashMap::default(),
             tickets: FxHashMap::default(),
             lines: BTreeMap::new(),
-            ends: BTreeMap::new(),
-            told: FxHashMap::default(),
-            own: 0,
+            keys: Keys::default(),
             spreads: BTreeMap::new(),
             budget: Budget::new(Time::ZERO),
             again: BTreeSet::new(),
-            limits: BTreeSet::new(),
             lively: BTreeMap::new(),
         }
     }
@@ -168,7 +152,7 @@
 
     /// Whether no request waits for its answer and no claim's end has to be told.
     pub fn is_empty(&self) -> bool {
-        self.table.is_empty() && self.ends.is_empty()
+        self.table.is_empty() && self.keys.is_empty()
     }
 
     /// How many requests of a service wait for a slot.
@@ -207,42 +191,6 @@
         }
     }
 
-    /// Takes a claim's answer.
-    pub(crate) fn claimed(&mut self, request: RequestId, reply: Option<ClaimReply>, now: Time) {
-        let Some(p) = self.requests.table.get_mut(&request) else {
-            return;
-        };
-        if p.stage != Stage::Claiming {
-            return;
-        }
-        let Some(reply) = reply else {
-            // The owner may have granted the claim although its answer was lost.
-            return self.finish(request, Err(Kind::KeyUnowned.into()), now);
-        };
-        let kind = match reply.verdict {
-            ClaimVerdict::Granted => return self.route(request, now),
-            ClaimVerdict::Answered => {
-                p.claim = None;
-                let kept = kept(reply);
-                return self.finish(request, kept, now);
-            }
-            ClaimVerdict::Running => Kind::KeyRunning,
-            ClaimVerdict::Unknown => Kind::KeyUnknown,
-            ClaimVerdict::Mismatch => Kind::KeyMismatch,
-            ClaimVerdict::Unowned => Kind::KeyUnowned,
-            ClaimVerdict::KvDown | ClaimVerdict::Full => Kind::KvDown,
-        };
-        if kind == Kind::KeyUnowned && p.patient(now) {
-            // Its bucket is changing hands. This ask was refused for good, so another may be made.
-            self.requests.again.insert((now + RECLAIM, request));
-            return;
-        }
-        if !matches!(kind, Kind::KeyUnowned | Kind::KvDown) {
-            p.claim = None;
-        }
-        self.finish(request, Err(kind.into()), now);
-    }
-
     /// Takes the outcome of a dispatch to an endpoint of this member's.
     pub(crate) fn ran(
         &mut self,
@@ -290,20 +238,6 @@
         self.settle(request, outcome, now);
     }
 
-    /// Takes the answer to the word of a claim's end.
-    pub(crate) fn claim_told(&mut self, end: &ClaimEnd, taken: bool) {
-        if taken {
-            self.requests.ends.remove(&(end.key.clone(), end.request));
-        }
-    }
-
-    /// The word of a claim's end that this member told itself is committed.
-    pub(crate) fn kept(&mut self, ticket: Ticket) {
-        if let Some(at) = self.requests.told.remove(&ticket) {
-            self.requests.ends.remove(&at);
-        }
-    }
-
     /// Answers what can no longer be run in time, and tells claims' ends again.
     pub(crate) fn expire(&mut self, now: Time) {
         let mut late = vec![];
@@ -315,12 +249,7 @@
         for (id, error) in late {
             self.finish(id, Err(error), now);
         }
-        while self.requests.limits.first().is_some_and(|(at, _)| *at <= now) {
-            let Some((_, id)) = self.requests.limits.pop_first() else { break };
-            if self.requests.table.get(&id).is_some_and(|p| p.stage == Stage::Claiming) {
-                self.finish(id, Err(Kind::KeyUnowned.into()), now);
-            }
-        }
+        self.expire_claims(now);
         while self.requests.again.first().is_some_and(|(at, _)| *at <= now) {
             let Some((_, id)) = self.requests.again.pop_first() else { break };
             match self.requests.table.get(&id).map(|p| &p.stage) {
@@ -329,19 +258,7 @@
                 _ => {}
             }
         }
-        let due: Vec<ClaimEnd> = self
-            .requests
-            .ends
-            .values_mut()
-            .filter(|(_, at)| *at <= now)
-            .map(|(end, at)| {
-                *at = now + AGAIN;
-                end.clone()
-            })
-            .collect();
-        for end in due {
-            self.tell_end(end, now);
-        }
+        self.tell_again(now);
         self.pump(now);
     }
 
@@ -397,7 +314,7 @@
         if self.requests.table.contains_key(&id) {
             return self.reply(ticket, Err(Kind::BadRequest.into()));
         }
-        let claim = ask.key.clone();
+        let claim = ask.key.clone().map(|key| Claim { key, ask: id });
         let stage = if claim.is_some() { Stage::Claiming } else { Stage::Waiting };
         let tries = ask.hops;
         let keyed = claim.is_some();
@@ -407,25 +324,6 @@
         if keyed { self.claim(id, now) } else { self.route(id, now) }
     }
 
-    fn claim(&mut self, request: RequestId, now: Time) {
-        let Some(p) = self.requests.table.get(&request) else { return };
-        let Some(key) = p.claim.clone() else { return };
-        let wish = ClaimAsk { key, digest: digest(&p.ask).into(), request };
-        self.requests.limits.insert((p.deadline, request));
-        match self.bucket_owner(bucket_of(wish.key.as_str())) {
-            Some(owner) if owner == self.me() => self.jobs.claim(wish, now),
-            Some(owner) => self.call(owner, Call::Claim(wish)),
-            None => {
-                let verdict = ClaimVerdict::Unowned;
-                self.claimed(
-                    request,
-                    Some(ClaimReply { verdict, status: None, answer: None }),
-                    now,
-                );
-            }
-        }
-    }
-
     /// Lets a request wait for a slot here, or sends it to a peer that is expected to serve it sooner.
     fn route(&mut self, id: RequestId, now: Time) {
         let Some(p) = self.requests.table.get_mut(&id) else { return };
@@ -574,28 +472,12 @@
         {
             line.queue.cancel(id);
         }
-        if let Some(key) = p.claim {
-            self.tell_end(end(key, id, &verdict), now);
+        if let Some(claim) = p.claim {
+            self.end_claim(claim, &verdict, now);
         }
         self.reply(p.ask.ticket, verdict);
     }
 
-    fn tell_end(&mut self, end: ClaimEnd, now: Time) {
-        let at = (end.key.clone(), end.request);
-        self.requests.ends.insert(at.clone(), (end.clone(), now + AGAIN));
-        match self.bucket_owner(bucket_of(end.key.as_str())) {
-            Some(owner) if owner == self.me() => {
-                self.requests.told.retain(|_, t| *t != at);
-                self.requests.own += 1;
-                let ticket = OWN_END | self.requests.own;
-                self.requests.told.insert(ticket, at);
-                self.jobs.claim_end(end, ticket);
-            }
-            Some(owner) => self.call(owner, Call::ClaimEnd(end)),
-            None => {}
-        }
-    }
-
     fn reply(&mut self, ticket: Ticket, verdict: Verdict) {
         self.metrics.verdict(&verdict);
         self.out.push(Order::Reply(ticket, verdict));
@@ -604,45 +486,3 @@
 
 /// What a slot stays taken beyond the request's lease: the drift of two clocks and one flight.
 const SPARE: Duration = Duration::from_millis(500);
-
-/// How a claimed request ended, for the key's owner.
-fn end(key: Key, request: RequestId, verdict: &Verdict) -> ClaimEnd {
-    let (fate, status, answer) = match verdict {
-        Ok(a) => {
-            let body = std::str::from_utf8(&a.body).ok().filter(|b| b.len() <= KEPT);
-            let text = body.map(|b| format!("{}\n{b}", a.kind).into());
-            (ClaimFate::Answered, Some(u32::from(a.status)), text)
-        }
-        Err(e) if e.kind().answer().ran == Ran::No => (ClaimFate::NotRun, None, None),
-        Err(_) => (ClaimFate::Unknown, None, None),
-    };
-    ClaimEnd { key, request, fate, status, answer }
-}
-
-/// The answer kept with a key.
-fn kept(reply: ClaimReply) -> Verdict {
-    let (Some(status), Some(text)) = (reply.status, reply.answer) else {
-        return Err(Error::new(
-            Kind::KeyUnknown,
-            "it was answered, and the answer was too long to keep",
-        ));
-    };
-    let (kind, body) = text.split_once('\n').unwrap_or(("", &text));
-    let status = u16::try_from(status).unwrap_or(200);
-    Ok(Answer { status, kind: kind.into(), body: body.to_owned().into() })
-}
-
-/// A digest by which another request with the same key is told apart.
-fn digest(ask: &Ask) -> String {
-    let mut h = Xxh3Default::new();
-    for part in
-        [ask.service.as_str().as_bytes(), ask.load.method.as_bytes(), ask.load.path.as_bytes()]
-    {
-        h.update(&(part.len() as u64).to_le_bytes());
-        h.update(part);
-    }
-    h.update(&ask.load.body);
-    let mut text = String::new();
-    let _ = write!(text, "{:032x}", h.digest128());
-    text
-}
