--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -84,6 +84,11 @@
         self.commit.ready() && !self.commit.lost()
     }
 
+    /// Whether changes wait for the budget of writes.
+    pub fn waits(&self) -> bool {
+        self.commit.waits()
+    }
+
     /// Whether an ask for a claim waits for its verdict.
     pub fn pending(&self) -> bool {
         self.claims.pending()
--- a/src/commit.rs
+++ b/src/commit.rs
@@ -3,6 +3,9 @@
 //! The load is many small changes (claims, intents, ends) against a KV that takes a few hundred
 //! writes a second: written one by one, a burst of claims on one bucket would wait for as many round
 //! trips. So one write is in flight, and all changes made meanwhile go out together in the next.
+//! Against a KV that answers in a millisecond that alone bounds nothing: each change would be a write
+//! of its own. So each bucket has a budget of writes, and the fleet's is the sum over buckets, which
+//! needs no word between members.
 //!
 //! Three failures are guarded against:
 //! - The answer to a write is lost, after the write took effect or before. It shows as no answer in
@@ -30,6 +33,14 @@
 /// notice its return within the time after which a refused caller comes back.
 const REST_MAX: Duration = Duration::from_secs(2);
 
+/// Writes a second of one bucket. All 64 together make 300, of the several hundred that the KV takes;
+/// the rest is for leases, ownership and configuration.
+const RATE: f64 = 300.0 / 64.0;
+
+/// Writes that a bucket may save up, so that a claim on a bucket that was quiet goes out at once, and
+/// its end as well.
+const BURST: f64 = 4.0;
+
 /// The number of a write; a change is committed once the write of its ticket is done.
 pub type Ticket = u64;
 
@@ -45,6 +56,8 @@
     done: Ticket,
     calls: u64,
     rest: Duration,
+    tokens: f64,
+    filled: Time,
 }
 
 #[derive(Clone, Copy, PartialEq)]
@@ -103,6 +116,8 @@
             done: 0,
             calls: 0,
             rest: REST_MIN,
+            tokens: BURST,
+            filled: Time::ZERO,
         }
     }
 
@@ -137,11 +152,27 @@
         match self.state {
             State::Unread => Some(self.reading()),
             State::Resting(until) if now >= until => Some(self.reading()),
-            State::Idle if self.dirty => Some(self.writing(fill)),
+            State::Idle if self.dirty => self.token(now).then(|| self.writing(fill)),
             _ => None,
         }
     }
 
+    /// Whether changes wait for the budget of writes.
+    pub fn waits(&self) -> bool {
+        self.state == State::Idle && self.dirty
+    }
+
+    fn token(&mut self, now: Time) -> bool {
+        let passed = now.since(self.filled).as_secs_f64();
+        self.tokens = (self.tokens + passed * RATE).min(BURST);
+        self.filled = now;
+        let enough = self.tokens >= 1.0;
+        if enough {
+            self.tokens -= 1.0;
+        }
+        enough
+    }
+
     /// Takes the answer to a write, `None` where it was lost or too late.
     pub fn wrote(&mut self, call: u64, reply: Option<&KvPutReply>) -> Step {
         if self.state != State::Writing(call) {
--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -14,11 +14,15 @@
         http::{Client, EPOCH, Failure, KEY, LEASE, RAN, REQUEST, RUN, UNTIL, uri},
         member::{Clock, Inbox},
         messages::{FenceAsk, Report, WorkerReply},
+        metrics::Metrics,
     },
     async_channel::Receiver,
     http_body_util::Full,
     hyper::{Request, header::CONTENT_TYPE},
-    std::time::{Duration, SystemTime, UNIX_EPOCH},
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
 };
 
 /// The deadline of an order, a fence or a report.
@@ -27,27 +31,28 @@
 pub const IDLE: usize = 9;
 
 /// Sends what the decisions order until their ring is closed.
-pub async fn run(orders: Receiver<Order>, inbox: Inbox, clock: Clock) {
+pub async fn run(orders: Receiver<Order>, inbox: Inbox, clock: Clock, metrics: Arc<Metrics>) {
     let client = Client::new(IDLE);
     while let Ok(order) = orders.recv().await {
-        let (client, inbox) = (client.clone(), inbox.clone());
+        let (client, inbox, metrics) = (client.clone(), inbox.clone(), metrics.clone());
         tokio::spawn(async move {
-            if let Some(event) = one(order, &client, clock).await {
+            if let Some(event) = one(order, &client, clock, &metrics).await {
                 let _ = inbox.send(event).await;
             }
         });
     }
 }
 
-async fn one(order: Order, client: &Client, clock: Clock) -> Option<Event> {
+async fn one(order: Order, client: &Client, clock: Clock, metrics: &Metrics) -> Option<Event> {
     match order {
         Order::Run(run) => {
-            let outcome = dispatch(&run, client).await;
+            let outcome = dispatch(&run, client, clock).await;
             Some(Event::Ran { request: run.request, worker: run.worker, outcome })
         }
-        Order::Worker(worker, addr, mut ask) => {
-            ask.until = unix(CALL);
+        Order::Worker(worker, addr, mut ask, until) => {
             let sent = clock.now();
+            ask.until = unix(until - sent);
+            metrics.sent("endpoints", serde_json::to_vec(&ask).map_or(0, |v| v.len()));
             let reply: Result<WorkerReply, Failure> =
                 client.json("PUT", &uri(addr, "/v1/orders"), &*ask, CALL).await;
             Some(Event::Ordered { worker, ask, sent, reply })
@@ -66,7 +71,7 @@
     }
 }
 
-/// The Unix time so far ahead, in milliseconds: after it, what is sent now must not take effect.
+/// The Unix time so far ahead, in milliseconds: after it, what is sent must not take effect.
 ///
 /// Guards against a worker that was paused, or bytes that were held up, while this end had given
 /// the call up: the work would start after another attempt of it had. The clocks of VMs may differ
@@ -76,7 +81,7 @@
     u64::try_from((now + ahead).as_millis()).unwrap_or(u64::MAX)
 }
 
-async fn dispatch(run: &Run, client: &Client) -> Outcome {
+async fn dispatch(run: &Run, client: &Client, clock: Clock) -> Outcome {
     let load = &run.load;
     let mut b = Request::builder()
         .method(&*load.method)
@@ -84,7 +89,7 @@
         .header(REQUEST, run.request.to_string())
         .header(EPOCH, run.epoch.to_string())
         .header(LEASE, run.lease.as_millis().to_string())
-        .header(UNTIL, unix(run.lease).to_string());
+        .header(UNTIL, unix(run.until - clock.now()).to_string());
     if let Some(time) = run.run {
         b = b.header(RUN, time.as_millis().to_string());
     }
--- a/src/event.rs
+++ b/src/event.rs
@@ -278,6 +278,8 @@
     pub epoch: Epoch,
     /// How long it may run.
     pub lease: Duration,
+    /// When it must not begin any more.
+    pub until: Time,
     /// How long it is expected to run.
     pub run: Option<Duration>,
     /// What the endpoint gets.
@@ -316,8 +318,8 @@
     Run(Box<Run>),
     /// Send a request to a peer.
     Forward(Box<Forward>),
-    /// Send orders to a worker.
-    Worker(WorkerId, SocketAddr, Box<WorkerAsk>),
+    /// Send orders to a worker, which must not take effect after this time.
+    Worker(WorkerId, SocketAddr, Box<WorkerAsk>, Time),
     /// Ask a worker for its report.
     Report(WorkerId, SocketAddr),
     /// Raise a worker's epoch.
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -69,6 +69,9 @@
     unix: u64,
     buckets: BTreeMap<Bucket, Owned>,
     partings: Partings,
+    /// The buckets whose changes wait for the budget of writes, and when to look again.
+    waiting: BTreeSet<Bucket>,
+    nap: Time,
     plan: Rc<Plan>,
     tasks: Tasks,
     gangs: Gangs,
@@ -120,6 +123,8 @@
             unix,
             buckets: BTreeMap::new(),
             partings: Partings::default(),
+            waiting: BTreeSet::new(),
+            nap: Time::ZERO,
             plan: Rc::default(),
             tasks: Tasks::new(me.0),
             gangs: Gangs::new(me.0),
@@ -278,6 +283,7 @@
             self.sweep = now + SCAN;
             self.buckets.values_mut().for_each(|o| o.touched = true);
         }
+        self.wake_waiting(now);
         if self.scan <= now {
             self.scan = now + SCAN;
             self.load(now, &mut wants);
--- a/src/jobs/send.rs
+++ b/src/jobs/send.rs
@@ -12,9 +12,13 @@
         tasks::live,
         text::{Job, JobKind},
     },
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
 };
 
+/// How often a bucket is looked at whose changes wait for the budget of writes: a tenth of the time
+/// in which the budget gives one.
+const NAP: Duration = Duration::from_millis(20);
+
 impl Jobs {
     /// Sends what the buckets have to send.
     pub fn flush(
@@ -35,12 +39,29 @@
                 owned.state.renew(sure);
             }
             let epoch = owned.epoch;
-            for step in owned.state.orders(now) {
+            let orders = owned.state.orders(now);
+            if owned.state.waits() {
+                self.waiting.insert(id);
+            }
+            for step in orders {
                 self.step(id, epoch, step, now, out, wants);
             }
         }
     }
 
+    /// Looks again at the buckets whose changes wait for the budget of writes.
+    pub(super) fn wake_waiting(&mut self, now: Time) {
+        if self.nap > now {
+            return;
+        }
+        self.nap = now + NAP;
+        for id in std::mem::take(&mut self.waiting) {
+            if let Some(owned) = self.buckets.get_mut(&id) {
+                owned.touched = true;
+            }
+        }
+    }
+
     /// Whether an attempt may still start: the text may have changed since its intent was made, and
     /// list no such task any more, or a gang of another size.
     fn may_go(&self, bucket: Bucket, row: &TaskRow) -> bool {
--- a/src/member.rs
+++ b/src/member.rs
@@ -199,9 +199,9 @@
         callers.run(callers_stop).await;
         Ok(())
     })?);
-    let endpoint_inbox = inbox.clone();
+    let (endpoint_inbox, endpoint_metrics) = (inbox.clone(), metrics.clone());
     threads.push(duty("endpoints", move || async move {
-        endpoints::run(endpoint, endpoint_inbox, clock).await;
+        endpoints::run(endpoint, endpoint_inbox, clock, endpoint_metrics).await;
         Ok(())
     })?);
     let peers = Peers {
@@ -209,6 +209,7 @@
         secret: gate.clone(),
         inbox: inbox.clone(),
         orders: peer,
+        metrics: metrics.clone(),
     };
     threads.push(duty("peers", move || peers.run())?);
     let operators = Operators {
@@ -347,7 +348,7 @@
         Order::Forward(f) => {
             Some(Event::Forwarded { request: f.request, to: f.to, outcome: full() })
         }
-        Order::Worker(worker, _, ask) => {
+        Order::Worker(worker, _, ask, _) => {
             Some(Event::Ordered { worker, ask, sent: Time::ZERO, reply: Err(Failure::Unsent) })
         }
         Order::Report(worker, _) => Some(Event::Reported { worker, report: Err(Failure::Unsent) }),
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -20,8 +20,7 @@
     pub kv: IntCounterVec,
     /// Messages dropped because a ring was full, by ring.
     pub full: IntCounterVec,
-    /// Bytes between members and to workers, by duty.
-    pub bytes: IntCounterVec,
+    bytes: IntCounterVec,
     levels: IntGaugeVec,
     ready: IntGauge,
     wait: Histogram,
@@ -90,6 +89,11 @@
         self.retries.with_label_values(&[kind.answer().label]).inc();
     }
 
+    /// Counts the bytes of a message that a duty sends for control, without its headers.
+    pub fn sent(&self, duty: &str, bytes: usize) {
+        self.bytes.with_label_values(&[duty]).inc_by(bytes as u64);
+    }
+
     /// Notes how long a request took.
     pub fn took(&self, time: Duration) {
         self.wait.observe(time.as_secs_f64());
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -9,6 +9,7 @@
             uri,
         },
         member::{Gate, Inbox},
+        metrics::Metrics,
         rpc,
     },
     async_channel::Receiver,
@@ -49,6 +50,8 @@
     pub inbox: Inbox,
     /// What the decisions order.
     pub orders: Receiver<Order>,
+    /// The member's metrics.
+    pub metrics: Arc<Metrics>,
 }
 
 impl Peers {
@@ -84,8 +87,9 @@
                         clients.insert(addr, c);
                     }
                     let Some(client) = clients.get(&addr).cloned() else { continue };
+                    let metrics = self.metrics.clone();
                     tokio::spawn(async move {
-                        let back = tokio::time::timeout(limit, ask(&client, &call)).await;
+                        let back = tokio::time::timeout(limit, ask(&client, &call, &metrics)).await;
                         let back = back.unwrap_or(Err(Failure::Timeout));
                         let _ = inbox.send(Event::Called { to, call, back }).await;
                     });
@@ -125,9 +129,12 @@
     module
 }
 
-async fn ask(client: &HttpClient, call: &Call) -> Result<Back, Failure> {
+async fn ask(client: &HttpClient, call: &Call, metrics: &Metrics) -> Result<Back, Failure> {
     let Ok(Value::Object(tagged)) = serde_json::to_value(call) else { return Err(Failure::Unsent) };
     let Some((name, value)) = tagged.into_iter().next() else { return Err(Failure::Unsent) };
+    // Made once: it is counted, and sent as it is.
+    let value = serde_json::value::to_raw_value(&value).map_err(|_| Failure::Unsent)?;
+    metrics.sent("peers", value.get().len());
     client.request(&name, [value]).await.map_err(|_| Failure::Broken)
 }
 
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -69,6 +69,7 @@
                     });
                 }
                 Order::Put(purpose, key, put) => {
+                    keep.metrics.sent("platform", put.value.as_ref().map_or(0, |v| v.len()));
                     tokio::spawn(async move {
                         let reply = keep.kv.put(&key, &put).await;
                         keep.count("put", reply.is_ok());
--- a/src/racks/order.rs
+++ b/src/racks/order.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         Time,
-        attempts::LEASE,
+        attempts::{FLIGHT, LEASE},
         event::Order,
         http::Failure,
         ids::{Attempt, TaskId, WorkerId},
@@ -179,7 +179,11 @@
         let Some(vm) = self.vms.get(worker) else { return };
         link.due = now + LEASE / 5;
         let mut start = vec![];
+        // Taken here, where the lease was checked: a process that is paused before the order goes out
+        // sends what is too late. And no later than any start in it may take effect.
+        let mut until = now + FLIGHT;
         for s in link.starts.iter_mut().filter(|s| s.fresh(now)) {
+            until = until.min(s.until);
             (s.sent, s.tries) = (Some(now), s.tries + 1);
             start.push(s.order.clone());
         }
@@ -189,7 +193,7 @@
         }
         link.ordering = true;
         let ask = WorkerAsk { epoch, lease, until: 0, start, renew, stop };
-        out.push(Order::Worker(worker.clone(), vm.addr, Box::new(ask)));
+        out.push(Order::Worker(worker.clone(), vm.addr, Box::new(ask), until));
     }
 
     /// The attempts to renew; what no bucket's owner speaks for is nobody's, and runs out.
--- a/src/requests.rs
+++ b/src/requests.rs
@@ -406,6 +406,7 @@
             addr: spot.addr,
             epoch: spot.epoch,
             lease: p.deadline - now,
+            until: p.deadline,
             run: p.ask.run,
             load: p.ask.load.clone(),
         };
--- a/tests/racks.rs
+++ b/tests/racks.rs
@@ -236,7 +236,7 @@
     let mut out = vec![];
     racks.tick(now, true, &mut out);
     let found = out.into_iter().find_map(|o| match o {
-        Order::Worker(_, _, ask) => Some(*ask),
+        Order::Worker(_, _, ask, _) => Some(*ask),
         _ => None,
     });
     let (epoch, start, stop, renew) = (Epoch(1), vec![], vec![], vec![]);
--- a/tests/racks/bench.rs
+++ b/tests/racks/bench.rs
@@ -140,7 +140,7 @@
                 let report = ok.then(|| w.report(self.now));
                 Wire::Report(n, id, report.ok_or(Failure::Timeout))
             }
-            Order::Worker(id, _, ask) => {
+            Order::Worker(id, _, ask, _) => {
                 let reply = w.orders(&ask, sent, self.now);
                 Wire::Ordered(n, id, ask, sent, ok.then_some(reply).ok_or(Failure::Timeout))
             }
@@ -162,7 +162,7 @@
     match order {
         Order::Fence(w, addr, epoch) => Order::Fence(w.clone(), *addr, *epoch),
         Order::Report(w, addr) => Order::Report(w.clone(), *addr),
-        Order::Worker(w, addr, ask) => Order::Worker(w.clone(), *addr, ask.clone()),
+        Order::Worker(w, addr, ask, until) => Order::Worker(w.clone(), *addr, ask.clone(), *until),
         _ => unreachable!("racks order only workers"),
     }
 }
@@ -172,7 +172,7 @@
     match order {
         Order::Fence(id, _, epoch) => Wire::Fenced(n, id, epoch, Err(Failure::Timeout)),
         Order::Report(id, _) => Wire::Report(n, id, Err(Failure::Timeout)),
-        Order::Worker(id, _, ask) => Wire::Ordered(n, id, ask, sent, Err(Failure::Timeout)),
+        Order::Worker(id, _, ask, _) => Wire::Ordered(n, id, ask, sent, Err(Failure::Timeout)),
         _ => unreachable!("racks order only workers"),
     }
 }
