--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -194,7 +194,11 @@
         }
         let begun = entry.row.state == TaskState::Intent && entry.ticket.is_none();
         match state {
-            TaskState::Running if begun => entry.row.state = state,
+            TaskState::Running if begun => {
+                entry.row.state = state;
+                commit.touch_later();
+                return;
+            }
             TaskState::Running | TaskState::Intent | TaskState::Stopping => return,
             TaskState::Failed => {
                 entry.row.tries = Some(entry.row.tries.unwrap_or(0) + 1);
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -140,7 +140,7 @@
         let entry = self.rows.get(&end.key).filter(|e| e.row.request == end.request);
         if entry.is_some_and(|e| e.row.state != ClaimState::Answered) {
             self.close(end);
-            commit.touch();
+            commit.touch_later();
         }
         match commit.last() {
             ticket if ticket <= commit.done() => out.push(Order::Kept { call }),
--- a/src/commit.rs
+++ b/src/commit.rs
@@ -41,6 +41,10 @@
 /// its end as well.
 const BURST: f64 = 4.0;
 
+/// How long a change waits that nobody waits for, so that it goes along with one that is urgent: the
+/// end of a claim with the next claim. Short beside the time after which its word is sent again.
+const LATER: Duration = Duration::from_millis(300);
+
 /// The number of a write; a change is committed once the write of its ticket is done.
 pub type Ticket = u64;
 
@@ -52,6 +56,9 @@
     state: State,
     ready: bool,
     dirty: bool,
+    urgent: bool,
+    /// Since when there has been a change that is not written.
+    since: Option<Time>,
     sent: Ticket,
     done: Ticket,
     calls: u64,
@@ -112,6 +119,8 @@
             state: State::Unread,
             ready: false,
             dirty: false,
+            urgent: false,
+            since: None,
             sent: 0,
             done: 0,
             calls: 0,
@@ -136,8 +145,14 @@
         self.done
     }
 
-    /// Notes a change and returns the write that will carry it.
+    /// Notes a change that somebody waits for, and returns the write that will carry it.
     pub fn touch(&mut self) -> Ticket {
+        self.urgent = true;
+        self.touch_later()
+    }
+
+    /// Notes a change that can wait for a while, and returns the write that will carry it.
+    pub fn touch_later(&mut self) -> Ticket {
         self.dirty = true;
         self.sent + 1
     }
@@ -152,7 +167,9 @@
         match self.state {
             State::Unread => Some(self.reading()),
             State::Resting(until) if now >= until => Some(self.reading()),
-            State::Idle if self.dirty => self.token(now).then(|| self.writing(fill)),
+            State::Idle if self.dirty => {
+                (self.due(now) && self.token(now)).then(|| self.writing(fill))
+            }
             _ => None,
         }
     }
@@ -162,6 +179,12 @@
         self.state == State::Idle && self.dirty
     }
 
+    /// Whether a write is worth its token now.
+    fn due(&mut self, now: Time) -> bool {
+        let since = *self.since.get_or_insert(now);
+        self.urgent || now.since(since) >= LATER
+    }
+
     fn token(&mut self, now: Time) -> bool {
         let passed = now.since(self.filled).as_secs_f64();
         self.tokens = (self.tokens + passed * RATE).min(BURST);
@@ -228,7 +251,7 @@
     fn writing(&mut self, fill: impl FnOnce(&mut BucketRecord)) -> Call {
         self.calls += 1;
         self.sent += 1;
-        self.dirty = false;
+        (self.dirty, self.urgent, self.since) = (false, false, None);
         self.state = State::Writing(self.calls);
         let mut record = BucketRecord {
             epoch: self.epoch,
@@ -251,6 +274,7 @@
         // The last write was not seen to take effect: its changes go into the next as well. Should
         // it land first after all, the next is refused, and a read settles both.
         self.dirty |= serial < self.sent;
+        self.urgent |= self.dirty;
         Step::Done
     }
 
@@ -258,7 +282,7 @@
         self.base = revision;
         self.state = State::Idle;
         self.rest = REST_MIN;
-        self.dirty = true;
+        (self.dirty, self.urgent) = (true, true);
         Step::Adopt(record)
     }
 
