lib.rs: where to begin, and a worked example that runs as a test

Cause: the crate's front page said one line; a newcomer had no way in (read-through). Result: the example runs with the tests (1 passed); rustdoc has no warning.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,42 @@
 //! dogwoodreach, a cluster scheduler for unlike workloads.
 //!
-//! The types and the deciding code stand here; the binary only reads its command line.
+//! The types and the deciding code stand here; the binary only reads its command line. Where to
+//! begin:
+//!
+//! - [`text`]: the operators' text, read into a [`text::Plan`].
+//! - [`core`]: one member's state; [`event`] has what it is told and what it orders.
+//! - [`ownership`], [`racks`], [`jobs`], [`requests`], [`config`]: the parts of that state.
+//! - [`decide`]: the decisions, without network or clock.
+//! - [`member`]: the threads around it, one for each duty.
+//!
+//! Everything that decides takes the present [`Time`] as an argument, so that it can be driven by
+//! hand:
+//!
+//! ```
+//! use dogwoodreach::{
+//!     Kind, Time,
+//!     decide::{admit::Gate, fair::{Item, Queue}},
+//!     ids::{CallerId, RequestId, TeamId},
+//! };
+//! use std::time::Duration;
+//!
+//! let mut gate = Gate::new(fastrand::Rng::with_seed(1));
+//! let mut queue = Queue::new(1, Duration::from_secs(1));
+//! let ask = |id, due| Item {
+//!     id: RequestId(id),
+//!     caller: CallerId::from("broker"),
+//!     team: TeamId::from("underwriting"),
+//!     born: Time::ZERO,
+//!     deadline: Time::from_millis(due),
+//!     run: Duration::from_millis(150),
+//! };
+//!
+//! // The first is let in; one that is due before it could end is refused at once.
+//! assert!(gate.admit(&mut queue, ask(1, 2000), Time::ZERO).is_ok());
+//! let late = gate.admit(&mut queue, ask(2, 100), Time::ZERO).unwrap_err();
+//! assert_eq!(late.kind(), Kind::Late);
+//! assert_eq!(gate.pop(&mut queue, Time::ZERO).map(|i| i.id), Some(RequestId(1)));
+//! ```
 
 pub mod attempts;
 pub mod bucket;
