Ports: typed calls between the product and the outside, and what a caller's job says

The users' machines speak a protocol of their own. The product had one module for each outside form (kv.rs, endpoints.rs, platform.rs), which does the calls as well; a second form would have repeated the deadlines and repeats. A form is now a table of plain functions that write a call and read its answer (ports.rs); it keeps nothing, so that nothing of a decision can move into platform/. work.rs has the callers' job, shard/record.rs what the store keeps and under which keys, shard/event.rs what the scheduler of a shard is told and orders.

Ruled out: traits with async calls (each form would own deadlines), a gateway process that speaks the product's old forms (two processes on a quarter of a core, and the store's transactions lost).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod ownership;
 mod peers;
 mod platform;
+pub mod ports;
 pub mod racks;
 mod ranges;
 pub mod requests;
@@ -78,10 +79,12 @@
 #[path = "gen/settings.rs"]
 mod schema;
 pub mod settings;
+pub mod shard;
 pub mod tasks;
 pub mod text;
 pub mod time;
 pub mod units;
+pub mod work;
 
 pub use crate::{
     error::{Answer, Error, Kind, Ran},
