lanes: which member makes a call for advice

Cause: the advice service takes one call at a time of each member and refuses beyond 32 that wait; a call takes 13 to 840 ms. In turn, a short call meets a long one at most members.

Earliest expected end over the members, two lanes kept free of long calls, two calls a lane, a lane without answers set aside for 1 to 8 s. Full lanes take part in the choice, so that a call waits for one rather than go behind a long call elsewhere; what a lane took longer than reckoned counts against it and is forgotten by half each second.

Ruled out: deeper lanes (they fix an order too early); setting all lanes aside (when the service is down for all, nothing would be asked for up to 8 s after it is back: each is tried with one call).

A burst of 300 has 2 calls at a member instead of 43.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -9,6 +9,7 @@
 pub mod fair;
 mod flow;
 pub mod gang;
+pub mod lanes;
 pub mod order;
 pub mod place;
 pub mod quota;
--- /dev/null
+++ b/tests/lanes.rs
@@ -0,0 +1,222 @@
+//! Calls for advice over the members: bursts, long among short, members that are slow or cut off.
+
+use {
+    dogwoodreach::{Time, decide::lanes::Lanes, ids::Incarnation},
+    fastrand::Rng,
+    std::time::Duration,
+};
+
+const MEMBERS: u64 = 7;
+/// To the service and back.
+const WAY: u64 = 5;
+/// How long a caller waits for an answer beyond what it expects, in milliseconds.
+const LIMIT: u64 = 2000;
+const SHORT: u64 = 13;
+const LONG: u64 = 840;
+
+/// The service, and who calls: ours, or each member in turn as the baseline.
+struct Fake {
+    ours: bool,
+    /// How many times as long a member's calls take; 0 is never answered.
+    slow: [u64; MEMBERS as usize],
+    rng: Rng,
+}
+
+#[derive(Default)]
+struct Seen {
+    /// From coming to being answered, in milliseconds, of short and of long calls.
+    short: Vec<u64>,
+    long: Vec<u64>,
+    /// The most calls that waited at one member.
+    deepest: usize,
+    /// When the last was answered.
+    end: u64,
+}
+
+struct Sent {
+    call: (u64, u64),
+    via: u64,
+    sent: Time,
+    /// When it is answered or given up.
+    end: u64,
+    answered: bool,
+}
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn lanes(n: u64) -> Lanes {
+    let mut lanes = Lanes::new();
+    lanes.members(&(0..n).map(Incarnation).collect::<Vec<_>>());
+    lanes
+}
+
+impl Fake {
+    fn new(ours: bool) -> Self {
+        Fake { ours, slow: [1; MEMBERS as usize], rng: Rng::with_seed(11) }
+    }
+
+    /// Plays calls, each with when it comes and what it costs, until all are answered.
+    fn play(mut self, calls: &[(u64, u64)]) -> Seen {
+        let (mut lanes, mut seen) = (lanes(MEMBERS), Seen::default());
+        let (mut free, mut turn) = ([0; MEMBERS as usize], 0);
+        let (mut coming, mut waiting) = (calls.to_vec(), Vec::new());
+        let mut out: Vec<Sent> = Vec::new();
+        coming.sort_by_key(|c| std::cmp::Reverse(*c));
+        let mut t = 0;
+        while !(coming.is_empty() && waiting.is_empty() && out.is_empty()) && t < 300_000 {
+            let now = Time::from_millis(t);
+            while let Some(s) = out.iter().position(|s| s.end <= t).map(|i| out.swap_remove(i)) {
+                lanes.done(Incarnation(s.via), s.sent, s.answered, now);
+                if s.answered {
+                    let (at, cost) = s.call;
+                    let kind = if cost > 200 { &mut seen.long } else { &mut seen.short };
+                    kind.push(t - at);
+                    seen.end = t;
+                } else {
+                    waiting.push(s.call);
+                }
+            }
+            while coming.last().is_some_and(|c| c.0 <= t) {
+                waiting.extend(coming.pop());
+            }
+            waiting.retain(|&(at, cost)| {
+                let due = Time::from_millis(at + 250);
+                let via = if self.ours {
+                    lanes.pick(ms(cost), due, now).map(|(m, _)| m.0)
+                } else {
+                    turn += 1;
+                    Some(turn % MEMBERS)
+                };
+                let Some(via) = via else { return true };
+                let lane = &mut free[via as usize];
+                let slow = self.slow[via as usize];
+                let took = cost * slow * self.rng.u64(80..120) / 100;
+                *lane = t.max(*lane) + took;
+                let end = if slow == 0 { t + cost + LIMIT } else { *lane + WAY };
+                out.push(Sent { call: (at, cost), via, sent: now, end, answered: slow > 0 });
+                false
+            });
+            for m in 0..MEMBERS {
+                seen.deepest = seen.deepest.max(out.iter().filter(|s| s.via == m).count());
+            }
+            t += 1;
+        }
+        assert_eq!(seen.short.len() + seen.long.len(), calls.len(), "all are answered");
+        seen.short.sort();
+        seen.long.sort();
+        seen
+    }
+}
+
+/// The value below which 99 of 100 lie.
+fn p99(sorted: &[u64]) -> u64 {
+    sorted[(sorted.len() * 99 / 100).min(sorted.len() - 1)]
+}
+
+/// Calls over so many seconds: short ones at a rate, and long ones.
+fn load(seconds: u64, short: u64, long: u64) -> Vec<(u64, u64)> {
+    let mut rng = Rng::with_seed(3);
+    let mut all = Vec::new();
+    for (rate, cost) in [(short, SHORT), (long, LONG)] {
+        all.extend((0..rate * seconds).map(|_| (rng.u64(..seconds * 1000), cost)));
+    }
+    all
+}
+
+/// Plays ours and the baseline, with members slowed as told.
+fn both(calls: &[(u64, u64)], slow: &[(usize, u64)]) -> [Seen; 2] {
+    [true, false].map(|ours| {
+        let mut fake = Fake::new(ours);
+        slow.iter().for_each(|&(m, by)| fake.slow[m] = by);
+        let seen = fake.play(calls);
+        let (s, l) = (p99(&seen.short), seen.long.last().copied().unwrap_or(0));
+        println!("ours {ours}: short p99 {s}, long at most {l}, deepest {}", seen.deepest);
+        seen
+    })
+}
+
+// Four long calls a second beside 40 short ones: the few make up nine tenths of the work. Given out
+// in turn, a short call meets a long one at most members and waits for most of a second.
+#[test]
+fn short_calls_do_not_wait_behind_long_ones() {
+    let [ours, turns] = both(&load(20, 40, 4), &[]);
+    assert!(p99(&ours.short) <= 60, "{}", p99(&ours.short));
+    assert!(p99(&turns.short) > 800);
+}
+
+// 300 short calls come at once, as a storm of small jobs makes them. Given out all at once, 43 wait
+// at each member, where the service refuses beyond 32.
+#[test]
+fn burst_stays_within_what_the_service_takes() {
+    let [ours, turns] = both(&[(0, SHORT); 300], &[]);
+    assert_eq!(ours.deepest, 2);
+    assert!(turns.deepest > 32);
+    // 300 x 13 ms over 7 lanes are 557 ms.
+    assert!(ours.end <= 700, "{}", ours.end);
+}
+
+// One member's way to the service takes eight times as long. In turn it gets a seventh of all calls
+// and falls ever further behind.
+#[test]
+fn slow_member_gets_less() {
+    let [ours, turns] = both(&load(20, 150, 0), &[(0, 8)]);
+    assert!(p99(&ours.short) <= 130, "{}", p99(&ours.short));
+    assert!(p99(&turns.short) > 1000);
+}
+
+// One member is cut off: nothing that it is given is answered, and it seems never to be busy. Each
+// call that goes there costs its task two seconds.
+#[test]
+fn silent_member_is_set_aside() {
+    let [ours, turns] = both(&load(20, 100, 0), &[(0, 0)]);
+    let lost = |s: &Seen| s.short.iter().filter(|&&t| t > LIMIT).count();
+    println!("calls that lost two seconds: {} {}", lost(&ours), lost(&turns));
+    assert!(lost(&ours) <= 10, "{}", lost(&ours));
+    assert!(lost(&turns) > 200);
+}
+
+// Long calls alone ask for more than all lanes do. The short ones among them must not notice, and
+// the five lanes that long ones may have must stay at work.
+#[test]
+fn saturation_by_long_calls_leaves_short_ones_alone() {
+    let [ours, turns] = both(&load(20, 40, 9), &[]);
+    assert!(p99(&ours.short) <= 60, "{}", p99(&ours.short));
+    assert!(p99(&turns.short) > 1500);
+    // 180 x 840 ms over 5 lanes are 30.2 s.
+    assert!(ours.end <= 33_000, "{}", ours.end);
+}
+
+// All calls go unanswered for a while, as when the service is down. If all lanes were out for 8 s
+// then, nothing would be advised for 8 s after it is back.
+#[test]
+fn all_silent_are_still_tried() {
+    let mut lanes = lanes(3);
+    for t in 0..30 {
+        let now = Time::from_millis(t);
+        if let Some((via, _)) = lanes.pick(ms(SHORT), now, now) {
+            lanes.done(via, now, false, now + ms(1));
+        }
+    }
+    let now = Time::from_millis(31);
+    for _ in 0..3 {
+        assert!(lanes.pick(ms(SHORT), now, now).is_some(), "still tried");
+    }
+    assert_eq!(lanes.pick(ms(SHORT), now, now), None, "each with one call");
+}
+
+#[test]
+fn one_lane_takes_all_kinds() {
+    let mut lanes = lanes(1);
+    let now = Time::ZERO;
+    assert!(lanes.pick(ms(LONG), now, now).is_some());
+    assert_eq!(
+        lanes.pick(ms(SHORT), now, now),
+        Some((Incarnation(0), Time::from_millis(LONG + SHORT)))
+    );
+    assert_eq!(lanes.pick(ms(SHORT), now, now), None);
+    lanes.members(&[Incarnation(0), Incarnation(1)]);
+    assert_eq!(lanes.busy(Incarnation(0)), 2, "what is known is kept");
+    assert_eq!(lanes.pick(ms(SHORT), now, now).map(|p| p.0), Some(Incarnation(1)));
+}
