The scheduler of a shard: jobs, workers, group commit, advice and placement in one state machine

Cause: the product places the operators' jobs bucket by bucket, with reservations at the owners of racks and a committed intent before each start: two store writes and two calls between members on the way of a task of 0.7 s. A shard owns jobs and workers together, so a start is decided in memory; the store has what was taken in and what has ended, and the workers are the log of what runs (hold). What a former owner may have started is known once all workers of the roster have answered to the new token, or their leases have ended.

Ruled out: intents in the store (a write before each start), a leader for the whole cell (no way to grow), reservations between owners (two round trips more).

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -4,5 +4,15 @@
 //! that all that decides where a task runs is in one place and in memory. The state machine has no
 //! clock and does no I/O; `docs/PLATFORM.md` has the reasons.
 
+mod ask;
+mod commit;
 pub mod event;
+mod hear;
+mod jobs;
+mod machine;
+mod plan;
 pub mod record;
+mod store;
+mod workers;
+
+pub use machine::{Setup, Shard};
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -4,7 +4,7 @@
     crate::{
         ids::{Incarnation, WorkerId},
         ports::{Advice, AdviceCall, Fault, StoreReply, Txn, WorkerCall, WorkerReply},
-        shard::record::{JobRecord, Progress, Roster},
+        shard::record::{CommitRow, JobRecord, Progress, Roster},
         time::Time,
         work::{JobNo, Listed, Queues},
     },
@@ -61,9 +61,8 @@
     },
     /// The store's answer to the transaction of this number.
     Stored(u64, Result<StoreReply, Fault>),
-    /// The commit row as it was read after an unclear answer: its revision and number, or that it
-    /// could not be read.
-    Reread(Result<(u64, u64), Fault>),
+    /// The commit row and its revision, read after an unclear answer, or that it could not be read.
+    Reread(Result<(u64, CommitRow), Fault>),
     /// The store has confirmed this member's lease, asked then.
     Confirmed(Time),
     /// The members that may be asked to call for advice, this one among them.
--- /dev/null
+++ b/src/shard/jobs.rs
@@ -0,0 +1,230 @@
+//! The jobs of a shard: their steps, their tasks, and what each has come to.
+
+use {
+    crate::{
+        ids::WorkerId,
+        shard::{
+            record::{JobRecord, Progress, TaskRow},
+            workers::WorkerNo,
+        },
+        time::Time,
+        work::{Job, JobNo, State, Step, StepKey, TaskKey},
+    },
+    rustc_hash::FxHashMap,
+    std::{collections::BTreeMap, time::Duration},
+};
+
+/// Where a task is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum At {
+    /// Nowhere: it waits.
+    #[default]
+    Waiting,
+    /// At a worker.
+    There(WorkerNo),
+    /// Its work is done.
+    Done,
+}
+
+/// A task.
+#[derive(Clone, Debug, Default)]
+pub struct Task {
+    /// Where it is.
+    pub at: At,
+    /// Its last run; 0 before the first.
+    pub run: u32,
+    /// How many runs have failed.
+    pub fails: u32,
+    /// Its last checkpoint.
+    pub saved: Box<str>,
+}
+
+/// What advice on a step has said.
+#[derive(Clone, Debug, Default)]
+pub struct Tickets {
+    /// The workers that may run the step, and their tickets; what may run it does not change.
+    pub good: FxHashMap<WorkerId, (Box<str>, Time)>,
+    /// The workers that were asked about.
+    pub asked: Vec<WorkerId>,
+    /// Whether a call is out.
+    pub asking: bool,
+    /// No call before.
+    pub next: Time,
+}
+
+/// One step of one occurrence.
+#[derive(Clone, Debug, Default)]
+pub struct Part {
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// How many are not done.
+    pub left: u32,
+    /// How many wait.
+    pub waiting: u32,
+    /// What advice has said.
+    pub tickets: Tickets,
+    /// Since when it could have begun.
+    pub ready: Option<Time>,
+}
+
+/// A job that is not over.
+#[derive(Clone, Debug)]
+pub struct Active {
+    /// The name of its queue.
+    pub queue: Box<str>,
+    /// When it came, in milliseconds of the Unix clock.
+    pub came: u64,
+    /// What it says.
+    pub job: Job,
+    /// Its state.
+    pub state: State,
+    /// Whether a former owner may have started something of it.
+    pub old: bool,
+    /// Its steps that have come up, by occurrence and step.
+    pub parts: BTreeMap<(u32, u16), Part>,
+    /// The longest chain of steps by their estimates, from each step on.
+    pub tails: Box<[Duration]>,
+    /// The place in the journal of its last change.
+    pub changed: u64,
+    /// The place in the journal up to which it is stored.
+    pub stored: u64,
+}
+
+impl Active {
+    /// A job as it was stored, with what is known of it.
+    pub fn new(record: JobRecord, progress: Option<&Progress>, old: bool) -> Self {
+        let mut active = Active {
+            queue: record.queue,
+            came: record.came,
+            tails: tails(&record.job.steps),
+            job: record.job,
+            state: State::Queued,
+            old,
+            parts: BTreeMap::new(),
+            changed: 0,
+            stored: 0,
+        };
+        for row in progress.map_or(&[][..], |p| &p.tasks) {
+            let TaskRow(time, step, index, run, fails, done, ref saved) = *row;
+            active.part(time, step);
+            let Some(part) = active.parts.get_mut(&(time, step)) else { continue };
+            let Some(task) = part.tasks.get_mut(index as usize) else { continue };
+            (task.run, task.fails, task.saved) = (run, fails, saved.clone());
+            if done && task.at != At::Done {
+                task.at = At::Done;
+                part.left -= 1;
+                part.waiting -= 1;
+            }
+            active.state = State::Running;
+        }
+        active
+    }
+
+    /// The step of an occurrence, made if it is not there yet.
+    pub fn part(&mut self, time: u32, step: u16) -> Option<&mut Part> {
+        let count = self.job.steps.get(usize::from(step))?.count;
+        Some(self.parts.entry((time, step)).or_insert_with(|| Part {
+            tasks: vec![Task::default(); count as usize],
+            left: count,
+            waiting: count,
+            ..Part::default()
+        }))
+    }
+
+    /// The step that a key names.
+    pub fn step(&self, key: &StepKey) -> Option<&Step> {
+        self.job.steps.get(usize::from(key.step))
+    }
+
+    /// A task.
+    pub fn task(&mut self, key: &TaskKey) -> Option<&mut Task> {
+        let part = self.parts.get_mut(&(key.step.time, key.step.step))?;
+        part.tasks.get_mut(key.index as usize)
+    }
+
+    /// Moves a task; the counts of its step go along.
+    pub fn put(&mut self, key: &TaskKey, at: At) {
+        let Some(part) = self.parts.get_mut(&(key.step.time, key.step.step)) else { return };
+        let Some(task) = part.tasks.get_mut(key.index as usize) else { return };
+        match task.at {
+            At::Waiting => part.waiting -= 1,
+            At::Done => part.left += 1,
+            At::There(_) => {}
+        }
+        match at {
+            At::Waiting => part.waiting += 1,
+            At::Done => part.left -= 1,
+            At::There(_) => {}
+        }
+        task.at = at;
+    }
+
+    /// The longest chain of its steps.
+    pub fn chain(&self) -> Duration {
+        self.tails.iter().copied().max().unwrap_or_default()
+    }
+
+    /// How many occurrences it has.
+    pub fn times(&self) -> u32 {
+        self.job.times.map_or(1, |t| t.count)
+    }
+
+    /// When an occurrence is due, in milliseconds of the Unix clock.
+    pub fn due(&self, time: u32) -> u64 {
+        self.job.times.map_or(0, |t| t.first.saturating_add(t.every.saturating_mul(time.into())))
+    }
+
+    /// Whether all that a step waits for is done.
+    pub fn free(&self, time: u32, step: u16) -> bool {
+        let Some(s) = self.job.steps.get(usize::from(step)) else { return false };
+        s.after.iter().all(|a| self.parts.get(&(time, *a)).is_some_and(|p| p.left == 0))
+    }
+
+    /// Whether all tasks of all occurrences are done.
+    pub fn done(&self) -> bool {
+        let wanted = self.times() as usize * self.job.steps.len();
+        self.parts.len() == wanted && self.parts.values().all(|p| p.left == 0)
+    }
+
+    /// What is stored of it.
+    pub fn progress(&self, over: u64) -> Progress {
+        let mut tasks = vec![];
+        if !self.state.over() {
+            for ((time, step), part) in &self.parts {
+                for (index, t) in (0..).zip(&part.tasks) {
+                    let done = t.at == At::Done;
+                    if done || t.fails > 0 || t.run > 0 {
+                        let saved = if done { "".into() } else { t.saved.clone() };
+                        tasks.push(TaskRow(*time, *step, index, t.run, t.fails, done, saved));
+                    }
+                }
+            }
+        }
+        Progress { state: self.state, over, queue: self.queue.clone(), tasks }
+    }
+
+    /// All tasks that are at a worker.
+    pub fn there(&self, no: JobNo) -> Vec<(TaskKey, WorkerNo, u32)> {
+        let mut all = vec![];
+        for ((time, step), part) in &self.parts {
+            let step = StepKey { job: no, time: *time, step: *step };
+            for (index, task) in (0..).zip(&part.tasks) {
+                if let At::There(at) = task.at {
+                    all.push((TaskKey { step, index }, at, task.run));
+                }
+            }
+        }
+        all
+    }
+}
+
+/// The longest chain of steps by their estimates, from each step on.
+fn tails(steps: &[Step]) -> Box<[Duration]> {
+    let mut tails: Vec<u64> = steps.iter().map(|s| s.estimate).collect();
+    for (i, step) in steps.iter().enumerate().rev() {
+        for before in step.after.iter().map(|a| usize::from(*a)) {
+            tails[before] = tails[before].max(steps[before].estimate.saturating_add(tails[i]));
+        }
+    }
+    tails.into_iter().map(Duration::from_millis).collect()
+}
--- /dev/null
+++ b/src/shard/store.rs
@@ -0,0 +1,147 @@
+//! What a shard writes, and what follows once it is written.
+
+use {
+    crate::{
+        ports::{Put, Txn},
+        shard::{
+            commit::{FREE, rows},
+            event::Order,
+            machine::Shard,
+            record::{CommitRow, Progress, Roster, write},
+            workers::WorkerNo,
+        },
+        time::Time,
+        work::JobNo,
+    },
+    std::mem,
+};
+
+/// What the write that is out holds.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Flight {
+    jobs: Vec<(JobNo, u64, Option<Progress>)>,
+    purged: Vec<(u64, JobNo)>,
+    roster: Option<Vec<WorkerNo>>,
+}
+
+/// The most jobs that are purged with one write.
+const PURGE: usize = 12;
+
+impl Shard {
+    /// Begins a write, if there is something to write and none is out.
+    pub(super) fn flush(&mut self, now: Time) {
+        let unix = self.unix(now);
+        let purge = self.purge.front().is_some_and(|(at, _)| *at <= unix);
+        if (self.dirty.is_empty() && !self.roster && !purge) || !self.commit.open(now) {
+            return;
+        }
+        let (number, rev) = self.commit.begin(now);
+        let shard = self.setup.shard;
+        let row = CommitRow { token: self.setup.token, number };
+        let mut txn = Txn::default();
+        txn.expect.push((shard.commit(), rev));
+        txn.puts.push(Put { key: shard.commit(), value: write(&row), lease: 0 });
+        let mut flight = Flight::default();
+        if mem::take(&mut self.roster) {
+            flight.roster = Some(self.write_roster(&mut txn));
+        }
+        self.write_jobs(&mut txn, &mut flight, unix);
+        while flight.purged.len() < PURGE
+            && rows(&txn) < FREE
+            && let Some((at, no)) = self.purge.front().copied()
+            && at <= unix
+        {
+            self.purge.pop_front();
+            flight.purged.push((at, no));
+            txn.remove.push(shard.progress(no));
+        }
+        self.flight = flight;
+        self.out.push(Order::Store(number, txn));
+    }
+
+    fn write_roster(&mut self, txn: &mut Txn) -> Vec<WorkerNo> {
+        let may_run = |w: &super::workers::Worker| {
+            !w.gone && (w.listed.is_some() || !w.runs.is_empty() || !w.fenced)
+        };
+        let all: Vec<_> =
+            (0..self.workers.len()).map(WorkerNo).filter(|n| may_run(&self.workers[n.0])).collect();
+        let place = |n: &WorkerNo| (self.workers[n.0].id.clone(), self.workers[n.0].addr);
+        let roster = Roster { workers: all.iter().map(place).collect() };
+        txn.puts.push(Put { key: self.setup.shard.roster(), value: write(&roster), lease: 0 });
+        // Until it is stored, those that it leaves out may not be used.
+        for (n, w) in self.workers.iter_mut().enumerate() {
+            w.rostered &= all.binary_search(&WorkerNo(n)).is_ok();
+        }
+        all
+    }
+
+    fn write_jobs(&mut self, txn: &mut Txn, flight: &mut Flight, unix: u64) {
+        let shard = self.setup.shard;
+        while rows(txn) + 3 <= FREE + 2 {
+            let Some(no) = self.dirty.pop_front() else { break };
+            let Some(job) = self.jobs.get_mut(&no) else { continue };
+            let over = job.state.over();
+            let progress = job.progress(if over { unix } else { 0 });
+            job.stored = job.changed;
+            let value = write(&progress);
+            txn.puts.push(Put { key: shard.progress(no), value, lease: 0 });
+            if over {
+                txn.remove.push(shard.job(no));
+                txn.remove.push(shard.cancel(no));
+            }
+            flight.jobs.push((no, job.changed, over.then_some(progress)));
+        }
+    }
+
+    /// The write is done: what it held counts from now on.
+    pub(super) fn stored(&mut self, now: Time) {
+        let flight = mem::take(&mut self.flight);
+        for (no, _, over) in flight.jobs {
+            let Some(progress) = over else { continue };
+            self.jobs.remove(&no);
+            self.over.insert(no, progress.state);
+            self.purge.push_back((progress.over + self.kept(), no));
+        }
+        for (_, no) in flight.purged {
+            self.over.remove(&no);
+        }
+        for no in flight.roster.into_iter().flatten() {
+            self.workers[no.0].rostered = true;
+            self.stir = true;
+        }
+        self.note(now);
+    }
+
+    /// The write was not done: what it held has to be written again.
+    pub(super) fn unstored(&mut self) {
+        let flight = mem::take(&mut self.flight);
+        for (no, ..) in flight.jobs.into_iter().rev() {
+            let Some(job) = self.jobs.get_mut(&no) else { continue };
+            if job.stored == job.changed {
+                self.dirty.push_front(no);
+            }
+            job.stored = 0;
+        }
+        for gone in flight.purged.into_iter().rev() {
+            self.purge.push_front(gone);
+        }
+        self.roster |= flight.roster.is_some();
+    }
+
+    /// Ends whose jobs are stored are noted with the next hold of their worker.
+    fn note(&mut self, now: Time) {
+        let busy: Vec<JobNo> = self.flight.jobs.iter().map(|f| f.0).collect();
+        let (jobs, workers) = (&self.jobs, &mut self.workers);
+        for w in workers.iter_mut().filter(|w| !w.pending.is_empty()) {
+            while let Some((number, no, place)) = w.pending.front().copied() {
+                let stored = jobs.get(&no).is_none_or(|j| j.stored >= place);
+                if !stored || busy.contains(&no) {
+                    break;
+                }
+                w.seen = number;
+                w.pending.pop_front();
+                w.next = now;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/shard/workers.rs
@@ -0,0 +1,234 @@
+//! The workers of a shard: what is known to run on each, what it has room for, and its lease.
+
+use {
+    crate::{
+        ids::{PoolId, WorkerId},
+        ports::{Bounds, Row},
+        time::Time,
+        units::Size,
+        work::{JobNo, Listed, TaskKey},
+    },
+    rustc_hash::FxHashMap,
+    std::{collections::VecDeque, net::SocketAddr, time::Duration},
+};
+
+/// The slowest that a worker's clock runs.
+const SLOW: f64 = 0.98;
+/// Added to a bound on another machine's clock, for the way and the rounding.
+const MARGIN: Duration = Duration::from_millis(250);
+/// How much shorter than allowed a lease is asked for, so that it is never cut.
+const SHORTER: Duration = Duration::from_millis(200);
+
+/// The number of a worker's life within one owner's reign; never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
+pub struct WorkerNo(pub usize);
+
+/// What is known of a run at a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Its start was sent.
+    Starting,
+    /// Its start had no answer: it may be there, or come later.
+    Unsure,
+    /// It is there.
+    Running,
+    /// It has to end, and counts until it has.
+    Stopping,
+}
+
+/// A run at a worker.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Its number.
+    pub run: u32,
+    /// What it takes.
+    pub size: Size,
+    /// What is known of it.
+    pub phase: Phase,
+    /// When the last order on it went out.
+    pub sent: Time,
+    /// Since when an answer without it shows that it is gone.
+    pub known: Option<Time>,
+    /// When it was started.
+    pub began: Time,
+    /// How often its start was sent.
+    pub tries: u32,
+    /// How much of its work was done at its start and at the last look, in hundredths.
+    pub percent: (u8, u8),
+    /// Its last checkpoint.
+    pub saved: Box<str>,
+    /// Of a serving task, its tail in milliseconds.
+    pub load: u64,
+    /// Its pace, in hundredths.
+    pub pace: u8,
+    /// Whether it serves others under a target, in milliseconds.
+    pub target: u64,
+    /// Whether it lives on what others leave.
+    pub fills: bool,
+    /// What its work is expected to take.
+    pub estimate: Duration,
+}
+
+/// One life of a worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Its id.
+    pub id: WorkerId,
+    /// Where it takes orders.
+    pub addr: SocketAddr,
+    /// As the list has it; nothing once it has left the list.
+    pub listed: Option<Listed>,
+    /// Whether it has answered to this owner's token.
+    pub fenced: bool,
+    /// Whether the store knows that something of this shard may run there.
+    pub rostered: bool,
+    /// Whether nothing can run there any more.
+    pub gone: bool,
+    /// When it was first heard of.
+    pub since: Time,
+    /// When it was first seen to be leaving.
+    pub leaving: Option<Time>,
+    /// What runs or may run there.
+    pub runs: FxHashMap<TaskKey, Run>,
+    /// The sum of what runs there.
+    pub used: Size,
+    /// The number of the last end that was taken in.
+    pub got: u64,
+    /// The number of the last end that is stored.
+    pub seen: u64,
+    /// Ends that are taken in and not stored yet: their numbers, jobs and places in the journal.
+    pub pending: VecDeque<(u64, JobNo, u64)>,
+    /// When the hold that is out was sent.
+    pub holding: Option<Time>,
+    /// When the next hold is due, if none is out.
+    pub next: Time,
+    /// The last answer.
+    pub heard: Option<Time>,
+    /// Calls without an answer since then.
+    pub silent: u32,
+    /// Its clock in milliseconds, and when that was read at the latest.
+    clock: Option<(u64, Time)>,
+    /// The longest lease that was asked for, on its clock.
+    until: u64,
+    /// No start before.
+    pub unwell: Time,
+}
+
+impl Worker {
+    /// A worker of which nothing but its place is known.
+    pub fn new(id: WorkerId, addr: SocketAddr, now: Time) -> Self {
+        Worker {
+            id,
+            addr,
+            listed: None,
+            fenced: false,
+            rostered: false,
+            gone: false,
+            since: now,
+            leaving: None,
+            runs: FxHashMap::default(),
+            used: Size::default(),
+            got: 0,
+            seen: 0,
+            pending: VecDeque::new(),
+            holding: None,
+            next: now,
+            heard: None,
+            silent: 0,
+            clock: None,
+            until: 0,
+            unwell: Time::ZERO,
+        }
+    }
+
+    /// Whether it may get starts.
+    pub fn usable(&self, now: Time) -> bool {
+        self.fenced
+            && self.rostered
+            && !self.gone
+            && self.leaving.is_none()
+            && self.listed.is_some()
+            && self.silent == 0
+            && self.unwell <= now
+    }
+
+    /// Its pool.
+    pub fn pool(&self) -> Option<&PoolId> {
+        self.listed.as_ref().map(|l| &l.pool)
+    }
+
+    /// What is left of its room.
+    pub fn free(&self) -> Size {
+        self.listed.as_ref().map_or(Size::default(), |l| l.size.saturating_sub(&self.used))
+    }
+
+    /// Notes its clock, as an answer to a call has shown it.
+    pub fn tick(&mut self, clock: u64, now: Time) {
+        if self.clock.is_none_or(|(c, _)| clock >= c) {
+            self.clock = Some((clock, now));
+        }
+    }
+
+    /// A lease from now on, on its clock; nothing before its clock is known.
+    pub fn lease(&mut self, bounds: &Bounds, now: Time) -> Option<u64> {
+        let (clock, at) = self.clock?;
+        let length = bounds.hold.saturating_sub(SHORTER);
+        let until = clock + millis(now - at) + millis(length);
+        self.until = self.until.max(until);
+        Some(self.until)
+    }
+
+    /// When the lease of all that runs there has certainly ended.
+    ///
+    /// Guards against a second run beside one that is cut off and goes on: leases are times on the
+    /// worker's own clock, which may be slow, so the bound counts from when its clock was last read
+    /// and holds whenever the renewals that had no answer arrive.
+    pub fn lapse(&self, bounds: &Bounds) -> Time {
+        let Some((clock, at)) = self.clock else {
+            return self.since + bounds.hold.div_f64(SLOW) + MARGIN;
+        };
+        let left = Duration::from_millis(self.until.saturating_sub(clock));
+        at + left.div_f64(SLOW) + MARGIN
+    }
+
+    /// Counts a run.
+    pub fn add(&mut self, task: TaskKey, run: Run) {
+        self.used += run.size;
+        if let Some(old) = self.runs.insert(task, run) {
+            self.used = self.used.saturating_sub(&old.size);
+        }
+    }
+
+    /// Forgets a run; returns it.
+    pub fn take(&mut self, task: &TaskKey, run: u32) -> Option<Run> {
+        if self.runs.get(task)?.run != run {
+            return None;
+        }
+        let old = self.runs.remove(task)?;
+        self.used = self.used.saturating_sub(&old.size);
+        Some(old)
+    }
+
+    /// Whether a serving task is there.
+    pub fn serves(&self) -> bool {
+        self.runs.values().any(|r| r.target > 0)
+    }
+
+    /// Takes in what a look at a run has shown.
+    pub fn look(run: &mut Run, row: &Row, now: Time) {
+        if matches!(run.phase, Phase::Starting | Phase::Unsure) {
+            run.phase = Phase::Running;
+        }
+        run.known.get_or_insert(now);
+        run.percent.1 = row.percent;
+        run.load = row.load;
+        if !row.saved.is_empty() {
+            run.saved = row.saved.clone();
+        }
+    }
+}
+
+/// Whole milliseconds of a duration.
+pub fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
