--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -49,17 +49,22 @@
             Ok(WorkerReply::Done(clock) | WorkerReply::Refused(clock, _)) => {
                 worker.tick(*clock, now);
                 worker.heard = Some(now);
+                worker.unsure = 0;
             }
             Ok(WorkerReply::Held(held)) => {
                 worker.tick(held.clock, now);
                 worker.heard = Some(now);
                 worker.silent = 0;
+                worker.unsure = 0;
             }
             Ok(WorkerReply::Unwell) => worker.unwell = now + UNWELL,
+            Err(Fault::Unsent) => worker.silent += 1,
             Err(_) => {
-                worker.silent += 1;
-                // A run that may be there must be asked about soon.
-                worker.next = worker.next.min(now + SILENT.0);
+                worker.unsure += 1;
+                let hold = matches!(call, WorkerCall::Hold { .. });
+                // One order without an answer is an order that comes late; two, or a look without
+                // one, are a worker that may be gone.
+                worker.silent += u32::from(hold || worker.unsure > 1);
             }
         }
         match call {
@@ -268,7 +273,7 @@
                 }
             }
             Ok(WorkerReply::Refused(_, Refusal::Bad)) => {
-                self.failed(&start.task, now);
+                self.failed(&start.task, start.run, now);
             }
             _ => {
                 worker.unwell = now + UNWELL;
@@ -378,7 +383,7 @@
         }
         match how {
             How::Done if counts && !step.lasts => self.done(task, step.gang, run, now),
-            How::Failed => self.failed(task, now),
+            How::Failed => self.failed(task, run, now),
             _ => {}
         }
         if mine && how != How::Done && step.gang {
@@ -403,16 +408,22 @@
         }
     }
 
-    /// A run has failed; counts once for all members of a gang.
-    fn failed(&mut self, task: &TaskKey, now: Time) {
+    /// A run has failed; counts once, for all members of a gang as well.
+    ///
+    /// Guards against an end that is told twice: a new owner hears of ends again that the store has
+    /// and the worker was not told so, and a job would be called failed before its time.
+    fn failed(&mut self, task: &TaskKey, run: u32, now: Time) {
         let no = task.step.job;
         let Some(job) = self.jobs.get_mut(&no) else { return };
         let Some(step) = job.step(&task.step).cloned() else { return };
         let attempts = self.known.get(&job.queue).map_or(u32::MAX, |q| q.attempts.max(1));
         let key = if step.gang { TaskKey { step: task.step, index: 0 } } else { *task };
         let Some(t) = job.task(&key) else { return };
-        t.fails += 1;
-        if t.fails >= attempts && !step.lasts && !job.state.over() {
+        if t.fails.contains(&run) {
+            return;
+        }
+        t.fails.push(run);
+        if t.fails.len() >= attempts as usize && !step.lasts && !job.state.over() {
             self.end(no, State::Failed, now);
         }
     }
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -33,8 +33,8 @@
     pub at: At,
     /// Its last run; 0 before the first.
     pub run: u32,
-    /// How many runs have failed.
-    pub fails: u32,
+    /// The runs that have failed.
+    pub fails: Vec<u32>,
     /// Its last checkpoint.
     pub saved: Box<str>,
 }
@@ -105,11 +105,11 @@
             stored: 0,
         };
         for row in progress.map_or(&[][..], |p| &p.tasks) {
-            let TaskRow(time, step, index, run, fails, done, ref saved) = *row;
+            let TaskRow(time, step, index, run, ref fails, done, ref saved) = *row;
             active.part(time, step);
             let Some(part) = active.parts.get_mut(&(time, step)) else { continue };
             let Some(task) = part.tasks.get_mut(index as usize) else { continue };
-            (task.run, task.fails, task.saved) = (run, fails, saved.clone());
+            (task.run, task.fails, task.saved) = (run, fails.clone(), saved.clone());
             if done && task.at != At::Done {
                 task.at = At::Done;
                 part.left -= 1;
@@ -193,9 +193,10 @@
             for ((time, step), part) in &self.parts {
                 for (index, t) in (0..).zip(&part.tasks) {
                     let done = t.at == At::Done;
-                    if done || t.fails > 0 || t.run > 0 {
+                    if done || t.run > 0 {
                         let saved = if done { "".into() } else { t.saved.clone() };
-                        tasks.push(TaskRow(*time, *step, index, t.run, t.fails, done, saved));
+                        let fails = t.fails.clone();
+                        tasks.push(TaskRow(*time, *step, index, t.run, fails, done, saved));
                     }
                 }
             }
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -169,8 +169,8 @@
     pub u32,
     /// The last run that is known.
     pub u32,
-    /// How many runs have failed.
-    pub u32,
+    /// The runs that have failed.
+    pub Vec<u32>,
     /// Whether its work is done.
     pub bool,
     /// Its last checkpoint.
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -106,6 +106,8 @@
     pub heard: Option<Time>,
     /// Calls without an answer since then.
     pub silent: u32,
+    /// Orders without an answer since the last one.
+    pub unsure: u32,
     /// Its clock in milliseconds, and when that was read at the latest.
     clock: Option<(u64, Time)>,
     /// The longest lease that was asked for, on its clock.
@@ -135,6 +137,7 @@
             next: now,
             heard: None,
             silent: 0,
+            unsure: 0,
             clock: None,
             until: 0,
             unwell: Time::ZERO,
