--- a/src/ports.rs
+++ b/src/ports.rs
@@ -209,7 +209,7 @@
 pub enum WorkerReply {
     /// Done; its clock, in milliseconds.
     Done(u64),
-    /// Nothing was done; its clock, and why.
+    /// Nothing was done; its clock, or 0 where the answer doesn't tell it, and why.
     Refused(u64, Refusal),
     /// What runs and what has ended.
     Held(Held),
