--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -165,9 +165,9 @@
         self.listed.as_ref().map_or(Size::default(), |l| l.size.saturating_sub(&self.used))
     }
 
-    /// Notes its clock, as an answer to a call has shown it.
+    /// Notes its clock, as an answer to a call has shown it; 0 where the answer didn't.
     pub fn tick(&mut self, clock: u64, now: Time) {
-        if self.clock.is_none_or(|(c, _)| clock >= c) {
+        if clock > 0 && self.clock.is_none_or(|(c, _)| clock >= c) {
             self.clock = Some((clock, now));
         }
     }
