--- /dev/null
+++ b/src/common.rs
@@ -0,0 +1,151 @@
+//! What the duties of a member on a site share: the clock, the settings, the configuration and the
+//! table as they are known now.
+
+use {
+    crate::{
+        ids::Incarnation,
+        metrics::Metrics,
+        ports::{Forms, Item, Rev, Site},
+        store::Outside,
+        table::View,
+        time::Time,
+        work::Queues,
+    },
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    tokio::sync::watch,
+};
+
+/// How long the store may be silent before this member isn't ready.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// A version of the configuration, and the revision of its item in the store.
+#[derive(Clone, Debug)]
+pub(crate) struct Config {
+    /// The item's revision.
+    pub rev: Rev,
+    /// What it says.
+    pub queues: Arc<Queues>,
+}
+
+/// What the duties share.
+pub(crate) struct Common {
+    /// How the outside is spoken to.
+    pub forms: &'static Forms,
+    /// This process.
+    pub me: Incarnation,
+    /// The Unix time, in milliseconds, at [`Time::ZERO`].
+    pub unix: u64,
+    /// The member's metrics.
+    pub metrics: Arc<Metrics>,
+    /// The settings.
+    pub site: watch::Sender<Arc<Site>>,
+    /// The configuration, once one is known.
+    pub config: watch::Sender<Option<Config>>,
+    /// The table.
+    pub view: watch::Sender<Arc<View>>,
+    /// Whether this member is stopping.
+    pub stop: watch::Sender<bool>,
+    start: Instant,
+    contact: AtomicU64,
+    registered: AtomicBool,
+}
+
+/// The Unix time, in milliseconds.
+pub(crate) fn unix() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
+impl Common {
+    /// What is known at the start.
+    pub fn new(forms: &'static Forms, site: Site, me: Incarnation, metrics: Arc<Metrics>) -> Self {
+        Common {
+            forms,
+            me,
+            unix: unix(),
+            metrics,
+            site: watch::Sender::new(Arc::new(site)),
+            config: watch::Sender::new(None),
+            view: watch::Sender::new(Arc::default()),
+            stop: watch::Sender::new(false),
+            start: Instant::now(),
+            contact: AtomicU64::new(0),
+            registered: AtomicBool::new(false),
+        }
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.start.elapsed()
+    }
+
+    /// A client of the outside, for the thread that asks for it.
+    pub fn outside(self: &Arc<Self>) -> Outside {
+        let common = self.clone();
+        let heard = move || common.contact.store(common.now().0, Ordering::Relaxed);
+        Outside::new(self.forms, self.site.subscribe(), self.metrics.clone(), Arc::new(heard))
+    }
+
+    /// When the store last answered.
+    pub fn contact(&self) -> Option<Time> {
+        Some(Time(self.contact.load(Ordering::Relaxed))).filter(|t| *t > Time::ZERO)
+    }
+
+    /// Whether this member is stopping.
+    pub fn stopping(&self) -> bool {
+        *self.stop.borrow()
+    }
+
+    /// Waits until this member is told to stop.
+    pub async fn stopped(&self) {
+        let mut stop = self.stop.subscribe();
+        // An end of the sender means the same.
+        let _ = stop.wait_for(|s| *s).await;
+    }
+
+    /// Notes whether this member's row stands in the table.
+    pub fn register(&self, registered: bool) {
+        self.registered.store(registered, Ordering::Relaxed);
+    }
+
+    /// Whether callers can be served here.
+    pub fn ready(&self) -> bool {
+        let heard = self.contact().is_some_and(|at| self.now() - at <= CONTACT);
+        let registered = self.registered.load(Ordering::Relaxed);
+        heard && registered && !self.stopping() && self.config.borrow().is_some()
+    }
+
+    /// Takes in the configuration's item.
+    ///
+    /// Nothing goes back: neither to an earlier change nor to a lower version. Guards against a
+    /// caller's answer, which may carry an older item than the watch has brought by then.
+    pub fn take_config(&self, item: &Item) {
+        let known = self.config.borrow().clone();
+        let Some(value) = &item.value else { return };
+        if known.as_ref().is_some_and(|k| k.rev >= item.rev) {
+            return;
+        }
+        let queues = match (self.forms.queues)(value) {
+            Ok(queues) => queues,
+            Err(e) => {
+                log::error!(target: "config", "The configuration can't be read: {e}.");
+                return;
+            }
+        };
+        self.config.send_if_modified(|now| {
+            if now.as_ref().is_some_and(|k| k.rev >= item.rev) {
+                return false;
+            }
+            let kept = now.as_ref().filter(|k| k.queues.version >= queues.version);
+            let queues = kept.map_or_else(|| Arc::new(queues), |k| k.queues.clone());
+            *now = Some(Config { rev: item.rev, queues });
+            true
+        });
+    }
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,274 @@
+//! Control calls between members: advice by another machine's hand, a job's state, a queue's length.
+
+use {
+    crate::{
+        common::Common,
+        decisions::Told,
+        ids::WorkerId,
+        member::Gate,
+        ports::{Advice, AdviceCall, Fault},
+        rpc,
+        shard::record::ShardNo,
+        work::{JobNo, State, StepKey},
+    },
+    async_channel::Sender,
+    jsonrpsee::{
+        RpcModule, core::client::ClientT, http_client::HttpClient, types::ErrorObjectOwned,
+    },
+    rustc_hash::FxHashMap,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{
+        io,
+        net::{SocketAddr, TcpListener},
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::{sync::oneshot, time::timeout},
+};
+
+/// The longest that any call may take; each has its own limit besides.
+const LONGEST: Duration = Duration::from_secs(30);
+/// What the codes of JSON-RPC leave to an application.
+const REFUSED: i32 = -32000;
+
+/// A call for advice, as a member passes it to another.
+#[derive(Debug, Serialize, Deserialize)]
+struct AdviseAsk {
+    job: Box<str>,
+    time: u32,
+    step: u16,
+    workers: Vec<WorkerId>,
+    limit_ms: u64,
+}
+
+/// How advice went at the member that called for it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum AdviseAnswer {
+    Told { good: Vec<(WorkerId, Box<str>)>, valid_ms: Option<u64> },
+    Refused,
+    Unsent,
+    Unknown,
+    Bad(Box<str>),
+}
+
+/// A question for a job's state.
+#[derive(Debug, Serialize, Deserialize)]
+struct StateAsk {
+    shard: ShardNo,
+    job: Box<str>,
+}
+
+/// A question for a queue's length.
+#[derive(Debug, Serialize, Deserialize)]
+struct WaitingAsk {
+    queue: Box<str>,
+    shards: Box<[ShardNo]>,
+}
+
+impl From<Result<Advice, Fault>> for AdviseAnswer {
+    fn from(reply: Result<Advice, Fault>) -> Self {
+        let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
+        match reply {
+            Ok(a) => AdviseAnswer::Told { good: a.good, valid_ms: a.valid.map(ms) },
+            Err(Fault::Refused) => AdviseAnswer::Refused,
+            Err(Fault::Unsent) => AdviseAnswer::Unsent,
+            Err(Fault::Unknown) => AdviseAnswer::Unknown,
+            Err(Fault::Bad(why)) => AdviseAnswer::Bad(why),
+        }
+    }
+}
+
+impl From<AdviseAnswer> for Result<Advice, Fault> {
+    fn from(answer: AdviseAnswer) -> Self {
+        match answer {
+            AdviseAnswer::Told { good, valid_ms } => {
+                Ok(Advice { good, valid: valid_ms.map(Duration::from_millis) })
+            }
+            AdviseAnswer::Refused => Err(Fault::Refused),
+            AdviseAnswer::Unsent => Err(Fault::Unsent),
+            AdviseAnswer::Unknown => Err(Fault::Unknown),
+            AdviseAnswer::Bad(why) => Err(Fault::Bad(why)),
+        }
+    }
+}
+
+/// Serves other members until this one stops.
+///
+/// The secret that they show stands in the layout, so nobody is served before there is one.
+pub(crate) async fn serve(
+    common: Arc<Common>,
+    listener: TcpListener,
+    told: Sender<Told>,
+) -> io::Result<()> {
+    let mut views = common.view.subscribe();
+    let secret = match views.wait_for(|v| v.layout.is_some()).await {
+        Ok(view) => view.layout.as_ref().map(|l| l.secret.clone()).unwrap_or_default(),
+        Err(_) => return Ok(()),
+    };
+    let gate = Gate::new(&secret, common.metrics.clone());
+    let module = module(&common, told).map_err(io::Error::other)?;
+    let server = rpc::serve(listener, gate, module).await?;
+    // It ends with the process: other members ask a stopping one until its shards have moved.
+    server.stopped().await;
+    Ok(())
+}
+
+fn module(
+    common: &Arc<Common>,
+    told: Sender<Told>,
+) -> Result<RpcModule<()>, jsonrpsee::core::RegisterMethodError> {
+    let mut module = RpcModule::new(());
+    let outside = common.outside();
+    module.register_async_method("advise", move |params, _, _| {
+        let outside = outside.clone();
+        async move {
+            let ask: AdviseAsk = params.one()?;
+            let job: JobNo = ask.job.parse().map_err(bad)?;
+            let step = StepKey { job, time: ask.time, step: ask.step };
+            let call = AdviceCall { step, workers: ask.workers };
+            let limit = Duration::from_millis(ask.limit_ms).min(LONGEST);
+            let answer = AdviseAnswer::from(outside.advice(&call, limit).await);
+            Ok::<_, ErrorObjectOwned>(answer)
+        }
+    })?;
+    let asked = told.clone();
+    module.register_async_method("state", move |params, _, _| {
+        let told = asked.clone();
+        async move {
+            let ask: StateAsk = params.one()?;
+            let job: JobNo = ask.job.parse().map_err(bad)?;
+            Ok::<_, ErrorObjectOwned>(state_here(&told, ask.shard, job).await)
+        }
+    })?;
+    module.register_async_method("waiting", move |params, _, _| {
+        let told = told.clone();
+        async move {
+            let ask: WaitingAsk = params.one()?;
+            Ok::<_, ErrorObjectOwned>(waiting_here(&told, ask.queue, ask.shards).await)
+        }
+    })?;
+    Ok(module)
+}
+
+fn bad(e: crate::Error) -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(REFUSED, e.to_string(), None::<()>)
+}
+
+/// How a job stands, by this member's own decisions.
+pub(crate) async fn state_here(told: &Sender<Told>, shard: ShardNo, job: JobNo) -> Option<State> {
+    let (to, from) = oneshot::channel();
+    told.try_send(Told::State(shard, job, to)).ok()?;
+    from.await.ok().flatten()
+}
+
+/// How many jobs of a queue have not begun, by this member's own decisions.
+pub(crate) async fn waiting_here(
+    told: &Sender<Told>,
+    queue: Box<str>,
+    shards: Box<[ShardNo]>,
+) -> Option<u64> {
+    let (to, from) = oneshot::channel();
+    told.try_send(Told::Waiting(queue, shards, to)).ok()?;
+    from.await.ok().flatten()
+}
+
+/// Clients of other members, kept for each address; belongs to one thread.
+#[derive(Clone)]
+pub(crate) struct Peers {
+    common: Arc<Common>,
+    clients: Arc<Mutex<FxHashMap<SocketAddr, HttpClient>>>,
+}
+
+impl Peers {
+    /// No client yet.
+    pub fn new(common: Arc<Common>) -> Self {
+        Peers { common, clients: Arc::default() }
+    }
+
+    /// Asks another member to call for advice.
+    pub async fn advise(
+        &self,
+        addr: SocketAddr,
+        call: &AdviceCall,
+        limit: Duration,
+    ) -> Result<Advice, Fault> {
+        let ask = AdviseAsk {
+            job: call.step.job.to_string().into(),
+            time: call.step.time,
+            step: call.step.step,
+            workers: call.workers.clone(),
+            limit_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
+        };
+        let answer: AdviseAnswer =
+            self.call(addr, "advise", &ask, limit).await.ok_or(Fault::Unknown)?;
+        answer.into()
+    }
+
+    /// How a job stands at the member that owns its shard; nothing where it doesn't say.
+    pub async fn state(
+        &self,
+        addr: SocketAddr,
+        shard: ShardNo,
+        job: JobNo,
+        limit: Duration,
+    ) -> Option<State> {
+        let ask = StateAsk { shard, job: job.to_string().into() };
+        self.call(addr, "state", &ask, limit).await.flatten()
+    }
+
+    /// How many jobs of a queue have not begun, of shards that a member owns; nothing where it
+    /// doesn't say.
+    pub async fn waiting(
+        &self,
+        addr: SocketAddr,
+        queue: &str,
+        shards: &[ShardNo],
+        limit: Duration,
+    ) -> Option<u64> {
+        let ask = WaitingAsk { queue: queue.into(), shards: shards.into() };
+        self.call(addr, "waiting", &ask, limit).await.flatten()
+    }
+
+    /// Calls a member.
+    ///
+    /// A client whose call ran out of time is dropped with its connections: one of them may have
+    /// gone silent for good, and the next call would wait on it again.
+    async fn call<A: Serialize, R: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        name: &'static str,
+        ask: &A,
+        limit: Duration,
+    ) -> Option<R> {
+        let client = self.client(addr)?;
+        let ask = serde_json::value::to_raw_value(ask).ok()?;
+        let answer = timeout(limit, client.request(name, [ask])).await;
+        let said = match &answer {
+            Ok(Ok(_)) => "done",
+            Ok(Err(_)) => "failed",
+            Err(_) => "timeout",
+        };
+        self.common.metrics.called(name, said);
+        if !matches!(answer, Ok(Ok(_))) {
+            self.clients.lock().expect("no holder panics").remove(&addr);
+        }
+        answer.ok()?.ok()
+    }
+
+    fn client(&self, addr: SocketAddr) -> Option<HttpClient> {
+        let mut clients = self.clients.lock().expect("no holder panics");
+        if let Some(known) = clients.get(&addr) {
+            return Some(known.clone());
+        }
+        let view = self.common.view.borrow();
+        let secret = &view.layout.as_ref()?.secret;
+        let new = rpc::client(addr, secret, LONGEST).ok()?;
+        // Addresses of machines that are gone don't pile up: those in use come back.
+        if clients.len() > 1024 {
+            clients.clear();
+        }
+        clients.insert(addr, new.clone());
+        Some(new)
+    }
+}
--- /dev/null
+++ b/src/decisions.rs
@@ -0,0 +1,245 @@
+//! The decisions' duty: the shards that this member owns, and the rings to and from them.
+
+use {
+    crate::{
+        common::Common,
+        ports::Fault,
+        shard::{
+            Setup, Shard,
+            event::{Event, Load, Order},
+            record::ShardNo,
+        },
+        time::Time,
+        work::{JobNo, State},
+    },
+    async_channel::{Receiver, Sender, TrySendError},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    tokio::{
+        sync::oneshot,
+        time::{MissedTickBehavior, interval},
+    },
+};
+
+/// How often time is let pass for the shards.
+const TICK: Duration = Duration::from_millis(20);
+/// How long a shard may take to settle its writes before it is released.
+const SETTLE: Duration = Duration::from_millis(1200);
+/// The most that is taken in between two looks at the clock.
+const BURST: usize = 64;
+
+/// What the decisions are told.
+pub(crate) enum Told {
+    /// This member owns a shard, with this token.
+    Own(ShardNo, u64, Box<Load>),
+    /// Something for a shard that is owned with this token.
+    Event(ShardNo, u64, Event),
+    /// Something for all shards.
+    All(Event),
+    /// Another member owns a shard.
+    Forget(ShardNo),
+    /// Settle what is written, and tell when that is done.
+    Release,
+    /// How a job stands.
+    State(ShardNo, JobNo, oneshot::Sender<Option<State>>),
+    /// How many jobs of a queue have not begun, of these shards; nothing where one isn't here.
+    Waiting(Box<str>, Box<[ShardNo]>, oneshot::Sender<Option<u64>>),
+}
+
+/// What the decisions order.
+pub(crate) enum Out {
+    /// Something of a shard that is owned with this token.
+    Order(ShardNo, u64, Order),
+    /// A shard has settled its writes, and can be released.
+    Settled(ShardNo),
+    /// A shard was taken away.
+    Deposed(ShardNo),
+}
+
+struct Running {
+    token: u64,
+    shard: Shard,
+}
+
+/// The decisions.
+pub(crate) struct Decisions {
+    common: Arc<Common>,
+    told: Receiver<Told>,
+    out: Sender<Out>,
+    notes: Sender<Out>,
+    shards: BTreeMap<ShardNo, Running>,
+    /// What follows from orders that found their ring full; taken in with the next tick.
+    later: Vec<(ShardNo, u64, Event)>,
+    confirmed: Option<Time>,
+    /// Until when the shards may settle, once they are to be released.
+    release: Option<Time>,
+}
+
+impl Decisions {
+    /// Decisions over no shard; orders go to `out`, what concerns owning to `notes`.
+    pub fn new(
+        common: Arc<Common>,
+        told: Receiver<Told>,
+        out: Sender<Out>,
+        notes: Sender<Out>,
+    ) -> Self {
+        let (shards, later) = (BTreeMap::new(), vec![]);
+        Decisions { common, told, out, notes, shards, later, confirmed: None, release: None }
+    }
+
+    /// Takes in what it is told until the ring is closed.
+    ///
+    /// A member that owns nothing has no ticks: it costs nothing but what it is told.
+    pub async fn run(mut self) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let told = tokio::select! {
+                biased;
+                _ = ticks.tick(), if !self.shards.is_empty() => None,
+                told = self.told.recv() => match told {
+                    Ok(told) => Some(told),
+                    Err(_) => return,
+                },
+            };
+            let Some(told) = told else {
+                self.tick().await;
+                continue;
+            };
+            self.take(told).await;
+            for _ in 0..BURST {
+                let Ok(told) = self.told.try_recv() else { break };
+                self.take(told).await;
+            }
+        }
+    }
+
+    async fn take(&mut self, told: Told) {
+        match told {
+            Told::Own(shard, token, load) => self.own(shard, token, *load).await,
+            Told::Event(shard, token, event) => self.event(shard, token, event).await,
+            Told::All(event) => self.all(event).await,
+            Told::Forget(shard) => {
+                self.shards.remove(&shard);
+            }
+            Told::Release => {
+                self.release = Some(self.common.now() + SETTLE);
+                self.settle().await;
+            }
+            Told::State(shard, job, to) => {
+                let _ = to.send(self.shards.get(&shard).and_then(|r| r.shard.state(job)));
+            }
+            Told::Waiting(queue, shards, to) => {
+                let one = |s| self.shards.get(s).map(|r| r.shard.waiting(&queue));
+                let _ = to.send(shards.iter().map(one).sum());
+            }
+        }
+    }
+
+    async fn own(&mut self, no: ShardNo, token: u64, load: Load) {
+        if self.release.is_some() {
+            let _ = self.notes.send(Out::Settled(no)).await;
+            return;
+        }
+        let bounds = self.common.site.borrow().bounds;
+        let (me, unix) = (self.common.me, self.common.unix);
+        let setup = Setup { shard: no, me, token, bounds, unix };
+        let shard = Shard::new(setup, load, self.common.now());
+        self.shards.insert(no, Running { token, shard });
+        let config = self.common.config.borrow().clone();
+        if let Some(config) = config {
+            self.event(no, token, Event::Queues(config.queues)).await;
+        }
+        let peers = self.common.view.borrow().able();
+        self.event(no, token, Event::Peers(peers)).await;
+        if let Some(at) = self.confirmed {
+            self.event(no, token, Event::Confirmed(at)).await;
+        }
+    }
+
+    async fn all(&mut self, event: Event) {
+        if let Event::Confirmed(at) = &event {
+            self.confirmed = self.confirmed.max(Some(*at));
+        }
+        let all: Vec<_> = self.shards.iter().map(|(s, r)| (*s, r.token)).collect();
+        for (shard, token) in all {
+            self.event(shard, token, event.clone()).await;
+        }
+    }
+
+    async fn tick(&mut self) {
+        for (shard, token, event) in std::mem::take(&mut self.later) {
+            self.event(shard, token, event).await;
+        }
+        if self.release.is_some() {
+            self.settle().await;
+        } else {
+            self.all(Event::Tick).await;
+        }
+    }
+
+    /// Passes an event to its shard, and what follows to its ring.
+    ///
+    /// A shard that is to be released learns only what settles its writes: whatever else it began
+    /// now would be left to its next owner half done.
+    async fn event(&mut self, no: ShardNo, token: u64, event: Event) {
+        let settles = matches!(event, Event::Stored(..) | Event::Reread(_));
+        if self.release.is_some() && !settles {
+            return;
+        }
+        let Some(running) = self.shards.get_mut(&no).filter(|r| r.token == token) else { return };
+        let orders = running.shard.on(event, self.common.now());
+        for order in orders {
+            let writes = matches!(order, Order::Store(..) | Order::Reread | Order::Deposed);
+            if self.release.is_some() && !writes {
+                continue;
+            }
+            if order == Order::Deposed {
+                self.shards.remove(&no);
+                let _ = self.notes.send(Out::Deposed(no)).await;
+                return;
+            }
+            self.order(no, token, order);
+        }
+    }
+
+    /// Passes an order on; what its duty can't take comes back with the next tick.
+    fn order(&mut self, no: ShardNo, token: u64, order: Order) {
+        let Err(e) = self.out.try_send(Out::Order(no, token, order)) else { return };
+        let (TrySendError::Full(out) | TrySendError::Closed(out)) = e;
+        self.common.metrics.full.with_label_values(&["orders"]).inc();
+        let Out::Order(_, _, order) = out else { return };
+        if let Some(event) = bounced(order, self.common.now()) {
+            self.later.push((no, token, event));
+        }
+    }
+
+    /// Tells of the shards that have nothing left to write, or no more time for it.
+    async fn settle(&mut self) {
+        let over = self.release.is_some_and(|until| self.common.now() >= until);
+        let done: Vec<ShardNo> = self
+            .shards
+            .iter()
+            .filter(|(_, r)| over || r.shard.idle_commit())
+            .map(|(s, _)| *s)
+            .collect();
+        for shard in done {
+            self.shards.remove(&shard);
+            let _ = self.notes.send(Out::Settled(shard)).await;
+        }
+    }
+}
+
+/// What follows from an order that was never carried out.
+fn bounced(order: Order, now: Time) -> Option<Event> {
+    match order {
+        Order::Worker { worker, call, .. } => {
+            Some(Event::Worker { worker, sent: now, call, reply: Err(Fault::Unsent) })
+        }
+        Order::Advise { via, call, .. } => {
+            Some(Event::Advised { call, via, sent: now, reply: Err(Fault::Unsent) })
+        }
+        Order::Store(number, _) => Some(Event::Stored(number, Err(Fault::Unsent))),
+        Order::Reread => Some(Event::Reread(Err(Fault::Unsent))),
+        Order::Deposed => None,
+    }
+}
--- /dev/null
+++ b/src/entry/submit.rs
@@ -0,0 +1,187 @@
+//! Takes jobs in, and cancels them.
+
+use {
+    super::{Ask, Entry},
+    crate::{
+        common::{Config, unix},
+        error::{Error, Kind},
+        ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
+        shard::record::{self, JobRecord, ShardNo},
+        work::{Job, JobNo},
+    },
+    bytes::Bytes,
+    std::time::Duration,
+    tokio::time::sleep,
+};
+
+/// How often a write that was refused or whose answer is unclear is made.
+const TRIES: u32 = 2;
+/// How often a write is made that only a newer configuration was in the way of.
+const MOVES: u32 = 8;
+
+/// What has become of the tries so far.
+#[derive(Default)]
+struct Tries {
+    made: u32,
+    /// Whether one of them may have been done, or may be later.
+    unclear: bool,
+    moves: u32,
+}
+
+impl Tries {
+    /// The final answer where none succeeded.
+    ///
+    /// A caller that is told 503 counts on its job never running. So once one try's outcome is
+    /// unknown, the answer says so, whatever became of the others.
+    fn end(&self, error: Error) -> Error {
+        if self.unclear { Kind::OutcomeUnknown.into() } else { error }
+    }
+}
+
+/// What a conflict means for a submission.
+enum Clash {
+    /// The job is there already.
+    There,
+    /// Another configuration is in force.
+    Moved,
+    /// Neither: another change was first.
+    Other,
+}
+
+impl Entry {
+    /// Takes a job in.
+    pub(super) async fn submit(
+        &self,
+        ask: &Ask,
+        no: JobNo,
+        config: &Config,
+        body: &Bytes,
+    ) -> Result<Bytes, Error> {
+        if body.len() > config.queues.body {
+            return Err(Kind::TooLarge.into());
+        }
+        let job = (self.common.forms.job)(body)?;
+        job.check()?;
+        let shard = self.shard(no)?;
+        let mut tries = Tries::default();
+        match self.write(ask, shard, no, job, &mut tries).await {
+            Ok(()) => Ok(Bytes::new()),
+            Err(e) => Err(tries.end(e)),
+        }
+    }
+
+    async fn write(
+        &self,
+        ask: &Ask,
+        shard: ShardNo,
+        no: JobNo,
+        job: Job,
+        tries: &mut Tries,
+    ) -> Result<(), Error> {
+        let mut record = JobRecord { queue: "".into(), came: unix(), job };
+        loop {
+            // Again each time: only what is in force when the write is done may let a job in.
+            let config = self.config()?;
+            record.queue = ask.queue(&config)?.name.clone();
+            let txn = self.entrance(shard, no, config.rev, &record);
+            let limit = self.limit(ask)?;
+            match self.outside.store(&StoreCall::Txn(txn), limit).await {
+                Ok(StoreReply::Done(_)) => return Ok(()),
+                Ok(StoreReply::Conflict(items)) => {
+                    match self.clash(shard, no, config.rev, &items) {
+                        Clash::There => return Ok(()),
+                        Clash::Moved if tries.moves < MOVES => tries.moves += 1,
+                        Clash::Moved | Clash::Other => return Err(Kind::Platform.into()),
+                    }
+                    self.common.metrics.retry(Kind::Conflict);
+                }
+                Err(fault @ (Fault::Refused | Fault::Unsent)) => {
+                    self.again(&fault, tries).await?;
+                }
+                _ => {
+                    tries.unclear = true;
+                    if self.stored(ask, shard, no).await? {
+                        return Ok(());
+                    }
+                    self.again(&Fault::Unknown, tries).await?;
+                }
+            }
+        }
+    }
+
+    /// The write that takes a job in, if there is none of its number and the queue is still there.
+    fn entrance(&self, shard: ShardNo, no: JobNo, rev: u64, record: &JobRecord) -> Txn {
+        let (key, value) = (shard.job(no), record::write(record));
+        Txn {
+            expect: vec![
+                (key.clone(), 0),
+                (shard.progress(no), 0),
+                (self.common.forms.config.into(), rev),
+            ],
+            puts: vec![Put { key, value, lease: 0 }],
+            remove: vec![],
+        }
+    }
+
+    fn clash(&self, shard: ShardNo, no: JobNo, rev: u64, items: &[Item]) -> Clash {
+        let (job, progress) = (shard.job(no), shard.progress(no));
+        if items.iter().any(|i| i.rev != 0 && (i.key == job || i.key == progress)) {
+            return Clash::There;
+        }
+        match items.iter().find(|i| &*i.key == self.common.forms.config) {
+            Some(config) if config.rev != rev => {
+                self.common.take_config(config);
+                Clash::Moved
+            }
+            _ => Clash::Other,
+        }
+    }
+
+    /// Waits for the next try, or errs where there is none.
+    async fn again(&self, fault: &Fault, tries: &mut Tries) -> Result<(), Error> {
+        let kind = match fault {
+            Fault::Refused => Kind::Platform,
+            Fault::Unsent => Kind::KvDown,
+            Fault::Unknown | Fault::Bad(_) => Kind::OutcomeUnknown,
+        };
+        tries.made += 1;
+        if tries.made >= TRIES {
+            return Err(Error::new(Kind::Platform, "the store refuses or doesn't answer"));
+        }
+        self.common.metrics.retry(kind);
+        sleep(Duration::from_millis(fastrand::u64(30..=80))).await;
+        Ok(())
+    }
+
+    /// Cancels a job.
+    pub(super) async fn cancel(&self, ask: &Ask, no: JobNo) -> Result<Bytes, Error> {
+        let shard = self.shard(no)?;
+        let silent = |_| Error::new(Kind::Platform, "the store doesn't answer");
+        let limit = self.limit(ask)?;
+        if self.outside.get(&shard.job(no), limit).await.map_err(silent)?.is_none() {
+            let there = self.stored(ask, shard, no).await?;
+            return if there { Ok(Bytes::new()) } else { Err(Kind::NoJob.into()) };
+        }
+        let put = Put { key: shard.cancel(no), value: Bytes::from_static(b"{}"), lease: 0 };
+        let call = StoreCall::Txn(Txn { puts: vec![put], ..Txn::default() });
+        let mut tries = Tries::default();
+        match self.put(ask, &call, &mut tries).await {
+            Ok(()) => Ok(Bytes::new()),
+            Err(e) => Err(tries.end(e)),
+        }
+    }
+
+    /// Makes a write that may be made twice.
+    async fn put(&self, ask: &Ask, call: &StoreCall, tries: &mut Tries) -> Result<(), Error> {
+        loop {
+            let limit = self.limit(ask)?;
+            let fault = match self.outside.store(call, limit).await {
+                Ok(StoreReply::Done(_)) => return Ok(()),
+                Err(fault @ (Fault::Refused | Fault::Unsent)) => fault,
+                _ => Fault::Unknown,
+            };
+            tries.unclear |= fault == Fault::Unknown;
+            self.again(&fault, tries).await?;
+        }
+    }
+}
--- a/src/error.rs
+++ b/src/error.rs
@@ -95,13 +95,17 @@
     Peer,
     /// the call's outcome is unknown
     OutcomeUnknown,
+    /// no such job
+    NoJob,
+    /// this method is not served here
+    BadMethod,
 }
 
 use Kind::*;
 
 impl Kind {
     /// Every kind, for tables and counters.
-    pub const ALL: [Kind; 29] = [
+    pub const ALL: [Kind; 31] = [
         Late,
         QueueFull,
         OverShare,
@@ -131,6 +135,8 @@
         Platform,
         Peer,
         OutcomeUnknown,
+        NoJob,
+        BadMethod,
     ];
 
     /// The table from kind to answer.
@@ -165,6 +171,8 @@
             Platform => (503, Ran::No, Some(2000), "platform"),
             Peer => (503, Ran::No, Some(500), "peer"),
             OutcomeUnknown => (504, Ran::Unknown, None, "outcome_unknown"),
+            NoJob => (410, Ran::No, None, "no_job"),
+            BadMethod => (405, Ran::No, None, "bad_method"),
         };
         let back = match back {
             Some(ms) => Some(Duration::from_millis(ms)),
--- a/src/http.rs
+++ b/src/http.rs
@@ -67,6 +67,12 @@
 /// How long a connection may take to open, within one availability zone's reach.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// How often the other end of a silent connection is probed, and after three of which it is given up.
+///
+/// A call that waits at the other end has no traffic of its own. Without probes, one whose
+/// connection something has forgotten would be noticed only at its deadline.
+const PROBE: Duration = Duration::from_secs(1);
+
 /// The most bytes of a request's head.
 const HEAD: usize = 64 * 1024;
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
@@ -202,6 +208,11 @@
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT));
+    connector.set_keepalive(Some(PROBE));
+    connector.set_keepalive_interval(Some(PROBE));
+    connector.set_keepalive_retries(Some(2));
+    #[cfg(target_os = "linux")]
+    connector.set_tcp_user_timeout(Some(3 * PROBE));
     Pool::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE)
         .pool_timer(TokioTimer::new())
--- a/src/member.rs
+++ b/src/member.rs
@@ -77,6 +77,11 @@
 }
 
 impl Gate {
+    /// A gate that admits who shows `secret`.
+    pub fn new(secret: &str, metrics: Arc<Metrics>) -> Self {
+        Gate { secret: secret.into(), metrics }
+    }
+
     /// Whether `shown` is the secret; takes as long for each guess of the same length.
     pub fn matches(&self, shown: &[u8]) -> bool {
         self.secret.as_bytes().ct_eq(shown).into()
@@ -159,7 +164,7 @@
 fn start(settings: &Settings, listeners: Listeners, record: MemberRecord) -> io::Result<()> {
     let metrics = Arc::new(Metrics::new());
     let clock = Clock { start: Instant::now() };
-    let gate = Gate { secret: (&*settings.member.secret).into(), metrics: metrics.clone() };
+    let gate = Gate::new(&settings.member.secret, metrics.clone());
     let (inbox, events) = bounded(INBOX);
     let (replies, reply) = bounded(RING);
     let (to_endpoints, endpoint) = bounded(RING);
@@ -182,13 +187,12 @@
     };
     let mut threads: Vec<JoinHandle<()>> = vec![];
     let (box_inbox, box_metrics, me) = (inbox.clone(), metrics.clone(), record.incarnation);
-    let (callers, bodies) = (listeners.callers, listeners.bodies);
     let (callers_gate, callers_stop) = (gate.clone(), wait.clone());
     threads.push(duty("callers", move || async move {
         let callers = Callers {
             me,
-            callers: tokio::net::TcpListener::from_std(callers)?,
-            bodies: tokio::net::TcpListener::from_std(bodies)?,
+            callers: tokio::net::TcpListener::from_std(listeners.callers)?,
+            bodies: tokio::net::TcpListener::from_std(listeners.bodies)?,
             limits,
             secret: callers_gate,
             inbox: box_inbox,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -18,6 +18,7 @@
     retries: IntCounterVec,
     /// KV calls by kind and outcome.
     pub kv: IntCounterVec,
+    calls: IntCounterVec,
     /// Messages dropped because a ring was full, by ring.
     pub full: IntCounterVec,
     bytes: IntCounterVec,
@@ -41,6 +42,11 @@
             ),
             retries: counter("dwr_retries_total", "Dispatches made again by reason.", "reason"),
             kv: counter("dwr_kv_calls_total", "Calls of the key-value service.", "call"),
+            calls: IntCounterVec::new(
+                Opts::new("dwr_calls_total", "Calls of the outside by kind and answer."),
+                &["call", "answer"],
+            )
+            .expect("the names are well-formed"),
             full: counter("dwr_ring_full_total", "Messages dropped at a full ring.", "ring"),
             bytes: counter("dwr_control_bytes_total", "Bytes sent for control.", "duty"),
             levels: IntGaugeVec::new(Opts::new("dwr_level", "Levels of a member."), &["what"])
@@ -57,10 +63,11 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retries.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn prometheus::core::Collector>; 8] = [
+        let all: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retries.clone()),
             Box::new(m.kv.clone()),
+            Box::new(m.calls.clone()),
             Box::new(m.full.clone()),
             Box::new(m.bytes.clone()),
             Box::new(m.levels.clone()),
@@ -94,6 +101,21 @@
         self.bytes.with_label_values(&[duty]).inc_by(bytes as u64);
     }
 
+    /// Counts a call of the outside and how it was answered.
+    pub fn called(&self, call: &str, answer: &str) {
+        self.calls.with_label_values(&[call, answer]).inc();
+    }
+
+    /// Notes one level.
+    pub fn level(&self, what: &str, n: usize) {
+        self.levels.with_label_values(&[what]).set(i64::try_from(n).unwrap_or(i64::MAX));
+    }
+
+    /// Counts a final answer other than an error.
+    pub fn answered(&self) {
+        self.verdicts.with_label_values(&["answered"]).inc();
+    }
+
     /// Notes how long a request took.
     pub fn took(&self, time: Duration) {
         self.wait.observe(time.as_secs_f64());
--- a/src/ownership.rs
+++ b/src/ownership.rs
@@ -316,7 +316,7 @@
 }
 
 /// Hashes with a function whose values are the same in every build, as members must agree.
-struct Rendezvous;
+pub(crate) struct Rendezvous;
 
 impl<N: Hash> NodeHasher<N> for Rendezvous {
     fn hash<T: Hash>(&self, node: &N, item: &T) -> u64 {
--- /dev/null
+++ b/src/registry.rs
@@ -0,0 +1,365 @@
+//! This member's row and lease, the table as the store has it, and what is taken over and released.
+
+use {
+    crate::{
+        common::Common,
+        decisions::{Out, Told},
+        owner::Owner,
+        ports::{Fault, Put, Rev, StoreCall, StoreReply, Txn},
+        shard::{
+            event::Event,
+            record::{self, CommitRow, LAYOUT, Layout, MemberRow, OwnerRow, ShardNo, TABLE},
+        },
+        store::{CALL, Outside},
+        table::{Fate, Table, Take, member_key},
+        watch::{Follow, Pause, Seen},
+    },
+    async_channel::{Receiver, Sender},
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep, sleep_until, timeout},
+    },
+};
+
+/// How long a watch of the table waits.
+const WAIT: Duration = Duration::from_secs(10);
+/// How long a watch of the configuration waits.
+const CONFIG_WAIT: Duration = Duration::from_secs(2);
+/// How long this member's lease lasts, where the store allows it.
+const LEASE: Duration = Duration::from_secs(2);
+/// How often the lease is renewed, and how long a renewal may take.
+const KEEP: Duration = Duration::from_millis(500);
+/// How often the table is looked at while a shard has no live owner.
+const STEP: Duration = Duration::from_millis(100);
+/// The workers of one shard.
+const SHARE: usize = 64;
+/// The most shards.
+const SHARDS: usize = 64;
+/// How long an empty list of workers is read again before the layout is made without it.
+const EMPTY: Duration = Duration::from_secs(3);
+
+/// Follows the configuration.
+pub(crate) async fn config(common: Arc<Common>, outside: Outside, told: Sender<Told>) {
+    let key = common.forms.config;
+    let mut follow = Follow::new(outside, key, CONFIG_WAIT, None);
+    loop {
+        let (Seen::All(items, _) | Seen::Changes(items, _)) = follow.next().await;
+        // Versions may come many a second: only the last is read.
+        let last = items.iter().filter(|i| &*i.key == key).max_by_key(|i| i.rev);
+        let Some(item) = last else { continue };
+        common.take_config(item);
+        let config = common.config.borrow().clone();
+        if let Some(config) = config {
+            let _ = told.send(Told::All(Event::Queues(config.queues))).await;
+        }
+    }
+}
+
+/// This member's row and lease.
+pub(crate) struct Membership {
+    /// What the duties share.
+    pub common: Arc<Common>,
+    /// The store.
+    pub outside: Outside,
+    /// The way to the decisions.
+    pub told: Sender<Told>,
+    /// The lease, for who ends it.
+    pub lease: watch::Sender<u64>,
+}
+
+impl Membership {
+    /// Keeps this member registered.
+    pub async fn run(self) {
+        let mut pause = Pause::default();
+        loop {
+            let ttl = LEASE.max(self.common.site.borrow().bounds.ttl);
+            let made = self.outside.store(&StoreCall::Lease { ttl }, CALL).await;
+            let Ok(StoreReply::Lease(lease, _)) = made else {
+                pause.wait().await;
+                continue;
+            };
+            pause.good();
+            self.lease.send_replace(lease);
+            self.keep(lease).await;
+            self.common.register(false);
+            log::warn!(target: "table", "The lease has ended; this member registers again.");
+        }
+    }
+
+    /// Registers under a lease and renews it until the store has ended it.
+    async fn keep(&self, lease: u64) {
+        let mut pause = Pause::default();
+        let mut registered: Option<(Rev, bool)> = None;
+        loop {
+            let due = Instant::now() + KEEP;
+            let draining = self.common.stopping();
+            let gone = registered.is_some_and(|(r, d)| {
+                d != draining || self.common.view.borrow().lost(self.common.me, r)
+            });
+            if registered.is_none() || gone {
+                match self.register(lease, draining).await {
+                    Ok(StoreReply::Done(rev)) => {
+                        self.common.register(true);
+                        registered = Some((rev, draining));
+                    }
+                    Ok(StoreReply::NoLease) => return,
+                    _ => {
+                        pause.wait().await;
+                        continue;
+                    }
+                }
+            }
+            let sent = self.common.now();
+            match self.outside.store(&StoreCall::Keep { lease }, KEEP).await {
+                Ok(StoreReply::Kept) => {
+                    pause.good();
+                    let _ = self.told.send(Told::All(Event::Confirmed(sent))).await;
+                    self.rest(due, draining).await;
+                }
+                Ok(StoreReply::NoLease) => return,
+                _ => pause.wait().await,
+            }
+        }
+    }
+
+    /// Waits for the next renewal; a stop is told to the others at once.
+    async fn rest(&self, due: Instant, draining: bool) {
+        tokio::select! {
+            () = sleep_until(due) => {}
+            () = self.common.stopped(), if !draining => {}
+        }
+    }
+
+    async fn register(&self, lease: u64, draining: bool) -> Result<StoreReply, Fault> {
+        let site = self.common.site.borrow().clone();
+        let row = MemberRow { control: site.control, zone: site.zone.clone(), draining };
+        let put = Put { key: member_key(self.common.me), value: record::write(&row), lease };
+        let txn = Txn { puts: vec![put], ..Txn::default() };
+        self.outside.store(&StoreCall::Txn(txn), CALL).await
+    }
+}
+
+/// The table's duty.
+pub(crate) struct Registry {
+    common: Arc<Common>,
+    outside: Outside,
+    owner: Owner,
+    table: Table,
+    told: Sender<Told>,
+    tell: Sender<News>,
+    making: bool,
+}
+
+/// What the table's duty is told.
+enum News {
+    Seen(Seen),
+    Taken(Take, Fate),
+    Made,
+    Released(ShardNo),
+    Out(Out),
+    Stop,
+}
+
+impl Registry {
+    /// Runs until this member is told to stop and owns nothing any more.
+    pub async fn run(
+        common: Arc<Common>,
+        outside: Outside,
+        owner: Owner,
+        told: Sender<Told>,
+        notes: Receiver<Out>,
+    ) {
+        let (tell, news) = async_channel::bounded(256);
+        let mut follow = Follow::new(outside.clone(), TABLE, WAIT, None);
+        let seen = tell.clone();
+        tokio::spawn(
+            async move { while seen.send(News::Seen(follow.next().await)).await.is_ok() {} },
+        );
+        let noted = tell.clone();
+        tokio::spawn(async move {
+            while let Ok(out) = notes.recv().await {
+                let _ = noted.send(News::Out(out)).await;
+            }
+        });
+        let (stop, stopping) = (tell.clone(), common.clone());
+        tokio::spawn(async move {
+            stopping.stopped().await;
+            let _ = stop.send(News::Stop).await;
+        });
+        let table = Table::new(common.me);
+        let making = false;
+        Registry { common, outside, owner, table, told, tell, making }.work(news).await;
+    }
+
+    async fn work(mut self, news: Receiver<News>) {
+        let mut stopping = false;
+        loop {
+            let rest = if self.table.waits() { STEP } else { KEEP };
+            let got = timeout(rest, news.recv()).await;
+            if let Some(at) = self.common.contact() {
+                self.table.answered(at);
+            }
+            if let Ok(Ok(got)) = got {
+                stopping |= matches!(got, News::Stop);
+                self.take(got).await;
+            }
+            let takes = self.table.step(self.common.now());
+            takes.into_iter().for_each(|t| self.fly(t));
+            if self.table.bare() && !self.making && !stopping {
+                self.making = true;
+                self.make();
+            }
+            if stopping && self.table.running().is_empty() && !self.table.flying() {
+                return;
+            }
+        }
+    }
+
+    async fn take(&mut self, news: News) {
+        let now = self.common.now();
+        match news {
+            News::Seen(Seen::All(items, rev)) => {
+                let lost = self.table.load(items, rev, now);
+                self.moved(lost).await;
+            }
+            News::Seen(Seen::Changes(items, rev)) => {
+                let lost = self.table.changed(items, rev, now);
+                self.moved(lost).await;
+            }
+            News::Taken(take, fate) => {
+                let lost = self.table.taken(&take, fate.clone(), now);
+                if let Fate::Done(rev, token) = fate
+                    && self.table.running().contains_key(&take.shard)
+                {
+                    self.owner.begin(take.shard, token, rev);
+                }
+                self.moved(lost).await;
+            }
+            News::Made => self.making = false,
+            News::Out(Out::Settled(shard)) => self.release(shard),
+            News::Out(Out::Deposed(shard)) => {
+                self.table.dropped(shard, now);
+                self.moved(vec![shard]).await;
+            }
+            News::Out(Out::Order(..)) => {}
+            News::Released(shard) => {
+                self.table.dropped(shard, now);
+                self.owner.end(shard).await;
+            }
+            News::Stop => {
+                self.table.stop();
+                let _ = self.told.send(Told::Release).await;
+            }
+        }
+    }
+
+    /// Tells what has changed to the duties that it concerns.
+    async fn moved(&mut self, lost: Vec<ShardNo>) {
+        for shard in lost {
+            log::info!(target: "table", "Shard {shard} has passed to another member.");
+            self.owner.end(shard).await;
+        }
+        let view = self.table.view();
+        self.common.metrics.level("shards", self.table.running().len());
+        self.common.metrics.level("members", view.members.len());
+        let peers = view.able();
+        let before = self.common.view.borrow().able();
+        self.common.view.send_replace(Arc::new(view));
+        if peers != before {
+            let _ = self.told.send(Told::All(Event::Peers(peers))).await;
+        }
+    }
+
+    fn fly(&self, take: Take) {
+        let (outside, tell, me) = (self.outside.clone(), self.tell.clone(), self.common.me);
+        tokio::spawn(async move {
+            let fate = take_over(&outside, me, &take).await;
+            let _ = tell.send(News::Taken(take, fate)).await;
+        });
+    }
+
+    /// Gives a shard back; its token stays, so that its next owner's is higher.
+    fn release(&self, shard: ShardNo) {
+        let (outside, tell) = (self.outside.clone(), self.tell.clone());
+        let mine = self.table.mine(shard);
+        tokio::spawn(async move {
+            if let Some((rev, row)) = mine {
+                let put = Put {
+                    key: shard.owner(),
+                    value: record::write(&OwnerRow { owner: None, token: row.token }),
+                    lease: 0,
+                };
+                let txn =
+                    Txn { expect: vec![(shard.owner(), rev)], puts: vec![put], remove: vec![] };
+                let done = outside.store(&StoreCall::Txn(txn), CALL).await;
+                if !matches!(done, Ok(StoreReply::Done(_))) {
+                    // It passes on when this member's row has ended.
+                    log::warn!(target: "table", "Shard {shard} could not be released.");
+                }
+            }
+            let _ = tell.send(News::Released(shard)).await;
+        });
+    }
+
+    /// Makes the layout, where no other member does.
+    fn make(&self) {
+        let (outside, tell) = (self.outside.clone(), self.tell.clone());
+        let (common, place) = (self.common.clone(), self.table.place());
+        tokio::spawn(async move {
+            // One member after the other: all would write, and all but one be refused.
+            sleep(STEP * u32::try_from(place.min(10)).unwrap_or(10)).await;
+            if common.view.borrow().layout.is_none() {
+                make_layout(&outside, common.forms.workers).await;
+                sleep(KEEP).await;
+            }
+            let _ = tell.send(News::Made).await;
+        });
+    }
+}
+
+/// Writes the layout for the workers that are listed.
+async fn make_layout(outside: &Outside, workers: &str) {
+    let begin = Instant::now();
+    let mut count = 0;
+    while count == 0 && begin.elapsed() < EMPTY {
+        match outside.all(workers, false).await {
+            Ok((items, _)) if !items.is_empty() => count = items.len(),
+            _ => sleep(KEEP / 2).await,
+        }
+    }
+    let shards = u16::try_from(count.div_ceil(SHARE).clamp(1, SHARDS)).unwrap_or(1);
+    let secret = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..)).into();
+    let value = record::write(&Layout { shards, secret });
+    let put = Put { key: LAYOUT.into(), value, lease: 0 };
+    let txn = Txn { expect: vec![(LAYOUT.into(), 0)], puts: vec![put], remove: vec![] };
+    // Whatever the answer, the watch brings the layout that stands.
+    let _ = outside.store(&StoreCall::Txn(txn), CALL).await;
+    log::info!(target: "table", "A layout of {shards} shards for {count} workers was offered.");
+}
+
+/// Writes a takeover; an unclear answer is settled by reading.
+async fn take_over(outside: &Outside, me: crate::ids::Incarnation, take: &Take) -> Fate {
+    let Ok(commit) = outside.get(&take.shard.commit(), CALL).await else { return Fate::Not };
+    let row: Option<CommitRow> =
+        commit.as_ref().and_then(|c| record::read(c.value.as_ref().map_or(&[], |v| &v[..])));
+    let token = take.token.max(row.map_or(0, |r| r.token) + 1);
+    let put = |key, value| Put { key, value, lease: 0 };
+    let txn = Txn {
+        expect: vec![
+            (take.shard.owner(), take.row),
+            (take.shard.commit(), commit.map_or(0, |c| c.rev)),
+        ],
+        puts: vec![
+            put(take.shard.owner(), record::write(&OwnerRow { owner: Some(me), token })),
+            put(take.shard.commit(), record::write(&CommitRow { token, number: 0 })),
+        ],
+        remove: vec![],
+    };
+    match outside.store(&StoreCall::Txn(txn), CALL).await {
+        Ok(StoreReply::Done(rev)) => Fate::Done(rev, token),
+        Ok(StoreReply::Conflict(items)) => Fate::Lost(items),
+        Err(Fault::Refused | Fault::Unsent) => Fate::Not,
+        _ => Fate::Unclear(outside.get(&take.shard.owner(), CALL).await.ok().flatten()),
+    }
+}
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -96,11 +96,13 @@
     }
 }
 
-/// How many shards there are.
+/// How many shards there are, and what members show each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Layout {
     /// Their number; above 0, and never changed.
     pub shards: u16,
+    /// What a member shows to another: drawn by the first, known to who can read the store.
+    pub secret: Box<str>,
 }
 
 /// A member, as the table has it.
--- /dev/null
+++ b/src/table.rs
@@ -0,0 +1,356 @@
+//! Who is alive and who owns each shard, and when this member takes a shard over.
+//!
+//! The table stands in the store under [`record::TABLE`](crate::shard::record::TABLE). A member is
+//! alive while its row is there: the row ends with its lease. A shard whose owner is gone is taken
+//! over by one conditional write; who writes first is decided by rendezvous hashing and a wait for
+//! each rank, so that members rarely meet. The state machine has no clock and does no I/O.
+
+use {
+    crate::{
+        ids::Incarnation,
+        ownership::Rendezvous,
+        ports::{Item, Rev},
+        shard::record::{self, LAYOUT, Layout, MEMBERS, MemberRow, OWNERS, OwnerRow, ShardNo},
+        time::Time,
+        work::Listed,
+    },
+    rendezvous_hash::{IdNode, Node, RendezvousNodes},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+/// How long an owner's row has to be missing before its shards are taken over.
+///
+/// After an outage of the store every lease may have ended. Without it, the first member back would
+/// take over all shards from owners that are about to register again.
+pub const GRACE: Duration = Duration::from_secs(1);
+/// How much longer each further candidate waits.
+pub const RANK: Duration = Duration::from_millis(300);
+/// How long the store may be silent before this member takes nothing over.
+pub const SILENT: Duration = Duration::from_millis(1500);
+/// How long a takeover that failed waits for its repeat.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// The table as one member knows it.
+pub struct Table {
+    me: Incarnation,
+    rev: Rev,
+    loaded: bool,
+    layout: Option<Layout>,
+    members: BTreeMap<Incarnation, (Rev, MemberRow)>,
+    owners: BTreeMap<ShardNo, (Rev, OwnerRow)>,
+    /// Shards without a live owner: which one they had, and since when.
+    free: BTreeMap<ShardNo, (Option<Incarnation>, Time)>,
+    /// Shards that this member runs, with their tokens.
+    running: BTreeMap<ShardNo, u64>,
+    flying: BTreeSet<ShardNo>,
+    held: BTreeMap<ShardNo, Time>,
+    stopping: bool,
+    answered: Option<Time>,
+    resumed: Time,
+}
+
+/// A takeover to be written.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Take {
+    /// The shard.
+    pub shard: ShardNo,
+    /// The revision that the owner's row must still have; 0 where there must be none.
+    pub row: Rev,
+    /// The new token; more where the commit row has seen a higher one.
+    pub token: u64,
+}
+
+/// What became of a takeover.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fate {
+    /// It was done, with this revision and token.
+    Done(Rev, u64),
+    /// Nothing was done: how the items stand.
+    Lost(Vec<Item>),
+    /// Nothing was done, and nothing will be.
+    Not,
+    /// No answer; the owner's row as it was read after, where that could be read.
+    Unclear(Option<Item>),
+}
+
+/// The table as other duties see it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct View {
+    /// The table's revision.
+    pub rev: Rev,
+    /// The layout, once there is one.
+    pub layout: Option<Layout>,
+    /// The live members.
+    pub members: BTreeMap<Incarnation, MemberRow>,
+    /// The owner of each shard that has one.
+    pub owners: BTreeMap<ShardNo, Incarnation>,
+}
+
+impl View {
+    /// The owner of a shard, where it is alive.
+    pub fn owner(&self, shard: ShardNo) -> Option<(Incarnation, SocketAddr)> {
+        let owner = self.owners.get(&shard)?;
+        Some((*owner, self.members.get(owner)?.control))
+    }
+
+    /// How many shards there are; 0 where it isn't known.
+    pub fn shards(&self) -> u16 {
+        self.layout.as_ref().map_or(0, |l| l.shards)
+    }
+
+    /// The members that may be asked for something.
+    pub fn able(&self) -> Vec<Incarnation> {
+        self.members.iter().filter(|(_, m)| !m.draining).map(|(i, _)| *i).collect()
+    }
+
+    /// Whether a member that registered at a revision must do so again: its row is gone.
+    pub fn lost(&self, me: Incarnation, registered: Rev) -> bool {
+        self.rev > registered && !self.members.contains_key(&me)
+    }
+}
+
+/// The shard of a worker, of so many shards: by its rack, or by its id where it names none.
+pub fn shard_of(worker: &Listed, shards: u16) -> ShardNo {
+    let by = worker.labels.get(1).map_or(worker.id.as_str(), |rack| rack);
+    let hash = xxhash_rust::xxh3::xxh3_64(by.as_bytes());
+    ShardNo((hash % u64::from(shards.max(1))) as u16)
+}
+
+impl Table {
+    /// A table in which nothing is known yet.
+    pub fn new(me: Incarnation) -> Self {
+        Table {
+            me,
+            rev: 0,
+            loaded: false,
+            layout: None,
+            members: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            free: BTreeMap::new(),
+            running: BTreeMap::new(),
+            flying: BTreeSet::new(),
+            held: BTreeMap::new(),
+            stopping: false,
+            answered: None,
+            resumed: Time::ZERO,
+        }
+    }
+
+    /// Takes in the whole table, as it was read from this revision on; returns the shards that this
+    /// member no longer owns.
+    pub fn load(&mut self, items: Vec<Item>, rev: Rev, now: Time) -> Vec<ShardNo> {
+        let there: BTreeSet<Box<str>> = items.iter().map(|i| i.key.clone()).collect();
+        // What changed after the reading began is not undone by it.
+        self.members.retain(|id, (r, _)| *r > rev || there.contains(&*member_key(*id)));
+        self.owners.retain(|s, (r, _)| *r > rev || there.contains(&s.owner()));
+        self.loaded = true;
+        self.changed(items, rev, now)
+    }
+
+    /// Takes in changes up to a revision; returns the shards that this member no longer owns.
+    pub fn changed(&mut self, items: Vec<Item>, rev: Rev, now: Time) -> Vec<ShardNo> {
+        items.into_iter().for_each(|i| self.put(i));
+        self.rev = self.rev.max(rev);
+        self.refresh(now);
+        self.drop_lost()
+    }
+
+    /// The store answered a call.
+    pub fn answered(&mut self, now: Time) {
+        if self.answered.is_none_or(|a| now - a > SILENT) {
+            self.resumed = now;
+        }
+        self.answered = Some(now);
+    }
+
+    /// From now on this member takes nothing over.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// The takeovers to be written now.
+    pub fn step(&mut self, now: Time) -> Vec<Take> {
+        let mut takes = vec![];
+        while let Some(shard) = self.due(now) {
+            self.flying.insert(shard);
+            let (row, token) = self.owners.get(&shard).map_or((0, 0), |(r, o)| (*r, o.token));
+            takes.push(Take { shard, row, token: token + 1 });
+        }
+        takes
+    }
+
+    /// What became of a takeover; returns the shards that this member no longer owns.
+    pub fn taken(&mut self, take: &Take, fate: Fate, now: Time) -> Vec<ShardNo> {
+        let shard = take.shard;
+        self.flying.remove(&shard);
+        self.held.insert(shard, now + AGAIN);
+        match fate {
+            Fate::Done(rev, token) => {
+                let row = OwnerRow { owner: Some(self.me), token };
+                self.running.insert(shard, token);
+                if self.owners.get(&shard).is_none_or(|(r, _)| *r < rev) {
+                    self.owners.insert(shard, (rev, row));
+                }
+            }
+            Fate::Lost(items) => items.into_iter().for_each(|i| self.put(i)),
+            // Where the row names this member, the next step takes it again with a higher token:
+            // what the lost write made of the commit row is not guessed.
+            Fate::Unclear(Some(item)) => self.put(item),
+            Fate::Not | Fate::Unclear(None) => {}
+        }
+        self.refresh(now);
+        self.drop_lost()
+    }
+
+    /// This member no longer runs a shard.
+    pub fn dropped(&mut self, shard: ShardNo, now: Time) {
+        self.running.remove(&shard);
+        self.held.insert(shard, now + AGAIN);
+        self.refresh(now);
+    }
+
+    /// The row of a shard that this member runs, with its revision, so that it can be released.
+    pub fn mine(&self, shard: ShardNo) -> Option<(Rev, OwnerRow)> {
+        self.running.get(&shard)?;
+        self.owners.get(&shard).cloned()
+    }
+
+    /// The shards that this member runs, with their tokens.
+    pub fn running(&self) -> &BTreeMap<ShardNo, u64> {
+        &self.running
+    }
+
+    /// Whether a takeover is under way.
+    pub fn flying(&self) -> bool {
+        !self.flying.is_empty()
+    }
+
+    /// Whether a shard has no live owner.
+    pub fn waits(&self) -> bool {
+        !self.free.is_empty()
+    }
+
+    /// Whether the table has been read, and has no layout.
+    pub fn bare(&self) -> bool {
+        self.loaded && self.layout.is_none()
+    }
+
+    /// This member's place among those alive, by their numbers.
+    pub fn place(&self) -> usize {
+        self.members.keys().take_while(|m| **m < self.me).count()
+    }
+
+    /// What other duties see.
+    pub fn view(&self) -> View {
+        let owned = |(s, (_, o)): (&ShardNo, &(Rev, OwnerRow))| Some((*s, o.owner?));
+        View {
+            rev: self.rev,
+            layout: self.layout.clone(),
+            members: self.members.iter().map(|(i, (_, m))| (*i, m.clone())).collect(),
+            owners: self.owners.iter().filter_map(owned).collect(),
+        }
+    }
+
+    /// Takes in one item, unless a later change of it is known.
+    fn put(&mut self, item: Item) {
+        let value = item.value.as_deref();
+        if let Some(id) = item.key.strip_prefix(MEMBERS).and_then(|i| i.parse().ok()) {
+            place(&mut self.members, id, item.rev, value.and_then(record::read));
+        } else if let Some(no) = item.key.strip_prefix(OWNERS).and_then(|n| n.parse().ok()) {
+            place(&mut self.owners, ShardNo(no), item.rev, value.and_then(record::read));
+        } else if &*item.key == LAYOUT && self.layout.is_none() {
+            self.layout = value.and_then(record::read);
+        }
+    }
+
+    /// Notes which shards have no live owner, and since when.
+    fn refresh(&mut self, now: Time) {
+        for shard in (0..self.layout.as_ref().map_or(0, |l| l.shards)).map(ShardNo) {
+            let owner = self.owners.get(&shard).and_then(|(_, o)| o.owner);
+            let held = match owner {
+                Some(me) if me == self.me => self.running.contains_key(&shard),
+                Some(owner) => self.members.contains_key(&owner),
+                None => false,
+            };
+            if held {
+                self.free.remove(&shard);
+            } else if self.free.get(&shard).is_none_or(|(o, _)| *o != owner) {
+                self.free.insert(shard, (owner, now));
+            }
+        }
+    }
+
+    fn drop_lost(&mut self) -> Vec<ShardNo> {
+        let mine = |shard: &ShardNo, token: u64| {
+            let row = self.owners.get(shard).map(|(_, o)| o);
+            row.is_some_and(|o| o.owner == Some(self.me) && o.token == token)
+        };
+        let lost: Vec<ShardNo> =
+            self.running.iter().filter(|(s, t)| !mine(s, **t)).map(|(s, _)| *s).collect();
+        for shard in &lost {
+            self.running.remove(shard);
+        }
+        lost
+    }
+
+    /// A shard that this member takes over now.
+    fn due(&self, now: Time) -> Option<ShardNo> {
+        let heard = self.answered.is_some_and(|a| now - a <= SILENT);
+        let able = self.members.get(&self.me).is_some_and(|(_, m)| !m.draining);
+        if !self.loaded || !heard || !able || self.stopping {
+            return None;
+        }
+        let mut free = self.free.iter().filter(|(s, _)| !self.flying.contains(s));
+        free.find(|(s, (owner, since))| self.wait(**s, *owner, *since) <= now).map(|(s, _)| *s)
+    }
+
+    /// When this member takes over a free shard.
+    fn wait(&self, shard: ShardNo, owner: Option<Incarnation>, since: Time) -> Time {
+        let held = self.held.get(&shard).copied().unwrap_or(Time::ZERO);
+        if owner == Some(self.me) {
+            return held;
+        }
+        let since = since.max(self.resumed);
+        let grace = if owner.is_some() { GRACE } else { Duration::ZERO };
+        let Some(rank) = self.rank(shard) else { return Time::NEVER };
+        (since + grace + RANK * rank).max(held)
+    }
+
+    /// This member's place among those that could take a shard: who owns fewer comes first, and
+    /// among equals the hash decides.
+    fn rank(&self, shard: ShardNo) -> Option<u32> {
+        let mut counts: BTreeMap<Incarnation, usize> = BTreeMap::new();
+        for owner in self.owners.values().filter_map(|(_, o)| o.owner) {
+            *counts.entry(owner).or_default() += 1;
+        }
+        *counts.entry(self.me).or_default() += self.flying.len();
+        let mut ring = RendezvousNodes::new(Rendezvous);
+        for (id, _) in self.members.iter().filter(|(_, (_, m))| !m.draining) {
+            ring.insert(IdNode::new(*id));
+        }
+        let mut order: Vec<Incarnation> =
+            ring.calc_candidates(&shard).map(|n| *n.node_id()).collect();
+        order.sort_by_key(|id| counts.get(id).copied().unwrap_or(0));
+        order.iter().position(|id| *id == self.me).and_then(|p| u32::try_from(p).ok())
+    }
+}
+
+/// The key of a member's row.
+pub fn member_key(member: Incarnation) -> Box<str> {
+    format!("{MEMBERS}{member}").into()
+}
+
+/// Puts a row in its place, unless a later one is there.
+fn place<K: Ord, V>(rows: &mut BTreeMap<K, (Rev, V)>, key: K, rev: Rev, value: Option<V>) {
+    if rows.get(&key).is_some_and(|(known, _)| *known > rev) {
+        return;
+    }
+    match value {
+        Some(value) => rows.insert(key, (rev, value)),
+        None => rows.remove(&key),
+    };
+}
--- /dev/null
+++ b/src/watch.rs
@@ -0,0 +1,100 @@
+//! Follows the items of a prefix: a range once, then what changes.
+
+use {
+    crate::{
+        ports::{Item, Rev, StoreCall, StoreReply},
+        store::{MARGIN, Outside},
+    },
+    std::time::Duration,
+    tokio::time::{Instant, sleep},
+};
+
+/// The first and the longest pause after a fault, in milliseconds.
+const PAUSE: (u64, u64) = (20, 300);
+
+/// Pauses between repeats: twice as long each time, up to a bound, at random within the upper half.
+///
+/// Without the chance all members would come back to a store that was down at the same moment, and
+/// be refused together, again and again.
+#[derive(Default)]
+pub(crate) struct Pause {
+    faults: u32,
+}
+
+impl Pause {
+    /// Waits after one more fault.
+    pub async fn wait(&mut self) {
+        let most = (PAUSE.0 << self.faults.min(4)).min(PAUSE.1);
+        self.faults += 1;
+        sleep(Duration::from_millis(fastrand::u64(most / 2..=most))).await;
+    }
+
+    /// A call has succeeded.
+    pub fn good(&mut self) {
+        self.faults = 0;
+    }
+}
+
+/// What was seen of a prefix.
+pub(crate) enum Seen {
+    /// All its items, and the revision at which the reading began.
+    All(Vec<Item>, Rev),
+    /// What has changed since.
+    Changes(Vec<Item>, Rev),
+}
+
+/// A watch of a prefix.
+pub(crate) struct Follow {
+    outside: Outside,
+    prefix: Box<str>,
+    wait: Duration,
+    after: Option<Rev>,
+    pause: Pause,
+}
+
+impl Follow {
+    /// A watch that begins after a revision, or with a range where there is none.
+    pub fn new(outside: Outside, prefix: &str, wait: Duration, after: Option<Rev>) -> Self {
+        Follow { outside, prefix: prefix.into(), wait, after, pause: Pause::default() }
+    }
+
+    /// Waits for what is new; repeats what fails.
+    ///
+    /// After a fault the range is read again: what the store says of its history after it was away
+    /// is not relied on.
+    pub async fn next(&mut self) -> Seen {
+        loop {
+            let Some(after) = self.after else {
+                match self.outside.all(&self.prefix, false).await {
+                    Ok((items, rev)) => {
+                        self.after = Some(rev);
+                        self.pause.good();
+                        return Seen::All(items, rev);
+                    }
+                    Err(_) => self.pause.wait().await,
+                }
+                continue;
+            };
+            let asked = Instant::now();
+            let call = StoreCall::Watch { prefix: self.prefix.clone(), after, wait: self.wait };
+            match self.outside.store(&call, self.wait + MARGIN).await {
+                Ok(StoreReply::Events(items, rev)) => {
+                    self.after = Some(rev.max(after));
+                    if !items.is_empty() {
+                        self.pause.good();
+                        return Seen::Changes(items, rev);
+                    }
+                    if asked.elapsed() < self.wait / 4 {
+                        // A watch that was cut short, over and over, would be asked for in a spin.
+                        self.pause.wait().await;
+                    }
+                }
+                Ok(StoreReply::Forgotten) => self.after = None,
+                _ => {
+                    self.pause.wait().await;
+                    self.after = None;
+                }
+            }
+        }
+    }
+}
