--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -235,8 +235,8 @@
         Order::Worker { worker, call, .. } => {
             Some(Event::Worker { worker, sent: now, call, reply: Err(Fault::Unsent) })
         }
-        Order::Advise { via, call, .. } => {
-            Some(Event::Advised { call, via, sent: now, reply: Err(Fault::Unsent) })
+        Order::Advise { via, call, sent, .. } => {
+            Some(Event::Advised { call, via, sent, reply: Err(Fault::Unsent) })
         }
         Order::Store(number, _) => Some(Event::Stored(number, Err(Fault::Unsent))),
         Order::Reread => Some(Event::Reread(Err(Fault::Unsent))),
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -205,7 +205,7 @@
                 let reply = self.outside.worker(addr, &worker, &call, limit).await;
                 Some(Event::Worker { worker, sent, call, reply })
             }
-            Order::Advise { via, call, limit } => {
+            Order::Advise { via, call, sent, limit } => {
                 let reply = if via == self.common.me {
                     self.outside.advice(&call, limit).await
                 } else {
--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -93,7 +93,7 @@
         };
         part.tickets.asking = true;
         let call = Box::new(AdviceCall { step: *key, workers });
-        self.out.push(Order::Advise { via, call, limit: (end - now) + SLACK });
+        self.out.push(Order::Advise { via, call, sent: now, limit: (end - now) + SLACK });
     }
 
     /// Takes in advice, or that none came.
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -91,6 +91,8 @@
         via: Incarnation,
         /// The call.
         call: Box<AdviceCall>,
+        /// When it was ordered; its event says so again.
+        sent: Time,
         /// How long its answer is waited for.
         limit: Duration,
     },
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -168,7 +168,11 @@
                 self.written(after, now);
             }
             Event::Confirmed(sent) => self.confirmed = self.confirmed.max(sent),
-            Event::Peers(peers) => self.lanes.members(&peers),
+            Event::Peers(mut peers) => {
+                // This member first: its calls spare the way to another.
+                peers.sort_by_key(|p| *p != self.setup.me);
+                self.lanes.members(&peers);
+            }
             Event::Tick => self.tick(now),
         }
         self.dispatch(now);
