--- a/src/shard.rs
+++ b/src/shard.rs
@@ -5,4 +5,7 @@
 //! clock and does no I/O; `docs/PLATFORM.md` has the reasons.
 
 pub mod event;
+mod machine;
 pub mod record;
+
+pub use machine::{Setup, Shard};
--- /dev/null
+++ b/tests/yard/mod.rs
@@ -0,0 +1,612 @@
+//! Owners of one shard in virtual time, with workers, a store and advice that do as the protocol
+//! says, and the rules checked after every step.
+
+#![allow(dead_code)] // each test file uses a part
+
+pub mod advice;
+pub mod rules;
+pub mod store;
+pub mod worker;
+
+use {
+    dogwoodreach::{
+        Time,
+        ids::{Incarnation, WorkerId},
+        ports::{AdviceCall, Bounds, Fault, Item, Txn, WorkerCall, WorkerReply as Reply},
+        shard::{
+            Setup, Shard,
+            event::{Event, Load, Order},
+            record::{CommitRow, JobRecord, OwnerRow, Progress, Roster, ShardNo, read, write},
+        },
+        units::Size,
+        work::{AdviceCost, Job, JobNo, Listed, Pool, Queue, Queues, State, Step, TaskKey},
+    },
+    rules::{Rules, UNIX},
+    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    store::{Fate, Mode, Store},
+    worker::{GRAIN, Worker, World},
+};
+
+/// The shard that the yard has.
+const SHARD: ShardNo = ShardNo(0);
+/// How long a call of the store is waited for.
+const STORE_LIMIT: Duration = Duration::from_secs(2);
+/// How long a silent worker stays in the list.
+const SILENT: Duration = Duration::from_secs(3);
+
+type Deed = Box<dyn FnOnce(&mut Yard)>;
+
+/// A call of a worker under way.
+#[derive(Clone)]
+struct Ring {
+    owner: usize,
+    worker: WorkerId,
+    at: usize,
+    call: Box<WorkerCall>,
+    sent: Time,
+    over: Time,
+    late: bool,
+}
+
+/// What is on its way.
+enum Mail {
+    Tell(usize, Event),
+    Call(Ring),
+    Store(usize, u64, Txn),
+    /// A transaction that is done though its answer is lost.
+    Again(Txn),
+    Reread(usize),
+    Ask(usize, Incarnation, Box<AdviceCall>, Time, Duration),
+    Advise(usize, Incarnation, Box<AdviceCall>, Time),
+    Do(Deed),
+}
+
+/// One owner of the shard.
+pub struct Owner {
+    pub shard: Shard,
+    pub me: Incarnation,
+    /// Whether it has ended or was told to forget the shard.
+    pub gone: bool,
+    pub paused: bool,
+    /// What came while it was paused.
+    held: Vec<Event>,
+}
+
+/// The yard.
+pub struct Yard {
+    pub now: Time,
+    pub world: World,
+    pub store: Store,
+    pub rules: Rules,
+    pub owners: Vec<Owner>,
+    /// Of so many orders one is carried out late; 0 is none.
+    pub late: u32,
+    /// Orders that the owners gave, for counting.
+    pub orders: u64,
+    mail: BTreeMap<(Time, u64), Mail>,
+    count: u64,
+    /// Holds that wait for an end.
+    waits: Vec<(Ring, Time)>,
+    /// The list of workers, and when each was heard last.
+    list: BTreeMap<usize, (Listed, Time)>,
+    rng: fastrand::Rng,
+}
+
+/// Bounds as a deployment has them.
+pub fn bounds() -> Bounds {
+    let ms = Duration::from_millis;
+    Bounds {
+        hold: ms(8_000),
+        stop: ms(1_000),
+        gang: ms(5_000),
+        keep: ms(300_000),
+        remote: 1.5,
+        save: ms(1_000),
+        restore: ms(500),
+        harm: ms(4_000),
+        notice: ms(2_000),
+        config: ms(3_000),
+        drain: ms(2_000),
+        grace: ms(10_000),
+        ttl: ms(3_000),
+    }
+}
+
+/// Three queues: `plain` and `urgent` on the pool `guarded`, `open` on one that doesn't guard,
+/// and `advised`, whose steps need advice.
+pub fn queues() -> Arc<Queues> {
+    let queue = |name: &str, pool: &str, priority| Queue {
+        name: name.into(),
+        host: "".into(),
+        prefix: format!("/{name}/").into(),
+        pool: pool.into(),
+        priority,
+        attempts: 3,
+        stretch: 2.0,
+        slack: Duration::from_secs(5),
+        advice: None,
+    };
+    let ms = Duration::from_millis;
+    let cost = AdviceCost { base: ms(20), each: ms(2), valid: ms(3_000) };
+    let pool = |name: &str, guards| Pool { name: name.into(), guards, standby: false };
+    Arc::new(Queues {
+        version: 1,
+        all: vec![
+            queue("plain", "guarded", 1),
+            queue("urgent", "guarded", 0),
+            queue("open", "open", 1),
+            Queue { advice: Some(cost), ..queue("advised", "open", 1) },
+        ],
+        pools: vec![pool("guarded", true), pool("open", false)],
+        body: 1 << 20,
+    })
+}
+
+/// So many workers of 4 cores: of each four two guard, on two racks, one with the label `gpu`.
+pub fn workers(count: usize) -> Vec<Worker> {
+    let one = |i: usize| {
+        let pool = if i % 4 < 2 { "guarded" } else { "open" };
+        let mut w = Worker::new(pool, ["r1", "r2"][i % 2], Size::new(4, 16_384, 1));
+        w.rate = [1.0, 0.98, 0.99][i % 3];
+        w.offset = 1_000 * (1 + i as u64);
+        if i.is_multiple_of(2) {
+            w.labels.push("gpu".into());
+        }
+        w
+    };
+    (0..count).map(one).collect()
+}
+
+/// A step of so many tasks of one core, of so many milliseconds each.
+pub fn step(count: u32, estimate: u64) -> Step {
+    Step { count, estimate, size: Size::new(1, 512, 0), ..Step::default() }
+}
+
+/// A job of these steps.
+pub fn job(steps: impl Into<Box<[Step]>>) -> Job {
+    Job { text: "do it".into(), steps: steps.into(), times: None }
+}
+
+impl Yard {
+    /// A yard with one owner.
+    pub fn new(seed: u64, count: usize) -> Self {
+        let world = World::new(seed, bounds(), queues(), workers(count));
+        let mut yard = Yard {
+            now: Time::ZERO,
+            world,
+            store: Store::new(seed),
+            rules: Rules::new(seed),
+            owners: Vec::new(),
+            late: 0,
+            orders: 0,
+            mail: BTreeMap::new(),
+            count: 0,
+            waits: Vec::new(),
+            list: BTreeMap::new(),
+            rng: fastrand::Rng::with_seed(seed),
+        };
+        yard.world.spread = 0.2;
+        yard.look();
+        yard.take_over();
+        yard
+    }
+
+    fn net(&mut self) -> Duration {
+        Duration::from_micros(self.rng.u64(200..3_000))
+    }
+
+    fn post(&mut self, at: Time, mail: Mail) {
+        self.count += 1;
+        self.mail.insert((at.max(self.now), self.count), mail);
+    }
+
+    fn tell(&mut self, at: Time, event: Event) {
+        for owner in 0..self.owners.len() {
+            self.post(at, Mail::Tell(owner, event.clone()));
+        }
+    }
+
+    /// Does something at a time.
+    pub fn at(&mut self, ms: u64, deed: impl FnOnce(&mut Yard) + 'static) {
+        self.post(Time::from_millis(ms), Mail::Do(Box::new(deed)));
+    }
+
+    /// Does something at a time that the bounds of time make allowance for.
+    pub fn fault(&mut self, ms: u64, deed: impl FnOnce(&mut Yard) + 'static) {
+        self.at(ms, |y| {
+            y.rules.fault(y.now);
+            deed(y);
+        });
+    }
+
+    /// A caller's job is stored; later where the store is down.
+    pub fn submit(&mut self, no: u64, queue: &str, job: Job) {
+        job.check().expect("a job that may be asked for");
+        let queue: Box<str> = queue.into();
+        if self.store.mode == Mode::Down {
+            let later = self.now.0 / 1_000 + 500;
+            return self.at(later, move |y| y.submit(no, &queue, job));
+        }
+        let record = JobRecord { queue, came: UNIX + self.now.0 / 1_000, job };
+        self.store.put(SHARD.job(JobNo(no)), write(&record));
+        self.world.jobs.insert(JobNo(no), record.clone());
+        let seen = self.now + Duration::from_millis(self.rng.u64(1..50));
+        self.tell(seen, Event::Job(JobNo(no), Box::new(record)));
+    }
+
+    /// A caller's cancel is stored; later where the store is down.
+    pub fn cancel(&mut self, no: u64) {
+        if self.store.mode == Mode::Down {
+            return self.at(self.now.0 / 1_000 + 500, move |y| y.cancel(no));
+        }
+        self.store.put(SHARD.cancel(JobNo(no)), "{}".into());
+        self.rules.cancels.entry(JobNo(no)).or_insert(self.now);
+        self.tell(self.now + Duration::from_millis(20), Event::Cancel(JobNo(no)));
+    }
+
+    /// A new owner reads the store and begins; later where the store is down.
+    pub fn take_over(&mut self) {
+        if self.store.mode == Mode::Down {
+            return self.at(self.now.0 / 1_000 + 200, Yard::take_over);
+        }
+        let old = self.store.get(&SHARD.owner()).and_then(|i| i.value);
+        let token = old.and_then(|v| read::<OwnerRow>(&v)).map_or(1, |r| r.token + 1);
+        let me = Incarnation(100 + token);
+        self.store.put(SHARD.owner(), write(&OwnerRow { owner: Some(me), token }));
+        let commit = self.store.put(SHARD.commit(), write(&CommitRow { token, number: 0 }));
+        let setup = Setup { shard: SHARD, me, token, bounds: self.world.bounds, unix: UNIX };
+        let shard = Shard::new(setup, self.load(commit), self.now);
+        self.owners.push(Owner { shard, me, gone: false, paused: false, held: Vec::new() });
+        let (owner, now) = (self.owners.len() - 1, self.now);
+        let listed = self.list.values().map(|l| l.0.clone()).collect();
+        let first = [
+            Event::Queues(self.world.queues.clone()),
+            Event::Listed(listed),
+            Event::Peers(vec![me, Incarnation(9)]),
+            Event::Confirmed(now),
+        ];
+        first.into_iter().for_each(|e| self.post(now, Mail::Tell(owner, e)));
+    }
+
+    /// What the store holds of the shard.
+    fn load(&self, commit: u64) -> Load {
+        let inbox = self.store.range(&SHARD.inbox());
+        let tail = |key: &str| key.rsplit('/').next().and_then(|n| n.parse().ok());
+        let of = |kind: &str| {
+            let all =
+                inbox.iter().filter(|(k, _)| k.starts_with(&format!("{}{kind}/", SHARD.inbox())));
+            all.filter_map(|(k, v)| Some((tail(k)?, v.clone()))).collect::<Vec<(JobNo, _)>>()
+        };
+        let progress: Vec<(JobNo, Progress)> = self.progress().into_iter().collect();
+        let over = |job| progress.iter().any(|(j, p)| *j == job && p.state.over());
+        let jobs = of("j").into_iter().filter(|(j, _)| !over(*j));
+        let roster = self.store.get(&SHARD.roster()).and_then(|i| i.value);
+        Load {
+            jobs: jobs.filter_map(|(j, v)| Some((j, read(&v)?))).collect(),
+            cancels: of("c").into_iter().map(|c| c.0).collect(),
+            progress,
+            roster: roster.and_then(|v| read::<Roster>(&v)).unwrap_or_default(),
+            commit,
+        }
+    }
+
+    /// How jobs stand, as the store has it.
+    pub fn progress(&self) -> BTreeMap<JobNo, Progress> {
+        let all = self.store.range(&SHARD.all_progress()).into_iter();
+        let one = |(k, v): (Box<str>, bytes::Bytes)| {
+            Some((k.rsplit('/').next()?.parse().ok()?, read(&v)?))
+        };
+        all.filter_map(one).collect()
+    }
+
+    /// The newest owner.
+    pub fn owner(&mut self) -> &mut Owner {
+        self.owners.last_mut().expect("the first owner is there from the start")
+    }
+
+    /// The newest owner's process ends.
+    pub fn kill(&mut self) {
+        self.owner().gone = true;
+    }
+
+    /// An owner stands still, or goes on with all that came meanwhile.
+    pub fn pause(&mut self, owner: usize, paused: bool) {
+        self.owners[owner].paused = paused;
+        if !paused {
+            for event in std::mem::take(&mut self.owners[owner].held) {
+                self.post(self.now, Mail::Tell(owner, event));
+            }
+        }
+    }
+
+    /// A worker's process ends, and begins anew after a while.
+    pub fn crash(&mut self, at: usize, back: Duration) {
+        self.world.crash(at);
+        self.at((self.now + back).0 / 1_000, move |y| y.world.workers[at].up = true);
+    }
+
+    /// Lets time pass.
+    pub fn run_until(&mut self, ms: u64) {
+        let to = Time::from_millis(ms);
+        while self.now < to {
+            let grain = GRAIN.as_micros() as u64;
+            let beat = Time((self.now.0 / grain + 1) * grain);
+            let mail = self.mail.keys().next().map_or(Time::NEVER, |k| k.0);
+            self.now = beat.min(mail).min(to);
+            self.world.advance(self.now);
+            self.check();
+            while self.mail.keys().next().is_some_and(|k| k.0 <= self.now) {
+                let (_, mail) = self.mail.pop_first().expect("there is one");
+                self.handle(mail);
+                self.check();
+            }
+            if self.now == beat {
+                self.beat();
+            }
+        }
+    }
+
+    fn check(&mut self) {
+        self.rules.check(&mut self.world);
+        for (key, value) in std::mem::take(&mut self.store.written) {
+            let job = key.strip_prefix(&*SHARD.all_progress()).and_then(|j| j.parse().ok());
+            if let Some(job) = job {
+                let progress = read(&value).expect("progress that can be read");
+                self.rules.stored(&self.world, job, &progress);
+            }
+        }
+    }
+
+    /// What happens again and again.
+    fn beat(&mut self) {
+        let ms = self.now.0 / 1_000;
+        let trouble = |w: &Worker| w.cut || w.hung || w.unwell || w.grey || w.speed < 1.0;
+        if self.store.mode != Mode::Up
+            || self.owners.iter().any(|o| o.paused)
+            || self.owners.iter().all(|o| o.gone)
+            || self.world.workers.iter().any(|w| !w.up || trouble(w))
+        {
+            self.rules.fault(self.now);
+        }
+        for (ring, until) in std::mem::take(&mut self.waits) {
+            self.wait(ring, until);
+        }
+        if ms.is_multiple_of(20) {
+            self.tell(self.now, Event::Tick);
+        }
+        if ms.is_multiple_of(100) {
+            self.shown();
+        }
+        if ms.is_multiple_of(500) {
+            self.look();
+            if self.store.mode != Mode::Down {
+                let (at, owner) = (self.now + self.net(), self.owners.len() - 1);
+                self.post(at, Mail::Tell(owner, Event::Confirmed(self.now)));
+            }
+        }
+    }
+
+    /// What the newest owner shows.
+    fn shown(&mut self) {
+        let owner = self.owners.last().filter(|o| !o.gone && !o.paused);
+        for job in self.world.jobs.keys() {
+            if let Some(state) = owner.and_then(|o| o.shard.state(*job)) {
+                self.rules.shown(&self.world, *job, state);
+            }
+        }
+    }
+
+    /// The workers report themselves.
+    fn look(&mut self) {
+        let before: Vec<Listed> = self.list.values().map(|l| l.0.clone()).collect();
+        for (at, w) in self.world.workers.iter().enumerate() {
+            if w.up && !w.cut && !w.hung {
+                self.list.insert(at, (self.world.listed(at), self.now));
+            }
+        }
+        self.list.retain(|_, l| self.now.since(l.1) < SILENT);
+        let listed: Vec<Listed> = self.list.values().map(|l| l.0.clone()).collect();
+        if listed != before {
+            self.tell(self.now + Duration::from_millis(100), Event::Listed(listed));
+        }
+    }
+
+    fn handle(&mut self, mail: Mail) {
+        match mail {
+            Mail::Tell(owner, event) => self.hear(owner, event),
+            Mail::Call(ring) => self.call(ring),
+            Mail::Store(owner, number, txn) => self.txn(owner, number, &txn),
+            Mail::Again(txn) => drop(self.store.txn(&txn)),
+            Mail::Reread(owner) => self.reread(owner),
+            Mail::Ask(owner, via, call, sent, limit) => self.ask(owner, via, call, sent, limit),
+            Mail::Advise(owner, via, call, sent) => {
+                let valid = self.cost(&call).valid;
+                let reply = Ok(self.world.advice.answer(&call, valid, self.now));
+                let at = self.now + self.net();
+                self.post(at, Mail::Tell(owner, Event::Advised { call, via, sent, reply }));
+            }
+            Mail::Do(deed) => deed(self),
+        }
+    }
+
+    fn hear(&mut self, at: usize, event: Event) {
+        let owner = &mut self.owners[at];
+        match (owner.gone, owner.paused, &event) {
+            (true, _, _) | (false, true, Event::Tick) => {}
+            (false, true, _) => owner.held.push(event),
+            _ => {
+                let orders = owner.shard.on(event, self.now);
+                orders.into_iter().for_each(|o| self.order(at, o));
+            }
+        }
+    }
+
+    fn order(&mut self, owner: usize, order: Order) {
+        let (now, there) = (self.now, self.now + self.net());
+        self.orders += 1;
+        match order {
+            Order::Worker { worker, addr, call, limit } => {
+                let at = usize::from(addr.port()) - 1_000;
+                let late = self.late > 0 && self.rng.u32(0..self.late) == 0;
+                let wait = Duration::from_millis(self.rng.u64(2_000..12_000));
+                let ring = Ring { owner, worker, at, call, sent: now, over: now + limit, late };
+                if late {
+                    self.answer(&ring, None);
+                }
+                self.post(if late { now + wait } else { there }, Mail::Call(ring));
+            }
+            Order::Advise { via, call, limit } => {
+                self.post(there, Mail::Ask(owner, via, call, now, limit));
+            }
+            Order::Store(number, txn) => self.post(there, Mail::Store(owner, number, txn)),
+            Order::Reread => self.post(there, Mail::Reread(owner)),
+            Order::Deposed => self.owners[owner].gone = true,
+        }
+    }
+
+    /// Gives a worker's answer, or that none came in time.
+    fn answer(&mut self, ring: &Ring, reply: Option<Reply>) {
+        let at = self.now + self.net();
+        let (at, reply) = match reply {
+            Some(reply) if at <= ring.over => (at, Ok(reply)),
+            _ => (ring.over, Err(Fault::Unknown)),
+        };
+        let (worker, call, sent) = (ring.worker.clone(), ring.call.clone(), ring.sent);
+        let event = Event::Worker { worker, sent, call, reply };
+        self.post(at, Mail::Tell(ring.owner, event));
+    }
+
+    fn call(&mut self, ring: Ring) {
+        let w = &self.world.workers[ring.at];
+        if !w.up && !w.cut && !ring.late {
+            let (worker, call, sent) = (ring.worker, ring.call, ring.sent);
+            let event = Event::Worker { worker, sent, call, reply: Err(Fault::Unsent) };
+            return self.post(self.now, Mail::Tell(ring.owner, event));
+        }
+        let reply = self.world.call(ring.at, &ring.worker, &ring.call, ring.late);
+        if ring.late {
+            return;
+        }
+        match (&*ring.call, &reply) {
+            (WorkerCall::Hold { wait, .. }, Some(Reply::Held(held)))
+                if held.ended.is_empty() && !wait.is_zero() =>
+            {
+                let until = self.now + *wait;
+                self.waits.push((ring, until));
+            }
+            _ => self.answer(&ring, reply),
+        }
+    }
+
+    /// A hold waits for an end.
+    fn wait(&mut self, ring: Ring, until: Time) {
+        let w = &self.world.workers[ring.at];
+        let other = self.world.id(ring.at) != ring.worker;
+        if !w.up || w.cut || w.hung || other {
+            return self.answer(&ring, None);
+        }
+        let held = self.world.held(ring.at);
+        if held.ended.is_empty() && self.now < until {
+            return self.waits.push((ring, until));
+        }
+        self.answer(&ring, Some(Reply::Held(held)));
+    }
+
+    fn txn(&mut self, owner: usize, number: u64, txn: &Txn) {
+        let at = self.now + self.store.delay();
+        let unheard = (self.now + STORE_LIMIT, Err(Fault::Unknown));
+        let (at, reply) = match self.store.fate() {
+            Fate::Answered => (at, Ok(self.store.txn(txn))),
+            Fate::Refused => (at, Err(Fault::Refused)),
+            Fate::Unheard => unheard,
+            Fate::Lost(wait) => {
+                self.post(self.now + wait, Mail::Again(txn.clone()));
+                unheard
+            }
+        };
+        self.post(at, Mail::Tell(owner, Event::Stored(number, reply)));
+    }
+
+    fn reread(&mut self, owner: usize) {
+        let row = |i: Item| Some((i.rev, read::<CommitRow>(&i.value?)?.number));
+        let (at, reply) = match self.store.fate() {
+            Fate::Answered => {
+                let row = self.store.get(&SHARD.commit()).and_then(row);
+                (self.now + self.store.delay(), row.ok_or(Fault::Bad("no commit row".into())))
+            }
+            Fate::Refused => (self.now + self.store.delay(), Err(Fault::Refused)),
+            Fate::Unheard | Fate::Lost(_) => (self.now + STORE_LIMIT, Err(Fault::Unknown)),
+        };
+        self.post(at, Mail::Tell(owner, Event::Reread(reply)));
+    }
+
+    /// What advice on a step costs.
+    fn cost(&self, call: &AdviceCall) -> AdviceCost {
+        let cost = self.world.queue(call.step.job).and_then(|q| q.advice);
+        cost.expect("advice is asked for only where it is needed")
+    }
+
+    fn ask(
+        &mut self,
+        owner: usize,
+        via: Incarnation,
+        call: Box<AdviceCall>,
+        sent: Time,
+        limit: Duration,
+    ) {
+        let cost = self.cost(&call);
+        let (at, reply) = match self.world.advice.ask(via, &call, cost, self.now) {
+            Ok(at) if at < sent + limit => {
+                return self.post(at, Mail::Advise(owner, via, call, sent));
+            }
+            Ok(_) | Err(Fault::Unknown) => (sent + limit, Err(Fault::Unknown)),
+            Err(fault) => (self.now + self.net(), Err(fault)),
+        };
+        self.post(at, Mail::Tell(owner, Event::Advised { call, via, sent, reply }));
+    }
+
+    /// Lets time pass until every job is over, or its lasting tasks are all at work; errs with the
+    /// seed and the jobs that aren't when the bound is reached.
+    pub fn settle(&mut self, bound: u64) {
+        while !self.open().is_empty() && self.now < Time::from_millis(bound) {
+            self.run_until(self.now.0 / 1_000 + 100);
+        }
+        let (open, seed) = (self.open(), self.rules.seed);
+        assert!(open.is_empty(), "seed {seed}: not over after {bound} ms: {open:?}");
+    }
+
+    /// Jobs that aren't as they should be in the end.
+    pub fn open(&self) -> Vec<(JobNo, Option<State>)> {
+        let progress = self.progress();
+        let state = |j: &JobNo| progress.get(j).map(|p| p.state);
+        let open = self.world.jobs.keys().filter(|j| !self.settled(**j, state(j)));
+        open.map(|j| (*j, state(j))).collect()
+    }
+
+    fn settled(&self, job: JobNo, state: Option<State>) -> bool {
+        let steps = &self.world.jobs[&job].job.steps;
+        if self.rules.cancels.contains_key(&job) {
+            return state.is_some_and(State::over) && self.running(job) == 0;
+        }
+        if self.world.hopeless.iter().any(|h| h.0 == job) {
+            return state == Some(State::Failed);
+        }
+        let lasting: u32 = steps.iter().filter(|s| s.lasts).map(|s| s.count).sum();
+        match lasting {
+            0 => state == Some(State::Done),
+            count => self.running(job) == count as usize,
+        }
+    }
+
+    /// How many runs of a job are there.
+    pub fn running(&self, job: JobNo) -> usize {
+        let runs = self.world.workers.iter().flat_map(|w| &w.runs);
+        runs.filter(|r| r.start.task.step.job == job).count()
+    }
+
+    /// The tasks that run.
+    pub fn tasks(&self) -> Vec<TaskKey> {
+        let runs = self.world.workers.iter().flat_map(|w| &w.runs);
+        runs.map(|r| r.start.task).collect()
+    }
+}
--- /dev/null
+++ b/tests/yard/rules.rs
@@ -0,0 +1,244 @@
+//! The rules that a day is judged by, from what the workers and the store have seen.
+
+use {
+    crate::yard::worker::{Note, World},
+    dogwoodreach::{
+        Time,
+        ports::{How, Start},
+        shard::record::{JobRecord, Progress},
+        work::{JobNo, State, StepKey, TaskKey},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// How long after a cancel a task may still start.
+pub const CANCEL: Duration = Duration::from_secs(2);
+/// How much too early a timed task may start.
+const EARLY: Duration = Duration::from_millis(500);
+/// How long after a fault the bounds of time don't hold.
+pub const CONTACT: Duration = Duration::from_secs(5);
+/// The Unix clock at [`Time::ZERO`], in milliseconds.
+pub const UNIX: u64 = 1_700_000_000_000;
+
+/// What is known of the day so far.
+#[derive(Default)]
+pub struct Rules {
+    pub seed: u64,
+    /// Until when the bounds of time don't hold.
+    pub trouble: Time,
+    /// Whether there was a fault at all.
+    pub faults: bool,
+    pub cancels: BTreeMap<JobNo, Time>,
+    /// When a task ended as done, and when that was noted.
+    done: BTreeMap<TaskKey, (Time, Option<Time>)>,
+    starts: BTreeMap<TaskKey, Vec<Time>>,
+    /// Runs that failed: number, when, when noted.
+    failed: BTreeMap<TaskKey, Vec<(u32, Time, Option<Time>)>>,
+    /// Every start, for those who count.
+    pub count: u64,
+}
+
+impl Rules {
+    pub fn new(seed: u64) -> Self {
+        Rules { seed, ..Rules::default() }
+    }
+
+    fn broke(&self, now: Time, text: String) -> ! {
+        panic!("seed {}, at {now}: {text}", self.seed)
+    }
+
+    /// A fault begins or goes on now.
+    pub fn fault(&mut self, now: Time) {
+        self.faults = true;
+        self.trouble = self.trouble.max(now + CONTACT);
+    }
+
+    /// Checks what happened since the last call, and what runs now.
+    pub fn check(&mut self, world: &mut World) {
+        for note in std::mem::take(&mut world.notes) {
+            match note {
+                Note::Start { at, worker, start, late } => {
+                    self.start(world, at, worker, &start, late);
+                }
+                Note::End { at, end } => self.end(world, at, end.task, end.run, end.how),
+                Note::Seen { task, run, how } => self.seen(world, task, run, how),
+                Note::Odd(text) => self.broke(world.now, text),
+            }
+        }
+        self.running(world);
+    }
+
+    /// Nothing is over its worker's size, nothing runs twice, nothing runs on when cancelled.
+    fn running(&self, world: &World) {
+        let mut runs = BTreeSet::new();
+        let overdue = CANCEL + world.bounds.stop;
+        for (at, w) in world.workers.iter().enumerate() {
+            let used = world.used(at);
+            if !used.fits(&w.size) {
+                let text = format!("{} has {}, and {used} runs", world.id(at), w.size);
+                self.broke(world.now, text);
+            }
+            for run in &w.runs {
+                let task = run.start.task;
+                let copies = world.step(task.step).is_some_and(|s| s.copies);
+                if !runs.insert(task) && !copies {
+                    self.broke(world.now, format!("{task} runs twice at once"));
+                }
+                let Some(cancel) = self.cancels.get(&task.step.job) else { continue };
+                if *cancel > self.trouble && world.now > *cancel + overdue {
+                    self.broke(world.now, format!("{task} runs on, cancelled at {cancel}"));
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, world: &World, at: Time, worker: usize, start: &Start, late: bool) {
+        let task = start.task;
+        let (Some(step), Some(queue)) = (world.step(task.step), world.queue(task.step.job)) else {
+            self.broke(at, format!("{task} was asked for by nobody"));
+        };
+        let (w, record) = (&world.workers[worker], &world.jobs[&task.step.job]);
+        let whole = whole(world, task);
+        self.count += 1;
+        self.starts.entry(whole).or_default().push(at);
+        if *start.text != *record.job.text || task.index >= step.count {
+            self.broke(at, format!("{task} was not asked for like this: {start:?}"));
+        }
+        if w.pool != queue.pool || step.needs.as_ref().is_some_and(|n| !w.labels.contains(n)) {
+            self.broke(at, format!("{task} started at {}, which is none of its", world.id(worker)));
+        }
+        let beside = w.runs.iter().filter(|r| r.start.task.step == task.step).count();
+        if step.apart > 0 && beside > step.apart as usize {
+            self.broke(at, format!("{beside} of {} run at {}", task.step, world.id(worker)));
+        }
+        if let Some(before) = step.after.iter().find(|a| !self.step_done(world, task.step, **a)) {
+            self.broke(at, format!("{task} started before step {before} was done"));
+        }
+        if let Some(due) = due(record, task.step.time).filter(|d| at + EARLY < *d) {
+            self.broke(at, format!("{task} started before it was due at {due}"));
+        }
+        self.in_time(world, at, worker, task, late);
+        self.repeated(world, at, whole);
+    }
+
+    /// The rules that have a bound of time.
+    fn in_time(&self, world: &World, at: Time, worker: usize, task: TaskKey, late: bool) {
+        if late || at < self.trouble {
+            return;
+        }
+        if let Some(c) = self.cancels.get(&task.step.job).filter(|c| at > **c + CANCEL) {
+            self.broke(at, format!("{task} started, its job was cancelled at {c}"));
+        }
+        let leaving = world.workers[worker].draining;
+        if let Some(d) = leaving.filter(|d| at > *d + world.bounds.drain) {
+            self.broke(at, format!("{task} started at {}, leaving at {d}", world.id(worker)));
+        }
+        let noted = self.done.get(&whole(world, task)).and_then(|d| d.1);
+        if noted.is_some_and(|n| at > n + Duration::from_secs(1)) {
+            self.broke(at, format!("{task} started, it was noted as done before"));
+        }
+    }
+
+    /// No start after an end as done, or after as many failures as may be, that are noted.
+    fn repeated(&self, world: &World, now: Time, whole: TaskKey) {
+        let Some(step) = world.step(whole.step).filter(|s| !s.copies) else { return };
+        let starts = self.starts.get(&whole).map(Vec::as_slice).unwrap_or_default();
+        let last = starts.last().copied().unwrap_or_default();
+        if self.done.get(&whole).is_some_and(|(end, noted)| noted.is_some() && last > *end) {
+            self.broke(now, format!("{whole} started at {last}, after it was done"));
+        }
+        let most = world.queue(whole.step.job).map_or(0, |q| q.attempts) as usize;
+        let failed = self.failed.get(&whole).map(Vec::as_slice).unwrap_or_default();
+        let before = failed.iter().filter(|f| f.2.is_some() && f.1 < last).count();
+        if before >= most && !step.lasts {
+            self.broke(now, format!("{whole} started at {last}, after {before} failures"));
+        }
+    }
+
+    fn end(&mut self, world: &World, at: Time, task: TaskKey, run: u32, how: How) {
+        let whole = whole(world, task);
+        match how {
+            How::Done => drop(self.done.entry(whole).or_insert((at, None))),
+            How::Failed => self.failed.entry(whole).or_default().push((run, at, None)),
+            How::Alone if !self.faults && !self.cancels.contains_key(&task.step.job) => {
+                self.broke(at, format!("{task} ended alone, and nothing was amiss"));
+            }
+            _ => {}
+        }
+    }
+
+    fn seen(&mut self, world: &World, task: TaskKey, run: u32, how: How) {
+        let (whole, now) = (whole(world, task), world.now);
+        if how == How::Done
+            && let Some(done) = self.done.get_mut(&whole)
+        {
+            done.1.get_or_insert(now);
+        }
+        let failed = self.failed.entry(whole).or_default().iter_mut();
+        if how == How::Failed
+            && let Some(f) = failed.into_iter().find(|f| f.0 == run)
+        {
+            f.2.get_or_insert(now);
+        }
+        self.repeated(world, now, whole);
+    }
+
+    /// Whether all tasks of a step have ended as done.
+    fn step_done(&self, world: &World, of: StepKey, step: u16) -> bool {
+        let key = StepKey { step, ..of };
+        let count = world.step(key).map_or(0, |s| s.count);
+        let done = |index| self.done.contains_key(&whole(world, TaskKey { step: key, index }));
+        (0..count).all(done)
+    }
+
+    /// Whether all tasks of a job have ended as done.
+    pub fn job_done(&self, world: &World, job: JobNo) -> bool {
+        let Some(record) = world.jobs.get(&job) else { return false };
+        let times = record.job.times.map_or(1, |t| t.count);
+        let steps = record.job.steps.len() as u16;
+        let all = (0..times).flat_map(|time| (0..steps).map(move |step| (time, step)));
+        all.into_iter().all(|(time, step)| self.step_done(world, StepKey { job, time, step }, step))
+    }
+
+    /// A job's state is shown or stored.
+    pub fn shown(&self, world: &World, job: JobNo, state: State) {
+        let most = world.queue(job).map_or(0, |q| q.attempts) as usize;
+        let mine = self.failed.iter().filter(|(t, _)| t.step.job == job);
+        let right = match state {
+            State::Done => self.job_done(world, job),
+            State::Failed => mine.into_iter().any(|(_, f)| f.len() >= most),
+            State::Cancelled => self.cancels.contains_key(&job),
+            State::Queued | State::Running => true,
+        };
+        if !right || !world.jobs.contains_key(&job) {
+            self.broke(world.now, format!("job {job} is shown as {state} without cause"));
+        }
+    }
+
+    /// A job's progress is stored: nothing in it that no worker has said.
+    pub fn stored(&self, world: &World, job: JobNo, progress: &Progress) {
+        self.shown(world, job, progress.state);
+        for row in &progress.tasks {
+            let step = StepKey { job, time: row.0, step: row.1 };
+            let whole = whole(world, TaskKey { step, index: row.2 });
+            if row.5 && !self.done.contains_key(&whole) {
+                self.broke(world.now, format!("{whole} is stored as done, and it isn't"));
+            }
+        }
+    }
+}
+
+/// The task that stands for all of its gang; any other stands for itself.
+fn whole(world: &World, task: TaskKey) -> TaskKey {
+    let gang = world.step(task.step).is_some_and(|s| s.gang);
+    TaskKey { index: if gang { 0 } else { task.index }, ..task }
+}
+
+/// When an occurrence is due.
+fn due(record: &JobRecord, time: u32) -> Option<Time> {
+    let times = record.job.times?;
+    Some(Time::from_millis((times.first + u64::from(time) * times.every).saturating_sub(UNIX)))
+}
--- /dev/null
+++ b/tests/yard/worker.rs
@@ -0,0 +1,555 @@
+//! Workers as the protocol has them, without a network: leases, fences, stops, ends and gangs.
+
+use {
+    crate::yard::advice::Service,
+    dogwoodreach::{
+        Time,
+        ids::{PoolId, RackId, WorkerId, Zone},
+        ports::{
+            Bounds, ENDS, End, Held, How, Refusal, Row, Start, WorkerCall, WorkerReply as Reply,
+        },
+        shard::record::JobRecord,
+        units::Size,
+        work::{JobNo, Listed, Queue, Queues, Step, StepKey, TaskKey},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// The grain of virtual time.
+pub const GRAIN: Duration = Duration::from_millis(10);
+
+/// A task's run at a worker.
+pub struct Run {
+    pub start: Start,
+    pub since: Time,
+    /// From when it works.
+    ready: Time,
+    /// Work done and work in the last checkpoint, in milliseconds.
+    pub work: f64,
+    kept: f64,
+    /// When its stop is over.
+    pub stops: Option<Time>,
+    pub percent: u8,
+    /// Whether its gang has come together.
+    together: bool,
+}
+
+/// One worker, over its lives.
+pub struct Worker {
+    pub life: u32,
+    pub pool: PoolId,
+    pub rack: RackId,
+    pub size: Size,
+    pub labels: Vec<Box<str>>,
+    /// Its clock: the speed, and the milliseconds at the start of all.
+    pub rate: f64,
+    pub offset: u64,
+    pub up: bool,
+    pub cut: bool,
+    pub hung: bool,
+    pub unwell: bool,
+    /// Whether all that runs on it fails.
+    pub grey: bool,
+    pub speed: f64,
+    /// Since when it is leaving.
+    pub draining: Option<Time>,
+    pub runs: Vec<Run>,
+    token: u64,
+    until: u64,
+    lapsed: bool,
+    barred: BTreeMap<TaskKey, u32>,
+    /// Ends, and whether the lease lapsed since.
+    ended: Vec<(End, bool)>,
+    number: u64,
+}
+
+/// What the workers have seen.
+#[derive(Debug)]
+pub enum Note {
+    /// A run began: at which worker, and whether the order was carried out late.
+    Start { at: Time, worker: usize, start: Start, late: bool },
+    /// A run ended.
+    End { at: Time, end: End },
+    /// An end was noted.
+    Seen { task: TaskKey, run: u32, how: How },
+    /// Something that nobody asked for.
+    Odd(String),
+}
+
+/// All workers, and what clients have asked for.
+pub struct World {
+    pub now: Time,
+    pub bounds: Bounds,
+    pub queues: Arc<Queues>,
+    pub jobs: BTreeMap<JobNo, JobRecord>,
+    /// Steps whose tasks always fail.
+    pub hopeless: BTreeSet<(JobNo, u16)>,
+    pub workers: Vec<Worker>,
+    pub advice: Service,
+    pub notes: Vec<Note>,
+    /// How far a task's work may be from its estimate, as a share.
+    pub spread: f64,
+    /// Checkpoints that were shown.
+    saves: BTreeSet<Box<str>>,
+    rng: fastrand::Rng,
+}
+
+impl Worker {
+    pub fn new(pool: &str, rack: &str, size: Size) -> Self {
+        Worker {
+            life: 1,
+            pool: pool.into(),
+            rack: rack.into(),
+            size,
+            labels: vec![rack.into()],
+            rate: 1.0,
+            offset: 1_000,
+            up: true,
+            cut: false,
+            hung: false,
+            unwell: false,
+            grey: false,
+            speed: 1.0,
+            draining: None,
+            runs: Vec::new(),
+            token: 0,
+            until: 0,
+            lapsed: true,
+            barred: BTreeMap::new(),
+            ended: Vec::new(),
+            number: 0,
+        }
+    }
+
+    /// Its steady clock, in milliseconds.
+    pub fn clock(&self, now: Time) -> u64 {
+        self.offset + (now.0 as f64 / 1e3 * self.rate) as u64
+    }
+
+    fn extend(&mut self, until: u64, hold: Duration, now: Time) {
+        let clock = self.clock(now);
+        let most = clock + hold.as_millis() as u64;
+        self.until = self.until.max(until.min(most));
+        self.lapsed &= self.until <= clock;
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, bounds: Bounds, queues: Arc<Queues>, workers: Vec<Worker>) -> Self {
+        World {
+            now: Time::ZERO,
+            bounds,
+            queues,
+            jobs: BTreeMap::new(),
+            hopeless: BTreeSet::new(),
+            workers,
+            advice: Service::new(seed),
+            notes: Vec::new(),
+            spread: 0.0,
+            saves: BTreeSet::new(),
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// The id of a worker's present life.
+    pub fn id(&self, at: usize) -> WorkerId {
+        WorkerId(format!("w{at}-{}", self.workers[at].life).into())
+    }
+
+    /// A worker's entry in the list.
+    pub fn listed(&self, at: usize) -> Listed {
+        let w = &self.workers[at];
+        Listed {
+            id: self.id(at),
+            pool: w.pool.clone(),
+            addr: ([10, 0, 0, 1], 1000 + at as u16).into(),
+            zone: Zone::from("z1"),
+            draining: w.draining.is_some(),
+            left: w.draining.map(|d| Duration::from_secs(30).saturating_sub(self.now.since(d))),
+            size: w.size,
+            labels: w.labels.clone().into(),
+        }
+    }
+
+    /// What a job says of a step.
+    pub fn step(&self, key: StepKey) -> Option<&Step> {
+        self.jobs.get(&key.job)?.job.steps.get(usize::from(key.step))
+    }
+
+    /// The queue of a job.
+    pub fn queue(&self, job: JobNo) -> Option<&Queue> {
+        self.queues.named(&self.jobs.get(&job)?.queue)
+    }
+
+    /// What runs at a worker, and what is being stopped.
+    pub fn used(&self, at: usize) -> Size {
+        let counted = |r: &Run| self.step(r.start.task.step).map(Step::counted).unwrap_or_default();
+        self.workers[at].runs.iter().map(counted).sum()
+    }
+
+    /// A call arrives; no reply where the worker gives none.
+    pub fn call(
+        &mut self,
+        at: usize,
+        id: &WorkerId,
+        call: &WorkerCall,
+        late: bool,
+    ) -> Option<Reply> {
+        let other = self.id(at) != *id;
+        let w = &mut self.workers[at];
+        if !w.up || w.cut || w.hung {
+            return None;
+        }
+        if other {
+            return Some(Reply::Other);
+        }
+        if w.unwell {
+            return Some(Reply::Unwell);
+        }
+        let clock = w.clock(self.now);
+        let token = match call {
+            WorkerCall::Start(s) => s.token,
+            WorkerCall::Stop { token, .. }
+            | WorkerCall::Hold { token, .. }
+            | WorkerCall::Pace { token, .. } => *token,
+        };
+        if token < w.token {
+            return Some(Reply::Refused(clock, Refusal::Fence));
+        }
+        w.token = token;
+        let done = match call {
+            WorkerCall::Start(start) => self.start(at, start, late),
+            WorkerCall::Stop { task, run, .. } => self.stop(at, *task, *run),
+            WorkerCall::Pace { task, run, percent, .. } => self.pace(at, *task, *run, *percent),
+            WorkerCall::Hold { until, seen, .. } => return Some(self.hold(at, *until, *seen)),
+        };
+        Some(done.map_or_else(|why| Reply::Refused(clock, why), |()| Reply::Done(clock)))
+    }
+
+    fn start(&mut self, at: usize, start: &Start, late: bool) -> Result<(), Refusal> {
+        let now = self.now;
+        let w = &mut self.workers[at];
+        if w.runs.iter().any(|r| r.start.task == start.task && r.start.run == start.run) {
+            w.extend(start.until, self.bounds.hold, now);
+            return Ok(());
+        }
+        if start.until <= w.clock(now) {
+            return Err(Refusal::Late);
+        }
+        w.extend(start.until, self.bounds.hold, now);
+        if w.barred.get(&start.task).is_some_and(|b| start.run <= *b) {
+            return Err(Refusal::Old);
+        }
+        let Some(step) = self.step(start.task.step).cloned() else {
+            self.notes.push(Note::Odd(format!("{} was asked for by nobody", start.task)));
+            return Err(Refusal::Bad);
+        };
+        let (id, key) = (self.id(at), start.task.step);
+        let advised = self.queue(key.job).is_some_and(|q| q.advice.is_some());
+        if advised && !self.advice.holds(start.ticket.as_deref(), key, &id, now) {
+            return Err(Refusal::Ticket);
+        }
+        let pool = &self.workers[at].pool;
+        let guards = self.queues.pools.iter().any(|p| p.name == *pool && p.guards);
+        let mut used = self.used(at);
+        used += step.counted();
+        if guards && !used.fits(&self.workers[at].size) {
+            return Err(Refusal::Room);
+        }
+        if !start.saved.is_empty() && !self.saved_by(start, &step) {
+            self.notes.push(Note::Odd(format!("{} has no checkpoint {}", start.task, start.saved)));
+        }
+        let hex = start.saved.split('~').next().unwrap_or_default();
+        let work = u64::from_str_radix(hex, 16).unwrap_or(0) as f64;
+        let wait = if start.saved.is_empty() { Duration::ZERO } else { self.bounds.restore };
+        self.workers[at].runs.push(Run {
+            start: start.clone(),
+            since: now,
+            ready: now + wait,
+            work,
+            kept: work,
+            stops: None,
+            percent: 100,
+            together: false,
+        });
+        self.notes.push(Note::Start { at: now, worker: at, start: start.clone(), late });
+        Ok(())
+    }
+
+    /// Whether a start's checkpoint was shown by its task, or by one of its gang.
+    fn saved_by(&self, start: &Start, step: &Step) -> bool {
+        let tail = format!("~{}", name(start.task, step));
+        start.saved.ends_with(&tail) && self.saves.contains(&start.saved)
+    }
+
+    fn stop(&mut self, at: usize, task: TaskKey, run: u32) -> Result<(), Refusal> {
+        let saves = self.step(task.step).is_some_and(|s| s.saves);
+        let most = self.bounds.stop.as_millis() as u64;
+        let over = self.now + Duration::from_millis(self.rng.u64(most / 2..=most));
+        let w = &mut self.workers[at];
+        let barred = w.barred.entry(task).or_default();
+        *barred = run.max(*barred);
+        for r in w.runs.iter_mut().filter(|r| r.start.task == task && r.start.run <= run) {
+            r.stops.get_or_insert(over);
+            if saves {
+                r.kept = r.work;
+            }
+        }
+        Ok(())
+    }
+
+    fn pace(&mut self, at: usize, task: TaskKey, run: u32, share: u8) -> Result<(), Refusal> {
+        let runs = self.workers[at].runs.iter_mut();
+        for r in runs.filter(|r| r.start.task == task && r.start.run == run) {
+            r.percent = share.min(100);
+        }
+        Ok(())
+    }
+
+    fn hold(&mut self, at: usize, until: Option<u64>, seen: u64) -> Reply {
+        let (now, hold) = (self.now, self.bounds.hold);
+        let w = &mut self.workers[at];
+        if let Some(until) = until {
+            w.extend(until, hold, now);
+        }
+        let (gone, rest) = w.ended.drain(..).partition(|(e, _)| e.number <= seen);
+        w.ended = rest;
+        let gone: Vec<(End, bool)> = gone;
+        for (e, _) in gone.into_iter().filter(|(_, lapsed)| !lapsed) {
+            self.notes.push(Note::Seen { task: e.task, run: e.run, how: e.how });
+        }
+        Reply::Held(self.held(at))
+    }
+
+    /// What a worker says of itself.
+    pub fn held(&mut self, at: usize) -> Held {
+        let rows: Vec<Row> = (0..self.workers[at].runs.len()).map(|i| self.row(at, i)).collect();
+        self.saves.extend(rows.iter().map(|r| r.saved.clone()));
+        let w = &self.workers[at];
+        let ended: Vec<End> = w.ended.iter().take(ENDS).map(|(e, _)| e.clone()).collect();
+        self.saves.extend(ended.iter().map(|e| e.saved.clone()));
+        Held { clock: w.clock(self.now), running: rows, ended }
+    }
+
+    fn row(&self, at: usize, i: usize) -> Row {
+        let run = &self.workers[at].runs[i];
+        let step = self.step(run.start.task.step).cloned().unwrap_or_default();
+        let serves = |r: &&Run| self.step(r.start.task.step).is_some_and(|s| s.fills);
+        let beside: u64 =
+            self.workers[at].runs.iter().filter(serves).map(|r| u64::from(r.percent)).sum();
+        let percent = match step.lasts {
+            true => 100 * u8::from(self.now >= run.since + self.bounds.notice / 2),
+            false => (run.work / self.need(run.start.task) * 100.0).min(99.0) as u8,
+        };
+        Row {
+            task: run.start.task,
+            run: run.start.run,
+            saved: saved(run, &step),
+            percent,
+            load: match step.target {
+                0 => step.size.cores.0 * u64::from(run.percent) / 100,
+                target => target / 2 + beside * target / 400,
+            },
+        }
+    }
+
+    /// How much work a task is, in milliseconds.
+    pub fn need(&self, task: TaskKey) -> f64 {
+        let Some(step) = self.step(task.step) else { return 1.0 };
+        let hash = xxhash_rust::xxh3::xxh3_64(name(task, step).as_bytes());
+        step.estimate as f64 * (1.0 + self.spread * ((hash % 2001) as f64 / 1000.0 - 1.0))
+    }
+
+    /// Lets time pass.
+    pub fn advance(&mut self, to: Time) {
+        while self.now < to {
+            let next = to.min(self.now + GRAIN);
+            let ms = next.since(self.now).as_secs_f64() * 1e3;
+            self.now = next;
+            (0..self.workers.len()).for_each(|at| self.expire(at));
+            self.work(ms);
+            self.gangs(ms);
+        }
+    }
+
+    fn expire(&mut self, at: usize) {
+        let (now, grey) = (self.now, self.workers[at].grey);
+        let w = &mut self.workers[at];
+        if !w.lapsed && w.clock(now) >= w.until {
+            w.lapsed = true;
+            w.ended.iter_mut().for_each(|(_, lapsed)| *lapsed = true);
+            self.end_where(at, How::Lapsed, |_| true);
+        }
+        self.end_where(at, How::Stopped, |r| r.stops.is_some_and(|s| s <= now));
+        let sick = Duration::from_millis(300);
+        self.end_where(at, How::Failed, |r| grey && r.stops.is_none() && now >= r.since + sick);
+    }
+
+    fn end_where(&mut self, at: usize, how: How, which: impl Fn(&Run) -> bool) {
+        while let Some(i) = self.workers[at].runs.iter().position(&which) {
+            self.end(at, i, how);
+        }
+    }
+
+    /// Ends a run, and with it the other members of its gang.
+    fn end(&mut self, at: usize, i: usize, how: How) {
+        let run = self.workers[at].runs.remove(i);
+        let (task, number) = (run.start.task, run.start.run);
+        let step = self.step(task.step).cloned().unwrap_or_default();
+        let w = &mut self.workers[at];
+        w.number += 1;
+        let barred = w.barred.entry(task).or_default();
+        *barred = number.max(*barred);
+        let saved = saved(&run, &step);
+        let end = End { number: w.number, task, run: number, how, saved };
+        w.ended.push((end.clone(), false));
+        self.notes.push(Note::End { at: self.now, end });
+        if step.gang && how != How::Broken && how != How::Done {
+            self.break_gang(task.step, number);
+        }
+    }
+
+    fn break_gang(&mut self, step: StepKey, run: u32) {
+        let of = |r: &Run| r.start.task.step == step && r.start.run == run && r.stops.is_none();
+        (0..self.workers.len()).for_each(|at| self.end_where(at, How::Broken, of));
+    }
+
+    /// The speed of a run, as a share of a sound worker's near its data.
+    fn speed(&self, at: usize, run: &Run) -> f64 {
+        let w = &self.workers[at];
+        let Some(step) = self.step(run.start.task.step) else { return 0.0 };
+        if w.hung || run.stops.is_some() || self.now < run.ready {
+            return 0.0;
+        }
+        let far = step.near.as_ref().is_some_and(|r| *r != w.rack);
+        let room = w.size.cores.0.saturating_sub(self.used(at).cores.0) as f64;
+        let share = if step.fills { room / step.size.cores.0.max(1) as f64 } else { 1.0 };
+        let slower = if far { self.bounds.remote } else { 1.0 };
+        w.speed * f64::from(run.percent) / 100.0 * share.min(1.0) / slower
+    }
+
+    fn is_gang(&self, run: &Run) -> bool {
+        self.step(run.start.task.step).is_some_and(|s| s.gang)
+    }
+
+    fn work(&mut self, ms: f64) {
+        for at in 0..self.workers.len() {
+            for i in (0..self.workers[at].runs.len()).rev() {
+                let run = &self.workers[at].runs[i];
+                if !self.is_gang(run) {
+                    let gain = ms * self.speed(at, run);
+                    self.gain(at, i, gain);
+                }
+            }
+        }
+    }
+
+    /// Adds work to a run, and ends it where that was its last.
+    fn gain(&mut self, at: usize, i: usize, gain: f64) {
+        let save = self.bounds.save.as_secs_f64() * 1e3;
+        let run = &mut self.workers[at].runs[i];
+        run.work += gain;
+        while run.work - run.kept >= save {
+            run.kept += save;
+        }
+        let (task, work) = (run.start.task, run.work);
+        let need = self.need(task);
+        let fails = self.hopeless.contains(&(task.step.job, task.step.step));
+        let lasts = self.step(task.step).is_some_and(|s| s.lasts);
+        let end = if fails { need / 2.0 } else { need };
+        if gain <= 0.0 || (lasts && !fails) || work < end {
+            return;
+        }
+        self.end(at, i, if fails { How::Failed } else { How::Done });
+    }
+
+    fn gangs(&mut self, ms: f64) {
+        let mut all: BTreeMap<(StepKey, u32), Vec<(usize, TaskKey)>> = BTreeMap::new();
+        for (at, w) in self.workers.iter().enumerate() {
+            for r in w.runs.iter().filter(|r| self.is_gang(r)) {
+                let members = all.entry((r.start.task.step, r.start.run)).or_default();
+                members.push((at, r.start.task));
+            }
+        }
+        for ((step, run), members) in all {
+            self.gang(step, run, &members, ms);
+        }
+    }
+
+    fn place(&self, at: usize, task: TaskKey, run: u32) -> Option<usize> {
+        self.workers[at].runs.iter().position(|r| r.start.task == task && r.start.run == run)
+    }
+
+    fn gang(&mut self, key: StepKey, run: u32, members: &[(usize, TaskKey)], ms: f64) {
+        let Some(step) = self.step(key).cloned() else { return };
+        let names: BTreeSet<_> = members.iter().map(|m| m.1).collect();
+        if names.len() < step.count as usize {
+            return self.alone(run, members);
+        }
+        let racks: BTreeSet<_> = members.iter().map(|m| &self.workers[m.0].rack).collect();
+        let apart = if step.tight && racks.len() > 1 { self.bounds.remote } else { 1.0 };
+        let run_of = |m: &(usize, TaskKey)| {
+            self.place(m.0, m.1, run).map(|i| (m.0, &self.workers[m.0].runs[i]))
+        };
+        let speeds = members.iter().filter_map(run_of).map(|(at, r)| self.speed(at, r));
+        let gain = ms * speeds.fold(f64::MAX, f64::min) / apart;
+        let saved: BTreeSet<_> =
+            members.iter().filter_map(run_of).map(|m| m.1.start.saved.clone()).collect();
+        if saved.len() > 1 {
+            self.notes.push(Note::Odd(format!("{key} run {run}: checkpoints {saved:?}")));
+        }
+        for m in members {
+            let Some(i) = self.place(m.0, m.1, run) else { continue };
+            self.workers[m.0].runs[i].together = true;
+            self.gain(m.0, i, gain);
+        }
+    }
+
+    fn alone(&mut self, run: u32, members: &[(usize, TaskKey)]) {
+        let (now, wait) = (self.now, self.bounds.gang);
+        for m in members {
+            let over = |r: &Run| !r.together && r.stops.is_none() && now >= r.since + wait;
+            let Some(i) = self.place(m.0, m.1, run) else { continue };
+            if over(&self.workers[m.0].runs[i]) {
+                self.end(m.0, i, How::Alone);
+            }
+        }
+    }
+
+    /// A worker's process ends with all that it knows.
+    pub fn crash(&mut self, at: usize) {
+        let w = &mut self.workers[at];
+        let fresh = Worker::new(w.pool.as_str(), w.rack.as_str(), w.size);
+        let old = std::mem::replace(w, fresh);
+        w.labels = old.labels;
+        (w.life, w.rate, w.up) = (old.life + 1, old.rate, false);
+        for run in old.runs.iter().filter(|r| r.stops.is_none()) {
+            if self.step(run.start.task.step).is_some_and(|s| s.gang) {
+                self.break_gang(run.start.task.step, run.start.run);
+            }
+        }
+    }
+
+    /// Ends a task's runs as failed.
+    pub fn fail(&mut self, task: TaskKey) {
+        for at in 0..self.workers.len() {
+            self.end_where(at, How::Failed, |r| r.start.task == task);
+        }
+    }
+}
+
+/// What a task's checkpoints are told by; a gang's members share them.
+fn name(task: TaskKey, step: &Step) -> String {
+    if step.gang { task.step.to_string() } else { task.to_string() }
+}
+
+fn saved(run: &Run, step: &Step) -> Box<str> {
+    if !step.saves || run.kept <= 0.0 {
+        return "".into();
+    }
+    format!("{:08x}~{}", run.kept as u64, name(run.start.task, step)).into()
+}
--- /dev/null
+++ b/tests/yard_worker.rs
@@ -0,0 +1,421 @@
+//! The fakes of the yard themselves: workers, store, advice and rules do as the pages say.
+
+mod yard;
+
+use {
+    dogwoodreach::{
+        Time,
+        ids::Incarnation,
+        ports::{
+            AdviceCall, End, Fault, Held, How, Put, Refusal, Start, StoreReply, Txn, WorkerCall,
+            WorkerReply as Reply,
+        },
+        shard::record::JobRecord,
+        units::Size,
+        work::{AdviceCost, Job, JobNo, State, Step, StepKey, TaskKey},
+    },
+    std::time::Duration,
+    yard::{
+        bounds, job, queues,
+        rules::Rules,
+        step,
+        store::{Fate, Mode, Store},
+        worker::{Note, World},
+        workers,
+    },
+};
+
+/// A world of four workers where job 1 is in a queue.
+fn world(queue: &str, job: Job) -> World {
+    let mut world = World::new(1, bounds(), queues(), workers(4));
+    world.jobs.insert(JobNo(1), JobRecord { queue: queue.into(), came: 0, job });
+    world
+}
+
+fn task(step: u16, index: u32) -> TaskKey {
+    TaskKey { step: StepKey { job: JobNo(1), time: 0, step }, index }
+}
+
+fn order(task: TaskKey, run: u32) -> Start {
+    let (text, saved) = ("do it".into(), "".into());
+    Start { task, run, text, until: 1_000_000, token: 1, saved, ticket: None }
+}
+
+fn call(world: &mut World, at: usize, call: WorkerCall) -> Option<Reply> {
+    let id = world.id(at);
+    world.call(at, &id, &call, false)
+}
+
+/// Starts a run; why not, where it was refused.
+fn start(world: &mut World, at: usize, start: Start) -> Option<Refusal> {
+    match call(world, at, WorkerCall::Start(start)) {
+        Some(Reply::Done(_)) => None,
+        Some(Reply::Refused(_, why)) => Some(why),
+        other => panic!("{other:?}"),
+    }
+}
+
+fn stop(world: &mut World, at: usize, task: TaskKey, run: u32) -> Option<Reply> {
+    call(world, at, WorkerCall::Stop { task, run, token: 1 })
+}
+
+fn hold(world: &mut World, at: usize, until: Option<u64>, seen: u64) -> Held {
+    let hold = WorkerCall::Hold { until, token: 1, seen, wait: Duration::ZERO };
+    match call(world, at, hold) {
+        Some(Reply::Held(held)) => held,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Renews all leases while time passes.
+fn pass(world: &mut World, ms: u64) {
+    let to = world.now.0 / 1_000 + ms;
+    while world.now < Time::from_millis(to) {
+        world.advance(Time::from_millis(to.min(world.now.0 / 1_000 + 1_000)));
+        let up: Vec<usize> = (0..4).filter(|at| world.workers[*at].up).collect();
+        up.into_iter().for_each(|at| drop(hold(world, at, Some(1_000_000), 0)));
+    }
+}
+
+fn hows(held: &Held) -> Vec<(u64, u32, How)> {
+    held.ended.iter().map(|e: &End| (e.number, e.task.index, e.how)).collect()
+}
+
+#[test]
+fn lease_is_bounded_never_shortens_and_lapses_on_the_workers_clock() {
+    let mut w = world("plain", job([step(2, 60_000)]));
+    w.workers[1].rate = 0.98;
+    assert_eq!(start(&mut w, 1, order(task(0, 0), 1)), None);
+    assert_eq!(hold(&mut w, 1, Some(1), 0).running.len(), 1); // doesn't shorten
+    w.advance(Time::from_millis(8_100)); // 8 s at most, on a clock that is 2% slow
+    assert_eq!(hold(&mut w, 1, None, 0).running.len(), 1);
+    w.advance(Time::from_millis(8_200));
+    let held = hold(&mut w, 1, None, 0);
+    assert_eq!((held.running.len(), hows(&held)), (0, vec![(1, 0, How::Lapsed)]));
+    let late = Start { until: held.clock, ..order(task(0, 1), 1) };
+    assert_eq!(start(&mut w, 1, late), Some(Refusal::Late));
+}
+
+#[test]
+fn refused_for_old_still_extends_the_lease() {
+    let mut w = world("plain", job([step(2, 60_000)]));
+    let until = |until| Start { until, ..order(task(0, 0), 1) };
+    start(&mut w, 0, until(2_000));
+    stop(&mut w, 0, task(0, 1), 3);
+    let old = Start { until: 5_000, ..order(task(0, 1), 3) };
+    assert_eq!(start(&mut w, 0, old), Some(Refusal::Old));
+    w.advance(Time::from_millis(3_900)); // the clock began at 1,000
+    assert_eq!(hold(&mut w, 0, None, 0).running.len(), 1);
+    w.advance(Time::from_millis(4_100));
+    assert_eq!(hold(&mut w, 0, None, 0).running.len(), 0);
+}
+
+#[test]
+fn a_lower_token_does_nothing_until_the_worker_is_another() {
+    let mut w = world("plain", job([step(2, 60_000)]));
+    assert_eq!(start(&mut w, 0, Start { token: 2, ..order(task(0, 0), 1) }), None);
+    assert_eq!(start(&mut w, 0, order(task(0, 1), 1)), Some(Refusal::Fence));
+    let fence = stop(&mut w, 0, task(0, 0), 1);
+    assert!(matches!(fence, Some(Reply::Refused(_, Refusal::Fence))));
+    let old = w.id(0);
+    w.crash(0);
+    assert_eq!(call(&mut w, 0, WorkerCall::Start(order(task(0, 1), 1))), None);
+    w.workers[0].up = true;
+    assert_eq!(
+        w.call(0, &old, &WorkerCall::Start(order(task(0, 1), 1)), false),
+        Some(Reply::Other)
+    );
+    assert_eq!(start(&mut w, 0, order(task(0, 1), 1)), None);
+}
+
+#[test]
+fn a_stop_takes_its_time_and_room_and_bars_runs_not_higher() {
+    let mut w = world("plain", job([step(5, 60_000)]));
+    (0..4).for_each(|i| assert_eq!(start(&mut w, 0, order(task(0, i), 2)), None));
+    assert_eq!(start(&mut w, 0, order(task(0, 0), 2)), None); // it is there already
+    stop(&mut w, 0, task(0, 0), 2);
+    assert_eq!(start(&mut w, 0, order(task(0, 4), 1)), Some(Refusal::Room));
+    pass(&mut w, 1_100);
+    assert_eq!(hows(&hold(&mut w, 0, None, 0)), [(1, 0, How::Stopped)]);
+    assert_eq!(start(&mut w, 0, order(task(0, 0), 2)), Some(Refusal::Old));
+    assert_eq!(start(&mut w, 0, order(task(0, 0), 3)), None);
+    stop(&mut w, 1, task(0, 4), 2); // not there yet
+    assert_eq!(start(&mut w, 1, order(task(0, 4), 1)), Some(Refusal::Old));
+}
+
+#[test]
+fn ends_are_listed_until_seen_500_at_a_time() {
+    let mut w = world("plain", job([step(600, 100)]));
+    w.workers[0].size = Size::new(600, 1 << 20, 0);
+    (0..600).for_each(|i| assert_eq!(start(&mut w, 0, order(task(0, i), 1)), None));
+    pass(&mut w, 300);
+    let first = hold(&mut w, 0, None, 0);
+    assert_eq!(first.ended.len(), 500);
+    assert_eq!(hold(&mut w, 0, None, 0), first);
+    let last = first.ended.last().map_or(0, |e| e.number);
+    let rest = hold(&mut w, 0, None, last);
+    assert_eq!((rest.ended.len(), rest.ended[0].number), (100, 501));
+    let seen = w.notes.iter().filter(|n| matches!(n, Note::Seen { how: How::Done, .. })).count();
+    assert_eq!(seen, 500);
+}
+
+#[test]
+fn an_end_whose_worker_lapsed_before_it_was_noted_does_not_count_as_noted() {
+    let mut w = world("plain", job([step(1, 100)]));
+    start(&mut w, 0, order(task(0, 0), 1));
+    w.advance(Time::from_millis(9_000));
+    assert_eq!(hows(&hold(&mut w, 0, None, 0)), [(1, 0, How::Done)]);
+    assert!(hold(&mut w, 0, None, 1).ended.is_empty());
+    assert!(!w.notes.iter().any(|n| matches!(n, Note::Seen { .. })));
+}
+
+#[test]
+fn work_goes_on_from_a_checkpoint_after_the_restore() {
+    let saves = Step { saves: true, ..step(1, 3_000) };
+    let mut w = world("plain", job([saves]));
+    start(&mut w, 0, order(task(0, 0), 1));
+    pass(&mut w, 1_500);
+    let shown = hold(&mut w, 0, None, 0).running.remove(0);
+    assert!(shown.saved.starts_with("000003e8"), "{}", shown.saved); // each second of work
+    assert_eq!(shown.percent, 50);
+    stop(&mut w, 0, task(0, 0), 1);
+    pass(&mut w, 1_100);
+    let end = hold(&mut w, 0, None, 0).ended.remove(0);
+    assert!(end.saved.starts_with("000005dc"), "{}", end.saved); // and at a stop
+    start(&mut w, 1, Start { saved: end.saved, ..order(task(0, 0), 2) });
+    pass(&mut w, 1_900);
+    assert!(hold(&mut w, 1, None, 0).ended.is_empty()); // half a second of restore
+    pass(&mut w, 200);
+    assert_eq!(hows(&hold(&mut w, 1, None, 0)), [(1, 0, How::Done)]);
+    start(&mut w, 1, Start { saved: "00000001~none".into(), ..order(task(0, 0), 3) });
+    assert!(w.notes.iter().any(|n| matches!(n, Note::Odd(_))));
+}
+
+#[test]
+fn a_gang_works_only_when_all_are_there_and_ends_together() {
+    let gang = Step { gang: true, tight: true, ..step(2, 1_000) };
+    let mut w = world("plain", job([gang]));
+    start(&mut w, 0, order(task(0, 0), 1));
+    pass(&mut w, 2_000);
+    assert_eq!(hold(&mut w, 0, None, 0).running[0].percent, 0);
+    start(&mut w, 1, order(task(0, 1), 1));
+    pass(&mut w, 1_400); // on two racks half as long again
+    assert_eq!(hold(&mut w, 0, None, 0).running.len(), 1);
+    pass(&mut w, 200);
+    assert_eq!(hows(&hold(&mut w, 0, None, 0)), [(1, 0, How::Done)]);
+    assert_eq!(hows(&hold(&mut w, 1, None, 0)), [(1, 1, How::Done)]);
+}
+
+#[test]
+fn a_gang_is_alone_without_the_others_and_broken_without_one() {
+    let gang = Step { gang: true, ..step(2, 60_000) };
+    let mut w = world("plain", job([gang]));
+    start(&mut w, 0, order(task(0, 0), 1));
+    start(&mut w, 1, order(task(0, 1), 2)); // another run
+    pass(&mut w, 5_100);
+    assert_eq!(hows(&hold(&mut w, 0, None, 0)), [(1, 0, How::Alone)]);
+    start(&mut w, 0, order(task(0, 0), 3));
+    start(&mut w, 1, order(task(0, 1), 3));
+    pass(&mut w, 1_000);
+    stop(&mut w, 0, task(0, 0), 3);
+    pass(&mut w, 1_100);
+    let ends = hows(&hold(&mut w, 1, None, 0));
+    assert_eq!(ends, [(1, 1, How::Alone), (2, 1, How::Broken)]);
+    start(&mut w, 0, order(task(0, 0), 4));
+    start(&mut w, 1, order(task(0, 1), 4));
+    w.crash(0);
+    assert_eq!(hows(&hold(&mut w, 1, None, 2)), [(3, 1, How::Broken)]);
+}
+
+#[test]
+fn work_is_slower_away_at_a_share_and_on_what_is_left() {
+    let near = Step { near: Some("r2".into()), ..step(1, 1_000) };
+    let fills = Step { fills: true, size: Size::new(4, 512, 0), ..step(1, 1_000) };
+    let serves = Step { lasts: true, target: 100, size: Size::new(2, 512, 0), ..step(1, 1) };
+    let mut w = world("plain", job([near, fills, serves]));
+    start(&mut w, 0, order(task(0, 0), 1));
+    call(&mut w, 0, WorkerCall::Pace { task: task(0, 0), run: 1, percent: 50, token: 1 });
+    start(&mut w, 1, order(task(1, 0), 1));
+    start(&mut w, 1, order(task(2, 0), 1));
+    pass(&mut w, 900);
+    let percent = |w: &mut World, at| hold(w, at, None, 0).running[0].percent;
+    assert_eq!((percent(&mut w, 0), percent(&mut w, 1)), (30, 45));
+    let serving = hold(&mut w, 1, None, 0).running.remove(1);
+    assert_eq!((serving.percent, serving.load), (0, 75));
+    pass(&mut w, 1_000);
+    assert_eq!(hold(&mut w, 1, None, 0).running[1].percent, 100);
+    w.fail(task(2, 0));
+    assert_eq!(hows(&hold(&mut w, 1, None, 0)), [(1, 0, How::Failed)]);
+}
+
+#[test]
+fn workers_that_are_amiss() {
+    let mut w = world("plain", job([step(3, 1_000)]));
+    w.hopeless.insert((JobNo(1), 0));
+    start(&mut w, 0, order(task(0, 0), 1));
+    w.workers[1].grey = true;
+    start(&mut w, 1, order(task(0, 1), 1));
+    pass(&mut w, 400);
+    assert_eq!(hows(&hold(&mut w, 1, None, 0)), [(1, 1, How::Failed)]);
+    pass(&mut w, 200);
+    assert_eq!(hows(&hold(&mut w, 0, None, 0)), [(1, 0, How::Failed)]);
+    w.workers[0].unwell = true;
+    assert_eq!(call(&mut w, 0, WorkerCall::Start(order(task(0, 2), 1))), Some(Reply::Unwell));
+    w.workers[1].cut = true;
+    assert_eq!(stop(&mut w, 1, task(0, 1), 1), None);
+}
+
+#[test]
+fn a_start_needs_a_ticket_that_is_valid_for_its_step_and_worker() {
+    let mut w = world("advised", job([step(9, 9_000), step(1, 9_000)]));
+    w.advice.share = 100;
+    let cost = AdviceCost {
+        base: Duration::from_millis(20),
+        each: Duration::from_millis(2),
+        valid: Duration::from_secs(3),
+    };
+    let ask = AdviceCall { step: task(0, 0).step, workers: vec![w.id(2), w.id(3)] };
+    let me = Incarnation(1);
+    assert_eq!(w.advice.ask(me, &ask, cost, w.now), Ok(Time::from_millis(24)));
+    assert_eq!(w.advice.ask(me, &ask, cost, w.now), Ok(Time::from_millis(48))); // in turn
+    assert_eq!(w.advice.ask(Incarnation(2), &ask, cost, w.now), Ok(Time::from_millis(24)));
+    let waiting = (0..40).map(|_| w.advice.ask(me, &ask, cost, w.now));
+    assert_eq!(waiting.filter(|a| *a == Err(Fault::Refused)).count(), 9);
+    let advice = w.advice.answer(&ask, cost.valid, w.now);
+    let ticket = |t: TaskKey| Start { ticket: Some(advice.good[0].1.clone()), ..order(t, 1) };
+    assert_eq!(start(&mut w, 2, order(task(0, 0), 1)), Some(Refusal::Ticket));
+    assert_eq!(start(&mut w, 2, ticket(task(0, 0))), None);
+    assert_eq!(start(&mut w, 3, ticket(task(0, 1))), Some(Refusal::Ticket));
+    assert_eq!(start(&mut w, 2, ticket(task(1, 0))), Some(Refusal::Ticket));
+    w.advance(Time::from_millis(3_000));
+    assert_eq!(start(&mut w, 2, ticket(task(0, 2))), Some(Refusal::Ticket));
+}
+
+#[test]
+fn the_store_changes_all_or_nothing() {
+    let mut store = Store::new(1);
+    let put = |key: &str| Put { key: key.into(), value: "1".into(), lease: 0 };
+    let txn = |rev, puts: Vec<Put>| Txn { expect: vec![("a".into(), rev)], puts, remove: vec![] };
+    assert_eq!(store.txn(&txn(0, vec![put("a"), put("b")])), StoreReply::Done(8));
+    let conflict = store.txn(&txn(0, vec![put("c")]));
+    assert!(matches!(conflict, StoreReply::Conflict(items) if items[0].rev == 8));
+    assert_eq!((store.rev, store.get("c")), (8, None));
+    let gone = Txn { remove: vec!["b".into()], ..txn(8, vec![]) };
+    assert_eq!((store.txn(&gone), store.get("b")), (StoreReply::Done(9), None));
+    store.mode = Mode::Down;
+    assert!((0..20).all(|_| matches!(store.fate(), Fate::Refused | Fate::Unheard)));
+    store.mode = Mode::Losing(2);
+    let lost = (0..100).filter(|_| matches!(store.fate(), Fate::Lost(_))).count();
+    assert!((30..70).contains(&lost), "{lost}");
+}
+
+/// Two steps, the second after the first, in a pool that doesn't guard.
+fn ruled() -> (World, Rules) {
+    let second = Step { after: [0].into(), apart: 1, needs: Some("gpu".into()), ..step(9, 200) };
+    (world("open", job([step(9, 200), second])), Rules::default())
+}
+
+#[test]
+fn a_day_that_keeps_the_rules_passes() {
+    let (mut w, mut rules) = ruled();
+    w.jobs.entry(JobNo(1)).and_modify(|r| r.job.steps.iter_mut().for_each(|s| s.count = 2));
+    for s in 0..2 {
+        for i in 0..2 {
+            start(&mut w, 2, order(task(s, i), 1));
+            pass(&mut w, 300);
+            rules.check(&mut w);
+        }
+    }
+    let last = hold(&mut w, 2, None, 4);
+    assert!(last.ended.is_empty());
+    rules.check(&mut w);
+    rules.shown(&w, JobNo(1), State::Done);
+    assert_eq!(rules.count, 4);
+}
+
+#[test]
+#[should_panic(expected = "runs twice at once")]
+fn rules_see_a_task_that_runs_twice() {
+    let (mut w, mut rules) = ruled();
+    start(&mut w, 2, order(task(0, 0), 1));
+    start(&mut w, 3, order(task(0, 0), 2));
+    rules.check(&mut w);
+}
+
+#[test]
+#[should_panic(expected = "after it was done")]
+fn rules_see_a_start_after_an_end_that_is_noted_later() {
+    let (mut w, mut rules) = ruled();
+    start(&mut w, 2, order(task(0, 0), 1));
+    pass(&mut w, 300);
+    start(&mut w, 3, order(task(0, 0), 2));
+    rules.check(&mut w);
+    hold(&mut w, 2, None, 1);
+    rules.check(&mut w);
+}
+
+#[test]
+#[should_panic(expected = "before step 0 was done")]
+fn rules_see_a_start_out_of_order() {
+    let (mut w, mut rules) = ruled();
+    start(&mut w, 2, order(task(1, 0), 1));
+    rules.check(&mut w);
+}
+
+#[test]
+#[should_panic(expected = "5 cores")]
+fn rules_see_a_worker_over_its_size_by_what_is_being_stopped() {
+    let (mut w, mut rules) = ruled();
+    (0..4).for_each(|i| assert_eq!(start(&mut w, 2, order(task(0, i), 1)), None));
+    stop(&mut w, 2, task(0, 0), 1);
+    rules.check(&mut w);
+    start(&mut w, 2, order(task(0, 4), 1));
+    rules.check(&mut w);
+}
+
+#[test]
+#[should_panic(expected = "which is none of its")]
+fn rules_see_a_foreign_pool() {
+    let (mut w, mut rules) = ruled();
+    start(&mut w, 0, order(task(0, 0), 1));
+    rules.check(&mut w);
+}
+
+#[test]
+#[should_panic(expected = "after 3 failures")]
+fn rules_see_one_attempt_too_many() {
+    let (mut w, mut rules) = ruled();
+    for run in 1..=4 {
+        start(&mut w, 2, order(task(0, 0), run));
+        w.fail(task(0, 0));
+        w.advance(w.now + Duration::from_millis(10));
+        hold(&mut w, 2, None, u64::from(run));
+        rules.check(&mut w);
+    }
+}
+
+#[test]
+#[should_panic(expected = "its job was cancelled")]
+fn rules_see_a_start_long_after_a_cancel() {
+    let (mut w, mut rules) = ruled();
+    rules.cancels.insert(JobNo(1), Time::ZERO);
+    w.advance(Time::from_millis(2_100));
+    start(&mut w, 2, order(task(0, 0), 1));
+    rules.check(&mut w);
+}
+
+#[test]
+#[should_panic(expected = "ended alone")]
+fn rules_see_a_gang_that_is_alone() {
+    let mut w = world("open", job([Step { gang: true, ..step(2, 200) }]));
+    start(&mut w, 2, order(task(0, 0), 1));
+    pass(&mut w, 5_100);
+    Rules::default().check(&mut w);
+}
+
+#[test]
+#[should_panic(expected = "without cause")]
+fn rules_see_a_job_shown_as_done_too_soon() {
+    let (w, rules) = ruled();
+    rules.shown(&w, JobNo(1), State::Done);
+}
