Tests of a member on a site, over a store in memory that fails as told

With it: the decisions yield after each burst (the ring's channel takes no part in the runtime's turns), a lease's renewal may take 900 ms so that a slow store doesn't end it, a refused job is told to come back after 500 ms, an empty answer names no type.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -16,6 +16,7 @@
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     tokio::{
         sync::oneshot,
+        task::yield_now,
         time::{MissedTickBehavior, interval},
     },
 };
@@ -110,6 +111,8 @@
                 let Ok(told) = self.told.try_recv() else { break };
                 self.take(told).await;
             }
+            // The ring may be full again at once: what the shards ordered has to get its turn.
+            yield_now().await;
         }
     }
 
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -23,6 +23,7 @@
     http_body_util::Full,
     hyper::{
         Method, Response,
+        body::Body,
         header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue},
         http::request::Parts,
     },
@@ -79,7 +80,9 @@
             Ok(body) => {
                 self.common.metrics.answered();
                 let mut ok = answer(200, body);
-                ok.headers_mut().insert(CONTENT_TYPE, JSON);
+                if !ok.body().is_end_stream() {
+                    ok.headers_mut().insert(CONTENT_TYPE, JSON);
+                }
                 ok
             }
             Err(e) => {
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -19,6 +19,10 @@
 /// How often a write is made that only a newer configuration was in the way of.
 const MOVES: u32 = 8;
 
+/// When to come back after a refusal: refusals of one machine last for a moment, and another
+/// member may be asked meanwhile.
+const BACK: Duration = Duration::from_millis(500);
+
 /// What has become of the tries so far.
 #[derive(Default)]
 struct Tries {
@@ -146,7 +150,8 @@
         };
         tries.made += 1;
         if tries.made >= TRIES {
-            return Err(Error::new(Kind::Platform, "the store refuses or doesn't answer"));
+            let error = Error::new(Kind::Platform, "the store refuses or doesn't answer");
+            return Err(error.after(BACK));
         }
         self.common.metrics.retry(kind);
         sleep(Duration::from_millis(fastrand::u64(30..=80))).await;
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -28,8 +28,10 @@
 const CONFIG_WAIT: Duration = Duration::from_secs(2);
 /// How long this member's lease lasts, where the store allows it.
 const LEASE: Duration = Duration::from_secs(2);
-/// How often the lease is renewed, and how long a renewal may take.
+/// How often the lease is renewed.
 const KEEP: Duration = Duration::from_millis(500);
+/// How long a renewal may take: two fit into a lease, so that a slow store doesn't end it.
+const KEPT: Duration = Duration::from_millis(900);
 /// How often the table is looked at while a shard has no live owner.
 const STEP: Duration = Duration::from_millis(100);
 /// The workers of one shard.
@@ -111,7 +113,7 @@
                 }
             }
             let sent = self.common.now();
-            match self.outside.store(&StoreCall::Keep { lease }, KEEP).await {
+            match self.outside.store(&StoreCall::Keep { lease }, KEPT).await {
                 Ok(StoreReply::Kept) => {
                     pause.good();
                     let _ = self.told.send(Told::All(Event::Confirmed(sent))).await;
--- /dev/null
+++ b/tests/site.rs
@@ -0,0 +1,162 @@
+//! A member on a site, over a store that can be told to fail.
+
+#[path = "site/mod.rs"]
+mod cell;
+
+use {
+    cell::{
+        Cell,
+        forms::FORMS,
+        store::Fate::{Lost, Refused, Swallowed},
+    },
+    std::future::Future,
+};
+
+const JOB: &str = r#"{"text": "t", "steps": [{"count": 2}]}"#;
+const ONE: &str = "/a/00000000000000a1";
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(test);
+}
+
+#[test]
+fn a_job_is_taken_in_once_and_its_state_is_told() {
+    run(async {
+        let cell = Cell::new("once").await;
+        assert_eq!(cell.status("POST", ONE, JOB).await, 200);
+        assert_eq!(cell.status("POST", ONE, JOB).await, 200);
+        assert_eq!(cell.inbox(), ["dwr/in/000/j/00000000000000a1"]);
+        let (head, body) = cell.send("GET", ONE, "", 1000).await;
+        assert_eq!((head.status.as_u16(), &body[..]), (200, &b"queued"[..]));
+        assert_eq!(cell.status("DELETE", ONE, "").await, 200);
+        let cancel = "dwr/in/000/c/00000000000000a1";
+        assert!(cell.inbox().iter().any(|k| k == cancel));
+        let (head, body) = cell.send("GET", "/a/", "", 1000).await;
+        assert_eq!((head.status.as_u16(), &body[..]), (200, &b"0"[..]));
+    });
+}
+
+#[test]
+fn what_is_not_there_or_not_well_formed_is_told_apart() {
+    run(async {
+        let cell = Cell::new("apart").await;
+        assert_eq!(cell.status("GET", ONE, "").await, 410);
+        assert_eq!(cell.status("DELETE", ONE, "").await, 410);
+        assert_eq!(cell.status("POST", "/c/00000000000000a1", JOB).await, 404);
+        assert_eq!(cell.status("GET", "/c/", "").await, 404);
+        assert_eq!(cell.status("POST", "/a/xyz", JOB).await, 400);
+        assert_eq!(cell.status("POST", ONE, "{").await, 400);
+        assert_eq!(cell.status("POST", ONE, r#"{"text": "t", "steps": []}"#).await, 400);
+        assert_eq!(cell.status("POST", ONE, &"x".repeat(1001)).await, 413);
+        assert_eq!(cell.status("PUT", ONE, JOB).await, 405);
+        assert!(cell.inbox().is_empty());
+    });
+}
+
+#[test]
+fn a_job_that_is_over_is_told_from_the_store() {
+    // Story: the owner has forgotten a job, or hasn't loaded it yet, and says that it doesn't know
+    // it. That alone is no proof: the caller must not be told that there is no such job.
+    run(async {
+        let cell = Cell::new("over").await;
+        let progress = r#"{"state": "done", "over": 1, "queue": "/a/", "tasks": []}"#;
+        cell.store.put("dwr/p/000/00000000000000a1", progress);
+        let (head, body) = cell.send("GET", ONE, "", 1000).await;
+        assert_eq!((head.status.as_u16(), &body[..]), (200, &b"completed"[..]));
+        assert_eq!(cell.status("DELETE", ONE, "").await, 200);
+        assert_eq!(cell.status("POST", ONE, JOB).await, 200);
+        assert!(cell.inbox().is_empty(), "a job that is over is not taken in again");
+    });
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_settled_by_reading() {
+    // Story: the store has done the write, and its answer is lost on the way. Told 503, the caller
+    // would count on its job never running, and it will.
+    run(async {
+        let cell = Cell::new("lost").await;
+        cell.store.plan(&[Lost]);
+        assert_eq!(cell.status("POST", ONE, JOB).await, 200);
+        assert_eq!(cell.inbox().len(), 1);
+    });
+}
+
+#[test]
+fn a_write_that_may_still_land_is_no_refusal() {
+    // Story: the write hangs somewhere on its way and could land after seconds. Reading back finds
+    // nothing, and the next try is refused; even so nobody can say that the job never runs.
+    run(async {
+        let cell = Cell::new("hangs").await;
+        cell.store.plan(&[Swallowed, Refused]);
+        assert_eq!(cell.status("POST", ONE, JOB).await, 504);
+        cell.store.plan(&[Refused, Swallowed]);
+        assert_eq!(cell.status("POST", ONE, JOB).await, 504);
+        assert!(cell.inbox().is_empty());
+    });
+}
+
+#[test]
+fn a_refused_write_is_made_again_and_then_refused_with_a_time() {
+    // Story: the store refuses this machine for a moment. One refusal must not cost the caller an
+    // attempt; two must be told at once, with when to come back, and leave nothing behind.
+    run(async {
+        let cell = Cell::new("refused").await;
+        cell.store.plan(&[Refused]);
+        assert_eq!(cell.status("POST", ONE, JOB).await, 200);
+        cell.store.plan(&[Refused, Refused]);
+        let (head, _) = cell.send("POST", "/a/00000000000000a2", JOB, 1000).await;
+        assert_eq!(head.status, 503);
+        assert!(head.headers.contains_key("retry-after"));
+        assert_eq!(cell.inbox().len(), 1);
+        cell.store.plan(&[Refused, Refused]);
+        assert_eq!(cell.status("DELETE", ONE, "").await, 503);
+        cell.store.plan(&[Lost, Refused]);
+        assert_eq!(cell.status("DELETE", ONE, "").await, 504);
+    });
+}
+
+#[test]
+fn a_queue_that_was_just_removed_takes_no_job() {
+    // Story: the watch of the configuration has gone silent, so this member still has the queue
+    // that the operators have removed. The write itself has to find out, and the one that is still
+    // there must go on.
+    run(async {
+        let cell = Cell::new("removed").await;
+        cell.store.blind(FORMS.config);
+        cell.store.put(FORMS.config, r#"[2, ["/b/"]]"#);
+        assert_eq!(cell.status("POST", "/b/00000000000000b1", JOB).await, 200);
+        cell.store.put(FORMS.config, r#"[3, ["/a/"]]"#);
+        assert_eq!(cell.status("POST", "/b/00000000000000b2", JOB).await, 404);
+        assert_eq!(cell.inbox().len(), 1);
+    });
+}
+
+#[test]
+fn a_configuration_never_goes_back() {
+    // Story: a lower version is written after a higher one. What was once in force here must not
+    // give way to it, and jobs must still be taken in.
+    run(async {
+        let cell = Cell::new("back").await;
+        cell.store.put(FORMS.config, r#"[5, ["/d/"]]"#);
+        cell.until("version 5", async || cell.status("GET", "/d/", "").await == 200).await;
+        cell.store.put(FORMS.config, r#"[4, ["/a/"]]"#);
+        assert_eq!(cell.status("POST", "/d/00000000000000d1", JOB).await, 200);
+        assert_eq!(cell.status("POST", ONE, JOB).await, 404);
+    });
+}
+
+#[test]
+fn a_member_whose_lease_has_ended_registers_again() {
+    // Story: the store was away for longer than the lease. The member's row is gone, the others
+    // don't see it, and its shard is about to be taken over.
+    run(async {
+        let cell = Cell::new("lease").await;
+        cell.store.end_leases();
+        assert!(cell.store.keys("dwr/t/m/").is_empty());
+        let back = async || cell.store.keys("dwr/t/m/").len() == 1 && cell.is_ready().await;
+        cell.until("its row", back).await;
+        let (row, ..) = cell.store.get("dwr/t/o/000").expect("an owner");
+        assert!(row.contains(r#""token":1"#), "it goes on as the owner: {row}");
+    });
+}
--- /dev/null
+++ b/tests/site/mod.rs
@@ -0,0 +1,106 @@
+//! A member on a site of its own: a store in memory, and a caller.
+
+#![allow(dead_code)] // each test file uses a part
+
+pub mod forms;
+pub mod store;
+
+use {
+    bytes::Bytes,
+    dogwoodreach::{
+        cli::Exit,
+        http::{Client, Whole, uri},
+        site,
+    },
+    forms::FORMS,
+    http_body_util::Full,
+    hyper::{Request, http::response::Parts},
+    serde_json::json,
+    std::{
+        net::{SocketAddr, TcpListener},
+        path::PathBuf,
+        thread::{self, JoinHandle},
+        time::{Duration, Instant},
+    },
+    store::Store,
+};
+
+/// How long anything may take that is waited for.
+const LONG: Duration = Duration::from_secs(10);
+
+/// A member that runs.
+pub struct Cell {
+    /// The store.
+    pub store: Store,
+    /// Where callers come in.
+    pub callers: SocketAddr,
+    /// Where the balancer asks.
+    pub ready: SocketAddr,
+    /// The member's thread.
+    pub member: JoinHandle<Exit>,
+    client: Client,
+}
+
+fn free() -> SocketAddr {
+    let any = TcpListener::bind("127.0.0.1:0").expect("a port");
+    any.local_addr().expect("an address")
+}
+
+impl Cell {
+    /// A member with a store that has a configuration and a worker, once it is ready.
+    pub async fn new(name: &str) -> Cell {
+        let store = Store::default();
+        store.put(FORMS.config, r#"[1, ["/a/", "/b/"]]"#);
+        store.put("workers/w1", "{}");
+        let (callers, ready) = (free(), free());
+        let settings = json!({
+            "callers": callers, "ready": ready, "control": free(), "metrics": free(),
+            "store": store.serve(),
+        });
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
+        std::fs::write(&path, settings.to_string()).expect("written");
+        let member = thread::spawn(move || site::run(&FORMS, &path));
+        let cell = Cell { store, callers, ready, member, client: Client::new(4) };
+        cell.until("ready", async || cell.is_ready().await).await;
+        cell.until("owned", async || cell.store.get("dwr/t/o/000").is_some()).await;
+        cell
+    }
+
+    /// Whether the member says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let ask = Request::get(uri(self.ready, "/ready")).body(Full::default()).expect("a request");
+        let answer = self.client.send(ask, LONG).await;
+        answer.is_ok_and(|(head, _)| head.status == 200)
+    }
+
+    /// Waits for something.
+    pub async fn until(&self, what: &str, mut is: impl AsyncFnMut() -> bool) {
+        let end = Instant::now() + LONG;
+        while !is().await {
+            assert!(Instant::now() < end, "{what} never came");
+            tokio::task::yield_now().await;
+        }
+    }
+
+    /// Sends a caller's request; it waits so many milliseconds for its answer.
+    pub async fn send(&self, method: &str, path: &str, body: &str, wait: u64) -> Whole<Parts> {
+        let ask = Request::builder()
+            .method(method)
+            .uri(uri(self.callers, path))
+            .header("host", "host.example")
+            .header("x-deadline", wait.to_string())
+            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+            .expect("a request");
+        self.client.send(ask, LONG).await.expect("an answer")
+    }
+
+    /// The status of the answer to a caller's request.
+    pub async fn status(&self, method: &str, path: &str, body: &str) -> u16 {
+        self.send(method, path, body, 1000).await.0.status.as_u16()
+    }
+
+    /// The keys of jobs and cancels.
+    pub fn inbox(&self) -> Vec<String> {
+        self.store.keys("dwr/in/")
+    }
+}
