Site tests: two members and their control calls; listen below the ephemeral ports

Cause: the control calls had no run, and one run of ten failed with 'ready never came'. The likely cause is a port that was looked up as free and then given to an outgoing connection; that run's own message was not kept. Ports are now taken below the ephemeral range, and a member that ends early is told apart from one that isn't ready. The guard against older items was bitten by no test (a trial without it passed); its test now brings an older row.

--- a/tests/site.rs
+++ b/tests/site.rs
@@ -146,6 +146,26 @@
     });
 }
 
+#[test]
+fn members_ask_each_other() {
+    // Story: callers come in at any member, and only one of them owns the shard. The others have to
+    // ask it, over a control call that shows the secret of the layout.
+    run(async {
+        let owner = Cell::new("owner").await;
+        let other = Cell::join("other", owner.store.clone(), owner.addr).await;
+        let known = async || other.status("GET", "/a/", "").await == 200;
+        other.until("the owner's count", known).await;
+        assert_eq!(other.status("POST", ONE, JOB).await, 200);
+        assert_eq!(owner.status("GET", ONE, "").await, 200);
+        assert_eq!(other.status("GET", ONE, "").await, 200);
+        let page = String::from_utf8(other.page("/metrics").await.1.to_vec()).expect("text");
+        for call in ["waiting", "state"] {
+            let line = format!(r#"dwr_calls_total{{answer="done",call="{call}"}}"#);
+            assert!(page.contains(&line), "{line} is missing");
+        }
+    });
+}
+
 #[test]
 fn a_member_whose_lease_has_ended_registers_again() {
     // Story: the store was away for longer than the lease. The member's row is gone, the others
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -19,6 +19,8 @@
     std::{
         net::{SocketAddr, TcpListener},
         path::PathBuf,
+        process,
+        sync::atomic::{AtomicU32, Ordering},
         thread::{self, JoinHandle},
         time::{Duration, Instant},
     },
@@ -32,18 +34,30 @@
 pub struct Cell {
     /// The store.
     pub store: Store,
+    /// Where it is.
+    pub addr: SocketAddr,
     /// Where callers come in.
     pub callers: SocketAddr,
     /// Where the balancer asks.
     pub ready: SocketAddr,
+    /// Where it shows metrics.
+    pub metrics: SocketAddr,
     /// The member's thread.
     pub member: JoinHandle<Exit>,
     client: Client,
 }
 
+/// An address to listen on, below the ports that the system gives to outgoing connections: one of
+/// these may be given away between the look and the member's own start.
 fn free() -> SocketAddr {
-    let any = TcpListener::bind("127.0.0.1:0").expect("a port");
-    any.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let n = process::id() * 64 + NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = u16::try_from(12_000 + n % 20_000).expect("a port");
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
 }
 
 impl Cell {
@@ -52,16 +66,26 @@
         let store = Store::default();
         store.put(FORMS.config, r#"[1, ["/a/", "/b/"]]"#);
         store.put("workers/w1", "{}");
-        let (callers, ready) = (free(), free());
+        let addr = store.serve();
+        Cell::join(name, store, addr).await
+    }
+
+    /// A member with a store that there is already, once it is ready.
+    pub async fn join(name: &str, store: Store, addr: SocketAddr) -> Cell {
+        let (callers, ready, metrics) = (free(), free(), free());
         let settings = json!({
-            "callers": callers, "ready": ready, "control": free(), "metrics": free(),
-            "store": store.serve(),
+            "callers": callers, "ready": ready, "control": free(), "metrics": metrics,
+            "store": addr,
         });
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("written");
         let member = thread::spawn(move || site::run(&FORMS, &path));
-        let cell = Cell { store, callers, ready, member, client: Client::new(4) };
-        cell.until("ready", async || cell.is_ready().await).await;
+        let cell = Cell { store, addr, callers, ready, metrics, member, client: Client::new(4) };
+        let ready = async || {
+            assert!(!cell.member.is_finished(), "the member has ended");
+            cell.is_ready().await
+        };
+        cell.until("ready", ready).await;
         cell.until("owned", async || cell.store.get("dwr/t/o/000").is_some()).await;
         cell
     }
@@ -73,6 +97,12 @@
         answer.is_ok_and(|(head, _)| head.status == 200)
     }
 
+    /// A page of the member's metrics.
+    pub async fn page(&self, path: &str) -> Whole<Parts> {
+        let ask = Request::get(uri(self.metrics, path)).body(Full::default()).expect("a request");
+        self.client.send(ask, LONG).await.expect("an answer")
+    }
+
     /// Waits for something.
     pub async fn until(&self, what: &str, mut is: impl AsyncFnMut() -> bool) {
         let end = Instant::now() + LONG;
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -297,12 +297,18 @@
     // Story: a range that was read before this member's takeover arrives after it. Taken at its
     // word, it would take the shard away from the one who has just got it.
     let mut cell = Cell::new(1, 1);
+    let row = OwnerRow { owner: None, token: 4 };
+    cell.write(ShardNo(0).owner(), record::write(&row));
     let old: Vec<Item> = cell.items.values().cloned().collect();
     let rev = cell.rev;
     cell.pass(Duration::from_secs(1));
     let now = cell.now;
     assert!(cell.table(id(1)).load(old, rev, now).is_empty());
-    assert_eq!(cell.table(id(1)).running().get(&ShardNo(0)), Some(&1));
+    assert_eq!(cell.table(id(1)).running().get(&ShardNo(0)), Some(&5));
+    let bare: Vec<Item> =
+        cell.items.values().filter(|i| i.key != ShardNo(0).owner()).cloned().collect();
+    assert!(cell.table(id(1)).load(bare, rev, now).is_empty());
+    assert_eq!(cell.table(id(1)).running().get(&ShardNo(0)), Some(&5));
 }
 
 #[test]
