--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -11,6 +11,7 @@
 pub mod gang;
 pub mod lanes;
 pub mod order;
+pub mod pace;
 pub mod place;
 pub mod quota;
 pub mod retry;
