--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -130,7 +130,6 @@
 
     /// Takes in a run that a former owner has started, or stops one that must not be.
     fn adopt(&mut self, no: WorkerNo, row: &crate::ports::Row, now: Time) {
-        let free = self.workers[no.0].free();
         let job = self.jobs.get_mut(&row.task.step.job);
         let wanted = job.filter(|j| !j.state.over()).and_then(|j| {
             let step = j.step(&row.task.step)?.clone();
@@ -139,13 +138,12 @@
             let fits = task.at == At::Waiting && row.run >= task.run;
             Some((step, fits))
         });
-        // What is unknown counts for the whole worker until it has ended.
-        let size = wanted.as_ref().map_or(free, |(s, _)| s.counted());
-        let step = wanted.as_ref().map(|(s, _)| s.clone()).unwrap_or_default();
-        let keep = wanted.is_some_and(|(_, fits)| fits);
+        let blind = wanted.is_none();
+        let (step, keep) = wanted.unwrap_or_default();
         let run = Run {
             run: row.run,
-            size,
+            size: step.counted(),
+            blind,
             phase: if keep { Phase::Running } else { Phase::Stopping },
             sent: now,
             known: Some(now),
@@ -492,9 +490,8 @@
     pub(super) fn leave(&mut self, now: Time) {
         let mut all = vec![];
         for (n, w) in self.workers.iter().enumerate().filter(|(_, w)| !w.gone) {
-            let Some(since) = w.leaving else { continue };
-            let left = w.listed.as_ref().and_then(|l| l.left).unwrap_or(Duration::from_secs(2));
-            let last = since + left.saturating_sub(self.setup.bounds.stop + ORDER);
+            let Some(end) = w.leaving else { continue };
+            let last = end - (self.setup.bounds.stop + ORDER);
             for (task, run) in w.runs.iter().filter(|(_, r)| r.phase == Phase::Running) {
                 let lasts = self
                     .jobs
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -30,6 +30,10 @@
 const RANK: Duration = Duration::from_millis(250);
 /// How often occurrences that have come due are looked for.
 const DUE: Duration = Duration::from_millis(50);
+/// How long a leaving worker stays that does not say how long.
+const LEAVE: Duration = Duration::from_secs(2);
+/// How old the list may be.
+const LIST: Duration = Duration::from_millis(700);
 /// How much longer than its states must be shown a job that is over is remembered.
 const LONGER: u64 = 10_000;
 
@@ -58,6 +62,8 @@
     pub(super) over: FxHashMap<JobNo, State>,
     pub(super) purge: VecDeque<(u64, JobNo)>,
     pub(super) timed: BTreeSet<JobNo>,
+    /// Cancels of jobs that were not heard of yet.
+    pub(super) early: FxHashSet<JobNo>,
     pub(super) workers: Vec<Worker>,
     pub(super) ids: FxHashMap<WorkerId, WorkerNo>,
     pub(super) pools: FxHashMap<PoolId, Vec<WorkerNo>>,
@@ -92,6 +98,7 @@
             over: FxHashMap::default(),
             purge: VecDeque::new(),
             timed: BTreeSet::new(),
+            early: FxHashSet::default(),
             workers: vec![],
             ids: FxHashMap::default(),
             pools: FxHashMap::default(),
@@ -244,6 +251,9 @@
             self.timed.insert(no);
         }
         self.jobs.insert(no, active);
+        if self.early.remove(&no) {
+            return self.end(no, State::Cancelled, now);
+        }
         self.unfold(no, now);
         self.finish_if_done(no, now);
     }
@@ -269,9 +279,22 @@
         self.review(no, now);
     }
 
+    /// Cancels a job, also one that is heard of only later.
+    ///
+    /// Guards against a cancel that is read before its job, as happens when a range is read again
+    /// after the store has lost its history: the job would run although its caller was told that it
+    /// does not.
     fn cancel(&mut self, no: JobNo, now: Time) {
-        if self.jobs.get(&no).is_some_and(|j| !j.state.over()) {
-            self.end(no, State::Cancelled, now);
+        match self.jobs.get(&no) {
+            Some(job) if !job.state.over() => self.end(no, State::Cancelled, now),
+            Some(_) => {}
+            None if self.over.contains_key(&no) => {}
+            None => {
+                let unix = self.unix(now);
+                if self.early.insert(no) {
+                    self.purge.push_back((unix + self.kept(), no));
+                }
+            }
         }
     }
 
@@ -331,11 +354,9 @@
             let no = self.worker(&listed.id, listed.addr, now);
             seen.insert(no);
             let worker = &mut self.workers[no.0];
-            if !worker.rostered {
-                self.roster = true;
-            }
             if listed.draining && worker.leaving.is_none() {
-                worker.leaving = Some(now);
+                let left = listed.left.unwrap_or(LEAVE);
+                worker.leaving = Some(now + left.saturating_sub(LIST));
                 log::info!(target: "shard", "Worker {} is leaving.", listed.id);
             }
             worker.listed = Some(listed);
@@ -351,6 +372,7 @@
             }
         }
         self.replaced(&seen, now);
+        self.roster |= self.workers.iter().any(|w| w.rostered != w.counts());
         self.stir = true;
     }
 
@@ -454,7 +476,10 @@
             if !wanted {
                 continue;
             }
-            let until = if act && w.fenced { w.lease(&self.setup.bounds, now) } else { None };
+            // A silent worker gets no new lease: each one, as it may still arrive, would put off the
+            // time from which its work can start elsewhere, for ever.
+            let renew = act && w.fenced && w.silent == 0;
+            let until = if renew { w.lease(&self.setup.bounds, now) } else { None };
             let wait = match () {
                 () if !w.fenced || !w.pending.is_empty() || w.silent > 0 => Duration::ZERO,
                 () if w.runs.is_empty() => Duration::from_millis(1900),
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -293,6 +293,7 @@
             Run {
                 run,
                 size: step.counted(),
+                blind: false,
                 phase: Phase::Starting,
                 sent: now,
                 known: None,
--- a/src/shard/store.rs
+++ b/src/shard/store.rs
@@ -47,24 +47,23 @@
         }
         self.write_jobs(&mut txn, &mut flight, unix);
         while flight.purged.len() < PURGE
-            && rows(&txn) < FREE
+            && rows(&txn) + 2 <= FREE + 2
             && let Some((at, no)) = self.purge.front().copied()
             && at <= unix
         {
             self.purge.pop_front();
             flight.purged.push((at, no));
             txn.remove.push(shard.progress(no));
+            // A cancel that came when the job was over already.
+            txn.remove.push(shard.cancel(no));
         }
         self.flight = flight;
         self.out.push(Order::Store(number, txn));
     }
 
     fn write_roster(&mut self, txn: &mut Txn) -> Vec<WorkerNo> {
-        let may_run = |w: &super::workers::Worker| {
-            !w.gone && (w.listed.is_some() || !w.runs.is_empty() || !w.fenced)
-        };
         let all: Vec<_> =
-            (0..self.workers.len()).map(WorkerNo).filter(|n| may_run(&self.workers[n.0])).collect();
+            (0..self.workers.len()).map(WorkerNo).filter(|n| self.workers[n.0].counts()).collect();
         let place = |n: &WorkerNo| (self.workers[n.0].id.clone(), self.workers[n.0].addr);
         let roster = Roster { workers: all.iter().map(place).collect() };
         txn.puts.push(Put { key: self.setup.shard.roster(), value: write(&roster), lease: 0 });
@@ -104,6 +103,7 @@
         }
         for (_, no) in flight.purged {
             self.over.remove(&no);
+            self.early.remove(&no);
         }
         for no in flight.roster.into_iter().flatten() {
             self.workers[no.0].rostered = true;
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -43,6 +43,8 @@
     pub run: u32,
     /// What it takes.
     pub size: Size,
+    /// Whether what it takes is not known.
+    pub blind: bool,
     /// What is known of it.
     pub phase: Phase,
     /// When the last order on it went out.
@@ -86,12 +88,14 @@
     pub gone: bool,
     /// When it was first heard of.
     pub since: Time,
-    /// When it was first seen to be leaving.
+    /// When it ends, if it is leaving.
     pub leaving: Option<Time>,
     /// What runs or may run there.
     pub runs: FxHashMap<TaskKey, Run>,
     /// The sum of what runs there.
     pub used: Size,
+    /// How many runs there are of which it isn't known what they take.
+    pub blind: usize,
     /// The number of the last end that was taken in.
     pub got: u64,
     /// The number of the last end that is stored.
@@ -130,6 +134,7 @@
             leaving: None,
             runs: FxHashMap::default(),
             used: Size::default(),
+            blind: 0,
             got: 0,
             seen: 0,
             pending: VecDeque::new(),
@@ -145,6 +150,9 @@
     }
 
     /// Whether it may get starts.
+    ///
+    /// Guards against a worker that is given more than it has room for by a new owner: runs of jobs
+    /// that are over go on until they are stopped, and what these take is known to nobody.
     pub fn usable(&self, now: Time) -> bool {
         self.fenced
             && self.rostered
@@ -152,9 +160,16 @@
             && self.leaving.is_none()
             && self.listed.is_some()
             && self.silent == 0
+            && self.blind == 0
             && self.unwell <= now
     }
 
+    /// Whether the store has to know that something may run there.
+    pub fn counts(&self) -> bool {
+        let live = self.listed.is_some() && self.leaving.is_none() && self.silent < 3;
+        !self.gone && (live || !self.runs.is_empty() || !self.fenced)
+    }
+
     /// Its pool.
     pub fn pool(&self) -> Option<&PoolId> {
         self.listed.as_ref().map(|l| &l.pool)
@@ -197,8 +212,10 @@
     /// Counts a run.
     pub fn add(&mut self, task: TaskKey, run: Run) {
         self.used += run.size;
+        self.blind += usize::from(run.blind);
         if let Some(old) = self.runs.insert(task, run) {
             self.used = self.used.saturating_sub(&old.size);
+            self.blind -= usize::from(old.blind);
         }
     }
 
@@ -209,6 +226,7 @@
         }
         let old = self.runs.remove(task)?;
         self.used = self.used.saturating_sub(&old.size);
+        self.blind -= usize::from(old.blind);
         Some(old)
     }
 
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -466,8 +466,8 @@
                 }
                 self.post(if late { now + wait } else { there }, Mail::Call(ring));
             }
-            Order::Advise { via, call, limit } => {
-                self.post(there, Mail::Ask(owner, via, call, now, limit));
+            Order::Advise { via, call, sent, limit } => {
+                self.post(there, Mail::Ask(owner, via, call, sent, limit));
             }
             Order::Store(number, txn) => self.post(there, Mail::Store(owner, number, txn)),
             Order::Reread => self.post(there, Mail::Reread(owner)),
@@ -539,7 +539,7 @@
     }
 
     fn reread(&mut self, owner: usize) {
-        let row = |i: Item| Some((i.rev, read::<CommitRow>(&i.value?)?.number));
+        let row = |i: Item| Some((i.rev, read::<CommitRow>(&i.value?)?));
         let (at, reply) = match self.store.fate() {
             Fate::Answered => {
                 let row = self.store.get(&SHARD.commit()).and_then(row);
--- a/tests/yard_worker.rs
+++ b/tests/yard_worker.rs
@@ -438,7 +438,7 @@
         breaks("without cause", |w, rules| rules.shown(w, JobNo(1), state));
     }
     breaks("is stored as done", |w, rules| {
-        let tasks = vec![TaskRow(0, 0, 0, 1, 0, true, "".into())];
+        let tasks = vec![TaskRow(0, 0, 0, 1, vec![], true, "".into())];
         rules.stored(w, JobNo(1), &Progress { tasks, ..Progress::default() });
     });
 }
