Inbox watches go on after a cut connection; unreadable records and loads are told

Cause: after any fault an inbox's whole range was read again, and every job of the shard sent anew; a revision stays good until the store says that it has forgotten it. The table and the configuration are still read again after a fault. Shards are sent a configuration once, also where the callers' duty took it in first. dwr_ready is set from what the balancer is told.

No test cuts a waiting watch yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,8 @@
 //! - [`ownership`], [`racks`], [`jobs`], [`requests`], [`config`]: the parts of that state.
 //! - [`decide`]: the decisions, without network or clock.
 //! - [`member`]: the threads around it, one for each duty.
+//! - [`site`]: a member on a site whose store and workers are spoken to by [`ports`]: [`table`] has
+//!   who owns which [`shard`], [`store`] the clients of the outside.
 //!
 //! Everything that decides takes the present [`Time`] as an argument, so that it can be driven by
 //! hand:
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -106,6 +106,11 @@
         self.calls.with_label_values(&[call, answer]).inc();
     }
 
+    /// Notes whether callers are served.
+    pub fn ready(&self, ready: bool) {
+        self.ready.set(i64::from(ready));
+    }
+
     /// Notes one level.
     pub fn level(&self, what: &str, n: usize) {
         self.levels.with_label_values(&[what]).set(i64::try_from(n).unwrap_or(i64::MAX));
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -12,7 +12,7 @@
             event::{Event, Load, Order},
             record::{self, CommitRow, ShardNo},
         },
-        store::{CALL, Outside},
+        store::{CALL, Outside, fault_name},
         table::shard_of,
         watch::{Follow, Pause, Seen},
         work::{JobNo, Listed},
@@ -87,7 +87,11 @@
         let (load, rev) = loop {
             match self.load(shard, commit).await {
                 Ok(loaded) => break loaded,
-                Err(_) => pause.wait().await,
+                Err(fault) => {
+                    let name = fault_name(&fault);
+                    log::warn!(target: "owner", "Shard {shard} can't be read yet: {name}.");
+                    pause.wait().await;
+                }
             }
         };
         let jobs = load.jobs.len();
@@ -95,7 +99,7 @@
         let _ = self.told.send(Told::Own(shard, token, Box::new(load))).await;
         self.begun.notify_one();
         let inbox = shard.inbox();
-        let mut follow = Follow::new(self.outside.clone(), &inbox, WAIT, Some(rev));
+        let mut follow = Follow::from(self.outside.clone(), &inbox, WAIT, rev);
         loop {
             let (Seen::All(items, _) | Seen::Changes(items, _)) = follow.next().await;
             for event in items.iter().filter_map(|i| arrival(&inbox, i)) {
@@ -257,7 +261,13 @@
     let (kind, _) = item.key.strip_prefix(inbox)?.split_once('/')?;
     let job = job(&item.key)?;
     match kind {
-        "j" => Some(Event::Job(job, Box::new(record::read(value)?))),
+        "j" => {
+            let record = record::read(value);
+            if record.is_none() {
+                log::error!(target: "owner", "The record of job {job} can't be read.");
+            }
+            Some(Event::Job(job, Box::new(record?)))
+        }
         "c" => Some(Event::Cancel(job)),
         _ => None,
     }
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -4,6 +4,7 @@
     crate::{
         common::Common,
         decisions::{Out, Told},
+        ids::Incarnation,
         owner::Owner,
         ports::{Fault, Put, Rev, StoreCall, StoreReply, Txn},
         shard::{
@@ -13,6 +14,7 @@
         store::{CALL, Outside},
         table::{Fate, Table, Take, member_key},
         watch::{Follow, Pause, Seen},
+        work::Queues,
     },
     async_channel::{Receiver, Sender},
     std::{sync::Arc, time::Duration},
@@ -44,16 +46,20 @@
 /// Follows the configuration.
 pub(crate) async fn config(common: Arc<Common>, outside: Outside, told: Sender<Told>) {
     let key = common.forms.config;
-    let mut follow = Follow::new(outside, key, CONFIG_WAIT, None);
+    let mut follow = Follow::whole(outside, key, CONFIG_WAIT);
+    let mut sent: Option<Arc<Queues>> = None;
     loop {
         let (Seen::All(items, _) | Seen::Changes(items, _)) = follow.next().await;
         // Versions may come many a second: only the last is read.
         let last = items.iter().filter(|i| &*i.key == key).max_by_key(|i| i.rev);
         let Some(item) = last else { continue };
         common.take_config(item);
-        let config = common.config.borrow().clone();
-        if let Some(config) = config {
-            let _ = told.send(Told::All(Event::Queues(config.queues))).await;
+        // The callers' duty may have taken it in before: what counts is what the shards know.
+        let queues = common.config.borrow().as_ref().map(|c| c.queues.clone());
+        let Some(queues) = queues else { continue };
+        if !sent.as_ref().is_some_and(|s| Arc::ptr_eq(s, &queues)) {
+            sent = Some(queues.clone());
+            let _ = told.send(Told::All(Event::Queues(queues))).await;
         }
     }
 }
@@ -173,7 +179,7 @@
         notes: Receiver<Out>,
     ) {
         let (tell, news) = async_channel::bounded(256);
-        let mut follow = Follow::new(outside.clone(), TABLE, WAIT, None);
+        let mut follow = Follow::whole(outside.clone(), TABLE, WAIT);
         let seen = tell.clone();
         tokio::spawn(
             async move { while seen.send(News::Seen(follow.next().await)).await.is_ok() {} },
@@ -341,7 +347,7 @@
 }
 
 /// Writes a takeover; an unclear answer is settled by reading.
-async fn take_over(outside: &Outside, me: crate::ids::Incarnation, take: &Take) -> Fate {
+async fn take_over(outside: &Outside, me: Incarnation, take: &Take) -> Fate {
     let Ok(commit) = outside.get(&take.shard.commit(), CALL).await else { return Fate::Not };
     let row: Option<CommitRow> =
         commit.as_ref().and_then(|c| record::read(c.value.as_ref().map_or(&[], |v| &v[..])));
--- a/src/site.rs
+++ b/src/site.rs
@@ -164,7 +164,9 @@
     let (callers, ready, metrics) = (listen(callers)?, listen(ready)?, listen(metrics)?);
     let shared = common.clone();
     tokio::spawn(serve(ready, PAGES, pending(), move |head, _| {
-        let status = match (head.uri.path() == shared.forms.ready, shared.ready()) {
+        let ready = shared.ready();
+        shared.metrics.ready(ready);
+        let status = match (head.uri.path() == shared.forms.ready, ready) {
             (true, true) => 200,
             (true, false) => 503,
             (false, _) => 404,
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -49,19 +49,25 @@
     prefix: Box<str>,
     wait: Duration,
     after: Option<Rev>,
+    /// Whether it goes on after a fault from where it was.
+    goes_on: bool,
     pause: Pause,
 }
 
 impl Follow {
-    /// A watch that begins after a revision, or with a range where there is none.
-    pub fn new(outside: Outside, prefix: &str, wait: Duration, after: Option<Rev>) -> Self {
-        Follow { outside, prefix: prefix.into(), wait, after, pause: Pause::default() }
+    /// A watch that begins with a range, and again with one after each fault.
+    pub fn whole(outside: Outside, prefix: &str, wait: Duration) -> Self {
+        let pause = Pause::default();
+        Follow { outside, prefix: prefix.into(), wait, after: None, goes_on: false, pause }
+    }
+
+    /// A watch that goes on from a range that was read, also after faults, as long as the store
+    /// remembers; what it follows may be too much to be read again for each cut connection.
+    pub fn from(outside: Outside, prefix: &str, wait: Duration, after: Rev) -> Self {
+        Follow { after: Some(after), goes_on: true, ..Follow::whole(outside, prefix, wait) }
     }
 
     /// Waits for what is new; repeats what fails.
-    ///
-    /// After a fault the range is read again: what the store says of its history after it was away
-    /// is not relied on.
     pub async fn next(&mut self) -> Seen {
         loop {
             let Some(after) = self.after else {
@@ -92,7 +98,7 @@
                 Ok(StoreReply::Forgotten) => self.after = None,
                 _ => {
                     self.pause.wait().await;
-                    self.after = None;
+                    self.after = self.after.filter(|_| self.goes_on);
                 }
             }
         }
