sound: whether a worker is sound, and whether a run is stuck

Cause: a worker that fails all that it starts at once is always idle and draws tasks, which have 3 or 4 attempts; some workers are 4 to 8 times slower, on some tasks stand still; at the same time 3% of jobs fail everywhere and up to a tenth of tasks fail by themselves.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod quota;
 pub mod retry;
 pub mod shift;
+pub mod sound;
 mod standing;
 pub mod suspect;
 pub mod urgent;
