sound: the storm of bad jobs beside a plain baseline

Cause: that test had no baseline to compare with. Ruled out: a second run with another judge, which needs a second judge in the test. The bound is 1% now, was 3%.

--- a/tests/sound.rs
+++ b/tests/sound.rs
@@ -57,6 +57,8 @@
     failed_at_bad: usize,
     /// The part of the time for which the others were in quarantine, in hundredths.
     wronged: f64,
+    /// The same, had two failures on end held a worker until a success.
+    wronged_by_two: f64,
     /// How long after it turned bad it was first held, in milliseconds.
     found: Option<u64>,
 }
@@ -69,6 +71,7 @@
 fn play(day: Day) -> Seen {
     let (mut rng, mut seen) = (Rng::with_seed(9), Seen::default());
     let mut sounds = vec![Sound::new(); WORKERS];
+    let mut on_end = [0; WORKERS];
     // Of each job: whether it is poison, whether it is lost, and where its tasks failed.
     let mut jobs: Vec<(bool, bool, Vec<usize>)> = Vec::new();
     let mut queue: Vec<Task> = Vec::new();
@@ -84,6 +87,7 @@
             let (start, _, w, ok, mut task) = runs.swap_remove(i);
             let (poison, lost, failed) = &mut jobs[task.job];
             let elsewhere = failed.iter().filter(|f| **f != w).count() as u32;
+            on_end[w] = if ok { 0 } else { on_end[w] + 1 };
             sounds[w].ended(JobNo(task.job as u64), ok, elsewhere, now);
             if ok {
                 sounds[w].moved(day.work as f64 / (t - start) as f64, now);
@@ -113,7 +117,10 @@
             seen.found = seen.found.or(Some(t - FROM));
         }
         let wrong = all - usize::from(held(&sounds[BAD]));
-        seen.wronged += 100.0 * wrong as f64 / (WORKERS - 1) as f64 / (END / 10) as f64;
+        let part = 100.0 / (WORKERS - 1) as f64 / (END / 10) as f64;
+        seen.wronged += wrong as f64 * part;
+        let two = (0..WORKERS).filter(|w| *w != BAD && on_end[*w] >= 2).count();
+        seen.wronged_by_two += two as f64 * part;
         let judged = day.judged && all <= most_held(WORKERS);
         let mut busy = [0; WORKERS];
         runs.iter().for_each(|r| busy[r.2] += 1);
@@ -176,7 +183,8 @@
 #[test]
 fn storm_of_poison_leaves_workers_in_use() {
     let ours = play(Day { poison: 0.33, ..PLAIN });
-    assert!(ours.wronged < 3.0 && ours.lost == 0, "{ours:?}");
+    assert!(ours.wronged < 1.0 && ours.lost == 0, "{ours:?}");
+    assert!(ours.wronged_by_two > 10.0, "{ours:?}");
 }
 
 // Few jobs take all of the load, 40 tasks of 4 s each, so that a worker has tasks of one or two jobs
