sound: probes of one job are far apart, single slow figures are forgotten

Cause: two faults found on reading. A probe with a task of a job that had failed before told little and so let the next probe go at once, without end: 580 probes in 60 s, each a task's attempt lost. And a worker with one slow figure that got no further tasks stayed a suspect for good. Both have a test that failed first.

A probe that tells little is now followed by a quarantine as long again, not twice as long; slow figures count on end within 30 s and make suspect for 5 s, as failures do. Ruled out: doubling after each failed probe (a sound worker probed with bad jobs would be out for 16 s).

--- a/src/decide/sound.rs
+++ b/src/decide/sound.rs
@@ -90,8 +90,8 @@
     usual: f64,
     /// Quarantine for failing.
     failing: Hold,
-    /// Slow rates on end, and since when.
-    slow: Option<(u32, Time)>,
+    /// Slow rates on end, since when, and the last.
+    slow: Option<(u32, Time, Time)>,
     /// Quarantine for being slow.
     slowed: Hold,
 }
@@ -118,17 +118,12 @@
         if ok {
             return self.succeeded(now);
         }
-        let known = self.failures.iter().any(|(j, ..)| *j == job);
-        let weight = if known || fails_before > 0 { LITTLE } else { 1.0 };
         if self.failing.until.is_some() {
-            if weight == 1.0 {
-                self.failing.failed(now);
-            } else {
-                self.failing.probe = None;
-            }
-            return;
+            return self.failing.failed(now, fails_before == 0);
         }
         self.failures.retain(|(.., at)| now.since(*at) < SPAN);
+        let known = self.failures.iter().any(|(j, ..)| *j == job);
+        let weight = if known || fails_before > 0 { LITTLE } else { 1.0 };
         if self.failures.len() < KEPT {
             self.failures.push((job, weight, now));
         }
@@ -146,10 +141,11 @@
             self.slow = None;
             self.slowed = Hold::default();
         } else if rate < SLOW {
-            let (times, since) = self.slow.unwrap_or((0, now));
-            self.slow = Some((times.saturating_add(1), since));
+            let recent = self.slow.filter(|(.., last)| now.since(*last) < SPAN);
+            let (times, since, _) = recent.unwrap_or((0, now, now));
+            self.slow = Some((times.saturating_add(1), since, now));
             if self.slowed.until.is_some() {
-                self.slowed.failed(now);
+                self.slowed.failed(now, true);
             } else if times + 1 >= TIMES && now.since(since) >= LASTS {
                 self.slowed.begin(now);
             }
@@ -161,7 +157,7 @@
         let until = self.failing.until.max(self.slowed.until);
         match until {
             Some(until) => Verdict::Quarantined { until },
-            None if self.slow.is_some() || self.weight(now, SUSPECT) >= 1.0 => Verdict::Suspect,
+            None if self.suspect(now) => Verdict::Suspect,
             None => Verdict::Sound,
         }
     }
@@ -189,6 +185,11 @@
         self.failing = Hold::default();
     }
 
+    fn suspect(&self, now: Time) -> bool {
+        let slow = self.slow.is_some_and(|(.., last)| now.since(last) < SUSPECT);
+        slow || self.weight(now, SUSPECT) >= 1.0
+    }
+
     fn enough(&self) -> f64 {
         let usual = self.usual.clamp(CHANCE, 0.9);
         (CHANCE.ln() / usual.ln()).clamp(ENOUGH, ENOUGH_MAX)
@@ -206,9 +207,11 @@
         *self = Hold { until: Some(now + length), times: self.times + 1, probe: None };
     }
 
-    /// A probe told that nothing is better; what began before the quarantine is no probe.
-    fn failed(&mut self, now: Time) {
+    /// A probe failed. One that tells little doesn't double the length: it is as long again, as
+    /// there may be no other task to probe with. What began before the quarantine is no probe.
+    fn failed(&mut self, now: Time, tells: bool) {
         if self.probe.is_some() {
+            self.times -= u32::from(!tells && self.times > 0);
             self.begin(now);
         }
     }
--- a/tests/sound.rs
+++ b/tests/sound.rs
@@ -266,3 +266,34 @@
     assert_eq!(found(1.0 / 8.0, 80.0, 5.6, 5.6, false), None, "nearly done");
     assert!(found(1.0 / 8.0, 50.0, 60.0, 60.0, true).is_some(), "goes on from its checkpoint");
 }
+
+// Only one large job is there to probe with, whose tasks also fail elsewhere now and then. Taken as
+// telling nothing, each probe would be followed by the next at once, and the worker fails them all.
+#[test]
+fn probes_of_one_job_are_far_apart() {
+    for elsewhere in [0, 3] {
+        let (mut sound, mut probes) = (Sound::new(), 0);
+        sound.ended(JobNo(1), false, 0, Time::ZERO);
+        sound.ended(JobNo(2), false, 0, Time::ZERO);
+        for now in (0..60_000).step_by(100).map(Time::from_millis) {
+            if sound.probe(now) {
+                probes += 1;
+                sound.ended(JobNo(1), false, elsewhere, now);
+            }
+        }
+        println!("failed elsewhere {elsewhere}: {probes} probes in 60 s");
+        assert!(probes <= if elsewhere == 0 { 6 } else { 30 });
+    }
+}
+
+// One figure of a run is poor, and then the worker is given nothing, as others have room: it must
+// not be a suspect for good, nor held for poor figures that lie minutes apart.
+#[test]
+fn single_slow_figures_are_forgotten() {
+    let mut sound = Sound::new();
+    for now in (0..6).map(|n| Time::from_millis(n * 60_000)) {
+        sound.moved(0.2, now);
+        assert_eq!(sound.verdict(now), Verdict::Suspect);
+        assert_eq!(sound.verdict(now + Duration::from_secs(10)), Verdict::Sound);
+    }
+}
