--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -18,6 +18,7 @@
 pub mod rank;
 pub mod retry;
 pub mod shift;
+pub mod sound;
 mod standing;
 pub mod suspect;
 pub mod urgent;
