sound: half speed is never stuck, over lengths and times between figures

Cause: with MARGIN at 1 all tests still passed, so the promise of stuck()'s page had no test. Ruled out: longer runs in the test that steps through figures, as with 3 s between them the rounding alone shields a long run. 100,000 seeded runs; fails with MARGIN at 1, passes at 2.

--- a/tests/sound.rs
+++ b/tests/sound.rs
@@ -297,3 +297,24 @@
         assert_eq!(sound.verdict(now + Duration::from_secs(10)), Verdict::Sound);
     }
 }
+
+// Estimates are off by two, so a run that seems to go at half speed may be a sound one. Whatever its
+// length and the time between two figures, stopping it would only throw its work away.
+#[test]
+fn half_speed_is_never_stuck() {
+    let (mut rng, mut slower) = (Rng::with_seed(2), 0);
+    for _ in 0..100_000 {
+        let work = 0.5 + 600.0 * rng.f64().powi(3);
+        let elapsed = 1.5 + work * rng.f64();
+        let from = 100.0 * rng.f64();
+        let stuck_at = |speed: f64| {
+            let to = from + 100.0 * speed * elapsed / work;
+            let [elapsed, work] = [elapsed, work].map(Duration::from_secs_f64);
+            to < 100.0 && stuck(from as u8, to as u8, elapsed, work, true)
+        };
+        assert!(!stuck_at(0.5), "{work} s, {elapsed} s from {from}");
+        slower += u32::from(stuck_at(0.15));
+    }
+    println!("at 0.15 of the speed {slower} of 100000 are stuck");
+    assert!(slower > 20_000);
+}
