--- a/tests/yard/rules.rs
+++ b/tests/yard/rules.rs
@@ -32,8 +32,9 @@
     /// Whether there was a fault at all.
     pub faults: bool,
     pub cancels: BTreeMap<JobNo, Time>,
-    /// When a task ended as done, and when that was noted.
-    done: BTreeMap<TaskKey, (Time, Option<Time>)>,
+    /// Runs that ended as done: number, when, when noted. A note that comes after the worker's lease
+    /// has lapsed is none, and the note of one run says nothing of another.
+    done: BTreeMap<TaskKey, Vec<(u32, Time, Option<Time>)>>,
     /// When each task started last.
     starts: BTreeMap<TaskKey, Time>,
     /// Runs that failed: number, when, when noted.
@@ -138,7 +139,7 @@
         if let Some(d) = leaving.filter(|d| at > *d + world.bounds.drain) {
             self.broke(at, format!("{task} started at {}, leaving at {d}", world.id(worker)));
         }
-        let noted = self.done.get(&whole(world, task)).and_then(|d| d.1);
+        let noted = self.done.get(&whole(world, task)).and_then(|d| d.iter().find_map(|r| r.2));
         if noted.is_some_and(|n| at > n + Duration::from_secs(1)) {
             self.broke(at, format!("{task} started, it was noted as done before"));
         }
@@ -148,7 +149,8 @@
     fn repeated(&self, world: &World, now: Time, whole: TaskKey) {
         let Some(step) = world.step(whole.step).filter(|s| !s.copies) else { return };
         let Some(&last) = self.starts.get(&whole) else { return };
-        if self.done.get(&whole).is_some_and(|(end, noted)| noted.is_some() && last > *end) {
+        let done = self.done.get(&whole).map(Vec::as_slice).unwrap_or_default();
+        if done.iter().any(|(_, end, noted)| noted.is_some() && last > *end) {
             self.broke(now, format!("{whole} started at {last}, after it was done"));
         }
         let most = world.queue(whole.step.job).map_or(0, |q| q.attempts) as usize;
@@ -162,7 +164,7 @@
     fn end(&mut self, world: &World, at: Time, task: TaskKey, run: u32, how: How) {
         let whole = whole(world, task);
         match how {
-            How::Done => drop(self.done.entry(whole).or_insert((at, None))),
+            How::Done => self.done.entry(whole).or_default().push((run, at, None)),
             How::Failed => self.failed.entry(whole).or_default().push((run, at, None)),
             How::Alone if !self.faults && !self.cancels.contains_key(&task.step.job) => {
                 self.broke(at, format!("{task} ended alone, and nothing was amiss"));
@@ -173,16 +175,13 @@
 
     fn seen(&mut self, world: &World, task: TaskKey, run: u32, how: How) {
         let (whole, now) = (whole(world, task), world.now);
-        if how == How::Done
-            && let Some(done) = self.done.get_mut(&whole)
-        {
-            done.1.get_or_insert(now);
-        }
-        let failed = self.failed.entry(whole).or_default().iter_mut();
-        if how == How::Failed
-            && let Some(f) = failed.into_iter().find(|f| f.0 == run)
-        {
-            f.2.get_or_insert(now);
+        let ends = match how {
+            How::Done => self.done.entry(whole).or_default(),
+            How::Failed => self.failed.entry(whole).or_default(),
+            _ => return self.repeated(world, now, whole),
+        };
+        if let Some(end) = ends.iter_mut().find(|e| e.0 == run) {
+            end.2.get_or_insert(now);
         }
         self.repeated(world, now, whole);
     }
