--- a/src/shard.rs
+++ b/src/shard.rs
@@ -10,6 +10,7 @@
 mod explain;
 mod hear;
 mod jobs;
+mod judge;
 mod machine;
 mod plan;
 pub mod record;
--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -102,6 +102,7 @@
         }
         self.rows(no, &held, now);
         self.missing(no, sent, &held, now);
+        self.temper(no, now);
         let worker = &mut self.workers[no.0];
         if !worker.pending.is_empty() {
             worker.next = now + UNSTORED;
@@ -122,6 +123,7 @@
                     if fresh {
                         self.begun(&row.task, now);
                     }
+                    self.watch(no, &row.task, now);
                 }
                 _ => self.adopt(no, row, now),
             }
@@ -156,6 +158,7 @@
             target: step.target,
             fills: step.fills,
             estimate: Duration::from_millis(step.estimate),
+            mark: (now, row.percent),
         };
         self.workers[no.0].add(row.task, run);
         if !keep {
@@ -313,10 +316,12 @@
         });
     }
 
-    /// Sends stops again that had no answer.
+    /// Sends stops again that had no answer, or an answer and no effect.
     pub(super) fn repeat(&mut self, now: Time) {
-        let due =
-            |r: &Run| r.phase == Phase::Stopping && r.known.is_none() && r.sent + ORDER * 2 <= now;
+        let due = |r: &Run| {
+            let again = if r.known.is_none() { ORDER * 2 } else { ORDER * 4 };
+            r.phase == Phase::Stopping && r.sent + again <= now
+        };
         let mut all = vec![];
         for (n, w) in self.workers.iter().enumerate().filter(|(_, w)| !w.gone) {
             all.extend(w.runs.iter().filter(|(_, r)| due(r)).map(|(t, _)| (WorkerNo(n), *t)));
@@ -335,6 +340,9 @@
             _ => end.saved.clone(),
         };
         let mine = self.at(&end.task, no, end.run);
+        if let Some(run) = &run {
+            self.judge(no, end, run, now);
+        }
         self.close(no, &end.task, end.run, end.how, saved, mine, now);
         let place = self.touch(end.task.step.job);
         self.workers[no.0].pending.push_back((end.number, end.task.step.job, place));
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -65,6 +65,21 @@
     pub tickets: Tickets,
     /// Since when it could have begun.
     pub ready: Option<Time>,
+    /// How long runs took that went from the beginning to the end of their work, in order.
+    pub took: Vec<Duration>,
+}
+
+impl Part {
+    /// Notes how long a whole run took.
+    pub fn took(&mut self, time: Duration) {
+        let at = self.took.partition_point(|t| *t < time);
+        self.took.insert(at, time);
+    }
+
+    /// What a run of this step takes, by the median of at least `least` runs.
+    pub fn expected(&self, least: usize) -> Option<Duration> {
+        (self.took.len() >= least).then(|| self.took[self.took.len() / 2])
+    }
 }
 
 /// A job that is not over.
@@ -204,6 +219,12 @@
         Progress { state: self.state, over, queue: self.queue.clone(), tasks }
     }
 
+    /// How many runs have failed, in all its tasks.
+    pub fn failures(&self) -> u32 {
+        let tasks = self.parts.values().flat_map(|p| &p.tasks);
+        u32::try_from(tasks.map(|t| t.fails.len()).sum::<usize>()).unwrap_or(u32::MAX)
+    }
+
     /// All tasks that are at a worker.
     pub fn there(&self, no: JobNo) -> Vec<(TaskKey, WorkerNo, u32)> {
         let mut all = vec![];
--- /dev/null
+++ b/src/shard/judge.rs
@@ -0,0 +1,116 @@
+//! What the runs of a worker say of it: failures, speed, runs that stand still, harm done to tasks
+//! that serve others.
+
+use {
+    crate::{
+        decide::{pace, sound::stuck},
+        ports::{End, How, WorkerCall},
+        shard::{
+            event::Order,
+            hear::ORDER,
+            machine::Shard,
+            workers::{Phase, Run, WorkerNo},
+        },
+        time::Time,
+        work::TaskKey,
+    },
+    std::time::Duration,
+};
+
+/// How far apart two looks are that are compared.
+const APART: Duration = Duration::from_millis(2200);
+/// How many peers make an expectation.
+const PEERS: usize = 3;
+/// The shortest run whose speed says something: below, the way of the orders counts for too much.
+const SHORT: Duration = Duration::from_millis(200);
+
+impl Shard {
+    /// Draws from a run's own end what it says of its worker.
+    pub(super) fn judge(&mut self, no: WorkerNo, end: &End, run: &Run, now: Time) {
+        let key = end.task.step;
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let before = job.failures();
+        let Some(step) = job.step(&key) else { return };
+        let plain = !step.gang && !step.fills && !step.lasts && run.percent.0 == 0;
+        let whole = plain && run.saved.is_empty() && run.pace == 100;
+        let sound = &mut self.workers[no.0].sound;
+        match end.how {
+            How::Failed => sound.ended(key.job, false, before, now),
+            How::Done => {
+                sound.ended(key.job, true, before, now);
+                let took = now - run.began;
+                if let (true, Some(part)) = (plain, job.parts.get_mut(&(key.time, key.step))) {
+                    if let Some(expected) = part.expected(PEERS).filter(|e| *e >= SHORT) {
+                        sound.moved(expected.as_secs_f64() / took.as_secs_f64().max(0.01), now);
+                    }
+                    if whole || run.percent.0 == 0 {
+                        part.took(took);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Stops a run that stands still, or goes so slowly that another elsewhere ends sooner.
+    pub(super) fn watch(&mut self, no: WorkerNo, task: &TaskKey, now: Time) {
+        let key = task.step;
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(step) = job.step(&key) else { return };
+        if step.lasts || step.fills || step.gang {
+            return;
+        }
+        let peers = job.parts.get(&(key.time, key.step)).and_then(|p| p.expected(PEERS));
+        let Some(run) = self.workers[no.0].runs.get_mut(task) else { return };
+        let elapsed = now - run.mark.0;
+        if run.phase != Phase::Running || elapsed < APART {
+            return;
+        }
+        let expected = peers.unwrap_or(run.estimate);
+        let (then, percent) = (run.mark.1, run.percent.1);
+        if percent > then {
+            run.mark = (now, percent);
+        }
+        if stuck(then, percent, elapsed, expected, step.saves) {
+            log::info!(target: "shard", "Run {} of {task} stands still at {percent}%.", run.run);
+            let sound = &mut self.workers[no.0].sound;
+            sound.moved(0.0, now);
+            self.stop(no, task, now);
+        }
+    }
+
+    /// Sets the pace of a worker's fillers by the tails of the tasks that serve there.
+    pub(super) fn temper(&mut self, no: WorkerNo, now: Time) {
+        let worker = &mut self.workers[no.0];
+        if !worker.runs.values().any(|r| r.fills) {
+            return;
+        }
+        let ratio = |r: &Run| match r.load {
+            0 => pace::UNKNOWN,
+            tail => tail as f64 / r.target as f64,
+        };
+        let serving = worker.runs.values().filter(|r| r.target > 0 && r.phase != Phase::Stopping);
+        let worst = serving.map(ratio).max_by(f64::total_cmp);
+        let wanted = worker.pace.step(worst, now);
+        let change = |r: &&Run| r.fills && r.phase == Phase::Running && r.pace != wanted;
+        let calls: Vec<WorkerCall> = worker
+            .runs
+            .iter()
+            .filter(|(_, r)| change(r))
+            .map(|(task, r)| WorkerCall::Pace {
+                task: *task,
+                run: r.run,
+                percent: wanted,
+                token: self.setup.token,
+            })
+            .collect();
+        for call in calls {
+            self.out.push(Order::Worker {
+                worker: worker.id.clone(),
+                addr: worker.addr,
+                call: Box::new(call),
+                limit: ORDER,
+            });
+        }
+    }
+}
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -221,7 +221,8 @@
 
     /// The number of a worker's life, made if it is new.
     pub(super) fn worker(&mut self, id: &WorkerId, addr: SocketAddr, now: Time) -> WorkerNo {
-        if let Some(no) = self.ids.get(id) {
+        // One that was taken for gone and is there again begins anew, with nothing known.
+        if let Some(no) = self.ids.get(id).filter(|n| !self.workers[n.0].gone) {
             return *no;
         }
         let no = WorkerNo(self.workers.len());
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -5,6 +5,7 @@
         decide::{
             fit::{Room, best},
             rank::{Facts, Rank, rank},
+            sound::{Verdict, most_held},
         },
         ids::PoolId,
         ports::{Start, WorkerCall},
@@ -112,8 +113,7 @@
         }
         let mut round = Round::default();
         for (pool, all) in &self.pools {
-            let usable: Vec<_> =
-                all.iter().copied().filter(|n| self.workers[n.0].usable(now)).collect();
+            let usable = self.sound_ones(all, now);
             let most = usable.iter().fold(Size::default(), |m, n| m.max(&self.workers[n.0].free()));
             round.most.insert(pool.clone(), most);
             round.usable.insert(pool.clone(), usable);
@@ -124,6 +124,30 @@
         }
     }
 
+    /// The workers of a pool that may get starts: those that are sound, and those out of quarantine,
+    /// for a probe each.
+    ///
+    /// Guards against a pool that holds most of its workers: where over a third looks bad, the cause
+    /// is something else, and the others are used all the same.
+    fn sound_ones(&self, all: &[WorkerNo], now: Time) -> Vec<WorkerNo> {
+        let usable = all.iter().copied().filter(|n| self.workers[n.0].usable(now));
+        let mut held = most_held(all.len());
+        let fine = |n: &WorkerNo| match self.workers[n.0].sound.verdict(now) {
+            Verdict::Quarantined { until } if until > now && held > 0 => {
+                held -= 1;
+                false
+            }
+            _ => true,
+        };
+        usable.filter(fine).collect()
+    }
+
+    /// Whether a chosen worker may really get the task: of a worker that is tried out, one.
+    fn allowed(&mut self, no: WorkerNo, now: Time) -> bool {
+        let sound = &mut self.workers[no.0].sound;
+        !matches!(sound.verdict(now), Verdict::Quarantined { .. }) || sound.probe(now)
+    }
+
     /// Starts what has room of one step.
     fn place(&mut self, key: &StepKey, round: &mut Round, now: Time) {
         let Some(job) = self.jobs.get(&key.job) else { return };
@@ -149,7 +173,7 @@
         let mut rooms = vec![];
         let mut stale = vec![];
         for no in usable.iter().copied().filter(|n| !round.kept.contains(n)) {
-            let Some(room) = self.room(no, key, &step) else { continue };
+            let Some(room) = self.room(no, key, &step, now) else { continue };
             if advice.is_some() {
                 match part.tickets.good.get(&self.workers[no.0].id) {
                     None => continue,
@@ -189,7 +213,7 @@
     }
 
     /// A worker's room as a task of this step sees it; nothing where it must not go.
-    fn room(&self, no: WorkerNo, key: &StepKey, step: &Step) -> Option<Room> {
+    fn room(&self, no: WorkerNo, key: &StepKey, step: &Step, now: Time) -> Option<Room> {
         let w = &self.workers[no.0];
         let listed = w.listed.as_ref()?;
         if step.needs.as_ref().is_some_and(|label| !listed.has(label)) {
@@ -205,7 +229,7 @@
             serves: step.fills && w.serves(),
             fillers: w.runs.values().filter(|r| r.fills).count() as u32,
             same: same as u32,
-            suspect: false,
+            suspect: w.sound.verdict(now) != Verdict::Sound,
         })
     }
 
@@ -256,6 +280,8 @@
         if chosen.is_empty() {
             return;
         }
+        let allowed: Vec<u32> =
+            chosen.iter().filter(|(_, no)| self.allowed(*no, now)).map(|c| c.0).collect();
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let floor = if job.old {
             u32::try_from((self.setup.token - 1) * RUNS).unwrap_or(u32::MAX / 2)
@@ -267,7 +293,7 @@
         };
         let gang = step.gang.then(|| (0..step.count).map(|i| last(i, job)).max().unwrap_or(0));
         let mut all = vec![];
-        for (index, no) in chosen {
+        for (index, no) in chosen.iter().filter(|c| gang.is_some() || allowed.contains(&c.0)) {
             let run = gang.unwrap_or_else(|| last(*index, job)).max(floor) + 1;
             all.push((TaskKey { step: *key, index: *index }, *no, run));
         }
@@ -306,6 +332,7 @@
                 target: step.target,
                 fills: step.fills,
                 estimate: Duration::from_millis(step.estimate),
+                mark: (now, 0),
             },
         );
         let start = Start { task, run, text, until, token: self.setup.token, saved, ticket };
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        decide::{pace::Pace, sound::Sound},
         ids::{PoolId, WorkerId},
         ports::{Bounds, Row},
         time::Time,
@@ -69,6 +70,8 @@
     pub fills: bool,
     /// What its work is expected to take.
     pub estimate: Duration,
+    /// A look some seconds ago: when, and how much was done.
+    pub mark: (Time, u8),
 }
 
 /// One life of a worker.
@@ -118,6 +121,10 @@
     until: u64,
     /// No start before.
     pub unwell: Time,
+    /// What its failures and its speed say of it.
+    pub sound: Sound,
+    /// How fast fillers may work there.
+    pub pace: Pace,
 }
 
 impl Worker {
@@ -146,6 +153,8 @@
             clock: None,
             until: 0,
             unwell: Time::ZERO,
+            sound: Sound::new(),
+            pace: Pace::new(),
         }
     }
 
