Direct word of jobs to their owner; room kept by size; gangs' tickets kept fresh; no doubt from members that are cut off

The member that took a job in now tells the owner at once; the watch remains for what is lost. A member that the store doesn't answer for 1.5 s says so at once (503, not run) in place of 504.

--- a/src/common.rs
+++ b/src/common.rs
@@ -22,7 +22,7 @@
 };
 
 /// How long the store may be silent before this member isn't ready.
-const CONTACT: Duration = Duration::from_secs(3);
+const CONTACT: Duration = Duration::from_millis(1500);
 
 /// A version of the configuration, and the revision of its item in the store.
 #[derive(Clone, Debug)]
@@ -114,9 +114,14 @@
         self.registered.store(registered, Ordering::Relaxed);
     }
 
+    /// Whether the store answers this member; each asks it twice a second at least.
+    pub fn in_touch(&self) -> bool {
+        self.contact().is_some_and(|at| self.now() - at <= CONTACT)
+    }
+
     /// Whether callers can be served here.
     pub fn ready(&self) -> bool {
-        let heard = self.contact().is_some_and(|at| self.now() - at <= CONTACT);
+        let heard = self.in_touch();
         let registered = self.registered.load(Ordering::Relaxed);
         heard && registered && !self.stopping() && self.config.borrow().is_some()
     }
--- a/src/control.rs
+++ b/src/control.rs
@@ -8,7 +8,10 @@
         member::Gate,
         ports::{Advice, AdviceCall, Fault},
         rpc,
-        shard::record::ShardNo,
+        shard::{
+            event::Event,
+            record::{JobRecord, ShardNo},
+        },
         work::{JobNo, State, StepKey},
     },
     async_channel::Sender,
@@ -59,6 +62,14 @@
     job: Box<str>,
 }
 
+/// Word of a job that was stored, or of its cancel.
+#[derive(Debug, Serialize, Deserialize)]
+struct HeardAsk {
+    shard: ShardNo,
+    job: Box<str>,
+    record: Option<JobRecord>,
+}
+
 /// A question for a queue's length.
 #[derive(Debug, Serialize, Deserialize)]
 struct WaitingAsk {
@@ -141,6 +152,16 @@
             Ok::<_, ErrorObjectOwned>(state_here(&told, ask.shard, job).await)
         }
     })?;
+    let heard = told.clone();
+    module.register_async_method("heard", move |params, _, _| {
+        let told = heard.clone();
+        async move {
+            let ask: HeardAsk = params.one()?;
+            let job: JobNo = ask.job.parse().map_err(bad)?;
+            heard_here(&told, ask.shard, job, ask.record);
+            Ok::<_, ErrorObjectOwned>(())
+        }
+    })?;
     module.register_async_method("waiting", move |params, _, _| {
         let told = told.clone();
         async move {
@@ -162,6 +183,21 @@
     from.await.ok().flatten()
 }
 
+/// Passes word of a stored job, or of its cancel, to this member's decisions.
+pub(crate) fn heard_here(
+    told: &Sender<Told>,
+    shard: ShardNo,
+    job: JobNo,
+    record: Option<JobRecord>,
+) {
+    let event = match record {
+        Some(record) => Event::Job(job, Box::new(record)),
+        None => Event::Cancel(job),
+    };
+    // What a full ring drops is read from the store.
+    let _ = told.try_send(Told::Word(shard, event));
+}
+
 /// How many jobs of a queue have not begun, by this member's own decisions.
 pub(crate) async fn waiting_here(
     told: &Sender<Told>,
@@ -217,6 +253,19 @@
         self.call(addr, "state", &ask, limit).await.flatten()
     }
 
+    /// Tells the owner of a shard of a job that was stored, or of its cancel.
+    pub async fn heard(
+        &self,
+        addr: SocketAddr,
+        shard: ShardNo,
+        job: JobNo,
+        record: Option<JobRecord>,
+        limit: Duration,
+    ) {
+        let ask = HeardAsk { shard, job: job.to_string().into(), record };
+        let _: Option<()> = self.call(addr, "heard", &ask, limit).await;
+    }
+
     /// How many jobs of a queue have not begun, of shards that a member owns; nothing where it
     /// doesn't say.
     pub async fn waiting(
--- a/src/decide/lanes.rs
+++ b/src/decide/lanes.rs
@@ -132,6 +132,11 @@
         self.all.iter().find(|l| l.member == member).map_or(0, |l| l.calls.len())
     }
 
+    /// How many calls are expected in all.
+    pub fn total(&self) -> usize {
+        self.all.iter().map(|l| l.calls.len()).sum()
+    }
+
     /// The lane where a call would end first, full ones among them, and when.
     fn best(&self, cost: Duration, now: Time) -> Option<(usize, Time)> {
         let usable = self.all.iter().filter(|l| !l.aside(now));
--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -24,6 +24,13 @@
     due: u64,
 }
 
+impl Rank {
+    /// 0 can be in time, 1 late, 2 later than that.
+    pub fn class(&self) -> usize {
+        usize::from(self.class)
+    }
+}
+
 /// What a rank is made of.
 #[derive(Clone, Copy, Debug)]
 pub struct Facts {
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -34,6 +34,8 @@
     Own(ShardNo, u64, Box<Load>),
     /// Something for a shard that is owned with this token.
     Event(ShardNo, u64, Event),
+    /// Word of another member for a shard, whichever token it is owned with.
+    Word(ShardNo, Event),
     /// Something for all shards.
     All(Event),
     /// Another member owns a shard.
@@ -120,6 +122,11 @@
         match told {
             Told::Own(shard, token, load) => self.own(shard, token, *load).await,
             Told::Event(shard, token, event) => self.event(shard, token, event).await,
+            Told::Word(shard, event) => {
+                if let Some(token) = self.shards.get(&shard).map(|r| r.token) {
+                    self.event(shard, token, event).await;
+                }
+            }
             Told::All(event) => self.all(event).await,
             Told::Forget(shard) => {
                 self.shards.remove(&shard);
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -4,6 +4,7 @@
     super::{Ask, Entry},
     crate::{
         common::{Config, unix},
+        control::heard_here,
         error::{Error, Kind},
         ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
         shard::record::{self, JobRecord, ShardNo},
@@ -14,6 +15,8 @@
     tokio::time::sleep,
 };
 
+/// How long word to a shard's owner may take.
+const WORD: Duration = Duration::from_millis(400);
 /// How often a write that was refused or whose answer is unclear is made.
 const TRIES: u32 = 2;
 /// How often a write is made that only a newer configuration was in the way of.
@@ -66,6 +69,11 @@
         }
         let job = (self.common.forms.job)(body)?;
         job.check()?;
+        // A member that is cut off from the store would only bring the job into doubt: its caller may
+        // ask another one, but not after an answer that says "unknown".
+        if !self.common.in_touch() {
+            return Err(Error::new(Kind::KvDown, "the store doesn't answer").after(BACK));
+        }
         let shard = self.shard(no)?;
         let mut tries = Tries::default();
         match self.write(ask, shard, no, job, &mut tries).await {
@@ -90,7 +98,10 @@
             let txn = self.entrance(shard, no, config.rev, &record);
             let limit = self.limit(ask)?;
             match self.outside.store(&StoreCall::Txn(txn), limit).await {
-                Ok(StoreReply::Done(_)) => return Ok(()),
+                Ok(StoreReply::Done(_)) => {
+                    self.tell(shard, no, Some(record));
+                    return Ok(());
+                }
                 Ok(StoreReply::Conflict(items)) => {
                     match self.clash(shard, no, config.rev, &items) {
                         Clash::There => return Ok(()),
@@ -171,11 +182,27 @@
         let call = StoreCall::Txn(Txn { puts: vec![put], ..Txn::default() });
         let mut tries = Tries::default();
         match self.put(ask, &call, &mut tries).await {
-            Ok(()) => Ok(Bytes::new()),
+            Ok(()) => {
+                self.tell(shard, no, None);
+                Ok(Bytes::new())
+            }
             Err(e) => Err(tries.end(e)),
         }
     }
 
+    /// Tells the shard's owner of what was stored, without waiting for it.
+    ///
+    /// Guards against a watch of the store that hears nothing for seconds while changes are made:
+    /// jobs that were taken in would wait until it is cut, and their callers with them.
+    fn tell(&self, shard: ShardNo, no: JobNo, record: Option<JobRecord>) {
+        let Some((owner, addr)) = self.common.view.borrow().owner(shard) else { return };
+        if owner == self.common.me {
+            return heard_here(&self.told, shard, no, record);
+        }
+        let peers = self.peers.clone();
+        tokio::spawn(async move { peers.heard(addr, shard, no, record, WORD).await });
+    }
+
     /// Makes a write that may be made twice.
     async fn put(&self, ask: &Ask, call: &StoreCall, tries: &mut Tries) -> Result<(), Error> {
         loop {
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -28,7 +28,7 @@
 };
 
 /// How long a watch of an inbox waits.
-const WAIT: Duration = Duration::from_secs(5);
+const WAIT: Duration = Duration::from_secs(3);
 /// How often the list of workers is read.
 const LIST: Duration = Duration::from_millis(600);
 
--- a/src/shard/explain.rs
+++ b/src/shard/explain.rs
@@ -10,6 +10,45 @@
 };
 
 impl Shard {
+    /// How much waits for what, and how full the pools are.
+    pub(super) fn sum_up(&self, now: Time) -> Box<str> {
+        let (mut steps, mut tasks, mut unasked, mut stale) = ([0; 3], 0, 0, 0);
+        for (rank, key) in &self.ready {
+            steps[rank.class().min(2)] += 1;
+            let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+            let Some(part) = part else { continue };
+            tasks += part.waiting;
+            let advised = self
+                .jobs
+                .get(&key.job)
+                .is_some_and(|j| self.known.get(&j.queue).is_some_and(|q| q.advice.is_some()));
+            unasked += u32::from(advised && part.tickets.good.is_empty());
+            let valid = part.tickets.good.values().any(|(_, until)| *until > now);
+            stale += u32::from(advised && !part.tickets.good.is_empty() && !valid);
+        }
+        let mut text = format!(
+            "jobs {}, ready steps {steps:?} with {tasks} tasks, {unasked} without advice, {stale} with old tickets, lanes {}",
+            self.jobs.len(),
+            self.lanes.total(),
+        );
+        for (pool, all) in &self.pools {
+            let sum = |f: fn(&super::workers::Worker) -> u64| {
+                all.iter().map(|n| f(&self.workers[n.0])).sum::<u64>()
+            };
+            let usable = all.iter().filter(|n| self.workers[n.0].usable(now)).count();
+            let _ = write!(
+                text,
+                "; {pool}: {usable} of {} workers, cores {} of {}, accelerators {} of {}",
+                all.len(),
+                sum(|w| w.used.cores.0) / 1000,
+                sum(|w| w.listed.as_ref().map_or(0, |l| l.size.cores.0)) / 1000,
+                sum(|w| w.used.accels.0),
+                sum(|w| w.listed.as_ref().map_or(0, |l| l.size.accels.0)),
+            );
+        }
+        text.into()
+    }
+
     /// What each step of a job that is not over waits for, and where its tasks are.
     pub fn explain(&self, no: JobNo, now: Time) -> Box<str> {
         let Some(job) = self.jobs.get(&no) else { return "not known here, or over".into() };
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -28,6 +28,8 @@
 
 /// How often the order of what waits is made anew, as jobs get late while they wait.
 const RANK: Duration = Duration::from_millis(250);
+/// How often the state is summed up in the log.
+const SUM: Duration = Duration::from_secs(1);
 /// How often occurrences that have come due are looked for.
 const DUE: Duration = Duration::from_millis(50);
 /// How long a leaving worker stays that does not say how long.
@@ -84,6 +86,7 @@
     deposed: bool,
     rerank: Time,
     look: Time,
+    summed: Time,
 }
 
 impl Shard {
@@ -119,6 +122,7 @@
             deposed: false,
             rerank: now,
             look: now,
+            summed: now,
         };
         shard.load(load, now);
         shard
@@ -401,6 +405,10 @@
             self.foresee(now);
             self.trim(now);
         }
+        if self.summed <= now && log::log_enabled!(target: "shard", log::Level::Debug) {
+            self.summed = now + SUM;
+            log::debug!(target: "shard", "Shard {}: {}.", self.setup.shard, self.sum_up(now));
+        }
         if self.rerank <= now {
             self.rerank = now + RANK;
             self.rank_again(now);
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -18,7 +18,7 @@
         },
         time::Time,
         units::Size,
-        work::{JobNo, Step, StepKey, TaskKey},
+        work::{AdviceCost, JobNo, Step, StepKey, TaskKey},
     },
     rustc_hash::{FxHashMap, FxHashSet},
     std::{mem, time::Duration},
@@ -28,6 +28,8 @@
 const LOOK: usize = 400;
 /// How long a gang waits for room before room is kept for it.
 const PATIENCE: Duration = Duration::from_millis(300);
+/// How many gangs without room are kept supplied with valid tickets.
+const FRESH: usize = 3;
 /// The runs of a job that former owners may have started are numbered from here on, for each owner.
 const RUNS: u64 = 1000;
 
@@ -36,7 +38,24 @@
 struct Round {
     usable: FxHashMap<PoolId, Vec<WorkerNo>>,
     most: FxHashMap<PoolId, Size>,
-    kept: FxHashSet<WorkerNo>,
+    /// What is kept at workers for steps that come first.
+    kept: FxHashMap<WorkerNo, Size>,
+    /// How many gangs have been given new tickets while they wait.
+    fresh: usize,
+}
+
+/// Chooses a room for as many of these tasks as there is, and takes it from the rooms.
+fn choose(step: &Step, tasks: &[u32], rooms: &mut [Room]) -> Vec<(u32, WorkerNo)> {
+    let mut chosen = vec![];
+    for index in tasks {
+        let Some(at) = best(step, rooms) else { break };
+        let room = &mut rooms[at];
+        room.free = room.free.saturating_sub(&step.counted());
+        room.same += 1;
+        room.fillers += u32::from(step.fills);
+        chosen.push((*index, WorkerNo(room.index)));
+    }
+    chosen
 }
 
 impl Shard {
@@ -164,52 +183,122 @@
         {
             return self.ask_all(key, &usable, cost, now);
         }
-        if !step.counted().fits(&round.most[&pool]) {
-            if step.gang {
-                self.keep_room(key, &step, &usable, round, now);
-            }
+        if !step.gang && !step.counted().fits(&round.most[&pool]) {
             return;
         }
-        let mut rooms = vec![];
+        let mut valid = vec![];
         let mut stale = vec![];
-        for no in usable.iter().copied().filter(|n| !round.kept.contains(n)) {
-            let Some(room) = self.room(no, key, &step, now) else { continue };
-            if advice.is_some() {
-                match part.tickets.good.get(&self.workers[no.0].id) {
-                    None => continue,
-                    Some((_, until)) if *until <= now => {
-                        if step.counted().fits(&room.free) {
-                            stale.push(no);
-                        }
-                        continue;
-                    }
-                    Some(_) => {}
-                }
+        for no in &usable {
+            let Some(mut room) = self.room(*no, key, &step, now) else { continue };
+            if let Some(kept) = round.kept.get(no) {
+                room.free = room.free.saturating_sub(kept);
+            }
+            match part.tickets.good.get(&self.workers[no.0].id) {
+                _ if advice.is_none() => valid.push(room),
+                None => {}
+                Some((_, until)) if *until > now => valid.push(room),
+                Some(_) => stale.push(room),
             }
-            rooms.push(room);
         }
         let waiting: Vec<u32> =
             (0..).zip(&part.tasks).filter(|(_, t)| t.at == At::Waiting).map(|(i, _)| i).collect();
-        let mut chosen = vec![];
-        for index in &waiting {
-            let Some(at) = best(&step, &rooms) else { break };
-            let room = &mut rooms[at];
-            room.free = room.free.saturating_sub(&step.counted());
-            room.same += 1;
-            room.fillers += u32::from(step.fills);
-            chosen.push((*index, WorkerNo(room.index)));
+        if step.gang {
+            return self.place_gang(key, &step, &waiting, (valid, stale), advice, round, now);
         }
-        let short = chosen.len() < waiting.len();
-        if step.gang && short {
-            chosen.clear();
+        let chosen = choose(&step, &waiting, &mut valid);
+        let rest = &waiting[chosen.len()..];
+        if let (false, Some(cost)) = (rest.is_empty(), advice) {
+            let later = choose(&step, rest, &mut stale);
+            self.keep(&step, &later, round);
+            let wanted: Vec<WorkerNo> = later.iter().map(|c| c.1).collect();
+            self.ask_again(key, &wanted, &usable, cost, now);
         }
-        if short && let Some(cost) = advice {
-            self.ask_again(key, &stale, &usable, cost, now);
+        self.start_all(key, &step, &chosen, now);
+    }
+
+    /// Starts a gang if there is room for all of it at once, and keeps room for it if not.
+    ///
+    /// Guards against a gang that waits for ever: each end frees room for one of its members at the
+    /// most, and a step of smaller tasks behind it would take that at once; and while it asks for new
+    /// tickets, the room that it was found would be gone.
+    #[allow(clippy::too_many_arguments)]
+    fn place_gang(
+        &mut self,
+        key: &StepKey,
+        step: &Step,
+        waiting: &[u32],
+        (mut valid, mut stale): (Vec<Room>, Vec<Room>),
+        advice: Option<AdviceCost>,
+        round: &mut Round,
+        now: Time,
+    ) {
+        let mut good = valid.clone();
+        let chosen = choose(step, waiting, &mut valid);
+        if chosen.len() == waiting.len() {
+            return self.start_all(key, step, &chosen, now);
         }
-        if step.gang && short {
-            return self.keep_room(key, &step, &usable, round, now);
+        good.append(&mut stale);
+        let mut all = good.clone();
+        let mut later = choose(step, waiting, &mut all);
+        let room = later.len() == waiting.len();
+        if !room {
+            later = self.wish(key, step, &good, now);
         }
-        self.start_all(key, &step, &chosen, now);
+        self.keep(step, &later, round);
+        let Some(cost) = advice else { return };
+        let mut wanted: Vec<WorkerNo> = later.iter().map(|c| c.1).collect();
+        wanted.sort_unstable();
+        wanted.dedup();
+        // Of those without room a few are kept ready to start, so that room is used when it comes.
+        if !room {
+            round.fresh += 1;
+            let soon = |n: &WorkerNo| self.expires(key, *n, now + cost.base + cost.each * 10);
+            wanted.retain(soon);
+            if round.fresh > FRESH {
+                wanted.clear();
+            }
+        }
+        if !wanted.is_empty() {
+            self.ask_again(key, &wanted, &[], cost, now);
+        }
+    }
+
+    /// Where a gang without room would best wait for it: the workers with the most room.
+    fn wish(&self, key: &StepKey, step: &Step, good: &[Room], now: Time) -> Vec<(u32, WorkerNo)> {
+        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+        if part.and_then(|p| p.ready).is_none_or(|t| t + PATIENCE > now) {
+            return vec![];
+        }
+        let size = step.counted();
+        let mut all: Vec<&Room> = good.iter().filter(|r| size.fits(&r.total)).collect();
+        all.sort_by_key(|r| std::cmp::Reverse((r.free.accels, r.free.cores)));
+        let mut wish = vec![];
+        for room in all {
+            let most = size.count(&room.total);
+            let cap = if step.apart > 0 { most.min(step.apart.into()) } else { most };
+            for _ in 0..cap {
+                let index = wish.len() as u32;
+                if index >= step.count {
+                    return wish;
+                }
+                wish.push((index, WorkerNo(room.index)));
+            }
+        }
+        wish
+    }
+
+    /// Keeps room for tasks that can't start yet from the steps behind.
+    fn keep(&self, step: &Step, places: &[(u32, WorkerNo)], round: &mut Round) {
+        for (_, no) in places {
+            *round.kept.entry(*no).or_default() += step.counted();
+        }
+    }
+
+    /// Whether the ticket for a worker ends before a time.
+    fn expires(&self, key: &StepKey, no: WorkerNo, by: Time) -> bool {
+        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+        let ticket = part.and_then(|p| p.tickets.good.get(&self.workers[no.0].id));
+        ticket.is_none_or(|(_, until)| *until <= by)
     }
 
     /// A worker's room as a task of this step sees it; nothing where it must not go.
@@ -233,48 +322,6 @@
         })
     }
 
-    /// Keeps the workers with the most room for a gang that has waited.
-    ///
-    /// Guards against a gang that waits for ever: each end frees room for one of its members at the
-    /// most, and a step of smaller tasks behind it would take that at once.
-    fn keep_room(
-        &mut self,
-        key: &StepKey,
-        step: &Step,
-        usable: &[WorkerNo],
-        round: &mut Round,
-        now: Time,
-    ) {
-        let Some(part) = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)))
-        else {
-            return;
-        };
-        if part.ready.is_none_or(|t| t + PATIENCE > now) {
-            return;
-        }
-        let size = step.counted();
-        let good = |n: &&WorkerNo| {
-            let w = &self.workers[n.0];
-            !round.kept.contains(n)
-                && (part.tickets.good.is_empty() || part.tickets.good.contains_key(&w.id))
-                && w.listed.as_ref().is_some_and(|l| size.fits(&l.size))
-        };
-        let mut all: Vec<_> = usable.iter().filter(good).copied().collect();
-        all.sort_by_key(|n| {
-            let free = self.workers[n.0].free();
-            std::cmp::Reverse((free.accels, free.cores))
-        });
-        let mut wanted = u64::from(step.count);
-        for no in all {
-            if wanted == 0 || round.kept.len() * 2 >= usable.len() {
-                break;
-            }
-            let Some(listed) = &self.workers[no.0].listed else { continue };
-            wanted = wanted.saturating_sub(size.count(&listed.size));
-            round.kept.insert(no);
-        }
-    }
-
     /// Starts tasks of one step; those of a gang share a run.
     fn start_all(&mut self, key: &StepKey, step: &Step, chosen: &[(u32, WorkerNo)], now: Time) {
         if chosen.is_empty() {
