The list of machines shows which workers are over

While a silent worker may run something, the owner reads the list of machines twice a second; a life that it lacks twice, 0.9 s apart, is over.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -250,6 +250,7 @@
         }
         Order::Store(number, _) => Some(Event::Stored(number, Err(Fault::Unsent))),
         Order::Reread => Some(Event::Reread(Err(Fault::Unsent))),
+        Order::Lives => Some(Event::Lives { sent: now, reply: Err(Fault::Unsent) }),
         Order::Deposed => None,
     }
 }
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -29,6 +29,8 @@
 
 /// How long a watch of an inbox waits.
 const WAIT: Duration = Duration::from_secs(3);
+/// How long a page of the list of machines may take.
+const LIVES: Duration = Duration::from_millis(800);
 /// How often the list of workers is read.
 const LIST: Duration = Duration::from_millis(600);
 
@@ -217,6 +219,10 @@
                 };
                 Some(Event::Advised { call, via, sent, reply })
             }
+            Order::Lives => {
+                let reply = self.outside.lives(LIVES).await;
+                Some(Event::Lives { sent, reply })
+            }
             Order::Store(number, txn) => {
                 let reply = self.outside.store(&StoreCall::Txn(txn), CALL).await;
                 Some(Event::Stored(number, reply))
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -322,6 +322,15 @@
     pub valid: Option<Duration>,
 }
 
+/// One page of the list of machines: the lives of workers that are there now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Lives {
+    /// The lives; one that is not on any page is over, unless it is newer than the list.
+    pub ids: Vec<WorkerId>,
+    /// The token of the next page; none on the last.
+    pub next: Option<Box<str>>,
+}
+
 /// What a process learns at its start and on a reload.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Site {
@@ -341,6 +350,8 @@
     pub store: SocketAddr,
     /// The advice service, where there is one.
     pub advice: Option<SocketAddr>,
+    /// The list of machines, where there is one.
+    pub lives: Option<SocketAddr>,
     /// Bounds.
     pub bounds: Bounds,
 }
@@ -405,6 +416,10 @@
     pub ask_advice: fn(&AdviceCall) -> Wire,
     /// Reads the advice.
     pub advice: fn(u16, &[u8]) -> Result<Advice, Fault>,
+    /// Writes the call for a page of the list of machines; the first has no token.
+    pub ask_lives: fn(&str) -> Wire,
+    /// Reads a page of the list of machines.
+    pub lives: fn(u16, &[u8]) -> Result<Lives, Fault>,
     /// Reads a caller's job.
     pub job: fn(&[u8]) -> Result<Job, Error>,
     /// Writes a job's state.
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -63,6 +63,14 @@
     Stored(u64, Result<StoreReply, Fault>),
     /// The commit row and its revision, read after an unclear answer, or that it could not be read.
     Reread(Result<(u64, CommitRow), Fault>),
+    /// Which lives of workers are there by the list of machines, asked for then; or that the list
+    /// could not be read.
+    Lives {
+        /// When the list was asked for.
+        sent: Time,
+        /// The lives.
+        reply: Result<Vec<WorkerId>, Fault>,
+    },
     /// The store has confirmed this member's lease, asked then.
     Confirmed(Time),
     /// The members that may be asked to call for advice, this one among them.
@@ -100,6 +108,8 @@
     Store(u64, Txn),
     /// Read the commit row, to settle an unclear answer.
     Reread,
+    /// Read the list of machines.
+    Lives,
     /// Another member owns the shard: forget it.
     Deposed,
 }
--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -13,6 +13,7 @@
         time::Time,
         work::{State, TaskKey},
     },
+    rustc_hash::FxHashSet,
     std::time::Duration,
 };
 
@@ -25,6 +26,10 @@
 const UNSTORED: Duration = Duration::from_millis(120);
 /// The pause after a worker that is unwell, or has less room than was thought.
 const UNWELL: Duration = Duration::from_millis(700);
+/// The pause between two readings of the list of machines.
+const CENSUS: Duration = Duration::from_millis(500);
+/// How far the list of machines may be behind.
+const LAG: Duration = Duration::from_millis(900);
 /// The pause between calls of a silent worker, for each call it has missed, and the longest.
 const SILENT: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
 
@@ -466,6 +471,42 @@
         self.workers[no.0].pending.clear();
     }
 
+    /// Asks for the list of machines while a worker is silent on which something may run.
+    pub(super) fn doubt(&mut self, now: Time) {
+        let (unsettled, workers) = (&self.unsettled, &self.workers);
+        let doubtful = |n: usize, w: &Worker| {
+            let counts = !w.runs.is_empty() || unsettled.contains(&WorkerNo(n));
+            !w.gone && counts && w.silent > 0
+        };
+        let due = self.census.is_some_and(|t| t <= now);
+        if due && workers.iter().enumerate().any(|(n, w)| doubtful(n, w)) {
+            self.census = None;
+            self.out.push(Order::Lives);
+        }
+    }
+
+    /// Takes in which lives are there by the list of machines.
+    ///
+    /// A silent worker that the list lacks twice, a lag apart, is over: its tasks need not wait for
+    /// its lease. One that is cut off and works on is on the list; a new one may not be on it yet,
+    /// and is heard.
+    pub(super) fn lives(&mut self, sent: Time, reply: Result<Vec<WorkerId>, Fault>, now: Time) {
+        self.census = Some(now + CENSUS);
+        let Ok(ids) = reply else { return };
+        let there: FxHashSet<&WorkerId> = ids.iter().collect();
+        for no in (0..self.workers.len()).map(WorkerNo) {
+            let worker = &mut self.workers[no.0];
+            if worker.gone {
+                continue;
+            }
+            if there.contains(&worker.id) || worker.silent == 0 {
+                worker.missed = None;
+            } else if sent - *worker.missed.get_or_insert(sent) >= LAG {
+                self.over_with(no, now);
+            }
+        }
+    }
+
     fn forget_runs(&mut self, no: WorkerNo, now: Time) {
         let all: Vec<_> = self.workers[no.0].runs.iter().map(|(t, r)| (*t, r.run)).collect();
         for (task, run) in all {
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -84,6 +84,8 @@
     pub(super) confirmed: Time,
     pub(super) out: Vec<Order>,
     deposed: bool,
+    /// When the list of machines may be read again; nothing while it is being read.
+    pub(super) census: Option<Time>,
     rerank: Time,
     look: Time,
     summed: Time,
@@ -120,6 +122,7 @@
             confirmed: now,
             out: vec![],
             deposed: false,
+            census: Some(now),
             rerank: now,
             look: now,
             summed: now,
@@ -178,6 +181,7 @@
                 let after = self.commit.reread(row, self.setup.token, now);
                 self.written(after, now);
             }
+            Event::Lives { sent, reply } => self.lives(sent, reply, now),
             Event::Confirmed(sent) => self.confirmed = self.confirmed.max(sent),
             Event::Peers(mut peers) => {
                 // This member first: its calls spare the way to another.
@@ -402,6 +406,7 @@
             self.repeat(now);
             self.leave(now);
             self.settle(now);
+            self.doubt(now);
             self.foresee(now);
             self.trim(now);
         }
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -119,6 +119,8 @@
     clock: Option<(u64, Time)>,
     /// The longest lease that was asked for, on its clock.
     until: u64,
+    /// When the list of machines, asked for then, first lacked it.
+    pub missed: Option<Time>,
     /// No start before.
     pub unwell: Time,
     /// What its failures and its speed say of it.
@@ -152,6 +154,7 @@
             unsure: 0,
             clock: None,
             until: 0,
+            missed: None,
             unwell: Time::ZERO,
             sound: Sound::new(),
             pace: Pace::new(),
--- a/src/store.rs
+++ b/src/store.rs
@@ -148,6 +148,27 @@
         reply
     }
 
+    /// Reads which lives of workers are there, page by page.
+    ///
+    /// # Errors
+    ///
+    /// As [`Outside::store`]; [`Fault::Unsent`] where there is no list of machines.
+    pub async fn lives(&self, limit: Duration) -> Result<Vec<WorkerId>, Fault> {
+        let addr = self.site.borrow().lives.ok_or(Fault::Unsent)?;
+        let (mut ids, mut token) = (vec![], Box::<str>::from(""));
+        loop {
+            let answer = self.send(addr, (self.forms.ask_lives)(&token), limit).await;
+            let page = answer.and_then(|(status, body)| (self.forms.lives)(status, &body));
+            self.metrics.called("lives", page.as_ref().map_or_else(fault_name, |_| "done"));
+            let page = page?;
+            ids.extend(page.ids);
+            match page.next {
+                Some(next) => token = next,
+                None => return Ok(ids),
+            }
+        }
+    }
+
     async fn send(
         &self,
         addr: SocketAddr,
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -6,8 +6,8 @@
         Error, Kind,
         ids::{PoolId, WorkerId, Zone},
         ports::{
-            Advice, AdviceCall, Bounds, Fault, Forms, Item, Put, Site, StoreCall, StoreReply, Txn,
-            Wire, WorkerCall, WorkerReply,
+            Advice, AdviceCall, Bounds, Fault, Forms, Item, Lives, Put, Site, StoreCall,
+            StoreReply, Txn, Wire, WorkerCall, WorkerReply,
         },
         work::{Job, Listed, Queue, Queues, State},
     },
@@ -30,6 +30,8 @@
     worker: |_: &WorkerCall, _, _| Ok::<WorkerReply, _>(WorkerReply::Unwell),
     ask_advice: |_: &AdviceCall| wire("/advice", json!({})),
     advice: |_, _| Ok(Advice::default()),
+    ask_lives: |_| wire("/lives", json!({})),
+    lives: |_, _| Ok(Lives::default()),
     job,
     state: |s: State| s.to_string().into(),
     waiting: |n| n.to_string().into(),
@@ -52,6 +54,7 @@
         metrics: addr("metrics")?,
         store: addr("store")?,
         advice: None,
+        lives: None,
         bounds: Bounds {
             hold: ms(6000),
             stop: ms(900),
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -470,6 +470,14 @@
                 self.post(there, Mail::Ask(owner, via, call, sent, limit));
             }
             Order::Store(number, txn) => self.post(there, Mail::Store(owner, number, txn)),
+            Order::Lives => {
+                // Workers that are cut off run on, and are on the list.
+                let up = |at: &usize| self.world.workers[*at].up;
+                let lives = (0..self.world.workers.len()).filter(up).map(|at| self.world.id(at));
+                let event = Event::Lives { sent: now, reply: Ok(lives.collect()) };
+                let back = there + self.net();
+                self.post(back, Mail::Tell(owner, event));
+            }
             Order::Reread => self.post(there, Mail::Reread(owner)),
             Order::Deposed => self.owners[owner].gone = true,
         }
