--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -147,6 +147,7 @@
         });
         let blind = wanted.is_none();
         let (step, keep) = wanted.unwrap_or_default();
+        let yields = self.yields(&row.task.step, &step);
         let run = Run {
             run: row.run,
             size: step.counted(),
@@ -162,6 +163,7 @@
             pace: 100,
             target: step.target,
             fills: step.fills,
+            yields,
             estimate: Duration::from_millis(step.estimate),
             mark: (now, row.percent),
         };
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -33,6 +33,17 @@
 /// The runs of a job that former owners may have started are numbered from here on, for each owner.
 const RUNS: u64 = 1000;
 
+/// What stopping less urgent runs of a worker would bring.
+struct Eviction {
+    no: WorkerNo,
+    /// What is free, or will be without more stops.
+    free: Size,
+    /// How many tasks would have room in all.
+    slots: u64,
+    /// The runs that could be stopped, and what each takes.
+    victims: Vec<(TaskKey, Size)>,
+}
+
 /// What a round has found out about the pools.
 #[derive(Default)]
 struct Round {
@@ -183,9 +194,6 @@
         {
             return self.ask_all(key, &usable, cost, now);
         }
-        if !step.gang && !step.counted().fits(&round.most[&pool]) {
-            return;
-        }
         let mut valid = vec![];
         let mut stale = vec![];
         for no in &usable {
@@ -207,6 +215,11 @@
         }
         let chosen = choose(&step, &waiting, &mut valid);
         let rest = &waiting[chosen.len()..];
+        if !rest.is_empty() && !step.fills {
+            let good: Vec<Room> = valid.iter().chain(&stale).copied().collect();
+            let places = self.evict(key, &step, rest, &good, now);
+            self.keep(&step, &places, round);
+        }
         if let (false, Some(cost)) = (rest.is_empty(), advice) {
             let later = choose(&step, rest, &mut stale);
             self.keep(&step, &later, round);
@@ -242,7 +255,14 @@
         let mut later = choose(step, waiting, &mut all);
         let room = later.len() == waiting.len();
         if !room {
-            later = self.wish(key, step, &good, now);
+            round.fresh += 1;
+            if round.fresh > FRESH {
+                return;
+            }
+            later = self.evict(key, step, waiting, &good, now);
+            if later.is_empty() {
+                later = self.wish(key, step, &good, now);
+            }
         }
         self.keep(step, &later, round);
         let Some(cost) = advice else { return };
@@ -251,18 +271,104 @@
         wanted.dedup();
         // Of those without room a few are kept ready to start, so that room is used when it comes.
         if !room {
-            round.fresh += 1;
             let soon = |n: &WorkerNo| self.expires(key, *n, now + cost.base + cost.each * 10);
             wanted.retain(soon);
-            if round.fresh > FRESH {
-                wanted.clear();
-            }
         }
         if !wanted.is_empty() {
             self.ask_again(key, &wanted, &[], cost, now);
         }
     }
 
+    /// Makes room for tasks that could be in time, by stopping less urgent work.
+    fn evict(
+        &mut self,
+        key: &StepKey,
+        step: &Step,
+        waiting: &[u32],
+        good: &[Room],
+        now: Time,
+    ) -> Vec<(u32, WorkerNo)> {
+        let queue = self.jobs.get(&key.job).and_then(|j| self.known.get(&j.queue));
+        let Some(priority) = queue.map(|q| q.priority) else { return vec![] };
+        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+        let waited = part.and_then(|p| p.ready).is_some_and(|t| t + PATIENCE <= now);
+        if !waited || self.ranks.get(key).is_none_or(|r| r.class() > 0) {
+            return vec![];
+        }
+        let places = self.make_room(step, waiting.len(), good, priority, now);
+        waiting.iter().copied().zip(places).collect()
+    }
+
+    /// The priority under which a run of a step may be stopped for more urgent work, if it may.
+    pub(super) fn yields(&self, key: &StepKey, step: &Step) -> Option<u8> {
+        let plain = step.saves && !step.gang && !step.lasts && !step.fills;
+        let queue = self.jobs.get(&key.job).and_then(|j| self.known.get(&j.queue));
+        queue.filter(|_| plain).map(|q| q.priority)
+    }
+
+    /// Stops runs of less urgent queues, so that so many tasks find room; returns where.
+    ///
+    /// What is stopped goes on elsewhere from its checkpoint. Room that is coming already, from runs
+    /// that are being stopped, is counted first.
+    fn make_room(
+        &mut self,
+        step: &Step,
+        count: usize,
+        good: &[Room],
+        priority: u8,
+        now: Time,
+    ) -> Vec<WorkerNo> {
+        let size = step.counted();
+        let mut plans: Vec<Eviction> =
+            good.iter().filter_map(|r| self.eviction(r, &size, step.apart, priority)).collect();
+        plans.sort_by_key(|p| (p.victims.len(), std::cmp::Reverse(p.slots)));
+        let slots: u64 = plans.iter().map(|p| p.slots).sum();
+        if slots == 0 || (step.gang && slots < count as u64) {
+            return vec![];
+        }
+        let mut places = vec![];
+        for plan in plans {
+            let wanted = (count - places.len()) as u64;
+            if wanted == 0 {
+                break;
+            }
+            let take = wanted.min(plan.slots);
+            let mut free = plan.free;
+            for (task, freed) in plan.victims {
+                if size.times(take).fits(&free) {
+                    break;
+                }
+                free += freed;
+                self.stop(plan.no, &task, now);
+            }
+            places.extend((0..take).map(|_| plan.no));
+        }
+        places
+    }
+
+    /// What stopping less urgent runs of a worker would bring.
+    fn eviction(&self, room: &Room, size: &Size, apart: u32, priority: u8) -> Option<Eviction> {
+        let worker = &self.workers[room.index];
+        let mut free = room.free;
+        let mut victims = vec![];
+        for (task, run) in &worker.runs {
+            match (run.phase, run.yields) {
+                (Phase::Stopping, _) => free += run.size,
+                (Phase::Running, Some(p)) if p > priority => {
+                    victims.push((run.percent.1, *task, run.size));
+                }
+                _ => {}
+            }
+        }
+        // Those that have done least first: the others end soon anyway.
+        victims.sort_unstable_by_key(|v| (v.0, v.1));
+        let all = victims.iter().fold(free, |sum, v| sum + v.2);
+        let most = if apart > 0 { apart.saturating_sub(room.same).into() } else { u64::MAX };
+        let slots = size.count(&all).min(most);
+        let victims = victims.into_iter().map(|v| (v.1, v.2)).collect();
+        (slots > 0).then_some(Eviction { no: WorkerNo(room.index), free, slots, victims })
+    }
+
     /// Where a gang without room would best wait for it: the workers with the most room.
     fn wish(&self, key: &StepKey, step: &Step, good: &[Room], now: Time) -> Vec<(u32, WorkerNo)> {
         let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
@@ -351,8 +457,10 @@
     }
 
     fn start(&mut self, task: TaskKey, no: WorkerNo, run: u32, step: &Step, now: Time) {
+        let yields = self.yields(&task.step, step);
         let worker = &mut self.workers[no.0];
         let Some(until) = worker.lease(&self.setup.bounds, now) else { return };
+
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let part = job.parts.get(&(task.step.time, task.step.step));
         let ticket = part.and_then(|p| p.tickets.good.get(&worker.id)).map(|t| t.0.clone());
@@ -378,6 +486,7 @@
                 pace: 100,
                 target: step.target,
                 fills: step.fills,
+                yields,
                 estimate: Duration::from_millis(step.estimate),
                 mark: (now, 0),
             },
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -68,6 +68,8 @@
     pub target: u64,
     /// Whether it lives on what others leave.
     pub fills: bool,
+    /// Its queue's priority, if it may be stopped for work of a lower number: it loses little.
+    pub yields: Option<u8>,
     /// What its work is expected to take.
     pub estimate: Duration,
     /// A look some seconds ago: when, and how much was done.
