--- a/src/decide/fit.rs
+++ b/src/decide/fit.rs
@@ -4,6 +4,10 @@
 //! small tasks leave a bit of room everywhere and none for a large task; so a task goes to the
 //! fullest worker that has room for it. Fillers live on what others leave, so they go to the
 //! emptiest, and away from tasks that serve others, whose response times they harm.
+//!
+//! Load: steps that only some workers may run, some of them a single one. Placed by fullness alone,
+//! a step with many choices takes the only worker of another, which then waits for its end; so each
+//! worker weighs what waits for it.
 
 use crate::{units::Size, work::Step};
 
@@ -26,6 +30,9 @@
     pub same: u32,
     /// Whether the worker is under suspicion.
     pub suspect: bool,
+    /// How many tasks of other steps that wait have to go there, in hundredths: one that may go to
+    /// four workers counts a quarter at each.
+    pub demand: u32,
 }
 
 /// What a wrong neighbour weighs, in hundredths of a worker.
@@ -34,6 +41,9 @@
 const SUSPECT: u64 = 10_000;
 /// What a foreign rack weighs.
 const FAR: u64 = 1_000;
+/// What a waiting task that has to go there weighs, as a part of what a whole worker does: a worker
+/// that one step alone may use is worth more free than full.
+const DEMAND: u64 = 60;
 /// What a filler that would lose its room weighs.
 const FILLED: u64 = 20;
 
@@ -66,6 +76,7 @@
         weight += HARM;
     }
     weight += FILLED * u64::from(room.fillers.min(4));
+    weight += DEMAND * u64::from(room.demand.min(1000)) / 100;
     let left = room.free.saturating_sub(size);
     weight
         + share(left.cores.0, room.total.cores.0)
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -51,6 +51,8 @@
     most: FxHashMap<PoolId, Size>,
     /// What is kept at workers for steps that come first.
     kept: FxHashMap<WorkerNo, Size>,
+    /// What waits for each worker, in hundredths of a task.
+    demand: FxHashMap<WorkerNo, u32>,
     /// How many gangs have been given new tickets while they wait.
     fresh: usize,
 }
@@ -149,6 +151,9 @@
             round.usable.insert(pool.clone(), usable);
         }
         let keys: Vec<StepKey> = self.ready.iter().take(LOOK).map(|(_, k)| *k).collect();
+        for key in &keys {
+            self.demand(key, 1, &mut round);
+        }
         for key in keys {
             self.place(&key, &mut round, now);
         }
@@ -178,6 +183,22 @@
         !matches!(sound.verdict(now), Verdict::Quarantined { .. }) || sound.probe(now)
     }
 
+    /// Counts what waits of a step at each worker that may run it.
+    fn demand(&self, key: &StepKey, sign: i64, round: &mut Round) {
+        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+        let Some(part) = part else { return };
+        let good = || part.tickets.good.keys().filter_map(|id| self.ids.get(id));
+        let count = good().count() as i64;
+        if count == 0 {
+            return;
+        }
+        let each = sign * 100 * i64::from(part.waiting.min(8)) / count;
+        for no in good() {
+            let known = round.demand.entry(*no).or_default();
+            *known = (i64::from(*known) + each).max(0) as u32;
+        }
+    }
+
     /// Starts what has room of one step.
     fn place(&mut self, key: &StepKey, round: &mut Round, now: Time) {
         let Some(job) = self.jobs.get(&key.job) else { return };
@@ -194,10 +215,13 @@
         {
             return self.ask_all(key, &usable, cost, now);
         }
+        // Its own demand must not keep it away.
+        self.demand(key, -1, round);
         let mut valid = vec![];
         let mut stale = vec![];
         for no in &usable {
             let Some(mut room) = self.room(*no, key, &step, now) else { continue };
+            room.demand = round.demand.get(no).copied().unwrap_or(0);
             if let Some(kept) = round.kept.get(no) {
                 room.free = room.free.saturating_sub(kept);
             }
@@ -425,6 +449,7 @@
             fillers: w.runs.values().filter(|r| r.fills).count() as u32,
             same: same as u32,
             suspect: w.sound.verdict(now) != Verdict::Sound,
+            demand: 0,
         })
     }
 
