--- /dev/null
+++ b/tests/shard_note.rs
@@ -0,0 +1,112 @@
+//! When an end counts as noted, and a job as done.
+
+mod hand;
+
+use {
+    dogwoodreach::{
+        Time,
+        ports::How,
+        work::{JobNo, State},
+    },
+    hand::{
+        Hand, job, step,
+        store::Fate::{self, Answered, Lost, Refused, Unheard},
+        task,
+    },
+    std::time::Duration,
+};
+
+/// A worker on which one of two tasks has just ended, while the store answers nothing.
+fn ended() -> Hand {
+    let mut hand = Hand::new(1);
+    hand.submit(1, "plain", job(step(2, 1)));
+    hand.run(300);
+    hand.end(task(1, 0), How::Done);
+    hand.answers = false;
+    hand.run(500);
+    hand
+}
+
+/// When the store has the end, and when the worker is told so; the next writes go so.
+fn told(fates: &[Fate]) -> (Time, Time) {
+    let mut hand = ended();
+    assert_eq!(hand.noted(0), 0, "nothing is written");
+    hand.fates = fates.iter().copied().collect();
+    hand.answers = true;
+    let has = |h: &Hand| h.stored(1).tasks.iter().any(|t| t.5);
+    let stored = hand.until("stored", 5_000, |h| has(h) || h.noted(0) == 1);
+    let stored = if has(&hand) { stored } else { Time::NEVER };
+    (stored, hand.until("told", 5_000, |h| h.noted(0) == 1))
+}
+
+#[test]
+fn an_end_is_noted_once_the_write_is_done() {
+    // Story: the worker is told that an end was noted, forgets it, and the machine of the owner
+    // loses power before the write is done: the next owner starts the task a second time.
+    let late = Duration::from_secs(2);
+    let soon = Duration::from_millis(100);
+    for fates in [
+        &[Answered][..],
+        &[Refused, Answered],
+        &[Refused, Refused, Refused, Answered],
+        &[Unheard, Answered],
+        &[Lost(Duration::ZERO)],
+        &[Lost(late), Answered],
+        &[Unheard, Refused, Lost(Duration::ZERO)],
+    ] {
+        let (stored, told) = told(fates);
+        assert!(stored <= told, "{fates:?}: told at {told}, stored at {stored}");
+        assert!(told <= stored + soon, "{fates:?}: told at {told}, stored at {stored}");
+    }
+}
+
+#[test]
+fn an_end_that_came_after_the_write_had_begun_waits_for_the_next() {
+    // Story: a second task of the job ends while the write with the first one's end is out. Noted
+    // with that write, it is lost with the owner: the store has nothing of it.
+    let mut hand = ended();
+    hand.end(task(1, 1), How::Done);
+    hand.run(500);
+    hand.fates = [Answered, Refused, Refused, Refused].into();
+    hand.answers = true;
+    hand.until("the first is noted", 500, |h| h.noted(0) > 0);
+    assert_eq!((hand.noted(0), hand.stored(1).state), (1, State::Running));
+    hand.until("the second is stored", 2_000, |h| h.noted(0) > 1 || h.stored(1).state.over());
+    assert_eq!(hand.stored(1).state, State::Done);
+    hand.until("the second is noted", 500, |h| h.noted(0) == 2);
+}
+
+#[test]
+fn the_commit_row_says_what_an_unclear_write_has_done() {
+    // Story: the answer to a write is lost. Taken for done, ends that the store doesn't have are
+    // forgotten; taken for not done, it is made again, its condition fails, and the owner takes
+    // its own write for another owner's and gives the shard up.
+    for (fate, writes) in [(Lost(Duration::ZERO), 1), (Unheard, 2)] {
+        let mut hand = ended();
+        let before = hand.store.writes;
+        hand.fates = [fate].into();
+        hand.answers = true;
+        hand.run(1_000);
+        let made = hand.store.writes - before + u64::from(fate == Unheard);
+        assert_eq!((made, hand.noted(0), hand.deposed), (writes, 1, false), "{fate:?}");
+    }
+}
+
+#[test]
+fn a_job_is_shown_as_done_once_that_is_stored() {
+    // Story: a caller is shown a job as completed, and the owner ends before that is stored: its
+    // last task runs again.
+    let mut hand = ended();
+    hand.answers = true;
+    hand.run(300);
+    hand.answers = false;
+    hand.end(task(1, 1), How::Done);
+    hand.run(1_000);
+    assert_eq!(hand.state(1), Some(State::Running));
+    assert_eq!(hand.shard.waiting("plain"), 0);
+    hand.answers = true;
+    hand.until("completed", 200, |h| h.state(1) == Some(State::Done));
+    assert_eq!(hand.stored(1).state, State::Done);
+    hand.succeed();
+    assert_eq!(hand.state(1), Some(State::Done), "job {} is over", JobNo(1));
+}
--- /dev/null
+++ b/tests/shard_start_unanswered.rs
@@ -0,0 +1,104 @@
+//! Orders that get no answer, or have no effect.
+
+mod hand;
+
+use {
+    dogwoodreach::ports::{Fault, How, WorkerCall, WorkerReply as Reply},
+    hand::{
+        Hand, job, step, task,
+        worker::{FINE, Hook, MUTE},
+    },
+    std::time::Duration,
+};
+
+/// Starts and stops get no answer; looks do.
+const NO_ORDERS: Hook = |call| match call {
+    WorkerCall::Hold { .. } => None,
+    _ => Some(Err(Fault::Unknown)),
+};
+
+#[test]
+fn a_start_without_an_answer_is_sent_again_then_stopped() {
+    // Story: a start gets no answer and may be carried out seconds later. Started elsewhere as soon
+    // as a look doesn't show it, the task runs twice.
+    let mut hand = Hand::new(2);
+    hand.workers.iter_mut().for_each(|w| w.hook = NO_ORDERS);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.until("a stop", 3_000, |h| !h.stops().is_empty());
+    let first = hand.starts();
+    let (at, run) = (first[0].1, first[0].2.run);
+    assert!(first.len() > 1, "it was sent again");
+    assert!(first.iter().all(|s| (s.1, s.2.run) == (at, run)), "the same run at the same worker");
+    hand.run(3_000);
+    assert_eq!(hand.starts().len(), first.len(), "nothing elsewhere before the stop is confirmed");
+    assert!(hand.stops().len() > 1, "the stop is sent again");
+    hand.workers.iter_mut().for_each(|w| w.hook = FINE);
+    hand.until("a start", 1_000, |h| h.starts().len() > first.len());
+    assert_eq!(hand.starts().last().expect("one").2.run, run + 1);
+}
+
+#[test]
+fn a_look_from_before_the_stop_shows_nothing() {
+    // Story: as above, and a look went out before the stop had its answer. It may have been at the
+    // worker before a start that comes late; that it doesn't show the run says nothing.
+    let mut hand = Hand::new(2);
+    hand.workers.iter_mut().for_each(|w| w.hook = NO_ORDERS);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.until("a stop", 3_000, |h| !h.stops().is_empty());
+    let (at, starts) = (hand.stops()[0].1, hand.starts().len());
+    hand.workers.iter_mut().for_each(|w| w.hook = FINE);
+    hand.workers[at].hook = MUTE;
+    hand.run(100);
+    hand.workers[at].hook = |call| match call {
+        WorkerCall::Hold { .. } => Some(Err(Fault::Unknown)),
+        _ => None,
+    };
+    hand.pass();
+    hand.workers[at].hook = FINE;
+    hand.pass();
+    assert_eq!(hand.starts().len(), starts, "the old look has its answer");
+    hand.until("a start", 200, |h| h.starts().len() > starts);
+}
+
+#[test]
+fn a_start_that_comes_late_is_found_by_the_look() {
+    // Story: the start had no answer, and yet it was carried out. Stopped and begun elsewhere, its
+    // work would be lost.
+    let mut hand = Hand::new(2);
+    hand.workers.iter_mut().for_each(|w| w.hook = NO_ORDERS);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.run(100);
+    let (_, at, start) = hand.starts().remove(0);
+    hand.workers[at].hook = FINE;
+    let now = hand.now;
+    hand.workers[at].answer(&WorkerCall::Start(start), now).expect("it is carried out");
+    hand.run(5_000);
+    assert!(hand.stops().is_empty());
+    assert_eq!(hand.places(task(1, 0)), [at]);
+    hand.end(task(1, 0), How::Done);
+    hand.until("done", 500, |h| h.stored(1).state.over());
+}
+
+#[test]
+fn a_stop_that_had_an_answer_and_no_effect_is_sent_again() {
+    // Story: a worker answers a stop and the run goes on. Nothing was sent after it, and a task of
+    // a cancelled job ran on for ever.
+    let mut hand = Hand::new(1);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.run(300);
+    hand.workers[0].hook = |call| match call {
+        WorkerCall::Stop { .. } => Some(Ok(Reply::Done(0))),
+        _ => None,
+    };
+    hand.cancel(1);
+    hand.until("a third stop", 6_000, |h| h.stops().len() == 3);
+    let stops = hand.stops();
+    assert!(
+        stops[1].0 >= stops[0].0 + Duration::from_secs(1),
+        "a stop has its time to take effect"
+    );
+    hand.workers[0].hook = FINE;
+    hand.until("gone", 3_000, |h| h.places(task(1, 0)).is_empty());
+    hand.run(5_000);
+    assert!(hand.stops().len() <= 4, "then it is left alone");
+}
