A gang's checkpoint is kept for all its members, also from ends that were given up or are heard late

Cause: an end that comes while its task waits (its worker was given up at the end of its lease, or the former owner has not heard of it) gave its checkpoint to that member alone; only an end of a run that is known shared it.

Now `Active::keep` is the one place that notes a checkpoint. Ruled out: sharing at the start (the store would still have three values). The hands' tasks last longer, lest one seem to stand still after 12 s.

--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -343,7 +343,7 @@
         if let Some(run) = &run {
             self.judge(no, end, run, now);
         }
-        self.close(no, &end.task, end.run, end.how, saved, mine, now);
+        self.close(&end.task, end.run, end.how, saved, mine, now);
         let place = self.touch(end.task.step.job);
         self.workers[no.0].pending.push_back((end.number, end.task.step.job, place));
         self.finish_if_done(end.task.step.job, now);
@@ -355,15 +355,13 @@
         self.stir = true;
         let mine = self.at(task, no, run);
         if mine {
-            self.close(no, task, run, How::Stopped, old.saved, true, now);
+            self.close(task, run, How::Stopped, old.saved, true, now);
         }
     }
 
     /// What a run's end means for its task.
-    #[allow(clippy::too_many_arguments)]
     fn close(
         &mut self,
-        no: WorkerNo,
         task: &TaskKey,
         run: u32,
         how: How,
@@ -379,11 +377,11 @@
         }
         let Some(t) = job.task(task) else { return };
         t.run = t.run.max(run);
-        if !saved.is_empty() && (mine || t.at == At::Waiting) {
-            t.saved = saved.clone();
-        }
         // An end that its owner has given up counts while nothing else has begun.
         let counts = mine || t.at == At::Waiting;
+        if counts && !saved.is_empty() {
+            job.keep(task, &saved);
+        }
         if mine {
             job.put(task, At::Waiting);
         }
@@ -393,7 +391,7 @@
             _ => {}
         }
         if mine && how != How::Done && step.gang {
-            self.gather(no, task, run, &saved, now);
+            self.gather(task, run, now);
         }
         self.review(task.step.job, now);
     }
@@ -434,16 +432,12 @@
         }
     }
 
-    /// One member of a gang has ended: the others of its run are stopped, so that none waits alone,
-    /// and all go on from one checkpoint.
-    fn gather(&mut self, _no: WorkerNo, task: &TaskKey, run: u32, saved: &str, now: Time) {
-        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
-        let Some(part) = job.parts.get_mut(&(task.step.time, task.step.step)) else { return };
+    /// One member of a gang has ended: the others of its run are stopped, so that none waits alone.
+    fn gather(&mut self, task: &TaskKey, run: u32, now: Time) {
+        let Some(job) = self.jobs.get(&task.step.job) else { return };
+        let Some(part) = job.parts.get(&(task.step.time, task.step.step)) else { return };
         let mut there = vec![];
-        for (index, t) in (0..).zip(&mut part.tasks) {
-            if !saved.is_empty() {
-                t.saved = saved.into();
-            }
+        for (index, t) in (0..).zip(&part.tasks) {
             if let At::There(at) = t.at
                 && t.run == run
             {
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -157,6 +157,20 @@
         part.tasks.get_mut(key.index as usize)
     }
 
+    /// Notes a task's checkpoint; for a gang, that of all its members.
+    ///
+    /// Guards against members that start from different checkpoints: ends that a former owner has not
+    /// heard of, or of a worker that was given up, come in one by one, each with its own.
+    pub fn keep(&mut self, key: &TaskKey, saved: &str) {
+        let gang = self.step(&key.step).is_some_and(|s| s.gang);
+        let Some(part) = self.parts.get_mut(&(key.step.time, key.step.step)) else { return };
+        for (index, task) in (0..).zip(&mut part.tasks) {
+            if gang || index == key.index {
+                task.saved = saved.into();
+            }
+        }
+    }
+
     /// Moves a task; the counts of its step go along.
     pub fn put(&mut self, key: &TaskKey, at: At) {
         let Some(part) = self.parts.get_mut(&(key.step.time, key.step.step)) else { return };
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -102,9 +102,10 @@
     })
 }
 
-/// A step of so many tasks of so many cores; a worker has 4.
+/// A step of so many tasks of so many cores, which last so long that none seems to stand still; a
+/// worker has 4 cores.
 pub fn step(count: u32, cores: u64) -> Step {
-    Step { count, estimate: 600_000, size: Size::new(cores, 512, 0), ..Step::default() }
+    Step { count, estimate: 20_000_000, size: Size::new(cores, 512, 0), ..Step::default() }
 }
 
 /// A job of one step.
