--- /dev/null
+++ b/tests/shard_cut_off.rs
@@ -0,0 +1,71 @@
+//! An owner that may have a successor.
+
+mod hand;
+
+use {
+    dogwoodreach::{
+        Time,
+        ports::{Refusal, WorkerCall, WorkerReply as Reply},
+        work::JobNo,
+    },
+    hand::{Hand, job, step, worker::MUTE},
+};
+
+/// An owner without the store that hears from so many of its five workers, after 4 s of it.
+fn cut(heard: usize) -> Hand {
+    let mut hand = Hand::new(5);
+    hand.submit(1, "plain", job(step(5, 3)));
+    hand.run(500);
+    hand.confirms = false;
+    hand.workers[heard..].iter_mut().for_each(|w| w.hook = MUTE);
+    hand.run(4_000);
+    hand.log.clear();
+    hand.submit(2, "plain", job(step(1, 1)));
+    hand.run(3_000);
+    hand
+}
+
+/// How many leases all workers were given in the last 3 s.
+fn leases(hand: &Hand) -> usize {
+    (0..5).map(|w| hand.leases(w).len()).sum()
+}
+
+#[test]
+fn one_that_hears_from_few_of_its_workers_does_nothing() {
+    // Story: a member is cut off from the store and from most workers; another has taken its shard
+    // over and has all the others. The two start the same tasks and fill the same workers.
+    let mut hand = cut(2);
+    assert_eq!((hand.starts().len(), leases(&hand)), (0, 0));
+    hand.confirms = true;
+    hand.until("a start", 500, |h| !h.starts().is_empty());
+    assert!(leases(&hand) > 1, "with the store it goes on");
+}
+
+#[test]
+fn one_that_hears_from_most_goes_on() {
+    // Story: the store is down for all. With nobody starting or renewing, all work would end.
+    let hand = cut(3);
+    assert_eq!(hand.starts().len(), 1);
+    assert!((0..3).all(|w| !hand.leases(w).is_empty()), "all that answer are renewed");
+}
+
+#[test]
+fn one_that_is_refused_by_a_fence_forgets_the_shard() {
+    // Story: a worker has seen a higher token. Whatever the owner orders or shows after that is
+    // wrong; orders with the old token are counted against it.
+    let mut hand = Hand::new(5);
+    hand.submit(1, "plain", job(step(5, 3)));
+    hand.run(500);
+    hand.workers[3].hook = |call| match call {
+        WorkerCall::Hold { .. } => Some(Ok(Reply::Refused(0, Refusal::Fence))),
+        _ => None,
+    };
+    let at = hand.until("deposed", 100, |h| h.deposed);
+    let last = |h: &Hand| h.log.last().map_or(Time::ZERO, |l| l.0);
+    assert!(last(&hand) <= at);
+    hand.submit(2, "plain", job(step(1, 1)));
+    hand.cancel(1);
+    hand.run(3_000);
+    assert!(last(&hand) <= at, "it has called a worker");
+    assert!(hand.starts_of(2).is_empty() && hand.shard.state(JobNo(2)).is_none());
+}
