A start is not sent again to a leaving worker or by a cut-off owner, nor with a new lease to a silent one

Cause: a start without an answer was sent up to twice more whatever had come in between. So work began at a worker up to a second after its notice; an owner without the store and most of its workers started and renewed; and each repeat put off the end of a silent worker's lease.

Now such a start is stopped, so that it is barred; a silent worker is asked again with the old lease. Ruled out: no repeat to a silent worker at all. Where one glitch hides two answers, a stop would end what was begun; the repeat is the same run.

--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -205,6 +205,7 @@
         reply: Result<WorkerReply, Fault>,
         now: Time,
     ) {
+        let act = self.may_act(now);
         let worker = &mut self.workers[no.0];
         let Some(run) = worker.runs.get_mut(&start.task).filter(|r| r.run == start.run) else {
             return;
@@ -213,6 +214,7 @@
             return;
         }
         let first = run.tries == 1;
+        let more = run.tries < TRIES && act && worker.leaving.is_none();
         match reply {
             Ok(WorkerReply::Done(_)) => {
                 run.phase = Phase::Running;
@@ -226,11 +228,13 @@
                 run.sent = now;
                 worker.next = now;
             }
-            Err(Fault::Unknown | Fault::Bad(_)) if run.tries < TRIES => {
+            Err(Fault::Unknown | Fault::Bad(_)) if more => {
                 run.tries += 1;
                 run.phase = Phase::Unsure;
                 run.sent = now;
-                let until = worker.lease(&self.setup.bounds, now).unwrap_or(start.until);
+                // A silent worker gets no new lease, as with its holds.
+                let new = if worker.silent > 0 { None } else { Some(&self.setup.bounds) };
+                let until = new.and_then(|b| worker.lease(b, now)).unwrap_or(start.until);
                 let again = Start { until, ..start.clone() };
                 self.out.push(Order::Worker {
                     worker: worker.id.clone(),
--- a/tests/shard_cut_off.rs
+++ b/tests/shard_cut_off.rs
@@ -9,6 +9,7 @@
         work::JobNo,
     },
     hand::{Hand, job, step, worker::MUTE},
+    std::time::Duration,
 };
 
 /// An owner without the store that hears from so many of its five workers, after 4 s of it.
@@ -41,6 +42,22 @@
     assert!(leases(&hand) > 1, "with the store it goes on");
 }
 
+#[test]
+fn a_start_without_an_answer_is_not_sent_again_by_such_a_one() {
+    // Story: as above, and a start had no answer just before. Sent again, with a new lease, it is
+    // one more start of an owner that may have a successor.
+    let mut hand = Hand::new(5);
+    hand.run(500);
+    hand.confirms = false;
+    hand.workers[..3].iter_mut().for_each(|w| w.hook = MUTE);
+    hand.run(1_800);
+    hand.submit(1, "plain", job(step(1, 1)));
+    let first = hand.until("a start", 100, |h| h.starts().len() == 1);
+    hand.run(4_000);
+    let late = hand.starts().iter().filter(|s| s.0 > first + Duration::from_millis(900)).count();
+    assert_eq!(late, 0, "{:?}", hand.starts());
+}
+
 #[test]
 fn one_that_hears_from_most_goes_on() {
     // Story: the store is down for all. With nobody starting or renewing, all work would end.
--- a/tests/shard_leaving.rs
+++ b/tests/shard_leaving.rs
@@ -3,7 +3,10 @@
 mod hand;
 
 use {
-    dogwoodreach::{ports::How, work::Step},
+    dogwoodreach::{
+        ports::{Fault, How, WorkerCall},
+        work::Step,
+    },
     hand::{Hand, STOP, job, step, task},
     std::time::Duration,
 };
@@ -36,6 +39,24 @@
     assert!(late.is_empty(), "{late:?}");
 }
 
+#[test]
+fn a_start_without_an_answer_is_not_sent_again_there() {
+    // Story: a start had no answer when the notice came. Sent again for another second, it begins
+    // work that is lost with the worker.
+    let mut hand = Hand::new(1);
+    hand.workers[0].hook = |call| match call {
+        WorkerCall::Start(_) => Some(Err(Fault::Unknown)),
+        _ => None,
+    };
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.run(100);
+    hand.workers[0].left = Some(Duration::from_secs(6));
+    hand.list();
+    hand.run(5_000);
+    assert_eq!(hand.starts().len(), 1);
+    assert_eq!(hand.stops().len(), 1, "it is barred, as it may come late");
+}
+
 #[test]
 fn what_lasts_moves_at_once_and_the_rest_goes_on_from_its_checkpoint() {
     // Story: the worker leaves with all that runs on it. A lasting task that stays is away longer
--- a/tests/shard_silent.rs
+++ b/tests/shard_silent.rs
@@ -32,3 +32,18 @@
     assert!(start >= lapse, "{start}, and the lease ends at {lapse}");
     assert!(start <= lapse + Duration::from_secs(1), "{start}, and the lease ended at {lapse}");
 }
+
+#[test]
+fn a_start_sent_again_carries_no_new_lease() {
+    // Story: the worker falls silent just as a start goes out. Sent again with a lease of its own
+    // each time, the start puts off the end of all that runs there.
+    let mut hand = Hand::new(1);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.run(300);
+    hand.workers[0].hook = MUTE;
+    hand.submit(2, "plain", job(step(1, 1)));
+    hand.run(4_000);
+    let all: Vec<u64> = hand.starts_of(2).iter().map(|s| s.2.until).collect();
+    assert_eq!(all.len(), 3);
+    assert_eq!(all[1], all[2], "two without an answer are a silent worker");
+}
