A job that was refused is never stored, for each pair of the store's faults

Cause: the tests had three pairs of faults; a write that lands seconds later was only thought of. The test's store can now do a write late, when the test says so and if its condition still holds.

Ruled out: a store that can't be reached at all (`Unsent`): its server can't close its listener while a watch is open. That fault is not covered here.

--- a/tests/site.rs
+++ b/tests/site.rs
@@ -7,7 +7,7 @@
     cell::{
         Cell,
         forms::FORMS,
-        store::Fate::{Lost, Refused, Swallowed},
+        store::Fate::{Late, Lost, Refused, Swallowed},
     },
     std::future::Future,
 };
@@ -116,6 +116,31 @@
     });
 }
 
+#[test]
+fn a_job_that_was_refused_is_never_stored() {
+    // Story: the first try hangs and lands after seconds, the second is refused; told 503, the caller
+    // hands the job in elsewhere, and it runs twice. Every pair of faults is tried.
+    run(async {
+        let cell = Cell::new("never").await;
+        let faults = [Refused, Lost, Swallowed, Late];
+        let pairs = faults.iter().flat_map(|a| faults.map(|b| [*a, b]));
+        for (no, pair) in (0xb0..).zip(pairs) {
+            let path = format!("/a/00000000000000{no:x}");
+            cell.store.plan(&pair);
+            let wait = if pair == [Refused, Refused] { 3000 } else { 400 };
+            let status = cell.send("POST", &path, JOB, wait).await.0.status.as_u16();
+            cell.store.land();
+            let there = cell.inbox().iter().any(|k| k.ends_with(&path[3..]));
+            match status {
+                200 => assert!(there, "{pair:?}: not stored"),
+                503 => assert!(!there, "{pair:?}: refused, and stored"),
+                _ => assert_eq!(status, 504, "{pair:?}"),
+            }
+            assert!(pair != [Refused, Refused] || status == 503, "{status}");
+        }
+    });
+}
+
 #[test]
 fn a_queue_that_was_just_removed_takes_no_job() {
     // Story: the watch of the configuration has gone silent, so this member still has the queue
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -24,6 +24,8 @@
     Lost,
     /// It is not done, and nobody hears of it.
     Swallowed,
+    /// Nobody hears of it, and it is done when the test says so, if its condition still holds.
+    Late,
     /// It is refused.
     Refused,
 }
@@ -39,6 +41,7 @@
     rows: BTreeMap<String, Row>,
     log: Vec<(u64, String, Option<String>)>,
     plan: VecDeque<Fate>,
+    late: Vec<Value>,
     /// Watches of these prefixes get no events.
     blind: Vec<String>,
 }
@@ -98,6 +101,17 @@
         self.state.lock().expect("state").plan.extend(fates);
     }
 
+    /// Does what is late, as far as its condition still holds, and forgets what was planned.
+    pub fn land(&self) {
+        let mut state = self.state.lock().expect("state");
+        state.plan.clear();
+        for ask in std::mem::take(&mut state.late) {
+            state.call("/txn", &ask);
+        }
+        drop(state);
+        self.moved.notify_waiters();
+    }
+
     /// From now on, watches of this prefix see nothing.
     pub fn blind(&self, prefix: &str) {
         self.state.lock().expect("state").blind.push(prefix.into());
@@ -121,6 +135,10 @@
         if fate == Some(Fate::Refused) {
             return answer(503, "{}");
         }
+        if fate == Some(Fate::Late) {
+            self.state.lock().expect("state").late.push(ask);
+            return pending().await;
+        }
         if fate == Some(Fate::Swallowed) {
             return pending().await;
         }
