Clock, gate and inbox stand below the duties

Cause: member.rs defined Clock, Gate and Inbox, which seven modules took from it while it starts them all: callers, endpoints, member, operators, peers, platform and rpc imported each other in a circle. Now src/clock.rs, src/gate.rs, and Inbox beside Event. The flag "stopping" is set through the clock that everybody reads it from.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
+        clock::Clock,
         error::{Error, Kind},
-        event::{Ask, Event, Load, Ticket, Verdict},
+        event::{Ask, Event, Inbox, Load, Ticket, Verdict},
+        gate::Gate,
         http::{CALLER, DEADLINE, HOPS, KEY, Limits, REQUEST, RUN, SECRET, answer, refusal, serve},
         ids::{CallerId, Incarnation, Key, RequestId, ServiceId},
-        member::{Clock, Gate, Inbox},
         metrics::Metrics,
     },
     async_channel::{Receiver, TrySendError},
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,8 +4,8 @@
     crate::{
         common::Common,
         decisions::Told,
+        gate::Gate,
         ids::WorkerId,
-        member::Gate,
         ports::{Advice, AdviceCall, Fault},
         rpc,
         shard::record::ShardNo,
--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -9,10 +9,10 @@
 
 use {
     crate::{
+        clock::Clock,
         error::Kind,
-        event::{Answer, Event, Order, Outcome, Run},
+        event::{Answer, Event, Inbox, Order, Outcome, Run},
         http::{Client, EPOCH, Failure, KEY, LEASE, RAN, REQUEST, RUN, UNTIL, uri},
-        member::{Clock, Inbox},
         messages::{FenceAsk, Report, WorkerReply},
         metrics::Metrics,
     },
--- a/src/event.rs
+++ b/src/event.rs
@@ -16,11 +16,15 @@
         ownership::Swap,
         time::Time,
     },
+    async_channel::Sender,
     bytes::Bytes,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, time::Duration},
 };
 
+/// The way to the decisions' duty.
+pub(crate) type Inbox = Sender<Event>;
+
 /// The number of a question that waits for its answer, unique within a duty.
 pub type Ticket = u64;
 
--- a/src/member.rs
+++ b/src/member.rs
@@ -3,10 +3,12 @@
 use {
     crate::{
         callers::Callers,
+        clock::Clock,
         core::Core,
         endpoints,
         error::{Error, Kind},
-        event::{Event, Operated, Order, Outcome, Ticket, Verdict},
+        event::{Event, Inbox, Operated, Order, Outcome, Ticket, Verdict},
+        gate::Gate,
         http::{Failure, Limits, serve},
         ids::Incarnation,
         kv::Kv,
@@ -23,14 +25,10 @@
         future::Future,
         io,
         net::{SocketAddr, TcpListener},
-        sync::{
-            Arc,
-            atomic::{AtomicBool, Ordering},
-        },
+        sync::Arc,
         thread::{self, JoinHandle},
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
-    subtle::ConstantTimeEq,
     tokio::{
         runtime::{Builder, Runtime},
         signal::unix::{SignalKind, signal},
@@ -46,58 +44,6 @@
 /// How often time is let pass for the decisions.
 const TICK: Duration = Duration::from_millis(20);
 
-/// The way to the decisions' duty.
-pub(crate) type Inbox = Sender<Event>;
-
-/// The clock that all duties of a member share.
-#[derive(Clone, Copy)]
-pub(crate) struct Clock {
-    start: Instant,
-}
-
-static DRAINING: AtomicBool = AtomicBool::new(false);
-
-impl Clock {
-    /// The present time.
-    pub fn now(&self) -> Time {
-        Time::ZERO + self.start.elapsed()
-    }
-
-    /// Whether the member is stopping.
-    pub fn draining(&self) -> bool {
-        DRAINING.load(Ordering::Relaxed)
-    }
-}
-
-/// The secret that peers and operators must show.
-#[derive(Clone)]
-pub(crate) struct Gate {
-    secret: Arc<str>,
-    metrics: Arc<Metrics>,
-}
-
-impl Gate {
-    /// A gate that admits who shows `secret`.
-    pub fn new(secret: &str, metrics: Arc<Metrics>) -> Self {
-        Gate { secret: secret.into(), metrics }
-    }
-
-    /// Whether `shown` is the secret; takes as long for each guess of the same length.
-    pub fn matches(&self, shown: &[u8]) -> bool {
-        self.secret.as_bytes().ct_eq(shown).into()
-    }
-
-    /// The secret, to be shown to a peer.
-    pub fn show(&self) -> &str {
-        &self.secret
-    }
-
-    /// Counts a refusal.
-    pub fn refused(&self) {
-        self.metrics.refused(Kind::Unauthorized);
-    }
-}
-
 /// The addresses that a running member listens on.
 struct Listeners {
     callers: TcpListener,
@@ -163,7 +109,7 @@
 
 fn start(settings: &Settings, listeners: Listeners, record: MemberRecord) -> io::Result<()> {
     let metrics = Arc::new(Metrics::new());
-    let clock = Clock { start: Instant::now() };
+    let clock = Clock::start();
     let gate = Gate::new(&settings.member.secret, metrics.clone());
     let (inbox, events) = bounded(INBOX);
     let (replies, reply) = bounded(RING);
@@ -295,7 +241,7 @@
                 bounced.extend(rings.send(order, metrics));
             }
             if core.draining() {
-                DRAINING.store(true, Ordering::Relaxed);
+                clock.drain();
             }
             let Some(next) = bounced.pop() else { break };
             event = next;
--- a/src/operators.rs
+++ b/src/operators.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         error::{Error, Kind},
-        event::{Event, Operate, Operated, Ticket},
-        member::{Gate, Inbox},
+        event::{Event, Inbox, Operate, Operated, Ticket},
+        gate::Gate,
         messages::{Show, Submit, SubmitReply},
         rpc,
     },
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -3,12 +3,12 @@
 use {
     crate::{
         error::{Error, Kind},
-        event::{Answer, Back, Call, Event, Forward, Order, Outcome, Ticket},
+        event::{Answer, Back, Call, Event, Forward, Inbox, Order, Outcome, Ticket},
+        gate::Gate,
         http::{
             BACK, CALLER, Client, DEADLINE, Failure, HOPS, KEY, RAN, REASON, REQUEST, RUN, SECRET,
             uri,
         },
-        member::{Gate, Inbox},
         metrics::Metrics,
         rpc,
     },
--- a/src/platform.rs
+++ b/src/platform.rs
@@ -3,12 +3,12 @@
 
 use {
     crate::{
+        clock::Clock,
         core::{SHARED, member_key},
-        event::{Event, Order},
+        event::{Event, Inbox, Order},
         http::{Client, Failure, uri},
         ids::Revision,
         kv::Kv,
-        member::{Clock, Inbox},
         messages::{KvPut, MemberRecord, VmList},
         metrics::Metrics,
         ownership::LEASE,
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -1,7 +1,7 @@
 //! JSON-RPC as peers and operators speak it: a server that admits only who shows the secret.
 
 use {
-    crate::{http::SECRET, member::Gate},
+    crate::{gate::Gate, http::SECRET},
     jsonrpsee::{
         RpcModule,
         http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder},
