--- a/src/core.rs
+++ b/src/core.rs
@@ -5,8 +5,10 @@
 //! full ring dropped is made again.
 
 mod calls;
+mod claims;
 mod operate;
 mod owners;
+mod requests;
 mod touch;
 mod work;
 
@@ -53,9 +55,6 @@
 /// How long a wish for urgent work waits until room has been made; a caller's call lasts longer.
 const PREEMPT: Duration = Duration::from_millis(900);
 
-/// Marks the ticket of a claim's end that this member tells itself.
-pub(crate) const OWN_END: Ticket = 1 << 63;
-
 /// A peer as this member knows it.
 struct Peer {
     heard: Time,
--- /dev/null
+++ b/src/core/claims.rs
@@ -0,0 +1,151 @@
+//! The claims on keys of the requests at this member: asked for, answered, and their ends told.
+
+use {
+    super::Core,
+    crate::{
+        error::Kind,
+        event::{Call, Ticket, Verdict},
+        ids::RequestId,
+        jobs::bucket_of,
+        messages::{ClaimAsk, ClaimEnd, ClaimReply, ClaimVerdict},
+        requests::{AGAIN, ANEW, Claim, OWN_END, Stage, digest, end, kept},
+        time::Time,
+    },
+    std::time::Duration,
+};
+
+/// The pause before a request is tried again.
+pub(super) const RECLAIM: Duration = Duration::from_millis(100);
+
+impl Core {
+    /// Asks the owner of a request's key for the claim.
+    pub(super) fn claim(&mut self, request: RequestId, now: Time) {
+        let Some(p) = self.requests.table.get(&request) else { return };
+        let Some(claim) = &p.claim else { return };
+        let ask =
+            ClaimAsk { key: claim.key.clone(), digest: digest(&p.ask).into(), request: claim.ask };
+        self.requests.keys.limits.insert((p.deadline, request));
+        match self.bucket_owner(bucket_of(ask.key.as_str())) {
+            Some(owner) if owner == self.me() => self.jobs.claim(ask, now),
+            Some(owner) => self.call(owner, Call::Claim(ask)),
+            None => {
+                let verdict = ClaimVerdict::Unowned;
+                let reply = ClaimReply { verdict, status: None, answer: None };
+                self.claimed(ask.request, Some(reply), now);
+            }
+        }
+    }
+
+    /// Takes the answer to an ask; none where it was lost.
+    pub(crate) fn claimed(&mut self, ask: RequestId, reply: Option<ClaimReply>, now: Time) {
+        let request = self.requests.keys.asks.get(&ask).copied().unwrap_or(ask);
+        let Some(p) = self.requests.table.get_mut(&request) else { return };
+        let Some(claim) = p.claim.as_ref().filter(|c| c.ask == ask) else { return };
+        if p.stage != Stage::Claiming {
+            return;
+        }
+        let verdict = reply.as_ref().map_or(ClaimVerdict::Unowned, |r| r.verdict);
+        let kind = match verdict {
+            ClaimVerdict::Granted => return self.route(request, now),
+            ClaimVerdict::Answered => {
+                p.claim = None;
+                let verdict = reply.map_or_else(|| Err(Kind::KeyUnknown.into()), kept);
+                return self.finish(request, verdict, now);
+            }
+            ClaimVerdict::Running => Kind::KeyRunning,
+            ClaimVerdict::Unknown => Kind::KeyUnknown,
+            ClaimVerdict::Mismatch => Kind::KeyMismatch,
+            ClaimVerdict::Unowned => Kind::KeyUnowned,
+            ClaimVerdict::KvDown | ClaimVerdict::Full => Kind::KvDown,
+        };
+        let mine = kind == Kind::KeyRunning && self.requests.keys.doubtful(&claim.key);
+        if (kind == Kind::KeyUnowned || mine) && p.patient(now) {
+            return self.ask_anew(request, kind == Kind::KeyUnowned, now);
+        }
+        if !matches!(kind, Kind::KeyUnowned | Kind::KvDown) {
+            p.claim = None;
+        }
+        self.finish(request, Err(kind.into()), now);
+    }
+
+    /// Takes the answer to the word of a claim's end.
+    pub(crate) fn claim_told(&mut self, end: &ClaimEnd, taken: bool) {
+        if taken {
+            self.requests.keys.ends.remove(&(end.key.clone(), end.request));
+        }
+    }
+
+    /// The word of a claim's end that this member told itself is committed.
+    pub(crate) fn kept(&mut self, ticket: Ticket) {
+        if let Some(at) = self.requests.keys.told.remove(&ticket) {
+            self.requests.keys.ends.remove(&at);
+        }
+    }
+
+    /// Tells the key's owner how a claimed request ended.
+    pub(super) fn end_claim(&mut self, claim: Claim, verdict: &Verdict, now: Time) {
+        self.requests.keys.asks.remove(&claim.ask);
+        self.tell_end(end(claim, verdict), now);
+    }
+
+    /// Answers the requests whose claim was not decided in time.
+    pub(super) fn expire_claims(&mut self, now: Time) {
+        while self.requests.keys.limits.first().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, id)) = self.requests.keys.limits.pop_first() else { break };
+            if self.requests.table.get(&id).is_some_and(|p| p.stage == Stage::Claiming) {
+                self.finish(id, Err(Kind::KeyUnowned.into()), now);
+            }
+        }
+    }
+
+    /// Tells the ends again that are not known to be kept.
+    pub(super) fn tell_again(&mut self, now: Time) {
+        let ends = self.requests.keys.ends.values_mut();
+        let due: Vec<ClaimEnd> = ends
+            .filter(|(_, at)| *at <= now)
+            .map(|(end, at)| {
+                *at = now + AGAIN;
+                end.clone()
+            })
+            .collect();
+        for end in due {
+            self.tell_end(end, now);
+        }
+    }
+
+    /// Schedules another ask; under another id where the last one may have been committed.
+    fn ask_anew(&mut self, request: RequestId, doubt: bool, now: Time) {
+        let me = u128::from(self.me().0) << 64;
+        let Some(p) = self.requests.table.get_mut(&request) else { return };
+        let Some(claim) = &mut p.claim else { return };
+        self.requests.again.insert((now + RECLAIM, request));
+        if !doubt {
+            return;
+        }
+        let keys = &mut self.requests.keys;
+        keys.anew += 1;
+        let ask = RequestId(me | ANEW | keys.anew);
+        let old = Claim { key: claim.key.clone(), ask: claim.ask };
+        claim.ask = ask;
+        keys.asks.insert(ask, request);
+        self.end_claim(old, &Err(Kind::KeyUnowned.into()), now);
+    }
+
+    fn tell_end(&mut self, end: ClaimEnd, now: Time) {
+        let at = (end.key.clone(), end.request);
+        let keys = &mut self.requests.keys;
+        keys.ends.insert(at.clone(), (end.clone(), now + AGAIN));
+        match self.bucket_owner(bucket_of(end.key.as_str())) {
+            Some(owner) if owner == self.me() => {
+                let keys = &mut self.requests.keys;
+                keys.told.retain(|_, t| *t != at);
+                keys.own += 1;
+                let ticket = OWN_END | keys.own;
+                keys.told.insert(ticket, at);
+                self.jobs.claim_end(end, ticket);
+            }
+            Some(owner) => self.call(owner, Call::ClaimEnd(end)),
+            None => {}
+        }
+    }
+}
--- a/src/core/work.rs
+++ b/src/core/work.rs
@@ -1,12 +1,13 @@
 //! What a member's buckets call for: room, starts, probes, and the words of attempts' ends.
 
 use {
-    super::{Core, OWN_END, PREEMPT, TOUCH, Urgent, rack_row},
+    super::{Core, PREEMPT, TOUCH, Urgent, rack_row},
     crate::{
         event::{Back, Call, Order, Ticket},
         ids::{Incarnation, RackId, TaskId},
         jobs::{Want, call},
         messages::{EndTell, RackLoad, ReserveAsk, ReserveReply},
+        requests::OWN_END,
         time::Time,
     },
     std::mem,
--- a/src/requests/keys.rs
+++ b/src/requests/keys.rs
@@ -6,14 +6,11 @@
 //! taken for the new one's.
 
 use {
-    super::{RECLAIM, Stage},
     crate::{
-        core::{Core, OWN_END},
         error::{Error, Kind, Ran},
-        event::{Answer, Ask, Call, Ticket, Verdict},
+        event::{Answer, Ask, Ticket, Verdict},
         ids::{Key, RequestId},
-        jobs::bucket_of,
-        messages::{ClaimAsk, ClaimEnd, ClaimFate, ClaimReply, ClaimVerdict},
+        messages::{ClaimEnd, ClaimFate, ClaimReply},
         time::Time,
     },
     rustc_hash::FxHashMap,
@@ -31,12 +28,14 @@
 /// record has to stay far below the key-value service's megabyte.
 const KEPT: usize = 2048;
 /// The pause before an unanswered word of a claim's end is sent again.
-const AGAIN: Duration = Duration::from_millis(500);
+pub(crate) const AGAIN: Duration = Duration::from_millis(500);
 /// Marks the ids of asks that are made anew, which must differ from all ids of requests.
-const ANEW: u128 = 1 << 63;
+pub(crate) const ANEW: u128 = 1 << 63;
+/// Marks the ticket of a claim's end that this member tells itself.
+pub(crate) const OWN_END: Ticket = 1 << 63;
 
 /// A request's claim.
-pub(super) struct Claim {
+pub(crate) struct Claim {
     /// The key.
     pub key: Key,
     /// The id that the claim was last asked under.
@@ -45,16 +44,16 @@
 
 /// What is kept of claims beside their requests.
 #[derive(Default)]
-pub(super) struct Keys {
+pub(crate) struct Keys {
     /// The ends that are not known to be kept, and when to tell them again.
-    ends: BTreeMap<(Key, RequestId), (ClaimEnd, Time)>,
-    told: FxHashMap<Ticket, (Key, RequestId)>,
-    own: Ticket,
+    pub(crate) ends: BTreeMap<(Key, RequestId), (ClaimEnd, Time)>,
+    pub(crate) told: FxHashMap<Ticket, (Key, RequestId)>,
+    pub(crate) own: Ticket,
     /// The requests by the ids of asks that were made anew.
-    asks: FxHashMap<RequestId, RequestId>,
-    anew: u128,
+    pub(crate) asks: FxHashMap<RequestId, RequestId>,
+    pub(crate) anew: u128,
     /// When requests whose claim was asked for have to be answered, granted or not.
-    limits: BTreeSet<(Time, RequestId)>,
+    pub(crate) limits: BTreeSet<(Time, RequestId)>,
 }
 
 impl Keys {
@@ -64,146 +63,13 @@
     }
 
     /// Whether an earlier ask of this member's for a key may stand as its claim.
-    fn doubtful(&self, key: &Key) -> bool {
+    pub fn doubtful(&self, key: &Key) -> bool {
         self.ends.keys().any(|(k, _)| k == key)
     }
 }
 
-impl Core {
-    /// Asks the owner of a request's key for the claim.
-    pub(super) fn claim(&mut self, request: RequestId, now: Time) {
-        let Some(p) = self.requests.table.get(&request) else { return };
-        let Some(claim) = &p.claim else { return };
-        let ask =
-            ClaimAsk { key: claim.key.clone(), digest: digest(&p.ask).into(), request: claim.ask };
-        self.requests.keys.limits.insert((p.deadline, request));
-        match self.bucket_owner(bucket_of(ask.key.as_str())) {
-            Some(owner) if owner == self.me() => self.jobs.claim(ask, now),
-            Some(owner) => self.call(owner, Call::Claim(ask)),
-            None => {
-                let verdict = ClaimVerdict::Unowned;
-                let reply = ClaimReply { verdict, status: None, answer: None };
-                self.claimed(ask.request, Some(reply), now);
-            }
-        }
-    }
-
-    /// Takes the answer to an ask; none where it was lost.
-    pub(crate) fn claimed(&mut self, ask: RequestId, reply: Option<ClaimReply>, now: Time) {
-        let request = self.requests.keys.asks.get(&ask).copied().unwrap_or(ask);
-        let Some(p) = self.requests.table.get_mut(&request) else { return };
-        let Some(claim) = p.claim.as_ref().filter(|c| c.ask == ask) else { return };
-        if p.stage != Stage::Claiming {
-            return;
-        }
-        let verdict = reply.as_ref().map_or(ClaimVerdict::Unowned, |r| r.verdict);
-        let kind = match verdict {
-            ClaimVerdict::Granted => return self.route(request, now),
-            ClaimVerdict::Answered => {
-                p.claim = None;
-                let verdict = reply.map_or_else(|| Err(Kind::KeyUnknown.into()), kept);
-                return self.finish(request, verdict, now);
-            }
-            ClaimVerdict::Running => Kind::KeyRunning,
-            ClaimVerdict::Unknown => Kind::KeyUnknown,
-            ClaimVerdict::Mismatch => Kind::KeyMismatch,
-            ClaimVerdict::Unowned => Kind::KeyUnowned,
-            ClaimVerdict::KvDown | ClaimVerdict::Full => Kind::KvDown,
-        };
-        let mine = kind == Kind::KeyRunning && self.requests.keys.doubtful(&claim.key);
-        if (kind == Kind::KeyUnowned || mine) && p.patient(now) {
-            return self.ask_anew(request, kind == Kind::KeyUnowned, now);
-        }
-        if !matches!(kind, Kind::KeyUnowned | Kind::KvDown) {
-            p.claim = None;
-        }
-        self.finish(request, Err(kind.into()), now);
-    }
-
-    /// Takes the answer to the word of a claim's end.
-    pub(crate) fn claim_told(&mut self, end: &ClaimEnd, taken: bool) {
-        if taken {
-            self.requests.keys.ends.remove(&(end.key.clone(), end.request));
-        }
-    }
-
-    /// The word of a claim's end that this member told itself is committed.
-    pub(crate) fn kept(&mut self, ticket: Ticket) {
-        if let Some(at) = self.requests.keys.told.remove(&ticket) {
-            self.requests.keys.ends.remove(&at);
-        }
-    }
-
-    /// Tells the key's owner how a claimed request ended.
-    pub(super) fn end_claim(&mut self, claim: Claim, verdict: &Verdict, now: Time) {
-        self.requests.keys.asks.remove(&claim.ask);
-        self.tell_end(end(claim, verdict), now);
-    }
-
-    /// Answers the requests whose claim was not decided in time.
-    pub(super) fn expire_claims(&mut self, now: Time) {
-        while self.requests.keys.limits.first().is_some_and(|(at, _)| *at <= now) {
-            let Some((_, id)) = self.requests.keys.limits.pop_first() else { break };
-            if self.requests.table.get(&id).is_some_and(|p| p.stage == Stage::Claiming) {
-                self.finish(id, Err(Kind::KeyUnowned.into()), now);
-            }
-        }
-    }
-
-    /// Tells the ends again that are not known to be kept.
-    pub(super) fn tell_again(&mut self, now: Time) {
-        let ends = self.requests.keys.ends.values_mut();
-        let due: Vec<ClaimEnd> = ends
-            .filter(|(_, at)| *at <= now)
-            .map(|(end, at)| {
-                *at = now + AGAIN;
-                end.clone()
-            })
-            .collect();
-        for end in due {
-            self.tell_end(end, now);
-        }
-    }
-
-    /// Schedules another ask; under another id where the last one may have been committed.
-    fn ask_anew(&mut self, request: RequestId, doubt: bool, now: Time) {
-        let me = u128::from(self.me().0) << 64;
-        let Some(p) = self.requests.table.get_mut(&request) else { return };
-        let Some(claim) = &mut p.claim else { return };
-        self.requests.again.insert((now + RECLAIM, request));
-        if !doubt {
-            return;
-        }
-        let keys = &mut self.requests.keys;
-        keys.anew += 1;
-        let ask = RequestId(me | ANEW | keys.anew);
-        let old = Claim { key: claim.key.clone(), ask: claim.ask };
-        claim.ask = ask;
-        keys.asks.insert(ask, request);
-        self.end_claim(old, &Err(Kind::KeyUnowned.into()), now);
-    }
-
-    fn tell_end(&mut self, end: ClaimEnd, now: Time) {
-        let at = (end.key.clone(), end.request);
-        let keys = &mut self.requests.keys;
-        keys.ends.insert(at.clone(), (end.clone(), now + AGAIN));
-        match self.bucket_owner(bucket_of(end.key.as_str())) {
-            Some(owner) if owner == self.me() => {
-                let keys = &mut self.requests.keys;
-                keys.told.retain(|_, t| *t != at);
-                keys.own += 1;
-                let ticket = OWN_END | keys.own;
-                keys.told.insert(ticket, at);
-                self.jobs.claim_end(end, ticket);
-            }
-            Some(owner) => self.call(owner, Call::ClaimEnd(end)),
-            None => {}
-        }
-    }
-}
-
 /// How a claimed request ended, for the key's owner.
-fn end(claim: Claim, verdict: &Verdict) -> ClaimEnd {
+pub(crate) fn end(claim: Claim, verdict: &Verdict) -> ClaimEnd {
     let (fate, status, answer) = match verdict {
         Ok(a) => {
             let body = std::str::from_utf8(&a.body).ok().filter(|b| b.len() <= KEPT);
@@ -217,7 +83,7 @@
 }
 
 /// The answer kept with a key.
-fn kept(reply: ClaimReply) -> Verdict {
+pub(crate) fn kept(reply: ClaimReply) -> Verdict {
     let (Some(status), Some(text)) = (reply.status, reply.answer) else {
         return Err(Error::new(
             Kind::KeyUnknown,
@@ -230,7 +96,7 @@
 }
 
 /// A digest by which another request with the same key is told apart.
-fn digest(ask: &Ask) -> String {
+pub(crate) fn digest(ask: &Ask) -> String {
     let mut h = Xxh3Default::new();
     for part in
         [ask.service.as_str().as_bytes(), ask.load.method.as_bytes(), ask.load.path.as_bytes()]
