The bucket of a name stands with the ids

Cause: jobs defined which bucket a team or a key belongs to, tasks below it asked jobs for that, and jobs holds a Tasks: a circle. BUCKETS, bucket_of and team_bucket are now beside ids::Bucket. Moved, not changed.

--- a/examples/buckets.rs
+++ b/examples/buckets.rs
@@ -6,8 +6,8 @@
     dogwoodreach::{
         Time,
         event::{Order, Purpose},
-        ids::{Bucket, Epoch, Incarnation, Revision},
-        jobs::{Jobs, Want, team_bucket},
+        ids::{Bucket, Epoch, Incarnation, Revision, team_bucket},
+        jobs::{Jobs, Want},
         messages::{EndItem, KvEntry, KvPutReply, RackLoad, ReserveReply, ReserveRow, TaskState},
         text::Plan,
         units::Size,
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -5,8 +5,7 @@
     crate::{
         event::{Back, Call, Order, Ticket},
         http::Failure,
-        ids::Incarnation,
-        jobs::bucket_of,
+        ids::{Incarnation, bucket_of},
         messages::{ClaimReply, ClaimVerdict},
         time::Time,
     },
--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -5,8 +5,7 @@
     crate::{
         error::Kind,
         event::{Call, Ticket, Verdict},
-        ids::RequestId,
-        jobs::bucket_of,
+        ids::{RequestId, bucket_of},
         messages::{ClaimAsk, ClaimEnd, ClaimReply, ClaimVerdict},
         requests::{AGAIN, ANEW, Claim, OWN_END, Stage, digest, end, kept},
         time::Time,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -4,6 +4,7 @@
     derive_more::{Display, FromStr},
     serde::{Deserialize, Serialize, de},
     std::{fmt, num::ParseIntError, str::FromStr},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
 macro_rules! text_id {
@@ -144,3 +145,16 @@
     /// Its number within the job.
     pub index: TaskIndex,
 }
+
+/// How many buckets there are: enough that each of some sixty members has its share.
+pub const BUCKETS: u16 = 64;
+
+/// The bucket of a key.
+pub fn bucket_of(name: &str) -> Bucket {
+    Bucket((xxh3_64(name.as_bytes()) % u64::from(BUCKETS)) as u16)
+}
+
+/// The bucket of a team's jobs: all in one, so that one member counts the team's quota.
+pub fn team_bucket(team: &TeamId) -> Bucket {
+    bucket_of(team.as_str())
+}
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -24,7 +24,7 @@
         http::Failure,
         ids::{
             Attempt, Bucket, Epoch, Incarnation, JobId, RackId, RequestId, TaskId, TaskIndex,
-            TeamId,
+            bucket_of, team_bucket,
         },
         messages::{
             BucketRecord, ClaimAsk, ClaimEnd, ClaimReply, EndItem, KvEntry, KvPutReply, ProbeAsk,
@@ -40,11 +40,8 @@
         rc::Rc,
         time::Duration,
     },
-    xxhash_rust::xxh3::xxh3_64,
 };
 
-/// How many buckets there are: enough that each of some sixty members has its share.
-pub const BUCKETS: u16 = 64;
 /// How often what runs is asked after.
 const PROBE: Duration = Duration::from_secs(2);
 /// How often what waits is looked over: a fifth of the time in which urgent work has to start.
@@ -53,16 +50,6 @@
 /// peak of 940 even where all of it falls on one member, and bounds the time of one turn.
 const BATCH: usize = 256;
 
-/// The bucket of a key.
-pub fn bucket_of(name: &str) -> Bucket {
-    Bucket((xxh3_64(name.as_bytes()) % u64::from(BUCKETS)) as u16)
-}
-
-/// The bucket of a team's jobs: all in one, so that one member counts the team's quota.
-pub fn team_bucket(team: &TeamId) -> Bucket {
-    bucket_of(team.as_str())
-}
-
 /// The buckets that a member owns.
 pub struct Jobs {
     me: Incarnation,
--- a/src/jobs/load.rs
+++ b/src/jobs/load.rs
@@ -1,10 +1,10 @@
 //! The jobs that are taken in from records and texts, and the attempts that are over.
 
 use {
-    super::{Jobs, Owned, Want, release, team_bucket},
+    super::{Jobs, Owned, Want, release},
     crate::{
         Time,
-        ids::{Bucket, JobId, TaskId},
+        ids::{Bucket, JobId, TaskId, team_bucket},
         messages::{EndItem, TaskRow, TaskState},
         tasks::{Past, live},
         text::{JobKind, Plan},
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -1,12 +1,12 @@
 //! Picks become wishes for room, and room becomes attempts.
 
 use {
-    super::{BATCH, Jobs, Want, release, team_bucket},
+    super::{BATCH, Jobs, Want, release},
     crate::{
         Time,
         attempts::Place,
         gangs,
-        ids::{Attempt, PoolId, TaskId},
+        ids::{Attempt, PoolId, TaskId, team_bucket},
         messages::{RackLoad, ReserveAsk, ReserveItem, ReserveReply, ReserveRow},
         tasks::Pick,
         text::JobKind,
--- a/src/tasks/list.rs
+++ b/src/tasks/list.rs
@@ -5,8 +5,7 @@
     crate::{
         Time,
         decide::order,
-        ids::{Bucket, JobId, TaskId},
-        jobs::team_bucket,
+        ids::{Bucket, JobId, TaskId, team_bucket},
         messages::{TaskRow, TaskState},
         ranges::Ranges,
         text::{Job, JobKind, Plan},
--- a/tests/cell/mod.rs
+++ b/tests/cell/mod.rs
@@ -11,8 +11,8 @@
         Time,
         event::{Order, Purpose},
         http::Failure,
-        ids::{Bucket, Epoch, Incarnation, JobId, Revision, TaskId, TaskIndex},
-        jobs::{Jobs, Want, team_bucket},
+        ids::{Bucket, Epoch, Incarnation, JobId, Revision, TaskId, TaskIndex, team_bucket},
+        jobs::{Jobs, Want},
         messages::{
             EndItem, KvEntry, KvPut, KvPutReply, ProbeAsk, ProbeReply, ReserveAsk, ReserveReply,
             StartAsk, TaskShow, TaskState, Vm,
