What follows from a bucket's record has a module below claims and attempts

Cause: bucket defined Order, claims and attempts took it from there, and bucket holds both: a circle of three. Order stands in effect.rs; bucket gives it out as before, so that its callers are unchanged.

--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -11,8 +11,8 @@
 use {
     crate::{
         Time,
-        bucket::Order,
         commit::{Commit, Ticket},
+        effect::Order,
         ids::{Attempt, Epoch, RackId, TaskId, WorkerId},
         messages::{TaskReport, TaskRow, TaskState},
         units::Size,
--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -2,55 +2,19 @@
 
 mod past;
 
-pub use self::past::Past;
+pub use {self::past::Past, crate::effect::Order};
 use {
     self::past::Pasts,
     crate::{
         Time,
         attempts::{Attempts, Place, Refused},
         claims::Claims,
-        commit::{Call, Commit, Step},
-        ids::{Attempt, Epoch, Incarnation, JobId, RequestId, Revision, TaskId, WorkerId},
-        messages::{
-            BucketRecord, ClaimAsk, ClaimEnd, ClaimReply, EndItem, KvPutReply, TaskReport, TaskRow,
-            TaskState,
-        },
+        commit::{Commit, Step},
+        ids::{Attempt, Epoch, Incarnation, JobId, Revision, TaskId, WorkerId},
+        messages::{BucketRecord, ClaimAsk, ClaimEnd, EndItem, KvPutReply, TaskReport, TaskState},
     },
 };
 
-/// What the owner of a bucket is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Order {
-    /// Call the KV, and give back the answer, or the lack of one.
-    Kv(Call),
-    /// Answer a request's ask for a claim.
-    Reply {
-        /// The request that asked.
-        request: RequestId,
-        /// The answer.
-        reply: ClaimReply,
-    },
-    /// Tell an entry member that the end which it sent is committed, so that it stops sending.
-    Kept {
-        /// The number that came with the end.
-        call: u64,
-    },
-    /// Tell the rack's owner to start an attempt.
-    Start {
-        /// The attempt.
-        row: TaskRow,
-        /// The time after which it must not take effect any more.
-        until: Time,
-    },
-    /// Tell the rack's owner to stop an attempt.
-    Stop {
-        /// The attempt.
-        row: TaskRow,
-    },
-    /// Give the bucket up: another member owns it.
-    Lost,
-}
-
 /// A bucket at its owner.
 pub struct Bucket {
     commit: Commit,
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -11,8 +11,8 @@
 use {
     crate::{
         Time,
-        bucket::Order,
         commit::{Commit, Ticket},
+        effect::Order,
         ids::{Key, RequestId},
         messages::{ClaimAsk, ClaimEnd, ClaimFate, ClaimReply, ClaimRow, ClaimState, ClaimVerdict},
     },
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -54,6 +54,7 @@
 pub mod core;
 pub mod decide;
 mod decisions;
+pub mod effect;
 mod endpoints;
 mod entry;
 mod error;
