Racks: orders and words no longer import each other

racks/order took millis from racks/tell, which took VOUCH from racks/order. A duration in milliseconds is no matter of either and stands in time.rs now; racks/report used a copy of its own.

--- a/src/racks/order.rs
+++ b/src/racks/order.rs
@@ -4,7 +4,6 @@
     super::{
         Racks,
         link::{REFENCE, SILENT, Start, bare, same},
-        tell::millis,
     },
     crate::{
         Time,
@@ -14,6 +13,7 @@
         ids::{Attempt, TaskId, WorkerId},
         ledger::Held,
         messages::{TaskOrder, TaskState, WorkerAsk, WorkerReply},
+        time::millis,
     },
     std::time::Duration,
 };
--- a/src/racks/report.rs
+++ b/src/racks/report.rs
@@ -12,6 +12,7 @@
         ids::{Epoch, WorkerId},
         ledger::Held,
         messages::{Report, TaskOrder, TaskReport, TaskState},
+        time::millis,
         units::Size,
     },
     std::time::Duration,
@@ -58,7 +59,7 @@
         let Some(link) = self.links.get_mut(worker) else { return };
         let Some(fenced) = link.fenced else { return };
         let taken = sent - Duration::from_millis(report.age);
-        report.age = u64::try_from((now - taken).as_millis()).unwrap_or(u64::MAX) + 1;
+        report.age = millis(now - taken) + 1;
         if taken <= fenced {
             link.poll = now + POLL / 5;
             return;
--- a/src/racks/tell.rs
+++ b/src/racks/tell.rs
@@ -6,8 +6,9 @@
         Time,
         ids::{Attempt, Bucket, TaskId, WorkerId},
         messages::{EndItem, Hold, ProbeAsk, ProbeItem, ProbeReply, ProbeRow, TaskState},
+        time::millis,
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::collections::BTreeMap,
 };
 
 /// What an attempt's bucket said of it.
@@ -119,7 +120,3 @@
         (facts.bucket, facts.vouched) = (bucket, now);
     }
 }
-
-pub(super) fn millis(d: Duration) -> u64 {
-    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
-}
--- a/src/time.rs
+++ b/src/time.rs
@@ -67,3 +67,8 @@
         self.since(earlier)
     }
 }
+
+/// A duration in whole milliseconds, as messages carry it.
+pub fn millis(d: Duration) -> u64 {
+    u64::try_from(d.as_millis()).unwrap_or(u64::MAX)
+}
