--- a/src/text/check.rs
+++ b/src/text/check.rs
@@ -2,8 +2,8 @@
 
 use {
     super::{
+        places::Places,
         plan::{Job, JobKind, Plan, Pool},
-        read::Places,
     },
     crate::{
         ids::JobId,
--- a/src/text/mod.rs
+++ b/src/text/mod.rs
@@ -8,6 +8,7 @@
 mod diff;
 mod keys;
 mod moved;
+mod places;
 mod plan;
 mod read;
 
--- a/src/text/read.rs
+++ b/src/text/read.rs
@@ -4,6 +4,7 @@
     super::{
         check,
         keys::Keys,
+        places::{Lines, Places},
         plan::{Job, JobKind, Plan, Pool, Service, Team},
     },
     crate::{
@@ -55,20 +56,6 @@
     pub works: BTreeMap<&'a str, u32>,
 }
 
-/// Where the keys of an item stand, for faults found once the whole is read.
-#[derive(Clone, Copy, Default)]
-pub(super) struct Lines {
-    pub head: u32,
-    pub cores: u32,
-    pub memory: u32,
-    pub accels: u32,
-    pub tasks: u32,
-    pub after: u32,
-}
-
-/// The lines of services and jobs, by name.
-pub(super) type Places<'a> = BTreeMap<&'a str, Lines>;
-
 impl Plan {
     /// Reads and checks a text.
     ///
