src/platform.rs is src/session.rs

Cause: it was confused with the folder platform/ (the form of the users' platform). What it holds is the member's session with the key-value service: lease, record under it, watch, reads and writes; it also reads the VM list. Thread, ring and the label of dwr_control_bytes_total are called session as well (docs/OPERATORS.md). The settings' section [platform] and the error kind of that name are operators' words and stay. Ruled out: lease.rs (says a fifth of it), registry (taken by the site).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -77,7 +77,6 @@
 mod owner;
 pub mod ownership;
 mod peers;
-mod platform;
 pub mod ports;
 pub mod racks;
 mod ranges;
@@ -89,6 +88,7 @@
 #[allow(missing_docs, dead_code, clippy::all, clippy::unwrap_used)] // generated
 #[path = "gen/settings.rs"]
 mod schema;
+mod session;
 pub mod settings;
 pub mod shard;
 pub mod site;
--- a/src/member.rs
+++ b/src/member.rs
@@ -16,7 +16,7 @@
         metrics::Metrics,
         operators::Operators,
         peers::Peers,
-        platform::Platform,
+        session::Session,
         settings::Settings,
         time::Time,
     },
@@ -104,7 +104,7 @@
     endpoints: Sender<Order>,
     peers: Sender<Order>,
     operators: Sender<(Ticket, Operated)>,
-    platform: Sender<Order>,
+    session: Sender<Order>,
 }
 
 fn start(settings: &Settings, listeners: Listeners, record: MemberRecord) -> io::Result<()> {
@@ -116,7 +116,7 @@
     let (to_endpoints, endpoint) = bounded(RING);
     let (to_peers, peer) = bounded(RING);
     let (to_operators, operator) = bounded(RING);
-    let (to_platform, platform) = bounded(RING);
+    let (to_session, session) = bounded(RING);
     let (stop, stopped) = watch::channel(false);
     let limits = settings.limits.clone();
     let limits = Limits {
@@ -169,17 +169,17 @@
         answers: operator,
     };
     threads.push(duty("operators", move || operators.run())?);
-    let duty_of_platform = Platform {
+    let duty_of_session = Session {
         kv: Kv::new(settings.platform.kv),
         vms: settings.platform.vms,
         record: record.clone(),
         inbox: inbox.clone(),
-        orders: platform,
+        orders: session,
         clock,
         metrics: metrics.clone(),
     };
-    threads.push(duty("platform", move || async move {
-        duty_of_platform.run().await;
+    threads.push(duty("session", move || async move {
+        duty_of_session.run().await;
         Ok(())
     })?);
     let (pages, page_metrics, page_stop) = (listeners.metrics, metrics.clone(), wait());
@@ -200,7 +200,7 @@
         endpoints: to_endpoints,
         peers: to_peers,
         operators: to_operators,
-        platform: to_platform,
+        session: to_session,
     };
     let core = Core::new(record, unix, metrics.clone());
     runtime()?.block_on(decide(core, events, rings, clock, &metrics));
@@ -277,7 +277,7 @@
                 (&self.endpoints, "endpoints")
             }
             Order::Forward(_) | Order::Call(..) => (&self.peers, "peers"),
-            Order::Get(..) | Order::Put(..) | Order::Register(_) => (&self.platform, "platform"),
+            Order::Get(..) | Order::Put(..) | Order::Register(_) => (&self.session, "session"),
             Order::Stop => return None,
         };
         match ring.try_send(order) {
--- a/src/platform.rs
+++ b/src/session.rs
@@ -1,5 +1,5 @@
-//! The platform's duty: this member's lease and record, what changes in the key-value service, the
-//! reads and writes that the decisions order, and the list of VMs.
+//! The session's duty: this member's session with the key-value service, that is its lease, the record
+//! under it, its watch, and the reads and writes that the decisions order; and the list of VMs.
 
 use {
     crate::{
@@ -23,8 +23,8 @@
 /// The first and the longest pause after a failed call.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 
-/// What the platform's duty needs.
-pub struct Platform {
+/// What the session's duty needs.
+pub struct Session {
     /// The key-value service.
     pub kv: Kv,
     /// The address of the VM list.
@@ -41,7 +41,7 @@
     pub metrics: Arc<Metrics>,
 }
 
-impl Platform {
+impl Session {
     /// Works until the decisions' ring is closed, then gives the lease back.
     pub async fn run(self) {
         let (record, records) = watch::channel(self.record.clone());
@@ -69,7 +69,7 @@
                     });
                 }
                 Order::Put(purpose, key, put) => {
-                    keep.metrics.sent("platform", put.value.as_ref().map_or(0, |v| v.len()));
+                    keep.metrics.sent("session", put.value.as_ref().map_or(0, |v| v.len()));
                     tokio::spawn(async move {
                         let reply = keep.kv.put(&key, &put).await;
                         keep.count("put", reply.is_ok());
