--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -1,5 +1,8 @@
 //! The attempts of tasks, as the owner of one bucket keeps them.
 //!
+//! Calls [`commit`](crate::commit) and leaves what follows as an [`Order`]; [`bucket`](crate::bucket)
+//! calls it.
+//!
 //! An attempt's intent is committed before its start goes out, so that whoever owns the bucket next
 //! knows that it may run. Without it, an owner that dies between a start and its record would be
 //! followed by one that starts the task again elsewhere, and the task would run in two places.
--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -1,4 +1,7 @@
 //! One bucket of jobs and keys at its owner: claims and attempts over one group commit.
+//!
+//! Owns one bucket's record. Calls [`claims`](crate::claims), [`attempts`](crate::attempts) and
+//! [`commit`](crate::commit); [`jobs`](crate::jobs) calls it.
 
 mod past;
 
--- a/src/claims.rs
+++ b/src/claims.rs
@@ -1,5 +1,8 @@
 //! The claims on keys of non-idempotent requests, as the owner of one bucket keeps them.
 //!
+//! Calls [`commit`](crate::commit) and leaves what follows as an [`Order`]; [`bucket`](crate::bucket)
+//! calls it.
+//!
 //! A claim is committed to the bucket's record before its request may run, so that a repeat, at
 //! whatever member and after whatever death, finds it. Without claims, a caller that repeats after a
 //! lost answer would bind cover or pay a grant twice.
--- a/src/commit.rs
+++ b/src/commit.rs
@@ -1,5 +1,8 @@
 //! The group commit of one bucket's record to the key-value service (KV).
 //!
+//! Calls no other module; [`claims`](crate::claims), [`attempts`](crate::attempts) and
+//! [`bucket`](crate::bucket) call it.
+//!
 //! The load is many small changes (claims, intents, ends) against a KV that takes a few hundred
 //! writes a second: written one by one, a burst of claims on one bucket would wait for as many round
 //! trips. So one write is in flight, and all changes made meanwhile go out together in the next.
--- a/src/gangs.rs
+++ b/src/gangs.rs
@@ -1,5 +1,8 @@
 //! The gangs that are being placed: each asks the owners of racks, one after another, for its room.
 //!
+//! Owns what gangs have asked for and got so far. Calls [`decide::gang`](crate::decide::gang) alone;
+//! [`jobs`](crate::jobs) calls it.
+//!
 //! An answer may come when its round was given up: it shows as rows for a rack that is asked anew.
 //! Counted there, the gang would start on room that was released meanwhile, one half of it without
 //! room. So a gang asks again only once its last ask was answered, or is known to be lost, and what
--- a/src/jobs.rs
+++ b/src/jobs.rs
@@ -1,5 +1,8 @@
 //! The buckets that a member owns: claims on keys, and the tasks of jobs.
 //!
+//! Owns the member's buckets. Calls [`bucket`](crate::bucket), [`tasks`](crate::tasks) and
+//! [`gangs`](crate::gangs), which don't call each other; [`core`](crate::core) calls it.
+//!
 //! Decides nothing itself: [`Tasks`] says what is next, [`Gangs`] how a gang gets its room, and each
 //! bucket's record what has been tried. This joins them: picks become wishes for room, room becomes
 //! attempts, and the ends of attempts go back to where the next pick is decided.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,5 +1,7 @@
 //! What is in use on each worker that this member owns.
 //!
+//! Calls no other module; [`racks`](crate::racks) calls it.
+//!
 //! The owner of a rack is the only one that sends work to its workers, so their room, request slots
 //! and connections are counted here, in memory, and this count has the last word: whoever chose a
 //! worker (`decide::place`, `decide::gang`, `decide::choose`) still has to get the room from the
--- a/src/racks.rs
+++ b/src/racks.rs
@@ -1,5 +1,9 @@
 //! The racks that a member owns: their workers' accounts, leases, reports and orders.
 //!
+//! Owns the racks' workers. Calls [`ledger`](crate::ledger) for what is in use and
+//! [`decide`](crate::decide) for who is chosen; [`core`](crate::core) calls it. Knows no bucket and no
+//! job but by the messages of their owners.
+//!
 //! A worker of a rack that was taken over gets nothing until it has taken the new epoch and has
 //! sent a report that was true after that. From then on nothing of a former owner can start there,
 //! and what had started is in the report. Where the former owner hands over what is in flight, the
--- a/src/tasks.rs
+++ b/src/tasks.rs
@@ -1,5 +1,7 @@
 //! The tasks of a member's buckets: which waits, which is next, which is stopped or given up.
 //!
+//! Owns what waits and is held; calls [`decide`](crate::decide) and reads [`text`](crate::text).
+//!
 //! All jobs of a team stand in one bucket, so that one member counts the team's quota. Room is lent
 //! between teams whose buckets have the same owner.
 //!
