decide::gang: the planned start that nothing called is gone

Removed: decide::gang::{Queue, Plan, Room, Gang, Start, fit} and tests/gang.rs, which tested nothing else. The promise: a large gang is not kept waiting by small work, and backfill can't delay it. On shards Shard::keep_room keeps the first half (tests/shard.rs, gang_among_small_work); backfill by declared run times has no heir.

--- a/src/decide/gang.rs
+++ b/src/decide/gang.rs
@@ -1,163 +1,136 @@
-//! Jobs that need all their tasks at once.
+//! Jobs that need all their tasks at once: their room on the racks of several owners.
 //!
-//! Load answered: gangs that need much room together, beside a steady stream of small tasks that
-//! each need little. Started greedily, a gang waits for ever: whatever becomes free is too little
-//! for it and is taken by the next small task. Two gangs that each take what they find and keep it
-//! wait for each other for ever. And if all others are held back until the gang fits, the room that
-//! is being drained stands idle.
+//! Load answered: gangs that need much room together, beside other gangs that do. Two gangs that each
+//! take what they find and keep it wait for each other for ever, and half a gang that has started
+//! does nothing but hold its room.
 //!
-//! - All or nothing: [`Queue::next`] starts a gang whole or not at all, and takes rooms in the fixed
-//!   order in which it is given them. Where the rooms are several members', [`Claim`] asks for
-//!   them rack by rack in one order.
-//! - The oldest gang that waits has a [`Plan`]: the earliest time at which it fits by the declared
-//!   run times, and the rooms that it will then take. Only one gang has one, as a second would
-//!   have to be planned anew whenever the first changes; it becomes the oldest in its turn.
-//! - Backfill: other work is let in if it ends before that time or leaves the planned room alone,
-//!   so that it can't delay the plan. Declared run times may be wrong: once the planned time has
-//!   passed, nothing more is let into the planned room until the gang has started, however late the
-//!   tasks there end. Otherwise each task that outruns its time would move the plan, the next ones
-//!   would be let in before it, and the gang would starve after all.
-//!
-//! A gang that would not fit into the rooms even when all else has ended gets no plan, and keeps
-//! nothing from the next oldest; [`Queue::unfit`] names it.
-
-mod claim;
-mod plan;
-
-pub use self::{
-    claim::{Claim, Order},
-    plan::{Plan, Room, fit},
-};
+//! The job's member asks the racks' owners one after another, in the order of the racks' names, for
+//! reservations that expire. All or nothing: at the first refusal it releases what it holds and
+//! backs off. As every gang asks in the same order and none waits while it holds, gangs can't wait
+//! for each other in a circle: of those that hold something, the one whose next rack is last in
+//! order is refused by none of the others. A gang that was refused comes back the sooner the longer
+//! it has waited, so that an old gang gets ahead of young ones. Nothing is kept free for it: a steady
+//! stream of small work can keep a large gang waiting.
 
 use {
-    crate::{
-        Time,
-        ids::{JobId, WorkerId},
-        units::Size,
-    },
-    std::{collections::BTreeMap, time::Duration},
+    crate::{Time, ids::RackId},
+    std::{mem, time::Duration},
 };
 
-/// A job that needs all its tasks at once.
+/// How long a claim holds its reservations before it has them all.
+///
+/// Long against a call to each of some tens of owners, one after another; short against the run
+/// time of anything that the room could serve meanwhile.
+const HOLD: Duration = Duration::from_secs(5);
+/// The longest way of a start to an owner: no start is sent closer to the expiry.
+const FLIGHT: Duration = Duration::from_secs(1);
+/// The first back-off: a few calls' time, so that the other claim has gone on.
+const FIRST: Duration = Duration::from_millis(100);
+/// The longest back-off: short against the time in which a gang's room comes free.
+const LONGEST: Duration = Duration::from_secs(10);
+/// The wait after which a gang's back-offs are halved, then a third, and so on.
+const AGE: Duration = Duration::from_secs(30);
+
+/// What the caller is to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Gang {
-    /// The job.
-    pub job: JobId,
-    /// What each task needs.
-    pub needs: Vec<Size>,
-    /// The declared run time.
-    pub run: Duration,
-    /// Since when it waits.
-    pub since: Time,
-}
-
-/// A gang to be started now.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Start {
-    /// The gang, which waits no longer.
-    pub gang: Gang,
-    /// The worker of each task, in the tasks' order.
-    pub workers: Vec<WorkerId>,
+pub enum Order {
+    /// Ask this rack's owner for the gang's room there, for so long, in this round.
+    ///
+    /// The owner counts from when it hears of it, so its reservation outlasts this claim's hold.
+    Reserve(RackId, Duration, u32),
+    /// All is reserved: commit the intents and start on every rack.
+    Start,
+    /// Release what is reserved on these racks, and begin again at the time.
+    Release(Vec<RackId>, Time),
+    /// Nothing.
+    Nothing,
 }
 
-/// The gangs that wait, the oldest first, and the plan of the oldest.
-#[derive(Clone, Debug, Default)]
-pub struct Queue {
-    waiting: BTreeMap<(Time, JobId), Gang>,
-    plan: Option<(JobId, Plan)>,
+/// A gang's way to all its racks.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    since: Time,
+    racks: Vec<RackId>,
+    got: usize,
+    until: Time,
+    round: u32,
+    asking: bool,
 }
 
-impl Queue {
-    /// A queue without gangs.
-    pub fn new() -> Self {
-        Queue::default()
+impl Claim {
+    /// A claim for a gang that waits since then.
+    pub fn new(since: Time) -> Self {
+        Claim { since, racks: Vec::new(), got: 0, until: Time::ZERO, round: 0, asking: false }
     }
 
-    /// Lets a gang wait.
-    pub fn push(&mut self, gang: Gang) {
-        self.waiting.insert((gang.since, gang.job.clone()), gang);
+    /// Begins to ask these racks' owners, after the former round's releases were answered.
+    pub fn begin(&mut self, mut racks: Vec<RackId>, now: Time) -> Order {
+        racks.sort_unstable();
+        racks.dedup();
+        (self.racks, self.got, self.until, self.asking) = (racks, 0, now + HOLD, true);
+        self.ask(now)
     }
 
-    /// Takes a gang out; returns whether it was waiting.
-    pub fn cancel(&mut self, job: &JobId) -> bool {
-        let before = self.waiting.len();
-        self.waiting.retain(|_, g| g.job != *job);
-        if self.plan.as_ref().is_some_and(|(owner, _)| owner == job) {
-            self.plan = None;
+    /// An owner has reserved the room that it was asked for in this round.
+    ///
+    /// An answer of a former round does nothing: its room was released since, and to count it would
+    /// start the gang without that room.
+    pub fn granted(&mut self, rack: &RackId, round: u32, now: Time) -> Order {
+        if !self.awaits(rack, round) {
+            return Order::Nothing;
         }
-        self.waiting.len() < before
-    }
-
-    /// How many gangs wait.
-    pub fn len(&self) -> usize {
-        self.waiting.len()
+        self.got += 1;
+        self.ask(now)
     }
 
-    /// Whether none waits.
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+    /// An owner has refused, or can't be reached.
+    ///
+    /// A rack whose answer is lost may have reserved the room, so it is released as well.
+    pub fn refused(
+        &mut self,
+        rack: &RackId,
+        round: u32,
+        now: Time,
+        rng: &mut fastrand::Rng,
+    ) -> Order {
+        if self.awaits(rack, round) { self.abandon(now, rng) } else { Order::Nothing }
     }
 
-    /// The gang that has the plan, and the planned start.
-    pub fn planned(&self) -> Option<(&JobId, Time)> {
-        self.plan.as_ref().map(|(job, plan)| (job, plan.start()))
+    /// Gives up a round that has taken too long, because an owner doesn't answer.
+    pub fn tick(&mut self, now: Time, rng: &mut fastrand::Rng) -> Order {
+        if self.asking && now >= self.until { self.abandon(now, rng) } else { Order::Nothing }
     }
 
-    /// The gangs that don't fit into these rooms even when all else has ended.
-    pub fn unfit(&self, rooms: &[Room], now: Time) -> Vec<&JobId> {
-        let never = |g: &&Gang| Plan::new(rooms, &g.needs, now).is_none();
-        self.waiting.values().filter(never).map(|g| &g.job).collect()
+    fn awaits(&self, rack: &RackId, round: u32) -> bool {
+        self.asking && round == self.round && self.racks.get(self.got) == Some(rack)
     }
 
-    /// The next gang to start now, if any; it then waits no longer.
-    ///
-    /// `rooms` are the workers that take new work, in a fixed order. Call it again, with the rooms
-    /// changed by the start, until it gives none; and before other work is let in.
-    pub fn next(&mut self, now: Time, rooms: &[Room]) -> Option<Start> {
-        self.check(rooms);
-        let mut found = None;
-        for (key, gang) in &self.waiting {
-            let ends = now + gang.run;
-            let planned = self.plan.as_ref().filter(|(job, _)| *job == gang.job);
-            let workers = match (planned, &self.plan) {
-                (Some((_, plan)), _) => plan.ready(rooms).or_else(|| fit(rooms, &gang.needs)),
-                (None, Some((_, plan))) => fit(&plan.open(rooms, ends), &gang.needs),
-                (None, None) => fit(rooms, &gang.needs),
-            };
-            if let Some(workers) = workers {
-                found = Some((key.clone(), workers));
-                break;
-            }
-            if self.plan.is_none() {
-                self.plan = Plan::new(rooms, &gang.needs, now).map(|p| (gang.job.clone(), p));
-            }
+    fn ask(&mut self, now: Time) -> Order {
+        if let Some(rack) = self.racks.get(self.got) {
+            return Order::Reserve(rack.clone(), self.until - now, self.round);
         }
-        let (key, workers) = found?;
-        let gang = self.waiting.remove(&key)?;
-        match &mut self.plan {
-            Some((job, _)) if *job == gang.job => self.plan = None,
-            Some((_, plan)) => {
-                for (worker, need) in workers.iter().zip(&gang.needs) {
-                    plan.admit(worker, need, now + gang.run);
-                }
-            }
-            None => {}
+        if now + FLIGHT > self.until {
+            // A start that arrives after a reservation has lapsed would be refused there and run
+            // elsewhere: half a gang. So it isn't sent, and the next tick releases all.
+            return Order::Nothing;
         }
-        Some(Start { gang, workers })
+        self.asking = false;
+        Order::Start
     }
 
-    /// Whether a task that ends at `ends` by its declared run time may go to a worker.
-    ///
-    /// Counts it as gone there. If the ledger then refuses it, the count stays too high until the
-    /// next plan, which errs on the gang's side.
-    pub fn admit(&mut self, worker: &WorkerId, size: &Size, ends: Time) -> bool {
-        self.plan.as_mut().is_none_or(|(_, plan)| plan.admit(worker, size, ends))
+    fn abandon(&mut self, now: Time, rng: &mut fastrand::Rng) -> Order {
+        self.racks.truncate(self.got + 1);
+        let again = now + self.back_off(now, rng);
+        (self.got, self.asking) = (0, false);
+        self.round += 1;
+        Order::Release(mem::take(&mut self.racks), again)
     }
 
-    /// Drops a plan whose rooms are gone.
-    fn check(&mut self, rooms: &[Room]) {
-        if self.plan.as_ref().is_some_and(|(_, plan)| !plan.holds(rooms)) {
-            self.plan = None;
-        }
+    /// Doubles with each round, shrinks with the gang's age, and is drawn from its upper half so that
+    /// two gangs that were refused together don't come back together.
+    fn back_off(&self, now: Time, rng: &mut fastrand::Rng) -> Duration {
+        let long = FIRST.saturating_mul(1 << self.round.min(10)).min(LONGEST);
+        let age = 1.0 + now.since(self.since).as_secs_f64() / AGE.as_secs_f64();
+        long.mul_f64((0.5 + 0.5 * rng.f64()) / age)
     }
 }
