Ledger: connections that nothing counted are no longer counted

Removed: Ledger::{connect, disconnect}, Refusal::Connections, Load::connections and the limit that went with them. No duty called connect, so the count was 0 but for requests known only from a report. The promise: no worker gets more connections than it takes.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -2,11 +2,12 @@
 //!
 //! Calls no other module; [`racks`](crate::racks) calls it.
 //!
-//! The owner of a rack is the only one that sends work to its workers, so their room, request slots
-//! and connections are counted here, in memory, and this count has the last word: whoever chose a
-//! worker (`decide::place`, `decide::gang`, `decide::choose`) still has to get the room from the
-//! ledger. Nothing is let in that does not fit. Only [`Ledger::adopt`] can find a worker with more
-//! than it holds; such a worker is given nothing until it fits again.
+//! The owner of a rack is the only one that sends work to its workers, so their room and request
+//! slots are counted here, in memory, and this count has the last word: whoever chose a worker
+//! (`decide::place`, `decide::gang`, `decide::choose`) still has to get the room from the ledger.
+//! Nothing is let in that does not fit. Only [`Ledger::adopt`] can find a worker with more than it
+//! holds; such a worker is given nothing until it fits again. Connections aren't counted: a worker
+//! with 8 slots gets at most twice the nine that a member keeps (`endpoints`), across a handover.
 
 mod account;
 mod adopt;
@@ -78,17 +79,9 @@
     ///
     /// After a takeover keep it cordoned until [`Ledger::adopt`] saw a report that was true after
     /// the former owner's last dispatch: requests leave no intents, only reports show them.
-    pub fn add(
-        &mut self,
-        worker: &WorkerId,
-        pool: &PoolId,
-        rack: &RackId,
-        size: Size,
-        slots: u32,
-        connections: u32,
-    ) {
+    pub fn add(&mut self, worker: &WorkerId, pool: &PoolId, rack: &RackId, size: Size, slots: u32) {
         self.unlist(worker);
-        let limit = Load { size, slots, connections };
+        let limit = Load { size, slots };
         let entry = self.workers.entry(worker.clone()).or_insert_with(|| Worker {
             pool: pool.clone(),
             rack: rack.clone(),
@@ -230,21 +223,6 @@
         self.end(&Held::Request(request), now)
     }
 
-    /// Counts a connection that is about to be opened to a worker; errs where none is free.
-    pub fn connect(&mut self, worker: &WorkerId) -> Result<(), Refusal> {
-        let w = self.workers.get_mut(worker).ok_or(Refusal::Unknown)?;
-        if w.over() || w.used.connections >= w.limit.connections {
-            return Err(Refusal::Connections);
-        }
-        w.used.connections += 1;
-        Ok(())
-    }
-
-    /// Counts a connection as closed; call it once for each that was counted.
-    pub fn disconnect(&mut self, worker: &WorkerId) {
-        self.change(worker, |w| w.used.connections = w.used.connections.saturating_sub(1));
-    }
-
     /// The account of a worker.
     pub fn worker(&self, worker: &WorkerId) -> Option<&Worker> {
         self.workers.get(worker)
--- a/src/ledger/account.rs
+++ b/src/ledger/account.rs
@@ -20,8 +20,6 @@
     Room,
     /// the worker has no free request slot
     Slots,
-    /// the worker has no free connection
-    Connections,
     /// it is held on another worker
     Elsewhere,
 }
@@ -37,28 +35,24 @@
     Request(RequestId),
 }
 
-/// Room, request slots and connections: what a worker has, or what is in use of it.
+/// Room and request slots: what a worker has, or what is in use of it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Processors, memory and accelerators.
     pub size: Size,
     /// Request slots.
     pub slots: u32,
-    /// Connections.
-    pub connections: u32,
 }
 
 impl Load {
     pub(super) fn add(&mut self, other: &Load) {
         self.size += other.size;
         self.slots += other.slots;
-        self.connections += other.connections;
     }
 
     pub(super) fn sub(&mut self, other: &Load) {
         self.size = self.size.saturating_sub(&other.size);
         self.slots = self.slots.saturating_sub(other.slots);
-        self.connections = self.connections.saturating_sub(other.connections);
     }
 }
 
@@ -88,9 +82,7 @@
 
     /// Whether more is in use than it has, in any respect.
     pub fn over(&self) -> bool {
-        !self.used.size.fits(&self.limit.size)
-            || self.used.slots > self.limit.slots
-            || self.used.connections > self.limit.connections
+        !self.used.size.fits(&self.limit.size) || self.used.slots > self.limit.slots
     }
 
     /// The room for tasks; zero while it is over-full.
--- a/src/ledger/adopt.rs
+++ b/src/ledger/adopt.rs
@@ -24,8 +24,7 @@
     /// A report older than an end noted here can't bring the attempt back. Without these rules a
     /// takeover would give room to a second task that a first still uses.
     ///
-    /// The union may be more than the worker has: then it is given nothing until it fits. A request
-    /// known only from a report counts a connection too, the former owner's.
+    /// The union may be more than the worker has: then it is given nothing until it fits.
     pub fn adopt(
         &mut self,
         worker: &WorkerId,
@@ -57,7 +56,7 @@
         for request in &report.requests {
             let held = Held::Request(*request);
             if !self.holds.contains_key(&held) && self.gone.get(&held).is_none_or(|g| *g < at) {
-                let load = Load { slots: 1, connections: 1, ..Load::default() };
+                let load = Load { slots: 1, ..Load::default() };
                 self.count(worker, held.clone(), load, now);
             }
             listed.insert(held);
--- a/src/racks.rs
+++ b/src/racks.rs
@@ -129,7 +129,7 @@
         let Some(rack) = self.racks.get_mut(&vm.rack) else { return };
         let epoch = rack.epoch;
         rack.workers.insert(vm.worker.clone());
-        self.ledger.add(&vm.worker, &vm.pool, &vm.rack, vm.size, vm.slots, vm.connections);
+        self.ledger.add(&vm.worker, &vm.pool, &vm.rack, vm.size, vm.slots);
         let index = self.indexes.entry(vm.pool.clone()).or_default();
         if index.free(&vm.worker).is_none() {
             index.add(&vm.worker, &vm.rack, vm.size);
