--- a/src/decide/estimate.rs
+++ b/src/decide/estimate.rs
@@ -4,12 +4,12 @@
 //! more drive a worker over its memory, where the kernel kills whichever it likes, also a neighbour's;
 //! deadlines reckoned from a declared time of a third of the true one are missed, and nobody is warned.
 //!
-//! Memory can't be throttled, so it is reserved by the peak over the job's tasks with a margin.
+//! Memory can't be shared out twice, so it is reserved by the peak over the job's tasks with a margin.
 //! Processors can, so they are reserved by a high quantile. Both never below what is declared: an
 //! operator may know of a need that has not come yet. Run times are an average that follows, plus
 //! twice the mean deviation, from the third task on.
 //!
-//! A task that outgrows its reservation is throttled for processors. For memory it is given more where
+//! A task that outgrows its reservation of processors is let be. For memory it is given more where
 //! its worker has room; else it is checkpointed and stopped, and its next attempt reserves half as
 //! much again, so that it does not meet the same end. A job whose reservation has so grown beyond any
 //! worker has its true reason in that; the caller refuses it as it would at submission.
@@ -52,10 +52,8 @@
 /// What to do with a task by its last report of use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// It keeps to its reservation.
+    /// It keeps to its reservation of memory.
     Keep,
-    /// Hold its processors to what is reserved.
-    Throttle,
     /// Raise its reservation to this, on the same worker.
     Raise(Size),
     /// Checkpoint and stop it; its next attempt reserves more.
@@ -104,10 +102,10 @@
 
     /// What to do with a running task that uses `used` of its `reserved` on a worker with `room` free.
     pub fn check(&mut self, job: &JobId, used: Size, reserved: Size, room: Size) -> Action {
-        if used.memory > reserved.memory {
-            return self.outgrown(job, used, reserved, room);
+        match used.memory > reserved.memory {
+            true => self.outgrown(job, used, reserved, room),
+            false => Action::Keep,
         }
-        if used.cores > reserved.cores { Action::Throttle } else { Action::Keep }
     }
 
     /// Removes a job that the text no longer lists.
