--- a/src/clock.rs
+++ b/src/clock.rs
@@ -1,10 +1,10 @@
-//! The clock that all duties of a member share. Calls no other module but [`time`](crate::time).
+//! The clocks of a member: the one that all its duties share, and the Unix time. Calls no other module but [`time`](crate::time).
 
 use {
     crate::time::Time,
     std::{
         sync::atomic::{AtomicBool, Ordering},
-        time::Instant,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
 };
 
@@ -37,3 +37,8 @@
         DRAINING.store(true, Ordering::Relaxed);
     }
 }
+
+/// The Unix time, zero where the machine's clock stands before it.
+pub(crate) fn unix() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- a/src/common.rs
+++ b/src/common.rs
@@ -3,12 +3,13 @@
 
 use {
     crate::{
+        clock,
         ids::Incarnation,
         metrics::Metrics,
         ports::{Forms, Item, Rev, Site},
         store::Outside,
         table::View,
-        time::Time,
+        time::{Time, millis},
         work::Queues,
     },
     std::{
@@ -16,7 +17,7 @@
             Arc,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::{Duration, Instant},
     },
     tokio::sync::watch,
 };
@@ -58,8 +59,7 @@
 
 /// The Unix time, in milliseconds.
 pub(crate) fn unix() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    millis(clock::unix())
 }
 
 impl Common {
--- a/src/control.rs
+++ b/src/control.rs
@@ -9,6 +9,7 @@
         ports::{Advice, AdviceCall, Fault},
         rpc,
         shard::record::ShardNo,
+        time::millis,
         work::{JobNo, State, StepKey},
     },
     async_channel::Sender,
@@ -68,9 +69,8 @@
 
 impl From<Result<Advice, Fault>> for AdviseAnswer {
     fn from(reply: Result<Advice, Fault>) -> Self {
-        let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
         match reply {
-            Ok(a) => AdviseAnswer::Told { good: a.good, valid_ms: a.valid.map(ms) },
+            Ok(a) => AdviseAnswer::Told { good: a.good, valid_ms: a.valid.map(millis) },
             Err(Fault::Refused) => AdviseAnswer::Refused,
             Err(Fault::Unsent) => AdviseAnswer::Unsent,
             Err(Fault::Unknown) => AdviseAnswer::Unknown,
@@ -198,7 +198,7 @@
             time: call.step.time,
             step: call.step.step,
             workers: call.workers.clone(),
-            limit_ms: u64::try_from(limit.as_millis()).unwrap_or(u64::MAX),
+            limit_ms: millis(limit),
         };
         let answer: AdviseAnswer =
             self.call(addr, "advise", &ask, limit).await.ok_or(Fault::Unknown)?;
--- a/src/core/touch.rs
+++ b/src/core/touch.rs
@@ -6,7 +6,7 @@
         event::Call,
         ids::Incarnation,
         messages::{Beat, BeatReply, ServiceLoad},
-        time::Time,
+        time::{Time, millis},
     },
     std::{mem, time::Duration},
 };
@@ -105,13 +105,13 @@
                 slots,
                 free: free.saturating_sub(u32::try_from(waiting).unwrap_or(u32::MAX)),
                 waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
-                wait: u64::try_from(self.requests.wait(id, s, now).as_millis()).unwrap_or(u64::MAX),
+                wait: millis(self.requests.wait(id, s, now)),
             }
         });
         Beat {
             from: self.me(),
             version: self.config.version(),
-            kv: u64::try_from(self.ownership.silence(now).as_millis()).unwrap_or(u64::MAX),
+            kv: millis(self.ownership.silence(now)),
             draining: self.draining(),
             services: services.collect(),
             racks: self.racks.loads(),
@@ -130,10 +130,7 @@
         peer.heard = now;
         peer.contact = peer.contact.max(now - Duration::from_millis(beat.kv));
         peer.beat = Some(beat);
-        BeatReply {
-            version: self.config.version(),
-            kv: u64::try_from(self.ownership.silence(now).as_millis()).unwrap_or(u64::MAX),
-        }
+        BeatReply { version: self.config.version(), kv: millis(self.ownership.silence(now)) }
     }
 
     /// Fetches the configuration from a peer that holds a newer one.
--- a/src/endpoints.rs
+++ b/src/endpoints.rs
@@ -9,20 +9,18 @@
 
 use {
     crate::{
-        clock::Clock,
+        clock::{self, Clock},
         error::Kind,
         event::{Answer, Event, Inbox, Order, Outcome, Run},
         http::{Client, EPOCH, Failure, KEY, LEASE, RAN, REQUEST, RUN, UNTIL, uri},
         messages::{FenceAsk, Report, WorkerReply},
         metrics::Metrics,
+        time::millis,
     },
     async_channel::Receiver,
     http_body_util::Full,
     hyper::{Request, header::CONTENT_TYPE},
-    std::{
-        sync::Arc,
-        time::{Duration, SystemTime, UNIX_EPOCH},
-    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// The deadline of an order, a fence or a report.
@@ -77,8 +75,7 @@
 /// the call up: the work would start after another attempt of it had. The clocks of VMs may differ
 /// by [`crate::attempts::DRIFT`], which the attempts wait for on top.
 fn unix(ahead: Duration) -> u64 {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from((now + ahead).as_millis()).unwrap_or(u64::MAX)
+    millis(clock::unix() + ahead)
 }
 
 async fn dispatch(run: &Run, client: &Client, clock: Clock) -> Outcome {
--- a/src/kv.rs
+++ b/src/kv.rs
@@ -9,6 +9,7 @@
         http::{Client, Failure, uri},
         ids::Revision,
         messages::{KvEntry, KvLease, KvList, KvPut, KvPutReply},
+        time::millis,
     },
     std::{net::SocketAddr, time::Duration},
 };
@@ -46,7 +47,7 @@
 
     /// Makes a lease, where `id` is 0, or renews it.
     pub async fn lease(&self, id: u64, ttl: Duration) -> Result<KvLease, Failure> {
-        let ttl = u64::try_from(ttl.as_millis()).unwrap_or(u64::MAX);
+        let ttl = millis(ttl);
         self.call("PUT", "/v1/lease", &KvLease { id, ttl }, CALL).await
     }
 
--- a/src/member.rs
+++ b/src/member.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         callers::Callers,
-        clock::Clock,
+        clock::{self, Clock},
         core::Core,
         endpoints,
         error::{Error, Kind},
@@ -27,7 +27,7 @@
         net::{SocketAddr, TcpListener},
         sync::Arc,
         thread::{self, JoinHandle},
-        time::{Duration, SystemTime, UNIX_EPOCH},
+        time::Duration,
     },
     tokio::{
         runtime::{Builder, Runtime},
@@ -194,7 +194,7 @@
         Ok(())
     })?);
     threads.push(duty("signals", move || signals(inbox))?);
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
+    let unix = clock::unix().as_secs();
     let rings = Rings {
         replies,
         endpoints: to_endpoints,
