--- a/src/member.rs
+++ b/src/member.rs
@@ -3,10 +3,12 @@
 use {
     crate::{
         callers::Callers,
+        clock::{self, Clock},
         core::Core,
         endpoints,
         error::{Error, Kind},
-        event::{Event, Operated, Order, Outcome, Ticket, Verdict},
+        event::{Event, Inbox, Operated, Order, Outcome, Ticket, Verdict},
+        gate::Gate,
         http::{Failure, Limits, serve},
         ids::Incarnation,
         kv::Kv,
@@ -14,7 +16,7 @@
         metrics::Metrics,
         operators::Operators,
         peers::Peers,
-        platform::Platform,
+        session::Session,
         settings::Settings,
         time::Time,
     },
@@ -23,14 +25,10 @@
         future::Future,
         io,
         net::{SocketAddr, TcpListener},
-        sync::{
-            Arc,
-            atomic::{AtomicBool, Ordering},
-        },
+        sync::Arc,
         thread::{self, JoinHandle},
-        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+        time::Duration,
     },
-    subtle::ConstantTimeEq,
     tokio::{
         runtime::{Builder, Runtime},
         signal::unix::{SignalKind, signal},
@@ -46,58 +44,6 @@
 /// How often time is let pass for the decisions.
 const TICK: Duration = Duration::from_millis(20);
 
-/// The way to the decisions' duty.
-pub(crate) type Inbox = Sender<Event>;
-
-/// The clock that all duties of a member share.
-#[derive(Clone, Copy)]
-pub(crate) struct Clock {
-    start: Instant,
-}
-
-static DRAINING: AtomicBool = AtomicBool::new(false);
-
-impl Clock {
-    /// The present time.
-    pub fn now(&self) -> Time {
-        Time::ZERO + self.start.elapsed()
-    }
-
-    /// Whether the member is stopping.
-    pub fn draining(&self) -> bool {
-        DRAINING.load(Ordering::Relaxed)
-    }
-}
-
-/// The secret that peers and operators must show.
-#[derive(Clone)]
-pub(crate) struct Gate {
-    secret: Arc<str>,
-    metrics: Arc<Metrics>,
-}
-
-impl Gate {
-    /// A gate that admits who shows `secret`.
-    pub fn new(secret: &str, metrics: Arc<Metrics>) -> Self {
-        Gate { secret: secret.into(), metrics }
-    }
-
-    /// Whether `shown` is the secret; takes as long for each guess of the same length.
-    pub fn matches(&self, shown: &[u8]) -> bool {
-        self.secret.as_bytes().ct_eq(shown).into()
-    }
-
-    /// The secret, to be shown to a peer.
-    pub fn show(&self) -> &str {
-        &self.secret
-    }
-
-    /// Counts a refusal.
-    pub fn refused(&self) {
-        self.metrics.refused(Kind::Unauthorized);
-    }
-}
-
 /// The addresses that a running member listens on.
 struct Listeners {
     callers: TcpListener,
@@ -158,19 +104,19 @@
     endpoints: Sender<Order>,
     peers: Sender<Order>,
     operators: Sender<(Ticket, Operated)>,
-    platform: Sender<Order>,
+    session: Sender<Order>,
 }
 
 fn start(settings: &Settings, listeners: Listeners, record: MemberRecord) -> io::Result<()> {
     let metrics = Arc::new(Metrics::new());
-    let clock = Clock { start: Instant::now() };
+    let clock = Clock::start();
     let gate = Gate::new(&settings.member.secret, metrics.clone());
     let (inbox, events) = bounded(INBOX);
     let (replies, reply) = bounded(RING);
     let (to_endpoints, endpoint) = bounded(RING);
     let (to_peers, peer) = bounded(RING);
     let (to_operators, operator) = bounded(RING);
-    let (to_platform, platform) = bounded(RING);
+    let (to_session, session) = bounded(RING);
     let (stop, stopped) = watch::channel(false);
     let limits = settings.limits.clone();
     let limits = Limits {
@@ -223,17 +169,17 @@
         answers: operator,
     };
     threads.push(duty("operators", move || operators.run())?);
-    let duty_of_platform = Platform {
+    let duty_of_session = Session {
         kv: Kv::new(settings.platform.kv),
         vms: settings.platform.vms,
         record: record.clone(),
         inbox: inbox.clone(),
-        orders: platform,
+        orders: session,
         clock,
         metrics: metrics.clone(),
     };
-    threads.push(duty("platform", move || async move {
-        duty_of_platform.run().await;
+    threads.push(duty("session", move || async move {
+        duty_of_session.run().await;
         Ok(())
     })?);
     let (pages, page_metrics, page_stop) = (listeners.metrics, metrics.clone(), wait());
@@ -248,13 +194,13 @@
         Ok(())
     })?);
     threads.push(duty("signals", move || signals(inbox))?);
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
+    let unix = clock::unix().as_secs();
     let rings = Rings {
         replies,
         endpoints: to_endpoints,
         peers: to_peers,
         operators: to_operators,
-        platform: to_platform,
+        session: to_session,
     };
     let core = Core::new(record, unix, metrics.clone());
     runtime()?.block_on(decide(core, events, rings, clock, &metrics));
@@ -295,7 +241,7 @@
                 bounced.extend(rings.send(order, metrics));
             }
             if core.draining() {
-                DRAINING.store(true, Ordering::Relaxed);
+                clock.drain();
             }
             let Some(next) = bounced.pop() else { break };
             event = next;
@@ -331,7 +277,7 @@
                 (&self.endpoints, "endpoints")
             }
             Order::Forward(_) | Order::Call(..) => (&self.peers, "peers"),
-            Order::Get(..) | Order::Put(..) | Order::Register(_) => (&self.platform, "platform"),
+            Order::Get(..) | Order::Put(..) | Order::Register(_) => (&self.session, "session"),
             Order::Stop => return None,
         };
         match ring.try_send(order) {
--- a/src/racks.rs
+++ b/src/racks.rs
@@ -1,5 +1,9 @@
 //! The racks that a member owns: their workers' accounts, leases, reports and orders.
 //!
+//! Owns the racks' workers. Calls [`ledger`](crate::ledger) for what is in use and
+//! [`decide`](crate::decide) for who is chosen; [`core`](crate::core) calls it. Knows no bucket and no
+//! job but by the messages of their owners.
+//!
 //! A worker of a rack that was taken over gets nothing until it has taken the new epoch and has
 //! sent a report that was true after that. From then on nothing of a former owner can start there,
 //! and what had started is in the report. Where the former owner hands over what is in flight, the
@@ -125,7 +129,7 @@
         let Some(rack) = self.racks.get_mut(&vm.rack) else { return };
         let epoch = rack.epoch;
         rack.workers.insert(vm.worker.clone());
-        self.ledger.add(&vm.worker, &vm.pool, &vm.rack, vm.size, vm.slots, vm.connections);
+        self.ledger.add(&vm.worker, &vm.pool, &vm.rack, vm.size, vm.slots);
         let index = self.indexes.entry(vm.pool.clone()).or_default();
         if index.free(&vm.worker).is_none() {
             index.add(&vm.worker, &vm.rack, vm.size);
