Grown sites: the layout waits for the list, owners by processor share, a replaced process is over

- src/layout.rs (pure, tests/layout.rs): the list of workers has to be still for 1.5 s, 5 s at most; two members count, the others wait.
One shard for each 64 workers: 6 for 350, 1 for 48.
- The layout names the shard of each address that was listed, so that each shard has its even part of each pool, over several zones.
A hash of racks (some 13 racks of one pool) left shards without.
- The members' rows carry their processor share; who would own fewer for its share comes first.
- The owner's row carries its address.
Another process that registers there later proves that the owner is over: no lease and no grace are waited for (tests/table.rs, four tests).

Flaky: tests/site.rs a_job_is_taken_in_once_and_its_state_is_told failed once in 4 runs here: between the cancel and the look into the inbox the owner has carried the cancel out and removed it. Whether it did so before this commit was not run. The test is left as it is.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -63,6 +63,7 @@
 mod ini;
 pub mod jobs;
 pub mod kv;
+pub mod layout;
 pub mod ledger;
 pub mod member;
 #[rustfmt::skip]
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -13,7 +13,6 @@
             record::{self, CommitRow, ShardNo},
         },
         store::{CALL, Outside, fault_name},
-        table::shard_of,
         watch::{Follow, Pause, Seen},
         work::{JobNo, Listed},
     },
@@ -177,10 +176,10 @@
     }
 
     async fn tell(&self, owned: &[(ShardNo, u64)], known: &FxHashMap<Box<str>, (Rev, Listed)>) {
-        let shards = self.common.view.borrow().shards();
+        let Some(layout) = self.common.view.borrow().layout.clone() else { return };
         let mut of: BTreeMap<ShardNo, Vec<Listed>> = BTreeMap::new();
         for (_, worker) in known.values() {
-            of.entry(shard_of(worker, shards)).or_default().push(worker.clone());
+            of.entry(layout.shard(worker)).or_default().push(worker.clone());
         }
         for (shard, token) in owned {
             let mut workers = of.remove(shard).unwrap_or_default();
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -329,6 +329,8 @@
     pub node: Box<str>,
     /// Its availability zone.
     pub zone: crate::ids::Zone,
+    /// Its share of a processor, in cores.
+    pub cores: f64,
     /// Where callers come in.
     pub callers: SocketAddr,
     /// Where the balancer asks whether this member is ready.
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -5,8 +5,9 @@
         common::Common,
         decisions::{Out, Told},
         ids::Incarnation,
+        layout::{self, Census, MOST, homes},
         owner::Owner,
-        ports::{Fault, Put, Rev, StoreCall, StoreReply, Txn},
+        ports::{Fault, Item, Put, Rev, StoreCall, StoreReply, Txn},
         shard::{
             event::Event,
             record::{self, CommitRow, LAYOUT, Layout, MemberRow, OwnerRow, ShardNo, TABLE},
@@ -14,10 +15,10 @@
         store::{CALL, Outside},
         table::{Fate, Table, Take, member_key},
         watch::{Follow, Pause, Seen},
-        work::Queues,
+        work::{Listed, Queues},
     },
     async_channel::{Receiver, Sender},
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         sync::watch,
         time::{Instant, sleep, sleep_until, timeout},
@@ -36,12 +37,6 @@
 const KEPT: Duration = Duration::from_millis(900);
 /// How often the table is looked at while a shard has no live owner.
 const STEP: Duration = Duration::from_millis(100);
-/// The workers of one shard.
-const SHARE: usize = 64;
-/// The most shards.
-const SHARDS: usize = 64;
-/// How long an empty list of workers is read again before the layout is made without it.
-const EMPTY: Duration = Duration::from_secs(3);
 
 /// Follows the configuration.
 pub(crate) async fn config(common: Arc<Common>, outside: Outside, told: Sender<Told>) {
@@ -141,7 +136,12 @@
 
     async fn register(&self, lease: u64, draining: bool) -> Result<StoreReply, Fault> {
         let site = self.common.site.borrow().clone();
-        let row = MemberRow { control: site.control, zone: site.zone.clone(), draining };
+        let row = MemberRow {
+            control: site.control,
+            zone: site.zone.clone(),
+            draining,
+            cores: site.cores,
+        };
         let put = Put { key: member_key(self.common.me), value: record::write(&row), lease };
         let txn = Txn { puts: vec![put], ..Txn::default() };
         self.outside.store(&StoreCall::Txn(txn), CALL).await
@@ -281,8 +281,9 @@
 
     fn fly(&self, take: Take) {
         let (outside, tell, me) = (self.outside.clone(), self.tell.clone(), self.common.me);
+        let control = self.table.control();
         tokio::spawn(async move {
-            let fate = take_over(&outside, me, &take).await;
+            let fate = take_over(&outside, me, control, &take).await;
             let _ = tell.send(News::Taken(take, fate)).await;
         });
     }
@@ -295,7 +296,7 @@
             if let Some((rev, row)) = mine {
                 let put = Put {
                     key: shard.owner(),
-                    value: record::write(&OwnerRow { owner: None, token: row.token }),
+                    value: record::write(&OwnerRow { owner: None, ..row }),
                     lease: 0,
                 };
                 let txn =
@@ -313,12 +314,17 @@
     /// Makes the layout, where no other member does.
     fn make(&self) {
         let (outside, tell) = (self.outside.clone(), self.tell.clone());
-        let (common, place) = (self.common.clone(), self.table.place());
+        let common = self.common.clone();
         tokio::spawn(async move {
-            // One member after the other: all would write, and all but one be refused.
-            sleep(STEP * u32::try_from(place.min(10)).unwrap_or(10)).await;
+            // Members that start together have to be seen first. Two of them count the workers, for
+            // the case that one is lost; each reading is paid for, and one layout is enough.
+            sleep(KEEP).await;
+            let place = common.view.borrow().place(common.me);
+            if place > 1 {
+                sleep(MOST + STEP * u32::try_from(place.min(50)).unwrap_or(50)).await;
+            }
             if common.view.borrow().layout.is_none() {
-                make_layout(&outside, common.forms.workers).await;
+                make_layout(&outside, &common).await;
                 sleep(KEEP).await;
             }
             let _ = tell.send(News::Made).await;
@@ -326,28 +332,42 @@
     }
 }
 
-/// Writes the layout for the workers that are listed.
-async fn make_layout(outside: &Outside, workers: &str) {
-    let begin = Instant::now();
-    let mut count = 0;
-    while count == 0 && begin.elapsed() < EMPTY {
-        match outside.all(workers, false).await {
-            Ok((items, _)) if !items.is_empty() => count = items.len(),
-            _ => sleep(KEEP / 2).await,
+/// Writes the layout for the workers that are listed, once their list is still.
+async fn make_layout(outside: &Outside, common: &Common) {
+    let mut census = Census::new(common.now());
+    let mut workers = vec![];
+    loop {
+        if let Ok((items, _)) = outside.all(common.forms.workers, false).await {
+            workers = items;
         }
+        if common.view.borrow().layout.is_some() || census.seen(workers.len(), common.now()) {
+            break;
+        }
+        sleep(KEEP).await;
     }
-    let shards = u16::try_from(count.div_ceil(SHARE).clamp(1, SHARDS)).unwrap_or(1);
+    let read = |item: &Item| {
+        let id = item.key.strip_prefix(common.forms.workers)?;
+        (common.forms.listed)(id, item.value.as_ref()?).ok()
+    };
+    let workers: Vec<Listed> = workers.iter().filter_map(read).collect();
+    let shards = layout::shards(workers.len());
     let secret = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..)).into();
-    let value = record::write(&Layout { shards, secret });
+    let value = record::write(&Layout { shards, secret, homes: homes(&workers, shards) });
     let put = Put { key: LAYOUT.into(), value, lease: 0 };
     let txn = Txn { expect: vec![(LAYOUT.into(), 0)], puts: vec![put], remove: vec![] };
     // Whatever the answer, the watch brings the layout that stands.
     let _ = outside.store(&StoreCall::Txn(txn), CALL).await;
+    let count = workers.len();
     log::info!(target: "table", "A layout of {shards} shards for {count} workers was offered.");
 }
 
 /// Writes a takeover; an unclear answer is settled by reading.
-async fn take_over(outside: &Outside, me: Incarnation, take: &Take) -> Fate {
+async fn take_over(
+    outside: &Outside,
+    me: Incarnation,
+    control: Option<SocketAddr>,
+    take: &Take,
+) -> Fate {
     let Ok(commit) = outside.get(&take.shard.commit(), CALL).await else { return Fate::Not };
     let row: Option<CommitRow> =
         commit.as_ref().and_then(|c| record::read(c.value.as_ref().map_or(&[], |v| &v[..])));
@@ -359,7 +379,7 @@
             (take.shard.commit(), commit.map_or(0, |c| c.rev)),
         ],
         puts: vec![
-            put(take.shard.owner(), record::write(&OwnerRow { owner: Some(me), token })),
+            put(take.shard.owner(), record::write(&OwnerRow { owner: Some(me), token, control })),
             put(take.shard.commit(), record::write(&CommitRow { token, number: 0 })),
         ],
         remove: vec![],
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -103,6 +103,9 @@
     pub shards: u16,
     /// What a member shows to another: drawn by the first, known to who can read the store.
     pub secret: Box<str>,
+    /// The shards of the workers that were listed when it was made, in order of their addresses.
+    #[serde(default)]
+    pub homes: Vec<(SocketAddr, ShardNo)>,
 }
 
 /// A member, as the table has it.
@@ -114,6 +117,9 @@
     pub zone: Zone,
     /// Whether it is stopping.
     pub draining: bool,
+    /// Its share of a processor, in cores.
+    #[serde(default)]
+    pub cores: f64,
 }
 
 /// Who owns a shard.
@@ -123,6 +129,9 @@
     pub owner: Option<Incarnation>,
     /// Counts the owners that the shard has had.
     pub token: u64,
+    /// Where the owner takes calls of other members.
+    #[serde(default)]
+    pub control: Option<SocketAddr>,
 }
 
 /// What each write of an owner changes, so that none of its earlier writes can take effect later.
--- a/src/table.rs
+++ b/src/table.rs
@@ -18,6 +18,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         net::SocketAddr,
+        sync::Arc,
         time::Duration,
     },
 };
@@ -31,6 +32,8 @@
 pub const RANK: Duration = Duration::from_millis(300);
 /// How long the store may be silent before this member takes nothing over.
 pub const SILENT: Duration = Duration::from_millis(1500);
+/// The least share of a processor that counts; one that isn't told counts as this.
+const LEAST: f64 = 0.01;
 /// How long a takeover that failed waits for its repeat.
 const AGAIN: Duration = Duration::from_millis(200);
 
@@ -39,11 +42,11 @@
     me: Incarnation,
     rev: Rev,
     loaded: bool,
-    layout: Option<Layout>,
+    layout: Option<Arc<Layout>>,
     members: BTreeMap<Incarnation, (Rev, MemberRow)>,
     owners: BTreeMap<ShardNo, (Rev, OwnerRow)>,
     /// Shards without a live owner: which one they had, and since when.
-    free: BTreeMap<ShardNo, (Option<Incarnation>, Time)>,
+    free: BTreeMap<ShardNo, Free>,
     /// Shards that this member runs, with their tokens.
     running: BTreeMap<ShardNo, u64>,
     flying: BTreeSet<ShardNo>,
@@ -53,6 +56,16 @@
     resumed: Time,
 }
 
+/// A shard without a live owner.
+#[derive(Clone, Copy, PartialEq)]
+struct Free {
+    /// The owner that it had.
+    owner: Option<Incarnation>,
+    /// Whether that process is known to be over.
+    over: bool,
+    since: Time,
+}
+
 /// A takeover to be written.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Take {
@@ -83,7 +96,7 @@
     /// The table's revision.
     pub rev: Rev,
     /// The layout, once there is one.
-    pub layout: Option<Layout>,
+    pub layout: Option<Arc<Layout>>,
     /// The live members.
     pub members: BTreeMap<Incarnation, MemberRow>,
     /// The owner of each shard that has one.
@@ -97,6 +110,11 @@
         Some((*owner, self.members.get(owner)?.control))
     }
 
+    /// A member's place among those alive, by their numbers.
+    pub fn place(&self, me: Incarnation) -> usize {
+        self.members.keys().take_while(|m| **m < me).count()
+    }
+
     /// How many shards there are; 0 where it isn't known.
     pub fn shards(&self) -> u16 {
         self.layout.as_ref().map_or(0, |l| l.shards)
@@ -115,8 +133,7 @@
 
 /// The shard of a worker, of so many shards: by its rack, or by its id where it names none.
 pub fn shard_of(worker: &Listed, shards: u16) -> ShardNo {
-    let by = worker.labels.get(1).map_or(worker.id.as_str(), |rack| rack);
-    let hash = xxhash_rust::xxh3::xxh3_64(by.as_bytes());
+    let hash = xxhash_rust::xxh3::xxh3_64(worker.rack().as_bytes());
     ShardNo((hash % u64::from(shards.max(1))) as u16)
 }
 
@@ -190,7 +207,7 @@
         self.held.insert(shard, now + AGAIN);
         match fate {
             Fate::Done(rev, token) => {
-                let row = OwnerRow { owner: Some(self.me), token };
+                let row = OwnerRow { owner: Some(self.me), token, control: self.control() };
                 self.running.insert(shard, token);
                 if self.owners.get(&shard).is_none_or(|(r, _)| *r < rev) {
                     self.owners.insert(shard, (rev, row));
@@ -239,11 +256,6 @@
         self.loaded && self.layout.is_none()
     }
 
-    /// This member's place among those alive, by their numbers.
-    pub fn place(&self) -> usize {
-        self.members.keys().take_while(|m| **m < self.me).count()
-    }
-
     /// What other duties see.
     pub fn view(&self) -> View {
         let owned = |(s, (_, o)): (&ShardNo, &(Rev, OwnerRow))| Some((*s, o.owner?));
@@ -263,27 +275,53 @@
         } else if let Some(no) = item.key.strip_prefix(OWNERS).and_then(|n| n.parse().ok()) {
             place(&mut self.owners, ShardNo(no), item.rev, value.and_then(record::read));
         } else if &*item.key == LAYOUT && self.layout.is_none() {
-            self.layout = value.and_then(record::read);
+            self.layout = value.and_then(record::read).map(Arc::new);
         }
     }
 
     /// Notes which shards have no live owner, and since when.
     fn refresh(&mut self, now: Time) {
         for shard in (0..self.layout.as_ref().map_or(0, |l| l.shards)).map(ShardNo) {
-            let owner = self.owners.get(&shard).and_then(|(_, o)| o.owner);
+            let row = self.owners.get(&shard).map(|(_, o)| o);
+            let owner = row.and_then(|o| o.owner);
+            let over = row.is_some_and(|o| self.over(o));
             let held = match owner {
                 Some(me) if me == self.me => self.running.contains_key(&shard),
-                Some(owner) => self.members.contains_key(&owner),
+                Some(owner) => self.members.contains_key(&owner) && !over,
                 None => false,
             };
+            let known = self.free.get(&shard).filter(|f| f.owner == owner);
+            let since = known.map_or(now, |f| f.since);
             if held {
                 self.free.remove(&shard);
-            } else if self.free.get(&shard).is_none_or(|(o, _)| *o != owner) {
-                self.free.insert(shard, (owner, now));
+            } else {
+                self.free.insert(shard, Free { owner, over, since });
             }
         }
     }
 
+    /// Whether the process that a row names is known to be over: another one has its address, and
+    /// registered after the row was written by it.
+    ///
+    /// Guards against waiting for the lease of a process that was killed and is back: its shards
+    /// would stand still for three seconds although it can't do anything any more. It is no proof
+    /// for what must not happen, which rests on the tokens alone.
+    fn over(&self, row: &OwnerRow) -> bool {
+        let Some(owner) = row.owner else { return false };
+        let known = self.members.get(&owner);
+        let control = row.control.or(known.map(|(_, m)| m.control));
+        let since = known.map_or(0, |(rev, _)| *rev);
+        let other = |(id, (rev, m)): (&Incarnation, &(Rev, MemberRow))| {
+            *id != owner && Some(m.control) == control && *rev > since
+        };
+        self.members.iter().any(other)
+    }
+
+    /// Where this member takes calls of others, as its row says.
+    pub fn control(&self) -> Option<SocketAddr> {
+        self.members.get(&self.me).map(|(_, m)| m.control)
+    }
+
     fn drop_lost(&mut self) -> Vec<ShardNo> {
         let mine = |shard: &ShardNo, token: u64| {
             let row = self.owners.get(shard).map(|(_, o)| o);
@@ -305,23 +343,24 @@
             return None;
         }
         let mut free = self.free.iter().filter(|(s, _)| !self.flying.contains(s));
-        free.find(|(s, (owner, since))| self.wait(**s, *owner, *since) <= now).map(|(s, _)| *s)
+        free.find(|(s, f)| self.wait(**s, f) <= now).map(|(s, _)| *s)
     }
 
     /// When this member takes over a free shard.
-    fn wait(&self, shard: ShardNo, owner: Option<Incarnation>, since: Time) -> Time {
+    fn wait(&self, shard: ShardNo, free: &Free) -> Time {
         let held = self.held.get(&shard).copied().unwrap_or(Time::ZERO);
-        if owner == Some(self.me) {
+        if free.owner == Some(self.me) {
             return held;
         }
-        let since = since.max(self.resumed);
-        let grace = if owner.is_some() { GRACE } else { Duration::ZERO };
+        let since = free.since.max(self.resumed);
+        let sure = free.owner.is_none() || free.over;
+        let grace = if sure { Duration::ZERO } else { GRACE };
         let Some(rank) = self.rank(shard) else { return Time::NEVER };
         (since + grace + RANK * rank).max(held)
     }
 
-    /// This member's place among those that could take a shard: who owns fewer comes first, and
-    /// among equals the hash decides.
+    /// This member's place among those that could take a shard: who would own fewer for its share of
+    /// a processor comes first, and among equals the hash decides.
     fn rank(&self, shard: ShardNo) -> Option<u32> {
         let mut counts: BTreeMap<Incarnation, usize> = BTreeMap::new();
         for owner in self.owners.values().filter_map(|(_, o)| o.owner) {
@@ -334,7 +373,11 @@
         }
         let mut order: Vec<Incarnation> =
             ring.calc_candidates(&shard).map(|n| *n.node_id()).collect();
-        order.sort_by_key(|id| counts.get(id).copied().unwrap_or(0));
+        let load = |id: &Incarnation| {
+            let share = self.members.get(id).map_or(0.0, |(_, m)| m.cores).max(LEAST);
+            (counts.get(id).copied().unwrap_or(0) + 1) as f64 / share
+        };
+        order.sort_by(|a, b| load(a).total_cmp(&load(b)));
         order.iter().position(|id| *id == self.me).and_then(|p| u32::try_from(p).ok())
     }
 }
--- a/src/work.rs
+++ b/src/work.rs
@@ -315,6 +315,11 @@
 }
 
 impl Listed {
+    /// Its rack, or its id where it names none.
+    pub fn rack(&self) -> &str {
+        self.labels.get(1).map_or(self.id.as_str(), |rack| rack)
+    }
+
     /// Whether the worker has a label.
     pub fn has(&self, label: &str) -> bool {
         self.labels.iter().any(|l| **l == *label)
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -46,6 +46,7 @@
     Ok(Site {
         node: "node".into(),
         zone: Zone::from("z"),
+        cores: 1.0,
         callers: addr("callers")?,
         ready: addr("ready")?,
         control: addr("control")?,
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -9,7 +9,7 @@
         table::{Fate, GRACE, RANK, SILENT, Table, Take, member_key, shard_of},
         work::Listed,
     },
-    std::{collections::BTreeMap, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
 };
 
 const LONG: Duration = Duration::from_secs(60);
@@ -22,6 +22,10 @@
     Incarnation(n)
 }
 
+fn address(member: Incarnation) -> SocketAddr {
+    format!("127.0.0.1:{}", member.0).parse().expect("an address")
+}
+
 /// The store's table, and the members that follow it.
 struct Cell {
     now: Time,
@@ -35,7 +39,10 @@
     fn new(shards: u16, members: u64) -> Self {
         let (items, tables) = Default::default();
         let mut cell = Cell { now: ms(5000), rev: 0, items, tables };
-        cell.write(LAYOUT.into(), record::write(&Layout { shards, secret: "s".into() }));
+        cell.write(
+            LAYOUT.into(),
+            record::write(&Layout { shards, secret: "s".into(), homes: vec![] }),
+        );
         for n in 1..=members {
             cell.join(id(n), false);
         }
@@ -65,8 +72,11 @@
     }
 
     fn join(&mut self, member: Incarnation, draining: bool) {
-        let control = "127.0.0.1:1".parse().expect("an address");
-        let row = MemberRow { control, zone: Zone::from("z"), draining };
+        self.join_at(member, address(member), draining, 1.0);
+    }
+
+    fn join_at(&mut self, member: Incarnation, control: SocketAddr, draining: bool, cores: f64) {
+        let row = MemberRow { control, zone: Zone::from("z"), draining, cores };
         self.write(member_key(member), record::write(&row));
     }
 
@@ -94,7 +104,8 @@
         if rev != take.row {
             return Fate::Lost(self.items.get(&take.shard.owner()).cloned().into_iter().collect());
         }
-        let row = OwnerRow { owner: Some(member), token: take.token };
+        let row =
+            OwnerRow { owner: Some(member), token: take.token, control: Some(address(member)) };
         let rev = self.write(take.shard.owner(), record::write(&row));
         Fate::Done(rev, take.token)
     }
@@ -156,6 +167,73 @@
     assert_eq!(row.token, 2);
 }
 
+#[test]
+fn an_owner_whose_address_another_process_has_is_not_waited_for() {
+    // Story: an owner is killed and its machine starts it again at once. The new process registers
+    // at the same address while the old one's lease goes on for two seconds: the shard must not
+    // wait for that lease and the grace after it, as the old process can't do anything any more.
+    let mut cell = Cell::new(1, 3);
+    cell.pass(LONG);
+    let first = cell.owner(ShardNo(0)).expect("owned").owner.expect("a member");
+    cell.tables.remove(&first);
+    cell.pass(GRACE * 2);
+    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(first), "its row is there");
+    cell.join_at(id(9), address(first), false, 1.0);
+    cell.pass(RANK * 3);
+    let row = cell.owner(ShardNo(0)).expect("owned");
+    assert_ne!(row.owner, Some(first));
+    assert_eq!(row.token, 2);
+}
+
+#[test]
+fn after_all_were_killed_the_owner_s_row_tells_where_it_was() {
+    // Story: all processes are killed, and their leases end before the new ones have read the
+    // table. No row of the old owner is left to compare with, but the shard's own row says where
+    // it was; the new process at that address is the proof.
+    let mut cell = Cell::new(1, 2);
+    cell.pass(LONG);
+    let first = cell.owner(ShardNo(0)).expect("owned").owner.expect("a member");
+    let other = if first == id(1) { id(2) } else { id(1) };
+    cell.leave(first);
+    cell.leave(other);
+    cell.join_at(id(9), address(first), false, 1.0);
+    cell.start(id(9));
+    cell.pass(GRACE / 4);
+    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(id(9)));
+}
+
+#[test]
+fn an_older_process_at_the_same_address_proves_nothing() {
+    // Story: a process was killed, and its successor at the same address owns a shard; the row of
+    // the first is still there until its lease ends. The live one must not be taken for dead.
+    let mut cell = Cell::new(1, 1);
+    cell.join_at(id(2), address(id(1)), false, 100.0);
+    cell.tables.remove(&id(1));
+    cell.start(id(2));
+    cell.pass(GRACE);
+    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(id(2)));
+    cell.join(id(3), false);
+    cell.start(id(3));
+    cell.pass(GRACE * 3);
+    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(id(2)));
+}
+
+#[test]
+fn shards_go_to_members_with_processors_first() {
+    // Story: six machines of half a core and 36 of an eighth. An owner's work doesn't fit on an
+    // eighth of a core, so these may own a shard only when the others have several.
+    let mut cell = Cell::new(6, 0);
+    let strong: Vec<_> = (1..=42).filter(|n| n % 7 == 0).map(id).collect();
+    for n in (1..=42).map(id) {
+        cell.join_at(n, address(n), false, if strong.contains(&n) { 0.5 } else { 0.12 });
+    }
+    (1..=42).for_each(|n| cell.start(id(n)));
+    cell.pass(Duration::from_secs(1));
+    let owners: std::collections::BTreeSet<_> =
+        (0..6).map(|s| cell.owner(ShardNo(s)).expect("owned").owner.expect("a member")).collect();
+    assert_eq!(owners, strong.into_iter().collect());
+}
+
 #[test]
 fn a_dead_first_candidate_is_not_waited_for_forever() {
     // Story: the member that is first in line has a row, but its process hangs and never writes.
@@ -190,7 +268,7 @@
     let now = cell.now;
     cell.table(first).stop();
     cell.join(first, true);
-    let row = OwnerRow { owner: None, token: 1 };
+    let row = OwnerRow { owner: None, token: 1, control: None };
     cell.write(ShardNo(0).owner(), record::write(&row));
     cell.table(first).dropped(ShardNo(0), now);
     cell.pass(Duration::from_millis(20));
@@ -226,7 +304,10 @@
     assert!(cell.table(other).step(now).is_empty());
     cell.join(owner, false);
     cell.pass(LONG);
-    assert_eq!(cell.owner(ShardNo(0)).expect("owned"), OwnerRow { owner: Some(owner), token: 1 });
+    assert_eq!(
+        cell.owner(ShardNo(0)).expect("owned"),
+        OwnerRow { owner: Some(owner), token: 1, control: Some(address(owner)) }
+    );
 }
 
 #[test]
@@ -284,7 +365,7 @@
     let owner = cell.owner(ShardNo(0)).expect("owned").owner.expect("a member");
     let other = if owner == id(1) { id(2) } else { id(1) };
     cell.rev += 1;
-    let row = OwnerRow { owner: Some(other), token: 2 };
+    let row = OwnerRow { owner: Some(other), token: 2, control: None };
     let item = Item { key: ShardNo(0).owner(), value: Some(record::write(&row)), rev: cell.rev };
     let (now, rev) = (cell.now, cell.rev);
     assert_eq!(cell.table(owner).changed(vec![item], rev, now), [ShardNo(0)]);
@@ -297,7 +378,7 @@
     // Story: a range that was read before this member's takeover arrives after it. Taken at its
     // word, it would take the shard away from the one who has just got it.
     let mut cell = Cell::new(1, 1);
-    let row = OwnerRow { owner: None, token: 4 };
+    let row = OwnerRow { owner: None, token: 4, control: None };
     cell.write(ShardNo(0).owner(), record::write(&row));
     let old: Vec<Item> = cell.items.values().cloned().collect();
     let rev = cell.rev;
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -263,7 +263,7 @@
         let old = self.store.get(&SHARD.owner()).and_then(|i| i.value);
         let token = old.and_then(|v| read::<OwnerRow>(&v)).map_or(1, |r| r.token + 1);
         let me = Incarnation(100 + token);
-        self.store.put(SHARD.owner(), write(&OwnerRow { owner: Some(me), token }));
+        self.store.put(SHARD.owner(), write(&OwnerRow { owner: Some(me), token, control: None }));
         let commit = self.store.put(SHARD.commit(), write(&CommitRow { token, number: 0 }));
         let setup = Setup { shard: SHARD, me, token, bounds: self.world.bounds, unix: UNIX };
         let shard = Shard::new(setup, self.load(commit), self.now);
