Layout: each pool has shards of its own; a pool that one owner bears is not divided

Gangs of up to 20 tasks with up to 8 accelerators each may run on 0.3 of the large workers; of 98 that is 29, of the 16 in one of six shards 5. Such a gang could never run.

Up to 100 workers in all there is one shard, as before.

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -13,6 +13,7 @@
         decisions::Told,
         error::{Error, Kind},
         http::{answer, refusal},
+        ids::PoolId,
         shard::record::ShardNo,
         store::Outside,
         time::Time,
@@ -110,9 +111,9 @@
         let rest = ask.path[queue.prefix.len()..].trim_start_matches('/');
         match head.method {
             Method::GET if rest.is_empty() => self.waiting(&queue.name).await,
-            Method::GET => self.state(&ask, rest.parse()?).await,
+            Method::GET => self.state(&ask, rest.parse()?, &queue.pool).await,
             Method::POST => self.submit(&ask, rest.parse()?, &config, &body).await,
-            Method::DELETE => self.cancel(&ask, rest.parse()?).await,
+            Method::DELETE => self.cancel(&ask, rest.parse()?, &queue.pool).await,
             _ => Err(Kind::BadMethod.into()),
         }
     }
@@ -130,11 +131,12 @@
         known.ok_or_else(|| Error::new(Kind::Stale, "no configuration is known yet").after(SOON))
     }
 
-    /// The shard of a job.
-    fn shard(&self, job: JobNo) -> Result<ShardNo, Error> {
-        match self.common.view.borrow().shards() {
-            0 => Err(Error::new(Kind::Stale, "the table isn't known yet").after(SOON)),
-            shards => Ok(ShardNo::of(job, shards)),
+    /// The shard of a job of a queue with this pool.
+    fn shard(&self, job: JobNo, pool: &PoolId) -> Result<ShardNo, Error> {
+        let layout = self.common.view.borrow().layout.clone();
+        match layout {
+            None => Err(Error::new(Kind::Stale, "the table isn't known yet").after(SOON)),
+            Some(layout) => Ok(layout.of(job, pool)),
         }
     }
 
--- a/src/entry/ask.rs
+++ b/src/entry/ask.rs
@@ -5,7 +5,7 @@
     crate::{
         control::{state_here, waiting_here},
         error::{Error, Kind},
-        ids::Incarnation,
+        ids::{Incarnation, PoolId},
         ports::Item,
         shard::record::{self, Progress, ShardNo},
         work::{JobNo, State},
@@ -22,8 +22,8 @@
 
 impl Entry {
     /// How a job stands.
-    pub(super) async fn state(&self, ask: &Ask, job: JobNo) -> Result<Bytes, Error> {
-        let shard = self.shard(job)?;
+    pub(super) async fn state(&self, ask: &Ask, job: JobNo, pool: &PoolId) -> Result<Bytes, Error> {
+        let shard = self.shard(job, pool)?;
         let state = match self.owner_says(shard, job).await {
             Some(state) => state,
             None => self.store_says(ask, shard, job).await?,
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -5,6 +5,7 @@
     crate::{
         common::{Config, unix},
         error::{Error, Kind},
+        ids::PoolId,
         ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
         shard::record::{self, JobRecord, ShardNo},
         work::{Job, JobNo},
@@ -66,7 +67,7 @@
         }
         let job = (self.common.forms.job)(body)?;
         job.check()?;
-        let shard = self.shard(no)?;
+        let shard = self.shard(no, &ask.queue(config)?.pool)?;
         let mut tries = Tries::default();
         match self.write(ask, shard, no, job, &mut tries).await {
             Ok(()) => Ok(Bytes::new()),
@@ -159,8 +160,8 @@
     }
 
     /// Cancels a job.
-    pub(super) async fn cancel(&self, ask: &Ask, no: JobNo) -> Result<Bytes, Error> {
-        let shard = self.shard(no)?;
+    pub(super) async fn cancel(&self, ask: &Ask, no: JobNo, pool: &PoolId) -> Result<Bytes, Error> {
+        let shard = self.shard(no, pool)?;
         let silent = |_| Error::new(Kind::Platform, "the store doesn't answer");
         let limit = self.limit(ask)?;
         if self.outside.get(&shard.job(no), limit).await.map_err(silent)?.is_none() {
--- a/src/layout.rs
+++ b/src/layout.rs
@@ -5,19 +5,21 @@
 
 use {
     crate::{
-        shard::record::{Layout, ShardNo},
-        table::shard_of,
+        ids::{PoolId, Zone},
+        shard::record::{Layout, ShardNo, Span},
         time::Time,
-        work::Listed,
+        work::{JobNo, Listed},
     },
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
+    xxhash_rust::xxh3::xxh3_64,
 };
 
-/// The workers of one shard.
-///
-/// One owner on half a core bears some 60 workers with 170 starts a second; a deployment of 48
-/// workers stays whole.
-const SHARE: usize = 64;
+/// The most workers of one shard, and as many as one call for advice may name.
+const SHARE: usize = 100;
 /// The most shards.
 const SHARDS: usize = 64;
 /// How long the list of workers has to be still.
@@ -54,48 +56,70 @@
     }
 }
 
+/// A layout for the workers that are listed.
+///
+/// Small deployments have one shard. In others each pool has shards of its own: a gang may need most
+/// of the workers that may run it, so that a pool is divided only where it is too large for one
+/// owner, and jobs of one pool are not held up by those of another.
+pub fn layout(workers: &[Listed], secret: Box<str>) -> Layout {
+    let mut of: BTreeMap<&PoolId, Vec<&Listed>> = BTreeMap::new();
+    for worker in workers {
+        of.entry(&worker.pool).or_default().push(worker);
+    }
+    let small = workers.len() <= SHARE;
+    let (mut first, mut pools, mut homes) = (0, BTreeMap::new(), BTreeMap::new());
+    for (pool, all) in of {
+        let span = if small { Span(0, 1) } else { Span(first, parts(all.len())) };
+        first += if small { 0 } else { span.1 };
+        pools.insert(pool.clone(), span);
+        homes.extend(spread(&all, span));
+    }
+    Layout { shards: first.max(1), secret, homes: homes.into_iter().collect(), pools }
+}
+
 /// The number of shards for so many workers.
-pub fn shards(workers: usize) -> u16 {
+fn parts(workers: usize) -> u16 {
     u16::try_from(workers.div_ceil(SHARE).clamp(1, SHARDS)).unwrap_or(1)
 }
 
-/// Which shard the worker at each address belongs to, in order of addresses.
+/// Which shard the worker at each address belongs to, of one pool.
 ///
-/// Each shard gets as many workers of each pool as any other, but for one, as jobs are spread evenly
-/// too. Racks stay together as far as that allows; those that follow each other are of different
-/// zones, so that no shard loses all its workers with a zone. An address keeps its shard: its next
-/// worker belongs there as well.
-pub fn homes(workers: &[Listed], shards: u16) -> Vec<(SocketAddr, ShardNo)> {
-    let mut pools: BTreeMap<_, BTreeMap<_, BTreeMap<&str, Vec<SocketAddr>>>> = BTreeMap::new();
+/// Each shard gets as many workers as any other, but for one, as jobs are spread evenly too. Racks
+/// stay together as far as that allows; those that follow each other are of different zones, so that
+/// no shard loses all its workers with a zone. An address keeps its shard: its next worker belongs
+/// there as well.
+fn spread(workers: &[&Listed], span: Span) -> Vec<(SocketAddr, ShardNo)> {
+    let mut zones: BTreeMap<&Zone, BTreeMap<&str, BTreeSet<SocketAddr>>> = BTreeMap::new();
     for w in workers {
-        let zones = pools.entry(&w.pool).or_default();
-        zones.entry(&w.zone).or_default().entry(w.rack()).or_default().push(w.addr);
-    }
-    let mut homes = BTreeMap::new();
-    for zones in pools.into_values() {
-        let mut racks: Vec<(usize, Vec<SocketAddr>)> =
-            zones.into_values().flat_map(|racks| racks.into_values().enumerate()).collect();
-        racks.sort_by_key(|(place, _)| *place);
-        let all: Vec<SocketAddr> = racks.into_iter().flat_map(|(_, addrs)| sorted(addrs)).collect();
-        for (at, addr) in all.iter().enumerate() {
-            let shard = at * usize::from(shards.max(1)) / all.len();
-            homes.insert(*addr, ShardNo(u16::try_from(shard).unwrap_or(0)));
-        }
+        zones.entry(&w.zone).or_default().entry(w.rack()).or_default().insert(w.addr);
     }
-    homes.into_iter().collect()
-}
-
-fn sorted(mut addrs: Vec<SocketAddr>) -> Vec<SocketAddr> {
-    addrs.sort_unstable();
-    addrs
+    let mut racks: Vec<_> = zones.into_values().flat_map(|r| r.into_values().enumerate()).collect();
+    racks.sort_by_key(|(place, _)| *place);
+    let all: Vec<SocketAddr> = racks.into_iter().flat_map(|(_, addrs)| addrs).collect();
+    let count = all.len();
+    let shard = |at| (at * usize::from(span.1) / count) as u64;
+    all.into_iter().enumerate().map(|(at, addr)| (addr, span.of(shard(at)))).collect()
 }
 
 impl Layout {
     /// The shard of a worker: that of its address, or by its rack where it came later.
+    ///
+    /// Guards against an address that another pool's worker has got: in the shard of the one before
+    /// it would get no work.
     pub fn shard(&self, worker: &Listed) -> ShardNo {
-        match self.homes.binary_search_by_key(&worker.addr, |(addr, _)| *addr) {
-            Ok(at) => self.homes[at].1,
-            Err(_) => shard_of(worker, self.shards),
-        }
+        let span = self.span(&worker.pool);
+        let known = self.homes.binary_search_by_key(&worker.addr, |(addr, _)| *addr).ok();
+        let home = known.map(|at| self.homes[at].1).filter(|home| span.has(*home));
+        home.unwrap_or_else(|| span.of(xxh3_64(worker.rack().as_bytes())))
+    }
+
+    /// The shard of a job of a queue with this pool, which no version of the configuration changes.
+    pub fn of(&self, job: JobNo, pool: &PoolId) -> ShardNo {
+        self.span(pool).of(xxh3_64(&job.0.to_le_bytes()))
+    }
+
+    /// The shards of a pool; one that came later has all.
+    fn span(&self, pool: &PoolId) -> Span {
+        self.pools.get(pool).copied().unwrap_or(Span(0, self.shards))
     }
 }
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -5,12 +5,12 @@
         common::Common,
         decisions::{Out, Told},
         ids::Incarnation,
-        layout::{self, Census, MOST, homes},
+        layout::{Census, MOST, layout},
         owner::Owner,
         ports::{Fault, Item, Put, Rev, StoreCall, StoreReply, Txn},
         shard::{
             event::Event,
-            record::{self, CommitRow, LAYOUT, Layout, MemberRow, OwnerRow, ShardNo, TABLE},
+            record::{self, CommitRow, LAYOUT, MemberRow, OwnerRow, ShardNo, TABLE},
         },
         store::{CALL, Outside},
         table::{Fate, Table, Take, member_key},
@@ -350,14 +350,14 @@
         (common.forms.listed)(id, item.value.as_ref()?).ok()
     };
     let workers: Vec<Listed> = workers.iter().filter_map(read).collect();
-    let shards = layout::shards(workers.len());
     let secret = format!("{:016x}{:016x}", fastrand::u64(..), fastrand::u64(..)).into();
-    let value = record::write(&Layout { shards, secret, homes: homes(&workers, shards) });
+    let layout = layout(&workers, secret);
+    let (count, shards) = (workers.len(), layout.shards);
+    let value = record::write(&layout);
     let put = Put { key: LAYOUT.into(), value, lease: 0 };
     let txn = Txn { expect: vec![(LAYOUT.into(), 0)], puts: vec![put], remove: vec![] };
     // Whatever the answer, the watch brings the layout that stands.
     let _ = outside.store(&StoreCall::Txn(txn), CALL).await;
-    let count = workers.len();
     log::info!(target: "table", "A layout of {shards} shards for {count} workers was offered.");
 }
 
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -13,12 +13,12 @@
 
 use {
     crate::{
-        ids::{Incarnation, WorkerId, Zone},
+        ids::{Incarnation, PoolId, WorkerId, Zone},
         work::{Job, JobNo, State},
     },
     bytes::Bytes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
-    std::net::SocketAddr,
+    std::{collections::BTreeMap, net::SocketAddr},
 };
 
 /// What the keys begin with that every member watches.
@@ -49,12 +49,6 @@
 pub struct ShardNo(pub u16);
 
 impl ShardNo {
-    /// The shard of a job, of so many shards.
-    pub fn of(job: JobNo, shards: u16) -> Self {
-        let hash = xxhash_rust::xxh3::xxh3_64(&job.0.to_le_bytes());
-        ShardNo((hash % u64::from(shards.max(1))) as u16)
-    }
-
     /// What the keys of jobs and cancels begin with.
     pub fn inbox(self) -> Box<str> {
         format!("dwr/in/{self}/").into()
@@ -96,6 +90,27 @@
     }
 }
 
+/// Shards that follow each other.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Span(
+    /// The first.
+    pub u16,
+    /// How many.
+    pub u16,
+);
+
+impl Span {
+    /// Whether a shard is one of these.
+    pub fn has(self, shard: ShardNo) -> bool {
+        shard.0 >= self.0 && shard.0 - self.0 < self.1
+    }
+
+    /// The one of these shards that a hash falls on.
+    pub fn of(self, hash: u64) -> ShardNo {
+        ShardNo(self.0 + (hash % u64::from(self.1.max(1))) as u16)
+    }
+}
+
 /// How many shards there are, and what members show each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Layout {
@@ -106,6 +121,9 @@
     /// The shards of the workers that were listed when it was made, in order of their addresses.
     #[serde(default)]
     pub homes: Vec<(SocketAddr, ShardNo)>,
+    /// The shards of each pool that had workers when it was made.
+    #[serde(default)]
+    pub pools: BTreeMap<PoolId, Span>,
 }
 
 /// A member, as the table has it.
--- a/src/table.rs
+++ b/src/table.rs
@@ -12,7 +12,6 @@
         ports::{Item, Rev},
         shard::record::{self, LAYOUT, Layout, MEMBERS, MemberRow, OWNERS, OwnerRow, ShardNo},
         time::Time,
-        work::Listed,
     },
     rendezvous_hash::{IdNode, Node, RendezvousNodes},
     std::{
@@ -131,12 +130,6 @@
     }
 }
 
-/// The shard of a worker, of so many shards: by its rack, or by its id where it names none.
-pub fn shard_of(worker: &Listed, shards: u16) -> ShardNo {
-    let hash = xxhash_rust::xxh3::xxh3_64(worker.rack().as_bytes());
-    ShardNo((hash % u64::from(shards.max(1))) as u16)
-}
-
 impl Table {
     /// A table in which nothing is known yet.
     pub fn new(me: Incarnation) -> Self {
