--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -6,6 +6,7 @@
         common::{Config, unix},
         control::heard_here,
         error::{Error, Kind},
+        ids::PoolId,
         ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
         shard::record::{self, JobRecord, ShardNo},
         work::{Job, JobNo},
@@ -74,7 +75,7 @@
         if !self.common.in_touch() {
             return Err(Error::new(Kind::KvDown, "the store doesn't answer").after(BACK));
         }
-        let shard = self.shard(no)?;
+        let shard = self.shard(no, &ask.queue(config)?.pool)?;
         let mut tries = Tries::default();
         match self.write(ask, shard, no, job, &mut tries).await {
             Ok(()) => Ok(Bytes::new()),
@@ -170,8 +171,8 @@
     }
 
     /// Cancels a job.
-    pub(super) async fn cancel(&self, ask: &Ask, no: JobNo) -> Result<Bytes, Error> {
-        let shard = self.shard(no)?;
+    pub(super) async fn cancel(&self, ask: &Ask, no: JobNo, pool: &PoolId) -> Result<Bytes, Error> {
+        let shard = self.shard(no, pool)?;
         let silent = |_| Error::new(Kind::Platform, "the store doesn't answer");
         let limit = self.limit(ask)?;
         if self.outside.get(&shard.job(no), limit).await.map_err(silent)?.is_none() {
--- /dev/null
+++ b/tests/layout.rs
@@ -0,0 +1,181 @@
+//! How the layout is made: when the list of workers counts as whole, and which shard each is in.
+
+use {
+    dogwoodreach::{
+        Time,
+        ids::{PoolId, WorkerId, Zone},
+        layout::{Census, MOST, STILL, layout},
+        shard::record::ShardNo,
+        work::{JobNo, Listed},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+fn ms(n: u64) -> Time {
+    Time::from_millis(n)
+}
+
+/// Workers of two pools over three zones: 252 in racks of 20, 98 in racks of 12.
+fn grown() -> Vec<Listed> {
+    let mut all = vec![];
+    for (pool, each, rack) in [("quoting", [84, 84, 84], 20), ("engineering", [33, 33, 32], 12)] {
+        for (zone, count) in each.into_iter().enumerate() {
+            for n in 0..count {
+                all.push(worker(all.len(), pool, zone, &format!("{pool}-r{zone}-{}", n / rack)));
+            }
+        }
+    }
+    all
+}
+
+fn worker(no: usize, pool: &str, zone: usize, rack: &str) -> Listed {
+    Listed {
+        id: WorkerId::from(&*format!("w{no}")),
+        pool: PoolId::from(pool),
+        addr: format!("10.0.{}.{}:7", no / 200, no % 200).parse().expect("an address"),
+        zone: Zone::from(&*format!("z{zone}")),
+        draining: false,
+        left: None,
+        size: Default::default(),
+        labels: ["kind", rack].map(Box::from).into(),
+    }
+}
+
+#[test]
+fn the_list_is_whole_once_it_is_still() {
+    // Story: all machines start within a third of a second, and the first member reads the list
+    // when one worker of 350 has registered. A layout made then has one shard for ever.
+    let mut census = Census::new(ms(0));
+    assert!(!census.seen(1, ms(0)));
+    assert!(!census.seen(19, ms(500)));
+    assert!(!census.seen(350, ms(1000)));
+    assert!(!census.seen(350, ms(1000) + STILL - Duration::from_millis(1)));
+    assert!(census.seen(350, ms(1000) + STILL));
+}
+
+#[test]
+fn a_list_that_is_never_still_or_stays_empty_is_not_waited_for_for_ever() {
+    // Story: workers come one by one without end, or none comes at all. Callers' jobs wait for the
+    // layout, so it has to be made in the end.
+    for step in [0, 1] {
+        let mut census = Census::new(ms(0));
+        let times = (0..).map(|n| (n, ms(n * 500)));
+        let whole = times.map(|(n, t)| (census.seen(n as usize * step, t), t)).find(|(w, _)| *w);
+        assert_eq!(whole.expect("whole at last").1, Time::ZERO + MOST);
+    }
+}
+
+#[test]
+fn small_deployments_have_one_shard() {
+    for count in [0, 1, 48, 100] {
+        let workers: Vec<_> = grown().into_iter().rev().take(count).collect();
+        let layout = layout(&workers, "s".into());
+        assert_eq!(layout.shards, 1);
+        assert!(workers.iter().all(|w| layout.shard(w) == ShardNo(0)));
+        assert_eq!(layout.of(JobNo(7), &PoolId::from("quoting")), ShardNo(0));
+    }
+}
+
+#[test]
+fn a_pool_that_one_owner_bears_is_not_divided() {
+    // Story: gangs of up to 20 tasks, each of a whole worker, where 3 of 10 workers may run a step.
+    // Of 98 workers that is 29; divided over six shards it was 5, and such a gang never ran.
+    let workers = grown();
+    let layout = layout(&workers, "s".into());
+    assert_eq!(layout.shards, 4);
+    let shards = |pool: &str| -> BTreeSet<ShardNo> {
+        workers.iter().filter(|w| w.pool.as_str() == pool).map(|w| layout.shard(w)).collect()
+    };
+    assert_eq!(shards("engineering").len(), 1);
+    assert_eq!(shards("quoting").len(), 3);
+    assert!(shards("engineering").is_disjoint(&shards("quoting")));
+}
+
+#[test]
+fn a_job_is_where_workers_of_its_pool_are() {
+    // Story: a shard without any worker of a pool would keep that pool's jobs for ever.
+    let workers = grown();
+    let layout = layout(&workers, "s".into());
+    for pool in ["engineering", "quoting", "later"].map(PoolId::from) {
+        let jobs: BTreeSet<_> = (0..500).map(|n| layout.of(JobNo(n), &pool)).collect();
+        let there: BTreeSet<_> =
+            workers.iter().filter(|w| w.pool == pool).map(|w| layout.shard(w)).collect();
+        let later = (0..4).map(ShardNo).collect();
+        assert_eq!(jobs, if there.is_empty() { later } else { there });
+        for n in 0..20 {
+            let new = worker(1000 + n, pool.as_str(), 0, &format!("new{n}"));
+            assert!(jobs.contains(&layout.shard(&new)));
+        }
+    }
+}
+
+#[test]
+fn each_shard_has_its_part_of_a_pool_over_several_zones() {
+    // Story: jobs are spread evenly over shards. By a hash of the racks one shard had a third of a
+    // pool and another none of it, and its jobs never ran.
+    let workers = grown();
+    let layout = layout(&workers, "s".into());
+    let mut of: BTreeMap<ShardNo, Vec<&Listed>> = BTreeMap::new();
+    for w in workers.iter().filter(|w| w.pool.as_str() == "quoting") {
+        of.entry(layout.shard(w)).or_default().push(w);
+    }
+    for (shard, all) in of {
+        assert_eq!(all.len(), 84, "{shard}");
+        let zones: BTreeSet<_> = all.iter().map(|w| &w.zone).collect();
+        assert!(zones.len() > 1, "{shard} is in one zone alone");
+    }
+}
+
+#[test]
+fn a_worker_s_next_life_is_in_the_same_shard() {
+    // Story: a worker crashes and comes back with another id. Were its shard to change, its new
+    // owner's token might be lower than the one that it has seen.
+    let workers = grown();
+    let layout = layout(&workers, "s".into());
+    for w in &workers {
+        let next = Listed { id: WorkerId::from("next"), ..w.clone() };
+        assert_eq!(layout.shard(&next), layout.shard(w));
+    }
+}
+
+#[test]
+fn an_address_that_passes_to_another_pool_changes_the_shard() {
+    // Story: a worker crashes for good, and its address goes to a worker of another pool. In the
+    // shard of the old one there is no job for it.
+    let workers = grown();
+    let layout = layout(&workers, "s".into());
+    let there = |pool: &str| -> BTreeSet<ShardNo> {
+        workers.iter().filter(|w| w.pool.as_str() == pool).map(|w| layout.shard(w)).collect()
+    };
+    for w in &workers {
+        for pool in ["quoting", "engineering"] {
+            let next = Listed { id: WorkerId::from("next"), pool: pool.into(), ..w.clone() };
+            assert!(there(pool).contains(&layout.shard(&next)));
+        }
+    }
+}
+
+#[test]
+fn workers_of_a_rack_that_came_later_are_in_one_shard() {
+    let layout = layout(&grown(), "s".into());
+    let pool = "quoting";
+    let shards: BTreeSet<_> =
+        (0..20).map(|n| layout.shard(&worker(1000 + n, pool, 1, "r1-3"))).collect();
+    assert_eq!(shards.len(), 1);
+    let alone: BTreeSet<_> = (0..20)
+        .map(|n| Listed { labels: [].into(), ..worker(1000 + n, pool, 1, "") })
+        .map(|w| layout.shard(&w))
+        .collect();
+    assert!(alone.len() > 1);
+}
+
+#[test]
+fn the_order_of_the_list_does_not_matter() {
+    let mut workers = grown();
+    let before = layout(&workers, "s".into());
+    workers.reverse();
+    assert_eq!(layout(&workers, "s".into()), before);
+}
