trace: one job's lines from many processes in order, and where its time went

Cause: a job's lines are in the log of the member that took it in and of each owner of its shard; clocks differ by up to 5 s and the last line of a dead process is cut. A node whose line tells an effect before its cause (taken in, started, over) is moved on as a whole. Lines of a test bed have a second time, true but late by the gathering of lines: each node's clock is put right by the least lateness. Lines on the job's shard and workers within its time are shown too. A refused start says did=refused_start, so that it isn't taken for a refused request.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,6 +5,7 @@
         Kind,
         ids::Version,
         text::{Fault, LIMIT, Plan},
+        trace,
     },
     lexopt::{Arg, Parser, ValueExt},
     serde::Serialize,
@@ -33,6 +34,9 @@
       show what is in force, and what runs and waits
   dogwoodreach drain --to ADDR --secret-file FILE
       stop a member once its requests have ended
+  dogwoodreach trace ID FILES...
+      put the lines of a job or task in order, from the logs of many members, and
+      say where its time went
   dogwoodreach --help | --version
 
 ADDR is a member's address for operators, like 10.20.1.11:8081. The secret file
@@ -79,6 +83,15 @@
     Show(Target),
     /// Stops a member once its requests have ended.
     Drain(Target),
+    /// Puts the lines of one id in order.
+    Trace {
+        /// A job's number, or the name of a step or task of it.
+        id: trace::Id,
+        /// The logs.
+        files: Vec<PathBuf>,
+        /// Whether to answer in JSON.
+        json: bool,
+    },
     /// Shows the help.
     Help,
     /// Shows the version.
@@ -194,6 +207,7 @@
         },
         "show" => Command::Show(target(&mut options, "show")?),
         "drain" => Command::Drain(target(&mut options, "drain")?),
+        "trace" => traced(&mut options)?,
         other => return Err(format!("no command is called {other:?}; try --help").into()),
     };
     match options.rest() {
@@ -263,6 +277,18 @@
     need(word, name, "the file of a text").map(PathBuf::from)
 }
 
+fn traced(options: &mut Options) -> Result<Command, lexopt::Error> {
+    let mut words = std::mem::take(&mut options.words).into_iter();
+    let word = need(words.next(), "trace", "an ID and FILES")?.string()?;
+    let remedy = "a job's 16 hexadecimal digits, or the name of a step or task";
+    let id = trace::Id::read(&word).ok_or(format!("ID cannot be {word:?}; {remedy}"))?;
+    let files: Vec<PathBuf> = words.map(PathBuf::from).collect();
+    if files.is_empty() {
+        return Err("trace needs FILES; try --help".into());
+    }
+    Ok(Command::Trace { id, files, json: json(options) })
+}
+
 fn base(word: OsString) -> Result<Version, lexopt::Error> {
     let remedy = "a version, as show gives it";
     word.parse().map_err(|_: lexopt::Error| format!("--base cannot be {word:?}; {remedy}").into())
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -9,8 +9,9 @@
         messages::{Show, Submit},
         operators, settings,
         text::{Plan, diff},
+        trace,
     },
-    std::path::Path,
+    std::path::{Path, PathBuf},
     tokio::runtime::Builder,
 };
 
@@ -24,6 +25,7 @@
         Command::Submit { text, base, by, target } => return submit(&text, base, by, &target),
         Command::Show(target) => return show(&target),
         Command::Drain(target) => return drain(&target),
+        Command::Trace { id, files, json } => return trace(&id, &files, json),
     }
     Exit::Done
 }
@@ -46,6 +48,25 @@
     }
 }
 
+fn trace(id: &trace::Id, files: &[PathBuf], json: bool) -> Exit {
+    let mut lines = vec![];
+    for path in files {
+        match std::fs::read(path) {
+            Ok(bytes) => lines.extend(trace::read(&path.to_string_lossy(), &bytes)),
+            Err(e) => {
+                return fail(Exit::Usage, &format!("cannot read {}: {e}", path.display()), json);
+            }
+        }
+    }
+    let trace = trace::trace(id, lines);
+    match (json, trace.ok) {
+        (true, _) => write_json(&trace),
+        (false, true) => say(format_args!("{trace}")),
+        (false, false) => return fail(Exit::Refused, &trace.sentence, false),
+    }
+    if trace.ok { Exit::Done } else { Exit::Refused }
+}
+
 fn submit(path: &Path, base: Option<Version>, by: Option<Box<str>>, target: &Target) -> Exit {
     let bytes = match read(path) {
         Ok(bytes) => bytes,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -96,6 +96,7 @@
 pub mod tasks;
 pub mod text;
 pub mod time;
+pub mod trace;
 pub mod units;
 mod watch;
 pub mod work;
--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -265,7 +265,7 @@
         now: Time,
     ) {
         let worker = &mut self.workers[no.0];
-        log::info!(target: "shard", did = "refused", job:% = start.task.step.job, task:% = start.task, run = start.run, worker:% = worker.id, reply:? = reply; "Start is refused.");
+        log::info!(target: "shard", did = "refused_start", job:% = start.task.step.job, task:% = start.task, run = start.run, worker:% = worker.id, reply:? = reply; "Start is refused.");
         match reply {
             Ok(WorkerReply::Refused(_, Refusal::Ticket)) => {
                 let id = worker.id.clone();
--- /dev/null
+++ b/src/trace/sum.rs
@@ -0,0 +1,81 @@
+//! Says in one sentence where a job's time went.
+
+use {
+    crate::trace::{Line, Trace},
+    std::{collections::BTreeMap, fmt::Write},
+};
+
+/// What the lines of one job come to.
+pub(super) fn sum(lines: Vec<Line>, total_ms: i64) -> Trace {
+    let mut waited_ms: BTreeMap<Box<str>, u64> = BTreeMap::new();
+    for start in lines.iter().filter(|l| l.did() == "start") {
+        let reason = start.get("reason").unwrap_or("unknown");
+        *waited_ms.entry(reason.into()).or_default() += start.number("delay_ms");
+    }
+    let lost_ms = lines.iter().map(lost).sum();
+    let sentence = sentence(&lines, total_ms, &waited_ms, lost_ms);
+    Trace { ok: true, sentence, total_ms, waited_ms, lost_ms, lines }
+}
+
+/// The work of a run that came to nothing.
+fn lost(line: &Line) -> u64 {
+    match (line.did(), line.get("how")) {
+        ("end", Some("done")) => 0,
+        ("end", _) => line.number("took_ms"),
+        ("lost", _) => line.number("ran_ms"),
+        _ => 0,
+    }
+}
+
+fn sentence(
+    lines: &[Line],
+    total_ms: i64,
+    waited_ms: &BTreeMap<Box<str>, u64>,
+    lost_ms: u64,
+) -> Box<str> {
+    let find = |did: &str| lines.iter().find(|l| l.did() == did);
+    let count = |did: &str| lines.iter().filter(|l| l.did() == did).count();
+    let mut said = match (find("over"), find("start"), find("taken")) {
+        (Some(over), ..) => {
+            let state = over.get("state").unwrap_or("over");
+            format!("It was {state} {} ms after it came", over.number("after_ms"))
+        }
+        (None, Some(_), _) => format!("These lines have no end of it; they span {total_ms} ms"),
+        (None, None, Some(_)) => "It was taken in, and no line tells of a start".into(),
+        (None, None, None) => match find("refused") {
+            Some(refused) => {
+                let value = |key| refused.get(key).unwrap_or("?");
+                let took = refused.number("took_ms");
+                format!("It was refused after {took} ms: {} ({})", value("reason"), value("cause"))
+            }
+            None => "These lines have neither its coming nor its end".into(),
+        },
+    };
+    if let Some(first) = find("start") {
+        let (after, reason) = (first.number("after_ms"), first.get("reason").unwrap_or("?"));
+        let _ = write!(said, "; {after} ms passed before its first start (reason: {reason})");
+    }
+    let waits: Vec<String> = waited_ms
+        .iter()
+        .filter(|(reason, ms)| **ms > 0 && &***reason != "none")
+        .map(|(reason, ms)| format!("{ms} ms for {reason}"))
+        .collect();
+    if !waits.is_empty() {
+        let _ = write!(said, "; its steps waited {}", waits.join(" and "));
+    }
+    let failed =
+        lines.iter().filter(|l| l.did() == "end" && l.get("how") == Some("failed")).count();
+    let gone = count("lost");
+    if failed + gone + count("stop") > 0 {
+        let stopped = count("stop");
+        let _ = write!(
+            said,
+            "; {gone} runs were lost, {failed} failed and {stopped} were stopped, {lost_ms} ms of their work came to nothing"
+        );
+    }
+    if count("owned") > 0 {
+        let _ = write!(said, "; its shard was taken over {} times", count("owned"));
+    }
+    said.push('.');
+    said.into()
+}
--- /dev/null
+++ b/tests/trace.rs
@@ -0,0 +1,182 @@
+//! A job's way through the logs of many processes, and where its time went.
+
+use {
+    dogwoodreach::{
+        cli::{Command, Exit, parse},
+        trace::{Id, Trace, read, trace},
+    },
+    std::{ffi::OsString, path::Path, process::Output},
+};
+
+const JOB: &str = "00000000000000a1";
+
+const ENTRY: &str = "\
+2026-12-02T10:00:00.100Z INFO site: Member starts. did=started member=1 node=edge-1
+2026-12-02T10:00:05.000Z INFO entry: Job is taken in. did=taken job=00000000000000a1 shard=000 took_ms=9
+2026-12-02T10:00:05.100Z INFO entry: Job is taken in. did=taken job=00000000000000b2 shard=000 took_ms=9
+2026-12-02T10:00:06.000Z INFO entry: Request is refused. did=refused job=00000000000000c3 reason=platform cause=\"the store refuses or doesn't answer\" took_ms=412
+";
+
+/// Its clock is 3 s slow.
+const OWNER: &str = "\
+2026-12-02T10:00:02.400Z INFO shard: Step starts. did=start job=00000000000000a1 step=00000000000000a1.0.0 run=1 worker=w7 delay_ms=350 reason=room after_ms=380
+2026-12-02T10:00:03.400Z INFO shard: Worker is silent. worker=w7 silent=3
+2026-12-02T10:00:03.500Z INFO shard: Worker is silent. worker=w8 silent=3
+2026-12-02T10:00:04.400Z INFO shard: Run is gone without an end. did=lost job=00000000000000a1 task=00000000000000a1.0.0.1 run=1 worker=w7 ran_ms=2000
+2026-12-02T10:00:04.4";
+
+/// The next owner, which has started the task again.
+const NEXT: &str = "\
+2026-12-02T10:00:09.000Z INFO owner: Shard is owned. did=owned shard=000 token=2 jobs=3
+2026-12-02T10:00:09.200Z INFO shard: Step starts. did=start job=00000000000000a1 step=00000000000000a1.0.1 run=1001 worker=w9 delay_ms=900 reason=settle after_ms=4200
+2026-12-02T10:00:10.000Z INFO shard: Job is over. did=over job=00000000000000a1 state=completed after_ms=5000
+";
+
+fn of(word: &str, files: &[(&str, &str)]) -> Trace {
+    let lines = files.iter().flat_map(|(name, text)| read(name, text.as_bytes())).collect();
+    trace(&Id::read(word).expect("an id"), lines)
+}
+
+fn texts(trace: &Trace) -> Vec<&str> {
+    trace.lines.iter().map(|l| l.text.split(". ").next().unwrap_or("")).collect()
+}
+
+#[test]
+fn reads_ids() {
+    for good in [JOB, "00000000000000a1.0.2", "00000000000000a1.0.2.17", "00000000000000a1.3"] {
+        assert!(Id::read(good).is_some(), "{good}");
+    }
+    let bad = [
+        "",
+        "a1",
+        "00000000000000A1",
+        "00000000000000a1.",
+        "00000000000000a1.x",
+        "00000000000000a1..1",
+        "00000000000000a1.0.0.0.0",
+    ];
+    for bad in bad {
+        assert_eq!(Id::read(bad), None, "{bad}");
+    }
+}
+
+#[test]
+fn lines_stand_in_order_in_spite_of_skew_and_gaps() {
+    // Story: the first owner's clock is slow and it dies in mid-line; the next takes over.
+    let all = of(JOB, &[("next", NEXT), ("owner", OWNER), ("entry", ENTRY)]);
+    let want = [
+        "INFO entry: Job is taken in",
+        "INFO shard: Step starts",
+        "INFO shard: Worker is silent",
+        "INFO shard: Run is gone without an end",
+        "INFO owner: Shard is owned",
+        "INFO shard: Step starts",
+        "INFO shard: Job is over",
+    ];
+    assert_eq!(texts(&all), want);
+    assert!(all.lines.is_sorted_by_key(|l| l.at));
+    assert_eq!(
+        &*all.sentence,
+        "It was completed 5000 ms after it came; 380 ms passed before its first start (reason: \
+         room); its steps waited 350 ms for room and 900 ms for settle; 1 runs were lost, 0 failed \
+         and 0 were stopped, 2000 ms of their work came to nothing; its shard was taken over 1 \
+         times."
+    );
+}
+
+#[test]
+fn a_task_has_its_own_lines_and_those_of_its_job() {
+    let all = of("00000000000000a1.0.0.0", &[("owner", OWNER), ("entry", ENTRY)]);
+    let want = ["INFO entry: Job is taken in", "INFO shard: Step starts"];
+    assert_eq!(texts(&all), want);
+}
+
+#[test]
+fn what_is_missing_is_said() {
+    assert!(!of("00000000000000ff", &[("entry", ENTRY)]).ok);
+    let started = of(JOB, &[("owner", OWNER)]);
+    assert!(started.sentence.starts_with("These lines have no end of it"), "{started}");
+    let taken = of("00000000000000b2", &[("entry", ENTRY), ("owner", OWNER)]);
+    assert_eq!(&*taken.sentence, "It was taken in, and no line tells of a start.");
+    let refused = of("00000000000000c3", &[("entry", ENTRY)]);
+    let want = "It was refused after 412 ms: platform (the store refuses or doesn't answer).";
+    assert_eq!(&*refused.sentence, want);
+}
+
+#[test]
+fn lines_behind_a_time_and_a_node_are_read() {
+    // Story: the test bed's times are when lines came out, up to 250 ms late, in the order that the
+    // processes wrote; the owner's clock is an hour slow.
+    let bed = "\
+built in 1.0 s; 28937 lines in 163 files
+  5.250 edge-1 2026-12-02T10:00:05.000Z INFO entry: Job is taken in. did=taken job=00000000000000a1
+  6.000 edge-2 2026-12-02T09:00:05.900Z INFO shard: Job is over. did=over job=00000000000000a1 state=completed after_ms=900
+  6.100 edge-2 2026-12-02T09:00:05.100Z INFO shard: Step starts. did=start job=00000000000000a1 reason=none after_ms=30
+role           on         n    cores, mean
+  6.300 edge-1 2026-12-02T10:00:06.200Z INFO entry: Jo";
+    let all = of(JOB, &[("bed", bed)]);
+    let want =
+        ["INFO entry: Job is taken in", "INFO shard: Step starts", "INFO shard: Job is over"];
+    assert_eq!(texts(&all), want);
+    assert!(all.total_ms < 2_000, "{all}");
+    let nodes: Vec<&str> = all.lines.iter().map(|l| &*l.node).collect();
+    assert_eq!(nodes, ["edge-1", "edge-2", "edge-2"]);
+}
+
+#[test]
+fn no_input_stops_it() {
+    let mut rng = fastrand::Rng::with_seed(9);
+    let whole = [ENTRY, OWNER, NEXT].concat().into_bytes();
+    for _ in 0..300 {
+        let mut bytes = whole.clone();
+        bytes.truncate(rng.usize(..whole.len()));
+        for _ in 0..20 {
+            let at = rng.usize(..bytes.len().max(1));
+            if let Some(b) = bytes.get_mut(at) {
+                *b = rng.u8(..);
+            }
+        }
+        let lines = read("noise", &bytes);
+        let all = trace(&Id::read(JOB).expect("an id"), lines);
+        assert!(!all.sentence.is_empty());
+    }
+}
+
+fn args(line: &str) -> Vec<OsString> {
+    line.split_whitespace().map(OsString::from).collect()
+}
+
+fn run(line: &str) -> (i32, String, String) {
+    let binary = env!("CARGO_BIN_EXE_dogwoodreach");
+    let output = std::process::Command::new(binary).args(args(line)).output();
+    let Output { status, stdout, stderr } = output.expect("the binary runs");
+    let text = |bytes| String::from_utf8(bytes).expect("UTF-8");
+    (status.code().expect("an exit code"), text(stdout), text(stderr))
+}
+
+#[test]
+fn the_command_has_the_style_of_the_others() {
+    let want = Command::Trace {
+        id: Id::read(JOB).expect("an id"),
+        files: vec!["a.log".into(), "b.log".into()],
+        json: true,
+    };
+    assert_eq!(parse(args(&format!("trace {JOB} a.log b.log --json"))), Ok(want));
+    for bad in ["trace", "trace xyz a.log", &format!("trace {JOB}"), "trace --to 1.1.1.1:1 x y"] {
+        let (code, _, err) = run(bad);
+        assert_eq!(code, Exit::Usage as i32, "{bad}: {err}");
+        assert!(err.starts_with("dogwoodreach: "), "{err}");
+    }
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join("trace.log");
+    std::fs::write(&path, [ENTRY, NEXT].concat()).expect("a file in the tests' directory");
+    let path = path.display();
+    let (code, out, _) = run(&format!("trace {JOB} {path}"));
+    assert_eq!((code, out.lines().count()), (0, 5), "{out}");
+    let (code, out, _) = run(&format!("trace {JOB} {path} --json"));
+    let json: serde_json::Value = serde_json::from_str(&out).expect("one JSON object");
+    assert_eq!((code, &json["ok"]), (0, &true.into()));
+    let (code, out, err) = run(&format!("trace 00000000000000ff {path}"));
+    assert_eq!((code, &*out, &*err), (1, "", "dogwoodreach: No line names it.\n"));
+    let (code, ..) = run(&format!("trace {JOB} {path}.missing"));
+    assert_eq!(code, Exit::Usage as i32);
+}
