--- a/src/trace.rs
+++ b/src/trace.rs
@@ -107,6 +107,9 @@
     };
     let mut lines: Vec<Line> = all.iter().filter(|l| id.is(l) || around(l)).cloned().collect();
     lines.sort_by_key(|l| (l.at, l.stage()));
+    // What is told again and again of a shard stands where it was told first.
+    let mut told = BTreeSet::new();
+    lines.retain(|l| id.is(l) || told.insert((l.node.clone(), l.text.clone())));
     sum(lines, to - from)
 }
 
--- a/src/trace/sum.rs
+++ b/src/trace/sum.rs
@@ -35,7 +35,9 @@
 ) -> Box<str> {
     let find = |did: &str| lines.iter().find(|l| l.did() == did);
     let count = |did: &str| lines.iter().filter(|l| l.did() == did).count();
-    let mut said = match (find("over"), find("start"), find("taken")) {
+    // An end that its owner could not store is told again by the next; the last one counts.
+    let over = lines.iter().rfind(|l| l.did() == "over");
+    let mut said = match (over, find("start"), find("taken")) {
         (Some(over), ..) => {
             let state = over.get("state").unwrap_or("over");
             format!("It was {state} {} ms after it came", over.number("after_ms"))
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -84,6 +84,15 @@
     );
 }
 
+#[test]
+fn an_end_that_was_told_twice_counts_as_the_last() {
+    // Story: an owner sees the job done and can't store that; the next one does.
+    let first = "2026-12-02T10:00:05.900Z INFO shard: Job is over. did=over job=00000000000000a1 \
+                 state=completed after_ms=900\n";
+    let all = of(JOB, &[("entry", ENTRY), ("owner", first), ("next", NEXT)]);
+    assert!(all.sentence.starts_with("It was completed 5000 ms after it came"), "{all}");
+}
+
 #[test]
 fn a_task_has_its_own_lines_and_those_of_its_job() {
     let all = of("00000000000000a1.0.0.0", &[("owner", OWNER), ("entry", ENTRY)]);
