A shard that is to be released writes what is left at once

While releasing, a shard learns only of its writes' answers; an answer within 20 ms of the write's begin finds the commit closed (GAP), and nothing asked again until SETTLE was over. Decisions::tick now calls Shard::write_rest, which flushes (and reads an unclear write again) and decides nothing else.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -179,6 +179,7 @@
             self.event(shard, token, event).await;
         }
         if self.release.is_some() {
+            self.write_rest();
             self.settle().await;
         } else {
             self.all(Event::Tick).await;
@@ -230,6 +231,16 @@
         }
     }
 
+    /// Has the shards that are to be released write what is left.
+    fn write_rest(&mut self) {
+        let now = self.common.now();
+        let each = self.shards.iter_mut().map(|(s, r)| (*s, r.token, r.shard.write_rest(now)));
+        let all: Vec<_> = each.collect();
+        for (no, token, orders) in all {
+            orders.into_iter().for_each(|order| self.order(no, token, order));
+        }
+    }
+
     /// Passes an order on; what its duty can't take comes back with the next tick.
     fn order(&mut self, no: ShardNo, token: u64, order: Order) {
         let Err(e) = self.out.try_send(Out::Order(no, token, order)) else { return };
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -218,6 +218,21 @@
         self.deposed || (self.dirty.is_empty() && !self.commit.busy())
     }
 
+    /// Writes what is left, and decides nothing: the shard is about to be released.
+    ///
+    /// Guards against a release that waits in vain: between two writes lies a pause, and an answer
+    /// that comes within it begins no further one.
+    pub fn write_rest(&mut self, now: Time) -> Vec<Order> {
+        if self.deposed {
+            return vec![];
+        }
+        if self.commit.unclear(now) {
+            self.out.push(Order::Reread);
+        }
+        self.flush(now);
+        mem::take(&mut self.out)
+    }
+
     /// The present time in milliseconds of the Unix clock.
     pub(super) fn unix(&self, now: Time) -> u64 {
         self.setup.unix + millis(now - Time::ZERO)
--- /dev/null
+++ b/tests/release.rs
@@ -0,0 +1,70 @@
+//! A shard that is to be released writes what is left, soon and nothing else.
+
+use {
+    dogwoodreach::{
+        Time,
+        ids::Incarnation,
+        ports::{Bounds, StoreReply},
+        shard::{
+            Setup, Shard,
+            event::{Event, Load, Order},
+            record::{JobRecord, ShardNo},
+        },
+        work::{Job, JobNo, Step},
+    },
+    std::time::Duration,
+};
+
+fn bounds() -> Bounds {
+    let ms = Duration::from_millis;
+    Bounds {
+        hold: ms(8_000),
+        stop: ms(1_000),
+        gang: ms(5_000),
+        keep: ms(300_000),
+        remote: 1.5,
+        save: ms(1_000),
+        restore: ms(500),
+        harm: ms(4_000),
+        notice: ms(2_000),
+        config: ms(3_000),
+        drain: ms(2_000),
+        grace: ms(10_000),
+        ttl: ms(3_000),
+    }
+}
+
+/// The number of the write among these orders; there must be nothing else.
+fn write(orders: &[Order]) -> Option<u64> {
+    match orders {
+        [] => None,
+        [Order::Store(number, _)] => Some(*number),
+        other => panic!("a write and nothing else, not {other:?}"),
+    }
+}
+
+#[test]
+fn what_is_left_is_written_within_its_pauses() {
+    // Story: 60 jobs are cancelled as the member is told to stop, and the store answers within 5 ms.
+    // One write holds about 10 jobs; the second was not made before the time for settling was over.
+    let (me, unix) = (Incarnation(1), 1_700_000_000_000);
+    let setup = Setup { shard: ShardNo(0), me, token: 1, bounds: bounds(), unix };
+    let step = Step { count: 1, ..Step::default() };
+    let job = Job { steps: [step].into(), ..Job::default() };
+    let record = || JobRecord { queue: "/a/".into(), came: unix, job: job.clone() };
+    let jobs = (1..=60).map(|no| (JobNo(no), record())).collect();
+    let cancels = (1..=60).map(JobNo).collect();
+    let mut shard = Shard::new(setup, Load { jobs, cancels, ..Load::default() }, Time::ZERO);
+    let (mut ms, mut rev, mut writes) = (0, 0, 0);
+    while !shard.idle_commit() {
+        assert!(ms <= 400, "{writes} writes in {ms} ms, and not done");
+        if let Some(number) = write(&shard.write_rest(Time::from_millis(ms))) {
+            (rev, writes) = (rev + 1, writes + 1);
+            let done = Event::Stored(number, Ok(StoreReply::Done(rev)));
+            let orders = shard.on(done, Time::from_millis(ms + 5));
+            assert_eq!(write(&orders), None, "within the pause");
+        }
+        ms += 20;
+    }
+    assert!(writes > 1, "{writes}");
+}
