--- a/src/registry.rs
+++ b/src/registry.rs
@@ -269,8 +269,7 @@
     async fn moved(&mut self, lost: Vec<ShardNo>) {
         for shard in lost {
             self.common.metrics.moved("passed");
-            let to = self.table.view().owners.get(&shard).copied();
-            log::info!(target: "table", did = "passed", shard:% = shard, to:? = to; "Shard has passed to another member.");
+            log::info!(target: "table", did = "passed", shard:% = shard, to:? = self.table.view().owners.get(&shard); "Shard has passed on.");
             self.owner.end(shard).await;
         }
         let view = self.table.view();
@@ -287,12 +286,12 @@
 
     /// Tells of members that have come or gone.
     fn tell_members(&self, now: &BTreeSet<Incarnation>) {
-        let view = self.common.view.borrow();
+        let (view, members) = (self.common.view.borrow(), now.len());
         for gone in view.members.keys().filter(|m| !now.contains(m)) {
-            log::info!(target: "table", member:% = gone, members = now.len(), rev = view.rev; "Member is gone.");
+            log::info!(target: "table", member:% = gone, members, rev = view.rev; "Member is gone.");
         }
         for come in now.iter().filter(|m| !view.members.contains_key(m)) {
-            log::info!(target: "table", member:% = come, members = now.len(), rev = view.rev; "Member has come.");
+            log::info!(target: "table", member:% = come, members, rev = view.rev; "Member has come.");
         }
     }
 
@@ -346,13 +345,8 @@
 
 /// Tells what became of a takeover.
 fn tell_taken(me: Incarnation, take: &Take, fate: &Fate) {
-    let (said, token) = match fate {
-        Fate::Done(_, token) => ("done", *token),
-        Fate::Lost(_) => ("lost to another", take.token),
-        Fate::Not => ("not done", take.token),
-        Fate::Unclear(_) => ("unclear", take.token),
-    };
-    log::info!(target: "table", did = "taken_over", shard:% = take.shard, member:% = me, token, row = take.row, answer = said; "Takeover was tried.");
+    let token = if let Fate::Done(_, token) = fate { *token } else { take.token };
+    log::info!(target: "table", did = "taken_over", shard:% = take.shard, member:% = me, token, row = take.row, answer = fate.name(); "Takeover was tried.");
 }
 
 /// Writes the layout for the workers that are listed.
--- a/src/table.rs
+++ b/src/table.rs
@@ -77,6 +77,18 @@
     Unclear(Option<Item>),
 }
 
+impl Fate {
+    /// What the log says of it.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Fate::Done(..) => "done",
+            Fate::Lost(_) => "lost to another",
+            Fate::Not => "not done",
+            Fate::Unclear(_) => "unclear",
+        }
+    }
+}
+
 /// The table as other duties see it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct View {
