--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod commit;
 mod common;
 pub mod config;
+pub mod contact;
 mod control;
 pub mod core;
 pub mod decide;
@@ -68,6 +69,7 @@
 pub mod kv;
 pub mod layout;
 pub mod ledger;
+pub mod logs;
 pub mod member;
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)] // generated
@@ -98,6 +100,7 @@
 pub mod tasks;
 pub mod text;
 pub mod time;
+pub mod trace;
 pub mod units;
 mod watch;
 pub mod work;
