Nothing falls between a range and its watch

An owner now watches from its own row's revision, any other watch from a revision read before its items; an inbox is read whole every 5 s besides. Ruled out: the direct word (no owner was known yet).

--- a/src/owner.rs
+++ b/src/owner.rs
@@ -111,7 +111,7 @@
     /// Reads what the store holds of a shard; the revision is that from which its inbox goes on.
     async fn load(&self, shard: ShardNo, commit: Rev) -> Result<(Load, Rev), Fault> {
         let inbox = shard.inbox();
-        let (items, rev) = self.outside.all(&inbox, false).await?;
+        let (items, _) = self.outside.all(&inbox, false).await?;
         let mut load = Load { commit, ..Load::default() };
         for event in items.iter().filter_map(|i| arrival(&inbox, i)) {
             match event {
@@ -127,7 +127,9 @@
             let value = item.value.unwrap_or_default();
             load.roster = record::read(&value).ok_or(Fault::Bad("not a roster".into()))?;
         }
-        Ok((load, rev))
+        // Whatever was stored after the owner's own row is heard of by the watch, whatever before is
+        // in the range: no change can fall between the two.
+        Ok((load, commit))
     }
 
     /// Reads the list of workers, again and again, while this member owns a shard.
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -2,13 +2,15 @@
 
 use {
     crate::{
-        ports::{Item, Rev, StoreCall, StoreReply},
+        ports::{Fault, Item, Rev, StoreCall, StoreReply},
         store::{MARGIN, Outside},
     },
     std::time::Duration,
     tokio::time::{Instant, sleep},
 };
 
+/// How often what goes on from a range is read whole all the same, in case that a change was missed.
+const AGAIN: Duration = Duration::from_secs(5);
 /// The first and the longest pause after a fault, in milliseconds.
 const PAUSE: (u64, u64) = (20, 300);
 
@@ -51,6 +53,8 @@
     after: Option<Rev>,
     /// Whether it goes on after a fault from where it was.
     goes_on: bool,
+    /// When the range was read last.
+    read: Instant,
     pause: Pause,
 }
 
@@ -58,7 +62,8 @@
     /// A watch that begins with a range, and again with one after each fault.
     pub fn whole(outside: Outside, prefix: &str, wait: Duration) -> Self {
         let pause = Pause::default();
-        Follow { outside, prefix: prefix.into(), wait, after: None, goes_on: false, pause }
+        let (prefix, read) = (prefix.into(), Instant::now());
+        Follow { outside, prefix, wait, after: None, goes_on: false, read, pause }
     }
 
     /// A watch that goes on from a range that was read, also after faults, as long as the store
@@ -67,11 +72,22 @@
         Follow { after: Some(after), goes_on: true, ..Follow::whole(outside, prefix, wait) }
     }
 
+    /// Reads the range, and a revision from which on nothing is missed.
+    ///
+    /// Guards against a change that falls between the reading of the items and that of the revision
+    /// that the answer carries: it would be in neither, and nobody would hear of it. So the revision
+    /// is that of an answer before.
+    async fn range(&self) -> Result<(Vec<Item>, Rev), Fault> {
+        let (_, rev) = self.outside.all(&self.prefix, false).await?;
+        let (items, _) = self.outside.all(&self.prefix, false).await?;
+        Ok((items, rev))
+    }
+
     /// Waits for what is new; repeats what fails.
     pub async fn next(&mut self) -> Seen {
         loop {
             let Some(after) = self.after else {
-                match self.outside.all(&self.prefix, false).await {
+                match self.range().await {
                     Ok((items, rev)) => {
                         self.after = Some(rev);
                         self.pause.good();
@@ -81,6 +97,12 @@
                 }
                 continue;
             };
+            if self.goes_on && self.read.elapsed() >= AGAIN {
+                self.read = Instant::now();
+                if let Ok((items, rev)) = self.outside.all(&self.prefix, false).await {
+                    return Seen::All(items, rev);
+                }
+            }
             let asked = Instant::now();
             let call = StoreCall::Watch { prefix: self.prefix.clone(), after, wait: self.wait };
             match self.outside.store(&call, self.wait + MARGIN).await {
