--- a/src/shard/explain.rs
+++ b/src/shard/explain.rs
@@ -74,6 +74,15 @@
                 t.good.values().filter(|(_, until)| *until > now).count(),
                 t.asking,
             );
+            if let Some(s) = job.step(&key) {
+                let of = |id: &crate::ids::WorkerId| {
+                    let w = &self.workers[self.ids.get(id)?.0];
+                    Some(format!("{id} {}", w.free()))
+                };
+                let good: Vec<_> = t.good.keys().filter_map(of).collect();
+                let (count, gang, size) = (s.count, s.gang, s.counted());
+                let _ = write!(text, "; {count} tasks, gang {gang}, each {size}; good {good:?}");
+            }
             for (index, task) in (0..).zip(&part.tasks) {
                 let At::There(at) = task.at else { continue };
                 let worker = &self.workers[at.0];
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -439,6 +439,9 @@
         if self.summed <= now && log::log_enabled!(target: "shard", log::Level::Debug) {
             self.summed = now + SUM;
             log::debug!(target: "shard", "Shard {}: {}.", self.setup.shard, self.sum_up(now));
+            if let Some((_, key)) = self.ready.last() {
+                log::debug!(target: "shard", "Last in order: {}", self.explain(key.job, now));
+            }
         }
         if self.rerank <= now {
             self.rerank = now + RANK;
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -14,7 +14,7 @@
             hear::ORDER,
             jobs::At,
             machine::Shard,
-            workers::{Phase, Run, WorkerNo, millis},
+            workers::{Phase, Run, Worker, WorkerNo, millis},
         },
         time::Time,
         units::Size,
@@ -28,6 +28,13 @@
 const LOOK: usize = 400;
 /// How long a gang waits for room before room is kept for it.
 const PATIENCE: Duration = Duration::from_millis(300);
+/// How long a step waits before it comes first: in a pool with room to spare, and in a busy one where
+/// it is too late for any worth.
+const STARVED: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(30));
+/// How many such steps come first at once.
+const STARVING: usize = 3;
+/// Up to how many hundredths of each dimension are in use in a pool with room to spare.
+const QUIET: u64 = 70;
 /// How many gangs without room are kept supplied with valid tickets.
 const FRESH: usize = 3;
 /// The runs of a job that former owners may have started are numbered from here on, for each owner.
@@ -48,7 +55,10 @@
 #[derive(Default)]
 struct Round {
     usable: FxHashMap<PoolId, Vec<WorkerNo>>,
-    most: FxHashMap<PoolId, Size>,
+    /// Pools with room to spare.
+    quiet: FxHashSet<PoolId>,
+    /// Steps that come first because they have waited too long.
+    starving: Vec<StepKey>,
     /// What is kept at workers for steps that come first.
     kept: FxHashMap<WorkerNo, Size>,
     /// What waits for each worker, in hundredths of a task.
@@ -146,11 +156,16 @@
         let mut round = Round::default();
         for (pool, all) in &self.pools {
             let usable = self.sound_ones(all, now);
-            let most = usable.iter().fold(Size::default(), |m, n| m.max(&self.workers[n.0].free()));
-            round.most.insert(pool.clone(), most);
+            if self.quiet(all) {
+                round.quiet.insert(pool.clone());
+            }
             round.usable.insert(pool.clone(), usable);
         }
-        let keys: Vec<StepKey> = self.ready.iter().take(LOOK).map(|(_, k)| *k).collect();
+        let starving = self.starving(&round, now);
+        let mut keys: Vec<StepKey> = starving.clone();
+        let rest = self.ready.iter().take(LOOK).map(|(_, k)| *k);
+        keys.extend(rest.filter(|k| !starving.contains(k)));
+        round.starving = starving;
         for key in &keys {
             self.demand(key, 1, &mut round);
         }
@@ -159,6 +174,42 @@
         }
     }
 
+    /// Whether a pool has room to spare in each dimension.
+    fn quiet(&self, all: &[WorkerNo]) -> bool {
+        let sum = |size: fn(&Worker) -> Size| {
+            all.iter().fold(Size::default(), |sum, n| sum + size(&self.workers[n.0]))
+        };
+        let used = sum(|w| w.used);
+        let total = sum(|w| w.listed.as_ref().map_or(Size::default(), |l| l.size));
+        used.times(100).fits(&total.times(QUIET))
+    }
+
+    /// Steps that have waited so long that they come first now: in a pool with room to spare any, in a
+    /// busy one those too late for any worth.
+    ///
+    /// Guards against large tasks that only one or two workers may run: smaller ones with worth take
+    /// these again and again, and a job that was taken in would never end. As long as its pool is
+    /// busy that costs others their worth, so it waits longer then.
+    fn starving(&self, round: &Round, now: Time) -> Vec<StepKey> {
+        let mut all = vec![];
+        for (rank, key) in self.ready.iter().rev() {
+            let Some(job) = self.jobs.get(&key.job) else { continue };
+            let Some(queue) = self.known.get(&job.queue) else { continue };
+            let quiet = round.quiet.contains(&queue.pool);
+            if !quiet && rank.class() < 2 {
+                continue;
+            }
+            let patience = if quiet { STARVED.0 } else { STARVED.1 };
+            let part = job.parts.get(&(key.time, key.step));
+            if let Some(since) = part.and_then(|p| p.ready).filter(|t| *t + patience <= now) {
+                all.push((since, *key));
+            }
+        }
+        all.sort_unstable();
+        all.truncate(STARVING);
+        all.into_iter().map(|(_, key)| key).collect()
+    }
+
     /// The workers of a pool that may get starts: those that are sound, and those out of quarantine,
     /// for a probe each.
     ///
@@ -237,6 +288,7 @@
         if step.gang {
             return self.place_gang(key, &step, &waiting, (valid, stale), advice, round, now);
         }
+        let good: Vec<Room> = valid.iter().chain(&stale).copied().collect();
         let chosen = choose(&step, &waiting, &mut valid);
         let rest = &waiting[chosen.len()..];
         if !rest.is_empty() && !step.fills {
@@ -250,6 +302,10 @@
             let wanted: Vec<WorkerNo> = later.iter().map(|c| c.1).collect();
             self.ask_again(key, &wanted, &usable, cost, now);
         }
+        if chosen.is_empty() && round.starving.contains(key) {
+            let wish = self.wish(key, &step, &good, now);
+            self.keep(&step, &wish, round);
+        }
         self.start_all(key, &step, &chosen, now);
     }
 
