--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -34,7 +34,7 @@
 /// How many such steps come first at once.
 const STARVING: usize = 3;
 /// Up to how many hundredths of each dimension are in use in a pool with room to spare.
-const QUIET: u64 = 70;
+const QUIET: u64 = 55;
 /// How many gangs without room are kept supplied with valid tickets.
 const FRESH: usize = 3;
 /// The runs of a job that former owners may have started are numbered from here on, for each owner.
