Shards: one round for all events that have gathered; calls for advice begin with different members

A round looks at each step that waits and at each worker, and there was one for each event: with a backlog it cost more than there was, and the backlog never went. The tests use `on`, as before.

Besides, each shard's list of members for advice begins with another one: each shard knows only of its own calls.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -36,6 +36,8 @@
     Event(ShardNo, u64, Event),
     /// Something for all shards.
     All(Event),
+    /// Other members may be asked than before.
+    Peers,
     /// Another member owns a shard.
     Forget(ShardNo),
     /// Settle what is written, and tell when that is done.
@@ -58,6 +60,8 @@
 
 struct Running {
     token: u64,
+    /// Whether it was told something since its last round.
+    told: bool,
     shard: Shard,
 }
 
@@ -104,6 +108,7 @@
             };
             let Some(told) = told else {
                 self.tick().await;
+                self.round().await;
                 continue;
             };
             self.take(told).await;
@@ -111,6 +116,7 @@
                 let Ok(told) = self.told.try_recv() else { break };
                 self.take(told).await;
             }
+            self.round().await;
             // The ring may be full again at once: what the shards ordered has to get its turn.
             yield_now().await;
         }
@@ -119,8 +125,9 @@
     async fn take(&mut self, told: Told) {
         match told {
             Told::Own(shard, token, load) => self.own(shard, token, *load).await,
-            Told::Event(shard, token, event) => self.event(shard, token, event).await,
+            Told::Event(shard, token, event) => self.event(shard, token, event),
             Told::All(event) => self.all(event).await,
+            Told::Peers => self.peers().await,
             Told::Forget(shard) => {
                 self.shards.remove(&shard);
             }
@@ -147,15 +154,15 @@
         let (me, unix) = (self.common.me, self.common.unix);
         let setup = Setup { shard: no, me, token, bounds, unix };
         let shard = Shard::new(setup, load, self.common.now());
-        self.shards.insert(no, Running { token, shard });
+        self.shards.insert(no, Running { token, told: true, shard });
         let config = self.common.config.borrow().clone();
         if let Some(config) = config {
-            self.event(no, token, Event::Queues(config.queues)).await;
+            self.event(no, token, Event::Queues(config.queues));
         }
-        let peers = self.common.view.borrow().able();
-        self.event(no, token, Event::Peers(peers)).await;
+        let peers = self.common.view.borrow().peers(no);
+        self.event(no, token, Event::Peers(peers));
         if let Some(at) = self.confirmed {
-            self.event(no, token, Event::Confirmed(at)).await;
+            self.event(no, token, Event::Confirmed(at));
         }
     }
 
@@ -165,13 +172,21 @@
         }
         let all: Vec<_> = self.shards.iter().map(|(s, r)| (*s, r.token)).collect();
         for (shard, token) in all {
-            self.event(shard, token, event.clone()).await;
+            self.event(shard, token, event.clone());
+        }
+    }
+
+    async fn peers(&mut self) {
+        let view = self.common.view.borrow().clone();
+        let all: Vec<_> = self.shards.iter().map(|(s, r)| (*s, r.token)).collect();
+        for (shard, token) in all {
+            self.event(shard, token, Event::Peers(view.peers(shard)));
         }
     }
 
     async fn tick(&mut self) {
         for (shard, token, event) in std::mem::take(&mut self.later) {
-            self.event(shard, token, event).await;
+            self.event(shard, token, event);
         }
         if self.release.is_some() {
             self.settle().await;
@@ -180,28 +195,39 @@
         }
     }
 
-    /// Passes an event to its shard, and what follows to its ring.
+    /// Passes an event to its shard; what follows comes with the next round.
     ///
     /// A shard that is to be released learns only what settles its writes: whatever else it began
     /// now would be left to its next owner half done.
-    async fn event(&mut self, no: ShardNo, token: u64, event: Event) {
+    fn event(&mut self, no: ShardNo, token: u64, event: Event) {
         let settles = matches!(event, Event::Stored(..) | Event::Reread(_));
         if self.release.is_some() && !settles {
             return;
         }
         let Some(running) = self.shards.get_mut(&no).filter(|r| r.token == token) else { return };
-        let orders = running.shard.on(event, self.common.now());
-        for order in orders {
-            let writes = matches!(order, Order::Store(..) | Order::Reread | Order::Deposed);
-            if self.release.is_some() && !writes {
-                continue;
-            }
-            if order == Order::Deposed {
-                self.shards.remove(&no);
-                let _ = self.notes.send(Out::Deposed(no)).await;
-                return;
+        running.shard.take(event, self.common.now());
+        running.told = true;
+    }
+
+    /// Passes what follows from all that the shards were told to their rings.
+    async fn round(&mut self) {
+        let told: Vec<_> =
+            self.shards.iter().filter(|(_, r)| r.told).map(|(s, r)| (*s, r.token)).collect();
+        for (no, token) in told {
+            let Some(running) = self.shards.get_mut(&no) else { continue };
+            running.told = false;
+            for order in running.shard.round(self.common.now()) {
+                let writes = matches!(order, Order::Store(..) | Order::Reread | Order::Deposed);
+                if self.release.is_some() && !writes {
+                    continue;
+                }
+                if order == Order::Deposed {
+                    self.shards.remove(&no);
+                    let _ = self.notes.send(Out::Deposed(no)).await;
+                    break;
+                }
+                self.order(no, token, order);
             }
-            self.order(no, token, order);
         }
     }
 
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -275,7 +275,7 @@
         let before = self.common.view.borrow().able();
         self.common.view.send_replace(Arc::new(view));
         if peers != before {
-            let _ = self.told.send(Told::All(Event::Peers(peers))).await;
+            let _ = self.told.send(Told::Peers).await;
         }
     }
 
@@ -296,7 +296,11 @@
             if let Some((rev, row)) = mine {
                 let put = Put {
                     key: shard.owner(),
-                    value: record::write(&OwnerRow { owner: None, ..row }),
+                    value: record::write(&OwnerRow {
+                        owner: None,
+                        token: row.token,
+                        control: None,
+                    }),
                     lease: 0,
                 };
                 let txn =
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -150,8 +150,14 @@
 
     /// Takes in one event and returns the orders that follow.
     pub fn on(&mut self, event: Event, now: Time) -> Vec<Order> {
+        self.take(event, now);
+        self.round(now)
+    }
+
+    /// Takes in one event; what follows comes with the next round.
+    pub fn take(&mut self, event: Event, now: Time) {
         if self.deposed {
-            return vec![];
+            return;
         }
         match event {
             Event::Job(no, record) => {
@@ -182,6 +188,17 @@
             }
             Event::Tick => self.tick(now),
         }
+    }
+
+    /// What follows from all that was taken in.
+    ///
+    /// Guards against an owner that never catches up: a round looks at each step that waits and at
+    /// each worker, and with one for each event hundreds of answers a second cost more than there is
+    /// the more work waits. Events that have gathered meanwhile cost one round together.
+    pub fn round(&mut self, now: Time) -> Vec<Order> {
+        if self.deposed {
+            return mem::take(&mut self.out);
+        }
         self.dispatch(now);
         self.flush(now);
         self.holds(now);
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -148,7 +148,7 @@
     /// Counts the owners that the shard has had.
     pub token: u64,
     /// Where the owner takes calls of other members.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub control: Option<SocketAddr>,
 }
 
--- a/src/table.rs
+++ b/src/table.rs
@@ -109,6 +109,19 @@
         Some((*owner, self.members.get(owner)?.control))
     }
 
+    /// The members that a shard may ask, beginning with another one for each shard.
+    ///
+    /// Guards against shards that all prefer the same members: each knows only of its own calls, and
+    /// two long ones that meet at one member take twice as long, while others have nothing to do.
+    pub fn peers(&self, shard: ShardNo) -> Vec<Incarnation> {
+        let mut able = self.able();
+        let shards = usize::from(self.shards().max(1));
+        let first = able.len() * usize::from(shard.0) / shards;
+        let first = first.min(able.len());
+        able.rotate_left(first);
+        able
+    }
+
     /// A member's place among those alive, by their numbers.
     pub fn place(&self, me: Incarnation) -> usize {
         self.members.keys().take_while(|m| **m < me).count()
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -87,6 +87,8 @@
         };
         cell.until("ready", ready).await;
         cell.until("owned", async || cell.store.get("dwr/t/o/000").is_some()).await;
+        // The length of a queue comes from owners that have read their shards.
+        cell.until("at work", async || cell.status("GET", "/a/", "").await == 200).await;
         cell
     }
 
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -8,7 +8,11 @@
         shard::record::{self, LAYOUT, Layout, MemberRow, OwnerRow, ShardNo},
         table::{Fate, GRACE, RANK, SILENT, Table, Take, member_key},
     },
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        net::SocketAddr,
+        time::Duration,
+    },
 };
 
 const LONG: Duration = Duration::from_secs(60);
@@ -147,7 +151,7 @@
     // than needed.
     let mut cell = Cell::new(6, 6);
     cell.pass(Duration::from_millis(200));
-    let owners: std::collections::BTreeSet<_> =
+    let owners: BTreeSet<_> =
         (0..6).map(|s| cell.owner(ShardNo(s)).expect("owned").owner).collect();
     assert_eq!(owners.len(), 6);
     for s in 0..6 {
@@ -222,6 +226,21 @@
     assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(id(2)));
 }
 
+#[test]
+fn shards_prefer_different_members_for_their_calls() {
+    // Story: four shards make calls that take over a second each, and none knows of the others'.
+    // All began with the same members, and calls waited there while others had nothing to do.
+    let mut cell = Cell::new(4, 42);
+    let view = cell.table(id(1)).view();
+    let mut first = BTreeSet::new();
+    for shard in (0..4).map(ShardNo) {
+        let peers = view.peers(shard);
+        assert_eq!(peers.len(), 42);
+        first.extend(peers.into_iter().take(10));
+    }
+    assert_eq!(first.len(), 40);
+}
+
 #[test]
 fn shards_go_to_members_with_processors_first() {
     // Story: six machines of half a core and 36 of an eighth. An owner's work doesn't fit on an
@@ -233,7 +252,7 @@
     }
     (1..=42).for_each(|n| cell.start(id(n)));
     cell.pass(Duration::from_secs(1));
-    let owners: std::collections::BTreeSet<_> =
+    let owners: BTreeSet<_> =
         (0..6).map(|s| cell.owner(ShardNo(s)).expect("owned").owner.expect("a member")).collect();
     assert_eq!(owners, strong.into_iter().collect());
 }
