--- a/src/shard.rs
+++ b/src/shard.rs
@@ -1,7 +1,7 @@
 //! Shards: a part of the jobs and of the workers, scheduled by one member.
 //!
-//! A job is in the shard that its number hashes to, a worker in the one that its rack hashes to, so
-//! that all that decides where a task runs is in one place and in memory. The state machine has no
+//! A job is in one of its pool's shards, by its number; a worker in the one that the layout has for its
+//! address, so that all that decides where a task runs is in one place and in memory. The state machine has no
 //! clock and does no I/O; `docs/PLATFORM.md` has the reasons.
 
 mod ask;
