--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -61,10 +61,10 @@
             else {
                 return;
             };
-            let known = |n: &&WorkerNo| part.tickets.asked.contains(&self.workers[n.0].id);
-            if usable.iter().any(|n| part.tickets.good.contains_key(&self.workers[n.0].id))
-                || usable.iter().all(|n| known(&n))
-            {
+            // Guards against a step that waits for ever though a worker has come that may run it: those
+            // that it knows of may be full, or have as many of its tasks as they may.
+            let known = |n: &WorkerNo| part.tickets.asked.contains(&self.workers[n.0].id);
+            if usable.iter().all(known) {
                 return;
             }
             return self.ask_all(key, usable, cost, now);
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -354,9 +354,9 @@
             let soon = |n: &WorkerNo| self.expires(key, *n, now + cost.base + cost.each * 10);
             wanted.retain(soon);
         }
-        if !wanted.is_empty() {
-            self.ask_again(key, &wanted, &[], cost, now);
-        }
+        let queue = self.jobs.get(&key.job).and_then(|j| self.known.get(&j.queue));
+        let usable = queue.and_then(|q| round.usable.get(&q.pool)).cloned().unwrap_or_default();
+        self.ask_again(key, &wanted, &usable, cost, now);
     }
 
     /// Makes room for tasks that could be in time, by stopping less urgent work.
--- a/tests/shard_tickets.rs
+++ b/tests/shard_tickets.rs
@@ -6,10 +6,11 @@
     dogwoodreach::{
         Time,
         ports::{How, Refusal, Start, WorkerCall, WorkerReply as Reply},
+        work::Step,
     },
     hand::{
         Hand, job, step, task,
-        worker::{FINE, Hook},
+        worker::{FINE, Hook, Worker},
     },
     std::time::Duration,
 };
@@ -85,3 +86,19 @@
     hand.advises = true;
     hand.until("it has advice", 5_000, |h| h.starts_of(2).len() == 1);
 }
+
+#[test]
+fn a_worker_that_comes_later_is_asked_about() {
+    // Story: a lasting job has two tasks, at most one on a worker, and only one worker may run it;
+    // then another comes that may as well. As there was a worker that may, nobody asked about the
+    // new one, and the second task stayed away to the end of the day.
+    let mut hand = Hand::new(1);
+    let two = Step { apart: 1, lasts: true, ..step(2, 1) };
+    hand.submit(1, "advised", job(two));
+    hand.until("a start", 500, |h| starts(h).len() == 1);
+    hand.run(3_000);
+    assert_eq!(starts(&hand).len(), 1);
+    hand.workers.push(Worker::new(1));
+    hand.list();
+    hand.until("the other task at the new worker", 3_000, |h| h.places(task(1, 1)) == [1]);
+}
