Members that the store turns away have others relay their calls

Ruled out: a shorter grace or lease (a member frozen for a second would lose its shards). Now two calls on end that the store didn't serve make a member ask others (src/decide/relay.rs); what may have been done is not done twice, and a member that relays calls directly or not at all.

--- a/src/common.rs
+++ b/src/common.rs
@@ -7,6 +7,7 @@
         ids::Incarnation,
         metrics::Metrics,
         ports::{Forms, Item, Rev, Site},
+        relay::Ways,
         store::Outside,
         table::View,
         time::{Time, millis},
@@ -52,6 +53,8 @@
     pub view: watch::Sender<Arc<View>>,
     /// Whether this member is stopping.
     pub stop: watch::Sender<bool>,
+    /// The ways to the store.
+    pub ways: Arc<Ways>,
     start: Instant,
     contact: AtomicU64,
     registered: AtomicBool,
@@ -75,6 +78,7 @@
             config: watch::Sender::new(None),
             view: watch::Sender::new(Arc::default()),
             stop: watch::Sender::new(false),
+            ways: Arc::default(),
             start: Instant::now(),
             contact: AtomicU64::new(0),
             registered: AtomicBool::new(false),
@@ -87,7 +91,7 @@
         Time::ZERO + self.start.elapsed()
     }
 
-    /// A client of the outside, for the thread that asks for it.
+    /// A client of the outside, for the thread that asks for it; it speaks to all directly.
     pub fn outside(self: &Arc<Self>) -> Outside {
         let common = self.clone();
         let heard = move || common.contact.store(common.now().0, Ordering::Relaxed);
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,12 +6,14 @@
         decisions::Told,
         gate::Gate,
         ids::WorkerId,
-        ports::{Advice, AdviceCall, Fault},
+        ports::{Advice, AdviceCall, Fault, Wire},
+        relay::{self, Relayed, Relayer},
         rpc,
         shard::{
             event::Event,
             record::{JobRecord, ShardNo},
         },
+        store::Outside,
         time::millis,
         work::{JobNo, State, StepKey},
     },
@@ -25,7 +27,7 @@
         io,
         net::{SocketAddr, TcpListener},
         sync::{Arc, Mutex},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{sync::oneshot, time::timeout},
 };
@@ -71,6 +73,22 @@
     record: Option<JobRecord>,
 }
 
+/// A call of the store that is to be relayed.
+#[derive(Debug, Serialize, Deserialize)]
+struct RelayAsk {
+    call: Relayed,
+    limit_ms: u64,
+}
+
+/// What became of a relayed call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum RelayAnswer {
+    Answered(u16, Box<str>),
+    Unsent,
+    Unknown,
+}
+
 /// A question for a queue's length.
 #[derive(Debug, Serialize, Deserialize)]
 struct WaitingAsk {
@@ -104,6 +122,36 @@
     }
 }
 
+impl From<relay::Answer> for RelayAnswer {
+    fn from(answer: relay::Answer) -> Self {
+        match answer.map(|(status, body)| (status, String::from_utf8(body.into()))) {
+            Ok((status, Ok(body))) => RelayAnswer::Answered(status, body.into()),
+            Err(Fault::Unsent | Fault::Refused) => RelayAnswer::Unsent,
+            Ok((_, Err(_))) | Err(_) => RelayAnswer::Unknown,
+        }
+    }
+}
+
+impl From<RelayAnswer> for relay::Answer {
+    fn from(answer: RelayAnswer) -> Self {
+        match answer {
+            RelayAnswer::Answered(status, body) => Ok((status, body.into_string().into())),
+            RelayAnswer::Unsent => Err(Fault::Unsent),
+            RelayAnswer::Unknown => Err(Fault::Unknown),
+        }
+    }
+}
+
+/// Clients of the outside for one thread; other members relay what the store doesn't serve here.
+pub(crate) fn outside(common: &Arc<Common>, peers: &Peers) -> Outside {
+    let peers = peers.clone();
+    let relayer: Relayer = Arc::new(move |wire, repeats, limit| {
+        let peers = peers.clone();
+        Box::pin(async move { peers.relay(wire, repeats, limit).await })
+    });
+    common.outside().with_relay(common.ways.clone(), relayer)
+}
+
 /// Serves other members until this one stops.
 ///
 /// The secret that they show stands in the layout, so nobody is served before there is one.
@@ -143,6 +191,16 @@
             Ok::<_, ErrorObjectOwned>(answer)
         }
     })?;
+    let outside = common.outside();
+    module.register_async_method("relay", move |params, _, _| {
+        let outside = outside.clone();
+        async move {
+            let ask: RelayAsk = params.one()?;
+            let limit = Duration::from_millis(ask.limit_ms).min(LONGEST);
+            let answer = RelayAnswer::from(outside.relay(ask.call, limit).await);
+            Ok::<_, ErrorObjectOwned>(answer)
+        }
+    })?;
     let asked = told.clone();
     module.register_async_method("state", move |params, _, _| {
         let told = asked.clone();
@@ -241,6 +299,31 @@
         answer.into()
     }
 
+    /// Has other members call the store; nothing where none is known.
+    ///
+    /// They call it themselves or not at all, so no call goes round in a circle.
+    async fn relay(&self, wire: Wire, repeats: bool, limit: Duration) -> Option<relay::Answer> {
+        let (end, ways) = (Instant::now() + limit, &self.common.ways);
+        let view = self.common.view.borrow().clone();
+        let mut answer = None;
+        for member in ways.members(&view.able(), self.common.me) {
+            let left = end.saturating_duration_since(Instant::now());
+            let Some(addr) = view.members.get(&member).map(|m| m.control) else { continue };
+            let ask = RelayAsk { call: Relayed::new(&wire)?, limit_ms: millis(left) };
+            let said: Option<RelayAnswer> = self.call(addr, "relay", &ask, left).await;
+            let said = said.map_or(Err(Fault::Unknown), relay::Answer::from);
+            let served = matches!(&said, Ok((status, _)) if *status < 429);
+            ways.relayed(member, served);
+            // What may have been done must not be done twice.
+            let over = served || (!repeats && !matches!(said, Err(Fault::Unsent)));
+            answer = Some(said);
+            if over {
+                break;
+            }
+        }
+        answer
+    }
+
     /// How a job stands at the member that owns its shard; nothing where it doesn't say.
     pub async fn state(
         &self,
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod place;
 pub mod quota;
 pub mod rank;
+pub mod relay;
 pub mod retry;
 pub mod shift;
 pub mod sound;
--- /dev/null
+++ b/src/decide/relay.rs
@@ -0,0 +1,115 @@
+//! Whether a member calls the store itself, or has another member relay the call.
+//!
+//! *Load pattern:* the store turns some machines away for seconds, or they are cut off from it,
+//! while it serves the others; callers come in at such a machine as at any, and shards are owned
+//! there. *Without it:* such a member refuses its callers, its lease ends, and its shards stand
+//! still until lease and grace are over and another member has taken them over, 2.7 s on the users'
+//! bench; the same for each further machine.
+//!
+//! *Thresholds:* two calls on end that the store didn't serve; a single one is an answer that was
+//! lost, or a write refused in a storm. The direct way is tried again twice a second, as often as
+//! the lease is renewed, by calls that may be made twice: a member is back within half a second, and
+//! no write waits for a silent connection. Where a relay is turned away as well, the store itself is
+//! down and relays would double the calls that it refuses: none for a second, then one.
+
+use {
+    crate::{ids::Incarnation, time::Time},
+    std::time::Duration,
+};
+
+/// So many direct calls on end that were not served mean that the direct way is lost.
+const LOST: u32 = 2;
+/// How often the direct way is tried while it is lost.
+const PROBE: Duration = Duration::from_millis(500);
+/// The pause after a relay that failed.
+const REST: Duration = Duration::from_secs(1);
+/// The most members that are tried for one call.
+const MOST: usize = 2;
+
+/// The way of one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// Direct.
+    Direct,
+    /// Direct for a moment, to see whether that works again; relayed if not.
+    Probe,
+    /// Relayed by another member.
+    Relayed,
+}
+
+/// What the last calls say of the ways to the store.
+#[derive(Clone, Debug, Default)]
+pub struct Relay {
+    /// Direct calls on end that were not served.
+    faults: u32,
+    /// When the direct way is tried next.
+    probe: Time,
+    /// No relay before.
+    rest: Time,
+    /// The member that relayed last.
+    last: Option<Incarnation>,
+    /// How many relays have failed.
+    turn: usize,
+}
+
+impl Relay {
+    /// The way of a call; `repeats` says whether it may be made twice.
+    pub fn way(&mut self, repeats: bool, now: Time) -> Way {
+        if !self.lost() {
+            return Way::Direct;
+        }
+        if repeats && self.probe <= now {
+            self.probe = now + PROBE;
+            return Way::Probe;
+        }
+        if self.rests(now) { Way::Direct } else { Way::Relayed }
+    }
+
+    /// Whether the direct way is lost.
+    pub fn lost(&self) -> bool {
+        self.faults >= LOST
+    }
+
+    /// Whether nothing is relayed for now.
+    pub fn rests(&self, now: Time) -> bool {
+        now < self.rest
+    }
+
+    /// Takes in a direct call: whether the store served it.
+    pub fn direct(&mut self, served: bool, now: Time) {
+        if served {
+            self.faults = 0;
+            return;
+        }
+        self.faults = self.faults.saturating_add(1);
+        if self.faults == LOST {
+            self.probe = now + PROBE;
+        }
+    }
+
+    /// Takes in a call that a member has relayed: whether the store served it.
+    pub fn relayed(&mut self, by: Incarnation, served: bool, now: Time) {
+        if served {
+            self.last = Some(by);
+            return;
+        }
+        self.last = self.last.filter(|l| *l != by);
+        self.turn = self.turn.wrapping_add(1);
+        self.rest = now + REST;
+    }
+
+    /// The members to be tried for a call, in order: the one that relayed last, then those behind
+    /// this member in the ring of all, so that several that are cut off lean on different ones.
+    pub fn members(&self, able: &[Incarnation], me: Incarnation) -> Vec<Incarnation> {
+        let behind = able.iter().filter(|m| **m > me);
+        let mut ring: Vec<Incarnation> =
+            behind.chain(able.iter().filter(|m| **m < me)).copied().collect();
+        let turn = self.turn.checked_rem(ring.len()).unwrap_or(0);
+        ring.rotate_left(turn);
+        if let Some(at) = self.last.and_then(|l| ring.iter().position(|m| *m == l)) {
+            ring[..=at].rotate_right(1);
+        }
+        ring.truncate(MOST);
+        ring
+    }
+}
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -9,7 +9,7 @@
 use {
     crate::{
         common::{Common, Config},
-        control::Peers,
+        control::{Peers, outside},
         decisions::Told,
         error::{Error, Kind},
         http::{answer, refusal},
@@ -66,7 +66,8 @@
 impl Entry {
     /// An entry with clients of its own; `told` is the way to the decisions.
     pub fn new(common: Arc<Common>, told: Sender<Told>) -> Self {
-        let (outside, peers) = (common.outside(), Peers::new(common.clone()));
+        let peers = Peers::new(common.clone());
+        let outside = outside(&common, &peers);
         Entry { common, outside, peers, told, lengths: Mutex::default() }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -84,6 +84,7 @@
 pub mod racks;
 mod ranges;
 mod registry;
+mod relay;
 pub mod requests;
 pub mod roll;
 mod rpc;
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -55,10 +55,10 @@
     pub fn new(
         common: Arc<Common>,
         outside: Outside,
+        peers: Peers,
         told: Sender<Told>,
         notes: Sender<Out>,
     ) -> Self {
-        let peers = Peers::new(common.clone());
         let (owned, begun) = Default::default();
         Owner { common, outside, peers, told, notes, owned, begun }
     }
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -88,6 +88,13 @@
     },
 }
 
+impl StoreCall {
+    /// Whether the call may be made twice: it changes nothing, or only what is so already.
+    pub fn repeats(&self) -> bool {
+        !matches!(self, StoreCall::Txn(_) | StoreCall::Lease { .. })
+    }
+}
+
 /// A change of items, all or none.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Txn {
--- /dev/null
+++ b/src/relay.rs
@@ -0,0 +1,131 @@
+//! The ways to the store that a member's threads share, and how a call is relayed.
+
+use {
+    crate::{
+        decide::relay::{Relay, Way},
+        ids::Incarnation,
+        ports::{Fault, Wire},
+        time::Time,
+    },
+    bytes::Bytes,
+    serde::{Deserialize, Serialize},
+    std::{
+        future::Future,
+        pin::Pin,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tokio::sync::watch,
+};
+
+/// A status and a body, or why there is none.
+pub type Answer = Result<(u16, Bytes), Fault>;
+
+/// A call of the store as one member hands it to another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Relayed {
+    /// The method.
+    pub method: Box<str>,
+    /// The path with its query.
+    pub path: Box<str>,
+    /// Headers besides the host's.
+    pub headers: Vec<(Box<str>, Box<str>)>,
+    /// The body.
+    pub body: Box<str>,
+}
+
+impl Relayed {
+    /// A call that is to be relayed; nothing where its body is not text.
+    pub fn new(wire: &Wire) -> Option<Self> {
+        Some(Relayed {
+            method: wire.method.into(),
+            path: wire.path.clone(),
+            headers: wire.headers.iter().map(|(n, v)| ((*n).into(), v.clone())).collect(),
+            body: std::str::from_utf8(&wire.body).ok()?.into(),
+        })
+    }
+}
+
+/// Has other members make a call, and returns the answer; nothing where there is nobody to ask. The
+/// flag says whether the call may be made twice.
+pub type Relayer = Arc<dyn Fn(Wire, bool, Duration) -> Relaying + Send + Sync>;
+
+/// A call on its way through another member.
+pub type Relaying = Pin<Box<dyn Future<Output = Option<Answer>> + Send>>;
+
+/// The ways to the store, as all threads of a member know them.
+pub struct Ways {
+    start: Instant,
+    state: Mutex<Relay>,
+    lost: watch::Sender<bool>,
+}
+
+impl Default for Ways {
+    fn default() -> Self {
+        let (start, state) = (Instant::now(), Mutex::default());
+        Ways { start, state, lost: watch::Sender::new(false) }
+    }
+}
+
+impl Ways {
+    /// The way of a call; `repeats` says whether it may be made twice.
+    pub fn way(&self, repeats: bool) -> Way {
+        let now = self.now();
+        self.state().way(repeats, now)
+    }
+
+    /// Whether a call that was not served may be relayed now.
+    pub fn open(&self) -> bool {
+        let now = self.now();
+        !self.state().rests(now)
+    }
+
+    /// Takes in a direct call: whether the store served it.
+    pub fn direct(&self, served: bool) {
+        let now = self.now();
+        let lost = {
+            let mut state = self.state();
+            state.direct(served, now);
+            state.lost()
+        };
+        let turned = self.lost.send_if_modified(|known| {
+            let turned = *known != lost;
+            *known = lost;
+            turned
+        });
+        if turned && lost {
+            log::warn!(target: "outside", did = "relays"; "The store doesn't serve this member; others are asked to relay.");
+        } else if turned {
+            log::info!(target: "outside", did = "direct"; "The store serves this member again.");
+        }
+    }
+
+    /// Waits until the direct way is lost.
+    ///
+    /// Guards against a watch that waits on a silent connection for as long as it would at the store,
+    /// while other calls have shown long ago that nothing comes through.
+    pub async fn lost(&self) {
+        let mut lost = self.lost.subscribe();
+        // An end of the sender can't come while it is borrowed here.
+        let _ = lost.wait_for(|l| *l).await;
+    }
+
+    /// The members to be tried for a call, in order.
+    pub fn members(&self, able: &[Incarnation], me: Incarnation) -> Vec<Incarnation> {
+        self.state().members(able, me)
+    }
+
+    /// Takes in a call that a member has relayed: whether the store served it.
+    pub fn relayed(&self, by: Incarnation, served: bool) {
+        let now = self.now();
+        self.state().relayed(by, served, now);
+    }
+
+    fn now(&self) -> Time {
+        Time::ZERO + self.start.elapsed()
+    }
+
+    fn state(&self) -> MutexGuard<'_, Relay> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/src/site.rs
+++ b/src/site.rs
@@ -120,10 +120,11 @@
     (told, events): (Sender<Told>, Receiver<Told>),
     mut callers: oneshot::Receiver<()>,
 ) -> Result<(), Error> {
-    let outside = common.outside();
+    let peers = control::Peers::new(common.clone());
+    let outside = control::outside(&common, &peers);
     let (out, orders) = bounded(ORDERS);
     let (notes, noted) = bounded(ORDERS);
-    let owner = Owner::new(common.clone(), outside.clone(), told.clone(), notes.clone());
+    let owner = Owner::new(common.clone(), outside.clone(), peers, told.clone(), notes.clone());
     let (lease, leased) = watch::channel(0);
     tokio::spawn(signals.heed(common.clone(), settings));
     tokio::spawn(Decisions::new(common.clone(), events, out, notes).run());
--- a/src/store.rs
+++ b/src/store.rs
@@ -6,6 +6,7 @@
 use {
     crate::{
         contact::{Contact, News},
+        decide::relay::Way,
         http::{Client, Failure, uri},
         ids::WorkerId,
         metrics::Metrics,
@@ -13,6 +14,7 @@
             Advice, AdviceCall, Fault, Forms, Item, Rev, Site, StoreCall, StoreReply, Wire,
             WorkerCall, WorkerReply,
         },
+        relay::{Answer, Relayed, Relayer, Ways},
         time::Time,
     },
     bytes::Bytes,
@@ -32,6 +34,10 @@
 pub const MARGIN: Duration = Duration::from_millis(700);
 /// The most unused connections that are kept to one address.
 const IDLE: usize = 4;
+/// The longest that a call may take on the direct way while that is lost.
+const PROBE: Duration = Duration::from_millis(250);
+/// The least time that a call needs to be relayed.
+const RELAY: Duration = Duration::from_millis(50);
 
 /// Speaks to the outside by a form.
 ///
@@ -44,6 +50,7 @@
     metrics: Arc<Metrics>,
     heard: Arc<dyn Fn() + Send + Sync>,
     contacts: Arc<Contacts>,
+    ways: Option<(Arc<Ways>, Relayer)>,
 }
 
 /// Whether the services answer this thread.
@@ -65,7 +72,12 @@
         let contacts =
             Contacts { begun: Instant::now(), store: Mutex::default(), advice: Mutex::default() };
         let (client, contacts) = (Client::new(IDLE), Arc::new(contacts));
-        Outside { client, forms, site, metrics, heard, contacts }
+        Outside { client, forms, site, metrics, heard, contacts, ways: None }
+    }
+
+    /// The same clients, whose calls of the store other members relay while it doesn't serve this one.
+    pub fn with_relay(self, ways: Arc<Ways>, relayer: Relayer) -> Self {
+        Outside { ways: Some((ways, relayer)), ..self }
     }
 
     /// Calls the store.
@@ -75,8 +87,11 @@
     /// [`Fault::Unsent`] and [`Fault::Refused`] say that nothing was done and nothing will be;
     /// [`Fault::Unknown`] that it may have been done, or may be later.
     pub async fn store(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, Fault> {
-        let addr = self.site.borrow().store;
-        let answer = self.send(addr, (self.forms.ask_store)(call), limit).await;
+        let wire = (self.forms.ask_store)(call);
+        let answer = match &self.ways {
+            None => self.direct(&wire, limit).await,
+            Some((ways, relayer)) => self.routed(call, wire, limit, ways, relayer).await,
+        };
         let reply = answer.and_then(|(status, body)| (self.forms.store)(call, status, &body));
         let answered = !matches!(reply, Err(Fault::Unsent | Fault::Unknown));
         if answered {
@@ -87,6 +102,80 @@
         reply
     }
 
+    /// Makes a call of the store by the way that works.
+    async fn routed(
+        &self,
+        call: &StoreCall,
+        wire: Wire,
+        limit: Duration,
+        ways: &Ways,
+        relayer: &Relayer,
+    ) -> Answer {
+        let begun = Instant::now();
+        let repeats = call.repeats();
+        let direct = match ways.way(repeats) {
+            Way::Relayed => None,
+            Way::Probe => Some(self.direct(&wire, PROBE.min(limit / 2)).await),
+            Way::Direct if matches!(call, StoreCall::Watch { .. }) => Some(tokio::select! {
+                answer = self.direct(&wire, limit) => answer,
+                () = ways.lost() => Err(Fault::Unknown),
+            }),
+            // Half of the time is left for a relay.
+            Way::Direct if repeats => Some(self.direct(&wire, limit / 2).await),
+            Way::Direct => Some(self.direct(&wire, limit).await),
+        };
+        let fault = direct.map(|answer| {
+            let reply = answer.clone().and_then(|(s, body)| (self.forms.store)(call, s, &body));
+            let fault = reply.err().filter(|f| !matches!(f, Fault::Bad(_)));
+            ways.direct(fault.is_none());
+            (answer, fault)
+        });
+        let done = match &fault {
+            None => false,
+            Some((_, None)) => true,
+            // What may have been done must not be done twice.
+            Some((_, Some(Fault::Unknown))) => !repeats,
+            Some(_) => false,
+        };
+        let left = limit.saturating_sub(begun.elapsed());
+        if !done
+            && left >= RELAY
+            && ways.open()
+            && let Some(answer) = relayer(wire.clone(), repeats, left).await
+        {
+            return answer;
+        }
+        match fault {
+            Some((answer, _)) => answer,
+            // There is nobody who could relay it.
+            None => self.direct(&wire, left).await,
+        }
+    }
+
+    /// Makes a call of the store from this machine.
+    async fn direct(&self, wire: &Wire, limit: Duration) -> Answer {
+        let addr = self.site.borrow().store;
+        self.send(addr, wire.clone(), limit).await
+    }
+
+    /// Makes a call of the store for another member, as it has written it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Outside::store`].
+    pub async fn relay(&self, asked: Relayed, limit: Duration) -> Answer {
+        let addr = self.site.borrow().store;
+        let mut b = Request::builder().method(&*asked.method).uri(uri(addr, &asked.path));
+        for (name, value) in &asked.headers {
+            b = b.header(&**name, &**value);
+        }
+        let body = Bytes::from(asked.body.into_string());
+        let request = b.body(Full::new(body)).map_err(|_| Fault::Unsent)?;
+        let answer = self.carry(request, limit).await;
+        self.metrics.called("store_relay", answer.as_ref().map_or_else(fault_name, |_| "done"));
+        answer
+    }
+
     /// Reads one item.
     ///
     /// # Errors
@@ -190,17 +279,15 @@
         }
     }
 
-    async fn send(
-        &self,
-        addr: SocketAddr,
-        wire: Wire,
-        limit: Duration,
-    ) -> Result<(u16, Bytes), Fault> {
+    async fn send(&self, addr: SocketAddr, wire: Wire, limit: Duration) -> Answer {
         let mut b = Request::builder().method(wire.method).uri(uri(addr, &wire.path));
         for (name, value) in &wire.headers {
             b = b.header(*name, &**value);
         }
-        let request = b.body(Full::new(wire.body)).map_err(|_| Fault::Unsent)?;
+        self.carry(b.body(Full::new(wire.body)).map_err(|_| Fault::Unsent)?, limit).await
+    }
+
+    async fn carry(&self, request: Request<Full<Bytes>>, limit: Duration) -> Answer {
         match self.client.send(request, limit).await {
             Ok((head, body)) => Ok((head.status.as_u16(), body)),
             Err(Failure::Unsent) => Err(Fault::Unsent),
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,102 @@
+//! When a member's calls of the store are relayed, in virtual time.
+
+use {
+    dogwoodreach::{
+        Time,
+        decide::relay::{Relay, Way},
+        ids::Incarnation,
+    },
+    std::time::Duration,
+};
+
+const ME: Incarnation = Incarnation(5);
+const ALL: [Incarnation; 4] = [Incarnation(2), ME, Incarnation(7), Incarnation(9)];
+
+/// What 100 calls a second come to over ten seconds, of which the store turns this member away, and
+/// the others too, for some: calls served, and calls that reached a store that refused them.
+fn play(away: impl Fn(u64) -> bool, down: impl Fn(u64) -> bool, relays: bool) -> (u32, u32) {
+    let (mut relay, mut served, mut refused) = (Relay::default(), 0, 0);
+    for ms in (0..10_000).step_by(10) {
+        let now = Time::from_millis(ms);
+        let repeats = ms % 50 == 0;
+        let way = if relays { relay.way(repeats, now) } else { Way::Direct };
+        if way != Way::Relayed {
+            let good = !away(ms) && !down(ms);
+            relay.direct(good, now);
+            if good {
+                served += 1;
+                continue;
+            }
+            refused += 1;
+            if !relays || relay.rests(now) {
+                continue;
+            }
+        }
+        let by = relay.members(&ALL, ME)[0];
+        relay.relayed(by, !down(ms), now);
+        if down(ms) {
+            refused += 1;
+        } else {
+            served += 1;
+        }
+    }
+    (served, refused)
+}
+
+#[test]
+fn a_member_that_is_turned_away_is_served_all_the_same() {
+    let away = |ms| (2000..8000).contains(&ms);
+    let (plain, _) = play(away, |_| false, false);
+    let (ours, refused) = play(away, |_| false, true);
+    assert_eq!(plain, 400);
+    assert_eq!(ours, 1000);
+    // Two at its beginning, then two a second.
+    assert!(refused <= 2 + 12, "{refused} calls in vain");
+}
+
+#[test]
+fn a_store_that_is_down_gets_few_calls_more() {
+    let down = |ms| (2000..8000).contains(&ms);
+    let (plain, before) = play(|_| false, down, false);
+    let (ours, refused) = play(|_| false, down, true);
+    assert_eq!((plain, before), (400, 600));
+    assert!(ours >= plain);
+    assert!(refused <= before + 7, "{refused} calls against {before}");
+}
+
+#[test]
+fn one_lost_answer_is_no_lost_way() {
+    let mut relay = Relay::default();
+    for ms in 0..1000 {
+        relay.direct(ms % 2 == 0, Time::from_millis(ms));
+        assert!(!relay.lost());
+        assert_eq!(relay.way(false, Time::from_millis(ms)), Way::Direct);
+    }
+}
+
+#[test]
+fn who_relayed_last_is_asked_first_and_nobody_asks_itself() {
+    let (mut relay, now) = (Relay::default(), Time::ZERO);
+    assert_eq!(relay.members(&ALL, ME), [Incarnation(7), Incarnation(9)]);
+    relay.relayed(Incarnation(9), true, now);
+    assert_eq!(relay.members(&ALL, ME), [Incarnation(9), Incarnation(7)]);
+    relay.relayed(Incarnation(9), false, now);
+    assert_eq!(relay.members(&ALL, ME), [Incarnation(9), Incarnation(2)]);
+    assert!(relay.rests(now + Duration::from_millis(999)));
+    assert!(!relay.rests(now + Duration::from_millis(1000)));
+    assert_eq!(relay.members(&[ME], ME), []);
+    assert_eq!(relay.members(&[], ME), []);
+}
+
+#[test]
+fn the_direct_way_is_tried_by_calls_that_may_be_made_twice() {
+    let (mut relay, ms) = (Relay::default(), Time::from_millis);
+    relay.direct(false, ms(0));
+    relay.direct(false, ms(0));
+    assert_eq!(relay.way(true, ms(499)), Way::Relayed);
+    assert_eq!(relay.way(false, ms(500)), Way::Relayed);
+    assert_eq!(relay.way(true, ms(500)), Way::Probe);
+    assert_eq!(relay.way(true, ms(501)), Way::Relayed);
+    relay.direct(true, ms(502));
+    assert_eq!(relay.way(false, ms(502)), Way::Direct);
+}
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -30,6 +30,15 @@
     Refused,
 }
 
+/// How the store treats calls of one address that it serves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Shut {
+    /// It refuses them.
+    Busy,
+    /// It doesn't answer.
+    Silent,
+}
+
 /// One item: its value, revision and lease.
 pub type Row = (String, u64, u64);
 
@@ -44,6 +53,8 @@
     late: Vec<Value>,
     /// Watches of these prefixes get no events.
     blind: Vec<String>,
+    /// Addresses whose callers are turned away.
+    shut: BTreeMap<SocketAddr, Shut>,
 }
 
 /// The store, and its test's hand on it.
@@ -70,7 +81,12 @@
                     let this = this.clone();
                     async move {
                         let ask = serde_json::from_slice(&body.expect("a body")).expect("JSON");
-                        this.call(head.uri.path(), ask).await
+                        let shut = this.state.lock().expect("state").shut.get(&addr).copied();
+                        match shut {
+                            Some(Shut::Busy) => answer(503, "{}"),
+                            Some(Shut::Silent) => pending().await,
+                            None => this.call(head.uri.path(), ask).await,
+                        }
                     }
                 })
                 .await;
@@ -79,6 +95,15 @@
         addr
     }
 
+    /// From now on, callers that come by this address are turned away, or served again.
+    pub fn shut(&self, addr: SocketAddr, how: Option<Shut>) {
+        let mut state = self.state.lock().expect("state");
+        match how {
+            Some(how) => state.shut.insert(addr, how),
+            None => state.shut.remove(&addr),
+        };
+    }
+
     /// Writes an item.
     pub fn put(&self, key: &str, value: &str) {
         self.state.lock().expect("state").write(key, Some((value.into(), 0)));
