--- a/src/shard.rs
+++ b/src/shard.rs
@@ -5,14 +5,20 @@
 //! clock and does no I/O; `docs/PLATFORM.md` has the reasons.
 
 mod ask;
+mod authority;
 mod commit;
+mod course;
+mod ends;
 pub mod event;
 mod explain;
 mod flight;
 mod hear;
 mod jobs;
 mod judge;
+mod lapse;
+mod listing;
 mod machine;
+mod orders;
 mod plan;
 pub mod record;
 mod store;
--- /dev/null
+++ b/src/shard/authority.rs
@@ -0,0 +1,59 @@
+//! Whether this owner may act: answers while the store is silent, and former owners' runs.
+
+use {
+    crate::{
+        shard::{
+            machine::Shard,
+            workers::{Worker, millis},
+        },
+        time::Time,
+    },
+    std::time::Duration,
+};
+
+impl Shard {
+    /// Whether this owner may start work and renew leases.
+    ///
+    /// Guards against an owner that is cut off from the store and goes on beside its successor:
+    /// while the store is silent it needs answers from most of its workers, and a successor needs
+    /// the same before it counts others' leases as ended, so that at least one worker has seen both
+    /// and refuses the older one.
+    pub(super) fn may_act(&self, now: Time) -> bool {
+        const FRESH: Duration = Duration::from_millis(1900);
+        const HEARD: Duration = Duration::from_millis(2600);
+        if now - self.confirmed <= FRESH {
+            return true;
+        }
+        let (mut all, mut heard) = (0, 0);
+        for w in self.workers.iter().filter(|w| w.listed.is_some() && !w.gone) {
+            all += 1;
+            heard += usize::from(w.heard.is_some_and(|h| now - h <= HEARD));
+        }
+        heard * 2 > all
+    }
+
+    /// Whether what former owners have started is known.
+    ///
+    /// Guards against a second run of what goes on at a worker that can't be asked: until all that
+    /// may run something have answered, or their leases have ended, no job from before starts.
+    pub(super) fn settle(&mut self, now: Time) {
+        if self.unsettled.is_empty() {
+            return;
+        }
+        let fenced = |w: &Worker| w.fenced || w.gone;
+        let rostered = || self.workers.iter().filter(|w| w.rostered);
+        let most = rostered().filter(|w| fenced(w)).count() * 2 > rostered().count();
+        if most && self.most.is_none() {
+            self.most = Some(now);
+        }
+        let bound = self.setup.bounds.hold.div_f64(0.98) + Duration::from_millis(2900);
+        let lapsed = self.most.is_some_and(|t| t + bound <= now);
+        let workers = &self.workers;
+        self.unsettled.retain(|n| !lapsed && !fenced(&workers[n.0]));
+        if self.unsettled.is_empty() {
+            self.told.settled = Some(now);
+            log::info!(target: "shard", did = "settled", shard:% = self.setup.shard, token = self.setup.token, after_ms = millis(now - self.begun), by_lapse = lapsed; "Shard is settled.");
+            self.stir = true;
+        }
+    }
+}
--- a/src/shard/judge.rs
+++ b/src/shard/judge.rs
@@ -7,8 +7,8 @@
         ports::{End, How, WorkerCall},
         shard::{
             event::Order,
-            hear::ORDER,
             machine::Shard,
+            orders::ORDER,
             workers::{Phase, Run, WorkerNo},
         },
         time::Time,
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -4,24 +4,23 @@
     crate::{
         decide::{lanes::Lanes, rank::Rank},
         ids::{Incarnation, PoolId, WorkerId},
-        ports::{Bounds, WorkerCall},
+        ports::Bounds,
         shard::{
             commit::{After, Commit},
             event::{Event, Load, Order},
             flight::Flight,
             jobs::{Active, At},
-            record::{JobRecord, Progress, ShardNo},
+            record::{Progress, ShardNo},
             tally::{Tally, Told},
             workers::{Worker, WorkerNo, millis},
         },
         time::Time,
-        work::{JobNo, Listed, Queue, Queues, State, StepKey},
+        work::{JobNo, Queue, Queues, State, StepKey},
     },
     rustc_hash::{FxHashMap, FxHashSet},
     std::{
         collections::{BTreeSet, VecDeque},
         mem,
-        net::SocketAddr,
         sync::Arc,
         time::Duration,
     },
@@ -33,10 +32,6 @@
 const SUM: Duration = Duration::from_secs(1);
 /// How often occurrences that have come due are looked for.
 const DUE: Duration = Duration::from_millis(50);
-/// How long a leaving worker stays that does not say how long.
-const LEAVE: Duration = Duration::from_secs(2);
-/// How old the list may be.
-const LIST: Duration = Duration::from_millis(700);
 /// How much longer than its states must be shown a job that is over is remembered.
 const LONGER: u64 = 10_000;
 
@@ -221,6 +216,54 @@
         mem::take(&mut self.out)
     }
 
+    fn tick(&mut self, now: Time) {
+        if self.look <= now {
+            self.look = now + DUE;
+            for no in self.timed.clone() {
+                self.unfold(no, now);
+            }
+            self.expire(now);
+            self.repeat(now);
+            self.leave(now);
+            self.settle(now);
+            self.doubt(now);
+            self.foresee(now);
+            self.trim(now);
+            self.tell_workers(now);
+        }
+        if self.summed <= now && log::log_enabled!(target: "shard", log::Level::Debug) {
+            self.summed = now + SUM;
+            log::debug!(target: "shard", "Shard {}: {}.", self.setup.shard, self.sum_up(now));
+            if let Some((_, key)) = self.ready.last() {
+                log::debug!(target: "shard", "Last in order: {}", self.explain(key.job, now));
+            }
+        }
+        if self.rerank <= now {
+            self.rerank = now + RANK;
+            self.rank_again(now);
+            self.stir = true;
+        }
+        if self.commit.unclear(now) {
+            self.out.push(Order::Reread);
+        }
+    }
+
+    fn written(&mut self, after: After, now: Time) {
+        match after {
+            After::Nothing => {}
+            After::Done => self.stored(now),
+            After::Again => {
+                log::info!(target: "shard", shard:% = self.setup.shard; "Write was not done; it is made again.");
+                self.unstored();
+            }
+            After::Reread => {
+                log::info!(target: "shard", shard:% = self.setup.shard; "Write has no clear answer; it is read.");
+                self.out.push(Order::Reread);
+            }
+            After::Deposed => self.depose(),
+        }
+    }
+
     /// How a job stands, as far as the store has it; nothing where it is not known here.
     pub fn state(&self, no: JobNo) -> Option<State> {
         match (self.over.get(&no), self.jobs.get(&no)) {
@@ -267,18 +310,6 @@
         millis(self.setup.bounds.keep) + LONGER
     }
 
-    /// The number of a worker's life, made if it is new.
-    pub(super) fn worker(&mut self, id: &WorkerId, addr: SocketAddr, now: Time) -> WorkerNo {
-        // One that was taken for gone and is there again begins anew, with nothing known.
-        if let Some(no) = self.ids.get(id).filter(|n| !self.workers[n.0].gone) {
-            return *no;
-        }
-        let no = WorkerNo(self.workers.len());
-        self.workers.push(Worker::new(id.clone(), addr, now));
-        self.ids.insert(id.clone(), no);
-        no
-    }
-
     /// Another owner has a higher token: nothing that is known here counts any more.
     pub(super) fn depose(&mut self) {
         log::warn!(target: "shard", did = "deposed", shard:% = self.setup.shard, token = self.setup.token; "Shard has another owner.");
@@ -287,91 +318,6 @@
         self.out.push(Order::Deposed);
     }
 
-    fn admit(
-        &mut self,
-        no: JobNo,
-        record: JobRecord,
-        progress: Option<&Progress>,
-        old: bool,
-        now: Time,
-    ) {
-        let active = Active::new(record, progress, old);
-        if active.job.times.is_some() {
-            self.timed.insert(no);
-        }
-        self.jobs.insert(no, active);
-        self.tell_known(no, now);
-        if self.early.remove(&no) {
-            return self.end(no, State::Cancelled, now);
-        }
-        self.unfold(no, now);
-        self.finish_if_done(no, now);
-    }
-
-    /// Makes the steps of the occurrences that are due.
-    fn unfold(&mut self, no: JobNo, now: Time) {
-        let unix = self.unix(now);
-        let Some(job) = self.jobs.get_mut(&no) else { return };
-        let steps = u16::try_from(job.job.steps.len()).unwrap_or(u16::MAX);
-        let mut all = true;
-        for time in 0..job.times() {
-            if job.due(time) > unix {
-                all = false;
-                break;
-            }
-            for step in 0..steps {
-                job.part(time, step);
-            }
-        }
-        if all {
-            self.timed.remove(&no);
-        }
-        self.review(no, now);
-    }
-
-    /// Cancels a job, also one that is heard of only later.
-    ///
-    /// Guards against a cancel that is read before its job, as happens when a range is read again
-    /// after the store has lost its history: the job would run although its caller was told that it
-    /// does not.
-    fn cancel(&mut self, no: JobNo, now: Time) {
-        match self.jobs.get(&no) {
-            Some(job) if !job.state.over() => self.end(no, State::Cancelled, now),
-            Some(_) => {}
-            None if self.over.contains_key(&no) => {}
-            None => {
-                let unix = self.unix(now);
-                if self.early.insert(no) {
-                    self.purge.push_back((unix + self.kept(), no));
-                }
-            }
-        }
-    }
-
-    /// Ends a job: nothing of it starts any more, and what runs is stopped.
-    pub(super) fn end(&mut self, no: JobNo, state: State, now: Time) {
-        let Some(job) = self.jobs.get_mut(&no) else { return };
-        job.state = state;
-        let there = job.there(no);
-        let parts: Vec<_> = job.parts.keys().copied().collect();
-        self.tell_over(no, state, there.len(), now);
-        for (time, step) in parts {
-            self.unready(&StepKey { job: no, time, step });
-        }
-        for (task, at, _) in there {
-            self.stop(at, &task, now);
-        }
-        self.timed.remove(&no);
-        self.touch(no);
-    }
-
-    /// Ends a job of which all tasks are done.
-    pub(super) fn finish_if_done(&mut self, no: JobNo, now: Time) {
-        if self.jobs.get(&no).is_some_and(|j| !j.state.over() && j.done()) {
-            self.end(no, State::Done, now);
-        }
-    }
-
     /// Notes that something of a job has to be stored; returns the place in the journal.
     pub(super) fn touch(&mut self, no: JobNo) -> u64 {
         self.journal += 1;
@@ -384,185 +330,6 @@
         self.journal
     }
 
-    fn configure(&mut self, queues: Arc<Queues>, now: Time) {
-        if queues.version < self.queues.version {
-            return;
-        }
-        for queue in &queues.all {
-            self.known.insert(queue.name.clone(), queue.clone());
-        }
-        self.queues = queues;
-        let all: Vec<_> = self.jobs.keys().copied().collect();
-        for no in all {
-            self.review(no, now);
-        }
-    }
-
-    fn list(&mut self, list: Vec<Listed>, now: Time) {
-        let mut seen = FxHashSet::default();
-        for listed in list {
-            let no = self.worker(&listed.id, listed.addr, now);
-            seen.insert(no);
-            let worker = &mut self.workers[no.0];
-            if listed.draining && worker.leaving.is_none() {
-                let left = listed.left.unwrap_or(LEAVE);
-                worker.leaving = Some(now + left.saturating_sub(LIST));
-                log::info!(target: "shard", worker:% = listed.id, left_ms = millis(left), runs = worker.runs.len(); "Worker is leaving.");
-            }
-            worker.listed = Some(listed);
-        }
-        self.pools.clear();
-        for no in 0..self.workers.len() {
-            let no = WorkerNo(no);
-            let worker = &mut self.workers[no.0];
-            if !seen.contains(&no) {
-                worker.listed = None;
-            } else if let Some(pool) = worker.pool().cloned() {
-                self.pools.entry(pool).or_default().push(no);
-            }
-        }
-        self.tell_listed(seen.len(), now);
-        self.replaced(&seen, now);
-        self.roster |= self.workers.iter().any(|w| w.rostered != w.counts());
-        self.stir = true;
-    }
-
-    /// A worker whose address another life has taken is over.
-    fn replaced(&mut self, seen: &FxHashSet<WorkerNo>, now: Time) {
-        let addrs: FxHashSet<SocketAddr> = seen.iter().map(|n| self.workers[n.0].addr).collect();
-        for no in (0..self.workers.len()).map(WorkerNo) {
-            let worker = &self.workers[no.0];
-            if !worker.gone && !seen.contains(&no) && addrs.contains(&worker.addr) {
-                self.over_with(no, now);
-            }
-        }
-    }
-
-    fn tick(&mut self, now: Time) {
-        if self.look <= now {
-            self.look = now + DUE;
-            for no in self.timed.clone() {
-                self.unfold(no, now);
-            }
-            self.expire(now);
-            self.repeat(now);
-            self.leave(now);
-            self.settle(now);
-            self.doubt(now);
-            self.foresee(now);
-            self.trim(now);
-            self.tell_workers(now);
-        }
-        if self.summed <= now && log::log_enabled!(target: "shard", log::Level::Debug) {
-            self.summed = now + SUM;
-            log::debug!(target: "shard", "Shard {}: {}.", self.setup.shard, self.sum_up(now));
-            if let Some((_, key)) = self.ready.last() {
-                log::debug!(target: "shard", "Last in order: {}", self.explain(key.job, now));
-            }
-        }
-        if self.rerank <= now {
-            self.rerank = now + RANK;
-            self.rank_again(now);
-            self.stir = true;
-        }
-        if self.commit.unclear(now) {
-            self.out.push(Order::Reread);
-        }
-    }
-
-    fn written(&mut self, after: After, now: Time) {
-        match after {
-            After::Nothing => {}
-            After::Done => self.stored(now),
-            After::Again => {
-                log::info!(target: "shard", shard:% = self.setup.shard; "Write was not done; it is made again.");
-                self.unstored();
-            }
-            After::Reread => {
-                log::info!(target: "shard", shard:% = self.setup.shard; "Write has no clear answer; it is read.");
-                self.out.push(Order::Reread);
-            }
-            After::Deposed => self.depose(),
-        }
-    }
-
-    /// Whether this owner may start work and renew leases.
-    ///
-    /// Guards against an owner that is cut off from the store and goes on beside its successor:
-    /// while the store is silent it needs answers from most of its workers, and a successor needs
-    /// the same before it counts others' leases as ended, so that at least one worker has seen both
-    /// and refuses the older one.
-    pub(super) fn may_act(&self, now: Time) -> bool {
-        const FRESH: Duration = Duration::from_millis(1900);
-        const HEARD: Duration = Duration::from_millis(2600);
-        if now - self.confirmed <= FRESH {
-            return true;
-        }
-        let (mut all, mut heard) = (0, 0);
-        for w in self.workers.iter().filter(|w| w.listed.is_some() && !w.gone) {
-            all += 1;
-            heard += usize::from(w.heard.is_some_and(|h| now - h <= HEARD));
-        }
-        heard * 2 > all
-    }
-
-    /// Whether what former owners have started is known.
-    ///
-    /// Guards against a second run of what goes on at a worker that can't be asked: until all that
-    /// may run something have answered, or their leases have ended, no job from before starts.
-    fn settle(&mut self, now: Time) {
-        if self.unsettled.is_empty() {
-            return;
-        }
-        let fenced = |w: &Worker| w.fenced || w.gone;
-        let rostered = || self.workers.iter().filter(|w| w.rostered);
-        let most = rostered().filter(|w| fenced(w)).count() * 2 > rostered().count();
-        if most && self.most.is_none() {
-            self.most = Some(now);
-        }
-        let bound = self.setup.bounds.hold.div_f64(0.98) + Duration::from_millis(2900);
-        let lapsed = self.most.is_some_and(|t| t + bound <= now);
-        let workers = &self.workers;
-        self.unsettled.retain(|n| !lapsed && !fenced(&workers[n.0]));
-        if self.unsettled.is_empty() {
-            self.told.settled = Some(now);
-            log::info!(target: "shard", did = "settled", shard:% = self.setup.shard, token = self.setup.token, after_ms = millis(now - self.begun), by_lapse = lapsed; "Shard is settled.");
-            self.stir = true;
-        }
-    }
-
-    /// Sends the holds that are due.
-    fn holds(&mut self, now: Time) {
-        let act = self.may_act(now);
-        for no in 0..self.workers.len() {
-            let w = &mut self.workers[no];
-            if w.gone || w.holding.is_some() || w.next > now {
-                continue;
-            }
-            let wanted = w.listed.is_some() || !w.runs.is_empty() || !w.fenced;
-            if !wanted {
-                continue;
-            }
-            // A silent worker gets no new lease: each one, as it may still arrive, would put off the
-            // time from which its work can start elsewhere, for ever.
-            let renew = act && w.fenced && w.silent == 0;
-            let until = if renew { w.lease(&self.setup.bounds, now) } else { None };
-            let wait = match () {
-                () if !w.fenced || !w.pending.is_empty() || w.silent > 0 => Duration::ZERO,
-                () if w.runs.is_empty() => Duration::from_millis(1900),
-                () => Duration::from_millis(900),
-            };
-            w.holding = Some(now);
-            let call = WorkerCall::Hold { until, token: self.setup.token, seen: w.seen, wait };
-            self.out.push(Order::Worker {
-                worker: w.id.clone(),
-                addr: w.addr,
-                call: Box::new(call),
-                limit: wait + Duration::from_millis(700),
-            });
-        }
-    }
-
     /// Whether a task of a job that is not over is at this worker.
     pub(super) fn at(&mut self, task: &crate::work::TaskKey, no: WorkerNo, run: u32) -> bool {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return false };
--- /dev/null
+++ b/src/shard/orders.rs
@@ -0,0 +1,197 @@
+//! Orders to workers: their answers, their repeats, and the holds that renew leases.
+
+use {
+    crate::{
+        ports::{Fault, Refusal, Start, WorkerCall, WorkerReply},
+        shard::{
+            event::Order,
+            machine::Shard,
+            workers::{Phase, Run, WorkerNo},
+        },
+        time::Time,
+        work::TaskKey,
+    },
+    std::time::Duration,
+};
+
+/// How long a start, a stop or a change of pace is waited for: workers answer within some
+/// milliseconds, and an order that has no answer by then is one of those carried out late.
+pub(super) const ORDER: Duration = Duration::from_millis(500);
+/// How often a start is sent before the run is given up and barred.
+const TRIES: u32 = 3;
+/// The pause after a worker that is unwell, or has less room than was thought.
+pub(super) const UNWELL: Duration = Duration::from_millis(700);
+
+impl Shard {
+    pub(super) fn started(
+        &mut self,
+        no: WorkerNo,
+        start: &Start,
+        reply: Result<WorkerReply, Fault>,
+        now: Time,
+    ) {
+        let act = self.may_act(now);
+        let worker = &mut self.workers[no.0];
+        let Some(run) = worker.runs.get_mut(&start.task).filter(|r| r.run == start.run) else {
+            return;
+        };
+        if run.phase == Phase::Stopping {
+            return;
+        }
+        let first = run.tries == 1;
+        let more = run.tries < TRIES && act && worker.leaving.is_none();
+        match reply {
+            Ok(WorkerReply::Done(_)) => {
+                run.phase = Phase::Running;
+                run.known = Some(now);
+                self.begun(&start.task);
+            }
+            // It was there and has ended: the next hold says how.
+            Ok(WorkerReply::Refused(_, Refusal::Old)) => {
+                run.phase = Phase::Stopping;
+                run.known = Some(now);
+                run.sent = now;
+                worker.next = now;
+            }
+            Err(Fault::Unknown | Fault::Bad(_)) if more => {
+                run.tries += 1;
+                run.phase = Phase::Unsure;
+                run.sent = now;
+                // A silent worker gets no new lease, as with its holds.
+                let new = if worker.silent > 0 { None } else { Some(&self.setup.bounds) };
+                let until = new.and_then(|b| worker.lease(b, now)).unwrap_or(start.until);
+                let again = Start { until, ..start.clone() };
+                self.out.push(Order::Worker {
+                    worker: worker.id.clone(),
+                    addr: worker.addr,
+                    call: Box::new(WorkerCall::Start(again)),
+                    limit: ORDER,
+                });
+            }
+            Err(Fault::Unknown | Fault::Bad(_)) => {
+                self.tell_stop(no, &start.task, "start unanswered");
+                self.stop(no, &start.task, now);
+            }
+            reply => {
+                self.refused(no, start, &reply, now);
+                if first {
+                    self.lost(no, &start.task, start.run, now);
+                } else {
+                    // An earlier try may still be carried out.
+                    self.stop(no, &start.task, now);
+                }
+            }
+        }
+    }
+
+    /// Draws what follows from a refused start for the next ones.
+    fn refused(
+        &mut self,
+        no: WorkerNo,
+        start: &Start,
+        reply: &Result<WorkerReply, Fault>,
+        now: Time,
+    ) {
+        let worker = &mut self.workers[no.0];
+        log::info!(target: "shard", did = "refused_start", job:% = start.task.step.job, task:% = start.task, run = start.run, worker:% = worker.id, reply:? = reply; "Start is refused.");
+        match reply {
+            Ok(WorkerReply::Refused(_, Refusal::Ticket)) => {
+                let id = worker.id.clone();
+                let key = start.task.step;
+                if let Some(part) =
+                    self.jobs.get_mut(&key.job).and_then(|j| j.parts.get_mut(&(key.time, key.step)))
+                    && let Some(ticket) = part.tickets.good.get_mut(&id)
+                {
+                    ticket.1 = Time::ZERO;
+                }
+            }
+            Ok(WorkerReply::Refused(_, Refusal::Bad)) => {
+                self.failed(&start.task, start.run, now);
+            }
+            _ => {
+                worker.unwell = now + UNWELL;
+                worker.next = now;
+            }
+        }
+    }
+
+    pub(super) fn stopped(
+        &mut self,
+        no: WorkerNo,
+        task: &TaskKey,
+        run: u32,
+        reply: &Result<WorkerReply, Fault>,
+        now: Time,
+    ) {
+        let worker = &mut self.workers[no.0];
+        if let Some(r) = worker.runs.get_mut(task).filter(|r| r.run == run)
+            && matches!(reply, Ok(WorkerReply::Done(_) | WorkerReply::Refused(..)))
+        {
+            r.known = Some(now);
+            worker.next = worker.next.min(now + Duration::from_millis(20));
+        }
+    }
+
+    /// Orders the end of a run; it counts until it has ended.
+    pub(super) fn stop(&mut self, no: WorkerNo, task: &TaskKey, now: Time) {
+        let worker = &mut self.workers[no.0];
+        let Some(run) = worker.runs.get_mut(task) else { return };
+        run.phase = Phase::Stopping;
+        run.known = None;
+        run.sent = now;
+        let call = WorkerCall::Stop { task: *task, run: run.run, token: self.setup.token };
+        self.out.push(Order::Worker {
+            worker: worker.id.clone(),
+            addr: worker.addr,
+            call: Box::new(call),
+            limit: ORDER,
+        });
+    }
+
+    /// Sends stops again that had no answer, or an answer and no effect.
+    pub(super) fn repeat(&mut self, now: Time) {
+        let due = |r: &Run| {
+            let again = if r.known.is_none() { ORDER * 2 } else { ORDER * 4 };
+            r.phase == Phase::Stopping && r.sent + again <= now
+        };
+        let mut all = vec![];
+        for (n, w) in self.workers.iter().enumerate().filter(|(_, w)| !w.gone) {
+            all.extend(w.runs.iter().filter(|(_, r)| due(r)).map(|(t, _)| (WorkerNo(n), *t)));
+        }
+        for (no, task) in all {
+            self.stop(no, &task, now);
+        }
+    }
+
+    /// Sends the holds that are due.
+    pub(super) fn holds(&mut self, now: Time) {
+        let act = self.may_act(now);
+        for no in 0..self.workers.len() {
+            let w = &mut self.workers[no];
+            if w.gone || w.holding.is_some() || w.next > now {
+                continue;
+            }
+            let wanted = w.listed.is_some() || !w.runs.is_empty() || !w.fenced;
+            if !wanted {
+                continue;
+            }
+            // A silent worker gets no new lease: each one, as it may still arrive, would put off the
+            // time from which its work can start elsewhere, for ever.
+            let renew = act && w.fenced && w.silent == 0;
+            let until = if renew { w.lease(&self.setup.bounds, now) } else { None };
+            let wait = match () {
+                () if !w.fenced || !w.pending.is_empty() || w.silent > 0 => Duration::ZERO,
+                () if w.runs.is_empty() => Duration::from_millis(1900),
+                () => Duration::from_millis(900),
+            };
+            w.holding = Some(now);
+            let call = WorkerCall::Hold { until, token: self.setup.token, seen: w.seen, wait };
+            self.out.push(Order::Worker {
+                worker: w.id.clone(),
+                addr: w.addr,
+                call: Box::new(call),
+                limit: wait + Duration::from_millis(700),
+            });
+        }
+    }
+}
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -11,9 +11,9 @@
         ports::{Start, WorkerCall},
         shard::{
             event::Order,
-            hear::ORDER,
             jobs::At,
             machine::Shard,
+            orders::ORDER,
             workers::{Phase, Run, Worker, WorkerNo, millis},
         },
         time::Time,
