A shard has up to 300 workers: the widest step finds room in it

The pool of 252 has some 75 workers for the step, its shard of 84 had 18 to 25; the widest steps have some 90 tasks. So shards hold up to 300 workers.

A round looks at each waiting step and each worker that may run it, so what it costs for each pair went down: advice is kept by a worker's number in place of its id, workers without a ticket are passed over before their room is made out, fillers and serving runs are counted as they come and go, and what was asked is a set (it was a list, searched for each worker). Where one call can't name all workers, steps begin with different ones, as else all would first ask about the same hundred.

--- a/src/layout.rs
+++ b/src/layout.rs
@@ -18,8 +18,14 @@
     xxhash_rust::xxh3::xxh3_64,
 };
 
-/// The most workers of one shard, and as many as one call for advice may name.
-const SHARE: usize = 100;
+/// The most workers of a deployment that has one shard for all its pools.
+const SMALL: usize = 100;
+/// The most workers of one shard.
+///
+/// Guards against a step that no shard can hold, though its pool could: it runs one task on a worker
+/// at the most, and three workers in ten may run it. 18 of 84 did where it had 24 tasks, and the
+/// others waited for ever beside a pool that was mostly free. The widest steps have some 90 tasks.
+const SHARE: usize = 300;
 /// The most shards.
 const SHARDS: usize = 64;
 /// How long the list of workers has to be still.
@@ -66,7 +72,7 @@
     for worker in workers {
         of.entry(&worker.pool).or_default().push(worker);
     }
-    let small = workers.len() <= SHARE;
+    let small = workers.len() <= SMALL;
     let (mut first, mut pools, mut homes) = (0, BTreeMap::new(), BTreeMap::new());
     for (pool, all) in of {
         let span = if small { Span(0, 1) } else { Span(first, parts(all.len())) };
--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -40,9 +40,12 @@
         else {
             return;
         };
+        // Where not all can be named at once, steps begin with different ones.
+        let first = usize::try_from(key.job.0).unwrap_or(0) % usable.len().max(1);
+        let (before, after) = usable.split_at(first);
         let asked = &part.tickets.asked;
-        let new = usable.iter().map(|n| &self.workers[n.0].id).filter(|id| !asked.contains(id));
-        let workers: Vec<WorkerId> = new.take(MOST).cloned().collect();
+        let new = after.iter().chain(before).filter(|n| !asked.contains(n));
+        let workers = new.take(MOST).map(|n| self.workers[n.0].id.clone()).collect();
         self.ask(key, workers, cost, now);
     }
 
@@ -63,7 +66,7 @@
             };
             // Guards against a step that waits for ever though a worker has come that may run it: those
             // that it knows of may be full, or have as many of its tasks as they may.
-            let known = |n: &WorkerNo| part.tickets.asked.contains(&self.workers[n.0].id);
+            let known = |n: &WorkerNo| part.tickets.asked.contains(n);
             if usable.iter().all(known) {
                 return;
             }
@@ -117,14 +120,11 @@
                 let valid = advice.valid.or(valid).unwrap_or(Duration::from_secs(1));
                 let until = now + valid.saturating_sub(EARLY);
                 part.advised = part.advised.or((!advice.good.is_empty()).then_some(now));
-                for (id, ticket) in advice.good {
-                    part.tickets.good.insert(id, (ticket, until));
-                }
-                for id in call.workers {
-                    if !part.tickets.asked.contains(&id) {
-                        part.tickets.asked.push(id);
-                    }
-                }
+                let ids = &self.ids;
+                let good = advice.good.into_iter();
+                let good = good.filter_map(|(id, t)| Some((*ids.get(&id)?, (t, until))));
+                part.tickets.good.extend(good);
+                part.tickets.asked.extend(call.workers.iter().filter_map(|id| ids.get(id)));
             }
             Err(fault) => {
                 log::info!(target: "shard", did = "unadvised", job:% = key.job, step:% = key, via:% = via, fault = crate::store::fault_name(&fault), after_ms = super::workers::millis(now - sent); "Advice has not come.");
--- a/src/shard/explain.rs
+++ b/src/shard/explain.rs
@@ -75,11 +75,9 @@
                 t.asking,
             );
             if let Some(s) = job.step(&key) {
-                let of = |id: &crate::ids::WorkerId| {
-                    let w = &self.workers[self.ids.get(id)?.0];
-                    Some(format!("{id} {}", w.free()))
-                };
-                let good: Vec<_> = t.good.keys().filter_map(of).collect();
+                let worker = |no: &super::workers::WorkerNo| &self.workers[no.0];
+                let of = |w: &super::workers::Worker| format!("{} {}", w.id, w.free());
+                let good: Vec<_> = t.good.keys().map(|no| of(worker(no))).collect();
                 let (count, gang, size) = (s.count, s.gang, s.counted());
                 let _ = write!(text, "; {count} tasks, gang {gang}, each {size}; good {good:?}");
             }
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -2,7 +2,6 @@
 
 use {
     crate::{
-        ids::WorkerId,
         shard::{
             record::{JobRecord, Progress, TaskRow},
             workers::WorkerNo,
@@ -10,7 +9,7 @@
         time::Time,
         work::{Job, JobNo, State, Step, StepKey, TaskKey},
     },
-    rustc_hash::FxHashMap,
+    rustc_hash::{FxHashMap, FxHashSet},
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -43,9 +42,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Tickets {
     /// The workers that may run the step, and their tickets; what may run it does not change.
-    pub good: FxHashMap<WorkerId, (Box<str>, Time)>,
+    pub good: FxHashMap<WorkerNo, (Box<str>, Time)>,
     /// The workers that were asked about.
-    pub asked: Vec<WorkerId>,
+    pub asked: FxHashSet<WorkerNo>,
     /// Whether a call is out.
     pub asking: bool,
     /// No call before.
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -96,11 +96,10 @@
         log::info!(target: "shard", did = "refused_start", job:% = start.task.step.job, task:% = start.task, run = start.run, worker:% = worker.id, reply:? = reply; "Start is refused.");
         match reply {
             Ok(WorkerReply::Refused(_, Refusal::Ticket)) => {
-                let id = worker.id.clone();
                 let key = start.task.step;
                 if let Some(part) =
                     self.jobs.get_mut(&key.job).and_then(|j| j.parts.get_mut(&(key.time, key.step)))
-                    && let Some(ticket) = part.tickets.good.get_mut(&id)
+                    && let Some(ticket) = part.tickets.good.get_mut(&no)
                 {
                     ticket.1 = Time::ZERO;
                 }
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -238,13 +238,12 @@
     fn demand(&self, key: &StepKey, sign: i64, round: &mut Round) {
         let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
         let Some(part) = part else { return };
-        let good = || part.tickets.good.keys().filter_map(|id| self.ids.get(id));
-        let count = good().count() as i64;
+        let count = part.tickets.good.len() as i64;
         if count == 0 {
             return;
         }
         let each = sign * 100 * i64::from(part.waiting.min(8)) / count;
-        for no in good() {
+        for no in part.tickets.good.keys() {
             let known = round.demand.entry(*no).or_default();
             *known = (i64::from(*known) + each).max(0) as u32;
         }
@@ -271,16 +270,18 @@
         let mut valid = vec![];
         let mut stale = vec![];
         for no in &usable {
+            let ticket = part.tickets.good.get(no);
+            if advice.is_some() && ticket.is_none() {
+                continue;
+            }
             let Some(mut room) = self.room(*no, key, &step, now) else { continue };
             room.demand = round.demand.get(no).copied().unwrap_or(0);
             if let Some(kept) = round.kept.get(no) {
                 room.free = room.free.saturating_sub(kept);
             }
-            match part.tickets.good.get(&self.workers[no.0].id) {
-                _ if advice.is_none() => valid.push(room),
-                None => {}
-                Some((_, until)) if *until > now => valid.push(room),
-                Some(_) => stale.push(room),
+            match ticket {
+                Some((_, until)) if advice.is_some() && *until <= now => stale.push(room),
+                _ => valid.push(room),
             }
         }
         let waiting: Vec<u32> =
@@ -483,7 +484,7 @@
     /// Whether the ticket for a worker ends before a time.
     fn expires(&self, key: &StepKey, no: WorkerNo, by: Time) -> bool {
         let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
-        let ticket = part.and_then(|p| p.tickets.good.get(&self.workers[no.0].id));
+        let ticket = part.and_then(|p| p.tickets.good.get(&no));
         ticket.is_none_or(|(_, until)| *until <= by)
     }
 
@@ -502,7 +503,7 @@
             total: listed.size,
             near: step.near.as_ref().is_some_and(|r| listed.has(r.as_str())),
             serves: step.fills && w.serves(),
-            fillers: w.runs.values().filter(|r| r.fills).count() as u32,
+            fillers: w.fillers,
             same: same as u32,
             suspect: w.sound.verdict(now) != Verdict::Sound,
             demand: 0,
@@ -545,7 +546,7 @@
 
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let part = job.parts.get(&(task.step.time, task.step.step));
-        let ticket = part.and_then(|p| p.tickets.good.get(&worker.id)).map(|t| t.0.clone());
+        let ticket = part.and_then(|p| p.tickets.good.get(&no)).map(|t| t.0.clone());
         let text = job.job.text.clone();
         job.put(&task, At::There(no));
         let Some(t) = job.task(&task) else { return };
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -99,6 +99,10 @@
     pub runs: FxHashMap<TaskKey, Run>,
     /// The sum of what runs there.
     pub used: Size,
+    /// How many of its runs live on what others leave.
+    pub fillers: u32,
+    /// How many of its runs serve others under a target.
+    pub servers: u32,
     /// How many runs there are of which it isn't known what they take.
     pub blind: usize,
     /// The number of the last end that was taken in.
@@ -156,6 +160,8 @@
             leaving: None,
             runs: FxHashMap::default(),
             used: Size::default(),
+            fillers: 0,
+            servers: 0,
             blind: 0,
             got: 0,
             seen: 0,
@@ -239,9 +245,10 @@
     pub fn add(&mut self, task: TaskKey, run: Run) {
         self.used += run.size;
         self.blind += usize::from(run.blind);
+        self.fillers += u32::from(run.fills);
+        self.servers += u32::from(run.target > 0);
         if let Some(old) = self.runs.insert(task, run) {
-            self.used = self.used.saturating_sub(&old.size);
-            self.blind -= usize::from(old.blind);
+            self.uncount(&old);
         }
     }
 
@@ -251,14 +258,20 @@
             return None;
         }
         let old = self.runs.remove(task)?;
-        self.used = self.used.saturating_sub(&old.size);
-        self.blind -= usize::from(old.blind);
+        self.uncount(&old);
         Some(old)
     }
 
+    fn uncount(&mut self, run: &Run) {
+        self.used = self.used.saturating_sub(&run.size);
+        self.blind -= usize::from(run.blind);
+        self.fillers -= u32::from(run.fills);
+        self.servers -= u32::from(run.target > 0);
+    }
+
     /// Whether a serving task is there.
     pub fn serves(&self) -> bool {
-        self.runs.values().any(|r| r.target > 0)
+        self.servers > 0
     }
 
     /// Takes in what a look at a run has shown.
