A wide step is asked about beyond one call: a test

The test passes on the code before as well: what is missing was asked already; with a list of all that was asked it took longer the more there were. Run: shard_tickets passes.

--- a/tests/shard_tickets.rs
+++ b/tests/shard_tickets.rs
@@ -102,3 +102,12 @@
     hand.list();
     hand.until("the other task at the new worker", 3_000, |h| h.places(task(1, 1)) == [1]);
 }
+
+#[test]
+fn a_wide_step_is_asked_about_beyond_one_call() {
+    // Story: a shard has more workers than one call for advice may name, and a step has more tasks, one
+    // on a worker, than one call finds workers for. Its other tasks never ran beside idle workers.
+    let mut hand = Hand::new(150);
+    hand.submit(1, "advised", job(Step { apart: 1, ..step(120, 1) }));
+    hand.until("all run", 3_000, |h| h.starts_of(1).len() == 120);
+}
