Plan of a shard in files of one concept each

The queue of steps, gangs, room by stopping, and starts have files of their own; what one step brings to a round is a struct (Turn). No behaviour is changed: the code was moved, not written. Ruled out: a directory plan/ (the shard's files are flat).

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -7,14 +7,18 @@
 mod ask;
 mod commit;
 pub mod event;
+mod evict;
 mod explain;
 mod flight;
+mod gangs;
 mod hear;
 mod jobs;
 mod judge;
 mod machine;
 mod plan;
+mod queue;
 pub mod record;
+mod start;
 mod store;
 mod tally;
 mod tell;
--- /dev/null
+++ b/src/shard/queue.rs
@@ -0,0 +1,116 @@
+//! The steps that have something to be started, in order.
+//!
+//! Load: more steps wait than have room, some of them for long. The order is that of
+//! [`crate::decide::rank`], but for steps that would wait for ever by it: large tasks that only one or
+//! two workers may run.
+
+use {
+    crate::{
+        decide::rank::{Facts, Rank, rank},
+        shard::{machine::Shard, plan::Round},
+        time::Time,
+        work::{JobNo, StepKey},
+    },
+    rustc_hash::FxHashSet,
+    std::time::Duration,
+};
+
+/// How long a step waits before it comes first: in a pool with room to spare, and in a busy one where
+/// it is too late for any worth.
+const STARVED: (Duration, Duration) = (Duration::from_secs(4), Duration::from_secs(30));
+/// How many such steps come first at once.
+const STARVING: usize = 3;
+
+impl Shard {
+    /// Looks over which steps of a job are ready.
+    pub(super) fn review(&mut self, no: JobNo, now: Time) {
+        let Some(job) = self.jobs.get(&no) else { return };
+        let Some(queue) = self.known.get(&job.queue) else { return };
+        let unix = self.unix(now);
+        let mut ranks: Vec<(StepKey, Option<Rank>)> = vec![];
+        for ((time, step), part) in &job.parts {
+            let key = StepKey { job: no, time: *time, step: *step };
+            let Some(s) = job.step(&key) else { continue };
+            let whole = !s.gang || part.waiting == s.count;
+            let open = part.waiting > 0 && whole && !job.state.over() && job.free(*time, *step);
+            let facts = Facts {
+                came: job.came.max(job.due(*time)),
+                chain: job.chain(),
+                left: job.tails.get(usize::from(*step)).copied().unwrap_or_default(),
+                lasts: s.lasts,
+            };
+            ranks.push((key, open.then(|| rank(queue, facts, unix))));
+        }
+        for (key, rank) in ranks {
+            match rank {
+                Some(rank) => self.make_ready(key, rank, now),
+                None => self.unready(&key),
+            }
+        }
+    }
+
+    fn make_ready(&mut self, key: StepKey, rank: Rank, now: Time) {
+        match self.ranks.insert(key, rank) {
+            Some(old) if old == rank => return,
+            Some(old) => drop(self.ready.remove(&(old, key))),
+            None => {
+                if let Some(part) =
+                    self.jobs.get_mut(&key.job).and_then(|j| j.parts.get_mut(&(key.time, key.step)))
+                {
+                    part.ready.get_or_insert(now);
+                }
+                self.stir = true;
+            }
+        }
+        self.ready.insert((rank, key));
+    }
+
+    /// A step has nothing to be started.
+    pub(super) fn unready(&mut self, key: &StepKey) {
+        if let Some(rank) = self.ranks.remove(key) {
+            self.ready.remove(&(rank, *key));
+        }
+    }
+
+    /// As [`Self::unready`], where all its tasks are placed.
+    pub(super) fn unready_if_placed(&mut self, key: &StepKey) {
+        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+        if part.is_none_or(|p| p.waiting == 0) {
+            self.unready(key);
+        }
+    }
+
+    /// Makes the order anew.
+    pub(super) fn rank_again(&mut self, now: Time) {
+        let jobs: FxHashSet<JobNo> = self.ranks.keys().map(|k| k.job).collect();
+        for no in jobs {
+            self.review(no, now);
+        }
+    }
+
+    /// Steps that have waited so long that they come first now: in a pool with room to spare any, in a
+    /// busy one those too late for any worth.
+    ///
+    /// Guards against large tasks that only one or two workers may run: smaller ones with worth take
+    /// these again and again, and a job that was taken in would never end. As long as its pool is
+    /// busy that costs others their worth, so it waits longer then.
+    pub(super) fn starving(&self, round: &Round, now: Time) -> Vec<StepKey> {
+        let mut all = vec![];
+        for (rank, key) in self.ready.iter().rev() {
+            let Some(job) = self.jobs.get(&key.job) else { continue };
+            let Some(queue) = self.known.get(&job.queue) else { continue };
+            let quiet = round.quiet.contains(&queue.pool);
+            if !quiet && rank.class() < 2 {
+                continue;
+            }
+            let patience = if quiet { STARVED.0 } else { STARVED.1 };
+            let part = job.parts.get(&(key.time, key.step));
+            if let Some(since) = part.and_then(|p| p.ready).filter(|t| *t + patience <= now) {
+                all.push((since, *key));
+            }
+        }
+        all.sort_unstable();
+        all.truncate(STARVING);
+        all.into_iter().map(|(_, key)| key).collect()
+    }
+}
--- /dev/null
+++ b/src/shard/start.rs
@@ -0,0 +1,108 @@
+//! Starts: runs are numbered, noted at their worker, and ordered.
+
+use {
+    crate::{
+        decide::sound::Verdict,
+        ports::{Start, WorkerCall},
+        shard::{
+            event::Order,
+            hear::ORDER,
+            jobs::{Active, At},
+            machine::Shard,
+            workers::{Phase, Run, WorkerNo},
+        },
+        time::Time,
+        work::{Step, StepKey, TaskKey},
+    },
+    std::time::Duration,
+};
+
+/// The runs of a job that former owners may have started are numbered from here on, for each owner.
+const RUNS: u64 = 1000;
+
+impl Shard {
+    /// Starts tasks of one step; those of a gang share a run.
+    pub(super) fn start_all(
+        &mut self,
+        key: &StepKey,
+        step: &Step,
+        chosen: &[(u32, WorkerNo)],
+        now: Time,
+    ) {
+        if chosen.is_empty() {
+            return;
+        }
+        let allowed: Vec<u32> =
+            chosen.iter().filter(|(_, no)| self.allowed(*no, now)).map(|c| c.0).collect();
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let floor = if job.old {
+            u32::try_from((self.setup.token - 1) * RUNS).unwrap_or(u32::MAX / 2)
+        } else {
+            0
+        };
+        let last = |i: u32, job: &mut Active| {
+            job.task(&TaskKey { step: *key, index: i }).map_or(0, |t| t.run)
+        };
+        let gang = step.gang.then(|| (0..step.count).map(|i| last(i, job)).max().unwrap_or(0));
+        let mut all = vec![];
+        for (index, no) in chosen.iter().filter(|c| gang.is_some() || allowed.contains(&c.0)) {
+            let run = gang.unwrap_or_else(|| last(*index, job)).max(floor) + 1;
+            all.push((TaskKey { step: *key, index: *index }, *no, run));
+        }
+        self.tell_start(key, &all, now);
+        for (task, no, run) in all {
+            self.start(task, no, run, step, now);
+        }
+        self.review(key.job, now);
+    }
+
+    fn start(&mut self, task: TaskKey, no: WorkerNo, run: u32, step: &Step, now: Time) {
+        let yields = self.yields(&task.step, step);
+        let worker = &mut self.workers[no.0];
+        let Some(until) = worker.lease(&self.setup.bounds, now) else { return };
+
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let part = job.parts.get(&(task.step.time, task.step.step));
+        let ticket = part.and_then(|p| p.tickets.good.get(&worker.id)).map(|t| t.0.clone());
+        let text = job.job.text.clone();
+        job.put(&task, At::There(no));
+        let Some(t) = job.task(&task) else { return };
+        t.run = run;
+        let saved = t.saved.clone();
+        worker.add(
+            task,
+            Run {
+                run,
+                size: step.counted(),
+                blind: false,
+                phase: Phase::Starting,
+                sent: now,
+                known: None,
+                began: now,
+                tries: 1,
+                percent: (0, 0),
+                saved: saved.clone(),
+                load: 0,
+                pace: 100,
+                target: step.target,
+                fills: step.fills,
+                yields,
+                estimate: Duration::from_millis(step.estimate),
+                mark: (now, 0),
+            },
+        );
+        let start = Start { task, run, text, until, token: self.setup.token, saved, ticket };
+        self.out.push(Order::Worker {
+            worker: worker.id.clone(),
+            addr: worker.addr,
+            call: Box::new(WorkerCall::Start(start)),
+            limit: ORDER,
+        });
+    }
+
+    /// Whether a chosen worker may really get the task: of a worker that is tried out, one.
+    fn allowed(&mut self, no: WorkerNo, now: Time) -> bool {
+        let sound = &mut self.workers[no.0].sound;
+        !matches!(sound.verdict(now), Verdict::Quarantined { .. }) || sound.probe(now)
+    }
+}
--- a/src/shard/store.rs
+++ b/src/shard/store.rs
@@ -9,7 +9,7 @@
             flight::Flight,
             machine::Shard,
             record::{CommitRow, Roster, write},
-            workers::WorkerNo,
+            workers::{WorkerNo, millis},
         },
         time::Time,
         work::JobNo,
@@ -137,4 +137,13 @@
             }
         }
     }
+
+    /// Forgets jobs that have been over for long; the store's rows go with the next write.
+    pub(super) fn trim(&mut self, now: Time) {
+        let unix = self.unix(now);
+        let old = millis(self.setup.bounds.keep) * 2;
+        if self.purge.front().is_some_and(|(at, _)| at + old < unix) {
+            log::warn!(target: "shard", "Shard {} is behind with its clean-up.", self.setup.shard);
+        }
+    }
 }
