--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -54,6 +54,7 @@
             self.told.settled = Some(now);
             log::info!(target: "shard", did = "settled", shard:% = self.setup.shard, token = self.setup.token, after_ms = millis(now - self.begun), by_lapse = lapsed; "Shard is settled.");
             self.stir = true;
+            self.note(now);
         }
     }
 }
