Short calls for advice go through members that no other owner calls through

A log of each call (a trial) showed calls of 40 ms that took up to 1.7 s: they came behind calls of the survey pool's owner (98 workers, 1.7 s). View::peers gave each owner another first member, but with some 16 lanes busy the owners met, and as each then avoids the member that was late, the calls met at all 37. Now half of an owner's part is used by nobody else, and its short calls stay there. Test: callers_that_know_nothing_of_each_other_do_not_meet, beside the plain way. tests/table.rs: the test of members that differ asks for more than before.

--- a/src/decide/lanes.rs
+++ b/src/decide/lanes.rs
@@ -6,6 +6,11 @@
 //! behind long ones and the task that it is for comes too late; calls pile up at a few members, and
 //! beyond 32 the service refuses; a member that is cut off, and so never busy, draws all calls.
 //!
+//! *Load pattern:* several callers, none of which knows of the others' calls; one of them makes
+//! most of the long ones. *Without it:* short calls of the others come behind these, and as each then
+//! avoids the member that was late, their calls meet everywhere. So a short call goes only through
+//! members that no other caller uses, unless all of these are set aside.
+//!
 //! *Thresholds:* a call is long over 200 ms, the most by which a task that is due within 250 ms can
 //! be held up. Two lanes stay free of long calls, so that one may fail and a short call still waits
 //! for short ones only. A lane holds two calls, the second to hide the way there and back, which is
@@ -33,10 +38,22 @@
 /// The time in which half of what is known of a lane's lateness is forgotten.
 const FORGET: Duration = Duration::from_secs(1);
 
+/// The members through which one caller may call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// Those that no other caller uses.
+    pub own: Vec<Incarnation>,
+    /// Those that others use too, for long calls.
+    pub shared: Vec<Incarnation>,
+}
+
 /// The members that can call, and what each is at.
 #[derive(Clone, Debug, Default)]
 pub struct Lanes {
+    /// Those that no other caller uses come first.
     all: Vec<Lane>,
+    /// How many these are.
+    own: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -69,15 +86,15 @@
     }
 
     /// Sets the members, and keeps what is known of those that stay. Of equally good ones the first
-    /// is picked: a caller that names itself first spares the way to another, and callers don't all
-    /// pick the same.
-    pub fn members(&mut self, members: &[Incarnation]) {
+    /// is picked: a caller that names itself first spares the way to another.
+    pub fn members(&mut self, peers: &Peers) {
         let mut old = std::mem::take(&mut self.all);
         let mut keep = |m: &Incarnation| {
             let known = old.iter().position(|l| l.member == *m);
             known.map_or_else(|| Lane::new(*m), |i| old.swap_remove(i))
         };
-        self.all = members.iter().map(&mut keep).collect();
+        self.own = peers.own.len();
+        self.all = peers.own.iter().chain(&peers.shared).map(&mut keep).collect();
     }
 
     /// The member that is to make a call which takes `cost` and whose answer is wanted by `due`, and
@@ -132,6 +149,21 @@
         self.all.iter().find(|l| l.member == member).map_or(0, |l| l.calls.len())
     }
 
+    /// How many members there are.
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    /// How many members have no call.
+    pub fn idle(&self) -> usize {
+        self.all.iter().filter(|l| l.calls.is_empty()).count()
+    }
+
     /// How many calls are expected in all.
     pub fn total(&self) -> usize {
         self.all.iter().map(|l| l.calls.len()).sum()
@@ -143,12 +175,18 @@
         let none = usable.clone().next().is_none();
         let most = usable.clone().count().saturating_sub(KEPT).max(1);
         let held = usable.filter(|l| l.long()).count();
-        let may = |l: &Lane| {
+        let long = cost > LONG;
+        let own = self.all[..self.own].iter().any(|l| !l.aside(now));
+        let may = |(i, l): &(usize, &Lane)| {
             let open = if none { l.calls.is_empty() } else { !l.aside(now) };
-            open && (cost <= LONG || l.long() || held < most)
+            let ours = long || !own || *i < self.own;
+            open && ours && (!long || l.long() || held < most)
         };
-        let fit = self.all.iter().enumerate().filter(|(_, l)| may(l));
-        fit.map(|(i, l)| (i, l.free(now) + l.late(now) + cost)).min_by_key(|&(_, end)| end)
+        // Of equally good lanes its own are left to short calls.
+        let last = |i: usize| long && i < self.own;
+        let fit = self.all.iter().enumerate().filter(may);
+        let ends = fit.map(|(i, l)| (i, l.free(now) + l.late(now) + cost));
+        ends.min_by_key(|&(i, end)| (end, last(i)))
     }
 }
 
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        decide::lanes::Peers,
         ids::{Incarnation, WorkerId},
         ports::{Advice, AdviceCall, Fault, StoreReply, Txn, WorkerCall, WorkerReply},
         shard::record::{CommitRow, JobRecord, Progress, Roster},
@@ -74,7 +75,7 @@
     /// The store has confirmed this member's lease, asked then.
     Confirmed(Time),
     /// The members that may be asked to call for advice, this one among them.
-    Peers(Vec<Incarnation>),
+    Peers(Peers),
     /// Time has passed.
     Tick,
 }
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -199,7 +199,7 @@
             Event::Confirmed(sent) => self.confirmed = self.confirmed.max(sent),
             Event::Peers(mut peers) => {
                 // This member first: its calls spare the way to another.
-                peers.sort_by_key(|p| *p != self.setup.me);
+                peers.own.sort_by_key(|p| *p != self.setup.me);
                 self.lanes.members(&peers);
             }
             Event::Tick => self.tick(now),
--- a/src/table.rs
+++ b/src/table.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        decide::lanes::Peers,
         ids::Incarnation,
         ownership::Rendezvous,
         ports::{Item, Rev},
@@ -121,17 +122,28 @@
         Some((*owner, self.members.get(owner)?.control))
     }
 
-    /// The members that a shard may ask, beginning with another one for each shard.
+    /// The members through which a shard may call for advice.
     ///
-    /// Guards against shards that all prefer the same members: each knows only of its own calls, and
-    /// two long ones that meet at one member take twice as long, while others have nothing to do.
-    pub fn peers(&self, shard: ShardNo) -> Vec<Incarnation> {
-        let mut able = self.able();
+    /// Guards against shards that meet at one member: each knows only of its own calls, and a short
+    /// one that comes behind another's long one waits for up to two seconds, while other members
+    /// have nothing to do. Each shard has a part of the members; the first half of it no other uses.
+    pub fn peers(&self, shard: ShardNo) -> Peers {
+        let able = self.able();
         let shards = usize::from(self.shards().max(1));
-        let first = able.len() * usize::from(shard.0) / shards;
-        let first = first.min(able.len());
-        able.rotate_left(first);
-        able
+        let no = usize::from(shard.0) % shards;
+        let mut peers = Peers::default();
+        for part in (no..shards).chain(0..no) {
+            let part = &able[able.len() * part / shards..able.len() * (part + 1) / shards];
+            let half = if shards > 1 { part.len().div_ceil(2) } else { part.len() };
+            if peers.own.is_empty() {
+                peers.own.extend(&part[..half]);
+            }
+            peers.shared.extend(&part[half..]);
+        }
+        if peers.own.is_empty() {
+            peers.own = able;
+        }
+        peers
     }
 
     /// A member's place among those alive, by their numbers.
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -9,6 +9,7 @@
 use {
     dogwoodreach::{
         Time,
+        decide::lanes::Peers,
         ids::Incarnation,
         ports::{Advice, Bounds, Fault, How, Start, Txn, WorkerCall},
         shard::{
@@ -54,6 +55,9 @@
     pub confirms: bool,
     /// Whether advice is given; its tickets are the times of their issue.
     pub advises: bool,
+    /// How long a call for advice takes, and how many were made.
+    pub call: Duration,
+    pub calls: u64,
     /// Whether the owner was told to forget the shard.
     pub deposed: bool,
     /// Each call of a worker so far.
@@ -137,6 +141,8 @@
             answers: true,
             confirms: true,
             advises: true,
+            call: Duration::ZERO,
+            calls: 0,
             deposed: false,
             log: vec![],
             out: vec![],
@@ -155,7 +161,7 @@
         self.shard = Shard::new(setup(self.token), self.load(commit), self.now);
         self.out.clear();
         self.tell(Event::Queues(queues()));
-        self.tell(Event::Peers(vec![Incarnation(self.token)]));
+        self.tell(Event::Peers(Peers { own: vec![Incarnation(self.token)], shared: vec![] }));
         self.list();
     }
 
@@ -267,9 +273,11 @@
                 self.tell(Event::Worker { worker, sent, call, reply });
             }
             Order::Advise { via, call, sent, limit } => {
-                if !self.advises && self.now < *sent + *limit {
+                let waits = !self.advises && self.now < *sent + *limit;
+                if waits || self.now < *sent + self.call {
                     return self.out.push((*sent, order));
                 }
+                self.calls += 1;
                 let ticket: Box<str> = (self.now.0 / 1_000).to_string().into();
                 let good = call.workers.iter().map(|w| (w.clone(), ticket.clone())).collect();
                 let advice = Advice { good, valid: None };
--- a/tests/lanes.rs
+++ b/tests/lanes.rs
@@ -1,7 +1,11 @@
 //! Calls for advice over the members: bursts, long among short, members that are slow or cut off.
 
 use {
-    dogwoodreach::{Time, decide::lanes::Lanes, ids::Incarnation},
+    dogwoodreach::{
+        Time,
+        decide::lanes::{Lanes, Peers},
+        ids::Incarnation,
+    },
     fastrand::Rng,
     std::time::Duration,
 };
@@ -48,7 +52,7 @@
 
 fn lanes(n: u64) -> Lanes {
     let mut lanes = Lanes::new();
-    lanes.members(&(0..n).map(Incarnation).collect::<Vec<_>>());
+    lanes.members(&Peers { own: (0..n).map(Incarnation).collect(), shared: vec![] });
     lanes
 }
 
@@ -216,7 +220,65 @@
         Some((Incarnation(0), Time::from_millis(LONG + SHORT)))
     );
     assert_eq!(lanes.pick(ms(SHORT), now, now), None);
-    lanes.members(&[Incarnation(0), Incarnation(1)]);
+    lanes.members(&Peers { own: vec![Incarnation(0), Incarnation(1)], shared: vec![] });
     assert_eq!(lanes.busy(Incarnation(0)), 2, "what is known is kept");
     assert_eq!(lanes.pick(ms(SHORT), now, now).map(|p| p.0), Some(Incarnation(1)));
 }
+
+#[test]
+fn callers_that_know_nothing_of_each_other_do_not_meet() {
+    // Story: four owners call for advice; one of them makes long calls all the time, and the short
+    // ones of the others came behind these. Those avoided each member that had been late, so that
+    // soon the calls met everywhere, and an eighth of the short tasks of a quiet day were late.
+    let part = |n: u64| (n * 4..n * 4 + 4).map(Incarnation);
+    let peers = |n: u64| Peers {
+        own: part(n).take(2).collect(),
+        shared: (n..4).chain(0..n).flat_map(|n| part(n).skip(2)).collect(),
+    };
+    // Each caller has all members as its own: the plain way.
+    let plain = |n: u64| Peers { own: (n..4).chain(0..n).flat_map(part).collect(), shared: vec![] };
+    let ours = meet([0, 1, 2, 3].map(peers));
+    let baseline = meet([0, 1, 2, 3].map(plain));
+    assert!(ours < 60, "{ours} ms");
+    assert!(baseline > 500, "{baseline} ms");
+}
+
+/// How long the short calls of three callers take, at the 99th of 100, while a fourth makes long ones.
+fn meet(peers: [Peers; 4]) -> u64 {
+    let mut callers = peers.map(|p| {
+        let mut lanes = Lanes::new();
+        lanes.members(&p);
+        lanes
+    });
+    let (mut busy, mut out, mut waiting) = ([0; 16], Vec::new(), Vec::new());
+    let (mut short, mut rng) = (Vec::new(), Rng::with_seed(5));
+    for t in 0..20_000 {
+        let now = Time::from_millis(t);
+        for caller in 0..4 {
+            let (each, cost) = if caller == 3 { (170, LONG * 2) } else { (40, SHORT * 2) };
+            if rng.u64(..each) == 0 {
+                waiting.push((caller, t, cost));
+            }
+        }
+        out.retain(|&(caller, via, sent, end): &(usize, Incarnation, Time, u64)| {
+            if end <= t {
+                callers[caller].done(via, sent, true, now);
+            }
+            end > t
+        });
+        waiting.retain(|&(caller, came, cost)| {
+            let Some((via, _)) = callers[caller].pick(ms(cost), now + ms(5_000), now) else {
+                return true;
+            };
+            let free = &mut busy[via.0 as usize];
+            *free = t.max(*free) + cost;
+            out.push((caller, via, now, *free));
+            if caller < 3 {
+                short.push(*free - came);
+            }
+            false
+        });
+    }
+    short.sort_unstable();
+    p99(&short)
+}
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -3,6 +3,7 @@
 use {
     dogwoodreach::{
         Time,
+        decide::lanes::Peers,
         ids::{Incarnation, Zone},
         ports::{Item, Rev},
         shard::record::{self, LAYOUT, Layout, MemberRow, OwnerRow, ShardNo},
@@ -234,9 +235,13 @@
     let view = cell.table(id(1)).view();
     let mut first = BTreeSet::new();
     for shard in (0..4).map(ShardNo) {
-        let peers = view.peers(shard);
-        assert_eq!(peers.len(), 42);
-        first.extend(peers.into_iter().take(10));
+        let Peers { own, shared } = view.peers(shard);
+        assert!(own.len() >= 5);
+        for other in (0..4).map(ShardNo).filter(|s| *s != shard) {
+            let Peers { own: others, .. } = view.peers(other);
+            assert!(!others.iter().any(|m| own.contains(m) || shared.contains(m)));
+        }
+        first.extend(own.into_iter().chain(shared).take(10));
     }
     assert_eq!(first.len(), 40);
 }
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -11,6 +11,7 @@
 use {
     dogwoodreach::{
         Time,
+        decide::lanes::Peers,
         ids::{Incarnation, WorkerId},
         ports::{AdviceCall, Bounds, Fault, Item, Txn, WorkerCall, WorkerReply as Reply},
         shard::{
@@ -273,7 +274,7 @@
         let first = [
             Event::Queues(self.world.queues.clone()),
             Event::Listed(listed),
-            Event::Peers(vec![me, Incarnation(9)]),
+            Event::Peers(Peers { own: vec![me, Incarnation(9)], shared: vec![] }),
             Event::Confirmed(now),
         ];
         first.into_iter().for_each(|e| self.post(now, Mail::Tell(owner, e)));
