--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -6,6 +6,10 @@
 //! could still be in time. So what can still meet its objective goes first, then what is late but
 //! earns something, then the rest; within these by the queue's priority, then by due time.
 //!
+//! Load: steps so wide that they run in waves, and tasks that fail by their own fault. The objective
+//! allows for both. Reckoned without them, a job that has most of its time left is taken for late and
+//! comes behind all that could be in time, and so it is late.
+//!
 //! A job that is up to three times its objective late still earns: the second class ends there.
 
 use {crate::work::Queue, std::time::Duration};
@@ -13,6 +17,9 @@
 /// Up to how many objectives after its coming a job is worth anything.
 const LATE: u64 = 3;
 
+/// A step that is wider than this part of the room runs in waves, and its objective allows for them.
+const PART: u64 = 4;
+
 /// A place in the order; the least comes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank {
@@ -36,7 +43,7 @@
 pub struct Facts {
     /// When the job, or its occurrence, came, in milliseconds of the Unix clock.
     pub came: u64,
-    /// Its longest chain of work.
+    /// Its longest chain of work, in waves and with the runs that failed.
     pub chain: Duration,
     /// What of it is ahead of this step's end, this step included.
     pub left: Duration,
@@ -44,6 +51,13 @@
     pub lasts: bool,
 }
 
+/// In how many waves so many tasks run, as the objective counts them, where a pool has room for
+/// `room` of them.
+pub fn waves(count: u32, room: u64) -> u32 {
+    let wave = (room / PART).max(1);
+    u32::try_from(u64::from(count).div_ceil(wave)).unwrap_or(u32::MAX)
+}
+
 /// The objective of a job: how long it may take.
 pub fn objective(queue: &Queue, chain: Duration) -> Duration {
     chain.mul_f64(queue.stretch.max(0.0)) + queue.slack
--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -78,7 +78,7 @@
     fn ask(&mut self, key: &StepKey, workers: Vec<WorkerId>, cost: AdviceCost, now: Time) {
         let unix = self.unix(now);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
-        let chain = job.chain();
+        let chain = job.allowed(key.time);
         let came = job.came.max(job.due(key.time));
         let due = self.known.get(&job.queue).map_or(Duration::ZERO, |q| objective(q, chain));
         let Some(part) = job.parts.get_mut(&(key.time, key.step)) else { return };
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -103,6 +103,8 @@
     pub parts: BTreeMap<(u32, u16), Part>,
     /// The longest chain of steps by their estimates, from each step on.
     pub tails: Box<[Duration]>,
+    /// In how many waves each step runs; empty until the workers are known.
+    pub waves: Box<[u32]>,
     /// Whether its first start was told; for the log alone.
     pub begun: bool,
     /// The place in the journal of its last change.
@@ -118,6 +120,7 @@
             queue: record.queue,
             came: record.came,
             tails: tails(&record.job.steps),
+            waves: [].into(),
             job: record.job,
             state: State::Queued,
             old,
@@ -196,9 +199,19 @@
         task.at = at;
     }
 
-    /// The longest chain of its steps.
-    pub fn chain(&self) -> Duration {
-        self.tails.iter().copied().max().unwrap_or_default()
+    /// The longest chain of an occurrence's steps as the objective counts it: each step takes its
+    /// waves, and as many runs more as one of its tasks has failed.
+    pub fn allowed(&self, time: u32) -> Duration {
+        let mut ends: Vec<Duration> = vec![];
+        for (no, step) in (0_u16..).zip(&self.job.steps) {
+            let waves = self.waves.get(usize::from(no)).copied().unwrap_or(1);
+            let part = self.parts.get(&(time, no));
+            let fails = part.and_then(|p| p.tasks.iter().map(|t| t.fails.len()).max()).unwrap_or(0);
+            let runs = waves.saturating_add(u32::try_from(fails).unwrap_or(u32::MAX));
+            let begin = step.after.iter().map(|a| ends[usize::from(*a)]).max().unwrap_or_default();
+            ends.push(begin + Duration::from_millis(step.estimate).saturating_mul(runs));
+        }
+        ends.into_iter().max().unwrap_or_default()
     }
 
     /// How many occurrences it has.
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -6,10 +6,11 @@
 
 use {
     crate::{
-        decide::rank::{Facts, Rank, rank},
+        decide::rank::{Facts, Rank, rank, waves},
         shard::{machine::Shard, plan::Round},
         time::Time,
-        work::{JobNo, StepKey},
+        units::Size,
+        work::{JobNo, Step, StepKey},
     },
     rustc_hash::FxHashSet,
     std::time::Duration,
@@ -24,6 +25,7 @@
 impl Shard {
     /// Looks over which steps of a job are ready.
     pub(super) fn review(&mut self, no: JobNo, now: Time) {
+        self.reckon_waves(no);
         let Some(job) = self.jobs.get(&no) else { return };
         let Some(queue) = self.known.get(&job.queue) else { return };
         let unix = self.unix(now);
@@ -35,7 +37,7 @@
             let open = part.waiting > 0 && whole && !job.state.over() && job.free(*time, *step);
             let facts = Facts {
                 came: job.came.max(job.due(*time)),
-                chain: job.chain(),
+                chain: job.allowed(*time),
                 left: job.tails.get(usize::from(*step)).copied().unwrap_or_default(),
                 lasts: s.lasts,
             };
@@ -49,6 +51,19 @@
         }
     }
 
+    /// Finds out in how many waves the steps of a job run, once it is known what room there is.
+    fn reckon_waves(&mut self, no: JobNo) {
+        let Some(job) = self.jobs.get_mut(&no).filter(|j| j.waves.is_empty()) else { return };
+        let Some(queue) = self.known.get(&job.queue) else { return };
+        let Some(pool) = self.pools.get(&queue.pool) else { return };
+        let listed = pool.iter().filter_map(|n| self.workers[n.0].listed.as_ref());
+        let sizes: Vec<Size> = listed.map(|l| l.size).collect();
+        let room = |s: &Step| {
+            sizes.iter().fold(0, |sum: u64, size| sum.saturating_add(s.counted().count(size)))
+        };
+        job.waves = job.job.steps.iter().map(|s| waves(s.count, room(s))).collect();
+    }
+
     fn make_ready(&mut self, key: StepKey, rank: Rank, now: Time) {
         match self.ranks.insert(key, rank) {
             Some(old) if old == rank => return,
