Tickets are asked for ahead of the room

A task takes a whole worker for 5.6 s; the step that waits for it held no valid ticket (1.5 s) and asked, 0.6 s, once there was room: a tenth of the pool idle. A call again also names workers that have come since, so that a step which always has one to ask about isn't kept from them.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -1,6 +1,7 @@
 //! The decisions, without network or clock: the present time is an argument throughout.
 
 pub mod admit;
+pub mod ahead;
 pub mod cancel;
 pub mod choose;
 pub mod eject;
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -4,6 +4,7 @@
 //! address, so that all that decides where a task runs is in one place and in memory. The state machine has no
 //! clock and does no I/O; `docs/PLATFORM.md` has the reasons.
 
+mod ahead;
 mod ask;
 mod commit;
 pub mod event;
--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -36,14 +36,17 @@
         cost: AdviceCost,
         now: Time,
     ) {
-        let Some(part) = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)))
-        else {
-            return;
-        };
+        let workers = self.unasked(key, usable, MOST);
+        self.ask(key, workers, cost, now);
+    }
+
+    /// Workers that were not asked about yet.
+    fn unasked(&self, key: &StepKey, usable: &[WorkerNo], most: usize) -> Vec<WorkerId> {
+        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+        let Some(part) = part else { return vec![] };
         let asked = &part.tickets.asked;
         let new = usable.iter().map(|n| &self.workers[n.0].id).filter(|id| !asked.contains(id));
-        let workers: Vec<WorkerId> = new.take(MOST).cloned().collect();
-        self.ask(key, workers, cost, now);
+        new.take(most).cloned().collect()
     }
 
     /// Asks for new tickets where there is room, or about workers that have come since.
@@ -71,10 +74,18 @@
         }
         let mut all: Vec<WorkerNo> = stale.to_vec();
         all.sort_by_key(|n| std::cmp::Reverse(self.workers[n.0].free().cores));
-        let workers = all.iter().take(AGAIN).map(|n| self.workers[n.0].id.clone()).collect();
+        let mut workers: Vec<WorkerId> =
+            all.iter().take(AGAIN).map(|n| self.workers[n.0].id.clone()).collect();
+        workers.extend(self.unasked(key, usable, AGAIN - workers.len()));
         self.ask(key, workers, cost, now);
     }
 
+    /// When the ticket of a step for a worker ends.
+    pub(super) fn valid_until(&self, key: &StepKey, no: WorkerNo) -> Option<Time> {
+        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+        part.and_then(|p| p.tickets.good.get(&self.workers[no.0].id)).map(|t| t.1)
+    }
+
     fn ask(&mut self, key: &StepKey, workers: Vec<WorkerId>, cost: AdviceCost, now: Time) {
         let unix = self.unix(now);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -61,6 +61,9 @@
         if !room {
             let soon = |n: &WorkerNo| self.expires(key, *n, now + cost.base + cost.each * 10);
             wanted.retain(soon);
+            wanted.extend(self.coming(turn, &good, cost, round, now));
+            wanted.sort_unstable();
+            wanted.dedup();
         }
         self.ask_again(key, &wanted, usable, cost, now);
     }
@@ -92,8 +95,6 @@
 
     /// Whether the ticket for a worker ends before a time.
     fn expires(&self, key: &StepKey, no: WorkerNo, by: Time) -> bool {
-        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
-        let ticket = part.and_then(|p| p.tickets.good.get(&self.workers[no.0].id));
-        ticket.is_none_or(|(_, until)| *until <= by)
+        self.valid_until(key, no).is_none_or(|until| until <= by)
     }
 }
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         decide::{
+            ahead::Line,
             fit::{Room, best},
             sound::{Verdict, most_held},
         },
@@ -37,6 +38,8 @@
     pub(super) kept: FxHashMap<WorkerNo, Size>,
     /// What waits for each worker, in hundredths of a task.
     pub(super) demand: FxHashMap<WorkerNo, u32>,
+    /// The steps that will have room at a worker soon.
+    pub(super) line: Line<WorkerNo>,
     /// How many gangs have been given new tickets while they wait.
     pub(super) fresh: usize,
 }
@@ -188,7 +191,10 @@
         if let (false, Some(cost)) = (rest.is_empty(), advice) {
             let later = choose(&step, rest, &mut stale);
             self.keep(&step, &later, round);
-            let wanted: Vec<WorkerNo> = later.iter().map(|c| c.1).collect();
+            let mut wanted: Vec<WorkerNo> = later.iter().map(|c| c.1).collect();
+            wanted.extend(self.coming(&turn, &good, cost, round, now));
+            wanted.sort_unstable();
+            wanted.dedup();
             self.ask_again(key, &wanted, &usable, cost, now);
         }
         if chosen.is_empty() && round.starving.contains(key) {
