--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -56,8 +56,8 @@
 pub(crate) enum Out {
     /// Something of a shard that is owned with this token.
     Order(ShardNo, u64, Order),
-    /// A shard has settled its writes, and can be released.
-    Settled(ShardNo),
+    /// A shard has settled its writes but for so many jobs, and can be released.
+    Settled(ShardNo, usize),
     /// A shard was taken away.
     Deposed(ShardNo),
 }
@@ -159,7 +159,7 @@
 
     async fn own(&mut self, no: ShardNo, token: u64, load: Load) {
         if self.release.is_some() {
-            let _ = self.notes.send(Out::Settled(no)).await;
+            let _ = self.notes.send(Out::Settled(no, 0)).await;
             return;
         }
         let bounds = self.common.site.borrow().bounds;
@@ -218,14 +218,15 @@
         }
         self.show = now + SHOW;
         let mut waiting: BTreeMap<u8, usize> = BTreeMap::new();
+        let mut oldest = Duration::ZERO;
         for running in self.shards.values_mut() {
             metrics.tally(&running.shard.tally());
             let levels = running.shard.levels(now);
             levels.waiting.iter().for_each(|(p, n)| *waiting.entry(*p).or_default() += n);
-            metrics.age("workers", levels.list);
+            oldest = oldest.max(levels.list);
         }
         metrics.waiting(&waiting);
-        metrics.age("configuration", now - self.common.configured());
+        metrics.age("workers", oldest);
     }
 
     /// Passes an event to its shard; what follows comes with the next round.
@@ -288,15 +289,15 @@
     /// Tells of the shards that have nothing left to write, or no more time for it.
     async fn settle(&mut self) {
         let over = self.release.is_some_and(|until| self.common.now() >= until);
-        let done: Vec<ShardNo> = self
+        let done: Vec<(ShardNo, usize)> = self
             .shards
             .iter()
             .filter(|(_, r)| over || r.shard.idle_commit())
-            .map(|(s, _)| *s)
+            .map(|(s, r)| (*s, r.shard.unwritten()))
             .collect();
-        for shard in done {
+        for (shard, left) in done {
             self.shards.remove(&shard);
-            let _ = self.notes.send(Out::Settled(shard)).await;
+            let _ = self.notes.send(Out::Settled(shard, left)).await;
         }
     }
 }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -6,8 +6,8 @@
     http_body_util::Full,
     hyper::Response,
     prometheus::{
-        Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-        Registry, TextEncoder,
+        Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+        Opts, Registry, TextEncoder, core::Collector,
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -15,6 +15,9 @@
 /// The bounds of the times of jobs, in seconds.
 const TIMES: [f64; 13] = [0.05, 0.1, 0.2, 0.4, 0.7, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 20.0, 60.0];
 
+/// The bounds of the times of calls, in seconds: a quiet store answers within 10 ms.
+const CALLS: [f64; 9] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0];
+
 /// The metrics of a member.
 pub struct Metrics {
     registry: Registry,
@@ -35,6 +38,9 @@
     waiting: IntGaugeVec,
     ages: IntGaugeVec,
     times: HistogramVec,
+    unanswered: IntCounterVec,
+    noted: IntCounter,
+    answers: HistogramVec,
 }
 
 impl Metrics {
@@ -87,12 +93,25 @@
                 &["to"],
             )
             .expect("the names are well-formed"),
+            unanswered: counter(
+                "dwr_orders_unanswered_total",
+                "Orders to workers that had no answer.",
+                "order",
+            ),
+            noted: IntCounter::new("dwr_ends_noted_total", "Ends that workers may forget.")
+                .expect("the names are well-formed"),
+            answers: HistogramVec::new(
+                HistogramOpts::new("dwr_call_seconds", "How long answers of the outside took.")
+                    .buckets(CALLS.to_vec()),
+                &["call"],
+            )
+            .expect("the names are well-formed"),
         };
         for kind in Kind::ALL {
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retries.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn prometheus::core::Collector>; 15] = [
+        let all: [Box<dyn Collector>; 18] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retries.clone()),
             Box::new(m.kv.clone()),
@@ -108,6 +127,9 @@
             Box::new(m.waiting.clone()),
             Box::new(m.ages.clone()),
             Box::new(m.times.clone()),
+            Box::new(m.unanswered.clone()),
+            Box::new(m.noted.clone()),
+            Box::new(m.answers.clone()),
         ];
         for c in all {
             m.registry.register(c).expect("no name is taken twice");
@@ -141,6 +163,28 @@
         self.calls.with_label_values(&[call, answer]).inc();
     }
 
+    /// All calls of the outside so far by kind, for the log of a member whose metrics nobody reads.
+    pub fn calls(&self) -> Box<str> {
+        let mut sums: BTreeMap<Box<str>, u64> = BTreeMap::new();
+        for metric in self.calls.collect().iter().flat_map(|family| family.get_metric()) {
+            let call = metric.get_label().iter().find(|l| l.name() == "call");
+            let n = metric.get_counter().get_value() as u64;
+            *sums.entry(call.map_or("", |l| l.value()).into()).or_default() += n;
+        }
+        let all: Vec<String> = sums.iter().map(|(call, n)| format!("{call}:{n}")).collect();
+        all.join(",").into()
+    }
+
+    /// Notes how long an answer of the outside took.
+    pub fn answered_in(&self, call: &str, time: Duration) {
+        self.answers.with_label_values(&[call]).observe(time.as_secs_f64());
+    }
+
+    /// Counts an order to a worker that had no answer.
+    pub fn unanswered(&self, order: &str) {
+        self.unanswered.with_label_values(&[order]).inc();
+    }
+
     /// Notes whether callers are served.
     pub fn ready(&self, ready: bool) {
         self.ready.set(i64::from(ready));
@@ -169,6 +213,7 @@
         for (how, n) in &tally.ends {
             self.ends.with_label_values(&[how]).inc_by(*n);
         }
+        self.noted.inc_by(tally.noted);
         let times = |to: &str, all: &[Duration]| {
             let histogram = self.times.with_label_values(&[to]);
             all.iter().for_each(|t| histogram.observe(t.as_secs_f64()));
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -346,8 +346,8 @@
     pub ready: SocketAddr,
     /// Where other members call.
     pub control: SocketAddr,
-    /// Where metrics are shown.
-    pub metrics: SocketAddr,
+    /// Where metrics are shown: at the first of these that is free.
+    pub metrics: Box<[SocketAddr]>,
     /// The store.
     pub store: SocketAddr,
     /// The advice service, where there is one.
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -14,6 +14,7 @@
         },
         store::{CALL, Outside},
         table::{Fate, Table, Take, member_key},
+        time::Time,
         watch::{Follow, Pause, Seen},
         work::{Listed, Queues},
     },
@@ -157,6 +158,8 @@
     told: Sender<Told>,
     tell: Sender<News>,
     making: bool,
+    /// Since when this member is told to stop.
+    stopping: Option<Time>,
 }
 
 /// What the table's duty is told.
@@ -164,7 +167,7 @@
     Seen(Seen),
     Taken(Take, Fate),
     Made,
-    Released(ShardNo),
+    Released(ShardNo, usize),
     Out(Out),
     Stop,
 }
@@ -196,12 +199,12 @@
             let _ = stop.send(News::Stop).await;
         });
         let table = Table::new(common.me);
-        let making = false;
-        Registry { common, outside, owner, table, told, tell, making }.work(news).await;
+        let (making, stopping) = (false, None);
+        let this = Registry { common, outside, owner, table, told, tell, making, stopping };
+        this.work(news).await;
     }
 
     async fn work(mut self, news: Receiver<News>) {
-        let mut stopping = false;
         loop {
             let rest = if self.table.waits() { STEP } else { KEEP };
             let got = timeout(rest, news.recv()).await;
@@ -209,16 +212,15 @@
                 self.table.answered(at);
             }
             if let Ok(Ok(got)) = got {
-                stopping |= matches!(got, News::Stop);
                 self.take(got).await;
             }
             let takes = self.table.step(self.common.now());
             takes.into_iter().for_each(|t| self.fly(t));
-            if self.table.bare() && !self.making && !stopping {
+            if self.table.bare() && !self.making && self.stopping.is_none() {
                 self.making = true;
                 self.make();
             }
-            if stopping && self.table.running().is_empty() && !self.table.flying() {
+            if self.stopping.is_some() && self.table.running().is_empty() && !self.table.flying() {
                 return;
             }
         }
@@ -246,19 +248,21 @@
                 self.moved(lost).await;
             }
             News::Made => self.making = false,
-            News::Out(Out::Settled(shard)) => self.release(shard),
+            News::Out(Out::Settled(shard, left)) => self.release(shard, left),
             News::Out(Out::Deposed(shard)) => {
                 self.table.dropped(shard, now);
                 self.moved(vec![shard]).await;
             }
             News::Out(Out::Order(..)) => {}
-            News::Released(shard) => {
+            News::Released(shard, left) => {
                 self.table.dropped(shard, now);
                 self.common.metrics.moved("released");
-                log::info!(target: "table", did = "released", shard:% = shard; "Shard is released.");
+                let after_ms = self.stopping.map_or(0, |s| (now - s).as_millis() as u64);
+                log::info!(target: "table", did = "released", shard:% = shard, after_ms, unwritten = left; "Shard is released.");
                 self.owner.end(shard).await;
             }
             News::Stop => {
+                self.stopping = self.stopping.or(Some(now));
                 self.table.stop();
                 let _ = self.told.send(Told::Release).await;
             }
@@ -306,7 +310,7 @@
     }
 
     /// Gives a shard back; its token stays, so that its next owner's is higher.
-    fn release(&self, shard: ShardNo) {
+    fn release(&self, shard: ShardNo, left: usize) {
         let (outside, tell) = (self.outside.clone(), self.tell.clone());
         let mine = self.table.mine(shard);
         tokio::spawn(async move {
@@ -328,7 +332,7 @@
                     log::warn!(target: "table", shard:% = shard, answer:? = done; "Shard could not be released.");
                 }
             }
-            let _ = tell.send(News::Released(shard)).await;
+            let _ = tell.send(News::Released(shard, left)).await;
         });
     }
 
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -243,6 +243,11 @@
         self.deposed || (self.dirty.is_empty() && !self.commit.busy())
     }
 
+    /// How many jobs stand otherwise here than in the store, as far as is known.
+    pub fn unwritten(&self) -> usize {
+        self.dirty.len() + self.flight.jobs.len()
+    }
+
     /// Writes what is left, and decides nothing: the shard is about to be released.
     ///
     /// Guards against a release that waits in vain: between two writes lies a pause, and an answer
--- a/src/shard/store.rs
+++ b/src/shard/store.rs
@@ -125,6 +125,7 @@
     fn note(&mut self, now: Time) {
         let busy: Vec<JobNo> = self.flight.jobs.iter().map(|f| f.0).collect();
         let (jobs, workers) = (&self.jobs, &mut self.workers);
+        let noted = &mut self.tally.noted;
         for w in workers.iter_mut().filter(|w| !w.pending.is_empty()) {
             while let Some((number, no, place)) = w.pending.front().copied() {
                 let stored = jobs.get(&no).is_none_or(|j| j.stored >= place);
@@ -132,6 +133,7 @@
                     break;
                 }
                 w.seen = number;
+                *noted += 1;
                 w.pending.pop_front();
                 w.next = now;
             }
--- a/src/shard/tally.rs
+++ b/src/shard/tally.rs
@@ -16,6 +16,8 @@
     pub done: Vec<Duration>,
     /// Runs that ended, by how.
     pub ends: BTreeMap<&'static str, u64>,
+    /// Ends that were noted once they were stored.
+    pub noted: u64,
 }
 
 /// What was last told of a shard, and when.
--- a/src/shard/tell.rs
+++ b/src/shard/tell.rs
@@ -57,6 +57,17 @@
         log::debug!(target: "shard", did = "known", job:% = no, shard:% = shard, token, queue = &*job.queue, steps, after_ms, old = job.old; "Job is known to its owner.");
     }
 
+    /// Tells of tasks that are started again, and of how their last runs are counted.
+    fn tell_again(&self, key: &StepKey, starts: &[(TaskKey, WorkerNo, u32)]) {
+        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+        let Some(part) = part else { return };
+        let last = |t: &TaskKey| part.tasks.get(t.index as usize).map_or(0, |t| t.run);
+        let mut again = starts.iter().filter(|(t, ..)| last(t) > 0);
+        let Some((task, no, run)) = again.next() else { return };
+        let (last, tasks, worker) = (last(task), 1 + again.count(), &self.workers[no.0].id);
+        log::info!(target: "shard", did = "again", job:% = key.job, task:% = task, run, last, tasks, worker:% = worker; "Task starts again.");
+    }
+
     /// Tells of the first start of a step, and of what it has waited for.
     pub(super) fn tell_start(
         &mut self,
@@ -64,6 +75,7 @@
         starts: &[(TaskKey, WorkerNo, u32)],
         now: Time,
     ) {
+        self.tell_again(key, starts);
         let unix = self.unix(now);
         let settled = self.told.settled;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
--- a/src/site.rs
+++ b/src/site.rs
@@ -51,6 +51,8 @@
 const SPARE: Duration = Duration::from_millis(1500);
 /// How long the end of the lease may take.
 const END: Duration = Duration::from_millis(400);
+/// How often the calls so far are told.
+const CALLS: Duration = Duration::from_secs(10);
 /// Limits of the callers' side.
 const CALLERS: Limits =
     Limits { body: 1 << 20, connections: 2500, patience: Duration::from_secs(20) };
@@ -95,7 +97,8 @@
     let listeners = Listeners::bind(&site)?;
     let me = Incarnation(draw(&site).max(1));
     seed(me, "shards");
-    log::info!(target: "site", did = "started", member:% = me, node = &*site.node, zone:% = site.zone, callers:% = site.callers, store:% = site.store; "Member starts.");
+    let metrics = listeners.metrics.local_addr().map_err(failed)?.port();
+    log::info!(target: "site", did = "started", member:% = me, node = &*site.node, zone:% = site.zone, callers:% = site.callers, store:% = site.store, metrics; "Member starts.");
     let common = Arc::new(Common::new(forms, site, me, Arc::new(Metrics::new())));
     let (told, events) = bounded(INBOX);
     let (ended, end) = oneshot::channel();
@@ -128,6 +131,7 @@
     tokio::spawn(signals.heed(common.clone(), settings));
     tokio::spawn(Decisions::new(common.clone(), events, out, notes).run());
     tokio::spawn(owner.clone().list());
+    tokio::spawn(tell_calls(common.clone()));
     tokio::spawn(owner.clone().work(orders));
     tokio::spawn(registry::config(common.clone(), outside.clone(), told.clone()));
     let membership =
@@ -150,10 +154,20 @@
     if lease != 0 {
         let _ = timeout(END, outside.store(&StoreCall::EndLease { lease }, END)).await;
     }
+    log::info!(target: "site", calls = &*common.metrics.calls(); "Calls of the outside so far.");
     log::info!(target: "site", did = "stopped", member:% = common.me; "Stopped.");
     Ok(())
 }
 
+/// Tells how many calls of the outside were made, again and again: a process that is killed takes
+/// its counters along.
+async fn tell_calls(common: Arc<Common>) {
+    loop {
+        sleep(CALLS).await;
+        log::info!(target: "site", calls = &*common.metrics.calls(); "Calls of the outside so far.");
+    }
+}
+
 /// Serves callers, the balancer and who reads metrics, until some time after the signal to stop.
 async fn serve_callers(
     common: Arc<Common>,
@@ -175,8 +189,11 @@
         };
         async move { answer(status, "") }
     }));
-    let pages = common.metrics.clone();
+    let (pages, shared) = (common.metrics.clone(), common.clone());
     tokio::spawn(serve(metrics, PAGES, pending(), move |head, _| {
+        let now = shared.now();
+        pages.age("configuration", now - shared.configured());
+        pages.age("store", shared.contact().map_or(Duration::MAX, |at| now - at));
         let page = pages.page(head.uri.path());
         async move { page }
     }));
@@ -202,11 +219,26 @@
             callers: bind(site.callers, "callers")?,
             ready: bind(site.ready, "ready")?,
             control: bind(site.control, "control")?,
-            metrics: bind(site.metrics, "metrics")?,
+            metrics: bind_first(&site.metrics, |addr| bind(addr, "metrics"))?,
         })
     }
 }
 
+/// Listens at the first address that is free.
+fn bind_first(
+    all: &[SocketAddr],
+    bind: impl Fn(SocketAddr) -> Result<TcpListener, Error>,
+) -> Result<TcpListener, Error> {
+    let mut failed = Error::new(Kind::BadSettings, "there is no address for metrics");
+    for addr in all {
+        match bind(*addr) {
+            Ok(listener) => return Ok(listener),
+            Err(e) => failed = e,
+        }
+    }
+    Err(failed)
+}
+
 impl Signals {
     fn new() -> io::Result<Self> {
         Ok(Signals {
@@ -239,8 +271,8 @@
     match read(common.forms, settings) {
         Ok(site) => {
             let old = common.site.send_replace(Arc::new(site.clone()));
-            let same = (old.callers, old.ready, old.control, old.metrics)
-                == (site.callers, site.ready, site.control, site.metrics);
+            let same = (old.callers, old.ready, old.control, &old.metrics)
+                == (site.callers, site.ready, site.control, &site.metrics);
             log::info!(target: "site", did = "reloaded", same_store = old.store == site.store, same_advice = old.advice == site.advice; "The settings were read again.");
             if !same {
                 log::warn!(target: "site", "New addresses to listen on count from the next start.");
--- a/src/store.rs
+++ b/src/store.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        contact::{Contact, News},
+        contact::{Contact, News, Speed, Tempo},
         http::{Client, Failure, uri},
         ids::WorkerId,
         metrics::Metrics,
@@ -51,6 +51,7 @@
     begun: Instant,
     store: Mutex<Contact>,
     advice: Mutex<Contact>,
+    speed: Mutex<Speed>,
 }
 
 impl Outside {
@@ -62,8 +63,8 @@
         metrics: Arc<Metrics>,
         heard: Arc<dyn Fn() + Send + Sync>,
     ) -> Self {
-        let contacts =
-            Contacts { begun: Instant::now(), store: Mutex::default(), advice: Mutex::default() };
+        let (store, advice, speed) = Default::default();
+        let contacts = Contacts { begun: Instant::now(), store, advice, speed };
         let (client, contacts) = (Client::new(IDLE), Arc::new(contacts));
         Outside { client, forms, site, metrics, heard, contacts }
     }
@@ -75,15 +76,23 @@
     /// [`Fault::Unsent`] and [`Fault::Refused`] say that nothing was done and nothing will be;
     /// [`Fault::Unknown`] that it may have been done, or may be later.
     pub async fn store(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, Fault> {
-        let addr = self.site.borrow().store;
+        let (addr, begin, name) = (self.site.borrow().store, Instant::now(), store_name(call));
         let answer = self.send(addr, (self.forms.ask_store)(call), limit).await;
         let reply = answer.and_then(|(status, body)| (self.forms.store)(call, status, &body));
         let answered = !matches!(reply, Err(Fault::Unsent | Fault::Unknown));
         if answered {
             (self.heard)();
         }
+        // A watch takes as long as nothing happens, and a range as long as the link is narrow.
+        let waits = matches!(call, StoreCall::Watch { .. });
+        if answered && !waits {
+            self.metrics.answered_in(name, begin.elapsed());
+        }
+        if answered && !waits && !matches!(call, StoreCall::Range { .. }) {
+            self.contacts.took(begin.elapsed());
+        }
         self.contacts.called(&self.contacts.store, "store", answered);
-        self.metrics.called(store_name(call), store_answer(&reply));
+        self.metrics.called(name, store_answer(&reply));
         reply
     }
 
@@ -135,6 +144,7 @@
         call: &WorkerCall,
         limit: Duration,
     ) -> Result<WorkerReply, Fault> {
+        let begin = Instant::now();
         let answer = self.send(addr, (self.forms.ask_worker)(worker, call), limit).await;
         let reply = answer.and_then(|(status, body)| (self.forms.worker)(call, status, &body));
         let said = match &reply {
@@ -151,6 +161,12 @@
             WorkerCall::Pace { .. } => "worker_pace",
         };
         self.metrics.called(name, said);
+        if matches!(reply, Err(Fault::Unknown)) {
+            self.metrics.unanswered(name);
+        } else if !matches!(call, WorkerCall::Hold { .. }) {
+            // A hold waits for an end.
+            self.metrics.answered_in(name, begin.elapsed());
+        }
         reply
     }
 
@@ -161,10 +177,14 @@
     /// As [`Outside::store`]; [`Fault::Unsent`] where there is no advice service.
     pub async fn advice(&self, call: &AdviceCall, limit: Duration) -> Result<Advice, Fault> {
         let addr = self.site.borrow().advice.ok_or(Fault::Unsent)?;
+        let begin = Instant::now();
         let answer = self.send(addr, (self.forms.ask_advice)(call), limit).await;
         let reply = answer.and_then(|(status, body)| (self.forms.advice)(status, &body));
         let answered = !matches!(reply, Err(Fault::Unsent | Fault::Unknown));
         self.contacts.called(&self.contacts.advice, "advice", answered);
+        if answered {
+            self.metrics.answered_in("advice", begin.elapsed());
+        }
         self.metrics.called("advice", reply.as_ref().map_or_else(fault_name, |_| "done"));
         reply
     }
@@ -226,6 +246,22 @@
             None => {}
         }
     }
+
+    /// Takes in how long an answer of the store took, and tells where it is slow or quick again.
+    fn took(&self, time: Duration) {
+        let tempo = self.speed.lock().unwrap_or_else(PoisonError::into_inner).answered(time);
+        match tempo {
+            Some(Tempo::Slow(median)) => {
+                let median_ms = median.as_millis() as u64;
+                log::warn!(target: "outside", median_ms; "Store is slow.");
+            }
+            Some(Tempo::Quick(median)) => {
+                let median_ms = median.as_millis() as u64;
+                log::info!(target: "outside", median_ms; "Store is quick again.");
+            }
+            None => {}
+        }
+    }
 }
 
 fn store_name(call: &StoreCall) -> &'static str {
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -21,8 +21,8 @@
 use sum::sum;
 
 /// What only an owner tells of a job.
-const OWNER: [&str; 8] =
-    ["known", "start", "end", "lost", "stop", "refused_start", "over", "cancelled"];
+const OWNER: [&str; 9] =
+    ["known", "start", "again", "end", "lost", "stop", "refused_start", "over", "cancelled"];
 
 /// What is traced: a job, a step or a task of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/trace/sum.rs
+++ b/src/trace/sum.rs
@@ -75,6 +75,10 @@
             "; {gone} runs were lost, {failed} failed and {stopped} were stopped, {lost_ms} ms of their work came to nothing"
         );
     }
+    let unheard = lines.iter().filter(|l| l.did() == "lost").map(|l| l.number("heard_ms")).max();
+    if let Some(ms) = unheard.filter(|ms| *ms > 0) {
+        let _ = write!(said, "; a loss was certain {ms} ms after its worker was last heard");
+    }
     if count("owned") > 0 {
         let _ = write!(said, "; its shard was taken over {} times", count("owned"));
     }
--- a/tests/contact.rs
+++ b/tests/contact.rs
@@ -3,7 +3,7 @@
 use {
     dogwoodreach::{
         Time,
-        contact::{Contact, News},
+        contact::{Contact, News, Speed, Tempo},
     },
     std::time::Duration,
 };
@@ -29,3 +29,18 @@
         assert_eq!(news, None, "call {i}");
     }
 }
+
+#[test]
+fn a_slow_store_is_told_once_and_again_when_it_is_quick() {
+    // Story: for four seconds the store answers late, and loses and refuses nothing. Jobs are late
+    // at all members alike, and no line says why. A single late answer is none; five of nine are.
+    let ms = Duration::from_millis;
+    let mut speed = Speed::default();
+    let mut told = vec![];
+    let answers = [4, 4, 4, 4, 4, 400, 4, 4, 4, 4].into_iter();
+    let late = answers.chain([150; 20]).chain([30; 20]).chain([4; 20]);
+    for (i, time) in late.enumerate() {
+        told.extend(speed.answered(ms(time)).map(|t| (i, t)));
+    }
+    assert_eq!(told, [(13, Tempo::Slow(ms(150))), (54, Tempo::Quick(ms(4)))]);
+}
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -198,6 +198,15 @@
             let line = format!(r#"dwr_calls_total{{answer="done",call="{call}"}}"#);
             assert!(page.contains(&line), "{line} is missing");
         }
+        for name in [
+            r#"dwr_age_milliseconds{what="configuration"}"#,
+            r#"dwr_age_milliseconds{what="store"}"#,
+            r#"dwr_call_seconds_count{call="store_txn"}"#,
+            r#"dwr_ends_noted_total"#,
+        ] {
+            assert!(page.contains(name), "{name} is missing");
+        }
+        assert!(!page.contains(r#"dwr_call_seconds_count{call="store_watch"}"#), "it waits");
     });
 }
 
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -52,7 +52,7 @@
         callers: addr("callers")?,
         ready: addr("ready")?,
         control: addr("control")?,
-        metrics: addr("metrics")?,
+        metrics: [addr("metrics")?].into(),
         store: addr("store")?,
         advice: None,
         lives: None,
