A store that refuses one member has a line

Three refusals on end are told now, and the first call that is served again. Ruled out: counting refusals as silence (the member must not take itself for cut off: the answer proves contact, on which the table's reckoning rests).

--- a/src/store.rs
+++ b/src/store.rs
@@ -50,6 +50,8 @@
 struct Contacts {
     begun: Instant,
     store: Mutex<Contact>,
+    /// Whether the store serves this member where it answers.
+    serves: Mutex<Contact>,
     advice: Mutex<Contact>,
     speed: Mutex<Speed>,
 }
@@ -63,8 +65,8 @@
         metrics: Arc<Metrics>,
         heard: Arc<dyn Fn() + Send + Sync>,
     ) -> Self {
-        let (store, advice, speed) = Default::default();
-        let contacts = Contacts { begun: Instant::now(), store, advice, speed };
+        let (store, serves, advice, speed) = Default::default();
+        let contacts = Contacts { begun: Instant::now(), store, serves, advice, speed };
         let (client, contacts) = (Client::new(IDLE), Arc::new(contacts));
         Outside { client, forms, site, metrics, heard, contacts }
     }
@@ -92,6 +94,9 @@
             self.contacts.took(begin.elapsed());
         }
         self.contacts.called(&self.contacts.store, "store", answered);
+        if answered {
+            self.contacts.served(!matches!(reply, Err(Fault::Refused)));
+        }
         self.metrics.called(name, store_answer(&reply));
         reply
     }
@@ -247,6 +252,26 @@
         }
     }
 
+    /// Takes in whether the store has served a call that it answered, and tells of a change.
+    ///
+    /// Guards against a cause that nobody sees: a store that refuses one member and serves the others
+    /// is not lost to it, and the jobs of its shard stand still until its lease has ended.
+    fn served(&self, served: bool) {
+        let now = Time::ZERO + self.begun.elapsed();
+        let news = self.serves.lock().unwrap_or_else(PoisonError::into_inner).called(served, now);
+        match news {
+            Some(News::Lost(since)) => {
+                let ms = (now - since).as_millis() as u64;
+                log::warn!(target: "outside", since_ms = ms; "Store refuses this member.");
+            }
+            Some(News::Back(after)) => {
+                let ms = after.as_millis() as u64;
+                log::info!(target: "outside", after_ms = ms; "Store serves this member again.");
+            }
+            None => {}
+        }
+    }
+
     /// Takes in how long an answer of the store took, and tells where it is slow or quick again.
     fn took(&self, time: Duration) {
         let tempo = self.speed.lock().unwrap_or_else(PoisonError::into_inner).answered(time);
