An owner pauses between two watches of its inbox

Cause: each job that is taken in ended the owner's watch, and each answer is paid for, although the member that took the job in tells the owner directly. The watch is only there for words that were lost, so it is asked for again 400 ms after a change. Ruled out: that jobs are known later.

--- a/src/watch.rs
+++ b/src/watch.rs
@@ -5,12 +5,18 @@
         ports::{Fault, Item, Rev, StoreCall, StoreReply},
         store::{MARGIN, Outside},
     },
-    std::time::Duration,
+    std::{mem, time::Duration},
     tokio::time::{Instant, sleep},
 };
 
 /// How often what goes on from a range is read whole all the same, in case that a change was missed.
 const AGAIN: Duration = Duration::from_secs(5);
+/// The pause between two watches of what is told besides.
+///
+/// Each change ends a watch, and each is paid for: an inbox is followed in case that a member's word
+/// to the owner was lost, so that a job that only the watch brings may come this much later. 20 jobs
+/// a second were 20 answered watches a second.
+const REST: Duration = Duration::from_millis(400);
 /// The first and the longest pause after a fault, in milliseconds.
 const PAUSE: (u64, u64) = (20, 300);
 
@@ -53,6 +59,8 @@
     after: Option<Rev>,
     /// Whether it goes on after a fault from where it was.
     goes_on: bool,
+    /// Whether it pauses before the next watch.
+    rests: bool,
     /// When the range was read last.
     read: Instant,
     pause: Pause,
@@ -63,11 +71,13 @@
     pub fn whole(outside: Outside, prefix: &str, wait: Duration) -> Self {
         let pause = Pause::default();
         let (prefix, read) = (prefix.into(), Instant::now());
-        Follow { outside, prefix, wait, after: None, goes_on: false, read, pause }
+        let (goes_on, rests) = (false, false);
+        Follow { outside, prefix, wait, after: None, goes_on, rests, read, pause }
     }
 
     /// A watch that goes on from a range that was read, also after faults, as long as the store
-    /// remembers; what it follows may be too much to be read again for each cut connection.
+    /// remembers; what it follows may be too much to be read again for each cut connection. It pauses
+    /// after each change ([`REST`]).
     pub fn from(outside: Outside, prefix: &str, wait: Duration, after: Rev) -> Self {
         Follow { after: Some(after), goes_on: true, ..Follow::whole(outside, prefix, wait) }
     }
@@ -97,6 +107,9 @@
                 }
                 continue;
             };
+            if mem::take(&mut self.rests) {
+                sleep(REST).await;
+            }
             if self.goes_on && self.read.elapsed() >= AGAIN {
                 self.read = Instant::now();
                 if let Ok((items, rev)) = self.outside.all(&self.prefix, false).await {
@@ -110,6 +123,7 @@
                     self.after = Some(rev.max(after));
                     if !items.is_empty() {
                         self.pause.good();
+                        self.rests = self.goes_on;
                         return Seen::Changes(items, rev);
                     }
                     if asked.elapsed() < self.wait / 4 {
