An end of a job that is stored already is noted without a further write

Cause: ends are noted after a write. One that comes when its job is over and stored changes nothing, so no write follows, and until another job changes the worker lists it in each answer and is asked again every 120 ms.

--- a/src/shard/store.rs
+++ b/src/shard/store.rs
@@ -25,7 +25,11 @@
     pub(super) fn flush(&mut self, now: Time) {
         let unix = self.unix(now);
         let purge = self.purge.front().is_some_and(|(at, _)| *at <= unix);
-        if (self.dirty.is_empty() && !self.roster && !purge) || !self.commit.open(now) {
+        if self.dirty.is_empty() && !self.roster && !purge {
+            // An end of a job that is stored already has no write that would have it noted.
+            return self.note(now);
+        }
+        if !self.commit.open(now) {
             return;
         }
         let (number, rev) = self.commit.begin(now);
--- a/tests/shard_note.rs
+++ b/tests/shard_note.rs
@@ -5,13 +5,14 @@
 use {
     dogwoodreach::{
         Time,
-        ports::How,
+        ports::{Fault, How, WorkerCall},
         work::{JobNo, State},
     },
     hand::{
         Hand, job, step,
         store::Fate::{self, Answered, Lost, Refused, Unheard},
         task,
+        worker::FINE,
     },
     std::time::Duration,
 };
@@ -110,3 +111,23 @@
     hand.succeed();
     assert_eq!(hand.state(1), Some(State::Done), "job {} is over", JobNo(1));
 }
+
+#[test]
+fn an_end_of_a_job_that_is_stored_needs_no_further_write() {
+    // Story: a job is cancelled and stored so, and its runs end after that. Nothing else has to be
+    // written, so no write had their ends noted: the worker listed them in each answer, and was
+    // asked again eight times a second, until another job changed.
+    let mut hand = Hand::new(1);
+    hand.submit(1, "plain", job(step(2, 1)));
+    hand.run(300);
+    hand.workers[0].hook = |call| match call {
+        WorkerCall::Stop { .. } => Some(Err(Fault::Unknown)),
+        _ => None,
+    };
+    hand.cancel(1);
+    hand.until("stored", 1_000, |h| h.state(1) == Some(State::Cancelled));
+    hand.run(500);
+    hand.workers[0].hook = FINE;
+    hand.until("the runs have ended", 3_000, |h| h.workers[0].rows.is_empty());
+    hand.until("noted", 1_000, |h| h.workers[0].ends.is_empty());
+}
