Ends of tasks of jobs that go on gather for 100 ms before they are written

Callers wait for the ends of jobs only, so a write with one of these, or with the roster, still begins 20 ms after the last, and takes along what has gathered; others 100 ms after. A release writes what is left at once. Ruled out: a longer pause than 120 ms, at which a worker with unwritten ends is asked again. Tests: shard_store, shard, release, shard_note, shard_settle pass.

--- a/src/shard/commit.rs
+++ b/src/shard/commit.rs
@@ -16,6 +16,9 @@
 /// Between the beginnings of two writes, at least: a quiet store answers in 4 ms, and each call is
 /// paid for, so that what ends within this time goes along.
 const GAP: Duration = Duration::from_millis(20);
+/// The same, where nobody waits for what is written: ends of tasks of jobs that go on. A hold comes
+/// back for unwritten ends after 120 ms, so that this may not be longer.
+const LAZY: Duration = Duration::from_millis(100);
 /// The pause after a refusal, doubled up to the second.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
 
@@ -53,18 +56,22 @@
     number: u64,
     stage: Stage,
     next: Time,
+    /// When a write may begin that nobody waits for.
+    lazy: Time,
     pause: Duration,
 }
 
 impl Commit {
     /// The commit of an owner that has written the commit row at `rev`.
     pub fn new(rev: u64) -> Self {
-        Commit { rev, number: 0, stage: Stage::Idle, next: Time::ZERO, pause: BACKOFF.0 }
+        let (next, lazy) = (Time::ZERO, Time::ZERO);
+        Commit { rev, number: 0, stage: Stage::Idle, next, lazy, pause: BACKOFF.0 }
     }
 
-    /// Whether a write may begin.
-    pub fn open(&self, now: Time) -> bool {
-        self.stage == Stage::Idle && self.next <= now
+    /// Whether a write may begin, which somebody waits for or not.
+    pub fn open(&self, urgent: bool, now: Time) -> bool {
+        let from = if urgent { self.next } else { self.next.max(self.lazy) };
+        self.stage == Stage::Idle && from <= now
     }
 
     /// Whether a write is out.
@@ -76,7 +83,7 @@
     pub fn begin(&mut self, now: Time) -> (u64, u64) {
         self.number += 1;
         self.stage = Stage::Writing;
-        self.next = now + GAP;
+        (self.next, self.lazy) = (now + GAP, now + LAZY);
         (self.number, self.rev)
     }
 
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -259,7 +259,7 @@
         if self.commit.unclear(now) {
             self.out.push(Order::Reread);
         }
-        self.flush(now);
+        self.flush_as(true, now);
         mem::take(&mut self.out)
     }
 
--- a/src/shard/store.rs
+++ b/src/shard/store.rs
@@ -22,14 +22,24 @@
 
 impl Shard {
     /// Begins a write, if there is something to write and none is out.
+    ///
+    /// Callers wait for the ends of jobs, and starts for the roster; the ends of tasks gather longer,
+    /// as each write is paid for and has the workers asked again.
     pub(super) fn flush(&mut self, now: Time) {
+        let over = |no: &JobNo| self.jobs.get(no).is_some_and(|j| j.state.over());
+        let urgent = self.roster || self.dirty.iter().any(over);
+        self.flush_as(urgent, now);
+    }
+
+    /// As [`Shard::flush`], whatever there is to write.
+    pub(super) fn flush_as(&mut self, urgent: bool, now: Time) {
         let unix = self.unix(now);
         let purge = self.purge.front().is_some_and(|(at, _)| *at <= unix);
         if self.dirty.is_empty() && !self.roster && !purge {
             // An end of a job that is stored already has no write that would have it noted.
             return self.note(now);
         }
-        if !self.commit.open(now) {
+        if !self.commit.open(urgent, now) {
             return;
         }
         let (number, rev) = self.commit.begin(now);
