A start says its queue and size, a trace the refusals, a refused cancel its reason

Ruled out: a debug line for the size (who is on call has the usual log). Tests: trace (new: refusals of what was taken in; fails before).

--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -178,7 +178,7 @@
     /// Cancels a job.
     pub(super) async fn cancel(&self, ask: &Ask, no: JobNo, pool: &PoolId) -> Result<Bytes, Error> {
         let shard = self.shard(no, pool)?;
-        let silent = |_| Error::new(Kind::Platform, "the store doesn't answer");
+        let silent = |_| Error::new(Kind::Platform, "the store refuses or doesn't answer");
         let limit = self.limit(ask)?;
         if self.outside.get(&shard.job(no), limit).await.map_err(silent)?.is_none() {
             let there = self.stored(ask, shard, no).await?;
--- a/src/shard/tell.rs
+++ b/src/shard/tell.rs
@@ -82,6 +82,9 @@
         let (came, old, begun) = (job.came.max(job.due(key.time)), job.old, job.begun);
         let Some(part) = job.parts.get_mut(&(key.time, key.step)) else { return };
         let Some((_, first, run)) = starts.first() else { return };
+        let step = job.job.steps.get(usize::from(key.step));
+        let (each, gang) = step.map(|s| (s.counted(), s.gang)).unwrap_or_default();
+        let queue = job.queue.clone();
         if mem::replace(&mut part.begun, true) {
             return;
         }
@@ -97,7 +100,7 @@
         let advice_ms = part.advised.filter(|a| *a > ready).map_or(0, |a| millis(a - ready));
         let (worker, listed_ms) = (&self.workers[first.0].id, millis(now - self.told.listed));
         let (after_ms, delay_ms, tasks) = (unix.saturating_sub(came), millis(delay), starts.len());
-        log::info!(target: "shard", did = "start", job:% = key.job, step:% = key, run, tasks, worker:% = worker, delay_ms, reason, advice_ms, after_ms, listed_ms; "Step starts.");
+        log::info!(target: "shard", did = "start", job:% = key.job, step:% = key, run, tasks, worker:% = worker, queue = &*queue, each:% = each, gang, delay_ms, reason, advice_ms, after_ms, listed_ms; "Step starts.");
         *self.tally.starts.entry(reason).or_default() += 1;
         if !begun {
             job.begun = true;
--- a/src/trace/sum.rs
+++ b/src/trace/sum.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::trace::{Line, Trace},
-    std::{collections::BTreeMap, fmt::Write},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        fmt::Write,
+    },
 };
 
 /// What the lines of one job come to.
@@ -79,6 +82,13 @@
     if let Some(ms) = unheard.filter(|ms| *ms > 0) {
         let _ = write!(said, "; a loss was certain {ms} ms after its worker was last heard");
     }
+    // A refusal is the end of what came to nothing else, and told as such above.
+    let refused: BTreeSet<&str> =
+        lines.iter().filter(|l| l.did() == "refused").filter_map(|l| l.get("reason")).collect();
+    if !refused.is_empty() && (count("taken") > 0 || count("over") > 0) {
+        let reasons = refused.into_iter().collect::<Vec<_>>().join(", ");
+        let _ = write!(said, "; {} requests for it were refused ({reasons})", count("refused"));
+    }
     if count("owned") > 0 {
         let _ = write!(said, "; its shard was taken over {} times", count("owned"));
     }
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -151,6 +151,18 @@
     }
 }
 
+#[test]
+fn refusals_of_what_was_taken_in_are_told() {
+    // Story: a caller cancels at members that the store refuses, and is told no until the job is
+    // done. Its work is told as a success, and what the caller complains of was left out.
+    let no = "2026-12-02T10:00:07.000Z INFO entry: Request is refused. did=refused \
+              job=00000000000000a1 method=DELETE reason=platform took_ms=5\n";
+    let all = of(JOB, &[("entry", ENTRY), ("next", NEXT), ("other", &no.repeat(2))]);
+    assert!(all.sentence.contains("; 2 requests for it were refused (platform)"), "{all}");
+    let refused = of("00000000000000c3", &[("entry", ENTRY)]);
+    assert!(!refused.sentence.contains("requests for it"), "{refused}");
+}
+
 fn args(line: &str) -> Vec<OsString> {
     line.split_whitespace().map(OsString::from).collect()
 }
