--- a/standin/src/link.rs
+++ b/standin/src/link.rs
@@ -84,7 +84,8 @@
         }
     }
 
-    fn set(&self, mode: Mode) {
+    /// Sets the mode.
+    pub fn set(&self, mode: Mode) {
         self.truncate.store(mode == Mode::Truncate, Ordering::Relaxed);
         self.state.send_modify(|s| {
             s.cut = mode == Mode::Cut;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -7,6 +7,7 @@
 mod load;
 mod measure_order;
 mod measure_place;
+mod soak;
 mod vms;
 mod web;
 mod worker;
@@ -44,6 +45,8 @@
 standin workers --vms ADDR --pool NAME --zone NAMES [--racks N] [--per-rack N]
                 [--cores N] [--memory SIZE] [--accels N] [--slots N] [--through-link]
 standin link --to ADDR                      what lies between two ends
+standin soak [--seed N] [--minutes N] [--members N] [--workers N] [--untimed] [--binary PATH]
+             [--json]                       faults at random, and what came of the promises
 ";
 
 type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
@@ -69,6 +72,7 @@
         Some("experiment") => runtime.block_on(experiment::command(args)),
         Some("workers") => runtime.block_on(workers(args)),
         Some("link") => runtime.block_on(link(args)),
+        Some("soak") => runtime.block_on(soak::command(args)),
         _ => Err(HELP.into()),
     }
 }
--- a/tests/yard/advice.rs
+++ b/standin/src/site/advice.rs
@@ -18,6 +18,7 @@
     seed: u64,
     /// The share of workers that is good, in hundredths.
     pub share: u64,
+    /// Whether it answers nothing.
     pub down: bool,
     /// Tickets, for what they were given and until when they are valid.
     tickets: BTreeMap<Box<str>, (StepKey, WorkerId, Time)>,
@@ -28,6 +29,7 @@
 }
 
 impl Service {
+    /// The service; the seed draws who is good for what.
     pub fn new(seed: u64) -> Self {
         let (tickets, busy, only) = Default::default();
         Service { seed, share: 50, down: false, tickets, busy, only }
--- a/tests/yard/rules.rs
+++ b/standin/src/site/judge.rs
@@ -1,11 +1,12 @@
 //! The rules that a day is judged by, from what the workers and the store have seen.
 
 use {
-    crate::yard::worker::{Note, World},
+    crate::site::worker::{Note, World},
+    derive_more::Display,
     dogwoodreach::{
         Time,
         ports::{How, Start},
-        shard::record::{JobRecord, Progress},
+        shard::record::{JobRecord, Progress, ShardNo},
         work::{JobNo, State, StepKey, TaskKey},
     },
     std::{
@@ -23,15 +24,43 @@
 /// The Unix clock at [`Time::ZERO`], in milliseconds.
 pub const UNIX: u64 = 1_700_000_000_000;
 
+/// How long after its acceptance a job may not be known yet.
+const VISIBLE: Duration = Duration::from_secs(3);
+
+/// A promise that was broken.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[display("seed {seed}, at {at}: {text}")]
+pub struct Breach {
+    /// The seed of the day.
+    pub seed: u64,
+    /// When.
+    pub at: Time,
+    /// What happened.
+    pub text: Box<str>,
+}
+
 /// What is known of the day so far.
 #[derive(Default)]
 pub struct Rules {
+    /// The seed of the day.
     pub seed: u64,
+    /// The Unix clock at [`Time::ZERO`], in milliseconds.
+    pub unix: u64,
+    /// Whether the rules with a bound of time are checked.
+    pub timed: bool,
     /// Until when the bounds of time don't hold.
     pub trouble: Time,
     /// Whether there was a fault at all.
     pub faults: bool,
+    /// Jobs whose cancel was sent, and when that was acknowledged.
     pub cancels: BTreeMap<JobNo, Time>,
+    /// Jobs that were accepted, and when.
+    pub accepted: BTreeMap<JobNo, Time>,
+    refused: BTreeSet<JobNo>,
+    /// How jobs ended, as callers were told.
+    over: BTreeMap<JobNo, State>,
+    /// The last token of each shard.
+    tokens: BTreeMap<ShardNo, u64>,
     /// Runs that ended as done: number, when, when noted. A note that comes after the worker's lease
     /// has lapsed is none, and the note of one run says nothing of another.
     done: BTreeMap<TaskKey, Vec<(u32, Time, Option<Time>)>>,
@@ -44,12 +73,13 @@
 }
 
 impl Rules {
+    /// The judge of a day that has not begun.
     pub fn new(seed: u64) -> Self {
-        Rules { seed, ..Rules::default() }
+        Rules { seed, unix: UNIX, timed: true, ..Rules::default() }
     }
 
-    fn broke(&self, now: Time, text: String) -> ! {
-        panic!("seed {}, at {now}: {text}", self.seed)
+    fn broke(&self, at: Time, text: String) -> Result<(), Breach> {
+        Err(Breach { seed: self.seed, at, text: text.into() })
     }
 
     /// A fault begins or goes on now.
@@ -59,121 +89,157 @@
     }
 
     /// Checks what happened since the last call, and what runs now.
-    pub fn check(&mut self, world: &mut World) {
+    pub fn check(&mut self, world: &mut World) -> Result<(), Breach> {
         for note in std::mem::take(&mut world.notes) {
             match note {
                 Note::Start { at, worker, start, late } => {
-                    self.start(world, at, worker, &start, late);
+                    self.start(world, at, worker, &start, late)?;
                 }
-                Note::End { at, end } => self.end(world, at, end.task, end.run, end.how),
-                Note::Seen { task, run, how } => self.seen(world, task, run, how),
-                Note::Odd(text) => self.broke(world.now, text),
+                Note::End { at, end } => self.end(world, at, end.task, end.run, end.how)?,
+                Note::Seen { task, run, how } => self.seen(world, task, run, how)?,
+                Note::Odd(text) => self.broke(world.now, text)?,
             }
         }
-        self.running(world);
+        self.running(world)
     }
 
     /// Nothing is over its worker's size, nothing runs twice, nothing runs on when cancelled.
-    fn running(&self, world: &World) {
+    fn running(&self, world: &World) -> Result<(), Breach> {
         let mut runs = BTreeSet::new();
         let overdue = CANCEL + world.bounds.stop;
         for (at, w) in world.workers.iter().enumerate() {
             let used = world.used(at);
             if !used.fits(&w.size) {
                 let text = format!("{} has {}, and {used} runs", world.id(at), w.size);
-                self.broke(world.now, text);
+                return self.broke(world.now, text);
             }
             for run in &w.runs {
                 let task = run.start.task;
                 let copies = world.step(task.step).is_some_and(|s| s.copies);
                 if !runs.insert(task) && !copies {
-                    self.broke(world.now, format!("{task} runs twice at once"));
+                    return self.broke(world.now, format!("{task} runs twice at once"));
                 }
-                let Some(cancel) = self.cancels.get(&task.step.job) else { continue };
+                let cancel = self.cancels.get(&task.step.job).filter(|_| self.timed);
+                let Some(cancel) = cancel else { continue };
                 let since = self.trouble.max(*cancel).max(run.since);
                 if world.now > since + overdue {
-                    self.broke(world.now, format!("{task} runs on, cancelled at {cancel}"));
+                    return self.broke(world.now, format!("{task} runs on, cancelled at {cancel}"));
                 }
             }
         }
+        Ok(())
     }
 
-    fn start(&mut self, world: &World, at: Time, worker: usize, start: &Start, late: bool) {
+    fn start(
+        &mut self,
+        world: &World,
+        at: Time,
+        worker: usize,
+        start: &Start,
+        late: bool,
+    ) -> Result<(), Breach> {
         let task = start.task;
         let (Some(step), Some(queue)) = (world.step(task.step), world.queue(task.step.job)) else {
-            self.broke(at, format!("{task} was asked for by nobody"));
+            return self.broke(at, format!("{task} was asked for by nobody"));
         };
         let (w, record) = (&world.workers[worker], &world.jobs[&task.step.job]);
         let whole = whole(world, task);
         self.count += 1;
         self.starts.insert(whole, at);
         if *start.text != *record.job.text || task.index >= step.count {
-            self.broke(at, format!("{task} was not asked for like this: {start:?}"));
+            return self.broke(at, format!("{task} was not asked for like this: {start:?}"));
         }
         if w.pool != queue.pool || step.needs.as_ref().is_some_and(|n| !w.labels.contains(n)) {
-            self.broke(at, format!("{task} started at {}, which is none of its", world.id(worker)));
+            return self.broke(
+                at,
+                format!("{task} started at {}, which is none of its", world.id(worker)),
+            );
         }
         let beside = w.runs.iter().filter(|r| r.start.task.step == task.step).count();
         if step.apart > 0 && beside > step.apart as usize {
-            self.broke(at, format!("{beside} of {} run at {}", task.step, world.id(worker)));
+            return self
+                .broke(at, format!("{beside} of {} run at {}", task.step, world.id(worker)));
         }
         if let Some(before) = step.after.iter().find(|a| !self.step_done(world, task.step, **a)) {
-            self.broke(at, format!("{task} started before step {before} was done"));
+            return self.broke(at, format!("{task} started before step {before} was done"));
+        }
+        if let Some(due) = due(record, task.step.time, self.unix).filter(|d| at + EARLY < *d) {
+            return self.broke(at, format!("{task} started before it was due at {due}"));
         }
-        if let Some(due) = due(record, task.step.time).filter(|d| at + EARLY < *d) {
-            self.broke(at, format!("{task} started before it was due at {due}"));
+        if self.refused.contains(&task.step.job) {
+            return self.broke(at, format!("{task} started, and its job was refused"));
         }
-        self.in_time(world, at, worker, task, late);
-        self.repeated(world, at, whole);
+        self.in_time(world, at, worker, task, late)?;
+        self.repeated(world, at, whole)
     }
 
     /// The rules that have a bound of time.
-    fn in_time(&self, world: &World, at: Time, worker: usize, task: TaskKey, late: bool) {
-        if late || at < self.trouble {
-            return;
+    fn in_time(
+        &self,
+        world: &World,
+        at: Time,
+        worker: usize,
+        task: TaskKey,
+        late: bool,
+    ) -> Result<(), Breach> {
+        if late || at < self.trouble || !self.timed {
+            return Ok(());
         }
         if let Some(c) = self.cancels.get(&task.step.job).filter(|c| at > **c + CANCEL) {
-            self.broke(at, format!("{task} started, its job was cancelled at {c}"));
+            return self.broke(at, format!("{task} started, its job was cancelled at {c}"));
         }
         let leaving = world.workers[worker].draining;
         if let Some(d) = leaving.filter(|d| at > *d + world.bounds.drain) {
-            self.broke(at, format!("{task} started at {}, leaving at {d}", world.id(worker)));
+            return self
+                .broke(at, format!("{task} started at {}, leaving at {d}", world.id(worker)));
         }
         let noted = self.done.get(&whole(world, task)).and_then(|d| d.iter().find_map(|r| r.2));
         if noted.is_some_and(|n| at > n + Duration::from_secs(1)) {
-            self.broke(at, format!("{task} started, it was noted as done before"));
+            return self.broke(at, format!("{task} started, it was noted as done before"));
         }
+        Ok(())
     }
 
     /// No start after an end as done, or after as many failures as may be, that are noted.
-    fn repeated(&self, world: &World, now: Time, whole: TaskKey) {
-        let Some(step) = world.step(whole.step).filter(|s| !s.copies) else { return };
-        let Some(&last) = self.starts.get(&whole) else { return };
+    fn repeated(&self, world: &World, now: Time, whole: TaskKey) -> Result<(), Breach> {
+        let Some(step) = world.step(whole.step).filter(|s| !s.copies) else { return Ok(()) };
+        let Some(&last) = self.starts.get(&whole) else { return Ok(()) };
         let done = self.done.get(&whole).map(Vec::as_slice).unwrap_or_default();
         if done.iter().any(|(_, end, noted)| noted.is_some() && last > *end) {
-            self.broke(now, format!("{whole} started at {last}, after it was done"));
+            return self.broke(now, format!("{whole} started at {last}, after it was done"));
         }
         let most = world.queue(whole.step.job).map_or(0, |q| q.attempts) as usize;
         let failed = self.failed.get(&whole).map(Vec::as_slice).unwrap_or_default();
         let before = failed.iter().filter(|f| f.2.is_some() && f.1 < last).count();
         if before >= most && !step.lasts {
-            self.broke(now, format!("{whole} started at {last}, after {before} failures"));
+            return self.broke(now, format!("{whole} started at {last}, after {before} failures"));
         }
+        Ok(())
     }
 
-    fn end(&mut self, world: &World, at: Time, task: TaskKey, run: u32, how: How) {
+    fn end(
+        &mut self,
+        world: &World,
+        at: Time,
+        task: TaskKey,
+        run: u32,
+        how: How,
+    ) -> Result<(), Breach> {
         let whole = whole(world, task);
         match how {
             How::Done => self.done.entry(whole).or_default().push((run, at, None)),
             How::Failed => self.failed.entry(whole).or_default().push((run, at, None)),
-            How::Alone if !self.faults && !self.cancels.contains_key(&task.step.job) => {
-                self.broke(at, format!("{task} ended alone, and nothing was amiss"));
+            How::Alone
+                if self.timed && !self.faults && !self.cancels.contains_key(&task.step.job) =>
+            {
+                return self.broke(at, format!("{task} ended alone, and nothing was amiss"));
             }
             _ => {}
         }
+        Ok(())
     }
 
-    fn seen(&mut self, world: &World, task: TaskKey, run: u32, how: How) {
+    fn seen(&mut self, world: &World, task: TaskKey, run: u32, how: How) -> Result<(), Breach> {
         let (whole, now) = (whole(world, task), world.now);
         let ends = match how {
             How::Done => self.done.entry(whole).or_default(),
@@ -183,7 +249,7 @@
         if let Some(end) = ends.iter_mut().find(|e| e.0 == run) {
             end.2.get_or_insert(now);
         }
-        self.repeated(world, now, whole);
+        self.repeated(world, now, whole)
     }
 
     /// Whether all tasks of a step have ended as done.
@@ -204,7 +270,7 @@
     }
 
     /// A job's state is shown or stored.
-    pub fn shown(&self, world: &World, job: JobNo, state: State) {
+    pub fn shown(&self, world: &World, job: JobNo, state: State) -> Result<(), Breach> {
         let most = world.queue(job).map_or(0, |q| q.attempts) as usize;
         let mine = self.failed.iter().filter(|(t, _)| t.step.job == job);
         let right = match state {
@@ -214,20 +280,72 @@
             State::Queued | State::Running => true,
         };
         if !right || !world.jobs.contains_key(&job) {
-            self.broke(world.now, format!("job {job} is shown as {state} without cause"));
+            return self.broke(world.now, format!("job {job} is shown as {state} without cause"));
         }
+        Ok(())
+    }
+
+    /// A caller is told a job's state: what is over stays as it is.
+    pub fn told(&mut self, world: &World, job: JobNo, state: State) -> Result<(), Breach> {
+        self.shown(world, job, state)?;
+        if let Some(before) = self.over.get(&job).filter(|s| **s != state) {
+            return self.broke(world.now, format!("job {job} is {state}, and was {before} before"));
+        }
+        if state.over() {
+            self.over.insert(job, state);
+        }
+        Ok(())
     }
 
     /// A job's progress is stored: nothing in it that no worker has said.
-    pub fn stored(&self, world: &World, job: JobNo, progress: &Progress) {
-        self.shown(world, job, progress.state);
+    pub fn stored(&self, world: &World, job: JobNo, progress: &Progress) -> Result<(), Breach> {
+        self.shown(world, job, progress.state)?;
         for row in &progress.tasks {
             let step = StepKey { job, time: row.0, step: row.1 };
             let whole = whole(world, TaskKey { step, index: row.2 });
             if row.5 && !self.done.contains_key(&whole) {
-                self.broke(world.now, format!("{whole} is stored as done, and it isn't"));
+                return self.broke(world.now, format!("{whole} is stored as done, and it isn't"));
+            }
+        }
+        Ok(())
+    }
+
+    /// A caller has handed a job in and was told so.
+    pub fn accepted(&mut self, at: Time, job: JobNo) -> Result<(), Breach> {
+        self.accepted.entry(job).or_insert(at);
+        if self.refused.contains(&job) {
+            return self.broke(at, format!("job {job} was refused, and then accepted"));
+        }
+        Ok(())
+    }
+
+    /// Each time that a caller handed a job in it was told that it never runs.
+    pub fn refused(&mut self, at: Time, job: JobNo) -> Result<(), Breach> {
+        self.refused.insert(job);
+        match self.starts.keys().find(|t| t.step.job == job) {
+            Some(task) => self.broke(at, format!("job {job} was refused, and {task} had started")),
+            None => Ok(()),
+        }
+    }
+
+    /// A caller, who asked at `asked`, was told that there is no such job.
+    pub fn unknown(&self, asked: Time, job: JobNo) -> Result<(), Breach> {
+        match self.accepted.get(&job) {
+            Some(at) if asked > *at + VISIBLE && !self.cancels.contains_key(&job) => {
+                self.broke(asked, format!("job {job} isn't known, accepted at {at}"))
             }
+            _ => Ok(()),
+        }
+    }
+
+    /// An owner's row was written with this token.
+    pub fn token(&mut self, at: Time, shard: ShardNo, token: u64) -> Result<(), Breach> {
+        let last = self.tokens.entry(shard).or_insert(token);
+        let before = std::mem::replace(last, token);
+        if token < before {
+            return self.broke(at, format!("shard {shard} has token {token} after {before}"));
         }
+        Ok(())
     }
 }
 
@@ -237,8 +355,8 @@
     TaskKey { index: if gang { 0 } else { task.index }, ..task }
 }
 
-/// When an occurrence is due.
-fn due(record: &JobRecord, time: u32) -> Option<Time> {
+/// When an occurrence is due; the Unix clock read `unix` at [`Time::ZERO`].
+fn due(record: &JobRecord, time: u32, unix: u64) -> Option<Time> {
     let times = record.job.times?;
-    Some(Time::from_millis((times.first + u64::from(time) * times.every).saturating_sub(UNIX)))
+    Some(Time::from_millis((times.first + u64::from(time) * times.every).saturating_sub(unix)))
 }
--- /dev/null
+++ b/standin/src/site/plan.rs
@@ -0,0 +1,238 @@
+//! What a soak plays: faults and jobs, drawn from a seed.
+
+use {
+    crate::site::setup::{job, step},
+    derive_more::Display,
+    dogwoodreach::{
+        units::Size,
+        work::{Job, Step, Times},
+    },
+    std::time::Duration,
+};
+
+/// The longest time between the beginnings of two faults, in milliseconds.
+const GAP: u64 = 4_000;
+/// The time before the first fault, in milliseconds: the members start.
+const FIRST: u64 = 5_000;
+
+/// What goes wrong. Members and workers are named by their places.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+pub enum Fault {
+    /// A member's process is killed, and begins anew.
+    #[display("member {_0} is killed")]
+    Kill(usize),
+    /// All members are killed at once, and begin anew.
+    #[display("all members are killed")]
+    KillAll,
+    /// A member stands still.
+    #[display("member {_0} stands still")]
+    Freeze(usize),
+    /// A member is told to end, and begins anew.
+    #[display("member {_0} is told to end")]
+    Stop(usize),
+    /// A member is gone for good; another takes its place at other addresses.
+    #[display("member {_0} is replaced")]
+    Replace(usize),
+    /// A member has no connection to the store.
+    #[display("member {_0} is cut off from the store")]
+    CutStore(usize),
+    /// A member's open connections to the store pass nothing any more.
+    #[display("member {_0}'s connections to the store are silent")]
+    SilentStore(usize),
+    /// A member has no connection to workers.
+    #[display("member {_0} is cut off from the workers")]
+    CutWorkers(usize),
+    /// Callers have no connection to a member.
+    #[display("member {_0} is cut off from callers")]
+    CutCallers(usize),
+    /// The open connections of callers to a member pass nothing any more.
+    #[display("callers' connections to member {_0} are silent")]
+    SilentCallers(usize),
+    /// The store does nothing.
+    #[display("the store is down")]
+    Down,
+    /// One of so many answers of the store is lost.
+    #[display("one of {_0} answers of the store is lost")]
+    Losing(u32),
+    /// The store refuses a member, and serves the others.
+    #[display("the store refuses member {_0}")]
+    Refusing(usize),
+    /// The store takes so many milliseconds more.
+    #[display("the store takes {_0} ms more")]
+    Slow(u64),
+    /// The store forgets what has changed.
+    #[display("the store forgets its history")]
+    Forget,
+    /// A worker's process ends, and begins anew.
+    #[display("worker {_0} crashes")]
+    Crash(usize),
+    /// A worker is cut off, and what is there runs on.
+    #[display("worker {_0} is cut off")]
+    CutOff(usize),
+    /// The open connections to a worker pass nothing any more.
+    #[display("connections to worker {_0} are silent")]
+    Silent(usize),
+    /// All that runs at a worker fails.
+    #[display("worker {_0} fails all that it starts")]
+    Grey(usize),
+    /// A worker refuses all calls.
+    #[display("worker {_0} is unwell")]
+    Unwell(usize),
+    /// A worker stands still.
+    #[display("worker {_0} stands still")]
+    Hung(usize),
+    /// A worker works at a fifth of its speed.
+    #[display("worker {_0} is slow")]
+    Lame(usize),
+    /// A worker leaves, and another comes.
+    #[display("worker {_0} leaves")]
+    Leave(usize),
+    /// One of so many orders is carried out seconds late.
+    #[display("one of {_0} orders is carried out late")]
+    Late(u32),
+    /// The advice service answers nothing.
+    #[display("no advice")]
+    NoAdvice,
+    /// A version of the configuration comes.
+    #[display("a new configuration")]
+    Config,
+    /// Many jobs are cancelled.
+    #[display("a wave of cancels")]
+    Cancels,
+    /// Many jobs come at once.
+    #[display("a burst of {_0} jobs")]
+    Burst(u32),
+}
+
+/// A fault, when it begins and how long it lasts.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+#[display("{:.1} s: {fault}, {:.1} s", at.as_secs_f64(), lasts.as_secs_f64())]
+pub struct Planned {
+    /// What.
+    pub fault: Fault,
+    /// When, from the start of the soak.
+    pub at: Duration,
+    /// How long.
+    pub lasts: Duration,
+}
+
+/// The faults of a soak of this length. There are at least two of each kind in some eighty faults.
+pub fn faults(seed: u64, length: Duration, members: usize, workers: usize) -> Vec<Planned> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut kinds: Vec<u8> = Vec::new();
+    let (mut all, mut at) = (Vec::new(), FIRST);
+    while u128::from(at) < length.as_millis() {
+        if kinds.is_empty() {
+            kinds = (0..KINDS).collect();
+            rng.shuffle(&mut kinds);
+        }
+        let kind = kinds.pop().unwrap_or_default();
+        let (fault, shortest, longest) = fault(kind, &mut rng, members, workers);
+        let lasts = Duration::from_millis(rng.u64(shortest..=longest));
+        all.push(Planned { fault, at: Duration::from_millis(at), lasts });
+        at += rng.u64(0..GAP);
+    }
+    all
+}
+
+/// How many kinds of faults there are.
+const KINDS: u8 = 29;
+
+/// A fault of a kind, and the shortest and longest time that it lasts, in milliseconds.
+fn fault(kind: u8, rng: &mut fastrand::Rng, members: usize, workers: usize) -> (Fault, u64, u64) {
+    let (m, w) = (rng.usize(0..members), rng.usize(0..workers));
+    match kind {
+        0 => (Fault::Kill(m), 200, 1_500),
+        1 => (Fault::KillAll, 200, 1_500),
+        2 => (Fault::Freeze(m), 500, 2_000),
+        3 => (Fault::Freeze(m), 3_000, 9_000),
+        4 => (Fault::Stop(m), 200, 1_500),
+        5 => (Fault::Replace(m), 200, 1_500),
+        6 => (Fault::CutStore(m), 1_000, 9_000),
+        7 => (Fault::SilentStore(m), 100, 100),
+        8 => (Fault::CutCallers(m), 1_000, 5_000),
+        9 => (Fault::SilentCallers(m), 100, 100),
+        10 => (Fault::Down, 1_000, 8_000),
+        11 => (Fault::Losing(rng.u32(3..12)), 2_000, 8_000),
+        12 => (Fault::Refusing(m), 2_000, 8_000),
+        13 => (Fault::Slow(rng.u64(50..800)), 2_000, 8_000),
+        14 => (Fault::Forget, 100, 100),
+        15 => (Fault::Crash(w), 300, 4_000),
+        16 => (Fault::CutOff(w), 1_000, 12_000),
+        17 => (Fault::Silent(w), 100, 100),
+        18 => (Fault::Grey(w), 2_000, 8_000),
+        19 => (Fault::Unwell(w), 1_000, 8_000),
+        20 => (Fault::Hung(w), 1_000, 8_000),
+        21 => (Fault::Lame(w), 2_000, 8_000),
+        22 => (Fault::Leave(w), 30_500, 32_000),
+        23 => (Fault::Late(rng.u32(4..20)), 3_000, 8_000),
+        24 => (Fault::NoAdvice, 2_000, 8_000),
+        25 => (Fault::Config, 100, 100),
+        26 => (Fault::Cancels, 100, 100),
+        27 => (Fault::Burst(rng.u32(5..20)), 100, 100),
+        _ => (Fault::CutWorkers(m), 1_000, 12_000),
+    }
+}
+
+/// A job as a caller means it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Drawn {
+    /// Its number.
+    pub no: u64,
+    /// The name of its queue.
+    pub queue: &'static str,
+    /// What it says.
+    pub job: Job,
+    /// Whether the tasks of its last step always fail.
+    pub hopeless: bool,
+    /// How long after its acceptance it is cancelled.
+    pub cancel: Option<Duration>,
+    /// Whether it is handed in again, seconds after it was accepted.
+    pub again: bool,
+}
+
+/// Draws a job; the Unix clock reads `unix`, in milliseconds.
+pub fn draw(rng: &mut fastrand::Rng, unix: u64) -> Drawn {
+    let queue = ["plain", "urgent", "open", "advised"][rng.usize(0..4)];
+    let job = kind(rng, unix);
+    let lasts = job.steps.iter().any(|s| s.lasts);
+    let cancel = match rng.u32(0..100) {
+        _ if lasts => Some(rng.u64(4_000..20_000)),
+        0..4 => Some(0),
+        4..10 => Some(rng.u64(0..3_000)),
+        _ => None,
+    };
+    Drawn {
+        no: rng.u64(..),
+        queue,
+        job,
+        hopeless: !lasts && rng.u32(0..100) < 4,
+        cancel: cancel.map(Duration::from_millis),
+        again: rng.u32(0..100) < 6,
+    }
+}
+
+fn kind(rng: &mut fastrand::Rng, unix: u64) -> Job {
+    let (few, ms) = (rng.u32(1..5), rng.u64(300..1_500));
+    let saving = Step { saves: true, ..step(few, 2 * ms) };
+    let gang = Step { gang: true, tight: rng.bool(), saves: rng.bool(), ..step(few + 1, 2 * ms) };
+    let label = Step { needs: Some("gpu".into()), size: Size::new(1, 512, 1), ..step(1, ms) };
+    let times = Some(Times { count: 3, first: unix + 2_000, every: 1_500 });
+    match rng.u32(0..20) {
+        0..5 => job([step(1, 300), Step { after: [0].into(), ..step(few + 1, ms) }]),
+        5..8 => job([step(few, ms), step(1, 300), Step { after: [0, 1].into(), ..saving }]),
+        8..10 => job([saving]),
+        10..13 => job([gang]),
+        13 => job([step(1, 300), Step { after: [0].into(), ..gang }]),
+        14 => job([label]),
+        15 => job([Step { near: Some("r2".into()), apart: 1, ..step(2, ms) }]),
+        16 => job([Step { copies: true, ..step(few, ms) }]),
+        17 => Job { times, ..job([step(2, 300)]) },
+        18 => job([Step { fills: true, image: "sift".into(), ..step(few, ms) }]),
+        _ => job([lasting(few.min(2))]),
+    }
+}
+
+fn lasting(count: u32) -> Step {
+    Step { lasts: true, target: 100, image: "web".into(), may_miss: Some(1), ..step(count, 1) }
+}
--- /dev/null
+++ b/standin/src/site/setup.rs
@@ -0,0 +1,86 @@
+//! A site for tests and the soak: bounds, queues, workers, and the parts of jobs.
+
+use {
+    crate::site::worker::Worker,
+    dogwoodreach::{
+        ports::Bounds,
+        units::Size,
+        work::{AdviceCost, Job, Pool, Queue, Queues, Step},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// Bounds as a deployment has them.
+pub fn bounds() -> Bounds {
+    let ms = Duration::from_millis;
+    Bounds {
+        hold: ms(8_000),
+        stop: ms(1_000),
+        gang: ms(5_000),
+        keep: ms(300_000),
+        remote: 1.5,
+        save: ms(1_000),
+        restore: ms(500),
+        harm: ms(4_000),
+        notice: ms(2_000),
+        config: ms(3_000),
+        drain: ms(2_000),
+        grace: ms(10_000),
+        ttl: ms(3_000),
+    }
+}
+
+/// Three queues: `plain` and `urgent` on the pool `guarded`, `open` on one that doesn't guard,
+/// and `advised`, whose steps need advice.
+pub fn queues() -> Arc<Queues> {
+    let queue = |name: &str, pool: &str, priority| Queue {
+        name: name.into(),
+        host: "".into(),
+        prefix: format!("/{name}/").into(),
+        pool: pool.into(),
+        priority,
+        attempts: 3,
+        stretch: 2.0,
+        slack: Duration::from_secs(5),
+        advice: None,
+    };
+    let ms = Duration::from_millis;
+    let cost = AdviceCost { base: ms(20), each: ms(2), valid: ms(3_000) };
+    let pool = |name: &str, guards| Pool { name: name.into(), guards, standby: false };
+    Arc::new(Queues {
+        version: 1,
+        all: vec![
+            queue("plain", "guarded", 1),
+            queue("urgent", "guarded", 0),
+            queue("open", "open", 1),
+            Queue { advice: Some(cost), ..queue("advised", "open", 1) },
+        ],
+        pools: vec![pool("guarded", true), pool("open", false)],
+        body: 1 << 20,
+    })
+}
+
+/// So many workers of 4 cores: of each four two guard, on two racks, one with the label `gpu`.
+pub fn workers(count: usize) -> Vec<Worker> {
+    let one = |i: usize| {
+        let pool = if i % 4 < 2 { "guarded" } else { "open" };
+        let mut w = Worker::new(pool, ["r1", "r2"][i % 2], Size::new(4, 16_384, 1));
+        w.rate = [1.0, 0.98, 0.99][i % 3];
+        w.offset = 1_000 * (1 + i as u64);
+        if i.is_multiple_of(2) {
+            w.labels.push("gpu".into());
+        }
+        w
+    };
+    (0..count).map(one).collect()
+}
+
+/// A step of so many tasks of one core, of so many milliseconds each.
+pub fn step(count: u32, estimate: u64) -> Step {
+    Step { count, estimate, size: Size::new(1, 512, 0), ..Step::default() }
+}
+
+/// A job of these steps.
+pub fn job(steps: impl Into<Box<[Step]>>) -> Job {
+    Job { text: "do it".into(), steps: steps.into(), times: None }
+}
--- a/tests/yard/worker.rs
+++ b/standin/src/site/worker.rs
@@ -1,7 +1,7 @@
 //! Workers as the protocol has them, without a network: leases, fences, stops, ends and gangs.
 
 use {
-    crate::yard::advice::Service,
+    crate::site::advice::Service,
     dogwoodreach::{
         Time,
         ids::{PoolId, RackId, WorkerId, Zone},
@@ -22,17 +22,24 @@
 /// The grain of virtual time.
 pub const GRAIN: Duration = Duration::from_millis(10);
 
+/// How long a worker stays that is leaving.
+pub const NOTICE: Duration = Duration::from_secs(30);
+
 /// A task's run at a worker.
 pub struct Run {
+    /// The order.
     pub start: Start,
+    /// When it began.
     pub since: Time,
     /// From when it works.
     ready: Time,
-    /// Work done and work in the last checkpoint, in milliseconds.
+    /// Work done, in milliseconds.
     pub work: f64,
+    /// Work in the last checkpoint.
     kept: f64,
     /// When its stop is over.
     pub stops: Option<Time>,
+    /// The share of its speed, in hundredths.
     pub percent: u8,
     /// Whether its gang has come together.
     together: bool,
@@ -40,23 +47,35 @@
 
 /// One worker, over its lives.
 pub struct Worker {
+    /// Counts its lives.
     pub life: u32,
+    /// Its pool.
     pub pool: PoolId,
+    /// Its rack.
     pub rack: RackId,
+    /// What it has room for.
     pub size: Size,
+    /// Its labels.
     pub labels: Vec<Box<str>>,
-    /// Its clock: the speed, and the milliseconds at the start of all.
+    /// The speed of its clock.
     pub rate: f64,
+    /// Its clock at the start of all, in milliseconds.
     pub offset: u64,
+    /// Whether its process runs.
     pub up: bool,
+    /// Whether nothing reaches it; what runs there runs on.
     pub cut: bool,
+    /// Whether it stands still.
     pub hung: bool,
+    /// Whether it refuses all calls.
     pub unwell: bool,
     /// Whether all that runs on it fails.
     pub grey: bool,
+    /// The share of a sound worker's speed.
     pub speed: f64,
     /// Since when it is leaving.
     pub draining: Option<Time>,
+    /// What runs there.
     pub runs: Vec<Run>,
     token: u64,
     until: u64,
@@ -70,26 +89,54 @@
 /// What the workers have seen.
 #[derive(Debug)]
 pub enum Note {
-    /// A run began: at which worker, and whether the order was carried out late.
-    Start { at: Time, worker: usize, start: Start, late: bool },
+    /// A run began.
+    Start {
+        /// When.
+        at: Time,
+        /// The worker's place.
+        worker: usize,
+        /// The order.
+        start: Start,
+        /// Whether the order was carried out late.
+        late: bool,
+    },
     /// A run ended.
-    End { at: Time, end: End },
+    End {
+        /// When.
+        at: Time,
+        /// The end.
+        end: End,
+    },
     /// An end was noted.
-    Seen { task: TaskKey, run: u32, how: How },
+    Seen {
+        /// The task.
+        task: TaskKey,
+        /// Its run.
+        run: u32,
+        /// How it ended.
+        how: How,
+    },
     /// Something that nobody asked for.
     Odd(String),
 }
 
 /// All workers, and what clients have asked for.
 pub struct World {
+    /// The present time.
     pub now: Time,
+    /// The deployment's bounds.
     pub bounds: Bounds,
+    /// The configuration.
     pub queues: Arc<Queues>,
+    /// What clients have asked for.
     pub jobs: BTreeMap<JobNo, JobRecord>,
     /// Steps whose tasks always fail.
     pub hopeless: BTreeSet<(JobNo, u16)>,
+    /// The workers.
     pub workers: Vec<Worker>,
+    /// The advice service.
     pub advice: Service,
+    /// What was seen and not judged yet.
     pub notes: Vec<Note>,
     /// How far a task's work may be from its estimate, as a share.
     pub spread: f64,
@@ -99,6 +146,7 @@
 }
 
 impl Worker {
+    /// A worker in its first life.
     pub fn new(pool: &str, rack: &str, size: Size) -> Self {
         Worker {
             life: 1,
@@ -139,6 +187,7 @@
 }
 
 impl World {
+    /// A world at the start of all.
     pub fn new(seed: u64, bounds: Bounds, queues: Arc<Queues>, workers: Vec<Worker>) -> Self {
         World {
             now: Time::ZERO,
@@ -169,7 +218,7 @@
             addr: ([10, 0, 0, 1], 1000 + at as u16).into(),
             zone: Zone::from("z1"),
             draining: w.draining.is_some(),
-            left: w.draining.map(|d| Duration::from_secs(30).saturating_sub(self.now.since(d))),
+            left: w.draining.map(|d| NOTICE.saturating_sub(self.now.since(d))),
             size: w.size,
             labels: w.labels.clone().into(),
         }
@@ -335,6 +384,17 @@
         Held { clock: w.clock(self.now), running: rows, ended }
     }
 
+    /// Whether a worker has ends that aren't noted.
+    pub fn has_ended(&self, at: usize) -> bool {
+        !self.workers[at].ended.is_empty()
+    }
+
+    /// How many runs of a job are there.
+    pub fn running(&self, job: JobNo) -> usize {
+        let runs = self.workers.iter().flat_map(|w| &w.runs);
+        runs.filter(|r| r.start.task.step.job == job).count()
+    }
+
     fn row(&self, at: usize, i: usize) -> Row {
         let run = &self.workers[at].runs[i];
         let step = self.step(run.start.task.step).cloned().unwrap_or_default();
--- /dev/null
+++ b/standin/src/soak.rs
@@ -0,0 +1,170 @@
+//! A soak: members as real processes, all around them in this one, and faults drawn from a seed.
+
+mod callers;
+mod member;
+mod play;
+mod serve;
+mod stage;
+
+use {
+    crate::Result,
+    callers::Callers,
+    lexopt::prelude::*,
+    member::Members,
+    serde::Serialize,
+    stage::{Counts, Stage},
+    standin::site::{plan, worker::World},
+    std::{
+        path::PathBuf,
+        time::{Duration, Instant},
+    },
+};
+
+/// How long the end of all jobs is waited for.
+const SETTLE: Duration = Duration::from_secs(120);
+/// How often what is waited for is looked at.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What a soak is asked for.
+pub struct Options {
+    /// The seed of faults, jobs and workers.
+    pub seed: u64,
+    /// How long faults and jobs come.
+    pub length: Duration,
+    /// How many members.
+    pub members: usize,
+    /// How many workers.
+    pub workers: usize,
+    /// Whether the bounds of time are judged.
+    pub timed: bool,
+    /// Where logs and settings go.
+    pub dir: PathBuf,
+    /// The members' binary.
+    pub binary: PathBuf,
+}
+
+/// What a soak has found.
+#[derive(Serialize)]
+struct Report {
+    seed: u64,
+    faults: Vec<String>,
+    skipped: u64,
+    counts: Counts,
+    starts: u64,
+    /// The first promise that was broken.
+    breach: Option<String>,
+    /// Lines of the members' logs that go with it.
+    lines: Vec<String>,
+    logs: PathBuf,
+}
+
+/// `standin soak`.
+pub async fn command(mut args: lexopt::Parser) -> Result<()> {
+    let here = std::env::current_exe()?;
+    let near = here.parent().ok_or("no directory")?;
+    let target = near.parent().ok_or("no directory")?;
+    let mut options = Options {
+        seed: 1,
+        length: Duration::from_secs(60),
+        members: 5,
+        workers: 24,
+        timed: true,
+        dir: target.join("soak"),
+        binary: near.join("dogwoodreach-platform"),
+    };
+    let mut json = false;
+    while let Some(arg) = args.next()? {
+        match arg {
+            Long("seed") => options.seed = args.value()?.parse()?,
+            Long("minutes") => {
+                let minutes: f64 = args.value()?.parse()?;
+                options.length = Duration::try_from_secs_f64(minutes * 60.0)?;
+            }
+            Long("members") => options.members = args.value()?.parse::<usize>()?.max(1),
+            Long("workers") => options.workers = args.value()?.parse::<usize>()?.max(4),
+            Long("untimed") => options.timed = false,
+            Long("binary") => options.binary = args.value()?.into(),
+            Long("json") => json = true,
+            _ => return Err(arg.unexpected().into()),
+        }
+    }
+    options.dir.push(format!("seed-{}", options.seed));
+    let report = run(&options).await?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        show(&report);
+    }
+    match report.breach {
+        Some(_) => Err("a promise was broken".into()),
+        None => Ok(()),
+    }
+}
+
+fn show(report: &Report) {
+    println!("seed {}", report.seed);
+    report.faults.iter().for_each(|f| println!("  {f}"));
+    println!("{} faults were skipped: their member was down", report.skipped);
+    println!("{}; {} starts", report.counts, report.starts);
+    match &report.breach {
+        Some(breach) => println!("BROKEN {breach}"),
+        None => println!("no promise was broken"),
+    }
+    report.lines.iter().for_each(|l| println!("  {l}"));
+    println!("logs: {}", report.logs.display());
+}
+
+async fn run(options: &Options) -> Result<Report> {
+    if !options.binary.exists() {
+        let name = options.binary.display();
+        return Err(format!("{name} is missing: cargo build --workspace makes it").into());
+    }
+    let _ = std::fs::remove_dir_all(&options.dir);
+    std::fs::create_dir_all(&options.dir)?;
+    let faults = plan::faults(options.seed, options.length, options.members, options.workers);
+    let stage = Stage::new(options);
+    let serving = serve::start(&stage, options).await?;
+    let members = Members::start(options, &stage, &serving).await?;
+    let callers = Callers::new(&stage, &members, options.seed);
+    let begin = Instant::now();
+    let playing = play::Play::new(&stage, &members, serving, &callers);
+    let mut all = playing.start(&faults, begin, begin + options.length);
+    let load = callers.come(begin + options.length, options.workers);
+    stage.until_broken(load).await;
+    let calm = async { while all.join_next().await.is_some() {} };
+    stage.until_broken(calm).await;
+    finish(&stage, &callers).await;
+    members.end(&stage).await;
+    let (breach, starts) = stage.with(|s| (s.breach.clone(), s.rules.count));
+    let lines = breach.as_ref().map(|b| members.lines(&b.text)).unwrap_or_default();
+    Ok(Report {
+        seed: options.seed,
+        faults: faults.iter().map(ToString::to_string).collect(),
+        skipped: playing.skipped(),
+        counts: callers.counts(),
+        starts,
+        breach: breach.map(|b| b.to_string()),
+        lines,
+        logs: options.dir.clone(),
+    })
+}
+
+/// Waits in the calm until every job is over, and nothing runs any more.
+async fn finish(stage: &Stage, callers: &Callers) {
+    callers.calm();
+    let end = Instant::now() + SETTLE;
+    let runs = |w: &World| w.workers.iter().map(|w| w.runs.len()).sum::<usize>();
+    loop {
+        let (open, runs) = (callers.open(), stage.with(|s| runs(&s.world)));
+        if stage.broken() || (open.is_empty() && runs == 0) {
+            return;
+        }
+        if Instant::now() > end {
+            stage.broke(format!(
+                "in the end {runs} tasks run, and these jobs aren't over: {open:?}"
+            ));
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/standin/src/soak/callers.rs
@@ -0,0 +1,290 @@
+//! Callers: they hand jobs in, ask how they stand, cancel some, and hold the members to what they
+//! are told.
+
+use {
+    crate::soak::{
+        member::Members,
+        stage::{Counts, Stage, unix},
+    },
+    bytes::Bytes,
+    dogwoodreach::{
+        Time,
+        http::{Client, uri},
+        shard::record::JobRecord,
+        work::{JobNo, State},
+    },
+    http_body_util::Full,
+    hyper::Request,
+    platform_standin::jobs,
+    standin::site::plan::{self, Drawn},
+    std::{
+        collections::BTreeMap,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// How long a caller waits for an answer, in milliseconds.
+const DEADLINE: u64 = 3_000;
+/// How much longer the answer may be on its way.
+const SPARE: Duration = Duration::from_millis(300);
+/// How often a job is handed in that isn't accepted.
+const TRIES: usize = 5;
+/// How much later than its call a write may be carried out.
+const LATE: Duration = Duration::from_secs(8);
+/// Workers for each job a second.
+const SHARE: f64 = 5.0;
+
+/// All callers.
+#[derive(Clone)]
+pub struct Callers {
+    stage: Stage,
+    members: Members,
+    client: Client,
+    counts: Arc<Mutex<Counts>>,
+    /// Jobs that aren't over, and what is waited for.
+    open: Arc<Mutex<BTreeMap<JobNo, String>>>,
+    /// Counts the waves of cancels.
+    wave: Arc<AtomicU64>,
+    calm: Arc<AtomicBool>,
+    rng: Arc<Mutex<fastrand::Rng>>,
+}
+
+/// What came of handing a job in.
+#[derive(Clone, Copy, PartialEq)]
+enum Taken {
+    Accepted,
+    /// Each time it was told that the job never runs.
+    Refused,
+    Unclear,
+}
+
+impl Callers {
+    /// Callers that have asked for nothing yet.
+    pub fn new(stage: &Stage, members: &Members, seed: u64) -> Self {
+        Callers {
+            stage: stage.clone(),
+            members: members.clone(),
+            client: Client::new(16),
+            counts: Arc::default(),
+            open: Arc::default(),
+            wave: Arc::default(),
+            calm: Arc::default(),
+            rng: Arc::new(Mutex::new(fastrand::Rng::with_seed(seed))),
+        }
+    }
+
+    fn draw<T>(&self, from: impl FnOnce(&mut fastrand::Rng) -> T) -> T {
+        from(&mut self.rng.lock().expect("no holder panics"))
+    }
+
+    fn count(&self, what: impl FnOnce(&mut Counts)) {
+        what(&mut self.counts.lock().expect("no holder panics"));
+    }
+
+    /// What was counted.
+    pub fn counts(&self) -> Counts {
+        *self.counts.lock().expect("no holder panics")
+    }
+
+    /// Jobs that aren't over, and what is waited for.
+    pub fn open(&self) -> Vec<(JobNo, String)> {
+        let open = self.open.lock().expect("no holder panics");
+        open.iter().map(|(job, what)| (*job, what.clone())).collect()
+    }
+
+    fn waits(&self, job: JobNo, what: String) {
+        self.open.lock().expect("no holder panics").insert(job, what);
+    }
+
+    /// Jobs come until a time.
+    pub async fn come(&self, until: Instant, workers: usize) {
+        let mean = 1e3 * SHARE / workers as f64;
+        while Instant::now() < until {
+            let gap = self.draw(|r| r.f64()) * 2.0 * mean;
+            sleep(Duration::from_millis(gap as u64)).await;
+            self.burst(1);
+        }
+    }
+
+    /// So many jobs come at once.
+    pub fn burst(&self, count: u32) {
+        for _ in 0..count {
+            let drawn = self.draw(|r| plan::draw(r, unix()));
+            self.waits(JobNo(drawn.no), "its acceptance".into());
+            tokio::spawn(self.clone().job(drawn));
+        }
+    }
+
+    /// Half of the jobs are cancelled.
+    pub fn cancels(&self) {
+        self.wave.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// From now on nothing is amiss; what lasts is cancelled.
+    pub fn calm(&self) {
+        self.calm.store(true, Ordering::Relaxed);
+    }
+
+    /// One caller's job, from its coming until it is over.
+    async fn job(self, drawn: Drawn) {
+        let no = JobNo(drawn.no);
+        self.count(|c| c.asked += 1);
+        self.stage.with(|s| {
+            let (queue, job) = (drawn.queue.into(), drawn.job.clone());
+            s.world.jobs.insert(no, JobRecord { queue, came: unix(), job });
+            if drawn.hopeless {
+                s.world.hopeless.insert((no, drawn.job.steps.len() as u16 - 1));
+            }
+        });
+        match self.hand_in(&drawn).await {
+            Taken::Accepted => {
+                self.count(|c| c.accepted += 1);
+                self.follow(&drawn).await;
+            }
+            Taken::Refused => {
+                self.count(|c| c.refused += 1);
+                self.judge(|s| s.rules.refused(s.world.now, no));
+            }
+            Taken::Unclear => {
+                self.count(|c| c.unclear += 1);
+                self.waits(no, "a cancel, its acceptance is unclear".into());
+                self.cancel(&drawn, false).await;
+                sleep(LATE).await;
+                self.cancel(&drawn, false).await;
+            }
+        }
+        self.open.lock().expect("no holder panics").remove(&no);
+    }
+
+    fn judge(
+        &self,
+        rule: impl FnOnce(&mut crate::soak::stage::State) -> Result<(), standin::site::judge::Breach>,
+    ) {
+        self.stage.with(|s| {
+            if let Err(breach) = rule(s) {
+                s.keep(breach);
+            }
+        });
+    }
+
+    /// Hands a job in, at other members where it isn't accepted.
+    async fn hand_in(&self, drawn: &Drawn) -> Taken {
+        let mut taken = Taken::Refused;
+        for _ in 0..TRIES {
+            match self.send("POST", drawn, jobs::job(&drawn.job)).await {
+                Some((200..=299, _)) => {
+                    self.judge(|s| s.rules.accepted(s.world.now, JobNo(drawn.no)));
+                    return Taken::Accepted;
+                }
+                Some((429 | 503, _)) => {}
+                Some((404, _)) => {
+                    let no = JobNo(drawn.no);
+                    self.stage
+                        .broke(format!("job {no}: no queue {}, and it is there", drawn.queue));
+                }
+                _ => taken = Taken::Unclear,
+            }
+            self.pause(100, 700).await;
+        }
+        taken
+    }
+
+    async fn pause(&self, least: u64, most: u64) {
+        let ms = self.draw(|r| r.u64(least..most));
+        sleep(Duration::from_millis(ms)).await;
+    }
+
+    /// Asks how an accepted job stands until it is over.
+    async fn follow(&self, drawn: &Drawn) {
+        let (no, begin) = (JobNo(drawn.no), Instant::now());
+        let lasts = drawn.job.steps.iter().any(|s| s.lasts);
+        let again = drawn.again.then(|| self.draw(|r| Duration::from_millis(r.u64(500..6_000))));
+        let (mut again, mut wave) = (again, self.wave.load(Ordering::Relaxed));
+        let (mut cancelled, mut state) = (false, None);
+        loop {
+            let calm = self.calm.load(Ordering::Relaxed);
+            let newest = self.wave.load(Ordering::Relaxed);
+            let swept = std::mem::replace(&mut wave, newest) != newest && self.draw(|r| r.bool());
+            let due = drawn.cancel.is_some_and(|c| begin.elapsed() >= c);
+            if !cancelled && (due || swept || (calm && lasts)) {
+                cancelled = true;
+                self.waits(no, "its cancel".into());
+                self.cancel(drawn, true).await;
+            }
+            if again.is_some_and(|a| begin.elapsed() >= a) {
+                again = None;
+                self.send("POST", drawn, jobs::job(&drawn.job)).await;
+            }
+            let asked = self.stage.now();
+            match self.send("GET", drawn, Bytes::new()).await {
+                Some((200, body)) => match jobs::state(&body) {
+                    Some(told) => {
+                        state = Some(told);
+                        self.judge(|s| s.rules.told(&s.world, no, told));
+                    }
+                    None => self.stage.broke(format!("job {no}: a state that can't be read")),
+                },
+                Some((410, _)) => self.judge(|s| s.rules.unknown(asked, no)),
+                _ => {}
+            }
+            self.waits(no, format!("its end, cancelled: {cancelled}, last told: {state:?}"));
+            if let Some(state) = state.filter(|s| s.over() && again.is_none()) {
+                return self.count(|c| match state {
+                    State::Done => c.done += 1,
+                    State::Failed => c.failed += 1,
+                    _ => c.cancelled += 1,
+                });
+            }
+            if self.stage.broken() {
+                return;
+            }
+            self.pause(200, 1_200).await;
+        }
+    }
+
+    /// Cancels a job, until a member says that it is.
+    async fn cancel(&self, drawn: &Drawn, accepted: bool) {
+        let no = JobNo(drawn.no);
+        self.stage.with(|s| *s.rules.cancels.entry(no).or_insert(Time::NEVER));
+        while !self.stage.broken() {
+            match self.send("DELETE", drawn, Bytes::new()).await {
+                Some((200..=299, _)) => {
+                    if accepted {
+                        self.stage.with(|s| s.rules.cancels.insert(no, s.world.now));
+                    }
+                    return;
+                }
+                Some((410, _)) if !accepted => return,
+                _ => {}
+            }
+            self.pause(200, 700).await;
+        }
+    }
+
+    /// Sends a call to a member that the balancer picks; nothing where no answer comes.
+    async fn send(&self, method: &str, drawn: &Drawn, body: Bytes) -> Option<(u16, Bytes)> {
+        let fronts = self.members.fronts();
+        let to = fronts[self.draw(|r| r.usize(0..fronts.len()))];
+        let path = format!("/{}/{}", drawn.queue, JobNo(drawn.no));
+        let ask = Request::builder()
+            .method(method)
+            .uri(uri(to, &path))
+            .header("content-type", "application/json")
+            .header(jobs::DEADLINE, DEADLINE.to_string())
+            .body(Full::new(body))
+            .ok()?;
+        self.count(|c| c.calls += 1);
+        match self.client.send(ask, Duration::from_millis(DEADLINE) + SPARE).await {
+            Ok((head, body)) => Some((head.status.as_u16(), body)),
+            Err(_) => {
+                self.count(|c| c.unanswered += 1);
+                None
+            }
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/soak/member.rs
@@ -0,0 +1,312 @@
+//! The members: real processes of the shipped binary, each with links to the store and from callers.
+
+use {
+    crate::{
+        Result,
+        link::{Link, Mode},
+        soak::{Options, serve::Serving, stage::Stage},
+    },
+    dogwoodreach::{
+        http::{Client, uri},
+        ids::Zone,
+        ports::Site,
+    },
+    http_body_util::Full,
+    hyper::Request,
+    platform_standin::{jobs, settings},
+    standin::site::setup,
+    std::{
+        fs::{self, OpenOptions},
+        net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+        path::{Path, PathBuf},
+        process::{Child, Command, Stdio},
+        sync::{Arc, Mutex},
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+/// How often the balancer asks whether members are ready.
+const ASK: Duration = Duration::from_millis(500);
+/// How long it waits.
+const WAIT: Duration = Duration::from_millis(900);
+/// How long the first start may take.
+const START: Duration = Duration::from_secs(60);
+/// How much longer than the grace a stop may take here.
+const SPARE: Duration = Duration::from_secs(2);
+/// The most lines of a log that are shown.
+const LINES: usize = 40;
+
+/// One member.
+struct Member {
+    child: Option<Child>,
+    /// Whether it is meant to run.
+    wanted: bool,
+    /// Whether a fault plays with it.
+    busy: bool,
+    ready: bool,
+    site: Site,
+    store: Link,
+    callers: Link,
+    /// Where callers come in, through the link.
+    front: SocketAddr,
+}
+
+/// All members.
+#[derive(Clone)]
+pub struct Members {
+    all: Arc<Mutex<Vec<Member>>>,
+    binary: Arc<Path>,
+    dir: Arc<Path>,
+}
+
+/// The address of a member: outgoing connections of this machine come from another one, and so
+/// can't take a member's port while it is down.
+fn ip(member: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 0, 1, u8::try_from(member + 1).unwrap_or(u8::MAX)))
+}
+
+/// The member that has this address.
+pub fn place(ip: IpAddr) -> Option<usize> {
+    match ip {
+        IpAddr::V4(ip) if ip.octets()[..3] == [127, 0, 1] => {
+            usize::from(ip.octets()[3]).checked_sub(1)
+        }
+        _ => None,
+    }
+}
+
+/// Four free ports of an address, rising.
+fn free(ip: IpAddr) -> Result<Vec<SocketAddr>> {
+    let bound: Vec<TcpListener> =
+        (0..4).map(|_| TcpListener::bind((ip, 0))).collect::<std::io::Result<_>>()?;
+    let mut all: Vec<SocketAddr> =
+        bound.iter().map(TcpListener::local_addr).collect::<std::io::Result<_>>()?;
+    all.sort();
+    Ok(all)
+}
+
+impl Members {
+    /// Starts all, and waits until they are ready.
+    pub async fn start(options: &Options, stage: &Stage, serving: &Serving) -> Result<Self> {
+        let mut all = Vec::new();
+        for no in 0..options.members {
+            let store = Link::new(serving.stores[no]);
+            let at = free(ip(no))?;
+            let site = Site {
+                node: format!("member-{no}").into(),
+                zone: Zone::from("z1"),
+                cores: 0.25,
+                callers: at[0],
+                ready: at[1],
+                control: at[2],
+                metrics: at[3],
+                store: store.listen().await?,
+                advice: Some(serving.advice[no]),
+                lives: Some(serving.lives),
+                bounds: setup::bounds(),
+            };
+            let callers = Link::new(site.callers);
+            let front = callers.listen().await?;
+            let (child, wanted, busy, ready) = (None, false, false, false);
+            all.push(Member { child, wanted, busy, ready, site, store, callers, front });
+        }
+        let members = Members {
+            all: Arc::new(Mutex::new(all)),
+            binary: options.binary.as_path().into(),
+            dir: options.dir.as_path().into(),
+        };
+        for no in 0..options.members {
+            members.begin(no)?;
+        }
+        tokio::spawn(members.clone().watch(stage.clone()));
+        let end = Instant::now() + START;
+        while members.ready().len() < options.members {
+            if Instant::now() > end || stage.broken() {
+                return Err("the members don't get ready".into());
+            }
+            sleep(ASK).await;
+        }
+        Ok(members)
+    }
+
+    fn one<T>(&self, no: usize, deed: impl FnOnce(&mut Member) -> T) -> T {
+        deed(&mut self.all.lock().expect("no holder panics")[no])
+    }
+
+    fn log(&self, no: usize) -> PathBuf {
+        self.dir.join(format!("member-{no}.log"))
+    }
+
+    /// Starts a member's process.
+    pub fn begin(&self, no: usize) -> Result<()> {
+        let path = self.dir.join(format!("member-{no}.conf"));
+        let log = OpenOptions::new().create(true).append(true).open(self.log(no))?;
+        self.one(no, |m| {
+            fs::write(&path, settings::write(&m.site))?;
+            let child = Command::new(&*self.binary)
+                .arg("serve")
+                .env(settings::VARIABLE, &path)
+                .stdin(Stdio::null())
+                .stdout(log.try_clone()?)
+                .stderr(log)
+                .spawn()?;
+            (m.child, m.wanted) = (Some(child), true);
+            Ok(())
+        })
+    }
+
+    /// Takes a member for a fault; only one plays with it at a time.
+    pub fn take(&self, no: usize) -> bool {
+        self.one(no, |m| !std::mem::replace(&mut m.busy, true))
+    }
+
+    /// Gives it back.
+    pub fn give(&self, no: usize) {
+        self.one(no, |m| m.busy = false);
+    }
+
+    /// Kills a member's process.
+    pub fn kill(&self, no: usize) {
+        self.one(no, |m| {
+            m.wanted = false;
+            m.ready = false;
+            if let Some(mut child) = m.child.take() {
+                let (_, _) = (child.kill(), child.wait());
+            }
+        });
+    }
+
+    /// Sends a signal, like `STOP`.
+    pub fn signal(&self, no: usize, name: &str) {
+        let Some(id) = self.one(no, |m| m.child.as_ref().map(Child::id)) else { return };
+        let _ = Command::new("kill").args([&format!("-{name}"), &id.to_string()]).status();
+    }
+
+    /// Tells a member to end, and waits for it.
+    pub async fn stop(&self, no: usize, stage: &Stage) {
+        self.one(no, |m| m.wanted = false);
+        self.signal(no, "TERM");
+        let end = Instant::now() + setup::bounds().grace + SPARE;
+        loop {
+            let ended = self.one(no, |m| match m.child.as_mut().map(Child::try_wait) {
+                None => Some(None),
+                Some(Ok(Some(status))) => Some(Some(status)),
+                Some(_) => None,
+            });
+            match ended {
+                Some(Some(status)) if !status.success() => {
+                    stage.broke(format!("member {no} was told to end, and ended with {status}"));
+                    break;
+                }
+                Some(_) => break,
+                None if Instant::now() > end => {
+                    if stage.look(|s| s.rules.timed) {
+                        stage.broke(format!("member {no} was told to end, and runs on"));
+                    }
+                    break;
+                }
+                None => sleep(Duration::from_millis(50)).await,
+            }
+        }
+        self.kill(no);
+    }
+
+    /// Gives a member other addresses.
+    pub async fn renew(&self, no: usize) -> Result<()> {
+        let at = free(ip(no))?;
+        let callers = Link::new(at[0]);
+        let front = callers.listen().await?;
+        self.one(no, |m| {
+            (m.site.callers, m.site.ready) = (at[0], at[1]);
+            (m.site.control, m.site.metrics) = (at[2], at[3]);
+            m.callers.set(Mode::Cut);
+            (m.callers, m.front) = (callers, front);
+        });
+        Ok(())
+    }
+
+    /// Sets what becomes of a member's connections to the store.
+    pub fn link_store(&self, no: usize, mode: Mode) {
+        self.one(no, |m| m.store.set(mode));
+    }
+
+    /// Sets what becomes of callers' connections to a member.
+    pub fn link_callers(&self, no: usize, mode: Mode) {
+        self.one(no, |m| m.callers.set(mode));
+    }
+
+    /// Where callers come in at members that are ready.
+    pub fn ready(&self) -> Vec<SocketAddr> {
+        let all = self.all.lock().expect("no holder panics");
+        all.iter().filter(|m| m.ready).map(|m| m.front).collect()
+    }
+
+    /// Where the balancer sends callers: fewer than half ready, and it takes all.
+    pub fn fronts(&self) -> Vec<SocketAddr> {
+        let ready = self.ready();
+        let all = self.all.lock().expect("no holder panics");
+        if ready.len() * 2 < all.len() { all.iter().map(|m| m.front).collect() } else { ready }
+    }
+
+    /// Asks whether members are ready, and sees those that end by themselves.
+    async fn watch(self, stage: Stage) {
+        let (client, count) = (Client::new(2), self.all.lock().expect("no holder panics").len());
+        let mut misses = vec![0; count];
+        loop {
+            for (no, missed) in misses.iter_mut().enumerate() {
+                let at = self.one(no, |m| m.site.ready);
+                let ask = Request::get(uri(at, jobs::READY)).body(Full::default());
+                let answer = match ask {
+                    Ok(ask) => client.send(ask, WAIT).await.ok(),
+                    Err(_) => None,
+                };
+                let ready = answer.is_some_and(|(head, _)| head.status == 200);
+                *missed = if ready { 0 } else { *missed + 1 };
+                let (out, back) = (*missed >= 2, ready);
+                let ended = self.one(no, |m| {
+                    m.ready = back || (m.ready && !out);
+                    let ended = m.child.as_mut().and_then(|c| c.try_wait().ok()).flatten();
+                    ended.filter(|_| m.wanted)
+                });
+                if let Some(status) = ended {
+                    stage.broke(format!("member {no} has ended by itself with {status}"));
+                    return;
+                }
+            }
+            sleep(ASK).await;
+        }
+    }
+
+    /// Tells all to end.
+    pub async fn end(&self, stage: &Stage) {
+        let count = self.all.lock().expect("no holder panics").len();
+        for no in 0..count {
+            self.signal(no, "CONT");
+            if stage.broken() { self.kill(no) } else { self.stop(no, stage).await }
+        }
+    }
+
+    /// Lines of the logs that name the job that a text names.
+    pub fn lines(&self, text: &str) -> Vec<String> {
+        let hex = |w: &&str| w.len() >= 16 && w.bytes().take(16).all(|b| b.is_ascii_hexdigit());
+        let Some(job) = text.split_whitespace().find(hex).map(|w| &w[..16]) else {
+            return Vec::new();
+        };
+        let count = self.all.lock().expect("no holder panics").len();
+        let of = |no: usize| {
+            let log = fs::read_to_string(self.log(no)).unwrap_or_default();
+            let named = log.lines().filter(|l| l.contains(job));
+            named.take(LINES).map(|l| format!("{no} {l}")).collect::<Vec<_>>()
+        };
+        (0..count).flat_map(of).collect()
+    }
+}
+
+impl Drop for Member {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let (_, _) = (child.kill(), child.wait());
+        }
+    }
+}
--- /dev/null
+++ b/standin/src/soak/play.rs
@@ -0,0 +1,225 @@
+//! Plays the faults of a plan.
+
+use {
+    crate::{
+        link::Mode as LinkMode,
+        soak::{
+            callers::Callers,
+            member::Members,
+            serve::Serving,
+            stage::{Stage, State},
+        },
+    },
+    dogwoodreach::ids::WorkerId,
+    platform_standin::lists,
+    standin::site::{
+        plan::{Fault, Planned},
+        store::Mode,
+    },
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        task::JoinSet,
+        time::{sleep, sleep_until},
+    },
+};
+
+/// How long a worker's address stands empty after one has left.
+const EMPTY: Duration = Duration::from_millis(700);
+
+/// What faults are played with.
+#[derive(Clone)]
+pub struct Play {
+    stage: Stage,
+    members: Members,
+    serving: Arc<Serving>,
+    callers: Callers,
+    skipped: Arc<AtomicU64>,
+}
+
+impl Play {
+    /// Nothing is amiss yet.
+    pub fn new(stage: &Stage, members: &Members, serving: Serving, callers: &Callers) -> Self {
+        Play {
+            stage: stage.clone(),
+            members: members.clone(),
+            serving: Arc::new(serving),
+            callers: callers.clone(),
+            skipped: Arc::default(),
+        }
+    }
+
+    /// How many faults could not be played, as another one played with the same member.
+    pub fn skipped(&self) -> u64 {
+        self.skipped.load(Ordering::Relaxed)
+    }
+
+    /// Plays all faults in their time; all are over at `end`.
+    pub fn start(&self, faults: &[Planned], begin: Instant, end: Instant) -> JoinSet<()> {
+        let mut all = JoinSet::new();
+        for planned in faults.iter().copied() {
+            let play = self.clone();
+            all.spawn(async move {
+                sleep_until((begin + planned.at).into()).await;
+                log::info!("{planned}");
+                play.stage.with(|s| s.faults += 1);
+                play.one(planned.fault, (begin + planned.at + planned.lasts).min(end)).await;
+                play.stage.with(|s| s.faults -= 1);
+            });
+        }
+        all
+    }
+
+    fn set(&self, deed: impl FnOnce(&mut State)) {
+        self.stage.with(deed);
+    }
+
+    async fn one(&self, fault: Fault, until: Instant) {
+        match fault {
+            Fault::Kill(m) | Fault::Freeze(m) | Fault::Stop(m) | Fault::Replace(m) => {
+                if self.members.take(m) {
+                    self.process(fault, m, until).await;
+                    self.members.give(m);
+                } else {
+                    self.skipped.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+            Fault::KillAll => {
+                let count = self.serving.stores.len();
+                let mine: Vec<usize> = (0..count).filter(|m| self.members.take(*m)).collect();
+                mine.iter().for_each(|m| self.members.kill(*m));
+                sleep_until(until.into()).await;
+                mine.iter().for_each(|m| self.begin(*m));
+                mine.iter().for_each(|m| self.members.give(*m));
+            }
+            Fault::Config => self.configure(),
+            Fault::Cancels => self.callers.cancels(),
+            Fault::Burst(count) => self.callers.burst(count),
+            Fault::Crash(w) => self.crash(w, until).await,
+            Fault::Leave(w) => self.leave(w, until).await,
+            _ => {
+                self.toggle(fault, true);
+                sleep_until(until.into()).await;
+                self.toggle(fault, false);
+            }
+        }
+    }
+
+    /// A member's process ends or stands still.
+    async fn process(&self, fault: Fault, m: usize, until: Instant) {
+        match fault {
+            Fault::Freeze(_) => {
+                self.members.signal(m, "STOP");
+                sleep_until(until.into()).await;
+                return self.members.signal(m, "CONT");
+            }
+            Fault::Stop(_) => self.members.stop(m, &self.stage).await,
+            _ => self.members.kill(m),
+        }
+        if matches!(fault, Fault::Replace(_))
+            && let Err(e) = self.members.renew(m).await
+        {
+            self.stage.broke(format!("member {m} can't get other addresses: {e}"));
+        }
+        sleep_until(until.into()).await;
+        self.begin(m);
+    }
+
+    fn begin(&self, m: usize) {
+        if let Err(e) = self.members.begin(m) {
+            self.stage.broke(format!("member {m} doesn't begin: {e}"));
+        }
+    }
+
+    /// What begins and ends by setting something.
+    fn toggle(&self, fault: Fault, on: bool) {
+        let cut = if on { LinkMode::Cut } else { LinkMode::Open };
+        let silent = if on { LinkMode::Silent } else { LinkMode::Open };
+        match fault {
+            Fault::CutStore(m) => self.members.link_store(m, cut),
+            Fault::SilentStore(m) => self.members.link_store(m, silent),
+            Fault::CutCallers(m) => self.members.link_callers(m, cut),
+            Fault::SilentCallers(m) => self.members.link_callers(m, silent),
+            Fault::Silent(w) => self.serving.links[w].set(silent),
+            _ => self.set(|s| s.toggle(fault, on)),
+        }
+    }
+
+    /// The next version of the configuration, with a little more time for each job.
+    fn configure(&self) {
+        self.set(|s| {
+            let mut queues = (*s.world.queues).clone();
+            queues.version += 3;
+            queues.all.iter_mut().for_each(|q| q.slack += Duration::from_millis(1));
+            s.store.put(lists::CONFIG.into(), lists::queues(&queues));
+            s.world.queues = Arc::new(queues);
+        });
+    }
+
+    async fn crash(&self, w: usize, until: Instant) {
+        if !self.stage.look(|s| s.world.workers[w].up) {
+            return;
+        }
+        self.serving.links[w].set(LinkMode::Cut);
+        self.set(|s| s.world.crash(w));
+        sleep_until(until.into()).await;
+        self.serving.links[w].set(LinkMode::Open);
+        self.set(|s| s.world.workers[w].up = true);
+    }
+
+    /// A worker says that it leaves, goes after its time, and another comes at its address.
+    async fn leave(&self, w: usize, until: Instant) {
+        let id = self.stage.with(|s| {
+            s.world.workers[w].draining = Some(s.world.now);
+            s.world.id(w)
+        });
+        sleep_until(until.into()).await;
+        if self.stage.look(|s| s.world.id(w)) != id {
+            return;
+        }
+        let gone: WorkerId = id;
+        self.serving.links[w].set(LinkMode::Cut);
+        self.set(|s| {
+            s.world.crash(w);
+            s.store.remove(&lists::key(&gone));
+        });
+        sleep(EMPTY).await;
+        self.serving.links[w].set(LinkMode::Open);
+        self.set(|s| s.world.workers[w].up = true);
+    }
+}
+
+impl State {
+    /// Begins or ends a fault of the store, the advice or a worker.
+    fn toggle(&mut self, fault: Fault, on: bool) {
+        match fault {
+            Fault::CutWorkers(m) => switch(&mut self.apart, m, on),
+            Fault::Refusing(m) => switch(&mut self.refusing, m, on),
+            Fault::Down => self.store.mode = if on { Mode::Down } else { Mode::Up },
+            Fault::Losing(n) => self.store.mode = if on { Mode::Losing(n) } else { Mode::Up },
+            Fault::Slow(ms) => self.slow = Duration::from_millis(if on { ms } else { 0 }),
+            Fault::Forget => self.store.forget(0),
+            Fault::CutOff(w) => self.world.workers[w].cut = on,
+            Fault::Grey(w) => self.world.workers[w].grey = on,
+            Fault::Unwell(w) => self.world.workers[w].unwell = on,
+            Fault::Hung(w) => self.world.workers[w].hung = on,
+            Fault::Lame(w) => self.world.workers[w].speed = if on { 0.2 } else { 1.0 },
+            Fault::Late(n) => self.late = if on { n } else { 0 },
+            Fault::NoAdvice => self.world.advice.down = on,
+            _ => {}
+        }
+    }
+}
+
+fn switch(set: &mut std::collections::BTreeSet<usize>, member: usize, on: bool) {
+    if on {
+        set.insert(member);
+    } else {
+        set.remove(&member);
+    }
+}
--- /dev/null
+++ b/standin/src/soak/serve.rs
@@ -0,0 +1,239 @@
+//! The servers around the members: the store and the advice with a listener for each member, the
+//! workers with a link before each, and the list of machines.
+
+use {
+    crate::{
+        Result,
+        link::Link,
+        listen,
+        soak::{Options, stage::Stage},
+        web::Reply,
+    },
+    bytes::Bytes,
+    dogwoodreach::{
+        http::answer,
+        ids::{Incarnation, WorkerId},
+        ports::{StoreCall, StoreReply, WorkerCall, WorkerReply},
+    },
+    hyper::http::request::Parts,
+    platform_standin::{Answer, BAD, REFUSED, advice, lists, store, worker},
+    standin::site::store::{Fate, Mode},
+    std::{
+        collections::BTreeMap,
+        future::pending,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+    tokio::time::{sleep, timeout},
+};
+
+/// How often workers report themselves.
+const BEAT: Duration = Duration::from_millis(500);
+/// How long a silent worker stays in the list.
+const SILENT: Duration = Duration::from_millis(1_500);
+/// How often a hold looks for an end.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Where the members find what is around them.
+pub struct Serving {
+    /// The store, for each member.
+    pub stores: Vec<SocketAddr>,
+    /// The advice, for each member.
+    pub advice: Vec<SocketAddr>,
+    /// The list of machines.
+    pub lives: SocketAddr,
+    /// What lies before each worker.
+    pub links: Vec<Link>,
+}
+
+/// Starts all servers.
+pub async fn start(stage: &Stage, options: &Options) -> Result<Serving> {
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let (mut stores, mut advices) = (Vec::new(), Vec::new());
+    for member in 0..options.members {
+        let s = stage.clone();
+        let handle = move |head, body| {
+            let s = s.clone();
+            async move { reply(ask_store(&s, member, &head, &body).await) }
+        };
+        stores.push(listen(any, handle).await?);
+        let s = stage.clone();
+        let handle = move |head, body| {
+            let s = s.clone();
+            async move { reply(ask_advice(&s, member, &head, &body).await) }
+        };
+        advices.push(listen(any, handle).await?);
+    }
+    let (mut links, mut addrs) = (Vec::new(), Vec::new());
+    for at in 0..options.workers {
+        let s = stage.clone();
+        let handle = move |head, body| {
+            let s = s.clone();
+            async move { reply(ask_worker(&s, at, &head, &body).await) }
+        };
+        let link = Link::new(listen(any, handle).await?);
+        addrs.push(link.listen().await?);
+        links.push(link);
+    }
+    let s = stage.clone();
+    let lives = listen(any, move |_, _| {
+        let ids = s.look(|s| {
+            let up = |at: &usize| s.world.workers[*at].up;
+            (0..s.world.workers.len()).filter(up).map(|at| s.world.id(at)).collect::<Vec<_>>()
+        });
+        async move { reply(lists::machines(&ids)) }
+    });
+    let lives = lives.await?;
+    stage.with(|s| s.store.put(lists::CONFIG.into(), lists::queues(&s.world.queues)));
+    tokio::spawn(beat(stage.clone(), addrs));
+    Ok(Serving { stores, advice: advices, lives, links })
+}
+
+fn reply((status, body): Answer) -> Reply {
+    answer(status, body)
+}
+
+/// The workers report themselves.
+async fn beat(stage: Stage, addrs: Vec<SocketAddr>) {
+    let mut heard: BTreeMap<WorkerId, Instant> = BTreeMap::new();
+    for count in 1.. {
+        stage.with(|s| {
+            for (at, addr) in addrs.iter().enumerate() {
+                let w = &s.world.workers[at];
+                if !w.up || w.cut || w.hung || s.store.mode == Mode::Down {
+                    continue;
+                }
+                let mut listed = s.world.listed(at);
+                listed.addr = *addr;
+                heard.insert(listed.id.clone(), Instant::now());
+                s.store.put(lists::key(&listed.id), lists::listed(&listed, count));
+            }
+            let silent = |seen: &Instant| seen.elapsed() > SILENT;
+            heard
+                .iter()
+                .filter(|(_, t)| silent(t))
+                .for_each(|(w, _)| s.store.remove(&lists::key(w)));
+            heard.retain(|_, t| !silent(t));
+        });
+        sleep(BEAT).await;
+    }
+}
+
+async fn ask_store(stage: &Stage, member: usize, head: &Parts, body: &Bytes) -> Answer {
+    let (path, query) = (head.uri.path(), head.uri.query().unwrap_or(""));
+    let Some(call) = store::call(head.method.as_str(), path, query, body) else { return BAD };
+    let (fate, delay) = stage.with(|s| (s.fate(member), s.store.delay() + s.slow));
+    sleep(delay).await;
+    match fate {
+        Fate::Answered => store::answer(&serve_store(stage, member, call).await),
+        Fate::Refused => REFUSED,
+        Fate::Unheard => pending().await,
+        Fate::Lost(wait) => {
+            let stage = stage.clone();
+            tokio::spawn(async move {
+                sleep(wait).await;
+                stage.with(|s| s.store.call(&call, s.world.now));
+            });
+            pending().await
+        }
+    }
+}
+
+async fn serve_store(stage: &Stage, member: usize, call: StoreCall) -> StoreReply {
+    let end = match &call {
+        StoreCall::Watch { wait, .. } => Instant::now() + *wait,
+        _ => Instant::now(),
+    };
+    loop {
+        let moved = stage.moved.notified();
+        let (told, rev, dead) = stage.with(|s| {
+            let dead = s.store.mode == Mode::Down || s.refusing.contains(&member);
+            let told = if dead { None } else { s.store.call(&call, s.world.now) };
+            (told, s.store.rev, dead)
+        });
+        match told {
+            _ if dead => return pending().await,
+            Some(told) => return told,
+            None if Instant::now() >= end => return StoreReply::Events(Vec::new(), rev),
+            None => {}
+        }
+        let _ = timeout(end.saturating_duration_since(Instant::now()), moved).await;
+    }
+}
+
+async fn ask_advice(stage: &Stage, member: usize, head: &Parts, body: &Bytes) -> Answer {
+    let Some(call) = advice::call(head.uri.path(), body) else { return BAD };
+    let asked = stage.with(|s| {
+        let cost = s.world.queue(call.step.job)?.advice?;
+        let (now, via) = (s.world.now, Incarnation(member as u64 + 1));
+        Some((s.world.advice.ask(via, &call, cost, now), cost.valid, now))
+    });
+    match asked {
+        None => BAD,
+        Some((Ok(at), valid, now)) => {
+            sleep(at.since(now)).await;
+            stage.with(|s| advice::answer(&s.world.advice.answer(&call, valid, s.world.now)))
+        }
+        Some((Err(dogwoodreach::ports::Fault::Refused), ..)) => advice::BUSY,
+        Some((Err(_), ..)) => pending().await,
+    }
+}
+
+async fn ask_worker(stage: &Stage, at: usize, head: &Parts, body: &Bytes) -> Answer {
+    let life = head.headers.get(worker::LIFE).and_then(|v| v.to_str().ok()).unwrap_or("");
+    let life = WorkerId::from(life);
+    let Some(call) = worker::call(head.uri.path(), body) else { return BAD };
+    let token = match &call {
+        WorkerCall::Start(start) => start.token,
+        WorkerCall::Stop { token, .. }
+        | WorkerCall::Pace { token, .. }
+        | WorkerCall::Hold { token, .. } => *token,
+    };
+    let (apart, late) = stage.with(|s| {
+        let late = s.late > 0 && s.rng.u32(0..s.late) == 0;
+        (s.is_apart(token), late.then(|| Duration::from_millis(s.rng.u64(2_000..12_000))))
+    });
+    if apart {
+        return pending().await;
+    }
+    if let Some(wait) = late {
+        let stage = stage.clone();
+        tokio::spawn(async move {
+            sleep(wait).await;
+            stage.with(|s| s.world.call(at, &life, &call, true));
+        });
+        return pending().await;
+    }
+    let Some(reply) = stage.with(|s| s.world.call(at, &life, &call, false)) else {
+        return pending().await;
+    };
+    match (&call, &reply) {
+        (WorkerCall::Hold { wait, .. }, WorkerReply::Held(held)) if held.ended.is_empty() => {
+            worker::answer(&hold(stage, at, &life, token, *wait).await)
+        }
+        _ => worker::answer(&reply),
+    }
+}
+
+/// A hold waits for an end.
+async fn hold(
+    stage: &Stage,
+    at: usize,
+    life: &WorkerId,
+    token: u64,
+    wait: Duration,
+) -> WorkerReply {
+    let end = Instant::now() + wait;
+    while Instant::now() < end && !stage.look(|s| s.world.has_ended(at)) {
+        sleep(LOOK).await;
+    }
+    let held = stage.with(|s| {
+        let w = &s.world.workers[at];
+        let heard = w.up && !w.cut && !w.hung && s.world.id(at) == *life && !s.is_apart(token);
+        heard.then(|| s.world.held(at))
+    });
+    match held {
+        Some(held) => WorkerReply::Held(held),
+        None => pending().await,
+    }
+}
--- /dev/null
+++ b/standin/src/soak/stage.rs
@@ -0,0 +1,225 @@
+//! What all around the members share: workers, store, advice and the judge, under one lock.
+
+use {
+    crate::soak::Options,
+    derive_more::Display,
+    dogwoodreach::{
+        Time,
+        shard::record::{OWNERS, OwnerRow, Progress, ShardNo, read},
+        work::JobNo,
+    },
+    serde::Serialize,
+    standin::site::{
+        judge::{Breach, Rules},
+        setup,
+        store::{Fate, Mode, Store},
+        worker::World,
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        future::Future,
+        sync::{Arc, Mutex},
+        time::{Duration, Instant, SystemTime},
+    },
+    tokio::sync::Notify,
+};
+
+/// How often the workers' time goes on.
+const TICK: Duration = Duration::from_millis(10);
+
+/// How jobs ended.
+#[derive(Clone, Copy, Debug, Default, Display, Serialize)]
+#[display(
+    "{asked} jobs: {accepted} accepted, {refused} refused, {unclear} unclear; {done} done, {failed} failed, {cancelled} cancelled; {calls} calls, {unanswered} without an answer"
+)]
+pub struct Counts {
+    pub asked: u64,
+    pub accepted: u64,
+    pub refused: u64,
+    pub unclear: u64,
+    pub done: u64,
+    pub failed: u64,
+    pub cancelled: u64,
+    pub calls: u64,
+    pub unanswered: u64,
+}
+
+/// What the members deal with.
+pub struct State {
+    pub world: World,
+    pub store: Store,
+    pub rules: Rules,
+    /// The first promise that was broken.
+    pub breach: Option<Breach>,
+    /// Of so many orders one is carried out late; 0 is none.
+    pub late: u32,
+    /// Members that the store refuses.
+    pub refusing: BTreeSet<usize>,
+    /// Members that are cut off from workers.
+    pub apart: BTreeSet<usize>,
+    /// How much longer the store takes.
+    pub slow: Duration,
+    /// Faults that go on now.
+    pub faults: usize,
+    pub rng: fastrand::Rng,
+    /// Which member took over with which token.
+    owners: BTreeMap<u64, usize>,
+}
+
+/// The state, and who waits for its changes.
+#[derive(Clone)]
+pub struct Stage {
+    begin: Instant,
+    state: Arc<Mutex<State>>,
+    /// Told at each change of the store.
+    pub moved: Arc<Notify>,
+}
+
+impl Stage {
+    /// A stage before the first member.
+    pub fn new(options: &Options) -> Self {
+        let (seed, queues) = (options.seed, setup::queues());
+        let workers = setup::workers(options.workers);
+        let mut world = World::new(seed, setup::bounds(), queues, workers);
+        world.spread = 0.2;
+        let mut rules = Rules::new(seed);
+        rules.timed = options.timed;
+        rules.unix = unix();
+        let state = State {
+            world,
+            store: Store::new(seed),
+            rules,
+            breach: None,
+            late: 0,
+            refusing: BTreeSet::new(),
+            apart: BTreeSet::new(),
+            slow: Duration::ZERO,
+            faults: 0,
+            rng: fastrand::Rng::with_seed(seed),
+            owners: BTreeMap::new(),
+        };
+        let (state, moved) = (Arc::new(Mutex::new(state)), Arc::new(Notify::new()));
+        let stage = Stage { begin: Instant::now(), state, moved };
+        let ticking = stage.clone();
+        tokio::spawn(async move {
+            loop {
+                tokio::time::sleep(TICK).await;
+                ticking.with(|s| {
+                    if s.faults > 0 {
+                        s.rules.fault(s.world.now);
+                    }
+                });
+            }
+        });
+        stage
+    }
+
+    /// The present time.
+    pub fn now(&self) -> Time {
+        Time(u64::try_from(self.begin.elapsed().as_micros()).unwrap_or(u64::MAX))
+    }
+
+    /// Does something at the present time, and judges what followed.
+    pub fn with<T>(&self, deed: impl FnOnce(&mut State) -> T) -> T {
+        let mut state = self.state.lock().expect("no holder panics");
+        let rev = state.store.rev;
+        let now = self.now();
+        state.world.advance(now);
+        let now = state.world.now;
+        state.store.lapse(now);
+        let done = deed(&mut state);
+        state.judge();
+        let moved = state.store.rev != rev;
+        drop(state);
+        if moved {
+            self.moved.notify_waiters();
+        }
+        done
+    }
+
+    /// Looks at something as it was last.
+    pub fn look<T>(&self, deed: impl FnOnce(&State) -> T) -> T {
+        deed(&self.state.lock().expect("no holder panics"))
+    }
+
+    /// Whether a promise was broken.
+    pub fn broken(&self) -> bool {
+        self.look(|s| s.breach.is_some())
+    }
+
+    /// A promise was broken that the rules don't know.
+    pub fn broke(&self, text: String) {
+        self.with(|s| {
+            let breach = Breach { seed: s.rules.seed, at: s.world.now, text: text.into() };
+            s.breach.get_or_insert(breach);
+        });
+    }
+
+    /// Waits for something, or until a promise is broken.
+    pub async fn until_broken(&self, what: impl Future<Output = ()>) {
+        let broken = async {
+            while !self.broken() {
+                tokio::time::sleep(TICK).await;
+            }
+        };
+        tokio::select! {
+            () = what => {}
+            () = broken => {}
+        }
+    }
+}
+
+impl State {
+    fn judge(&mut self) {
+        if let Err(breach) = self.rules.check(&mut self.world) {
+            self.keep(breach);
+        }
+        for (key, value) in std::mem::take(&mut self.store.written) {
+            if let Err(breach) = self.written(&key, &value) {
+                self.keep(breach);
+            }
+        }
+    }
+
+    /// Keeps the first breach.
+    pub fn keep(&mut self, breach: Breach) {
+        self.breach.get_or_insert(breach);
+    }
+
+    /// A member has written an item.
+    fn written(&mut self, key: &str, value: &[u8]) -> Result<(), Breach> {
+        let now = self.world.now;
+        if let Some(shard) = key.strip_prefix(OWNERS).and_then(|s| s.parse().ok()).map(ShardNo) {
+            let Some(row) = read::<OwnerRow>(value) else { return Ok(()) };
+            let member = row.control.and_then(|a| crate::soak::member::place(a.ip()));
+            self.owners.extend(member.map(|m| (row.token, m)));
+            return self.rules.token(now, shard, row.token);
+        }
+        let Some((_, job)) = key.strip_prefix("dwr/p/").and_then(|k| k.split_once('/')) else {
+            return Ok(());
+        };
+        let (Ok(job), Some(progress)) = (job.parse::<JobNo>(), read::<Progress>(value)) else {
+            return Ok(());
+        };
+        self.rules.stored(&self.world, job, &progress)
+    }
+
+    /// Whether the owner with this token is cut off from workers.
+    pub fn is_apart(&self, token: u64) -> bool {
+        self.owners.get(&token).is_some_and(|m| self.apart.contains(m))
+    }
+
+    /// What becomes of a member's call of the store.
+    pub fn fate(&mut self, member: usize) -> Fate {
+        if self.store.mode != Mode::Down && self.refusing.contains(&member) {
+            return if self.rng.bool() { Fate::Refused } else { Fate::Unheard };
+        }
+        self.store.fate()
+    }
+}
+
+/// The Unix clock, in milliseconds.
+pub fn unix() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(now.as_millis()).unwrap_or(u64::MAX)
+}
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -2,10 +2,10 @@
 
 #![allow(dead_code)] // each test file uses a part
 
-#[path = "../yard/store.rs"]
-pub mod store;
 pub mod worker;
 
+pub use standin::site::store;
+
 use {
     dogwoodreach::{
         Time,
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -3,10 +3,11 @@
 
 #![allow(dead_code)] // each test file uses a part
 
-pub mod advice;
-pub mod rules;
-pub mod store;
-pub mod worker;
+pub use standin::site::{
+    advice, judge as rules,
+    setup::{bounds, job, queues, step, workers},
+    store, worker,
+};
 
 use {
     dogwoodreach::{
@@ -21,7 +22,7 @@
         units::Size,
         work::{AdviceCost, Job, JobNo, Listed, Pool, Queue, Queues, State, Step},
     },
-    rules::{Rules, UNIX},
+    rules::{Breach, Rules, UNIX},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
     store::{Fate, Mode, Store},
     worker::{GRAIN, Worker, World},
@@ -94,81 +95,13 @@
     rng: fastrand::Rng,
 }
 
-/// Bounds as a deployment has them.
-pub fn bounds() -> Bounds {
-    let ms = Duration::from_millis;
-    Bounds {
-        hold: ms(8_000),
-        stop: ms(1_000),
-        gang: ms(5_000),
-        keep: ms(300_000),
-        remote: 1.5,
-        save: ms(1_000),
-        restore: ms(500),
-        harm: ms(4_000),
-        notice: ms(2_000),
-        config: ms(3_000),
-        drain: ms(2_000),
-        grace: ms(10_000),
-        ttl: ms(3_000),
+/// Fails the test where a promise was broken.
+pub fn kept(promise: Result<(), Breach>) {
+    if let Err(breach) = promise {
+        panic!("{breach}");
     }
 }
 
-/// Three queues: `plain` and `urgent` on the pool `guarded`, `open` on one that doesn't guard,
-/// and `advised`, whose steps need advice.
-pub fn queues() -> Arc<Queues> {
-    let queue = |name: &str, pool: &str, priority| Queue {
-        name: name.into(),
-        host: "".into(),
-        prefix: format!("/{name}/").into(),
-        pool: pool.into(),
-        priority,
-        attempts: 3,
-        stretch: 2.0,
-        slack: Duration::from_secs(5),
-        advice: None,
-    };
-    let ms = Duration::from_millis;
-    let cost = AdviceCost { base: ms(20), each: ms(2), valid: ms(3_000) };
-    let pool = |name: &str, guards| Pool { name: name.into(), guards, standby: false };
-    Arc::new(Queues {
-        version: 1,
-        all: vec![
-            queue("plain", "guarded", 1),
-            queue("urgent", "guarded", 0),
-            queue("open", "open", 1),
-            Queue { advice: Some(cost), ..queue("advised", "open", 1) },
-        ],
-        pools: vec![pool("guarded", true), pool("open", false)],
-        body: 1 << 20,
-    })
-}
-
-/// So many workers of 4 cores: of each four two guard, on two racks, one with the label `gpu`.
-pub fn workers(count: usize) -> Vec<Worker> {
-    let one = |i: usize| {
-        let pool = if i % 4 < 2 { "guarded" } else { "open" };
-        let mut w = Worker::new(pool, ["r1", "r2"][i % 2], Size::new(4, 16_384, 1));
-        w.rate = [1.0, 0.98, 0.99][i % 3];
-        w.offset = 1_000 * (1 + i as u64);
-        if i.is_multiple_of(2) {
-            w.labels.push("gpu".into());
-        }
-        w
-    };
-    (0..count).map(one).collect()
-}
-
-/// A step of so many tasks of one core, of so many milliseconds each.
-pub fn step(count: u32, estimate: u64) -> Step {
-    Step { count, estimate, size: Size::new(1, 512, 0), ..Step::default() }
-}
-
-/// A job of these steps.
-pub fn job(steps: impl Into<Box<[Step]>>) -> Job {
-    Job { text: "do it".into(), steps: steps.into(), times: None }
-}
-
 impl Yard {
     /// A yard with one owner.
     pub fn new(seed: u64, count: usize) -> Self {
@@ -358,12 +291,12 @@
     }
 
     fn check(&mut self) {
-        self.rules.check(&mut self.world);
+        kept(self.rules.check(&mut self.world));
         for (key, value) in std::mem::take(&mut self.store.written) {
             let job = key.strip_prefix(&*SHARD.all_progress()).and_then(|j| j.parse().ok());
             if let Some(job) = job {
                 let progress = read(&value).expect("progress that can be read");
-                self.rules.stored(&self.world, job, &progress);
+                kept(self.rules.stored(&self.world, job, &progress));
             }
         }
     }
@@ -402,7 +335,7 @@
         let owner = self.owners.last().filter(|o| !o.gone && !o.paused);
         for job in self.world.jobs.keys() {
             if let Some(state) = owner.and_then(|o| o.shard.state(*job)) {
-                self.rules.shown(&self.world, *job, state);
+                kept(self.rules.shown(&self.world, *job, state));
             }
         }
     }
@@ -619,7 +552,6 @@
 
     /// How many runs of a job are there.
     pub fn running(&self, job: JobNo) -> usize {
-        let runs = self.world.workers.iter().flat_map(|w| &w.runs);
-        runs.filter(|r| r.start.task.step.job == job).count()
+        self.world.running(job)
     }
 }
