A gang that fits nowhere no longer keeps room from others

Advice let a gang of five cores run at one worker of four; room was kept there for the part of it that fits, for good, and small jobs that may run only there waited as long.

--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -470,7 +470,9 @@
                 wish.push((index, WorkerNo(room.index)));
             }
         }
-        wish
+        // Guards against a gang for which all its workers together are too small: it would wait for
+        // ever, and the room kept for a part of it would keep all behind it waiting as long.
+        if step.gang { vec![] } else { wish }
     }
 
     /// Keeps room for tasks that can't start yet from the steps behind.
--- /dev/null
+++ b/tests/shard_gang_stuck.rs
@@ -0,0 +1,30 @@
+//! A gang that fits nowhere, and what waits behind it.
+
+mod yard;
+
+use {
+    dogwoodreach::work::{JobNo, State, Step},
+    yard::{Yard, job, step},
+};
+
+#[test]
+fn a_gang_that_fits_nowhere_holds_up_nothing_else() {
+    // Story: a caller hands in a gang of five cores, and advice lets it run at one worker of four
+    // only. It can never start, and the room that is kept for it must not keep small jobs from the
+    // workers for good.
+    for seed in 1..12 {
+        let mut yard = Yard::new(seed, 6);
+        let gang = Step { gang: true, ..step(5, 700) };
+        yard.at(100, move |y| y.submit(1, "advised", job([gang])));
+        for no in 2..8 {
+            let queue = if no % 2 == 0 { "open" } else { "advised" };
+            yard.at(no * 1_000, move |y| y.submit(no, queue, job([step(1, 300)])));
+        }
+        yard.run_until(60_000);
+        let progress = yard.progress();
+        let done = |n: &u64| progress.get(&JobNo(*n)).is_some_and(|p| p.state == State::Done);
+        let open: Vec<u64> = (2..8).filter(|n| !done(n)).collect();
+        println!("seed {seed}: gang done {}, open {open:?}", done(&1));
+        assert!(open.is_empty(), "seed {seed}: {open:?} wait on");
+    }
+}
