--- /dev/null
+++ b/standin/src/site/worker/time.rs
@@ -0,0 +1,172 @@
+//! What time does at workers: leases end, work goes on, gangs come together.
+
+use {
+    super::{GRAIN, Note, Run, World, saved},
+    dogwoodreach::{
+        Time,
+        ports::{End, How},
+        work::{StepKey, TaskKey},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+impl World {
+    /// Lets time pass.
+    pub fn advance(&mut self, to: Time) {
+        while self.now < to {
+            let next = to.min(self.now + GRAIN);
+            let ms = next.since(self.now).as_secs_f64() * 1e3;
+            self.now = next;
+            (0..self.workers.len()).for_each(|at| self.expire(at));
+            self.work(ms);
+            self.gangs(ms);
+        }
+    }
+
+    fn expire(&mut self, at: usize) {
+        let (now, grey) = (self.now, self.workers[at].grey);
+        let w = &mut self.workers[at];
+        if !w.lapsed && w.clock(now) >= w.until {
+            w.lapsed = true;
+            w.ended.iter_mut().for_each(|(_, lapsed)| *lapsed = true);
+            self.end_where(at, How::Lapsed, |_| true);
+        }
+        self.end_where(at, How::Stopped, |r| r.stops.is_some_and(|s| s <= now));
+        let sick = Duration::from_millis(300);
+        self.end_where(at, How::Failed, |r| grey && r.stops.is_none() && now >= r.since + sick);
+    }
+
+    pub(super) fn end_where(&mut self, at: usize, how: How, which: impl Fn(&Run) -> bool) {
+        while let Some(i) = self.workers[at].runs.iter().position(&which) {
+            self.end(at, i, how);
+        }
+    }
+
+    /// Ends a run, and with it the other members of its gang.
+    fn end(&mut self, at: usize, i: usize, how: How) {
+        let run = self.workers[at].runs.remove(i);
+        let (task, number) = (run.start.task, run.start.run);
+        let step = self.step(task.step).cloned().unwrap_or_default();
+        let w = &mut self.workers[at];
+        w.number += 1;
+        let barred = w.barred.entry(task).or_default();
+        *barred = number.max(*barred);
+        let saved = saved(&run, &step);
+        let end = End { number: w.number, task, run: number, how, saved };
+        w.ended.push((end.clone(), false));
+        self.notes.push(Note::End { at: self.now, end });
+        if step.gang && how != How::Broken && how != How::Done {
+            self.break_gang(task.step, number);
+        }
+    }
+
+    pub(super) fn break_gang(&mut self, step: StepKey, run: u32) {
+        let of = |r: &Run| r.start.task.step == step && r.start.run == run && r.stops.is_none();
+        (0..self.workers.len()).for_each(|at| self.end_where(at, How::Broken, of));
+    }
+
+    /// The speed of a run, as a share of a sound worker's near its data.
+    fn speed(&self, at: usize, run: &Run) -> f64 {
+        let w = &self.workers[at];
+        let Some(step) = self.step(run.start.task.step) else { return 0.0 };
+        if w.hung || run.stops.is_some() || self.now < run.ready {
+            return 0.0;
+        }
+        let far = step.near.as_ref().is_some_and(|r| *r != w.rack);
+        let room = || w.size.cores.0.saturating_sub(self.used(at).cores.0) as f64;
+        let share = if step.fills { room() / step.size.cores.0.max(1) as f64 } else { 1.0 };
+        let slower = if far { self.bounds.remote } else { 1.0 };
+        w.speed * f64::from(run.percent) / 100.0 * share.min(1.0) / slower
+    }
+
+    fn is_gang(&self, run: &Run) -> bool {
+        self.step(run.start.task.step).is_some_and(|s| s.gang)
+    }
+
+    fn work(&mut self, ms: f64) {
+        for at in 0..self.workers.len() {
+            for i in (0..self.workers[at].runs.len()).rev() {
+                let run = &self.workers[at].runs[i];
+                if !self.is_gang(run) {
+                    let gain = ms * self.speed(at, run);
+                    self.gain(at, i, gain);
+                }
+            }
+        }
+    }
+
+    /// Adds work to a run, and ends it where that was its last.
+    fn gain(&mut self, at: usize, i: usize, gain: f64) {
+        let save = self.bounds.save.as_secs_f64() * 1e3;
+        let run = &mut self.workers[at].runs[i];
+        run.work += gain;
+        while run.work - run.kept >= save {
+            run.kept += save;
+        }
+        let (task, work) = (run.start.task, run.work);
+        let need = self.need(task);
+        let fails = self.hopeless.contains(&(task.step.job, task.step.step));
+        let lasts = self.step(task.step).is_some_and(|s| s.lasts);
+        let end = if fails { need / 2.0 } else { need };
+        if gain <= 0.0 || (lasts && !fails) || work < end {
+            return;
+        }
+        self.end(at, i, if fails { How::Failed } else { How::Done });
+    }
+
+    fn gangs(&mut self, ms: f64) {
+        let mut all: BTreeMap<(StepKey, u32), Vec<(usize, TaskKey)>> = BTreeMap::new();
+        for (at, w) in self.workers.iter().enumerate() {
+            for r in w.runs.iter().filter(|r| self.is_gang(r)) {
+                let members = all.entry((r.start.task.step, r.start.run)).or_default();
+                members.push((at, r.start.task));
+            }
+        }
+        for ((step, run), members) in all {
+            self.gang(step, run, &members, ms);
+        }
+    }
+
+    fn place(&self, at: usize, task: TaskKey, run: u32) -> Option<usize> {
+        self.workers[at].runs.iter().position(|r| r.start.task == task && r.start.run == run)
+    }
+
+    fn gang(&mut self, key: StepKey, run: u32, members: &[(usize, TaskKey)], ms: f64) {
+        let Some(step) = self.step(key).cloned() else { return };
+        let names: BTreeSet<_> = members.iter().map(|m| m.1).collect();
+        if names.len() < step.count as usize {
+            return self.alone(run, members);
+        }
+        let racks: BTreeSet<_> = members.iter().map(|m| &self.workers[m.0].rack).collect();
+        let apart = if step.tight && racks.len() > 1 { self.bounds.remote } else { 1.0 };
+        let run_of = |m: &(usize, TaskKey)| {
+            self.place(m.0, m.1, run).map(|i| (m.0, &self.workers[m.0].runs[i]))
+        };
+        let speeds = members.iter().filter_map(run_of).map(|(at, r)| self.speed(at, r));
+        let gain = ms * speeds.fold(f64::MAX, f64::min) / apart;
+        let saved: BTreeSet<_> =
+            members.iter().filter_map(run_of).map(|m| m.1.start.saved.clone()).collect();
+        if saved.len() > 1 {
+            self.notes.push(Note::Odd(format!("{key} run {run}: checkpoints {saved:?}")));
+        }
+        for m in members {
+            let Some(i) = self.place(m.0, m.1, run) else { continue };
+            self.workers[m.0].runs[i].together = true;
+            self.gain(m.0, i, gain);
+        }
+    }
+
+    fn alone(&mut self, run: u32, members: &[(usize, TaskKey)]) {
+        let (now, wait) = (self.now, self.bounds.gang);
+        for m in members {
+            let over = |r: &Run| !r.together && r.stops.is_none() && now >= r.since + wait;
+            let Some(i) = self.place(m.0, m.1, run) else { continue };
+            if over(&self.workers[m.0].runs[i]) {
+                self.end(m.0, i, How::Alone);
+            }
+        }
+    }
+}
--- a/standin/src/soak/stage.rs
+++ b/standin/src/soak/stage.rs
@@ -24,6 +24,8 @@
     tokio::sync::Notify,
 };
 
+/// The share of workers that advice allows, in hundredths; each gang finds enough of them.
+const GOOD: u64 = 80;
 /// How often the workers' time goes on.
 const TICK: Duration = Duration::from_millis(10);
 
@@ -82,6 +84,7 @@
         let workers = setup::workers(options.workers);
         let mut world = World::new(seed, setup::bounds(), queues, workers);
         world.spread = 0.2;
+        world.advice.share = GOOD;
         let mut rules = Rules::new(seed);
         rules.timed = options.timed;
         rules.unix = unix();
--- /dev/null
+++ b/standin/tests/judge.rs
@@ -0,0 +1,123 @@
+//! The judge sees each broken promise that only callers and the store can show; what workers show
+//! is in the root's `tests/yard_worker.rs`.
+
+use {
+    dogwoodreach::{
+        Time,
+        ports::{Start, WorkerCall, WorkerReply},
+        shard::record::{JobRecord, ShardNo},
+        work::{JobNo, State, Step, StepKey, TaskKey},
+    },
+    standin::site::{
+        judge::{Breach, Rules},
+        setup::{bounds, job, queues, step, workers},
+        worker::World,
+    },
+    std::time::Duration,
+};
+
+const JOB: JobNo = JobNo(1);
+
+/// A world that was asked for one job of one task, and its judge.
+fn day() -> (World, Rules) {
+    let mut world = World::new(5, bounds(), queues(), workers(4));
+    let job = job([step(1, 200)]);
+    world.jobs.insert(JOB, JobRecord { queue: "open".into(), came: 0, job });
+    (world, Rules::new(5))
+}
+
+/// Starts the job's task.
+fn start(world: &mut World) {
+    let start = Start {
+        task: TaskKey { step: StepKey { job: JOB, time: 0, step: 0 }, index: 0 },
+        run: 1,
+        text: "do it".into(),
+        until: u64::MAX,
+        token: 1,
+        saved: "".into(),
+        ticket: None,
+    };
+    let id = world.id(2);
+    let reply = world.call(2, &id, &WorkerCall::Start(start), false);
+    assert!(matches!(reply, Some(WorkerReply::Done(_))), "{reply:?}");
+}
+
+fn sees(promise: Result<(), Breach>, text: &str) {
+    let breach = promise.expect_err(text);
+    assert!(breach.text.contains(text) && breach.seed == 5, "{breach}, not {text}");
+}
+
+#[test]
+fn a_refused_job_that_runs() {
+    let (mut world, mut rules) = day();
+    assert_eq!(rules.refused(Time::ZERO, JOB), Ok(()));
+    start(&mut world);
+    sees(rules.check(&mut world), "its job was refused");
+
+    let (mut world, mut rules) = day();
+    start(&mut world);
+    assert_eq!(rules.check(&mut world), Ok(()));
+    sees(rules.refused(Time::ZERO, JOB), "had started");
+    sees(rules.accepted(Time::ZERO, JOB), "and then accepted");
+}
+
+#[test]
+fn an_accepted_job_that_is_not_known() {
+    let (_, mut rules) = day();
+    let ms = Time::from_millis;
+    assert_eq!(rules.unknown(ms(0), JOB), Ok(()), "nobody has accepted it");
+    assert_eq!(rules.accepted(ms(1_000), JOB), Ok(()));
+    assert_eq!(rules.unknown(ms(3_900), JOB), Ok(()), "it may not be visible yet");
+    sees(rules.unknown(ms(4_100), JOB), "isn't known");
+    rules.cancels.insert(JOB, ms(4_000));
+    assert_eq!(rules.unknown(ms(4_100), JOB), Ok(()), "its caller has cancelled it");
+}
+
+#[test]
+fn a_job_that_is_over_and_then_is_not() {
+    let (mut world, mut rules) = day();
+    assert_eq!(rules.told(&world, JOB, State::Running), Ok(()));
+    sees(rules.told(&world, JOB, State::Done), "without cause");
+    start(&mut world);
+    world.advance(Time::from_millis(300));
+    assert_eq!(rules.check(&mut world), Ok(()));
+    assert_eq!(rules.told(&world, JOB, State::Done), Ok(()));
+    assert_eq!(rules.told(&world, JOB, State::Done), Ok(()));
+    sees(rules.told(&world, JOB, State::Running), "was completed before");
+    sees(rules.told(&world, JobNo(9), State::Queued), "without cause");
+}
+
+#[test]
+fn a_token_that_goes_back() {
+    let (_, mut rules) = day();
+    for token in [3, 3, 4] {
+        assert_eq!(rules.token(Time::ZERO, ShardNo(0), token), Ok(()));
+    }
+    assert_eq!(rules.token(Time::ZERO, ShardNo(1), 1), Ok(()), "another shard");
+    sees(rules.token(Time::ZERO, ShardNo(0), 3), "token 3 after 4");
+}
+
+#[test]
+fn bounds_of_time_may_be_left_out_and_nothing_else() {
+    let (mut world, mut rules) = day();
+    rules.timed = false;
+    rules.cancels.insert(JOB, Time::ZERO);
+    let long = |s: &mut Step| s.estimate = 60_000;
+    world.jobs.entry(JOB).and_modify(|r| long(&mut r.job.steps[0]));
+    world.advance(Time::from_millis(9_000));
+    start(&mut world);
+    assert_eq!(rules.check(&mut world), Ok(()));
+    world.workers[2].size = Default::default();
+    sees(rules.check(&mut world), "runs");
+}
+
+#[test]
+fn times_are_due_by_the_clock_of_the_day() {
+    let (mut world, mut rules) = day();
+    rules.unix = 5_000_000;
+    let times = dogwoodreach::work::Times { count: 1, first: 5_002_000, every: 0 };
+    world.jobs.entry(JOB).and_modify(|r| r.job.times = Some(times));
+    world.advance(Time::ZERO + Duration::from_millis(1_000));
+    start(&mut world);
+    sees(rules.check(&mut world), "before it was due");
+}
--- /dev/null
+++ b/standin/tests/plan.rs
@@ -0,0 +1,49 @@
+//! What a soak plays is drawn from its seed alone.
+
+use {
+    standin::site::plan::{draw, faults},
+    std::{collections::BTreeSet, mem::discriminant, time::Duration},
+};
+
+const MINUTES: Duration = Duration::from_secs(240);
+
+#[test]
+fn a_seed_plays_the_same_again() {
+    assert_eq!(faults(3, MINUTES, 5, 24), faults(3, MINUTES, 5, 24));
+    assert_ne!(faults(3, MINUTES, 5, 24), faults(4, MINUTES, 5, 24));
+    let all = |seed| {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        (0..50).map(|_| draw(&mut rng, 24, 0)).collect::<Vec<_>>()
+    };
+    assert_eq!(all(3), all(3));
+}
+
+#[test]
+fn each_kind_of_fault_comes() {
+    let (faults, kinds) = (faults(3, MINUTES, 5, 24), 28);
+    assert!(faults.len() > 2 * kinds, "{}", faults.len());
+    let named: BTreeSet<String> =
+        faults.iter().map(|f| format!("{:?}", discriminant(&f.fault))).collect();
+    assert_eq!(named.len(), kinds);
+    assert!(faults.iter().all(|f| f.at < MINUTES));
+    assert!(faults.is_sorted_by_key(|f| f.at));
+}
+
+#[test]
+fn jobs_of_all_kinds_come_and_may_be_asked_for() {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let all: Vec<_> = (0..500).map(|_| draw(&mut rng, 24, 0)).collect();
+    assert!(all.iter().all(|d| d.job.check().is_ok()));
+    let any = |what: &dyn Fn(&dogwoodreach::work::Step) -> bool| {
+        assert!(all.iter().any(|d| d.job.steps.iter().any(what)));
+    };
+    any(&|s| !s.after.is_empty());
+    any(&|s| s.gang && s.tight);
+    any(&|s| s.lasts);
+    any(&|s| s.fills);
+    any(&|s| s.copies);
+    any(&|s| s.saves);
+    assert!(all.iter().any(|d| d.job.times.is_some()));
+    assert!(all.iter().any(|d| d.hopeless) && all.iter().any(|d| d.again));
+    assert!(all.iter().any(|d| d.cancel.is_some()));
+}
