--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -88,7 +88,7 @@
             _ => return Err(arg.unexpected().into()),
         }
     }
-    options.dir.push(format!("seed-{}", options.seed));
+    options.dir.push(format!("seed-{}-{}", options.seed, std::process::id()));
     let report = run(&options).await?;
     if json {
         println!("{}", serde_json::to_string_pretty(&report)?);
@@ -119,7 +119,6 @@
         let name = options.binary.display();
         return Err(format!("{name} is missing: cargo build --workspace makes it").into());
     }
-    let _ = std::fs::remove_dir_all(&options.dir);
     std::fs::create_dir_all(&options.dir)?;
     let faults = plan::faults(options.seed, options.length, options.members, options.workers);
     let stage = Stage::new(options);
