--- a/standin/src/soak/stage.rs
+++ b/standin/src/soak/stage.rs
@@ -212,6 +212,11 @@
         self.owners.get(&token).is_some_and(|m| self.apart.contains(m))
     }
 
+    /// The member that took over last; the first where none has.
+    pub fn owner(&self) -> usize {
+        self.owners.last_key_value().map_or(0, |(_, member)| *member)
+    }
+
     /// What becomes of a member's call of the store.
     pub fn fate(&mut self, member: usize) -> Fate {
         if self.store.mode != Mode::Down && self.refusing.contains(&member) {
