A new owner counts the leases that former owners have given

Ruled out: the former owner (its token is refused), the roster (23 of 24, the other one is leaving). The soak keeps what workers have seen, and shows it with a breach.

--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -97,6 +97,9 @@
         };
         worker.next = now;
         let whole = held.ended.len() < ENDS;
+        if !worker.fenced {
+            worker.inherit(held.clock, &self.setup.bounds);
+        }
         let first = !worker.fenced && whole;
         worker.fenced |= whole;
         for end in &held.ended {
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -222,6 +222,15 @@
         Some(self.until)
     }
 
+    /// Counts the lease that a former owner may have given until its clock showed this.
+    ///
+    /// Guards against a new owner that stands still before it has renewed the lease itself: with no
+    /// lease known it would take what runs there for lapsed, and start it a second time. Later than
+    /// this no former owner's order is heeded, as the worker has seen the new token.
+    pub fn inherit(&mut self, clock: u64, bounds: &Bounds) {
+        self.until = self.until.max(clock + millis(bounds.hold));
+    }
+
     /// When the lease of all that runs there has certainly ended.
     ///
     /// Guards against a second run beside one that is cut off and goes on: leases are times on the
--- a/standin/src/site/judge.rs
+++ b/standin/src/site/judge.rs
@@ -6,7 +6,7 @@
     dogwoodreach::{
         Time,
         ports::{How, Start},
-        shard::record::{JobRecord, Progress, ShardNo},
+        shard::record::{JobRecord, Progress, ShardNo, TaskRow},
         work::{JobNo, State, StepKey, TaskKey},
     },
     std::{
@@ -39,6 +39,9 @@
     pub text: Box<str>,
 }
 
+/// Whether a promise was kept.
+pub type Verdict = Result<(), Breach>;
+
 /// What is known of the day so far.
 #[derive(Default)]
 pub struct Rules {
@@ -78,7 +81,7 @@
         Rules { seed, unix: UNIX, timed: true, ..Rules::default() }
     }
 
-    fn broke(&self, at: Time, text: String) -> Result<(), Breach> {
+    fn broke(&self, at: Time, text: String) -> Verdict {
         Err(Breach { seed: self.seed, at, text: text.into() })
     }
 
@@ -89,7 +92,7 @@
     }
 
     /// Checks what happened since the last call, and what runs now.
-    pub fn check(&mut self, world: &mut World) -> Result<(), Breach> {
+    pub fn check(&mut self, world: &mut World) -> Verdict {
         for note in std::mem::take(&mut world.notes) {
             match note {
                 Note::Start { at, worker, start, late } => {
@@ -104,7 +107,7 @@
     }
 
     /// Nothing is over its worker's size, nothing runs twice, nothing runs on when cancelled.
-    fn running(&self, world: &World) -> Result<(), Breach> {
+    fn running(&self, world: &World) -> Verdict {
         let mut runs = BTreeSet::new();
         let overdue = CANCEL + world.bounds.stop;
         for (at, w) in world.workers.iter().enumerate() {
@@ -137,7 +140,7 @@
         worker: usize,
         start: &Start,
         late: bool,
-    ) -> Result<(), Breach> {
+    ) -> Verdict {
         let task = start.task;
         let (Some(step), Some(queue)) = (world.step(task.step), world.queue(task.step.job)) else {
             return self.broke(at, format!("{task} was asked for by nobody"));
@@ -181,7 +184,7 @@
         worker: usize,
         task: TaskKey,
         late: bool,
-    ) -> Result<(), Breach> {
+    ) -> Verdict {
         if late || at < self.trouble || !self.timed {
             return Ok(());
         }
@@ -201,7 +204,7 @@
     }
 
     /// No start after an end as done, or after as many failures as may be, that are noted.
-    fn repeated(&self, world: &World, now: Time, whole: TaskKey) -> Result<(), Breach> {
+    fn repeated(&self, world: &World, now: Time, whole: TaskKey) -> Verdict {
         let Some(step) = world.step(whole.step).filter(|s| !s.copies) else { return Ok(()) };
         let Some(&last) = self.starts.get(&whole) else { return Ok(()) };
         let done = self.done.get(&whole).map(Vec::as_slice).unwrap_or_default();
@@ -217,14 +220,7 @@
         Ok(())
     }
 
-    fn end(
-        &mut self,
-        world: &World,
-        at: Time,
-        task: TaskKey,
-        run: u32,
-        how: How,
-    ) -> Result<(), Breach> {
+    fn end(&mut self, world: &World, at: Time, task: TaskKey, run: u32, how: How) -> Verdict {
         let whole = whole(world, task);
         match how {
             How::Done => self.done.entry(whole).or_default().push((run, at, None)),
@@ -239,7 +235,7 @@
         Ok(())
     }
 
-    fn seen(&mut self, world: &World, task: TaskKey, run: u32, how: How) -> Result<(), Breach> {
+    fn seen(&mut self, world: &World, task: TaskKey, run: u32, how: How) -> Verdict {
         let (whole, now) = (whole(world, task), world.now);
         let ends = match how {
             How::Done => self.done.entry(whole).or_default(),
@@ -270,7 +266,7 @@
     }
 
     /// A job's state is shown or stored.
-    pub fn shown(&self, world: &World, job: JobNo, state: State) -> Result<(), Breach> {
+    pub fn shown(&self, world: &World, job: JobNo, state: State) -> Verdict {
         let most = world.queue(job).map_or(0, |q| q.attempts) as usize;
         let mine = self.failed.iter().filter(|(t, _)| t.step.job == job);
         let right = match state {
@@ -286,7 +282,7 @@
     }
 
     /// A caller is told a job's state: what is over stays as it is.
-    pub fn told(&mut self, world: &World, job: JobNo, state: State) -> Result<(), Breach> {
+    pub fn told(&mut self, world: &World, job: JobNo, state: State) -> Verdict {
         self.shown(world, job, state)?;
         if let Some(before) = self.over.get(&job).filter(|s| **s != state) {
             return self.broke(world.now, format!("job {job} is {state}, and was {before} before"));
@@ -298,7 +294,7 @@
     }
 
     /// A job's progress is stored: nothing in it that no worker has said.
-    pub fn stored(&self, world: &World, job: JobNo, progress: &Progress) -> Result<(), Breach> {
+    pub fn stored(&self, world: &World, job: JobNo, progress: &Progress) -> Verdict {
         self.shown(world, job, progress.state)?;
         for row in &progress.tasks {
             let step = StepKey { job, time: row.0, step: row.1 };
@@ -310,8 +306,25 @@
         Ok(())
     }
 
+    /// A task's end as done is noted, while the store has this of its job: what is noted is forgotten
+    /// at the worker, and must be known from the store.
+    pub fn noted(&self, world: &World, task: TaskKey, stored: Option<&Progress>) -> Verdict {
+        let Some(step) = world.step(task.step).filter(|s| !s.lasts) else { return Ok(()) };
+        let mine = |r: &TaskRow| {
+            (r.0, r.1) == (task.step.time, task.step.step) && (step.gang || r.2 == task.index)
+        };
+        let known = match stored {
+            Some(stored) => stored.state.over() || stored.tasks.iter().any(|r| mine(r) && r.5),
+            None => !self.accepted.contains_key(&task.step.job),
+        };
+        if known {
+            return Ok(());
+        }
+        self.broke(world.now, format!("{task} is noted as done, and it isn't stored"))
+    }
+
     /// A caller has handed a job in and was told so.
-    pub fn accepted(&mut self, at: Time, job: JobNo) -> Result<(), Breach> {
+    pub fn accepted(&mut self, at: Time, job: JobNo) -> Verdict {
         self.accepted.entry(job).or_insert(at);
         if self.refused.contains(&job) {
             return self.broke(at, format!("job {job} was refused, and then accepted"));
@@ -320,7 +333,7 @@
     }
 
     /// Each time that a caller handed a job in it was told that it never runs.
-    pub fn refused(&mut self, at: Time, job: JobNo) -> Result<(), Breach> {
+    pub fn refused(&mut self, at: Time, job: JobNo) -> Verdict {
         self.refused.insert(job);
         match self.starts.keys().find(|t| t.step.job == job) {
             Some(task) => self.broke(at, format!("job {job} was refused, and {task} had started")),
@@ -329,7 +342,7 @@
     }
 
     /// A caller, who asked at `asked`, was told that there is no such job.
-    pub fn unknown(&self, asked: Time, job: JobNo) -> Result<(), Breach> {
+    pub fn unknown(&self, asked: Time, job: JobNo) -> Verdict {
         match self.accepted.get(&job) {
             Some(at) if asked > *at + VISIBLE && !self.cancels.contains_key(&job) => {
                 self.broke(asked, format!("job {job} isn't known, accepted at {at}"))
@@ -339,7 +352,7 @@
     }
 
     /// An owner's row was written with this token.
-    pub fn token(&mut self, at: Time, shard: ShardNo, token: u64) -> Result<(), Breach> {
+    pub fn token(&mut self, at: Time, shard: ShardNo, token: u64) -> Verdict {
         let last = self.tokens.entry(shard).or_insert(token);
         let before = std::mem::replace(last, token);
         if token < before {
--- a/standin/src/site/worker.rs
+++ b/standin/src/site/worker.rs
@@ -391,6 +391,11 @@
         !self.workers[at].ended.is_empty()
     }
 
+    /// Whether a worker lists this end.
+    pub fn lists(&self, at: usize, end: &End) -> bool {
+        self.workers[at].ended.iter().any(|(e, _)| e == end)
+    }
+
     /// How many runs of a job are there.
     pub fn running(&self, job: JobNo) -> usize {
         let runs = self.workers.iter().flat_map(|w| &w.runs);
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -13,11 +13,12 @@
     member::Members,
     serde::Serialize,
     stage::{Counts, Stage},
-    standin::site::{plan, worker::World},
+    standin::site::{judge::Breach, plan, worker::World},
     std::{
         path::PathBuf,
         time::{Duration, Instant},
     },
+    tokio::signal::unix::{SignalKind, signal},
 };
 
 /// How long the end of all jobs is waited for.
@@ -53,7 +54,7 @@
     starts: u64,
     /// The first promise that was broken.
     breach: Option<String>,
-    /// Lines of the members' logs that go with it.
+    /// What the workers have seen of it, and lines of the members' logs.
     lines: Vec<String>,
     logs: PathBuf,
 }
@@ -89,7 +90,14 @@
         }
     }
     options.dir.push(format!("seed-{}-{}", options.seed, std::process::id()));
-    let report = run(&options).await?;
+    // Told to end, it has to end its members as well.
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let report = tokio::select! {
+        report = run(&options) => report?,
+        _ = term.recv() => return Err("told to end".into()),
+        _ = int.recv() => return Err("told to end".into()),
+    };
     if json {
         println!("{}", serde_json::to_string_pretty(&report)?);
     } else {
@@ -135,7 +143,8 @@
     finish(&stage, &callers).await;
     members.end(&stage).await;
     let (breach, starts) = stage.with(|s| (s.breach.clone(), s.rules.count));
-    let lines = breach.as_ref().map(|b| members.lines(&b.text)).unwrap_or_default();
+    let told = |b: &Breach| [stage.look(|s| s.seen_of(&b.text)), members.lines(&b.text)].concat();
+    let lines = breach.as_ref().map(told).unwrap_or_default();
     Ok(Report {
         seed: options.seed,
         faults: faults.iter().map(ToString::to_string).collect(),
--- a/standin/src/soak/stage.rs
+++ b/standin/src/soak/stage.rs
@@ -5,18 +5,20 @@
     derive_more::Display,
     dogwoodreach::{
         Time,
+        ids::WorkerId,
+        ports::{End, How},
         shard::record::{OWNERS, OwnerRow, Progress, ShardNo, read},
         work::JobNo,
     },
     serde::Serialize,
     standin::site::{
-        judge::{Breach, Rules},
+        judge::{Breach, Rules, Verdict},
         setup,
         store::{Fate, Mode, Store},
-        worker::World,
+        worker::{Note, World},
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         future::Future,
         sync::{Arc, Mutex},
         time::{Duration, Instant, SystemTime},
@@ -24,6 +26,10 @@
     tokio::sync::Notify,
 };
 
+/// The shard; so few workers have one.
+const SHARD: ShardNo = ShardNo(0);
+/// How much of what workers have seen is remembered.
+const SEEN: usize = 20_000;
 /// The share of workers that advice allows, in hundredths; each gang finds enough of them.
 const GOOD: u64 = 80;
 /// How often the workers' time goes on.
@@ -64,6 +70,8 @@
     /// Faults that go on now.
     pub faults: usize,
     pub rng: fastrand::Rng,
+    /// What workers have seen, with the job that it is about.
+    seen: VecDeque<(JobNo, String)>,
     /// Which member took over with which token.
     owners: BTreeMap<u64, usize>,
 }
@@ -99,6 +107,7 @@
             slow: Duration::ZERO,
             faults: 0,
             rng: fastrand::Rng::with_seed(seed),
+            seen: VecDeque::new(),
             owners: BTreeMap::new(),
         };
         let (state, moved) = (Arc::new(Mutex::new(state)), Arc::new(Notify::new()));
@@ -174,6 +183,10 @@
 
 impl State {
     fn judge(&mut self) {
+        self.remember();
+        if let Err(breach) = self.noted() {
+            self.keep(breach);
+        }
         if let Err(breach) = self.rules.check(&mut self.world) {
             self.keep(breach);
         }
@@ -184,13 +197,73 @@
         }
     }
 
+    /// Remembers what was seen just now.
+    fn remember(&mut self) {
+        for note in &self.world.notes {
+            let (job, line) = match note {
+                Note::Start { at, worker, start, late } => {
+                    let (task, run, token) = (start.task, start.run, start.token);
+                    let id = self.world.id(*worker);
+                    let line = format!(
+                        "{at}: {task} run {run} starts at {id}, token {token}, late: {late}"
+                    );
+                    (task.step.job, line)
+                }
+                Note::End { at, end } => {
+                    let End { task, run, how, number, .. } = end;
+                    let at_worker = self.ended_at(end);
+                    let line = format!(
+                        "{at}: {task} run {run} ends {how} at {at_worker}, number {number}"
+                    );
+                    (task.step.job, line)
+                }
+                Note::Seen { task, run, .. } => {
+                    let line = format!("{}: {task} run {run}, its end is noted", self.world.now);
+                    (task.step.job, line)
+                }
+                Note::Odd(_) => continue,
+            };
+            self.seen.push_back((job, line));
+        }
+        while self.seen.len() > SEEN {
+            self.seen.pop_front();
+        }
+    }
+
+    /// Where a run has ended.
+    fn ended_at(&self, end: &End) -> WorkerId {
+        let all = 0..self.world.workers.len();
+        let there = all.into_iter().find(|at| self.world.lists(*at, end));
+        there.map_or(WorkerId::from("a worker that is gone"), |at| self.world.id(at))
+    }
+
+    /// What workers have seen of the job that a text names, or at the worker that it begins with.
+    pub fn seen_of(&self, text: &str) -> Vec<String> {
+        let worker = text.split(' ').next().filter(|w| w.starts_with('w'));
+        let of = |(job, line): &&(JobNo, String)| {
+            text.contains(&job.to_string()) || worker.is_some_and(|w| line.contains(w))
+        };
+        self.seen.iter().filter(of).map(|(_, line)| line.clone()).collect()
+    }
+
+    /// Ends that were noted just now are in the store.
+    fn noted(&self) -> Verdict {
+        for note in &self.world.notes {
+            let Note::Seen { task, how: How::Done, .. } = note else { continue };
+            let stored = self.store.get(&SHARD.progress(task.step.job)).and_then(|i| i.value);
+            let progress = stored.and_then(|v| read::<Progress>(&v));
+            self.rules.noted(&self.world, *task, progress.as_ref())?;
+        }
+        Ok(())
+    }
+
     /// Keeps the first breach.
     pub fn keep(&mut self, breach: Breach) {
         self.breach.get_or_insert(breach);
     }
 
     /// A member has written an item.
-    fn written(&mut self, key: &str, value: &[u8]) -> Result<(), Breach> {
+    fn written(&mut self, key: &str, value: &[u8]) -> Verdict {
         let now = self.world.now;
         if let Some(shard) = key.strip_prefix(OWNERS).and_then(|s| s.parse().ok()).map(ShardNo) {
             let Some(row) = read::<OwnerRow>(value) else { return Ok(()) };
--- a/standin/tests/judge.rs
+++ b/standin/tests/judge.rs
@@ -5,7 +5,7 @@
     dogwoodreach::{
         Time,
         ports::{Start, WorkerCall, WorkerReply},
-        shard::record::{JobRecord, ShardNo},
+        shard::record::{JobRecord, Progress, ShardNo, TaskRow},
         work::{JobNo, State, Step, StepKey, TaskKey},
     },
     standin::site::{
@@ -87,6 +87,24 @@
     sees(rules.told(&world, JobNo(9), State::Queued), "without cause");
 }
 
+#[test]
+fn an_end_that_is_noted_and_not_stored() {
+    let (world, mut rules) = day();
+    let task = TaskKey { step: StepKey { job: JOB, time: 0, step: 0 }, index: 0 };
+    let row = |done| Progress {
+        tasks: vec![TaskRow(0, 0, 0, 1, vec![], done, "".into())],
+        ..Progress::default()
+    };
+    assert_eq!(rules.noted(&world, task, None), Ok(()), "nobody was told that it is taken in");
+    assert_eq!(rules.accepted(Time::ZERO, JOB), Ok(()));
+    sees(rules.noted(&world, task, None), "isn't stored");
+    sees(rules.noted(&world, task, Some(&Progress::default())), "isn't stored");
+    sees(rules.noted(&world, task, Some(&row(false))), "isn't stored");
+    assert_eq!(rules.noted(&world, task, Some(&row(true))), Ok(()));
+    let over = Progress { state: State::Cancelled, ..Progress::default() };
+    assert_eq!(rules.noted(&world, task, Some(&over)), Ok(()));
+}
+
 #[test]
 fn a_token_that_goes_back() {
     let (_, mut rules) = day();
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -68,6 +68,8 @@
     /// Whether it has ended or was told to forget the shard.
     pub gone: bool,
     pub paused: bool,
+    /// Whether it takes in what comes, and comes to no round: its process stands still between both.
+    pub stalled: bool,
     /// What came while it was paused.
     held: Vec<Event>,
 }
@@ -199,7 +201,14 @@
         let commit = self.store.put(SHARD.commit(), write(&CommitRow { token, number: 0 }));
         let setup = Setup { shard: SHARD, me, token, bounds: self.world.bounds, unix: UNIX };
         let shard = Shard::new(setup, self.load(commit), self.now);
-        self.owners.push(Owner { shard, me, gone: false, paused: false, held: Vec::new() });
+        self.owners.push(Owner {
+            shard,
+            me,
+            gone: false,
+            paused: false,
+            stalled: false,
+            held: Vec::new(),
+        });
         let (owner, now) = (self.owners.len() - 1, self.now);
         let listed = self.list.values().map(|l| l.0.clone()).collect();
         let first = [
@@ -377,6 +386,8 @@
         match (owner.gone, owner.paused, &event) {
             (true, _, _) | (false, true, Event::Tick) => {}
             (false, true, _) => owner.held.push(event),
+            (false, false, Event::Tick) if owner.stalled => {}
+            (false, false, _) if owner.stalled => owner.shard.take(event, self.now),
             _ => {
                 let orders = owner.shard.on(event, self.now);
                 orders.into_iter().for_each(|o| self.order(at, o));
