--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -388,13 +388,38 @@
         if queues.version < self.queues.version {
             return;
         }
+        let mut fewer = FxHashSet::default();
         for queue in &queues.all {
-            self.known.insert(queue.name.clone(), queue.clone());
+            let old = self.known.insert(queue.name.clone(), queue.clone());
+            if old.is_none_or(|o| o.attempts > queue.attempts) {
+                fewer.insert(queue.name.clone());
+            }
         }
         self.queues = queues;
-        let all: Vec<_> = self.jobs.keys().copied().collect();
-        for no in all {
+        let all: Vec<_> = self.jobs.iter().map(|(no, j)| (*no, fewer.contains(&j.queue))).collect();
+        for (no, fewer) in all {
             self.review(no, now);
+            if fewer {
+                self.give_up(no, now);
+            }
+        }
+    }
+
+    /// Ends a job of which a task has failed as often as its queue allows.
+    ///
+    /// Guards against a new owner that hears of failures before it hears of the queue: it can't tell
+    /// then that they are the last ones, and would start the task once more.
+    fn give_up(&mut self, no: JobNo, now: Time) {
+        let Some(job) = self.jobs.get(&no).filter(|j| !j.state.over()) else { return };
+        let most = self.known.get(&job.queue).map_or(u32::MAX, |q| q.attempts.max(1)) as usize;
+        let lasts = |step: u16| job.job.steps.get(usize::from(step)).is_some_and(|s| s.lasts);
+        let spent = job
+            .parts
+            .iter()
+            .filter(|((_, step), _)| !lasts(*step))
+            .any(|(_, part)| part.tasks.iter().any(|t| t.fails.len() >= most));
+        if spent {
+            self.end(no, State::Failed, now);
         }
     }
 
--- /dev/null
+++ b/tests/shard_unread.rs
@@ -0,0 +1,31 @@
+//! A new owner that hears the configuration after its workers.
+
+mod yard;
+
+use {
+    dogwoodreach::work::{JobNo, State},
+    std::time::Duration,
+    yard::{Yard, job, step, store::Mode},
+};
+
+#[test]
+fn failures_that_were_heard_before_the_configuration_count() {
+    // Story: a job's task fails for the last time while the store is down, and the owner dies before
+    // that is stored. Its successor hears of all the failures from the workers, and only then how
+    // many the queue allows. It took that as leave to start the task a fourth time.
+    for seed in 1..6 {
+        let mut yard = Yard::new(seed, 6);
+        yard.at(100, |y| y.submit(1, "open", job([step(1, 600)])));
+        yard.world.hopeless.insert((JobNo(1), 0));
+        yard.fault(300, |y| y.store.mode = Mode::Down);
+        yard.fault(6_000, |y| {
+            y.kill();
+            y.store.mode = Mode::Up;
+            y.unread = Duration::from_millis(300);
+            y.take_over();
+        });
+        yard.run_until(12_000);
+        assert_eq!(yard.rules.count, 3, "seed {seed}: it started three times");
+        assert_eq!(yard.progress()[&JobNo(1)].state, State::Failed, "seed {seed}");
+    }
+}
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -83,6 +83,8 @@
     pub owners: Vec<Owner>,
     /// Of so many orders one is carried out late; 0 is none.
     pub late: u32,
+    /// How much later than all else a new owner hears the configuration.
+    pub unread: Duration,
     /// Orders that the owners gave, for counting.
     pub orders: u64,
     mail: BTreeMap<(Time, u64), Mail>,
@@ -114,6 +116,7 @@
             rules: Rules::new(seed),
             owners: Vec::new(),
             late: 0,
+            unread: Duration::ZERO,
             orders: 0,
             mail: BTreeMap::new(),
             count: 0,
@@ -211,12 +214,10 @@
         });
         let (owner, now) = (self.owners.len() - 1, self.now);
         let listed = self.list.values().map(|l| l.0.clone()).collect();
-        let first = [
-            Event::Queues(self.world.queues.clone()),
-            Event::Listed(listed),
-            Event::Peers(vec![me, Incarnation(9)]),
-            Event::Confirmed(now),
-        ];
+        let queues = Event::Queues(self.world.queues.clone());
+        self.post(now + self.unread, Mail::Tell(owner, queues));
+        let first =
+            [Event::Listed(listed), Event::Peers(vec![me, Incarnation(9)]), Event::Confirmed(now)];
         first.into_iter().for_each(|e| self.post(now, Mail::Tell(owner, e)));
     }
 
