--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -90,7 +90,9 @@
                 wish.push((index, WorkerNo(room.index)));
             }
         }
-        wish
+        // Guards against a gang for which all its workers together are too small: it would wait for
+        // ever, and the room kept for a part of it would keep all behind it waiting as long.
+        if turn.step.gang { vec![] } else { wish }
     }
 
     /// Whether the ticket for a worker ends before a time.
--- a/tests/yard/worker.rs
+++ b/standin/src/site/worker.rs
@@ -1,7 +1,9 @@
 //! Workers as the protocol has them, without a network: leases, fences, stops, ends and gangs.
 
+mod time;
+
 use {
-    crate::yard::advice::Service,
+    crate::site::advice::Service,
     dogwoodreach::{
         Time,
         ids::{PoolId, RackId, WorkerId, Zone},
@@ -22,17 +24,24 @@
 /// The grain of virtual time.
 pub const GRAIN: Duration = Duration::from_millis(10);
 
+/// How long a worker stays that is leaving.
+pub const NOTICE: Duration = Duration::from_secs(30);
+
 /// A task's run at a worker.
 pub struct Run {
+    /// The order.
     pub start: Start,
+    /// When it began.
     pub since: Time,
     /// From when it works.
     ready: Time,
-    /// Work done and work in the last checkpoint, in milliseconds.
+    /// Work done, in milliseconds.
     pub work: f64,
+    /// Work in the last checkpoint.
     kept: f64,
     /// When its stop is over.
     pub stops: Option<Time>,
+    /// The share of its speed, in hundredths.
     pub percent: u8,
     /// Whether its gang has come together.
     together: bool,
@@ -40,23 +49,35 @@
 
 /// One worker, over its lives.
 pub struct Worker {
+    /// Counts its lives.
     pub life: u32,
+    /// Its pool.
     pub pool: PoolId,
+    /// Its rack.
     pub rack: RackId,
+    /// What it has room for.
     pub size: Size,
+    /// Its labels.
     pub labels: Vec<Box<str>>,
-    /// Its clock: the speed, and the milliseconds at the start of all.
+    /// The speed of its clock.
     pub rate: f64,
+    /// Its clock at the start of all, in milliseconds.
     pub offset: u64,
+    /// Whether its process runs.
     pub up: bool,
+    /// Whether nothing reaches it; what runs there runs on.
     pub cut: bool,
+    /// Whether it stands still.
     pub hung: bool,
+    /// Whether it refuses all calls.
     pub unwell: bool,
     /// Whether all that runs on it fails.
     pub grey: bool,
+    /// The share of a sound worker's speed.
     pub speed: f64,
     /// Since when it is leaving.
     pub draining: Option<Time>,
+    /// What runs there.
     pub runs: Vec<Run>,
     token: u64,
     until: u64,
@@ -70,26 +91,54 @@
 /// What the workers have seen.
 #[derive(Debug)]
 pub enum Note {
-    /// A run began: at which worker, and whether the order was carried out late.
-    Start { at: Time, worker: usize, start: Start, late: bool },
+    /// A run began.
+    Start {
+        /// When.
+        at: Time,
+        /// The worker's place.
+        worker: usize,
+        /// The order.
+        start: Start,
+        /// Whether the order was carried out late.
+        late: bool,
+    },
     /// A run ended.
-    End { at: Time, end: End },
+    End {
+        /// When.
+        at: Time,
+        /// The end.
+        end: End,
+    },
     /// An end was noted.
-    Seen { task: TaskKey, run: u32, how: How },
+    Seen {
+        /// The task.
+        task: TaskKey,
+        /// Its run.
+        run: u32,
+        /// How it ended.
+        how: How,
+    },
     /// Something that nobody asked for.
     Odd(String),
 }
 
 /// All workers, and what clients have asked for.
 pub struct World {
+    /// The present time.
     pub now: Time,
+    /// The deployment's bounds.
     pub bounds: Bounds,
+    /// The configuration.
     pub queues: Arc<Queues>,
+    /// What clients have asked for.
     pub jobs: BTreeMap<JobNo, JobRecord>,
     /// Steps whose tasks always fail.
     pub hopeless: BTreeSet<(JobNo, u16)>,
+    /// The workers.
     pub workers: Vec<Worker>,
+    /// The advice service.
     pub advice: Service,
+    /// What was seen and not judged yet.
     pub notes: Vec<Note>,
     /// How far a task's work may be from its estimate, as a share.
     pub spread: f64,
@@ -99,6 +148,7 @@
 }
 
 impl Worker {
+    /// A worker in its first life.
     pub fn new(pool: &str, rack: &str, size: Size) -> Self {
         Worker {
             life: 1,
@@ -139,6 +189,7 @@
 }
 
 impl World {
+    /// A world at the start of all.
     pub fn new(seed: u64, bounds: Bounds, queues: Arc<Queues>, workers: Vec<Worker>) -> Self {
         World {
             now: Time::ZERO,
@@ -169,7 +220,7 @@
             addr: ([10, 0, 0, 1], 1000 + at as u16).into(),
             zone: Zone::from("z1"),
             draining: w.draining.is_some(),
-            left: w.draining.map(|d| Duration::from_secs(30).saturating_sub(self.now.since(d))),
+            left: w.draining.map(|d| NOTICE.saturating_sub(self.now.since(d))),
             size: w.size,
             labels: w.labels.clone().into(),
         }
@@ -335,6 +386,22 @@
         Held { clock: w.clock(self.now), running: rows, ended }
     }
 
+    /// Whether a worker has ends that aren't noted.
+    pub fn has_ended(&self, at: usize) -> bool {
+        !self.workers[at].ended.is_empty()
+    }
+
+    /// Whether a worker lists this end.
+    pub fn lists(&self, at: usize, end: &End) -> bool {
+        self.workers[at].ended.iter().any(|(e, _)| e == end)
+    }
+
+    /// How many runs of a job are there.
+    pub fn running(&self, job: JobNo) -> usize {
+        let runs = self.workers.iter().flat_map(|w| &w.runs);
+        runs.filter(|r| r.start.task.step.job == job).count()
+    }
+
     fn row(&self, at: usize, i: usize) -> Row {
         let run = &self.workers[at].runs[i];
         let step = self.step(run.start.task.step).cloned().unwrap_or_default();
@@ -366,162 +433,6 @@
         step.estimate as f64 * (1.0 + self.spread * ((hash % 2001) as f64 / 1000.0 - 1.0))
     }
 
-    /// Lets time pass.
-    pub fn advance(&mut self, to: Time) {
-        while self.now < to {
-            let next = to.min(self.now + GRAIN);
-            let ms = next.since(self.now).as_secs_f64() * 1e3;
-            self.now = next;
-            (0..self.workers.len()).for_each(|at| self.expire(at));
-            self.work(ms);
-            self.gangs(ms);
-        }
-    }
-
-    fn expire(&mut self, at: usize) {
-        let (now, grey) = (self.now, self.workers[at].grey);
-        let w = &mut self.workers[at];
-        if !w.lapsed && w.clock(now) >= w.until {
-            w.lapsed = true;
-            w.ended.iter_mut().for_each(|(_, lapsed)| *lapsed = true);
-            self.end_where(at, How::Lapsed, |_| true);
-        }
-        self.end_where(at, How::Stopped, |r| r.stops.is_some_and(|s| s <= now));
-        let sick = Duration::from_millis(300);
-        self.end_where(at, How::Failed, |r| grey && r.stops.is_none() && now >= r.since + sick);
-    }
-
-    fn end_where(&mut self, at: usize, how: How, which: impl Fn(&Run) -> bool) {
-        while let Some(i) = self.workers[at].runs.iter().position(&which) {
-            self.end(at, i, how);
-        }
-    }
-
-    /// Ends a run, and with it the other members of its gang.
-    fn end(&mut self, at: usize, i: usize, how: How) {
-        let run = self.workers[at].runs.remove(i);
-        let (task, number) = (run.start.task, run.start.run);
-        let step = self.step(task.step).cloned().unwrap_or_default();
-        let w = &mut self.workers[at];
-        w.number += 1;
-        let barred = w.barred.entry(task).or_default();
-        *barred = number.max(*barred);
-        let saved = saved(&run, &step);
-        let end = End { number: w.number, task, run: number, how, saved };
-        w.ended.push((end.clone(), false));
-        self.notes.push(Note::End { at: self.now, end });
-        if step.gang && how != How::Broken && how != How::Done {
-            self.break_gang(task.step, number);
-        }
-    }
-
-    fn break_gang(&mut self, step: StepKey, run: u32) {
-        let of = |r: &Run| r.start.task.step == step && r.start.run == run && r.stops.is_none();
-        (0..self.workers.len()).for_each(|at| self.end_where(at, How::Broken, of));
-    }
-
-    /// The speed of a run, as a share of a sound worker's near its data.
-    fn speed(&self, at: usize, run: &Run) -> f64 {
-        let w = &self.workers[at];
-        let Some(step) = self.step(run.start.task.step) else { return 0.0 };
-        if w.hung || run.stops.is_some() || self.now < run.ready {
-            return 0.0;
-        }
-        let far = step.near.as_ref().is_some_and(|r| *r != w.rack);
-        let room = || w.size.cores.0.saturating_sub(self.used(at).cores.0) as f64;
-        let share = if step.fills { room() / step.size.cores.0.max(1) as f64 } else { 1.0 };
-        let slower = if far { self.bounds.remote } else { 1.0 };
-        w.speed * f64::from(run.percent) / 100.0 * share.min(1.0) / slower
-    }
-
-    fn is_gang(&self, run: &Run) -> bool {
-        self.step(run.start.task.step).is_some_and(|s| s.gang)
-    }
-
-    fn work(&mut self, ms: f64) {
-        for at in 0..self.workers.len() {
-            for i in (0..self.workers[at].runs.len()).rev() {
-                let run = &self.workers[at].runs[i];
-                if !self.is_gang(run) {
-                    let gain = ms * self.speed(at, run);
-                    self.gain(at, i, gain);
-                }
-            }
-        }
-    }
-
-    /// Adds work to a run, and ends it where that was its last.
-    fn gain(&mut self, at: usize, i: usize, gain: f64) {
-        let save = self.bounds.save.as_secs_f64() * 1e3;
-        let run = &mut self.workers[at].runs[i];
-        run.work += gain;
-        while run.work - run.kept >= save {
-            run.kept += save;
-        }
-        let (task, work) = (run.start.task, run.work);
-        let need = self.need(task);
-        let fails = self.hopeless.contains(&(task.step.job, task.step.step));
-        let lasts = self.step(task.step).is_some_and(|s| s.lasts);
-        let end = if fails { need / 2.0 } else { need };
-        if gain <= 0.0 || (lasts && !fails) || work < end {
-            return;
-        }
-        self.end(at, i, if fails { How::Failed } else { How::Done });
-    }
-
-    fn gangs(&mut self, ms: f64) {
-        let mut all: BTreeMap<(StepKey, u32), Vec<(usize, TaskKey)>> = BTreeMap::new();
-        for (at, w) in self.workers.iter().enumerate() {
-            for r in w.runs.iter().filter(|r| self.is_gang(r)) {
-                let members = all.entry((r.start.task.step, r.start.run)).or_default();
-                members.push((at, r.start.task));
-            }
-        }
-        for ((step, run), members) in all {
-            self.gang(step, run, &members, ms);
-        }
-    }
-
-    fn place(&self, at: usize, task: TaskKey, run: u32) -> Option<usize> {
-        self.workers[at].runs.iter().position(|r| r.start.task == task && r.start.run == run)
-    }
-
-    fn gang(&mut self, key: StepKey, run: u32, members: &[(usize, TaskKey)], ms: f64) {
-        let Some(step) = self.step(key).cloned() else { return };
-        let names: BTreeSet<_> = members.iter().map(|m| m.1).collect();
-        if names.len() < step.count as usize {
-            return self.alone(run, members);
-        }
-        let racks: BTreeSet<_> = members.iter().map(|m| &self.workers[m.0].rack).collect();
-        let apart = if step.tight && racks.len() > 1 { self.bounds.remote } else { 1.0 };
-        let run_of = |m: &(usize, TaskKey)| {
-            self.place(m.0, m.1, run).map(|i| (m.0, &self.workers[m.0].runs[i]))
-        };
-        let speeds = members.iter().filter_map(run_of).map(|(at, r)| self.speed(at, r));
-        let gain = ms * speeds.fold(f64::MAX, f64::min) / apart;
-        let saved: BTreeSet<_> =
-            members.iter().filter_map(run_of).map(|m| m.1.start.saved.clone()).collect();
-        if saved.len() > 1 {
-            self.notes.push(Note::Odd(format!("{key} run {run}: checkpoints {saved:?}")));
-        }
-        for m in members {
-            let Some(i) = self.place(m.0, m.1, run) else { continue };
-            self.workers[m.0].runs[i].together = true;
-            self.gain(m.0, i, gain);
-        }
-    }
-
-    fn alone(&mut self, run: u32, members: &[(usize, TaskKey)]) {
-        let (now, wait) = (self.now, self.bounds.gang);
-        for m in members {
-            let over = |r: &Run| !r.together && r.stops.is_none() && now >= r.since + wait;
-            let Some(i) = self.place(m.0, m.1, run) else { continue };
-            if over(&self.workers[m.0].runs[i]) {
-                self.end(m.0, i, How::Alone);
-            }
-        }
-    }
-
     /// A worker's process ends with all that it knows.
     pub fn crash(&mut self, at: usize) {
         let w = &mut self.workers[at];
