No tickets asked ahead for room that lasting tasks have

Cause: a lasting task shows all of its work as done, so its room was taken to come at once, and steps that wait at its worker asked again and again (9 calls in 20 s in the test, 1 now). Steps with as many tasks at a worker as they may have ask no more for it either. Found by reading. Test: no_call_is_made_for_room_that_lasting_tasks_have, failed before.

--- a/src/shard/ahead.rs
+++ b/src/shard/ahead.rs
@@ -1,8 +1,10 @@
 //! Workers whose room is expected soon, for which a step asks for its tickets ahead.
 
 use crate::{
-    decide::ahead::{self, Progress},
-    decide::fit::Room,
+    decide::{
+        ahead::{self, Progress},
+        fit::Room,
+    },
     shard::{
         machine::Shard,
         plan::{Round, Turn},
@@ -10,7 +12,7 @@
     },
     time::Time,
     units::Size,
-    work::AdviceCost,
+    work::{AdviceCost, TaskKey},
 };
 
 /// How many workers a call ahead names, by guess.
@@ -31,7 +33,9 @@
         let takes = cost.base + cost.each * NAMED;
         let by = ahead::horizon(takes, now);
         let mut all = vec![];
-        for room in good.iter().filter(|r| !size.fits(&r.free)) {
+        let apart = turn.step.apart;
+        let full = |r: &&Room| !size.fits(&r.free) && (apart == 0 || r.same < apart);
+        for room in good.iter().filter(full) {
             let no = WorkerNo(room.index);
             if self.frees(no, &size, by, now) && round.line.join(no) {
                 all.push(no);
@@ -46,11 +50,15 @@
         all
     }
 
-    /// Whether a worker is expected to have this much room by then.
+    /// Whether a worker is expected to have this much room by then. What lasts leaves none.
     fn frees(&self, no: WorkerNo, size: &Size, by: Time, now: Time) -> bool {
         let worker = &self.workers[no.0];
-        let ending = worker.runs.values().filter(|r| end(r, now) <= by);
-        size.fits(&ending.fold(worker.free(), |sum, r| sum + r.size))
+        let lasts = |t: &TaskKey| {
+            let step = self.jobs.get(&t.step.job).and_then(|j| j.step(&t.step));
+            step.is_some_and(|s| s.lasts)
+        };
+        let ending = worker.runs.iter().filter(|(t, r)| end(r, now) <= by && !lasts(t));
+        size.fits(&ending.fold(worker.free(), |sum, (_, r)| sum + r.size))
     }
 }
 
--- a/tests/ahead.rs
+++ b/tests/ahead.rs
@@ -76,6 +76,20 @@
     assert!(hand.calls > 1);
 }
 
+#[test]
+fn no_call_is_made_for_room_that_lasting_tasks_have() {
+    // Story: a task that lasts takes a worker; it shows all of its work as done and never ends.
+    // Taken for room that comes at once, it had a step that waits there ask again and again.
+    let mut hand = Hand::new(1);
+    hand.call = CALL;
+    hand.submit(1, "plain", job(Step { estimate: 400, lasts: true, ..step(1, 4) }));
+    hand.until("it starts", 500, |h| h.places(task(1, 0)) == [0]);
+    hand.workers[0].row(&task(1, 0)).percent = 100;
+    hand.submit(2, "advised", job(step(1, 4)));
+    hand.run(20_000);
+    assert_eq!(hand.calls, 1, "but for its first call");
+}
+
 #[test]
 fn an_end_is_foreseen_by_what_is_done() {
     let at = Time::from_millis;
