--- a/src/shard.rs
+++ b/src/shard.rs
@@ -6,7 +6,10 @@
 
 mod ahead;
 mod ask;
+mod authority;
 mod commit;
+mod course;
+mod ends;
 pub mod event;
 mod evict;
 mod explain;
@@ -15,7 +18,10 @@
 mod hear;
 mod jobs;
 mod judge;
+mod lapse;
+mod listing;
 mod machine;
+mod orders;
 mod plan;
 mod queue;
 pub mod record;
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -11,11 +11,11 @@
         shard::{
             jobs::At,
             machine::Shard,
-            workers::{Worker, WorkerNo},
+            workers::{Phase, Worker, WorkerNo},
         },
         time::Time,
         units::Size,
-        work::{AdviceCost, Step, StepKey},
+        work::{AdviceCost, Step, StepKey, TaskKey},
     },
     rustc_hash::{FxHashMap, FxHashSet},
     std::mem,
@@ -76,6 +76,7 @@
         if !mem::take(&mut self.stir) || self.ready.is_empty() || !self.may_act(now) {
             return;
         }
+        self.forget_strays();
         let mut round = Round::default();
         for (pool, all) in &self.pools {
             let usable = self.sound_ones(all, now);
@@ -97,6 +98,18 @@
         }
     }
 
+    /// Forgets the runs besides those that count which have ended.
+    ///
+    /// Guards against a task that runs twice: one whose run is lost could start again while another
+    /// run of it, which a former owner has begun, is still stopping.
+    fn forget_strays(&mut self) {
+        let workers = &self.workers;
+        let stopping = |t: &TaskKey, w: &Worker| {
+            !w.gone && w.runs.get(t).is_some_and(|r| r.phase == Phase::Stopping)
+        };
+        self.strays.retain(|t| workers.iter().any(|w| stopping(t, w)));
+    }
+
     /// Whether a pool has room to spare in each dimension.
     fn quiet(&self, all: &[WorkerNo]) -> bool {
         let sum = |size: fn(&Worker) -> Size| {
@@ -129,13 +142,12 @@
     fn demand(&self, key: &StepKey, sign: i64, round: &mut Round) {
         let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
         let Some(part) = part else { return };
-        let good = || part.tickets.good.keys().filter_map(|id| self.ids.get(id));
-        let count = good().count() as i64;
+        let count = part.tickets.good.len() as i64;
         if count == 0 {
             return;
         }
         let each = sign * 100 * i64::from(part.waiting.min(8)) / count;
-        for no in good() {
+        for no in part.tickets.good.keys() {
             let known = round.demand.entry(*no).or_default();
             *known = (i64::from(*known) + each).max(0) as u32;
         }
@@ -162,20 +174,27 @@
         let mut valid = vec![];
         let mut stale = vec![];
         for no in &usable {
+            let ticket = part.tickets.good.get(no);
+            if advice.is_some() && ticket.is_none() {
+                continue;
+            }
             let Some(mut room) = self.room(*no, key, &step, now) else { continue };
             room.demand = round.demand.get(no).copied().unwrap_or(0);
             if let Some(kept) = round.kept.get(no) {
                 room.free = room.free.saturating_sub(kept);
             }
-            match part.tickets.good.get(&self.workers[no.0].id) {
-                _ if advice.is_none() => valid.push(room),
-                None => {}
-                Some((_, until)) if *until > now => valid.push(room),
-                Some(_) => stale.push(room),
+            match ticket {
+                Some((_, until)) if advice.is_some() && *until <= now => stale.push(room),
+                _ => valid.push(room),
             }
         }
         let waiting = (0..).zip(&part.tasks).filter(|(_, t)| t.at == At::Waiting);
-        let waiting = waiting.map(|(i, _)| i).collect();
+        let mut waiting: Vec<u32> = waiting.map(|(i, _)| i).collect();
+        let all = waiting.len();
+        waiting.retain(|i| !self.strays.contains(&TaskKey { step: *key, index: *i }));
+        if waiting.is_empty() || (step.gang && waiting.len() < all) {
+            return;
+        }
         let turn = Turn { key, step: &step, waiting, usable: &usable, advice };
         if step.gang {
             return self.place_gang(&turn, valid, stale, round, now);
@@ -226,7 +245,7 @@
             total: listed.size,
             near: step.near.as_ref().is_some_and(|r| listed.has(r.as_str())),
             serves: step.fills && w.serves(),
-            fillers: w.runs.values().filter(|r| r.fills).count() as u32,
+            fillers: w.fillers,
             same: same as u32,
             suspect: w.sound.verdict(now) != Verdict::Sound,
             demand: 0,
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -6,9 +6,9 @@
         ports::{Start, WorkerCall},
         shard::{
             event::Order,
-            hear::ORDER,
             jobs::{Active, At},
             machine::Shard,
+            orders::ORDER,
             workers::{Phase, Run, WorkerNo},
         },
         time::Time,
@@ -63,7 +63,7 @@
 
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         let part = job.parts.get(&(task.step.time, task.step.step));
-        let ticket = part.and_then(|p| p.tickets.good.get(&worker.id)).map(|t| t.0.clone());
+        let ticket = part.and_then(|p| p.tickets.good.get(&no)).map(|t| t.0.clone());
         let text = job.job.text.clone();
         job.put(&task, At::There(no));
         let Some(t) = job.task(&task) else { return };
