--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -157,6 +157,9 @@
         };
         self.workers[no.0].add(row.task, run);
         if !keep {
+            if !blind {
+                self.strays.insert(row.task);
+            }
             self.tell_stop(no, &row.task, "unwanted");
             return self.stop(no, &row.task, now);
         }
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -15,7 +15,7 @@
             workers::{Worker, WorkerNo, millis},
         },
         time::Time,
-        work::{JobNo, Queue, Queues, State, StepKey},
+        work::{JobNo, Queue, Queues, State, StepKey, TaskKey},
     },
     rustc_hash::{FxHashMap, FxHashSet},
     std::{
@@ -66,6 +66,8 @@
     pub(super) ids: FxHashMap<WorkerId, WorkerNo>,
     pub(super) pools: FxHashMap<PoolId, Vec<WorkerNo>>,
     pub(super) unsettled: FxHashSet<WorkerNo>,
+    /// Tasks with a run besides the one that counts, which is being stopped.
+    pub(super) strays: FxHashSet<TaskKey>,
     pub(super) begun: Time,
     pub(super) most: Option<Time>,
     pub(super) ready: BTreeSet<(Rank, StepKey)>,
@@ -106,6 +108,7 @@
             ids: FxHashMap::default(),
             pools: FxHashMap::default(),
             unsettled: FxHashSet::default(),
+            strays: FxHashSet::default(),
             begun: now,
             most: None,
             ready: BTreeSet::new(),
@@ -194,7 +197,7 @@
             Event::Confirmed(sent) => self.confirmed = self.confirmed.max(sent),
             Event::Peers(mut peers) => {
                 // This member first: its calls spare the way to another.
-                peers.sort_by_key(|p| *p != self.setup.me);
+                peers.own.sort_by_key(|p| *p != self.setup.me);
                 self.lanes.members(&peers);
             }
             Event::Tick => self.tick(now),
