The table is watched at a pace, and a watch that fails goes on from where it was

Each change of the table answers the watch of all 301 members, which ask again at once; a refused watch had its member read the whole table twice; renewals were refused with them; each lease that ended was one more change.

Mend: `follow_table` pauses 2 ms for each member between two watches (500 calls a second from all together), and `Follow::steady` goes on after a fault from where it was, as an inbox's watch does; all is read again each 30 s, and where the store has forgotten. A change of the table may be heard of 0.6 s later at 301 members, 0.02 s at 9.

Tests: tests/site.rs has the story; it failed before (12 ranges read instead of 2) and passes.

--- a/src/registry.rs
+++ b/src/registry.rs
@@ -38,6 +38,9 @@
 /// How often the table is looked at while a shard has no live owner.
 const STEP: Duration = Duration::from_millis(100);
 
+/// The pause between two watches of the table, for each member: all make 500 in a second at the most.
+const EACH: Duration = Duration::from_millis(2);
+
 /// Follows the configuration.
 pub(crate) async fn config(common: Arc<Common>, outside: Outside, told: Sender<Told>) {
     let key = common.forms.config;
@@ -59,6 +62,22 @@
     }
 }
 
+/// Follows the table, no more often than the store bears from all members together.
+///
+/// Guards against a table that keeps its members from renewing their leases: each change answers the
+/// watch of every member, which asks again at once. With 300 members that come and go one by one
+/// these calls took all that the store serves, leases ended for want of renewal, and each end was one
+/// more change.
+async fn follow_table(common: Arc<Common>, mut follow: Follow, seen: Sender<News>) {
+    loop {
+        if seen.send(News::Seen(follow.next().await)).await.is_err() {
+            return;
+        }
+        let members = u32::try_from(common.view.borrow().members.len()).unwrap_or(u32::MAX);
+        sleep(EACH.saturating_mul(members)).await;
+    }
+}
+
 /// This member's row and lease.
 pub(crate) struct Membership {
     /// What the duties share.
@@ -179,11 +198,8 @@
         notes: Receiver<Out>,
     ) {
         let (tell, news) = async_channel::bounded(256);
-        let mut follow = Follow::whole(outside.clone(), TABLE, WAIT);
-        let seen = tell.clone();
-        tokio::spawn(
-            async move { while seen.send(News::Seen(follow.next().await)).await.is_ok() {} },
-        );
+        let follow = Follow::steady(outside.clone(), TABLE, WAIT);
+        tokio::spawn(follow_table(common.clone(), follow, tell.clone()));
         let noted = tell.clone();
         tokio::spawn(async move {
             while let Ok(out) = notes.recv().await {
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -11,6 +11,8 @@
 
 /// How often what goes on from a range is read whole all the same, in case that a change was missed.
 const AGAIN: Duration = Duration::from_secs(5);
+/// The same for what hundreds of members follow.
+const SELDOM: Duration = Duration::from_secs(30);
 /// The first and the longest pause after a fault, in milliseconds.
 const PAUSE: (u64, u64) = (20, 300);
 
@@ -51,8 +53,8 @@
     prefix: Box<str>,
     wait: Duration,
     after: Option<Rev>,
-    /// Whether it goes on after a fault from where it was.
-    goes_on: bool,
+    /// How often all is read again, where it goes on after a fault from where it was.
+    again: Option<Duration>,
     /// When the range was read last.
     read: Instant,
     pause: Pause,
@@ -63,13 +65,21 @@
     pub fn whole(outside: Outside, prefix: &str, wait: Duration) -> Self {
         let pause = Pause::default();
         let (prefix, read) = (prefix.into(), Instant::now());
-        Follow { outside, prefix, wait, after: None, goes_on: false, read, pause }
+        Follow { outside, prefix, wait, after: None, again: None, read, pause }
     }
 
     /// A watch that goes on from a range that was read, also after faults, as long as the store
     /// remembers; what it follows may be too much to be read again for each cut connection.
     pub fn from(outside: Outside, prefix: &str, wait: Duration, after: Rev) -> Self {
-        Follow { after: Some(after), goes_on: true, ..Follow::whole(outside, prefix, wait) }
+        Follow { after: Some(after), again: Some(AGAIN), ..Follow::whole(outside, prefix, wait) }
+    }
+
+    /// A watch that begins with a range and goes on after faults, of what hundreds of members follow.
+    ///
+    /// Guards against a store that can't recover: each fault of a watch would cost it a range as
+    /// large as the whole table, from all members at once, and these cost others their watches.
+    pub fn steady(outside: Outside, prefix: &str, wait: Duration) -> Self {
+        Follow { again: Some(SELDOM), ..Follow::whole(outside, prefix, wait) }
     }
 
     /// Reads the range, and a revision from which on nothing is missed.
@@ -97,7 +107,7 @@
                 }
                 continue;
             };
-            if self.goes_on && self.read.elapsed() >= AGAIN {
+            if self.again.is_some_and(|again| self.read.elapsed() >= again) {
                 self.read = Instant::now();
                 if let Ok((items, rev)) = self.outside.all(&self.prefix, false).await {
                     return Seen::All(items, rev);
@@ -120,7 +130,7 @@
                 Ok(StoreReply::Forgotten) => self.after = None,
                 _ => {
                     self.pause.wait().await;
-                    self.after = self.after.filter(|_| self.goes_on);
+                    self.after = self.after.filter(|_| self.again.is_some());
                 }
             }
         }
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -215,3 +215,28 @@
         assert!(row.contains(r#""token":1"#), "it goes on as the owner: {row}");
     });
 }
+
+#[test]
+fn a_watch_of_the_table_that_fails_goes_on_from_where_it_was() {
+    // Story: the store has more to do than it bears and refuses watches. Each of 300 members then reads
+    // the whole table, twice; that takes what the store has left, members can't renew their leases, and
+    // each that drops out is a change that answers all watches anew. No job was served for a day.
+    run(async {
+        let cell = Cell::new("table").await;
+        let table = "dwr/t/";
+        let before = cell.store.ranges(table);
+        assert!(before > 0, "it was read at the start");
+        cell.store.refuse(table, 5);
+        cell.until("refused", async || cell.store.has_refused()).await;
+        let row = r#"{"control": "127.0.0.1:1", "zone": "z", "draining": false}"#;
+        cell.store.put("dwr/t/m/00000000000000ff", row);
+        let seen = async || {
+            let (_, page) = cell.page("/metrics").await;
+            String::from_utf8_lossy(&page)
+                .lines()
+                .any(|l| l.contains("members") && l.ends_with(" 2"))
+        };
+        cell.until("the change is seen", seen).await;
+        assert_eq!(cell.store.ranges(table), before, "and the table wasn't read again");
+    });
+}
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -44,6 +44,10 @@
     late: Vec<Value>,
     /// Watches of these prefixes get no events.
     blind: Vec<String>,
+    /// Watches of a prefix that are still to be refused.
+    refused: Option<(String, u32)>,
+    /// The prefixes of ranges that were read.
+    ranges: Vec<String>,
 }
 
 /// The store, and its test's hand on it.
@@ -117,6 +121,22 @@
         self.state.lock().expect("state").blind.push(prefix.into());
     }
 
+    /// Refuses so many of the next watches of a prefix; those that wait are cut.
+    pub fn refuse(&self, prefix: &str, count: u32) {
+        self.state.lock().expect("state").refused = Some((prefix.into(), count));
+        self.moved.notify_waiters();
+    }
+
+    /// Whether all watches have been refused that were to be.
+    pub fn has_refused(&self) -> bool {
+        self.state.lock().expect("state").refused.as_ref().is_none_or(|(_, n)| *n == 0)
+    }
+
+    /// How often a prefix was read.
+    pub fn ranges(&self, prefix: &str) -> usize {
+        self.state.lock().expect("state").ranges.iter().filter(|r| *r == prefix).count()
+    }
+
     /// Ends all leases.
     pub fn end_leases(&self) {
         let mut state = self.state.lock().expect("state");
@@ -156,14 +176,18 @@
         let found = async {
             loop {
                 let moved = self.moved.notified();
+                if self.state.lock().expect("state").refuses(prefix) {
+                    return None;
+                }
                 let (events, rev) = self.state.lock().expect("state").since(prefix, after);
                 if !events.is_empty() {
-                    return (events, rev);
+                    return Some((events, rev));
                 }
                 moved.await;
             }
         };
-        let (events, rev) = timeout(wait, found).await.unwrap_or((vec![], after));
+        let found = timeout(wait, found).await.unwrap_or(Some((vec![], after)));
+        let Some((events, rev)) = found else { return answer(503, "{}") };
         answer(200, json!({"events": events, "rev": rev}).to_string())
     }
 }
@@ -204,6 +228,14 @@
         }
     }
 
+    fn refuses(&mut self, prefix: &str) -> bool {
+        let Some((_, left)) = self.refused.as_mut().filter(|(p, n)| p == prefix && *n > 0) else {
+            return false;
+        };
+        *left -= 1;
+        true
+    }
+
     fn since(&self, prefix: &str, after: u64) -> (Vec<Value>, u64) {
         if self.blind.iter().any(|b| b == prefix) {
             return (vec![], after);
@@ -230,6 +262,7 @@
             "/get" => (200, self.item(text(ask, "key"))),
             "/range" => {
                 let prefix = text(ask, "prefix");
+                self.ranges.push(prefix.into());
                 let keys = self.rows.keys().filter(|k| k.starts_with(prefix));
                 let items: Vec<Value> = keys.map(|k| self.item(k)).collect();
                 (200, json!({"items": items, "rev": self.rev}))
