--- a/src/shard/store.rs
+++ b/src/shard/store.rs
@@ -9,7 +9,7 @@
             flight::Flight,
             machine::Shard,
             record::{CommitRow, Roster, write},
-            workers::WorkerNo,
+            workers::{WorkerNo, millis},
         },
         time::Time,
         work::JobNo,
@@ -122,7 +122,14 @@
     }
 
     /// Ends whose jobs are stored are noted with the next hold of their worker.
-    fn note(&mut self, now: Time) {
+    ///
+    /// Guards against a task that runs again after its end was noted: as long as a worker of the
+    /// roster has not been heard, a former owner that doesn't know better may start it there, once
+    /// it has heard that the life where it ran is over.
+    pub(super) fn note(&mut self, now: Time) {
+        if !self.unsettled.is_empty() {
+            return;
+        }
         let busy: Vec<JobNo> = self.flight.jobs.iter().map(|f| f.0).collect();
         let (jobs, workers) = (&self.jobs, &mut self.workers);
         for w in workers.iter_mut().filter(|w| !w.pending.is_empty()) {
@@ -137,4 +144,13 @@
             }
         }
     }
+
+    /// Forgets jobs that have been over for long; the store's rows go with the next write.
+    pub(super) fn trim(&mut self, now: Time) {
+        let unix = self.unix(now);
+        let old = millis(self.setup.bounds.keep) * 2;
+        if self.purge.front().is_some_and(|(at, _)| at + old < unix) {
+            log::warn!(target: "shard", "Shard {} is behind with its clean-up.", self.setup.shard);
+        }
+    }
 }
