--- a/src/watch.rs
+++ b/src/watch.rs
@@ -17,6 +17,8 @@
 /// to the owner was lost, so that a job that only the watch brings may come this much later. 20 jobs
 /// a second were 20 answered watches a second.
 const REST: Duration = Duration::from_millis(400);
+/// The same for what hundreds of members follow.
+const SELDOM: Duration = Duration::from_secs(30);
 /// The first and the longest pause after a fault, in milliseconds.
 const PAUSE: (u64, u64) = (20, 300);
 
@@ -57,8 +59,10 @@
     prefix: Box<str>,
     wait: Duration,
     after: Option<Rev>,
-    /// Whether it goes on after a fault from where it was.
-    goes_on: bool,
+    /// How often all is read again, where it goes on after a fault from where it was.
+    again: Option<Duration>,
+    /// How long it pauses after a change.
+    gap: Duration,
     /// Whether it pauses before the next watch.
     rests: bool,
     /// When the range was read last.
@@ -71,15 +75,24 @@
     pub fn whole(outside: Outside, prefix: &str, wait: Duration) -> Self {
         let pause = Pause::default();
         let (prefix, read) = (prefix.into(), Instant::now());
-        let (goes_on, rests) = (false, false);
-        Follow { outside, prefix, wait, after: None, goes_on, rests, read, pause }
+        let (after, again, gap, rests) = (None, None, Duration::ZERO, false);
+        Follow { outside, prefix, wait, after, again, gap, rests, read, pause }
     }
 
     /// A watch that goes on from a range that was read, also after faults, as long as the store
     /// remembers; what it follows may be too much to be read again for each cut connection. It pauses
     /// after each change ([`REST`]).
     pub fn from(outside: Outside, prefix: &str, wait: Duration, after: Rev) -> Self {
-        Follow { after: Some(after), goes_on: true, ..Follow::whole(outside, prefix, wait) }
+        let (after, again, gap) = (Some(after), Some(AGAIN), REST);
+        Follow { after, again, gap, ..Follow::whole(outside, prefix, wait) }
+    }
+
+    /// A watch that begins with a range and goes on after faults, of what hundreds of members follow.
+    ///
+    /// Guards against a store that can't recover: each fault of a watch would cost it a range as
+    /// large as the whole table, from all members at once, and these cost others their watches.
+    pub fn steady(outside: Outside, prefix: &str, wait: Duration) -> Self {
+        Follow { again: Some(SELDOM), ..Follow::whole(outside, prefix, wait) }
     }
 
     /// Reads the range, and a revision from which on nothing is missed.
@@ -108,9 +121,9 @@
                 continue;
             };
             if mem::take(&mut self.rests) {
-                sleep(REST).await;
+                sleep(self.gap).await;
             }
-            if self.goes_on && self.read.elapsed() >= AGAIN {
+            if self.again.is_some_and(|again| self.read.elapsed() >= again) {
                 self.read = Instant::now();
                 if let Ok((items, rev)) = self.outside.all(&self.prefix, false).await {
                     return Seen::All(items, rev);
@@ -123,7 +136,7 @@
                     self.after = Some(rev.max(after));
                     if !items.is_empty() {
                         self.pause.good();
-                        self.rests = self.goes_on;
+                        self.rests = !self.gap.is_zero();
                         return Seen::Changes(items, rev);
                     }
                     if asked.elapsed() < self.wait / 4 {
@@ -134,7 +147,7 @@
                 Ok(StoreReply::Forgotten) => self.after = None,
                 _ => {
                     self.pause.wait().await;
-                    self.after = self.after.filter(|_| self.goes_on);
+                    self.after = self.after.filter(|_| self.again.is_some());
                 }
             }
         }
