--- a/src/common.rs
+++ b/src/common.rs
@@ -6,14 +6,16 @@
         clock,
         ids::Incarnation,
         metrics::Metrics,
-        ports::{Forms, Item, Rev, Site},
+        ports::{Forms, Item, Rev, Site, Wave},
         relay::Ways,
         store::Outside,
         table::View,
         time::{Time, millis},
+        watch::Seen,
         work::Queues,
     },
     std::{
+        collections::{BTreeMap, BTreeSet},
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicU64, Ordering},
@@ -35,6 +37,9 @@
     pub queues: Arc<Queues>,
 }
 
+/// The waves of upkeep that are ordered, each with the revision and the key of its item.
+pub(crate) type Waves = BTreeMap<Box<str>, (Rev, Wave)>;
+
 /// What the duties share.
 pub(crate) struct Common {
     /// How the outside is spoken to.
@@ -49,6 +54,8 @@
     pub site: watch::Sender<Arc<Site>>,
     /// The configuration, once one is known.
     pub config: watch::Sender<Option<Config>>,
+    /// The waves of upkeep that are ordered.
+    pub waves: watch::Sender<Waves>,
     /// The table.
     pub view: watch::Sender<Arc<View>>,
     /// Whether this member is stopping.
@@ -76,6 +83,7 @@
             metrics,
             site: watch::Sender::new(Arc::new(site)),
             config: watch::Sender::new(None),
+            waves: watch::Sender::default(),
             view: watch::Sender::new(Arc::default()),
             stop: watch::Sender::new(false),
             ways: Arc::default(),
@@ -137,6 +145,35 @@
         heard && registered && !self.stopping() && self.config.borrow().is_some()
     }
 
+    /// Takes in what was seen of the waves among all that the operators have written.
+    ///
+    /// It comes with the watch of the configuration, so that a site without waves pays for no call.
+    pub fn take_waves(&self, seen: &Seen) {
+        let prefix = self.forms.waves;
+        let mut waves = self.waves.borrow().clone();
+        let (Seen::All(items, _) | Seen::Changes(items, _)) = seen;
+        let items = || items.iter().filter(|i| i.key.starts_with(prefix));
+        if matches!(seen, Seen::All(..)) {
+            let there: BTreeSet<_> = items().map(|i| &i.key).collect();
+            waves.retain(|key, _| there.contains(key));
+        }
+        for item in items() {
+            let Some(value) = &item.value else {
+                waves.remove(&item.key);
+                continue;
+            };
+            match (self.forms.wave)(value) {
+                Ok(wave) => drop(waves.insert(item.key.clone(), (item.rev, wave))),
+                Err(e) => log::error!(target: "upkeep", "A wave can't be read: {e}."),
+            }
+        }
+        self.waves.send_if_modified(|known| {
+            let changed = *known != waves;
+            *known = waves;
+            changed
+        });
+    }
+
     /// Takes in the configuration's item.
     ///
     /// Nothing goes back: neither to an earlier change nor to a lower version. Guards against a
--- a/src/control.rs
+++ b/src/control.rs
@@ -10,6 +10,7 @@
         relay::{self, Relayed, Relayer},
         rpc,
         shard::{
+            Held, Need,
             event::Event,
             record::{JobRecord, ShardNo},
         },
@@ -96,6 +97,13 @@
     shards: Box<[ShardNo]>,
 }
 
+/// A question for what is at workers.
+#[derive(Debug, Serialize, Deserialize)]
+struct HeldAsk {
+    workers: Box<[WorkerId]>,
+    shards: Box<[ShardNo]>,
+}
+
 impl From<Result<Advice, Fault>> for AdviseAnswer {
     fn from(reply: Result<Advice, Fault>) -> Self {
         match reply {
@@ -220,6 +228,14 @@
             Ok::<_, ErrorObjectOwned>(())
         }
     })?;
+    let held = told.clone();
+    module.register_async_method("held", move |params, _, _| {
+        let told = held.clone();
+        async move {
+            let ask: HeldAsk = params.one()?;
+            Ok::<_, ErrorObjectOwned>(held_here(&told, ask.workers, ask.shards).await)
+        }
+    })?;
     module.register_async_method("waiting", move |params, _, _| {
         let told = told.clone();
         async move {
@@ -256,6 +272,17 @@
     let _ = told.try_send(Told::Word(shard, event));
 }
 
+/// What is at workers of these shards, and how long work waits, by this member's own decisions.
+pub(crate) async fn held_here(
+    told: &Sender<Told>,
+    workers: Box<[WorkerId]>,
+    shards: Box<[ShardNo]>,
+) -> Option<(Vec<Held>, Vec<Need>)> {
+    let (to, from) = oneshot::channel();
+    told.try_send(Told::Held(workers, shards, to)).ok()?;
+    from.await.ok().flatten()
+}
+
 /// How many jobs of a queue have not begun, by this member's own decisions.
 pub(crate) async fn waiting_here(
     told: &Sender<Told>,
@@ -349,6 +376,18 @@
         let _: Option<()> = self.call(addr, "heard", &ask, limit).await;
     }
 
+    /// What is at workers of shards that a member owns; nothing where it doesn't say.
+    pub async fn held(
+        &self,
+        addr: SocketAddr,
+        workers: &[WorkerId],
+        shards: &[ShardNo],
+        limit: Duration,
+    ) -> Option<(Vec<Held>, Vec<Need>)> {
+        let ask = HeldAsk { workers: workers.into(), shards: shards.into() };
+        self.call(addr, "held", &ask, limit).await.flatten()
+    }
+
     /// How many jobs of a queue have not begun, of shards that a member owns; nothing where it
     /// doesn't say.
     pub async fn waiting(
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -3,9 +3,10 @@
 use {
     crate::{
         common::Common,
+        ids::WorkerId,
         ports::Fault,
         shard::{
-            Setup, Shard,
+            Held, Need, Setup, Shard,
             event::{Event, Load, Order},
             record::ShardNo,
         },
@@ -48,6 +49,9 @@
     Release,
     /// How a job stands.
     State(ShardNo, JobNo, oneshot::Sender<Option<State>>),
+    /// What is at these workers, as far as they are of these shards, and how long work waits; nothing
+    /// where one isn't here.
+    Held(Box<[WorkerId]>, Box<[ShardNo]>, oneshot::Sender<Option<(Vec<Held>, Vec<Need>)>>),
     /// How many jobs of a queue have not begun, of these shards; nothing where one isn't here.
     Waiting(Box<str>, Box<[ShardNo]>, oneshot::Sender<Option<u64>>),
 }
@@ -150,6 +154,16 @@
             Told::State(shard, job, to) => {
                 let _ = to.send(self.shards.get(&shard).and_then(|r| r.shard.state(job)));
             }
+            Told::Held(workers, shards, to) => {
+                let now = self.common.now();
+                let one = |s| {
+                    let shard = &self.shards.get(s)?.shard;
+                    Some((shard.held_at(&workers), shard.needs(now)))
+                };
+                let all: Option<Vec<_>> = shards.iter().map(one).collect();
+                let all = all.map(|a| a.into_iter().unzip::<_, _, Vec<_>, Vec<_>>());
+                let _ = to.send(all.map(|(held, needs)| (held.concat(), needs.concat())));
+            }
             Told::Waiting(queue, shards, to) => {
                 let one = |s| self.shards.get(s).map(|r| r.shard.waiting(&queue));
                 let _ = to.send(shards.iter().map(one).sum());
@@ -171,8 +185,9 @@
         if let Some(config) = config {
             self.event(no, token, Event::Queues(config.queues));
         }
-        let peers = self.common.view.borrow().peers(no);
-        self.event(no, token, Event::Peers(peers));
+        let view = self.common.view.borrow().clone();
+        self.event(no, token, Event::Peers(view.peers(no)));
+        self.event(no, token, Event::Closing(view.closing.clone()));
         if let Some(at) = self.confirmed {
             self.event(no, token, Event::Confirmed(at));
         }
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -41,6 +41,8 @@
 text_id! {
     /// A worker, by the name that the platform's VM list gives it.
     WorkerId
+    /// A VM, by the name that it keeps over the lives of its worker.
+    VmId
     /// A rack of workers; the unit in which workers are owned.
     RackId
     /// An availability zone.
@@ -74,6 +76,8 @@
 }
 
 number_id! {
+    /// A wave of upkeep, as the operators number it.
+    WaveNo(u64)
     /// The count of owners that a row has had; a worker refuses dispatches of a lower one.
     Epoch(u64)
     /// The version of the configuration, counted up by each accepted text.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -66,6 +66,7 @@
 pub mod ids;
 mod ini;
 pub mod jobs;
+mod keeper;
 pub mod kv;
 pub mod layout;
 pub mod ledger;
@@ -103,6 +104,7 @@
 pub mod time;
 pub mod trace;
 pub mod units;
+pub mod upkeep;
 mod watch;
 pub mod work;
 
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -7,6 +7,7 @@
         control::Peers,
         decisions::{Out, Told},
         ids::Incarnation,
+        keeper::{HOLDER, Keeper},
         ports::{Advice, AdviceCall, Fault, Item, Rev, StoreCall},
         shard::{
             event::{Event, Load, Order},
@@ -98,6 +99,21 @@
         log::info!(target: "owner", did = "owned", shard:% = shard, token, jobs = load.jobs.len(), roster = load.roster.workers.len(), rev; "Shard is owned.");
         let _ = self.told.send(Told::Own(shard, token, Box::new(load))).await;
         self.begun.notify_one();
+        if shard != HOLDER {
+            return self.follow(shard, token, rev).await;
+        }
+        let keeper = Keeper {
+            common: self.common.clone(),
+            outside: self.outside.clone(),
+            peers: self.peers.clone(),
+            told: self.told.clone(),
+        };
+        // Both end when the shard is no longer owned here.
+        tokio::join!(self.follow(shard, token, rev), keeper.keep(token));
+    }
+
+    /// Follows a shard's inbox.
+    async fn follow(&self, shard: ShardNo, token: u64, rev: Rev) {
         let inbox = shard.inbox();
         let mut follow = Follow::from(self.outside.clone(), &inbox, WAIT, rev);
         loop {
--- a/src/ports.rs
+++ b/src/ports.rs
@@ -7,7 +7,7 @@
 use {
     crate::{
         error::Error,
-        ids::WorkerId,
+        ids::{PoolId, VmId, WaveNo, WorkerId},
         work::{Job, Listed, Queues, State, StepKey, TaskKey},
     },
     bytes::Bytes,
@@ -329,19 +329,105 @@
     pub valid: Option<Duration>,
 }
 
-/// One page of the list of machines: the lives of workers that are there now.
+/// One page of the list of VMs.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Lives {
-    /// The lives; one that is not on any page is over, unless it is newer than the list.
-    pub ids: Vec<WorkerId>,
+pub struct Vms {
+    /// The VMs; the life of a worker that is not on any page is over, unless it is newer than
+    /// the list.
+    pub all: Vec<Vm>,
     /// The token of the next page; none on the last.
     pub next: Option<Box<str>>,
 }
 
+/// A VM, which has one life of a worker after the other.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Vm {
+    /// Its name, the same for all its lives.
+    pub id: VmId,
+    /// The pool that it is in.
+    pub pool: PoolId,
+    /// How it stands.
+    pub state: VmState,
+    /// The life of its worker.
+    pub worker: Option<WorkerId>,
+}
+
+/// How a VM stands.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum VmState {
+    /// Its worker is there.
+    #[display("up")]
+    Up,
+    /// It is on its way to another pool.
+    #[display("moving")]
+    Moving,
+    /// It has its upkeep.
+    #[display("upkeep")]
+    Upkeep,
+    /// It is down.
+    #[display("down")]
+    Down,
+}
+
+/// An order for one VM; what runs there ends at once.
+#[derive(Clone, Debug, PartialEq)]
+pub struct VmCall {
+    /// The VM.
+    pub vm: VmId,
+    /// What is to be done.
+    pub deed: Deed,
+    /// Who orders it.
+    pub holder: Box<str>,
+    /// Its token: lower ones than the highest seen for this VM are refused.
+    pub token: u64,
+}
+
+/// What is to be done with a VM.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Deed {
+    /// Its upkeep, as a part of a wave.
+    Upkeep(WaveNo),
+    /// It changes to another pool.
+    Move(PoolId),
+}
+
+/// What became of an order for a VM.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq)]
+pub enum VmReply {
+    /// It has begun, now or before.
+    #[display("begun")]
+    Begun,
+    /// Another holder has used a higher token.
+    #[display("fence")]
+    Fence,
+    /// It is not up, or leaving.
+    #[display("busy")]
+    Busy,
+    /// It is not of that wave.
+    #[display("other_wave")]
+    OtherWave,
+    /// There is no such VM, or it can't go there.
+    #[display("none")]
+    None,
+}
+
+/// A wave of upkeep, as the operators order it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Wave {
+    /// Its number.
+    pub no: WaveNo,
+    /// Its VMs; each needs its upkeep once.
+    pub vms: Vec<VmId>,
+    /// How long it may take in all.
+    pub within: Duration,
+    /// How many of them may be down for it at once.
+    pub cap: u32,
+}
+
 /// What a process learns at its start and on a reload.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Site {
-    /// This machine's name.
+    /// This VM's name.
     pub node: Box<str>,
     /// Its availability zone.
     pub zone: crate::ids::Zone,
@@ -359,12 +445,27 @@
     pub store: SocketAddr,
     /// The advice service, where there is one.
     pub advice: Option<SocketAddr>,
-    /// The list of machines, where there is one.
-    pub lives: Option<SocketAddr>,
+    /// The list of VMs, where there is one.
+    pub vms: Option<SocketAddr>,
+    /// What orders for VMs may take, and how many there may be.
+    pub fleet: Fleet,
     /// Bounds.
     pub bounds: Bounds,
 }
 
+/// The bounds of orders for VMs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Fleet {
+    /// The most orders a second, of all members together.
+    pub rate: f64,
+    /// How long an upkeep takes, until a new life of the worker joins.
+    pub upkeep: Duration,
+    /// How long a move takes, until then.
+    pub moved: Duration,
+    /// The least time between orders of two holders for one VM.
+    pub turn: Duration,
+}
+
 /// The bounds of a deployment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
@@ -405,8 +506,12 @@
     pub ready: &'static str,
     /// The header in which a caller says how long it waits, in milliseconds.
     pub deadline: &'static str,
+    /// What the keys of all that operators write begin with.
+    pub operators: &'static str,
     /// The key of the configuration.
     pub config: &'static str,
+    /// What the keys of waves of upkeep begin with.
+    pub waves: &'static str,
     /// What the keys of the list of workers begin with; the worker's id follows.
     pub workers: &'static str,
     /// Reads the configuration.
@@ -425,10 +530,18 @@
     pub ask_advice: fn(&AdviceCall) -> Wire,
     /// Reads the advice.
     pub advice: fn(u16, &[u8]) -> Result<Advice, Fault>,
-    /// Writes the call for a page of the list of machines; the first has no token.
-    pub ask_lives: fn(&str) -> Wire,
-    /// Reads a page of the list of machines.
-    pub lives: fn(u16, &[u8]) -> Result<Lives, Fault>,
+    /// Writes the call for a page of the list of VMs; the first has no token.
+    pub ask_vms: fn(&str) -> Wire,
+    /// Reads a page of the list of VMs.
+    pub vms: fn(u16, &[u8]) -> Result<Vms, Fault>,
+    /// Writes an order for a VM.
+    pub ask_vm: fn(&VmCall) -> Wire,
+    /// Reads what became of it.
+    pub vm: fn(u16, &[u8]) -> Result<VmReply, Fault>,
+    /// Reads a wave of upkeep.
+    pub wave: fn(&[u8]) -> Result<Wave, Error>,
+    /// Writes how a wave stands, whether it is completed: key and value.
+    pub told_wave: fn(WaveNo, bool) -> (Box<str>, Bytes),
     /// Reads a caller's job.
     pub job: fn(&[u8]) -> Result<Job, Error>,
     /// Writes a job's state.
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -42,10 +42,12 @@
 /// Follows the configuration.
 pub(crate) async fn config(common: Arc<Common>, outside: Outside, told: Sender<Told>) {
     let key = common.forms.config;
-    let mut follow = Follow::whole(outside, key, CONFIG_WAIT);
+    let mut follow = Follow::whole(outside, common.forms.operators, CONFIG_WAIT);
     let mut sent: Option<Arc<Queues>> = None;
     loop {
-        let (Seen::All(items, _) | Seen::Changes(items, _)) = follow.next().await;
+        let seen = follow.next().await;
+        common.take_waves(&seen);
+        let (Seen::All(items, _) | Seen::Changes(items, _)) = seen;
         // Versions may come many a second: only the last is read.
         let last = items.iter().filter(|i| &*i.key == key).max_by_key(|i| i.rev);
         let Some(item) = last else { continue };
@@ -281,8 +283,15 @@
         self.common.metrics.level("shards", self.table.running().len());
         self.common.metrics.level("members", view.members.len());
         let peers = view.able();
-        let before = self.common.view.borrow().able();
+        let (before, old) = {
+            let old = self.common.view.borrow();
+            (old.able(), old.closing.clone())
+        };
+        let closing = view.closing.clone();
         self.common.view.send_replace(Arc::new(view));
+        if closing != old {
+            let _ = self.told.send(Told::All(Event::Closing(closing))).await;
+        }
         if peers != before {
             let _ = self.told.send(Told::Peers).await;
         }
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -7,7 +7,9 @@
 mod ahead;
 mod ask;
 mod authority;
+mod closing;
 mod commit;
+mod copy;
 mod course;
 mod ends;
 pub mod event;
@@ -32,6 +34,7 @@
 mod workers;
 
 pub use {
+    closing::{Held, Need},
     machine::{Setup, Shard},
     tally::{Levels, Tally},
 };
--- /dev/null
+++ b/src/shard/copy.rs
@@ -0,0 +1,164 @@
+//! Second runs of tasks that are far slower than their siblings, where their steps allow copies.
+
+use {
+    crate::{
+        decide::{
+            copies::{Runner, SIBLINGS, most, worth},
+            fit::best,
+            sound::Verdict,
+        },
+        shard::{
+            jobs::At,
+            machine::Shard,
+            workers::{Phase, WorkerNo, millis},
+        },
+        time::Time,
+        work::{Step, StepKey, TaskKey},
+    },
+    std::{cmp::Reverse, time::Duration},
+};
+
+/// How many times as long as its siblings a copy may take before both runs are taken for hanging.
+const PATIENCE: u32 = 3;
+
+impl Shard {
+    /// Starts copies of what is slow, where there is room that nothing waits for.
+    pub(super) fn copy(&mut self, now: Time) {
+        if !self.may_act(now) {
+            return;
+        }
+        let copied = |s: &Step| s.copies && !s.gang && !s.lasts && !s.fills;
+        let mut all = vec![];
+        for (no, job) in self.jobs.iter().filter(|(_, j)| !j.state.over()) {
+            for (time, step) in job.parts.keys() {
+                let key = StepKey { job: *no, time: *time, step: *step };
+                if job.step(&key).is_some_and(copied) {
+                    all.push(key);
+                }
+            }
+        }
+        all.sort_unstable();
+        for key in all {
+            self.copy_step(&key, now);
+        }
+    }
+
+    /// Whether a run that stands still may be left to a copy, which is there or about to be.
+    ///
+    /// A copy that stands still is stopped like any run, and where a copy has taken too long as well,
+    /// both are: two that hang would never end.
+    pub(super) fn copied_instead(&self, no: WorkerNo, task: &TaskKey, now: Time) -> bool {
+        let key = &task.step;
+        let Some(job) = self.jobs.get(&key.job) else { return false };
+        let Some(step) = job.step(key).filter(|s| s.copies) else { return false };
+        let Some(part) = job.parts.get(&(key.time, key.step)) else { return false };
+        let Some(t) = part.tasks.get(task.index as usize) else { return false };
+        let Some(expected) = part.expected(SIBLINGS) else { return false };
+        match t.copy {
+            Some((at, _)) if at == no => false,
+            Some((at, _)) => {
+                let began = self.workers[at.0].runs.get(task).map(|r| r.began);
+                began.is_some_and(|b| now - b < expected * PATIENCE)
+            }
+            None => {
+                let copies = part.tasks.iter().filter(|t| t.copy.is_some()).count();
+                let few = copies < most(step.count) as usize;
+                part.waiting == 0 && few && self.spare(task, step, no, now).is_some()
+            }
+        }
+    }
+
+    fn copy_step(&mut self, key: &StepKey, now: Time) {
+        let Some(job) = self.jobs.get(&key.job) else { return };
+        let Some(step) = job.step(key).cloned() else { return };
+        let Some(part) = job.parts.get(&(key.time, key.step)) else { return };
+        let Some(expected) = part.expected(SIBLINGS).filter(|_| part.waiting == 0) else { return };
+        let copies = part.tasks.iter().filter(|t| t.copy.is_some()).count();
+        let room = most(step.count).saturating_sub(u32::try_from(copies).unwrap_or(u32::MAX));
+        let mut slow: Vec<(Duration, TaskKey, WorkerNo)> = vec![];
+        for (index, task) in (0..).zip(&part.tasks) {
+            let key = TaskKey { step: *key, index };
+            if let (At::There(at), None) = (task.at, task.copy)
+                && let Some(needs) = self.slow(&key, at, expected, now)
+            {
+                slow.push((needs, key, at));
+            }
+        }
+        slow.sort_by_key(|s| (Reverse(s.0), s.1));
+        for (needs, task, at) in slow.into_iter().take(room as usize) {
+            let Some(to) = self.spare(&task, &step, at, now) else { return };
+            log::info!(target: "shard", did = "copy", job:% = key.job, task:% = task, worker:% = self.workers[to.0].id, beside:% = self.workers[at.0].id, needs_ms = millis(needs), expected_ms = millis(expected); "Task gets a copy.");
+            self.start_copy(task, at, to, &step, now);
+        }
+    }
+
+    /// What a run still needs, if it is so slow that a copy is worth its price.
+    fn slow(
+        &self,
+        task: &TaskKey,
+        at: WorkerNo,
+        expected: Duration,
+        now: Time,
+    ) -> Option<Duration> {
+        let run = self.workers[at.0].runs.get(task).filter(|r| r.phase == Phase::Running)?;
+        let (from, done) = run.percent;
+        let saved = if run.saved.is_empty() { 0 } else { done };
+        worth(Runner { ran: now - run.began, from, done, saved }, expected)
+    }
+
+    /// A sound worker with room that nothing waits for, other than that of the task's first run.
+    fn spare(&self, task: &TaskKey, step: &Step, beside: WorkerNo, now: Time) -> Option<WorkerNo> {
+        let key = &task.step;
+        let job = self.jobs.get(&key.job)?;
+        let queue = self.known.get(&job.queue)?;
+        let all = self.pools.get(&queue.pool)?;
+        if !self.quiet(all) {
+            return None;
+        }
+        let tickets = &job.parts.get(&(key.time, key.step))?.tickets;
+        let open = |no: &&WorkerNo| {
+            let w = &self.workers[no.0];
+            let valid = || tickets.good.get(*no).is_some_and(|t| t.1 > now);
+            **no != beside
+                && w.usable(now)
+                && w.sound.verdict(now) == Verdict::Sound
+                && !w.runs.contains_key(task)
+                && (queue.advice.is_none() || valid())
+        };
+        let rooms: Vec<_> =
+            all.iter().filter(open).filter_map(|no| self.room(*no, key, step, now)).collect();
+        best(step, &rooms).map(|i| WorkerNo(rooms[i].index))
+    }
+
+    fn start_copy(
+        &mut self,
+        task: TaskKey,
+        beside: WorkerNo,
+        to: WorkerNo,
+        step: &Step,
+        now: Time,
+    ) {
+        let saved = self.workers[beside.0].runs.get(&task).map(|r| r.saved.clone());
+        let Some(t) = self.jobs.get_mut(&task.step.job).and_then(|j| j.task(&task)) else { return };
+        let saved = saved.filter(|s| !s.is_empty()).unwrap_or_else(|| t.saved.clone());
+        let run = t.last() + 1;
+        if self.launch(task, to, run, step, saved, now)
+            && let Some(t) = self.jobs.get_mut(&task.step.job).and_then(|j| j.task(&task))
+        {
+            (t.copy, t.top) = (Some((to, run)), run);
+        }
+    }
+
+    /// Stops all runs of a task that is done: the first to end counts.
+    pub(super) fn stop_copies(&mut self, task: &TaskKey, now: Time) {
+        let there = |n: &usize| {
+            let run = self.workers[*n].runs.get(task);
+            run.is_some_and(|r| r.phase != Phase::Stopping)
+        };
+        let all: Vec<usize> = (0..self.workers.len()).filter(there).collect();
+        for no in all.into_iter().map(WorkerNo) {
+            self.tell_stop(no, task, "another run was first");
+            self.stop(no, task, now);
+        }
+    }
+}
--- a/src/shard/ends.rs
+++ b/src/shard/ends.rs
@@ -59,18 +59,29 @@
             return;
         }
         let Some(t) = job.task(task) else { return };
-        t.run = t.run.max(run);
-        // An end that its owner has given up counts while nothing else has begun.
-        let counts = mine || t.at == At::Waiting;
+        let over = t.at == At::Done;
+        // Of copies, that of another run must not be taken for that which is there.
+        let there = step.copies && matches!(t.at, At::There(_));
+        let highest = if there { &mut t.top } else { &mut t.run };
+        *highest = run.max(*highest);
+        // An end that its owner has given up counts while nothing else has begun; of copies, the first.
+        let counts = mine || t.at == At::Waiting || there;
         if counts && !saved.is_empty() {
             job.keep(task, &saved);
         }
+        // A copy that fails after another run was done fails nothing.
+        let late = step.copies && over;
         if mine {
-            job.put(task, At::Waiting);
+            job.leave(task, run);
         }
         match how {
-            How::Done if counts && !step.lasts => self.done(task, step.gang, run),
-            How::Failed => self.failed(task, run, now),
+            How::Done if counts && !step.lasts => {
+                self.done(task, step.gang, run);
+                if step.copies {
+                    self.stop_copies(task, now);
+                }
+            }
+            How::Failed if !late => self.failed(task, run, now),
             _ => {}
         }
         if mine && how != How::Done && step.gang {
@@ -83,6 +94,9 @@
     fn done(&mut self, task: &TaskKey, gang: bool, run: u32) {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         if !gang {
+            if let Some(t) = job.task(task) {
+                t.copy = None;
+            }
             return job.put(task, At::Done);
         }
         let count = job.step(&task.step).map_or(0, |s| s.count);
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -5,7 +5,7 @@
         decide::lanes::Peers,
         ids::{Incarnation, WorkerId},
         ports::{Advice, AdviceCall, Fault, StoreReply, Txn, WorkerCall, WorkerReply},
-        shard::record::{CommitRow, JobRecord, Progress, Roster},
+        shard::record::{Closing, CommitRow, JobRecord, Progress, Roster},
         time::Time,
         work::{JobNo, Listed, Queues},
     },
@@ -76,6 +76,8 @@
     Confirmed(Time),
     /// The members that may be asked to call for advice, this one among them.
     Peers(Peers),
+    /// The workers that are to be emptied.
+    Closing(Arc<Closing>),
     /// Time has passed.
     Tick,
 }
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -30,14 +30,30 @@
 pub struct Task {
     /// Where it is.
     pub at: At,
-    /// Its last run; 0 before the first.
+    /// Its last run; 0 before the first. Where a copy is beside it, the first of the two.
     pub run: u32,
+    /// A copy: where, and its run.
+    pub copy: Option<(WorkerNo, u32)>,
+    /// The highest run that a copy had.
+    pub top: u32,
     /// The runs that have failed.
     pub fails: Vec<u32>,
     /// Its last checkpoint.
     pub saved: Box<str>,
 }
 
+impl Task {
+    /// The highest run that it had.
+    pub fn last(&self) -> u32 {
+        self.run.max(self.top)
+    }
+
+    /// Whether this run is one of its own that is there.
+    pub fn has(&self, at: WorkerNo, run: u32) -> bool {
+        (self.at == At::There(at) && self.run == run) || self.copy == Some((at, run))
+    }
+}
+
 /// What advice on a step has said.
 #[derive(Clone, Debug, Default)]
 pub struct Tickets {
@@ -181,6 +197,16 @@
         }
     }
 
+    /// One of a task's own runs has ended: where there is another, that goes on alone.
+    pub fn leave(&mut self, key: &TaskKey, run: u32) {
+        let Some(task) = self.task(key) else { return };
+        match task.copy.take() {
+            Some((_, copy)) if copy == run => {}
+            Some((at, copy)) => (task.at, task.run) = (At::There(at), copy),
+            None => self.put(key, At::Waiting),
+        }
+    }
+
     /// Moves a task; the counts of its step go along.
     pub fn put(&mut self, key: &TaskKey, at: At) {
         let Some(part) = self.parts.get_mut(&(key.step.time, key.step.step)) else { return };
@@ -242,10 +268,11 @@
             for ((time, step), part) in &self.parts {
                 for (index, t) in (0..).zip(&part.tasks) {
                     let done = t.at == At::Done;
-                    if done || t.run > 0 {
+                    let run = t.last();
+                    if done || run > 0 {
                         let saved = if done { "".into() } else { t.saved.clone() };
                         let fails = t.fails.clone();
-                        tasks.push(TaskRow(*time, *step, index, t.run, fails, done, saved));
+                        tasks.push(TaskRow(*time, *step, index, run, fails, done, saved));
                     }
                 }
             }
@@ -267,6 +294,7 @@
             for (index, task) in (0..).zip(&part.tasks) {
                 if let At::There(at) = task.at {
                     all.push((TaskKey { step, index }, at, task.run));
+                    all.extend(task.copy.map(|(at, run)| (TaskKey { step, index }, at, run)));
                 }
             }
         }
--- a/src/shard/judge.rs
+++ b/src/shard/judge.rs
@@ -72,6 +72,10 @@
             run.mark = (now, percent);
         }
         if stuck(then, percent, elapsed, expected, step.saves) {
+            if self.copied_instead(no, task, now) {
+                return self.workers[no.0].sound.moved(0.0, now);
+            }
+            let Some(run) = self.workers[no.0].runs.get(task) else { return };
             log::info!(target: "shard", did = "stop", job:% = key.job, task:% = task, run = run.run, percent, since_ms = super::workers::millis(elapsed), expected_ms = super::workers::millis(expected), cause = "stands still"; "Run is stopped.");
             let sound = &mut self.workers[no.0].sound;
             sound.moved(0.0, now);
--- a/src/shard/listing.rs
+++ b/src/shard/listing.rs
@@ -81,7 +81,9 @@
             return *no;
         }
         let no = WorkerNo(self.workers.len());
-        self.workers.push(Worker::new(id.clone(), addr, now));
+        let mut worker = Worker::new(id.clone(), addr, now);
+        worker.turn = self.closing.turn(id);
+        self.workers.push(worker);
         self.ids.insert(id.clone(), no);
         no
     }
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -9,8 +9,8 @@
             commit::{After, Commit},
             event::{Event, Load, Order},
             flight::Flight,
-            jobs::{Active, At},
-            record::{Progress, ShardNo},
+            jobs::Active,
+            record::{Closing, Progress, ShardNo},
             tally::{Tally, Told},
             workers::{Worker, WorkerNo, millis},
         },
@@ -82,6 +82,7 @@
     pub(super) confirmed: Time,
     pub(super) out: Vec<Order>,
     pub(super) told: Told,
+    pub(super) closing: Arc<Closing>,
     pub(super) tally: Tally,
     deposed: bool,
     /// When the list of machines may be read again; nothing while it is being read.
@@ -123,6 +124,7 @@
             confirmed: now,
             out: vec![],
             told: Told::new(now),
+            closing: Arc::default(),
             tally: Tally::default(),
             deposed: false,
             census: Some(now),
@@ -200,6 +202,7 @@
                 peers.own.sort_by_key(|p| *p != self.setup.me);
                 self.lanes.members(&peers);
             }
+            Event::Closing(closing) => self.close_workers(&closing),
             Event::Tick => self.tick(now),
         }
     }
@@ -228,6 +231,7 @@
             self.expire(now);
             self.repeat(now);
             self.leave(now);
+            self.empty(now);
             self.settle(now);
             self.doubt(now);
             self.foresee(now);
@@ -244,6 +248,7 @@
         if self.rerank <= now {
             self.rerank = now + RANK;
             self.rank_again(now);
+            self.copy(now);
             self.stir = true;
         }
         if self.commit.unclear(now) {
@@ -341,6 +346,6 @@
     /// Whether a task of a job that is not over is at this worker.
     pub(super) fn at(&mut self, task: &crate::work::TaskKey, no: WorkerNo, run: u32) -> bool {
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return false };
-        job.task(task).is_some_and(|t| t.at == At::There(no) && t.run == run)
+        job.task(task).is_some_and(|t| t.has(no, run))
     }
 }
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -111,7 +111,7 @@
     }
 
     /// Whether a pool has room to spare in each dimension.
-    fn quiet(&self, all: &[WorkerNo]) -> bool {
+    pub(super) fn quiet(&self, all: &[WorkerNo]) -> bool {
         let sum = |size: fn(&Worker) -> Size| {
             all.iter().fold(Size::default(), |sum, n| sum + size(&self.workers[n.0]))
         };
@@ -231,7 +231,7 @@
     }
 
     /// A worker's room as a task of this step sees it; nothing where it must not go.
-    fn room(&self, no: WorkerNo, key: &StepKey, step: &Step, now: Time) -> Option<Room> {
+    pub(super) fn room(&self, no: WorkerNo, key: &StepKey, step: &Step, now: Time) -> Option<Room> {
         let w = &self.workers[no.0];
         let listed = w.listed.as_ref()?;
         if step.needs.as_ref().is_some_and(|label| !listed.has(label)) {
@@ -247,7 +247,7 @@
             serves: step.fills && w.serves(),
             fillers: w.fillers,
             same: same as u32,
-            suspect: w.sound.verdict(now) != Verdict::Sound,
+            suspect: w.sound.verdict(now) != Verdict::Sound || (step.lasts && w.due()),
             demand: 0,
         })
     }
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -9,6 +9,8 @@
 //! | `dwr/c/SHARD` | the owner, with every write | fences: each write expects the last one's revision |
 //! | `dwr/t/o/SHARD` | who takes over | who owns the shard, and with which token |
 //! | `dwr/t/m/MEMBER` | each member, under its lease | that the member is alive, and where |
+//! | `dwr/t/closing` | who owns the first shard | the workers whose VMs are to have their upkeep |
+//! | `dwr/u` | the same | how far each wave of upkeep is |
 //! | `dwr/t/layout` | the first member | how many shards there are |
 
 use {
@@ -222,3 +224,37 @@
 pub fn read<T: DeserializeOwned>(value: &[u8]) -> Option<T> {
     serde_json::from_slice(value).ok()
 }
+
+/// The key of the workers whose VMs are to have their upkeep; all members watch it.
+pub const CLOSING: &str = "dwr/t/closing";
+
+/// Which turn a worker has in a wave of upkeep.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Turn {
+    /// None.
+    #[default]
+    Open,
+    /// Its turn is yet to come: what lasts had better go elsewhere.
+    Due,
+    /// It is emptied: nothing starts there, what lasts moves, the rest may end by itself.
+    Closing,
+    /// As before, and the rest is waited for no longer.
+    Forced,
+}
+
+/// The workers whose VMs are to have their upkeep.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Closing {
+    /// The token of who wrote it, and how often that one wrote before: it only rises.
+    pub place: (u64, u64),
+    /// The workers, and their turns.
+    pub turns: BTreeMap<WorkerId, Turn>,
+}
+
+impl Closing {
+    /// A worker's turn.
+    pub fn turn(&self, worker: &WorkerId) -> Turn {
+        self.turns.get(worker).copied().unwrap_or_default()
+    }
+}
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -41,7 +41,7 @@
             0
         };
         let last = |i: u32, job: &mut Active| {
-            job.task(&TaskKey { step: *key, index: i }).map_or(0, |t| t.run)
+            job.task(&TaskKey { step: *key, index: i }).map_or(0, |t| t.last())
         };
         let gang = step.gang.then(|| (0..step.count).map(|i| last(i, job)).max().unwrap_or(0));
         let mut all = vec![];
@@ -57,18 +57,35 @@
     }
 
     fn start(&mut self, task: TaskKey, no: WorkerNo, run: u32, step: &Step, now: Time) {
+        let saved = self.jobs.get_mut(&task.step.job).and_then(|j| j.task(&task));
+        let Some(saved) = saved.map(|t| t.saved.clone()) else { return };
+        if !self.launch(task, no, run, step, saved, now) {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        job.put(&task, At::There(no));
+        if let Some(t) = job.task(&task) {
+            t.run = run;
+        }
+    }
+
+    /// Orders a run, and counts it at its worker; returns whether it could.
+    pub(super) fn launch(
+        &mut self,
+        task: TaskKey,
+        no: WorkerNo,
+        run: u32,
+        step: &Step,
+        saved: Box<str>,
+        now: Time,
+    ) -> bool {
         let yields = self.yields(&task.step, step);
         let worker = &mut self.workers[no.0];
-        let Some(until) = worker.lease(&self.setup.bounds, now) else { return };
-
-        let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
+        let Some(until) = worker.lease(&self.setup.bounds, now) else { return false };
+        let Some(job) = self.jobs.get(&task.step.job) else { return false };
         let part = job.parts.get(&(task.step.time, task.step.step));
         let ticket = part.and_then(|p| p.tickets.good.get(&no)).map(|t| t.0.clone());
         let text = job.job.text.clone();
-        job.put(&task, At::There(no));
-        let Some(t) = job.task(&task) else { return };
-        t.run = run;
-        let saved = t.saved.clone();
         worker.add(
             task,
             Run {
@@ -98,6 +115,7 @@
             call: Box::new(WorkerCall::Start(start)),
             limit: ORDER,
         });
+        true
     }
 
     /// Whether a chosen worker may really get the task: of a worker that is tried out, one.
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -5,6 +5,7 @@
         decide::{pace::Pace, sound::Sound},
         ids::{PoolId, WorkerId},
         ports::{Bounds, Row},
+        shard::record::Turn,
         time::Time,
         units::Size,
         work::{JobNo, Listed, TaskKey},
@@ -95,6 +96,8 @@
     pub since: Time,
     /// When it ends, if it is leaving.
     pub leaving: Option<Time>,
+    /// Its turn in a wave of upkeep.
+    pub turn: Turn,
     /// What runs or may run there.
     pub runs: FxHashMap<TaskKey, Run>,
     /// The sum of what runs there.
@@ -158,6 +161,7 @@
             gone: false,
             since: now,
             leaving: None,
+            turn: Turn::Open,
             runs: FxHashMap::default(),
             used: Size::default(),
             fillers: 0,
@@ -190,12 +194,23 @@
             && self.rostered
             && !self.gone
             && self.leaving.is_none()
+            && !self.closed()
             && self.listed.is_some()
             && self.silent == 0
             && self.blind == 0
             && self.unwell <= now
     }
 
+    /// Whether its turn in a wave of upkeep is yet to come.
+    pub fn due(&self) -> bool {
+        self.turn == Turn::Due
+    }
+
+    /// Whether it is being emptied.
+    pub fn closed(&self) -> bool {
+        matches!(self.turn, Turn::Closing | Turn::Forced)
+    }
+
     /// Whether the store has to know that something may run there.
     pub fn counts(&self) -> bool {
         let live = self.listed.is_some() && self.leaving.is_none() && self.silent < 3;
--- a/src/store.rs
+++ b/src/store.rs
@@ -11,8 +11,8 @@
         ids::WorkerId,
         metrics::Metrics,
         ports::{
-            Advice, AdviceCall, Fault, Forms, Item, Rev, Site, StoreCall, StoreReply, Wire,
-            WorkerCall, WorkerReply,
+            Advice, AdviceCall, Fault, Forms, Item, Rev, Site, StoreCall, StoreReply, Vm, VmCall,
+            VmReply, VmState, Wire, WorkerCall, WorkerReply,
         },
         relay::{Answer, Relayed, Relayer, Ways},
         time::Time,
@@ -161,7 +161,7 @@
         }
     }
 
-    /// Makes a call of the store from this machine.
+    /// Makes a call of the store from this VM.
     async fn direct(&self, wire: &Wire, limit: Duration) -> Answer {
         let addr = self.site.borrow().store;
         self.send(addr, wire.clone(), limit).await
@@ -282,23 +282,52 @@
     ///
     /// # Errors
     ///
-    /// As [`Outside::store`]; [`Fault::Unsent`] where there is no list of machines.
+    /// As [`Outside::vms`].
     pub async fn lives(&self, limit: Duration) -> Result<Vec<WorkerId>, Fault> {
-        let addr = self.site.borrow().lives.ok_or(Fault::Unsent)?;
-        let (mut ids, mut token) = (vec![], Box::<str>::from(""));
+        let all = self.vms(limit).await?;
+        let up = all.into_iter().filter(|m| m.state == VmState::Up);
+        Ok(up.filter_map(|m| m.worker).collect())
+    }
+
+    /// Reads the list of VMs, page by page.
+    ///
+    /// # Errors
+    ///
+    /// As [`Outside::store`]; [`Fault::Unsent`] where there is no list of VMs.
+    pub async fn vms(&self, limit: Duration) -> Result<Vec<Vm>, Fault> {
+        let addr = self.site.borrow().vms.ok_or(Fault::Unsent)?;
+        let (mut all, mut token) = (vec![], Box::<str>::from(""));
         loop {
-            let answer = self.send(addr, (self.forms.ask_lives)(&token), limit).await;
-            let page = answer.and_then(|(status, body)| (self.forms.lives)(status, &body));
-            self.metrics.called("lives", page.as_ref().map_or_else(fault_name, |_| "done"));
+            let answer = self.send(addr, (self.forms.ask_vms)(&token), limit).await;
+            let page = answer.and_then(|(status, body)| (self.forms.vms)(status, &body));
+            self.metrics.called("vms", page.as_ref().map_or_else(fault_name, |_| "done"));
             let page = page?;
-            ids.extend(page.ids);
+            all.extend(page.all);
             match page.next {
                 Some(next) => token = next,
-                None => return Ok(ids),
+                None => return Ok(all),
             }
         }
     }
 
+    /// Orders something for a VM.
+    ///
+    /// # Errors
+    ///
+    /// As [`Outside::vms`].
+    pub async fn vm(&self, call: &VmCall, limit: Duration) -> Result<VmReply, Fault> {
+        let addr = self.site.borrow().vms.ok_or(Fault::Unsent)?;
+        let answer = self.send(addr, (self.forms.ask_vm)(call), limit).await;
+        let reply = answer.and_then(|(status, body)| (self.forms.vm)(status, &body));
+        let said = match &reply {
+            Ok(VmReply::Begun) => "done",
+            Ok(_) => "refused",
+            Err(fault) => fault_name(fault),
+        };
+        self.metrics.called("vm", said);
+        reply
+    }
+
     async fn send(&self, addr: SocketAddr, wire: Wire, limit: Duration) -> Answer {
         let mut b = Request::builder().method(wire.method).uri(uri(addr, &wire.path));
         for (name, value) in &wire.headers {
--- a/src/table.rs
+++ b/src/table.rs
@@ -11,7 +11,9 @@
         ids::Incarnation,
         ownership::Rendezvous,
         ports::{Item, Rev},
-        shard::record::{self, LAYOUT, Layout, MEMBERS, MemberRow, OWNERS, OwnerRow, ShardNo},
+        shard::record::{
+            self, CLOSING, Closing, LAYOUT, Layout, MEMBERS, MemberRow, OWNERS, OwnerRow, ShardNo,
+        },
         time::Time,
     },
     rendezvous_hash::{IdNode, Node, RendezvousNodes},
@@ -43,6 +45,7 @@
     rev: Rev,
     loaded: bool,
     layout: Option<Arc<Layout>>,
+    closing: (Rev, Arc<Closing>),
     members: BTreeMap<Incarnation, (Rev, MemberRow)>,
     owners: BTreeMap<ShardNo, (Rev, OwnerRow)>,
     /// Shards without a live owner: which one they had, and since when.
@@ -109,6 +112,8 @@
     pub rev: Rev,
     /// The layout, once there is one.
     pub layout: Option<Arc<Layout>>,
+    /// The workers that are to be emptied.
+    pub closing: Arc<Closing>,
     /// The live members.
     pub members: BTreeMap<Incarnation, MemberRow>,
     /// The owner of each shard that has one.
@@ -175,6 +180,7 @@
             rev: 0,
             loaded: false,
             layout: None,
+            closing: Default::default(),
             members: BTreeMap::new(),
             owners: BTreeMap::new(),
             free: BTreeMap::new(),
@@ -292,6 +298,7 @@
         View {
             rev: self.rev,
             layout: self.layout.clone(),
+            closing: self.closing.1.clone(),
             members: self.living().map(|(i, m)| (*i, m.clone())).collect(),
             owners: self.owners.iter().filter_map(owned).collect(),
         }
@@ -320,6 +327,9 @@
             place(&mut self.owners, ShardNo(no), item.rev, value.and_then(record::read));
         } else if &*item.key == LAYOUT && self.layout.is_none() {
             self.layout = value.and_then(record::read).map(Arc::new);
+        } else if &*item.key == CLOSING && self.closing.0 < item.rev {
+            let closing = value.and_then(record::read).unwrap_or_default();
+            self.closing = (item.rev, Arc::new(closing));
         }
     }
 
--- /dev/null
+++ b/tests/copies.rs
@@ -0,0 +1,176 @@
+//! Second runs of slow tasks: when they are worth it, and what comes of them.
+
+mod hand;
+
+use {
+    dogwoodreach::{
+        decide::copies::{Runner, most, worth},
+        ports::How,
+        work::{State, Step},
+    },
+    hand::{Hand, job, step, task},
+    std::time::Duration,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Whether a run that has done so much in so many milliseconds is worth a copy, where its siblings
+/// took two seconds.
+fn slow(ran: u64, done: u8) -> bool {
+    worth(Runner { ran: ms(ran), from: 0, done, saved: 0 }, ms(2_000)).is_some()
+}
+
+#[test]
+fn a_run_is_slow_only_far_beyond_its_siblings() {
+    assert!(!slow(2_900, 0), "half as much again is a larger task");
+    assert!(slow(3_000, 30));
+    assert!(!slow(3_000, 50), "it ends about when a copy would");
+    assert!(!slow(6_000, 80));
+    assert!(slow(60_000, 80), "it began well and stands still");
+    let half = Runner { ran: ms(4_000), from: 0, done: 40, saved: 0 };
+    assert!(worth(half, ms(2_000)).is_some());
+    // One that begins at a checkpoint has done less by itself than it shows.
+    let resumed = Runner { from: 40, done: 55, ..half };
+    assert!(worth(resumed, ms(2_000)).is_some());
+    assert_eq!((most(1), most(9), most(20), most(45)), (1, 1, 2, 4));
+}
+
+/// Four siblings on workers of their own and one more that is empty; three have ended after two
+/// seconds, and the first is far behind. Returns where it runs, and where its copy does.
+fn behind(saves: bool) -> (Hand, usize, usize) {
+    let mut hand = Hand::new(5);
+    hand.submit(1, "plain", job(Step { copies: true, apart: 1, saves, ..step(4, 2) }));
+    hand.run(2_000);
+    let at = hand.places(task(1, 0))[0];
+    (1..4).for_each(|i| hand.end(task(1, i), How::Done));
+    hand.workers[at].row(&task(1, 0)).percent = 10;
+    hand.until("a copy", 2_500, |h| h.places(task(1, 0)).len() == 2);
+    let copy = hand.places(task(1, 0)).into_iter().find(|p| *p != at).expect("elsewhere");
+    (hand, at, copy)
+}
+
+/// The slow run has caught up, so that it is worth no further copy.
+fn caught_up(hand: &mut Hand, at: usize) {
+    hand.workers[at].row(&task(1, 0)).percent = 95;
+    hand.run(100);
+}
+
+fn copies(hand: &Hand) -> Vec<u32> {
+    hand.starts_of(1).iter().filter(|s| s.2.task == task(1, 0)).map(|s| s.2.run).collect()
+}
+
+/// Ends the run of the first task at one worker.
+fn end(hand: &mut Hand, at: usize, how: How) {
+    assert!(hand.workers[at].end(&task(1, 0), how));
+}
+
+#[test]
+fn the_first_end_counts_and_the_other_run_is_stopped() {
+    for first in [true, false] {
+        let (mut hand, at, copy) = behind(false);
+        let (winner, other) = if first { (at, copy) } else { (copy, at) };
+        end(&mut hand, winner, How::Done);
+        hand.until("done", 500, |h| h.stored(1).state == State::Done);
+        hand.until("stopped", 500, |h| h.stops().iter().any(|s| s.1 == other));
+        hand.run(5_000);
+        assert_eq!(hand.stops().len(), 1);
+        assert_eq!(copies(&hand), [1, 2], "nothing starts again");
+        assert!(hand.workers.iter().all(|w| w.rows.is_empty()));
+    }
+}
+
+#[test]
+fn where_one_of_the_two_ends_without_success_the_other_goes_on_alone() {
+    // Story: the slow run fails at last, or its copy does. Begun anew as if there were no other, a
+    // third run starts while the second is about to end; and a failure that is counted twice, or not
+    // at all, makes the job fail before its time or never.
+    for how in [How::Failed, How::Stopped, How::Lapsed] {
+        for first in [true, false] {
+            let (mut hand, at, copy) = behind(false);
+            let (loser, other) = if first { (at, copy) } else { (copy, at) };
+            caught_up(&mut hand, at);
+            end(&mut hand, loser, how);
+            hand.run(300);
+            let fails = hand.stored(1).tasks.iter().map(|t| t.4.len()).max();
+            assert_eq!(fails, Some(usize::from(how == How::Failed)));
+            assert_eq!(hand.places(task(1, 0)), [other]);
+            end(&mut hand, other, How::Done);
+            hand.until("done", 500, |h| h.stored(1).state == State::Done);
+        }
+    }
+}
+
+#[test]
+fn a_run_that_starts_later_has_a_number_of_its_own() {
+    // Story: both runs have failed. A third one with the number of the copy would be refused where
+    // the copy ran, and its end be taken for that of the copy elsewhere.
+    let (mut hand, at, copy) = behind(false);
+    caught_up(&mut hand, at);
+    end(&mut hand, copy, How::Failed);
+    hand.run(100);
+    end(&mut hand, at, How::Failed);
+    hand.until("a third", 500, |h| copies(h).len() == 3);
+    assert_eq!(copies(&hand), [1, 2, 3]);
+    assert_eq!(hand.state(1), Some(State::Running));
+    hand.run(100);
+    let third = hand.places(task(1, 0))[0];
+    end(&mut hand, third, How::Failed);
+    hand.until("failed", 500, |h| h.stored(1).state == State::Failed);
+}
+
+#[test]
+fn both_runs_of_a_cancelled_job_are_stopped() {
+    let (mut hand, ..) = behind(false);
+    hand.cancel(1);
+    hand.run(500);
+    assert!(hand.workers.iter().all(|w| w.rows.is_empty()));
+}
+
+#[test]
+fn a_copy_goes_on_from_the_checkpoint() {
+    let mut hand = Hand::new(5);
+    hand.submit(1, "plain", job(Step { copies: true, apart: 1, saves: true, ..step(4, 2) }));
+    hand.run(1_000);
+    let at = hand.places(task(1, 0))[0];
+    *hand.workers[at].row(&task(1, 0)) = dogwoodreach::ports::Row {
+        percent: 5,
+        saved: "a7".into(),
+        ..hand.workers[at].rows[0].clone()
+    };
+    hand.run(1_000);
+    (1..4).for_each(|i| hand.end(task(1, i), How::Done));
+    hand.until("a copy", 2_500, |h| h.places(task(1, 0)).len() == 2);
+    assert_eq!(&*hand.starts_of(1).last().expect("a start").2.saved, "a7");
+}
+
+#[test]
+fn the_next_owner_keeps_one_of_the_two() {
+    // Story: the owner dies while a task runs twice. The next one hears of both, and must neither
+    // call the job lost nor wait for ever.
+    for first in [true, false] {
+        let (mut hand, at, copy) = behind(false);
+        hand.succeed();
+        hand.run(1_000);
+        let left = hand.places(task(1, 0));
+        assert_eq!(left.len(), 1, "the other is stopped");
+        assert!(left == [at] || left == [copy]);
+        let how = if first { How::Done } else { How::Failed };
+        end(&mut hand, left[0], how);
+        let wanted = if first { State::Done } else { State::Running };
+        hand.until("stored", 500, |h| h.stored(1).state == wanted);
+    }
+}
+
+#[test]
+fn a_step_without_leave_gets_no_copy() {
+    let mut hand = Hand::new(5);
+    hand.submit(1, "plain", job(Step { apart: 1, ..step(4, 2) }));
+    hand.run(2_000);
+    (1..4).for_each(|i| hand.end(task(1, i), How::Done));
+    for _ in 0..250 {
+        hand.run(20);
+        assert!(hand.places(task(1, 0)).len() <= 1, "at {}", hand.now);
+    }
+}
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -158,7 +158,7 @@
     // there must go on.
     run(async {
         let cell = Cell::new("removed").await;
-        cell.store.blind(FORMS.config);
+        cell.store.blind(FORMS.operators);
         cell.store.put(FORMS.config, r#"[2, ["/b/"]]"#);
         assert_eq!(cell.status("POST", "/b/00000000000000b1", JOB).await, 200);
         cell.store.put(FORMS.config, r#"[3, ["/a/"]]"#);
@@ -210,6 +210,24 @@
     });
 }
 
+#[test]
+fn a_wave_of_upkeep_is_seen_driven_and_told() {
+    // The whole way of a wave: the watch of what operators write, the machines and their workers, the
+    // owner's word that a worker is empty, the order with holder and token, and what is told.
+    run(async {
+        let cell = Cell::new("wave").await;
+        cell.store.put("workers/w2", &format!(r#"{{"addr": "{}"}}"#, cell.addr));
+        cell.store.put("machines/m1", "w2");
+        cell.store.put("conf/wave/1", r#"[1, ["m1"], 20000, 1]"#);
+        let told = async || cell.store.get("told/1").map(|r| r.0);
+        cell.until("told", async || told().await.is_some()).await;
+        let over = async || told().await.as_deref() == Some("true");
+        cell.until("completed", over).await;
+        let (order, ..) = cell.store.get("orders/m1").expect("an order");
+        assert_eq!(order, r#"["m1","node",1]"#);
+    });
+}
+
 #[test]
 fn a_member_whose_lease_has_ended_registers_again() {
     // Story: the store was away for longer than the lease. The member's row is gone, the others
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -6,8 +6,9 @@
         Error, Kind,
         ids::{PoolId, WorkerId, Zone},
         ports::{
-            Advice, AdviceCall, Bounds, Fault, Forms, Item, Lives, Put, Site, StoreCall,
-            StoreReply, Txn, Wire, WorkerCall, WorkerReply,
+            Advice, AdviceCall, Bounds, Fault, Fleet, Forms, Held, Item, Put, Site, StoreCall,
+            StoreReply, Txn, Vm, VmCall, VmReply, VmState, Vms, Wave, Wire, WorkerCall,
+            WorkerReply,
         },
         work::{Job, Listed, Queue, Queues, State},
     },
@@ -20,18 +21,24 @@
     settings,
     ready: "/ready",
     deadline: "x-deadline",
+    operators: "conf/",
     config: "conf/queues",
+    waves: "conf/wave/",
     workers: "workers/",
     queues,
     listed,
     ask_store,
     store,
     ask_worker: |_: &WorkerId, _: &WorkerCall| wire("/worker", json!({})),
-    worker: |_: &WorkerCall, _, _| Ok::<WorkerReply, _>(WorkerReply::Unwell),
+    worker: |_: &WorkerCall, _, _| Ok(WorkerReply::Held(Held { clock: 1, ..Held::default() })),
     ask_advice: |_: &AdviceCall| wire("/advice", json!({})),
     advice: |_, _| Ok(Advice::default()),
-    ask_lives: |_| wire("/lives", json!({})),
-    lives: |_, _| Ok(Lives::default()),
+    ask_vms: |_| wire("/range", json!({"prefix": "machines/"})),
+    vms,
+    ask_vm: |c: &VmCall| wire("/machine", json!([c.vm, c.holder, c.token])),
+    vm: |status, _| Ok(if status == 200 { VmReply::Begun } else { VmReply::Busy }),
+    wave,
+    told_wave: |no, over| (format!("told/{no}").into(), over.to_string().into()),
     job,
     state: |s: State| s.to_string().into(),
     waiting: |n| n.to_string().into(),
@@ -55,7 +62,8 @@
         metrics: [addr("metrics")?].into(),
         store: addr("store")?,
         advice: None,
-        lives: None,
+        vms: addr("store").ok(),
+        fleet: Fleet { rate: 60.0, upkeep: ms(2000), moved: ms(1500), turn: ms(3000) },
         bounds: Bounds {
             hold: ms(6000),
             stop: ms(900),
@@ -97,11 +105,27 @@
     })
 }
 
-fn listed(id: &str, _: &[u8]) -> Result<Listed, Error> {
+/// The VMs are items of the store, each the id of its worker; all are up.
+fn vms(_: u16, body: &[u8]) -> Result<Vms, Fault> {
+    let v: Value = serde_json::from_slice(body).map_err(|e| Fault::Bad(e.to_string().into()))?;
+    let one = |i: Item| Vm {
+        id: (&i.key["machines/".len()..]).into(),
+        pool: PoolId::from("pool"),
+        state: VmState::Up,
+        worker: i.value.and_then(|w| Some(WorkerId::from(std::str::from_utf8(&w).ok()?))),
+    };
+    let all = v["items"].as_array().into_iter().flatten().map(item).map(one).collect();
+    Ok(Vms { all, next: None })
+}
+
+/// A worker's value is where it is, or nothing.
+fn listed(id: &str, value: &[u8]) -> Result<Listed, Error> {
+    let v: Value = serde_json::from_slice(value).unwrap_or_default();
+    let addr = v["addr"].as_str().and_then(|a| a.parse().ok());
     Ok(Listed {
         id: WorkerId::from(id),
         pool: PoolId::from("pool"),
-        addr: ([127, 0, 0, 1], 1).into(),
+        addr: addr.unwrap_or(([127, 0, 0, 1], 1).into()),
         zone: Zone::from("z"),
         draining: false,
         left: None,
@@ -110,6 +134,13 @@
     })
 }
 
+/// A wave is its number, its VMs, how many milliseconds it may take, and how many are down at once.
+fn wave(bytes: &[u8]) -> Result<Wave, Error> {
+    let (no, vms, within, cap) =
+        serde_json::from_slice(bytes).map_err(|e| Error::new(Kind::BadText, e.to_string()))?;
+    Ok(Wave { no, vms, within: Duration::from_millis(within), cap })
+}
+
 fn job(bytes: &[u8]) -> Result<Job, Error> {
     serde_json::from_slice(bytes).map_err(|e| Error::new(Kind::BadRequest, e.to_string()))
 }
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -260,6 +260,14 @@
                 (200, json!({"items": items, "rev": self.rev}))
             }
             "/txn" => self.txn(ask),
+            // A worker, which does all and says nothing.
+            "/worker" => (200, json!({})),
+            // An order for a machine, which is noted.
+            "/machine" => {
+                let key = format!("orders/{}", ask[0].as_str().unwrap_or(""));
+                self.write(&key, Some((ask.to_string(), 0)));
+                (200, json!({}))
+            }
             "/lease" => {
                 self.leases += 1;
                 self.live.push(self.leases);
