--- a/standin/src/site/setup.rs
+++ b/standin/src/site/setup.rs
@@ -3,13 +3,19 @@
 use {
     crate::site::worker::Worker,
     dogwoodreach::{
-        ports::Bounds,
+        ports::{Bounds, Fleet},
         units::Size,
         work::{AdviceCost, Job, Pool, Queue, Queues, Step},
     },
     std::{sync::Arc, time::Duration},
 };
 
+/// Bounds of orders for VMs.
+pub fn fleet() -> Fleet {
+    let ms = Duration::from_millis;
+    Fleet { rate: 60.0, upkeep: ms(2_000), moved: ms(1_500), turn: ms(3_000) }
+}
+
 /// Bounds as a deployment has them.
 pub fn bounds() -> Bounds {
     let ms = Duration::from_millis;
--- a/standin/src/soak/member.rs
+++ b/standin/src/soak/member.rs
@@ -101,7 +101,8 @@
                 metrics: [at[3]].into(),
                 store: store.listen().await?,
                 advice: Some(serving.advice[no]),
-                lives: Some(serving.lives),
+                vms: Some(serving.vms),
+                fleet: setup::fleet(),
                 bounds: setup::bounds(),
             };
             let callers = Link::new(site.callers);
--- a/standin/src/soak/serve.rs
+++ b/standin/src/soak/serve.rs
@@ -1,5 +1,5 @@
 //! The servers around the members: the store and the advice with a listener for each member, the
-//! workers with a link before each, and the list of machines.
+//! workers with a link before each, and the list of VMs.
 
 use {
     crate::{
@@ -13,7 +13,7 @@
     dogwoodreach::{
         http::answer,
         ids::{Incarnation, WorkerId},
-        ports::{StoreCall, StoreReply, WorkerCall, WorkerReply},
+        ports::{StoreCall, StoreReply, Vm, VmState, WorkerCall, WorkerReply},
     },
     hyper::http::request::Parts,
     platform_standin::{Answer, BAD, REFUSED, advice, lists, store, worker},
@@ -40,8 +40,8 @@
     pub stores: Vec<SocketAddr>,
     /// The advice, for each member.
     pub advice: Vec<SocketAddr>,
-    /// The list of machines.
-    pub lives: SocketAddr,
+    /// The list of VMs.
+    pub vms: SocketAddr,
     /// What lies before each worker.
     pub links: Vec<Link>,
 }
@@ -76,17 +76,23 @@
         links.push(link);
     }
     let s = stage.clone();
-    let lives = listen(any, move |_, _| {
-        let ids = s.look(|s| {
+    let vms = listen(any, move |_, _| {
+        let all = s.look(|s| {
             let up = |at: &usize| s.world.workers[*at].up;
-            (0..s.world.workers.len()).filter(up).map(|at| s.world.id(at)).collect::<Vec<_>>()
+            let vm = |at: usize| Vm {
+                id: format!("v{at}").as_str().into(),
+                pool: s.world.workers[at].pool.clone(),
+                state: VmState::Up,
+                worker: Some(s.world.id(at)),
+            };
+            (0..s.world.workers.len()).filter(up).map(vm).collect::<Vec<_>>()
         });
-        async move { reply(lists::machines(&ids)) }
+        async move { reply(lists::vms(&all)) }
     });
-    let lives = lives.await?;
+    let vms = vms.await?;
     stage.with(|s| s.store.put(lists::CONFIG.into(), lists::queues(&s.world.queues)));
     tokio::spawn(beat(stage.clone(), addrs));
-    Ok(Serving { stores, advice: advices, lives, links })
+    Ok(Serving { stores, advice: advices, vms, links })
 }
 
 fn reply((status, body): Answer) -> Reply {
