--- a/src/shard.rs
+++ b/src/shard.rs
@@ -4,17 +4,28 @@
 //! address, so that all that decides where a task runs is in one place and in memory. The state machine has no
 //! clock and does no I/O; `docs/PLATFORM.md` has the reasons.
 
+mod ahead;
 mod ask;
+mod authority;
 mod commit;
+mod course;
+mod ends;
 pub mod event;
+mod evict;
 mod explain;
 mod flight;
+mod gangs;
 mod hear;
 mod jobs;
 mod judge;
+mod lapse;
+mod listing;
 mod machine;
+mod orders;
 mod plan;
+mod queue;
 pub mod record;
+mod start;
 mod store;
 mod tally;
 mod tell;
--- a/src/shard/store.rs
+++ b/src/shard/store.rs
@@ -9,7 +9,7 @@
             flight::Flight,
             machine::Shard,
             record::{CommitRow, Roster, write},
-            workers::WorkerNo,
+            workers::{WorkerNo, millis},
         },
         time::Time,
         work::JobNo,
@@ -22,10 +22,24 @@
 
 impl Shard {
     /// Begins a write, if there is something to write and none is out.
+    ///
+    /// Callers wait for the ends of jobs, and starts for the roster; the ends of tasks gather longer,
+    /// as each write is paid for and has the workers asked again.
     pub(super) fn flush(&mut self, now: Time) {
+        let over = |no: &JobNo| self.jobs.get(no).is_some_and(|j| j.state.over());
+        let urgent = self.roster || self.dirty.iter().any(over);
+        self.flush_as(urgent, now);
+    }
+
+    /// As [`Shard::flush`], whatever there is to write.
+    pub(super) fn flush_as(&mut self, urgent: bool, now: Time) {
         let unix = self.unix(now);
         let purge = self.purge.front().is_some_and(|(at, _)| *at <= unix);
-        if (self.dirty.is_empty() && !self.roster && !purge) || !self.commit.open(now) {
+        if self.dirty.is_empty() && !self.roster && !purge {
+            // An end of a job that is stored already has no write that would have it noted.
+            return self.note(now);
+        }
+        if !self.commit.open(urgent, now) {
             return;
         }
         let (number, rev) = self.commit.begin(now);
@@ -122,9 +136,17 @@
     }
 
     /// Ends whose jobs are stored are noted with the next hold of their worker.
-    fn note(&mut self, now: Time) {
+    ///
+    /// Guards against a task that runs again after its end was noted: as long as a worker of the
+    /// roster has not been heard, a former owner that doesn't know better may start it there, once
+    /// it has heard that the life where it ran is over.
+    pub(super) fn note(&mut self, now: Time) {
+        if !self.unsettled.is_empty() {
+            return;
+        }
         let busy: Vec<JobNo> = self.flight.jobs.iter().map(|f| f.0).collect();
         let (jobs, workers) = (&self.jobs, &mut self.workers);
+        let noted = &mut self.tally.noted;
         for w in workers.iter_mut().filter(|w| !w.pending.is_empty()) {
             while let Some((number, no, place)) = w.pending.front().copied() {
                 let stored = jobs.get(&no).is_none_or(|j| j.stored >= place);
@@ -132,9 +154,19 @@
                     break;
                 }
                 w.seen = number;
+                *noted += 1;
                 w.pending.pop_front();
                 w.next = now;
             }
         }
     }
+
+    /// Forgets jobs that have been over for long; the store's rows go with the next write.
+    pub(super) fn trim(&mut self, now: Time) {
+        let unix = self.unix(now);
+        let old = millis(self.setup.bounds.keep) * 2;
+        if self.purge.front().is_some_and(|(at, _)| at + old < unix) {
+            log::warn!(target: "shard", "Shard {} is behind with its clean-up.", self.setup.shard);
+        }
+    }
 }
--- a/src/shard/tell.rs
+++ b/src/shard/tell.rs
@@ -57,6 +57,17 @@
         log::debug!(target: "shard", did = "known", job:% = no, shard:% = shard, token, queue = &*job.queue, steps, after_ms, old = job.old; "Job is known to its owner.");
     }
 
+    /// Tells of tasks that are started again, and of how their last runs are counted.
+    fn tell_again(&self, key: &StepKey, starts: &[(TaskKey, WorkerNo, u32)]) {
+        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
+        let Some(part) = part else { return };
+        let last = |t: &TaskKey| part.tasks.get(t.index as usize).map_or(0, |t| t.run);
+        let mut again = starts.iter().filter(|(t, ..)| last(t) > 0);
+        let Some((task, no, run)) = again.next() else { return };
+        let (last, tasks, worker) = (last(task), 1 + again.count(), &self.workers[no.0].id);
+        log::info!(target: "shard", did = "again", job:% = key.job, task:% = task, run, last, tasks, worker:% = worker; "Task starts again.");
+    }
+
     /// Tells of the first start of a step, and of what it has waited for.
     pub(super) fn tell_start(
         &mut self,
@@ -64,12 +75,16 @@
         starts: &[(TaskKey, WorkerNo, u32)],
         now: Time,
     ) {
+        self.tell_again(key, starts);
         let unix = self.unix(now);
         let settled = self.told.settled;
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let (came, old, begun) = (job.came.max(job.due(key.time)), job.old, job.begun);
         let Some(part) = job.parts.get_mut(&(key.time, key.step)) else { return };
         let Some((_, first, run)) = starts.first() else { return };
+        let step = job.job.steps.get(usize::from(key.step));
+        let (each, gang) = step.map(|s| (s.counted(), s.gang)).unwrap_or_default();
+        let queue = job.queue.clone();
         if mem::replace(&mut part.begun, true) {
             return;
         }
@@ -85,7 +100,7 @@
         let advice_ms = part.advised.filter(|a| *a > ready).map_or(0, |a| millis(a - ready));
         let (worker, listed_ms) = (&self.workers[first.0].id, millis(now - self.told.listed));
         let (after_ms, delay_ms, tasks) = (unix.saturating_sub(came), millis(delay), starts.len());
-        log::info!(target: "shard", did = "start", job:% = key.job, step:% = key, run, tasks, worker:% = worker, delay_ms, reason, advice_ms, after_ms, listed_ms; "Step starts.");
+        log::info!(target: "shard", did = "start", job:% = key.job, step:% = key, run, tasks, worker:% = worker, queue = &*queue, each:% = each, gang, delay_ms, reason, advice_ms, after_ms, listed_ms; "Step starts.");
         *self.tally.starts.entry(reason).or_default() += 1;
         if !begun {
             job.begun = true;
