--- a/standin/src/soak/member.rs
+++ b/standin/src/soak/member.rs
@@ -98,7 +98,7 @@
                 callers: at[0],
                 ready: at[1],
                 control: at[2],
-                metrics: at[3],
+                metrics: [at[3]].into(),
                 store: store.listen().await?,
                 advice: Some(serving.advice[no]),
                 lives: Some(serving.lives),
@@ -217,7 +217,7 @@
         let front = callers.listen().await?;
         self.one(no, |m| {
             (m.site.callers, m.site.ready) = (at[0], at[1]);
-            (m.site.control, m.site.metrics) = (at[2], at[3]);
+            (m.site.control, m.site.metrics) = (at[2], [at[3]].into());
             m.callers.set(Mode::Cut);
             (m.callers, m.front) = (callers, front);
         });
