--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -92,7 +92,7 @@
         }
         // Guards against a gang for which all its workers together are too small: it would wait for
         // ever, and the room kept for a part of it would keep all behind it waiting as long.
-        if turn.step.gang { vec![] } else { wish }
+        if step.gang && wish.len() < step.count as usize { vec![] } else { wish }
     }
 
     /// Whether the ticket for a worker ends before a time.
