--- a/src/decide/upkeep.rs
+++ b/src/decide/upkeep.rs
@@ -11,7 +11,7 @@
 //! *Thresholds:* a seventh of the time is kept in hand, for a takeover or an order without an answer.
 //! What is left is shared among the rounds that are left, so that the first VMs wait for their
 //! tasks' ends no longer than the last. A round needs the upkeep itself, up to a second until the list
-//! of VMs shows its end, and [`EMPTY`] for lasting tasks to start elsewhere. Where a round has
+//! of VMs shows its end, and `EMPTY` for lasting tasks to start elsewhere. Where a round has
 //! less than twice that, the next VMs are emptied while the ones before are down; that takes
 //! twice the room away, so it is not done where there is time.
 
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -22,6 +22,7 @@
             AdviceCost, Job, JobNo, Listed, Pool, Queue, Queues, State, Step, StepKey, TaskKey,
         },
     },
+    standin::site::setup,
     std::{collections::VecDeque, mem, sync::Arc, time::Duration},
     store::{Fate, Store},
     worker::Worker,
@@ -67,22 +68,7 @@
 }
 
 fn bounds() -> Bounds {
-    let ms = Duration::from_millis;
-    Bounds {
-        hold: HOLD,
-        stop: STOP,
-        gang: ms(5_000),
-        keep: ms(300_000),
-        remote: 1.5,
-        save: ms(1_000),
-        restore: ms(500),
-        harm: ms(4_000),
-        notice: ms(2_000),
-        config: ms(3_000),
-        drain: ms(2_000),
-        grace: ms(10_000),
-        ttl: ms(3_000),
-    }
+    Bounds { hold: HOLD, stop: STOP, ..setup::bounds() }
 }
 
 /// The queues `plain`, and `advised`, whose steps need advice, on one pool.
--- a/tests/release.rs
+++ b/tests/release.rs
@@ -4,7 +4,7 @@
     dogwoodreach::{
         Time,
         ids::Incarnation,
-        ports::{Bounds, StoreReply},
+        ports::StoreReply,
         shard::{
             Setup, Shard,
             event::{Event, Load, Order},
@@ -12,28 +12,9 @@
         },
         work::{Job, JobNo, Step},
     },
-    std::time::Duration,
+    standin::site::setup::bounds,
 };
 
-fn bounds() -> Bounds {
-    let ms = Duration::from_millis;
-    Bounds {
-        hold: ms(8_000),
-        stop: ms(1_000),
-        gang: ms(5_000),
-        keep: ms(300_000),
-        remote: 1.5,
-        save: ms(1_000),
-        restore: ms(500),
-        harm: ms(4_000),
-        notice: ms(2_000),
-        config: ms(3_000),
-        drain: ms(2_000),
-        grace: ms(10_000),
-        ttl: ms(3_000),
-    }
-}
-
 /// The number of the write among these orders; there must be nothing else.
 fn write(orders: &[Order]) -> Option<u64> {
     match orders {
