A shard's rows are read at once by its new owner

Ruled out: that the order of the reads matters (who takes over has changed the commit row, so nobody else changes what has been begun; the inbox is followed from before).

--- a/src/owner.rs
+++ b/src/owner.rs
@@ -125,21 +125,27 @@
     }
 
     /// Reads what the store holds of a shard; the revision is that from which its inbox goes on.
+    ///
+    /// All at once: nobody but its owner changes what has been begun, and a shard stands still for as
+    /// long as a slow store takes.
     async fn load(&self, shard: ShardNo, commit: Rev) -> Result<(Load, Rev), Fault> {
-        let inbox = shard.inbox();
-        let (items, _) = self.outside.all(&inbox, false).await?;
+        let (inbox, begun, roster) = (shard.inbox(), shard.all_progress(), shard.roster());
+        let (arrived, begun, roster) = tokio::try_join!(
+            self.outside.all(&inbox, false),
+            self.outside.all(&begun, false),
+            self.outside.get(&roster, CALL),
+        )?;
         let mut load = Load { commit, ..Load::default() };
-        for event in items.iter().filter_map(|i| arrival(&inbox, i)) {
+        for event in arrived.0.iter().filter_map(|i| arrival(&inbox, i)) {
             match event {
                 Event::Job(job, record) => load.jobs.push((job, *record)),
                 Event::Cancel(job) => load.cancels.push(job),
                 _ => {}
             }
         }
-        let (items, _) = self.outside.all(&shard.all_progress(), false).await?;
         let progress = |i: &Item| Some((job(&i.key)?, record::read(i.value.as_ref()?)?));
-        load.progress = items.iter().filter_map(progress).collect();
-        if let Some(item) = self.outside.get(&shard.roster(), CALL).await? {
+        load.progress = begun.0.iter().filter_map(progress).collect();
+        if let Some(item) = roster {
             let value = item.value.unwrap_or_default();
             load.roster = record::read(&value).ok_or(Fault::Bad("not a roster".into()))?;
         }
