--- /dev/null
+++ b/tests/yard/mail.rs
@@ -0,0 +1,169 @@
+//! What is on its way in the yard, and what becomes of it.
+
+use super::*;
+
+impl Yard {
+    pub(super) fn handle(&mut self, mail: Mail) {
+        match mail {
+            Mail::Tell(owner, event) => self.hear(owner, event),
+            Mail::Call(ring) => self.call(ring),
+            Mail::Store(owner, number, txn) => self.txn(owner, number, &txn),
+            Mail::Again(txn) => drop(self.store.txn(&txn)),
+            Mail::Reread(owner) => self.reread(owner),
+            Mail::Ask(owner, via, call, sent, limit) => self.ask(owner, via, call, sent, limit),
+            Mail::Advise(owner, via, call, sent) => {
+                let valid = self.cost(&call).valid;
+                let reply = Ok(self.world.advice.answer(&call, valid, self.now));
+                let at = self.now + self.net();
+                self.post(at, Mail::Tell(owner, Event::Advised { call, via, sent, reply }));
+            }
+            Mail::Do(deed) => deed(self),
+        }
+    }
+
+    fn hear(&mut self, at: usize, event: Event) {
+        let owner = &mut self.owners[at];
+        match (owner.gone, owner.paused, &event) {
+            (true, _, _) | (false, true, Event::Tick) => {}
+            (false, true, _) => owner.held.push(event),
+            (false, false, Event::Tick) if owner.stalled => {}
+            (false, false, _) if owner.stalled => owner.shard.take(event, self.now),
+            _ => {
+                let orders = owner.shard.on(event, self.now);
+                orders.into_iter().for_each(|o| self.order(at, o));
+            }
+        }
+    }
+
+    fn order(&mut self, owner: usize, order: Order) {
+        let (now, there) = (self.now, self.now + self.net());
+        self.orders += 1;
+        match order {
+            Order::Worker { worker, addr, call, limit } => {
+                let at = usize::from(addr.port()) - 1_000;
+                let late = self.late > 0 && self.rng.u32(0..self.late) == 0;
+                let wait = Duration::from_millis(self.rng.u64(2_000..12_000));
+                let ring = Ring { owner, worker, at, call, sent: now, over: now + limit, late };
+                if late {
+                    self.answer(&ring, None);
+                }
+                self.post(if late { now + wait } else { there }, Mail::Call(ring));
+            }
+            Order::Advise { via, call, sent, limit } => {
+                self.post(there, Mail::Ask(owner, via, call, sent, limit));
+            }
+            Order::Store(number, txn) => self.post(there, Mail::Store(owner, number, txn)),
+            Order::Lives => {
+                // Workers that are cut off run on, and are on the list.
+                let up = |at: &usize| self.world.workers[*at].up;
+                let lives = (0..self.world.workers.len()).filter(up).map(|at| self.world.id(at));
+                let event = Event::Lives { sent: now, reply: Ok(lives.collect()) };
+                let back = there + self.net();
+                self.post(back, Mail::Tell(owner, event));
+            }
+            Order::Reread => self.post(there, Mail::Reread(owner)),
+            Order::Deposed => self.owners[owner].gone = true,
+        }
+    }
+
+    /// Gives a worker's answer, or that none came in time.
+    fn answer(&mut self, ring: &Ring, reply: Option<Reply>) {
+        let at = self.now + self.net();
+        let (at, reply) = match reply {
+            Some(reply) if at <= ring.over => (at, Ok(reply)),
+            _ => (ring.over, Err(Fault::Unknown)),
+        };
+        let (worker, call, sent) = (ring.worker.clone(), ring.call.clone(), ring.sent);
+        let event = Event::Worker { worker, sent, call, reply };
+        self.post(at, Mail::Tell(ring.owner, event));
+    }
+
+    fn call(&mut self, ring: Ring) {
+        let w = &self.world.workers[ring.at];
+        if !w.up && !w.cut && !ring.late {
+            let (worker, call, sent) = (ring.worker, ring.call, ring.sent);
+            let event = Event::Worker { worker, sent, call, reply: Err(Fault::Unsent) };
+            return self.post(self.now, Mail::Tell(ring.owner, event));
+        }
+        let reply = self.world.call(ring.at, &ring.worker, &ring.call, ring.late);
+        if ring.late {
+            return;
+        }
+        match (&*ring.call, &reply) {
+            (WorkerCall::Hold { wait, .. }, Some(Reply::Held(held)))
+                if held.ended.is_empty() && !wait.is_zero() =>
+            {
+                let until = self.now + *wait;
+                self.waits.push((ring, until));
+            }
+            _ => self.answer(&ring, reply),
+        }
+    }
+
+    /// A hold waits for an end.
+    pub(super) fn wait(&mut self, ring: Ring, until: Time) {
+        let w = &self.world.workers[ring.at];
+        let other = self.world.id(ring.at) != ring.worker;
+        if !w.up || w.cut || w.hung || other {
+            return self.answer(&ring, None);
+        }
+        let held = self.world.held(ring.at);
+        if held.ended.is_empty() && self.now < until {
+            return self.waits.push((ring, until));
+        }
+        self.answer(&ring, Some(Reply::Held(held)));
+    }
+
+    fn txn(&mut self, owner: usize, number: u64, txn: &Txn) {
+        let at = self.now + self.store.delay();
+        let unheard = (self.now + STORE_LIMIT, Err(Fault::Unknown));
+        let (at, reply) = match self.store.fate() {
+            Fate::Answered => (at, Ok(self.store.txn(txn))),
+            Fate::Refused => (at, Err(Fault::Refused)),
+            Fate::Unheard => unheard,
+            Fate::Lost(wait) => {
+                self.post(self.now + wait, Mail::Again(txn.clone()));
+                unheard
+            }
+        };
+        self.post(at, Mail::Tell(owner, Event::Stored(number, reply)));
+    }
+
+    fn reread(&mut self, owner: usize) {
+        let row = |i: Item| Some((i.rev, read::<CommitRow>(&i.value?)?));
+        let (at, reply) = match self.store.fate() {
+            Fate::Answered => {
+                let row = self.store.get(&SHARD.commit()).and_then(row);
+                (self.now + self.store.delay(), row.ok_or(Fault::Bad("no commit row".into())))
+            }
+            Fate::Refused => (self.now + self.store.delay(), Err(Fault::Refused)),
+            Fate::Unheard | Fate::Lost(_) => (self.now + STORE_LIMIT, Err(Fault::Unknown)),
+        };
+        self.post(at, Mail::Tell(owner, Event::Reread(reply)));
+    }
+
+    /// What advice on a step costs.
+    fn cost(&self, call: &AdviceCall) -> AdviceCost {
+        let cost = self.world.queue(call.step.job).and_then(|q| q.advice);
+        cost.expect("advice is asked for only where it is needed")
+    }
+
+    fn ask(
+        &mut self,
+        owner: usize,
+        via: Incarnation,
+        call: Box<AdviceCall>,
+        sent: Time,
+        limit: Duration,
+    ) {
+        let cost = self.cost(&call);
+        let (at, reply) = match self.world.advice.ask(via, &call, cost, self.now) {
+            Ok(at) if at < sent + limit => {
+                return self.post(at, Mail::Advise(owner, via, call, sent));
+            }
+            Ok(_) | Err(Fault::Unknown) => (sent + limit, Err(Fault::Unknown)),
+            Err(fault) => (self.now + self.net(), Err(fault)),
+        };
+        self.post(at, Mail::Tell(owner, Event::Advised { call, via, sent, reply }));
+    }
+}
