--- a/src/decide/ahead.rs
+++ b/src/decide/ahead.rs
@@ -41,16 +41,19 @@
     pub first: u8,
     /// And at the last look.
     pub last: u8,
+    /// When that was.
+    pub looked: Time,
     /// What the whole of its work is expected to take.
     pub estimate: Duration,
 }
 
-/// When a run is expected to end: by what it has done so far, and by its estimate before that tells.
-pub fn end(run: Progress, now: Time) -> Time {
+/// When a run is expected to end: by what it had done at the last look, and by its estimate before that
+/// tells.
+pub fn end(run: Progress) -> Time {
     let done = run.last.saturating_sub(run.first);
     let left = f64::from(100_u8.saturating_sub(run.last));
     if done >= TELLS {
-        return now + (now - run.began).mul_f64(left / f64::from(done));
+        return run.looked + (run.looked - run.began).mul_f64(left / f64::from(done));
     }
     let whole = f64::from(100_u8.saturating_sub(run.first)) / 100.0;
     run.began + run.estimate.mul_f64(whole)
--- a/src/decide/lanes.rs
+++ b/src/decide/lanes.rs
@@ -11,9 +11,10 @@
 //! avoids the member that was late, their calls meet everywhere. So a short call goes only through
 //! members that no other caller uses, unless all of these are set aside.
 //!
-//! *Thresholds:* a call is long over 200 ms, the most by which a task that is due within 250 ms can
-//! be held up. Two lanes stay free of long calls, so that one may fail and a short call still waits
-//! for short ones only. A lane holds two calls, the second to hide the way there and back, which is
+//! *Thresholds:* a call is long over 100 ms: tasks of 0.8 s that are due within 1.5 s have 0.4 s left
+//! beside two calls of theirs, and a hundred such a second with calls of 15 ms fill one lane and a half.
+//! Two lanes stay free of long calls, and one in eight of many, so that one may fail and a short call
+//! still waits for short ones only. A lane holds two calls, the second to hide the way there and back, which is
 //! a third of a short call; deeper ones only fix an order too early. For a long call it hides
 //! nothing, so that only one that has no time left is put second. A lane is set aside for 1 s, as
 //! long as a short loss lasts, and twice as long each next time to 8 s, by when a member that is
@@ -26,9 +27,11 @@
 };
 
 /// A call that takes longer is long.
-const LONG: Duration = Duration::from_millis(200);
-/// The lanes that are kept for short calls.
+const LONG: Duration = Duration::from_millis(100);
+/// The least lanes that are kept for short calls.
 const KEPT: usize = 2;
+/// Of many lanes one in so many is kept for them.
+const PART: usize = 8;
 /// The calls that one lane holds.
 const DEPTH: usize = 2;
 /// The first time for which a lane is set aside.
@@ -173,7 +176,8 @@
     fn best(&self, cost: Duration, now: Time) -> Option<(usize, Time)> {
         let usable = self.all.iter().filter(|l| !l.aside(now));
         let none = usable.clone().next().is_none();
-        let most = usable.clone().count().saturating_sub(KEPT).max(1);
+        let all = usable.clone().count();
+        let most = all.saturating_sub(KEPT.max(all / PART)).max(1);
         let held = usable.filter(|l| l.long()).count();
         let long = cost > LONG;
         let own = self.all[..self.own].iter().any(|l| !l.aside(now));
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -12,6 +12,7 @@
 pub mod fit;
 mod flow;
 pub mod gang;
+pub mod gather;
 pub mod lanes;
 pub mod order;
 pub mod pace;
--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -36,6 +36,11 @@
     pub fn class(&self) -> usize {
         usize::from(self.class)
     }
+
+    /// When it is due, in milliseconds of the Unix clock.
+    pub fn due(&self) -> u64 {
+        self.due
+    }
 }
 
 /// What a rank is made of.
--- a/src/layout.rs
+++ b/src/layout.rs
@@ -24,8 +24,9 @@
 ///
 /// Guards against a step that no shard can hold, though its pool could: it runs one task on a worker
 /// at the most, and three workers in ten may run it. 18 of 84 did where it had 24 tasks, and the
-/// others waited for ever beside a pool that was mostly free. The widest steps have some 90 tasks.
-const SHARE: usize = 300;
+/// others waited for ever beside a pool that was mostly free. The widest steps have some 90 tasks; a
+/// gang of as many that take half a worker each needs 44 at once, and of half a pool of 350 it has 52.
+const SHARE: usize = 400;
 /// The most shards.
 const SHARDS: usize = 64;
 /// How long the list of workers has to be still.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -27,6 +27,7 @@
 mod plan;
 mod queue;
 pub mod record;
+mod reserve;
 mod start;
 mod store;
 mod tally;
--- a/src/shard/ahead.rs
+++ b/src/shard/ahead.rs
@@ -63,10 +63,16 @@
 }
 
 /// When a run is expected to end.
-fn end(run: &Run, now: Time) -> Time {
+pub(super) fn end(run: &Run, now: Time) -> Time {
     if run.phase == Phase::Stopping {
         return now;
     }
     let (first, last) = run.percent;
-    ahead::end(Progress { began: run.began, first, last, estimate: run.estimate }, now)
+    ahead::end(Progress {
+        began: run.began,
+        first,
+        last,
+        looked: run.looked,
+        estimate: run.estimate,
+    })
 }
--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -6,14 +6,20 @@
 
 use {
     crate::{
-        decide::rank::objective,
-        ids::{Incarnation, WorkerId},
+        decide::{gather::chunk, rank::objective},
+        ids::Incarnation,
         ports::{Advice, AdviceCall, Fault},
-        shard::{event::Order, jobs::At, machine::Shard, workers::WorkerNo},
+        shard::{
+            event::Order,
+            jobs::At,
+            machine::Shard,
+            plan::{Round, Turn},
+            workers::WorkerNo,
+        },
         time::Time,
         work::{AdviceCost, StepKey},
     },
-    std::time::Duration,
+    std::{cmp::Reverse, time::Duration},
 };
 
 /// The most workers that one call names.
@@ -36,20 +42,81 @@
         cost: AdviceCost,
         now: Time,
     ) {
+        if self.part(key).is_none_or(|p| p.tickets.asking()) {
+            return;
+        }
         let workers = self.unasked(key, usable, MOST);
         self.ask(key, workers, cost, now);
     }
 
+    /// Asks about workers for the tasks that would find no room on those that are known: those with the
+    /// most room first, and no more than are needed.
+    pub(super) fn ask_wide(&mut self, turn: &Turn, round: &Round, now: Time) {
+        let Turn { key, ref step, advice, .. } = *turn;
+        let (Some(cost), Some(part)) = (advice, self.part(key)) else { return };
+        if !part.tickets.out.is_empty() {
+            return;
+        }
+        let chunk = chunk(cost.base, cost.each);
+        let takes = cost.base + cost.each * u32::try_from(chunk).unwrap_or(u32::MAX);
+        // Gangs have room made for them; others take what is free or will be.
+        let (stops, by) = match step.gang {
+            true => (Some(turn.priority), now + takes + self.setup.bounds.stop),
+            false => (None, now + takes),
+        };
+        let size = step.counted();
+        let slots = |no: WorkerNo| {
+            let ends = self.frees_at(no, stops, now);
+            let free =
+                ends.iter().filter(|f| f.0 <= by).fold(self.workers[no.0].free(), |a, f| a + f.1);
+            let slots = size.count(&free.saturating_sub(&round.all_claims(no)));
+            let most = if step.apart > 0 { slots.min(step.apart.into()) } else { slots };
+            u32::try_from(most).unwrap_or(u32::MAX)
+        };
+        let known: u32 = self.good(turn).into_iter().map(slots).sum();
+        let asked = &part.tickets.asked;
+        let new = turn.usable.iter().copied().filter(|n| !asked.contains(n));
+        let mut new: Vec<(u32, WorkerNo)> = new.map(|n| (slots(n), n)).collect();
+        // Steps begin with different ones where one worker is as good as another.
+        let mix = |n: &WorkerNo| (n.0 as u64 ^ key.job.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        new.sort_by_key(|(slots, n)| (Reverse(*slots), mix(n)));
+        let missing = u32::try_from(turn.waiting.len()).unwrap_or(u32::MAX).saturating_sub(known);
+        let share = self.shares.get(&turn.queue).copied().unwrap_or_default();
+        let wide = new.iter().map(|n| n.0).take_while(|s| *s > 0);
+        // Up to here further ones cost little, and those without room are learnt of for later.
+        let count = share.named(wide, missing.max(1)).max(chunk);
+        let workers = new.into_iter().take(count).map(|n| n.1).collect();
+        self.ask_many(key, workers, cost, now);
+    }
+
+    /// Asks about these workers in calls that go side by side, as long as members are free for them.
+    ///
+    /// Guards against a gang whose first tickets are over before its last have come.
+    pub(super) fn ask_many(
+        &mut self,
+        key: &StepKey,
+        workers: Vec<WorkerNo>,
+        cost: AdviceCost,
+        now: Time,
+    ) {
+        let Some(part) = self.part(key) else { return };
+        let new: Vec<WorkerNo> =
+            workers.into_iter().filter(|n| !part.tickets.out.contains(n)).collect();
+        let calls = new.len().div_ceil(chunk(cost.base, cost.each)).max(1);
+        for some in new.chunks(new.len().div_ceil(calls).max(1)) {
+            self.ask(key, some.to_vec(), cost, now);
+        }
+    }
+
     /// Workers that were not asked about yet.
-    fn unasked(&self, key: &StepKey, usable: &[WorkerNo], most: usize) -> Vec<WorkerId> {
-        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
-        let Some(part) = part else { return vec![] };
+    fn unasked(&self, key: &StepKey, usable: &[WorkerNo], most: usize) -> Vec<WorkerNo> {
+        let Some(part) = self.part(key) else { return vec![] };
         // Where not all can be named at once, steps begin with different ones.
         let first = usize::try_from(key.job.0).unwrap_or(0) % usable.len().max(1);
         let (before, after) = usable.split_at(first);
         let asked = &part.tickets.asked;
         let new = after.iter().chain(before).filter(|n| !asked.contains(n));
-        new.take(most).map(|n| self.workers[n.0].id.clone()).collect()
+        new.take(most).copied().collect()
     }
 
     /// Asks for new tickets where there is room, or about workers that have come since.
@@ -62,11 +129,7 @@
         now: Time,
     ) {
         if stale.is_empty() {
-            let Some(part) =
-                self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)))
-            else {
-                return;
-            };
+            let Some(part) = self.part(key) else { return };
             // Guards against a step that waits for ever though a worker has come that may run it: those
             // that it knows of may be full, or have as many of its tasks as they may.
             let known = |n: &WorkerNo| part.tickets.asked.contains(n);
@@ -76,27 +139,29 @@
             return self.ask_all(key, usable, cost, now);
         }
         let mut all: Vec<WorkerNo> = stale.to_vec();
-        all.sort_by_key(|n| std::cmp::Reverse(self.workers[n.0].free().cores));
-        let mut workers: Vec<WorkerId> =
-            all.iter().take(AGAIN).map(|n| self.workers[n.0].id.clone()).collect();
-        workers.extend(self.unasked(key, usable, AGAIN - workers.len()));
-        self.ask(key, workers, cost, now);
+        all.sort_by_key(|n| Reverse(self.workers[n.0].free().cores));
+        if self.part(key).is_none_or(|p| p.tickets.asking()) {
+            return;
+        }
+        all.truncate(AGAIN);
+        let more = self.unasked(key, usable, AGAIN - all.len());
+        all.extend(more);
+        self.ask(key, all, cost, now);
     }
 
     /// When the ticket of a step for a worker ends.
     pub(super) fn valid_until(&self, key: &StepKey, no: WorkerNo) -> Option<Time> {
-        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
-        part.and_then(|p| p.tickets.good.get(&no)).map(|t| t.1)
+        self.part(key).and_then(|p| p.tickets.good.get(&no)).map(|t| t.1)
     }
 
-    fn ask(&mut self, key: &StepKey, workers: Vec<WorkerId>, cost: AdviceCost, now: Time) {
+    fn ask(&mut self, key: &StepKey, workers: Vec<WorkerNo>, cost: AdviceCost, now: Time) {
         let unix = self.unix(now);
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let chain = job.allowed(key.time);
         let came = job.came.max(job.due(key.time));
         let due = self.known.get(&job.queue).map_or(Duration::ZERO, |q| objective(q, chain));
         let Some(part) = job.parts.get_mut(&(key.time, key.step)) else { return };
-        if workers.is_empty() || part.tickets.asking || part.tickets.next > now {
+        if workers.is_empty() || part.tickets.next > now {
             return;
         }
         let takes = cost.base + cost.each * u32::try_from(workers.len()).unwrap_or(u32::MAX);
@@ -105,7 +170,12 @@
         else {
             return;
         };
-        part.tickets.asking = true;
+        part.tickets.out.extend(&workers);
+        let asked = self.asked.entry(job.queue.clone()).or_default();
+        asked.calls += 1;
+        asked.named += workers.len() as u64;
+        asked.takes += takes;
+        let workers = workers.iter().map(|n| self.workers[n.0].id.clone()).collect();
         let call = Box::new(AdviceCall { step: *key, workers });
         self.out.push(Order::Advise { via, call, sent: now, limit: (end - now) + SLACK });
     }
@@ -125,17 +195,24 @@
         let Some(job) = self.jobs.get_mut(&key.job) else { return };
         let valid = self.known.get(&job.queue).and_then(|q| q.advice).map(|a| a.valid);
         let Some(part) = job.parts.get_mut(&(key.time, key.step)) else { return };
-        part.tickets.asking = false;
+        let ids = &self.ids;
+        let named: Vec<WorkerNo> =
+            call.workers.iter().filter_map(|id| ids.get(id)).copied().collect();
+        part.tickets.out.retain(|n| !call.workers.contains(&self.workers[n.0].id));
         match reply {
             Ok(advice) => {
+                let new = named.iter().filter(|n| !part.tickets.asked.contains(n)).count();
+                if new == named.len() {
+                    let share = self.shares.entry(job.queue.clone()).or_default();
+                    share.learn(new, advice.good.len());
+                }
                 let valid = advice.valid.or(valid).unwrap_or(Duration::from_secs(1));
                 let until = now + valid.saturating_sub(EARLY);
                 part.advised = part.advised.or((!advice.good.is_empty()).then_some(now));
-                let ids = &self.ids;
                 let good = advice.good.into_iter();
                 let good = good.filter_map(|(id, t)| Some((*ids.get(&id)?, (t, until))));
                 part.tickets.good.extend(good);
-                part.tickets.asked.extend(call.workers.iter().filter_map(|id| ids.get(id)));
+                part.tickets.asked.extend(named);
             }
             Err(fault) => {
                 log::info!(target: "shard", did = "unadvised", job:% = key.job, step:% = key, via:% = via, fault = crate::store::fault_name(&fault), after_ms = super::workers::millis(now - sent); "Advice has not come.");
@@ -155,20 +232,22 @@
             let Some(cost) = queue.advice else { continue };
             for ((time, step), part) in &job.parts {
                 let key = StepKey { job: *no, time: *time, step: *step };
-                let fresh = part.tickets.asked.is_empty() && !part.tickets.asking;
+                let fresh = part.tickets.asked.is_empty() && !part.tickets.asking();
                 if fresh && part.waiting > 0 && !job.free(*time, *step) {
                     let lead = cost.base + cost.each * 40 + Duration::from_millis(50);
                     if self.ends_within(&key, lead, now) {
-                        soon.push((key, queue.pool.clone(), cost));
+                        soon.push(key);
                     }
                 }
             }
         }
-        for (key, pool, cost) in soon {
-            let Some(all) = self.pools.get(&pool) else { continue };
-            let usable: Vec<_> =
-                all.iter().copied().filter(|n| self.workers[n.0].usable(now)).collect();
-            self.ask_all(&key, &usable, cost, now);
+        if soon.is_empty() {
+            return;
+        }
+        let round = self.survey(now);
+        for key in soon {
+            let Some(turn) = self.turn(&key, &round) else { continue };
+            self.ask_wide(&turn, &round, now);
         }
     }
 
--- a/src/shard/closing.rs
+++ b/src/shard/closing.rs
@@ -107,7 +107,7 @@
         }
     }
 
-    fn lasts(&self, task: &TaskKey) -> bool {
+    pub(super) fn lasts(&self, task: &TaskKey) -> bool {
         let step = self.jobs.get(&task.step.job).and_then(|j| j.step(&task.step));
         step.is_some_and(|s| s.lasts)
     }
--- a/src/shard/evict.rs
+++ b/src/shard/evict.rs
@@ -41,7 +41,7 @@
         good: &[Room],
         now: Time,
     ) -> Vec<(u32, WorkerNo)> {
-        let Turn { key, step, .. } = *turn;
+        let Turn { key, ref step, .. } = *turn;
         let queue = self.jobs.get(&key.job).and_then(|j| self.known.get(&j.queue));
         let Some(priority) = queue.map(|q| q.priority) else { return vec![] };
         let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
@@ -93,6 +93,7 @@
                     break;
                 }
                 free += freed;
+                self.tell_stop(plan.no, &task, "more urgent work");
                 self.stop(plan.no, &task, now);
             }
             places.extend((0..take).map(|_| plan.no));
--- a/src/shard/explain.rs
+++ b/src/shard/explain.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        shard::{jobs::At, machine::Shard},
+        shard::{jobs::At, machine::Shard, plan::Round, workers::WorkerNo},
         time::Time,
         work::{JobNo, StepKey, TaskKey},
     },
@@ -46,9 +46,50 @@
                 sum(|w| w.listed.as_ref().map_or(0, |l| l.size.accels.0)),
             );
         }
+        for (queue, asked) in &self.asked {
+            let took = asked.takes.as_secs_f64();
+            let _ = write!(
+                text,
+                "; advice {queue}: {} calls, {} named, {took:.1} s",
+                asked.calls, asked.named
+            );
+        }
+        let kept: u32 = self.reserved.values().flat_map(|r| &r.each).map(|e| e.1).sum();
+        let _ = write!(text, "; room kept for {} gangs of {kept} tasks", self.reserved.len());
         text.into()
     }
 
+    /// What a step waits for that is in order.
+    pub(super) fn cause(&self, key: &StepKey, round: &Round, now: Time) -> &'static str {
+        let (Some(turn), Some(part)) = (self.turn(key, round), self.part(key)) else {
+            return "its queue is not known";
+        };
+        if self.jobs.get(&key.job).is_some_and(|j| j.old) && !self.unsettled.is_empty() {
+            return "workers of a former owner are silent";
+        }
+        if self.reserved.contains_key(key) {
+            return "room that is kept for it";
+        }
+        let (size, good) = (turn.step.counted(), self.good(&turn));
+        let room = |empty: bool| -> u64 {
+            let of = |no: &WorkerNo| match (empty, &self.workers[no.0].listed) {
+                (true, Some(listed)) => size.count(&listed.size),
+                _ => size.count(&self.workers[no.0].free().saturating_sub(&round.all_claims(*no))),
+            };
+            good.iter().map(of).sum()
+        };
+        let wanted = if turn.step.gang { u64::from(turn.step.count) } else { 1 };
+        match () {
+            () if part.tickets.asking() && good.is_empty() => "its first advice",
+            () if good.is_empty() => "a worker that may run it",
+            () if room(true) < wanted => "more workers that may run it",
+            () if room(false) >= wanted && part.tickets.asking() => "new tickets",
+            () if room(false) >= wanted && self.next > now => "the next round",
+            () if room(false) >= wanted => "its turn",
+            () => "room",
+        }
+    }
+
     /// What each step of a job that is not over waits for, and where its tasks are.
     pub fn explain(&self, no: JobNo, now: Time) -> Box<str> {
         let Some(job) = self.jobs.get(&no) else { return "not known here, or over".into() };
@@ -72,7 +113,7 @@
                 t.asked.len(),
                 t.good.len(),
                 t.good.values().filter(|(_, until)| *until > now).count(),
-                t.asking,
+                t.asking(),
             );
             if let Some(s) = job.step(&key) {
                 let worker = |no: &super::workers::WorkerNo| &self.workers[no.0];
--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -1,102 +1,275 @@
 //! Gangs: all members start at once or none.
 //!
-//! Load: gangs whose members take half a worker or a whole one, among small tasks that take each bit of
-//! room as it comes. Without room kept for it a gang waits for ever.
+//! Load: wide gangs among small tasks that take each bit of room as it comes, on workers of which few
+//! may run them. A gang is given its workers once and keeps them until it starts
+//! ([`crate::decide::gather`]); what runs there ends or is stopped, and the tickets that it lacks are
+//! fetched side by side for the moment at which the room is there.
 
-use crate::{
-    decide::fit::Room,
-    shard::{
-        evict::PATIENCE,
-        machine::Shard,
-        plan::{Round, Turn, choose},
-        workers::WorkerNo,
+use {
+    crate::{
+        decide::gather::{self, CHOICE, KEPT, KEPT_LATE, LONGEST, Offer, soonest},
+        shard::{
+            evict::PATIENCE,
+            machine::Shard,
+            plan::{Round, Turn, choose},
+            reserve::Reserve,
+            workers::{Phase, Run, WorkerNo, millis},
+        },
+        time::Time,
+        units::Size,
+        work::{StepKey, TaskKey},
     },
-    time::Time,
-    work::StepKey,
+    std::time::Duration,
 };
 
-/// How many gangs without room are kept supplied with valid tickets.
-const FRESH: usize = 3;
+/// What a call takes beyond its own time, and a start after it.
+const WAY: Duration = Duration::from_millis(150);
+/// The soonest at which a run that should be over is expected to be.
+const SOON: Duration = Duration::from_millis(50);
 
 impl Shard {
     /// Starts a gang if there is room for all of it at once, and keeps room for it if not.
-    ///
-    /// Guards against a gang that waits for ever: each end frees room for one of its members at the
-    /// most, and a step of smaller tasks behind it would take that at once; and while it asks for new
-    /// tickets, the room that it was found would be gone.
-    pub(super) fn place_gang(
-        &mut self,
-        turn: &Turn,
-        mut valid: Vec<Room>,
-        mut stale: Vec<Room>,
-        round: &mut Round,
-        now: Time,
-    ) {
-        let Turn { key, step, ref waiting, usable, advice } = *turn;
-        let mut good = valid.clone();
+    pub(super) fn place_gang(&mut self, turn: &Turn, round: &mut Round, now: Time) {
+        let Turn { key, ref step, ref waiting, .. } = *turn;
+        let mut valid = self.rooms(turn, round, now).0;
         let chosen = choose(step, waiting, &mut valid);
         if chosen.len() == waiting.len() {
+            self.reserved.remove(key);
             return self.start_all(key, step, &chosen, now);
         }
-        good.append(&mut stale);
-        let mut all = good.clone();
-        let mut later = choose(step, waiting, &mut all);
-        let room = later.len() == waiting.len();
-        if !room {
-            round.fresh += 1;
-            if round.fresh > FRESH {
-                return;
+        if self.reserved.get(key).is_some_and(|r| r.since + LONGEST <= now) {
+            log::info!(target: "shard", did = "released", job:% = key.job, step:% = key, cause = "too long"; "Room is no longer kept.");
+            self.reserved.remove(key);
+        }
+        if self.reserved.contains_key(key) || self.reserve(turn, round, now) {
+            self.tend(turn, round, now);
+        }
+    }
+
+    /// Keeps the workers for a gang at which it has room soonest; returns whether there are any.
+    fn reserve(&mut self, turn: &Turn, round: &mut Round, now: Time) -> bool {
+        let Turn { key, ref step, .. } = *turn;
+        if !round.try_more() {
+            return false;
+        }
+        let offers = self.offers(turn, round, now);
+        let Some(places) = soonest(offers, step.count) else {
+            // Where they are merely busy, further ones cost others their calls.
+            let size = step.counted();
+            let listed = |n: &WorkerNo| self.workers[n.0].listed.as_ref().map(|l| l.size);
+            let sizes = self.good(turn).iter().filter_map(listed).collect::<Vec<_>>();
+            let empty: u64 = sizes.iter().map(|s| size.count(s)).sum();
+            if empty < u64::from(step.count) * CHOICE {
+                self.ask_wide(turn, round, now);
+            }
+            return false;
+        };
+        let size = step.counted();
+        if !self.may_reserve(turn, round, size.times(step.count.into())) {
+            return false;
+        }
+        let (workers, in_ms) = (places.each.len(), millis(places.at - now));
+        log::debug!(target: "shard", did = "reserved", job:% = key.job, step:% = key, workers, in_ms; "Room is kept for a gang.");
+        let priority = turn.priority;
+        self.reserved
+            .insert(*key, Reserve { each: places.each, size, priority, since: now, at: places.at });
+        true
+    }
+
+    /// Whether so much more of the pool may be kept.
+    ///
+    /// Guards against a pool that stands idle for gangs that come together: each keeps room that it
+    /// can't use yet.
+    fn may_reserve(&self, turn: &Turn, round: &Round, more: Size) -> bool {
+        let quiet = round.quiet.contains(&turn.pool);
+        let late = !quiet && self.ranks.get(turn.key).is_none_or(|r| r.class() > 0);
+        let first = round.starving.contains(turn.key) || self.reserved.is_empty();
+        let part = if late { KEPT_LATE } else { KEPT };
+        let room = turn.usable.iter().filter_map(|n| self.workers[n.0].listed.as_ref());
+        let total = room.fold(Size::default(), |sum, l| sum + l.size);
+        let kept = self.reserved.values().fold(Size::default(), |sum, r| {
+            let members = r.each.iter().map(|e| u64::from(e.1)).sum();
+            sum + r.size.times(members)
+        });
+        first || (kept + more).times(part).fits(&total)
+    }
+
+    /// From when on each worker that may run the step has room for how many of its members.
+    fn offers(&self, turn: &Turn, round: &Round, now: Time) -> Vec<Offer<WorkerNo>> {
+        let Turn { key, ref step, .. } = *turn;
+        let size = step.counted();
+        let stops = self.stops_for(key, now).then_some(turn.priority);
+        let asker = self.asker(turn, false, now);
+        let mut offers = vec![];
+        for no in self.good(turn) {
+            let Some(listed) = &self.workers[no.0].listed else { continue };
+            if step.needs.as_ref().is_some_and(|label| !listed.has(label)) {
+                continue;
             }
-            later = self.evict(turn, waiting, &good, now);
-            if later.is_empty() {
-                later = self.wish(turn, &good, now);
+            let claims = round.claimed(no, &asker);
+            let most = if step.apart > 0 { step.apart.into() } else { u64::MAX };
+            let mut have = self.workers[no.0].free();
+            let mut known = 0;
+            let mut offer = |at: Time, have: &Size| {
+                let slots = size.count(&have.saturating_sub(&claims)).min(most);
+                if slots > known {
+                    let more = u32::try_from(slots - known).unwrap_or(u32::MAX);
+                    offers.push(Offer { worker: no, at, slots: more });
+                    known = slots;
+                }
+            };
+            offer(now, &have);
+            for (at, freed) in self.frees_at(no, stops, now) {
+                have += freed;
+                offer(at, &have);
             }
         }
-        self.keep(step, &later, round);
-        let Some(cost) = advice else { return };
-        let mut wanted: Vec<WorkerNo> = later.iter().map(|c| c.1).collect();
-        wanted.sort_unstable();
-        wanted.dedup();
-        // Of those without room a few are kept ready to start, so that room is used when it comes.
-        if !room {
-            let soon = |n: &WorkerNo| self.expires(key, *n, now + cost.base + cost.each * 10);
-            wanted.retain(soon);
-            wanted.extend(self.coming(turn, &good, cost, round, now));
-            wanted.sort_unstable();
-            wanted.dedup();
+        offers
+    }
+
+    /// The workers that may run a step and may get starts.
+    pub(super) fn good(&self, turn: &Turn) -> Vec<WorkerNo> {
+        let part = self.part(turn.key);
+        let may = |n: &WorkerNo| {
+            turn.advice.is_none() || part.is_some_and(|p| p.tickets.good.contains_key(n))
+        };
+        turn.usable.iter().copied().filter(may).collect()
+    }
+
+    /// When what runs at a worker is expected to leave, and what it frees; where `stops` is given, with
+    /// what may be stopped for work of that priority.
+    pub(super) fn frees_at(&self, no: WorkerNo, stops: Option<u8>, now: Time) -> Vec<(Time, Size)> {
+        let stopped = now + self.setup.bounds.stop;
+        let leaves = |(task, run): (&TaskKey, &Run)| {
+            let by_itself = match run.phase {
+                Phase::Stopping => Some((run.sent + self.setup.bounds.stop).max(now + SOON)),
+                _ if self.lasts(task) => None,
+                _ => Some(super::ahead::end(run, now).max(now + SOON)),
+            };
+            let may = run.phase == Phase::Running
+                && stops.is_some_and(|p| run.yields.is_some_and(|y| y > p));
+            let at = match by_itself {
+                Some(at) if may => Some(at.min(stopped)),
+                None if may => Some(stopped),
+                at => at,
+            };
+            at.map(|at| (at, run.size))
+        };
+        let mut all: Vec<_> = self.workers[no.0].runs.iter().filter_map(leaves).collect();
+        all.sort_unstable_by_key(|f| f.0);
+        all
+    }
+
+    /// When a worker has so much room beside what is kept for steps that come first.
+    fn there(
+        &self,
+        key: &StepKey,
+        (no, need): (WorkerNo, Size),
+        stops: Option<u8>,
+        round: &Round,
+        now: Time,
+    ) -> Option<Time> {
+        let wanted = need + round.before(no, key);
+        let mut have = self.workers[no.0].free();
+        if wanted.fits(&have) {
+            return Some(now);
+        }
+        for (at, freed) in self.frees_at(no, stops, now) {
+            have += freed;
+            if wanted.fits(&have) {
+                return Some(at);
+            }
         }
-        self.ask_again(key, &wanted, usable, cost, now);
+        None
     }
 
-    /// Where a gang without room would best wait for it: the workers with the most room.
-    pub(super) fn wish(&self, turn: &Turn, good: &[Room], now: Time) -> Vec<(u32, WorkerNo)> {
-        let Turn { key, step, .. } = *turn;
-        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
-        if part.and_then(|p| p.ready).is_none_or(|t| t + PATIENCE > now) {
-            return vec![];
+    /// Sees to it that a gang's room gets free, and that its tickets are valid then.
+    fn tend(&mut self, turn: &Turn, round: &Round, now: Time) {
+        let Turn { key, advice, .. } = *turn;
+        let Some(reserve) = self.reserved.get(key).cloned() else { return };
+        let good = self.good(turn);
+        if reserve.each.iter().any(|(no, _)| !good.contains(no)) {
+            log::info!(target: "shard", did = "released", job:% = key.job, step:% = key, cause = "a worker is out of use"; "Room is no longer kept.");
+            self.reserved.remove(key);
+            return;
         }
-        let size = step.counted();
-        let mut all: Vec<&Room> = good.iter().filter(|r| size.fits(&r.total)).collect();
-        all.sort_by_key(|r| std::cmp::Reverse((r.free.accels, r.free.cores)));
-        let mut wish = vec![];
-        for room in all {
-            let most = size.count(&room.total);
-            let cap = if step.apart > 0 { most.min(step.apart.into()) } else { most };
-            for _ in 0..cap {
-                let index = wish.len() as u32;
-                if index >= step.count {
-                    return wish;
+        let all = |stops| -> Option<Vec<Time>> {
+            let each = reserve.each.iter();
+            each.map(|(no, n)| {
+                let need = reserve.size.times((*n).into());
+                self.there(key, (*no, need), stops, round, now)
+            })
+            .collect()
+        };
+        let last = |all: &Option<Vec<Time>>| all.as_ref().and_then(|a| a.iter().max().copied());
+        let alone = all(None);
+        let mut at = last(&alone);
+        if at.is_none_or(|t| t > now + PATIENCE) && self.stops_for(key, now) {
+            let with = last(&all(Some(reserve.priority)));
+            let soon = now + self.setup.bounds.stop + PATIENCE;
+            if with.is_some_and(|w| w <= soon && at.is_none_or(|t| w + PATIENCE < t)) {
+                at = with;
+                for (i, (no, n)) in reserve.each.iter().enumerate() {
+                    if alone.as_ref().is_none_or(|a| a[i] > now + self.setup.bounds.stop) {
+                        let need = reserve.size.times((*n).into()) + round.before(*no, key);
+                        self.clear(*no, need, reserve.priority, now);
+                    }
                 }
-                wish.push((index, WorkerNo(room.index)));
             }
         }
-        // Guards against a gang for which all its workers together are too small: it would wait for
-        // ever, and the room kept for a part of it would keep all behind it waiting as long.
-        if step.gang && wish.len() < step.count as usize { vec![] } else { wish }
+        let Some(at) = at else {
+            self.reserved.remove(key);
+            return;
+        };
+        if let Some(reserve) = self.reserved.get_mut(key) {
+            reserve.at = at;
+        }
+        let Some(cost) = advice else { return };
+        let takes = cost.base
+            + cost.each * u32::try_from(gather::chunk(cost.base, cost.each)).unwrap_or(u32::MAX);
+        if at > now + takes + WAY {
+            return;
+        }
+        let old = |by: Time| -> Vec<WorkerNo> {
+            let each = reserve.each.iter().map(|e| e.0);
+            each.filter(|no| self.valid_until(key, *no).is_none_or(|until| until <= by)).collect()
+        };
+        if !old(at).is_empty() {
+            self.ask_many(key, old(at.max(now + takes + WAY)), cost, now);
+        }
+    }
+
+    /// Stops what less urgent work a worker has, until there is so much room.
+    fn clear(&mut self, no: WorkerNo, wanted: Size, priority: u8, now: Time) {
+        let worker = &self.workers[no.0];
+        let soon = now + self.setup.bounds.stop;
+        let (mut have, mut victims) = (worker.free(), vec![]);
+        for (task, run) in &worker.runs {
+            let ends = run.phase == Phase::Stopping
+                || (!self.lasts(task) && super::ahead::end(run, now) <= soon);
+            if ends {
+                have += run.size;
+            } else if run.phase == Phase::Running && run.yields.is_some_and(|y| y > priority) {
+                victims.push((run.percent.1, *task, run.size));
+            }
+        }
+        // Those that have done least first: the others end soon anyway.
+        victims.sort_unstable_by_key(|v| (v.0, v.1));
+        for (_, task, size) in victims {
+            if wanted.fits(&have) {
+                return;
+            }
+            have += size;
+            self.tell_stop(no, &task, "room for a gang");
+            self.stop(no, &task, now);
+        }
     }
 
-    /// Whether the ticket for a worker ends before a time.
-    fn expires(&self, key: &StepKey, no: WorkerNo, by: Time) -> bool {
-        self.valid_until(key, no).is_none_or(|until| until <= by)
+    /// Whether less urgent work may be stopped for a step: if it is in time then.
+    fn stops_for(&self, key: &StepKey, now: Time) -> bool {
+        let Some(job) = self.jobs.get(&key.job) else { return false };
+        let left = job.tails.get(usize::from(key.step)).copied().unwrap_or_default();
+        let begin = self.unix(now + self.setup.bounds.stop);
+        self.ranks.get(key).is_some_and(|r| r.class() == 0 && begin + millis(left) <= r.due())
     }
 }
--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -149,6 +149,7 @@
             began: now,
             tries: 1,
             percent: (row.percent, row.percent),
+            looked: now,
             saved: row.saved.clone(),
             load: row.load,
             pace: 100,
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -61,12 +61,19 @@
     pub good: FxHashMap<WorkerNo, (Box<str>, Time)>,
     /// The workers that were asked about.
     pub asked: FxHashSet<WorkerNo>,
-    /// Whether a call is out.
-    pub asking: bool,
+    /// The workers that calls name which are out.
+    pub out: FxHashSet<WorkerNo>,
     /// No call before.
     pub next: Time,
 }
 
+impl Tickets {
+    /// Whether a call is out.
+    pub fn asking(&self) -> bool {
+        !self.out.is_empty()
+    }
+}
+
 /// One step of one occurrence.
 #[derive(Clone, Debug, Default)]
 pub struct Part {
--- a/src/shard/judge.rs
+++ b/src/shard/judge.rs
@@ -20,7 +20,7 @@
 /// How far apart two looks are that are compared.
 const APART: Duration = Duration::from_millis(2200);
 /// How many peers make an expectation.
-const PEERS: usize = 3;
+pub(super) const PEERS: usize = 3;
 /// The shortest run whose speed says something: below, the way of the orders counts for too much.
 const SHORT: Duration = Duration::from_millis(200);
 
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -2,16 +2,17 @@
 
 use {
     crate::{
-        decide::{lanes::Lanes, rank::Rank},
+        decide::{gather::Share, lanes::Lanes, rank::Rank},
         ids::{Incarnation, PoolId, WorkerId},
         ports::Bounds,
         shard::{
             commit::{After, Commit},
             event::{Event, Load, Order},
             flight::Flight,
-            jobs::Active,
+            jobs::{Active, Part},
             record::{Closing, Progress, ShardNo},
-            tally::{Tally, Told},
+            reserve::Reserve,
+            tally::{Asked, Tally, Told},
             workers::{Worker, WorkerNo, millis},
         },
         time::Time,
@@ -19,7 +20,7 @@
     },
     rustc_hash::{FxHashMap, FxHashSet},
     std::{
-        collections::{BTreeSet, VecDeque},
+        collections::{BTreeMap, BTreeSet, VecDeque},
         mem,
         sync::Arc,
         time::Duration,
@@ -73,6 +74,15 @@
     pub(super) ready: BTreeSet<(Rank, StepKey)>,
     pub(super) ranks: FxHashMap<StepKey, Rank>,
     pub(super) stir: bool,
+    /// Room that is kept for gangs until they start.
+    pub(super) reserved: BTreeMap<StepKey, Reserve>,
+    /// What was learnt of each queue's advice.
+    pub(super) shares: FxHashMap<Box<str>, Share>,
+    /// How many calls for advice each queue has had, how many workers they named, and what they took;
+    /// for the log alone.
+    pub(super) asked: BTreeMap<Box<str>, Asked>,
+    /// No look at what waits before.
+    pub(super) next: Time,
     pub(super) lanes: Lanes,
     pub(super) commit: Commit,
     pub(super) journal: u64,
@@ -115,6 +125,10 @@
             ready: BTreeSet::new(),
             ranks: FxHashMap::default(),
             stir: true,
+            reserved: BTreeMap::new(),
+            shares: FxHashMap::default(),
+            asked: BTreeMap::new(),
+            next: now,
             lanes: Lanes::new(),
             commit,
             journal: 0,
@@ -238,12 +252,9 @@
             self.trim(now);
             self.tell_workers(now);
         }
-        if self.summed <= now && log::log_enabled!(target: "shard", log::Level::Debug) {
+        if self.summed <= now && log::log_enabled!(target: "shard", log::Level::Info) {
             self.summed = now + SUM;
-            log::debug!(target: "shard", "Shard {}: {}.", self.setup.shard, self.sum_up(now));
-            if let Some((_, key)) = self.ready.last() {
-                log::debug!(target: "shard", "Last in order: {}", self.explain(key.job, now));
-            }
+            self.tell_waiting(now);
         }
         if self.rerank <= now {
             self.rerank = now + RANK;
@@ -314,6 +325,11 @@
         mem::take(&mut self.out)
     }
 
+    /// A step of an occurrence, once it has come up.
+    pub(super) fn part(&self, key: &StepKey) -> Option<&Part> {
+        self.jobs.get(&key.job)?.parts.get(&(key.time, key.step))
+    }
+
     /// The present time in milliseconds of the Unix clock.
     pub(super) fn unix(&self, now: Time) -> u64 {
         self.setup.unix + millis(now - Time::ZERO)
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -10,7 +10,9 @@
         ids::PoolId,
         shard::{
             jobs::At,
+            judge::PEERS,
             machine::Shard,
+            reserve::Reserve,
             workers::{Phase, Worker, WorkerNo},
         },
         time::Time,
@@ -18,44 +20,142 @@
         work::{AdviceCost, Step, StepKey, TaskKey},
     },
     rustc_hash::{FxHashMap, FxHashSet},
-    std::mem,
+    std::{rc::Rc, time::Duration},
 };
 
 /// The most steps that one round looks at.
 const LOOK: usize = 400;
+/// How many steps of a round may look beyond the room that is free now: at what runs, at what could be
+/// stopped, and for other workers.
+const MORE: usize = 24;
+/// The pause after a round for each step that waits, and the longest.
+///
+/// Guards against an owner that spends its processor on rounds: a look at a step costs some 10 µs, and
+/// the more work waits the more of them there are.
+const PAUSE: (Duration, Duration) = (Duration::from_micros(100), Duration::from_millis(20));
+/// How long a step waits before it takes room that is kept for steps behind it.
+const CLAIM: Duration = Duration::from_millis(100);
+/// How much longer than expected a task may take: one part in so many.
+const OFF: u32 = 3;
 /// Up to how many hundredths of each dimension are in use in a pool with room to spare.
 const QUIET: u64 = 55;
 
 /// What a round has found out about the pools.
 #[derive(Default)]
 pub(super) struct Round {
-    pub(super) usable: FxHashMap<PoolId, Vec<WorkerNo>>,
+    pub(super) usable: FxHashMap<PoolId, Rc<[WorkerNo]>>,
     /// Pools with room to spare.
     pub(super) quiet: FxHashSet<PoolId>,
     /// Steps that come first because they have waited too long.
     pub(super) starving: Vec<StepKey>,
-    /// What is kept at workers for steps that come first.
-    pub(super) kept: FxHashMap<WorkerNo, Size>,
+    /// What is kept at each worker for steps that come first.
+    kept: Vec<Size>,
+    /// What is kept there for gangs until they start.
+    claims: Vec<Vec<Claim>>,
     /// What waits for each worker, in hundredths of a task.
-    pub(super) demand: FxHashMap<WorkerNo, u32>,
+    demand: Vec<u32>,
     /// The steps that will have room at a worker soon.
     pub(super) line: Line<WorkerNo>,
-    /// How many gangs have been given new tickets while they wait.
-    pub(super) fresh: usize,
+    /// How many steps have looked beyond the room that is free now.
+    more: usize,
+}
+
+/// What is kept at one worker for a gang.
+struct Claim {
+    gang: StepKey,
+    size: Size,
+    /// The priority of its queue.
+    priority: u8,
+    /// When the gang is expected to start.
+    at: Time,
+    /// Whether its turn in this round is over.
+    passed: bool,
+}
+
+/// Who asks for room that may be kept for others.
+pub(super) struct Asker<'a> {
+    pub(super) key: &'a StepKey,
+    pub(super) priority: u8,
+    /// When its tasks end that start now.
+    pub(super) ends: Time,
+    /// Whether it takes room that is kept for less urgent steps behind it.
+    pub(super) first: bool,
 }
 
 /// One step's turn in a round.
 pub(super) struct Turn<'a> {
     pub(super) key: &'a StepKey,
-    pub(super) step: &'a Step,
+    pub(super) step: Step,
+    /// The name and the priority of its queue.
+    pub(super) queue: Box<str>,
+    pub(super) priority: u8,
+    pub(super) pool: PoolId,
     /// Its tasks that wait.
     pub(super) waiting: Vec<u32>,
     /// The workers of its pool that may get starts.
-    pub(super) usable: &'a [WorkerNo],
+    pub(super) usable: Rc<[WorkerNo]>,
     /// What advice on it costs, if it needs any.
     pub(super) advice: Option<AdviceCost>,
 }
 
+impl Round {
+    /// What is kept at a worker for steps that come first in this round.
+    pub(super) fn before(&self, no: WorkerNo, key: &StepKey) -> Size {
+        let passed = self.claims[no.0].iter().filter(|c| c.passed && c.gang != *key);
+        passed.fold(self.kept[no.0], |sum, c| sum + c.size)
+    }
+
+    /// What is kept at a worker from this step.
+    ///
+    /// Room that is kept for a gang is open to what ends before the gang can start: the last of its
+    /// workers may be seconds away, and the others would stand idle until then.
+    pub(super) fn claimed(&self, no: WorkerNo, asker: &Asker) -> Size {
+        let holds = |c: &&Claim| {
+            let mine = c.gang == *asker.key;
+            let later = asker.first && !c.passed && c.priority > asker.priority;
+            !mine && !later && asker.ends > c.at
+        };
+        self.claims[no.0].iter().filter(holds).fold(self.kept[no.0], |sum, c| sum + c.size)
+    }
+
+    /// What is kept at a worker for any step.
+    pub(super) fn all_claims(&self, no: WorkerNo) -> Size {
+        self.claims[no.0].iter().fold(self.kept[no.0], |sum, c| sum + c.size)
+    }
+
+    /// Whether one more step may look beyond the room that is free now.
+    pub(super) fn try_more(&mut self) -> bool {
+        self.more += 1;
+        self.more <= MORE
+    }
+
+    /// Keeps room at a worker from the steps behind.
+    fn keep(&mut self, no: WorkerNo, size: Size) {
+        self.kept[no.0] += size;
+    }
+
+    /// Counts what is kept for a gang.
+    fn claim(&mut self, gang: &StepKey, reserve: &Reserve, passed: bool) {
+        let Reserve { size, priority, at, .. } = *reserve;
+        for (no, n) in &reserve.each {
+            let claims = &mut self.claims[no.0];
+            claims.retain(|c| c.gang != *gang);
+            let size = size.times((*n).into());
+            claims.push(Claim { gang: *gang, size, priority, at, passed });
+        }
+    }
+
+    /// A gang's turn is over, with the room that is kept for it before and now.
+    fn pass(&mut self, gang: &StepKey, old: Option<Reserve>, new: Option<&Reserve>) {
+        for (no, _) in old.iter().flat_map(|r| &r.each) {
+            self.claims[no.0].retain(|c| c.gang != *gang);
+        }
+        if let Some(new) = new {
+            self.claim(gang, new, true);
+        }
+    }
+}
+
 /// Chooses a room for as many of these tasks as there is, and takes it from the rooms.
 pub(super) fn choose(step: &Step, tasks: &[u32], rooms: &mut [Room]) -> Vec<(u32, WorkerNo)> {
     let mut chosen = vec![];
@@ -70,21 +170,22 @@
     chosen
 }
 
+/// Keeps room for tasks that can't start yet from the steps behind.
+fn keep(step: &Step, places: &[(u32, WorkerNo)], round: &mut Round) {
+    places.iter().for_each(|(_, no)| round.keep(*no, step.counted()));
+}
+
 impl Shard {
     /// Starts what has room, in order.
     pub(super) fn dispatch(&mut self, now: Time) {
-        if !mem::take(&mut self.stir) || self.ready.is_empty() || !self.may_act(now) {
+        if !self.stir || self.ready.is_empty() || self.next > now || !self.may_act(now) {
             return;
         }
+        self.stir = false;
+        let waiting = u32::try_from(self.ready.len()).unwrap_or(u32::MAX);
+        self.next = now + PAUSE.0.saturating_mul(waiting).min(PAUSE.1);
         self.forget_strays();
-        let mut round = Round::default();
-        for (pool, all) in &self.pools {
-            let usable = self.sound_ones(all, now);
-            if self.quiet(all) {
-                round.quiet.insert(pool.clone());
-            }
-            round.usable.insert(pool.clone(), usable);
-        }
+        let mut round = self.survey(now);
         let starving = self.starving(&round, now);
         let mut keys: Vec<StepKey> = starving.clone();
         let rest = self.ready.iter().take(LOOK).map(|(_, k)| *k);
@@ -93,11 +194,36 @@
         for key in &keys {
             self.demand(key, 1, &mut round);
         }
-        for key in keys {
-            self.place(&key, &mut round, now);
+        for key in &keys {
+            let old = self.reserved.get(key).cloned();
+            self.place(key, &mut round, now);
+            round.pass(key, old, self.reserved.get(key));
         }
     }
 
+    /// What a round begins with: the workers that may get starts, and what is kept for gangs.
+    pub(super) fn survey(&mut self, now: Time) -> Round {
+        let ranks = &self.ranks;
+        self.reserved.retain(|key, _| ranks.contains_key(key));
+        let mut round = Round {
+            kept: vec![Size::default(); self.workers.len()],
+            claims: self.workers.iter().map(|_| vec![]).collect(),
+            demand: vec![0; self.workers.len()],
+            ..Round::default()
+        };
+        for (key, reserve) in &self.reserved {
+            round.claim(key, reserve, false);
+        }
+        for (pool, all) in &self.pools {
+            let usable = self.sound_ones(all, now);
+            if self.quiet(all) {
+                round.quiet.insert(pool.clone());
+            }
+            round.usable.insert(pool.clone(), usable.into());
+        }
+        round
+    }
+
     /// Forgets the runs besides those that count which have ended.
     ///
     /// Guards against a task that runs twice: one whose run is lost could start again while another
@@ -140,94 +266,153 @@
 
     /// Counts what waits of a step at each worker that may run it.
     fn demand(&self, key: &StepKey, sign: i64, round: &mut Round) {
-        let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
-        let Some(part) = part else { return };
+        let Some(part) = self.part(key) else { return };
         let count = part.tickets.good.len() as i64;
         if count == 0 {
             return;
         }
         let each = sign * 100 * i64::from(part.waiting.min(8)) / count;
         for no in part.tickets.good.keys() {
-            let known = round.demand.entry(*no).or_default();
+            let known = &mut round.demand[no.0];
             *known = (i64::from(*known) + each).max(0) as u32;
         }
     }
 
+    /// What a round needs to know of a step; nothing where its queue or its pool is not known.
+    pub(super) fn turn<'a>(&self, key: &'a StepKey, round: &Round) -> Option<Turn<'a>> {
+        let job = self.jobs.get(&key.job)?;
+        let queue = self.known.get(&job.queue)?;
+        let part = job.parts.get(&(key.time, key.step))?;
+        let waiting = (0..).zip(&part.tasks).filter(|(_, t)| t.at == At::Waiting);
+        Some(Turn {
+            key,
+            step: job.step(key)?.clone(),
+            queue: queue.name.clone(),
+            priority: queue.priority,
+            pool: queue.pool.clone(),
+            waiting: waiting.map(|(i, _)| i).collect(),
+            usable: round.usable.get(&queue.pool)?.clone(),
+            advice: queue.advice,
+        })
+    }
+
     /// Starts what has room of one step.
     fn place(&mut self, key: &StepKey, round: &mut Round, now: Time) {
-        let Some(job) = self.jobs.get(&key.job) else { return };
-        if job.old && !self.unsettled.is_empty() {
+        let old = self.jobs.get(&key.job).is_none_or(|j| j.old);
+        if old && !self.unsettled.is_empty() {
             return;
         }
-        let Some(queue) = self.known.get(&job.queue) else { return };
-        let Some(step) = job.step(key).cloned() else { return };
-        let Some(part) = job.parts.get(&(key.time, key.step)) else { return };
-        let (pool, advice) = (queue.pool.clone(), queue.advice);
-        let Some(usable) = round.usable.get(&pool).cloned() else { return };
-        if let Some(cost) = advice
-            && part.tickets.good.is_empty()
-        {
-            return self.ask_all(key, &usable, cost, now);
+        let Some(mut turn) = self.turn(key, round) else { return };
+        if turn.advice.is_some() && self.part(key).is_none_or(|p| p.tickets.good.is_empty()) {
+            return self.ask_wide(&turn, round, now);
         }
         // Its own demand must not keep it away.
         self.demand(key, -1, round);
-        let mut valid = vec![];
-        let mut stale = vec![];
-        for no in &usable {
-            let ticket = part.tickets.good.get(no);
-            if advice.is_some() && ticket.is_none() {
+        let all = turn.waiting.len();
+        turn.waiting.retain(|i| !self.strays.contains(&TaskKey { step: *key, index: *i }));
+        if turn.waiting.is_empty() || (turn.step.gang && turn.waiting.len() < all) {
+            return;
+        }
+        match turn.step.gang {
+            true => self.place_gang(&turn, round, now),
+            false => self.place_tasks(&turn, round, now),
+        }
+    }
+
+    /// Starts what has room of a step whose tasks may start one by one.
+    fn place_tasks(&mut self, turn: &Turn, round: &mut Round, now: Time) {
+        let Turn { key, ref step, ref usable, advice, .. } = *turn;
+        let (mut valid, mut stale) = self.rooms(turn, round, now);
+        let chosen = choose(step, &turn.waiting, &mut valid);
+        let rest = &turn.waiting[chosen.len()..];
+        if !rest.is_empty() {
+            let good = match round.try_more() {
+                true => self.all_rooms(turn, round, now),
+                false => vec![],
+            };
+            if !step.fills {
+                let taken = |r: &Room| chosen.iter().any(|c| c.1.0 == r.index);
+                let good: Vec<Room> = good.iter().filter(|r| !taken(r)).copied().collect();
+                let places = self.evict(turn, rest, &good, now);
+                keep(step, &places, round);
+            }
+            if let Some(cost) = advice {
+                let later = choose(step, rest, &mut stale);
+                keep(step, &later, round);
+                let mut wanted: Vec<WorkerNo> = later.iter().map(|c| c.1).collect();
+                wanted.extend(self.coming(turn, &good, cost, round, now));
+                wanted.sort_unstable();
+                wanted.dedup();
+                self.ask_again(key, &wanted, usable, cost, now);
+            }
+            if chosen.is_empty() && round.starving.contains(key) {
+                let wish = self.wish(turn, &good, now);
+                keep(step, &wish, round);
+            }
+        }
+        self.start_all(key, step, &chosen, now);
+    }
+
+    /// The rooms that have place for a task of a step now: those for which it has a valid ticket, and
+    /// those for which it needs a new one.
+    pub(super) fn rooms(&self, turn: &Turn, round: &Round, now: Time) -> (Vec<Room>, Vec<Room>) {
+        let (mut valid, mut stale) = (vec![], vec![]);
+        let Some(part) = self.part(turn.key) else { return (valid, stale) };
+        let size = turn.step.counted();
+        let own = self.reserved.get(turn.key);
+        let waited = part.ready.is_some_and(|t| t + CLAIM <= now);
+        let asker = self.asker(turn, waited && own.is_none(), now);
+        for no in turn.usable.iter() {
+            let free = self.workers[no.0].free();
+            if !size.fits(&free) {
                 continue;
             }
-            let Some(mut room) = self.room(*no, key, &step, now) else { continue };
-            room.demand = round.demand.get(no).copied().unwrap_or(0);
-            if let Some(kept) = round.kept.get(no) {
-                room.free = room.free.saturating_sub(kept);
+            let mut left = free.saturating_sub(&round.claimed(*no, &asker));
+            if let Some(n) = own.and_then(|r| r.each.iter().find(|e| e.0 == *no)) {
+                let mine = free.saturating_sub(&round.before(*no, turn.key));
+                left = left.max(&size.times(size.count(&mine).min(n.1.into())));
+            }
+            if !size.fits(&left) {
+                continue;
+            }
+            let ticket = part.tickets.good.get(no);
+            if turn.advice.is_some() && ticket.is_none() {
+                continue;
             }
+            let Some(mut room) = self.room(*no, turn.key, &turn.step, now) else { continue };
+            (room.free, room.demand) = (left, round.demand[no.0]);
             match ticket {
-                Some((_, until)) if advice.is_some() && *until <= now => stale.push(room),
+                Some((_, until)) if turn.advice.is_some() && *until <= now => stale.push(room),
                 _ => valid.push(room),
             }
         }
-        let waiting = (0..).zip(&part.tasks).filter(|(_, t)| t.at == At::Waiting);
-        let mut waiting: Vec<u32> = waiting.map(|(i, _)| i).collect();
-        let all = waiting.len();
-        waiting.retain(|i| !self.strays.contains(&TaskKey { step: *key, index: *i }));
-        if waiting.is_empty() || (step.gang && waiting.len() < all) {
-            return;
-        }
-        let turn = Turn { key, step: &step, waiting, usable: &usable, advice };
-        if step.gang {
-            return self.place_gang(&turn, valid, stale, round, now);
-        }
-        let good: Vec<Room> = valid.iter().chain(&stale).copied().collect();
-        let chosen = choose(&step, &turn.waiting, &mut valid);
-        let rest = &turn.waiting[chosen.len()..];
-        if !rest.is_empty() && !step.fills {
-            let good: Vec<Room> = valid.iter().chain(&stale).copied().collect();
-            let places = self.evict(&turn, rest, &good, now);
-            self.keep(&step, &places, round);
-        }
-        if let (false, Some(cost)) = (rest.is_empty(), advice) {
-            let later = choose(&step, rest, &mut stale);
-            self.keep(&step, &later, round);
-            let mut wanted: Vec<WorkerNo> = later.iter().map(|c| c.1).collect();
-            wanted.extend(self.coming(&turn, &good, cost, round, now));
-            wanted.sort_unstable();
-            wanted.dedup();
-            self.ask_again(key, &wanted, &usable, cost, now);
-        }
-        if chosen.is_empty() && round.starving.contains(key) {
-            let wish = self.wish(&turn, &good, now);
-            self.keep(&step, &wish, round);
-        }
-        self.start_all(key, &step, &chosen, now);
+        (valid, stale)
     }
 
-    /// Keeps room for tasks that can't start yet from the steps behind.
-    pub(super) fn keep(&self, step: &Step, places: &[(u32, WorkerNo)], round: &mut Round) {
-        for (_, no) in places {
-            *round.kept.entry(*no).or_default() += step.counted();
-        }
+    /// A step as it asks for room that may be kept for others.
+    pub(super) fn asker<'a>(&self, turn: &Turn<'a>, first: bool, now: Time) -> Asker<'a> {
+        let part = self.part(turn.key);
+        let estimate = Duration::from_millis(turn.step.estimate);
+        let takes = part.and_then(|p| p.expected(PEERS)).unwrap_or(estimate);
+        let ends = match turn.step.lasts {
+            true => Time::NEVER,
+            false => now + takes + takes / OFF,
+        };
+        Asker { key: turn.key, priority: turn.priority, ends, first }
+    }
+
+    /// The rooms of all workers that may run a step, full ones too.
+    fn all_rooms(&self, turn: &Turn, round: &Round, now: Time) -> Vec<Room> {
+        let Some(part) = self.part(turn.key) else { return vec![] };
+        let may = |no: &&WorkerNo| turn.advice.is_none() || part.tickets.good.contains_key(no);
+        let asker = self.asker(turn, false, now);
+        let room = |no: &WorkerNo| {
+            let mut room = self.room(*no, turn.key, &turn.step, now)?;
+            room.free = room.free.saturating_sub(&round.claimed(*no, &asker));
+            room.demand = round.demand[no.0];
+            Some(room)
+        };
+        turn.usable.iter().filter(may).filter_map(room).collect()
     }
 
     /// A worker's room as a task of this step sees it; nothing where it must not go.
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -6,14 +6,22 @@
 
 use {
     crate::{
-        decide::rank::{Facts, Rank, rank, waves},
-        shard::{machine::Shard, plan::Round},
+        decide::{
+            fit::Room,
+            rank::{Facts, Rank, rank, waves},
+        },
+        shard::{
+            evict::PATIENCE,
+            machine::Shard,
+            plan::{Round, Turn},
+            workers::WorkerNo,
+        },
         time::Time,
         units::Size,
         work::{JobNo, Step, StepKey},
     },
     rustc_hash::FxHashSet,
-    std::time::Duration,
+    std::{cmp::Reverse, time::Duration},
 };
 
 /// How long a step waits before it comes first: in a pool with room to spare, and in a busy one where
@@ -128,4 +136,28 @@
         all.truncate(STARVING);
         all.into_iter().map(|(_, key)| key).collect()
     }
+
+    /// Where a step that starves would best wait for room: the workers with the most of it.
+    pub(super) fn wish(&self, turn: &Turn, good: &[Room], now: Time) -> Vec<(u32, WorkerNo)> {
+        let Turn { key, ref step, .. } = *turn;
+        if self.part(key).and_then(|p| p.ready).is_none_or(|t| t + PATIENCE > now) {
+            return vec![];
+        }
+        let size = step.counted();
+        let mut all: Vec<&Room> = good.iter().filter(|r| size.fits(&r.total)).collect();
+        all.sort_by_key(|r| Reverse((r.free.accels, r.free.cores)));
+        let mut wish = vec![];
+        for room in all {
+            let most = size.count(&room.total);
+            let cap = if step.apart > 0 { most.min(step.apart.into()) } else { most };
+            for _ in 0..cap {
+                let index = wish.len() as u32;
+                if index >= step.count {
+                    return wish;
+                }
+                wish.push((index, WorkerNo(room.index)));
+            }
+        }
+        wish
+    }
 }
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -98,6 +98,7 @@
                 began: now,
                 tries: 1,
                 percent: (0, 0),
+                looked: now,
                 saved: saved.clone(),
                 load: 0,
                 pace: 100,
--- a/src/shard/tally.rs
+++ b/src/shard/tally.rs
@@ -20,6 +20,17 @@
     pub noted: u64,
 }
 
+/// The calls for advice of one queue.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Asked {
+    /// How many.
+    pub calls: u64,
+    /// How many workers they named.
+    pub named: u64,
+    /// What they take, each by itself.
+    pub takes: Duration,
+}
+
 /// What was last told of a shard, and when.
 #[derive(Clone, Debug)]
 pub(super) struct Told {
--- a/src/shard/tell.rs
+++ b/src/shard/tell.rs
@@ -17,6 +17,10 @@
 
 /// A delay below this has no reason but the round itself.
 const AT_ONCE: Duration = Duration::from_millis(60);
+/// From when on a waiting step is told of.
+const LONG: Duration = Duration::from_secs(3);
+/// How many such steps are told of at once.
+const LONGEST: usize = 4;
 /// So many calls on end without an answer make a worker silent.
 const SILENT: u32 = 3;
 
@@ -49,6 +53,37 @@
         }
     }
 
+    /// Tells how the shard stands, and what its longest waiting steps wait for.
+    pub(super) fn tell_waiting(&mut self, now: Time) {
+        log::info!(target: "shard", "Shard {}: {}.", self.setup.shard, self.sum_up(now));
+        let since = |k: &StepKey| self.part(k).and_then(|p| p.ready).filter(|t| *t + LONG <= now);
+        let mut all: Vec<(Time, StepKey)> =
+            self.ranks.keys().filter_map(|k| Some((since(k)?, *k))).collect();
+        all.sort_unstable();
+        let few: Vec<_> = all.into_iter().take(LONGEST).collect();
+        if few.is_empty() {
+            return;
+        }
+        let round = self.survey(now);
+        for (since, key) in few {
+            let (cause, class) = (self.cause(&key, &round, now), self.ranks[&key].class());
+            let (Some(part), Some(turn)) = (self.part(&key), self.turn(&key, &round)) else {
+                continue;
+            };
+            let tickets = &part.tickets;
+            let (tasks, waits_ms) = (part.waiting, millis(now - since));
+            let reserve = self.reserved.get(&key);
+            let (kept_ms, at_ms) =
+                reserve.map_or((0, 0), |r| (millis(now - r.since), millis(r.at - now)));
+            let old = reserve.map_or(0, |r| {
+                let valid = |no| self.valid_until(&key, no).is_some_and(|u| u > now);
+                r.each.iter().filter(|e| !valid(e.0)).count()
+            });
+            let (asked, good, out) = (tickets.asked.len(), tickets.good.len(), tickets.out.len());
+            log::info!(target: "shard", did = "waits", job:% = key.job, step:% = key, cause, class, waits_ms, tasks, gang = turn.step.gang, each:% = turn.step.counted(), asked, good, out, kept_ms, at_ms, old; "Step waits.");
+        }
+    }
+
     /// Tells of a job that was read for the first time.
     pub(super) fn tell_known(&self, no: JobNo, now: Time) {
         let Some(job) = self.jobs.get(&no) else { return };
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -59,6 +59,8 @@
     pub tries: u32,
     /// How much of its work was done at its start and at the last look, in hundredths.
     pub percent: (u8, u8),
+    /// When it was last looked at.
+    pub looked: Time,
     /// Its last checkpoint.
     pub saved: Box<str>,
     /// Of a serving task, its tail in milliseconds.
@@ -305,6 +307,7 @@
         }
         run.known.get_or_insert(now);
         run.percent.1 = row.percent;
+        run.looked = now;
         run.load = row.load;
         if !row.saved.is_empty() {
             run.saved = row.saved.clone();
--- a/standin/src/site/judge.rs
+++ b/standin/src/site/judge.rs
@@ -10,7 +10,7 @@
         work::{JobNo, State, StepKey, TaskKey},
     },
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::{BTreeMap, BTreeSet, HashSet},
         time::Duration,
     },
 };
@@ -108,7 +108,7 @@
 
     /// Nothing is over its worker's size, nothing runs twice, nothing runs on when cancelled.
     fn running(&self, world: &World) -> Verdict {
-        let mut runs = BTreeSet::new();
+        let mut runs = HashSet::new();
         let overdue = CANCEL + world.bounds.stop;
         for (at, w) in world.workers.iter().enumerate() {
             let used = world.used(at);
