--- a/src/decide/gather.rs
+++ b/src/decide/gather.rs
@@ -27,6 +27,10 @@
 /// Further workers are asked about while those that are known would hold a gang less than so often
 /// if they were empty.
 pub const CHOICE: u64 = 2;
+/// How soon all of a gang's room has to be there so that it is kept for any gang: a stop and a call.
+pub const NEAR: Duration = Duration::from_millis(2000);
+/// How many gangs keep room that is there later; those behind them start where they can meanwhile.
+pub const FAR: usize = 4;
 /// How long workers are kept for a gang that does not start.
 pub const LONGEST: Duration = Duration::from_secs(4);
 /// For how many tasks workers are asked about, in hundredths of those that it has.
@@ -62,6 +66,15 @@
 /// Of those that are there at the same time the widest come first, so that few workers are needed.
 pub fn soonest<W: Copy + Ord>(mut offers: Vec<Offer<W>>, count: u32) -> Option<Places<W>> {
     offers.sort_by_key(|o| (o.at, Reverse(o.slots), o.worker));
+    let mut sum = 0;
+    let enough = offers.iter().position(|o| {
+        sum += u64::from(o.slots);
+        sum >= u64::from(count)
+    })?;
+    let at = offers[enough].at;
+    // Of those that are there in time the last, as the others have room for someone else until then.
+    offers.truncate(offers.iter().rposition(|o| o.at == at)? + 1);
+    offers.sort_by_key(|o| (Reverse(o.at), Reverse(o.slots), o.worker));
     let mut each: BTreeMap<W, u32> = BTreeMap::new();
     let mut left = count;
     for offer in offers {
@@ -71,7 +84,7 @@
             left -= slots;
         }
         if left == 0 {
-            return Some(Places { each: each.into_iter().collect(), at: offer.at });
+            return Some(Places { each: each.into_iter().collect(), at });
         }
     }
     None
--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -24,6 +24,8 @@
 
 /// What a call takes beyond its own time, and a start after it.
 const WAY: Duration = Duration::from_millis(150);
+/// The pause between two looks for the places of a gang, so that those behind it have their turn.
+const LOOK: Duration = Duration::from_millis(100);
 /// The soonest at which a run that should be over is expected to be.
 const SOON: Duration = Duration::from_millis(50);
 
@@ -49,9 +51,13 @@
     /// Keeps the workers for a gang at which it has room soonest; returns whether there are any.
     fn reserve(&mut self, turn: &Turn, round: &mut Round, now: Time) -> bool {
         let Turn { key, ref step, .. } = *turn;
-        if !round.try_more() {
+        if self.part(key).is_none_or(|p| p.look > now) || !round.try_more() {
             return false;
         }
+        let part = self.jobs.get_mut(&key.job).and_then(|j| j.part(key.time, key.step));
+        if let Some(part) = part {
+            part.look = now + LOOK;
+        }
         let offers = self.offers(turn, round, now);
         let Some(places) = soonest(offers, step.count) else {
             // Where they are merely busy, further ones cost others their calls.
@@ -65,6 +71,11 @@
             return false;
         };
         let size = step.counted();
+        let far = now + gather::NEAR;
+        let fars = self.reserved.values().filter(|r| r.at > far).count();
+        if places.at > far && fars >= gather::FAR && !round.starving.contains(key) {
+            return false;
+        }
         if !self.may_reserve(turn, round, size.times(step.count.into())) {
             return false;
         }
@@ -82,8 +93,8 @@
     /// can't use yet.
     fn may_reserve(&self, turn: &Turn, round: &Round, more: Size) -> bool {
         let quiet = round.quiet.contains(&turn.pool);
-        let late = !quiet && self.ranks.get(turn.key).is_none_or(|r| r.class() > 0);
-        let first = round.starving.contains(turn.key) || self.reserved.is_empty();
+        let late = self.ranks.get(turn.key).is_none_or(|r| r.class() > 0);
+        let first = quiet || round.starving.contains(turn.key) || self.reserved.is_empty();
         let part = if late { KEPT_LATE } else { KEPT };
         let room = turn.usable.iter().filter_map(|n| self.workers[n.0].listed.as_ref());
         let total = room.fold(Size::default(), |sum, l| sum + l.size);
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -85,6 +85,8 @@
     pub waiting: u32,
     /// What advice has said.
     pub tickets: Tickets,
+    /// Of a gang: no look for its places before.
+    pub look: Time,
     /// Since when it could have begun.
     pub ready: Option<Time>,
     /// When advice first named a worker for it; for the log alone.
