--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -51,10 +51,13 @@
 
     /// Asks about workers for the tasks that would find no room on those that are known: those with the
     /// most room first, and no more than are needed.
-    pub(super) fn ask_wide(&mut self, turn: &Turn, round: &Round, now: Time) {
+    ///
+    /// Guards against an owner that spends its processor on calls that can't be made: after the loss of
+    /// all members thousands of steps wait for their first, and each of them looks at each worker.
+    pub(super) fn ask_wide(&mut self, turn: &Turn, round: &mut Round, now: Time) {
         let Turn { key, ref step, advice, .. } = *turn;
         let (Some(cost), Some(part)) = (advice, self.part(key)) else { return };
-        if !part.tickets.out.is_empty() {
+        if part.tickets.asking() || part.tickets.next > now || round.busy.contains(&turn.queue) {
             return;
         }
         let chunk = chunk(cost.base, cost.each);
@@ -66,9 +69,7 @@
         };
         let size = step.counted();
         let slots = |no: WorkerNo| {
-            let ends = self.frees_at(no, stops, now);
-            let free =
-                ends.iter().filter(|f| f.0 <= by).fold(self.workers[no.0].free(), |a, f| a + f.1);
+            let free = self.room_by(no, stops, by, now);
             let slots = size.count(&free.saturating_sub(&round.all_claims(no)));
             let most = if step.apart > 0 { slots.min(step.apart.into()) } else { slots };
             u32::try_from(most).unwrap_or(u32::MAX)
@@ -86,11 +87,15 @@
         // Up to here further ones cost little, and those without room are learnt of for later.
         let count = share.named(wide, missing.max(1)).max(chunk);
         let workers = new.into_iter().take(count).map(|n| n.1).collect();
-        self.ask_many(key, workers, cost, now);
+        if !self.ask_many(key, workers, cost, now) {
+            round.busy.insert(turn.queue.clone());
+        }
     }
 
     /// Asks about these workers in calls that go side by side, as long as members are free for them.
     ///
+    /// Returns whether there were enough of them.
+    ///
     /// Guards against a gang whose first tickets are over before its last have come.
     pub(super) fn ask_many(
         &mut self,
@@ -98,14 +103,13 @@
         workers: Vec<WorkerNo>,
         cost: AdviceCost,
         now: Time,
-    ) {
-        let Some(part) = self.part(key) else { return };
+    ) -> bool {
+        let Some(part) = self.part(key) else { return true };
         let new: Vec<WorkerNo> =
             workers.into_iter().filter(|n| !part.tickets.out.contains(n)).collect();
         let calls = new.len().div_ceil(chunk(cost.base, cost.each)).max(1);
-        for some in new.chunks(new.len().div_ceil(calls).max(1)) {
-            self.ask(key, some.to_vec(), cost, now);
-        }
+        new.chunks(new.len().div_ceil(calls).max(1))
+            .all(|some| self.ask(key, some.to_vec(), cost, now))
     }
 
     /// Workers that were not asked about yet.
@@ -154,21 +158,22 @@
         self.part(key).and_then(|p| p.tickets.good.get(&no)).map(|t| t.1)
     }
 
-    fn ask(&mut self, key: &StepKey, workers: Vec<WorkerNo>, cost: AdviceCost, now: Time) {
+    /// Makes a call; returns whether a member was free for it, where one is to be made.
+    fn ask(&mut self, key: &StepKey, workers: Vec<WorkerNo>, cost: AdviceCost, now: Time) -> bool {
         let unix = self.unix(now);
-        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(job) = self.jobs.get_mut(&key.job) else { return true };
         let chain = job.allowed(key.time);
         let came = job.came.max(job.due(key.time));
         let due = self.known.get(&job.queue).map_or(Duration::ZERO, |q| objective(q, chain));
-        let Some(part) = job.parts.get_mut(&(key.time, key.step)) else { return };
+        let Some(part) = job.parts.get_mut(&(key.time, key.step)) else { return true };
         if workers.is_empty() || part.tickets.next > now {
-            return;
+            return true;
         }
         let takes = cost.base + cost.each * u32::try_from(workers.len()).unwrap_or(u32::MAX);
         let left = (came + super::workers::millis(due)).saturating_sub(unix);
         let Some((via, end)) = self.lanes.pick(takes, now + Duration::from_millis(left), now)
         else {
-            return;
+            return false;
         };
         part.tickets.out.extend(&workers);
         let asked = self.asked.entry(job.queue.clone()).or_default();
@@ -178,6 +183,7 @@
         let workers = workers.iter().map(|n| self.workers[n.0].id.clone()).collect();
         let call = Box::new(AdviceCall { step: *key, workers });
         self.out.push(Order::Advise { via, call, sent: now, limit: (end - now) + SLACK });
+        true
     }
 
     /// Takes in advice, or that none came.
@@ -244,10 +250,10 @@
         if soon.is_empty() {
             return;
         }
-        let round = self.survey(now);
+        let mut round = self.survey(now);
         for key in soon {
             let Some(turn) = self.turn(&key, &round) else { continue };
-            self.ask_wide(&turn, &round, now);
+            self.ask_wide(&turn, &mut round, now);
         }
     }
 
--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -171,6 +171,19 @@
         all
     }
 
+    /// What room a worker will have by a time; where `stops` is given, with what may be stopped for
+    /// work of that priority.
+    pub(super) fn room_by(&self, no: WorkerNo, stops: Option<u8>, by: Time, now: Time) -> Size {
+        let worker = &self.workers[no.0];
+        let leaves = |task: &TaskKey, run: &Run| match run.phase {
+            Phase::Stopping => true,
+            Phase::Running if stops.is_some_and(|p| run.yields.is_some_and(|y| y > p)) => true,
+            _ => super::ahead::end(run, now) <= by && !self.lasts(task),
+        };
+        let ending = worker.runs.iter().filter(|(t, r)| leaves(t, r));
+        ending.fold(worker.free(), |sum, (_, r)| sum + r.size)
+    }
+
     /// When a worker has so much room beside what is kept for steps that come first.
     fn there(
         &self,
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -32,7 +32,7 @@
 ///
 /// Guards against an owner that spends its processor on rounds: a look at a step costs some 10 µs, and
 /// the more work waits the more of them there are.
-const PAUSE: (Duration, Duration) = (Duration::from_micros(100), Duration::from_millis(20));
+const PAUSE: (Duration, Duration) = (Duration::from_micros(100), Duration::from_millis(40));
 /// How long a step waits before it takes room that is kept for steps behind it.
 const CLAIM: Duration = Duration::from_millis(100);
 /// How much longer than expected a task may take: one part in so many.
@@ -58,6 +58,8 @@
     pub(super) line: Line<WorkerNo>,
     /// How many steps have looked beyond the room that is free now.
     more: usize,
+    /// The queues for whose calls for advice no member is free.
+    pub(super) busy: FxHashSet<Box<str>>,
 }
 
 /// What is kept at one worker for a gang.
