Fewer rounds, and kept room is looked at each 50 ms

Each round looked at the room of each gang that waits, twice. The two changes were tried together, not told apart.

--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -26,6 +26,8 @@
 const WAY: Duration = Duration::from_millis(150);
 /// The pause between two looks for the places of a gang, so that those behind it have their turn.
 const LOOK: Duration = Duration::from_millis(100);
+/// The pause between two looks at the room that is kept for a gang; starts wait for none.
+const TEND: Duration = Duration::from_millis(50);
 /// The soonest at which a run that should be over is expected to be.
 const SOON: Duration = Duration::from_millis(50);
 
@@ -39,11 +41,16 @@
             self.reserved.remove(key);
             return self.start_all(key, step, &chosen, now);
         }
-        if self.reserved.get(key).is_some_and(|r| r.since + LONGEST <= now) {
+        let long = |r: &Reserve| r.since + LONGEST <= now;
+        if self.reserved.get(key).is_some_and(long) {
             log::info!(target: "shard", did = "released", job:% = key.job, step:% = key, cause = "too long"; "Room is no longer kept.");
             self.reserved.remove(key);
         }
-        if self.reserved.contains_key(key) || self.reserve(turn, round, now) {
+        let old = self.reserved.get(key).map(|r| r.tended);
+        if old.is_some_and(|t| t + TEND > now) {
+            return;
+        }
+        if old.is_some() || self.reserve(turn, round, now) {
             self.tend(turn, round, now);
         }
     }
@@ -82,8 +89,10 @@
         let (workers, in_ms) = (places.each.len(), millis(places.at - now));
         log::debug!(target: "shard", did = "reserved", job:% = key.job, step:% = key, workers, in_ms; "Room is kept for a gang.");
         let priority = turn.priority;
-        self.reserved
-            .insert(*key, Reserve { each: places.each, size, priority, since: now, at: places.at });
+        self.reserved.insert(
+            *key,
+            Reserve { each: places.each, size, priority, since: now, at: places.at, tended: now },
+        );
         true
     }
 
@@ -246,7 +255,7 @@
             return;
         };
         if let Some(reserve) = self.reserved.get_mut(key) {
-            reserve.at = at;
+            (reserve.at, reserve.tended) = (at, now);
         }
         let Some(cost) = advice else { return };
         let takes = cost.base
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -32,7 +32,7 @@
 ///
 /// Guards against an owner that spends its processor on rounds: a look at a step costs some 10 µs, and
 /// the more work waits the more of them there are.
-const PAUSE: (Duration, Duration) = (Duration::from_micros(100), Duration::from_millis(40));
+const PAUSE: (Duration, Duration) = (Duration::from_micros(200), Duration::from_millis(40));
 /// How long a step waits before it takes room that is kept for steps behind it.
 const CLAIM: Duration = Duration::from_millis(100);
 /// How much longer than expected a task may take: one part in so many.
--- a/src/shard/reserve.rs
+++ b/src/shard/reserve.rs
@@ -15,4 +15,6 @@
     pub since: Time,
     /// When all of it is expected to be there.
     pub at: Time,
+    /// When it was last seen to.
+    pub tended: Time,
 }
