Tests of gather: two expectations that were reckoned wrongly

The gang of the second test has its four places 0.1 s sooner with the worker that is free, so that nothing was left to others; it takes five places' offers now, where the rule shows. The named workers are 31, as the guess of 40 in 100 still counts a little after 10,000 answers.

--- a/tests/gather.rs
+++ b/tests/gather.rs
@@ -26,11 +26,11 @@
 
 #[test]
 fn it_leaves_free_workers_to_others_where_it_has_to_wait_anyway() {
-    // Story: a gang of four waits 2 s for its last worker. Of the two others it could have it takes the
+    // Story: a gang of four waits 2 s for its last worker. Of the others it could have it takes the
     // one that is free now, which stands idle beside work that would have ended by then.
-    let offers = vec![offer(1, 0, 2), offer(2, 1_900, 2), offer(3, 2_000, 2)];
+    let offers = vec![offer(1, 0, 1), offer(2, 1_900, 2), offer(3, 2_000, 3)];
     let places = soonest(offers, 4).expect("there are four");
-    assert_eq!((places.at, places.each), (ms(2_000), vec![(2, 2), (3, 2)]));
+    assert_eq!((places.at, places.each), (ms(2_000), vec![(2, 1), (3, 3)]));
 }
 
 #[test]
@@ -43,11 +43,11 @@
 #[test]
 fn it_asks_about_as_many_workers_as_it_will_need() {
     // Story: a call takes 4 ms for each worker that it names. Of 350, each with room for two members,
-    // one in two may run a step of which 20 members wait: 30 are enough to choose from.
+    // one in two may run a step of which 20 members wait: 31 are enough to choose from.
     let mut share = Share::default();
     share.learn(10_000, 5_000);
     let named = |share: &Share, missing| share.named(std::iter::repeat_n(2, 350), missing);
-    assert_eq!(named(&share, 20), 30);
+    assert_eq!(named(&share, 20), 31);
     assert_eq!(named(&share, 1_000), 350, "all that there are");
     let mut rare = Share::default();
     rare.learn(10_000, 500);
