Tests, red: what a former owner tells of jobs

The yard's judge now holds every owner that speaks to what callers were told (Rules::told), where it looked at the newest one alone and never at states that change once over.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -152,7 +152,8 @@
                 self.settle().await;
             }
             Told::State(shard, job, to) => {
-                let _ = to.send(self.shards.get(&shard).and_then(|r| r.shard.state(job)));
+                let now = self.common.now();
+                let _ = to.send(self.shards.get(&shard).and_then(|r| r.shard.state(job, now)));
             }
             Told::Held(workers, shards, to) => {
                 let now = self.common.now();
--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -11,6 +11,9 @@
     std::time::Duration,
 };
 
+/// For how long a confirmed renewal counts, from when it was sent: shorter than the shortest lease.
+const FRESH: Duration = Duration::from_millis(1900);
+
 impl Shard {
     /// Whether this owner may start work and renew leases.
     ///
@@ -19,9 +22,8 @@
     /// the same before it counts others' leases as ended, so that at least one worker has seen both
     /// and refuses the older one.
     pub(super) fn may_act(&self, now: Time) -> bool {
-        const FRESH: Duration = Duration::from_millis(1900);
         const HEARD: Duration = Duration::from_millis(2600);
-        if now - self.confirmed <= FRESH {
+        if self.fresh(now) {
             return true;
         }
         let (mut all, mut heard) = (0, 0);
@@ -32,6 +34,16 @@
         heard * 2 > all
     }
 
+    /// Whether what this owner knows may be told to others.
+    pub fn may_tell(&self, now: Time) -> bool {
+        now >= self.begun
+    }
+
+    /// Whether the store has confirmed this member's lease so lately that it has not ended.
+    fn fresh(&self, now: Time) -> bool {
+        now - self.confirmed <= FRESH
+    }
+
     /// Whether what former owners have started is known.
     ///
     /// Guards against a second run of what goes on at a worker that can't be asked: until all that
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -283,10 +283,13 @@
         }
     }
 
-    /// How a job stands, as far as the store has it; nothing where it is not known here.
-    pub fn state(&self, no: JobNo) -> Option<State> {
+    /// How a job stands, as far as the store has it; nothing where it is not known here, or where
+    /// another owner may know more of it.
+    pub fn state(&self, no: JobNo, now: Time) -> Option<State> {
         match (self.over.get(&no), self.jobs.get(&no)) {
+            // Stored, and so for any owner.
             (Some(over), _) => Some(*over),
+            _ if !self.may_tell(now) => None,
             // Not stored yet: after a loss of power it would run again.
             (None, Some(job)) if job.state.over() => Some(State::Running),
             (None, job) => job.map(|j| j.state),
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -175,7 +175,7 @@
 
     /// How a job is shown.
     pub fn state(&self, no: u64) -> Option<State> {
-        self.shard.state(JobNo(no))
+        self.shard.state(JobNo(no), self.now)
     }
 
     /// A caller's job is stored; the owner hears of it.
--- a/tests/shard_cut_off.rs
+++ b/tests/shard_cut_off.rs
@@ -85,5 +85,5 @@
     hand.cancel(1);
     hand.run(3_000);
     assert!(last(&hand) <= at, "it has called a worker");
-    assert!(hand.starts_of(2).is_empty() && hand.shard.state(JobNo(2)).is_none());
+    assert!(hand.starts_of(2).is_empty() && hand.shard.state(JobNo(2), hand.now).is_none());
 }
--- /dev/null
+++ b/tests/shard_told.rs
@@ -0,0 +1,55 @@
+//! What a member tells of a shard that it may no longer own.
+
+mod hand;
+mod yard;
+
+use {
+    dogwoodreach::work::{JobNo, State},
+    hand::Hand,
+    yard::{Yard, job, step},
+};
+
+#[test]
+fn an_owner_that_wakes_does_not_tell_what_was_true_before() {
+    // Story: an owner's process stands still. Its successor runs a job to its end, and a caller is told
+    // that it is completed. The former owner wakes, and a caller who asks it is told that the same
+    // job is queued, until a worker refuses its token some milliseconds later.
+    for seed in 1..6 {
+        let mut yard = Yard::new(seed, 6);
+        yard.fault(2_000, |y| y.pause(0, true));
+        yard.at(2_100, |y| y.submit(1, "plain", job([step(2, 300)])));
+        yard.fault(5_500, Yard::take_over);
+        yard.run_until(5_000);
+        yard.settle(10_000);
+        assert_eq!(yard.stored(1), Some(State::Done));
+        let wakes = yard.now.0 / 1_000 + 200;
+        yard.fault(wakes, |y| y.pause(0, false));
+        for ms in wakes..wakes + 20 {
+            yard.run_until(ms + 1);
+            yard.shown();
+        }
+    }
+}
+
+#[test]
+fn an_owner_that_the_store_does_not_confirm_tells_only_what_is_over() {
+    // Story: a member is cut off from the store and has most of its workers. Another may have taken
+    // its shard over, and callers come to both. What is over stands in the store and stays so; of
+    // what is not, and of how much waits, the former owner may know less than was told already.
+    let mut hand = Hand::new(5);
+    hand.submit(1, "plain", hand::job(hand::step(1, 1)));
+    hand.run(300);
+    hand.end(hand::task(1, 0), dogwoodreach::ports::How::Done);
+    hand.until("stored", 500, |h| h.state(1) == Some(State::Done));
+    hand.submit(2, "plain", hand::job(hand::step(1, 9)));
+    assert_eq!(hand.state(2), Some(State::Queued));
+    assert!(hand.shard.may_tell(hand.now));
+    hand.confirms = false;
+    hand.run(2_500);
+    assert_eq!(hand.state(2), None);
+    assert!(!hand.shard.may_tell(hand.now), "nor how many wait, nor what is at its workers");
+    assert_eq!(hand.state(1), Some(State::Done), "job {} is over", JobNo(1));
+    hand.confirms = true;
+    hand.run(100);
+    assert_eq!(hand.state(2), Some(State::Queued));
+}
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -332,12 +332,14 @@
         }
     }
 
-    /// What the newest owner shows.
-    fn shown(&mut self) {
-        let owner = self.owners.last().filter(|o| !o.gone && !o.paused);
-        for job in self.world.jobs.keys() {
-            if let Some(state) = owner.and_then(|o| o.shard.state(*job)) {
-                kept(self.rules.shown(&self.world, *job, state));
+    /// What callers are told: by each owner that speaks, be it the newest or a former one.
+    pub fn shown(&mut self) {
+        let jobs: Vec<JobNo> = self.world.jobs.keys().copied().collect();
+        for owner in self.owners.iter().filter(|o| !o.gone && !o.paused) {
+            for job in &jobs {
+                if let Some(state) = owner.shard.state(*job, self.now) {
+                    kept(self.rules.told(&self.world, *job, state));
+                }
             }
         }
     }
