An owner tells only what the store lets it know

Mend: an owner tells what is not over only while the store has confirmed its lease within 1.9 s, which is shorter than the lease (2 s) and its grace (1 s), so that nobody can have taken the shard over by then. What is over stands in the store and is told at any time. Else the member that was asked reads the store, as it does for jobs that the owner doesn't know; where the store is silent too, callers are refused with a time, as before for any job that the owner doesn't have. Weighed and left: word of most workers, as for starts: a successor may have completed a job between two of their answers.

The same fault elsewhere: the count of what waits, and what is at workers that are to be emptied (a VM could have been taken down by the word of a former owner). Both ask the same now.

--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -47,12 +47,12 @@
     Forget(ShardNo),
     /// Settle what is written, and tell when that is done.
     Release,
-    /// How a job stands.
+    /// How a job stands; nothing where it isn't known here, or may be known better elsewhere.
     State(ShardNo, JobNo, oneshot::Sender<Option<State>>),
     /// What is at these workers, as far as they are of these shards, and how long work waits; nothing
-    /// where one isn't here.
+    /// where one isn't here for certain.
     Held(Box<[WorkerId]>, Box<[ShardNo]>, oneshot::Sender<Option<(Vec<Held>, Vec<Need>)>>),
-    /// How many jobs of a queue have not begun, of these shards; nothing where one isn't here.
+    /// How many jobs of a queue have not begun, of these shards; nothing where one isn't here for certain.
     Waiting(Box<str>, Box<[ShardNo]>, oneshot::Sender<Option<u64>>),
 }
 
@@ -158,7 +158,7 @@
             Told::Held(workers, shards, to) => {
                 let now = self.common.now();
                 let one = |s| {
-                    let shard = &self.shards.get(s)?.shard;
+                    let shard = self.telling(s, now)?;
                     Some((shard.held_at(&workers), shard.needs(now)))
                 };
                 let all: Option<Vec<_>> = shards.iter().map(one).collect();
@@ -166,12 +166,18 @@
                 let _ = to.send(all.map(|(held, needs)| (held.concat(), needs.concat())));
             }
             Told::Waiting(queue, shards, to) => {
-                let one = |s| self.shards.get(s).map(|r| r.shard.waiting(&queue));
+                let now = self.common.now();
+                let one = |s| self.telling(s, now).map(|shard| shard.waiting(&queue));
                 let _ = to.send(shards.iter().map(one).sum());
             }
         }
     }
 
+    /// A shard of which this member may tell others.
+    fn telling(&self, no: &ShardNo, now: Time) -> Option<&Shard> {
+        self.shards.get(no).map(|r| &r.shard).filter(|s| s.may_tell(now))
+    }
+
     async fn own(&mut self, no: ShardNo, token: u64, load: Load) {
         if self.release.is_some() {
             let _ = self.notes.send(Out::Settled(no, 0)).await;
--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -35,8 +35,14 @@
     }
 
     /// Whether what this owner knows may be told to others.
+    ///
+    /// Guards against an owner that stood still or is cut off, and has a successor: callers who were
+    /// told that a job is completed were told by it that the job is queued, and the duty of upkeep
+    /// that a worker is empty. Nobody takes a shard over before its owner's lease has ended, and the
+    /// lease lasts for longer than this from the renewal that the store has confirmed. Answers of
+    /// workers are not enough: a successor may have completed a job between two of them.
     pub fn may_tell(&self, now: Time) -> bool {
-        now >= self.begun
+        self.fresh(now)
     }
 
     /// Whether the store has confirmed this member's lease so lately that it has not ended.
