Log: of each queue's calls for advice, what came of them

The line that sums up a shard says for each queue how many calls found no room, how many tasks were started with tickets, and how many steps wait for their first call: whose calls take the members' time, and whether they end in starts, could not be told.

--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -159,6 +159,8 @@
     /// Makes a call; returns whether a member was free for it, where one is to be made.
     fn ask(&mut self, key: &StepKey, workers: Vec<WorkerNo>, cost: AdviceCost, now: Time) -> bool {
         let unix = self.unix(now);
+        let takes = cost.base + cost.each * u32::try_from(workers.len()).unwrap_or(u32::MAX);
+        let roomy = self.roomy(key, &workers, now + takes, now);
         let Some(job) = self.jobs.get_mut(&key.job) else { return true };
         let chain = job.allowed(key.time);
         let came = job.came.max(job.due(key.time));
@@ -167,7 +169,6 @@
         if workers.is_empty() || part.tickets.next > now {
             return true;
         }
-        let takes = cost.base + cost.each * u32::try_from(workers.len()).unwrap_or(u32::MAX);
         let left = (came + super::workers::millis(due)).saturating_sub(unix);
         let Some((via, end)) = self.lanes.pick(takes, now + Duration::from_millis(left), now)
         else {
@@ -179,6 +180,7 @@
         asked.calls += 1;
         asked.named += workers.len() as u64;
         asked.takes += takes;
+        asked.bare += u64::from(!roomy);
         let workers = workers.iter().map(|n| self.workers[n.0].id.clone()).collect();
         let call = Box::new(AdviceCall { step: *key, workers });
         let limit = (end - now) + SLACK;
@@ -186,6 +188,14 @@
         true
     }
 
+    /// Whether one of these workers is expected to have room for a task of a step by then; a gang has
+    /// room made for it.
+    fn roomy(&self, key: &StepKey, workers: &[WorkerNo], by: Time, now: Time) -> bool {
+        let Some(step) = self.jobs.get(&key.job).and_then(|j| j.step(key)) else { return false };
+        let size = step.counted();
+        step.gang || workers.iter().any(|no| size.fits(&self.room_by(*no, None, by, now)))
+    }
+
     /// Takes in advice, or that none came.
     pub(super) fn advised(
         &mut self,
--- a/src/shard/explain.rs
+++ b/src/shard/explain.rs
@@ -6,13 +6,14 @@
         time::Time,
         work::{JobNo, StepKey, TaskKey},
     },
-    std::fmt::Write,
+    std::{collections::BTreeMap, fmt::Write},
 };
 
 impl Shard {
     /// How much waits for what, and how full the pools are.
     pub(super) fn sum_up(&self, now: Time) -> Box<str> {
         let (mut steps, mut tasks, mut unasked, mut stale) = ([0; 3], 0, 0, 0);
+        let mut without: BTreeMap<&str, u32> = BTreeMap::new();
         for (rank, key) in &self.ready {
             steps[rank.class().min(2)] += 1;
             let part = self.jobs.get(&key.job).and_then(|j| j.parts.get(&(key.time, key.step)));
@@ -22,7 +23,12 @@
                 .jobs
                 .get(&key.job)
                 .is_some_and(|j| self.known.get(&j.queue).is_some_and(|q| q.advice.is_some()));
-            unasked += u32::from(advised && part.tickets.good.is_empty());
+            if let Some(job) =
+                self.jobs.get(&key.job).filter(|_| advised && part.tickets.good.is_empty())
+            {
+                unasked += 1;
+                *without.entry(&job.queue).or_default() += 1;
+            }
             let valid = part.tickets.good.values().any(|(_, until)| *until > now);
             stale += u32::from(advised && !part.tickets.good.is_empty() && !valid);
         }
@@ -50,8 +56,12 @@
             let took = asked.takes.as_secs_f64();
             let _ = write!(
                 text,
-                "; advice {queue}: {} calls, {} named, {took:.1} s",
-                asked.calls, asked.named
+                "; advice {queue}: {} calls, {} named, {took:.1} s, {} without room, {} tasks started, {} steps without",
+                asked.calls,
+                asked.named,
+                asked.bare,
+                asked.starts,
+                without.get(&**queue).copied().unwrap_or_default(),
             );
         }
         let kept: u32 = self.reserved.values().flat_map(|r| &r.each).map(|e| e.1).sum();
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -52,6 +52,9 @@
             let run = gang.unwrap_or_else(|| last(*index, job)).max(floor) + 1;
             all.push((TaskKey { step: *key, index: *index }, *no, run));
         }
+        if let Some(asked) = self.jobs.get(&key.job).and_then(|j| self.asked.get_mut(&j.queue)) {
+            asked.starts += all.len() as u64;
+        }
         self.tell_start(key, &all, now);
         for (task, no, run) in all {
             self.start(task, no, run, step, now);
--- a/src/shard/tally.rs
+++ b/src/shard/tally.rs
@@ -29,6 +29,10 @@
     pub named: u64,
     /// What they take, each by itself.
     pub takes: Duration,
+    /// How many of them named no worker with room for a task by the time of the answer.
+    pub bare: u64,
+    /// How many tasks were started with tickets.
+    pub starts: u64,
 }
 
 /// What was last told of a shard, and when.
