--- /dev/null
+++ b/tests/shard_pools.rs
@@ -0,0 +1,63 @@
+//! Pools whose steps need advice, and fewer members than their calls would take.
+
+mod yard;
+
+use {
+    dogwoodreach::{
+        units::Size,
+        work::{AdviceCost, Queue, Queues, Step},
+    },
+    std::{sync::Arc, time::Duration},
+    yard::{Yard, job, step, worker::Worker},
+};
+
+/// The members that can call for advice.
+const MEMBERS: u64 = 7;
+
+/// Two queues, each on a pool of its own, whose calls on 10 workers take 0.6 s; `first` is the more
+/// urgent one.
+fn queues() -> Arc<Queues> {
+    let old = yard::queues();
+    let us = Duration::from_micros;
+    let cost = AdviceCost { base: us(550_000), each: us(5_000), valid: Duration::from_secs(2) };
+    let queue = |name: &str, pool: &str, priority| Queue {
+        name: name.into(),
+        prefix: format!("/{name}/").into(),
+        priority,
+        advice: Some(cost),
+        ..old.named(pool).expect("a queue").clone()
+    };
+    let all = vec![queue("first", "plain", 0), queue("second", "open", 1)];
+    Arc::new(Queues { all, ..(*old).clone() })
+}
+
+/// Six workers of the pool of `first`, and twelve of the other.
+fn pools(seed: u64) -> Yard {
+    let one = |at: usize| {
+        let pool = if at % 3 == 0 { "guarded" } else { "open" };
+        Worker::new(pool, ["r1", "r2"][at % 2], Size::new(4, 16_384, 1))
+    };
+    Yard::with(seed, queues(), (0..18).map(one).collect(), MEMBERS)
+}
+
+#[test]
+fn steps_of_a_pool_with_room_are_asked_for_beside_a_pool_that_is_full() {
+    // Story: jobs wait for advice at the end of a day with several times the usual traffic, beside a
+    // pool that runs empty, and are never begun. Another pool is full, and its backlog is the more
+    // urgent: each member that gets free makes a call of that, and its tickets end unused.
+    for seed in 1..4 {
+        let mut yard = pools(seed);
+        for no in 0..400 {
+            yard.at(1_000 + no * 10, move |y| {
+                let whole = Step { size: Size::new(4, 512, 0), ..step(2, 5_000) };
+                y.submit(1 + no, "first", job([whole]));
+            });
+        }
+        for no in 0..40 {
+            yard.at(6_000 + no * 250, move |y| {
+                y.submit(1_001 + no, "second", job([step(2, 1_000)]));
+            });
+        }
+        yard.run_until(20_000);
+    }
+}
