Pools take turns at long calls for advice

Cause: members' time for calls was given out by the order of steps alone (class, priority, due time), as if all steps wanted the same room.

Mend (src/decide/turns.rs): where members are short, a long call for a step that finds room goes before one for a step that won't, and between pools that one goes first whose calls that are out take the least. The order within a pool is as it was; short calls, which have lanes of their own, and lasting tasks that are away are not held up. A pool that no longer asks holds up nobody after 400 ms.

Ruled out: too few members alone (the members' time is the same). Not changed: within one pool a queue may still ask for more than there is room for.

--- a/src/decide/lanes.rs
+++ b/src/decide/lanes.rs
@@ -33,7 +33,7 @@
 };
 
 /// A call that takes longer is long.
-const LONG: Duration = Duration::from_millis(100);
+pub const LONG: Duration = Duration::from_millis(100);
 /// The least lanes that are kept for short calls.
 const KEPT: usize = 2;
 /// Of many lanes one in so many is kept for them.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -27,6 +27,7 @@
 pub mod standby;
 mod standing;
 pub mod suspect;
+pub mod turns;
 pub mod upkeep;
 pub mod urgent;
 mod waiting;
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        decide::{gather::Share, lanes::Lanes, rank::Rank},
+        decide::{gather::Share, lanes::Lanes, rank::Rank, turns::Turns},
         ids::{Incarnation, PoolId, WorkerId},
         ports::Bounds,
         shard::{
@@ -84,6 +84,7 @@
     /// No look at what waits before.
     pub(super) next: Time,
     pub(super) lanes: Lanes,
+    pub(super) turns: Turns,
     pub(super) commit: Commit,
     pub(super) journal: u64,
     pub(super) dirty: VecDeque<JobNo>,
@@ -130,6 +131,7 @@
             asked: BTreeMap::new(),
             next: now,
             lanes: Lanes::new(),
+            turns: Turns::new(),
             commit,
             journal: 0,
             dirty: VecDeque::new(),
