--- a/tests/shard_course.rs
+++ b/tests/shard_course.rs
@@ -382,3 +382,10 @@
 fn lasting_tasks_are_at_work_again_around_planned_work() {
     days().for_each(|seed| Day::new(seed, false).play());
 }
+
+#[test]
+fn planned_days_on_which_small_work_waited() {
+    // Story: small jobs wait for 3 s while most workers of their pool leave, and one of the others, with
+    // room for them, is being emptied for its upkeep (tests/shard_emptied.rs has the case alone).
+    [20_163, 21_214].into_iter().for_each(|seed| Day::new(seed, false).play());
+}
--- a/tests/shard_emptied.rs
+++ b/tests/shard_emptied.rs
@@ -1,4 +1,4 @@
-//! A lasting task whose only room is at workers that are being emptied.
+//! Work whose only room is at workers that are being emptied.
 
 mod yard;
 
@@ -50,3 +50,30 @@
         yard.run_until(25_000);
     }
 }
+
+#[test]
+fn small_work_comes_and_the_only_room_is_being_emptied() {
+    // Story: two of three workers leave by plan, and stay for 20 s yet. The third is to have its upkeep;
+    // its lasting task has room nowhere else, so it is not emptied until others have come. Small jobs wait
+    // for all that time beside a worker that is nearly idle. What settled it: "waits for leaving workers:
+    // usable: 0, all: 5, out: {Leaving: 4, Closing: 1}" in the day of seed 20163 (shard_course), 3 s on end.
+    for seed in 1..4 {
+        let one = |at: usize| Worker::new("open", ["r1", "r2"][at % 2], Size::new(4, 16_384, 1));
+        let mut yard = Yard::with(seed, queues(), (0..3).map(one).collect(), 2);
+        yard.often = true;
+        yard.submit(1, "open", job([Step { lasts: true, ..step(1, 1_000) }]));
+        yard.run_until(2_000);
+        let home = yard.world.workers.iter().position(|w| !w.runs.is_empty()).expect("a place");
+        yard.at(3_000, move |y| {
+            for at in (0..3).filter(|at| *at != home) {
+                y.world.workers[at].draining = Some(y.now);
+            }
+        });
+        yard.at(4_000, move |y| y.close(&[(home, Turn::Closing)]));
+        for no in 2..12 {
+            let queue = if no % 2 == 0 { "open" } else { "advised" };
+            yard.at(4_000 + 500 * no, move |y| y.submit(no, queue, job([step(2, 400)])));
+        }
+        yard.run_until(20_000);
+    }
+}
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -288,6 +288,12 @@
             let there = self.owners.iter().filter(|o| !o.gone);
             let away = there.flat_map(|o| o.shard.absent(self.now));
             away.for_each(|a| eprintln!("away, as its owner sees it: {} {a:?}", a.cause));
+            let stands = |no: &&JobNo| self.world.running(**no) == 0 && self.stored(no.0).is_none();
+            for no in self.world.jobs.keys().filter(stands) {
+                let owner = self.owners.last().filter(|o| !o.gone);
+                let why = owner.map(|o| o.shard.explain(*no, self.now));
+                eprintln!("as its owner sees it: {}", why.unwrap_or("there is no owner".into()));
+            }
         }
         kept(promise);
         for (key, value) in std::mem::take(&mut self.store.written) {
