Small work starts at a worker that is being emptied where its pool has room nowhere else

What callers saw: small jobs wait, 3 s and more, beside a worker with room, while most workers of their pool leave.

Cause: a worker that is to have its upkeep gets no starts, but for lasting tasks that have room nowhere else. Where the others leave, its own lasting tasks have nowhere to go, so that it is not emptied until others have come, and stands nearly idle meanwhile.

Mend: in a pool with room to spare a step that has waited for 1 s sees, last of all, workers that are being emptied and aren't empty, as what lasts does. A worker that was empty stays so (its VM may go down at once), forced upkeep gets nothing, and in a busy pool nothing changes: the worker would never be empty.

--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -307,7 +307,7 @@
         }
         let mut round = self.survey(now);
         for key in soon {
-            let Some(turn) = self.turn(&key, &round) else { continue };
+            let Some(turn) = self.turn(&key, &round, now) else { continue };
             self.ask_wide(&turn, &mut round, now);
         }
     }
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -7,7 +7,7 @@
             sound::{Verdict, most_held},
         },
         shard::{
-            jobs::At,
+            jobs::{At, Part},
             judge::PEERS,
             machine::Shard,
             round::{Asker, Round, Turn},
@@ -29,6 +29,9 @@
 const PAUSE: (Duration, Duration) = (Duration::from_micros(200), Duration::from_millis(40));
 /// How long a step waits before it takes room that is kept for steps behind it.
 const CLAIM: Duration = Duration::from_millis(100);
+/// How long a step waits in a pool with room to spare before it may start at a worker that is being
+/// emptied: a third of the time for which a job may wait beside room.
+const SHELTER: Duration = Duration::from_secs(1);
 /// How much longer than expected a task may take: one part in so many.
 const OFF: u32 = 3;
 /// Up to how many hundredths of each dimension are in use in a pool with room to spare.
@@ -94,12 +97,12 @@
             round.claim(key, reserve, false);
         }
         for (pool, all) in &self.pools {
-            let usable = self.sound_ones(all, false, now);
-            round.lasting.insert(pool.clone(), self.sound_ones(all, true, now).into());
+            round.usable.insert(pool.clone(), self.sound_ones(all, false, false, now).into());
+            round.lasting.insert(pool.clone(), self.sound_ones(all, true, true, now).into());
             if self.quiet(all) {
                 round.quiet.insert(pool.clone());
+                round.spare.insert(pool.clone(), self.sound_ones(all, false, true, now).into());
             }
-            round.usable.insert(pool.clone(), usable.into());
         }
         round
     }
@@ -131,10 +134,10 @@
     ///
     /// Guards against a pool that holds most of its workers: where over a third looks bad, the cause
     /// is something else, and the others are there for gangs all the same.
-    fn sound_ones(&self, all: &[WorkerNo], lasts: bool, now: Time) -> Vec<WorkerNo> {
+    fn sound_ones(&self, all: &[WorkerNo], lasts: bool, emptied: bool, now: Time) -> Vec<WorkerNo> {
         let usable = all.iter().copied().filter(|n| {
             let w = &self.workers[n.0];
-            w.usable(now) || (lasts && w.shelters(now))
+            w.usable(now) || (emptied && w.shelters(now))
         });
         let mut held = most_held(all.len());
         let fine = |n: &WorkerNo| match self.workers[n.0].sound.verdict(now) {
@@ -177,13 +180,18 @@
     }
 
     /// What a round needs to know of a step; nothing where its queue or its pool is not known.
-    pub(super) fn turn<'a>(&self, key: &'a StepKey, round: &Round) -> Option<Turn<'a>> {
+    pub(super) fn turn<'a>(&self, key: &'a StepKey, round: &Round, now: Time) -> Option<Turn<'a>> {
         let job = self.jobs.get(&key.job)?;
         let queue = self.known.get(&job.queue)?;
         let part = job.parts.get(&(key.time, key.step))?;
         let waiting = (0..).zip(&part.tasks).filter(|(_, t)| t.at == At::Waiting);
         let step = job.step(key)?.clone();
-        let usable = if step.lasts { &round.lasting } else { &round.usable };
+        let usable = match () {
+            () if step.lasts => &round.lasting,
+            () if self.sheltered(part, &step, now) => &round.spare,
+            () => &round.usable,
+        };
+        let usable = usable.get(&queue.pool).or(round.usable.get(&queue.pool))?.clone();
         Some(Turn {
             key,
             step,
@@ -191,18 +199,28 @@
             priority: queue.priority,
             pool: queue.pool.clone(),
             waiting: waiting.map(|(i, _)| i).collect(),
-            usable: usable.get(&queue.pool)?.clone(),
+            usable,
             advice: queue.advice,
         })
     }
 
+    /// Whether a step may start at workers that are being emptied and aren't empty yet.
+    ///
+    /// Guards against small work that waits beside an idle worker: where most of a pool leaves, what
+    /// lasts has room nowhere but at the worker that is being emptied, so that it stays there and
+    /// nothing else starts until others have come. In a busy pool it waits, as the worker would never
+    /// be empty.
+    fn sheltered(&self, part: &Part, step: &Step, now: Time) -> bool {
+        !step.gang && !step.fills && part.ready.is_some_and(|t| t + SHELTER <= now)
+    }
+
     /// Starts what has room of one step.
     fn place(&mut self, key: &StepKey, round: &mut Round, now: Time) {
         let old = self.jobs.get(&key.job).is_none_or(|j| j.old);
         if old && !self.unsettled.is_empty() {
             return;
         }
-        let Some(mut turn) = self.turn(key, round) else { return };
+        let Some(mut turn) = self.turn(key, round, now) else { return };
         if turn.advice.is_some() && self.part(key).is_none_or(|p| p.tickets.good.is_empty()) {
             return self.ask_wide(&turn, round, now);
         }
--- a/src/shard/queue.rs
+++ b/src/shard/queue.rs
@@ -152,7 +152,7 @@
         let first = |mut steps: Vec<(Time, StepKey)>, looks: usize, most: usize| {
             steps.sort_unstable();
             let keys = steps.into_iter().take(looks).map(|(_, key)| key);
-            keys.filter(|key| self.could_start(key, round)).take(most).collect::<Vec<_>>()
+            keys.filter(|key| self.could_start(key, round, now)).take(most).collect::<Vec<_>>()
         };
         [first(absent, ABSENT, ABSENT), first(all, ABSENT, STARVING)].concat()
     }
@@ -160,8 +160,8 @@
     /// Whether a step finds room once what ends has ended, as far as is known of its workers.
     ///
     /// Guards against steps that wait for workers which are yet to come, and stand before all others.
-    fn could_start(&self, key: &StepKey, round: &Round) -> bool {
-        let (Some(turn), Some(part)) = (self.turn(key, round), self.part(key)) else {
+    fn could_start(&self, key: &StepKey, round: &Round, now: Time) -> bool {
+        let (Some(turn), Some(part)) = (self.turn(key, round, now), self.part(key)) else {
             return false;
         };
         let asked = &part.tickets.asked;
--- a/src/shard/round.rs
+++ b/src/shard/round.rs
@@ -23,6 +23,8 @@
     pub(super) usable: FxHashMap<PoolId, Rc<[WorkerNo]>>,
     /// The same for steps that last.
     pub(super) lasting: FxHashMap<PoolId, Rc<[WorkerNo]>>,
+    /// The same, in pools with room to spare, for steps that have waited for it.
+    pub(super) spare: FxHashMap<PoolId, Rc<[WorkerNo]>>,
     /// Pools with room to spare.
     pub(super) quiet: FxHashSet<PoolId>,
     /// Steps that come first because they have waited too long.
--- a/src/shard/sight.rs
+++ b/src/shard/sight.rs
@@ -141,7 +141,7 @@
         if old && !self.unsettled.is_empty() {
             return;
         }
-        let Some(turn) = self.turn(key, round) else { return };
+        let Some(turn) = self.turn(key, round, now) else { return };
         if turn.advice.is_some() && self.part(key).is_none_or(|p| p.tickets.good.is_empty()) {
             return;
         }
@@ -165,7 +165,7 @@
             unsettled: self.unsettled.len(),
             ..Sight::default()
         };
-        let (Some(turn), Some(part)) = (self.turn(key, round), self.part(key)) else {
+        let (Some(turn), Some(part)) = (self.turn(key, round, now), self.part(key)) else {
             let queue = self.jobs.get(&key.job).and_then(|j| self.known.get(&j.queue));
             sight.gate = Some(if queue.is_some() { Cause::Pool } else { Cause::Queue });
             return sight;
