A round looks at all gangs for which room is kept

Cause: a round looks at the first 400 steps in the order and at those that starve. A gang that was given room there, and behind which it fell when more urgent steps came, keeps the room; only a look at it asks for its tickets, starts it, or gives the room back after 4 s. With more than 400 steps before it none comes. Such gangs gather (room for 21 of them, 76 tasks of 62 cores each, at the time), and steps that get their tickets find the pool's room kept.

Mend: a round looks at those steps too, last. What they keep is bounded by their number; each costs a look per round (10 us), and there were 21 at the worst. Ruled out: the members' time (calls were made, 30 s of them a second, and ended unused), takeover (21 s before), a faulty order (the same steps start once the room is given back).

tests/shard_kept.rs red before, green after. shard_wide 4, shard_waits 5, shard_gang 4 passed.

--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -17,7 +17,7 @@
         units::Size,
         work::{Step, StepKey, TaskKey},
     },
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
 };
 
 /// The most steps that one round looks at.
@@ -69,9 +69,7 @@
         self.forget_strays();
         let mut round = self.survey(now);
         let starving = self.starving(&round, now);
-        let mut keys: Vec<StepKey> = starving.clone();
-        let rest = self.ready.iter().take(LOOK).map(|(_, k)| *k);
-        keys.extend(rest.filter(|k| !starving.contains(k)));
+        let keys = self.looked_at(&starving);
         round.starving = starving;
         for key in &keys {
             self.demand(key, 1, &mut round);
@@ -83,6 +81,23 @@
         }
     }
 
+    /// The steps that a round looks at, in order: those that starve, the first ones, and those for which
+    /// room is kept.
+    ///
+    /// Guards against room that stands empty: a gang kept it while it was among the first, later ones came
+    /// before it, and with no round that looked at it nobody asked for its tickets or gave the room
+    /// back. Jobs waited beside a pool that was a quarter in use.
+    pub(super) fn looked_at(&self, starving: &[StepKey]) -> Vec<StepKey> {
+        let mut keys = starving.to_vec();
+        let new = |k: &StepKey| !starving.contains(k);
+        keys.extend(self.ready.iter().take(LOOK).map(|r| r.1).filter(new));
+        let Some(last) = self.ready.iter().nth(LOOK - 1) else { return keys };
+        let place = |k: &StepKey| Some((*self.ranks.get(k)?, *k));
+        let kept = self.reserved.keys().filter_map(place).filter(|p| p > last && new(&p.1));
+        keys.extend(kept.collect::<BTreeSet<_>>().into_iter().map(|p| p.1));
+        keys
+    }
+
     /// What a round begins with: the workers that may get starts, and what is kept for gangs.
     pub(super) fn survey(&mut self, now: Time) -> Round {
         let ranks = &self.ranks;
--- a/src/shard/sight.rs
+++ b/src/shard/sight.rs
@@ -108,12 +108,10 @@
     ) -> BTreeMap<StepKey, (usize, Sight)> {
         let mut round = self.view(now);
         let starving = self.starving(&round, now);
-        let rest = |n: usize| self.ready.iter().skip(n).map(|r| r.1);
-        let new = |k: &StepKey| !starving.contains(k);
-        let mut order = starving.clone();
-        order.extend(rest(0).take(LOOK).filter(new));
+        let mut order = self.looked_at(&starving);
         let look = order.len();
-        order.extend(rest(LOOK).filter(new));
+        let seen: FxHashSet<StepKey> = order.iter().copied().collect();
+        order.extend(self.ready.iter().skip(LOOK).map(|r| r.1).filter(|k| !seen.contains(k)));
         round.starving = starving;
         order.iter().take(look).for_each(|key| self.demand(key, 1, &mut round));
         let mut sights = BTreeMap::new();
