Tests, red: an owner that wakes, and what it takes for fresh

In virtual time it starts work and renews leases at once, (1 start, 4 leases), by answers that its workers gave 8 s ago; and one that stood still while it loaded its shard tells states for 1.9 s as if the store had confirmed it.

--- a/tests/shard_cut_off.rs
+++ b/tests/shard_cut_off.rs
@@ -5,10 +5,13 @@
 use {
     dogwoodreach::{
         Time,
-        ports::{Refusal, WorkerCall, WorkerReply as Reply},
+        ports::{Fault, Held, Refusal, WorkerCall, WorkerReply as Reply},
         work::JobNo,
     },
-    hand::{Hand, job, step, worker::MUTE},
+    hand::{
+        Hand, job, step,
+        worker::{FINE, MUTE},
+    },
     std::time::Duration,
 };
 
@@ -67,6 +70,33 @@
     assert!((0..3).all(|w| !hand.leases(w).is_empty()), "all that answer are renewed");
 }
 
+#[test]
+fn one_that_wakes_does_not_act_on_answers_from_before() {
+    // Story: a member stands still for 8 s, and another takes its shard over. When it wakes, it reads the
+    // answers that its workers gave before, which have waited in its sockets, takes itself to be heard
+    // by most of them, and starts work and renews leases before anybody has refused its token.
+    let mut hand = Hand::new(5);
+    hand.run(500);
+    hand.confirms = false;
+    for w in &mut hand.workers {
+        w.hook = |call| match call {
+            WorkerCall::Hold { .. } => {
+                Some(Ok(Reply::Held(Held { clock: 1_750, running: vec![], ended: vec![] })))
+            }
+            _ => Some(Err(Fault::Unknown)),
+        };
+    }
+    hand.now = hand.now + Duration::from_secs(8);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.log.clear();
+    hand.pass();
+    hand.workers.iter_mut().for_each(|w| w.hook = MUTE);
+    hand.run(100);
+    assert_eq!((hand.starts().len(), leases(&hand)), (0, 0));
+    hand.workers.iter_mut().for_each(|w| w.hook = FINE);
+    hand.until("a start, once they answer", 2_000, |h| !h.starts().is_empty());
+}
+
 #[test]
 fn one_that_is_refused_by_a_fence_forgets_the_shard() {
     // Story: a worker has seen a higher token. Whatever the owner orders or shows after that is
--- a/tests/shard_told.rs
+++ b/tests/shard_told.rs
@@ -53,3 +53,18 @@
     hand.run(100);
     assert_eq!(hand.state(2), Some(State::Queued));
 }
+
+#[test]
+fn an_owner_that_stood_still_as_it_loaded_its_shard_tells_nothing() {
+    // Story: a member takes a shard over and its process stands still while it reads what the store has.
+    // When it wakes, another has taken the shard over, and nobody has told it yet.
+    let mut hand = Hand::new(5);
+    hand.submit(1, "plain", hand::job(hand::step(1, 1)));
+    hand.run(5_000);
+    hand.confirms = false;
+    hand.succeed();
+    assert_eq!(hand.state(1), None);
+    hand.confirms = true;
+    hand.run(100);
+    assert!(hand.state(1).is_some());
+}
