An answer counts from when it was given, a lease from when the store confirmed it

What callers would see: a task that runs twice, or states that go back.

Cause: without word of the store an owner acts as long as most workers answer (2.6 s). An answer counted from when it was read, and one that has waited in a socket while the process stood still was read seconds later. A new owner counted as confirmed from when its shard was loaded, and not from when its lease was.

What a lease is reckoned from is unchanged. An owner begins with no confirmation; its member has one from its first renewal, before it takes any shard over.

--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -40,15 +40,11 @@
             Ok(WorkerReply::Other) => return self.over_with(no, now),
             Ok(WorkerReply::Refused(_, Refusal::Fence)) => return self.depose(),
             Ok(WorkerReply::Done(clock) | WorkerReply::Refused(clock, _)) => {
-                worker.tick(*clock, now);
-                worker.heard = Some(now);
-                worker.unsure = 0;
+                worker.answered(*clock, sent, now);
             }
             Ok(WorkerReply::Held(held)) => {
-                worker.tick(held.clock, now);
-                worker.heard = Some(now);
+                worker.answered(held.clock, sent, now);
                 worker.silent = 0;
-                worker.unsure = 0;
             }
             Ok(WorkerReply::Unwell) => worker.unwell = now + UNWELL,
             Err(Fault::Unsent) => worker.silent += 1,
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -137,7 +137,8 @@
             dirty: VecDeque::new(),
             roster: false,
             flight: Flight::default(),
-            confirmed: now,
+            // The store may have confirmed nothing since the shard was taken over.
+            confirmed: Time::ZERO,
             out: vec![],
             told: Told::new(now),
             closing: Arc::default(),
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -126,7 +126,7 @@
     pub holding: Option<Time>,
     /// When the next hold is due, if none is out.
     pub next: Time,
-    /// The last answer.
+    /// When the last answer was given.
     pub heard: Option<Time>,
     /// Calls without an answer since then.
     pub silent: u32,
@@ -134,6 +134,8 @@
     pub unsure: u32,
     /// Its clock in milliseconds, and when that was read at the latest.
     clock: Option<(u64, Time)>,
+    /// Its clock at the last answer, and when that was given.
+    dated: Option<(u64, Time)>,
     /// The longest lease that was asked for, on its clock.
     until: u64,
     /// When the list of machines, asked for then, first lacked it.
@@ -184,6 +186,7 @@
             silent: 0,
             unsure: 0,
             clock: None,
+            dated: None,
             until: 0,
             missed: None,
             unwell: Time::ZERO,
@@ -246,8 +249,25 @@
         self.listed.as_ref().map_or(Size::default(), |l| l.size.saturating_sub(&self.used))
     }
 
-    /// Notes its clock, as an answer to a call has shown it; 0 where the answer didn't.
-    pub fn tick(&mut self, clock: u64, now: Time) {
+    /// Takes in an answer to a call that was sent then; `clock` is what its clock showed, 0 where the
+    /// answer didn't say.
+    ///
+    /// Guards against an owner that stood still and takes what its workers answered before for fresh:
+    /// it would act as one that most of them heed, beside its successor. What an answer shows of the
+    /// worker's clock tells how old the answer is, and a call is not answered before it is sent.
+    pub fn answered(&mut self, clock: u64, sent: Time, now: Time) {
+        self.unsure = 0;
+        let given = match self.dated {
+            Some((before, at)) if clock > 0 => {
+                let gone = Duration::from_millis(clock.saturating_sub(before) + 1);
+                (at + gone.div_f64(SLOW)).max(sent).min(now)
+            }
+            _ => sent,
+        };
+        self.heard = self.heard.max(Some(given));
+        if clock > 0 {
+            self.dated = Some((clock, given));
+        }
         if clock > 0 && self.clock.is_none_or(|(c, _)| clock >= c) {
             self.clock = Some((clock, now));
         }
