A successor waits a lease for workers that don't answer, and a lease is as long as a task may be away

Cause: the successor waited hold / 0.98 + 2.9 s from when most workers had answered it. The 2.9 s covered an owner that gives leases on word of its workers for as long as that counts (2.6 s), or before it hears that it was taken over while its new lease is renewed. And a lease was as long as the deployment allows, whatever may wait for its end.

(1) Without word of the store an owner's leases count from when most workers had answered it, which was before its successor had heard most: a lease later the last has ended. (2) A takeover expects that the former owner's row is gone, in the same write; a member whose row was gone counts as confirmed again once it has read the table up to its new row. So no owner that was taken over takes itself for confirmed. Where a member is proven over by its address alone, 1.9 s are added. (3) Idle workers are asked each 0.9 s while the store is silent, as leases count from their answers. (4) No lease is longer than 6 s, for which a lasting task may be away; deployments of 6 s and less are as before.

model/shard.pml has (1) and (2): LAPSE holds with a bound of a lease (2,140,729 states), PROOF holds; leaving out ANCHOR or ROW is refuted, as are BOUND, MOST and ACT as before (ACT with whole leases: with anchored ones it gives none).

The yard says whether a former owner's lease had ended, and an owner that is gone is no longer confirmed.

--- a/model/shard.pml
+++ b/model/shard.pml
@@ -30,10 +30,9 @@
 #else
 #define WORKERS 2
 #endif
-#define HOLD 1                  /* ticks of a lease at a worker */
+#define HOLD 2                  /* ticks of a lease at a worker */
 #define FRESH 2                 /* ticks for which a renewal in the store lets an owner act */
 #define HEARD 2                 /* ticks for which an answer of a worker counts as one */
-#define WATCH 1                 /* ticks after which a member knows of a change in the table */
 #define RUNS 3                  /* the run that is B's; those before are A's */
 #ifdef LAPSE
 #define LAST_OF_A 1
@@ -42,12 +41,12 @@
 #endif
 #define NOBODY 3                /* no worker */
 
-/* How long B waits for workers that don't answer, once most of them have: by then A neither hears
- * most of them nor is confirmed, so it renews no lease, and the last that it renewed has ended. */
-#ifdef MUT_BOUND                /* B waits for the lease alone */
-#define BOUND HOLD
+/* How long B waits for workers that don't answer, once most of them have: A's leases count from when
+ * most had answered it, which was before. */
+#ifdef MUT_BOUND                /* B waits for less than the lease */
+#define BOUND (HOLD - 1)
 #else
-#define BOUND (HOLD + HEARD)
+#define BOUND HOLD
 #endif
 
 #define A 0
@@ -86,10 +85,9 @@
 bool known[6];                  /* the life of a worker that it means */
 bool listed[6];                 /* whether it knows that life to be in the roster */
 
-/* A alone: when it was confirmed, and has heard of each worker; when it knows of the takeover. */
+/* A alone: how long it is confirmed yet, and how long what it has heard of each worker counts yet. */
 byte confirmed;
 byte heard[WORKERS];
-byte aware;
 
 /* B alone. */
 bool asked[WORKERS];            /* in the roster that it has read */
@@ -104,6 +102,8 @@
 #ifdef LAPSE
 #define FENCED (fenced[0] + fenced[1] + fenced[2])
 #define STRAYS (stray[0] || stray[1] || stray[2])
+#define LESS(x, y) ((x) < (y) -> (x) : (y))
+#define MORE(x, y) ((x) < (y) -> (y) : (x))
 #define HEARS ((heard[0] > 0) + (heard[1] > 0) + (heard[2] > 0))
 #define ELSEWHERE(w) ((w != 0 && has[0] > 0) || (w != 1 && has[1] > 0) || (w != 2 && has[2] > 0))
 #else
@@ -134,7 +134,14 @@
 #endif
 
 #ifdef LAPSE
-#define LEASED(x, m) x = (ACTS(m) -> HOLD : 0)
+/* MUT_ANCHOR: without the store a lease counts from when it is given; MUT_ACT: so does one of an owner
+ * that acts whatever it hears. */
+#if defined(MUT_ANCHOR) || defined(MUT_ACT)
+#define ANCHORED HOLD
+#else                           /* ... from when most had answered; HOLD is as long as HEARD */
+#define ANCHORED MORE(LESS(heard[0], heard[1]), LESS(MORE(heard[0], heard[1]), heard[2]))
+#endif
+#define LEASED(x, m) x = (ACTS(m) -> (m == B || confirmed > 0 -> HOLD : ANCHORED) : 0)
 #define FRESH_START(r) (sleft[r] > 0)
 #else
 #define LEASED(x, m) x = 0
@@ -165,7 +172,7 @@
   owns[m] = false; at[m] = NOBODY; ended[m] = false; sure[m] = false; last[m] = 0;
   if
 #ifdef LAPSE
-  :: m == A -> confirmed = 0; heard[0] = 0; heard[1] = 0; heard[2] = 0; aware = 0
+  :: m == A -> confirmed = 0; heard[0] = 0; heard[1] = 0; heard[2] = 0
 #endif
   :: else -> skip
   fi
@@ -395,12 +402,21 @@
   :: atomic { owns[A] && writer == A && !roster[1] -> roster[1] = true }
 #endif
 #ifdef LAPSE
-  /* A's renewal, as long as the store knows it and it doesn't know better. */
-  :: atomic { owns[A] && confirmed < FRESH && (writer == A || aware > 0) -> confirmed = FRESH }
+  /* A's renewal, while its row stands; once that is gone it has to read the table first. */
+  :: atomic { owns[A] && confirmed < FRESH && writer == A -> confirmed = FRESH }
 #endif
   :: atomic { owns[A] && writer == B -> depose(A) }
-  /* B takes over: one write that changes the owner and the commit row, then it reads the rest. */
+  /* B takes over: one write that changes the owner and the commit row and expects A's row to be gone,
+   * and so A's lease, which lasts for longer than it is confirmed; then it reads the rest. */
+#ifdef LAPSE
+#ifdef MUT_ROW                  /* it expects nothing of A's row */
   :: atomic { writer == A ->
+#else
+  :: atomic { writer == A && confirmed == 0 ->
+#endif
+#else
+  :: atomic { writer == A ->
+#endif
        writer = B; owns[B] = true;
        ended[B] = stored; sure[B] = stored;
        asked[0] = roster[0]; asked[1] = roster[1];
@@ -465,7 +481,6 @@
   has[w] = (term[w] == 0 -> 0 : has[w])
 }
 
-/* A knows of the takeover by its watch within its time, if it can renew at all. */
 proctype Clock() {
   do
   :: atomic {
@@ -473,10 +488,6 @@
        DOWN(sleft[1]); DOWN(sleft[2]); DOWN(sleft[3]); DOWN(hleft[A]); DOWN(hleft[B]);
        DOWN(confirmed);
        if
-       :: writer == B -> DOWN(aware)
-       :: else -> skip
-       fi;
-       if
        :: most -> DOWN(wait)
        :: else -> skip
        fi
@@ -494,7 +505,7 @@
 #endif
 #ifdef LAPSE
     roster[2] = true; listed[AT(A, 2)] = true;
-    confirmed = FRESH; aware = WATCH; wait = BOUND;
+    confirmed = FRESH; wait = BOUND;
     run Clock();
 #else
     run Workers();
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -64,10 +64,11 @@
         Owner { common, outside, peers, told, notes, owned, begun }
     }
 
-    /// Begins to own a shard whose commit row was written with this revision.
-    pub fn begin(&self, shard: ShardNo, token: u64, commit: Rev) {
+    /// Begins to own a shard whose commit row was written with this revision; `lapsed` says whether the
+    /// former owner's lease had ended, or it gave the shard back.
+    pub fn begin(&self, shard: ShardNo, token: u64, commit: Rev, lapsed: bool) {
         let this = self.clone();
-        let task = tokio::spawn(async move { this.own(shard, token, commit).await });
+        let task = tokio::spawn(async move { this.own(shard, token, commit, lapsed).await });
         let owned = Owned { token, task: task.abort_handle() };
         let before = self.owned.lock().expect("no holder panics").insert(shard, owned);
         if let Some(before) = before {
@@ -84,9 +85,9 @@
         let _ = self.told.send(Told::Forget(shard)).await;
     }
 
-    async fn own(self, shard: ShardNo, token: u64, commit: Rev) {
+    async fn own(self, shard: ShardNo, token: u64, commit: Rev, lapsed: bool) {
         let mut pause = Pause::default();
-        let (load, rev) = loop {
+        let (mut load, rev) = loop {
             match self.load(shard, commit).await {
                 Ok(loaded) => break loaded,
                 Err(fault) => {
@@ -96,6 +97,7 @@
                 }
             }
         };
+        load.lapsed = lapsed;
         log::info!(target: "owner", did = "owned", shard:% = shard, token, jobs = load.jobs.len(), roster = load.roster.workers.len(), rev; "Shard is owned.");
         let _ = self.told.send(Told::Own(shard, token, Box::new(load))).await;
         self.begun.notify_one();
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -139,7 +139,12 @@
             match self.outside.store(&StoreCall::Keep { lease }, KEPT).await {
                 Ok(StoreReply::Kept) => {
                     pause.good();
-                    let _ = self.told.send(Told::All(Event::Confirmed(sent))).await;
+                    // Guards against an owner whose lease had ended and that was taken over before it
+                    // registered again: it counts as confirmed once it has read the table since.
+                    let read = self.common.view.borrow().rev;
+                    if registered.is_some_and(|(rev, _)| read >= rev) {
+                        let _ = self.told.send(Told::All(Event::Confirmed(sent))).await;
+                    }
                     self.rest(due, draining).await;
                 }
                 Ok(StoreReply::NoLease) => return,
@@ -261,7 +266,7 @@
                     && self.table.running().contains_key(&take.shard)
                 {
                     self.common.metrics.moved("taken_over");
-                    self.owner.begin(take.shard, token, rev);
+                    self.owner.begin(take.shard, token, rev, take.lapsed);
                 }
                 self.moved(lost).await;
             }
@@ -429,11 +434,12 @@
         commit.as_ref().and_then(|c| record::read(c.value.as_ref().map_or(&[], |v| &v[..])));
     let token = take.token.max(row.map_or(0, |r| r.token) + 1);
     let put = |key, value| Put { key, value, lease: 0 };
+    // Guards against a takeover from an owner that has registered again, by a member that hasn't heard
+    // so: the owner's lease is good, and it would go on without knowing better.
+    let gone = take.gone.map(|former| (member_key(former), 0));
+    let rows = [(take.shard.owner(), take.row), (take.shard.commit(), commit.map_or(0, |c| c.rev))];
     let txn = Txn {
-        expect: vec![
-            (take.shard.owner(), take.row),
-            (take.shard.commit(), commit.map_or(0, |c| c.rev)),
-        ],
+        expect: rows.into_iter().chain(gone).collect(),
         puts: vec![
             put(take.shard.owner(), record::write(&OwnerRow { owner: Some(me), token, control })),
             put(take.shard.commit(), record::write(&CommitRow { token, number: 0 })),
--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -4,7 +4,7 @@
     crate::{
         shard::{
             machine::Shard,
-            workers::{Worker, millis},
+            workers::{MARGIN, SLOW, Worker, millis},
         },
         time::Time,
     },
@@ -13,25 +13,32 @@
 
 /// For how long a confirmed renewal counts, from when it was sent: shorter than the shortest lease.
 const FRESH: Duration = Duration::from_millis(1900);
+/// For how long an answer of a worker counts, from when it was given.
+const HEARD: Duration = Duration::from_millis(2600);
 
 impl Shard {
     /// Whether this owner may start work and renew leases.
+    pub(super) fn may_act(&self, now: Time) -> bool {
+        self.acts_from(now).is_some()
+    }
+
+    /// From when the leases count that this owner gives now; nothing where it may give none.
     ///
     /// Guards against an owner that is cut off from the store and goes on beside its successor:
     /// while the store is silent it needs answers from most of its workers, and a successor needs
     /// the same before it counts others' leases as ended, so that at least one worker has seen both
-    /// and refuses the older one.
-    pub(super) fn may_act(&self, now: Time) -> bool {
-        const HEARD: Duration = Duration::from_millis(2600);
+    /// and refuses the older one. Its leases count from when most had answered, which was before
+    /// any successor had heard most: so the successor need not wait for longer than a lease.
+    pub(super) fn acts_from(&self, now: Time) -> Option<Time> {
         if self.fresh(now) {
-            return true;
-        }
-        let (mut all, mut heard) = (0, 0);
-        for w in self.workers.iter().filter(|w| w.listed.is_some() && !w.gone) {
-            all += 1;
-            heard += usize::from(w.heard.is_some_and(|h| now - h <= HEARD));
+            return Some(now);
         }
-        heard * 2 > all
+        let listed = self.workers.iter().filter(|w| w.listed.is_some() && !w.gone);
+        let mut heard: Vec<Option<Time>> = listed.map(|w| w.heard).collect();
+        heard.sort_unstable();
+        // More than half of them have answered since then.
+        let most = heard.len().checked_sub(1)? / 2;
+        heard[most].filter(|at| now - *at <= HEARD)
     }
 
     /// Whether what this owner knows may be told to others.
@@ -46,14 +53,15 @@
     }
 
     /// Whether the store has confirmed this member's lease so lately that it has not ended.
-    fn fresh(&self, now: Time) -> bool {
+    pub(super) fn fresh(&self, now: Time) -> bool {
         now - self.confirmed <= FRESH
     }
 
     /// Whether what former owners have started is known.
     ///
     /// Guards against a second run of what goes on at a worker that can't be asked: until all that
-    /// may run something have answered, or their leases have ended, no job from before starts.
+    /// may run something have answered, or their leases have ended, no job from before starts. No
+    /// former owner gives a lease that counts from later than when most have answered this one.
     pub(super) fn settle(&mut self, now: Time) {
         if self.unsettled.is_empty() {
             return;
@@ -64,8 +72,11 @@
         if most && self.most.is_none() {
             self.most = Some(now);
         }
-        let bound = self.setup.bounds.hold.div_f64(0.98) + Duration::from_millis(2900);
-        let lapsed = self.most.is_some_and(|t| t + bound <= now);
+        let lease = self.setup.bounds.hold.div_f64(SLOW) + MARGIN;
+        // A former owner of whose lease nothing is known may have been confirmed until now.
+        let former = if self.lapsed { self.begun } else { self.begun + FRESH };
+        let since = self.most.map(|t| t.max(former));
+        let lapsed = since.is_some_and(|t| t + lease <= now);
         let workers = &self.workers;
         self.unsettled.retain(|n| !lapsed && !fenced(&workers[n.0]));
         if self.unsettled.is_empty() {
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -25,6 +25,9 @@
     pub roster: Roster,
     /// The revision of the commit row, as this owner has just written it.
     pub commit: u64,
+    /// Whether the former owner can't take itself for confirmed any more: its lease had ended, or it
+    /// gave the shard back.
+    pub lapsed: bool,
 }
 
 /// What a shard is told.
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -71,6 +71,8 @@
     pub(super) strays: FxHashSet<TaskKey>,
     pub(super) begun: Time,
     pub(super) most: Option<Time>,
+    /// Whether the former owner can't have taken itself for confirmed since then.
+    pub(super) lapsed: bool,
     pub(super) ready: BTreeSet<(Rank, StepKey)>,
     pub(super) ranks: FxHashMap<StepKey, Rank>,
     pub(super) stir: bool,
@@ -123,6 +125,7 @@
             strays: FxHashSet::default(),
             begun: now,
             most: None,
+            lapsed: load.lapsed,
             ready: BTreeSet::new(),
             ranks: FxHashMap::default(),
             stir: true,
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -30,7 +30,7 @@
         reply: Result<WorkerReply, Fault>,
         now: Time,
     ) {
-        let act = self.may_act(now);
+        let from = self.acts_from(now);
         let worker = &mut self.workers[no.0];
         let Some(run) = worker.runs.get_mut(&start.task).filter(|r| r.run == start.run) else {
             return;
@@ -39,7 +39,7 @@
             return;
         }
         let first = run.tries == 1;
-        let more = run.tries < TRIES && act && worker.leaving.is_none();
+        let more = run.tries < TRIES && from.is_some() && worker.leaving.is_none();
         match reply {
             Ok(WorkerReply::Done(_)) => {
                 run.phase = Phase::Running;
@@ -59,8 +59,9 @@
                 run.phase = Phase::Unsure;
                 run.sent = now;
                 // A silent worker gets no new lease, as with its holds.
-                let new = if worker.silent > 0 { None } else { Some(&self.setup.bounds) };
-                let until = new.and_then(|b| worker.lease(b, now)).unwrap_or(start.until);
+                let from = from.filter(|_| worker.silent == 0);
+                let new = from.and_then(|f| worker.lease(&self.setup.bounds, f, now));
+                let until = new.unwrap_or(start.until);
                 let again = Start { until, ..start.clone() };
                 self.out.push(Order::Worker {
                     worker: worker.id.clone(),
@@ -165,7 +166,7 @@
 
     /// Sends the holds that are due.
     pub(super) fn holds(&mut self, now: Time) {
-        let act = self.may_act(now);
+        let (from, fresh) = (self.acts_from(now), self.fresh(now));
         for no in 0..self.workers.len() {
             let w = &mut self.workers[no];
             if w.gone || w.holding.is_some() || w.next > now {
@@ -177,11 +178,12 @@
             }
             // A silent worker gets no new lease: each one, as it may still arrive, would put off the
             // time from which its work can start elsewhere, for ever.
-            let renew = act && w.fenced && w.silent == 0;
-            let until = if renew { w.lease(&self.setup.bounds, now) } else { None };
+            let from = from.filter(|_| w.fenced && w.silent == 0);
+            let until = from.and_then(|f| w.lease(&self.setup.bounds, f, now));
             let wait = match () {
                 () if !w.fenced || !w.pending.is_empty() || w.silent > 0 => Duration::ZERO,
-                () if w.runs.is_empty() => Duration::from_millis(1900),
+                // While the store is silent leases count from such answers, so that they have to come.
+                () if w.runs.is_empty() && fresh => Duration::from_millis(1900),
                 () => Duration::from_millis(900),
             };
             w.holding = Some(now);
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -86,8 +86,9 @@
         now: Time,
     ) -> bool {
         let yields = self.yields(&task.step, step);
+        let Some(from) = self.acts_from(now) else { return false };
         let worker = &mut self.workers[no.0];
-        let Some(until) = worker.lease(&self.setup.bounds, now) else { return false };
+        let Some(until) = worker.lease(&self.setup.bounds, from, now) else { return false };
         let Some(job) = self.jobs.get(&task.step.job) else { return false };
         let part = job.parts.get(&(task.step.time, task.step.step));
         let ticket = part.and_then(|p| p.tickets.good.get(&no)).map(|t| t.0.clone());
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -15,15 +15,18 @@
 };
 
 /// The slowest that a worker's clock runs.
-const SLOW: f64 = 0.98;
+pub const SLOW: f64 = 0.98;
 /// Added to a bound on another machine's clock, for the way and the rounding.
-const MARGIN: Duration = Duration::from_millis(250);
+pub const MARGIN: Duration = Duration::from_millis(250);
 /// A run's percent from which on a lasting task is at work.
 pub const AT_WORK: u8 = 100;
 /// The pace at which a run begins, in hundredths.
 pub const FULL: u8 = 100;
 /// How much shorter than allowed a lease is asked for, so that it is never cut.
 const SHORTER: Duration = Duration::from_millis(200);
+/// The longest lease that is asked for: as long as a lasting task may be away. Where nothing says that
+/// a lost worker is over, what ran there waits for the end of its lease.
+const LONGEST: Duration = Duration::from_secs(6);
 
 /// The number of a worker's life within one owner's reign; never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, derive_more::Display)]
@@ -273,10 +276,10 @@
         }
     }
 
-    /// A lease from now on, on its clock; nothing before its clock is known.
-    pub fn lease(&mut self, bounds: &Bounds, now: Time) -> Option<u64> {
+    /// A lease that counts from a time on, on its clock; nothing before its clock is known.
+    pub fn lease(&mut self, bounds: &Bounds, from: Time, now: Time) -> Option<u64> {
         let (clock, at) = self.clock?;
-        let length = bounds.hold.saturating_sub(SHORTER);
+        let length = bounds.hold.saturating_sub(SHORTER).min(LONGEST).saturating_sub(now - from);
         let until = clock + millis(now - at) + millis(length);
         self.until = self.until.max(until);
         Some(self.until)
--- a/src/table.rs
+++ b/src/table.rs
@@ -78,6 +78,10 @@
     pub row: Rev,
     /// The new token; more where the commit row has seen a higher one.
     pub token: u64,
+    /// The former owner, whose lease must have ended.
+    pub gone: Option<Incarnation>,
+    /// Whether the former owner can't take itself for confirmed any more.
+    pub lapsed: bool,
 }
 
 /// What became of a takeover.
@@ -231,7 +235,10 @@
         while let Some(shard) = self.due(now) {
             self.flying.insert(shard);
             let (row, token) = self.owners.get(&shard).map_or((0, 0), |(r, o)| (*r, o.token));
-            takes.push(Take { shard, row, token: token + 1 });
+            let over = self.free.get(&shard).is_some_and(|f| f.over);
+            let former = self.owners.get(&shard).and_then(|(_, o)| o.owner);
+            let gone = former.filter(|o| *o != self.me && !over);
+            takes.push(Take { shard, row, token: token + 1, gone, lapsed: !over });
         }
         takes
     }
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -164,6 +164,7 @@
             progress: progress.filter_map(|(k, v)| Some((tail(&k)?, read(&v)?))).collect(),
             roster: roster.and_then(|v| read(&v)).unwrap_or_default(),
             commit,
+            lapsed: false,
         }
     }
 
--- a/tests/yard/events.rs
+++ b/tests/yard/events.rs
@@ -19,6 +19,7 @@
             shard,
             me,
             begun: self.now,
+            confirmed: self.now,
             gone: false,
             paused: false,
             stalled: false,
@@ -77,6 +78,9 @@
             progress,
             roster: roster.and_then(|v| read::<Roster>(&v)).unwrap_or_default(),
             commit,
+            lapsed: self.owners.last().is_none_or(|o| {
+                o.releasing || (o.gone || o.paused) && o.confirmed + LEASE <= self.now
+            }),
         }
     }
 
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -46,6 +46,8 @@
 const RELEASE: Duration = Duration::from_millis(1_200);
 /// How much longer than it should take another owner waits for a call.
 const OTHER: Duration = Duration::from_millis(1_500);
+/// The shortest lease of a member.
+const LEASE: Duration = Duration::from_secs(2);
 /// How long a silent worker stays in the list.
 const SILENT: Duration = Duration::from_secs(3);
 
@@ -84,6 +86,8 @@
     pub me: Incarnation,
     /// When it took over.
     pub begun: Time,
+    /// When the store last confirmed its lease.
+    pub confirmed: Time,
     /// Whether it has ended or was told to forget the shard.
     pub gone: bool,
     pub paused: bool,
@@ -329,10 +333,11 @@
         }
         if ms.is_multiple_of(500) {
             self.look();
-            // A member that stands still renews no lease.
-            let renews = self.owners.last().is_some_and(|o| !o.paused);
+            // A member that stands still or has ended renews no lease.
+            let renews = self.owners.last().is_some_and(|o| !o.paused && !o.gone);
             if self.store.mode != Mode::Down && renews {
                 let (at, owner) = (self.now + self.net(), self.owners.len() - 1);
+                self.owners[owner].confirmed = self.now;
                 self.post(at, Mail::Tell(owner, Event::Confirmed(self.now)));
             }
         }
