A job's record holds its queue as it was when the job was taken in

What callers saw (shard_course, drawn wider): a job that was taken in waits beside room, and is never begun while its queue is missing from the configuration, where the shard has passed on meanwhile.

Cause: an owner keeps queues that a configuration drops as the last version had them, in memory. A new owner knows the configuration in force alone. Mend: the record has the queue's terms; an owner takes a queue from its jobs' records where its configuration lacks it, as of the job that came last. Without any configuration it starts nothing, as a newer one may send the queue elsewhere. Records of before have no terms and are read as they were.

One part of the old failures was the yard's: it gave a new owner no configuration at all until the last change had come, where Decisions::own hands it the one that its member has.

--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -96,11 +96,12 @@
         job: Job,
         tries: &mut Tries,
     ) -> Result<(), Error> {
-        let mut record = JobRecord { queue: "".into(), came: unix(), job };
+        let mut record = JobRecord { queue: "".into(), came: unix(), job, terms: None };
         loop {
             // Again each time: only what is in force when the write is done may let a job in.
             let config = self.config()?;
-            record.queue = ask.queue(&config)?.name.clone();
+            let queue = ask.queue(&config)?;
+            (record.queue, record.terms) = (queue.name.clone(), Some(Box::new(queue.clone())));
             let txn = self.entrance(shard, no, config.rev, &record);
             let limit = self.limit(ask)?;
             match self.outside.store(&StoreCall::Txn(txn), limit).await {
--- a/src/shard/course.rs
+++ b/src/shard/course.rs
@@ -19,6 +19,13 @@
         old: bool,
         now: Time,
     ) {
+        if let Some(terms) = &record.terms {
+            let last = self.terms.entry(record.queue.clone()).or_default();
+            if record.came >= last.0 {
+                *last = (record.came, Some(terms.clone()));
+            }
+        }
+        self.adopt_terms();
         let active = Active::new(record, progress, old);
         if active.job.times.is_some() {
             self.timed.insert(no);
--- a/src/shard/listing.rs
+++ b/src/shard/listing.rs
@@ -32,6 +32,7 @@
             }
         }
         self.queues = queues;
+        self.adopt_terms();
         let all: Vec<_> = self.jobs.iter().map(|(no, j)| (*no, fewer.contains(&j.queue))).collect();
         for (no, fewer) in all {
             self.review(no, now);
@@ -41,6 +42,22 @@
         }
     }
 
+    /// Takes queues that the configuration lacks as they were when their jobs were taken in.
+    ///
+    /// Guards against jobs that are never begun: an owner that takes a shard over while their queue is
+    /// missing knows nothing of it, and a queue that was removed for good never comes back. Without
+    /// any configuration nothing starts, as a newer one may send the queue elsewhere.
+    pub(super) fn adopt_terms(&mut self) {
+        if self.queues.all.is_empty() {
+            return;
+        }
+        for (name, (_, terms)) in self.terms.drain() {
+            if let Some(terms) = terms {
+                self.known.entry(name).or_insert(*terms);
+            }
+        }
+    }
+
     /// Ends a job of which a task has failed as often as its queue allows.
     ///
     /// Guards against a new owner that hears of failures before it hears of the queue: it can't tell
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -57,6 +57,8 @@
     pub(super) queues: Arc<Queues>,
     /// Each queue as the last version that had it said; jobs outlive their queue.
     pub(super) known: FxHashMap<Box<str>, Queue>,
+    /// Queues as they were when the last of their jobs came, and when that was.
+    pub(super) terms: FxHashMap<Box<str>, (u64, Option<Box<Queue>>)>,
     pub(super) jobs: FxHashMap<JobNo, Active>,
     pub(super) over: FxHashMap<JobNo, State>,
     pub(super) purge: VecDeque<(u64, JobNo)>,
@@ -113,6 +115,7 @@
             setup,
             queues: Arc::default(),
             known: FxHashMap::default(),
+            terms: FxHashMap::default(),
             jobs: FxHashMap::default(),
             over: FxHashMap::default(),
             purge: VecDeque::new(),
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -16,7 +16,7 @@
 use {
     crate::{
         ids::{Incarnation, PoolId, WorkerId, Zone},
-        work::{Job, JobNo, State},
+        work::{Job, JobNo, Queue, State},
     },
     bytes::Bytes,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -172,6 +172,9 @@
     pub came: u64,
     /// What it says.
     pub job: Job,
+    /// Its queue as it was then; nothing in a record of before.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub terms: Option<Box<Queue>>,
 }
 
 /// How a job stands.
--- a/src/work.rs
+++ b/src/work.rs
@@ -221,7 +221,7 @@
 }
 
 /// A queue, as the configuration has it: where its jobs come in and how they are served.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Its name, the same from version to version.
     pub name: Box<str>,
@@ -244,7 +244,7 @@
 }
 
 /// What a call for advice takes.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AdviceCost {
     /// Each call.
     pub base: Duration,
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -140,7 +140,7 @@
         self.count(|c| c.asked += 1);
         self.stage.with(|s| {
             let (queue, job) = (drawn.queue.into(), drawn.job.clone());
-            s.world.jobs.insert(no, JobRecord { queue, came: unix(), job });
+            s.world.jobs.insert(no, JobRecord { queue, came: unix(), job, terms: None });
             if drawn.hopeless {
                 s.world.hopeless.insert((no, drawn.job.steps.len() as u16 - 1));
             }
--- a/standin/tests/judge.rs
+++ b/standin/tests/judge.rs
@@ -23,7 +23,7 @@
 fn day() -> (World, Rules) {
     let mut world = World::new(5, bounds(), queues(), workers(4));
     let job = job([step(1, 200)]);
-    world.jobs.insert(JOB, JobRecord { queue: "open".into(), came: 0, job });
+    world.jobs.insert(JOB, JobRecord { queue: "open".into(), came: 0, job, terms: None });
     (world, Rules::new(5))
 }
 
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -182,7 +182,7 @@
     /// A caller's job is stored; the owner hears of it.
     pub fn submit(&mut self, no: u64, queue: &str, job: Job) {
         let came = UNIX + self.now.0 / 1_000;
-        let record = JobRecord { queue: queue.into(), came, job };
+        let record = JobRecord { queue: queue.into(), came, job, terms: None };
         self.store.put(SHARD.job(JobNo(no)), write(&record));
         self.tell(Event::Job(JobNo(no), Box::new(record)));
     }
--- a/tests/release.rs
+++ b/tests/release.rs
@@ -32,7 +32,7 @@
     let setup = Setup { shard: ShardNo(0), me, token: 1, bounds: bounds(), unix };
     let step = Step { count: 1, ..Step::default() };
     let job = Job { steps: [step].into(), ..Job::default() };
-    let record = || JobRecord { queue: "/a/".into(), came: unix, job: job.clone() };
+    let record = || JobRecord { queue: "/a/".into(), came: unix, job: job.clone(), terms: None };
     let jobs = (1..=60).map(|no| (JobNo(no), record())).collect();
     let cancels = (1..=60).map(JobNo).collect();
     let mut shard = Shard::new(setup, Load { jobs, cancels, ..Load::default() }, Time::ZERO);
--- a/tests/shard_course.rs
+++ b/tests/shard_course.rs
@@ -22,9 +22,6 @@
 /// From an event's end on nothing happens for so long, so that the judge may speak.
 const QUIET: u64 = 13_000;
 
-/// How long an owner has the shard at least before its member stops by plan.
-const IN_TURN: Duration = Duration::from_secs(5);
-
 /// What happens on a day, in words.
 type Told = Rc<RefCell<Vec<String>>>;
 
@@ -220,11 +217,8 @@
             }
             2 | 3 => {
                 y.at(at, move |y| {
-                    // Members stop in turn; four in three seconds would leave a shard with nobody.
-                    if y.owner().begun + IN_TURN <= y.now {
-                        draw.tell(y, format!("release, gap {}", brief / 4));
-                        y.release(Duration::from_millis(brief / 4));
-                    }
+                    draw.tell(y, format!("release, gap {}", brief / 4));
+                    y.release(Duration::from_millis(brief / 4));
                 });
                 at + brief / 4 + 1_200
             }
@@ -233,20 +227,17 @@
                 y.at(at, move |y| {
                     draw.tell(
                         y,
-                        format!(
-                            "configuration without {gone:?} for {}, late {}",
-                            long / 12,
-                            brief / 4
-                        ),
+                        format!("configuration without {gone:?} for {}, late {brief}", long / 2),
                     );
                     y.unread = Duration::from_millis(brief / 4);
+                    y.slow = Duration::from_millis(brief);
                     y.configure(version(&y.world.queues, 2 + at, gone));
                 });
-                y.at(at + long / 12, move |y| {
-                    y.configure(version(&y.world.queues, 2 + at + long / 12, &[]));
-                    y.unread = Duration::ZERO;
+                y.at(at + long / 2, move |y| {
+                    y.configure(version(&y.world.queues, 2 + at + long / 2, &[]));
+                    (y.unread, y.slow) = (Duration::ZERO, Duration::ZERO);
                 });
-                at + long / 12 + brief / 4
+                at + long / 2 + brief
             }
             5 => {
                 y.at(at, move |y| {
--- a/tests/yard/events.rs
+++ b/tests/yard/events.rs
@@ -29,8 +29,11 @@
         let (owner, now) = (self.owners.len() - 1, self.now);
         let listed = self.list.values().map(|l| l.0.clone()).collect();
         self.between = false;
-        let queues = Event::Queues(self.told.clone());
-        self.post(now + self.unread, Mail::Tell(owner, queues));
+        // Its member has the configuration that all have heard; the last change may come yet.
+        let known = [self.heard.clone(), self.told.clone()];
+        for (queues, late) in known.into_iter().zip([self.unread, self.unread.max(self.slow)]) {
+            self.post(now + late, Mail::Tell(owner, Event::Queues(queues)));
+        }
         let first = [Event::Listed(listed), Event::Peers(self.callers(me)), Event::Confirmed(now)];
         first.into_iter().for_each(|e| self.post(now, Mail::Tell(owner, e)));
         if self.closing.place.1 > 0 {
@@ -141,7 +144,9 @@
     /// The owners hear another configuration.
     pub fn configure(&mut self, queues: Arc<Queues>) {
         self.told = queues.clone();
-        self.tell(self.now + self.unread, Event::Queues(queues));
+        let (heard, late) = (queues.clone(), self.unread.max(self.slow));
+        self.at((self.now + late).0 / 1_000, move |y| y.heard = heard);
+        self.tell(self.now + late, Event::Queues(queues));
     }
 
     /// The owners hear which workers are to be emptied.
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -110,10 +110,15 @@
     pub late: u32,
     /// How much later than all else a new owner hears the configuration.
     pub unread: Duration,
+    /// How much later than all else the owners hear a change of the configuration; a new one begins
+    /// with what its member has.
+    pub slow: Duration,
     /// Orders that the owners gave, for counting.
     pub orders: u64,
     /// The configuration as the owners hear it; the world's own has all queues that it ever had.
     pub told: Arc<Queues>,
+    /// The configuration that every member has heard by now.
+    pub heard: Arc<Queues>,
     /// The workers that are emptied for their upkeep.
     pub closing: Arc<Closing>,
     /// Whether the list of workers is told though nothing in it has changed, as members do.
@@ -165,7 +170,7 @@
     /// A yard of these queues and workers, with one owner and so many members that can call for
     /// advice.
     pub fn with(seed: u64, queues: Arc<Queues>, workers: Vec<Worker>, members: u64) -> Self {
-        let told = queues.clone();
+        let (told, heard) = (queues.clone(), queues.clone());
         let world = World::new(seed, bounds(), queues, workers);
         let mut yard = Yard {
             now: Time::ZERO,
@@ -180,8 +185,10 @@
             owners: Vec::new(),
             late: 0,
             unread: Duration::ZERO,
+            slow: Duration::ZERO,
             orders: 0,
             told,
+            heard,
             closing: Arc::default(),
             often: false,
             behind: Duration::ZERO,
@@ -240,7 +247,8 @@
             let later = self.now.0 / 1_000 + 500;
             return self.at(later, move |y| y.submit(no, &queue, job));
         }
-        let record = JobRecord { queue, came: UNIX + self.now.0 / 1_000, job };
+        let terms = self.world.queues.named(&queue).cloned().map(Box::new);
+        let record = JobRecord { queue, came: UNIX + self.now.0 / 1_000, job, terms };
         self.store.put(SHARD.job(JobNo(no)), write(&record));
         self.world.jobs.insert(JobNo(no), record.clone());
         self.watched(Event::Job(JobNo(no), Box::new(record)));
--- a/tests/yard_worker.rs
+++ b/tests/yard_worker.rs
@@ -31,7 +31,7 @@
 /// A world of four workers where job 1 is in a queue.
 fn world(queue: &str, job: Job) -> World {
     let mut world = World::new(1, bounds(), queues(), workers(4));
-    world.jobs.insert(JobNo(1), JobRecord { queue: queue.into(), came: 0, job });
+    world.jobs.insert(JobNo(1), JobRecord { queue: queue.into(), came: 0, job, terms: None });
     world
 }
 
