--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -5,7 +5,7 @@
     bytes::Bytes,
     dogwoodreach::{
         http::{EPOCH, KEY, LEASE, RAN, REQUEST, RUN, UNTIL, answer},
-        ids::{Attempt, Epoch, RequestId, TaskId},
+        ids::{Attempt, Epoch, RequestId, TaskId, WorkerId},
         messages::{
             FenceAsk, Report, TaskOrder, TaskReport, TaskState, Vm, WorkerAsk, WorkerReply,
         },
@@ -60,8 +60,9 @@
     pub fenced: u64,
     /// What the violations were.
     pub notes: Vec<Box<str>>,
+    /// Where each runs, and by which order.
     #[serde(skip)]
-    running: HashMap<Box<str>, u32>,
+    running: HashMap<Box<str>, Vec<(WorkerId, Box<str>)>>,
     #[serde(skip)]
     keys: HashMap<Box<str>, u32>,
     #[serde(skip)]
@@ -292,7 +293,7 @@
             return;
         }
         let name = order.task.to_string();
-        self.enter(&name);
+        self.enter(&name, &format!("attempt {}, epoch {}", order.attempt, state.epoch));
         self.witness.lock().expect("no holder panics").starts += 1;
         let end = (order.run > 0).then(|| now + Duration::from_millis(order.run));
         let task = Task {
@@ -338,7 +339,7 @@
             (wait, state.faults.fail)
         };
         let name = id.to_string();
-        self.enter(&name);
+        self.enter(&name, &format!("epoch {epoch}"));
         self.count(header(head, KEY));
         // The work goes on to its end when the connection breaks, as real work would.
         let worker = self.clone();
@@ -360,25 +361,30 @@
         r
     }
 
-    fn enter(&self, name: &str) {
+    fn enter(&self, name: &str, order: &str) {
         let mut w = self.witness.lock().expect("no holder panics");
         if !name.contains('/') {
             w.requests += 1;
             w.ids.insert(name.into());
         }
-        let n = w.running.entry(name.into()).or_default();
-        *n += 1;
-        if *n > 1 {
+        let here = (self.vm.worker.clone(), format!("{order}, at {}", unix()).into());
+        let places = w.running.entry(name.into()).or_default();
+        places.push(here);
+        if let [(first, before), .., (second, order)] = &places[..] {
+            let text =
+                format!("{name} twice at once, now on {second} ({order}), on {first} ({before})");
             w.doubled += 1;
-            w.notes.push(format!("{name} twice at once, now on {}", self.vm.worker).into());
+            w.notes.push(text.into());
         }
     }
 
     fn leave(&self, name: &str) {
         let mut w = self.witness.lock().expect("no holder panics");
-        let Some(n) = w.running.get_mut(name) else { return };
-        *n -= 1;
-        if *n == 0 {
+        let Some(places) = w.running.get_mut(name) else { return };
+        if let Some(at) = places.iter().position(|p| p.0 == self.vm.worker) {
+            places.remove(at);
+        }
+        if places.is_empty() {
             w.running.remove(name);
         }
     }
