Sights know of the pools' turns; workers that are emptied are listed apart only where there are any

A round made a third list of each quiet pool's workers, at the cost of a verdict on each, also where none is being emptied. The terms of a queue are kept as they are read.

--- a/src/shard/course.rs
+++ b/src/shard/course.rs
@@ -19,11 +19,10 @@
         old: bool,
         now: Time,
     ) {
-        if let Some(terms) = &record.terms {
-            let last = self.terms.entry(record.queue.clone()).or_default();
-            if record.came >= last.0 {
-                *last = (record.came, Some(terms.clone()));
-            }
+        if let Some(terms) = &record.terms
+            && self.terms.get(&record.queue).is_none_or(|t| t.0 <= record.came)
+        {
+            self.terms.insert(record.queue.clone(), (record.came, terms.clone()));
         }
         self.adopt_terms();
         let active = Active::new(record, progress, old);
--- a/src/shard/listing.rs
+++ b/src/shard/listing.rs
@@ -52,9 +52,7 @@
             return;
         }
         for (name, (_, terms)) in self.terms.drain() {
-            if let Some(terms) = terms {
-                self.known.entry(name).or_insert(*terms);
-            }
+            self.known.entry(name).or_insert(*terms);
         }
     }
 
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -58,7 +58,7 @@
     /// Each queue as the last version that had it said; jobs outlive their queue.
     pub(super) known: FxHashMap<Box<str>, Queue>,
     /// Queues as they were when the last of their jobs came, and when that was.
-    pub(super) terms: FxHashMap<Box<str>, (u64, Option<Box<Queue>>)>,
+    pub(super) terms: FxHashMap<Box<str>, (u64, Box<Queue>)>,
     pub(super) jobs: FxHashMap<JobNo, Active>,
     pub(super) over: FxHashMap<JobNo, State>,
     pub(super) purge: VecDeque<(u64, JobNo)>,
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -116,7 +116,9 @@
             round.lasting.insert(pool.clone(), self.sound_ones(all, true, true, now).into());
             if self.quiet(all) {
                 round.quiet.insert(pool.clone());
-                round.spare.insert(pool.clone(), self.sound_ones(all, false, true, now).into());
+                if all.iter().any(|n| self.workers[n.0].closed()) {
+                    round.spare.insert(pool.clone(), self.sound_ones(all, false, true, now).into());
+                }
             }
         }
         round
--- a/src/shard/sight.rs
+++ b/src/shard/sight.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        decide::{fit::Room, gather::chunk, sound::Verdict},
+        decide::{fit::Room, gather::chunk, lanes::LONG, sound::Verdict},
         shard::{
             ask::{AGAIN, MOST},
             cause::{Away, Bar, Cause, Sight},
@@ -321,6 +321,10 @@
             () => sight.unasked.min(MOST),
         };
         let takes = cost.base + cost.each * u32::try_from(named).unwrap_or(u32::MAX);
+        let roomy = turn.step.gang || sight.old > 0 || sight.roomy > 0;
+        if takes > LONG && !turn.step.lasts && !self.turns.may(&turn.pool, roomy, now) {
+            return false;
+        }
         let due = self.ranks.get(turn.key).map_or(0, |r| r.due());
         let left = Duration::from_millis(due.saturating_sub(self.unix(now)));
         self.lanes.clone().pick(takes, now + left, now).is_some()
--- a/tests/shard_kept.rs
+++ b/tests/shard_kept.rs
@@ -64,12 +64,11 @@
         let mut idle = vec![yard.now; WORKERS];
         for ms in (100..26_000).step_by(100) {
             yard.run_until(ms);
-            for at in 0..WORKERS {
+            for (at, since) in idle.iter_mut().enumerate() {
                 if !yard.world.workers[at].runs.is_empty() {
-                    idle[at] = yard.now;
+                    *since = yard.now;
                 }
-                let since = idle[at];
-                assert!(yard.now < since + IDLE, "seed {seed}: worker {at} is idle since {since}");
+                assert!(yard.now < *since + IDLE, "seed {seed}: worker {at} is idle since {since}");
             }
         }
     }
--- a/tests/shard_pools.rs
+++ b/tests/shard_pools.rs
@@ -34,7 +34,7 @@
 /// Six workers of the pool of `first`, and twelve of the other.
 fn pools(seed: u64) -> Yard {
     let one = |at: usize| {
-        let pool = if at % 3 == 0 { "guarded" } else { "open" };
+        let pool = if at.is_multiple_of(3) { "guarded" } else { "open" };
         Worker::new(pool, ["r1", "r2"][at % 2], Size::new(4, 16_384, 1))
     };
     Yard::with(seed, queues(), (0..18).map(one).collect(), MEMBERS)
