Pools take turns only where members are short, and calls without room count twice

Cause: a call for a step with room went before one without in any case, also while several members were idle, and a want counted for 400 ms. In a busy pool steps have no room when they ask, and need their tickets for when there is some; these calls were put off for another pool's.

Mend: a pool gives way only where its call would leave no further member free for a long one (Lanes::spare); between pools the calls that are out decide, which count twice where the step finds no room yet. The round's count of what gave way is gone with it.

--- a/src/decide/lanes.rs
+++ b/src/decide/lanes.rs
@@ -195,6 +195,13 @@
         self.all.iter().filter(|l| l.calls.is_empty()).count()
     }
 
+    /// Whether one long call more leaves a member free for another.
+    pub fn spare(&self, now: Time) -> bool {
+        let usable = self.all.iter().filter(|l| !l.aside(now));
+        let kept = KEPT.max(usable.clone().count() / PART);
+        usable.filter(|l| l.calls.is_empty()).count() > kept + 1
+    }
+
     /// How many calls are expected in all.
     pub fn total(&self) -> usize {
         self.all.iter().map(|l| l.calls.len()).sum()
--- a/src/decide/turns.rs
+++ b/src/decide/turns.rs
@@ -5,8 +5,8 @@
 //! gets free calls for a step of the full pool, and the tickets end before there is room; steps of
 //! another pool are never asked for, it runs empty, and its jobs never begin.
 //!
-//! So a call for a step that will find room goes before one for a step that won't, and between pools
-//! that one goes first whose calls that are out take the least. The order within a pool stays as it is.
+//! So where a pool waits for a member, that one goes first whose calls that are out take the least; they
+//! count twice where its step finds no room yet. The order within a pool stays as it is.
 //!
 //! *Thresholds:* a pool that found no member free is waited for during 400 ms, which a look at what
 //! waits every 250 ms renews; one that no longer asks doesn't hold up the others for long.
@@ -22,11 +22,16 @@
 /// How long a pool is waited for that found no member free.
 const PATIENCE: Duration = Duration::from_millis(400);
 
+/// How often calls count whose step finds no room yet: it needs its tickets all the same, for when there
+/// is.
+const BARE: u32 = 2;
+
 /// The long calls that are out, and the pools that wait for a member.
 #[derive(Clone, Debug, Default)]
 pub struct Turns {
     out: Vec<Call>,
-    wants: BTreeMap<PoolId, Want>,
+    /// When each pool last found no member free, and whether its step finds room.
+    wants: BTreeMap<PoolId, (Time, bool)>,
 }
 
 #[derive(Clone, Debug)]
@@ -37,36 +42,24 @@
     cost: Duration,
 }
 
-/// When a pool last found no member free: for any step, and for one that will find room.
-#[derive(Clone, Copy, Debug, Default)]
-struct Want {
-    any: Option<Time>,
-    roomy: Option<Time>,
-}
-
 impl Turns {
     /// No calls yet.
     pub fn new() -> Self {
         Turns::default()
     }
 
-    /// Whether a pool may call for a step now; `roomy` says that the step will find room.
+    /// Whether a pool may call for a step now; `roomy` says whether the step finds room.
     pub fn may(&self, pool: &PoolId, roomy: bool, now: Time) -> bool {
-        let waits = |at: Option<Time>| at.is_some_and(|at| now < at + PATIENCE);
-        let mine = (!roomy, self.taken(pool));
-        let before = |(other, want): (&PoolId, &Want)| {
-            other != pool && waits(want.any) && (!waits(want.roomy), self.taken(other)) < mine
+        let mine = self.weight(pool, roomy);
+        let before = |(other, (at, roomy)): (&PoolId, &(Time, bool))| {
+            other != pool && now < *at + PATIENCE && self.weight(other, *roomy) < mine
         };
         !self.wants.iter().any(before)
     }
 
-    /// Records that a pool could not call for a step.
+    /// Records that a pool found no member free for a step.
     pub fn wait(&mut self, pool: &PoolId, roomy: bool, now: Time) {
-        let want = self.wants.entry(pool.clone()).or_default();
-        want.any = Some(now);
-        if roomy {
-            want.roomy = Some(now);
-        }
+        self.wants.insert(pool.clone(), (now, roomy));
     }
 
     /// Records a call, which counts until [`Turns::done`].
@@ -82,8 +75,9 @@
         }
     }
 
-    /// What a pool's calls that are out take.
-    fn taken(&self, pool: &PoolId) -> Duration {
-        self.out.iter().filter(|c| c.pool == *pool).map(|c| c.cost).sum()
+    /// What a pool's calls that are out count against its next one.
+    fn weight(&self, pool: &PoolId, roomy: bool) -> Duration {
+        let taken: Duration = self.out.iter().filter(|c| c.pool == *pool).map(|c| c.cost).sum();
+        if roomy { taken } else { taken * BARE }
     }
 }
--- a/src/shard/ask.rs
+++ b/src/shard/ask.rs
@@ -35,17 +35,6 @@
 /// The pause after a call without an answer.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// What became of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Sent {
-    /// It was sent, or none was to be made.
-    Made,
-    /// No member is free for it.
-    Busy,
-    /// It would find no room, and a pool with room waits for a member.
-    Yields,
-}
-
 impl Shard {
     /// Asks about all workers that were not asked about yet.
     pub(super) fn ask_all(
@@ -100,19 +89,14 @@
         // Up to here further ones cost little, and those without room are learnt of for later.
         let count = share.named(wide, missing.max(1)).max(chunk);
         let workers = new.into_iter().take(count).map(|n| n.1).collect();
-        let busy = match self.ask_many(key, workers, cost, now) {
-            Sent::Made => false,
-            Sent::Busy => true,
-            Sent::Yields => round.yields(),
-        };
-        if busy {
+        if !self.ask_many(key, workers, cost, now) {
             round.busy.insert(turn.queue.clone());
         }
     }
 
     /// Asks about these workers in calls that go side by side, as long as members are free for them.
     ///
-    /// Returns what became of the last of them.
+    /// Returns whether there were enough of them.
     ///
     /// Guards against a gang whose first tickets are over before its last have come.
     pub(super) fn ask_many(
@@ -121,16 +105,13 @@
         workers: Vec<WorkerNo>,
         cost: AdviceCost,
         now: Time,
-    ) -> Sent {
-        let Some(part) = self.part(key) else { return Sent::Made };
+    ) -> bool {
+        let Some(part) = self.part(key) else { return true };
         let new: Vec<WorkerNo> =
             workers.into_iter().filter(|n| !part.tickets.out.contains(n)).collect();
         let calls = new.len().div_ceil(chunk(cost.base, cost.each)).max(1);
-        let mut calls = new.chunks(new.len().div_ceil(calls).max(1));
-        let sent = calls.find_map(|some| {
-            Some(self.ask(key, some.to_vec(), cost, now)).filter(|s| *s != Sent::Made)
-        });
-        sent.unwrap_or(Sent::Made)
+        new.chunks(new.len().div_ceil(calls).max(1))
+            .all(|some| self.ask(key, some.to_vec(), cost, now))
     }
 
     /// Workers that were not asked about yet.
@@ -179,31 +160,29 @@
         self.part(key).and_then(|p| p.tickets.good.get(&no)).map(|t| t.1)
     }
 
-    /// Makes a call, if one is to be made and a member is free for it.
-    fn ask(&mut self, key: &StepKey, workers: Vec<WorkerNo>, cost: AdviceCost, now: Time) -> Sent {
+    /// Makes a call; returns whether a member was free for it, where one is to be made.
+    fn ask(&mut self, key: &StepKey, workers: Vec<WorkerNo>, cost: AdviceCost, now: Time) -> bool {
         let takes = cost.base + cost.each * u32::try_from(workers.len()).unwrap_or(u32::MAX);
         let unix = self.unix(now);
         let roomy = self.roomy(key, &workers, now + takes, now);
-        let Some(job) = self.jobs.get_mut(&key.job) else { return Sent::Made };
-        let Some(queue) = self.known.get(&job.queue) else { return Sent::Made };
+        let Some(job) = self.jobs.get_mut(&key.job) else { return true };
+        let Some(queue) = self.known.get(&job.queue) else { return true };
         let due = job.came.max(job.due(key.time))
             + super::workers::millis(objective(queue, job.allowed(key.time)));
         // A lasting task that is away waits for no other pool.
         let shares = takes > LONG && !job.step(key).is_some_and(|s| s.lasts);
-        let Some(part) = job.parts.get_mut(&(key.time, key.step)) else { return Sent::Made };
+        let Some(part) = job.parts.get_mut(&(key.time, key.step)) else { return true };
         if workers.is_empty() || part.tickets.next > now {
-            return Sent::Made;
-        }
-        if shares && !self.turns.may(&queue.pool, roomy, now) {
-            self.turns.wait(&queue.pool, roomy, now);
-            return if roomy { Sent::Busy } else { Sent::Yields };
+            return true;
         }
         let left = Duration::from_millis(due.saturating_sub(unix));
-        let Some((via, end)) = self.lanes.pick(takes, now + left, now) else {
+        let ours = !shares || self.lanes.spare(now) || self.turns.may(&queue.pool, roomy, now);
+        let by = now + left;
+        let Some((via, end)) = ours.then(|| self.lanes.pick(takes, by, now)).flatten() else {
             if shares {
                 self.turns.wait(&queue.pool, roomy, now);
             }
-            return Sent::Busy;
+            return false;
         };
         if takes > LONG {
             self.turns.sent(&queue.pool, via, takes, now);
@@ -219,7 +198,7 @@
         let call = Box::new(AdviceCall { step: *key, workers });
         let limit = (end - now) + SLACK;
         self.out.push(Order::Advise { via, call, sent: now, takes, limit });
-        Sent::Made
+        true
     }
 
     /// Whether one of these workers is expected to have room for a task of a step by then; a gang has
--- a/src/shard/round.rs
+++ b/src/shard/round.rs
@@ -41,8 +41,6 @@
     more: (usize, usize),
     /// The queues for whose calls for advice no member is free.
     pub(super) busy: FxHashSet<Box<str>>,
-    /// How many calls that would find no room gave way to another pool.
-    yielded: usize,
 }
 
 /// What is kept at one worker for a gang.
@@ -138,13 +136,6 @@
         self.more.0 <= MORE
     }
 
-    /// Counts a call that gave way to another pool; returns whether there were as many as a round looks
-    /// for.
-    pub(super) fn yields(&mut self) -> bool {
-        self.yielded += 1;
-        self.yielded >= MORE
-    }
-
     /// Keeps room at a worker from the steps behind.
     pub(super) fn keep(&mut self, no: WorkerNo, size: Size) {
         self.kept[no.0] += size;
--- a/src/shard/sight.rs
+++ b/src/shard/sight.rs
@@ -321,8 +321,9 @@
             () => sight.unasked.min(MOST),
         };
         let takes = cost.base + cost.each * u32::try_from(named).unwrap_or(u32::MAX);
+        let shares = takes > LONG && !turn.step.lasts && !self.lanes.spare(now);
         let roomy = turn.step.gang || sight.old > 0 || sight.roomy > 0;
-        if takes > LONG && !turn.step.lasts && !self.turns.may(&turn.pool, roomy, now) {
+        if shares && !self.turns.may(&turn.pool, roomy, now) {
             return false;
         }
         let due = self.ranks.get(turn.key).map_or(0, |r| r.due());
