A member that hears from the store takes the word of the owner that its table names

What callers would see: at a busy owner whose renewal is late every caller's question becomes two or three reads of the store, from all members at once, which makes the renewals later still.

Mend: an owner that the store has not confirmed of late still answers a member that hears from the store and by whose table it is the owner. It is strict with itself, and with members that hear nothing: a member that stood still finds itself out of touch.

--- a/src/control.rs
+++ b/src/control.rs
@@ -67,6 +67,9 @@
 struct StateAsk {
     shard: ShardNo,
     job: Box<str>,
+    /// Whether who asks has a table of late, by which the member that is asked is the owner.
+    #[serde(default)]
+    sure: bool,
 }
 
 /// Word of a job that was stored, or of its cancel.
@@ -219,7 +222,7 @@
         async move {
             let ask: StateAsk = params.one()?;
             let job: JobNo = ask.job.parse().map_err(bad)?;
-            Ok::<_, ErrorObjectOwned>(state_here(&told, ask.shard, job).await)
+            Ok::<_, ErrorObjectOwned>(state_here(&told, ask.shard, job, ask.sure).await)
         }
     })?;
     let heard = told.clone();
@@ -296,9 +299,14 @@
 }
 
 /// How a job stands, by this member's own decisions.
-pub(crate) async fn state_here(told: &Sender<Told>, shard: ShardNo, job: JobNo) -> Option<State> {
+pub(crate) async fn state_here(
+    told: &Sender<Told>,
+    shard: ShardNo,
+    job: JobNo,
+    sure: bool,
+) -> Option<State> {
     let (to, from) = oneshot::channel();
-    told.try_send(Told::State(shard, job, to)).ok()?;
+    told.try_send(Told::State(shard, job, sure, to)).ok()?;
     from.await.ok().flatten()
 }
 
@@ -404,9 +412,10 @@
         addr: SocketAddr,
         shard: ShardNo,
         job: JobNo,
+        sure: bool,
         limit: Duration,
     ) -> Option<State> {
-        let ask = StateAsk { shard, job: job.to_string().into() };
+        let ask = StateAsk { shard, job: job.to_string().into(), sure };
         self.call(addr, "state", &ask, limit).await.flatten()
     }
 
--- a/src/entry/ask.rs
+++ b/src/entry/ask.rs
@@ -35,12 +35,16 @@
         Ok((self.common.forms.state)(state))
     }
 
+    /// What the owner says.
+    ///
+    /// Guards against members that all read the store for each caller as soon as a busy owner's renewal
+    /// is late: one that hears from the store knows by its own table who owns the shard.
     async fn owner_says(&self, shard: ShardNo, job: JobNo) -> Option<State> {
         let (owner, addr) = self.common.view.borrow().owner(shard)?;
         if owner == self.common.me {
-            return timeout(OWNER, state_here(&self.told, shard, job)).await.ok()?;
+            return timeout(OWNER, state_here(&self.told, shard, job, false)).await.ok()?;
         }
-        self.peers.state(addr, shard, job, OWNER).await
+        self.peers.state(addr, shard, job, self.common.in_touch(), OWNER).await
     }
 
     /// How a job stands by the store.
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -295,10 +295,14 @@
     /// How a job stands, as far as the store has it; nothing where it is not known here, or where
     /// another owner may know more of it.
     pub fn state(&self, no: JobNo, now: Time) -> Option<State> {
+        self.known_state(no).filter(|s| s.over() || self.may_tell(now))
+    }
+
+    /// As [`Shard::state`], for a member that knows by its own table that this one is the owner.
+    pub fn known_state(&self, no: JobNo) -> Option<State> {
         match (self.over.get(&no), self.jobs.get(&no)) {
             // Stored, and so for any owner.
             (Some(over), _) => Some(*over),
-            _ if !self.may_tell(now) => None,
             // Not stored yet: after a loss of power it would run again.
             (None, Some(job)) if job.state.over() => Some(State::Running),
             (None, job) => job.map(|j| j.state),
