The yard judges the newest owner's word at any time again

Since an owner's state is told only while the store confirms it, the yard looked at what is told to anybody, and no longer at the newest owner's word while it is unconfirmed, which a member by whose table it is the owner still takes. That check stands again as it was, beside the new one over all owners. shard, shard_told, shard_course, shard_takeover, shard_thaw, shard_back, shard_unread, shard_dropped passed.

--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -354,6 +354,13 @@
     /// What callers are told: by each owner that speaks, be it the newest or a former one.
     pub fn shown(&mut self) {
         let jobs: Vec<JobNo> = self.world.jobs.keys().copied().collect();
+        // What the newest says to a member by whose table it is the owner, confirmed or not.
+        let newest = self.owners.last().filter(|o| !o.gone && !o.paused);
+        for job in &jobs {
+            if let Some(state) = newest.and_then(|o| o.shard.known_state(*job)) {
+                kept(self.rules.shown(&self.world, *job, state));
+            }
+        }
         for owner in self.owners.iter().filter(|o| !o.gone && !o.paused) {
             for job in &jobs {
                 if let Some(state) = owner.shard.state(*job, self.now) {
