Calls that run out of time say what they had received, and bytes of answers are counted

Each such call now has a line, and dwr_received_bytes_total counts the bytes of answers by call and answer; the line of all calls so far has them too. No logic is changed.

--- a/src/http.rs
+++ b/src/http.rs
@@ -141,6 +141,8 @@
     ) -> Result<Whole<response::Parts>, Failure> {
         let to: Box<str> = request.uri().authority().map_or("", |a| a.as_str()).into();
         let (number, pool) = self.pool(&to);
+        let path: Box<str> = request.uri().path_and_query().map_or("", |p| p.as_str()).into();
+        let mut received = 0;
         let call = async {
             let response = pool
                 .request(request)
@@ -148,7 +150,11 @@
                 .map_err(|e| if e.is_connect() { Failure::Unsent } else { Failure::Broken })?;
             let (head, body) = response.into_parts();
             let said = head.headers.get(CONTENT_LENGTH).cloned();
-            let body = body.collect().await.map_err(|_| Failure::Broken)?.to_bytes();
+            let counted = body.map_frame(|frame| {
+                received += frame.data_ref().map_or(0, Bytes::len);
+                frame
+            });
+            let body = counted.collect().await.map_err(|_| Failure::Broken)?.to_bytes();
             // A body cut short by a proxy that closes cleanly would pass for a whole one.
             match said.and_then(|s| s.to_str().ok()?.parse::<usize>().ok()) {
                 Some(n) if n != body.len() => Err(Failure::Broken),
@@ -157,6 +163,8 @@
         };
         let Ok(done) = timeout(limit, call).await else {
             self.drop_pool(&to, number);
+            let limit_ms = limit.as_millis() as u64;
+            log::info!(target: "outside", did = "gave_up", to = &*to, path = &*path, received, limit_ms; "A call ran out of time.");
             return Err(Failure::Timeout);
         };
         done
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -47,6 +47,7 @@
     unanswered: IntCounterVec,
     noted: IntCounter,
     answers: HistogramVec,
+    received: IntCounterVec,
 }
 
 impl Metrics {
@@ -111,6 +112,11 @@
             ),
             noted: IntCounter::new("dwr_ends_noted_total", "Ends that workers may forget.")
                 .expect("the names are well-formed"),
+            received: IntCounterVec::new(
+                Opts::new("dwr_received_bytes_total", "Bytes of the outside's answers."),
+                &["call", "answer"],
+            )
+            .expect("the names are well-formed"),
             answers: HistogramVec::new(
                 HistogramOpts::new("dwr_call_seconds", "How long answers of the outside took.")
                     .buckets(CALLS.to_vec()),
@@ -122,7 +128,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retries.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 19] = [
+        let all: [Box<dyn Collector>; 20] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retries.clone()),
             Box::new(m.kv.clone()),
@@ -142,6 +148,7 @@
             Box::new(m.unanswered.clone()),
             Box::new(m.noted.clone()),
             Box::new(m.answers.clone()),
+            Box::new(m.received.clone()),
         ];
         for c in all {
             m.registry.register(c).expect("no name is taken twice");
@@ -175,16 +182,19 @@
         self.calls.with_label_values(&[call, answer]).inc();
     }
 
+    /// Counts the bytes of an answer of the outside.
+    pub fn received(&self, call: &str, answer: &str, bytes: usize) {
+        self.received.with_label_values(&[call, answer]).inc_by(bytes as u64);
+    }
+
     /// All calls of the outside so far by kind, for the log of a member whose metrics nobody reads.
     pub fn calls(&self) -> Box<str> {
-        let mut sums: BTreeMap<Box<str>, u64> = BTreeMap::new();
-        for metric in self.calls.collect().iter().flat_map(|family| family.get_metric()) {
-            let call = metric.get_label().iter().find(|l| l.name() == "call");
-            let n = metric.get_counter().get_value() as u64;
-            *sums.entry(call.map_or("", |l| l.value()).into()).or_default() += n;
-        }
-        let all: Vec<String> = sums.iter().map(|(call, n)| format!("{call}:{n}")).collect();
-        all.join(",").into()
+        sums(&self.calls, |call, _| call.into())
+    }
+
+    /// The bytes of all answers of the outside so far by kind and answer, for the same log.
+    pub fn all_received(&self) -> Box<str> {
+        sums(&self.received, |call, answer| format!("{call}/{answer}"))
     }
 
     /// Notes how long an answer of the outside took.
@@ -289,6 +299,19 @@
     }
 }
 
+/// A counter of calls, summed by what `name` makes of each call and answer.
+fn sums(counter: &IntCounterVec, name: impl Fn(&str, &str) -> String) -> Box<str> {
+    let mut sums: BTreeMap<String, u64> = BTreeMap::new();
+    for metric in counter.collect().iter().flat_map(|family| family.get_metric()) {
+        let label = |key: &str| metric.get_label().iter().find(|l| l.name() == key);
+        let text = |key| label(key).map_or("", |l| l.value());
+        let n = metric.get_counter().get_value() as u64;
+        *sums.entry(name(text("call"), text("answer"))).or_default() += n;
+    }
+    let all: Vec<String> = sums.iter().map(|(name, n)| format!("{name}:{n}")).collect();
+    all.join(",").into()
+}
+
 impl Default for Metrics {
     fn default() -> Self {
         Metrics::new()
--- a/src/site.rs
+++ b/src/site.rs
@@ -155,7 +155,7 @@
     if lease != 0 {
         let _ = timeout(END, outside.store(&StoreCall::EndLease { lease }, END)).await;
     }
-    log::info!(target: "site", calls = &*common.metrics.calls(); "Calls of the outside so far.");
+    log::info!(target: "site", calls = &*common.metrics.calls(), received = &*common.metrics.all_received(); "Calls of the outside so far.");
     log::info!(target: "site", did = "stopped", member:% = common.me; "Stopped.");
     Ok(())
 }
@@ -165,7 +165,7 @@
 async fn tell_calls(common: Arc<Common>) {
     loop {
         sleep(CALLS).await;
-        log::info!(target: "site", calls = &*common.metrics.calls(); "Calls of the outside so far.");
+        log::info!(target: "site", calls = &*common.metrics.calls(), received = &*common.metrics.all_received(); "Calls of the outside so far.");
     }
 }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -93,7 +93,9 @@
             None => self.direct(&wire, limit).await,
             Some((ways, relayer)) => self.routed(call, wire, limit, ways, relayer).await,
         };
+        let bytes = answer.as_ref().map_or(0, |(_, body)| body.len());
         let reply = answer.and_then(|(status, body)| (self.forms.store)(call, status, &body));
+        self.metrics.received(name, store_answer(&reply), bytes);
         let answered = !matches!(reply, Err(Fault::Unsent | Fault::Unknown));
         if answered {
             (self.heard)();
