Tests, red: a large configuration over a narrow link, and one that can't be known

The store of these tests now heeds `after` in a range, and can leave a prefix's reads without an answer.

--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -152,7 +152,9 @@
 fn ask_store(call: &StoreCall) -> Wire {
     match call {
         StoreCall::Get { key } => wire("/get", json!({"key": key})),
-        StoreCall::Range { prefix, .. } => wire("/range", json!({"prefix": prefix})),
+        StoreCall::Range { prefix, after, .. } => {
+            wire("/range", json!({"prefix": prefix, "after": after}))
+        }
         StoreCall::Watch { prefix, after, wait } => {
             let wait = u64::try_from(wait.as_millis()).expect("short");
             wire("/watch", json!({"prefix": prefix, "after": after, "wait": wait}))
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)] // each test file uses a part
 
 pub mod forms;
+pub mod link;
 pub mod store;
 
 use {
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -51,6 +51,8 @@
     log: Vec<(u64, String, Option<String>)>,
     plan: VecDeque<Fate>,
     late: Vec<Value>,
+    /// Reads of these prefixes have no answer.
+    mute: Vec<String>,
     /// Watches of these prefixes get no events.
     blind: Vec<String>,
     /// Watches of a prefix that are still to be refused.
@@ -146,6 +148,15 @@
         self.state.lock().expect("state").blind.push(prefix.into());
     }
 
+    /// From now on, ranges and watches of this prefix have no answer, or have one again.
+    pub fn mute(&self, prefix: &str, mute: bool) {
+        let mut state = self.state.lock().expect("state");
+        state.mute.retain(|m| m != prefix);
+        if mute {
+            state.mute.push(prefix.into());
+        }
+    }
+
     /// Refuses so many of the next watches of a prefix; those that wait are cut.
     pub fn refuse(&self, prefix: &str, count: u32) {
         self.state.lock().expect("state").refused = Some((prefix.into(), count));
@@ -173,6 +184,10 @@
     }
 
     async fn call(&self, path: &str, ask: Value) -> Response<Full<Bytes>> {
+        let prefix = text(&ask, "prefix");
+        if self.state.lock().expect("state").mute.iter().any(|m| m == prefix) {
+            return pending().await;
+        }
         if path == "/watch" {
             return self.watch(&ask).await;
         }
@@ -288,7 +303,8 @@
             "/range" => {
                 let prefix = text(ask, "prefix");
                 self.ranges.push(prefix.into());
-                let keys = self.rows.keys().filter(|k| k.starts_with(prefix));
+                let after = text(ask, "after");
+                let keys = self.rows.keys().filter(|k| k.starts_with(prefix) && &***k > after);
                 let items: Vec<Value> = keys.map(|k| self.item(k)).collect();
                 (200, json!({"items": items, "rev": self.rev}))
             }
