--- a/tests/site_config.rs
+++ b/tests/site_config.rs
@@ -7,10 +7,14 @@
     cell::{
         Cell,
         forms::FORMS,
-        link,
+        link::{self, Link},
         store::{Shut, Store},
     },
-    std::{future::Future, sync::Arc, time::Duration},
+    std::{
+        future::Future,
+        sync::{Arc, atomic::Ordering::Relaxed},
+        time::Duration,
+    },
     tokio::{task::JoinSet, time::interval},
 };
 
@@ -37,21 +41,22 @@
 }
 
 /// A member with a narrow link to a store that has a small configuration.
-async fn narrow(name: &str) -> Cell {
+async fn narrow(name: &str) -> (Cell, Link) {
     let store = Store::default();
     store.put(FORMS.config, r#"[1, ["/a/", "/b/"]]"#);
     store.put("workers/w1", "{}");
     let addr = store.serve();
-    let mut cell = Cell::join(name, store, link::serve(addr, NARROW)).await;
+    let link = link::serve(addr, NARROW);
+    let mut cell = Cell::join(name, store, link.addr).await;
     cell.addr = addr;
-    cell
+    (cell, link)
 }
 
 #[test]
 fn a_large_configuration_is_in_force_after_an_outage() {
     // A reading that is given up before the link can carry it begins anew for ever.
     run(async {
-        let cell = narrow("large-outage").await;
+        let (cell, _) = narrow("large-outage").await;
         cell.store.shut(cell.addr, Some(Shut::Silent));
         cell.until("away", async || !cell.is_ready().await).await;
         cell.store.put(FORMS.config, &large(2, "/c/"));
@@ -64,7 +69,8 @@
 fn jobs_do_not_each_fetch_the_configuration() {
     // Each conflict carries the configuration, and fills the link on which a newer one is to come.
     run(async {
-        let cell = Arc::new(narrow("large-jobs").await);
+        let (cell, link) = narrow("large-jobs").await;
+        let (cell, before) = (Arc::new(cell), link.carried.load(Relaxed));
         cell.store.put(FORMS.config, &large(2, "/c/"));
         let mut callers = JoinSet::new();
         for caller in 0..CALLERS {
@@ -80,6 +86,8 @@
             });
         }
         cell.until("in force", async || cell.status("GET", "/c/", "").await == 200).await;
+        let carried = link.carried.load(Relaxed) - before;
+        assert!(carried < 2 * LARGE, "{carried} bytes for a configuration of {LARGE}");
         callers.shutdown().await;
         cell.until("a job is taken in", async || {
             cell.status("POST", "/c/00000000000000c1", JOB).await == 200
