A range or watch whose answer comes in is not given up

What callers saw: members answered by a configuration that had been replaced 8 s before, and refused or lost calls meanwhile.

Cause, first part: a reading of all items of a prefix had 1.2 s, half of it for the direct way, whatever its size. 1 MB takes 0.8 s of a link of 10 Mbit/s alone. Given up, all that had come was dropped, with the idle connections, and the same began anew. Each beginning of a watch read the prefix twice, the first time for its revision alone.

Mend: the limit of ranges and watches counts until the answer begins; after that it may go on for as long as it comes in (0.7 s between two parts, 10 s in all). The same for whatever else is read whole: the table, the list of workers, a shard at its takeover. The revision is read by a page behind the last item, which has none.

--- a/src/http.rs
+++ b/src/http.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::error::{Error, Kind},
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{
         Request, Response,
@@ -110,6 +110,24 @@
 /// The most addresses whose connections are kept: twice the workers of the target.
 const ADDRESSES: usize = 8192;
 
+/// How long a call may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// How long until the answer begins.
+    pub head: Duration,
+    /// How long between two parts of its body.
+    pub part: Duration,
+    /// How long in all.
+    pub whole: Duration,
+}
+
+impl Patience {
+    /// Waits so long for a whole answer.
+    pub fn new(limit: Duration) -> Self {
+        Patience { head: limit, part: limit, whole: limit }
+    }
+}
+
 /// Why a call brought no whole answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -129,44 +147,44 @@
 
     /// Sends a request and reads its whole answer within `limit`.
     ///
+    /// # Errors
+    ///
+    /// As [`Client::send_patient`].
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Whole<response::Parts>, Failure> {
+        self.send_patient(request, &Patience::new(limit)).await
+    }
+
+    /// Sends a request and reads its whole answer.
+    ///
     /// Dropping a call that ran out of time closes its connection, so that an answer that comes
     /// late can never be read as the answer to the next request. The unused connections to the same
     /// address go with it. Guards against something between the two ends that has lost track of all
     /// of them: each further call would wait for its deadline on the next dead one, and a member
     /// would lose its lease, or a worker its tasks, although new connections work.
-    pub async fn send(
+    ///
+    /// # Errors
+    ///
+    /// Errs where no whole answer came in time.
+    pub async fn send_patient(
         &self,
         request: Request<Full<Bytes>>,
-        limit: Duration,
+        patience: &Patience,
     ) -> Result<Whole<response::Parts>, Failure> {
         let to: Box<str> = request.uri().authority().map_or("", |a| a.as_str()).into();
-        let (number, pool) = self.pool(&to);
         let path: Box<str> = request.uri().path_and_query().map_or("", |p| p.as_str()).into();
+        let (number, pool) = self.pool(&to);
         let mut received = 0;
-        let call = async {
-            let response = pool
-                .request(request)
-                .await
-                .map_err(|e| if e.is_connect() { Failure::Unsent } else { Failure::Broken })?;
-            let (head, body) = response.into_parts();
-            let said = head.headers.get(CONTENT_LENGTH).cloned();
-            let counted = body.map_frame(|frame| {
-                received += frame.data_ref().map_or(0, Bytes::len);
-                frame
-            });
-            let body = counted.collect().await.map_err(|_| Failure::Broken)?.to_bytes();
-            // A body cut short by a proxy that closes cleanly would pass for a whole one.
-            match said.and_then(|s| s.to_str().ok()?.parse::<usize>().ok()) {
-                Some(n) if n != body.len() => Err(Failure::Broken),
-                _ => Ok((head, body)),
-            }
-        };
-        let Ok(done) = timeout(limit, call).await else {
+        let call = exchange(&pool, request, patience, &mut received);
+        let done = timeout(patience.whole, call).await.unwrap_or(Err(Failure::Timeout));
+        if matches!(done, Err(Failure::Timeout)) {
             self.drop_pool(&to, number);
-            let limit_ms = limit.as_millis() as u64;
+            let limit_ms = patience.head.as_millis() as u64;
             log::info!(target: "outside", did = "gave_up", to = &*to, path = &*path, received, limit_ms; "A call ran out of time.");
-            return Err(Failure::Timeout);
-        };
+        }
         done
     }
 
@@ -212,6 +230,33 @@
     }
 }
 
+/// Sends a request and reads its answer; counts the bytes of its body as they come.
+async fn exchange(
+    pool: &Connections,
+    request: Request<Full<Bytes>>,
+    patience: &Patience,
+    received: &mut usize,
+) -> Result<Whole<response::Parts>, Failure> {
+    let response = timeout(patience.head, pool.request(request)).await;
+    let response = response
+        .map_err(|_| Failure::Timeout)?
+        .map_err(|e| if e.is_connect() { Failure::Unsent } else { Failure::Broken })?;
+    let (head, mut body) = response.into_parts();
+    let said = head.headers.get(CONTENT_LENGTH).cloned();
+    let mut whole = BytesMut::new();
+    while let Some(frame) = timeout(patience.part, body.frame()).await.transpose() {
+        let frame = frame.map_err(|_| Failure::Timeout)?.map_err(|_| Failure::Broken)?;
+        let Ok(data) = frame.into_data() else { continue };
+        *received += data.len();
+        whole.extend_from_slice(&data);
+    }
+    // A body cut short by a proxy that closes cleanly would pass for a whole one.
+    match said.and_then(|s| s.to_str().ok()?.parse::<usize>().ok()) {
+        Some(n) if n != whole.len() => Err(Failure::Broken),
+        _ => Ok((head, whole.freeze())),
+    }
+}
+
 fn open(idle: usize) -> Connections {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
--- a/src/store.rs
+++ b/src/store.rs
@@ -7,7 +7,7 @@
     crate::{
         contact::{Contact, News, Speed, Tempo},
         decide::relay::Way,
-        http::{Client, Failure, uri},
+        http::{Client, Failure, Patience, uri},
         ids::WorkerId,
         metrics::Metrics,
         ports::{
@@ -32,6 +32,12 @@
 pub const CALL: Duration = Duration::from_millis(1200);
 /// How much longer than its wait a call that waits may take.
 pub const MARGIN: Duration = Duration::from_millis(700);
+/// How long between two parts of an answer that is read whole.
+const PART: Duration = Duration::from_millis(700);
+/// How long an answer may take that is read whole: 10 MB over a link of 10 Mbit/s.
+const WHOLE: Duration = Duration::from_secs(10);
+/// Sorts behind all that keys have after their prefix.
+const LAST: char = '~';
 /// The most unused connections that are kept to one address.
 const IDLE: usize = 4;
 /// The longest that a call may take on the direct way while that is lost.
@@ -81,7 +87,8 @@
         Outside { ways: Some((ways, relayer)), ..self }
     }
 
-    /// Calls the store.
+    /// Calls the store; `limit` is how long until the answer of a range or a watch begins, and until a
+    /// whole answer of other calls.
     ///
     /// # Errors
     ///
@@ -90,7 +97,7 @@
     pub async fn store(&self, call: &StoreCall, limit: Duration) -> Result<StoreReply, Fault> {
         let (begin, name, wire) = (Instant::now(), store_name(call), (self.forms.ask_store)(call));
         let answer = match &self.ways {
-            None => self.direct(&wire, limit).await,
+            None => self.direct(call, &wire, limit).await,
             Some((ways, relayer)) => self.routed(call, wire, limit, ways, relayer).await,
         };
         let bytes = answer.as_ref().map_or(0, |(_, body)| body.len());
@@ -126,14 +133,14 @@
         let repeats = call.repeats();
         let direct = match ways.way(repeats) {
             Way::Relayed => None,
-            Way::Probe => Some(self.direct(&wire, PROBE.min(limit / 2)).await),
+            Way::Probe => Some(self.direct(call, &wire, PROBE.min(limit / 2)).await),
             Way::Direct if matches!(call, StoreCall::Watch { .. }) => Some(tokio::select! {
-                answer = self.direct(&wire, limit) => answer,
+                answer = self.direct(call, &wire, limit) => answer,
                 () = ways.lost() => Err(Fault::Unknown),
             }),
             // Half of the time is left for a relay.
-            Way::Direct if repeats => Some(self.direct(&wire, limit / 2).await),
-            Way::Direct => Some(self.direct(&wire, limit).await),
+            Way::Direct if repeats => Some(self.direct(call, &wire, limit / 2).await),
+            Way::Direct => Some(self.direct(call, &wire, limit).await),
         };
         let fault = direct.map(|answer| {
             let reply = answer.clone().and_then(|(s, body)| (self.forms.store)(call, s, &body));
@@ -159,14 +166,23 @@
         match fault {
             Some((answer, _)) => answer,
             // There is nobody who could relay it.
-            None => self.direct(&wire, left).await,
+            None => self.direct(call, &wire, left).await,
         }
     }
 
     /// Makes a call of the store from this VM.
-    async fn direct(&self, wire: &Wire, limit: Duration) -> Answer {
+    ///
+    /// Guards against an answer that the link can't carry within a fixed time: given up and asked for
+    /// anew from its beginning, it would never come, and would leave the link to nothing else.
+    async fn direct(&self, call: &StoreCall, wire: &Wire, limit: Duration) -> Answer {
         let addr = self.site.borrow().store;
-        self.send(addr, wire.clone(), limit).await
+        let patience = match call {
+            StoreCall::Range { .. } | StoreCall::Watch { .. } => {
+                Patience { head: limit, part: PART, whole: limit + WHOLE }
+            }
+            _ => Patience::new(limit),
+        };
+        self.carry(request(addr, wire)?, &patience).await
     }
 
     /// Makes a call of the store for another member, as it has written it.
@@ -182,7 +198,7 @@
         }
         let body = Bytes::from(asked.body.into_string());
         let request = b.body(Full::new(body)).map_err(|_| Fault::Unsent)?;
-        let answer = self.carry(request, limit).await;
+        let answer = self.carry(request, &Patience::new(limit)).await;
         self.metrics.called("store_relay", answer.as_ref().map_or_else(fault_name, |_| "done"));
         answer
     }
@@ -223,6 +239,20 @@
         }
     }
 
+    /// Reads the store's revision, by a page behind the last item of a prefix.
+    ///
+    /// # Errors
+    ///
+    /// As [`Outside::get`].
+    pub async fn revision(&self, prefix: &str) -> Result<Rev, Fault> {
+        let after = format!("{prefix}{LAST}").into();
+        let call = StoreCall::Range { prefix: prefix.into(), after, stale: false };
+        match self.store(&call, CALL).await? {
+            StoreReply::Page(_, _, rev) => Ok(rev),
+            _ => Err(Fault::Bad("not a page".into())),
+        }
+    }
+
     /// Calls a worker.
     ///
     /// # Errors
@@ -331,15 +361,11 @@
     }
 
     async fn send(&self, addr: SocketAddr, wire: Wire, limit: Duration) -> Answer {
-        let mut b = Request::builder().method(wire.method).uri(uri(addr, &wire.path));
-        for (name, value) in &wire.headers {
-            b = b.header(*name, &**value);
-        }
-        self.carry(b.body(Full::new(wire.body)).map_err(|_| Fault::Unsent)?, limit).await
+        self.carry(request(addr, &wire)?, &Patience::new(limit)).await
     }
 
-    async fn carry(&self, request: Request<Full<Bytes>>, limit: Duration) -> Answer {
-        match self.client.send(request, limit).await {
+    async fn carry(&self, request: Request<Full<Bytes>>, patience: &Patience) -> Answer {
+        match self.client.send_patient(request, patience).await {
             Ok((head, body)) => Ok((head.status.as_u16(), body)),
             Err(Failure::Unsent) => Err(Fault::Unsent),
             Err(Failure::Broken | Failure::Timeout) => Err(Fault::Unknown),
@@ -382,6 +408,14 @@
     }
 }
 
+fn request(addr: SocketAddr, wire: &Wire) -> Result<Request<Full<Bytes>>, Fault> {
+    let mut b = Request::builder().method(wire.method).uri(uri(addr, &wire.path));
+    for (name, value) in &wire.headers {
+        b = b.header(*name, &**value);
+    }
+    b.body(Full::new(wire.body.clone())).map_err(|_| Fault::Unsent)
+}
+
 fn store_name(call: &StoreCall) -> &'static str {
     match call {
         StoreCall::Get { .. } => "store_get",
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -99,9 +99,9 @@
     ///
     /// Guards against a change that falls between the reading of the items and that of the revision
     /// that the answer carries: it would be in neither, and nobody would hear of it. So the revision
-    /// is that of an answer before.
+    /// is that of an answer before, which has no items.
     async fn range(&self) -> Result<(Vec<Item>, Rev), Fault> {
-        let (_, rev) = self.outside.all(&self.prefix, false).await?;
+        let rev = self.outside.revision(&self.prefix).await?;
         let (items, _) = self.outside.all(&self.prefix, false).await?;
         Ok((items, rev))
     }
