A call without time, or behind others that are served, doesn't say that the store is lost

What callers saw: after an outage half of the members took the store for lost again and again, gave up what was under way on their links, the watch of the configuration included, and had other members with links as busy relay their calls.

Cause: two direct calls on end without an answer meant a lost way, whatever time they had had.

Mend: a call that was given up counts only if it had 200 ms and no other direct call was served since it was sent. A refusal counts as before.

--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -23,6 +23,8 @@
 const PROBE: Duration = Duration::from_millis(500);
 /// The pause after a relay that failed.
 const REST: Duration = Duration::from_secs(1);
+/// The least time of a call whose want of an answer says something of the way.
+const FAIR: Duration = Duration::from_millis(200);
 /// The most members that are tried for one call.
 const MOST: usize = 2;
 
@@ -46,6 +48,8 @@
     probe: Time,
     /// No relay before.
     rest: Time,
+    /// When the store last served a direct call.
+    heard: Time,
     /// The member that relayed last.
     last: Option<Incarnation>,
     /// How many relays have failed.
@@ -78,7 +82,7 @@
     /// Takes in a direct call: whether the store served it.
     pub fn direct(&mut self, served: bool, now: Time) {
         if served {
-            self.faults = 0;
+            (self.faults, self.heard) = (0, now);
             return;
         }
         self.faults = self.faults.saturating_add(1);
@@ -87,6 +91,17 @@
         }
     }
 
+    /// Takes in a direct call that was given up.
+    ///
+    /// Guards against a busy link that is taken for a lost one, with all that is under way on it given
+    /// up: a caller's last moments are too short for any answer, and one that waits behind a large
+    /// answer is late while others are served.
+    pub fn unanswered(&mut self, sent: Time, now: Time) {
+        if now - sent >= FAIR && self.heard < sent {
+            self.direct(false, now);
+        }
+    }
+
     /// Takes in a call that a member has relayed: whether the store served it.
     pub fn relayed(&mut self, by: Incarnation, served: bool, now: Time) {
         if served {
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -80,12 +80,15 @@
         !self.state().rests(now)
     }
 
-    /// Takes in a direct call: whether the store served it.
-    pub fn direct(&self, served: bool) {
+    /// Takes in a direct call that was sent then: whether the store served it, or why not.
+    pub fn direct(&self, sent: Time, fault: Option<&Fault>) {
         let now = self.now();
         let lost = {
             let mut state = self.state();
-            state.direct(served, now);
+            match fault {
+                Some(Fault::Unknown) => state.unanswered(sent, now),
+                fault => state.direct(fault.is_none(), now),
+            }
             state.lost()
         };
         let turned = self.lost.send_if_modified(|known| {
@@ -121,7 +124,8 @@
         self.state().relayed(by, served, now);
     }
 
-    fn now(&self) -> Time {
+    /// The present time, as these ways count it.
+    pub fn now(&self) -> Time {
         Time::ZERO + self.start.elapsed()
     }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -131,7 +131,7 @@
         ways: &Ways,
         relayer: &Relayer,
     ) -> Answer {
-        let begun = Instant::now();
+        let (begun, sent) = (Instant::now(), ways.now());
         let repeats = call.repeats();
         let direct = match ways.way(repeats) {
             Way::Relayed => None,
@@ -147,7 +147,7 @@
         let fault = direct.map(|answer| {
             let reply = answer.clone().and_then(|(s, body)| (self.forms.store)(call, s, &body));
             let fault = reply.err().filter(|f| !matches!(f, Fault::Bad(_) | Fault::TooLarge));
-            ways.direct(fault.is_none());
+            ways.direct(sent, fault.as_ref());
             (answer, fault)
         });
         let done = match &fault {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -74,6 +74,25 @@
     }
 }
 
+#[test]
+fn calls_that_had_no_time_are_no_lost_way() {
+    // Callers' last moments were taken for a store that is gone, and the watch was cut by it.
+    let (mut relay, ms) = (Relay::default(), Time::from_millis);
+    for at in (0..1000).step_by(50) {
+        relay.unanswered(ms(at), ms(at + 30));
+        assert!(!relay.lost());
+    }
+    // Neither is one that waited while others were served.
+    relay.unanswered(ms(1000), ms(1600));
+    relay.direct(true, ms(1650));
+    relay.unanswered(ms(1100), ms(1700));
+    relay.unanswered(ms(1100), ms(1700));
+    assert!(!relay.lost());
+    relay.unanswered(ms(1700), ms(2300));
+    relay.unanswered(ms(1800), ms(2400));
+    assert!(relay.lost());
+}
+
 #[test]
 fn who_relayed_last_is_asked_first_and_nobody_asks_itself() {
     let (mut relay, now) = (Relay::default(), Time::ZERO);
