A member answers by a configuration only while that may still be in force

What callers saw: counts of a route that had been dropped, and 404 for one that had been added, 3 to 8 s after the change, from members whose store and link were sound.

Cause: a member counted as in touch as soon as the store had answered anything at all, and never asked how old its configuration might be. Class: freshness judged by another source than the one that is used.

Mend: the duty that follows the configuration notes as of when what it has is all that there is: when a watch that brought nothing had waited, or when a reading was sent; after a change it asks once more without waiting. A job that was taken in confirms it too, as its write expects the revision. A member whose confirmation is as old as a configuration may be behind (less a twentieth) refuses counts and never says that there is no such queue; it isn't ready. What is known of jobs is told as before, and jobs are taken in only by the store's own comparison. So the bound holds by construction, whatever the links carry: an answer given ConfigMs after the acknowledgement is by a configuration that was the store's after it.

--- a/src/common.rs
+++ b/src/common.rs
@@ -29,6 +29,10 @@
 /// How long the store may be silent before this member isn't ready.
 const CONTACT: Duration = Duration::from_millis(1500);
 
+/// The part of the time that the configuration may be behind which is left for the way of a request,
+/// and for clocks that differ.
+const SPARE: u32 = 20;
+
 /// A version of the configuration, and the revision of its item in the store.
 #[derive(Clone, Debug)]
 pub(crate) struct Config {
@@ -68,6 +72,7 @@
     start: Instant,
     contact: AtomicU64,
     overtaken: AtomicU64,
+    confirmed: AtomicU64,
     registered: AtomicBool,
     configured: AtomicU64,
 }
@@ -95,6 +100,7 @@
             start: Instant::now(),
             contact: AtomicU64::new(0),
             overtaken: AtomicU64::new(0),
+            confirmed: AtomicU64::new(0),
             registered: AtomicBool::new(false),
             configured: AtomicU64::new(0),
         }
@@ -127,9 +133,33 @@
         self.overtaken.fetch_max(rev, Ordering::Relaxed);
     }
 
-    /// Whether the store is known to have a newer configuration than the one of this revision.
-    pub fn is_overtaken(&self, rev: Rev) -> bool {
-        rev <= self.overtaken.load(Ordering::Relaxed)
+    /// Whether the store is known to have a newer configuration than the one known here.
+    pub fn is_overtaken(&self) -> bool {
+        self.config.borrow().as_ref().is_some_and(|c| self.overtakes(c))
+    }
+
+    /// Whether the store is known to have a newer configuration than this one.
+    pub fn overtakes(&self, config: &Config) -> bool {
+        config.rev <= self.overtaken.load(Ordering::Relaxed)
+    }
+
+    /// Notes that the configuration known here was the store's at a time.
+    pub fn confirm(&self, at: Time) {
+        self.confirmed.fetch_max(at.0, Ordering::Relaxed);
+    }
+
+    /// When the configuration known here was last certainly the store's.
+    pub fn confirmed(&self) -> Time {
+        Time(self.confirmed.load(Ordering::Relaxed))
+    }
+
+    /// Whether the configuration known here is no older than any may be that is in force.
+    ///
+    /// Guards against a member that answers by one that was replaced seconds ago: it hears of nothing,
+    /// or the newer one is still on its way.
+    pub fn is_current(&self) -> bool {
+        let bound = self.site.borrow().bounds.config;
+        self.now() - self.confirmed() <= bound - bound / SPARE
     }
 
     /// Whether this member is stopping.
@@ -158,7 +188,8 @@
     pub fn ready(&self) -> bool {
         let heard = self.in_touch();
         let registered = self.registered.load(Ordering::Relaxed);
-        heard && registered && !self.stopping() && self.config.borrow().is_some()
+        let configured = self.config.borrow().is_some() && self.is_current();
+        heard && registered && configured && !self.stopping()
     }
 
     /// Takes in what was seen of the waves among all that the operators have written.
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -109,10 +109,13 @@
         let body = body?;
         let ask = self.ask(head, begin);
         let config = self.config()?;
-        let queue = ask.queue(&config)?;
+        let queue = self.queue(&ask, &config)?;
         let rest = ask.path[queue.prefix.len()..].trim_start_matches('/');
         match head.method {
-            Method::GET if rest.is_empty() => self.waiting(&queue.name).await,
+            Method::GET if rest.is_empty() => {
+                self.current()?;
+                self.waiting(&queue.name).await
+            }
             Method::GET => self.state(&ask, rest.parse()?, &queue.pool).await,
             Method::POST => self.submit(&ask, rest.parse()?, &config, &body).await,
             Method::DELETE => self.cancel(&ask, rest.parse()?, &queue.pool).await,
@@ -127,9 +130,10 @@
         let path = head.uri.path();
         let job = path.rsplit('/').next().unwrap_or("");
         let reason = error.kind().answer().label;
+        let config_ms = (now - self.common.confirmed()).as_millis() as u64;
         let store_ms = self.common.contact().map_or(u64::MAX, |c| (now - c).as_millis() as u64);
         let took_ms = (now - begin).as_millis() as u64;
-        log::info!(target: "entry", did = "refused", job, method:% = head.method, path, reason, cause:% = error, config, table = self.common.view.borrow().rev, store_ms, took_ms; "Request is refused.");
+        log::info!(target: "entry", did = "refused", job, method:% = head.method, path, reason, cause:% = error, config, config_ms, table = self.common.view.borrow().rev, store_ms, took_ms; "Request is refused.");
     }
 
     fn ask(&self, head: &Parts, begin: Time) -> Ask {
@@ -145,6 +149,19 @@
         known.ok_or_else(|| Error::new(Kind::Stale, "no configuration is known yet").after(SOON))
     }
 
+    /// Errs where the configuration known here may have been replaced too long ago.
+    fn current(&self) -> Result<(), Error> {
+        if self.common.is_current() {
+            return Ok(());
+        }
+        Err(Error::new(Kind::Stale, "the configuration may have changed").after(SOON))
+    }
+
+    /// The queue that a request means; that there is none is said only by a current configuration.
+    fn queue<'a>(&self, ask: &Ask, config: &'a Config) -> Result<&'a Queue, Error> {
+        ask.queue(config).or_else(|unknown| self.current().and(Err(unknown)))
+    }
+
     /// The shard of a job of a queue with this pool.
     fn shard(&self, job: JobNo, pool: &PoolId) -> Result<ShardNo, Error> {
         let layout = self.common.view.borrow().layout.clone();
--- a/src/entry/submit.rs
+++ b/src/entry/submit.rs
@@ -75,7 +75,7 @@
         if !self.common.in_touch() {
             return Err(Error::new(Kind::KvDown, "the store doesn't answer").after(BACK));
         }
-        let shard = self.shard(no, &ask.queue(config)?.pool)?;
+        let shard = self.shard(no, &self.queue(ask, config)?.pool)?;
         let (begin, steps) = (self.common.now(), job.steps.len());
         let mut tries = Tries::default();
         match self.write(ask, shard, no, job, &mut tries).await {
@@ -100,12 +100,13 @@
         loop {
             // Again each time: only what is in force when the write is done may let a job in.
             let config = self.newest(ask).await?;
-            let queue = ask.queue(&config)?;
+            let queue = self.queue(ask, &config)?;
             (record.queue, record.terms) = (queue.name.clone(), Some(Box::new(queue.clone())));
             let txn = self.entrance(shard, no, config.rev, &record);
-            let limit = self.limit(ask)?;
+            let (limit, sent) = (self.limit(ask)?, self.common.now());
             match self.outside.store(&StoreCall::Txn(txn), limit).await {
                 Ok(StoreReply::Done(_)) => {
+                    self.common.confirm(sent);
                     self.tell(shard, no, Some(record));
                     return Ok(());
                 }
@@ -149,8 +150,7 @@
     async fn newest(&self, ask: &Ask) -> Result<Config, Error> {
         let limit = self.limit(ask)?;
         let mut known = self.common.config.subscribe();
-        let newest =
-            known.wait_for(|c| c.as_ref().is_some_and(|c| !self.common.is_overtaken(c.rev)));
+        let newest = known.wait_for(|c| c.as_ref().is_some_and(|c| !self.common.overtakes(c)));
         let late = || Error::new(Kind::Stale, "a newer configuration is not known yet").after(SOON);
         let found = timeout(limit, newest).await.map_err(|_| late())?;
         found.map_err(|_| late())?.clone().ok_or_else(late)
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -28,8 +28,9 @@
 
 /// How long a watch of the table waits.
 const WAIT: Duration = Duration::from_secs(10);
-/// How long a watch of the configuration waits.
-const CONFIG_WAIT: Duration = Duration::from_secs(2);
+/// How many watches of the configuration fit into the time that it may be behind: where one has no
+/// answer, the next reading still comes in time.
+const CONFIG_WAITS: u32 = 2;
 /// How long this member's lease lasts, where the store allows it.
 const LEASE: Duration = Duration::from_secs(2);
 /// How often the lease is renewed.
@@ -44,25 +45,19 @@
 
 /// Follows the configuration.
 pub(crate) async fn config(common: Arc<Common>, outside: Outside, told: Sender<Told>) {
-    let key = common.forms.config;
-    let mut follow = Follow::whole(outside, common.forms.operators, CONFIG_WAIT);
+    let wait = common.site.borrow().bounds.config / CONFIG_WAITS;
+    let mut follow = Follow::whole(outside, common.forms.operators, wait);
     let mut sent: Option<Arc<Queues>> = None;
     loop {
-        let seen = follow.turn().await;
-        let Some(seen) = seen else {
-            let known = common.config.borrow().as_ref().map_or(0, |c| c.rev);
-            if common.is_overtaken(known) {
-                // A write has found a newer one that the watch doesn't bring.
-                follow.afresh();
-            }
-            continue;
-        };
-        common.take_waves(&seen);
-        let (Seen::All(items, _) | Seen::Changes(items, _)) = seen;
-        // Versions may come many a second: only the last is read.
-        let last = items.iter().filter(|i| &*i.key == key).max_by_key(|i| i.rev);
-        let Some(item) = last else { continue };
-        common.take_config(item);
+        match follow.turn().await {
+            Some(seen) => take_operators(&common, &seen),
+            // A write has found a newer configuration than the watch brings.
+            None if common.is_overtaken() => follow.afresh(),
+            None => {}
+        }
+        if let Some(at) = follow.current() {
+            common.confirm(common.now() - at.elapsed());
+        }
         // The callers' duty may have taken it in before: what counts is what the shards know.
         let queues = common.config.borrow().as_ref().map(|c| c.queues.clone());
         let Some(queues) = queues else { continue };
@@ -73,6 +68,17 @@
     }
 }
 
+/// Takes in what the operators have written.
+fn take_operators(common: &Common, seen: &Seen) {
+    common.take_waves(seen);
+    let (Seen::All(items, _) | Seen::Changes(items, _)) = seen;
+    // Versions may come many a second: only the last is read.
+    let last = items.iter().filter(|i| &*i.key == common.forms.config).max_by_key(|i| i.rev);
+    if let Some(item) = last {
+        common.take_config(item);
+    }
+}
+
 /// Follows the table, no more often than the store bears from all members together.
 ///
 /// Guards against a table that keeps its members from renewing their leases: each change answers the
--- a/src/site.rs
+++ b/src/site.rs
@@ -194,6 +194,7 @@
     tokio::spawn(serve(metrics, PAGES, pending(), move |head, _| {
         let now = shared.now();
         pages.age("configuration", now - shared.configured());
+        pages.age("configuration_confirmed", now - shared.confirmed());
         pages.age("store", shared.contact().map_or(Duration::MAX, |at| now - at));
         let page = pages.page(head.uri.path());
         async move { page }
--- a/src/watch.rs
+++ b/src/watch.rs
@@ -19,6 +19,8 @@
 const REST: Duration = Duration::from_millis(400);
 /// The same for what hundreds of members follow.
 const SELDOM: Duration = Duration::from_secs(30);
+/// How much of its time a watch has waited at the store at the least, if it was not cut short.
+const PUNCTUAL: f64 = 0.9;
 /// The first and the longest pause after a fault, in milliseconds.
 const PAUSE: (u64, u64) = (20, 300);
 
@@ -67,6 +69,12 @@
     rests: bool,
     /// When the range was read last.
     read: Instant,
+    /// Whether a watch that doesn't wait follows each change, so that it is known to be the last.
+    confirms: bool,
+    /// Whether the next watch doesn't wait.
+    prompt: bool,
+    /// As of when what was seen is all that there is.
+    current: Option<Instant>,
     pause: Pause,
 }
 
@@ -76,7 +84,21 @@
         let pause = Pause::default();
         let (prefix, read) = (prefix.into(), Instant::now());
         let (after, again, gap, rests) = (None, None, Duration::ZERO, false);
-        Follow { outside, prefix, wait, after, again, gap, rests, read, pause }
+        let (confirms, prompt, current) = (true, false, None);
+        Follow {
+            outside,
+            prefix,
+            wait,
+            after,
+            again,
+            gap,
+            rests,
+            read,
+            confirms,
+            prompt,
+            current,
+            pause,
+        }
     }
 
     /// A watch that goes on from a range that was read, also after faults, as long as the store
@@ -84,7 +106,7 @@
     /// after each change ([`REST`]).
     pub fn from(outside: Outside, prefix: &str, wait: Duration, after: Rev) -> Self {
         let (after, again, gap) = (Some(after), Some(AGAIN), REST);
-        Follow { after, again, gap, ..Follow::whole(outside, prefix, wait) }
+        Follow { after, again, gap, confirms: false, ..Follow::whole(outside, prefix, wait) }
     }
 
     /// A watch that begins with a range and goes on after faults, of what hundreds of members follow.
@@ -92,7 +114,7 @@
     /// Guards against a store that can't recover: each fault of a watch would cost it a range as
     /// large as the whole table, from all members at once, and these cost others their watches.
     pub fn steady(outside: Outside, prefix: &str, wait: Duration) -> Self {
-        Follow { again: Some(SELDOM), ..Follow::whole(outside, prefix, wait) }
+        Follow { again: Some(SELDOM), confirms: false, ..Follow::whole(outside, prefix, wait) }
     }
 
     /// Reads the range, and a revision from which on nothing is missed.
@@ -100,12 +122,19 @@
     /// Guards against a change that falls between the reading of the items and that of the revision
     /// that the answer carries: it would be in neither, and nobody would hear of it. So the revision
     /// is that of an answer before, which has no items.
-    async fn range(&self) -> Result<(Vec<Item>, Rev), Fault> {
+    async fn range(&mut self) -> Result<(Vec<Item>, Rev), Fault> {
         let rev = self.outside.revision(&self.prefix).await?;
+        let asked = Instant::now();
         let (items, _) = self.outside.all(&self.prefix, false).await?;
+        self.current = Some(asked);
         Ok((items, rev))
     }
 
+    /// As of when what was seen is all that there is; nothing before the first range.
+    pub fn current(&self) -> Option<Instant> {
+        self.current
+    }
+
     /// Waits for what is new; repeats what fails.
     pub async fn next(&mut self) -> Seen {
         loop {
@@ -133,16 +162,22 @@
             }
         }
         let asked = Instant::now();
-        let call = StoreCall::Watch { prefix: self.prefix.clone(), after, wait: self.wait };
-        match self.outside.store(&call, self.wait + MARGIN).await {
+        let wait = if mem::take(&mut self.prompt) { Duration::ZERO } else { self.wait };
+        let call = StoreCall::Watch { prefix: self.prefix.clone(), after, wait };
+        match self.outside.store(&call, wait + MARGIN).await {
             Ok(StoreReply::Events(items, rev)) => {
                 self.after = Some(rev.max(after));
+                // One that brought nothing until its time was over has waited at the store.
+                let waited = wait.mul_f64(PUNCTUAL);
+                let whole = items.is_empty() && asked.elapsed() >= waited;
+                self.current = Some(if whole { asked + waited } else { asked });
                 if !items.is_empty() {
                     self.pause.good();
                     self.rests = !self.gap.is_zero();
+                    self.prompt = self.confirms;
                     return Some(Seen::Changes(items, rev));
                 }
-                if asked.elapsed() < self.wait / 4 {
+                if asked.elapsed() < wait / 4 {
                     // A watch that was cut short, over and over, would be asked for in a spin.
                     self.pause.wait().await;
                 }
