Tests, red: a task that crashes each worker that starts it

Reproduces BUDGET in virtual time: a shard whose worker is another life as soon as the task has started. The hand's workers can crash and be there as another life.

--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -11,7 +11,7 @@
         Time,
         decide::lanes::Peers,
         ids::Incarnation,
-        ports::{Advice, Bounds, Fault, How, Start, Txn, WorkerCall},
+        ports::{Advice, Bounds, Fault, How, Start, Txn, WorkerCall, WorkerReply},
         shard::{
             Setup, Shard,
             event::{Event, Load, Order},
@@ -199,6 +199,12 @@
         self.tell(Event::Listed(listed));
     }
 
+    /// A worker crashes and is listed at once as another life.
+    pub fn crash(&mut self, at: usize) {
+        self.workers[at].crash();
+        self.list();
+    }
+
     /// The owner hears of something.
     pub fn tell(&mut self, event: Event) {
         for order in self.shard.on(event, self.now) {
@@ -251,8 +257,9 @@
     fn answer(&mut self, sent: Time, order: Order) {
         match &order {
             Order::Worker { worker, call, limit, .. } => {
-                let at = self.workers.iter().position(|w| w.id == *worker).expect("a worker");
-                let reply = self.workers[at].answer(call, self.now);
+                let at = self.workers.iter().position(|w| w.id == *worker);
+                let other = Ok(WorkerReply::Other);
+                let reply = at.map_or(other, |at| self.workers[at].answer(call, self.now));
                 if reply == Err(Fault::Unknown) && self.now < sent + *limit {
                     return self.out.push((sent, order));
                 }
--- a/tests/hand/worker.rs
+++ b/tests/hand/worker.rs
@@ -23,6 +23,8 @@
 pub struct Worker {
     pub id: WorkerId,
     no: usize,
+    /// How many lives it had before this one.
+    lives: u32,
     /// Whether it is in the list.
     pub there: bool,
     /// How long it stays, once it is leaving.
@@ -43,6 +45,7 @@
         Worker {
             id: WorkerId::from(&*format!("w{no}")),
             no,
+            lives: 0,
             there: true,
             left: None,
             hook: FINE,
@@ -55,6 +58,12 @@
         }
     }
 
+    /// Crashes, and is there again at once as another life.
+    pub fn crash(&mut self) {
+        let (no, lives) = (self.no, self.lives + 1);
+        *self = Worker { id: WorkerId::from(&*format!("w{no}-{lives}")), lives, ..Worker::new(no) };
+    }
+
     /// Its entry of the list.
     pub fn entry(&self) -> Option<Listed> {
         self.there.then(|| Listed {
