A task is given up after three workers have crashed under it

Cause: a run that is gone with its worker counts as stopped, and only failures are counted. Ruled out: counts lost by takeovers (one owner through runs 1 to 7) and failures that the queue allows (no end "failed" of the task). Class: a retry without a bound.

Tasks under which a worker has crashed are placed apart for up to a second, so that sound ones that began together with such a task aren't given up with it.

tests/shard_crash: four of five red before ("started again after 5 crashes"). Without the placing apart work_beside_a_task_that_crashes_its_worker_is_done fails (job 4 failed).

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -5,6 +5,7 @@
 pub mod cancel;
 pub mod choose;
 pub mod copies;
+pub mod crash;
 pub mod desk;
 pub mod eject;
 pub mod estimate;
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -12,6 +12,7 @@
 mod commit;
 mod copy;
 mod course;
+mod crash;
 mod ends;
 pub mod event;
 mod evict;
--- a/src/shard/copy.rs
+++ b/src/shard/copy.rs
@@ -78,7 +78,8 @@
         let mut slow: Vec<(Duration, TaskKey, WorkerNo)> = vec![];
         for (index, task) in (0..).zip(&part.tasks) {
             let key = TaskKey { step: *key, index };
-            if let (At::There(at), None) = (task.at, task.copy)
+            // A copy of what crashes its worker would crash another.
+            if let (At::There(at), None, []) = (task.at, task.copy, &task.crashes[..])
                 && let Some(needs) = self.slow(&key, at, expected, now)
             {
                 slow.push((needs, key, at));
--- a/src/shard/hear.rs
+++ b/src/shard/hear.rs
@@ -143,6 +143,8 @@
             sent: now,
             known: Some(now),
             ran: true,
+            settled: true,
+            tried: false,
             began: now,
             tries: 1,
             percent: (row.percent, row.percent),
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         shard::{
-            record::{JobRecord, Progress, TaskRow},
+            record::{CrashRow, JobRecord, Progress, TaskRow},
             workers::WorkerNo,
         },
         time::Time,
@@ -38,6 +38,8 @@
     pub top: u32,
     /// The runs that have failed.
     pub fails: Vec<u32>,
+    /// The runs to which a worker's crash is laid.
+    pub crashes: Vec<u32>,
     /// Its last checkpoint.
     pub saved: Box<str>,
     /// When its last run that was seen here ended.
@@ -173,6 +175,13 @@
             active.state = State::Running;
             active.begun = true;
         }
+        for row in progress.map_or(&[][..], |p| &p.crashes) {
+            let CrashRow(time, step, index, ref runs) = *row;
+            let part = active.parts.get_mut(&(time, step));
+            if let Some(task) = part.and_then(|p| p.tasks.get_mut(index as usize)) {
+                task.crashes = runs.clone();
+            }
+        }
         active
     }
 
@@ -278,7 +287,7 @@
 
     /// What is stored of it.
     pub fn progress(&self, over: u64) -> Progress {
-        let mut tasks = vec![];
+        let (mut tasks, mut crashes) = (vec![], vec![]);
         if !self.state.over() {
             for ((time, step), part) in &self.parts {
                 for (index, t) in (0..).zip(&part.tasks) {
@@ -289,10 +298,13 @@
                         let fails = t.fails.clone();
                         tasks.push(TaskRow(*time, *step, index, run, fails, done, saved));
                     }
+                    if !done && !t.crashes.is_empty() {
+                        crashes.push(CrashRow(*time, *step, index, t.crashes.clone()));
+                    }
                 }
             }
         }
-        Progress { state: self.state, over, queue: self.queue.clone(), tasks }
+        Progress { state: self.state, over, queue: self.queue.clone(), tasks, crashes }
     }
 
     /// How many runs have failed, in all its tasks.
--- a/src/shard/lapse.rs
+++ b/src/shard/lapse.rs
@@ -26,9 +26,13 @@
     /// A worker's life is over: all that ran there is free to start elsewhere.
     pub(super) fn over_with(&mut self, no: WorkerNo, now: Time) {
         log::info!(target: "shard", worker:% = self.workers[no.0].id, runs = self.workers[no.0].runs.len(); "Worker is over.");
+        let blamed = self.blamed(no);
         self.workers[no.0].gone = true;
         self.roster = true;
         self.forget_runs(no, now);
+        for (task, run) in blamed {
+            self.crashed(no, &task, run, now);
+        }
         self.workers[no.0].pending.clear();
     }
 
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -250,7 +250,12 @@
         }
         match turn.step.gang {
             true => self.place_gang(&turn, round, now),
-            false => self.place_tasks(&turn, round, now),
+            false => {
+                self.place_apart(&mut turn, round, now);
+                if !turn.waiting.is_empty() {
+                    self.place_tasks(&turn, round, now);
+                }
+            }
         }
     }
 
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -190,6 +190,9 @@
     /// The tasks of which something has ended.
     #[serde(default)]
     pub tasks: Vec<TaskRow>,
+    /// The tasks under which workers have crashed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<CrashRow>,
 }
 
 /// What is stored of a task.
@@ -211,6 +214,19 @@
     pub Box<str>,
 );
 
+/// The crashes of workers that are laid to a task.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CrashRow(
+    /// The occurrence.
+    pub u32,
+    /// The step.
+    pub u16,
+    /// The task's number in its step.
+    pub u32,
+    /// The runs under which workers have crashed.
+    pub Vec<u32>,
+);
+
 /// The workers that may run something of a shard.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Roster {
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -92,6 +92,7 @@
         let Some(job) = self.jobs.get(&task.step.job) else { return false };
         let part = job.parts.get(&(task.step.time, task.step.step));
         let ticket = part.and_then(|p| p.tickets.good.get(&no)).map(|t| t.0.clone());
+        let tried = part.is_some_and(|p| !p.tasks[task.index as usize].crashes.is_empty());
         let text = job.job.text.clone();
         worker.add(
             task,
@@ -103,6 +104,8 @@
                 sent: now,
                 known: None,
                 ran: false,
+                settled: false,
+                tried,
                 began: now,
                 tries: 1,
                 percent: (0, 0),
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        decide::{pace::Pace, sound::Sound},
+        decide::{crash::SETTLED, pace::Pace, sound::Sound},
         ids::{PoolId, WorkerId},
         ports::{Bounds, Row},
         shard::record::Turn,
@@ -62,6 +62,10 @@
     pub known: Option<Time>,
     /// Whether it was seen to be there; for the log alone.
     pub ran: bool,
+    /// Whether it was seen long enough after its start not to have crashed its worker by that.
+    pub settled: bool,
+    /// Whether another worker has crashed under its task.
+    pub tried: bool,
     /// When it was started.
     pub began: Time,
     /// How often its start was sent.
@@ -335,6 +339,11 @@
         self.servers -= u32::from(run.target > 0);
     }
 
+    /// Whether a task has just begun there under which another worker has crashed.
+    pub fn is_tried(&self) -> bool {
+        self.runs.values().any(|r| r.tried && !r.settled)
+    }
+
     /// Whether a serving task is there.
     pub fn serves(&self) -> bool {
         self.servers > 0
@@ -347,6 +356,7 @@
         }
         run.known.get_or_insert(now);
         run.ran = true;
+        run.settled |= now - run.began >= SETTLED;
         run.percent.1 = row.percent;
         run.looked = now;
         run.load = row.load;
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -208,8 +208,10 @@
     /// The owner hears of something.
     pub fn tell(&mut self, event: Event) {
         for order in self.shard.on(event, self.now) {
-            if let Order::Worker { worker, call, .. } = &order {
-                let at = self.workers.iter().position(|w| w.id == *worker).expect("a worker");
+            // An order for a life that is over reaches nobody.
+            if let Order::Worker { worker, call, .. } = &order
+                && let Some(at) = self.workers.iter().position(|w| w.id == *worker)
+            {
                 self.log.push((self.now, at, WorkerCall::clone(call)));
             }
             self.deposed |= order == Order::Deposed;
--- a/tests/shard_crash.rs
+++ b/tests/shard_crash.rs
@@ -20,6 +20,8 @@
             return crashes;
         }
         let at = hand.places(poison)[0];
+        // What was started with it is there as well.
+        hand.run(100);
         hand.crash(at);
     }
     panic!("started again after {MOST} crashes")
