Crashes are counted across owners, and laid to what began last

Mend: of what began last, all are blamed, stopped or not; a task under which a worker has crashed has its starts and their ends stored, and a successor that finds neither counts one more, never the last; such a task starts at a worker of its own, and nothing else there for 300 ms.

--- a/src/decide/crash.rs
+++ b/src/decide/crash.rs
@@ -4,25 +4,30 @@
 //! and VMs that are lost for other causes. *Without it:* such a task takes one worker after the
 //! other down for as long as its job is there, and what runs beside it each time.
 //!
-//! *Thresholds:* a run that was seen at work a second after its start did not crash its worker by
+//! *Thresholds:* a run under which its worker answered a second after its start did not crash it by
 //! starting. Three crashes, as two may be accidents: workers that go down and up again take a task
 //! with them more than once.
 
-use std::time::Duration;
+use {crate::time::Time, std::time::Duration};
 
 /// The crashes after which a task is not started again.
 pub const CRASHES: usize = 3;
-/// A run that was seen so long after its start has not crashed its worker by starting.
+/// A run under which its worker has answered so long after the start has not crashed it by that.
 pub const SETTLED: Duration = Duration::from_secs(1);
-/// How long a task under which a worker has crashed waits for a worker without another such task.
-pub const APART: Duration = Duration::from_secs(1);
+/// Runs whose starts were sent within less have begun together.
+const TOGETHER: Duration = Duration::from_millis(100);
+/// How long nothing else starts at a worker where a task has begun under which another has crashed: a
+/// crash that its start brings about comes at once.
+pub const ALONE: Duration = Duration::from_millis(300);
 
 /// What is known of a run at a worker that has crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Resident {
     /// Whether the worker had said that it was there.
     pub there: bool,
-    /// Whether it was seen [`SETTLED`] after its start.
+    /// When its start was sent.
+    pub began: Time,
+    /// Whether the worker has answered [`SETTLED`] after its start.
     pub settled: bool,
     /// Whether its task lasts.
     pub lasts: bool,
@@ -30,19 +35,16 @@
 
 /// The runs, by their places in `all`, to which the crash is laid.
 ///
-/// Those that had just begun; where none had, those whose start was not answered; else the only run,
-/// if its task doesn't last.
+/// Those that had begun last, with what was sent together with them; where no new one had begun, the
+/// first that were sent, as later ones may have met a worker that was down. Else the only run, if
+/// its task doesn't last. Of several that began together none is let off: more than one may be such
+/// a task.
 pub fn blamed(all: &[Resident]) -> Vec<usize> {
-    let places = |is: fn(&Resident) -> bool| -> Vec<usize> {
-        (0..all.len()).filter(|i| is(&all[*i])).collect()
-    };
-    let begun = places(|r| r.there && !r.settled);
-    if !begun.is_empty() {
-        return begun;
-    }
-    let sent = places(|r| !r.there && !r.settled);
-    if !sent.is_empty() {
-        return sent;
+    let new = || all.iter().filter(|r| !r.settled);
+    let last = new().filter(|r| r.there).map(|r| r.began).max();
+    if let Some(at) = last.or(new().map(|r| r.began).min()) {
+        let together = |r: &Resident| r.began < at + TOGETHER && at < r.began + TOGETHER;
+        return (0..all.len()).filter(|i| !all[*i].settled && together(&all[*i])).collect();
     }
     if let [only] = all
         && !only.lasts
--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -82,6 +82,9 @@
         if self.unsettled.is_empty() {
             self.told.settled = Some(now);
             log::info!(target: "shard", did = "settled", shard:% = self.setup.shard, token = self.setup.token, after_ms = millis(now - self.begun), by_lapse = lapsed; "Shard is settled.");
+            if !lapsed {
+                self.count_former(now);
+            }
             self.stir = true;
             self.note(now);
         }
--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -2,17 +2,18 @@
 
 use crate::{
     decide::{
-        crash::{APART, CRASHES, Resident, blamed},
+        crash::{CRASHES, Resident, SETTLED, blamed},
         fit::Room,
     },
     shard::{
+        jobs::At,
         machine::Shard,
         plan::choose,
         round::{Round, Turn},
-        workers::{Phase, WorkerNo},
+        workers::WorkerNo,
     },
     time::Time,
-    work::{State, TaskKey},
+    work::{State, StepKey, TaskKey},
 };
 
 impl Shard {
@@ -22,12 +23,14 @@
         if worker.leaving.is_some() || worker.closed() {
             return vec![];
         }
-        let runs: Vec<_> = worker.runs.iter().filter(|(_, r)| r.phase != Phase::Stopping).collect();
+        // A stop may have been ordered since, as the rest of a gang had ended without its member here.
+        let runs: Vec<_> = worker.runs.iter().collect();
         let all: Vec<Resident> = runs
             .iter()
             .map(|(task, run)| Resident {
-                there: run.phase == Phase::Running,
-                settled: run.settled,
+                there: run.ran,
+                began: run.began,
+                settled: run.settled || worker.heard.is_some_and(|h| run.began + SETTLED <= h),
                 lasts: self.lasts(task),
             })
             .collect();
@@ -37,41 +40,60 @@
     /// Counts a crash for a task, and ends its job if there were too many.
     ///
     /// Guards against a task that takes down one worker after the other.
-    pub(super) fn crashed(&mut self, no: WorkerNo, task: &TaskKey, run: u32, now: Time) {
+    pub(super) fn crashed(&mut self, task: &TaskKey, run: u32, now: Time) {
         let job = task.step.job;
         let Some(active) = self.jobs.get_mut(&job).filter(|j| !j.state.over()) else { return };
         let Some(t) = active.task(task).filter(|t| !t.crashes.contains(&run)) else { return };
         t.crashes.push(run);
         let crashes = t.crashes.len();
-        log::info!(target: "shard", did = "crashed", job:% = job, task:% = task, run, crashes, worker:% = self.workers[no.0].id; "Worker has crashed under a task.");
+        log::info!(target: "shard", did = "crashed", job:% = job, task:% = task, run, crashes; "Worker has crashed under a task.");
         self.touch(job);
         if crashes >= CRASHES {
             self.end(job, State::Failed, now);
         }
     }
 
-    /// Starts tasks under which workers have crashed, each at a worker without another one that has
-    /// just begun, and takes from the turn those that wait for such a worker.
+    /// Counts a crash for each task under which workers have crashed before, and of which a former owner
+    /// had begun a run that is neither there nor has ended.
+    ///
+    /// Guards against a count that stands still, where owners end as often as workers crash. What was seen
+    /// by no owner ends no job: the run may have ended otherwise, and its owner before that was stored.
+    pub(super) fn count_former(&mut self, now: Time) {
+        let mut gone = vec![];
+        for (no, job) in &mut self.jobs {
+            for ((time, step), part) in &mut job.parts {
+                let step = StepKey { job: *no, time: *time, step: *step };
+                for (index, t) in (0..).zip(&mut part.tasks) {
+                    let former = std::mem::take(&mut t.former);
+                    if former > 0 && t.at == At::Waiting && t.crashes.len() + 1 < CRASHES {
+                        gone.push((TaskKey { step, index }, former));
+                    }
+                }
+            }
+        }
+        for (task, run) in gone {
+            self.crashed(&task, run, now);
+        }
+    }
+
+    /// Starts tasks under which workers have crashed, each at a worker of its own where the fewest runs
+    /// have just begun, and takes them from the turn if there is any room.
     ///
     /// Guards against sound tasks that are given up with the one that crashes their worker: begun
     /// together, they lose it together, and would be placed together again.
     pub(super) fn place_apart(&mut self, turn: &mut Turn, round: &Round, now: Time) {
         let Some(part) = self.part(turn.key) else { return };
-        let bound = |i: &u32| {
-            let task = &part.tasks[*i as usize];
-            !task.crashes.is_empty() && task.left.is_some_and(|l| now < l + APART)
-        };
-        let apart: Vec<u32> = turn.waiting.iter().copied().filter(bound).collect();
+        let crashed = |i: &u32| !part.tasks[*i as usize].crashes.is_empty();
+        let apart: Vec<u32> = turn.waiting.iter().copied().filter(crashed).collect();
         if apart.is_empty() {
             return;
         }
         let rooms = self.rooms(turn, round, now).0;
-        if rooms.is_empty() {
-            return;
-        }
-        let free = rooms.into_iter().filter(|r| !self.workers[r.index].is_tried());
-        let mut free: Vec<Room> = free.map(|r| Room { most: r.most.min(1), ..r }).collect();
-        let chosen = choose(&turn.step, &apart, &mut free);
+        let begun = |r: &Room| self.workers[r.index].runs.values().filter(|r| !r.settled).count();
+        let Some(fewest) = rooms.iter().map(begun).min() else { return };
+        let quiet = rooms.iter().filter(|r| begun(r) == fewest);
+        let mut quiet: Vec<Room> = quiet.map(|r| Room { most: r.most.min(1), ..*r }).collect();
+        let chosen = choose(&turn.step, &apart, &mut quiet);
         turn.waiting.retain(|i| !apart.contains(i));
         self.start_all(turn.key, &turn.step, &chosen, now);
     }
--- a/src/shard/ends.rs
+++ b/src/shard/ends.rs
@@ -46,6 +46,10 @@
         if mine && old.ran {
             self.note_left(task, now);
         }
+        if old.tried {
+            // A successor would count a run that it doesn't find for a crash.
+            self.touch(task.step.job);
+        }
     }
 
     /// Notes when a task's run has ended, if none goes on.
@@ -73,6 +77,9 @@
             return;
         }
         let Some(t) = job.task(task) else { return };
+        if t.former == run {
+            t.former = 0;
+        }
         let over = t.at == At::Done;
         // Of copies, that of another run must not be taken for that which is there.
         let there = step.copies && matches!(t.at, At::There(_));
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -40,6 +40,8 @@
     pub fails: Vec<u32>,
     /// The runs to which a worker's crash is laid.
     pub crashes: Vec<u32>,
+    /// The run that a former owner had begun, until it is known what became of it; 0 is none.
+    pub former: u32,
     /// Its last checkpoint.
     pub saved: Box<str>,
     /// When its last run that was seen here ended.
@@ -176,10 +178,10 @@
             active.begun = true;
         }
         for row in progress.map_or(&[][..], |p| &p.crashes) {
-            let CrashRow(time, step, index, ref runs) = *row;
+            let CrashRow(time, step, index, ref runs, former) = *row;
             let part = active.parts.get_mut(&(time, step));
             if let Some(task) = part.and_then(|p| p.tasks.get_mut(index as usize)) {
-                task.crashes = runs.clone();
+                (task.crashes, task.former) = (runs.clone(), former);
             }
         }
         active
@@ -299,7 +301,8 @@
                         tasks.push(TaskRow(*time, *step, index, run, fails, done, saved));
                     }
                     if !done && !t.crashes.is_empty() {
-                        crashes.push(CrashRow(*time, *step, index, t.crashes.clone()));
+                        let there = if let At::There(_) = t.at { t.run } else { t.former };
+                        crashes.push(CrashRow(*time, *step, index, t.crashes.clone(), there));
                     }
                 }
             }
--- a/src/shard/lapse.rs
+++ b/src/shard/lapse.rs
@@ -31,7 +31,7 @@
         self.roster = true;
         self.forget_runs(no, now);
         for (task, run) in blamed {
-            self.crashed(no, &task, run, now);
+            self.crashed(&task, run, now);
         }
         self.workers[no.0].pending.clear();
     }
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -35,6 +35,7 @@
         let Some(run) = worker.runs.get_mut(&start.task).filter(|r| r.run == start.run) else {
             return;
         };
+        run.ran |= matches!(reply, Ok(WorkerReply::Done(_)));
         if run.phase == Phase::Stopping {
             return;
         }
@@ -44,7 +45,6 @@
             Ok(WorkerReply::Done(_)) => {
                 run.phase = Phase::Running;
                 run.known = Some(now);
-                run.ran = true;
                 self.begun(&start.task);
             }
             // It was there and has ended: the next hold says how.
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -225,6 +225,8 @@
     pub u32,
     /// The runs under which workers have crashed.
     pub Vec<u32>,
+    /// The run that has begun; 0 is none.
+    pub u32,
 );
 
 /// The workers that may run something of a shard.
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -70,8 +70,11 @@
         }
         let Some(job) = self.jobs.get_mut(&task.step.job) else { return };
         job.put(&task, At::There(no));
-        if let Some(t) = job.task(&task) {
-            t.run = run;
+        let Some(t) = job.task(&task) else { return };
+        t.run = run;
+        if !t.crashes.is_empty() {
+            // A successor has to know of it.
+            self.touch(task.step.job);
         }
     }
 
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -2,7 +2,11 @@
 
 use {
     crate::{
-        decide::{crash::SETTLED, pace::Pace, sound::Sound},
+        decide::{
+            crash::{ALONE, SETTLED},
+            pace::Pace,
+            sound::Sound,
+        },
         ids::{PoolId, WorkerId},
         ports::{Bounds, Row},
         shard::record::Turn,
@@ -60,7 +64,7 @@
     pub sent: Time,
     /// Since when an answer without it shows that it is gone.
     pub known: Option<Time>,
-    /// Whether it was seen to be there; for the log alone.
+    /// Whether it was seen to be there.
     pub ran: bool,
     /// Whether it was seen long enough after its start not to have crashed its worker by that.
     pub settled: bool,
@@ -340,8 +344,8 @@
     }
 
     /// Whether a task has just begun there under which another worker has crashed.
-    pub fn is_tried(&self) -> bool {
-        self.runs.values().any(|r| r.tried && !r.settled)
+    pub fn is_tried(&self, now: Time) -> bool {
+        self.runs.values().any(|r| r.tried && now < r.began + ALONE)
     }
 
     /// Whether a serving task is there.
--- a/standin/src/site/stay.rs
+++ b/standin/src/site/stay.rs
@@ -81,6 +81,9 @@
     /// The lasting tasks of a job, in order.
     fn lasting(&self, no: JobNo) -> Vec<TaskKey> {
         let Some(record) = self.jobs.get(&no) else { return vec![] };
+        if self.poison.iter().any(|t| t.step.job == no) {
+            return vec![];
+        }
         let steps = (0_u16..).zip(&record.job.steps);
         let lasts = steps.filter(|(i, s)| s.lasts && !self.hopeless.contains(&(no, *i)));
         let tasks = |(step, s): (u16, &Step)| {
--- a/standin/src/site/worker.rs
+++ b/standin/src/site/worker.rs
@@ -109,6 +109,11 @@
         /// The end.
         end: End,
     },
+    /// A worker has crashed under a run.
+    Crash {
+        /// The task.
+        task: TaskKey,
+    },
     /// An end was noted.
     Seen {
         /// The task.
@@ -134,6 +139,8 @@
     pub jobs: BTreeMap<JobNo, JobRecord>,
     /// Steps whose tasks always fail.
     pub hopeless: BTreeSet<(JobNo, u16)>,
+    /// Tasks that crash each worker that starts them.
+    pub poison: BTreeSet<TaskKey>,
     /// The workers.
     pub workers: Vec<Worker>,
     /// The advice service.
@@ -197,6 +204,7 @@
             queues,
             jobs: BTreeMap::new(),
             hopeless: BTreeSet::new(),
+            poison: BTreeSet::new(),
             workers,
             advice: Service::new(seed),
             notes: Vec::new(),
@@ -440,6 +448,10 @@
         let old = std::mem::replace(w, fresh);
         w.labels = old.labels;
         (w.life, w.rate, w.up) = (old.life + 1, old.rate, false);
+        if old.draining.is_none() {
+            let tasks = old.runs.iter().map(|r| r.start.task);
+            self.notes.extend(tasks.map(|task| Note::Crash { task }));
+        }
         for run in old.runs.iter().filter(|r| r.stops.is_none()) {
             if self.step(run.start.task.step).is_some_and(|s| s.gang) {
                 self.break_gang(run.start.task.step, run.start.run);
--- a/standin/src/soak/stage.rs
+++ b/standin/src/soak/stage.rs
@@ -221,6 +221,9 @@
                     let line = format!("{}: {task} run {run}, its end is noted", self.world.now);
                     (task.step.job, line)
                 }
+                Note::Crash { task } => {
+                    (task.step.job, format!("{}: a worker crashes under {task}", self.world.now))
+                }
                 Note::Odd(_) => continue,
             };
             self.seen.push_back((job, line));
--- a/tests/shard_crash.rs
+++ b/tests/shard_crash.rs
@@ -97,3 +97,23 @@
     hand.run(1_000);
     assert_eq!(hand.state(1), Some(State::Running));
 }
+
+#[test]
+fn a_crash_between_two_owners_is_counted() {
+    // Owners that end as often as workers crash started such a task for ever.
+    let mut hand = Hand::new(6);
+    hand.submit(1, "plain", job(step(1, 1)));
+    for crashes in 1..=3 {
+        hand.until("started", 20_000, |h| !h.places(task(1, 0)).is_empty());
+        hand.run(300);
+        let at = hand.places(task(1, 0))[0];
+        if crashes == 2 {
+            hand.workers[at].crash();
+            hand.succeed();
+        } else {
+            hand.crash(at);
+            hand.run(300);
+        }
+    }
+    assert_eq!(hand.state(1), Some(State::Failed));
+}
--- a/tests/yard/events.rs
+++ b/tests/yard/events.rs
@@ -194,6 +194,18 @@
         self.at((self.now + back).0 / 1_000, move |y| y.world.workers[at].up = true);
     }
 
+    /// Workers crash under tasks that crash each worker, and are back after a while.
+    pub(super) fn poisoned(&mut self) {
+        let poison = &self.world.poison;
+        let at_once = |w: &Worker| w.runs.iter().any(|r| poison.contains(&r.start.task));
+        let all = &self.world.workers;
+        let hit: Vec<usize> = (0..all.len()).filter(|at| at_once(&all[*at])).collect();
+        for at in hit {
+            let back = Duration::from_millis(self.rng.u64(500..4_000));
+            self.crash(at, back);
+        }
+    }
+
     /// A worker's process ends, and none begins in its place.
     pub fn lose(&mut self, at: usize) {
         self.died.push((self.now, self.world.id(at)));
