--- a/src/control.rs
+++ b/src/control.rs
@@ -7,7 +7,7 @@
         gate::Gate,
         ids::WorkerId,
         ports::{Advice, AdviceCall, Fault, Wire},
-        relay::{self, Relayed, Relayer},
+        relay::{self, RelayAnswer, RelayAsk, Relayed, Relayer},
         rpc,
         shard::{
             Held, Need,
@@ -80,25 +80,6 @@
     record: Option<JobRecord>,
 }
 
-/// A call of the store that is to be relayed.
-#[derive(Debug, Serialize, Deserialize)]
-struct RelayAsk {
-    call: Relayed,
-    limit_ms: u64,
-    /// Whether the call may be made twice; members of an earlier version don't say.
-    #[serde(default)]
-    repeats: bool,
-}
-
-/// What became of a relayed call.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum RelayAnswer {
-    Answered(u16, Box<str>),
-    Unsent,
-    Unknown,
-}
-
 /// A question for a queue's length.
 #[derive(Debug, Serialize, Deserialize)]
 struct WaitingAsk {
@@ -139,26 +120,6 @@
     }
 }
 
-impl From<relay::Answer> for RelayAnswer {
-    fn from(answer: relay::Answer) -> Self {
-        match answer.map(|(status, body)| (status, String::from_utf8(body.into()))) {
-            Ok((status, Ok(body))) => RelayAnswer::Answered(status, body.into()),
-            Err(Fault::Unsent | Fault::Refused) => RelayAnswer::Unsent,
-            Ok((_, Err(_))) | Err(_) => RelayAnswer::Unknown,
-        }
-    }
-}
-
-impl From<RelayAnswer> for relay::Answer {
-    fn from(answer: RelayAnswer) -> Self {
-        match answer {
-            RelayAnswer::Answered(status, body) => Ok((status, body.into_string().into())),
-            RelayAnswer::Unsent => Err(Fault::Unsent),
-            RelayAnswer::Unknown => Err(Fault::Unknown),
-        }
-    }
-}
-
 /// Clients of the outside for one thread; other members relay what the store doesn't serve here.
 pub(crate) fn outside(common: &Arc<Common>, peers: &Peers) -> Outside {
     let peers = peers.clone();
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -46,6 +46,50 @@
     }
 }
 
+/// A call of the store that is to be relayed.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct RelayAsk {
+    /// The call.
+    pub call: Relayed,
+    /// How long it may take, in milliseconds.
+    pub limit_ms: u64,
+    /// Whether the call may be made twice; members of an earlier version don't say.
+    #[serde(default)]
+    pub repeats: bool,
+}
+
+/// What became of a relayed call.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum RelayAnswer {
+    /// The store's answer: its status and body.
+    Answered(u16, Box<str>),
+    /// Nothing was done.
+    Unsent,
+    /// It may have been done.
+    Unknown,
+}
+
+impl From<Answer> for RelayAnswer {
+    fn from(answer: Answer) -> Self {
+        match answer.map(|(status, body)| (status, String::from_utf8(body.into()))) {
+            Ok((status, Ok(body))) => RelayAnswer::Answered(status, body.into()),
+            Err(Fault::Unsent | Fault::Refused) => RelayAnswer::Unsent,
+            Ok((_, Err(_))) | Err(_) => RelayAnswer::Unknown,
+        }
+    }
+}
+
+impl From<RelayAnswer> for Answer {
+    fn from(answer: RelayAnswer) -> Self {
+        match answer {
+            RelayAnswer::Answered(status, body) => Ok((status, body.into_string().into())),
+            RelayAnswer::Unsent => Err(Fault::Unsent),
+            RelayAnswer::Unknown => Err(Fault::Unknown),
+        }
+    }
+}
+
 /// Has other members make a call, and returns the answer; nothing where there is nobody to ask. The
 /// flag says whether the call may be made twice.
 pub type Relayer = Arc<dyn Fn(Wire, bool, Duration) -> Relaying + Send + Sync>;
