Whether a worker takes no other start is known without a look at its runs

What it cost: each look at a worker's room went through all that runs there, for each step that waits and each of 350 workers, 400 steps a round.

--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -382,7 +382,7 @@
     pub(super) fn room(&self, no: WorkerNo, key: &StepKey, step: &Step, now: Time) -> Option<Room> {
         let w = &self.workers[no.0];
         let listed = w.listed.as_ref()?;
-        if w.is_tried(now) {
+        if now < w.alone {
             return None;
         }
         if step.needs.as_ref().is_some_and(|label| !listed.has(label)) {
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        decide::crash::ALONE,
         ports::{Start, WorkerCall},
         shard::{
             event::Order,
@@ -123,6 +124,9 @@
                 mark: (now, 0),
             },
         );
+        if tried {
+            worker.alone = now + ALONE;
+        }
         let start = Start { task, run, text, until, token: self.setup.token, saved, ticket };
         self.out.push(Order::Worker {
             worker: worker.id.clone(),
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -2,11 +2,7 @@
 
 use {
     crate::{
-        decide::{
-            crash::{ALONE, SETTLED},
-            pace::Pace,
-            sound::Sound,
-        },
+        decide::{crash::SETTLED, pace::Pace, sound::Sound},
         ids::{PoolId, WorkerId},
         ports::{Bounds, Row},
         shard::record::Turn,
@@ -153,6 +149,8 @@
     pub missed: Option<Time>,
     /// No start before.
     pub unwell: Time,
+    /// No start before, as a task has just begun there under which another worker has crashed.
+    pub alone: Time,
     /// What its failures and its speed say of it.
     pub sound: Sound,
     /// How fast fillers may work there.
@@ -201,6 +199,7 @@
             until: 0,
             missed: None,
             unwell: Time::ZERO,
+            alone: Time::ZERO,
             sound: Sound::new(),
             pace: Pace::new(),
             told: Told::default(),
@@ -343,11 +342,6 @@
         self.servers -= u32::from(run.target > 0);
     }
 
-    /// Whether a task has just begun there under which another worker has crashed.
-    pub fn is_tried(&self, now: Time) -> bool {
-        self.runs.values().any(|r| r.tried && now < r.began + ALONE)
-    }
-
     /// Whether a serving task is there.
     pub fn serves(&self) -> bool {
         self.servers > 0
