Tests: the hand takes orders for lives that were, and two guards of crashes have a test

The hand's workers had lost a check with: an order for a worker that never was passed for one to a life that is over. It fails again, and only lives that a test has ended are let through.

Read through again, the guards of crashes were left out one at a time on the landed code.

--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -10,7 +10,7 @@
     dogwoodreach::{
         Time,
         decide::lanes::Peers,
-        ids::Incarnation,
+        ids::{Incarnation, WorkerId},
         ports::{Advice, Bounds, Fault, How, Start, Txn, WorkerCall, WorkerReply},
         shard::{
             Setup, Shard,
@@ -23,7 +23,12 @@
         },
     },
     standin::site::setup,
-    std::{collections::VecDeque, mem, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeSet, VecDeque},
+        mem,
+        sync::Arc,
+        time::Duration,
+    },
     store::{Fate, Store},
     worker::Worker,
 };
@@ -65,6 +70,8 @@
     pub log: Vec<(Time, usize, WorkerCall)>,
     out: Vec<(Time, Order)>,
     late: Vec<(Time, Txn)>,
+    /// Lives of workers that are over.
+    over: BTreeSet<WorkerId>,
 }
 
 fn bounds() -> Bounds {
@@ -133,6 +140,7 @@
             log: vec![],
             out: vec![],
             late: vec![],
+            over: BTreeSet::new(),
         };
         hand.succeed();
         hand.run(200);
@@ -199,18 +207,30 @@
         self.tell(Event::Listed(listed));
     }
 
+    /// A worker crashes and is there at once as another life, which nobody has heard of.
+    pub fn restart(&mut self, at: usize) {
+        self.over.insert(self.workers[at].id.clone());
+        self.workers[at].crash();
+    }
+
     /// A worker crashes and is listed at once as another life.
     pub fn crash(&mut self, at: usize) {
-        self.workers[at].crash();
+        self.restart(at);
         self.list();
     }
 
+    /// The place of a worker; none for a life that is over, and only for such a one.
+    fn place(&self, worker: &WorkerId) -> Option<usize> {
+        let at = self.workers.iter().position(|w| w.id == *worker);
+        assert!(at.is_some() || self.over.contains(worker), "{worker} never was a worker");
+        at
+    }
+
     /// The owner hears of something.
     pub fn tell(&mut self, event: Event) {
         for order in self.shard.on(event, self.now) {
-            // An order for a life that is over reaches nobody.
             if let Order::Worker { worker, call, .. } = &order
-                && let Some(at) = self.workers.iter().position(|w| w.id == *worker)
+                && let Some(at) = self.place(worker)
             {
                 self.log.push((self.now, at, WorkerCall::clone(call)));
             }
@@ -259,7 +279,7 @@
     fn answer(&mut self, sent: Time, order: Order) {
         match &order {
             Order::Worker { worker, call, limit, .. } => {
-                let at = self.workers.iter().position(|w| w.id == *worker);
+                let at = self.place(worker);
                 let other = Ok(WorkerReply::Other);
                 let reply = at.map_or(other, |at| self.workers[at].answer(call, self.now));
                 if reply == Err(Fault::Unknown) && self.now < sent + *limit {
--- a/tests/shard_crash.rs
+++ b/tests/shard_crash.rs
@@ -108,7 +108,7 @@
         hand.run(300);
         let at = hand.places(task(1, 0))[0];
         if crashes == 2 {
-            hand.workers[at].crash();
+            hand.restart(at);
             hand.succeed();
         } else {
             hand.crash(at);
@@ -117,3 +117,41 @@
     }
     assert_eq!(hand.state(1), Some(State::Failed));
 }
+
+#[test]
+fn a_task_under_which_a_worker_has_crashed_starts_away_from_what_has_just_begun() {
+    // What begins together is blamed together.
+    let mut hand = Hand::new(4);
+    hand.submit(1, "plain", job(Step { lasts: true, ..step(1, 3) }));
+    hand.run(2_000);
+    hand.submit(2, "plain", job(step(1, 1)));
+    hand.until("beside it", 1_000, |h| h.places(task(2, 0)) == h.places(task(1, 0)));
+    hand.submit(3, "plain", job(step(1, 2)));
+    hand.until("elsewhere", 1_000, |h| !h.places(task(3, 0)).is_empty());
+    hand.crash(hand.places(task(2, 0))[0]);
+    hand.until("again", 1_000, |h| !h.places(task(2, 0)).is_empty());
+    hand.run(100);
+    let at = hand.places(task(2, 0));
+    assert!(at != hand.places(task(1, 0)) && at != hand.places(task(3, 0)), "at {at:?}");
+}
+
+#[test]
+fn a_run_that_its_owner_knew_to_be_gone_is_no_crash_to_a_successor() {
+    let mut hand = Hand::new(3);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.until("started", 1_000, |h| !h.places(task(1, 0)).is_empty());
+    hand.run(100);
+    hand.crash(hand.places(task(1, 0))[0]);
+    hand.until("again", 1_000, |h| !h.places(task(1, 0)).is_empty());
+    hand.run(300);
+    // Nothing more can start, and the worker has lost the run.
+    hand.workers.iter_mut().for_each(|w| w.there = false);
+    hand.list();
+    let at = hand.places(task(1, 0))[0];
+    hand.workers[at].rows.clear();
+    hand.run(500);
+    hand.succeed();
+    hand.run(500);
+    let crashes: Vec<usize> = hand.stored(1).crashes.iter().map(|c| c.3.len()).collect();
+    assert_eq!(crashes, [1]);
+}
