A job that an owner may have heard of after a takeover is started by its successor alone

Cause: a job that was in the store when the successor read it counts as old, and is not started before the shard is settled. One that is stored later counts as new and starts at once, as 'no former owner can know of it'. But members go on to tell the former owner of new jobs until their table shows the takeover, and an owner that the store doesn't confirm goes on by the answers of most of its workers. So both start it, the former at a worker that has not seen the new token yet.

Ruled out: a takeover that doesn't wait for the lease (the successor expects the former row to be gone, and its old jobs waited); a lease that counts from the answer (Confirmed carries the time at which the renewal was sent).

Change: an owner starts a job that it has heard of itself only if a renewal confirms that the shard was its own when it heard of it. A renewal sent at s holds the lease beyond s + 1.9 s, so a job heard before that was stored before any takeover, and any successor finds it in the store as old. The successor loses no time by it.

--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -7,6 +7,7 @@
             workers::{MARGIN, SLOW, Worker, millis},
         },
         time::Time,
+        work::JobNo,
     },
     std::time::Duration,
 };
@@ -57,6 +58,24 @@
         now - self.confirmed <= FRESH
     }
 
+    /// Whether no other owner can have started anything of a job that is not known here.
+    ///
+    /// Guards against a task that is started by an owner that was taken over and by its successor. What
+    /// was there at the takeover the successor finds in the store, and starts none of it before the
+    /// shard is settled. What has come since it starts at once, so that a former owner, who may hear of
+    /// it as well, must not: it waits for a renewal that shows that the shard was still its own when it
+    /// heard of the job.
+    pub(super) fn is_sole(&self, no: &JobNo) -> bool {
+        let Some(job) = self.jobs.get(no) else { return false };
+        if job.old { self.unsettled.is_empty() } else { job.heard <= self.confirmed + FRESH }
+    }
+
+    /// Takes in that the store has confirmed this member's lease by a renewal that was sent then.
+    pub(super) fn confirm(&mut self, sent: Time, now: Time) {
+        self.stir |= !self.fresh(now);
+        self.confirmed = self.confirmed.max(sent);
+    }
+
     /// Whether what former owners have started is known.
     ///
     /// Guards against a second run of what goes on at a worker that can't be asked: until all that
--- a/src/shard/course.rs
+++ b/src/shard/course.rs
@@ -25,7 +25,7 @@
             self.terms.insert(record.queue.clone(), (record.came, terms.clone()));
         }
         self.adopt_terms();
-        let active = Active::new(record, progress, old);
+        let active = Active::new(record, progress, old, now);
         if active.job.times.is_some() {
             self.timed.insert(no);
         }
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -133,6 +133,8 @@
     pub state: State,
     /// Whether a former owner may have started something of it.
     pub old: bool,
+    /// When this owner heard of it.
+    pub heard: Time,
     /// Its steps that have come up, by occurrence and step.
     pub parts: BTreeMap<(u32, u16), Part>,
     /// The longest chain of steps by their estimates, from each step on.
@@ -149,7 +151,7 @@
 
 impl Active {
     /// A job as it was stored, with what is known of it.
-    pub fn new(record: JobRecord, progress: Option<&Progress>, old: bool) -> Self {
+    pub fn new(record: JobRecord, progress: Option<&Progress>, old: bool, heard: Time) -> Self {
         let mut active = Active {
             queue: record.queue,
             came: record.came,
@@ -158,6 +160,7 @@
             job: record.job,
             state: State::Queued,
             old,
+            heard,
             parts: BTreeMap::new(),
             begun: false,
             changed: 0,
--- a/src/shard/machine.rs
+++ b/src/shard/machine.rs
@@ -219,7 +219,7 @@
                 self.written(after, now);
             }
             Event::Lives { sent, reply } => self.lives(sent, reply, now),
-            Event::Confirmed(sent) => self.confirmed = self.confirmed.max(sent),
+            Event::Confirmed(sent) => self.confirm(sent, now),
             Event::Peers(mut peers) => {
                 // This member first: its calls spare the way to another.
                 peers.own.sort_by_key(|p| *p != self.setup.me);
--- a/src/shard/plan.rs
+++ b/src/shard/plan.rs
@@ -233,8 +233,7 @@
 
     /// Starts what has room of one step.
     fn place(&mut self, key: &StepKey, round: &mut Round, now: Time) {
-        let old = self.jobs.get(&key.job).is_none_or(|j| j.old);
-        if old && !self.unsettled.is_empty() {
+        if !self.is_sole(&key.job) {
             return;
         }
         let Some(mut turn) = self.turn(key, round, now) else { return };
--- a/src/shard/sight.rs
+++ b/src/shard/sight.rs
@@ -135,8 +135,7 @@
 
     /// Keeps what a step would take or keep in the next round from those behind it.
     fn rehearse(&self, key: &StepKey, round: &mut Round, now: Time) {
-        let old = self.jobs.get(&key.job).is_none_or(|j| j.old);
-        if old && !self.unsettled.is_empty() {
+        if !self.is_sole(&key.job) {
             return;
         }
         let Some(turn) = self.turn(key, round, now) else { return };
@@ -191,7 +190,9 @@
         let old = self.jobs.get(&turn.key.job).is_some_and(|j| j.old);
         match () {
             () if !self.may_act(now) => Some(Cause::Lease),
-            () if old && !self.unsettled.is_empty() => Some(Cause::Unsettled),
+            () if !self.is_sole(&turn.key.job) => {
+                Some(if old { Cause::Unsettled } else { Cause::Lease })
+            }
             () if strays > 0 && (turn.step.gang || strays == turn.waiting.len()) => {
                 Some(Cause::Stray)
             }
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -20,6 +20,7 @@
         units::Size,
         work::{
             AdviceCost, Job, JobNo, Listed, Pool, Queue, Queues, State, Step, StepKey, TaskKey,
+            Times,
         },
     },
     standin::site::setup,
@@ -195,6 +196,13 @@
         self.tell(Event::Job(JobNo(no), Box::new(record)));
     }
 
+    /// As [`Hand::submit`], of a job that is due so many milliseconds later.
+    pub fn submit_due(&mut self, no: u64, ms: u64, job: Job) {
+        let first = UNIX + self.now.0 / 1_000 + ms;
+        let times = Some(Times { count: 1, first, every: 1 });
+        self.submit(no, "plain", Job { times, ..job });
+    }
+
     /// A cancel is stored; the owner hears of it.
     pub fn cancel(&mut self, no: u64) {
         self.store.put(SHARD.cancel(JobNo(no)), "{}".into());
