An owner that the store doesn't serve gives its shards to a member that it serves

Once a member that was cut off itself took the shard over, and nobody owned it from 3.7 to 14.7 s: it could not read the shard through others, seven times.

Cause: relays keep a cut-off member's lease alive, so that it keeps its shards for as long as the cut lasts, and may take others. All that a shard reads and writes then goes through another member's link of 10 Mbit/s: the list of workers, the inbox, each end of a task before its step is shown and the next begins. Readings of a whole shard don't end in their time.

Change: a member whose direct way has been lost for 0.5 s, while others are served and relay its calls, releases its shards as at a planned stop and says so in its row; such members take over after all others and aren't asked to relay. Where the store is down for all nobody relays, and every owner keeps what it has. A release whose answer is lost is tried again: before, the shard would have stood until the row's end.

Tests: site_relay an_owner_that_is_cut_off_gives_its_shard_to_a_member_that_the_store_serves (before: 'the shard has passed on never came'), two of decide/relay, two of the table.

--- a/src/control.rs
+++ b/src/control.rs
@@ -354,7 +354,7 @@
         let (end, ways) = (Instant::now() + limit, &self.common.ways);
         let view = self.common.view.borrow().clone();
         let mut answer = None;
-        for member in ways.members(&view.able(), self.common.me) {
+        for member in ways.members(&view.served(), self.common.me) {
             let left = end.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return answer;
--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -24,6 +24,8 @@
 const PROBE: Duration = Duration::from_millis(500);
 /// The pause after a call that nobody relayed.
 const REST: Duration = Duration::from_secs(1);
+/// For how long the direct way is lost before shards are given away: what a handover costs.
+const YIELD: Duration = Duration::from_millis(500);
 /// For how long a member is asked last that didn't relay a call.
 const AVOID: Duration = Duration::from_secs(2);
 /// The least time of a call whose want of an answer says something of the way.
@@ -47,6 +49,10 @@
 pub struct Relay {
     /// Direct calls on end that were not served.
     faults: u32,
+    /// Since when the direct way is lost, if it is.
+    since: Time,
+    /// Whether this member leaves owning to others.
+    yields: bool,
     /// When the direct way is tried next.
     probe: Time,
     /// No relay before.
@@ -85,15 +91,26 @@
     /// Takes in a direct call: whether the store served it.
     pub fn direct(&mut self, served: bool, now: Time) {
         if served {
-            (self.faults, self.heard) = (0, now);
+            (self.faults, self.heard, self.yields) = (0, now, false);
             return;
         }
         self.faults = self.faults.saturating_add(1);
         if self.faults == LOST {
-            self.probe = now + PROBE;
+            (self.since, self.probe) = (now, now + PROBE);
         }
     }
 
+    /// Whether this member leaves owning shards to members that the store serves.
+    ///
+    /// Guards against jobs that pile up at an owner that is cut off: all that its shards read and write
+    /// would go through another member's link, and each end of a task and each start after it wait there.
+    /// Where others are not served either, nobody could do better.
+    pub fn yields(&mut self, now: Time) -> bool {
+        let relays = self.last.is_some() && !self.rests(now);
+        self.yields |= self.lost() && relays && now - self.since >= YIELD;
+        self.yields
+    }
+
     /// Takes in a direct call that was given up.
     ///
     /// Guards against a busy link that is taken for a lost one, with all that is under way on it given
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -45,7 +45,7 @@
     Peers,
     /// Another member owns a shard.
     Forget(ShardNo),
-    /// Settle what is written, and tell when that is done.
+    /// Settle what is written of all shards, and tell when that is done.
     Release,
     /// How a job stands; nothing where it isn't known here, or may be known better elsewhere, unless who
     /// asks is sure of the owner.
@@ -329,6 +329,10 @@
             self.shards.remove(&shard);
             let _ = self.notes.send(Out::Settled(shard, left)).await;
         }
+        if self.shards.is_empty() && !self.common.stopping() {
+            // Shards that this member takes over later are not to be released.
+            self.release = None;
+        }
     }
 }
 
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -37,8 +37,13 @@
 const KEEP: Duration = Duration::from_millis(500);
 /// How long a renewal may take: two fit into a lease, so that a slow store doesn't end it.
 const KEPT: Duration = Duration::from_millis(900);
-/// How often the table is looked at while a shard has no live owner.
+/// How often the table is looked at while a shard has no live owner, or the store doesn't serve this
+/// member.
 const STEP: Duration = Duration::from_millis(100);
+/// How often a shard's release is written while its outcome is not known.
+const RELEASES: u32 = 3;
+/// How often a member that the store doesn't serve gives up the shards that it has.
+const YIELD: Duration = Duration::from_secs(2);
 
 /// The pause between two watches of the table, for each member: all make 500 in a second at the most.
 const EACH: Duration = Duration::from_millis(2);
@@ -107,6 +112,13 @@
     pub lease: watch::Sender<u64>,
 }
 
+/// What of a member's row changes while it runs.
+#[derive(Clone, Copy, PartialEq)]
+struct Standing {
+    draining: bool,
+    relayed: bool,
+}
+
 impl Membership {
     /// Keeps this member registered.
     pub async fn run(self) {
@@ -129,18 +141,19 @@
     /// Registers under a lease and renews it until the store has ended it.
     async fn keep(&self, lease: u64) {
         let mut pause = Pause::default();
-        let mut registered: Option<(Rev, bool)> = None;
+        let mut registered: Option<(Rev, Standing)> = None;
         loop {
             let due = Instant::now() + KEEP;
             let draining = self.common.stopping();
-            let gone = registered.is_some_and(|(r, d)| {
-                d != draining || self.common.view.borrow().lost(self.common.me, r)
+            let standing = Standing { draining, relayed: self.common.ways.yields() };
+            let gone = registered.is_some_and(|(r, s)| {
+                s != standing || self.common.view.borrow().lost(self.common.me, r)
             });
             if registered.is_none() || gone {
-                match self.register(lease, draining).await {
+                match self.register(lease, standing).await {
                     Ok(StoreReply::Done(rev)) => {
                         self.common.register(true);
-                        registered = Some((rev, draining));
+                        registered = Some((rev, standing));
                     }
                     Ok(StoreReply::NoLease) => return,
                     _ => {
@@ -175,13 +188,14 @@
         }
     }
 
-    async fn register(&self, lease: u64, draining: bool) -> Result<StoreReply, Fault> {
+    async fn register(&self, lease: u64, standing: Standing) -> Result<StoreReply, Fault> {
         let site = self.common.site.borrow().clone();
         let row = MemberRow {
             control: site.control,
             zone: site.zone.clone(),
-            draining,
+            draining: standing.draining,
             cores: site.cores,
+            relayed: standing.relayed,
         };
         let put = Put { key: member_key(self.common.me), value: record::write(&row), lease };
         let txn = Txn { puts: vec![put], ..Txn::default() };
@@ -200,6 +214,8 @@
     making: bool,
     /// Since when this member is told to stop.
     stopping: Option<Time>,
+    /// When it last gave up its shards as the store doesn't serve it.
+    yielded: Option<Time>,
 }
 
 /// What the table's duty is told.
@@ -236,14 +252,16 @@
             let _ = stop.send(News::Stop).await;
         });
         let table = Table::new(common.me);
-        let (making, stopping) = (false, None);
-        let this = Registry { common, outside, owner, table, told, tell, making, stopping };
+        let (making, stopping, yielded) = (false, None, None);
+        let this =
+            Registry { common, outside, owner, table, told, tell, making, stopping, yielded };
         this.work(news).await;
     }
 
     async fn work(mut self, news: Receiver<News>) {
         loop {
-            let rest = if self.table.waits() { STEP } else { KEEP };
+            let often = self.table.waits() || self.common.ways.is_lost();
+            let rest = if often { STEP } else { KEEP };
             let got = timeout(rest, news.recv()).await;
             if let Some(at) = self.common.contact() {
                 self.table.answered(at);
@@ -251,6 +269,8 @@
             if let Ok(Ok(got)) = got {
                 self.take(got).await;
             }
+            self.table.relayed(self.common.ways.is_lost());
+            self.give_up().await;
             let takes = self.table.step(self.common.now());
             takes.into_iter().for_each(|t| self.fly(t));
             if self.table.bare() && !self.making && self.stopping.is_none() {
@@ -306,6 +326,20 @@
         }
     }
 
+    /// Gives up all shards while the store serves other members and not this one.
+    async fn give_up(&mut self) {
+        let (now, me) = (self.common.now(), self.common.me);
+        let again = self.yielded.is_none_or(|at| at + YIELD <= now);
+        let owns = self.stopping.is_none() && !self.table.running().is_empty();
+        let others = || self.common.view.borrow().served().iter().any(|m| *m != me);
+        if owns && again && self.common.ways.yields() && others() {
+            self.yielded = Some(now);
+            let shards = self.table.running().len();
+            log::warn!(target: "table", did = "yields", shards; "The store doesn't serve this member; its shards are given up.");
+            let _ = self.told.send(Told::Release).await;
+        }
+    }
+
     /// Tells what has changed to the duties that it concerns.
     async fn moved(&mut self, lost: Vec<ShardNo>) {
         for shard in lost {
@@ -357,24 +391,10 @@
     fn release(&self, shard: ShardNo, left: usize) {
         let (outside, tell) = (self.outside.clone(), self.tell.clone());
         let mine = self.table.mine(shard);
+        let tries = if self.stopping.is_some() { 1 } else { RELEASES };
         tokio::spawn(async move {
             if let Some((rev, row)) = mine {
-                let put = Put {
-                    key: shard.owner(),
-                    value: record::write(&OwnerRow {
-                        owner: None,
-                        token: row.token,
-                        control: None,
-                    }),
-                    lease: 0,
-                };
-                let txn =
-                    Txn { expect: vec![(shard.owner(), rev)], puts: vec![put], remove: vec![] };
-                let done = outside.store(&StoreCall::Txn(txn), CALL).await;
-                if !matches!(done, Ok(StoreReply::Done(_))) {
-                    // It passes on when this member's row has ended.
-                    log::warn!(target: "table", shard:% = shard, answer:? = done; "Shard could not be released.");
-                }
+                give_back(&outside, shard, rev, row, tries).await;
             }
             let _ = tell.send(News::Released(shard, left)).await;
         });
@@ -407,6 +427,27 @@
     log::info!(target: "table", did = "taken_over", shard:% = take.shard, member:% = me, token, row = take.row, answer = fate.name(); "Takeover was tried.");
 }
 
+/// Writes that a shard has no owner; an unclear answer is settled by the next try.
+async fn give_back(outside: &Outside, shard: ShardNo, rev: Rev, row: OwnerRow, tries: u32) {
+    let key = shard.owner();
+    let value = record::write(&OwnerRow { owner: None, token: row.token, control: None });
+    let put = Put { key: key.clone(), value, lease: 0 };
+    let txn = Txn { expect: vec![(key, rev)], puts: vec![put], remove: vec![] };
+    let call = StoreCall::Txn(txn);
+    let mut pause = Pause::default();
+    for tried in 1..=tries {
+        match outside.store(&call, CALL).await {
+            // Where the row has changed, an earlier try was done, or another has the shard.
+            Ok(StoreReply::Done(_) | StoreReply::Conflict(_)) => return,
+            answer if tried == tries => {
+                // It passes on when this member's row has ended.
+                log::warn!(target: "table", shard:% = shard, answer:? = answer; "Shard could not be released.");
+            }
+            _ => pause.wait().await,
+        }
+    }
+}
+
 /// Writes the layout for the workers that are listed, once their list is still.
 async fn make_layout(outside: &Outside, common: &Common) {
     let mut census = Census::new(common.now());
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -162,6 +162,12 @@
         self.state().lost()
     }
 
+    /// Whether this member leaves owning shards to members that the store serves.
+    pub fn yields(&self) -> bool {
+        let now = self.now();
+        self.state().yields(now)
+    }
+
     /// The members to be tried for a call, in order.
     pub fn members(&self, able: &[Incarnation], me: Incarnation) -> Vec<Incarnation> {
         let now = self.now();
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -140,6 +140,9 @@
     /// Its share of a processor, in cores.
     #[serde(default)]
     pub cores: f64,
+    /// Whether the store serves it through other members only.
+    #[serde(default)]
+    pub relayed: bool,
 }
 
 /// Who owns a shard.
--- a/src/table.rs
+++ b/src/table.rs
@@ -55,6 +55,8 @@
     flying: BTreeSet<ShardNo>,
     held: BTreeMap<ShardNo, Time>,
     stopping: bool,
+    /// Whether the store serves this member through others only.
+    relayed: bool,
     answered: Option<Time>,
     resumed: Time,
 }
@@ -170,6 +172,12 @@
         self.members.iter().filter(|(_, m)| !m.draining).map(|(i, _)| *i).collect()
     }
 
+    /// The members that may be asked to relay a call of the store.
+    pub fn served(&self) -> Vec<Incarnation> {
+        let served = |m: &&MemberRow| !m.draining && !m.relayed;
+        self.members.iter().filter(|(_, m)| served(m)).map(|(i, _)| *i).collect()
+    }
+
     /// Whether a member that registered at a revision must do so again: its row is gone.
     pub fn lost(&self, me: Incarnation, registered: Rev) -> bool {
         self.rev > registered && !self.members.contains_key(&me)
@@ -192,6 +200,7 @@
             flying: BTreeSet::new(),
             held: BTreeMap::new(),
             stopping: false,
+            relayed: false,
             answered: None,
             resumed: Time::ZERO,
         }
@@ -229,6 +238,11 @@
         self.stopping = true;
     }
 
+    /// Whether the store serves this member through others only: it takes a shard over after all others.
+    pub fn relayed(&mut self, relayed: bool) {
+        self.relayed = relayed;
+    }
+
     /// The takeovers to be written now.
     pub fn step(&mut self, now: Time) -> Vec<Take> {
         let mut takes = vec![];
@@ -422,6 +436,9 @@
 
     /// This member's place among those that could take a shard: who would own fewer for its share of
     /// a processor comes first, and among equals the hash decides.
+    ///
+    /// Guards against an owner that can't read its shard: one that the store serves through others only
+    /// comes behind all that it serves.
     fn rank(&self, shard: ShardNo) -> Option<u32> {
         let mut counts: BTreeMap<Incarnation, usize> = BTreeMap::new();
         for owner in self.owners.values().filter_map(|(_, o)| o.owner) {
@@ -438,8 +455,14 @@
             let share = self.members.get(id).map_or(0.0, |(_, m)| m.cores).max(LEAST);
             (counts.get(id).copied().unwrap_or(0) + 1) as f64 / share
         };
-        order.sort_by(|a, b| load(a).total_cmp(&load(b)));
-        order.iter().position(|id| *id == self.me).and_then(|p| u32::try_from(p).ok())
+        let relayed = |id: &Incarnation| match *id == self.me {
+            true => self.relayed,
+            false => self.members.get(id).is_some_and(|(_, m)| m.relayed),
+        };
+        order.sort_by(|a, b| relayed(a).cmp(&relayed(b)).then_with(|| load(a).total_cmp(&load(b))));
+        let place = order.iter().position(|id| *id == self.me)?;
+        // Others may not know yet that the store doesn't serve this member, and wait for it.
+        u32::try_from(place + usize::from(self.relayed)).ok()
     }
 }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,12 +1,9 @@
 //! When a member's calls of the store are relayed, in virtual time.
 
-use {
-    dogwoodreach::{
-        Time,
-        decide::relay::{Relay, Way},
-        ids::Incarnation,
-    },
-    std::time::Duration,
+use dogwoodreach::{
+    Time,
+    decide::relay::{Relay, Way},
+    ids::Incarnation,
 };
 
 const ME: Incarnation = Incarnation(5);
@@ -146,6 +143,34 @@
     }
 }
 
+#[test]
+fn a_member_that_is_cut_off_gives_its_shards_up_only_to_members_that_are_served() {
+    let (mut relay, ms) = (Relay::default(), Time::from_millis);
+    relay.direct(false, ms(0));
+    relay.direct(false, ms(100));
+    relay.unrelayed(ms(200));
+    assert!(!relay.yields(ms(900)), "the store is down for all");
+    relay.relayed(Incarnation(7), true, ms(1300));
+    assert!(relay.yields(ms(1300)));
+    // It stays so until the store serves it.
+    relay.relayed(Incarnation(7), false, ms(1400));
+    relay.unrelayed(ms(1400));
+    assert!(relay.yields(ms(1400)));
+    relay.direct(true, ms(1500));
+    assert!(!relay.yields(ms(3000)));
+}
+
+#[test]
+fn a_cut_that_ends_within_half_a_second_moves_no_shard() {
+    let (mut relay, ms) = (Relay::default(), Time::from_millis);
+    relay.direct(false, ms(0));
+    relay.direct(false, ms(100));
+    relay.relayed(Incarnation(7), true, ms(150));
+    assert!((150..600).all(|at| !relay.yields(ms(at))));
+    relay.direct(true, ms(590));
+    assert!(!relay.yields(ms(700)));
+}
+
 #[test]
 fn the_direct_way_is_tried_by_calls_that_may_be_made_twice() {
     let (mut relay, ms) = (Relay::default(), Time::from_millis);
--- a/tests/site_relay.rs
+++ b/tests/site_relay.rs
@@ -8,6 +8,7 @@
         Cell,
         store::Shut::{self, Busy, Silent},
     },
+    serde_json::Value,
     std::future::Future,
 };
 
@@ -84,3 +85,35 @@
         assert!(owner.inbox().is_empty());
     });
 }
+
+#[test]
+fn an_owner_that_is_cut_off_gives_its_shard_to_a_member_that_the_store_serves() {
+    // Its jobs piled up for as long as the cut lasted: relays kept its lease alive.
+    run(async {
+        let owner = Cell::new("yields-owner").await;
+        let own = owner.store.serve();
+        let other = Cell::join("yields-other", owner.store.clone(), own).await;
+        let row = async || owner.store.get("dwr/t/o/000").map(|r| r.0).unwrap_or_default();
+        let (first, rows) = (row().await, owner.store.keys("dwr/t/m/"));
+        owner.store.shut(owner.addr, Some(Silent));
+        let passed = async || {
+            let row: Value = serde_json::from_str(&row().await).expect("JSON");
+            row["token"] == 2 && !row["owner"].is_null()
+        };
+        other.until("the shard has passed on", passed).await;
+        // Not by the end of its lease: it is served through the other all the while.
+        assert_eq!(owner.store.keys("dwr/t/m/"), rows);
+        other
+            .until("a job is taken in", async || {
+                owner.status("POST", "/a/00000000000000e1", JOB).await == 200
+            })
+            .await;
+        other
+            .until("its state is told", async || {
+                owner.status("GET", "/a/00000000000000e1", "").await == 200
+            })
+            .await;
+        assert_ne!(row().await, first);
+        owner.store.shut(owner.addr, None);
+    });
+}
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -85,7 +85,7 @@
     }
 
     fn join_at(&mut self, member: Incarnation, control: SocketAddr, draining: bool, cores: f64) {
-        let row = MemberRow { control, zone: Zone::from("z"), draining, cores };
+        let row = MemberRow { control, zone: Zone::from("z"), draining, cores, relayed: false };
         self.write(member_key(member), record::write(&row));
     }
 
@@ -443,3 +443,41 @@
     assert!(cell.table(id(1)).load(bare, rev, now).is_empty());
     assert_eq!(cell.table(id(1)).running().get(&ShardNo(0)), Some(&5));
 }
+
+#[test]
+fn a_member_that_the_store_does_not_serve_takes_a_shard_over_after_all_others() {
+    // It took 11 s to read the shard through others, and nobody owned it meanwhile.
+    let mut cell = Cell::new(1, 5);
+    cell.pass(LONG);
+    let first = cell.owner(ShardNo(0)).expect("owned").owner.expect("a member");
+    let others: Vec<Incarnation> = cell.tables.keys().copied().filter(|m| *m != first).collect();
+    let (served, cut) = others.split_last().expect("four others");
+    for member in cut {
+        cell.table(*member).relayed(true);
+    }
+    cell.leave(first);
+    cell.pass(GRACE + RANK * 4);
+    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(*served));
+    cell.leave(*served);
+    // Each knows of itself alone, so that it waits for all that are left.
+    cell.pass(GRACE + RANK * 3 + Duration::from_millis(60));
+    assert!(cut.contains(&cell.owner(ShardNo(0)).expect("owned").owner.expect("a member")));
+}
+
+#[test]
+fn rows_that_say_so_put_a_member_that_is_not_served_behind_at_once() {
+    let mut cell = Cell::new(1, 5);
+    cell.pass(LONG);
+    let first = cell.owner(ShardNo(0)).expect("owned").owner.expect("a member");
+    let others: Vec<Incarnation> = cell.tables.keys().copied().filter(|m| *m != first).collect();
+    let (served, cut) = others.split_last().expect("four others");
+    for member in cut {
+        let (control, zone) = (address(*member), Zone::from("z"));
+        let row = MemberRow { control, zone, draining: false, cores: 1.0, relayed: true };
+        cell.write(member_key(*member), record::write(&row));
+        cell.table(*member).relayed(true);
+    }
+    cell.leave(first);
+    cell.pass(GRACE + Duration::from_millis(60));
+    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(*served));
+}
