States that an owner doesn't tell take no more than a quarter of the store's reads

Cause: a load that its own failures feed. A caller's question for a job's state was one call to the shard's owner, and two or three reads of the store where that had no answer in 250 ms. While the owner was away or busy, the callers of thousands of open jobs asked 2,500 to 3,000 times a second: more reads than the store serves, which then refused renewals and writes with them, and 2,800 calls a second to an owner of half a core, each that ran out of time with a new connection after it. So jobs ended later still, and were asked for on.

Change: each member has one question out to an owner at a time, with all jobs that were asked for meanwhile, so that a slower owner gets fewer. What it leaves open the store settles for a quarter of its reads, in equal parts for all members; beyond that the caller is told at once to come back in a second. The store's rate is a setting that the platform gives. Members of the version before are answered by no state call any more: they read the store for as long as a replacement takes.

The counter of these calls is named 'states' now, in tests/site.rs too.

--- a/src/control.rs
+++ b/src/control.rs
@@ -62,13 +62,11 @@
     Bad(Box<str>),
 }
 
-/// A question for a job's state.
+/// A question for the states of jobs.
 #[derive(Debug, Serialize, Deserialize)]
-struct StateAsk {
-    shard: ShardNo,
-    job: Box<str>,
+struct StatesAsk {
+    jobs: Box<[(ShardNo, Box<str>)]>,
     /// Whether who asks has a table of late, by which the member that is asked is the owner.
-    #[serde(default)]
     sure: bool,
 }
 
@@ -183,12 +181,13 @@
         }
     })?;
     let asked = told.clone();
-    module.register_async_method("state", move |params, _, _| {
+    module.register_async_method("states", move |params, _, _| {
         let told = asked.clone();
         async move {
-            let ask: StateAsk = params.one()?;
-            let job: JobNo = ask.job.parse().map_err(bad)?;
-            Ok::<_, ErrorObjectOwned>(state_here(&told, ask.shard, job, ask.sure).await)
+            let ask: StatesAsk = params.one()?;
+            let read = |(shard, job): &(ShardNo, Box<str>)| Ok((*shard, job.parse()?));
+            let jobs: Result<Box<[_]>, crate::Error> = ask.jobs.iter().map(read).collect();
+            Ok::<_, ErrorObjectOwned>(states_here(&told, jobs.map_err(bad)?, ask.sure).await)
         }
     })?;
     let heard = told.clone();
@@ -264,16 +263,15 @@
     reply
 }
 
-/// How a job stands, by this member's own decisions.
-pub(crate) async fn state_here(
+/// How jobs stand, by this member's own decisions; nothing where these have too much to do.
+pub(crate) async fn states_here(
     told: &Sender<Told>,
-    shard: ShardNo,
-    job: JobNo,
+    jobs: Box<[(ShardNo, JobNo)]>,
     sure: bool,
-) -> Option<State> {
+) -> Option<Vec<Option<State>>> {
     let (to, from) = oneshot::channel();
-    told.try_send(Told::State(shard, job, sure, to)).ok()?;
-    from.await.ok().flatten()
+    told.try_send(Told::States(jobs, sure, to)).ok()?;
+    from.await.ok()
 }
 
 /// Passes word of a stored job, or of its cancel, to this member's decisions.
@@ -385,17 +383,18 @@
         answer
     }
 
-    /// How a job stands at the member that owns its shard; nothing where it doesn't say.
-    pub async fn state(
+    /// How jobs stand at the member that owns their shards, each as far as it says; nothing where it
+    /// doesn't answer.
+    pub async fn states(
         &self,
         addr: SocketAddr,
-        shard: ShardNo,
-        job: JobNo,
+        jobs: &[(ShardNo, JobNo)],
         sure: bool,
         limit: Duration,
-    ) -> Option<State> {
-        let ask = StateAsk { shard, job: job.to_string().into(), sure };
-        self.call(addr, "state", &ask, limit).await.flatten()
+    ) -> Option<Vec<Option<State>>> {
+        let jobs = jobs.iter().map(|(shard, job)| (*shard, job.to_string().into())).collect();
+        let ask = StatesAsk { jobs, sure };
+        self.call(addr, "states", &ask, limit).await.flatten()
     }
 
     /// Tells the owner of a shard of a job that was stored, or of its cancel.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod place;
 pub mod quota;
 pub mod rank;
+pub mod reads;
 pub mod relay;
 pub mod retry;
 pub mod shift;
--- a/src/decisions.rs
+++ b/src/decisions.rs
@@ -47,9 +47,9 @@
     Forget(ShardNo),
     /// Settle what is written of all shards, and tell when that is done.
     Release,
-    /// How a job stands; nothing where it isn't known here, or may be known better elsewhere, unless who
-    /// asks is sure of the owner.
-    State(ShardNo, JobNo, bool, oneshot::Sender<Option<State>>),
+    /// How jobs stand; nothing for one that isn't known here, or may be known better elsewhere, unless
+    /// who asks is sure of the owner.
+    States(Box<[(ShardNo, JobNo)]>, bool, oneshot::Sender<Vec<Option<State>>>),
     /// What is at these workers, as far as they are of these shards, and how long work waits; nothing
     /// where one isn't here for certain.
     Held(Box<[WorkerId]>, Box<[ShardNo]>, oneshot::Sender<Option<(Vec<Held>, Vec<Need>)>>),
@@ -152,10 +152,13 @@
                 self.release = Some(self.common.now() + SETTLE);
                 self.settle().await;
             }
-            Told::State(shard, job, sure, to) => {
+            Told::States(jobs, sure, to) => {
                 let now = self.common.now();
-                let state = |s: &Shard| if sure { s.known_state(job) } else { s.state(job, now) };
-                let _ = to.send(self.shards.get(&shard).and_then(|r| state(&r.shard)));
+                let state = |(no, job): &(ShardNo, JobNo)| {
+                    let shard = &self.shards.get(no)?.shard;
+                    if sure { shard.known_state(*job) } else { shard.state(*job, now) }
+                };
+                let _ = to.send(jobs.iter().map(state).collect());
             }
             Told::Held(workers, shards, to) => {
                 let now = self.common.now();
--- a/src/entry.rs
+++ b/src/entry.rs
@@ -4,12 +4,14 @@
 //! its shard's owner; a state comes from the owner, and from the store where the owner is silent.
 
 mod ask;
+mod states;
 mod submit;
 
 use {
     crate::{
         common::{Common, Config},
         control::{Peers, outside},
+        decide::reads::Reads,
         decisions::Told,
         error::{Error, Kind},
         http::{answer, refusal},
@@ -29,6 +31,7 @@
         http::request::Parts,
     },
     rustc_hash::FxHashMap,
+    states::States,
     std::{
         sync::{Arc, Mutex},
         time::Duration,
@@ -54,6 +57,8 @@
     peers: Peers,
     told: Sender<Told>,
     lengths: Mutex<FxHashMap<Box<str>, (Time, u64)>>,
+    states: Arc<States>,
+    reads: Mutex<Reads>,
 }
 
 /// A request, as far as it is the same for all methods.
@@ -68,7 +73,9 @@
     pub fn new(common: Arc<Common>, told: Sender<Told>) -> Self {
         let peers = Peers::new(common.clone());
         let outside = outside(&common, &peers);
-        Entry { common, outside, peers, told, lengths: Mutex::default() }
+        let states = Arc::new(States::new(common.clone(), peers.clone()));
+        let (lengths, reads) = Default::default();
+        Entry { common, outside, peers, told, lengths, states, reads }
     }
 
     /// Serves one request.
--- a/src/entry/ask.rs
+++ b/src/entry/ask.rs
@@ -3,7 +3,8 @@
 use {
     super::{Ask, Entry},
     crate::{
-        control::{state_here, waiting_here},
+        control::{states_here, waiting_here},
+        decide::reads::Reads,
         error::{Error, Kind},
         ids::{Incarnation, PoolId},
         ports::Item,
@@ -11,22 +12,30 @@
         work::{JobNo, State},
     },
     bytes::Bytes,
-    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
+    std::{collections::BTreeMap, net::SocketAddr, sync::MutexGuard, time::Duration},
     tokio::{task::JoinSet, time::timeout},
 };
 
 /// How long a shard's owner may take.
-const OWNER: Duration = Duration::from_millis(250);
+pub(super) const OWNER: Duration = Duration::from_millis(250);
+/// When to come back for a state that nobody can tell now: a takeover may be under way.
+const LATER: Duration = Duration::from_secs(1);
 /// How long a queue's length is good.
 const FRESH: Duration = Duration::from_millis(500);
 
 impl Entry {
     /// How a job stands.
+    ///
+    /// Errs at once where its owner doesn't say and too much is read for states already.
     pub(super) async fn state(&self, ask: &Ask, job: JobNo, pool: &PoolId) -> Result<Bytes, Error> {
         let shard = self.shard(job, pool)?;
         let state = match self.owner_says(shard, job).await {
             Some(state) => state,
             None => {
+                if !self.may_read() {
+                    let why = "the owner of the job's shard doesn't say how it stands";
+                    return Err(Error::new(Kind::Peer, why).after(LATER));
+                }
                 let state = self.store_says(ask, shard, job).await?;
                 log::info!(target: "entry", did = "asked", job:% = job, shard:% = shard, state:% = state; "State is told from the store.");
                 state
@@ -42,9 +51,21 @@
     async fn owner_says(&self, shard: ShardNo, job: JobNo) -> Option<State> {
         let (owner, addr) = self.common.view.borrow().owner(shard)?;
         if owner == self.common.me {
-            return timeout(OWNER, state_here(&self.told, shard, job, false)).await.ok()?;
+            let here = states_here(&self.told, [(shard, job)].into(), false);
+            return timeout(OWNER, here).await.ok()??.pop()?;
         }
-        self.peers.state(addr, shard, job, self.common.in_touch(), OWNER).await
+        self.states.of((owner, addr), shard, job).await
+    }
+
+    /// Whether the store may be read for one more state.
+    fn may_read(&self) -> bool {
+        let rate = self.common.site.borrow().reads;
+        let members = self.common.view.borrow().members.len();
+        self.reads().admit(rate, members, self.common.now())
+    }
+
+    fn reads(&self) -> MutexGuard<'_, Reads> {
+        self.reads.lock().expect("no holder panics")
     }
 
     /// How a job stands by the store.
@@ -55,9 +76,11 @@
     async fn store_says(&self, ask: &Ask, shard: ShardNo, job: JobNo) -> Result<State, Error> {
         let progress = shard.progress(job);
         if let Some(item) = self.read(ask, &progress).await? {
+            self.reads().settled(1);
             return state(&item);
         }
         if self.read(ask, &shard.job(job)).await?.is_some() {
+            self.reads().settled(2);
             return Ok(State::Queued);
         }
         match self.read(ask, &progress).await? {
--- a/src/ports/site.rs
+++ b/src/ports/site.rs
@@ -24,6 +24,8 @@
     pub metrics: Box<[SocketAddr]>,
     /// The store.
     pub store: SocketAddr,
+    /// How many reads a second the store serves to all members together.
+    pub reads: f64,
     /// The advice service, where there is one.
     pub advice: Option<SocketAddr>,
     /// The list of VMs, where there is one.
--- a/standin/src/soak/member.rs
+++ b/standin/src/soak/member.rs
@@ -100,6 +100,7 @@
                 control: at[2],
                 metrics: [at[3]].into(),
                 store: store.listen().await?,
+                reads: 2_000.0,
                 advice: Some(serving.advice[no]),
                 vms: Some(serving.vms),
                 fleet: setup::fleet(),
--- /dev/null
+++ b/tests/reads.rs
@@ -0,0 +1,63 @@
+//! What states that owners don't tell leave of the store's reads, in virtual time.
+
+use dogwoodreach::{Time, decide::reads::Reads};
+
+/// The reads a second that the store serves.
+const RATE: f64 = 6_000.0;
+const MEMBERS: usize = 41;
+
+/// A second of questions at each member: how many the store was asked, by `ours` or all of them.
+fn play(reads: &mut [Reads], second: u64, questions: u64, ours: bool) -> u64 {
+    let mut asked = 0;
+    for n in 0..questions {
+        let now = Time::from_millis(second * 1_000 + n * 1_000 / questions);
+        let admitted = reads.iter_mut().filter_map(|r| r.admit(RATE, MEMBERS, now).then_some(()));
+        asked += if ours { admitted.count() } else { MEMBERS } as u64;
+    }
+    asked
+}
+
+#[test]
+fn questions_without_an_owner_leave_the_store_to_its_renewals() {
+    // 70 questions a second at each member, three reads each: more than the store serves.
+    for ours in [false, true] {
+        let mut reads = vec![Reads::default(); MEMBERS];
+        let taken: Vec<u64> = (0..10).map(|s| 3 * play(&mut reads, s, 70, ours)).collect();
+        let over = taken.iter().filter(|t| **t as f64 > RATE).count();
+        assert_eq!(over, if ours { 0 } else { 10 }, "{taken:?}");
+        if ours {
+            assert!(taken[1..].iter().all(|t| *t as f64 <= RATE / 4.0 * 1.1), "{taken:?}");
+            assert!(taken.iter().all(|t| *t as f64 >= RATE / 4.0 * 0.8), "{taken:?}");
+        }
+    }
+}
+
+#[test]
+fn a_few_questions_are_all_settled_by_the_store() {
+    // An owner is taken over at ordinary load.
+    let mut reads = vec![Reads::default(); MEMBERS];
+    for second in 0..10 {
+        assert_eq!(play(&mut reads, second, 6, true), 6 * MEMBERS as u64);
+    }
+}
+
+#[test]
+fn reads_that_a_question_did_not_need_are_left_for_others() {
+    let (mut reads, now) = (Reads::default(), Time::ZERO);
+    let mut count = |needs: u32| {
+        let mut reads = std::mem::take(&mut reads);
+        (0..1_000)
+            .take_while(|_| reads.admit(400.0, 4, now).then(|| reads.settled(needs)).is_some())
+            .count()
+    };
+    assert_eq!(count(3), 8);
+    assert_eq!(count(1), 23);
+}
+
+#[test]
+fn a_store_with_a_small_share_for_each_settles_one_question_at_a_time() {
+    let mut reads = Reads::default();
+    assert!(reads.admit(4.0, 100, Time::ZERO));
+    assert!(!reads.admit(4.0, 100, Time::from_millis(1_000)));
+    assert!(reads.admit(4.0, 100, Time::from_millis(400_000)));
+}
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -194,7 +194,7 @@
         assert_eq!(owner.status("GET", ONE, "").await, 200);
         assert_eq!(other.status("GET", ONE, "").await, 200);
         let page = String::from_utf8(other.page("/metrics").await.1.to_vec()).expect("text");
-        for call in ["waiting", "state"] {
+        for call in ["waiting", "states"] {
             let line = format!(r#"dwr_calls_total{{answer="done",call="{call}"}}"#);
             assert!(page.contains(&line), "{line} is missing");
         }
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -44,6 +44,9 @@
     waiting: |n| n.to_string().into(),
 };
 
+/// How many reads a second the store serves.
+pub const READS: f64 = 400.0;
+
 fn settings(text: &str) -> Result<Site, Error> {
     let bad = |e: &dyn std::fmt::Display| Error::new(Kind::BadSettings, e.to_string());
     let v: Value = serde_json::from_str(text).map_err(|e| bad(&e))?;
@@ -61,6 +64,7 @@
         control: addr("control")?,
         metrics: [addr("metrics")?].into(),
         store: addr("store")?,
+        reads: READS,
         advice: None,
         vms: addr("store").ok(),
         fleet: Fleet { rate: 60.0, upkeep: ms(2000), moved: ms(1500), turn: ms(3000) },
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -59,6 +59,8 @@
     refused: Option<(String, u32)>,
     /// The prefixes of ranges that were read.
     ranges: Vec<String>,
+    /// How many items were read.
+    gets: usize,
     /// Addresses whose callers are turned away.
     shut: BTreeMap<SocketAddr, Shut>,
 }
@@ -173,6 +175,11 @@
         self.state.lock().expect("state").ranges.iter().filter(|r| *r == prefix).count()
     }
 
+    /// How many items were read.
+    pub fn gets(&self) -> usize {
+        self.state.lock().expect("state").gets
+    }
+
     /// Ends all leases.
     pub fn end_leases(&self) {
         let mut state = self.state.lock().expect("state");
@@ -299,7 +306,10 @@
 
     fn call(&mut self, path: &str, ask: &Value) -> (u16, Value) {
         match path {
-            "/get" => (200, self.item(text(ask, "key"))),
+            "/get" => {
+                self.gets += 1;
+                (200, self.item(text(ask, "key")))
+            }
             "/range" => {
                 let prefix = text(ask, "prefix");
                 self.ranges.push(prefix.into());
