--- a/src/core.rs
+++ b/src/core.rs
@@ -96,6 +96,8 @@
     urgent: Vec<Urgent>,
     roll: Roll,
     unreached: Vec<(Incarnation, Call)>,
+    /// Whether it was told that requests are refused as the configuration may be old.
+    stale: bool,
 }
 
 /// A wish for urgent work, which waits until room has been made.
@@ -131,6 +133,7 @@
             urgent: vec![],
             roll: Roll::default(),
             unreached: vec![],
+            stale: false,
         }
     }
 
@@ -216,6 +219,7 @@
         }
         self.retry_handovers(now);
         self.stop_when_idle(now);
+        self.stale &= !self.current(now);
         self.warm_up(now);
         self.metrics.state(
             self.racks.count(),
--- a/src/core/requests.rs
+++ b/src/core/requests.rs
@@ -34,7 +34,10 @@
     pub(crate) fn ask(&mut self, ask: Ask, now: Time) {
         let ticket = ask.ticket;
         let refused = match self.config.plan().services.get(&ask.service) {
-            _ if !self.current(now) => Kind::Stale,
+            _ if !self.current(now) => {
+                self.tell_stale(now);
+                Kind::Stale
+            }
             None if self.config.version().0 == 0 => Kind::Stale,
             None => Kind::UnknownService,
             Some(service) => {
--- a/src/core/touch.rs
+++ b/src/core/touch.rs
@@ -58,6 +58,17 @@
         linked || (others > 0 && 2 * count >= others)
     }
 
+    /// Tells, once until it is current again, that requests are refused as the configuration may be old.
+    pub(super) fn tell_stale(&mut self, now: Time) {
+        if mem::replace(&mut self.stale, true) {
+            return;
+        }
+        let (member, version) = (self.me(), self.config.version());
+        let silent_ms = millis(self.ownership.silence(now));
+        let heard_ms: Vec<u64> = self.peers.values().map(|p| millis(now - p.heard)).collect();
+        log::warn!(target: "requests", member:% = member, version:% = version, silent_ms, heard_ms:? = heard_ms; "Requests are refused: the configuration may have been replaced.");
+    }
+
     /// Whether this member may dispatch to its workers.
     ///
     /// Its lease runs, or the key-value service answers nobody: then nobody can take over either.
