Model: a job that is stored while a shard passes on

The model had one task of a job that both owners know from the start, so that it could not show the fault that mends: a job that is stored after the takeover, of which the former owner hears as well.

shard.pml LAPSE NEWS: the job is stored at any time, and each owner hears of it by itself.

--- a/model/shard.pml
+++ b/model/shard.pml
@@ -18,6 +18,7 @@
  *            workers, no crash, and time: a set of counters of ticks left, which Clock counts down.
  *            The drift of clocks is left out: the product's bounds carry a margin for it. Nothing is
  *            stored or noted. B doesn't reach the third worker, where alone A starts the task.
+ *            -DNEWS besides: the job is stored at any time, and each owner hears of it by itself.
  *
  * Invariants, as assertions: OnePlace, OnceNoted (nothing starts after an end that was noted),
  * Kept (an end that was noted is stored).
@@ -99,6 +100,21 @@
 
 bool noted;
 
+#ifdef NEWS
+#define FOUND 1                 /* stored before the takeover: B finds it in the store */
+#define HEARD_OF 2              /* stored after that: B hears of it, and takes it for new */
+byte job;
+bool told;                      /* whether A has heard of it */
+bool sole;                      /* ... and the store has confirmed since that the shard is A's */
+#ifdef MUT_NEWS                 /* A starts whatever it has heard of */
+#define KNOWS(m) (m == A -> told : job > 0 && (settled || job == HEARD_OF))
+#else
+#define KNOWS(m) (m == A -> sole : job > 0 && (settled || job == HEARD_OF))
+#endif
+#else
+#define KNOWS(m) (m == A || settled)
+#endif
+
 #ifdef LAPSE
 #define FENCED (fenced[0] + fenced[1] + fenced[2])
 #define STRAYS (stray[0] || stray[1] || stray[2])
@@ -213,7 +229,7 @@
 #ifdef MUT_SETTLE               /* B doesn't wait for the workers */
        (m == A || !STRAYS)
 #else
-       (m == A || (settled && !STRAYS))
+       KNOWS(m) && (m == A || !STRAYS)
 #endif
        ->
 #ifdef LAPSE
@@ -403,7 +419,12 @@
 #endif
 #ifdef LAPSE
   /* A's renewal, while its row stands; once that is gone it has to read the table first. */
-  :: atomic { owns[A] && confirmed < FRESH && writer == A -> confirmed = FRESH }
+  :: atomic { owns[A] && confirmed < FRESH && writer == A ->
+       confirmed = FRESH;
+#ifdef NEWS
+       sole = told
+#endif
+     }
 #endif
   :: atomic { owns[A] && writer == B -> depose(A) }
   /* B takes over: one write that changes the owner and the commit row and expects A's row to be gone,
@@ -427,6 +448,11 @@
        known[AT(B, 0)] = rlife[0]; known[AT(B, 1)] = rlife[1];
        listed[AT(B, 0)] = roster[0]; listed[AT(B, 1)] = roster[1]
      }
+#ifdef NEWS
+  /* The job is stored, and A hears of it. */
+  :: atomic { job == 0 -> job = (writer == A -> FOUND : HEARD_OF) }
+  :: atomic { job > 0 && owns[A] && !told -> told = true; sole = confirmed > 0 }
+#endif
   /* B has heard most of the workers; then all, or those that are left have no lease any more. */
 #ifdef LAPSE
 #ifdef MUT_MOST                 /* the bound counts from the takeover */
