--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 pub mod ledger;
 pub mod logs;
 pub mod member;
+mod membership;
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)] // generated
 #[path = "gen/messages.rs"]
--- a/src/registry.rs
+++ b/src/registry.rs
@@ -1,4 +1,4 @@
-//! This member's row and lease, the table as the store has it, and what is taken over and released.
+//! The table as the store has it, and what is taken over and released.
 
 use {
     crate::{
@@ -6,11 +6,12 @@
         decisions::{Out, Told},
         ids::Incarnation,
         layout::{Census, MOST, layout},
+        membership::KEEP,
         owner::Owner,
         ports::{Fault, Item, Put, Rev, StoreCall, StoreReply, Txn},
         shard::{
             event::Event,
-            record::{self, CommitRow, LAYOUT, MemberRow, OwnerRow, ShardNo, TABLE},
+            record::{self, CommitRow, LAYOUT, OwnerRow, ShardNo, TABLE},
         },
         store::{CALL, Outside},
         table::{Fate, Table, Take, member_key},
@@ -20,10 +21,7 @@
     },
     async_channel::{Receiver, Sender},
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{
-        sync::watch,
-        time::{Instant, sleep, sleep_until, timeout},
-    },
+    tokio::time::{sleep, timeout},
 };
 
 /// How long a watch of the table waits.
@@ -31,12 +29,6 @@
 /// How many watches of the configuration fit into the time that it may be behind: where one has no
 /// answer, the next reading still comes in time.
 const CONFIG_WAITS: u32 = 2;
-/// How long this member's lease lasts, where the store allows it.
-const LEASE: Duration = Duration::from_secs(2);
-/// How often the lease is renewed.
-const KEEP: Duration = Duration::from_millis(500);
-/// How long a renewal may take: two fit into a lease, so that a slow store doesn't end it.
-const KEPT: Duration = Duration::from_millis(900);
 /// How often the table is looked at while a shard has no live owner, or the store doesn't serve this
 /// member.
 const STEP: Duration = Duration::from_millis(100);
@@ -100,109 +92,6 @@
     }
 }
 
-/// This member's row and lease.
-pub(crate) struct Membership {
-    /// What the duties share.
-    pub common: Arc<Common>,
-    /// The store.
-    pub outside: Outside,
-    /// The way to the decisions.
-    pub told: Sender<Told>,
-    /// The lease, for who ends it.
-    pub lease: watch::Sender<u64>,
-}
-
-/// What of a member's row changes while it runs.
-#[derive(Clone, Copy, PartialEq)]
-struct Standing {
-    draining: bool,
-    relayed: bool,
-}
-
-impl Membership {
-    /// Keeps this member registered.
-    pub async fn run(self) {
-        let mut pause = Pause::default();
-        loop {
-            let ttl = LEASE.max(self.common.site.borrow().bounds.ttl);
-            let made = self.outside.store(&StoreCall::Lease { ttl }, CALL).await;
-            let Ok(StoreReply::Lease(lease, _)) = made else {
-                pause.wait().await;
-                continue;
-            };
-            pause.good();
-            self.lease.send_replace(lease);
-            self.keep(lease).await;
-            self.common.register(false);
-            log::warn!(target: "table", member:% = self.common.me, lease; "The lease has ended; this member registers again.");
-        }
-    }
-
-    /// Registers under a lease and renews it until the store has ended it.
-    async fn keep(&self, lease: u64) {
-        let mut pause = Pause::default();
-        let mut registered: Option<(Rev, Standing)> = None;
-        loop {
-            let due = Instant::now() + KEEP;
-            let draining = self.common.stopping();
-            let standing = Standing { draining, relayed: self.common.ways.yields() };
-            let gone = registered.is_some_and(|(r, s)| {
-                s != standing || self.common.view.borrow().lost(self.common.me, r)
-            });
-            if registered.is_none() || gone {
-                match self.register(lease, standing).await {
-                    Ok(StoreReply::Done(rev)) => {
-                        self.common.register(true);
-                        registered = Some((rev, standing));
-                    }
-                    Ok(StoreReply::NoLease) => return,
-                    _ => {
-                        pause.wait().await;
-                        continue;
-                    }
-                }
-            }
-            let sent = self.common.now();
-            match self.outside.store(&StoreCall::Keep { lease }, KEPT).await {
-                Ok(StoreReply::Kept) => {
-                    pause.good();
-                    // Guards against an owner whose lease had ended and that was taken over before it
-                    // registered again: it counts as confirmed once it has read the table since.
-                    let read = self.common.view.borrow().rev;
-                    if registered.is_some_and(|(rev, _)| read >= rev) {
-                        let _ = self.told.send(Told::All(Event::Confirmed(sent))).await;
-                    }
-                    self.rest(due, draining).await;
-                }
-                Ok(StoreReply::NoLease) => return,
-                _ => pause.wait().await,
-            }
-        }
-    }
-
-    /// Waits for the next renewal; a stop is told to the others at once.
-    async fn rest(&self, due: Instant, draining: bool) {
-        tokio::select! {
-            () = sleep_until(due) => {}
-            () = self.common.stopped(), if !draining => {}
-        }
-    }
-
-    async fn register(&self, lease: u64, standing: Standing) -> Result<StoreReply, Fault> {
-        let site = self.common.site.borrow().clone();
-        let row = MemberRow {
-            control: site.control,
-            zone: site.zone.clone(),
-            draining: standing.draining,
-            cores: site.cores,
-            relayed: standing.relayed,
-        };
-        let put = Put { key: member_key(self.common.me), value: record::write(&row), lease };
-        let txn = Txn { puts: vec![put], ..Txn::default() };
-        self.outside.store(&StoreCall::Txn(txn), CALL).await
-    }
-}
-
 /// The table's duty.
 pub(crate) struct Registry {
     common: Arc<Common>,
--- a/src/site.rs
+++ b/src/site.rs
@@ -15,10 +15,11 @@
         http::{Limits, answer, serve},
         ids::Incarnation,
         logs,
+        membership::Membership,
         metrics::Metrics,
         owner::Owner,
         ports::{Forms, Site, StoreCall},
-        registry::{self, Membership, Registry},
+        registry::{self, Registry},
     },
     async_channel::{Receiver, Sender, bounded},
     std::{
