--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -1,17 +1,20 @@
-//! Whether a member calls the store itself, or has another member relay the call.
+//! Whether a member calls the store itself or has another member relay the call, and whether it may
+//! own shards meanwhile.
 //!
 //! *Load pattern:* the store turns some machines away for seconds, or they are cut off from it,
 //! while it serves the others; callers come in at such a machine as at any, and shards are owned
 //! there. *Without it:* such a member refuses its callers, its lease ends, and its shards stand
-//! still until lease and grace are over and another member has taken them over, 2.7 s on the users'
-//! bench; the same for each further machine.
+//! still until lease and grace are over and another member has taken them over; the same for each
+//! further machine.
 //!
 //! *Thresholds:* two calls on end that the store didn't serve; a single one is an answer that was
 //! lost, or a write refused in a storm. The direct way is tried again twice a second, as often as
 //! the lease is renewed, by calls that may be made twice: a member is back within half a second, and
-//! no write waits for a silent connection. A member that didn't relay a call may be cut off as well: it
-//! is asked last for two seconds, as long as a lease. Where none of those asked for one call did, the store itself
-//! is down and relays would multiply the calls that it refuses: none for a second, then one.
+//! no write waits for a silent connection. A member that didn't relay a call may be cut off as well:
+//! it is asked last for two seconds, the length of a lease. Where none of the members that were asked
+//! relayed a call, the store itself is down, and relays would multiply the calls that it refuses: none
+//! for a second, then one. Shards are given up after half a second without the direct way: a handover
+//! costs them about as much.
 
 use {
     crate::{ids::Incarnation, time::Time},
@@ -24,13 +27,14 @@
 const PROBE: Duration = Duration::from_millis(500);
 /// The pause after a call that nobody relayed.
 const REST: Duration = Duration::from_secs(1);
-/// For how long the direct way is lost before shards are given away: what a handover costs.
+/// For how long the direct way is lost before shards are given up.
 const YIELD: Duration = Duration::from_millis(500);
 /// For how long a member is asked last that didn't relay a call.
 const AVOID: Duration = Duration::from_secs(2);
 /// The least time of a call whose want of an answer says something of the way.
 const FAIR: Duration = Duration::from_millis(200);
-/// The most members that are tried for one call: where a third of all are cut off, one of them is not.
+/// The most members that are tried for one call: where a third of all are cut off, all of them are in
+/// one case of a hundred.
 const MOST: usize = 4;
 
 /// The way of one call.
@@ -49,9 +53,9 @@
 pub struct Relay {
     /// Direct calls on end that were not served.
     faults: u32,
-    /// Since when the direct way is lost, if it is.
+    /// When the direct way was lost.
     since: Time,
-    /// Whether this member leaves owning to others.
+    /// Whether this member leaves owning shards to others, until the store serves it.
     yields: bool,
     /// When the direct way is tried next.
     probe: Time,
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -444,21 +444,28 @@
     assert_eq!(cell.table(id(1)).running().get(&ShardNo(0)), Some(&5));
 }
 
-#[test]
-fn a_member_that_the_store_does_not_serve_takes_a_shard_over_after_all_others() {
-    // It took 11 s to read the shard through others, and nobody owned it meanwhile.
+/// A cell of five whose owner is about to leave: the owner, the one member that the store serves, and
+/// the three that know that it doesn't serve them.
+fn cut_off() -> (Cell, Incarnation, Incarnation, Vec<Incarnation>) {
     let mut cell = Cell::new(1, 5);
     cell.pass(LONG);
     let first = cell.owner(ShardNo(0)).expect("owned").owner.expect("a member");
-    let others: Vec<Incarnation> = cell.tables.keys().copied().filter(|m| *m != first).collect();
-    let (served, cut) = others.split_last().expect("four others");
-    for member in cut {
+    let mut cut: Vec<Incarnation> = cell.tables.keys().copied().filter(|m| *m != first).collect();
+    let served = cut.pop().expect("four others");
+    for member in &cut {
         cell.table(*member).relayed(true);
     }
+    (cell, first, served, cut)
+}
+
+#[test]
+fn a_member_that_the_store_does_not_serve_takes_a_shard_over_after_all_others() {
+    // It took 11 s to read the shard through others, and nobody owned it meanwhile.
+    let (mut cell, first, served, cut) = cut_off();
     cell.leave(first);
     cell.pass(GRACE + RANK * 4);
-    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(*served));
-    cell.leave(*served);
+    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(served));
+    cell.leave(served);
     // Each knows of itself alone, so that it waits for all that are left.
     cell.pass(GRACE + RANK * 3 + Duration::from_millis(60));
     assert!(cut.contains(&cell.owner(ShardNo(0)).expect("owned").owner.expect("a member")));
@@ -466,18 +473,13 @@
 
 #[test]
 fn rows_that_say_so_put_a_member_that_is_not_served_behind_at_once() {
-    let mut cell = Cell::new(1, 5);
-    cell.pass(LONG);
-    let first = cell.owner(ShardNo(0)).expect("owned").owner.expect("a member");
-    let others: Vec<Incarnation> = cell.tables.keys().copied().filter(|m| *m != first).collect();
-    let (served, cut) = others.split_last().expect("four others");
+    let (mut cell, first, served, cut) = cut_off();
     for member in cut {
-        let (control, zone) = (address(*member), Zone::from("z"));
+        let (control, zone) = (address(member), Zone::from("z"));
         let row = MemberRow { control, zone, draining: false, cores: 1.0, relayed: true };
-        cell.write(member_key(*member), record::write(&row));
-        cell.table(*member).relayed(true);
+        cell.write(member_key(member), record::write(&row));
     }
     cell.leave(first);
     cell.pass(GRACE + Duration::from_millis(60));
-    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(*served));
+    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(served));
 }
