What is started on the older path is never more than what is reserved for it

The owner of both workers says of twelve tasks at once that they outgrew their memory, which the stand-in reports as it was ordered: so the starts were for more than the reservations that they were counted by.

Cause, by reading: a wish for room whose answer is late is made again for the same attempt, for more where the estimate has grown meanwhile. Both wishes are on connections of their own; where the first is taken in after the second, the reservation becomes the smaller one, and the start goes out for the larger.

Change: a start makes its reservation as large as itself, or is refused as never run.

tests/racks.rs: a_start_of_more_than_is_reserved_puts_no_worker_over_its_size (before: none of two starts of 10 and 8 cores was refused on a worker of 16), and its counterpart with room (before: counted as 6 cores, started with 10).

--- a/src/racks/place.rs
+++ b/src/racks/place.rs
@@ -119,7 +119,7 @@
         }
         // Since the reservation the worker may have begun to leave.
         let open = self.ledger.worker(&item.worker).is_some_and(|a| !a.cordoned());
-        if !open || !self.ledger.confirm(&item.task, item.attempt, now) {
+        if !open || !self.widen(item, now) || !self.ledger.confirm(&item.task, item.attempt, now) {
             self.ledger.release(&item.task, item.attempt, now);
             self.reindex(&item.worker);
             return false;
@@ -135,6 +135,24 @@
         true
     }
 
+    /// Makes a reservation as large as what is to start in it; returns false where there is no room.
+    ///
+    /// Guards against a worker over its size: a wish for room whose answer was late is made again for
+    /// more, as the estimate has grown meanwhile, and where the first one comes after it the room is
+    /// reserved for less than is started.
+    fn widen(&mut self, item: &StartItem, now: Time) -> bool {
+        let held = Held::Task(item.task.clone(), item.attempt);
+        let Some(reserved) = self.ledger.load(&held).map(|l| l.size) else { return false };
+        if item.size.fits(&reserved) {
+            return true;
+        }
+        let size = item.size.max(&reserved);
+        let wider = self.ledger.reserve(&item.task, item.attempt, &item.worker, size, now);
+        self.reindex(&item.worker);
+        log::info!(target: "racks", task:% = item.task, worker:% = item.worker, reserved:% = reserved, size:% = item.size, room = wider.is_ok(); "Start needs more than is reserved.");
+        wider.is_ok()
+    }
+
     /// Stops what is pushed aside on a worker.
     fn push_aside(&mut self, worker: &WorkerId, victims: &[TaskId], now: Time) {
         let held = self.ledger.worker(worker).into_iter().flat_map(|a| a.held());
--- a/tests/racks.rs
+++ b/tests/racks.rs
@@ -22,8 +22,8 @@
         http::Failure,
         ids::{Attempt, Epoch},
         messages::{
-            ProbeAsk, ProbeItem, ProbeRow, Report, ReserveRow, TaskReport, TaskState, VmState,
-            WorkerAsk, WorkerReply,
+            ProbeAsk, ProbeItem, ProbeRow, Report, ReserveRow, StartReply, TaskReport, TaskState,
+            VmState, WorkerAsk, WorkerReply,
         },
         racks::Racks,
         units::Size,
@@ -192,6 +192,40 @@
     assert_eq!(told(&mut b.members[0]), [TaskState::Lost]);
 }
 
+#[test]
+fn a_start_of_more_than_is_reserved_puts_no_worker_over_its_size() {
+    // A wish for room whose answer was late is made again for more, and the first comes after it.
+    let mut b = Bench::new(1);
+    b.run(1000);
+    let now = b.now;
+    let mut racks = |cores| b.members[0].reserve(&wish(0, 1, cores), now).rows.pop();
+    let row = racks(10).expect("room");
+    assert!(racks(6).is_some());
+    let other = b.members[0].reserve(&wish(1, 1, 8), now).rows.pop();
+    let refused = |reply: StartReply| reply.refused.len();
+    let first = b.members[0].start(start(&row, 10), now).expect("the rack's owner");
+    // One of the two has the room: 10 and 8 cores are more than a worker has.
+    let second = other.map_or(1, |row| {
+        refused(b.members[0].start(start(&row, 8), now).expect("the rack's owner"))
+    });
+    assert_eq!(refused(first) + second, 1);
+    b.run(2000);
+    let used: Size = b.fake(0).runs.values().map(|r| r.size).sum();
+    assert!(used.fits(&vm(0).size), "{used:?}");
+}
+
+#[test]
+fn a_start_of_more_than_is_reserved_goes_where_there_is_room() {
+    let mut b = Bench::new(1);
+    b.run(1000);
+    let now = b.now;
+    let row = b.members[0].reserve(&wish(0, 1, 6), now).rows.pop().expect("room");
+    let reply = b.members[0].start(start(&row, 10), now).expect("the rack's owner");
+    assert!(reply.refused.is_empty());
+    let left = b.members[0].reserve(&wish(1, 1, 7), now).rows;
+    assert!(left.is_empty(), "what was started is counted as it is");
+}
+
 #[test]
 fn a_stop_does_not_overtake_its_start() {
     // A task is stopped before its start was sent. Both went out together; the worker confirmed that
