A member gives its shards up only if a call was relayed since its own way was lost

Found by reading the change: what was remembered of relays outlived the loss in which they were made. In an outage for all, the first call to the member that had relayed in an earlier cut takes longer than half a second to fail, and in that time every such owner would have released its shards, which nobody can take over then.

tests/relay.rs: the test of when shards are given up goes on to a second loss (before: 'nobody has relayed a call since').

--- a/src/decide/relay.rs
+++ b/src/decide/relay.rs
@@ -63,8 +63,9 @@
     rest: Time,
     /// When the store last served a direct call.
     heard: Time,
-    /// The member that relayed last.
+    /// The member that relayed last, and when a call was last relayed.
     last: Option<Incarnation>,
+    relayed: Option<Time>,
     /// Members that didn't relay a call, and until when each is asked last.
     avoided: BTreeMap<Incarnation, Time>,
 }
@@ -110,7 +111,7 @@
     /// would go through another member's link, and each end of a task and each start after it wait there.
     /// Where others are not served either, nobody could do better.
     pub fn yields(&mut self, now: Time) -> bool {
-        let relays = self.last.is_some() && !self.rests(now);
+        let relays = self.relayed.is_some_and(|at| at >= self.since) && !self.rests(now);
         self.yields |= self.lost() && relays && now - self.since >= YIELD;
         self.yields
     }
@@ -132,7 +133,7 @@
     /// others go on.
     pub fn relayed(&mut self, by: Incarnation, served: bool, now: Time) {
         if served {
-            self.last = Some(by);
+            (self.last, self.relayed) = (Some(by), Some(now));
             self.avoided.remove(&by);
             return;
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -152,12 +152,18 @@
     assert!(!relay.yields(ms(900)), "the store is down for all");
     relay.relayed(Incarnation(7), true, ms(1300));
     assert!(relay.yields(ms(1300)));
-    // It stays so until the store serves it.
+    // It stays so until the store serves it, and says nothing of the next loss.
     relay.relayed(Incarnation(7), false, ms(1400));
     relay.unrelayed(ms(1400));
     assert!(relay.yields(ms(1400)));
     relay.direct(true, ms(1500));
     assert!(!relay.yields(ms(3000)));
+    relay.relayed(Incarnation(9), true, ms(3000));
+    relay.direct(false, ms(4000));
+    relay.direct(false, ms(4100));
+    assert!(!relay.yields(ms(4800)), "nobody has relayed a call since");
+    relay.relayed(Incarnation(9), true, ms(4900));
+    assert!(relay.yields(ms(4900)));
 }
 
 #[test]
