What makes a start larger than its reservation is named as it is

Found by reading on, after the line had shown sixteen such starts at once: Jobs::place takes the estimate of the moment in which the answer comes, not the size that was asked for.

--- a/src/racks/place.rs
+++ b/src/racks/place.rs
@@ -137,9 +137,8 @@
 
     /// Makes a reservation as large as what is to start in it; returns false where there is no room.
     ///
-    /// Guards against a worker over its size: a wish for room whose answer was late is made again for
-    /// more, as the estimate has grown meanwhile, and where the first one comes after it the room is
-    /// reserved for less than is started.
+    /// Guards against a worker over its size: an attempt is made for what its task is expected to use by
+    /// then, which may have grown since the room was asked for.
     fn widen(&mut self, item: &StartItem, now: Time) -> bool {
         let held = Held::Task(item.task.clone(), item.attempt);
         let Some(reserved) = self.ledger.load(&held).map(|l| l.size) else { return false };
--- a/tests/racks.rs
+++ b/tests/racks.rs
@@ -194,7 +194,7 @@
 
 #[test]
 fn a_start_of_more_than_is_reserved_puts_no_worker_over_its_size() {
-    // A wish for room whose answer was late is made again for more, and the first comes after it.
+    // The estimate of a task grows between the wish for room and the attempt.
     let mut b = Bench::new(1);
     b.run(1000);
     let now = b.now;
