Reports: an owner vouches for no job whose end it has decided and not seen stored

What callers saw.

An owner that has decided a job's end told it as running until the answer to its write was there. The store may have carried the write out long before: the answer is on its way or lost, or the owner stands still. Members that the owner doesn't answer read the end from the store.

So the rule asks the shard alone: an end that is decided is the store's to tell.

`Shard::report` says Current for what may be told as it is, and AtLeast otherwise; for AtLeast the asker reads the store. A start is not stored at once, so what the owner has seen lifts "queued" of the store to "running": without it each job would be told as running, queued and completed in turn. A job that was cancelled before it began is no longer told as running until the cancel is stored. The reply of the call "states" has a new form: members of the version before can't read it and read the store, as they do for an owner that is silent.

--- a/src/job_api/queries.rs
+++ b/src/job_api/queries.rs
@@ -8,7 +8,10 @@
         ids::{Incarnation, PoolId},
         member_rpc::{local_queue_length, local_states},
         ports::Item,
-        shard::record::{self, Progress, ShardNo},
+        shard::{
+            record::{self, Progress, ShardNo},
+            report::JobReport,
+        },
         work::{JobNo, JobState},
     },
     bytes::Bytes,
@@ -27,8 +30,8 @@
 impl JobApi {
     /// Returns the state of a job, as the body of the answer.
     ///
-    /// Returns an error at once if the job's owner doesn't report the state and the budget of store
-    /// reads is used up (see [`ReadBudget`]).
+    /// The owner's report is final if it is current; otherwise the store is read. Returns an error at
+    /// once if the budget of these reads is used up (see [`ReadBudget`]).
     pub(super) async fn job_state(
         &self,
         request: &CallerRequest,
@@ -36,27 +39,28 @@
         pool: &PoolId,
     ) -> Result<Bytes, Error> {
         let shard = self.shard(job, pool)?;
-        let state = match self.ask_owner(shard, job).await {
-            Some(state) => state,
-            None => {
-                if !self.admit_read() {
-                    let why = "the owner of the job's shard did not report its state";
-                    return Err(Error::new(Kind::Peer, why).with_retry_after(STATE_RETRY_AFTER));
-                }
-                let state = self.read_state(request, shard, job).await?;
-                log::info!(target: "entry", did = "asked", job:% = job, shard:% = shard, state:% = state; "State is told from the store.");
-                state
-            }
-        };
+        let report = self.ask_owner(shard, job).await;
+        if let Some(JobReport::Current(state)) = report {
+            log::debug!(target: "entry", did = "reported", job:% = job, shard:% = shard, state:% = state; "State is told from the owner.");
+            return Ok((self.common.codec.encode_state)(state));
+        }
+        if !self.admit_read() {
+            let why = "the owner of the job's shard did not report its state";
+            return Err(Error::new(Kind::Peer, why).with_retry_after(STATE_RETRY_AFTER));
+        }
+        let stored = self.read_state(request, shard, job).await?;
+        let state = report.map_or(stored, |r| r.with_stored(stored));
+        log::info!(target: "entry", did = "asked", job:% = job, shard:% = shard, state:% = state, stored:% = stored, owner_answered = report.is_some(); "State is told from the store.");
         Ok((self.common.codec.encode_state)(state))
     }
 
-    /// Returns the state that the shard's owner reports; `None` if it doesn't.
+    /// Returns the state that the shard's owner reports; `None` if it doesn't know the job or
+    /// doesn't answer.
     ///
     /// A member that is in touch with the store knows the owner by its own table and says so in the
     /// call. Otherwise an owner whose lease renewal is late would report nothing, and all members
     /// would read the store for each caller.
-    async fn ask_owner(&self, shard: ShardNo, job: JobNo) -> Option<JobState> {
+    async fn ask_owner(&self, shard: ShardNo, job: JobNo) -> Option<JobReport> {
         let (owner, addr) = self.common.view.borrow().owner(shard)?;
         if owner == self.common.me {
             let answer = local_states(&self.shard_inputs, [(shard, job)].into(), false);
--- a/src/job_api/state_queries.rs
+++ b/src/job_api/state_queries.rs
@@ -5,9 +5,9 @@
     crate::{
         ids::Incarnation,
         member_rpc::PeerClients,
-        shard::record::ShardNo,
+        shard::{record::ShardNo, report::JobReport},
         shared_state::SharedState,
-        work::{JobNo, JobState},
+        work::JobNo,
     },
     rustc_hash::FxHashMap,
     std::{
@@ -37,7 +37,7 @@
 struct Query {
     shard: ShardNo,
     job: JobNo,
-    reply: oneshot::Sender<Option<JobState>>,
+    reply: oneshot::Sender<Option<JobReport>>,
 }
 
 impl StateQueries {
@@ -52,7 +52,7 @@
         (owner, addr): (Incarnation, SocketAddr),
         shard: ShardNo,
         job: JobNo,
-    ) -> Option<JobState> {
+    ) -> Option<JobReport> {
         let (reply, receiver) = oneshot::channel();
         if self.enqueue(owner, Query { shard, job, reply }) {
             tokio::spawn(self.clone().run(owner, addr));
--- a/src/member_rpc.rs
+++ b/src/member_rpc.rs
@@ -19,11 +19,12 @@
             Occupancy, PoolWait,
             event::Event,
             record::{JobRecord, ShardNo},
+            report::JobReport,
         },
         shard_runner::ShardInput,
         shared_state::SharedState,
         time::millis,
-        work::{JobNo, JobState, StepKey},
+        work::{JobNo, StepKey},
     },
     async_channel::Sender,
     jsonrpsee::{
@@ -294,7 +295,7 @@
     input: &Sender<ShardInput>,
     jobs: Box<[(ShardNo, JobNo)]>,
     sure: bool,
-) -> Option<Vec<Option<JobState>>> {
+) -> Option<Vec<Option<JobReport>>> {
     let (reply, receiver) = oneshot::channel();
     input.try_send(ShardInput::JobStates(jobs, sure, reply)).ok()?;
     receiver.await.ok()
@@ -428,7 +429,7 @@
         jobs: &[(ShardNo, JobNo)],
         sure: bool,
         limit: Duration,
-    ) -> Option<Vec<Option<JobState>>> {
+    ) -> Option<Vec<Option<JobReport>>> {
         let jobs = jobs.iter().map(|(shard, job)| (*shard, job.to_string().into())).collect();
         let request = StatesRequest { jobs, sure };
         self.call(addr, "states", &request, limit).await.flatten()
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -27,6 +27,7 @@
 mod ready_queue;
 pub mod record;
 mod replies;
+pub mod report;
 mod reservation;
 mod round;
 mod run_end;
--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -47,18 +47,6 @@
         reply_times[majority].filter(|at| now - *at <= REPLY_VALID)
     }
 
-    /// Returns whether this owner may report its state to others.
-    ///
-    /// Guards against an owner that was paused or is cut off and already has a successor: it
-    /// reported jobs as queued to callers who had been told that they were completed, and told the
-    /// upkeep duty that a worker was empty. Nobody takes a shard over before its owner's lease has
-    /// expired, and the lease lasts longer than `RENEWAL_VALID` from a renewal that the store has
-    /// confirmed. Replies of workers are not sufficient: a successor may have completed a job
-    /// between two of them.
-    pub fn may_report(&self, now: Time) -> bool {
-        self.is_confirmed(now)
-    }
-
     /// Returns whether the store has confirmed this member's lease recently enough that it cannot
     /// have expired.
     pub(super) fn is_confirmed(&self, now: Time) -> bool {
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -214,6 +214,11 @@
         }))
     }
 
+    /// Returns whether a task of the job has started.
+    pub fn has_begun(&self) -> bool {
+        self.step_states.values().flat_map(|s| &s.tasks).any(|t| t.last_run() > 0)
+    }
+
     /// Returns the specification of the step with this key.
     pub fn step(&self, key: &StepKey) -> Option<&Step> {
         self.job.steps.get(usize::from(key.step))
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -313,24 +313,6 @@
         }
     }
 
-    /// Returns the stored state of a job, or `None` if the job is unknown here or another owner may
-    /// have a newer state.
-    pub fn state(&self, no: JobNo, now: Time) -> Option<JobState> {
-        self.owner_state(no).filter(|s| s.is_final() || self.may_report(now))
-    }
-
-    /// Returns the state of a job like [`Shard::state`], for a member whose own table shows that it
-    /// owns the shard.
-    pub fn owner_state(&self, no: JobNo) -> Option<JobState> {
-        match (self.finished_jobs.get(&no), self.jobs.get(&no)) {
-            // This state is stored, so it holds under any owner.
-            (Some(over), _) => Some(*over),
-            // The end is not stored yet: after a power failure the job would run again.
-            (None, Some(job)) if job.state.is_final() => Some(JobState::Running),
-            (None, job) => job.map(|j| j.state),
-        }
-    }
-
     /// Returns the number of jobs of a queue that have not started.
     pub fn queued_jobs(&self, queue: &str) -> u64 {
         let begun = |j: &&ActiveJob| {
--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -13,10 +13,11 @@
             Cause, Occupancy, PoolWait, Setup, Shard,
             event::{Event, Order, Snapshot},
             record::ShardNo,
+            report::JobReport,
         },
         shared_state::SharedState,
         time::Time,
-        work::{JobNo, JobState},
+        work::JobNo,
     },
     async_channel::{Receiver, Sender, TrySendError},
     std::{collections::BTreeMap, sync::Arc, time::Duration},
@@ -55,9 +56,8 @@
     /// [`ShardOutput::Releasable`].
     Release,
     /// A request for the states of jobs. The flag says whether the asking member has a recent table
-    /// that names this member as the owner. The reply is `None` for an unknown job and, if the flag
-    /// is false, for a job whose shard may have another owner.
-    JobStates(Box<[(ShardNo, JobNo)]>, bool, oneshot::Sender<Vec<Option<JobState>>>),
+    /// that names this member as the owner. The reply is `None` for an unknown job.
+    JobStates(Box<[(ShardNo, JobNo)]>, bool, oneshot::Sender<Vec<Option<JobReport>>>),
     /// A request for the tasks on these workers of these shards, and for how long tasks wait. The
     /// reply is `None` if this member may no longer own one of the shards.
     HeldTasks(
@@ -184,11 +184,10 @@
             }
             ShardInput::JobStates(jobs, sure, reply) => {
                 let now = self.common.now();
-                let state = |(no, job): &(ShardNo, JobNo)| {
-                    let shard = &self.shards.get(no)?.shard;
-                    if sure { shard.owner_state(*job) } else { shard.state(*job, now) }
+                let report = |(no, job): &(ShardNo, JobNo)| {
+                    self.shards.get(no)?.shard.report(*job, sure, now)
                 };
-                let _ = reply.send(jobs.iter().map(state).collect());
+                let _ = reply.send(jobs.iter().map(report).collect());
             }
             ShardInput::HeldTasks(workers, shards, reply) => {
                 let now = self.common.now();
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -17,6 +17,7 @@
             Setup, Shard,
             event::{Event, Order, Snapshot},
             record::{CommitRow, JobRecord, Progress, Roster, ShardNo, decode, encode},
+            report::JobReport,
         },
         units::Size,
         work::{
@@ -191,9 +192,12 @@
         item.and_then(|v| decode(&v)).unwrap_or_default()
     }
 
-    /// The state of a job as the owner shows it to callers.
+    /// The state of a job as the owner shows it to callers, without a read of the store.
     pub fn state(&self, no: u64) -> Option<JobState> {
-        self.shard.state(JobNo(no), self.now)
+        match self.shard.report(JobNo(no), false, self.now) {
+            Some(JobReport::Current(state)) => Some(state),
+            _ => None,
+        }
     }
 
     /// Stores a job that a caller submitted and notifies the owner.
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -25,6 +25,7 @@
                 Closing, CommitRow, JobRecord, OwnerRow, Progress, Roster, ShardNo, UpkeepTurn,
                 decode, encode,
             },
+            report::JobReport,
         },
         work::{AdviceCost, Job, JobNo, JobState, ListedWorker, QueueConfig, StepKey},
     },
@@ -372,23 +373,30 @@
         }
     }
 
-    /// Checks the job states that callers would be given by the newest owner and by each former one
-    /// that still answers.
+    /// Checks the job states that callers would be given: from the store, by the newest owner, and
+    /// by each former one that still answers.
     pub fn check_shown_states(&mut self) {
         let jobs: Vec<JobNo> = self.world.jobs.keys().copied().collect();
-        // The state that the newest owner gives to a member whose table names it as owner, whether
-        // or not its lease is confirmed.
-        let newest = self.owners.last().filter(|o| !o.ended && !o.paused);
         for job in &jobs {
-            if let Some(state) = newest.and_then(|o| o.shard.owner_state(*job)) {
-                assert_kept(self.rules.check_state(&self.world, *job, state));
+            if let Some(state) = self.stored_state(job.0) {
+                assert_kept(self.rules.check_reported(&self.world, *job, state));
             }
-        }
-        for owner in self.owners.iter().filter(|o| !o.ended && !o.paused) {
-            for job in &jobs {
-                if let Some(state) = owner.shard.state(*job, self.now) {
-                    assert_kept(self.rules.check_reported(&self.world, *job, state));
+            for (age, owner) in self.owners.iter().rev().enumerate() {
+                if owner.ended || owner.paused {
+                    continue;
                 }
+                // Members whose tables name the newest owner trust it whether or not its lease is
+                // confirmed.
+                let verdict = match owner.shard.report(*job, age == 0, self.now) {
+                    Some(JobReport::Current(state)) => {
+                        self.rules.check_reported(&self.world, *job, state)
+                    }
+                    Some(JobReport::AtLeast(state)) => {
+                        self.rules.check_state(&self.world, *job, state)
+                    }
+                    None => Ok(()),
+                };
+                assert_kept(verdict);
             }
         }
     }
