Reports: an owner's own lease decides what it vouches for, not the table of who asks

What callers saw.

A member in touch with the store asked the owner that its table names with `sure`, and an owner so asked told its states whether or not its lease was certain. "In touch" is any answer of the store of late, not that the table is new.

A stricter `sure` (the watch of the table has progressed): a watch rests for 10 s by design, and one silent connection can't be seen by whoever waits on it. Clock read before a pause, answer made after it, an asker that wakes with an answer in its socket: an owner's report is what it knew at a moment after the call began, and may then travel as long as it likes.

`sure` is gone from the call and from the shard. An owner vouches for a state that isn't final only while its lease is certain, and not once it has been deposed; else the asker reads the store within its budget, or refuses at once with a time to come back. tests/site_states.rs asks as a member with an old table does: on the commit before it times out ("the report of a state that may be past"), now green. The yard holds all owners to one rule.

--- a/src/job_api.rs
+++ b/src/job_api.rs
@@ -77,7 +77,7 @@
     pub fn new(common: Arc<SharedState>, shard_inputs: Sender<ShardInput>) -> Self {
         let peers = PeerClients::new(common.clone());
         let services = relaying_clients(&common, &peers);
-        let state_queries = Arc::new(StateQueries::new(common.clone(), peers.clone()));
+        let state_queries = Arc::new(StateQueries::new(peers.clone()));
         let (queue_lengths, read_budget) = Default::default();
         JobApi { common, services, peers, shard_inputs, queue_lengths, state_queries, read_budget }
     }
--- a/src/job_api/queries.rs
+++ b/src/job_api/queries.rs
@@ -56,14 +56,10 @@
 
     /// Returns the state that the shard's owner reports; `None` if it doesn't know the job or
     /// doesn't answer.
-    ///
-    /// A member that is in touch with the store knows the owner by its own table and says so in the
-    /// call. Otherwise an owner whose lease renewal is late would report nothing, and all members
-    /// would read the store for each caller.
     async fn ask_owner(&self, shard: ShardNo, job: JobNo) -> Option<JobReport> {
         let (owner, addr) = self.common.view.borrow().owner(shard)?;
         if owner == self.common.me {
-            let answer = local_states(&self.shard_inputs, [(shard, job)].into(), false);
+            let answer = local_states(&self.shard_inputs, [(shard, job)].into());
             return timeout(OWNER_TIMEOUT, answer).await.ok()??.pop()?;
         }
         self.state_queries.query((owner, addr), shard, job).await
--- a/src/job_api/state_queries.rs
+++ b/src/job_api/state_queries.rs
@@ -6,7 +6,6 @@
         ids::Incarnation,
         member_rpc::PeerClients,
         shard::{record::ShardNo, report::JobReport},
-        shared_state::SharedState,
         work::JobNo,
     },
     rustc_hash::FxHashMap,
@@ -27,7 +26,6 @@
 /// One call for each caller's request used most of the processor time of a busy owner, and each call
 /// that timed out cost a new connection. With batches, an owner gets fewer calls the slower it answers.
 pub(super) struct StateQueries {
-    common: Arc<SharedState>,
     peers: PeerClients,
     /// Queries for the next call to each owner; an owner has an entry while a call to it is in flight.
     queued: Mutex<FxHashMap<Incarnation, Vec<Query>>>,
@@ -42,8 +40,8 @@
 
 impl StateQueries {
     /// Creates a set without queries.
-    pub fn new(common: Arc<SharedState>, peers: PeerClients) -> Self {
-        StateQueries { common, peers, queued: Mutex::default() }
+    pub fn new(peers: PeerClients) -> Self {
+        StateQueries { peers, queued: Mutex::default() }
     }
 
     /// Returns the state of a job, as its shard's owner reports it; `None` if it doesn't.
@@ -72,10 +70,7 @@
     async fn run(self: Arc<Self>, owner: Incarnation, addr: SocketAddr) {
         while let Some(batch) = self.next_batch(owner) {
             let jobs: Box<[(ShardNo, JobNo)]> = batch.iter().map(|q| (q.shard, q.job)).collect();
-            let states = self
-                .peers
-                .job_states(addr, &jobs, self.common.reaches_store(), OWNER_TIMEOUT)
-                .await;
+            let states = self.peers.job_states(addr, &jobs, OWNER_TIMEOUT).await;
             let mut states = states.unwrap_or_default().into_iter();
             for query in batch {
                 // Sending fails if the request has ended meanwhile; then it needs no answer.
--- a/src/member_rpc.rs
+++ b/src/member_rpc.rs
@@ -75,8 +75,6 @@
 #[derive(Debug, Serialize, Deserialize)]
 struct StatesRequest {
     jobs: Box<[(ShardNo, Box<str>)]>,
-    /// Whether the asking member has a recent table that names the receiver as the owner.
-    sure: bool,
 }
 
 /// Notice of a stored job, or of a job's cancellation if `record` is absent.
@@ -204,9 +202,7 @@
             let request: StatesRequest = params.one()?;
             let read = |(shard, job): &(ShardNo, Box<str>)| Ok((*shard, job.parse()?));
             let jobs: Result<Box<[_]>, crate::Error> = request.jobs.iter().map(read).collect();
-            Ok::<_, ErrorObjectOwned>(
-                local_states(&input, jobs.map_err(bad_params)?, request.sure).await,
-            )
+            Ok::<_, ErrorObjectOwned>(local_states(&input, jobs.map_err(bad_params)?).await)
         }
     })?;
     let notice_input = input.clone();
@@ -294,10 +290,9 @@
 pub(crate) async fn local_states(
     input: &Sender<ShardInput>,
     jobs: Box<[(ShardNo, JobNo)]>,
-    sure: bool,
 ) -> Option<Vec<Option<JobReport>>> {
     let (reply, receiver) = oneshot::channel();
-    input.try_send(ShardInput::JobStates(jobs, sure, reply)).ok()?;
+    input.try_send(ShardInput::JobStates(jobs, reply)).ok()?;
     receiver.await.ok()
 }
 
@@ -427,11 +422,10 @@
         &self,
         addr: SocketAddr,
         jobs: &[(ShardNo, JobNo)],
-        sure: bool,
         limit: Duration,
     ) -> Option<Vec<Option<JobReport>>> {
         let jobs = jobs.iter().map(|(shard, job)| (*shard, job.to_string().into())).collect();
-        let request = StatesRequest { jobs, sure };
+        let request = StatesRequest { jobs };
         self.call(addr, "states", &request, limit).await.flatten()
     }
 
--- a/src/shard/report.rs
+++ b/src/shard/report.rs
@@ -1,8 +1,9 @@
 //! Reports of a shard's owner to callers and other members.
 //!
-//! An owner learns late that its own write of a job's end has taken effect. Meanwhile others may
-//! have read the end from the store. So an owner vouches for a job only as long as the job's end is
-//! undecided, or once it is stored.
+//! An owner learns late that another member has taken its shard over, and that its own write of a
+//! job's end has taken effect. Meanwhile others may have read newer states from the store. So an
+//! owner vouches for a state that is not final only if its lease is certain and it has not decided
+//! the job's end, whoever asks. A state that is final is reported once it is stored.
 
 use {
     crate::{
@@ -45,14 +46,16 @@
     /// upkeep duty that a worker was empty. Nobody takes a shard over before its owner's lease has
     /// expired, and the lease lasts longer than `RENEWAL_VALID` from a renewal that the store has
     /// confirmed. Replies of workers are not sufficient: a successor may have completed a job
-    /// between two of them.
+    /// between two of them. Nor is the table of the member that asks, which may be older than the
+    /// takeover.
     pub fn may_report(&self, now: Time) -> bool {
-        self.is_confirmed(now)
+        !self.deposed && self.is_confirmed(now)
     }
 
-    /// Returns the state of a job, or `None` if the job is unknown here. `sure` says whether the
-    /// asking member's own table shows that this owner owns the shard.
-    pub fn report(&self, no: JobNo, sure: bool, now: Time) -> Option<JobReport> {
+    /// Returns the state of a job, or `None` if the job is unknown here.
+    ///
+    /// `now` must not be earlier than the request.
+    pub fn report(&self, no: JobNo, now: Time) -> Option<JobReport> {
         if let Some(end) = self.finished_jobs.get(&no) {
             // The end is stored, so it holds under any owner.
             return Some(JobReport::Current(*end));
@@ -64,7 +67,9 @@
             let state = if job.has_begun() { JobState::Running } else { JobState::Queued };
             return Some(JobReport::AtLeast(state));
         }
-        let current = sure || self.may_report(now);
-        Some(if current { JobReport::Current(job.state) } else { JobReport::AtLeast(job.state) })
+        Some(match self.may_report(now) {
+            true => JobReport::Current(job.state),
+            false => JobReport::AtLeast(job.state),
+        })
     }
 }
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -117,7 +117,7 @@
     pub(super) reported: ReportedValues,
     pub(super) closing: Arc<Closing>,
     pub(super) stats: Stats,
-    deposed: bool,
+    pub(super) deposed: bool,
     /// The earliest time of the next read of the platform's VM list; `None` while a read is in
     /// progress.
     pub(super) next_vm_list: Option<Time>,
--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -55,9 +55,8 @@
     /// A command to finish the writes of all shards and to report each shard with
     /// [`ShardOutput::Releasable`].
     Release,
-    /// A request for the states of jobs. The flag says whether the asking member has a recent table
-    /// that names this member as the owner. The reply is `None` for an unknown job.
-    JobStates(Box<[(ShardNo, JobNo)]>, bool, oneshot::Sender<Vec<Option<JobReport>>>),
+    /// A request for the states of jobs. The reply is `None` for an unknown job.
+    JobStates(Box<[(ShardNo, JobNo)]>, oneshot::Sender<Vec<Option<JobReport>>>),
     /// A request for the tasks on these workers of these shards, and for how long tasks wait. The
     /// reply is `None` if this member may no longer own one of the shards.
     HeldTasks(
@@ -182,11 +181,10 @@
                 self.release_by = Some(self.common.now() + RELEASE_TIMEOUT);
                 self.release_settled().await;
             }
-            ShardInput::JobStates(jobs, sure, reply) => {
+            ShardInput::JobStates(jobs, reply) => {
                 let now = self.common.now();
-                let report = |(no, job): &(ShardNo, JobNo)| {
-                    self.shards.get(no)?.shard.report(*job, sure, now)
-                };
+                let report =
+                    |(no, job): &(ShardNo, JobNo)| self.shards.get(no)?.shard.report(*job, now);
                 let _ = reply.send(jobs.iter().map(report).collect());
             }
             ShardInput::HeldTasks(workers, shards, reply) => {
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -194,7 +194,7 @@
 
     /// The state of a job as the owner shows it to callers, without a read of the store.
     pub fn state(&self, no: u64) -> Option<JobState> {
-        match self.shard.report(JobNo(no), false, self.now) {
+        match self.shard.report(JobNo(no), self.now) {
             Some(JobReport::Current(state)) => Some(state),
             _ => None,
         }
--- a/tests/shard_cut_off.rs
+++ b/tests/shard_cut_off.rs
@@ -137,7 +137,6 @@
     harness.run(3_000);
     assert!(last_call(&harness) <= at, "the owner must not call a worker after the refusal");
     assert!(
-        harness.starts_of(2).is_empty()
-            && harness.shard.report(JobNo(2), false, harness.now).is_none()
+        harness.starts_of(2).is_empty() && harness.shard.report(JobNo(2), harness.now).is_none()
     );
 }
--- a/tests/site_states.rs
+++ b/tests/site_states.rs
@@ -1,10 +1,15 @@
-//! Tests of state requests for jobs whose shard has an unresponsive owner.
+//! Tests of state requests for jobs whose shard has an unresponsive or a former owner.
 
 #[path = "site/mod.rs"]
 mod common;
 
 use {
-    common::{TestMember, forms::READS_PER_S},
+    bytes::Bytes,
+    common::{TestMember, forms::READS_PER_S, store::AddrFault},
+    dogwoodreach::http::{Client, SECRET, uri},
+    http_body_util::Full,
+    hyper::Request,
+    serde_json::{Value, json},
     std::{
         net::TcpListener,
         sync::{
@@ -12,7 +17,7 @@
             atomic::{AtomicUsize, Ordering},
         },
         thread,
-        time::Instant,
+        time::{Duration, Instant},
     },
     tokio::task::{JoinSet, LocalSet},
 };
@@ -87,3 +92,44 @@
         );
     });
 }
+
+/// Asks a member for the state of job `job`, as another member does whose table names it as the
+/// owner of shard 0. Returns the report; null if it gives none.
+async fn ask_state(member: &TestMember, job: &str) -> Value {
+    let row = |key: &str| -> Value {
+        let (value, ..) = member.store.get(key).expect("a row");
+        serde_json::from_str(&value).expect("JSON")
+    };
+    let (layout, own) = (row("dwr/t/layout"), row(&member.store.keys("dwr/t/m/")[0]));
+    let addr = own["control"].as_str().expect("an address").parse().expect("an address");
+    let call = json!({
+        "jsonrpc": "2.0", "id": 1, "method": "states",
+        "params": [{ "jobs": [[0, job]], "sure": true }],
+    });
+    let request = Request::post(uri(addr, "/"))
+        .header("content-type", "application/json")
+        .header(SECRET, layout["secret"].as_str().expect("a secret"))
+        .body(Full::new(Bytes::from(call.to_string())))
+        .expect("a request");
+    let (_, body) = Client::new(1).send(request, Duration::from_secs(5)).await.expect("an answer");
+    let reply: Value = serde_json::from_slice(&body).expect("JSON");
+    reply["result"][0].clone()
+}
+
+#[test]
+fn an_owner_whose_lease_is_not_confirmed_vouches_for_no_state() {
+    // A member whose table was older than a takeover passed on the former owner's state, after
+    // other members had told callers the end of the job.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let member = TestMember::new("former").await;
+        let job = "00000000000000c1";
+        let accepted = async || member.status("POST", &format!("/a/{job}"), JOB).await == 200;
+        member.wait_until("an accepted job", accepted).await;
+        let current = async || ask_state(&member, job).await == json!({ "current": "queued" });
+        member.wait_until("the report of a current state", current).await;
+        member.store.set_fault(member.store_addr, Some(AddrFault::Silent));
+        let past = async || ask_state(&member, job).await == json!({ "at_least": "queued" });
+        member.wait_until("the report of a state that may be past", past).await;
+    });
+}
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -373,21 +373,16 @@
         }
     }
 
-    /// Checks the job states that callers would be given: from the store, by the newest owner, and
-    /// by each former one that still answers.
+    /// Checks the job states that callers would be given: from the store, and by each owner that
+    /// still answers, the newest one first.
     pub fn check_shown_states(&mut self) {
         let jobs: Vec<JobNo> = self.world.jobs.keys().copied().collect();
         for job in &jobs {
             if let Some(state) = self.stored_state(job.0) {
                 assert_kept(self.rules.check_reported(&self.world, *job, state));
             }
-            for (age, owner) in self.owners.iter().rev().enumerate() {
-                if owner.ended || owner.paused {
-                    continue;
-                }
-                // Members whose tables name the newest owner trust it whether or not its lease is
-                // confirmed.
-                let verdict = match owner.shard.report(*job, age == 0, self.now) {
+            for owner in self.owners.iter().rev().filter(|o| !o.ended && !o.paused) {
+                let verdict = match owner.shard.report(*job, self.now) {
                     Some(JobReport::Current(state)) => {
                         self.rules.check_reported(&self.world, *job, state)
                     }
