Reports: a job that was cancelled before it began keeps its last state until the cancel is stored

What callers saw. A job that never ran, whose first start a worker had refused, was told as running between its cancel and the write of it.

The state before the end was derived from run numbers, and a refused start has one. The job now keeps the state that it had when its end was decided.

Test: tests/shard_told.rs, a_job_cancelled_before_it_began_is_not_told_as_running. Besides, JobReport::Current says what its argument is: a moment after the owner had received the request, not the moment itself.

--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -138,6 +138,8 @@
     pub job: Job,
     /// The state of the job.
     pub state: JobState,
+    /// The state before the job's end was decided.
+    pub prior_state: JobState,
     /// Whether a former owner may have started some tasks of the job.
     pub inherited: bool,
     /// The time at which this owner learnt of the job.
@@ -172,6 +174,7 @@
             waves: [].into(),
             job: record.job,
             state: JobState::Queued,
+            prior_state: JobState::Queued,
             inherited: from_former_owner,
             known_since: learnt_at,
             step_states: BTreeMap::new(),
@@ -214,11 +217,6 @@
         }))
     }
 
-    /// Returns whether a task of the job has started.
-    pub fn has_begun(&self) -> bool {
-        self.step_states.values().flat_map(|s| &s.tasks).any(|t| t.last_run() > 0)
-    }
-
     /// Returns the specification of the step with this key.
     pub fn step(&self, key: &StepKey) -> Option<&Step> {
         self.job.steps.get(usize::from(key.step))
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -1,13 +1,16 @@
 //! The life cycle of a job: admission, creation of its occurrences, cancellation and end.
 
-use crate::{
-    shard::{
-        jobs::ActiveJob,
-        record::{JobRecord, Progress},
-        state_machine::Shard,
+use {
+    crate::{
+        shard::{
+            jobs::ActiveJob,
+            record::{JobRecord, Progress},
+            state_machine::Shard,
+        },
+        time::Time,
+        work::{JobNo, JobState, StepKey},
     },
-    time::Time,
-    work::{JobNo, JobState, StepKey},
+    std::mem,
 };
 
 impl Shard {
@@ -83,7 +86,7 @@
     /// Ends a job: none of its tasks starts any more, and its runs are stopped.
     pub(super) fn end_job(&mut self, no: JobNo, state: JobState, now: Time) {
         let Some(job) = self.jobs.get_mut(&no) else { return };
-        job.state = state;
+        job.prior_state = mem::replace(&mut job.state, state);
         let runs = job.assigned_runs(no);
         let parts: Vec<_> = job.step_states.keys().copied().collect();
         self.log_over(no, state, runs.len(), now);
--- a/src/shard/report.rs
+++ b/src/shard/report.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum JobReport {
-    /// The job was in this state when the owner received the request.
+    /// The job was in this state at a moment after the owner had received the request.
     Current(JobState),
     /// The job has been in this state, which is not final. The store may have a later one.
     AtLeast(JobState),
@@ -64,8 +64,7 @@
         if job.state.is_final() {
             // The write of the end may have taken effect, even if its reply says otherwise or is
             // lost; if it has not, a power failure would make the job go on.
-            let state = if job.has_begun() { JobState::Running } else { JobState::Queued };
-            return Some(JobReport::AtLeast(state));
+            return Some(JobReport::AtLeast(job.prior_state));
         }
         Some(match self.may_report(now) {
             true => JobReport::Current(job.state),
--- a/tests/shard_told.rs
+++ b/tests/shard_told.rs
@@ -4,7 +4,11 @@
 mod yard;
 
 use {
-    dogwoodreach::work::{JobNo, JobState},
+    dogwoodreach::{
+        ports::{WorkerCall, WorkerRefusal, WorkerReply as Reply},
+        shard::report::JobReport,
+        work::{JobNo, JobState},
+    },
     hand::Harness,
     yard::{ShardSim, job, step},
 };
@@ -72,3 +76,21 @@
     hand.run(100);
     assert!(hand.state(1).is_some());
 }
+
+#[test]
+fn a_job_cancelled_before_it_began_is_not_told_as_running() {
+    // A worker refuses the job's first start, which has a run number by then. Until the cancel is
+    // stored, callers were told that the job is running.
+    let mut hand = Harness::new(1);
+    hand.workers[0].hook = |call| match call {
+        WorkerCall::Start(_) => Some(Ok(Reply::Refused(0, WorkerRefusal::Room))),
+        _ => None,
+    };
+    hand.submit(1, "plain", hand::job(hand::step(1, 1)));
+    hand.run_until("the refused start", 500, |h| !h.starts_of(1).is_empty());
+    hand.run(40);
+    hand.store_up = false;
+    hand.cancel(1);
+    let report = hand.shard.report(JobNo(1), hand.now);
+    assert_eq!(report, Some(JobReport::AtLeast(JobState::Queued)));
+}
