--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -36,9 +36,9 @@
     worker::Worker,
 };
 
-const SHARD: ShardNo = ShardNo(0);
+pub const SHARD: ShardNo = ShardNo(0);
 /// The Unix time at [`Time::ZERO`], in milliseconds.
-const UNIX_MS: u64 = 1_700_000_000_000;
+pub const UNIX_MS: u64 = 1_700_000_000_000;
 /// How long an answer takes, and the interval between two ticks.
 pub const TICK: Duration = Duration::from_millis(20);
 /// The longest lease of a worker. It is long enough that 2% of it exceed every safety margin.
@@ -85,7 +85,7 @@
 }
 
 /// The queues `plain` and `advised`, on one pool. Steps of `advised` need advice.
-fn queues() -> Arc<QueueConfig> {
+pub fn queues() -> Arc<QueueConfig> {
     let ms = Duration::from_millis;
     let queue = |name: &str, advice| Queue {
         name: name.into(),
@@ -159,7 +159,7 @@
         self.token += 1;
         let row = encode(&CommitRow { token: self.token, number: 0 });
         let commit = self.store.put(SHARD.commit_key(), row);
-        self.shard = Shard::new(setup(self.token), self.load(commit), self.now);
+        self.shard = Shard::new(setup(self.token), load(&self.store, commit), self.now);
         self.pending.clear();
         self.deliver(Event::Queues(queues()));
         self.deliver(Event::Peers(Peers {
@@ -169,23 +169,6 @@
         self.deliver_list();
     }
 
-    fn load(&self, commit: u64) -> Snapshot {
-        let tail = |key: &str| key.rsplit('/').next().and_then(|n| n.parse().ok());
-        let of = |kind: &str| self.store.range(&format!("{}{kind}/", SHARD.inbox_prefix()));
-        let jobs = of("j").into_iter().filter_map(|(k, v)| Some((tail(&k)?, decode(&v)?)));
-        let cancels = of("c").into_iter().filter_map(|(k, _)| tail(&k));
-        let progress = self.store.range(&SHARD.progress_prefix()).into_iter();
-        let roster = self.store.get(&SHARD.roster_key()).and_then(|i| i.value);
-        Snapshot {
-            jobs: jobs.collect(),
-            cancels: cancels.collect(),
-            progress: progress.filter_map(|(k, v)| Some((tail(&k)?, decode(&v)?))).collect(),
-            roster: roster.and_then(|v| decode(&v)).unwrap_or_default(),
-            commit_revision: commit,
-            lapsed: false,
-        }
-    }
-
     /// The progress of a job as the store has it.
     pub fn stored_progress(&self, no: u64) -> Progress {
         let item = self.store.get(&SHARD.progress_key(JobNo(no))).and_then(|i| i.value);
@@ -419,6 +402,25 @@
     }
 }
 
-fn setup(token: u64) -> Setup {
+/// What an owner with this token begins with.
+pub fn setup(token: u64) -> Setup {
     Setup { shard: SHARD, member: Incarnation(token), token, bounds: bounds(), unix_ms: UNIX_MS }
 }
+
+/// What a new owner that has written the commit row at this revision loads from the store.
+pub fn load(store: &Store, commit: u64) -> Snapshot {
+    let tail = |key: &str| key.rsplit('/').next().and_then(|n| n.parse().ok());
+    let of = |kind: &str| store.range(&format!("{}{kind}/", SHARD.inbox_prefix()));
+    let jobs = of("j").into_iter().filter_map(|(k, v)| Some((tail(&k)?, decode(&v)?)));
+    let cancels = of("c").into_iter().filter_map(|(k, _)| tail(&k));
+    let progress = store.range(&SHARD.progress_prefix()).into_iter();
+    let roster = store.get(&SHARD.roster_key()).and_then(|i| i.value);
+    Snapshot {
+        jobs: jobs.collect(),
+        cancels: cancels.collect(),
+        progress: progress.filter_map(|(k, v)| Some((tail(&k)?, decode(&v)?))).collect(),
+        roster: roster.and_then(|v| decode(&v)).unwrap_or_default(),
+        commit_revision: commit,
+        lapsed: false,
+    }
+}
