Soak: callers query on after a job's first final state

A state that goes back is reported for moments only, as an owner wakes or while the answer to a write is lost.

Each caller now asks 12 times more, 20 to 400 ms apart, at members drawn by a generator of the job's own (seeded with the job's number, which the soak's seed gives). The shared generator is drawn from as before, and what the caller does besides runs on beside these queries: the kept seeds keep their faults, jobs and draws. Nothing that was judged is judged less; the answers to the new queries go through the same checks.

--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -20,13 +20,15 @@
     standin::site::plan::{self, DrawnJob},
     std::{
         collections::BTreeMap,
+        net::SocketAddr,
+        ops::Range,
         sync::{
             Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{sync::oneshot, time::sleep},
 };
 
 /// Deadline of a call, in milliseconds.
@@ -37,6 +39,10 @@
 const MAX_SUBMITS: usize = 5;
 /// The store may execute a delayed write at most this long after its call.
 const MAX_WRITE_DELAY: Duration = Duration::from_secs(8);
+/// Number of further queries of a job's state after the first final one.
+const LATER_QUERIES: usize = 12;
+/// Range of the pauses before these queries, in milliseconds.
+const LATER_PAUSE_MS: Range<u64> = 20..400;
 /// Number of workers for each job a second; it sets the rate of submissions.
 const WORKERS_PER_RATE: f64 = 3.5;
 
@@ -151,7 +157,8 @@
         match self.submit(&drawn).await {
             Submission::Accepted => {
                 self.count(|c| c.accepted += 1);
-                self.follow(&drawn).await;
+                let (over, told) = oneshot::channel();
+                tokio::join!(self.follow(&drawn, over), self.query_later(&drawn, told));
             }
             Submission::Refused => {
                 self.count(|c| c.refused += 1);
@@ -208,13 +215,14 @@
         sleep(Duration::from_millis(ms)).await;
     }
 
-    /// Polls the state of an accepted job until it is over.
-    async fn follow(&self, drawn: &DrawnJob) {
+    /// Polls the state of an accepted job until it is over; notifies `over` of its first final
+    /// state.
+    async fn follow(&self, drawn: &DrawnJob, over: oneshot::Sender<()>) {
         let (no, begin) = (JobNo(drawn.no), Instant::now());
         let lasts = drawn.job.steps.iter().any(|s| s.lasts);
         let again = drawn.resubmit.then(|| self.draw(|r| Duration::from_millis(r.u64(500..6_000))));
         let (mut again, mut wave) = (again, self.wave.load(Ordering::Relaxed));
-        let (mut cancelled, mut state) = (false, None);
+        let (mut cancelled, mut state, mut over) = (false, None, Some(over));
         loop {
             let calm = self.calm.load(Ordering::Relaxed);
             let latest = self.wave.load(Ordering::Relaxed);
@@ -229,19 +237,9 @@
                 again = None;
                 self.send("POST", drawn, jobs::job(&drawn.job)).await;
             }
-            let asked = self.stage.now();
-            match self.send("GET", drawn, Bytes::new()).await {
-                Some((200, body)) => match jobs::state(&body) {
-                    Some(told) => {
-                        state = Some(told);
-                        self.judge(|s| s.rules.check_reported(&s.world, no, told));
-                    }
-                    None => {
-                        self.stage.report_breach(format!("job {no}: a state that can't be read"))
-                    }
-                },
-                Some((410, _)) => self.judge(|s| s.rules.check_unknown(asked, no)),
-                _ => {}
+            state = self.query_state(drawn, self.target()).await.or(state);
+            if state.is_some_and(JobState::is_final) {
+                let _ = over.take().map(|over| over.send(()));
             }
             let (queue, steps) = (drawn.queue, &drawn.job.steps);
             let last = state.map_or("nothing".into(), |s| s.to_string());
@@ -263,6 +261,48 @@
         }
     }
 
+    /// Queries the state of a job further after a final one was reported.
+    ///
+    /// Members that aren't up to date report another state only for a moment. The draws come from a
+    /// generator of the job's own, so that all others stay as they are without these queries.
+    async fn query_later(&self, drawn: &DrawnJob, over: oneshot::Receiver<()>) {
+        if over.await.is_err() {
+            return;
+        }
+        let mut rng = fastrand::Rng::with_seed(drawn.no);
+        for _ in 0..LATER_QUERIES {
+            sleep(Duration::from_millis(rng.u64(LATER_PAUSE_MS))).await;
+            if self.stage.has_breach() {
+                return;
+            }
+            let targets = self.members.targets();
+            self.query_state(drawn, targets[rng.usize(0..targets.len())]).await;
+        }
+    }
+
+    /// Queries the state of a job at a member, and has the answer judged. Returns `None` if the
+    /// answer has no state.
+    async fn query_state(&self, drawn: &DrawnJob, to: SocketAddr) -> Option<JobState> {
+        let (no, asked) = (JobNo(drawn.no), self.stage.now());
+        match self.send_to(to, "GET", drawn, Bytes::new()).await? {
+            (200, body) => {
+                let told = jobs::state(&body);
+                match told {
+                    Some(told) => self.judge(|s| s.rules.check_reported(&s.world, no, told)),
+                    None => {
+                        self.stage.report_breach(format!("job {no}: a state that can't be read"));
+                    }
+                }
+                told
+            }
+            (410, _) => {
+                self.judge(|s| s.rules.check_unknown(asked, no));
+                None
+            }
+            _ => None,
+        }
+    }
+
     /// Sends cancels of a job until a member confirms one.
     async fn cancel(&self, drawn: &DrawnJob, accepted: bool) {
         let no = JobNo(drawn.no);
@@ -282,10 +322,25 @@
         }
     }
 
+    /// The member that the balancer selects for a call.
+    fn target(&self) -> SocketAddr {
+        let targets = self.members.targets();
+        targets[self.draw(|r| r.usize(0..targets.len()))]
+    }
+
     /// Sends a call to a member that the balancer selects. Returns `None` if no answer arrives.
     async fn send(&self, method: &str, drawn: &DrawnJob, body: Bytes) -> Option<(u16, Bytes)> {
-        let targets = self.members.targets();
-        let to = targets[self.draw(|r| r.usize(0..targets.len()))];
+        self.send_to(self.target(), method, drawn, body).await
+    }
+
+    /// Sends a call to a member. Returns `None` if no answer arrives.
+    async fn send_to(
+        &self,
+        to: SocketAddr,
+        method: &str,
+        drawn: &DrawnJob,
+        body: Bytes,
+    ) -> Option<(u16, Bytes)> {
         let path = format!("/{}/{}", drawn.queue, JobNo(drawn.no));
         let ask = Request::builder()
             .method(method)
