A repeat is not told that its request is running after the answer

Cause: the member that holds a request tells the key's owner of the end in a call of its own as it answers the caller. A repeat may reach the owner first; so may one at a new owner that found the claim running in the record, or at a former owner that wakes. The same for a first request that was refused as not run: its repeat may run, and was told "running".

Ruled out: that the claim itself was granted late or twice; what ran was right in each play (witness).

Fix: the owner's "running" names the holder, and the member that asked for the claim asks the holder's member, which answers the first caller and so knows. It says running, how it ended, or that an owner has acknowledged the end; then, and when it was not run, the claim is asked for again for at most 2 s. Nothing is granted by such an answer. No reply within a second, or the member gone: key_running, as before. The retry of a claim that a pending end of the same member blocked (maybe_claimed) is a case of this and goes.

Cost: none for a first request; one call for a repeat that finds its key held.

--- a/src/claims.rs
+++ b/src/claims.rs
@@ -313,6 +313,7 @@
     let kept = verdict == ClaimVerdict::Answered;
     let reply = ClaimReply {
         answer: row.answer.clone().filter(|_| kept),
+        holder: (verdict == ClaimVerdict::Running).then_some(row.request),
         status: row.status.filter(|_| kept),
         verdict,
     };
@@ -320,7 +321,10 @@
 }
 
 fn verdict(request: RequestId, verdict: ClaimVerdict) -> Order {
-    Order::Reply { request, reply: ClaimReply { answer: None, status: None, verdict } }
+    Order::Reply {
+        request,
+        reply: ClaimReply { answer: None, holder: None, status: None, verdict },
+    }
 }
 
 /// The maximum size of a row in the record, in bytes, without an answer that may be added later.
--- a/src/core/calls.rs
+++ b/src/core/calls.rs
@@ -26,8 +26,8 @@
     pub(super) fn on_call(&mut self, ticket: Ticket, call: Call, now: Time) {
         if let Call::Claim(ask) = call {
             if !self.jobs.owns(bucket_of(ask.key.as_str())) {
-                let reply =
-                    ClaimReply { verdict: ClaimVerdict::Unowned, status: None, answer: None };
+                let verdict = ClaimVerdict::Unowned;
+                let reply = ClaimReply { verdict, status: None, answer: None, holder: None };
                 self.out.push(Order::ReplyPeer(ticket, CallReply::Claim(reply)));
                 return;
             }
@@ -52,6 +52,7 @@
         match call {
             Call::Beat(beat) => Some(CallReply::Beat(self.on_beat(beat, now))),
             Call::Claim(_) | Call::ClaimEnd(_) => None,
+            Call::ClaimProbe(probe) => self.holder_state(&probe).map(CallReply::ClaimProbe),
             Call::Reserve(ask) => Some(CallReply::Reserve(self.racks.reserve(&ask, now))),
             Call::Release(rows) => {
                 self.racks.release(&rows.rows, now);
@@ -98,6 +99,9 @@
             (Call::Claim(ask), Ok(CallReply::Claim(reply))) => {
                 self.claimed(ask.request, Some(reply), now);
             }
+            (Call::ClaimProbe(probe), Ok(CallReply::ClaimProbe(state))) => {
+                self.holder_replied(probe.request, Some(state), now);
+            }
             (Call::ClaimEnd(end), back) => {
                 self.end_replied(&end, matches!(back, Ok(CallReply::Done)))
             }
@@ -134,6 +138,7 @@
                 }
             }
             Call::Claim(ask) => self.claimed(ask.request, None, now),
+            Call::ClaimProbe(probe) => self.holder_replied(probe.request, None, now),
             Call::Reserve(ask) => self.reserved(ask, None, now),
             _ => {}
         }
--- a/src/core/claims.rs
+++ b/src/core/claims.rs
@@ -1,14 +1,16 @@
-//! Claims on the keys of this member's requests: requests for claims, their replies, and notices of
-//! their ends.
+//! Claims on the keys of this member's requests: requests for claims, their replies, notices of their
+//! ends, and queries for them.
 
 use {
     super::Core,
     crate::{
-        error::Kind,
-        event::{Call, Ticket, Verdict},
+        error::{Error, Kind},
+        event::{Call, HolderState, Ticket, Verdict},
         ids::{RequestId, bucket_of},
-        messages::{ClaimAsk, ClaimEnd, ClaimReply, ClaimVerdict},
-        requests::{Claim, END_RETRY, OWN_END_MARK, REASK_MARK, Stage, digest, end, stored_answer},
+        messages::{ClaimAsk, ClaimEnd, ClaimFate, ClaimProbe, ClaimReply, ClaimVerdict},
+        requests::{
+            Claim, END_RETRY, OWN_END_MARK, Pending, REASK_MARK, Stage, digest, end, stored_answer,
+        },
         time::Time,
     },
     std::time::Duration,
@@ -30,7 +32,7 @@
             Some(owner) => self.call(owner, Call::Claim(ask)),
             None => {
                 let verdict = ClaimVerdict::Unowned;
-                let reply = ClaimReply { verdict, status: None, answer: None };
+                let reply = ClaimReply { verdict, status: None, answer: None, holder: None };
                 self.claimed(ask.request, Some(reply), now);
             }
         }
@@ -38,19 +40,18 @@
 
     /// Handles the reply to a claim request; `None` if the reply was lost.
     pub(crate) fn claimed(&mut self, ask: RequestId, reply: Option<ClaimReply>, now: Time) {
-        let request = self.requests.keys.asks.get(&ask).copied().unwrap_or(ask);
-        let Some(p) = self.requests.table.get_mut(&request) else { return };
-        let Some(claim) = p.claim.as_ref().filter(|c| c.ask == ask) else { return };
-        if p.stage != Stage::Claiming {
-            return;
-        }
+        let Some((request, p)) = self.claiming(ask) else { return };
         let verdict = reply.as_ref().map_or(ClaimVerdict::Unowned, |r| r.verdict);
+        let holder = reply.as_ref().and_then(|r| r.holder);
         let kind = match verdict {
             ClaimVerdict::Granted => return self.route(request, now),
             ClaimVerdict::Answered => {
                 p.claim = None;
-                let verdict = reply.map_or_else(|| Err(Kind::KeyUnknown.into()), stored_answer);
-                return self.finish(request, verdict, now);
+                let (status, answer) = reply.map_or((None, None), |r| (r.status, r.answer));
+                return self.finish(request, stored_answer(status, answer), now);
+            }
+            ClaimVerdict::Running if let Some(holder) = holder => {
+                return self.probe_holder(request, holder, now);
             }
             ClaimVerdict::Running => Kind::KeyRunning,
             ClaimVerdict::Unknown => Kind::KeyUnknown,
@@ -58,9 +59,8 @@
             ClaimVerdict::Unowned => Kind::KeyUnowned,
             ClaimVerdict::KvDown | ClaimVerdict::Full => Kind::KvDown,
         };
-        let mine = kind == Kind::KeyRunning && self.requests.keys.maybe_claimed(&claim.key);
-        if (kind == Kind::KeyUnowned || mine) && p.may_retry(now) {
-            return self.retry_claim(request, kind == Kind::KeyUnowned, now);
+        if kind == Kind::KeyUnowned && p.may_retry(now) {
+            return self.retry_claim(request, true, now);
         }
         if !matches!(kind, Kind::KeyUnowned | Kind::KvDown) {
             p.claim = None;
@@ -68,6 +68,48 @@
         self.finish(request, Err(kind.into()), now);
     }
 
+    /// Handles what the member that claimed a key knows of the claimed request; `None` if the reply
+    /// was lost.
+    pub(super) fn holder_replied(&mut self, ask: RequestId, state: Option<HolderState>, now: Time) {
+        let Some((request, p)) = self.claiming(ask) else { return };
+        let verdict = match state {
+            Some(HolderState::Ended(end)) if end.fate == ClaimFate::Answered => {
+                stored_answer(end.status, end.answer)
+            }
+            Some(HolderState::Ended(end)) if end.fate == ClaimFate::Unknown => {
+                Err(Kind::KeyUnknown.into())
+            }
+            // The owner that was asked has not heard of the end, or does not own the key any more.
+            Some(HolderState::Ended(_) | HolderState::Acknowledged) if p.may_retry(now) => {
+                return self.retry_claim(request, false, now);
+            }
+            Some(HolderState::Ended(_) | HolderState::Acknowledged) => {
+                let why = "it is over, and the key's owner has not heard how it ended";
+                Err(Error::new(Kind::OutcomeUnknown, why).with_retry_after(END_RETRY))
+            }
+            Some(HolderState::Running) | None => Err(Kind::KeyRunning.into()),
+        };
+        p.claim = None;
+        self.finish(request, verdict, now);
+    }
+
+    /// What this member knows of a request that it claimed a key for; `None` if it did not.
+    pub(super) fn holder_state(&self, probe: &ClaimProbe) -> Option<HolderState> {
+        if probe.holder.entry() != self.me() {
+            return None;
+        }
+        let keys = &self.requests.keys;
+        if let Some((end, _)) = keys.ends.get(&(probe.key.clone(), probe.holder)) {
+            return Some(HolderState::Ended(end.clone()));
+        }
+        let request = keys.asks.get(&probe.holder).unwrap_or(&probe.holder);
+        let claim = self.requests.table.get(request).and_then(|p| p.claim.as_ref());
+        Some(match claim {
+            Some(claim) if claim.ask == probe.holder => HolderState::Running,
+            _ => HolderState::Acknowledged,
+        })
+    }
+
     /// Handles the reply to the notice of a claim's end.
     pub(crate) fn end_replied(&mut self, end: &ClaimEnd, taken: bool) {
         if taken {
@@ -113,6 +155,29 @@
         }
     }
 
+    /// Asks the member that claimed a request's key whether the claimed request has ended.
+    ///
+    /// The key's owner hears of an end only after the caller did. Without this, a caller that was
+    /// answered would hear from another member that its request is running.
+    fn probe_holder(&mut self, request: RequestId, holder: RequestId, now: Time) {
+        let Some(p) = self.requests.table.get(&request) else { return };
+        let Some(claim) = &p.claim else { return };
+        let probe = ClaimProbe { key: claim.key.clone(), holder, request: claim.ask };
+        if holder.entry() != self.me() {
+            return self.call(holder.entry(), Call::ClaimProbe(probe));
+        }
+        let state = self.holder_state(&probe);
+        self.holder_replied(probe.request, state, now);
+    }
+
+    /// The request whose claim was last asked for under this id, if it awaits the verdict.
+    fn claiming(&mut self, ask: RequestId) -> Option<(RequestId, &mut Pending)> {
+        let id = self.requests.keys.asks.get(&ask).copied().unwrap_or(ask);
+        let p = self.requests.table.get_mut(&id)?;
+        let awaited = p.stage == Stage::Claiming && p.claim.as_ref().is_some_and(|c| c.ask == ask);
+        awaited.then_some((id, p))
+    }
+
     /// Schedules another claim request. It uses a new id if the last one may have been committed.
     fn retry_claim(&mut self, request: RequestId, doubt: bool, now: Time) {
         let me = u128::from(self.me().0) << 64;
--- a/src/event.rs
+++ b/src/event.rs
@@ -8,10 +8,10 @@
             Bucket, CallerId, Epoch, Incarnation, Key, RequestId, Revision, ServiceId, WorkerId,
         },
         messages::{
-            Beat, BeatReply, ClaimAsk, ClaimEnd, ClaimReply, ConfigRecord, EndTell, Handover,
-            KvEntry, KvList, KvPut, KvPutReply, MemberRecord, ProbeAsk, ProbeReply, ReserveAsk,
-            ReserveReply, Show, StartAsk, StartReply, Submit, SubmitReply, VmList, WorkerAsk,
-            WorkerReply,
+            Beat, BeatReply, ClaimAsk, ClaimEnd, ClaimProbe, ClaimReply, ConfigRecord, EndTell,
+            Handover, KvEntry, KvList, KvPut, KvPutReply, MemberRecord, ProbeAsk, ProbeReply,
+            ReserveAsk, ReserveReply, Show, StartAsk, StartReply, Submit, SubmitReply, VmList,
+            WorkerAsk, WorkerReply,
         },
         ownership::Swap,
         time::Time,
@@ -102,6 +102,8 @@
     Claim(ClaimAsk),
     /// The end of a claimed request.
     ClaimEnd(ClaimEnd),
+    /// A query for the end of a claimed request, to the member that made the claim.
+    ClaimProbe(ClaimProbe),
     /// A request for reservations.
     Reserve(ReserveAsk),
     /// The release of reservations that are not needed.
@@ -120,10 +122,11 @@
 
 impl Call {
     /// The names of the calls on the wire.
-    pub const NAMES: [&str; 10] = [
+    pub const NAMES: [&str; 11] = [
         "beat",
         "claim",
         "claim_end",
+        "claim_probe",
         "reserve",
         "release",
         "start",
@@ -142,6 +145,8 @@
     Beat(BeatReply),
     /// The reply to a claim request.
     Claim(ClaimReply),
+    /// The reply to a query for the end of a claimed request.
+    ClaimProbe(HolderState),
     /// The reply to a reservation request.
     Reserve(ReserveReply),
     /// The reply to starts and stops.
@@ -156,6 +161,18 @@
     Unowned,
 }
 
+/// What the member that made a claim knows of the claimed request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HolderState {
+    /// It has no final answer yet.
+    Running,
+    /// It has ended, and no owner of its key has acknowledged that yet.
+    Ended(ClaimEnd),
+    /// It is over, and an owner of its key has acknowledged its end.
+    Acknowledged,
+}
+
 /// An operator's call.
 #[derive(Clone, Debug)]
 pub enum OperatorCall {
--- a/src/gen/messages.rs
+++ b/src/gen/messages.rs
@@ -130,12 +130,25 @@
         value.parse()
     }
 }
+///Asks the member that made a claim whether the claimed request has ended.
+#[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
+pub struct ClaimProbe {
+    ///The request that holds it.
+    pub holder: crate::ids::RequestId,
+    ///The key.
+    pub key: crate::ids::Key,
+    ///The request that was refused the claim.
+    pub request: crate::ids::RequestId,
+}
 ///The answer to a claim's ask.
 #[derive(::serde::Deserialize, ::serde::Serialize, Clone, Debug, PartialEq)]
 pub struct ClaimReply {
     ///The kept answer.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub answer: ::std::option::Option<::std::boxed::Box<str>>,
+    ///The request that holds the key, if it is running.
+    #[serde(skip_serializing_if = "::std::option::Option::is_none")]
+    pub holder: ::std::option::Option<crate::ids::RequestId>,
     ///The status of the kept answer.
     #[serde(skip_serializing_if = "::std::option::Option::is_none")]
     pub status: ::std::option::Option<u32>,
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -143,6 +143,13 @@
     SubmissionId(u64, "16")
 }
 
+impl RequestId {
+    /// The member through which the request came.
+    pub fn entry(self) -> Incarnation {
+        Incarnation((self.0 >> 64) as u64)
+    }
+}
+
 /// A task of a job.
 #[derive(Clone, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[display("{job}/{index}")]
--- a/src/requests/keys.rs
+++ b/src/requests/keys.rs
@@ -10,7 +10,7 @@
         error::{Error, Kind, Ran},
         event::{Answer, ClientRequest, Ticket, Verdict},
         ids::{Key, RequestId},
-        messages::{ClaimEnd, ClaimFate, ClaimReply},
+        messages::{ClaimEnd, ClaimFate},
         time::Time,
     },
     rustc_hash::FxHashMap,
@@ -61,11 +61,6 @@
     pub fn is_empty(&self) -> bool {
         self.ends.is_empty()
     }
-
-    /// Whether an earlier ask of this member for a key may have been committed as its claim.
-    pub fn maybe_claimed(&self, key: &Key) -> bool {
-        self.ends.keys().any(|(k, _)| k == key)
-    }
 }
 
 /// The end of a claimed request, to be sent to the key's owner.
@@ -83,8 +78,8 @@
 }
 
 /// The answer stored with a key.
-pub(crate) fn stored_answer(reply: ClaimReply) -> Verdict {
-    let (Some(status), Some(text)) = (reply.status, reply.answer) else {
+pub(crate) fn stored_answer(status: Option<u32>, answer: Option<Box<str>>) -> Verdict {
+    let (Some(status), Some(text)) = (status, answer) else {
         return Err(Error::new(
             Kind::KeyUnknown,
             "it was answered, and the answer was too long to keep",
