show gives a member's version only as it was heard

Operators saw, for a member whose beat had never come, the version of the member that they asked, as if the new configuration were in force there. Cause: `Core::show` filled what was not known with its own version. It is now 0 ("no version"), and the version of the asked member is its own.

Looked for as the same cause as of: a state of another member, told without having heard it. The tasks that `show` lists are those of the asked member's own buckets, by its memory, also after it has stood still; that is not changed.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -163,9 +163,13 @@
     for m in &show.members {
         let state = if m.draining { ", stopping" } else { "" };
         let here = if m.incarnation == show.member { " (this one)" } else { "" };
+        let version = match m.version.0 {
+            0 => "no version".into(),
+            n => format!("version {n}"),
+        };
         print_line(format_args!(
-            "member {}{here}: {}, version {}, owns {} rows{state}",
-            m.incarnation, m.zone, m.version, m.rows
+            "member {}{here}: {}, {version}, owns {} rows{state}",
+            m.incarnation, m.zone, m.rows
         ));
     }
     for w in &show.workers {
--- a/src/core/operate.rs
+++ b/src/core/operate.rs
@@ -6,7 +6,7 @@
         config,
         error::Kind,
         event::{OperatorCall, OperatorReply, Order, Purpose, Ticket},
-        ids::Incarnation,
+        ids::{Incarnation, Version},
         messages::{KvPut, MemberShow, Show, SubmitReply},
         text::Plan,
         time::Time,
@@ -82,7 +82,8 @@
     pub(super) fn show(&self) -> Show {
         let version = |id: &Incarnation| {
             let beat = self.peers.get(id).and_then(|p| p.beat.as_ref());
-            beat.map_or(self.config.version(), |b| b.version)
+            let heard = beat.map_or(Version(0), |b| b.version);
+            if *id == self.me() { self.config.version() } else { heard }
         };
         let members = self.ownership.members().values().map(|m| MemberShow {
             incarnation: m.incarnation,
--- a/src/gen/messages.rs
+++ b/src/gen/messages.rs
@@ -521,7 +521,7 @@
     pub incarnation: crate::ids::Incarnation,
     ///The racks and buckets that it owns.
     pub rows: u32,
-    ///The configuration in force there.
+    ///The configuration in force there, as last heard; 0 if it was never heard.
     pub version: crate::ids::Version,
     ///Its availability zone.
     pub zone: crate::ids::Zone,
--- a/tests/entries/mod.rs
+++ b/tests/entries/mod.rs
@@ -1,19 +1,21 @@
 //! Members as callers reach them, without processes, in virtual time: each is a [`Core`] whose calls
 //! to the others are in transit until a test delivers or drops them.
 
+#![allow(dead_code)] // each test file uses a part
+
 use {
     dogwoodreach::{
         Time,
         core::{Core, member_key},
         event::{
-            Answer, Call, CallReply, ClientRequest, Event, Forward, Order, Outcome, Payload,
-            Purpose, Ticket, Verdict,
+            Answer, Call, CallReply, ClientRequest, Event, Forward, OperatorCall, OperatorReply,
+            Order, Outcome, Payload, Purpose, Ticket, Verdict,
         },
         http::Failure,
         ids::{BUCKET_COUNT, Epoch, Incarnation, Key, RequestId, Revision, SubmissionId, Version},
         messages::{
             Beat, ConfigRecord, KvEntry, KvList, KvPutReply, MemberRecord, OwnersRecord, Row,
-            ServiceLoad,
+            ServiceLoad, Show,
         },
         metrics::Metrics,
     },
@@ -25,7 +27,7 @@
 };
 
 /// The member whose endpoints run all requests; it has no [`Core`].
-const ENDPOINTS: Incarnation = Incarnation(99);
+pub const ENDPOINTS: Incarnation = Incarnation(99);
 const TICK: Duration = Duration::from_millis(20);
 const TEXT: &str = "[pool p]\ncores = 4\nmemory = 16GB\nworkers = 4\n[team quoting]\n\
     [service quoting]\nteam = quoting\npool = p\ndeadline = 5s\nrun = 20ms\n";
@@ -136,6 +138,16 @@
         ticket
     }
 
+    /// What a member shows to operators.
+    pub fn show(&mut self, at: usize) -> Show {
+        let orders = self.cores[at].handle(Event::Operator(0, OperatorCall::Show), self.now);
+        let reply = orders.into_iter().find_map(|o| match o {
+            Order::ReplyOperator(_, OperatorReply::Show(show)) => Some(*show),
+            _ => None,
+        });
+        reply.expect("a reply")
+    }
+
     /// Ends the oldest running request.
     pub fn end(&mut self, outcome: Outcome) {
         let (via, forward) = self.running.remove(0);
