A request on a kept connection that was closed was not sent

Callers saw: of a request whose kept connection the other end had closed before a byte was written, that it may have run (member: "502 broken, ran: unknown"; at a worker, a dispatch that nobody may try again). The client called each failure but that of connecting broken. A member closes connections that were idle for 5 s (`header_read_timeout` counts idle ones too, by the library's source), the client keeps them for 20 s; a process that stood still takes one for open.

What was begun stays broken. The two idle times are left as they are.

Not covered: where the client has not been told of the close when it writes, the request stays one that may have run (tried: a client whose thread does nothing between its calls).

--- a/src/http.rs
+++ b/src/http.rs
@@ -16,7 +16,7 @@
         service::service_fn,
     },
     hyper_util::{
-        client::legacy::{Client as Pool, connect::HttpConnector},
+        client::legacy::{self, Client as Pool, connect::HttpConnector},
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::graceful::GracefulShutdown,
     },
@@ -143,7 +143,7 @@
 /// Why a call returned no complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// The connection could not be opened: nothing was sent.
+    /// The connection could not be opened, or was closed before: nothing was sent.
     Unsent,
     /// The connection broke, or the response was truncated.
     Broken,
@@ -254,9 +254,7 @@
     received: &mut usize,
 ) -> Result<Message<response::Parts>, Failure> {
     let response = timeout(patience.head_timeout, pool.request(request)).await;
-    let response = response
-        .map_err(|_| Failure::Timeout)?
-        .map_err(|e| if e.is_connect() { Failure::Unsent } else { Failure::Broken })?;
+    let response = response.map_err(|_| Failure::Timeout)?.map_err(|e| send_failure(&e))?;
     let (head, mut body) = response.into_parts();
     let content_length =
         head.headers.get(CONTENT_LENGTH).and_then(|s| s.to_str().ok()?.parse().ok());
@@ -281,6 +279,16 @@
     }
 }
 
+/// Tells a request that was never written from one that may have been.
+///
+/// The library cancels a request whose kept connection turns out to be closed before the first byte is
+/// written, as after this process stood still. As one that may have run it would not be tried again.
+fn send_failure(error: &legacy::Error) -> Failure {
+    let source = std::error::Error::source(error).and_then(|e| e.downcast_ref::<hyper::Error>());
+    let canceled = source.is_some_and(hyper::Error::is_canceled);
+    if error.is_connect() || canceled { Failure::Unsent } else { Failure::Broken }
+}
+
 fn new_pool(idle: usize) -> Connections {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
