Store calls: a watch sent while the direct path is lost ends once it is back

A lone member, or one whose table names no other, did no work for up to 10.7 s after the store served it again: its renewals do not count before it has heard of its own row.

Cause: with the direct path lost and nobody to relay, `call_routed` makes the call directly after all. For the watch of the table that is a call of 10.7 s which nothing ends: the ordinary direct watch ends when the path is lost, this one begins after that. The store never answered it, and served other calls of the member 0.9 to 4.8 s later. A watch that another member relays goes on in the same way.

Ruled out: a relay through the member that stood still (nobody was asked), a backoff (300 ms at most), a pause of member 4 (none above 60 ms in that time).

Changed: such a watch, relayed or direct, ends as soon as the direct path is restored, and the next one goes direct. The path is looked at before it is chosen, so that one that is restored in between counts too. A watch that is relayed after a single failure, with the path not lost, is left as it was.

Test: a_member_hears_of_the_table_as_soon_as_the_store_serves_it_again (tests/site_relay.rs) failed before in 6 of 6 runs ("timed out waiting for: at work", 10 s), passes in 13 of 13. That relayed watches end so has no test of its own. The site tests, relay and modules pass (once).

--- a/src/relay.rs
+++ b/src/relay.rs
@@ -171,6 +171,25 @@
         let _ = lost.wait_for(|l| *l).await;
     }
 
+    /// Returns the reply to a watch that was sent while the direct connection was lost.
+    ///
+    /// Lets the watch end early once the direct connection is restored. Otherwise a relaying member
+    /// that is suspended, or a direct call that the store never answers, would hold it for its full
+    /// time, and this member would not hear of any change.
+    ///
+    /// # Errors
+    ///
+    /// As `reply`; [`Fault::Unknown`] if the direct connection is restored first.
+    pub async fn until_restored(&self, reply: impl Future<Output = WireReply>) -> WireReply {
+        let mut lost = self.lost.subscribe();
+        tokio::select! {
+            biased;
+            reply = reply => reply,
+            // The sender can't be dropped while `self` is borrowed.
+            _ = lost.wait_for(|l| !*l) => Err(Fault::Unknown),
+        }
+    }
+
     /// Returns whether the direct connection is lost.
     pub fn is_direct_lost(&self) -> bool {
         self.state().is_direct_lost()
--- a/src/service_clients.rs
+++ b/src/service_clients.rs
@@ -141,14 +141,14 @@
         routes: &StoreRoutes,
         relayer: &Relayer,
     ) -> WireReply {
-        let (start, sent) = (Instant::now(), routes.now());
-        let repeats = call.is_repeatable();
+        let (start, sent, was_lost) = (Instant::now(), routes.now(), routes.is_direct_lost());
+        let (repeats, watches) = (call.is_repeatable(), matches!(call, StoreCall::Watch { .. }));
         let direct = match routes.choose(repeats) {
             StorePath::Relayed => None,
             StorePath::Probe => {
                 Some(self.call_direct(call, &wire, PROBE_TIMEOUT.min(limit / 2)).await)
             }
-            StorePath::Direct if matches!(call, StoreCall::Watch { .. }) => Some(tokio::select! {
+            StorePath::Direct if watches => Some(tokio::select! {
                 answer = self.call_direct(call, &wire, limit) => answer,
                 () = routes.wait_direct_lost() => Err(Fault::Unknown),
             }),
@@ -164,25 +164,28 @@
             (answer, fault)
         });
         let done = match &fault {
-            None => false,
             Some((_, None)) => true,
             // A call that may have taken effect must not be made twice.
             Some((_, Some(Fault::Unknown))) => !repeats,
-            Some(_) => false,
+            _ => false,
         };
         let left = limit.saturating_sub(start.elapsed());
-        if !done
-            && left >= MIN_RELAY_TIME
-            && routes.may_relay()
-            && let Some(answer) = relayer(wire.clone(), repeats, left).await
-        {
-            return answer;
-        }
-        match fault {
-            Some((answer, _)) => answer,
-            // No other member could be asked to relay the call.
-            None => self.call_direct(call, &wire, left).await,
-        }
+        let detour = async {
+            if !done
+                && left >= MIN_RELAY_TIME
+                && routes.may_relay()
+                && let Some(answer) = relayer(wire.clone(), repeats, left).await
+            {
+                return answer;
+            }
+            match fault {
+                Some((answer, _)) => answer,
+                // No other member could be asked to relay the call.
+                None => self.call_direct(call, &wire, left).await,
+            }
+        };
+        let lost = was_lost || routes.is_direct_lost();
+        if lost && watches { routes.until_restored(detour).await } else { detour.await }
     }
 
     /// Makes a call to the store from this VM.
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -12,7 +12,7 @@
         net::SocketAddr,
         sync::{Arc, Mutex},
         thread,
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::{net::TcpListener, sync::Notify, time::timeout},
 };
@@ -64,6 +64,8 @@
     gets: usize,
     /// Faults in force, by the address that is called.
     addr_faults: BTreeMap<SocketAddr, AddrFault>,
+    /// Time of the last watch of each prefix that gets no reply because of such a fault.
+    silent_watches: BTreeMap<String, Instant>,
 }
 
 /// Handle of the store, used by its server threads and by the test.
@@ -97,7 +99,10 @@
                             this.state.lock().expect("state").addr_faults.get(&addr).copied();
                         match fault {
                             Some(AddrFault::Busy) => answer(503, "{}"),
-                            Some(AddrFault::Silent) => pending().await,
+                            Some(AddrFault::Silent) => {
+                                this.note_silent(head.uri.path(), &request);
+                                pending().await
+                            }
                             None => this.call(head.uri.path(), request).await,
                         }
                     }
@@ -117,6 +122,19 @@
         };
     }
 
+    /// Returns the time of the last watch of `prefix` that gets no reply because of an
+    /// [`AddrFault`].
+    pub fn silent_watch(&self, prefix: &str) -> Option<Instant> {
+        self.state.lock().expect("state").silent_watches.get(prefix).copied()
+    }
+
+    fn note_silent(&self, path: &str, request: &Value) {
+        if path == "/watch" {
+            let prefix = text(request, "prefix").into();
+            self.state.lock().expect("state").silent_watches.insert(prefix, Instant::now());
+        }
+    }
+
     /// Writes an item.
     pub fn put(&self, key: &str, value: &str) {
         self.state.lock().expect("state").write(key, Some((value.into(), 0)));
--- a/tests/site_relay.rs
+++ b/tests/site_relay.rs
@@ -9,9 +9,13 @@
         store::AddrFault::{self, Busy, Silent},
     },
     serde_json::Value,
-    std::future::Future,
+    std::{future::Future, time::Duration},
 };
 
+/// Time for which a member lets the store wait for a change of the table.
+const TABLE_WATCH: Duration = Duration::from_secs(10);
+/// Time after which a watch without a reply is no probe of the direct connection.
+const LONGER_THAN_A_PROBE: Duration = Duration::from_millis(600);
 const JOB: &str = r#"{"text": "t", "steps": [{"count": 2}]}"#;
 
 fn run(test: impl Future<Output = ()>) {
@@ -133,3 +137,26 @@
         owner.store.set_fault(own, None);
     });
 }
+
+#[test]
+fn a_member_hears_of_the_table_as_soon_as_the_store_serves_it_again() {
+    // A member that nobody could relay for watched the table by a direct call, which the store never
+    // answered. The store served it again soon, but it heard nothing of the table and did no work
+    // until that call's time was over.
+    run(async {
+        let member = TestMember::new("unheard").await;
+        member.store.set_fault(member.store_addr, Some(Silent));
+        let unanswered = || member.store.silent_watch("dwr/t/").map(|at| at.elapsed());
+        let waits = async || unanswered().is_some_and(|t| t > LONGER_THAN_A_PROBE);
+        member.wait_until("a watch of the table without a reply", waits).await;
+        let idle = async || member.status("GET", "/a/", "").await != 200;
+        member.wait_until("an owner that is not certain of its lease", idle).await;
+        let watch = member.store.silent_watch("dwr/t/");
+        member.store.expire_leases();
+        member.store.set_fault(member.store_addr, None);
+        let works = async || member.status("GET", "/a/", "").await == 200;
+        member.wait_until("at work", works).await;
+        assert_eq!(member.store.silent_watch("dwr/t/"), watch);
+        assert!(unanswered() < Some(TABLE_WATCH), "the watch went on for all of its time");
+    });
+}
