A rack is handed over without the reservations that no start has used

Cause: the handover listed reserved room as running attempts. The rack's next owner closed the room for as long as its reports lag (4 s), found the attempts in no report, and noted each as lost. If their bucket passed on as well before they were committed, its next owner gave the same numbers again; as it started one at that rack's owner, the note was told of it, and the task was started again.

Evidence: tests/racks/reused.rs, 3 of 3 red before: "task 0 runs twice"; "lost" told of an attempt that runs ("after 4300 ms"), where the number is used while the void reservation is still held; "no room for task 2".

Ruled out by reading: two owners that commit one bucket, a start that outlives its owner, a stop before its start, a late answer to a write.

Why it works: no start can use such a reservation any more, as it carries the former epoch; so nothing is lost with it, and its number means nothing to the next owner.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -245,6 +245,13 @@
         self.holds.get(held).map(|h| &h.load)
     }
 
+    /// Whether an attempt or a request may have been sent to its worker; false for a reservation that
+    /// no start has used.
+    pub fn started(&self, held: &Held) -> bool {
+        let sent = |h: &Hold| matches!(held, Held::Request(_)) || h.since.is_some();
+        self.holds.get(held).is_some_and(sent)
+    }
+
     /// The worker of a pool with the most free slots, if one has any.
     pub fn idlest(&self, pool: &PoolId) -> Option<&WorkerId> {
         let (free, worker) = self.pools.get(pool)?.idle.last()?;
--- a/src/racks/pass.rs
+++ b/src/racks/pass.rs
@@ -69,10 +69,15 @@
         self.update_cordon(worker, now);
     }
 
-    /// Adds the load of a worker to a handover.
+    /// Adds the load of a worker to a handover, without reservations that no start has used.
+    ///
+    /// No start can use them any more, as it would carry this owner's epoch. A next owner that
+    /// counts one as a started attempt closes its room for as long as reports lag and then reports
+    /// its end. If the attempt was never committed, the bucket's next owner has used its number
+    /// again, and the end would count for an attempt that runs.
     fn add_load(&self, worker: &WorkerId, handover: &mut Handover) {
         let held = self.ledger.worker(worker).into_iter().flat_map(|a| a.held());
-        for held in held {
+        for held in held.filter(|h| self.ledger.started(h)) {
             match held {
                 Held::Request(request) => {
                     let (request, worker) = (*request, worker.clone());
--- a/tests/racks.rs
+++ b/tests/racks.rs
@@ -12,6 +12,8 @@
 mod owner;
 #[path = "racks/random.rs"]
 mod random;
+#[path = "racks/reused.rs"]
+mod reused;
 
 use {
     bench::Bench,
