Leases are counted by a clock that goes on while the machine is suspended

What callers could see. An owner whose machine was suspended for longer than its lease would take the lease for valid as it resumes, for up to 1.9 s: it would vouch for states that its successor has overtaken, and start work as one whose lease is confirmed (workers refuse its token). Occurrences of jobs would come due late by the suspension.

Times of a member come from `Instant`, which on Linux stops while a machine is suspended. DEPLOY.md says that machines may be suspended for seconds, and that CLOCK_BOOTTIME counts that time. The lease in the store goes on.

The clock that the duties share, on a site and on the older path, reads CLOCK_BOOTTIME (nix, safe). So does the time up to which the watch of the configuration is complete, as it is compared with that clock.

--- a/src/prefix_watch.rs
+++ b/src/prefix_watch.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        clock::boot_time,
         ports::{Fault, Item, Rev, StoreCall, StoreReply},
         service_clients::{ServiceClients, WATCH_MARGIN},
     },
@@ -83,8 +84,8 @@
     rechecks_changes: bool,
     /// Whether the next watch call doesn't wait.
     skip_wait: bool,
-    /// The time up to which all changes have been seen.
-    complete_at: Option<Instant>,
+    /// The time up to which all changes have been seen, by [`boot_time`].
+    complete_at: Option<Duration>,
     backoff: Backoff,
 }
 
@@ -154,15 +155,15 @@
     /// call that returns no items.
     async fn read_prefix(&mut self) -> Result<(Vec<Item>, Rev), Fault> {
         let rev = self.services.revision(&self.prefix).await?;
-        let sent = Instant::now();
+        let sent = boot_time();
         let (items, _) = self.services.read_prefix(&self.prefix, false).await?;
         self.complete_at = Some(sent);
         Ok((items, rev))
     }
 
-    /// Returns the time up to which all changes have been seen; `None` before the prefix was first
-    /// read.
-    pub fn complete_at(&self) -> Option<Instant> {
+    /// Returns the time up to which all changes have been seen, by [`boot_time`]; `None` before the
+    /// prefix was first read.
+    pub fn complete_at(&self) -> Option<Duration> {
         self.complete_at
     }
 
@@ -192,7 +193,7 @@
                 return Some(WatchUpdate::Snapshot(items, rev));
             }
         }
-        let sent = Instant::now();
+        let sent = boot_time();
         let wait = if mem::take(&mut self.skip_wait) { Duration::ZERO } else { self.max_wait };
         let call = StoreCall::Watch { prefix: self.prefix.clone(), after, wait };
         match self.services.call_store(&call, wait + WATCH_MARGIN).await {
@@ -200,7 +201,7 @@
                 self.after_rev = Some(rev.max(after));
                 // An empty reply at the end of the wait shows that nothing has changed meanwhile.
                 let waited = wait.mul_f64(FULL_WAIT_FRACTION);
-                let full = items.is_empty() && sent.elapsed() >= waited;
+                let full = items.is_empty() && boot_time() - sent >= waited;
                 self.complete_at = Some(if full { sent + waited } else { sent });
                 if !items.is_empty() {
                     self.backoff.reset();
@@ -208,7 +209,7 @@
                     self.skip_wait = self.rechecks_changes;
                     return Some(WatchUpdate::Changes(items, rev));
                 }
-                if sent.elapsed() < wait / 4 {
+                if boot_time() - sent < wait / 4 {
                     // Without a pause, watches that are cut short would be repeated in a busy loop.
                     self.backoff.wait().await;
                 }
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        clock,
+        clock::{self, Clock},
         decide::call_queue::CallQueue,
         ids::Incarnation,
         member_table::TableView,
@@ -21,7 +21,7 @@
             Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
-        time::{Duration, Instant},
+        time::Duration,
     },
     tokio::sync::watch,
 };
@@ -70,7 +70,7 @@
     pub store_routes: Arc<StoreRoutes>,
     /// The advice calls that this member has in flight, for itself and for other members.
     pub advice_queue: Mutex<CallQueue>,
-    start: Instant,
+    clock: Clock,
     /// Time of the store's last answer; [`Time::ZERO`] if it never has answered.
     last_answer: AtomicU64,
     /// The highest revision of the configuration that is known to have been replaced.
@@ -108,7 +108,7 @@
             stop: watch::Sender::new(false),
             store_routes: Arc::default(),
             advice_queue: Mutex::default(),
-            start: Instant::now(),
+            clock: Clock::start(),
             last_answer: AtomicU64::new(0),
             outdated_rev: AtomicU64::new(0),
             confirmed_at: AtomicU64::new(0),
@@ -119,7 +119,7 @@
 
     /// Returns the present time.
     pub fn now(&self) -> Time {
-        Time::ZERO + self.start.elapsed()
+        self.clock.now()
     }
 
     /// Creates clients for the calling thread that call all services directly, without a relay.
--- a/src/table_sync.rs
+++ b/src/table_sync.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        clock::boot_time,
         ids::Incarnation,
         layout::{ListMonitor, MAX_LIST_WAIT, create_layout},
         member_table::{MemberTable, Takeover, TakeoverOutcome, member_key},
@@ -65,7 +66,7 @@
             None => {}
         }
         if let Some(at) = follow.complete_at() {
-            common.record_confirmed(common.now() - at.elapsed());
+            common.record_confirmed(common.now() - (boot_time() - at));
         }
         // The thread that serves callers may have applied this configuration already, so compare
         // with what was last sent to the shards.
