Tests: over the wire, a state that the store may have replaced is told from the store or not at all

A member's store carries out the write of a job's end and withholds the reply (`withhold_replies`, new in the store of tests/site). A caller must be told the end then; and while the store refuses every call, the end or nothing.

--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -56,6 +56,8 @@
     muted: Vec<String>,
     /// Prefixes whose watches get no events.
     suppressed: Vec<String>,
+    /// Prefix of keys whose writes are applied and get no reply; empty if there is none.
+    withheld: String,
     /// A prefix and the number of its watches that are still to be refused.
     refusals: Option<(String, u32)>,
     /// Prefix of each range read so far.
@@ -164,6 +166,12 @@
         }
     }
 
+    /// Sends no reply to later writes of keys that begin with `prefix`, which are applied; an empty
+    /// prefix ends it.
+    pub fn withhold_replies(&self, prefix: &str) {
+        self.state.lock().expect("state").withheld = prefix.into();
+    }
+
     /// Refuses the next `count` watches of `prefix`, including those that are waiting.
     pub fn refuse_watches(&self, prefix: &str, count: u32) {
         self.state.lock().expect("state").refusals = Some((prefix.into(), count));
@@ -216,7 +224,9 @@
         }
         let (status, reply) = self.state.lock().expect("state").call(path, &request);
         self.changed.notify_waiters();
-        if fault == Some(WriteFault::LostReply) {
+        if fault == Some(WriteFault::LostReply)
+            || self.state.lock().expect("state").withholds(&request)
+        {
             return pending().await;
         }
         answer(status, reply.to_string())
@@ -302,6 +312,11 @@
         if path == "/txn" && job { self.planned.pop_front() } else { None }
     }
 
+    fn withholds(&self, request: &Value) -> bool {
+        let held = |p: &Value| text(p, "key").starts_with(&self.withheld);
+        !self.withheld.is_empty() && array(request, "puts").iter().any(held)
+    }
+
     fn item(&self, key: &str) -> Value {
         match self.rows.get(key) {
             Some((value, rev, _)) => json!({"key": key, "rev": rev, "value": value}),
