Shards: a lease has lapsed only for an owner whose own lease is certain

What callers would see. A task runs in two places: an owner that is cut off from the store and from some of its workers, and hears from most, starts the tasks of those workers again, while its successor reaches these workers and keeps their runs alive.

`expire_leases` takes a silent worker's runs for ended once the lease that this owner gave is over. A successor may have adopted the runs and renewed the lease. `settle` by lapse concluded the same in a new owner that is itself cut off.

To stop an owner without the store altogether (all work would end in an outage); a longer wait (a successor may renew for ever).

Both count a lapse only while the owner's own lease is certain: then it has no successor. Price: in an outage of the store for all, tasks of a worker that is merely silent wait for the store, or for proof that the worker is over. The yard can now separate an owner from workers, and an owner that is cut off from the store gets no list of workers, as that is read there.

--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -99,7 +99,8 @@
         let former_until =
             if self.former_lapsed { self.owned_since } else { self.owned_since + RENEWAL_VALID };
         let since = self.majority_at.map(|t| t.max(former_until));
-        let lapsed = since.is_some_and(|t| t + lease <= now);
+        // A successor of this owner may have renewed the leases since.
+        let lapsed = since.is_some_and(|t| t + lease <= now) && self.is_confirmed(now);
         let workers = &self.workers;
         self.unsettled_workers.retain(|n| !lapsed && !fenced(&workers[n.0]));
         if self.unsettled_workers.is_empty() {
--- a/src/shard/worker_loss.rs
+++ b/src/shard/worker_loss.rs
@@ -85,7 +85,14 @@
     }
 
     /// Forgets the runs of workers whose leases have expired.
+    ///
+    /// Guards against a second run of a task on a worker that this owner doesn't reach: a successor
+    /// may reach it and keep the run alive. The leases that this owner knows of are the last ones
+    /// only while it certainly has no successor.
     pub(super) fn expire_leases(&mut self, now: Time) {
+        if !self.is_confirmed(now) {
+            return;
+        }
         for no in (0..self.workers.len()).map(WorkerNo) {
             let w = &self.workers[no.0];
             if w.gone || w.lease_end(&self.setup.bounds) > now {
--- a/tests/shard_takeover.rs
+++ b/tests/shard_takeover.rs
@@ -69,3 +69,23 @@
     hand.end(task(1, 0), EndReason::Stopped);
     hand.run_until("the task's start", 2_000, |h| h.starts_of(1).len() == 1);
 }
+
+#[test]
+fn leases_lapse_only_for_an_owner_that_is_confirmed() {
+    // A new owner has heard from most workers and is then cut off from the store. Guards against
+    // starting the tasks of a silent worker again a lease later: the owner after it may have
+    // reached that worker and may keep them alive.
+    let mut hand = Harness::new(3);
+    hand.submit(1, "plain", job(step(1, 2)));
+    hand.run(500);
+    let at = hand.workers_running(task(1, 0))[0];
+    hand.workers[at].hook = SILENT;
+    hand.call_log.clear();
+    hand.take_over();
+    hand.run(1_000);
+    hand.lease_confirmed = false;
+    hand.run(30_000);
+    assert!(hand.starts().is_empty(), "started elsewhere by an owner that may have a successor");
+    hand.lease_confirmed = true;
+    hand.run_until("the task's start", 1_000, |h| h.starts_of(1).len() == 1);
+}
--- a/tests/yard/events.rs
+++ b/tests/yard/events.rs
@@ -33,6 +33,7 @@
             stalled: false,
             releasing: false,
             store_cut: false,
+            unreached: BTreeSet::new(),
             held_events: Vec::new(),
         });
         let (owner, now) = (self.owners.len() - 1, self.now);
@@ -209,6 +210,11 @@
         self.owners[owner].store_cut = true;
     }
 
+    /// Separates an owner from workers: its calls don't reach them, and their answers don't reach it.
+    pub fn cut_workers(&mut self, owner: usize, workers: impl IntoIterator<Item = usize>) {
+        self.owners[owner].unreached.extend(workers);
+    }
+
     /// Lets a new owner take over that starts only after `reads`, the time that it needs to load
     /// the store. Changes stored meanwhile reach it afterwards.
     pub fn take_over_after(&mut self, reads: Duration) {
--- a/tests/yard/mail.rs
+++ b/tests/yard/mail.rs
@@ -95,6 +95,9 @@
     }
 
     fn call(&mut self, pending: PendingCall) {
+        if self.owners[pending.owner].unreached.contains(&pending.at) {
+            return self.answer(&pending, None);
+        }
         let w = &self.world.workers[pending.at];
         if !w.up && !w.cut_off && !pending.late {
             let (worker, call, sent) = (pending.worker, pending.call, pending.sent);
@@ -120,7 +123,8 @@
     pub(super) fn wait(&mut self, pending: PendingCall, until: Time) {
         let w = &self.world.workers[pending.at];
         let other = self.world.id(pending.at) != pending.worker;
-        if !w.up || w.cut_off || w.unresponsive || other {
+        let unreached = self.owners[pending.owner].unreached.contains(&pending.at);
+        if !w.up || w.cut_off || w.unresponsive || other || unreached {
             return self.answer(&pending, None);
         }
         let held = self.world.held(pending.at);
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -99,6 +99,8 @@
     pub releasing: bool,
     /// Whether it is cut off from the store.
     pub store_cut: bool,
+    /// The workers that its calls don't reach.
+    pub unreached: BTreeSet<usize>,
     /// Events that arrived while it was paused.
     held_events: Vec<Event>,
 }
@@ -407,7 +409,12 @@
         self.list.retain(|_, l| self.now.since(l.1) < REPORT_TIMEOUT);
         let listed: Vec<ListedWorker> = self.list.values().map(|l| l.0.clone()).collect();
         if listed != before || self.resend_list {
-            self.broadcast(self.now + Duration::from_millis(100), Event::Listed(listed));
+            let (at, event) = (self.now + Duration::from_millis(100), Event::Listed(listed));
+            for owner in
+                (0..self.owners.len()).filter(|o| !self.owners[*o].store_cut).collect::<Vec<_>>()
+            {
+                self.schedule(at, Delivery::Event(owner, event.clone()));
+            }
         }
     }
 
