A member that wakes reads what lies on callers' connections before it closes them as unused

Cause: the time for a caller's headers (`header`, 5 s) runs from the accept. A process that was stopped goes on with that time over and nothing read yet; the connection was closed, with the request on it. That the wait for events is interrupted as the process goes on, so that timers come first, is inferred.

Ruled out: a limit of connections (34 of 4096); the process's end (it goes on); the refusal as stale, which is an answer.

Why it works: the time-out ends 100 ms after the process has seen it pass, and the socket is read within that.

--- a/src/http.rs
+++ b/src/http.rs
@@ -12,6 +12,7 @@
         body::Incoming,
         header::{CONNECTION, CONTENT_LENGTH, HeaderValue},
         http::{request::Parts, response},
+        rt::{Sleep, Timer},
         server::conn::http1,
         service::service_fn,
     },
@@ -25,13 +26,15 @@
         convert::Infallible,
         future::Future,
         net::SocketAddr,
+        pin::Pin,
         sync::{Arc, Mutex},
-        time::Duration,
+        task::{Context, Poll},
+        time::{Duration, Instant},
     },
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Semaphore,
-        time::timeout,
+        time::{sleep, sleep_until, timeout},
     },
 };
 
@@ -76,6 +79,13 @@
 /// middlebox has dropped would fail only at its deadline.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How long a connection stays open after its header time-out, to read what has arrived already.
+///
+/// The timers of a process that stood still have elapsed before it reads from its sockets. Without
+/// this time it would close connections on which complete requests lie, and their callers would not
+/// know whether they ran.
+const READ_GRACE: Duration = Duration::from_millis(100);
+
 /// The maximum size of a request's head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 const CLOSE: HeaderValue = HeaderValue::from_static("close");
@@ -299,6 +309,35 @@
         .build(connector)
 }
 
+/// The timer of header time-outs, which end [`READ_GRACE`] after the process has seen them elapse.
+#[derive(Clone, Copy)]
+struct HeaderTimer;
+
+struct HeaderSleep(Pin<Box<dyn Future<Output = ()> + Send + Sync>>);
+
+impl Timer for HeaderTimer {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
+        self.sleep_until(Instant::now() + duration)
+    }
+
+    fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
+        Box::pin(HeaderSleep(Box::pin(async move {
+            sleep_until(deadline.into()).await;
+            sleep(READ_GRACE).await;
+        })))
+    }
+}
+
+impl Sleep for HeaderSleep {}
+
+impl Future for HeaderSleep {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
+        self.0.as_mut().poll(context)
+    }
+}
+
 /// Serves requests with `handle` until `stop` completes, then lets open requests finish.
 pub async fn serve<F, A>(
     listener: TcpListener,
@@ -332,7 +371,7 @@
         let handle = handle.clone();
         let service = service_fn(move |request| handle_request(request, limits, handle.clone()));
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
+            .timer(HeaderTimer)
             .header_read_timeout(limits.read_timeout)
             .max_buf_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
--- a/tests/scenario/counts.rs
+++ b/tests/scenario/counts.rs
@@ -1,6 +1,10 @@
-//! Counts since a mark: answers that members gave to callers, and owners that a rack had.
+//! Counts: answers that members gave to callers and owners that a rack had since a mark, and texts
+//! in force.
 
-use super::{Args, Cell};
+use {
+    super::{Args, Cell},
+    std::collections::BTreeSet,
+};
 
 impl Cell {
     /// Marks how often a rack has had an owner.
@@ -51,4 +55,10 @@
         let page = format!("{}/metrics", self.process(member).value("metrics"));
         self.page(&page)?.lines().find_map(|l| l.strip_prefix(name)?.trim().parse().ok())
     }
+
+    pub(super) fn same_text(&mut self, args: &mut Args) -> String {
+        let shows = args.list("at").into_iter().filter_map(|m| self.show(&m));
+        let texts: BTreeSet<String> = shows.map(|s| s["text"].to_string()).collect();
+        format!("{} text in force", texts.len())
+    }
 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -7,6 +7,7 @@
 mod counts;
 mod load;
 mod process;
+mod sockets;
 mod wait;
 
 use {
@@ -20,6 +21,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         fs,
+        net::TcpStream,
         path::{Path, PathBuf},
         process::{Command, Output},
         time::{Duration, Instant},
@@ -56,6 +58,7 @@
     aliases: BTreeMap<String, String>,
     gain_marks: BTreeMap<String, usize>,
     verdict_marks: BTreeMap<(String, String), u64>,
+    sockets: Vec<TcpStream>,
 }
 
 impl Cell {
@@ -77,6 +80,7 @@
             aliases: BTreeMap::new(),
             gain_marks: BTreeMap::new(),
             verdict_marks: BTreeMap::new(),
+            sockets: vec![],
         }
     }
 
@@ -112,6 +116,7 @@
             "gained" => self.gained_since_mark(&mut args),
             "mark-verdicts" => self.mark_verdicts(&mut args),
             "verdicts" => self.verdicts(&mut args),
+            "sockets" => self.sockets(&mut args),
             "same-text" => self.same_text(&mut args),
             "witness" => self.witness(),
             other => panic!("no command {other}"),
@@ -143,6 +148,7 @@
         let (zone, linked, name) = (args.required("zone"), args.flag("through-link"), args.name());
         let mut kv = self.process("platform").value("kv").to_owned();
         let vms = self.process("platform").value("vms").to_owned();
+        let header = args.optional("header").map(|h| format!("[limits]\nheader = {h}\n"));
         if linked {
             let link = format!("{name}-kv");
             self.start(&link, standin(), &["link", "--to", &kv]);
@@ -151,7 +157,8 @@
         let ports = ["callers", "operators", "control", "bodies", "metrics"];
         let ports: String = ports.iter().map(|p| format!("{p} = 127.0.0.1:0\n")).collect();
         let text = format!(
-            "[member]\nzone = {zone}\nsecret = {SECRET}\n{ports}[platform]\nkv = {kv}\nvms = {vms}\n"
+            "[member]\nzone = {zone}\nsecret = {SECRET}\n{ports}[platform]\nkv = {kv}\nvms = {vms}\n{}",
+            header.unwrap_or_default()
         );
         let settings = self.dir.join(format!("{name}.ini"));
         fs::write(&settings, text).expect("a file");
@@ -340,12 +347,6 @@
         texts.map(|log| log.matches(&line).count()).sum()
     }
 
-    fn same_text(&mut self, args: &mut Args) -> String {
-        let shows = args.list("at").into_iter().filter_map(|m| self.show(&m));
-        let texts: BTreeSet<String> = shows.map(|s| s["text"].to_string()).collect();
-        format!("{} text in force", texts.len())
-    }
-
     /// The counts of violations that the workers recorded, and their notes.
     fn witness(&mut self) -> String {
         let mut output = vec![];
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -12,6 +12,11 @@
     scenario::run("owner-paused");
 }
 
+#[test]
+fn member_wakes() {
+    scenario::run("member-wakes");
+}
+
 #[test]
 fn same_key() {
     scenario::run("same-key");
