Shards: two owners can't both have most workers, whatever each has listed

What callers would see. A task runs in two places, long after a partition: the owner that is cut off from the store goes on with most of its workers, and its successor, which hears from few of them, takes later workers for a majority and a lease later starts the others' tasks again. Or the other way: an owner goes on with one worker, as its list has lost the others.

"Most workers" of an owner without the store and of its successor have to be two sets that meet. The one counted the workers of its last list, the other those of a roster that it had rewritten with workers that had come since.

The two of shard_cut_off show the former owner's side alone.

To leave ended workers out of both counts: the two owners may know of different ends. To count the present roster flags: the roster that is stored may be the one before, while a write of it is unclear.

A shard keeps the rosters of which the store has one. An owner without the store needs fresh answers of most of each. A new owner needs most of the one that it has read, and writes none before that. Price: without a list of machines, a shard most of whose former workers are lost for good waits for them; before, later workers ended that wait without ground.

--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -5,7 +5,7 @@
     crate::{
         shard::{
             state_machine::Shard,
-            workers::{CLOCK_MARGIN, MIN_CLOCK_RATE, Worker, millis},
+            workers::{CLOCK_MARGIN, MIN_CLOCK_RATE, WorkerNo, millis},
         },
         time::Time,
         work::JobNo,
@@ -29,22 +29,28 @@
     /// owner may grant none.
     ///
     /// Guards against an owner that is cut off from the store and continues beside its successor.
-    /// While the store does not answer, an owner needs replies from more than half of its workers.
-    /// A successor needs the same before it treats leases of others as expired, so at least one
-    /// worker has seen both owners and rejects the older one. The owner's leases are counted from
-    /// the time at which more than half of its workers had replied. No successor can have heard
-    /// from more than half of them earlier, so a successor need not wait longer than the length of
-    /// one lease.
+    /// While the store does not answer, an owner needs replies from more than half of the stored
+    /// roster's workers. A successor needs the same, of the roster that it has read, before it
+    /// treats leases of others as expired, so at least one worker has seen both owners and rejects
+    /// the older one. Which workers are listed does not matter: the two owners may have read
+    /// different lists. The owner's leases are counted from the time at which more than half of
+    /// these workers had replied. No successor can have heard from more than half of them earlier,
+    /// so a successor need not wait longer than the length of one lease.
     pub(super) fn lease_start(&self, now: Time) -> Option<Time> {
         if self.is_confirmed(now) {
             return Some(now);
         }
-        let listed = self.workers.iter().filter(|w| w.list_entry.is_some() && !w.gone);
-        let mut reply_times: Vec<Option<Time>> = listed.map(|w| w.last_answer).collect();
+        let heard = self.rosters.iter().map(|r| self.majority_reply(r)).min()?;
+        heard.filter(|at| now - *at <= REPLY_VALID)
+    }
+
+    /// Returns the latest time such that more than half of a roster's workers have replied at or
+    /// after it; `None` if fewer have replied.
+    fn majority_reply(&self, roster: &[WorkerNo]) -> Option<Time> {
+        let mut reply_times: Vec<Option<Time>> =
+            roster.iter().map(|n| self.workers[n.0].last_answer).collect();
         reply_times.sort_unstable();
-        // More than half of the workers have replied at or after the time at this index.
-        let majority = reply_times.len().checked_sub(1)? / 2;
-        reply_times[majority].filter(|at| now - *at <= REPLY_VALID)
+        reply_times[reply_times.len().checked_sub(1)? / 2]
     }
 
     /// Returns whether the store has confirmed this member's lease recently enough that it cannot
@@ -81,16 +87,16 @@
     ///
     /// Guards against a second run of a task that still runs at an unreachable worker: no job from
     /// before the takeover starts until every worker that may run something has replied, or until
-    /// all leases of former owners have expired. Once more than half of the workers have replied to
-    /// this owner, no former owner can grant a lease that counts from a later time.
+    /// all leases of former owners have expired. Once more than half of the former roster's workers
+    /// have replied to this owner, no former owner can grant a lease that counts from a later time.
     pub(super) fn settle(&mut self, now: Time) {
         if self.unsettled_workers.is_empty() {
             return;
         }
-        let fenced = |w: &Worker| w.fenced || w.gone;
-        let rostered = || self.workers.iter().filter(|w| w.rostered);
-        let majority = rostered().filter(|w| fenced(w)).count() * 2 > rostered().count();
-        if majority && self.majority_at.is_none() {
+        let workers = &self.workers;
+        let fenced = |n: &WorkerNo| workers[n.0].fenced || workers[n.0].gone;
+        let most = |r: &[WorkerNo]| r.iter().filter(|n| fenced(n)).count() * 2 > r.len();
+        if self.majority_at.is_none() && self.rosters.iter().all(|r| most(r)) {
             self.majority_at = Some(now);
         }
         let lease = self.setup.bounds.max_lease.div_f64(MIN_CLOCK_RATE) + CLOCK_MARGIN;
@@ -101,8 +107,7 @@
         let since = self.majority_at.map(|t| t.max(former_until));
         // A successor of this owner may have renewed the leases since.
         let lapsed = since.is_some_and(|t| t + lease <= now) && self.is_confirmed(now);
-        let workers = &self.workers;
-        self.unsettled_workers.retain(|n| !lapsed && !fenced(&workers[n.0]));
+        self.unsettled_workers.retain(|n| !lapsed && !fenced(n));
         if self.unsettled_workers.is_empty() {
             self.reported.settled_at = Some(now);
             log::info!(target: "shard", did = "settled", shard:% = self.setup.shard, token = self.setup.token, after_ms = millis(now - self.owned_since), by_lapse = lapsed; "Shard is settled.");
--- a/src/shard/in_flight.rs
+++ b/src/shard/in_flight.rs
@@ -15,5 +15,5 @@
     /// which that was permitted.
     pub purged: Vec<(u64, JobNo)>,
     /// The workers of the roster, if the write contains it.
-    pub roster: Option<Vec<WorkerNo>>,
+    pub roster: Option<Box<[WorkerNo]>>,
 }
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -108,6 +108,9 @@
     pub(super) dirty_jobs: VecDeque<JobNo>,
     /// Whether the roster has to be written.
     pub(super) roster_dirty: bool,
+    /// The rosters of which the store has one: the last that is known to be stored, and those
+    /// written since whose outcome is unknown.
+    pub(super) rosters: Vec<Box<[WorkerNo]>>,
     /// The contents of the write in progress.
     pub(super) in_flight: InFlight,
     /// The time at which the last confirmed lease renewal was sent.
@@ -161,6 +164,7 @@
             last_change: 0,
             dirty_jobs: VecDeque::new(),
             roster_dirty: false,
+            rosters: vec![],
             in_flight: InFlight::default(),
             // The store may not have confirmed the lease since the shard was taken over.
             confirmed_at: Time::ZERO,
@@ -179,11 +183,14 @@
     }
 
     fn load(&mut self, load: Snapshot, now: Time) {
+        let mut roster = vec![];
         for (id, addr) in load.roster.workers {
             let no = self.worker_no(&id, addr, now);
             self.workers[no.0].rostered = true;
             self.unsettled_workers.insert(no);
+            roster.push(no);
         }
+        self.rosters = vec![roster.into()];
         let progress: FxHashMap<JobNo, Progress> = load.progress.into_iter().collect();
         for (no, p) in &progress {
             if p.state.is_final() {
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -28,7 +28,7 @@
     /// the shard call the workers again.
     pub(super) fn flush(&mut self, now: Time) {
         let over = |no: &JobNo| self.jobs.get(no).is_some_and(|j| j.state.is_final());
-        let urgent = self.roster_dirty || self.dirty_jobs.iter().any(over);
+        let urgent = self.is_roster_due() || self.dirty_jobs.iter().any(over);
         self.begin_write(urgent, now);
     }
 
@@ -37,7 +37,7 @@
     pub(super) fn begin_write(&mut self, urgent: bool, now: Time) {
         let unix = self.unix_ms(now);
         let purge = self.purge_queue.front().is_some_and(|(at, _)| *at <= unix);
-        if self.dirty_jobs.is_empty() && !self.roster_dirty && !purge {
+        if self.dirty_jobs.is_empty() && !self.is_roster_due() && !purge {
             // The end of a run whose job is already stored triggers no write that would acknowledge
             // it.
             return self.acknowledge_ends(now);
@@ -52,7 +52,8 @@
         txn.expected_revs.push((shard.commit_key(), rev));
         txn.puts.push(Put { key: shard.commit_key(), value: encode(&row), lease: 0 });
         let mut flight = InFlight::default();
-        if mem::take(&mut self.roster_dirty) {
+        if self.is_roster_due() {
+            self.roster_dirty = false;
             flight.roster = Some(self.write_roster(&mut txn));
         }
         self.write_jobs(&mut txn, &mut flight, unix);
@@ -71,8 +72,16 @@
         self.orders.push(Order::Store(number, txn));
     }
 
-    fn write_roster(&mut self, txn: &mut Txn) -> Vec<WorkerNo> {
-        let all: Vec<_> = (0..self.workers.len())
+    /// Returns whether the roster has to be written now.
+    ///
+    /// The former owner's roster stays until most of its workers have answered. The next owner has
+    /// to hear from most of the same workers, as the former owner may still act with most of them.
+    fn is_roster_due(&self) -> bool {
+        self.roster_dirty && (self.unsettled_workers.is_empty() || self.majority_at.is_some())
+    }
+
+    fn write_roster(&mut self, txn: &mut Txn) -> Box<[WorkerNo]> {
+        let all: Box<[_]> = (0..self.workers.len())
             .map(WorkerNo)
             .filter(|n| self.workers[n.0].needs_roster())
             .collect();
@@ -83,6 +92,9 @@
         for (n, w) in self.workers.iter_mut().enumerate() {
             w.rostered &= all.binary_search(&WorkerNo(n)).is_ok();
         }
+        if !self.rosters.contains(&all) {
+            self.rosters.push(all.clone());
+        }
         all
     }
 
@@ -117,8 +129,9 @@
             self.finished_jobs.remove(&no);
             self.early_cancels.remove(&no);
         }
-        for no in flight.roster.into_iter().flatten() {
-            self.workers[no.0].rostered = true;
+        if let Some(roster) = flight.roster {
+            roster.iter().for_each(|n| self.workers[n.0].rostered = true);
+            self.rosters = vec![roster];
             self.round_due = true;
         }
         self.acknowledge_ends(now);
--- a/tests/shard_cut_off.rs
+++ b/tests/shard_cut_off.rs
@@ -11,7 +11,7 @@
     },
     hand::{
         Harness, job, step,
-        worker::{NORMAL, SILENT},
+        worker::{NORMAL, SILENT, Worker},
     },
     std::time::Duration,
 };
@@ -78,6 +78,43 @@
     );
 }
 
+#[test]
+fn workers_that_the_list_lacks_count_as_unheard() {
+    // The store was down for a while, and its list has got only one of five workers back when the
+    // owner and that worker are cut off from it and from the others. Guards against an owner that
+    // takes the one worker for a majority: it renewed that worker's lease for ever, and its
+    // successor, which hears from the other four, started the worker's tasks elsewhere.
+    let mut harness = Harness::new(5);
+    harness.submit(1, "plain", job(step(5, 3)));
+    harness.run(500);
+    harness.workers[1..].iter_mut().for_each(|w| (w.listed, w.hook) = (false, SILENT));
+    harness.deliver_list();
+    (harness.lease_confirmed, harness.store_up) = (false, false);
+    harness.run(4_000);
+    harness.call_log.clear();
+    harness.run(3_000);
+    assert_eq!((harness.starts().len(), lease_count(&harness)), (0, 0));
+}
+
+#[test]
+fn workers_of_no_stored_roster_make_no_majority() {
+    // Four workers join an owner with three just as it loses the store, two of the three and thus
+    // the write of its roster. Guards against counting the four: a successor knows only the three,
+    // and two of them are a majority for it.
+    let mut harness = Harness::new(3);
+    harness.submit(1, "plain", job(step(3, 3)));
+    harness.run(500);
+    (harness.lease_confirmed, harness.store_up) = (false, false);
+    harness.workers[1..].iter_mut().for_each(|w| w.hook = SILENT);
+    harness.workers.extend((3..7).map(Worker::new));
+    harness.deliver_list();
+    harness.run(4_000);
+    harness.call_log.clear();
+    harness.run(3_000);
+    let leases: usize = (0..7).map(|w| harness.leases(w).len()).sum();
+    assert_eq!((harness.starts().len(), leases), (0, 0));
+}
+
 #[test]
 fn owner_that_hears_from_most_workers_starts_no_new_job() {
     // A job that arrives while the store doesn't answer this owner may have arrived after a
--- a/tests/shard_parted.rs
+++ b/tests/shard_parted.rs
@@ -2,7 +2,10 @@
 
 mod yard;
 
-use yard::{ShardSim, job, step};
+use {
+    std::time::Duration,
+    yard::{ShardSim, job, step},
+};
 
 /// A site whose first owner is cut off from the store and hears from three of its five workers. A
 /// second owner takes over three seconds later and hears from the other two.
@@ -35,3 +38,29 @@
         yard.run_until_settled(120_000);
     }
 }
+
+#[test]
+fn a_former_owner_and_its_successor_do_not_both_hear_from_most_workers() {
+    // As above, and four workers start beside the second owner. It counted six of nine workers, and
+    // a lease later it started the tasks of the other three again, whose leases the first owner, with
+    // three of five, went on renewing.
+    for seed in 1..6 {
+        let mut yard = ShardSim::new(seed, 9);
+        for at in 5..9 {
+            yard.fault(500, move |y| y.crash_worker(at, Duration::from_secs(10)));
+        }
+        yard.at(5_000, |y| y.submit(1, "open", job([step(3, 40_000)])));
+        yard.at(5_500, |y| y.submit(2, "plain", job([step(3, 40_000)])));
+        yard.fault(7_000, |y| {
+            y.cut_store(0);
+            y.cut_workers(0, 3..9);
+        });
+        yard.fault(10_000, |y| {
+            y.take_over();
+            y.cut_workers(1, 0..3);
+        });
+        yard.run_until(35_000);
+        yard.fault(35_001, |y| y.owners[1].unreached.clear());
+        yard.run_until_settled(150_000);
+    }
+}
--- a/tests/shard_takeover.rs
+++ b/tests/shard_takeover.rs
@@ -6,7 +6,7 @@
     dogwoodreach::ports::{EndReason, PresentRun, WorkerCall, WorkerReply as Reply},
     hand::{
         Harness, job, step, task,
-        worker::{Hook, NORMAL, SILENT},
+        worker::{Hook, NORMAL, SILENT, Worker},
     },
 };
 
@@ -89,3 +89,24 @@
     hand.lease_confirmed = true;
     hand.run_until("the task's start", 1_000, |h| h.starts_of(1).len() == 1);
 }
+
+#[test]
+fn new_workers_do_not_show_that_a_former_owner_has_stopped() {
+    // A partition: the former owner is cut off from the store and reaches three of its five
+    // workers, so it goes on renewing their leases. The new owner reaches the other two and four
+    // workers that have come since. Guards against counting these as a majority: after the length
+    // of a lease the tasks of the three would run a second time.
+    let mut hand = Harness::new(5);
+    hand.submit(1, "plain", job(step(5, 3)));
+    hand.run(500);
+    hand.workers[..3].iter_mut().for_each(|w| w.hook = SILENT);
+    hand.workers.extend((5..9).map(Worker::new));
+    hand.call_log.clear();
+    hand.take_over();
+    hand.run(30_000);
+    assert_eq!(hand.starts_of(1), [], "started while the former owner may renew their leases");
+    hand.workers[0].hook = NORMAL;
+    hand.submit(2, "plain", job(step(1, 3)));
+    hand.run_until("a start on a new worker", 1_000, |h| h.starts_of(2).len() == 1);
+    hand.run_until("the tasks of the others", 30_000, |h| h.starts_of(1).len() == 2);
+}
