Shards: a cancelled job is kept from its end, not from the notice of its cancel

What callers would see. 410 for a cancelled job although its state is still promised.

A cancel without its job is put down for removal at the time of the notice. When the job's record comes, the job's end adds a second entry, and the first removes the progress earlier, by the time between the two beyond the margin of 10 s.

Evidence. tests/shard_cancel_first.rs, the record 20 s after the notice: on red after the retention (left None, right Some(Cancelled)), green now.

--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -34,6 +34,8 @@
         self.jobs.insert(no, active);
         self.log_known(no, now);
         if self.early_cancels.remove(&no) {
+            // The job's progress is kept from the job's end, not from its cancel.
+            self.purge_queue.retain(|(_, n)| *n != no);
             return self.end_job(no, JobState::Cancelled, now);
         }
         self.create_due_steps(no, now);
