--- a/tests/site_states.rs
+++ b/tests/site_states.rs
@@ -94,7 +94,8 @@
 }
 
 /// Asks a member for the state of job `job`, as another member does whose table names it as the
-/// owner of shard 0. Returns the report; null if it gives none.
+/// owner of shard 0. Members of an earlier version add `sure`, which must not matter. Returns the
+/// report; null if it gives none.
 async fn ask_state(member: &TestMember, job: &str) -> Value {
     let row = |key: &str| -> Value {
         let (value, ..) = member.store.get(key).expect("a row");
