Reports: an end is the store's to tell once a write of it has begun, not once it is decided

Until a write of the job's end has begun, the store can't have the end, and what the owner says is true.

--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -157,6 +157,8 @@
     pub changed_seq: u64,
     /// The sequence number of the last change that is stored, or being written.
     pub stored_seq: u64,
+    /// Whether a write of the job's end has begun, whatever its outcome.
+    pub end_sent: bool,
 }
 
 impl ActiveJob {
@@ -181,6 +183,7 @@
             start_counted: false,
             changed_seq: 0,
             stored_seq: 0,
+            end_sent: false,
         };
         for row in progress.map_or(&[][..], |p| &p.tasks) {
             let TaskRow(time, step, index, run, ref fails, done, ref saved) = *row;
--- a/src/shard/report.rs
+++ b/src/shard/report.rs
@@ -2,8 +2,8 @@
 //!
 //! An owner learns late that another member has taken its shard over, and that its own write of a
 //! job's end has taken effect. Meanwhile others may have read newer states from the store. So an
-//! owner vouches for a state that is not final only if its lease is certain and it has not decided
-//! the job's end, whoever asks. A state that is final is reported once it is stored.
+//! owner vouches for a state that is not final only if its lease is certain and it has not begun to
+//! write the job's end, whoever asks. A state that is final is reported once it is stored.
 
 use {
     crate::{
@@ -61,14 +61,12 @@
             return Some(JobReport::Current(*end));
         }
         let job = self.jobs.get(&no)?;
-        if job.state.is_final() {
-            // The write of the end may have taken effect, even if its reply says otherwise or is
-            // lost; if it has not, a power failure would make the job go on.
-            return Some(JobReport::AtLeast(job.prior_state));
-        }
-        Some(match self.may_report(now) {
-            true => JobReport::Current(job.state),
-            false => JobReport::AtLeast(job.state),
+        // Until its end is stored, a power failure would make the job go on.
+        let state = if job.state.is_final() { job.prior_state } else { job.state };
+        // A write of the end may have taken effect, even if its reply says otherwise or is lost.
+        Some(match self.may_report(now) && !job.end_sent {
+            true => JobReport::Current(state),
+            false => JobReport::AtLeast(state),
         })
     }
 }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -106,6 +106,7 @@
             let over = job.state.is_final();
             let progress = job.progress(if over { unix } else { 0 });
             job.stored_seq = job.changed_seq;
+            job.end_sent |= over;
             let value = encode(&progress);
             txn.puts.push(Put { key: shard.progress_key(no), value, lease: 0 });
             if over {
