Watch of the configuration: a suspension does not count as waiting

Found in the read-through of the whole change, by reading; nothing here can be suspended, so no test shows it. Without a suspension both clocks advance alike, so nothing else changes.

--- a/src/prefix_watch.rs
+++ b/src/prefix_watch.rs
@@ -193,7 +193,8 @@
                 return Some(WatchUpdate::Snapshot(items, rev));
             }
         }
-        let sent = boot_time();
+        // A suspended machine has not waited.
+        let (sent, begin) = (boot_time(), Instant::now());
         let wait = if mem::take(&mut self.skip_wait) { Duration::ZERO } else { self.max_wait };
         let call = StoreCall::Watch { prefix: self.prefix.clone(), after, wait };
         match self.services.call_store(&call, wait + WATCH_MARGIN).await {
@@ -201,7 +202,7 @@
                 self.after_rev = Some(rev.max(after));
                 // An empty reply at the end of the wait shows that nothing has changed meanwhile.
                 let waited = wait.mul_f64(FULL_WAIT_FRACTION);
-                let full = items.is_empty() && boot_time() - sent >= waited;
+                let full = items.is_empty() && begin.elapsed() >= waited;
                 self.complete_at = Some(if full { sent + waited } else { sent });
                 if !items.is_empty() {
                     self.backoff.reset();
@@ -209,7 +210,7 @@
                     self.skip_wait = self.rechecks_changes;
                     return Some(WatchUpdate::Changes(items, rev));
                 }
-                if boot_time() - sent < wait / 4 {
+                if begin.elapsed() < wait / 4 {
                     // Without a pause, watches that are cut short would be repeated in a busy loop.
                     self.backoff.wait().await;
                 }
