--- a/src/http.rs
+++ b/src/http.rs
@@ -153,7 +153,8 @@
 /// Why a call returned no complete response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
-    /// The connection could not be opened, or was closed before: nothing was sent.
+    /// The connection could not be opened, or was closed before the request was written: nothing
+    /// was sent.
     Unsent,
     /// The connection broke, or the response was truncated.
     Broken,
--- a/src/job_api/queries.rs
+++ b/src/job_api/queries.rs
@@ -30,8 +30,8 @@
 impl JobApi {
     /// Returns the state of a job, as the body of the answer.
     ///
-    /// The owner's report is final if it is current; otherwise the store is read. Returns an error at
-    /// once if the budget of these reads is used up (see [`ReadBudget`]).
+    /// If the owner does not vouch for a state, the store is read. Returns an error at once if the
+    /// budget of these reads is used up (see [`ReadBudget`]).
     pub(super) async fn job_state(
         &self,
         request: &CallerRequest,
