--- a/src/lib.rs
+++ b/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod requests;
 mod rpc;
 mod table_sync;
+pub mod table_view;
 pub mod vm_cache;
 #[rustfmt::skip]
 #[allow(missing_docs, dead_code, clippy::all, clippy::unwrap_used)] // generated
--- a/src/member_rpc.rs
+++ b/src/member_rpc.rs
@@ -31,7 +31,7 @@
         RpcModule, core::client::ClientT, http_client::HttpClient, types::ErrorObjectOwned,
     },
     rustc_hash::FxHashMap,
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde::{Serialize, de::DeserializeOwned},
     std::{
         io,
         net::{SocketAddr, TcpListener},
@@ -41,90 +41,17 @@
     tokio::{sync::oneshot, time::timeout},
 };
 
+mod messages;
+
+use messages::{
+    AdviseReply, AdviseRequest, HeldRequest, JobNotice, QueueLengthRequest, StatesRequest,
+};
+
 /// Upper bound of the time limit of any call; each call also has a limit of its own.
 const MAX_TIMEOUT: Duration = Duration::from_secs(30);
 /// Error code for invalid parameters, from the range that JSON-RPC reserves for applications.
 const BAD_PARAMS: i32 = -32000;
 
-/// An advice call that one member asks another to make.
-#[derive(Debug, Serialize, Deserialize)]
-struct AdviseRequest {
-    job: Box<str>,
-    time: u32,
-    step: u16,
-    workers: Vec<WorkerId>,
-    limit_ms: u64,
-    /// Expected duration of the advice call, in milliseconds; members of an earlier version don't
-    /// send it.
-    #[serde(default)]
-    takes_ms: u64,
-}
-
-/// The result of an advice call, from the member that made it.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum AdviseReply {
-    Told { good: Vec<(WorkerId, Box<str>)>, valid_ms: Option<u64> },
-    Refused,
-    Unsent,
-    Unknown,
-    Bad(Box<str>),
-}
-
-/// A request for the states of jobs.
-#[derive(Debug, Serialize, Deserialize)]
-struct StatesRequest {
-    jobs: Box<[(ShardNo, Box<str>)]>,
-}
-
-/// Notice of a stored job, or of a job's cancellation if `record` is absent.
-#[derive(Debug, Serialize, Deserialize)]
-struct JobNotice {
-    shard: ShardNo,
-    job: Box<str>,
-    record: Option<JobRecord>,
-}
-
-/// A request for the number of jobs of a queue that have not begun.
-#[derive(Debug, Serialize, Deserialize)]
-struct QueueLengthRequest {
-    queue: Box<str>,
-    shards: Box<[ShardNo]>,
-}
-
-/// A request for the tasks that workers hold.
-#[derive(Debug, Serialize, Deserialize)]
-struct HeldRequest {
-    workers: Box<[WorkerId]>,
-    shards: Box<[ShardNo]>,
-}
-
-impl From<Result<Advice, Fault>> for AdviseReply {
-    fn from(reply: Result<Advice, Fault>) -> Self {
-        match reply {
-            Ok(a) => AdviseReply::Told { good: a.accepted, valid_ms: a.validity.map(millis) },
-            Err(Fault::Refused | Fault::TooLarge) => AdviseReply::Refused,
-            Err(Fault::Unsent) => AdviseReply::Unsent,
-            Err(Fault::Unknown) => AdviseReply::Unknown,
-            Err(Fault::Bad(why)) => AdviseReply::Bad(why),
-        }
-    }
-}
-
-impl From<AdviseReply> for Result<Advice, Fault> {
-    fn from(answer: AdviseReply) -> Self {
-        match answer {
-            AdviseReply::Told { good, valid_ms } => {
-                Ok(Advice { accepted: good, validity: valid_ms.map(Duration::from_millis) })
-            }
-            AdviseReply::Refused => Err(Fault::Refused),
-            AdviseReply::Unsent => Err(Fault::Unsent),
-            AdviseReply::Unknown => Err(Fault::Unknown),
-            AdviseReply::Bad(why) => Err(Fault::Bad(why)),
-        }
-    }
-}
-
 /// Service clients for one thread; other members relay calls that the store doesn't serve here.
 pub(crate) fn relaying_clients(common: &Arc<SharedState>, peers: &PeerClients) -> ServiceClients {
     let peers = peers.clone();
