Calls between members: the clients become a file of their own; links of the stand-ins a library

rpc_clients.rs holds one client for each address, and says of a failed call whether it ran into its limit. The forwarder with faults (standin link) can be used by tests.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -87,6 +87,7 @@
 mod relay;
 pub mod requests;
 mod rpc;
+pub mod rpc_clients;
 mod table_sync;
 pub mod table_view;
 pub mod vm_cache;
--- a/src/member_rpc.rs
+++ b/src/member_rpc.rs
@@ -14,6 +14,7 @@
         ports::{Advice, AdviceCall, Fault, WireRequest},
         relay::{self, RelayReply, RelayRequest, RelayedCall, Relayer},
         rpc,
+        rpc_clients::RpcClients,
         service_clients::ServiceClients,
         shard::{
             Occupancy, PoolWait,
@@ -27,18 +28,15 @@
         work::{JobNo, StepKey},
     },
     async_channel::Sender,
-    jsonrpsee::{
-        RpcModule, core::client::ClientT, http_client::HttpClient, types::ErrorObjectOwned,
-    },
-    rustc_hash::FxHashMap,
+    jsonrpsee::{RpcModule, types::ErrorObjectOwned},
     serde::{Serialize, de::DeserializeOwned},
     std::{
         io,
         net::{SocketAddr, TcpListener},
-        sync::{Arc, Mutex},
+        sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::oneshot, time::timeout},
+    tokio::sync::oneshot,
 };
 
 mod messages;
@@ -47,7 +45,7 @@
     AdviseReply, AdviseRequest, HeldRequest, JobNotice, QueueLengthRequest, StatesRequest,
 };
 
-/// Upper bound of the time limit of any call; each call also has a limit of its own.
+/// Upper bound of the time limits that other members ask for.
 const MAX_TIMEOUT: Duration = Duration::from_secs(30);
 /// Error code for invalid parameters, from the range that JSON-RPC reserves for applications.
 const BAD_PARAMS: i32 = -32000;
@@ -267,7 +265,7 @@
 #[derive(Clone)]
 pub(crate) struct PeerClients {
     common: Arc<SharedState>,
-    clients: Arc<Mutex<FxHashMap<SocketAddr, HttpClient>>>,
+    clients: Arc<RpcClients>,
 }
 
 impl PeerClients {
@@ -397,9 +395,6 @@
     }
 
     /// Calls a member; `None` if the call fails.
-    ///
-    /// A client whose call failed or timed out is dropped with its connections: one of them may be
-    /// unresponsive for good, and the next call would wait on it again.
     async fn call<A: Serialize, R: DeserializeOwned>(
         &self,
         addr: SocketAddr,
@@ -407,34 +402,10 @@
         request: &A,
         limit: Duration,
     ) -> Option<R> {
-        let client = self.client(addr)?;
-        let request = serde_json::value::to_raw_value(request).ok()?;
-        let answer = timeout(limit, client.request(name, [request])).await;
-        let outcome = match &answer {
-            Ok(Ok(_)) => "done",
-            Ok(Err(_)) => "failed",
-            Err(_) => "timeout",
-        };
-        self.common.metrics.count_call(name, outcome);
-        if !matches!(answer, Ok(Ok(_))) {
-            self.clients.lock().expect("no holder panics").remove(&addr);
-        }
-        answer.ok()?.ok()
-    }
-
-    fn client(&self, addr: SocketAddr) -> Option<HttpClient> {
-        let mut clients = self.clients.lock().expect("no holder panics");
-        if let Some(known) = clients.get(&addr) {
-            return Some(known.clone());
-        }
-        let view = self.common.view.borrow();
-        let secret = &view.layout.as_ref()?.secret;
-        let new = rpc::client(addr, secret, MAX_TIMEOUT).ok()?;
-        // Bounds the clients of addresses that are no longer used; those in use are created again.
-        if clients.len() > 1024 {
-            clients.clear();
-        }
-        clients.insert(addr, new.clone());
-        Some(new)
+        let secret = self.common.view.borrow().layout.as_ref()?.secret.clone();
+        let answer = self.clients.call(addr, &secret, name, request, limit).await;
+        let outcome = answer.as_ref().map_or_else(ToString::to_string, |_| "done".into());
+        self.common.metrics.count_call(name, &outcome);
+        answer.ok()
     }
 }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,4 +1,6 @@
-//! The simulated environment of a member as state machines, and the judge of their events. For
-//! tests and measurements only; not shipped.
+//! The simulated environment of a member as state machines, the judge of their events, and network
+//! links with faults. For tests and measurements only; not shipped.
 
+pub mod link;
 pub mod site;
+pub mod web;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -4,13 +4,11 @@
 mod experiment;
 mod fleet;
 mod kv;
-mod link;
 mod load;
 mod measure_order;
 mod measure_place;
 mod soak;
 mod vms;
-mod web;
 mod worker;
 
 use {
@@ -24,6 +22,7 @@
     },
     hyper::http::request::Parts,
     lexopt::prelude::*,
+    standin::{link, web},
     std::{
         error,
         future::Future,
