Calls between members: silent connections are found out once, not once for each member

Cause: the JSON-RPC clients of other members had no keepalive probes and no time-out for opening a connection, and a call without an answer dropped the client of its own address only. After one event that silences the connections to all members, each call for advice waits for its limit (2.3 to 3.3 s) at one member after the other, as a lane that lost a call is suspended and the next member is chosen; a member without power costs one such call each time a connection is opened to it. Class: what is lost at once is found out one by one. The clients of the store, the workers and the advice service (src/http.rs) had the probes and time-outs already; the older path's peers get them with this, as they use the same client.

Now: probes and time-outs as in src/http.rs; a call without an answer also drops the clients that have had no answer since it was sent (those of busy members stay), once a second at the most.

--- a/src/http.rs
+++ b/src/http.rs
@@ -71,13 +71,15 @@
 /// below that.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// How long a connection may take to open; the other end is within reach of one availability zone.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The interval between TCP keepalive probes; a connection is closed after three unanswered ones.
 ///
 /// A call that waits for its response sends no traffic. Without probes, a call whose connection a
 /// middlebox has dropped would fail only at its deadline.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+pub(crate) const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// The number of keepalive probes after the first one.
+pub(crate) const PROBE_RETRIES: u32 = 2;
 
 /// How long a connection stays open after its header time-out, to read what has arrived already.
 ///
@@ -306,9 +308,9 @@
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_keepalive(Some(PROBE_INTERVAL));
     connector.set_keepalive_interval(Some(PROBE_INTERVAL));
-    connector.set_keepalive_retries(Some(2));
+    connector.set_keepalive_retries(Some(PROBE_RETRIES));
     #[cfg(target_os = "linux")]
-    connector.set_tcp_user_timeout(Some(3 * PROBE_INTERVAL));
+    connector.set_tcp_user_timeout(Some((1 + PROBE_RETRIES) * PROBE_INTERVAL));
     Pool::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_timer(TokioTimer::new())
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -1,7 +1,10 @@
 //! JSON-RPC for peers and operators: a client, and a server that admits only calls with the secret.
 
 use {
-    crate::{gate::Gate, http::SECRET},
+    crate::{
+        gate::Gate,
+        http::{CONNECT_TIMEOUT, PROBE_INTERVAL, PROBE_RETRIES, SECRET},
+    },
     jsonrpsee::{
         RpcModule,
         http_client::{HeaderMap, HeaderValue, HttpClient, HttpClientBuilder},
@@ -40,13 +43,18 @@
     Ok(builder.build_from_tcp(listener)?.start(module))
 }
 
-/// Creates a client of the server at `addr`.
+/// Creates a client of the server at `addr`. It closes a connection on which keepalive probes are not
+/// answered, as the clients of [`http`](crate::http) do.
 pub fn client(addr: SocketAddr, secret: &str, limit: Duration) -> Result<HttpClient, Failure> {
     let mut headers = HeaderMap::new();
     headers.insert(SECRET, HeaderValue::from_str(secret)?);
     let builder = HttpClientBuilder::default()
         .set_headers(headers)
         .request_timeout(limit)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .set_keep_alive(Some(PROBE_INTERVAL))
+        .set_keep_alive_interval(Some(PROBE_INTERVAL))
+        .set_keep_alive_retries(Some(PROBE_RETRIES))
         .max_request_size(MESSAGE_MAX)
         .max_response_size(MESSAGE_MAX);
     Ok(builder.build(format!("http://{addr}"))?)
--- a/src/rpc_clients.rs
+++ b/src/rpc_clients.rs
@@ -8,8 +8,8 @@
     serde::{Serialize, de::DeserializeOwned},
     std::{
         net::SocketAddr,
-        sync::{Mutex, PoisonError},
-        time::Duration,
+        sync::{Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
     },
     tokio::time::timeout,
 };
@@ -20,6 +20,11 @@
 /// no longer used; those in use are created again.
 const MAX_CLIENTS: usize = 1024;
 
+/// The minimum interval between two calls without an answer after which the clients of other
+/// addresses are dropped too. A member that is overloaded leaves many calls unanswered, and each
+/// would otherwise close connections that are in order.
+const DROP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Why a call returned no result.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum CallFailure {
@@ -34,14 +39,30 @@
 /// The clients of other members.
 #[derive(Default)]
 pub struct RpcClients {
-    by_addr: Mutex<FxHashMap<SocketAddr, HttpClient>>,
+    clients: Mutex<Clients>,
+}
+
+#[derive(Default)]
+struct Clients {
+    by_addr: FxHashMap<SocketAddr, PeerClient>,
+    /// When the clients of all addresses were last checked after a call without an answer.
+    checked_at: Option<Instant>,
+}
+
+struct PeerClient {
+    client: HttpClient,
+    /// When the client was created or last received an answer.
+    answered_at: Instant,
 }
 
 impl RpcClients {
     /// Calls a method of the member at `addr` and waits for the answer within `limit`.
     ///
     /// A client whose call failed is dropped with its connections: one of them may be silent for
-    /// good, and the next call would wait on it again.
+    /// good, and the next call would wait on it again. A middlebox that loses its state silences
+    /// the connections to all members at once, so a call without an answer also drops the clients
+    /// that have received none since that call was sent. Otherwise a call that is tried again would
+    /// wait for its limit at one member after the other.
     ///
     /// # Errors
     ///
@@ -56,26 +77,47 @@
     ) -> Result<R, CallFailure> {
         let client = self.client(addr, secret)?;
         let request = serde_json::value::to_raw_value(request).map_err(|_| CallFailure::Failed)?;
+        let sent = Instant::now();
         let answer = match timeout(limit, client.request(method, [request])).await {
             Ok(answer) => answer.map_err(|_| CallFailure::Failed),
             Err(_) => Err(CallFailure::Timeout),
         };
-        if answer.is_err() {
-            self.by_addr.lock().unwrap_or_else(PoisonError::into_inner).remove(&addr);
-        }
+        self.record(addr, sent, answer.as_ref().err());
         answer
     }
 
+    /// Records the outcome of the call sent to `addr` at `sent`.
+    fn record(&self, addr: SocketAddr, sent: Instant, failure: Option<&CallFailure>) {
+        let (mut clients, now) = (self.lock(), Instant::now());
+        let Some(failure) = failure else {
+            if let Some(known) = clients.by_addr.get_mut(&addr) {
+                known.answered_at = now;
+            }
+            return;
+        };
+        clients.by_addr.remove(&addr);
+        let due = clients.checked_at.is_none_or(|at| at + DROP_INTERVAL <= now);
+        if *failure == CallFailure::Timeout && due {
+            clients.checked_at = Some(now);
+            clients.by_addr.retain(|_, c| c.answered_at > sent);
+        }
+    }
+
     fn client(&self, addr: SocketAddr, secret: &str) -> Result<HttpClient, CallFailure> {
-        let mut clients = self.by_addr.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(known) = clients.get(&addr) {
-            return Ok(known.clone());
+        let mut clients = self.lock();
+        if let Some(known) = clients.by_addr.get(&addr) {
+            return Ok(known.client.clone());
         }
-        let new = rpc::client(addr, secret, MAX_TIMEOUT).map_err(|_| CallFailure::Failed)?;
-        if clients.len() >= MAX_CLIENTS {
-            clients.clear();
+        let client = rpc::client(addr, secret, MAX_TIMEOUT).map_err(|_| CallFailure::Failed)?;
+        if clients.by_addr.len() >= MAX_CLIENTS {
+            clients.by_addr.clear();
         }
-        clients.insert(addr, new.clone());
-        Ok(new)
+        let answered_at = Instant::now();
+        clients.by_addr.insert(addr, PeerClient { client: client.clone(), answered_at });
+        Ok(client)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Clients> {
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
