Workers that start again under their id: their former runs and counts end with the restart

Cause: an owner went on with the former counts, so it acknowledged ends that it had never seen: a task that ended in the new life was taken for lost and started again, also after 'done'. Now: a report with a later start time resets what is known of the worker: runs that the former life held are lost (and count as a crash as those of a worker that is over), a run that was never seen is kept, as its start may reach the new life, which knows nothing of a stop; lease, clock, health, ends and advice begin anew; a report of the former life is ignored. A start that was given up and carried out late by the new life may still be a second run.

--- a/src/ports/worker.rs
+++ b/src/ports/worker.rs
@@ -104,6 +104,9 @@
 pub struct Held {
     /// Clock of the worker, in milliseconds.
     pub clock_ms: u64,
+    /// When the worker's process started, in milliseconds of the Unix clock; `None` if the worker
+    /// doesn't report it.
+    pub born_ms: Option<u64>,
     /// The runs that are present.
     pub running: Vec<PresentRun>,
     /// The ended runs that the owner has not yet confirmed as stored.
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -29,6 +29,7 @@
 mod replies;
 pub mod report;
 mod reservation;
+mod restart;
 mod round;
 mod run_end;
 mod speculation;
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -37,6 +37,14 @@
         if worker.gone {
             return;
         }
+        if let Ok(WorkerReply::Held(held)) = &reply
+            && self.observe_restart(no, held, now)
+        {
+            let worker = &mut self.workers[no.0];
+            (worker.hold_sent, worker.next_hold) = (None, now);
+            return;
+        }
+        let worker = &mut self.workers[no.0];
         match &reply {
             Ok(WorkerReply::Other) => return self.end_worker(no, now),
             Ok(WorkerReply::Refused(_, WorkerRefusal::Fence)) => return self.depose(),
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -11,7 +11,7 @@
         work::{JobNo, ListedWorker, TaskKey},
     },
     rustc_hash::FxHashMap,
-    std::{collections::VecDeque, net::SocketAddr, time::Duration},
+    std::{collections::VecDeque, mem, net::SocketAddr, time::Duration},
 };
 
 /// The lowest rate at which a worker's clock may run, relative to the owner's.
@@ -115,6 +115,8 @@
     pub rostered: bool,
     /// Whether the worker has ended, so that nothing can run on it any more.
     pub gone: bool,
+    /// When the worker's process started, in milliseconds of the Unix clock, if it reports that.
+    pub born_ms: Option<u64>,
     /// The time at which this owner first learnt of the worker.
     pub first_seen: Time,
     /// The time at which the worker shuts down, if it is leaving.
@@ -190,6 +192,7 @@
             fenced: false,
             rostered: false,
             gone: false,
+            born_ms: None,
             first_seen: now,
             leaves_at: None,
             upkeep_turn: UpkeepTurn::Open,
@@ -218,6 +221,26 @@
         }
     }
 
+    /// Resets everything that ends with the worker's process. Its runs are kept.
+    pub fn restart(&mut self, born_ms: Option<u64>, now: Time) {
+        let fresh = Worker::new(self.id.clone(), self.addr, now);
+        *self = Worker {
+            list_entry: self.list_entry.take(),
+            rostered: self.rostered,
+            leaves_at: self.leaves_at,
+            upkeep_turn: self.upkeep_turn,
+            runs: mem::take(&mut self.runs),
+            used: self.used,
+            fillers: self.fillers,
+            serving: self.serving,
+            unsized_runs: self.unsized_runs,
+            hold_sent: self.hold_sent,
+            logged: self.logged,
+            born_ms,
+            ..fresh
+        };
+    }
+
     /// Returns whether the worker may receive starts.
     ///
     /// A worker with runs of unknown size may not. A new owner finds runs of jobs that are over,
--- a/standin/src/site/worker.rs
+++ b/standin/src/site/worker.rs
@@ -399,7 +399,7 @@
         let w = &self.workers[at];
         let ended: Vec<EndedRun> = w.ended.iter().take(MAX_ENDS).map(|(e, _)| e.clone()).collect();
         self.checkpoints.extend(ended.iter().map(|e| e.checkpoint.clone()));
-        Held { clock_ms: w.clock(self.now), running: rows, ended }
+        Held { clock_ms: w.clock(self.now), born_ms: None, running: rows, ended }
     }
 
     /// Whether a worker has ends that aren't acknowledged.
--- a/tests/hand/worker.rs
+++ b/tests/hand/worker.rs
@@ -35,6 +35,10 @@
     pub hook: Hook,
     /// The rate of its clock, as a factor of real time.
     pub clock_rate: f64,
+    /// The time at which its clock began.
+    pub clock_start: Time,
+    /// When its process started, in milliseconds of the Unix clock.
+    pub born_ms: u64,
     pub token: u64,
     pub running: Vec<PresentRun>,
     pub ends: Vec<EndedRun>,
@@ -54,6 +58,8 @@
             leaves_in: None,
             hook: NORMAL,
             clock_rate: 1.0,
+            clock_start: Time::ZERO,
+            born_ms: 1,
             token: 0,
             running: vec![],
             ends: vec![],
@@ -72,6 +78,12 @@
         };
     }
 
+    /// Crashes and restarts at once under the same id.
+    pub fn restart(&mut self, now: Time) {
+        let born_ms = self.born_ms + now.0 / 1_000;
+        *self = Worker { clock_start: now, born_ms, ..Worker::new(self.index) };
+    }
+
     /// Its entry in the list of workers, if it has one.
     pub fn entry(&self) -> Option<ListedWorker> {
         self.listed.then(|| ListedWorker {
@@ -88,7 +100,7 @@
 
     /// The time on its clock, in milliseconds.
     pub fn clock(&self, now: Time) -> u64 {
-        1_000 + (now.0 as f64 / 1e3 * self.clock_rate) as u64
+        1_000 + ((now - self.clock_start).as_micros() as f64 / 1e3 * self.clock_rate) as u64
     }
 
     /// Carries out a call, unless [`Worker::hook`] overrides it, and returns the answer.
@@ -116,7 +128,12 @@
             WorkerCall::Hold { seen, .. } => {
                 self.ends.retain(|e| e.number > *seen);
                 let (running, ended) = (self.running.clone(), self.ends.clone());
-                return Ok(Reply::Held(Held { clock_ms: clock, running, ended }));
+                return Ok(Reply::Held(Held {
+                    clock_ms: clock,
+                    born_ms: Some(self.born_ms),
+                    running,
+                    ended,
+                }));
             }
             WorkerCall::Pace { .. } => {}
         }
--- a/tests/shard_cut_off.rs
+++ b/tests/shard_cut_off.rs
@@ -140,7 +140,7 @@
     for w in &mut harness.workers {
         w.hook = |call| match call {
             WorkerCall::Hold { .. } => {
-                Some(Ok(Reply::Held(Held { clock_ms: 1_750, running: vec![], ended: vec![] })))
+                Some(Ok(Reply::Held(Held { clock_ms: 1_750, ..Held::default() })))
             }
             _ => Some(Err(Fault::Unknown)),
         };
