Tests, red: jobs are given up for crashes of workers that their tasks did not cause

a_long_running_job_is_not_given_up_when_its_workers_crash: red, "after 3 crashes, left: Some(Failed), right: Some(Running)".

a_task_whose_workers_crash_gets_the_attempts_of_its_queue: red, "left: 3, right: 2".

The long-running case of long_running_gang_and_speculative_tasks_that_crash_are_given_up asks for the opposite of the first test and has to go with the fix.

--- a/tests/shard_crash.rs
+++ b/tests/shard_crash.rs
@@ -3,9 +3,12 @@
 mod hand;
 
 use {
-    dogwoodreach::work::{JobState, Step, TaskKey},
-    hand::{Harness, job, step, task},
-    std::time::Duration,
+    dogwoodreach::{
+        shard::event::Event,
+        work::{JobState, QueueConfig, Step, TaskKey},
+    },
+    hand::{Harness, job, queues, step, task},
+    std::{sync::Arc, time::Duration},
 };
 
 /// Upper bound on the starts of a task that crashes its workers: three crashes, and fewer than
@@ -168,3 +171,35 @@
         harness.stored_progress(1).crashes.iter().map(|c| c.3.len()).collect();
     assert_eq!(crashes, [1]);
 }
+
+#[test]
+fn a_long_running_job_is_not_given_up_when_its_workers_crash() {
+    // Guards against a long-running job that is shown as failed, and whose tasks no longer run,
+    // after three crashes of workers on which one of them had just started.
+    let mut harness = Harness::new(6);
+    harness.submit(1, "plain", job(Step { lasts: true, ..step(2, 1) }));
+    for crashes in 0..=2 * MAX_STARTS {
+        harness.run_until("a start or the end of the job", 20_000, |h| {
+            h.state(1) == Some(JobState::Failed) || !h.workers_running(task(1, 1)).is_empty()
+        });
+        assert_eq!(harness.state(1), Some(JobState::Running), "after {crashes} crashes");
+        let at = harness.workers_running(task(1, 1))[0];
+        harness.run(100);
+        harness.crash(at);
+    }
+}
+
+#[test]
+fn a_task_whose_workers_crash_gets_the_attempts_of_its_queue() {
+    // Guards against jobs that are given up before their queue's attempts are used up, and against
+    // starts beyond them.
+    for attempts in [2, 4] {
+        let mut harness = Harness::new(6);
+        let mut config: QueueConfig = (*queues()).clone();
+        config.version += 1;
+        config.queues.iter_mut().for_each(|q| q.attempts = attempts);
+        harness.deliver(Event::Queues(Arc::new(config)));
+        harness.submit(1, "plain", job(step(1, 1)));
+        assert_eq!(crash_until_over(&mut harness, task(1, 0)), attempts as usize);
+    }
+}
