Long-running jobs are not given up for crashes of their workers

Callers saw: a lasting task does not run although workers have room, and its job is shown as failed (LOST). Workers that are lost in waves (crash, restart behind a cut, taken at short notice) take the same sound task with them three times. Class: a bound on retries that was made for one kind of work is applied to another, for which the promise is to retry.

Now: a long-running task is never given up. After three crashes in a row it is restarted 2 s after the last one, alone, so that one that crashes every worker takes down a bounded number; a run that has settled ends the row. Before: a_long_running_job_is_not_given_up_when_its_workers_crash red (Failed after 3 crashes). After: passes, with two more: the pause, and no pause for a task that has run since.

--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     decide::{
-        crash::{CrashedRun, MAX_CRASHES, SETTLE_TIME, blamed_runs},
+        crash::{CrashedRun, MAX_CRASHES, RESTART_PAUSE, SETTLE_TIME, blamed_runs},
         fit::Room,
     },
     shard::{
@@ -41,22 +41,43 @@
     }
 
     /// Counts a worker crash against a task, and fails the task's job if it has crashed too many
-    /// workers.
+    /// workers and is not long-running.
     ///
     /// Guards against a task that takes down one worker after another.
     pub(super) fn count_crash(&mut self, task: &TaskKey, run: u32, now: Time) {
         let job = task.step.job;
         let Some(active) = self.jobs.get_mut(&job).filter(|j| !j.state.is_final()) else { return };
+        let lasts = active.step(&task.step).is_some_and(|s| s.lasts);
         let Some(t) = active.task(task).filter(|t| !t.crashed_runs.contains(&run)) else { return };
         t.crashed_runs.push(run);
+        t.crashed_at = Some(now);
+        if lasts && t.crashed_runs.len() > MAX_CRASHES {
+            t.crashed_runs.remove(0);
+        }
         let crashes = t.crashed_runs.len();
         log::info!(target: "shard", did = "crashed", job:% = job, task:% = task, run, crashes; "Worker has crashed under a task.");
         self.mark_changed(job);
-        if crashes >= MAX_CRASHES {
+        if crashes >= MAX_CRASHES && !lasts {
             self.end_job(job, JobState::Failed, now);
         }
     }
 
+    /// Forgets the crashes of a long-running task whose present run has lasted long enough to show
+    /// that its start does not crash its worker.
+    pub(super) fn forget_crashes(&mut self, no: WorkerNo, task: &TaskKey) {
+        let run = self.workers[no.0].runs.get(task);
+        if run.is_none_or(|r| !r.crash_suspect || !r.settled) || !self.is_long_running(task) {
+            return;
+        }
+        if let Some(run) = self.workers[no.0].runs.get_mut(task) {
+            run.crash_suspect = false;
+        }
+        if let Some(task) = self.jobs.get_mut(&task.step.job).and_then(|j| j.task(task)) {
+            task.crashed_runs.clear();
+        }
+        self.mark_changed(task.step.job);
+    }
+
     /// Counts a crash against each task that has crashed workers before and whose last run, begun
     /// by a former owner, is neither on any worker nor known to have ended.
     ///
@@ -91,6 +112,12 @@
     /// that begin together lose their worker together and would be placed together again.
     pub(super) fn place_isolated(&mut self, turn: &mut Turn, round: &Round, now: Time) {
         let Some(part) = self.step_state(turn.key) else { return };
+        let pauses = |i: &u32| {
+            let task = &part.tasks[*i as usize];
+            task.crashed_runs.len() >= MAX_CRASHES
+                && task.crashed_at.is_some_and(|at| now < at + RESTART_PAUSE)
+        };
+        turn.waiting.retain(|i| !pauses(i));
         let crashed = |i: &u32| !part.tasks[*i as usize].crashed_runs.is_empty();
         let isolated: Vec<u32> = turn.waiting.iter().copied().filter(crashed).collect();
         if isolated.is_empty() {
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -39,8 +39,11 @@
     pub last_copy_run: u32,
     /// The numbers of the runs that have failed.
     pub failed_runs: Vec<u32>,
-    /// The numbers of the runs that are blamed for a worker's crash.
+    /// The numbers of the runs that are blamed for a worker's crash; of a long-running task, those of
+    /// the last crashes in a row.
     pub crashed_runs: Vec<u32>,
+    /// When the last crash of a worker was counted against the task, as far as this owner knows.
+    pub crashed_at: Option<Time>,
     /// The number of the run that a former owner began and of which it is not known whether it
     /// ended; 0 if there is none.
     pub former_run: u32,
@@ -204,6 +207,7 @@
             let step_state = active.step_states.get_mut(&(time, step));
             if let Some(task) = step_state.and_then(|p| p.tasks.get_mut(index as usize)) {
                 (task.crashed_runs, task.former_run) = (runs.clone(), former);
+                task.crashed_at = (!runs.is_empty()).then_some(learnt_at);
             }
         }
         active
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -130,6 +130,7 @@
                     if starting {
                         self.mark_running(&row.task);
                     }
+                    self.forget_crashes(no, &row.task);
                     self.stop_if_stuck(no, &row.task, now);
                 }
                 _ => self.adopt_run(no, row, now),
