Crashes of workers: a task has the attempts of its queue, not three

Callers saw: a job is shown as failed although its queue allows it another attempt, or a task starts once more than its queue allows. Queues that allow four attempts had one less after crashes, those with two one more. Before: a_task_whose_workers_crash_gets_the_attempts_of_its_queue red (3 for 2). After: passes; yard_crash, shard_crash pass.

--- a/src/decide/crash.rs
+++ b/src/decide/crash.rs
@@ -5,21 +5,21 @@
 //! after another as long as its job exists, together with the tasks that run beside it.
 //!
 //! *Thresholds:* a run did not crash its worker by starting if the worker still answered a second
-//! after the start. A task is given up after three crashes, because two may be accidents: workers
+//! after the start. A task is given up after as many crashes as its queue allows attempts: workers
 //! that go down and up repeatedly take the same task with them more than once.
 //!
 //! A long-running task is never given up, since it has to be restarted however it ends, and workers
-//! that are lost in waves take it with them more than three times. After three crashes in a row it
-//! is restarted after a pause, so that a task that crashes every worker takes down a bounded number
-//! of them.
+//! that are lost in waves take it with them any number of times. After three crashes in a row it is
+//! restarted after a pause, so that a task that crashes every worker takes down a bounded number of
+//! them.
 
 use {crate::time::Time, std::time::Duration};
 
-/// Number of crashes after which a task is not started again, or, if it is long-running, only after
+/// Number of crashes in a row after which a long-running task is restarted only after
 /// [`RESTART_PAUSE`].
-pub const MAX_CRASHES: usize = 3;
+pub const MAX_QUICK_RESTARTS: usize = 3;
 /// Time between the crash of a worker and the restart of a long-running task that has crashed
-/// [`MAX_CRASHES`] workers in a row: a third of the 6 s within which the task must run again.
+/// [`MAX_QUICK_RESTARTS`] workers in a row: a third of the 6 s within which the task must run again.
 pub const RESTART_PAUSE: Duration = Duration::from_secs(2);
 /// Time after the start of a run from which an answer of its worker shows that the start did not
 /// crash the worker.
--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     decide::{
-        crash::{CrashedRun, MAX_CRASHES, RESTART_PAUSE, SETTLE_TIME, blamed_runs},
+        crash::{CrashedRun, MAX_QUICK_RESTARTS, RESTART_PAUSE, SETTLE_TIME, blamed_runs},
         fit::Room,
     },
     shard::{
@@ -14,9 +14,14 @@
         workers::WorkerNo,
     },
     time::Time,
-    work::{JobState, StepKey, TaskKey},
+    work::{JobState, Queue, StepKey, TaskKey},
 };
 
+/// Returns the number of crashes after which a task of a queue is not started again.
+fn max_crashes(queue: &Queue) -> usize {
+    queue.attempts.max(1) as usize
+}
+
 impl Shard {
     /// Returns the runs that may have crashed a worker; none if the worker's end was planned.
     pub(super) fn suspect_runs(&self, no: WorkerNo) -> Vec<(TaskKey, u32)> {
@@ -48,16 +53,17 @@
         let job = task.step.job;
         let Some(active) = self.jobs.get_mut(&job).filter(|j| !j.state.is_final()) else { return };
         let lasts = active.step(&task.step).is_some_and(|s| s.lasts);
+        let attempts = self.queue_configs.get(&active.queue).map_or(usize::MAX, max_crashes);
         let Some(t) = active.task(task).filter(|t| !t.crashed_runs.contains(&run)) else { return };
         t.crashed_runs.push(run);
         t.crashed_at = Some(now);
-        if lasts && t.crashed_runs.len() > MAX_CRASHES {
+        if lasts && t.crashed_runs.len() > MAX_QUICK_RESTARTS {
             t.crashed_runs.remove(0);
         }
         let crashes = t.crashed_runs.len();
         log::info!(target: "shard", did = "crashed", job:% = job, task:% = task, run, crashes; "Worker has crashed under a task.");
         self.mark_changed(job);
-        if crashes >= MAX_CRASHES && !lasts {
+        if crashes >= attempts && !lasts {
             self.end_job(job, JobState::Failed, now);
         }
     }
@@ -87,13 +93,14 @@
     pub(super) fn count_former_crashes(&mut self, now: Time) {
         let mut unobserved = vec![];
         for (no, job) in &mut self.jobs {
+            let attempts = self.queue_configs.get(&job.queue).map_or(usize::MAX, max_crashes);
             for ((time, step), part) in &mut job.step_states {
                 let step = StepKey { job: *no, time: *time, step: *step };
                 for (index, t) in (0..).zip(&mut part.tasks) {
                     let former = std::mem::take(&mut t.former_run);
                     if former > 0
                         && t.placement == Placement::Waiting
-                        && t.crashed_runs.len() + 1 < MAX_CRASHES
+                        && t.crashed_runs.len() + 1 < attempts
                     {
                         unobserved.push((TaskKey { step, index }, former));
                     }
@@ -114,7 +121,8 @@
         let Some(part) = self.step_state(turn.key) else { return };
         let pauses = |i: &u32| {
             let task = &part.tasks[*i as usize];
-            task.crashed_runs.len() >= MAX_CRASHES
+            turn.step.lasts
+                && task.crashed_runs.len() >= MAX_QUICK_RESTARTS
                 && task.crashed_at.is_some_and(|at| now < at + RESTART_PAUSE)
         };
         turn.waiting.retain(|i| !pauses(i));
--- a/tests/shard_crash.rs
+++ b/tests/shard_crash.rs
@@ -5,10 +5,11 @@
 use {
     dogwoodreach::{
         decide::crash::RESTART_PAUSE,
-        work::{JobState, Step, TaskKey},
+        shard::event::Event,
+        work::{JobState, QueueConfig, Step, TaskKey},
     },
-    hand::{Harness, job, step, task},
-    std::time::Duration,
+    hand::{Harness, job, queues, step, task},
+    std::{sync::Arc, time::Duration},
 };
 
 /// Upper bound on the starts of a task that crashes its workers: three crashes, and fewer than
@@ -229,3 +230,18 @@
     harness.run_until("a start", MAX_ABSENCE_MS, |h| h.starts_of(1).len() > starts);
     assert!(harness.now < crashed_at + RESTART_PAUSE);
 }
+
+#[test]
+fn a_task_whose_workers_crash_gets_the_attempts_of_its_queue() {
+    // Guards against jobs that are given up before their queue's attempts are used up, and against
+    // starts beyond them.
+    for attempts in [2, 4] {
+        let mut harness = Harness::new(6);
+        let mut config: QueueConfig = (*queues()).clone();
+        config.version += 1;
+        config.queues.iter_mut().for_each(|q| q.attempts = attempts);
+        harness.deliver(Event::Queues(Arc::new(config)));
+        harness.submit(1, "plain", job(step(1, 1)));
+        assert_eq!(crash_until_over(&mut harness, task(1, 0)), attempts as usize);
+    }
+}
