--- /dev/null
+++ b/tests/shard_tickets_ready.rs
@@ -0,0 +1,194 @@
+//! Long-running tasks that cannot start yet have their tickets by the time they can.
+
+mod hand;
+
+use {
+    dogwoodreach::{
+        ports::{EndReason, Fault, PresentRun, WorkerCall, WorkerReply as Reply},
+        shard::event::Event,
+        work::{AdviceCost, Job, Queue, QueueConfig, Step},
+    },
+    hand::{
+        Harness, TICK, job, queues, step, task,
+        worker::{Hook, NORMAL, SILENT, Worker},
+    },
+    std::{sync::Arc, time::Duration},
+};
+
+/// The duration of an advice call that names five workers.
+const CALL: Duration = Duration::from_millis(1_200);
+/// The time within which a long-running task has to run again beside free capacity.
+const MAX_ABSENCE: Duration = Duration::from_secs(6);
+
+/// Starts and stops get no answer; hold calls do.
+const ONLY_HOLDS: Hook = |call| match call {
+    WorkerCall::Hold { .. } => None,
+    _ => Some(Err(Fault::Unknown)),
+};
+/// Starts get no answer; other calls do.
+const NO_STARTS: Hook = |call| matches!(call, WorkerCall::Start(_)).then_some(Err(Fault::Unknown));
+/// The worker accepts stops, which have no effect.
+const STOPS_WITHOUT_EFFECT: Hook =
+    |call| matches!(call, WorkerCall::Stop { .. }).then_some(Ok(Reply::Done(0)));
+/// The worker answers that the addressed incarnation is over.
+const OTHER_INCARNATION: Hook = |_| Some(Ok(Reply::Other));
+
+/// The queues of the harness, with advice calls that take [`CALL`].
+fn slow_advice() -> Arc<QueueConfig> {
+    let us = Duration::from_micros;
+    let cost = AdviceCost { base: CALL * 9 / 10, each: CALL / 50, valid: us(2_000_000) };
+    let defaults = queues();
+    let slow = |q: &Queue| Queue { advice: q.advice.map(|_| cost), ..q.clone() };
+    Arc::new(QueueConfig {
+        queues: defaults.queues.iter().map(slow).collect(),
+        ..(*defaults).clone()
+    })
+}
+
+/// Replaces the owner; the new one gets the queues of [`slow_advice`].
+fn take_over(hand: &mut Harness) {
+    hand.take_over();
+    hand.deliver(Event::Queues(slow_advice()));
+}
+
+/// An owner with this many workers, whose advice calls take [`CALL`].
+fn with_slow_advice(workers: usize) -> Harness {
+    let mut hand = Harness::new(workers);
+    hand.advice_delay = CALL;
+    hand.deliver(Event::Queues(slow_advice()));
+    hand
+}
+
+/// A job of `count` long-running tasks, at most one on each worker.
+fn long_running(count: u32) -> Job {
+    job(Step { lasts: true, apart: 1, ..step(count, 1) })
+}
+
+/// Runs one task of job 1, which needs advice, and one of job 2, which does not, on each worker,
+/// until all tickets have expired.
+fn with_running_tasks(workers: u32) -> Harness {
+    let mut hand = with_slow_advice(workers as usize);
+    hand.submit(1, "advised", long_running(workers));
+    hand.submit(2, "plain", long_running(workers));
+    hand.run(8_000);
+    assert_eq!(
+        (hand.starts_of(1).len(), hand.starts_of(2).len()),
+        (workers as usize, workers as usize)
+    );
+    hand.call_log.clear();
+    hand
+}
+
+/// Runs until job 2 starts a task, and checks that job 1 starts one at the same time.
+fn assert_starts_together(hand: &mut Harness, ms: u64) {
+    hand.run_until("a start without advice", ms, |h| !h.starts_of(2).is_empty());
+    hand.run(TICK.as_millis() as u64);
+    assert_eq!(hand.starts_of(1).len(), 1, "the task with advice has to wait for its tickets");
+}
+
+#[test]
+fn lost_orders_do_not_add_up_with_advice_calls() {
+    // Two starts in a row are not carried out, and the first order to stop each of them is lost as
+    // well. Guards against an advice call that begins only after each stop.
+    let mut hand = with_slow_advice(5);
+    hand.submit(1, "advised", long_running(1));
+    for run in [1, 2] {
+        hand.run_until("a start", 9_000, |h| h.starts().iter().any(|s| s.2.run == run));
+        hand.workers.iter_mut().for_each(|w| w.hook = ONLY_HOLDS);
+        let stops = hand.stops().len();
+        hand.run_until("its stop", 3_000, |h| h.stops().len() > stops);
+        hand.run(500);
+        hand.workers.iter_mut().for_each(|w| w.hook = NO_STARTS);
+        hand.run_until("another stop", 3_000, |h| h.stops().len() > stops + 1);
+    }
+    hand.workers.iter_mut().for_each(|w| w.hook = NORMAL);
+    let again = hand.run_until("it runs", 9_000, |h| !h.workers_running(task(1, 0)).is_empty());
+    let first = hand.starts()[0].0;
+    assert!(again - first < MAX_ABSENCE, "it runs only after {:?}", again - first);
+}
+
+#[test]
+fn tickets_are_ready_when_a_lease_ends() {
+    // A worker is silent. Guards against an advice call that begins only after its lease.
+    let mut hand = with_running_tasks(3);
+    hand.workers[1].hook = SILENT;
+    hand.workers.push(Worker::new(3));
+    hand.deliver_list();
+    assert_starts_together(&mut hand, 30_000);
+}
+
+#[test]
+fn tickets_are_ready_when_a_shard_is_settled() {
+    // A worker of a former owner is silent. Guards against an advice call that begins only after
+    // the new owner may start tasks of jobs from before its takeover.
+    let mut hand = with_running_tasks(3);
+    hand.workers[1].hook = SILENT;
+    hand.workers.push(Worker::new(3));
+    take_over(&mut hand);
+    assert_starts_together(&mut hand, 40_000);
+}
+
+#[test]
+fn tickets_are_ready_when_the_lease_of_the_owner_is_confirmed() {
+    // Two tasks fail while their owner is cut off from the store and hears of few workers. Guards
+    // against an advice call that begins only when the owner may act again.
+    let mut hand = with_running_tasks(3);
+    hand.lease_confirmed = false;
+    hand.workers[1..].iter_mut().for_each(|w| w.hook = SILENT);
+    hand.run(4_000);
+    hand.call_log.clear();
+    for no in [1, 2] {
+        let on_first = |i: &u32| hand.workers_running(task(no, *i)) == [0];
+        let index = (0..3).find(on_first).expect("each worker runs a task of each job");
+        hand.end(task(no, index), EndReason::Stopped);
+    }
+    hand.run(3_000);
+    assert_eq!((hand.starts_of(1).len(), hand.starts_of(2).len()), (0, 0));
+    hand.lease_confirmed = true;
+    assert_starts_together(&mut hand, 1_000);
+}
+
+#[test]
+fn tickets_are_ready_when_another_run_has_ended() {
+    // A new owner finds two runs of a task and stops one; then the other is lost with its worker.
+    // Guards against an advice call that begins only when the stop has taken effect.
+    let mut hand = with_running_tasks(4);
+    for no in [1, 2] {
+        let at = |w: usize| (0..4).find(|i| hand.workers_running(task(no, *i)) == [w]);
+        let lost = task(no, at(0).expect("each worker runs a task of each job"));
+        let row = PresentRun { run: 2, ..hand.workers[0].row_mut(&lost).clone() };
+        hand.workers[1].running.push(row);
+    }
+    hand.workers[1].hook = SILENT;
+    take_over(&mut hand);
+    hand.run(300);
+    hand.workers[1].hook = STOPS_WITHOUT_EFFECT;
+    hand.run_until("the stops of the second runs", 2_000, |h| h.stops().len() == 2);
+    let second: Vec<_> = hand.stops().iter().map(|s| s.2).collect();
+    hand.workers.push(Worker::new(4));
+    hand.deliver_list();
+    hand.workers[0].running.clear();
+    hand.workers[0].hook = OTHER_INCARNATION;
+    hand.run(4_000);
+    assert_eq!((hand.starts_of(1).len(), hand.starts_of(2).len()), (0, 0));
+    hand.workers[1].hook = NORMAL;
+    second.iter().for_each(|t| assert!(hand.workers[1].end(t, EndReason::Stopped)));
+    assert_starts_together(&mut hand, 1_000);
+}
+
+#[test]
+fn advice_calls_end_while_a_task_cannot_start() {
+    // A stop never takes effect. Guards against calls without end for a task that cannot start.
+    let mut hand = with_slow_advice(4);
+    hand.submit(1, "advised", long_running(3));
+    hand.run(8_000);
+    let at = hand.workers_running(task(1, 0))[0];
+    hand.workers[at].hook = STOPS_WITHOUT_EFFECT;
+    hand.workers[at].leaves_in = Some(Duration::from_secs(600));
+    hand.deliver_list();
+    hand.run(30_000);
+    assert!(!hand.stops().is_empty());
+    let calls = hand.advice_calls;
+    hand.run(60_000);
+    assert_eq!(hand.advice_calls, calls);
+}
