--- a/tests/shard_start_unanswered.rs
+++ b/tests/shard_start_unanswered.rs
@@ -102,3 +102,52 @@
     hand.run(5_000);
     assert!(hand.stops().len() <= 4, "no more stops once the run has ended");
 }
+
+#[test]
+fn a_lost_repeat_of_a_stop_does_not_undo_its_answer() {
+    // A stop was answered, so the worker rejects the run from then on. Holds get no answer until
+    // the stop is due again, and the repeated stop gets none either. The first answer to a hold
+    // shows that the run is gone.
+    let mut hand = Harness::new(2);
+    hand.workers.iter_mut().for_each(|w| w.hook = ONLY_HOLDS);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.run_until("a stop", 3_000, |h| !h.stops().is_empty());
+    let (at, starts) = (hand.stops()[0].1, hand.starts().len());
+    hand.workers.iter_mut().for_each(|w| w.hook = NORMAL);
+    hand.workers[at].hook = |call| match call {
+        WorkerCall::Stop { .. } => None,
+        _ => Some(Err(Fault::Unknown)),
+    };
+    hand.tick();
+    hand.workers[at].hook = SILENT;
+    hand.run_until("a second stop", 4_000, |h| h.stops().len() == 2);
+    assert_eq!(hand.starts().len(), starts, "nothing shows that the run is gone");
+    hand.workers[at].hook = ONLY_HOLDS;
+    hand.run_until("a start", 2_500, |h| h.starts().len() > starts);
+    assert_eq!(hand.starts()[starts].2.run, hand.starts()[0].2.run + 1);
+}
+
+#[test]
+fn a_hold_after_the_stop_of_an_unseen_run_does_not_wait() {
+    // A stop was answered. If the worker never had the run, no end will be reported, and a hold
+    // that waits for one only keeps the task away.
+    let mut hand = Harness::new(2);
+    hand.workers.iter_mut().for_each(|w| w.hook = ONLY_HOLDS);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.run_until("a stop", 3_000, |h| !h.stops().is_empty());
+    let at = hand.stops()[0].1;
+    hand.workers[at].hook = |call| match call {
+        WorkerCall::Start(_) => Some(Err(Fault::Unknown)),
+        _ => None,
+    };
+    let stopped = hand.now;
+    hand.run(100);
+    let holds = hand.call_log.iter().filter(|(when, w, _)| *when > stopped && *w == at);
+    let waits: Vec<Duration> = holds
+        .filter_map(|(.., call)| match call {
+            WorkerCall::Hold { wait, .. } => Some(*wait),
+            _ => None,
+        })
+        .collect();
+    assert!(waits.iter().any(Duration::is_zero), "{waits:?}");
+}
