Stops: a repeated stop doesn't undo the answer to an earlier one

Callers saw a long-running task away for over 6 s while orders were late: its start got no answer and was stopped, the stop was answered, and yet the task didn't start elsewhere for up to 5 s more.

Cause: a stop that was answered is repeated after 2 s if the run isn't known to be over, in case the stop had no effect. Repeating it cleared the time from which an answer that doesn't list the run shows that it is over. When the repeat was lost, the answers to holds proved nothing until another repeat was answered. But a worker that has answered a stop rejects the run for good (PROTOCOL.md), so the time of the first answer stays valid. Only the first stop of a run clears it now, and later answers keep it.

Ruled out: that the repeat has to count because the run might begin between the two stops; the worker rejects it after the first. A hold that was sent before the first answer still proves nothing (a_look_from_before_the_stop_shows_nothing). A run of a former owner that is found and not wanted is added as running and stopped at once, so that its first stop clears the time as before.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -133,7 +133,7 @@
         if let Some(r) = worker.runs.get_mut(task).filter(|r| r.run == run)
             && matches!(reply, Ok(WorkerReply::Done(_) | WorkerReply::Refused(..)))
         {
-            r.absence_from = Some(now);
+            r.absence_from.get_or_insert(now);
             worker.next_hold = worker.next_hold.min(now + Duration::from_millis(20));
         }
     }
@@ -142,8 +142,12 @@
     pub(super) fn stop_run(&mut self, no: WorkerNo, task: &TaskKey, now: Time) {
         let worker = &mut self.workers[no.0];
         let Some(run) = worker.runs.get_mut(task) else { return };
-        run.phase = RunPhase::Stopping;
-        run.absence_from = None;
+        // A worker that has answered a stop keeps rejecting the run, so a repeated stop leaves
+        // `absence_from` as it is.
+        if run.phase != RunPhase::Stopping {
+            run.phase = RunPhase::Stopping;
+            run.absence_from = None;
+        }
         run.sent_at = now;
         let call = WorkerCall::Stop { task: *task, run: run.run, token: self.setup.token };
         self.orders.push(Order::Worker {
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -146,7 +146,7 @@
             run: row.run,
             size: step.reserved(),
             size_unknown: blind,
-            phase: if keep { RunPhase::Running } else { RunPhase::Stopping },
+            phase: RunPhase::Running,
             sent_at: now,
             absence_from: Some(now),
             was_seen: true,
