Holds: none waits for the end of a run that its worker rejects

Callers saw a long-running task away for a second longer than the orders for it took: its start got no answer, the stop was answered, and the next start went out only with the second answer to a hold after that.

Cause: an answer to a hold that was sent after the stop's answer shows that the run isn't there. That hold waited 0.9 s for an end, as holds to a worker with runs do. A run that the worker never had has no end to report, so the hold always waited to the last. If a stopped run was never reported and its stop was answered, the hold doesn't wait; if its answer lists the run after all, the run counts as seen, and later holds wait for its end as before. Nothing else changes: the same answers prove the same.

Ruled out: a second hold beside the one that is out when the stop is answered. It would save up to 0.9 s more, but answers of two holds may overtake each other, and one given before the end of a run would bring the run back.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -23,6 +23,12 @@
 /// expected.
 pub(super) const UNWELL_PAUSE: Duration = Duration::from_millis(700);
 
+/// Returns whether a worker that has never reported this run rejects it from now on. No end will be
+/// reported if it never began, so a hold must not wait for one.
+fn is_rejected(run: &Run) -> bool {
+    run.phase == RunPhase::Stopping && !run.was_seen && run.absence_from.is_some()
+}
+
 impl Shard {
     pub(super) fn on_start_reply(
         &mut self,
@@ -195,6 +201,7 @@
                 () if !w.fenced || !w.unstored_ends.is_empty() || w.unanswered_calls > 0 => {
                     Duration::ZERO
                 }
+                () if w.runs.values().any(is_rejected) => Duration::ZERO,
                 // While the store does not answer, leases count from the answers to holds, so these
                 // have to arrive.
                 () if w.runs.is_empty() && fresh => Duration::from_millis(1900),
