Starts: one without an answer is sent five times before it is stopped

Callers saw a long-running task away for over 6 s while one in four orders was late, although its worker answered.

Cause: a start was given up after three sendings (1.5 s). What follows is slower than another sending and as likely to be lost: the stop has to be answered, then a hold that was sent after it, and only then the next start goes out, which may be lost as well. A start is idempotent by its run's number, so a fourth and fifth sending are harmless; the guard against a second run is unchanged, as a start that is given up is still stopped, and nothing starts elsewhere before a hold shows that it isn't there. A silent worker still gets no new lease by a repeated start, so its tasks wait no longer than before.

Ruled out: five sendings only for a worker that has answered a call since the first.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -18,7 +18,8 @@
 /// order that is unanswered after this time may still be carried out late.
 pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of times that the start of a run is sent before the run is given up and stopped.
-const MAX_START_ATTEMPTS: u32 = 3;
+/// Another sending takes effect sooner than a stop, a hold and the start of a new run.
+const MAX_START_ATTEMPTS: u32 = 5;
 /// Time without starts after a worker has reported that it is unwell or has less capacity than
 /// expected.
 pub(super) const UNWELL_PAUSE: Duration = Duration::from_millis(700);
