Test of repeated starts: the owner's own leases decide, not an inherited one

a_start_sent_again_carries_no_new_lease passed without the check that it guards (on_start_reply gives a start that is sent again to a silent worker no new lease), also on: its worker had been asked 0.3 s before, so every start carried the lease that a former owner may have given, 20 s, while the owner's own leases are 6 s long at most. The test lets the inherited lease run out first. Without the check it fails now (27200, 27700, 28200, 28700, 29200), with it it passes.

--- a/tests/shard_silent.rs
+++ b/tests/shard_silent.rs
@@ -4,7 +4,7 @@
 
 use {
     dogwoodreach::Time,
-    hand::{Harness, TICK, job, step, task, worker::SILENT},
+    hand::{Harness, MAX_LEASE, TICK, job, step, task, worker::SILENT},
     std::time::Duration,
 };
 
@@ -42,7 +42,8 @@
     // lease, it would delay the end of everything that runs there.
     let mut hand = Harness::new(1);
     hand.submit(1, "plain", job(step(1, 1)));
-    hand.run(300);
+    // The lease that a former owner may have given ends before the owner's own.
+    hand.run(MAX_LEASE.as_millis() as u64);
     hand.workers[0].hook = SILENT;
     hand.submit(2, "plain", job(step(1, 1)));
     hand.run(4_000);
