--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -18,11 +18,18 @@
 /// order that is unanswered after this time may still be carried out late.
 pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of times that the start of a run is sent before the run is given up and stopped.
-const MAX_START_ATTEMPTS: u32 = 3;
+/// Another sending takes effect sooner than a stop, a hold and the start of a new run.
+const MAX_START_ATTEMPTS: u32 = 5;
 /// Time without starts after a worker has reported that it is unwell or has less capacity than
 /// expected.
 pub(super) const UNWELL_PAUSE: Duration = Duration::from_millis(700);
 
+/// Returns whether a worker that has never reported this run rejects it from now on. No end will be
+/// reported if it never began, so a hold must not wait for one.
+fn is_rejected(run: &Run) -> bool {
+    run.phase == RunPhase::Stopping && !run.was_seen && run.absence_from.is_some()
+}
+
 impl Shard {
     pub(super) fn on_start_reply(
         &mut self,
@@ -133,7 +140,7 @@
         if let Some(r) = worker.runs.get_mut(task).filter(|r| r.run == run)
             && matches!(reply, Ok(WorkerReply::Done(_) | WorkerReply::Refused(..)))
         {
-            r.absence_from = Some(now);
+            r.absence_from.get_or_insert(now);
             worker.next_hold = worker.next_hold.min(now + Duration::from_millis(20));
         }
     }
@@ -142,8 +149,12 @@
     pub(super) fn stop_run(&mut self, no: WorkerNo, task: &TaskKey, now: Time) {
         let worker = &mut self.workers[no.0];
         let Some(run) = worker.runs.get_mut(task) else { return };
-        run.phase = RunPhase::Stopping;
-        run.absence_from = None;
+        // A worker that has answered a stop keeps rejecting the run, so a repeated stop leaves
+        // `absence_from` as it is.
+        if run.phase != RunPhase::Stopping {
+            run.phase = RunPhase::Stopping;
+            run.absence_from = None;
+        }
         run.sent_at = now;
         let call = WorkerCall::Stop { task: *task, run: run.run, token: self.setup.token };
         self.orders.push(Order::Worker {
@@ -191,6 +202,7 @@
                 () if !w.fenced || !w.unstored_ends.is_empty() || w.unanswered_calls > 0 => {
                     Duration::ZERO
                 }
+                () if w.runs.values().any(is_rejected) => Duration::ZERO,
                 // While the store does not answer, leases count from the answers to holds, so these
                 // have to arrive.
                 () if w.runs.is_empty() && fresh => Duration::from_millis(1900),
