Simulation: compare what the owner believes to run with what the workers run

No check noticed an owner that counts a task as running at a worker that doesn't run it: such a task writes no did=away line, and LOST shows only once nothing of it runs for 9 s beside room.

The simulation now compares, every 100 ms, the newest owner's counted runs and its rows of long-running tasks with the runs of the workers. A difference that lasts longer than two holds (3.2 s; 9 s, the bound of LOST, for a worker that has ended) is a breach that names both sides. The four kinds: a counted run that isn't there, a run that isn't counted, a row without a counted run, and a waiting task whose step is not in the ready queue.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -5,6 +5,7 @@
 //! The state machine has no clock and does no I/O; `docs/PLATFORM.md` has the reasons.
 
 mod advice;
+mod assignments;
 mod authority;
 mod cause;
 mod closing;
@@ -40,6 +41,7 @@
 mod writes;
 
 pub use {
+    assignments::{CountedRun, TaskPlace},
     cause::{AbsentStep, Cause, Exclusion, Exclusions, Sight},
     closing::{Occupancy, PoolWait},
     state_machine::{Setup, Shard},
--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -3,6 +3,7 @@
 //! them in virtual time, `standin soak` drives them against real processes.
 
 pub mod advice;
+pub mod assignments;
 pub mod judge;
 pub mod plan;
 pub mod setup;
--- a/standin/src/site/stay.rs
+++ b/standin/src/site/stay.rs
@@ -15,7 +15,7 @@
 };
 
 /// A task may be down for this long after its last run, even if there is room for it.
-const MAX_ABSENCE: Duration = Duration::from_secs(6);
+pub const MAX_ABSENCE: Duration = Duration::from_secs(6);
 /// The rule applies once there has been room for this long without a break.
 pub const ROOM_DURATION: Duration = Duration::from_secs(3);
 /// No fault may have been active for this long before the room appeared.
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -3,16 +3,18 @@
 
 #![allow(dead_code, unused_imports)] // each test file uses a part
 
+mod beliefs;
 mod events;
 mod mail;
 
 pub use standin::site::{
-    advice, judge as rules,
+    advice, assignments, judge as rules,
     setup::{bounds, job, queues, step, workers},
     store, worker,
 };
 
 use {
+    assignments::Differences,
     dogwoodreach::{
         Time,
         decide::{call_queue::CallQueue, lanes::Peers},
@@ -111,6 +113,8 @@
     pub world: World,
     pub store: Store,
     pub rules: Rules,
+    /// Differences between the newest owner's rows and the workers' runs.
+    differences: Differences,
     pub owners: Vec<Owner>,
     /// One in this many orders to workers is carried out late; 0 means none.
     pub late_one_in: u32,
@@ -190,6 +194,7 @@
             world,
             store: Store::new(seed),
             rules: Rules::new(seed),
+            differences: Differences::default(),
             owners: Vec::new(),
             late_one_in: 0,
             initial_delay: Duration::ZERO,
@@ -362,6 +367,7 @@
         }
         if ms.is_multiple_of(100) {
             self.check_shown_states();
+            self.check_beliefs();
         }
         if ms.is_multiple_of(500) {
             self.update_list();
