--- a/src/cli.rs
+++ b/src/cli.rs
@@ -38,6 +38,9 @@
   dogwoodreach trace ID FILES...
       put the lines of a job or task in order, from the logs of many members, and
       say where its time went
+  dogwoodreach trace --away [FILES...]
+      list when tasks of long-running steps were away, and why, the longest first;
+      without FILES, the logs come from standard input
   dogwoodreach --help | --version
 
 ADDR is a member's address for operators, like 10.20.1.11:8081. The secret file
@@ -93,6 +96,13 @@
         /// Whether to write JSON.
         json: bool,
     },
+    /// Lists the absences of long-running steps, the longest first.
+    Away {
+        /// The log files; standard input if there are none.
+        files: Vec<PathBuf>,
+        /// Whether to write JSON.
+        json: bool,
+    },
     /// Shows the help.
     Help,
     /// Shows the version.
@@ -167,6 +177,7 @@
     base: Option<OsString>,
     by: Option<OsString>,
     json: bool,
+    away: bool,
     help: bool,
     version: bool,
 }
@@ -234,6 +245,10 @@
                 options.json = true;
                 continue;
             }
+            Arg::Long("away") => {
+                options.away = true;
+                continue;
+            }
             Arg::Long("help") | Arg::Short('h') => {
                 options.help = true;
                 continue;
@@ -267,9 +282,10 @@
             (&self.by, "--by"),
         ];
         let named = named.into_iter().find(|(value, _)| value.is_some()).map(|(_, name)| name);
-        let json = self.json.then_some("--json");
+        let flags = [(self.json, "--json"), (self.away, "--away")];
+        let flag = flags.into_iter().find(|(is_set, _)| *is_set).map(|(_, name)| name);
         let word = self.positional.first().map(|w| format!("{:?}", w.to_string_lossy()));
-        word.or(named.or(json).map(String::from))
+        word.or(named.or(flag).map(String::from))
     }
 }
 
@@ -285,6 +301,10 @@
 
 fn trace_command(options: &mut Options) -> Result<Command, lexopt::Error> {
     let mut positional = std::mem::take(&mut options.positional).into_iter();
+    if std::mem::take(&mut options.away) {
+        let files = positional.map(PathBuf::from).collect();
+        return Ok(Command::Away { files, json: take_json(options) });
+    }
     let word = require(positional.next(), "trace", "an ID and FILES")?.string()?;
     let remedy = "a job's 16 hexadecimal digits, or the name of a step or task";
     let id = trace::Id::read(&word).ok_or(format!("ID cannot be {word:?}; {remedy}"))?;
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -11,7 +11,11 @@
         text::{Plan, diff},
         trace,
     },
-    std::path::{Path, PathBuf},
+    std::{
+        fs,
+        io::{self, Read},
+        path::{Path, PathBuf},
+    },
     tokio::runtime::Builder,
 };
 
@@ -25,6 +29,7 @@
         Command::Submit { text, base, by, target } => return submit(&text, base, by, &target),
         Command::Show(target) => return show(&target),
         Command::Drain(target) => return drain(&target),
+        Command::Away { files, json } => return away(&files, json),
         Command::Trace { id, files, json } => return trace(&id, &files, json),
     }
     Exit::Done
@@ -48,16 +53,45 @@
     }
 }
 
-fn trace(id: &trace::Id, files: &[PathBuf], json: bool) -> Exit {
+/// Parses the log lines of all files.
+fn read_logs(files: &[PathBuf]) -> Result<Vec<trace::Line>, Box<str>> {
     let mut lines = vec![];
     for path in files {
-        match std::fs::read(path) {
-            Ok(bytes) => lines.extend(trace::read(&path.to_string_lossy(), &bytes)),
-            Err(e) => {
-                return fail(Exit::Usage, &format!("cannot read {}: {e}", path.display()), json);
-            }
-        }
+        let bytes = fs::read(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
+        lines.extend(trace::read(&path.to_string_lossy(), &bytes));
+    }
+    Ok(lines)
+}
+
+fn away(files: &[PathBuf], json: bool) -> Exit {
+    let lines = match files {
+        [] => read_standard_input(),
+        files => read_logs(files),
+    };
+    let absences = match lines.map(trace::absences) {
+        Ok(absences) if absences.ok => absences,
+        Ok(_) => return fail(Exit::Usage, "the input has no log lines", json),
+        Err(cause) => return fail(Exit::Usage, &cause, json),
+    };
+    match json {
+        true => write_json(&absences),
+        false => print_line(format_args!("{absences}")),
     }
+    Exit::Done
+}
+
+fn read_standard_input() -> Result<Vec<trace::Line>, Box<str>> {
+    let mut bytes = vec![];
+    let read = io::stdin().read_to_end(&mut bytes);
+    read.map_err(|e| format!("cannot read the standard input: {e}"))?;
+    Ok(trace::read("-", &bytes))
+}
+
+fn trace(id: &trace::Id, files: &[PathBuf], json: bool) -> Exit {
+    let lines = match read_logs(files) {
+        Ok(lines) => lines,
+        Err(cause) => return fail(Exit::Usage, &cause, json),
+    };
     let trace = trace::trace(id, lines);
     match (json, trace.ok) {
         (true, _) => write_json(&trace),
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -1,4 +1,4 @@
-//! Traces one job through the logs of many processes.
+//! Traces one job through the logs of many processes, and lists the absences of long-running steps.
 //!
 //! The input has the lines of [`logs`](crate::logs), either plain or prefixed with a time in
 //! seconds and the name of a node, as the test bed prints them. Lines that can't be parsed are
@@ -15,11 +15,15 @@
     },
 };
 
+mod away;
 mod read;
 mod sum;
 
-pub use read::{Line, read};
 use sum::summarize;
+pub use {
+    away::{Absence, Absences, absences},
+    read::{Line, read},
+};
 
 /// Values of `did` in the records about a job that only the owner of its shard writes.
 const OWNER_EVENTS: [&str; 10] = [
--- a/tests/trace.rs
+++ b/tests/trace.rs
@@ -3,7 +3,7 @@
 use {
     dogwoodreach::{
         cli::{Command, Exit, parse},
-        trace::{Id, Trace, read, trace},
+        trace::{Absences, Id, Trace, absences, read, trace},
     },
     std::{ffi::OsString, path::Path, process::Output},
 };
@@ -217,3 +217,120 @@
     let (code, ..) = run(&format!("trace {JOB} {path}.missing"));
     assert_eq!(code, Exit::Usage as i32);
 }
+
+/// A line about step 0 of a job that is away, at this millisecond of 10:00.
+fn away_line(at_ms: u64, job: &str, first: u32, away_ms: u64, cause: &str) -> String {
+    let (s, ms) = (at_ms / 1_000, at_ms % 1_000);
+    format!(
+        "2026-12-02T10:00:{s:02}.{ms:03}Z INFO shard: Lasting task is away. did=away job={job} \
+         step={job}.0.0 tasks=1 held=0 first={first} away_ms={away_ms} cause=\"{cause}\" idle=3 \
+         unsettled=0\n"
+    )
+}
+
+fn absences_of(files: &[(&str, &str)]) -> Absences {
+    absences(files.iter().flat_map(|(name, text)| read(name, text.as_bytes())).collect())
+}
+
+#[test]
+fn each_absence_of_a_long_running_step_is_listed_once_the_longest_first() {
+    // Step a1 is away for 4.1 s, for two causes, and later again; step b2 for 3 s. The lines of the
+    // first absence differ by some milliseconds in the beginning that they imply.
+    let b = "00000000000000b2";
+    let text = [
+        away_line(7_000, JOB, 3, 2_100, "new tickets"),
+        away_line(7_500, b, 0, 3_000, "room"),
+        away_line(8_003, JOB, 3, 3_100, "new tickets"),
+        away_line(9_000, JOB, 4, 4_100, "room"),
+        away_line(20_000, JOB, 3, 2_050, "room"),
+    ]
+    .concat();
+    let all = absences_of(&[("owner", &text), ("entry", ENTRY)]);
+    let rows: Vec<(u64, &str, &str)> =
+        all.absences.iter().map(|a| (a.away_ms, &*a.step, &*a.cause)).collect();
+    let (a, b) = (format!("{JOB}.0.0"), format!("{b}.0.0"));
+    assert_eq!(rows, [(4_100, &*a, "room"), (3_000, &*b, "room"), (2_050, &*a, "room")]);
+    let causes: Vec<(&str, u64)> =
+        all.absences[0].causes_ms.iter().map(|(c, ms)| (&**c, *ms)).collect();
+    assert_eq!(causes, [("new tickets", 3_100), ("room", 1_000)]);
+    let text = all.to_string();
+    assert_eq!(
+        text.lines().next(),
+        Some(
+            "  4100 ms since 2026-12-02T10:00:04.900Z  owner  00000000000000a1.0.0  room (new \
+             tickets 3100 ms, room 1000 ms)  tasks=1 held=0 first=4 away_ms=4100 cause=\"room\" \
+             idle=3 unsettled=0"
+        )
+    );
+    assert!(text.ends_with("\n3 absences, the longest of 4100 ms."), "{text}");
+}
+
+#[test]
+fn tasks_of_a_step_that_are_away_one_after_the_other_are_two_absences() {
+    // The task that was away longest runs again; another one has been away for a shorter time.
+    let text = [
+        away_line(7_000, JOB, 3, 4_000, "room"),
+        away_line(8_000, JOB, 5, 2_500, "room"),
+        away_line(9_000, JOB, 5, 3_500, "room"),
+    ]
+    .concat();
+    let all = absences_of(&[("owner", &text)]);
+    let lengths: Vec<u64> = all.absences.iter().map(|a| a.away_ms).collect();
+    assert_eq!(lengths, [4_000, 3_500]);
+    // Two owners know of one absence for different times.
+    let all = absences_of(&[("owner", &text), ("next", &away_line(9_500, JOB, 3, 2_000, "room"))]);
+    assert_eq!(all.absences.len(), 3, "{all}");
+}
+
+#[test]
+fn lines_about_absences_that_are_missing_or_cut_off_are_counted() {
+    let whole = away_line(7_000, JOB, 3, 4_000, "room");
+    let limited = away_line(8_000, JOB, 3, 5_000, "room").replace('\n', " left_out=17\n");
+    let text = [whole.as_str(), &limited, &whole[..whole.len() - 15]].concat();
+    let all = absences_of(&[("owner", &text)]);
+    assert_eq!((all.absences.len(), all.malformed, all.left_out), (1, 1, 17), "{all}");
+    let end = "; 17 lines were left out by the rate limit; 1 lines are malformed.";
+    assert!(all.to_string().ends_with(end), "{all}");
+    for end in 0..text.len() {
+        absences_of(&[("noise", &text[..end])]);
+    }
+}
+
+#[test]
+fn absences_behind_a_time_and_a_node_are_read() {
+    let line = away_line(7_000, JOB, 3, 2_500, "room");
+    let all = absences_of(&[("bed", &format!("  -1.500 edge-1 {line}"))]);
+    let text = all.to_string();
+    assert!(text.starts_with("  2500 ms since -4.000 s  edge-1  "), "{text}");
+}
+
+#[test]
+fn the_command_lists_absences() {
+    let want = Command::Away { files: vec!["a.log".into(), "b.log".into()], json: true };
+    assert_eq!(parse(args("trace --away a.log b.log --json")), Ok(want));
+    assert_eq!(parse(args("trace --away")), Ok(Command::Away { files: vec![], json: false }));
+    let (code, _, err) = run("check --away a.text");
+    assert_eq!((code, &*err), (2, "dogwoodreach: check takes no --away; try --help\n"));
+
+    let path = |name: &str| Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let write = |name: &str, text: &str| {
+        std::fs::write(path(name), text).expect("a file in the tests' directory");
+        path(name).display().to_string()
+    };
+    let away = write("away.log", &away_line(7_000, JOB, 3, 4_000, "room"));
+    let (code, out, _) = run(&format!("trace --away {away}"));
+    assert_eq!((code, out.lines().count()), (0, 2), "{out}");
+    let (code, out, _) = run(&format!("trace --away {away} --json"));
+    let json: serde_json::Value = serde_json::from_str(&out).expect("one JSON object");
+    assert_eq!((code, &json["ok"]), (0, &true.into()));
+    assert_eq!(json["absences"][0]["causes_ms"]["room"], 4_000);
+    let none = write("none.log", ENTRY);
+    let (code, out, _) = run(&format!("trace --away {none}"));
+    assert_eq!((code, &*out), (0, "0 absences, the longest of 0 ms.\n"));
+    let noise = write("noise.log", "\u{1f}\u{8b} no log\n");
+    let (code, out, err) = run(&format!("trace --away {noise}"));
+    assert_eq!((code, &*out, &*err), (2, "", "dogwoodreach: the input has no log lines\n"));
+    let (code, out, _) = run(&format!("trace --away {away}.missing --json"));
+    let json: serde_json::Value = serde_json::from_str(&out).expect("one JSON object");
+    assert_eq!((code, &json["ok"]), (2, &false.into()));
+}
