Log: the 20 longest absences of a shard, once a second

A member's log takes 100 lines a second of one statement, over all its shards. Where many steps were away at once, the first shard of a second could use them up, and what told the cause of the longest absences of the others was left out. Each shard now logs its 20 longest, so that five shards fit; its own line says how many steps are away.

--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -22,6 +22,9 @@
 const MIN_LOGGED_WAIT: Duration = Duration::from_secs(3);
 /// The maximum number of waiting steps that are logged at once.
 const MAX_LOGGED_STEPS: usize = 4;
+/// The maximum number of absences that are logged at once, the longest ones. The lines of five
+/// shards fit into a member's budget of lines.
+const MAX_LOGGED_ABSENCES: usize = 20;
 /// The minimum number of consecutive unanswered calls after which a worker is logged as silent.
 const MIN_SILENT_CALLS: u32 = 3;
 
@@ -71,8 +74,9 @@
         if !log::log_enabled!(target: "shard", log::Level::Info) {
             return;
         }
-        log::info!(target: "shard", "Shard {}: {}.", self.setup.shard, self.summary(now));
-        away.iter().for_each(|a| self.log_away(a));
+        let (shard, summary, count) = (self.setup.shard, self.summary(now), away.len());
+        log::info!(target: "shard", "Shard {shard}: {summary}; long-running steps away {count}.");
+        away.iter().take(MAX_LOGGED_ABSENCES).for_each(|a| self.log_away(a));
         let lasts =
             |k: &StepKey| self.jobs.get(&k.job).and_then(|j| j.step(k)).is_some_and(|s| s.lasts);
         let since = |k: &StepKey| {
