Advice: tickets are requested while a long-running task cannot start yet

Cause: whatever keeps a task from starting also kept its owner from requesting advice. A task with an unanswered start, a stop in progress or a silent worker is not in the ready queue; a round returns before it asks for a job that the owner may not start yet, and skips tasks of which another run is being stopped; without a lease there is no round. Tickets are valid for 2 s, so each of these waits was followed by a call of 1 to 2 s.

Fix: each periodic check looks for long-running tasks that cannot start for a reason that may end by the time a call is answered, and keeps tickets valid for the workers that a round would choose (the round's `rooms`, `choose_workers`, `ask_for_missing` and `renew_tickets`). Reasons that end at any time: an unanswered start, a stop, another run being stopped, an owner without a lease. A silent worker counts once the VM list lacks it or its lease is about to end; so does a worker of a former owner. A waiting task must have waited for 0.5 s. Starts are as guarded as before: no condition of a start has changed. An advice call changes nothing at workers or in the store and carries no token, so an owner without a lease only uses the service's time.

Bounds: at most 4 calls in a row for a step, only while members are idle beyond those kept free (`may_call_ahead`), none while one is unanswered. Gangs and steps that are not long-running get no such calls.

Ruled out: that the lost time was room.

--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -76,6 +76,8 @@
     pub pending_workers: FxHashSet<WorkerNo>,
     /// Earliest time for the next advice call.
     pub next_call: Time,
+    /// The number of advice calls made in a row while tasks of the step could not start.
+    pub early_calls: u32,
     /// The times at which the unanswered advice calls were made; for the log only.
     pub call_times: Vec<Time>,
     /// Arrival time of the last answer to an advice call; for the log only.
--- a/src/shard/prefetch.rs
+++ b/src/shard/prefetch.rs
@@ -1,22 +1,45 @@
-//! Requests tickets in advance for workers that are expected to have room soon.
+//! Requests tickets in advance: for workers that are expected to have room soon, and for
+//! long-running tasks that cannot start yet.
 
-use crate::{
-    decide::{
-        ahead::{self, Progress},
-        fit::Room,
+use {
+    crate::{
+        decide::{
+            ahead::{self, Progress},
+            fit::Room,
+        },
+        shard::{
+            dispatch::{choose_workers, withhold},
+            jobs::{ActiveJob, Placement, StepState},
+            round::{Round, Turn},
+            state_machine::Shard,
+            workers::{Run, RunPhase, WorkerNo},
+        },
+        time::Time,
+        units::Size,
+        work::{AdviceCost, JobNo, StepKey, TaskKey},
     },
-    shard::{
-        round::{Round, Turn},
-        state_machine::Shard,
-        workers::{Run, RunPhase, WorkerNo},
-    },
-    time::Time,
-    units::Size,
-    work::{AdviceCost, TaskKey},
+    std::time::Duration,
 };
 
 /// The number of workers that an advice call is assumed to name when its duration is estimated.
 const ASSUMED_WORKERS: u32 = 5;
+/// The time for which a task must have waited before tickets are requested although it cannot
+/// start yet. Most workers report their runs to a new owner within that time.
+const MIN_DELAY: Duration = Duration::from_millis(500);
+/// The maximum number of advice calls in a row for a step whose tasks cannot start. Their tickets
+/// are valid for more than the 6 s within which a long-running task must run again.
+const MAX_EARLY_CALLS: u32 = 4;
+/// The maximum number of steps whose tickets are examined at a time.
+const MAX_DELAYED_STEPS: usize = 100;
+
+/// A long-running step with tasks that cannot start yet.
+struct DelayedStep {
+    key: StepKey,
+    /// The indices of these tasks.
+    tasks: Vec<u32>,
+    cost: AdviceCost,
+    early_calls: u32,
+}
 
 impl Shard {
     /// Returns the workers that will soon have room for a task of this step, or none if no ticket
@@ -64,6 +87,156 @@
         let ending = worker.runs.iter().filter(|(t, r)| expected_end(r, now) <= by && !lasts(t));
         size.fits(&ending.fold(worker.free(), |sum, (_, r)| sum + r.size))
     }
+
+    /// Keeps tickets valid for long-running tasks that cannot start yet for a reason that may end
+    /// soon.
+    ///
+    /// Guards against waits in series: an advice call that begins only when an unanswered start
+    /// has been stopped, a lease has ended or the shard is settled takes one to two seconds more.
+    pub(super) fn renew_delayed(&mut self, now: Time) {
+        let steps = self.delayed_steps(now);
+        if steps.is_empty() {
+            return;
+        }
+        let mut round = self.new_round(now);
+        for step in &steps {
+            if !ahead::may_call_ahead(self.lanes.idle_count(), self.lanes.len()) {
+                return;
+            }
+            self.renew_early(step, &mut round, now);
+            if self.step_state(&step.key).is_some_and(|p| p.tickets.is_pending()) {
+                self.set_early_calls(&step.key, |n| n + 1);
+            }
+        }
+    }
+
+    /// Returns the long-running steps that may make an early call, and resets the count of early
+    /// calls of those that no longer need one.
+    fn delayed_steps(&mut self, now: Time) -> Vec<DelayedStep> {
+        let (mut delayed, mut resumed) = (vec![], vec![]);
+        for (no, job) in self.jobs.iter().filter(|(_, j)| !j.state.is_final()) {
+            let queue = self.queue_configs.get(&job.queue);
+            let Some(cost) = queue.and_then(|q| q.advice) else { continue };
+            let by = ahead::call_ahead_horizon(cost.base + cost.each * ASSUMED_WORKERS, now);
+            for ((time, step), part) in &job.step_states {
+                let key = StepKey { job: *no, time: *time, step: *step };
+                let tasks = self.delayed_tasks(&key, job, part, by, now);
+                let tickets = &part.tickets;
+                if tasks.is_empty() {
+                    resumed.extend((tickets.early_calls > 0).then_some(key));
+                } else if !tickets.is_pending()
+                    && tickets.next_call <= now
+                    && tickets.early_calls < MAX_EARLY_CALLS
+                {
+                    let early_calls = tickets.early_calls;
+                    delayed.push(DelayedStep { key, tasks, cost, early_calls });
+                }
+            }
+        }
+        for key in resumed {
+            self.set_early_calls(&key, |_| 0);
+        }
+        delayed.sort_unstable_by_key(|d| (d.early_calls, d.key));
+        delayed.truncate(MAX_DELAYED_STEPS);
+        delayed
+    }
+
+    fn set_early_calls(&mut self, key: &StepKey, count: impl Fn(u32) -> u32) {
+        let job = self.jobs.get_mut(&key.job);
+        if let Some(part) = job.and_then(|j| j.step_states.get_mut(&(key.time, key.step))) {
+            part.tickets.early_calls = count(part.tickets.early_calls);
+        }
+    }
+
+    /// Requests tickets of the workers that a round would choose for the tasks of a step, unless
+    /// their tickets stay valid for longer than a call takes.
+    fn renew_early(&mut self, delayed: &DelayedStep, round: &mut Round, now: Time) {
+        let DelayedStep { ref key, ref tasks, cost, .. } = *delayed;
+        let Some(mut turn) = self.turn(key, round, now) else { return };
+        turn.waiting.extend(tasks);
+        turn.waiting.sort_unstable();
+        turn.waiting.dedup();
+        if self.step_state(key).is_none_or(|p| p.tickets.eligible.is_empty()) {
+            return self.ask_for_missing(&turn, round, now);
+        }
+        let duration = cost.base + cost.each * ASSUMED_WORKERS;
+        let (valid, mut stale) = self.rooms(&turn, round, now);
+        let (expiring, mut valid): (Vec<Room>, Vec<Room>) = valid.into_iter().partition(|r| {
+            self.valid_until(key, WorkerNo(r.index))
+                .is_none_or(|until| ahead::ticket_expires_early(until, duration, now))
+        });
+        stale.extend(expiring);
+        let chosen = choose_workers(&turn.step, &turn.waiting, &mut valid);
+        let rest = &turn.waiting[chosen.len()..];
+        let later = choose_workers(&turn.step, rest, &mut stale);
+        withhold(&turn.step, &chosen, round);
+        withhold(&turn.step, &later, round);
+        if rest.is_empty() {
+            return;
+        }
+        let mut wanted: Vec<WorkerNo> = later.iter().map(|c| c.1).collect();
+        wanted.sort_unstable();
+        wanted.dedup();
+        self.renew_tickets(key, &wanted, &turn.usable, cost, now);
+    }
+
+    /// Returns the tasks of a long-running step that cannot start now but may be able to by the
+    /// time `by`.
+    fn delayed_tasks(
+        &self,
+        key: &StepKey,
+        job: &ActiveJob,
+        part: &StepState,
+        by: Time,
+        now: Time,
+    ) -> Vec<u32> {
+        if !job.step(key).is_some_and(|s| s.lasts && !s.gang)
+            || !job.is_unblocked(key.time, key.step)
+        {
+            return vec![];
+        }
+        let blocked = part.waiting_count > 0 && self.bar_may_end(&key.job, job, by, now);
+        let delayed = (0..).zip(&part.tasks).filter(|(index, t)| {
+            let task = TaskKey { step: *key, index: *index };
+            match t.placement {
+                Placement::Done => false,
+                Placement::Waiting => {
+                    let since = t.ended_at.or(part.ready_since);
+                    (blocked || self.stray_tasks.contains(&task))
+                        && since.is_some_and(|t| t + MIN_DELAY <= now)
+                }
+                Placement::Assigned(no) => self.may_lose_run(no, &task, by),
+            }
+        });
+        delayed.map(|d| d.0).collect()
+    }
+
+    /// Returns whether this owner may start no task of the job now, but perhaps by the time `by`.
+    fn bar_may_end(&self, no: &JobNo, job: &ActiveJob, by: Time, now: Time) -> bool {
+        match () {
+            () if !self.may_act(now) => true,
+            () if self.is_sole_starter(no) => false,
+            () => !job.inherited || self.unsettled_workers.iter().all(|n| self.may_end(*n, by)),
+        }
+    }
+
+    /// Returns whether the run of a task, if there is one, may turn out to have ended by the time
+    /// `by`: it is being stopped, its start is unanswered, or its worker may have ended.
+    fn may_lose_run(&self, no: WorkerNo, task: &TaskKey, by: Time) -> bool {
+        self.workers[no.0].runs.get(task).is_some_and(|r| match r.phase {
+            RunPhase::Unsure | RunPhase::Stopping => true,
+            RunPhase::Starting => false,
+            RunPhase::Running => self.may_end(no, by),
+        })
+    }
+
+    /// Returns whether the runs of a silent worker may count as ended by the time `by`: the
+    /// worker is missing from the VM list, or its lease ends by then.
+    fn may_end(&self, no: WorkerNo, by: Time) -> bool {
+        let worker = &self.workers[no.0];
+        worker.unanswered_calls > 0
+            && (worker.missing_since.is_some() || worker.lease_end(&self.setup.bounds) <= by)
+    }
 }
 
 /// Returns the time at which a run is expected to end.
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -286,6 +286,7 @@
             self.settle(now);
             self.query_machines(now);
             self.prefetch_advice(now);
+            self.renew_delayed(now);
             self.check_purge(now);
             self.log_workers(now);
         }
