Soak: with planned work only, a connection that ends without an answer breaks a promise

The callers counted calls without an answer and the judge looked at none of them, so that the soak could not see the LOST of RULES.md under draining: each of its stops and reloads stood among faults that excuse it. `--planned` draws stops, reloads, configurations, cancels, bursts and leaving workers only; a connection that ends without an answer while nothing else has happened for FAULT_GRACE is a breach, with or without the option. The draws of other soaks are as before.

--- a/standin/src/site/plan.rs
+++ b/standin/src/site/plan.rs
@@ -128,6 +128,14 @@
     Burst(u32),
 }
 
+impl Fault {
+    /// Whether this is planned work of operators or callers, which must not cost any call its answer.
+    pub fn is_planned(&self) -> bool {
+        use Fault::{Burst, Cancels, Config, Leave, Reload, Stop, Storm};
+        matches!(self, Burst(_) | Cancels | Config | Leave(_) | Reload(_) | Stop(_) | Storm(_))
+    }
+}
+
 /// A scheduled fault.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
 #[display("{:.1} s: {fault}, {:.1} s", at.as_secs_f64(), lasts.as_secs_f64())]
@@ -143,6 +151,21 @@
 /// Draws the faults of a soak of this length. The kinds come in shuffled rounds of all 37, so the
 /// first 74 faults include each kind twice.
 pub fn faults(seed: u64, length: Duration, members: usize, workers: usize) -> Vec<Planned> {
+    draw_faults(seed, length, members, workers, |_| true)
+}
+
+/// Draws the faults of a soak of this length that has planned work only.
+pub fn planned_work(seed: u64, length: Duration, members: usize, workers: usize) -> Vec<Planned> {
+    draw_faults(seed, length, members, workers, Fault::is_planned)
+}
+
+fn draw_faults(
+    seed: u64,
+    length: Duration,
+    members: usize,
+    workers: usize,
+    keep: impl Fn(&Fault) -> bool,
+) -> Vec<Planned> {
     let mut rng = fastrand::Rng::with_seed(seed);
     let mut kinds: Vec<u8> = Vec::new();
     let (mut all, mut at) = (Vec::new(), FIRST_FAULT_MS);
@@ -153,6 +176,9 @@
         }
         let kind = kinds.pop().unwrap_or_default();
         let (fault, shortest, longest) = fault(kind, &mut rng, members, workers);
+        if !keep(&fault) {
+            continue;
+        }
         let lasts = Duration::from_millis(rng.u64(shortest..=longest));
         all.push(Planned { fault, at: Duration::from_millis(at), lasts });
         at += rng.u64(0..MAX_GAP_MS);
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -39,6 +39,8 @@
     pub workers: usize,
     /// Whether the judge checks the rules with a time bound.
     pub timed: bool,
+    /// Whether there is planned work only.
+    pub planned: bool,
     /// Directory for the members' logs and settings.
     pub dir: PathBuf,
     /// Path of the members' binary.
@@ -71,6 +73,7 @@
         members: 5,
         workers: 24,
         timed: true,
+        planned: false,
         dir: target.join("soak"),
         binary: near.join("dogwoodreach-platform"),
     };
@@ -85,6 +88,7 @@
             Long("members") => options.members = args.value()?.parse::<usize>()?.max(1),
             Long("workers") => options.workers = args.value()?.parse::<usize>()?.max(4),
             Long("untimed") => options.timed = false,
+            Long("planned") => options.planned = true,
             Long("binary") => options.binary = args.value()?.into(),
             Long("json") => json = true,
             _ => return Err(arg.unexpected().into()),
@@ -129,7 +133,8 @@
         return Err(format!("{name} is missing: cargo build --workspace makes it").into());
     }
     std::fs::create_dir_all(&options.dir)?;
-    let faults = plan::faults(options.seed, options.length, options.members, options.workers);
+    let draw = if options.planned { plan::planned_work } else { plan::faults };
+    let faults = draw(options.seed, options.length, options.members, options.workers);
     let stage = Stage::new(options);
     let serving = serve::start(&stage, options).await?;
     let members = Members::start(options, &stage, &serving).await?;
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -10,7 +10,7 @@
     bytes::Bytes,
     dogwoodreach::{
         Time,
-        http::{Client, uri},
+        http::{Client, Failure, uri},
         shard::record::JobRecord,
         work::{JobNo, JobState},
     },
@@ -350,10 +350,16 @@
             .body(Full::new(body))
             .ok()?;
         self.count(|c| c.calls += 1);
+        let asked = self.stage.now();
         match self.client.send(ask, Duration::from_millis(DEADLINE_MS) + ANSWER_SLACK).await {
             Ok((head, body)) => Some((head.status.as_u16(), body)),
-            Err(_) => {
+            Err(failure) => {
                 self.count(|c| c.unanswered += 1);
+                let undisturbed = || self.stage.read(|s| s.is_undisturbed_since(asked));
+                if failure == Failure::Broken && undisturbed() {
+                    let text = format!("{to} ended the connection of {method} {path} unanswered");
+                    self.stage.report_breach(text);
+                }
                 None
             }
         }
--- a/standin/src/soak/play.rs
+++ b/standin/src/soak/play.rs
@@ -69,9 +69,16 @@
             all.spawn(async move {
                 sleep_until((begin + planned.at).into()).await;
                 log::info!("{planned}");
-                play.stage.update(|s| s.faults += 1);
+                let unplanned = usize::from(!planned.fault.is_planned());
+                play.stage.update(|s| {
+                    s.faults += 1;
+                    s.unplanned += unplanned;
+                });
                 play.inject(planned.fault, (begin + planned.at + planned.lasts).min(end)).await;
-                play.stage.update(|s| s.faults -= 1);
+                play.stage.update(|s| {
+                    s.faults -= 1;
+                    s.unplanned -= unplanned;
+                });
             });
         }
         all
--- a/standin/src/soak/stage.rs
+++ b/standin/src/soak/stage.rs
@@ -14,7 +14,7 @@
     },
     serde::Serialize,
     standin::site::{
-        judge::{Breach, Rules, Verdict},
+        judge::{Breach, FAULT_GRACE, Rules, Verdict},
         setup,
         store::{CallOutcome, Mode, Store},
         worker::{Note, World},
@@ -71,6 +71,10 @@
     pub store_delay: Duration,
     /// Number of active faults.
     pub faults: usize,
+    /// Number of active faults that aren't planned work.
+    pub unplanned: usize,
+    /// Last moment of a fault that isn't planned work.
+    last_unplanned: Option<Time>,
     pub rng: fastrand::Rng,
     /// Recorded events of workers, each with its job.
     events: VecDeque<(JobNo, String)>,
@@ -108,6 +112,8 @@
             cut_off: BTreeSet::new(),
             store_delay: Duration::ZERO,
             faults: 0,
+            unplanned: 0,
+            last_unplanned: None,
             rng: fastrand::Rng::with_seed(seed),
             events: VecDeque::new(),
             owners: BTreeMap::new(),
@@ -122,6 +128,9 @@
                     if s.faults > 0 {
                         s.rules.record_fault(s.world.now);
                     }
+                    if s.unplanned > 0 {
+                        s.last_unplanned = Some(s.world.now);
+                    }
                 });
             }
         });
@@ -262,6 +271,11 @@
         Ok(())
     }
 
+    /// Whether there has been planned work only, from [`FAULT_GRACE`] before `since` until now.
+    pub fn is_undisturbed_since(&self, since: Time) -> bool {
+        self.unplanned == 0 && self.last_unplanned.is_none_or(|at| at + FAULT_GRACE < since)
+    }
+
     /// Keeps the first breach; later ones are dropped.
     pub fn keep(&mut self, breach: Breach) {
         self.breach.get_or_insert(breach);
