--- a/tests/shard_stay.rs
+++ b/tests/shard_stay.rs
@@ -201,7 +201,12 @@
         let over = catch_unwind(AssertUnwindSafe(|| yard.run_until(LOAD_MS + 3_000)));
         let seconds = begun.elapsed().as_secs_f64();
         bad += u64::from(over.is_err());
-        println!("seed {seed}: {} at {}, {seconds:.1} s, {load:?}", over.is_err(), yard.now);
+        let (calls, cost) = yard.advice_calls;
+        println!(
+            "seed {seed}: {} at {}, {seconds:.1} s, {calls} calls of {cost:.1?}, {load:?}",
+            over.is_err(),
+            yard.now
+        );
     }
     println!("{bad} of {} days", to - from);
 }
--- a/tests/yard/mail.rs
+++ b/tests/yard/mail.rs
@@ -196,6 +196,10 @@
     ) {
         let (cost, now) = (self.advice_cost(&call), self.now);
         let admitted = self.advice_desk(via).admit(takes, limit, now);
+        if admitted.is_some() {
+            self.advice_calls.0 += 1;
+            self.advice_calls.1 += cost.base + cost.each * call.workers.len() as u32;
+        }
         let reply = admitted.ok_or(Fault::Refused);
         let reply =
             reply.and_then(|n| Ok((n, self.world.advice.accept(via, &call, cost, self.now)?)));
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -148,6 +148,8 @@
     advice_desks: BTreeMap<Incarnation, CallQueue>,
     /// Number of calls for advice that a member refused for lack of capacity.
     pub refused_calls: u64,
+    /// Number of calls for advice that members took on for the owner, and their total cost.
+    pub advice_calls: (u64, Duration),
     /// Times of deliveries are rounded up to a multiple of this; a coarser value makes a large
     /// simulation faster.
     pub time_step: Duration,
@@ -186,6 +188,7 @@
             shared_members: Vec::new(),
             advice_desks: BTreeMap::new(),
             refused_calls: 0,
+            advice_calls: (0, Duration::ZERO),
             time_step: Duration::from_micros(1),
             world,
             store: Store::new(seed),
