Takeovers: a worker that hasn't answered its new owner is asked again without a growing pause

Callers saw a long-running task away for over 6 s after a planned takeover while one in three orders was late.

Cause: a new owner starts no job from before the takeover until every worker of the roster has answered once, or a lease has passed. Each unanswered call to a worker took 0.7 s and made the pause before the next one longer (0.15 s, 0.3 s, to 0.9 s), a rule for workers that are silent beside others that serve. Of 40 workers with one in three calls lost the last answers after four to five calls, 4 to 6 s. Until the shard is settled these workers are asked again after 0.15 s, and their first call, which waits for nothing, has the time of an order (0.5 s). What settles a shard is unchanged.

Ruled out: workers that ended with their owner, or as it released the shard.

Price: a worker that doesn't answer costs up to twice as many calls until the shard is settled.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -208,6 +208,10 @@
                 () if w.runs.is_empty() && fresh => Duration::from_millis(1900),
                 () => Duration::from_millis(900),
             };
+            let limit = match !w.fenced && self.unsettled_workers.contains(&WorkerNo(no)) {
+                true => ORDER_TIMEOUT,
+                false => wait + Duration::from_millis(700),
+            };
             w.hold_sent = Some(now);
             let call = WorkerCall::Hold {
                 until,
@@ -219,7 +223,7 @@
                 worker: w.id.clone(),
                 addr: w.addr,
                 call: Box::new(call),
-                limit: wait + Duration::from_millis(700),
+                limit,
             });
         }
     }
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -82,8 +82,12 @@
         let worker = &mut self.workers[no.0];
         worker.hold_sent = None;
         let Ok(WorkerReply::Held(held)) = reply else {
-            let pause = (SILENT_PAUSE.0 * worker.unanswered_calls.max(1)).min(SILENT_PAUSE.1);
-            worker.next_hold = now + pause;
+            // All jobs from before a takeover wait for these workers.
+            let calls = match self.unsettled_workers.contains(&no) {
+                true => 1,
+                false => worker.unanswered_calls.max(1),
+            };
+            worker.next_hold = now + (SILENT_PAUSE.0 * calls).min(SILENT_PAUSE.1);
             return;
         };
         worker.next_hold = now;
--- a/tests/shard_takeover.rs
+++ b/tests/shard_takeover.rs
@@ -3,9 +3,16 @@
 mod hand;
 
 use {
-    dogwoodreach::ports::{EndReason, PresentRun, WorkerCall, WorkerReply as Reply},
+    dogwoodreach::{
+        ports::{EndReason, PresentRun, WorkerCall, WorkerReply as Reply},
+        shard::{
+            Shard,
+            event::{Event, Order},
+            record::{CommitRow, encode},
+        },
+    },
     hand::{
-        Harness, job, step, task,
+        Harness, SHARD, job, load, setup, step, task,
         worker::{Hook, NORMAL, SILENT, Worker},
     },
 };
@@ -110,3 +117,33 @@
     hand.run_until("a start on a new worker", 1_000, |h| h.starts_of(2).len() == 1);
     hand.run_until("the tasks of the others", 30_000, |h| h.starts_of(1).len() == 2);
 }
+
+#[test]
+fn a_hold_has_more_time_than_it_waits() {
+    // A new owner gives the first call to a worker less time than others, until all workers have
+    // answered. Guards against holds that wait for longer than that: each would count as
+    // unanswered.
+    let mut hand = Harness::new(2);
+    hand.submit(1, "plain", job(step(2, 3)));
+    hand.run(500);
+    let row = encode(&CommitRow { token: 2, number: 0 });
+    let commit = hand.store.put(SHARD.commit_key(), row);
+    let mut shard = Shard::new(setup(2), load(&hand.store, commit), hand.now);
+    let listed = hand.workers.iter().filter_map(Worker::entry).collect();
+    let mut orders = shard.handle(Event::Confirmed(hand.now), hand.now);
+    orders.extend(shard.handle(Event::Listed(listed), hand.now));
+    let mut waiting = 0;
+    for order in orders {
+        let Order::Worker { worker, call, .. } = order else { continue };
+        let at = hand.workers.iter().position(|w| w.id == worker).expect("a worker");
+        let reply = hand.workers[at].answer(&call, hand.now);
+        let event = Event::Worker { worker, sent: hand.now, call, reply };
+        for next in shard.handle(event, hand.now) {
+            let Order::Worker { call, limit, .. } = next else { continue };
+            let WorkerCall::Hold { wait, .. } = *call else { continue };
+            assert!(wait < limit, "waits {wait:?} of {limit:?}");
+            waiting += u32::from(!wait.is_zero());
+        }
+    }
+    assert_eq!(waiting, 2, "each worker is asked again");
+}
