--- a/src/logs.rs
+++ b/src/logs.rs
@@ -28,6 +28,9 @@
 pub const LINES_PER_SECOND: u32 = 100;
 /// Maximum number of bytes of log lines that wait to be written.
 pub const RING_BYTES: usize = 256 * 1024;
+/// Maximum number of bytes of a write with more than one line: a pipe takes as many at once, so that
+/// no reader sees a part of a line. As soon as so many bytes wait, they are written.
+pub const MAX_WRITE_BYTES: usize = 4096;
 /// Time for which lines are collected before a write, because each write costs two wake-ups. Lines
 /// collected when a process dies are lost.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
@@ -129,7 +132,7 @@
     }
 
     /// Writes lines as they arrive, until a write fails.
-    fn write(&self, mut out: impl Write) {
+    pub fn write(&self, mut out: impl Write) {
         loop {
             let mut buffer = self.lock();
             buffer.writing = false;
--- a/tests/logs.rs
+++ b/tests/logs.rs
@@ -3,10 +3,13 @@
 use {
     dogwoodreach::{
         Time,
-        logs::{LineBudget, LineBuffer, format_time, line},
+        logs::{LineBudget, LineBuffer, MAX_WRITE_BYTES, format_time, line},
     },
     log::{Level, Record},
-    std::time::{Duration, SystemTime, UNIX_EPOCH},
+    std::{
+        io::{Error, Result, Write},
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
 };
 
 fn at(ms: u64) -> SystemTime {
@@ -45,6 +48,48 @@
     assert_eq!(ring.drain(), b"again\n");
 }
 
+/// Keeps what each write has written, and fails once it has received as many bytes as expected.
+struct Writes {
+    writes: Vec<Vec<u8>>,
+    expected: usize,
+}
+
+impl Write for &mut Writes {
+    fn write(&mut self, bytes: &[u8]) -> Result<usize> {
+        self.writes.push(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> Result<()> {
+        let received = self.writes.iter().map(Vec::len).sum::<usize>();
+        if received < self.expected { Ok(()) } else { Err(Error::other("complete")) }
+    }
+}
+
+#[test]
+fn a_reader_of_a_pipe_gets_whole_lines() {
+    // A write of more bytes than a pipe takes at once may be read in part, or be mixed with what
+    // another thread writes. The lines after the cut were missing in the collected logs.
+    let ring = LineBuffer::new(64 * 1024);
+    let mut text = String::new();
+    for no in 0..100 {
+        let line = format!("{no} {}\n", "x".repeat(no * 7));
+        ring.put(line.as_bytes());
+        text.push_str(&line);
+    }
+    let long = format!("{}\n", "y".repeat(MAX_WRITE_BYTES));
+    ring.put(long.as_bytes());
+    text.push_str(&long);
+    let mut out = Writes { writes: vec![], expected: text.len() };
+    ring.write(&mut out);
+    assert_eq!(out.writes.concat(), text.as_bytes());
+    for write in &out.writes {
+        assert!(write.ends_with(b"\n"));
+        let lines = write.iter().filter(|b| **b == b'\n').count();
+        assert!(write.len() <= MAX_WRITE_BYTES || lines == 1, "{} bytes", write.len());
+    }
+}
+
 #[test]
 fn lines_have_time_and_key_values() {
     let pairs = [("job", "00ff"), ("cause", "a \"b\" c"), ("none", "")];
