Log: written in pieces of whole lines, as soon as 4 KiB wait

Cause: a member writes what it has collected in 250 ms at once. A write of more bytes than a pipe takes at once reaches the reader in parts; that the reader here keeps one part of 8 KiB is inferred from the sizes of the pieces.

A write now has whole lines and at most 4 KiB, which a pipe takes at once, and is made as soon as so much waits; a quiet member still writes every 250 ms.

--- a/src/logs.rs
+++ b/src/logs.rs
@@ -106,9 +106,11 @@
             return;
         }
         // The writer checks the buffer again before it waits, so a wake-up is needed only if it is
-        // idle.
-        let wake = buffer.lines.is_empty() && !buffer.writing;
+        // idle, or collects lines and now has enough.
+        let before = buffer.lines.len();
         buffer.lines.extend_from_slice(line);
+        let enough = before < MAX_WRITE_BYTES && buffer.lines.len() >= MAX_WRITE_BYTES;
+        let wake = enough || (before == 0 && !buffer.writing);
         drop(buffer);
         if wake {
             self.shared.1.notify_one();
@@ -140,11 +142,17 @@
                 buffer = self.shared.1.wait(buffer).unwrap_or_else(PoisonError::into_inner);
             }
             buffer.writing = true;
-            drop(buffer);
-            thread::sleep(BATCH_DELAY);
+            let few = |b: &mut BufferState| b.lines.len() < MAX_WRITE_BYTES;
+            let collected = self.shared.1.wait_timeout_while(buffer, BATCH_DELAY, few);
+            drop(collected.unwrap_or_else(PoisonError::into_inner));
             let lines = self.drain();
-            if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
-                return;
+            let mut rest = &lines[..];
+            while !rest.is_empty() {
+                let (piece, after) = rest.split_at(piece_length(rest));
+                if out.write_all(piece).and_then(|()| out.flush()).is_err() {
+                    return;
+                }
+                rest = after;
             }
         }
     }
@@ -163,6 +171,14 @@
     }
 }
 
+/// Length of the whole lines at the beginning that one write may have; at least one line.
+fn piece_length(lines: &[u8]) -> usize {
+    let end = |part: &[u8]| part.iter().rposition(|b| *b == b'\n').map(|at| at + 1);
+    let first = || lines.iter().position(|b| *b == b'\n').map(|at| at + 1);
+    let fitting = &lines[..lines.len().min(MAX_WRITE_BYTES)];
+    end(fitting).or_else(first).unwrap_or(lines.len())
+}
+
 impl Write for LineBuffer {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         self.put(line);
