--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -322,8 +322,10 @@
             let absent = active.flat_map(|o| o.shard.absences(self.now));
             absent
                 .for_each(|a| eprintln!("absent tasks according to the owner: {} {a:?}", a.cause));
-            let not_running =
-                |no: &&JobNo| self.world.run_count(**no) == 0 && self.stored_state(no.0).is_none();
+            let not_running = |no: &&JobNo| {
+                self.world.run_count(**no) == 0
+                    && self.stored_state(no.0).is_none_or(|s| !s.is_final())
+            };
             for no in self.world.jobs.keys().filter(not_running) {
                 let owner = self.owners.last().filter(|o| !o.ended);
                 let why = owner.map(|o| o.shard.explain(*no, self.now));
