--- a/src/logs.rs
+++ b/src/logs.rs
@@ -28,6 +28,9 @@
 pub const LINES_PER_SECOND: u32 = 100;
 /// Maximum number of bytes of log lines that wait to be written.
 pub const RING_BYTES: usize = 256 * 1024;
+/// Maximum number of bytes of a write with more than one line: a pipe takes as many at once, so that
+/// no reader sees a part of a line. As soon as so many bytes wait, they are written.
+pub const MAX_WRITE_BYTES: usize = 4096;
 /// Time for which lines are collected before a write, because each write costs two wake-ups. Lines
 /// collected when a process dies are lost.
 const BATCH_DELAY: Duration = Duration::from_millis(250);
@@ -103,9 +106,11 @@
             return;
         }
         // The writer checks the buffer again before it waits, so a wake-up is needed only if it is
-        // idle.
-        let wake = buffer.lines.is_empty() && !buffer.writing;
+        // idle, or collects lines and now has enough.
+        let before = buffer.lines.len();
         buffer.lines.extend_from_slice(line);
+        let enough = before < MAX_WRITE_BYTES && buffer.lines.len() >= MAX_WRITE_BYTES;
+        let wake = enough || (before == 0 && !buffer.writing);
         drop(buffer);
         if wake {
             self.shared.1.notify_one();
@@ -129,7 +134,7 @@
     }
 
     /// Writes lines as they arrive, until a write fails.
-    fn write(&self, mut out: impl Write) {
+    pub fn write(&self, mut out: impl Write) {
         loop {
             let mut buffer = self.lock();
             buffer.writing = false;
@@ -137,11 +142,17 @@
                 buffer = self.shared.1.wait(buffer).unwrap_or_else(PoisonError::into_inner);
             }
             buffer.writing = true;
-            drop(buffer);
-            thread::sleep(BATCH_DELAY);
+            let few = |b: &mut BufferState| b.lines.len() < MAX_WRITE_BYTES;
+            let collected = self.shared.1.wait_timeout_while(buffer, BATCH_DELAY, few);
+            drop(collected.unwrap_or_else(PoisonError::into_inner));
             let lines = self.drain();
-            if out.write_all(&lines).and_then(|()| out.flush()).is_err() {
-                return;
+            let mut rest = &lines[..];
+            while !rest.is_empty() {
+                let (piece, after) = rest.split_at(piece_length(rest));
+                if out.write_all(piece).and_then(|()| out.flush()).is_err() {
+                    return;
+                }
+                rest = after;
             }
         }
     }
@@ -160,6 +171,14 @@
     }
 }
 
+/// Length of the whole lines at the beginning that one write may have; at least one line.
+fn piece_length(lines: &[u8]) -> usize {
+    let end = |part: &[u8]| part.iter().rposition(|b| *b == b'\n').map(|at| at + 1);
+    let first = || lines.iter().position(|b| *b == b'\n').map(|at| at + 1);
+    let fitting = &lines[..lines.len().min(MAX_WRITE_BYTES)];
+    end(fitting).or_else(first).unwrap_or(lines.len())
+}
+
 impl Write for LineBuffer {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
         self.put(line);
