Advice for lasting steps: ask where there is room, beside a call that is out

What callers saw: a lasting task away beside room, in calm. In the yard (252 workers, 24 members; tests/shard_narrow_calls.rs) 23 of 60 tasks of a step were away for 9.06 s beside 74 workers with room that were never asked about, with one call out and 23 of 24 members idle; the judge stops the test. With one call lost on the way, 7.3 s beside room.

Cause: after its first call a step had one call at a time. It renewed up to ten tickets, or named up to 100 further workers in the order of the list. What its first parallel calls could not name, as no member was free or the pool was full, waited as well.

Ruled out, by the owner's own line in that test: its place in the order (first), members (23 of 24 idle), workers that are excluded (none).

Change: a lasting step asks about workers that no call has named by the room that they will have when the answer is in, for as many as its tasks without room need, less what unanswered calls about workers with room may still bring. It does so beside an unanswered call while members remain free for other steps (has_spare_lane). Tickets are renewed beside a call only for tasks that no awaited ticket serves. A step names each new worker once, so these calls are bounded. Steps that end and gangs ask as before.

Why it works: the time until a task runs is that of one call from when there is room, however many other workers have no answer yet.

--- a/src/shard/advice.rs
+++ b/src/shard/advice.rs
@@ -38,6 +38,12 @@
 /// The pause before a step's next advice call after a failed one.
 const ADVICE_RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Returns the expected duration of a call that is one of several parallel ones.
+fn chunk_duration(cost: AdviceCost) -> Duration {
+    let chunk = call_size(cost.base, cost.each);
+    cost.base + cost.each * u32::try_from(chunk).unwrap_or(u32::MAX)
+}
+
 impl Shard {
     /// Requests advice on all workers that no earlier call of this step has named.
     pub(super) fn ask_unnamed(
@@ -61,47 +67,147 @@
     /// the loss of all members, thousands of steps wait for their first call, and each of them
     /// examines every worker.
     pub(super) fn ask_for_missing(&mut self, turn: &Turn, round: &mut Round, now: Time) {
-        let Turn { key, ref step, advice, .. } = *turn;
-        let (Some(cost), Some(part)) = (advice, self.step_state(key)) else { return };
-        if part.tickets.is_pending()
-            || part.tickets.next_call > now
-            || round.advice_blocked.contains(&turn.queue)
-        {
-            return;
+        let (Some(cost), true) = (turn.advice, self.may_ask(turn, round, now)) else { return };
+        let duration = chunk_duration(cost);
+        let slots = |no| self.slots_by(turn, no, duration, round, now);
+        let known: u32 = self.permitted_workers(turn).into_iter().map(slots).sum();
+        let waiting = u32::try_from(turn.waiting.len()).unwrap_or(u32::MAX);
+        self.ask_roomy(turn, waiting.saturating_sub(known), round, now);
+    }
+
+    /// Requests advice for the waiting tasks of a long-running step: renews these expired tickets,
+    /// which `found` tasks could use now, and asks about other workers for the `missing` tasks for
+    /// which no known worker has room.
+    ///
+    /// An unanswered call does not hold back a call about other workers while members are idle.
+    /// Otherwise a lost call, or renewals for single tasks, would keep the step from learning of
+    /// workers that have room.
+    pub(super) fn ask_for_lasting(
+        &mut self,
+        turn: &Turn,
+        stale: &[WorkerNo],
+        (found, missing): (usize, usize),
+        round: &mut Round,
+        now: Time,
+    ) {
+        let (Some(cost), true) = (turn.advice, self.may_ask(turn, round, now)) else { return };
+        let Some(part) = self.step_state(turn.key) else { return };
+        let tickets = &part.tickets;
+        let alone = !tickets.is_pending();
+        let awaited = |n: &WorkerNo| tickets.pending_workers.contains(n);
+        let size = turn.step.reserved();
+        let has_room = |n: &WorkerNo| size.fits(&self.workers[n.0].free());
+        let mut old: Vec<WorkerNo> = stale.iter().filter(|n| !awaited(n)).copied().collect();
+        old.sort_by_key(|n| Reverse(self.workers[n.0].free().cores));
+        if alone {
+            old.truncate(found.max(MAX_RENEWED_WORKERS).min(call_size(cost.base, cost.each)));
+        } else {
+            let apart = turn.step.apart;
+            let renewed = tickets.pending_workers.iter().filter(|n| {
+                tickets.eligible.contains_key(n)
+                    && has_room(n)
+                    && (apart == 0 || self.task_count(**n, turn.key) < apart)
+            });
+            old.retain(has_room);
+            old.truncate(found.saturating_sub(renewed.count()));
+        }
+        if !old.is_empty() {
+            if alone && old.len() < MAX_RENEWED_WORKERS {
+                let new = self.unnamed_by_room(turn, chunk_duration(cost), round, now);
+                old.extend(new.iter().map(|n| n.1).take(MAX_RENEWED_WORKERS - old.len()));
+            }
+            self.order_call(turn.key, old, cost, now);
+        }
+        if missing > 0 && self.may_ask(turn, round, now) {
+            self.ask_roomy(turn, u32::try_from(missing).unwrap_or(u32::MAX), round, now);
+        }
+    }
+
+    /// Returns whether a step may make an advice call now. A long-running step may make one beside
+    /// an unanswered one as long as a member stays free for other steps.
+    fn may_ask(&self, turn: &Turn, round: &Round, now: Time) -> bool {
+        let Some(part) = self.step_state(turn.key) else { return false };
+        part.tickets.next_call <= now
+            && !round.advice_blocked.contains(&turn.queue)
+            && (!part.tickets.is_pending()
+                || (turn.step.lasts && !turn.step.gang && self.lanes.has_spare_lane(now)))
+    }
+
+    /// Requests advice on workers that no call of this step has named, those with the most room
+    /// first, and on no more than are needed for `missing` tasks.
+    fn ask_roomy(&mut self, turn: &Turn, missing: u32, round: &mut Round, now: Time) {
+        let (Some(cost), Some(part)) = (turn.advice, self.step_state(turn.key)) else { return };
+        let duration = chunk_duration(cost);
+        let new = self.unnamed_by_room(turn, duration, round, now);
+        let tickets = &part.tickets;
+        let awaited = tickets.pending_workers.difference(&tickets.asked_workers);
+        let awaited = awaited.map(|n| self.slots_by(turn, *n, duration, round, now));
+        let awaited: Vec<u32> = awaited.filter(|slots| *slots > 0).collect();
+        let share = self.advice_shares.get(&turn.queue).copied().unwrap_or_default();
+        let slots_each = awaited.iter().copied().chain(new.iter().map(|n| n.0));
+        let enough = share.workers_to_ask(slots_each.take_while(|s| *s > 0), missing.max(1));
+        let enough = enough.saturating_sub(awaited.len());
+        let (beside, chunk) = (tickets.is_pending(), call_size(cost.base, cost.each));
+        // Naming up to `call_size` workers adds little cost, and advice on workers without room is
+        // useful later.
+        let count = if beside && enough == 0 { 0 } else { enough.max(chunk) };
+        let workers: Vec<WorkerNo> = new.into_iter().take(count).map(|n| n.1).collect();
+        let calls = workers.len().div_ceil(chunk).max(1);
+        for some in workers.chunks(workers.len().div_ceil(calls).max(1)) {
+            if beside && !self.lanes.has_spare_lane(now) {
+                return;
+            }
+            if !self.order_call(turn.key, some.to_vec(), cost, now) {
+                round.advice_blocked.insert(turn.queue.clone());
+                return;
+            }
         }
-        let chunk = call_size(cost.base, cost.each);
-        let duration = cost.base + cost.each * u32::try_from(chunk).unwrap_or(u32::MAX);
+    }
+
+    /// Returns the workers that no call of this step has named, each with the number of tasks for
+    /// which it will have room when a call has been answered. Those with the most room come first.
+    fn unnamed_by_room(
+        &self,
+        turn: &Turn,
+        duration: Duration,
+        round: &Round,
+        now: Time,
+    ) -> Vec<(u32, WorkerNo)> {
+        let Some(part) = self.step_state(turn.key) else { return vec![] };
+        let tickets = &part.tickets;
+        let named =
+            |n: &WorkerNo| tickets.asked_workers.contains(n) || tickets.pending_workers.contains(n);
+        let new = turn.usable.iter().copied().filter(|n| !named(n));
+        let mut new: Vec<(u32, WorkerNo)> =
+            new.map(|n| (self.slots_by(turn, n, duration, round, now), n)).collect();
+        // Varies by job which of several equally suitable workers is named first, so that steps
+        // spread over the workers.
+        let job = turn.key.job.0;
+        let spread = |n: &WorkerNo| (n.0 as u64 ^ job).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        new.sort_by_key(|(slots, n)| (Reverse(*slots), spread(n)));
+        new
+    }
+
+    /// Returns the number of tasks of a step for which a worker will have room after `duration`.
+    fn slots_by(
+        &self,
+        turn: &Turn,
+        no: WorkerNo,
+        duration: Duration,
+        round: &Round,
+        now: Time,
+    ) -> u32 {
         // Only gangs can make room by preemption here; other steps use only room that is free or
         // will become free.
-        let (stops, by) = match step.gang {
+        let (stops, by) = match turn.step.gang {
             true => (Some(turn.priority), now + duration + self.setup.bounds.stop_time),
             false => (None, now + duration),
         };
-        let size = step.reserved();
-        let slots = |no: WorkerNo| {
-            let free = self.free_by(no, stops, by, now);
-            let slots = size.count(&free.saturating_sub(&round.all_withheld(no)));
-            let most = if step.apart > 0 { slots.min(step.apart.into()) } else { slots };
-            u32::try_from(most).unwrap_or(u32::MAX)
-        };
-        let known: u32 = self.permitted_workers(turn).into_iter().map(slots).sum();
-        let asked = &part.tickets.asked_workers;
-        let new = turn.usable.iter().copied().filter(|n| !asked.contains(n));
-        let mut new: Vec<(u32, WorkerNo)> = new.map(|n| (slots(n), n)).collect();
-        // Varies by job which of several equally suitable workers is named first, so that steps
-        // spread over the workers.
-        let spread = |n: &WorkerNo| (n.0 as u64 ^ key.job.0).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        new.sort_by_key(|(slots, n)| (Reverse(*slots), spread(n)));
-        let missing = u32::try_from(turn.waiting.len()).unwrap_or(u32::MAX).saturating_sub(known);
-        let share = self.advice_shares.get(&turn.queue).copied().unwrap_or_default();
-        let slots_each = new.iter().map(|n| n.0).take_while(|s| *s > 0);
-        // Naming up to `call_size` workers adds little cost, and advice on workers without room is
-        // useful later.
-        let count = share.workers_to_ask(slots_each, missing.max(1)).max(chunk);
-        let workers = new.into_iter().take(count).map(|n| n.1).collect();
-        if !self.ask_parallel(key, workers, cost, now) {
-            round.advice_blocked.insert(turn.queue.clone());
-        }
+        let size = turn.step.reserved();
+        let free = self.free_by(no, stops, by, now);
+        let slots = size.count(&free.saturating_sub(&round.all_withheld(no)));
+        let most = if turn.step.apart > 0 { turn.step.apart.into() } else { slots };
+        u32::try_from(slots.min(most)).unwrap_or(u32::MAX)
     }
 
     /// Requests advice on these workers in parallel calls, as long as members are available to make
--- a/src/shard/diagnosis.rs
+++ b/src/shard/diagnosis.rs
@@ -350,6 +350,8 @@
         let chunk = call_size(cost.base, cost.each);
         let named = match () {
             () if sight.good == 0 || turn.step.gang => sight.unasked.min(chunk),
+            () if turn.step.lasts && sight.old > 0 => sight.old.min(chunk),
+            () if turn.step.lasts => sight.unasked.min(chunk),
             () if sight.old > 0 => (sight.old + sight.unasked).min(MAX_RENEWED_WORKERS),
             () => sight.unasked.min(MAX_NAMED_WORKERS),
         };
--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -323,7 +323,13 @@
                 wanted.extend(self.freeing_workers(turn, &good, cost, round, now));
                 wanted.sort_unstable();
                 wanted.dedup();
-                self.renew_tickets(key, &wanted, usable, cost, now);
+                match step.lasts {
+                    true => {
+                        let tasks = (later.len(), rest.len() - later.len());
+                        self.ask_for_lasting(turn, &wanted, tasks, round, now);
+                    }
+                    false => self.renew_tickets(key, &wanted, usable, cost, now),
+                }
             }
             if chosen.is_empty() && round.starving_steps.contains(key) {
                 let preferred = self.preferred_workers(turn, &good, now);
