--- a/src/shard/advice.rs
+++ b/src/shard/advice.rs
@@ -17,7 +17,7 @@
         ports::{Advice, AdviceCall, Fault},
         shard::{
             event::Order,
-            jobs::{PendingCall, Placement},
+            jobs::Placement,
             round::{Round, Turn},
             state_machine::Shard,
             workers::WorkerNo,
@@ -35,9 +35,6 @@
 /// The minimum remaining validity of a ticket that may be used. It covers the transit of the advice
 /// reply and of the start order.
 const TICKET_MARGIN: Duration = Duration::from_millis(100);
-/// How late an answer may be before its workers are asked about again. A third of the time after
-/// which a call is given up; calls that merely wait for a short one are answered by then.
-const OVERDUE_MARGIN: Duration = Duration::from_millis(500);
 /// The pause before a step's next advice call after a failed one.
 const ADVICE_RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -97,7 +94,7 @@
         let Some(part) = self.step_state(turn.key) else { return };
         let tickets = &part.tickets;
         let alone = !tickets.is_pending();
-        let awaited = |n: &WorkerNo| tickets.awaits(*n, OVERDUE_MARGIN, now);
+        let awaited = |n: &WorkerNo| tickets.pending_workers.contains(n);
         let size = turn.step.reserved();
         let has_room = |n: &WorkerNo| size.fits(&self.workers[n.0].free());
         let mut old: Vec<WorkerNo> = stale.iter().filter(|n| !awaited(n)).copied().collect();
@@ -106,9 +103,8 @@
             old.truncate(found.max(MAX_RENEWED_WORKERS).min(call_size(cost.base, cost.each)));
         } else {
             let apart = turn.step.apart;
-            let renewed = tickets.pending_workers.keys().filter(|n| {
+            let renewed = tickets.pending_workers.iter().filter(|n| {
                 tickets.eligible.contains_key(n)
-                    && awaited(n)
                     && has_room(n)
                     && (apart == 0 || self.task_count(**n, turn.key) < apart)
             });
@@ -116,7 +112,7 @@
             old.truncate(found.saturating_sub(renewed.count()));
         }
         if !old.is_empty() {
-            if alone && missing == 0 && old.len() < MAX_RENEWED_WORKERS {
+            if alone && old.len() < MAX_RENEWED_WORKERS {
                 let new = self.unnamed_by_room(turn, chunk_duration(cost), round, now);
                 old.extend(new.iter().map(|n| n.1).take(MAX_RENEWED_WORKERS - old.len()));
             }
@@ -144,10 +140,7 @@
         let duration = chunk_duration(cost);
         let new = self.unnamed_by_room(turn, duration, round, now);
         let tickets = &part.tickets;
-        let awaited = |n: &&WorkerNo| {
-            tickets.awaits(**n, OVERDUE_MARGIN, now) && !tickets.asked_workers.contains(n)
-        };
-        let awaited = tickets.pending_workers.keys().filter(awaited);
+        let awaited = tickets.pending_workers.difference(&tickets.asked_workers);
         let awaited = awaited.map(|n| self.slots_by(turn, *n, duration, round, now));
         let awaited: Vec<u32> = awaited.filter(|slots| *slots > 0).collect();
         let share = self.advice_shares.get(&turn.queue).copied().unwrap_or_default();
@@ -171,9 +164,8 @@
         }
     }
 
-    /// Returns the workers that no call of this step has named, or only one whose answer is
-    /// overdue, each with the number of tasks for which it will have room when a call has been
-    /// answered. Those with the most room come first.
+    /// Returns the workers that no call of this step has named, each with the number of tasks for
+    /// which it will have room when a call has been answered. Those with the most room come first.
     fn unnamed_by_room(
         &self,
         turn: &Turn,
@@ -183,9 +175,8 @@
     ) -> Vec<(u32, WorkerNo)> {
         let Some(part) = self.step_state(turn.key) else { return vec![] };
         let tickets = &part.tickets;
-        let named = |n: &WorkerNo| {
-            tickets.asked_workers.contains(n) || tickets.awaits(*n, OVERDUE_MARGIN, now)
-        };
+        let named =
+            |n: &WorkerNo| tickets.asked_workers.contains(n) || tickets.pending_workers.contains(n);
         let new = turn.usable.iter().copied().filter(|n| !named(n));
         let mut new: Vec<(u32, WorkerNo)> =
             new.map(|n| (self.slots_by(turn, n, duration, round, now), n)).collect();
@@ -235,7 +226,7 @@
     ) -> bool {
         let Some(part) = self.step_state(key) else { return true };
         let new: Vec<WorkerNo> =
-            workers.into_iter().filter(|n| !part.tickets.pending_workers.contains_key(n)).collect();
+            workers.into_iter().filter(|n| !part.tickets.pending_workers.contains(n)).collect();
         let calls = new.len().div_ceil(call_size(cost.base, cost.each)).max(1);
         new.chunks(new.len().div_ceil(calls).max(1))
             .all(|some| self.order_call(key, some.to_vec(), cost, now))
@@ -327,8 +318,7 @@
         if duration > LONG_CALL {
             self.advice_turns.record_call(&queue.pool, via, duration, now);
         }
-        let pending = PendingCall { sent: now, expected_at: end };
-        part.tickets.pending_workers.extend(workers.iter().map(|n| (*n, pending)));
+        part.tickets.pending_workers.extend(&workers);
         part.tickets.call_times.push(now);
         let asked = self.advice_stats.entry(job.queue.clone()).or_default();
         asked.call_count += 1;
@@ -372,10 +362,7 @@
         let ids = &self.worker_numbers;
         let named: Vec<WorkerNo> =
             call.workers.iter().filter_map(|id| ids.get(id)).copied().collect();
-        let answered = reply.is_ok();
-        part.tickets.pending_workers.retain(|n, latest| {
-            (!answered && latest.sent != sent) || !call.workers.contains(&self.workers[n.0].id)
-        });
+        part.tickets.pending_workers.retain(|n| !call.workers.contains(&self.workers[n.0].id));
         if let Some(at) = part.tickets.call_times.iter().position(|c| *c == sent) {
             part.tickets.call_times.swap_remove(at);
         }
