Test (red): a gang that starts beside room that starving steps keep

The only worker that may run the gang of job 7 (two tasks of one core) has 5 free cores and the pool is less than half in use, but the gang doesn't start for 3 s.

Traced at 28.1 s: the steps b.0.0 and b.2.0, 11 cores a task, are starving and each withhold room on the preferred workers, 22 cores of this worker, which has 16. room_offers() then has nothing for the gang; without a reservation its expired ticket is not renewed. Diagnosis doesn't rehearse this withholding and reports 'a call for old tickets' with before=0, which hid the cause.

--- a/tests/shard_waits.rs
+++ b/tests/shard_waits.rs
@@ -234,6 +234,14 @@
     }
 }
 
+#[test]
+fn a_gang_starts_beside_room_that_starving_steps_keep() {
+    // Two starving steps each keep 11 cores of a worker with 16, 5 of them free. A gang of two cores
+    // that may run nowhere else got no room and no new ticket for 3 s, in a pool less than half in
+    // use.
+    play(1_570);
+}
+
 #[test]
 #[ignore = "by hand: SEEDS=1..500"]
 fn many_days() {
