--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -75,8 +75,8 @@
     pub eligible: FxHashMap<WorkerNo, (Box<str>, Time)>,
     /// The workers that advice calls have named so far.
     pub asked_workers: FxHashSet<WorkerNo>,
-    /// The workers named in advice calls that are still unanswered, each with its latest call.
-    pub pending_workers: FxHashMap<WorkerNo, PendingCall>,
+    /// The workers named in advice calls that are still unanswered.
+    pub pending_workers: FxHashSet<WorkerNo>,
     /// Earliest time for the next advice call.
     pub next_call: Time,
     /// The number of advice calls made in a row while tasks of the step could not start.
@@ -87,26 +87,11 @@
     pub answered_at: Option<Time>,
 }
 
-/// An advice call that is unanswered.
-#[derive(Clone, Copy, Debug)]
-pub struct PendingCall {
-    /// When the call was made.
-    pub sent: Time,
-    /// When the answer is expected.
-    pub expected_at: Time,
-}
-
 impl Tickets {
     /// Returns whether an advice call is unanswered.
     pub fn is_pending(&self) -> bool {
         !self.pending_workers.is_empty()
     }
-
-    /// Returns whether an answer on this worker is still likely to come: a call has named it, and
-    /// the answer is at most `margin` late.
-    pub fn awaits(&self, no: WorkerNo, margin: Duration, now: Time) -> bool {
-        self.pending_workers.get(&no).is_some_and(|c| now <= c.expected_at + margin)
-    }
 }
 
 /// The state of one step in one occurrence of a job.
