Test (red): takeovers beside slow workers, and tasks on leaving workers

A task that needs advice stays on a worker that leaves in 30 s, as nobody asks about a worker that has joined; one that needs none moves. The harness gets hold_delay, zero by default.

--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -66,6 +66,8 @@
     pub advice_up: bool,
     /// How long a call for advice takes.
     pub advice_delay: Duration,
+    /// How long a hold call takes to be answered.
+    pub hold_delay: Duration,
     /// How many calls for advice have been answered or given up.
     pub advice_calls: u64,
     /// Whether the shard has ordered its owner to give it up ([`Order::Deposed`]).
@@ -141,6 +143,7 @@
             lease_confirmed: true,
             advice_up: true,
             advice_delay: Duration::ZERO,
+            hold_delay: Duration::ZERO,
             advice_calls: 0,
             deposed: false,
             call_log: vec![],
@@ -286,6 +289,20 @@
 
     fn answer(&mut self, sent: Time, order: Order) {
         match &order {
+            Order::Worker { call, limit, .. }
+                if matches!(**call, WorkerCall::Hold { .. })
+                    && self.now < sent + self.hold_delay.min(*limit) =>
+            {
+                self.pending.push((sent, order));
+            }
+            Order::Worker { worker, call, limit, .. }
+                if matches!(**call, WorkerCall::Hold { .. })
+                    && !self.hold_delay.is_zero()
+                    && *limit <= self.hold_delay =>
+            {
+                let (worker, call) = (worker.clone(), call.clone());
+                self.deliver(Event::Worker { worker, sent, call, reply: Err(Fault::Unknown) });
+            }
             Order::Worker { worker, call, limit, .. } => {
                 let at = self.index_of(worker);
                 let other = Ok(WorkerReply::Other);
