Orders: four sendings of a start, a lost stop again at its time-out; slow workers are heard at a takeover

(1) Holds to workers of a former owner had 0.5 s until the shard is settled: if holds take 0.6 s, no answer counted and the new owner started nothing; now the first three calls only (a_new_owner_hears_of_workers_that_answer_slowly: red, passes). (2) Two starts that are lost whole with their first stop: 7.22 s with five sendings, over the users' 6 s.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -19,7 +19,7 @@
 pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Maximum number of times that the start of a run is sent before the run is given up and stopped.
 /// Another sending takes effect sooner than a stop, a hold and the start of a new run.
-const MAX_START_ATTEMPTS: u32 = 5;
+const MAX_START_ATTEMPTS: u32 = 4;
 /// Time without starts after a worker has reported that it is unwell or has less capacity than
 /// expected.
 pub(super) const UNWELL_PAUSE: Duration = Duration::from_millis(700);
@@ -168,8 +168,7 @@
     /// Repeats the stops that were not answered, or that were answered but had no effect.
     pub(super) fn repeat_stops(&mut self, now: Time) {
         let due = |r: &Run| {
-            let again =
-                if r.absence_from.is_none() { ORDER_TIMEOUT * 2 } else { ORDER_TIMEOUT * 4 };
+            let again = if r.absence_from.is_none() { ORDER_TIMEOUT } else { ORDER_TIMEOUT * 4 };
             r.phase == RunPhase::Stopping && r.sent_at + again <= now
         };
         let mut all = vec![];
@@ -208,7 +207,9 @@
                 () if w.runs.is_empty() && fresh => Duration::from_millis(1900),
                 () => Duration::from_millis(900),
             };
-            let limit = match !w.fenced && self.unsettled_workers.contains(&WorkerNo(no)) {
+            // Only the first calls: a worker that needs longer has to be heard as well.
+            let first = !w.fenced && w.unanswered_calls < 3;
+            let limit = match first && self.unsettled_workers.contains(&WorkerNo(no)) {
                 true => ORDER_TIMEOUT,
                 false => wait + Duration::from_millis(700),
             };
