Crashes: pauses hold for gangs, tickets are asked for meanwhile, no task is given up before its third crash

The pause after three crashes in a row was part of placing tasks apart, which gangs don't pass; it is now where a turn drops what can't start (a_long_running_gang_that_crashes_its_workers_is_restarted_after_a_pause: red, passes).

--- a/src/decide/crash.rs
+++ b/src/decide/crash.rs
@@ -5,8 +5,9 @@
 //! after another as long as its job exists, together with the tasks that run beside it.
 //!
 //! *Thresholds:* a run did not crash its worker by starting if the worker still answered a second
-//! after the start. A task is given up after as many crashes as its queue allows attempts: workers
-//! that go down and up repeatedly take the same task with them more than once.
+//! after the start. A task is given up after as many crashes as its queue allows attempts, and not
+//! before the third one, because two may be accidents: workers that go down and up repeatedly take
+//! the same task with them more than once.
 //!
 //! A long-running task is never given up, since it has to be restarted however it ends, and workers
 //! that are lost in waves take it with them any number of times. After three crashes in a row it is
@@ -15,6 +16,8 @@
 
 use {crate::time::Time, std::time::Duration};
 
+/// Minimum number of crashes after which a task that is not long-running is given up.
+pub const MIN_CRASHES: usize = 3;
 /// Number of crashes in a row after which a long-running task is restarted only after
 /// [`RESTART_PAUSE`].
 pub const MAX_QUICK_RESTARTS: usize = 3;
--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -3,23 +3,25 @@
 
 use crate::{
     decide::{
-        crash::{CrashedRun, MAX_QUICK_RESTARTS, RESTART_PAUSE, SETTLE_TIME, blamed_runs},
+        crash::{
+            CrashedRun, MAX_QUICK_RESTARTS, MIN_CRASHES, RESTART_PAUSE, SETTLE_TIME, blamed_runs,
+        },
         fit::Room,
     },
     shard::{
         dispatch::choose_workers,
-        jobs::Placement,
+        jobs::{Placement, Task},
         round::{Round, Turn},
         state_machine::Shard,
         workers::WorkerNo,
     },
     time::Time,
-    work::{JobState, Queue, StepKey, TaskKey},
+    work::{JobState, Queue, Step, StepKey, TaskKey},
 };
 
 /// Returns the number of crashes after which a task of a queue is not started again.
 fn max_crashes(queue: &Queue) -> usize {
-    queue.attempts.max(1) as usize
+    (queue.attempts as usize).max(MIN_CRASHES)
 }
 
 impl Shard {
@@ -112,6 +114,12 @@
         }
     }
 
+    /// Returns the time until which a task of a long-running step must not restart, if it pauses.
+    pub(super) fn pause_end(step: &Step, task: &Task) -> Option<Time> {
+        let pauses = step.lasts && task.crashed_runs.len() >= MAX_QUICK_RESTARTS;
+        task.crashed_at.filter(|_| pauses).map(|at| at + RESTART_PAUSE)
+    }
+
     /// Starts tasks that have crashed workers, each alone on one of the workers with the fewest
     /// runs that began recently. Removes these tasks from the turn if there is any room.
     ///
@@ -119,13 +127,6 @@
     /// that begin together lose their worker together and would be placed together again.
     pub(super) fn place_isolated(&mut self, turn: &mut Turn, round: &Round, now: Time) {
         let Some(part) = self.step_state(turn.key) else { return };
-        let pauses = |i: &u32| {
-            let task = &part.tasks[*i as usize];
-            turn.step.lasts
-                && task.crashed_runs.len() >= MAX_QUICK_RESTARTS
-                && task.crashed_at.is_some_and(|at| now < at + RESTART_PAUSE)
-        };
-        turn.waiting.retain(|i| !pauses(i));
         let crashed = |i: &u32| !part.tasks[*i as usize].crashed_runs.is_empty();
         let isolated: Vec<u32> = turn.waiting.iter().copied().filter(crashed).collect();
         if isolated.is_empty() {
--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -275,7 +275,7 @@
         // The step's own demand must not count against a worker.
         self.add_demand(key, -1, round);
         let all = turn.waiting.len();
-        turn.waiting.retain(|i| !self.stray_tasks.contains(&TaskKey { step: *key, index: *i }));
+        self.retain_startable(&mut turn, now);
         if turn.waiting.is_empty() || (turn.step.gang && turn.waiting.len() < all) {
             return;
         }
@@ -290,6 +290,18 @@
         }
     }
 
+    /// Removes from a turn the tasks of which another run is being stopped, and those that pause
+    /// after crashes of their workers.
+    fn retain_startable(&self, turn: &mut Turn, now: Time) {
+        let Turn { key, ref step, ref mut waiting, .. } = *turn;
+        let Some(part) = self.step_state(key) else { return };
+        waiting.retain(|i| {
+            let pause_end = Self::pause_end(step, &part.tasks[*i as usize]);
+            pause_end.is_none_or(|end| end <= now)
+                && !self.stray_tasks.contains(&TaskKey { step: *key, index: *i })
+        });
+    }
+
     /// Starts tasks of the long-running steps that come first and hold valid tickets, before any of
     /// these steps withholds room for which it has yet to request one.
     ///
@@ -309,11 +321,9 @@
             if turn.advice.is_none() || !self.is_sole_starter(&key.job) {
                 continue;
             }
+            self.retain_startable(&mut turn, now);
             let Some(part) = self.step_state(key) else { continue };
-            turn.waiting.retain(|i| {
-                part.tasks[*i as usize].crashed_runs.is_empty()
-                    && !self.stray_tasks.contains(&TaskKey { step: *key, index: *i })
-            });
+            turn.waiting.retain(|i| part.tasks[*i as usize].crashed_runs.is_empty());
             let (mut valid, _) = self.rooms(&turn, round, now);
             valid.retain(|r| !self.is_last_resort(&turn.step, WorkerNo(r.index), now));
             let chosen = choose_workers(&turn.step, &turn.waiting, &mut valid);
--- a/src/shard/prefetch.rs
+++ b/src/shard/prefetch.rs
@@ -190,9 +190,8 @@
         by: Time,
         now: Time,
     ) -> Vec<u32> {
-        if !job.step(key).is_some_and(|s| s.lasts && !s.gang)
-            || !job.is_unblocked(key.time, key.step)
-        {
+        let Some(lasting) = job.step(key).filter(|s| s.lasts && !s.gang) else { return vec![] };
+        if !job.is_unblocked(key.time, key.step) {
             return vec![];
         }
         let blocked = part.waiting_count > 0 && self.bar_may_end(&key.job, job, by, now);
@@ -202,7 +201,8 @@
                 Placement::Done => false,
                 Placement::Waiting => {
                     let since = t.ended_at.or(part.ready_since);
-                    (blocked || self.stray_tasks.contains(&task))
+                    let pauses = Self::pause_end(lasting, t).is_some_and(|end| now < end);
+                    (blocked || pauses || self.stray_tasks.contains(&task))
                         && since.is_some_and(|t| t + MIN_DELAY <= now)
                 }
                 Placement::Assigned(no) => self.may_lose_run(no, &task, by),
