--- a/standin/src/site/judge.rs
+++ b/standin/src/site/judge.rs
@@ -4,6 +4,7 @@
 
 use {
     crate::site::{
+        crashes::Crashes,
         stay::Absences,
         wait::Waits,
         worker::{Note, World},
@@ -27,16 +28,6 @@
 const START_TOLERANCE: Duration = Duration::from_millis(500);
 /// The rules with a time bound are suspended for this long after the last moment of a fault.
 pub const FAULT_GRACE: Duration = Duration::from_secs(5);
-/// After this number of worker crashes under a task, the task is known to crash its workers.
-/// Fewer than [`EXTRA_STARTS`] further starts are allowed.
-const CRASH_LIMIT: usize = 3;
-/// Number of starts after [`CRASH_LIMIT`] crashes that counts as a breach.
-const EXTRA_STARTS: usize = 3;
-/// Shortest time between a crash and the next start of a long-running task that is known to crash its
-/// workers. Such a task is never given up.
-const CRASH_PAUSE: Duration = Duration::from_secs(2);
-/// The scheduler may fail a job after this number of worker crashes under one of its tasks.
-const GIVE_UP_CRASHES: usize = 2;
 /// The Unix clock at [`Time::ZERO`], in milliseconds.
 pub const UNIX_START_MS: u64 = 1_700_000_000_000;
 
@@ -89,11 +80,8 @@
     starts: BTreeMap<TaskKey, Time>,
     /// Runs that failed: run number, end time, and time of the owner's acknowledgement.
     failed: BTreeMap<TaskKey, Vec<(u32, Time, Option<Time>)>>,
-    /// Number of worker crashes under each task, and the time of the last one.
-    crashes: BTreeMap<TaskKey, (usize, Time)>,
-    /// Number of starts of each task after [`CRASH_LIMIT`] crashes; of a long-running task, those
-    /// within [`CRASH_PAUSE`] of the last one.
-    extra_starts: BTreeMap<TaskKey, usize>,
+    /// Worker crashes under tasks.
+    crashes: Crashes,
     /// Long-running tasks that aren't running.
     absences: Absences,
     /// Jobs that have room but don't run.
@@ -125,10 +113,7 @@
                 Note::Start { at, worker, start, late } => {
                     self.start(world, at, worker, &start, late)?;
                 }
-                Note::Crash { task } => {
-                    let (count, at) = self.crashes.entry(task).or_default();
-                    (*count, *at) = (*count + 1, world.now);
-                }
+                Note::Crash { task } => self.crashes.record(task, world.now),
                 Note::End { at, end } => self.end(world, at, end.task, end.run, end.reason)?,
                 Note::Acknowledged { task, run, how } => self.acknowledge(world, task, run, how)?,
                 Note::Violation(text) => self.breach(world.now, text)?,
@@ -287,19 +272,8 @@
 
     /// Checks that a task that crashes its workers isn't started again without limit.
     fn check_crash_limit(&mut self, world: &World, at: Time, task: TaskKey) -> Verdict {
-        let (crashes, last) = self.crashes.get(&task).copied().unwrap_or_default();
-        if !world.crashing_tasks.contains(&task) || crashes < CRASH_LIMIT {
-            return Ok(());
-        }
-        if world.step(task.step).is_some_and(|s| s.lasts) && at >= last + CRASH_PAUSE {
-            return Ok(());
-        }
-        let more = self.extra_starts.entry(task).or_default();
-        *more += 1;
-        if *more < EXTRA_STARTS {
-            return Ok(());
-        }
-        self.breach(at, format!("{task} was started again, and {crashes} workers crashed under it"))
+        let text = self.crashes.excess_start(world, at, task);
+        text.map_or(Ok(()), |text| self.breach(at, text))
     }
 
     /// Checks the rules for starts that have a time bound.
@@ -402,7 +376,7 @@
         let right = match state {
             JobState::Done => self.job_done(world, job),
             JobState::Failed => {
-                mine.into_iter().any(|(_, f)| f.len() >= most) || self.may_give_up(world, job)
+                mine.into_iter().any(|(_, f)| f.len() >= most) || self.crashes.may_fail(world, job)
             }
             JobState::Cancelled => self.cancels.contains_key(&job),
             JobState::Queued | JobState::Running => true,
@@ -413,14 +387,6 @@
         Ok(())
     }
 
-    /// Whether the scheduler may fail a job because workers have crashed under one of its tasks. A
-    /// long-running task is restarted however it ends.
-    fn may_give_up(&self, world: &World, job: JobNo) -> bool {
-        let gives_up = |step| world.step(step).is_some_and(|s: &Step| !s.lasts);
-        let mut mine = self.crashes.iter().filter(|(t, _)| t.step.job == job && gives_up(t.step));
-        mine.any(|(_, (count, _))| *count >= GIVE_UP_CRASHES)
-    }
-
     /// Checks a job's state that a caller received. A final state must not change.
     pub fn check_reported(&mut self, world: &World, job: JobNo, state: JobState) -> Verdict {
         self.check_state(world, job, state)?;
--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod advice;
 pub mod assignments;
+pub mod crashes;
 pub mod judge;
 pub mod plan;
 pub mod setup;
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -29,7 +29,7 @@
             },
             report::JobReport,
         },
-        work::{AdviceCost, Job, JobNo, JobState, ListedWorker, QueueConfig, StepKey},
+        work::{AdviceCost, Job, JobNo, JobState, ListedWorker, QueueConfig, StepKey, TaskKey},
     },
     rules::{Breach, Rules, UNIX_START_MS},
     std::{
@@ -459,13 +459,15 @@
             return state.is_some_and(JobState::is_final) && self.run_count(job) == 0;
         }
         let lasting: u32 = steps.iter().filter(|s| s.lasts).map(|s| s.count).sum();
-        let crashing = self.world.crashing_tasks.iter().filter(|t| t.step.job == job).count();
-        if lasting > 0 && crashing > 0 {
+        let crashing = self.world.crashing_tasks.iter().filter(|t| t.step.job == job);
+        let (long_running, finite): (Vec<&TaskKey>, Vec<&TaskKey>) =
+            crashing.partition(|t| steps[usize::from(t.step.step)].lasts);
+        if finite.is_empty() && !long_running.is_empty() {
             // Its other tasks run, and it is never given up.
-            let others = lasting as usize - crashing;
+            let others = lasting as usize - long_running.len();
             return self.run_count(job) >= others && !state.is_some_and(JobState::is_final);
         }
-        if crashing > 0 || self.world.failing_steps.iter().any(|h| h.0 == job) {
+        if !finite.is_empty() || self.world.failing_steps.iter().any(|h| h.0 == job) {
             return state == Some(JobState::Failed);
         }
         match lasting {
