--- a/tests/hand/worker.rs
+++ b/tests/hand/worker.rs
@@ -19,6 +19,11 @@
 
 /// Overrides nothing.
 pub const NORMAL: Hook = |_| None;
+/// Starts and stops get no answer; hold calls do.
+pub const ONLY_HOLDS: Hook = |call| match call {
+    WorkerCall::Hold { .. } => None,
+    _ => Some(Err(Fault::Unknown)),
+};
 /// Gives no answer to any call.
 pub const SILENT: Hook = |_| Some(Err(Fault::Unknown));
 
--- a/tests/shard_lost_twice.rs
+++ b/tests/shard_lost_twice.rs
@@ -10,7 +10,7 @@
     },
     hand::{
         Harness, TICK, job, queues, step, task,
-        worker::{Hook, NORMAL, SILENT},
+        worker::{Hook, NORMAL, ONLY_HOLDS, SILENT},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -20,11 +20,6 @@
 /// The time within which a long-running task has to run again beside free capacity.
 const MAX_ABSENCE: Duration = Duration::from_secs(6);
 
-/// Starts and stops get no answer; hold calls do.
-const ONLY_HOLDS: Hook = |call| match call {
-    WorkerCall::Hold { .. } => None,
-    _ => Some(Err(Fault::Unknown)),
-};
 /// Starts get no answer; other calls do.
 const NO_STARTS: Hook = |call| matches!(call, WorkerCall::Start(_)).then_some(Err(Fault::Unknown));
 /// The worker accepts stops, which have no effect.
--- a/tests/shard_start_unanswered.rs
+++ b/tests/shard_start_unanswered.rs
@@ -6,17 +6,11 @@
     dogwoodreach::ports::{EndReason, Fault, WorkerCall, WorkerReply as Reply},
     hand::{
         Harness, job, step, task,
-        worker::{Hook, NORMAL, SILENT},
+        worker::{NORMAL, ONLY_HOLDS, SILENT},
     },
     std::time::Duration,
 };
 
-/// Starts and stops get no answer; hold calls do.
-const ONLY_HOLDS: Hook = |call| match call {
-    WorkerCall::Hold { .. } => None,
-    _ => Some(Err(Fault::Unknown)),
-};
-
 #[test]
 fn a_start_without_an_answer_is_sent_again_then_stopped() {
     // A start gets no answer and may be carried out seconds later. If the task were started
--- a/tests/shard_tickets_ready.rs
+++ b/tests/shard_tickets_ready.rs
@@ -10,7 +10,7 @@
     },
     hand::{
         Harness, TICK, job, queues, step, task,
-        worker::{Hook, NORMAL, SILENT, Worker},
+        worker::{Hook, NORMAL, ONLY_HOLDS, SILENT, Worker},
     },
     std::{sync::Arc, time::Duration},
 };
@@ -18,11 +18,6 @@
 /// The duration of an advice call that names five workers.
 const CALL: Duration = Duration::from_millis(1_200);
 
-/// Starts and stops get no answer; hold calls do.
-const ONLY_HOLDS: Hook = |call| match call {
-    WorkerCall::Hold { .. } => None,
-    _ => Some(Err(Fault::Unknown)),
-};
 /// Starts get no answer; other calls do.
 const NO_STARTS: Hook = |call| matches!(call, WorkerCall::Start(_)).then_some(Err(Fault::Unknown));
 /// The worker accepts stops, which have no effect.
