Advice: the duration of a parallel call is computed in one place; three comments say what the code does

gangs.rs repeated the sum of advice.rs. rpc.rs claimed the clients of http.rs's time-outs, it has probes and a time to open, no time-out for data that isn't acknowledged; the limit for opening a connection covers a region; a pause may count from a takeover. No behaviour changes: shard_gang, shard_crash, modules, shard_course pass.

--- a/src/http.rs
+++ b/src/http.rs
@@ -70,7 +70,7 @@
 /// Middleboxes may drop the state of a connection that has been idle for minutes; 20 s stays well
 /// below that.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// How long a connection may take to open; the other end is within reach of one availability zone.
+/// How long a connection may take to open; the other end is in the same region, milliseconds away.
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The interval between TCP keepalive probes; a connection is closed after three unanswered ones.
--- a/src/rpc.rs
+++ b/src/rpc.rs
@@ -43,8 +43,8 @@
     Ok(builder.build_from_tcp(listener)?.start(module))
 }
 
-/// Creates a client of the server at `addr`. It closes a connection on which keepalive probes are not
-/// answered, as the clients of [`http`](crate::http) do.
+/// Creates a client of the server at `addr`. It closes an idle connection on which keepalive probes
+/// are not answered.
 pub fn client(addr: SocketAddr, secret: &str, limit: Duration) -> Result<HttpClient, Failure> {
     let mut headers = HeaderMap::new();
     headers.insert(SECRET, HeaderValue::from_str(secret)?);
--- a/src/shard/advice.rs
+++ b/src/shard/advice.rs
@@ -39,7 +39,7 @@
 const ADVICE_RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// Returns the expected duration of a call that is one of several parallel ones.
-fn chunk_duration(cost: AdviceCost) -> Duration {
+pub(super) fn chunk_duration(cost: AdviceCost) -> Duration {
     let chunk = call_size(cost.base, cost.each);
     cost.base + cost.each * u32::try_from(chunk).unwrap_or(u32::MAX)
 }
--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -12,6 +12,7 @@
             MIN_CAPACITY_RATIO, Offer, soonest_placement,
         },
         shard::{
+            advice::chunk_duration,
             dispatch::choose_workers,
             preempt::MIN_ROOM_WAIT,
             reservation::GangReservation,
@@ -304,9 +305,7 @@
             (reserve.ready_at, reserve.checked_at) = (at, now);
         }
         let Some(cost) = advice else { return };
-        let duration = cost.base
-            + cost.each
-                * u32::try_from(gather::call_size(cost.base, cost.each)).unwrap_or(u32::MAX);
+        let duration = chunk_duration(cost);
         if at > now + duration + ADVICE_CALL_OVERHEAD {
             return;
         }
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -42,7 +42,8 @@
     /// The numbers of the runs that are blamed for a worker's crash; of a long-running task, those of
     /// the last crashes in a row.
     pub crashed_runs: Vec<u32>,
-    /// When the last crash of a worker was counted against the task, as far as this owner knows.
+    /// When the last crash of a worker was counted against the task; if by a former owner, when this
+    /// owner took over.
     pub crashed_at: Option<Time>,
     /// The number of the run that a former owner began and of which it is not known whether it
     /// ended; 0 if there is none.
