Racks: the log says what a handover lists, what it leaves out, and a start whose earlier end is unreported

Neither the room that a rack's owner had reserved as the rack passed on, nor an end that was told of an attempt which that very owner had started, left a line, so a cause could only be inferred.

Each handover has a line at both members (tasks and requests), a line for each worker names the reservations that are left out, and a start of an attempt of which an end is yet to be reported is a warning with the state and the worker of that end. A rack's members write these lines once for each change of owner; the warning has the budget of its statement.

Ruled out: fields of the log record: the older path's log prints its text alone.

--- a/src/ledger/account.rs
+++ b/src/ledger/account.rs
@@ -27,11 +27,13 @@
 impl std::error::Error for Refusal {}
 
 /// An attempt or a request that occupies a worker.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, derive_more::Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Held {
     /// An attempt of a task.
+    #[display("{_0}#{_1}")]
     Task(TaskId, Attempt),
     /// A request.
+    #[display("{_0}")]
     Request(RequestId),
 }
 
--- a/src/racks/pass.rs
+++ b/src/racks/pass.rs
@@ -31,6 +31,7 @@
         }
         self.racks.remove(rack);
         self.resize();
+        log_handover("Hands over", &handover);
         handover
     }
 
@@ -43,6 +44,7 @@
         else {
             return false;
         };
+        log_handover("Takes over", handover);
         for worker in rack.workers.clone() {
             self.adopt(&worker, handover, now);
         }
@@ -77,7 +79,12 @@
     /// again, and the end would count for an attempt that runs.
     fn add_load(&self, worker: &WorkerId, handover: &mut Handover) {
         let held = self.ledger.worker(worker).into_iter().flat_map(|a| a.held());
-        for held in held.filter(|h| self.ledger.started(h)) {
+        let (started, unused): (Vec<_>, Vec<_>) = held.partition(|h| self.ledger.started(h));
+        if !unused.is_empty() {
+            let names: Vec<String> = unused.iter().map(|h| h.to_string()).collect();
+            log::info!(target: "racks", "Reservations on {worker} without a start are not handed over: {}.", names.join(", "));
+        }
+        for held in started {
             match held {
                 Held::Request(request) => {
                     let (request, worker) = (*request, worker.clone());
@@ -98,6 +105,12 @@
     }
 }
 
+fn log_handover(verb: &str, handover: &Handover) {
+    let Handover { rack, epoch, requests, tasks } = handover;
+    let (requests, tasks) = (requests.len(), tasks.len());
+    log::info!(target: "racks", "{verb} {rack} of epoch {epoch}: {tasks} tasks, {requests} requests.");
+}
+
 /// A row of a handover; with [`TaskState::Lost`] and without a task, it marks a worker whose load the
 /// former owner did not know.
 fn row(worker: &WorkerId, rack: &RackId, epoch: Epoch, state: TaskState) -> TaskRow {
--- a/src/racks/place.rs
+++ b/src/racks/place.rs
@@ -129,6 +129,10 @@
             return false;
         }
         self.preempting.retain(|_, (task, _)| *task != item.task);
+        if let Some(end) = self.pending_ends.get(&key) {
+            let (task, attempt, state, worker) = (&end.task, end.attempt, end.state, &end.worker);
+            log::warn!(target: "racks", "Attempt {attempt} of {task} starts, and an end of it is not reported yet: {state} on {worker}.");
+        }
         let hold = Some((item.hold, item.borrowed));
         self.attempts
             .insert(key, AttemptInfo { bucket: item.bucket, vouched_at: now, since: now, hold });
