Scenario uncommitted_attempts: a controlled order in which sixteen tasks ran twice before

The order, by conditions and without times: one rack has all the room; writes of buckets are held in the stand-in of the key-value service; a batch is submitted, and its owner a reserves that rack's room (a write is held); c joins and gets the rack, whose workers don't answer until the handover has arrived; a stands still, c gains the other rack and the bucket; once all room is free at c, the writes go through.

Stand-in: `fault kv hold=PREFIX` holds writes until the faults are set again; a write whose client gives up meanwhile has no effect.

The logs name the cause: "Hands over quoting-embakasi-r0 of epoch 1: 16 tasks", none of them started; then for each "Attempt 1 of night-a/0 starts, and an end of it is not reported yet: lost on quoting-embakasi-r0-w0".

--- a/standin/src/kv.rs
+++ b/standin/src/kv.rs
@@ -17,6 +17,9 @@
     tokio::sync::watch,
 };
 
+/// The entry of the counts of calls that counts the writes that were held.
+const HELD: &str = "held";
+
 /// Faults of the service.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -29,6 +32,14 @@
     pub lose: u32,
     /// Whether reads return the record as it was before the last write.
     pub stale: bool,
+    /// Prefix of the keys whose writes wait until the faults are set again; empty if none wait.
+    pub hold: Box<str>,
+}
+
+impl Faults {
+    fn holds(&self, key: &str) -> bool {
+        !self.hold.is_empty() && key.starts_with(&*self.hold)
+    }
 }
 
 struct Record {
@@ -66,7 +77,13 @@
         if head.uri.path() == "/fault" {
             return match serde_json::from_slice(body) {
                 Ok(faults) => {
-                    self.lock().faults = faults;
+                    let revision = {
+                        let mut store = self.lock();
+                        store.faults = faults;
+                        store.revision
+                    };
+                    // Wakes the writes that were held.
+                    self.changed.send_replace(revision);
                     answer(200, "{}")
                 }
                 Err(e) => answer(400, e.to_string()),
@@ -95,7 +112,9 @@
                 if put.value.as_ref().is_some_and(|v| v.len() > 1 << 20) {
                     return answer(413, "value over a megabyte");
                 }
-                let reply = self.put(q.get("key").map_or("", |k| k), put);
+                let key = q.get("key").map_or("", |k| k);
+                self.hold(key).await;
+                let reply = self.put(key, put);
                 let lost = {
                     let mut store = self.lock();
                     let lost = store.faults.lose > 0;
@@ -147,6 +166,19 @@
         self.store.lock().expect("no holder panics")
     }
 
+    /// Waits as long as writes of the key are held.
+    ///
+    /// A write whose client gives up meanwhile has no effect, as the server then drops the call.
+    async fn hold(&self, key: &str) {
+        let mut changed = self.changed.subscribe();
+        if self.lock().faults.holds(key) {
+            *self.lock().calls.entry(HELD.into()).or_default() += 1;
+        }
+        while self.lock().faults.holds(key) {
+            let _ = changed.changed().await;
+        }
+    }
+
     fn get(&self, key: &str) -> KvEntry {
         let store = self.lock();
         let none = || KvEntry { key: key.into(), revision: Revision(0), value: "".into() };
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -342,9 +342,12 @@
     /// Counts how often a rack got an owner, according to the members' logs.
     fn gained(&self, rack: &str) -> usize {
         let line = format!("Gained rack:{rack} ");
-        let logs = self.members.iter().map(|m| self.dir.join(format!("{m}.log")));
-        let texts = logs.filter_map(|log| fs::read_to_string(log).ok());
-        texts.map(|log| log.matches(&line).count()).sum()
+        self.members.iter().map(|m| self.log(m).matches(&line).count()).sum()
+    }
+
+    /// What a member has logged so far.
+    fn log(&self, member: &str) -> String {
+        fs::read_to_string(self.dir.join(format!("{member}.log"))).unwrap_or_default()
     }
 
     /// The counts of violations that the workers recorded, and their notes.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -12,6 +12,11 @@
     scenario::run("owner-paused");
 }
 
+#[test]
+fn uncommitted_attempts() {
+    scenario::run("uncommitted-attempts");
+}
+
 #[test]
 fn member_wakes() {
     scenario::run("member-wakes");
