Racks: a reservation that no start has used leaves no record of an end

Cause: as the leases of a worker that is gone or doesn't answer have lapsed, its owner records everything it counts there as lost, with it room that is reserved and that no start has used. On a worker where nothing has run for a lease this is at once. If the bucket's owner never committed the attempt, the bucket's next owner gives the number again; when it starts the attempt on another worker of the same rack owner, or at any later time has it probed there, it is told the old record, "lost", and starts the task once more.

Evidence: tests/racks/reused.rs, three new tests, red before: "task 0 runs twice" with a VM that is taken away, with workers that turn silent, and with a rack that passes on and comes back (the record is kept until somebody asks for the attempt). The first needed 6 s, not 200 ms, after the list: orders to an idle worker are due each 4 s.

Ruled out by the same tests: reservations that expire (no record), are handed over or released.

Why it works: whoever still wants to start such an attempt is refused, as its room is gone, and learns so from the answer to its start. Nobody else needs the record. An attempt that was started leaves its record as before.

--- a/src/racks/order.rs
+++ b/src/racks/order.rs
@@ -269,6 +269,10 @@
     }
 
     /// Frees an attempt's room and records how it ended, if it was held there.
+    ///
+    /// The end of a reservation that no start has used is not recorded: its attempt may never have
+    /// been committed, and the next owner of its bucket may have given its number to another one,
+    /// which the record would end.
     fn end_attempt(
         &mut self,
         worker: &WorkerId,
@@ -277,9 +281,13 @@
         state: TaskState,
         now: Time,
     ) {
-        if self.holds(worker, &task, attempt) {
-            self.ledger.release(&task, attempt, now);
-            self.reindex(worker);
+        if !self.holds(worker, &task, attempt) {
+            return;
+        }
+        let started = self.ledger.started(&Held::Task(task.clone(), attempt));
+        self.ledger.release(&task, attempt, now);
+        self.reindex(worker);
+        if started {
             self.record_end(task, attempt, state, worker);
         }
     }
--- a/tests/racks/reused.rs
+++ b/tests/racks/reused.rs
@@ -9,7 +9,7 @@
     },
     dogwoodreach::{
         ids::{Attempt, Epoch},
-        messages::TaskState,
+        messages::{ReserveRow, TaskState},
     },
     std::time::Duration,
 };
@@ -79,3 +79,92 @@
         assert_eq!(rows.len(), 1, "no room for task {n}");
     }
 }
+
+/// A bench with two workers on which nothing has run for longer than a lease, and room for task 0
+/// on one of them that its bucket's owner never starts.
+fn idle_with_reservation() -> (Bench, ReserveRow) {
+    let mut b = Bench::new(2);
+    b.run(30_000);
+    let now = b.now;
+    let row = b.members[0].reserve(&reserve_ask(0, 1, 1), now).rows.pop().expect("room");
+    (b, row)
+}
+
+/// Lets the next owner of the bucket start task 0, under the number that the first one used.
+fn start_again(b: &mut Bench, member: usize) -> Owner {
+    let mut owner = Owner::default();
+    for _ in 0..100 {
+        let now = b.now;
+        owner.place(0, 1, &mut b.members[member], now);
+        owner.probe(&mut b.members[member], now);
+        owner.receive_ends(&mut b.members[member]);
+        b.run(20);
+        assert!(places(b) < 2, "task 0 runs twice");
+    }
+    owner
+}
+
+fn places(b: &Bench) -> usize {
+    b.workers.values().flat_map(|w| w.runs.keys()).filter(|k| k.0 == task(0)).count()
+}
+
+#[test]
+fn a_reservation_on_a_vm_that_is_gone_ends_no_later_attempt() {
+    // A VM is taken away while room for a task is reserved there and its attempt is not committed.
+    // The rack's owner recorded the attempt as lost. The bucket's next owner used the number again
+    // on another worker, was told that it was lost, and started the task a second time.
+    let (mut b, row) = idle_with_reservation();
+    b.vms.remove(&row.worker);
+    b.list_vms();
+    b.run(6000);
+    assert!(start_again(&mut b, 0).ended.is_empty());
+}
+
+#[test]
+fn a_reservation_on_a_worker_that_turns_silent_ends_no_later_attempt() {
+    // As above, but the worker stops answering shortly before the room is reserved.
+    let mut b = Bench::new(2);
+    b.run(30_000);
+    for w in b.workers.values_mut() {
+        w.cut_off = true;
+    }
+    b.run(9000);
+    let now = b.now;
+    assert_eq!(b.members[0].reserve(&reserve_ask(0, 1, 1), now).rows.len(), 1);
+    b.run(2000);
+    for w in b.workers.values_mut() {
+        w.cut_off = false;
+    }
+    b.run(6000);
+    assert!(start_again(&mut b, 0).ended.is_empty());
+}
+
+#[test]
+fn a_reservation_of_a_former_owner_ends_no_attempt_after_the_rack_has_come_back() {
+    // As in the first case, but the rack passes on before the number is used again, and comes back
+    // while the task runs: a probe for the task made the old record valid.
+    let (mut b, row) = idle_with_reservation();
+    b.vms.remove(&row.worker);
+    b.list_vms();
+    b.run(6000);
+    pass(&mut b, 0, 2);
+    let mut owner = start_again(&mut b, 1);
+    pass(&mut b, 1, 3);
+    for _ in 0..200 {
+        let now = b.now;
+        owner.place(0, 1, &mut b.members[0], now);
+        owner.probe(&mut b.members[0], now);
+        owner.receive_ends(&mut b.members[0]);
+        b.run(20);
+        assert!(places(&b) < 2, "task 0 runs twice");
+    }
+}
+
+/// Passes the rack from one member to the other, with its handover.
+fn pass(b: &mut Bench, from: usize, epoch: u64) {
+    let (now, to) = (b.now, 1 - from);
+    let handover = b.members[from].lost(&rack(), Epoch(epoch - 1));
+    b.members[to].gained(&rack(), Epoch(epoch), now);
+    assert!(b.members[to].handover(&handover, now));
+    b.run(200);
+}
