Attempts: no number of a task is given twice

What callers would see: a task in two places at once, or one that counts as ended and never ran.

All but a bucket's owner know an attempt by its task and number.

Evidence, red before: tests/jobs.rs, a_notice_about_a_removed_job_does_not_end_a_new_one, "OneAttempt: nightly/0 attempt 2 beside attempt 1" (a notice that a paused rack owner delivers late); tests/attempts.rs, a_number_that_was_not_committed_is_not_given_again ("1, then 1"), a_number_is_not_given_again_after_its_task_was_forgotten (1 six times), and one_attempt with its new check ("OneName: audit/0 attempt 3").

Weighed: that a start voids an older record at the rack's owner covers that member alone, not records of others nor notices on their way. A mark of used numbers in the bucket's record needs a write before each first use, and members of the older version would drop it. The epoch as a field of its own would change the worker's orders and reports, and members of the older version could not read the record. So the number itself begins with the low 16 bits of the bucket's epoch; below them there are 65,535 attempts of a task for one owner.

Why it works: an epoch is given to one owner by compare-and-swap, each owner numbers above its epoch, above a task's row and above the rows that it has removed.

Tests changed: three of tests/attempts.rs and one of tests/jobs.rs named the numbers 1 and 2; they ask for a higher number, and for one second start of each of the four tasks, in its place.

--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -8,6 +8,11 @@
 //! and recording it, its successor would start the task again elsewhere and the task would run in
 //! two places.
 //!
+//! No attempt number of a task is given twice, whoever owns the bucket and whether or not the attempt
+//! was committed: others know an attempt by its task and number alone, and what they still hold or
+//! report of an earlier attempt must not count for a later one. The numbers of an owner begin above
+//! those of all former owners, and above those of the tasks that it has removed.
+//!
 //! The next attempt of a task waits until the previous one has ended, was stopped with
 //! confirmation, was shown by a report not to run, or its lease has expired. A report that omits an
 //! attempt proves nothing about a start that may still have been in transit when the report was
@@ -39,6 +44,11 @@
 /// of a bad clock (0.1 %).
 pub const CLOCK_DRIFT: Duration = Duration::from_millis(250);
 
+/// By how many bits an owner's epoch is shifted to give the number below its first attempts.
+///
+/// 65,535 attempts of a task fit below the numbers of the next owner; epochs repeat after as many.
+const EPOCH_SHIFT: u32 = 16;
+
 /// How long an intent waits for its commit. Equals the lifetime of a reservation at the rack's
 /// owner.
 pub const COMMIT_TIMEOUT: Duration = Duration::from_secs(5);
@@ -53,8 +63,9 @@
 const REASON_MAX_BYTES: usize = 64;
 
 /// The latest attempt of each task of one bucket.
-#[derive(Default)]
 pub struct Attempts {
+    /// The highest number that may have been given for a task without a row.
+    floor: Attempt,
     rows: BTreeMap<TaskId, Entry>,
     pending: VecDeque<(Time, TaskId, Attempt)>,
     bytes: usize,
@@ -100,6 +111,22 @@
 impl std::error::Error for Refused {}
 
 impl Attempts {
+    /// Creates the attempts of a bucket at an owner with this epoch.
+    pub fn new(epoch: Epoch) -> Self {
+        Attempts {
+            floor: Attempt((epoch.0 as u32) << EPOCH_SHIFT),
+            rows: BTreeMap::new(),
+            pending: VecDeque::new(),
+            bytes: 0,
+        }
+    }
+
+    /// The number of the next attempt of a task.
+    pub fn next_number(&self, task: &TaskId) -> Attempt {
+        let last = self.get(task).map_or(self.floor, |row| row.attempt.max(self.floor));
+        Attempt(last.0 + 1)
+    }
+
     /// The rows to be written to the record.
     pub fn rows(&self) -> impl Iterator<Item = &TaskRow> {
         self.rows.values().map(|e| &e.row)
@@ -127,7 +154,7 @@
         if last.is_some_and(|e| may_run(e.row.state)) {
             return Err(Refused::Live);
         }
-        let attempt = Attempt(last.map_or(0, |e| e.row.attempt.0) + 1);
+        let attempt = self.next_number(&place.task);
         let row = TaskRow {
             attempt,
             epoch: Some(place.epoch),
@@ -280,7 +307,9 @@
     /// Replaces all rows by those of the previous owner. Each attempt without a recorded end may be
     /// running.
     pub fn restore(&mut self, rows: Vec<TaskRow>, now: Time) {
-        *self = Attempts::default();
+        self.rows.clear();
+        self.pending.clear();
+        self.bytes = 0;
         for row in rows {
             self.insert(row, None, now);
         }
@@ -292,6 +321,7 @@
         if may_run(entry.row.state) {
             return Err(Refused::Live);
         }
+        self.floor = self.floor.max(entry.row.attempt);
         self.bytes -= row_bytes(&entry.row);
         self.rows.remove(task);
         commit.touch();
--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -34,7 +34,7 @@
         Bucket {
             commit: Commit::new(epoch, owner),
             claims: Claims::new(unix),
-            attempts: Attempts::default(),
+            attempts: Attempts::new(epoch),
             histories: JobHistories::default(),
             lease_end: Time::ZERO,
             out: Vec::new(),
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -88,7 +88,7 @@
     Revision(u64)
     /// Number of a task within its job.
     TaskIndex(u32)
-    /// Number of a task's attempt, from 1.
+    /// Number of a task's attempt; a later attempt has a higher one, and none is given twice.
     Attempt(u32)
     /// A hash bucket of jobs and keys.
     Bucket(u16)
--- a/src/jobs/place.rs
+++ b/src/jobs/place.rs
@@ -6,7 +6,7 @@
         Time,
         attempts::Place,
         gangs,
-        ids::{Attempt, PoolId, TaskId, team_bucket},
+        ids::{PoolId, TaskId, team_bucket},
         messages::{RackLoad, ReserveAsk, ReserveItem, ReserveReply, ReserveRow},
         tasks::Pick,
         text::JobKind,
@@ -72,10 +72,10 @@
     fn reserve_items(&self, pick: &Pick, now: Time) -> Vec<ReserveItem> {
         let new_item = |task: &TaskId| {
             let bucket = self.buckets.get(&team_bucket(&pick.job.team));
-            let row = bucket.and_then(|o| o.state.attempts().get(task));
+            let attempt = bucket.map(|o| o.state.attempts().next_number(task));
             ReserveItem {
                 task: task.clone(),
-                attempt: Attempt(row.map_or(0, |r| r.attempt.0) + 1),
+                attempt: attempt.unwrap_or_default(),
                 size: self.tasks.size(task, pick.job.size),
                 spread: pick.job.kind == JobKind::Replicas,
                 urgent: pick.urgent,
