Racks: a start voids an end that was recorded under its number before

What callers would see: a task in two places at once while members are replaced by the next version.

Cause: a member of the version before hands over reservations as attempts that run, and as a bucket's owner it numbers an uncommitted attempt again. The new rack owner records the reservation as lost, or still counts it from the handover on, and ends the attempt that starts under the number.

Evidence: tests/racks/reused.rs, two new tests with the older member's handover, red before: "task 0 runs twice"; "after 4300 ms" told as lost while its start is on the way. (Before the tests beside them showed the same of members of one version.)

Why it works: what was recorded before a start can't concern it, as an attempt is confirmed once; and it counts as started from its start on, so that only a report taken later than that and the reports' lag shows its end. Not covered: a record at a third member that the rack passes to.

--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -157,11 +157,12 @@
     /// Call this when the intent is committed, before the start is sent. Returns false if the
     /// reservation has expired; the start must not be sent then. Without this call, a start in
     /// transit while its reservation expires would run in room that was given to another attempt.
+    /// It counts as started now even if it was adopted before: a report from in between would show
+    /// it as ended.
     pub fn confirm(&mut self, task: &TaskId, attempt: Attempt, now: Time) -> bool {
         let held = Held::Task(task.clone(), attempt);
         let Some(hold) = self.holds.get(&held) else { return false };
-        let since = hold.since.or(Some(now));
-        let hold = Hold { ends: Time::NEVER, since, ..hold.clone() };
+        let hold = Hold { ends: Time::NEVER, since: Some(now), ..hold.clone() };
         self.put(held, hold);
         true
     }
--- a/src/racks/place.rs
+++ b/src/racks/place.rs
@@ -6,7 +6,7 @@
         Time,
         attempts::{CLOCK_DRIFT, MAX_TRANSIT},
         decide::urgent::{self, RunningTask},
-        ids::{Epoch, PoolId, RackId, TaskId, WorkerId},
+        ids::{Attempt, Epoch, PoolId, RackId, TaskId, WorkerId},
         ledger::Held,
         messages::{
             EndItem, Hold, ReserveAsk, ReserveItem, ReserveReply, ReserveRow, StartAsk, StartItem,
@@ -129,10 +129,7 @@
             return false;
         }
         self.preempting.retain(|_, (task, _)| *task != item.task);
-        if let Some(end) = self.pending_ends.get(&key) {
-            let (task, attempt, state, worker) = (&end.task, end.attempt, end.state, &end.worker);
-            log::warn!(target: "racks", "Attempt {attempt} of {task} starts, and an end of it is not reported yet: {state} on {worker}.");
-        }
+        self.void_earlier_end(&key);
         let hold = Some((item.hold, item.borrowed));
         self.attempts
             .insert(key, AttemptInfo { bucket: item.bucket, vouched_at: now, since: now, hold });
@@ -150,6 +147,16 @@
         true
     }
 
+    /// Drops an end that was recorded under the name of an attempt before its start.
+    ///
+    /// It concerns a reservation that a member of an older version handed over as a started attempt;
+    /// reported, it would end the attempt that starts now.
+    fn void_earlier_end(&mut self, key: &(TaskId, Attempt)) {
+        if let Some(EndItem { task, attempt, state, worker, .. }) = self.pending_ends.remove(key) {
+            log::warn!(target: "racks", "Attempt {attempt} of {task} starts; an earlier end is dropped: {state} on {worker}.");
+        }
+    }
+
     /// Enlarges a reservation to the size of the attempt to start; returns false if there is no room.
     ///
     /// Guards against overcommitting a worker: an attempt's size is what its task is expected to use
--- a/tests/racks/reused.rs
+++ b/tests/racks/reused.rs
@@ -9,7 +9,8 @@
     },
     dogwoodreach::{
         ids::{Attempt, Epoch},
-        messages::{ReserveRow, TaskState},
+        messages::{ReserveRow, TaskRow, TaskState},
+        units::Size,
     },
     std::time::Duration,
 };
@@ -168,3 +169,57 @@
     assert!(b.members[to].handover(&handover, now));
     b.run(200);
 }
+
+/// A bench as [`passed_with_reservation`], whose first member is of the version that listed its
+/// reservations in a handover as attempts that run.
+fn passed_by_an_older_member() -> Bench {
+    let mut b = Bench::new(2);
+    b.run(1000);
+    let now = b.now;
+    let row = b.members[0].reserve(&reserve_ask(0, 1, 1), now).rows.pop().expect("room");
+    let mut handover = b.members[0].lost(&rack(), Epoch(1));
+    handover.tasks.push(TaskRow {
+        task: row.task,
+        attempt: row.attempt,
+        state: TaskState::Running,
+        worker: Some(row.worker),
+        rack: Some(row.rack),
+        epoch: Some(row.epoch),
+        size: Size::new(1, 1024, 0),
+        tries: None,
+        reason: None,
+    });
+    b.members[1].gained(&rack(), Epoch(2), now);
+    assert!(b.members[1].handover(&handover, now));
+    b.run(200);
+    b
+}
+
+#[test]
+fn a_start_voids_an_earlier_end_of_its_number() {
+    // Members are replaced, and one of the older version hands over a reservation and numbers the
+    // attempt again as the bucket's owner. Its new rack owner had recorded the reservation as lost,
+    // told so as the attempt started, and the task was started a second time.
+    let mut b = passed_by_an_older_member();
+    b.run(6000);
+    assert!(start_again(&mut b, 1).ended.is_empty());
+}
+
+#[test]
+fn a_report_from_before_a_start_does_not_end_what_was_handed_over() {
+    // As above, but the start comes while the reservation still holds its room.
+    for wait in (3000..=5000).step_by(20) {
+        let mut b = passed_by_an_older_member();
+        b.run(wait);
+        b.order_delay = Duration::from_millis(300);
+        let now = b.now;
+        let Some(row) = b.members[1].reserve(&reserve_ask(0, 1, 1), now).rows.pop() else {
+            continue;
+        };
+        b.members[1].start(start(&row, 1), now).expect("the rack's owner");
+        for _ in 0..50 {
+            b.run(20);
+            assert!(!told(&mut b.members[1]).contains(&TaskState::Lost), "after {wait} ms");
+        }
+    }
+}
