Racks: a confirmed stop of an attempt that was not started is told again

Only the lapse of a worker's leases must leave no record: nobody asked for that end, and the attempt may be unknown to the bucket's owner, while a stop is asked for by the owner of a committed attempt.

Starts go to the rack's owner with a duration, so one that was held back by a pause of its sender arrives as if fresh; the room for it lapses after 5 s.

--- a/src/racks/order.rs
+++ b/src/racks/order.rs
@@ -244,6 +244,10 @@
     }
 
     /// Ends the attempts held on a worker whose leases are no longer renewed, once all have lapsed.
+    ///
+    /// A reservation that no start has used is only freed: its attempt may never have been
+    /// committed. Members of an older version may have given its number to another attempt by now,
+    /// which a record of its end would end.
     fn end_lapsed(&mut self, worker: &WorkerId, now: Time) {
         let Some(link) = self.links.get_mut(worker) else { return };
         if link.in_flight || now < link.lapse() {
@@ -253,12 +257,16 @@
         let responsive = link.last_heard > link.lapse();
         let held = self.ledger.worker(worker).into_iter().flat_map(|a| a.held());
         let tasks = held.filter_map(|h| match h {
-            Held::Task(task, attempt) => Some((task.clone(), *attempt)),
+            Held::Task(task, attempt) => Some((task.clone(), *attempt, self.ledger.started(h))),
             Held::Request(_) => None,
         });
-        for (task, attempt) in tasks.collect::<Vec<_>>() {
-            self.end_attempt(worker, task, attempt, TaskState::Lost, now);
+        for (task, attempt, started) in tasks.collect::<Vec<_>>() {
+            match started {
+                true => self.end_attempt(worker, task, attempt, TaskState::Lost, now),
+                false => _ = self.ledger.release(&task, attempt, now),
+            }
         }
+        self.reindex(worker);
         if !self.vms.contains_key(worker) {
             return self.remove(worker);
         }
@@ -269,10 +277,6 @@
     }
 
     /// Frees an attempt's room and records how it ended, if it was held there.
-    ///
-    /// The end of a reservation that no start has used is not recorded: its attempt may never have
-    /// been committed, and the next owner of its bucket may have given its number to another one,
-    /// which the record would end.
     fn end_attempt(
         &mut self,
         worker: &WorkerId,
@@ -281,13 +285,9 @@
         state: TaskState,
         now: Time,
     ) {
-        if !self.holds(worker, &task, attempt) {
-            return;
-        }
-        let started = self.ledger.started(&Held::Task(task.clone(), attempt));
-        self.ledger.release(&task, attempt, now);
-        self.reindex(worker);
-        if started {
+        if self.holds(worker, &task, attempt) {
+            self.ledger.release(&task, attempt, now);
+            self.reindex(worker);
             self.record_end(task, attempt, state, worker);
         }
     }
--- a/tests/racks/reused.rs
+++ b/tests/racks/reused.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         bench::Bench,
-        fake::{rack, reserve_ask, start, task},
+        fake::{rack, reserve_ask, start, stop, task},
         owner::Owner,
         told,
     },
@@ -223,3 +223,33 @@
         }
     }
 }
+
+#[test]
+fn a_stop_of_an_attempt_that_was_not_started_is_confirmed() {
+    // A bucket's owner commits an attempt and dies before it sends the start. Its successor stops the
+    // attempt and waits for the word that it is over; without it the task waits for the next probe.
+    let mut b = Bench::new(1);
+    b.run(1000);
+    let now = b.now;
+    let row = b.members[0].reserve(&reserve_ask(0, 1, 1), now).rows.pop().expect("room");
+    b.members[0].start(stop(&row), now);
+    b.run(200);
+    assert_eq!(told(&mut b.members[0]), [TaskState::Checkpointed]);
+}
+
+#[test]
+fn a_start_that_outlasts_its_reservation_is_refused() {
+    // A bucket's owner is paused between the choice of a start's time-out, which it sends as a
+    // duration, and the send. The start arrives as if fresh, after the next owner has started the
+    // task elsewhere.
+    let mut b = Bench::new(2);
+    b.run(1000);
+    let now = b.now;
+    let row = b.members[0].reserve(&reserve_ask(0, 1, 1), now).rows.pop().expect("room");
+    b.run(5020);
+    let now = b.now;
+    let reply = b.members[0].start(start(&row, 1), now).expect("the rack's owner");
+    assert_eq!(reply.refused.len(), 1);
+    b.run(1000);
+    assert_eq!(places(&b), 0);
+}
