Test: racks under any order of faults while numbers of attempts are given twice

The random test of racks had one owner of a bucket that starts whatever it reserves, which is why it missed both ways by which a reservation's end counted for a later attempt. A second test with the same faults reserves room that is never used and gives the number again.

--- a/tests/racks/random.rs
+++ b/tests/racks/random.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         bench::Bench,
-        fake::{TICK, pool, rack, stop, vm, worker},
+        fake::{TICK, pool, rack, reserve_ask, stop, vm, worker},
         owner::Owner,
     },
     arbtest::{arbitrary, arbtest},
@@ -25,6 +25,8 @@
 const SEED_COUNT: u64 = 60;
 /// The seed of a run in which an announced lapse outlived the owner that announced it.
 const LAPSE_SEED: u64 = 0xa4;
+/// The seed of a run in which a reservation on a worker whose leases had lapsed counted as lost.
+const LOST_SEED: u64 = 0x48;
 /// The bytes of random choices in each run.
 const CHOICE_BYTES: u64 = 16384;
 /// The interval at which the bucket's owner probes its attempts and the VM list arrives.
@@ -50,11 +52,15 @@
     /// which the sender learns of the outcome, and the outcome.
     answers: BTreeMap<RequestId, (usize, usize, Time, Outcome)>,
     requests: u128,
+    /// Whether room is also reserved for attempts that are never committed, whose numbers the next
+    /// owner of the bucket gives again.
+    reuses_numbers: bool,
 }
 
 impl World {
-    fn new() -> Self {
+    fn new(reuses_numbers: bool) -> Self {
         World {
+            reuses_numbers,
             bench: Bench::new(WORKERS),
             owner: Owner::default(),
             holder: 0,
@@ -207,7 +213,22 @@
         self.bench.list_vms();
     }
 
+    /// Reserves room for the next attempt of a task. The attempt is never started, so its number is
+    /// that of a later attempt, too.
+    fn reserve_only(&mut self, u: &mut arbitrary::Unstructured<'_>) -> arbitrary::Result<()> {
+        let (n, cores) = (u.int_in_range(0..=TASKS - 1)?, u.int_in_range(1..=8)?);
+        if !self.owner.attempts.contains_key(&n) && self.bench.leased[self.holder] {
+            let attempt = self.owner.last_attempt.get(&n).map_or(1, |a| a + 1);
+            let now = self.bench.now;
+            self.bench.members[self.holder].reserve(&reserve_ask(n, attempt, cores), now);
+        }
+        Ok(())
+    }
+
     fn step(&mut self, u: &mut arbitrary::Unstructured<'_>) -> arbitrary::Result<()> {
+        if self.reuses_numbers {
+            self.reserve_only(u)?;
+        }
         let (now, holder) = (self.bench.now, self.holder);
         let n = u.int_in_range(0..=TASKS - 1)?;
         let racks = &mut self.bench.members[holder];
@@ -252,19 +273,29 @@
     }
 }
 
+fn play(seed: u64, reuses_numbers: bool) {
+    arbtest(|u| {
+        let mut w = World::new(reuses_numbers);
+        w.run(1000);
+        for _ in 0..60 {
+            w.step(u)?;
+        }
+        w.heal();
+        Ok(())
+    })
+    .seed(seed << 32 | CHOICE_BYTES)
+    .run();
+}
+
 #[test]
 fn one_place() {
-    for seed in (0..SEED_COUNT).chain([LAPSE_SEED]) {
-        arbtest(|u| {
-            let mut w = World::new();
-            w.run(1000);
-            for _ in 0..60 {
-                w.step(u)?;
-            }
-            w.heal();
-            Ok(())
-        })
-        .seed(seed << 32 | CHOICE_BYTES)
-        .run();
-    }
+    (0..SEED_COUNT).chain([LAPSE_SEED]).for_each(|seed| play(seed, false));
+}
+
+// Buckets pass on before attempts are committed, and their numbers are given again, in any order
+// with the other faults. Whatever the rack's owners still know of the first attempt of a number, such
+// as a reservation, must not count for the second.
+#[test]
+fn one_place_though_numbers_are_given_again() {
+    (0..SEED_COUNT).chain([LOST_SEED]).for_each(|seed| play(seed, true));
 }
