Racks: a late release does not free an attempt that was handed over

What callers would see: a worker with more work than it has room for.

Cause: a release of room that isn't needed frees what is counted under the task and number, unless a bucket's owner has named the attempt to this member. An attempt that came by a handover isn't named before the next probe, so a release that arrives late (a gang's earlier round, a bucket that has passed on) freed the room of a running attempt.

Evidence: tests/racks/reused.rs, a_late_release_does_not_free_an_attempt_that_was_handed_over, red before (16 cores given beside 16 that run). No play of processes.

Why it works: a started attempt is never a reservation that isn't needed.

--- a/src/racks/place.rs
+++ b/src/racks/place.rs
@@ -49,10 +49,13 @@
         ReserveReply { rows }
     }
 
-    /// Frees reservations that are not needed, unless their attempts were started.
+    /// Frees reservations that are not needed, unless their attempts were started, here or by the
+    /// rack's former owner.
     pub fn release(&mut self, rows: &[ReserveRow], now: Time) {
         for row in rows {
-            if !self.attempts.contains_key(&(row.task.clone(), row.attempt)) {
+            let key = (row.task.clone(), row.attempt);
+            let started = self.ledger.started(&Held::Task(key.0.clone(), key.1));
+            if !started && !self.attempts.contains_key(&key) {
                 self.ledger.release(&row.task, row.attempt, now);
                 self.reindex(&row.worker);
             }
--- a/tests/racks/reused.rs
+++ b/tests/racks/reused.rs
@@ -253,3 +253,19 @@
     b.run(1000);
     assert_eq!(places(&b), 0);
 }
+
+#[test]
+fn a_late_release_does_not_free_an_attempt_that_was_handed_over() {
+    // A rack passes on while a task runs there. A release of the room that was reserved for the task
+    // arrives late, at the new owner, which gave the room to another task beside the running one.
+    let mut b = Bench::new(1);
+    b.run(1000);
+    let now = b.now;
+    let row = b.members[0].reserve(&reserve_ask(0, 1, 16), now).rows.pop().expect("room");
+    b.members[0].start(start(&row, 16), now).expect("the rack's owner");
+    b.run(1000);
+    pass(&mut b, 0, 2);
+    let now = b.now;
+    b.members[1].release(&[row], now);
+    assert!(b.members[1].reserve(&reserve_ask(1, 1, 16), now).rows.is_empty());
+}
