--- a/src/racks/order.rs
+++ b/src/racks/order.rs
@@ -245,9 +245,9 @@
 
     /// Ends the attempts held on a worker whose leases are no longer renewed, once all have lapsed.
     ///
-    /// A reservation that no start has used is only freed: its attempt may never have been
-    /// committed. Members of an older version may have given its number to another attempt by now,
-    /// which a record of its end would end.
+    /// A reservation that no start has used is only freed. Its attempt may never have been committed,
+    /// and nobody asked for its end; members of an older version give its number to another attempt,
+    /// which a record of the end would end.
     fn end_lapsed(&mut self, worker: &WorkerId, now: Time) {
         let Some(link) = self.links.get_mut(worker) else { return };
         if link.in_flight || now < link.lapse() {
--- a/src/racks/pass.rs
+++ b/src/racks/pass.rs
@@ -75,14 +75,14 @@
     ///
     /// No start can use them any more, as it would carry this owner's epoch. A next owner that
     /// counts one as a started attempt closes its room for as long as reports lag and then reports
-    /// its end. If the attempt was never committed, the bucket's next owner has used its number
-    /// again, and the end would count for an attempt that runs.
+    /// the end of an attempt that may never have been committed.
     fn add_load(&self, worker: &WorkerId, handover: &mut Handover) {
         let held = self.ledger.worker(worker).into_iter().flat_map(|a| a.held());
         let (started, unused): (Vec<_>, Vec<_>) = held.partition(|h| self.ledger.started(h));
         if !unused.is_empty() {
             let names: Vec<String> = unused.iter().map(|h| h.to_string()).collect();
-            log::info!(target: "racks", "Reservations on {worker} without a start are not handed over: {}.", names.join(", "));
+            let names = names.join(", ");
+            log::info!(target: "racks", "Reservations on {worker} without a start are not handed over: {names}.");
         }
         for held in started {
             match held {
--- a/tests/scenario/wait.rs
+++ b/tests/scenario/wait.rs
@@ -119,26 +119,13 @@
         return free_cores(rack, args.required("cores").parse().expect("a number"));
     }
     if let Some(rack) = args.optional("handed-over") {
-        let line = format!("Takes over {rack} ");
-        return Box::new(move |cell| {
-            let logs: Vec<String> = at.iter().map(|m| cell.log(m)).collect();
-            (logs.iter().all(|log| log.contains(&line)), "not in the log".into())
-        });
+        return handed_over(&rack, at);
     }
     if let Some(prefix) = args.optional("stored") {
-        return Box::new(move |cell| {
-            let kv = cell.process("platform").value("kv").to_owned();
-            let list = cell.get(&format!("{kv}/v1/watch?prefix={prefix}&after=0&wait=0"));
-            let n = list.map_or(0, |l| rows(&l, "entries").count() as u64);
-            (n == count, format!("{n} records"))
-        });
+        return stored_records(prefix, count);
     }
     if args.flag("held") {
-        return Box::new(move |cell| {
-            let kv = cell.process("platform").value("kv").to_owned();
-            let n = cell.get(&format!("{kv}/calls")).and_then(|c| c["held"].as_u64());
-            (n.is_some_and(|n| n >= count), format!("{n:?} writes"))
-        });
+        return held_writes(count);
     }
     if let Some(call) = args.optional("kv-failed") {
         return kv_failed(call, at, count);
@@ -205,12 +192,41 @@
     })
 }
 
-/// Checks that the workers of a rack are ready and have this many cores free in total, which they show in thousandths.
+/// Checks that each member has received the handover of a rack, according to its log.
+fn handed_over(rack: &str, members: Vec<String>) -> Check {
+    let line = format!("Takes over {rack} ");
+    Box::new(move |cell| {
+        let logs: Vec<String> = members.iter().map(|m| cell.log(m)).collect();
+        (logs.iter().all(|log| log.contains(&line)), "not in the log".into())
+    })
+}
+
+/// Checks that the store has this many records whose keys begin with the prefix.
+fn stored_records(prefix: String, count: u64) -> Check {
+    Box::new(move |cell| {
+        let kv = cell.process("platform").value("kv").to_owned();
+        let list = cell.get(&format!("{kv}/v1/watch?prefix={prefix}&after=0&wait=0"));
+        let n = list.map_or(0, |l| rows(&l, "entries").count() as u64);
+        (n == count, format!("{n} records"))
+    })
+}
+
+/// Checks that the store has held at least this many writes since it started.
+fn held_writes(count: u64) -> Check {
+    Box::new(move |cell| {
+        let kv = cell.process("platform").value("kv").to_owned();
+        let n = cell.get(&format!("{kv}/calls")).and_then(|c| c["held"].as_u64());
+        (n.is_some_and(|n| n >= count), format!("{n:?} writes"))
+    })
+}
+
+/// Checks that the workers of a rack are ready and have this many cores free in total.
 fn free_cores(rack: String, cores: u64) -> Check {
     Box::new(move |cell| {
         let shown = cell.all_rows("workers");
         let ours: Vec<&Value> = shown.iter().filter(|w| w["rack"] == *rack).collect();
         let ready = ours.iter().all(|w| w["state"] == "ready");
+        // Shown in thousandths.
         let free: u64 = ours.iter().filter_map(|w| w["room"]["cores"].as_u64()).sum();
         (ready && free == cores * 1000, format!("{ours:?}"))
     })
