Attempts: a task's number stays while room is requested for it

A task for which room was being reserved at that time got another number than its reservation; the attempt was withdrawn, the room returned, and the task waited for the next scan (200 ms).

Evidence: tests/attempts.rs, a_number_stays_while_other_tasks_end, red before (65538 for 65537).

Why it works: a removed task can be placed again only once its job, or itself, is no longer listed, or a gang starts anew; there the numbers are raised.

--- a/src/attempts.rs
+++ b/src/attempts.rs
@@ -11,7 +11,7 @@
 //! No attempt number of a task is given twice, whoever owns the bucket and whether or not the attempt
 //! was committed: others know an attempt by its task and number alone, and what they still hold or
 //! report of an earlier attempt must not count for a later one. The numbers of an owner begin above
-//! those of all former owners, and above those of the tasks that it has removed.
+//! those of all former owners, and above those of the jobs that it has removed.
 //!
 //! The next attempt of a task waits until the previous one has ended, was stopped with
 //! confirmation, was shown by a report not to run, or its lease has expired. A report that omits an
@@ -64,8 +64,10 @@
 
 /// The latest attempt of each task of one bucket.
 pub struct Attempts {
-    /// The highest number that may have been given for a task without a row.
+    /// The number below those of tasks without a row.
     floor: Attempt,
+    /// The highest number of a row that was removed.
+    removed: Attempt,
     rows: BTreeMap<TaskId, Entry>,
     pending: VecDeque<(Time, TaskId, Attempt)>,
     bytes: usize,
@@ -115,6 +117,7 @@
     pub fn new(epoch: Epoch) -> Self {
         Attempts {
             floor: Attempt((epoch.0 as u32) << EPOCH_SHIFT),
+            removed: Attempt::default(),
             rows: BTreeMap::new(),
             pending: VecDeque::new(),
             bytes: 0,
@@ -314,13 +317,21 @@
         }
     }
 
+    /// Numbers further attempts above those of all removed tasks. Must be called before a removed task
+    /// may be placed again.
+    ///
+    /// Not done at each removal: the numbers of tasks for which room is being reserved would change.
+    pub fn skip_removed(&mut self) {
+        self.floor = self.floor.max(self.removed);
+    }
+
     /// Removes a task whose attempt can't be running; errs otherwise.
     pub fn remove(&mut self, task: &TaskId, commit: &mut Commit) -> Result<(), Refused> {
         let Some(entry) = self.rows.get(task) else { return Ok(()) };
         if may_run(entry.row.state) {
             return Err(Refused::Live);
         }
-        self.floor = self.floor.max(entry.row.attempt);
+        self.removed = self.removed.max(entry.row.attempt);
         self.bytes -= row_bytes(&entry.row);
         self.rows.remove(task);
         commit.touch();
--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -132,6 +132,7 @@
     /// Drops the ended tasks of a gang unless all of its tasks have ended.
     pub fn drop_partial_gang(&mut self, job: &JobId, tasks: u32) {
         if self.histories.drop_partial_gang(job, tasks) {
+            self.attempts.skip_removed();
             self.commit.touch();
         }
     }
@@ -146,13 +147,16 @@
     /// Removes the stored data of a job besides its attempts.
     pub fn remove_job(&mut self, job: &JobId) {
         if self.histories.remove(job) {
+            self.attempts.skip_removed();
             self.commit.touch();
         }
     }
 
     /// Removes a task; errs if an attempt may be running.
     pub fn remove_task(&mut self, task: &TaskId) -> Result<(), Refused> {
-        self.attempts.remove(task, &mut self.commit)
+        self.attempts.remove(task, &mut self.commit)?;
+        self.attempts.skip_removed();
+        Ok(())
     }
 
     /// Handles the reply to a write; `None` if there was none in time.
--- a/tests/attempts.rs
+++ b/tests/attempts.rs
@@ -371,3 +371,26 @@
     }
     assert!(given.is_sorted_by(|a, b| a < b), "{given:?}");
 }
+
+// Room is requested for a task while others of its batch end. If that changed the task's number, the
+// room would be returned and the task would wait for the next scan, again and again in a bucket of
+// short tasks.
+#[test]
+fn a_number_stays_while_other_tasks_end() {
+    let (mut kv, mut now, mut member) = (Kv::default(), Time::ZERO, Member::new(1));
+    member.bucket.renew(Time::NEVER);
+    member.settle(&mut kv, &mut now);
+    member.bucket.add_job(&task(0).job, 0);
+    member.bucket.place(place(0, 0), now).expect("no attempt runs");
+    member.settle(&mut kv, &mut now);
+    let asked = member.bucket.attempts().next_number(&task(1));
+    let row = member.bucket.attempts().get(&task(0)).cloned().expect("it was placed");
+    let Message::End(item) = end_notice(&row, TaskState::Ended) else { return };
+    member.bucket.update_attempt(&item);
+    member.bucket.mark_ended(&task(0));
+    assert!(member.bucket.attempts().get(&task(0)).is_none(), "its row is removed");
+    assert_eq!(member.bucket.place(place(1, 0), now), Ok(asked));
+    // Once the job is removed, a task of it that is listed again gets a new number.
+    member.bucket.remove_job(&task(0).job);
+    assert!(member.bucket.attempts().next_number(&task(0)) > row.attempt);
+}
--- a/tests/cell/floor.rs
+++ b/tests/cell/floor.rs
@@ -137,6 +137,7 @@
                 refused.push(end_item(item, TaskState::Lost));
                 continue;
             }
+            assert!(!self.starts.contains(&key), "OneName: {key:?} was started before");
             self.reservations.remove(&key);
             let other = self.runs.keys().find(|(t, _)| *t == item.task);
             assert!(other.is_none(), "OneAttempt: {key:?} beside {other:?}");
