Scenarios: readiness is polled until the last caller has ended

By its state: the load through the member that had stood still was being ended (no connection to that member was open, the other load ran on, the test's thread waited), the member was ready, and all jobs had ended.

Cause, by reading: `load-end` set one flag for both, callers that make no further calls and the poll of readiness. A caller whose last call waits for a ready member then waits for ever if none was ready at the last poll; the member was about to get its rack back. No condition of a scenario times that out.

Why it works: the poll ends once all callers have. No check is narrower: the call is still sent, and its result counts.

--- a/tests/scenario/load.rs
+++ b/tests/scenario/load.rs
@@ -90,7 +90,10 @@
     /// The members behind the balancer.
     pub members: Arc<Mutex<Vec<Member>>>,
     pub answered: Arc<AtomicU64>,
+    /// Whether the callers make no further calls.
     end: Arc<AtomicBool>,
+    /// Whether all callers have ended.
+    over: Arc<AtomicBool>,
     tally: Arc<Mutex<Tally>>,
     callers: Vec<tokio::task::JoinHandle<()>>,
 }
@@ -127,11 +130,12 @@
             members: Arc::new(Mutex::new(members.to_vec())),
             answered: Arc::default(),
             end: Arc::default(),
+            over: Arc::default(),
             tally: Arc::default(),
             callers: vec![],
         };
         let ready = Arc::new(Mutex::new(vec![]));
-        tokio::spawn(poll_readiness(load.members.clone(), ready.clone(), load.end.clone()));
+        tokio::spawn(poll_readiness(load.members.clone(), ready.clone(), load.over.clone()));
         let next = Arc::new(AtomicU64::new(0));
         let client = Client::new(64);
         let callers = (0..parallel).map(|n| {
@@ -162,10 +166,11 @@
         if stop_now {
             self.end.store(true, Ordering::Relaxed);
         }
+        // A caller's last call waits for a ready member, so readiness is polled until then.
         for caller in self.callers {
             caller.await.expect("a caller ends by itself");
         }
-        self.end.store(true, Ordering::Relaxed);
+        self.over.store(true, Ordering::Relaxed);
         let tally = std::mem::take(&mut *self.tally.lock().expect("no holder panics"));
         (self.answered.load(Ordering::Relaxed), tally)
     }
@@ -175,11 +180,11 @@
 async fn poll_readiness(
     members: Arc<Mutex<Vec<Member>>>,
     ready: Arc<Mutex<Vec<String>>>,
-    end: Arc<AtomicBool>,
+    over: Arc<AtomicBool>,
 ) {
     let client = Client::new(0);
     let mut ticks: Interval = interval(POLL_INTERVAL);
-    while !end.load(Ordering::Relaxed) {
+    while !over.load(Ordering::Relaxed) {
         let mut found = vec![];
         let members = members.lock().expect("no holder panics").clone();
         for (callers, metrics) in &members {
