Scenarios: a test shows the load that never ended; a caller waits for a ready member for 60 s at most

A caller that finds no ready member for 60 s, the time-out of a condition, now fails its call as "unready", which no scenario allows, so that a load can't go on for ever.

--- a/tests/scenario/load.rs
+++ b/tests/scenario/load.rs
@@ -3,24 +3,33 @@
 
 use {
     bytes::Bytes,
-    dogwoodreach::http::{CALLER, Client, DEADLINE, Failure, KEY, RAN, REASON, REQUEST, RUN},
+    dogwoodreach::http::{
+        CALLER, Client, DEADLINE, Failure, KEY, Limits, RAN, REASON, REQUEST, RUN, answer, serve,
+    },
     http_body_util::Full,
-    hyper::Request,
+    hyper::{Request, http::request::Parts},
     std::{
         collections::{BTreeMap, BTreeSet},
+        future::pending,
         sync::{
             Arc, Mutex,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::TcpListener,
+        task::yield_now,
+        time::{Interval, interval},
     },
-    tokio::time::{Interval, interval},
 };
 
 /// The interval at which the balancer polls the members' readiness pages.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// The time-out of a call; longer than every deadline in the scenarios.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// The time-out of the wait for a ready member, as of a condition.
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// A request to a service. Optional fields become headers when they are set.
 #[derive(Clone, Default)]
@@ -59,14 +68,6 @@
     }
     let body = Full::new(Bytes::from(call.body.clone()));
     let sent = client.send(b.body(body).expect("a request"), CALL_TIMEOUT).await;
-    let failed = |reason: &str| CallResult {
-        status: None,
-        body: "".into(),
-        id: "".into(),
-        ran: "unknown".into(),
-        reason: reason.into(),
-        retry_after: false,
-    };
     match sent {
         Ok((head, body)) => {
             let text = |name| head.headers.get(name).and_then(|v| v.to_str().ok()).unwrap_or("");
@@ -85,6 +86,17 @@
     }
 }
 
+fn failed(reason: &str) -> CallResult {
+    CallResult {
+        status: None,
+        body: "".into(),
+        id: "".into(),
+        ran: "unknown".into(),
+        reason: reason.into(),
+        retry_after: false,
+    }
+}
+
 /// A group of callers that send requests until `total` calls are made or the load is ended.
 pub struct Load {
     /// The members behind the balancer.
@@ -99,7 +111,7 @@
 }
 
 /// Results that the callers of a load have collected.
-#[derive(Default)]
+#[derive(Debug, Default)]
 pub struct Tally {
     pub reasons: BTreeMap<String, u64>,
     pub wrong: Vec<String>,
@@ -240,10 +252,11 @@
     }
 
     /// Sends a call to the n-th ready member, and tries again if the request could not be sent, as
-    /// a load balancer does.
+    /// a load balancer does. Fails as "unready" if that takes too long.
     async fn send_balanced(&self, n: usize, call: &Call) -> CallResult {
+        let begun = Instant::now();
         let mut ticks = interval(POLL_INTERVAL / 5);
-        loop {
+        while begun.elapsed() < READY_TIMEOUT {
             let ready = self.ready.lock().expect("no holder panics").clone();
             if let Some(addr) = ready.get(n % ready.len().max(1)) {
                 let result = send(&self.client, addr, call).await;
@@ -253,6 +266,7 @@
             }
             ticks.tick().await;
         }
+        failed("unready")
     }
 
     fn record(&self, call: &Call, result: CallResult) {
@@ -277,3 +291,41 @@
         *tally.reasons.entry(reason).or_default() += 1;
     }
 }
+
+// A load is ended while its only member is not ready for a moment. The last call waits for the
+// member; the poll of readiness ended with the load, so the call waited for ever.
+#[tokio::test]
+async fn a_load_ends_once_its_member_is_ready_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address").to_string();
+    let (ready, polls) = (Arc::new(AtomicBool::new(true)), Arc::new(AtomicU64::new(0)));
+    let state = (ready.clone(), polls.clone());
+    let handle = move |head: Parts, body: Result<Bytes, dogwoodreach::Error>| {
+        let (ready, polls) = state.clone();
+        async move {
+            match head.uri.path() {
+                "/ready" if ready.load(Ordering::Relaxed) => answer(200, ""),
+                "/ready" => {
+                    polls.fetch_add(1, Ordering::Relaxed);
+                    answer(503, "")
+                }
+                _ => answer(200, body.unwrap_or_default()),
+            }
+        }
+    };
+    let limits = Limits { body: 1 << 10, connections: 16, read_timeout: CALL_TIMEOUT };
+    tokio::spawn(serve(listener, limits, pending(), handle));
+    let call = Call { service: "quoting".into(), ..Call::default() };
+    let load = Load::start(&[(addr.clone(), addr)], &call, "brokers", 1, u64::MAX, false);
+    while load.answered.load(Ordering::Relaxed) == 0 {
+        yield_now().await;
+    }
+    ready.store(false, Ordering::Relaxed);
+    // The second refusal shows that the first one has been taken into the list of ready members.
+    while polls.load(Ordering::Relaxed) < 2 {
+        yield_now().await;
+    }
+    let make_ready = async { ready.store(true, Ordering::Relaxed) };
+    let ((answered, tally), ()) = tokio::join!(load.end(true), make_ready);
+    assert!(answered > 0 && tally.reasons.is_empty() && tally.wrong.is_empty(), "{tally:?}");
+}
