Scenario uncommitted_attempts waits for the reservations, and shows that they were there as the rack passed on

A play that passes said nothing of whether the order had arisen; only logs that I had read by hand did (one play of 30). Now the room is seen to be reserved before the second member starts, and at the end the first member's log must name reservations that its handover left out (`left-out`).

--- a/tests/scenario/wait.rs
+++ b/tests/scenario/wait.rs
@@ -121,6 +121,9 @@
     if let Some(rack) = args.optional("handed-over") {
         return handed_over(&rack, at);
     }
+    if let Some(rack) = args.optional("left-out") {
+        return left_out(&rack, at, count);
+    }
     if let Some(prefix) = args.optional("stored") {
         return stored_records(prefix, count);
     }
@@ -201,6 +204,21 @@
     })
 }
 
+/// Checks that each member has left at least this many reservations on a rack out of its handovers,
+/// according to its log.
+fn left_out(rack: &str, members: Vec<String>, count: u64) -> Check {
+    let line = format!("Reservations on {rack}-");
+    Box::new(move |cell| {
+        let logs = members.iter().map(|m| cell.log(m));
+        let named = logs.map(|log| {
+            let lines = log.lines().filter(|l| l.contains(&line));
+            lines.map(|l| l.matches('#').count() as u64).sum()
+        });
+        let named: Vec<u64> = named.collect();
+        (named.iter().all(|n| *n >= count), format!("{named:?} reservations"))
+    })
+}
+
 /// Checks that the store has this many records whose keys begin with the prefix.
 fn stored_records(prefix: String, count: u64) -> Check {
     Box::new(move |cell| {
