--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)] // no test file uses all items
 
+pub mod slow_advice;
 pub mod worker;
 
 pub use standin::site::store;
--- a/tests/shard_advice.rs
+++ b/tests/shard_advice.rs
@@ -3,7 +3,7 @@
 mod yard;
 
 use {
-    dogwoodreach::work::{AdviceCost, JobNo, Queue, QueueConfig, Step, StepKey, TaskKey},
+    dogwoodreach::work::{AdviceCost, JobNo, QueueConfig, Step, StepKey, TaskKey},
     std::{sync::Arc, time::Duration},
     yard::{ShardSim, job, step, workers},
 };
@@ -16,13 +16,7 @@
     let defaults = yard::queues();
     let us = Duration::from_micros;
     let cost = AdviceCost { base: us(728_000), each: us(10_400), valid: Duration::from_secs(2) };
-    let feed = Queue {
-        name: "feed".into(),
-        prefix: "/feed/".into(),
-        priority: 1,
-        advice: Some(cost),
-        ..defaults.queue_by_name("open").expect("a queue").clone()
-    };
+    let feed = yard::queue("feed", 1, Some(cost));
     Arc::new(QueueConfig { queues: vec![feed], ..(*defaults).clone() })
 }
 
--- a/tests/shard_kept.rs
+++ b/tests/shard_kept.rs
@@ -20,14 +20,11 @@
 fn queues() -> Arc<QueueConfig> {
     let defaults = yard::queues();
     let ms = Duration::from_millis;
-    let queue = |name: &str, priority, slack, cost| Queue {
-        name: name.into(),
-        prefix: format!("/{name}/").into(),
-        priority,
+    let cost = |base| AdviceCost { base: ms(base), each: ms(2), valid: ms(2_000) };
+    let queue = |name, priority, slack, base| Queue {
         stretch: 1.0,
         slack: ms(slack),
-        advice: Some(AdviceCost { base: ms(cost), each: ms(2), valid: ms(2_000) }),
-        ..defaults.queue_by_name("open").expect("a queue").clone()
+        ..yard::queue(name, priority, Some(cost(base)))
     };
     let open = defaults.queue_by_name("open").expect("a queue").clone();
     let all = vec![queue("gangs", 0, 0, 900), queue("tasks", 1, 30_000, 280), open];
--- a/tests/shard_lost_twice.rs
+++ b/tests/shard_lost_twice.rs
@@ -3,49 +3,18 @@
 mod hand;
 
 use {
-    dogwoodreach::{
-        ports::{Fault, WorkerCall, WorkerReply as Reply},
-        shard::event::Event,
-        work::{AdviceCost, Job, Queue, QueueConfig, Step},
-    },
     hand::{
-        Harness, TICK, job, queues, step, task,
-        worker::{Hook, NORMAL, ONLY_HOLDS, SILENT},
+        Harness, TICK,
+        slow_advice::{NO_STARTS, long_running, with_slow_advice},
+        task,
+        worker::{NORMAL, ONLY_HOLDS, SILENT},
     },
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
 };
 
-/// The duration of an advice call that names five workers.
-const CALL: Duration = Duration::from_millis(1_200);
 /// The time within which a long-running task has to run again beside free capacity.
 const MAX_ABSENCE: Duration = Duration::from_secs(6);
 
-/// Starts get no answer; other calls do.
-const NO_STARTS: Hook = |call| matches!(call, WorkerCall::Start(_)).then_some(Err(Fault::Unknown));
-/// The worker accepts stops, which have no effect.
-const STOPS_WITHOUT_EFFECT: Hook =
-    |call| matches!(call, WorkerCall::Stop { .. }).then_some(Ok(Reply::Done(0)));
-
-/// An owner with this many workers, whose advice calls take [`CALL`].
-fn with_slow_advice(workers: usize) -> Harness {
-    let mut hand = Harness::new(workers);
-    hand.advice_delay = CALL;
-    let cost =
-        AdviceCost { base: CALL * 9 / 10, each: CALL / 50, valid: Duration::from_millis(2_000) };
-    let defaults = queues();
-    let slow = |q: &Queue| Queue { advice: q.advice.map(|_| cost), ..q.clone() };
-    hand.deliver(Event::Queues(Arc::new(QueueConfig {
-        queues: defaults.queues.iter().map(slow).collect(),
-        ..(*defaults).clone()
-    })));
-    hand
-}
-
-/// A job of `count` long-running tasks, at most one on each worker.
-fn long_running(count: u32) -> Job {
-    job(Step { lasts: true, apart: 1, ..step(count, 1) })
-}
-
 #[test]
 fn a_task_whose_orders_are_lost_twice_runs_within_the_bound() {
     // Two starts in a row are not carried out, and the first order to stop each of them is lost as
@@ -75,12 +44,7 @@
     hand.submit(1, "advised", long_running(3));
     hand.submit(2, "plain", long_running(3));
     hand.run(8_000);
-    let at = hand.workers_running(task(1, 0))[0];
-    hand.workers[at].hook = STOPS_WITHOUT_EFFECT;
-    hand.workers[at].leaves_in = Some(Duration::from_secs(600));
-    hand.deliver_list();
-    hand.run(30_000);
-    assert!(!hand.stops().is_empty());
+    let at = hand.leave_without_effect();
     for no in [1, 2] {
         let other = (1..3).find(|i| hand.workers_running(task(no, *i)) != [at]);
         let silent = hand.workers_running(task(no, other.expect("another worker")))[0];
--- a/tests/shard_narrow_calls.rs
+++ b/tests/shard_narrow_calls.rs
@@ -5,10 +5,10 @@
 use {
     dogwoodreach::{
         units::Size,
-        work::{AdviceCost, JobNo, Queue, QueueConfig, Step, StepKey},
+        work::{AdviceCost, JobNo, QueueConfig, Step, StepKey},
     },
     std::{sync::Arc, time::Duration},
-    yard::{ShardSim, job, step, worker::Worker},
+    yard::{ShardSim, job, queue, step, worker::Worker},
 };
 
 /// Number of workers; the last `LATE` of them have room only after the step's first call.
@@ -31,13 +31,6 @@
     let old = yard::queues();
     let us = Duration::from_micros;
     let cost = AdviceCost { base: us(728_000), each: us(10_400), valid: Duration::from_secs(2) };
-    let queue = |name: &str, priority, advice| Queue {
-        name: name.into(),
-        prefix: format!("/{name}/").into(),
-        priority,
-        advice,
-        ..old.queue_by_name("open").expect("a queue").clone()
-    };
     let all = vec![queue("quote", 0, None), queue("feed", 1, Some(cost)), queue("accum", 2, None)];
     Arc::new(QueueConfig { queues: all, ..(*old).clone() })
 }
--- a/tests/shard_tickets_ready.rs
+++ b/tests/shard_tickets_ready.rs
@@ -4,59 +4,28 @@
 
 use {
     dogwoodreach::{
-        ports::{EndReason, Fault, PresentRun, WorkerCall, WorkerReply as Reply},
+        ports::{EndReason, PresentRun, WorkerReply as Reply},
         shard::event::Event,
-        work::{AdviceCost, Job, Queue, QueueConfig, Step},
     },
     hand::{
-        Harness, TICK, job, queues, step, task,
+        Harness, TICK,
+        slow_advice::{
+            NO_STARTS, STOPS_WITHOUT_EFFECT, long_running, slow_advice, with_slow_advice,
+        },
+        task,
         worker::{Hook, NORMAL, ONLY_HOLDS, SILENT, Worker},
     },
-    std::{sync::Arc, time::Duration},
 };
 
-/// The duration of an advice call that names five workers.
-const CALL: Duration = Duration::from_millis(1_200);
-
-/// Starts get no answer; other calls do.
-const NO_STARTS: Hook = |call| matches!(call, WorkerCall::Start(_)).then_some(Err(Fault::Unknown));
-/// The worker accepts stops, which have no effect.
-const STOPS_WITHOUT_EFFECT: Hook =
-    |call| matches!(call, WorkerCall::Stop { .. }).then_some(Ok(Reply::Done(0)));
 /// The worker answers that the addressed incarnation is over.
 const OTHER_INCARNATION: Hook = |_| Some(Ok(Reply::Other));
 
-/// The queues of the harness, with advice calls that take [`CALL`].
-fn slow_advice() -> Arc<QueueConfig> {
-    let us = Duration::from_micros;
-    let cost = AdviceCost { base: CALL * 9 / 10, each: CALL / 50, valid: us(2_000_000) };
-    let defaults = queues();
-    let slow = |q: &Queue| Queue { advice: q.advice.map(|_| cost), ..q.clone() };
-    Arc::new(QueueConfig {
-        queues: defaults.queues.iter().map(slow).collect(),
-        ..(*defaults).clone()
-    })
-}
-
 /// Replaces the owner; the new one gets the queues of [`slow_advice`].
 fn take_over(hand: &mut Harness) {
     hand.take_over();
     hand.deliver(Event::Queues(slow_advice()));
 }
 
-/// An owner with this many workers, whose advice calls take [`CALL`].
-fn with_slow_advice(workers: usize) -> Harness {
-    let mut hand = Harness::new(workers);
-    hand.advice_delay = CALL;
-    hand.deliver(Event::Queues(slow_advice()));
-    hand
-}
-
-/// A job of `count` long-running tasks, at most one on each worker.
-fn long_running(count: u32) -> Job {
-    job(Step { lasts: true, apart: 1, ..step(count, 1) })
-}
-
 /// Runs one task of job 1, which needs advice, and one of job 2, which does not, on each worker,
 /// until all tickets have expired.
 fn with_running_tasks(workers: u32) -> Harness {
@@ -176,12 +145,7 @@
     let mut hand = with_slow_advice(4);
     hand.submit(1, "advised", long_running(3));
     hand.run(8_000);
-    let at = hand.workers_running(task(1, 0))[0];
-    hand.workers[at].hook = STOPS_WITHOUT_EFFECT;
-    hand.workers[at].leaves_in = Some(Duration::from_secs(600));
-    hand.deliver_list();
-    hand.run(30_000);
-    assert!(!hand.stops().is_empty());
+    hand.leave_without_effect();
     let calls = hand.advice_calls;
     hand.run(60_000);
     assert_eq!(hand.advice_calls, calls);
--- a/tests/shard_waits.rs
+++ b/tests/shard_waits.rs
@@ -7,10 +7,10 @@
     dogwoodreach::{
         Time,
         units::Size,
-        work::{AdviceCost, Job, JobNo, JobState, Occurrences, Queue, QueueConfig, Step, StepKey},
+        work::{AdviceCost, Job, JobNo, JobState, Occurrences, QueueConfig, Step, StepKey},
     },
     std::{ops::RangeInclusive, sync::Arc, time::Duration},
-    yard::{ShardSim, job, rules::UNIX_START_MS, step, store::Mode, worker::Worker},
+    yard::{ShardSim, job, queue, rules::UNIX_START_MS, step, store::Mode, worker::Worker},
 };
 
 /// Seeds that are always run; among them are loads in which a job once waited beside free room.
@@ -35,13 +35,6 @@
         each: Duration::from_micros(each),
         valid: ms(rng.u64(1_500..3_500)),
     };
-    let queue = |name: &str, priority, advice| Queue {
-        name: name.into(),
-        prefix: format!("/{name}/").into(),
-        priority,
-        advice,
-        ..old.queue_by_name("open").expect("a queue").clone()
-    };
     let all = vec![
         queue("plain", 1, None),
         queue("urgent", 0, None),
--- a/tests/shard_wide.rs
+++ b/tests/shard_wide.rs
@@ -25,15 +25,11 @@
     let old = yard::queues();
     let ms = Duration::from_millis;
     let valid = ms(2_000);
-    let queue = |name: &str, priority, stretch, cost| Queue {
-        name: name.into(),
-        prefix: format!("/{name}/").into(),
-        priority,
+    let queue = |name, priority, stretch, cost| Queue {
         stretch,
         slack: ms(1_000),
         attempts: 4,
-        advice: Some(cost),
-        ..old.queue_by_name("open").expect("a queue").clone()
+        ..yard::queue(name, priority, Some(cost))
     };
     let cost =
         |base, micros| AdviceCost { base: ms(base), each: Duration::from_micros(micros), valid };
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -29,7 +29,9 @@
             },
             report::JobReport,
         },
-        work::{AdviceCost, Job, JobNo, JobState, ListedWorker, QueueConfig, StepKey, TaskKey},
+        work::{
+            AdviceCost, Job, JobNo, JobState, ListedWorker, Queue, QueueConfig, StepKey, TaskKey,
+        },
     },
     rules::{Breach, Rules, UNIX_START_MS},
     std::{
@@ -56,6 +58,17 @@
 
 type Action = Box<dyn FnOnce(&mut ShardSim)>;
 
+/// A queue with this name, priority and cost of advice, and otherwise as the queue `open`.
+pub fn queue(name: &str, priority: u8, advice: Option<AdviceCost>) -> Queue {
+    Queue {
+        name: name.into(),
+        prefix: format!("/{name}/").into(),
+        priority,
+        advice,
+        ..queues().queue_by_name("open").expect("a queue").clone()
+    }
+}
+
 /// A call to a worker that is in flight.
 #[derive(Clone)]
 struct PendingCall {
