Shard: a row of crashes ends in time, and its record stays small

Four known failures of one class: what a new owner knows of a long-running task whose workers crash.

Causes: the store had the crashed runs and not the end of the pause, so each owner began it again; a run that a new owner found never ended the row; no round began when a pause ended; all failed runs were stored, although a long-running task has no limit of attempts.

Ruled out: late tickets after a pause. The log of the harness shows that the call was answered 0.28 s before the pause ended (2.0 to 3.2 s, pause to 3.48 s); the start waited for the next ranking of the steps (3.66 s).

Before: away for 6.6 s over three takeovers 1.5 s apart, a pause of 2.24 s at the first crash of a row, starts at 2.18 and 2.24 s where 2.10 are allowed, 369 and 769 bytes after 100 and 200 failures.

Records of older versions are read; older versions ignore the new field.

--- a/src/decide/crash.rs
+++ b/src/decide/crash.rs
@@ -33,6 +33,15 @@
 /// blamed for a crash. A crash that is caused by a start happens within this time.
 pub const ISOLATION_TIME: Duration = Duration::from_millis(300);
 
+/// Returns the rest of a pause at a new owner, if a former owner has stored the end of the pause.
+/// Both times are in milliseconds of the Unix clock.
+///
+/// The clocks of two owners may differ, so the rest is never longer than [`RESTART_PAUSE`].
+pub fn remaining_pause(stored_end_ms: Option<u64>, now_ms: u64) -> Duration {
+    let left = stored_end_ms.map(|end| Duration::from_millis(end.saturating_sub(now_ms)));
+    left.map_or(RESTART_PAUSE, |left| left.min(RESTART_PAUSE))
+}
+
 /// State of a run at a worker that has crashed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CrashedRun {
--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -13,7 +13,7 @@
         jobs::{Placement, Task},
         round::{Round, Turn},
         state_machine::Shard,
-        workers::WorkerNo,
+        workers::{Run, WorkerNo},
     },
     time::Time,
     work::{JobState, Queue, Step, StepKey, TaskKey},
@@ -58,7 +58,7 @@
         let attempts = self.queue_configs.get(&active.queue).map_or(usize::MAX, max_crashes);
         let Some(t) = active.task(task).filter(|t| !t.crashed_runs.contains(&run)) else { return };
         t.crashed_runs.push(run);
-        t.crashed_at = Some(now);
+        t.pause_end = Some(now + RESTART_PAUSE);
         if lasts && t.crashed_runs.len() > MAX_QUICK_RESTARTS {
             t.crashed_runs.remove(0);
         }
@@ -72,9 +72,11 @@
 
     /// Forgets the crashes of a long-running task whose present run has lasted long enough to show
     /// that its start does not crash its worker.
-    pub(super) fn forget_crashes(&mut self, no: WorkerNo, task: &TaskKey) {
+    pub(super) fn forget_crashes(&mut self, no: WorkerNo, task: &TaskKey, now: Time) {
         let run = self.workers[no.0].runs.get(task);
-        if run.is_none_or(|r| !r.crash_suspect || !r.settled) || !self.is_long_running(task) {
+        // Of an adopted run, only the time since its adoption is known.
+        let settled = |r: &Run| r.settled && r.started_at + SETTLE_TIME <= now;
+        if run.is_none_or(|r| !r.crash_suspect || !settled(r)) || !self.is_long_running(task) {
             return;
         }
         if let Some(run) = self.workers[no.0].runs.get_mut(task) {
@@ -117,7 +119,7 @@
     /// Returns the time until which a task of a long-running step must not restart, if it pauses.
     pub(super) fn pause_end(step: &Step, task: &Task) -> Option<Time> {
         let pauses = step.lasts && task.crashed_runs.len() >= MAX_QUICK_RESTARTS;
-        task.crashed_at.filter(|_| pauses).map(|at| at + RESTART_PAUSE)
+        task.pause_end.filter(|_| pauses)
     }
 
     /// Starts tasks that have crashed workers, each alone on one of the workers with the fewest
--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -292,14 +292,16 @@
 
     /// Removes from a turn the tasks of which another run is being stopped, and those that pause
     /// after crashes of their workers.
-    fn retain_startable(&self, turn: &mut Turn, now: Time) {
+    fn retain_startable(&mut self, turn: &mut Turn, now: Time) {
         let Turn { key, ref step, ref mut waiting, .. } = *turn;
         let Some(part) = self.step_state(key) else { return };
+        let mut next_end = self.next_pause_end;
         waiting.retain(|i| {
-            let pause_end = Self::pause_end(step, &part.tasks[*i as usize]);
-            pause_end.is_none_or(|end| end <= now)
-                && !self.stray_tasks.contains(&TaskKey { step: *key, index: *i })
+            let end = Self::pause_end(step, &part.tasks[*i as usize]).filter(|end| *end > now);
+            next_end = next_end.min(end.unwrap_or(Time::NEVER));
+            end.is_none() && !self.stray_tasks.contains(&TaskKey { step: *key, index: *i })
         });
+        self.next_pause_end = next_end;
     }
 
     /// Starts tasks of the long-running steps that come first and hold valid tickets, before any of
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
+        decide::crash::remaining_pause,
         shard::{
             record::{CrashRow, JobRecord, Progress, TaskRow},
             workers::WorkerNo,
         },
-        time::Time,
+        time::{Time, millis},
         work::{Job, JobNo, JobState, Step, StepKey, TaskKey},
     },
     rustc_hash::{FxHashMap, FxHashSet},
@@ -42,9 +43,8 @@
     /// The numbers of the runs that are blamed for a worker's crash; of a long-running task, those of
     /// the last crashes in a row.
     pub crashed_runs: Vec<u32>,
-    /// When the last crash of a worker was counted against the task; if by a former owner, when this
-    /// owner took over.
-    pub crashed_at: Option<Time>,
+    /// The end of the pause that the last crash of a worker causes if it is one of several in a row.
+    pub pause_end: Option<Time>,
     /// The number of the run that a former owner began and of which it is not known whether it
     /// ended; 0 if there is none.
     pub former_run: u32,
@@ -168,12 +168,14 @@
 }
 
 impl ActiveJob {
-    /// Builds a job from its record and its stored progress.
+    /// Builds a job from its record and its stored progress. `epoch_ms` is the Unix time at
+    /// [`Time::ZERO`], in milliseconds.
     pub fn new(
         record: JobRecord,
         progress: Option<&Progress>,
         from_former_owner: bool,
         learnt_at: Time,
+        epoch_ms: u64,
     ) -> Self {
         let mut active = ActiveJob {
             queue: record.queue,
@@ -205,12 +207,17 @@
             active.state = JobState::Running;
             active.start_counted = true;
         }
-        for row in progress.map_or(&[][..], |p| &p.crashes) {
+        for (i, row) in progress.map_or(&[][..], |p| &p.crashes).iter().enumerate() {
             let CrashRow(time, step, index, ref runs, former) = *row;
+            let stored_end = progress.and_then(|p| p.pause_ends_ms.get(i));
             let step_state = active.step_states.get_mut(&(time, step));
             if let Some(task) = step_state.and_then(|p| p.tasks.get_mut(index as usize)) {
                 (task.crashed_runs, task.former_run) = (runs.clone(), former);
-                task.crashed_at = (!runs.is_empty()).then_some(learnt_at);
+                let pause = remaining_pause(
+                    stored_end.copied(),
+                    epoch_ms + millis(learnt_at.since(Time::ZERO)),
+                );
+                task.pause_end = (!runs.is_empty()).then_some(learnt_at + pause);
             }
         }
         active
@@ -328,9 +335,10 @@
     }
 
     /// Returns the record of the job's progress for the store. `ended_ms` is the time at which the job
-    /// ended, in milliseconds of the Unix clock, or 0.
-    pub fn progress(&self, over: u64) -> Progress {
-        let (mut tasks, mut crashes) = (vec![], vec![]);
+    /// ended, in milliseconds of the Unix clock, or 0; `epoch_ms` is the Unix time at
+    /// [`Time::ZERO`].
+    pub fn progress(&self, ended_ms: u64, epoch_ms: u64) -> Progress {
+        let (mut tasks, mut crashes, mut pause_ends_ms) = (vec![], vec![], vec![]);
         if !self.state.is_final() {
             for ((time, step), step_state) in &self.step_states {
                 for (index, t) in (0..).zip(&step_state.tasks) {
@@ -348,11 +356,14 @@
                             t.former_run
                         };
                         crashes.push(CrashRow(*time, *step, index, t.crashed_runs.clone(), there));
+                        let end = t.pause_end.unwrap_or(Time::ZERO);
+                        pause_ends_ms.push(epoch_ms + millis(end.since(Time::ZERO)));
                     }
                 }
             }
         }
-        Progress { state: self.state, ended_ms: over, queue: self.queue.clone(), tasks, crashes }
+        let (state, queue) = (self.state, self.queue.clone());
+        Progress { state, ended_ms, queue, tasks, crashes, pause_ends_ms }
     }
 
     /// Returns the number of failed runs of all tasks together.
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -30,7 +30,7 @@
             self.queue_snapshots.insert(record.queue.clone(), (record.submitted_ms, terms.clone()));
         }
         self.restore_queues();
-        let active = ActiveJob::new(record, progress, old, now);
+        let active = ActiveJob::new(record, progress, old, now, self.setup.unix_ms);
         if active.job.times.is_some() {
             self.scheduled_jobs.insert(no);
         }
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -202,6 +202,10 @@
     /// The tasks during whose runs workers have crashed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<CrashRow>,
+    /// For each row of `crashes`, the end of the task's pause after the last crash, in milliseconds
+    /// of the Unix clock; empty in records of older versions.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub pause_ends_ms: Vec<u64>,
 }
 
 /// The stored state of a task.
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -134,7 +134,7 @@
                     if starting {
                         self.mark_running(&row.task);
                     }
-                    self.forget_crashes(no, &row.task);
+                    self.forget_crashes(no, &row.task, now);
                     self.stop_if_stuck(no, &row.task, now);
                 }
                 _ => self.adopt_run(no, row, now),
@@ -150,10 +150,10 @@
             j.step_state_mut(row.task.step.time, row.task.step.step);
             let task = j.task(&row.task)?;
             let fits = task.placement == Placement::Waiting && row.run >= task.run;
-            Some((step, fits))
+            Some((step, fits, !task.crashed_runs.is_empty()))
         });
         let blind = wanted.is_none();
-        let (step, keep) = wanted.unwrap_or_default();
+        let (step, keep, crash_suspect) = wanted.unwrap_or_default();
         let yields = self.preemptible_at(&row.task.step, &step);
         let run = Run {
             run: row.run,
@@ -164,7 +164,7 @@
             absence_from: Some(now),
             was_seen: true,
             settled: true,
-            crash_suspect: false,
+            crash_suspect,
             started_at: now,
             start_count: 1,
             progress_percent: (row.percent, row.percent),
--- a/src/shard/run_end.rs
+++ b/src/shard/run_end.rs
@@ -11,6 +11,19 @@
     work::{JobState, TaskKey},
 };
 
+/// The number of failed runs that are recorded of a long-running task, the last ones.
+const MAX_RECORDED_FAILURES: usize = 4;
+
+/// Records a failed run of a long-running task, whose attempts are unlimited.
+///
+/// Guards against progress records that grow with each failure.
+fn record_failure(failed_runs: &mut Vec<u32>, run: u32) {
+    failed_runs.push(run);
+    failed_runs.sort_unstable();
+    let surplus = failed_runs.len().saturating_sub(MAX_RECORDED_FAILURES);
+    failed_runs.drain(..surplus);
+}
+
 impl Shard {
     /// Processes the end of a run that its worker reported.
     pub(super) fn on_run_end(&mut self, no: WorkerNo, end: &EndedRun, now: Time) {
@@ -148,8 +161,11 @@
         if t.failed_runs.contains(&run) {
             return;
         }
+        if step.lasts {
+            return record_failure(&mut t.failed_runs, run);
+        }
         t.failed_runs.push(run);
-        if t.failed_runs.len() >= attempts as usize && !step.lasts && !job.state.is_final() {
+        if t.failed_runs.len() >= attempts as usize && !job.state.is_final() {
             self.end_job(no, JobState::Failed, now);
         }
     }
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -124,6 +124,9 @@
     /// The earliest time of the next read of the platform's VM list; `None` while a read is in
     /// progress.
     pub(super) next_vm_list: Option<Time>,
+    /// The earliest end of a pause that keeps a task from starting; [`Time::NEVER`] if there is
+    /// none.
+    pub(super) next_pause_end: Time,
     next_rerank: Time,
     next_check: Time,
     next_summary: Time,
@@ -174,6 +177,7 @@
             stats: Stats::default(),
             deposed: false,
             next_vm_list: Some(now),
+            next_pause_end: Time::NEVER,
             next_rerank: now,
             next_check: now,
             next_summary: now,
@@ -294,6 +298,10 @@
             self.next_summary = now + SUMMARY_INTERVAL;
             self.log_summary(now);
         }
+        if self.next_pause_end <= now {
+            self.next_pause_end = Time::NEVER;
+            self.round_due = true;
+        }
         if self.next_rerank <= now {
             self.next_rerank = now + RERANK_INTERVAL;
             self.rerank_ready(now);
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -104,7 +104,7 @@
             let Some(no) = self.dirty_jobs.pop_front() else { break };
             let Some(job) = self.jobs.get_mut(&no) else { continue };
             let over = job.state.is_final();
-            let progress = job.progress(if over { unix } else { 0 });
+            let progress = job.progress(if over { unix } else { 0 }, self.setup.unix_ms);
             job.stored_seq = job.changed_seq;
             job.end_sent |= over;
             let value = encode(&progress);
--- a/tests/shard_crash_pause.rs
+++ b/tests/shard_crash_pause.rs
@@ -6,7 +6,7 @@
     dogwoodreach::{
         Time,
         decide::crash::RESTART_PAUSE,
-        shard::event::Event,
+        shard::{event::Event, record::encode},
         work::{AdviceCost, Job, Queue, QueueConfig, Step},
     },
     hand::{Harness, TICK, job, queues, step, task},
@@ -135,3 +135,55 @@
     let limit = one.max(RESTART_PAUSE) + Duration::from_millis(500);
     assert!(three <= limit, "after one crash {one:?}, after three {three:?}");
 }
+
+/// Slack for the ticks, answers and writes between a time and the start that may follow it.
+const SLACK: Duration = Duration::from_millis(500);
+/// How long a run has to last under one owner to end a row of crashes, with the time after which its
+/// worker is asked again and the change is stored.
+const CALM: Duration = Duration::from_millis(2_600);
+
+/// Crashes and takeovers in random order. Between a crash and the next start lies a pause that ends
+/// in time, and none if the run before had lasted.
+fn play(seed: u64) {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut hand = Harness::new(6);
+    hand.submit(1, "plain", long_running(1));
+    let mut taken_over = Time::ZERO;
+    for _ in 0..20 {
+        let since = hand.run_until("a run", 6_000, |h| !h.workers_running(task(1, 0)).is_empty());
+        for _ in 0..rng.u32(0..3) {
+            hand.run(rng.u64(0..1_200));
+            if rng.bool() {
+                hand.take_over();
+                taken_over = hand.now;
+            }
+        }
+        hand.run(if rng.u32(0..4) == 0 { 3_000 } else { rng.u64(0..500) });
+        let calm = hand.now - since.max(taken_over) >= CALM;
+        let (crashed_at, starts) = crash_only(&mut hand, 1);
+        for _ in 0..rng.u32(0..4) {
+            hand.run(rng.u64(0..1_200));
+            if hand.starts_of(1).len() == starts {
+                hand.take_over();
+                taken_over = hand.now;
+            }
+        }
+        let next = next_start(&mut hand, 1, starts);
+        let pause = if calm { Duration::ZERO } else { RESTART_PAUSE };
+        let limit = taken_over.max(crashed_at + pause) + SLACK;
+        assert!(next <= limit, "seed {seed}: away from {crashed_at} to {next}, calm {calm}");
+    }
+    let stored = encode(&hand.stored_progress(1)).len();
+    assert!(stored < 400, "seed {seed}: {stored} bytes");
+}
+
+#[test]
+fn no_order_of_crashes_and_takeovers_prolongs_a_pause() {
+    (1..=40).for_each(play);
+}
+
+#[test]
+#[ignore = "a long run, by hand"]
+fn no_order_of_crashes_and_takeovers_prolongs_a_pause_on_many_seeds() {
+    (41..=3_000).for_each(play);
+}
