Worker list: entries of other programs name no worker

An entry of another program in the worker list was counted and left out without a line; a state other than the two known ones counted as ready; an entry of a service that no configuration names was a worker like any other: the owner called its address and wrote it into its roster, and a new owner waited for its answer, or for the end of a lease, before it started the jobs from before.

Now such a state is unreadable, entries of unknown services are left out once the configuration is known, and each entry that becomes unreadable gives one line that names it. The list as it is read is a type of its own (src/worker_list.rs), without I/O. An entry that is overwritten while its worker runs tasks is a missing entry: the tasks stay, and nothing new starts there until it is readable again.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -72,6 +72,7 @@
 mod shard_runner;
 mod shared_state;
 mod wave_driver;
+pub mod worker_list;
 #[rustfmt::skip]
 #[allow(missing_docs, clippy::all)] // generated
 #[path = "gen/messages.rs"]
--- a/src/owned_shards.rs
+++ b/src/owned_shards.rs
@@ -16,9 +16,9 @@
         shared_state::SharedState,
         wave_driver::{WAVE_SHARD, WaveDriver},
         work::{JobNo, ListedWorker},
+        worker_list::{Unreadable, WorkerList},
     },
     async_channel::{Receiver, Sender},
-    rustc_hash::FxHashMap,
     std::{
         collections::BTreeMap,
         sync::{Arc, Mutex},
@@ -167,60 +167,41 @@
 
     /// Reads the list of workers periodically while this member owns any shard.
     pub async fn poll_workers(self) {
-        let mut known: FxHashMap<Box<str>, (Rev, ListedWorker)> = FxHashMap::default();
+        let mut list = WorkerList::default();
         loop {
             let owned: Vec<(ShardNo, u64)> = {
                 let owned = self.owned.lock().expect("no holder panics");
                 owned.iter().map(|(s, o)| (*s, o.token)).collect()
             };
             if owned.is_empty() {
-                known.clear();
+                list.clear();
                 self.loaded.notified().await;
                 continue;
             }
             if let Ok((items, _)) =
                 self.services.read_prefix(self.common.codec.worker_prefix, false).await
             {
-                known = self.parse_changed(items, known);
-                self.send_listed(&owned, &known).await;
+                self.report_unreadable(list.update(items, self.common.codec));
+                self.send_listed(&owned, &list).await;
             }
             // A shard that has just been loaded gets the list at once.
             let _ = timeout(LIST_INTERVAL, self.loaded.notified()).await;
         }
     }
 
-    /// Parses the entries that have changed and reuses the others.
-    fn parse_changed(
-        &self,
-        items: Vec<Item>,
-        mut known: FxHashMap<Box<str>, (Rev, ListedWorker)>,
-    ) -> FxHashMap<Box<str>, (Rev, ListedWorker)> {
-        let mut all = FxHashMap::default();
-        for item in items {
-            let same = known.remove(&item.key).filter(|(rev, _)| *rev == item.rev);
-            let read = || {
-                let id = item.key.strip_prefix(self.common.codec.worker_prefix)?;
-                let listed = (self.common.codec.decode_listed)(id, item.value.as_ref()?);
-                if listed.is_err() {
-                    self.common.metrics.count_call("worker_entry", "bad");
-                }
-                Some((item.rev, listed.ok()?))
-            };
-            if let Some(entry) = same.or_else(read) {
-                all.insert(item.key, entry);
-            }
+    fn report_unreadable(&self, unreadable: Unreadable) {
+        for _ in 0..unreadable.count {
+            self.common.metrics.count_call("worker_entry", "bad");
+        }
+        for error in unreadable.new {
+            log::warn!(target: "owner", did = "unreadable_entry", error:% = error; "Entry of the worker list is unreadable; it names no worker.");
         }
-        all
     }
 
-    async fn send_listed(
-        &self,
-        owned: &[(ShardNo, u64)],
-        known: &FxHashMap<Box<str>, (Rev, ListedWorker)>,
-    ) {
+    async fn send_listed(&self, owned: &[(ShardNo, u64)], list: &WorkerList) {
         let Some(layout) = self.common.view.borrow().layout.clone() else { return };
         let mut by_shard: BTreeMap<ShardNo, Vec<ListedWorker>> = BTreeMap::new();
-        for (_, worker) in known.values() {
+        for worker in list.workers() {
             by_shard.entry(layout.worker_shard(worker)).or_default().push(worker.clone());
         }
         for (shard, token) in owned {
--- a/src/shard/listing.rs
+++ b/src/shard/listing.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        ids::WorkerId,
+        ids::{PoolId, WorkerId},
         shard::{
             state_machine::Shard,
             workers::{Worker, WorkerNo, millis},
@@ -79,7 +79,8 @@
 
     pub(super) fn on_list(&mut self, list: Vec<ListedWorker>, now: Time) {
         let mut seen = FxHashSet::default();
-        for listed in list {
+        let served = self.served_pools();
+        for listed in list.into_iter().filter(|l| served.is_empty() || served.contains(&l.pool)) {
             let no = self.worker_no(&listed.id, listed.addr, now);
             seen.insert(no);
             let worker = &mut self.workers[no.0];
@@ -106,6 +107,16 @@
         self.round_due = true;
     }
 
+    /// Returns the pools that the configuration or a queue of an unfinished job names; none before
+    /// the configuration is known.
+    ///
+    /// Guards against entries of other programs in the worker list. A new owner would wait for such
+    /// a worker before it starts the jobs of its predecessor.
+    fn served_pools(&self) -> FxHashSet<PoolId> {
+        let pools = self.queues.pools.iter().map(|p| &p.name);
+        pools.chain(self.queue_configs.values().map(|q| &q.pool)).cloned().collect()
+    }
+
     /// Treats workers as gone if a newer worker incarnation has their address.
     fn end_replaced(&mut self, seen: &FxHashSet<WorkerNo>, now: Time) {
         let addrs: FxHashSet<SocketAddr> = seen.iter().map(|n| self.workers[n.0].addr).collect();
--- a/standin/src/soak/serve.rs
+++ b/standin/src/soak/serve.rs
@@ -6,7 +6,10 @@
         Result,
         link::Link,
         listen,
-        soak::{Options, stage::Stage},
+        soak::{
+            Options,
+            stage::{Stage, State},
+        },
         web::Reply,
     },
     bytes::Bytes,
@@ -31,6 +34,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// A worker without a heartbeat for this long is removed from the list.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Number of heartbeats between two at which another program overwrites the entry of a worker.
+const OVERWRITE_PERIOD: u64 = 16;
 /// Interval at which a pending hold call checks for ended runs.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -112,7 +117,14 @@
                 let mut listed = s.world.listed(at);
                 listed.addr = *addr;
                 last_heartbeats.insert(listed.id.clone(), Instant::now());
-                s.store.put(lists::worker_key(&listed.id), lists::listed(&listed, count));
+                let entry = match is_overwritten(at, addrs.len(), count) {
+                    true => lists::foreign(at, &w.pool),
+                    false => lists::listed(&listed, count),
+                };
+                s.store.put(lists::worker_key(&listed.id), entry);
+            }
+            if s.store.health != Mode::Down {
+                put_foreign_entries(s, count);
             }
             let silent = |seen: &Instant| seen.elapsed() > SILENCE_LIMIT;
             last_heartbeats
@@ -125,6 +137,21 @@
     }
 }
 
+/// Returns whether another program overwrites the entry of a worker at this heartbeat.
+fn is_overwritten(worker: usize, workers: usize, count: u64) -> bool {
+    count.is_multiple_of(OVERWRITE_PERIOD)
+        && count / OVERWRITE_PERIOD % workers as u64 == worker as u64
+}
+
+/// Writes the entries of other programs, each of another kind than at the heartbeat before.
+fn put_foreign_entries(state: &mut State, count: u64) {
+    for no in 0..lists::FOREIGN_KINDS {
+        let key = lists::worker_key(&format!("other-{no}").as_str().into());
+        let pool = &state.world.workers[0].pool;
+        state.store.put(key, lists::foreign(no + count as usize, pool));
+    }
+}
+
 async fn ask_store(stage: &Stage, member: usize, head: &Parts, body: &Bytes) -> Answer {
     let (path, query) = (head.uri.path(), head.uri.query().unwrap_or(""));
     let Some(call) = store::call(head.method.as_str(), path, query, body) else { return BAD };
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -131,7 +131,8 @@
 
 /// Reads a worker's item, which may hold the worker's address.
 fn listed(id: &str, value: &[u8]) -> Result<ListedWorker, Error> {
-    let v: Value = serde_json::from_slice(value).unwrap_or_default();
+    let bad_entry = |e| Error::new(Kind::Platform, format!("{id}: {e}"));
+    let v: Value = serde_json::from_slice(value).map_err(bad_entry)?;
     let addr = v["addr"].as_str().and_then(|a| a.parse().ok());
     Ok(ListedWorker {
         id: WorkerId::from(id),
