Shard: calls to workers that are lost are made again early

A lost start was sent again after 0.5 s; a lost hold was given up 0.7 s after its 0.9 s, so that an end was seen up to 1.6 s late. A short job has 0.6 s of slack and 14 tasks.

Now a start is sent again when its answer takes far longer than usual (smoothed time and deviation, as for TCP), and while starts are lost holds are shorter and given up as early. What adapts does so by the owner's own measurements. A start is sent five times, as the first takes 0.1 s; once an order of its worker is unanswered it carries no new lease.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -25,6 +25,7 @@
 pub mod rank;
 pub mod reads;
 pub mod relay;
+pub mod resend;
 pub mod retry;
 pub mod standby;
 pub mod suspect;
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -2,11 +2,12 @@
 
 use {
     crate::{
+        decide::resend::{MIN_RESEND_DELAY, SHORT_HOLD},
         ports::{Fault, Start, WorkerCall, WorkerRefusal, WorkerReply},
         shard::{
             event::Order,
             state_machine::Shard,
-            workers::{Run, RunPhase, WorkerNo},
+            workers::{Run, RunPhase, WorkerNo, millis},
         },
         time::Time,
         work::TaskKey,
@@ -17,13 +18,26 @@
 /// Timeout of a start, a stop or a change of pace. Workers answer within some milliseconds; an
 /// order that is unanswered after this time may still be carried out late.
 pub(super) const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a hold is given up, in addition to the time for which the worker may hold it.
+const HOLD_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum number of times that the start of a run is sent before the run is given up and stopped.
 /// Another sending takes effect sooner than a stop, a hold and the start of a new run.
-const MAX_START_ATTEMPTS: u32 = 4;
+const MAX_START_ATTEMPTS: u32 = 5;
 /// Time without starts after a worker has reported that it is unwell or has less capacity than
 /// expected.
 pub(super) const UNWELL_PAUSE: Duration = Duration::from_millis(700);
 
+/// Returns whether a call that was unanswered for this time was given up before its timeout, in
+/// order to be made again.
+pub(super) fn was_given_up(call: &WorkerCall, unanswered: Duration) -> bool {
+    let held = match call {
+        WorkerCall::Start(_) => Duration::ZERO,
+        WorkerCall::Hold { wait, .. } => *wait,
+        _ => return false,
+    };
+    (held + MIN_RESEND_DELAY..held + ORDER_TIMEOUT).contains(&unanswered)
+}
+
 /// Returns whether a worker that has never reported this run rejects it from now on. No end will be
 /// reported if it never began, so a hold must not wait for one.
 fn is_rejected(run: &Run) -> bool {
@@ -35,9 +49,15 @@
         &mut self,
         no: WorkerNo,
         start: &Start,
+        sent: Time,
         reply: Result<WorkerReply, Fault>,
         now: Time,
     ) {
+        match reply {
+            Ok(_) => self.answers.record_answer(sent, now),
+            Err(Fault::Unknown) => self.answers.record_loss(now),
+            Err(_) => {}
+        }
         let from = self.lease_start(now);
         let worker = &mut self.workers[no.0];
         let Some(run) = worker.runs.get_mut(&start.task).filter(|r| r.run == start.run) else {
@@ -66,10 +86,12 @@
             }
             Err(Fault::Unknown | Fault::Bad(_)) if more => {
                 run.start_count += 1;
+                log::info!(target: "shard", did = "resent", job:% = start.task.step.job, task:% = start.task, run = start.run, worker:% = worker.id, attempt = run.start_count, after_ms = millis(now - sent); "Start is sent again.");
                 run.phase = RunPhase::Unsure;
                 run.sent_at = now;
-                // An unresponsive worker gets no new lease; `send_holds` has the reason.
-                let from = from.filter(|_| worker.unanswered_calls == 0);
+                // A worker that may be unresponsive gets no new lease; `send_holds` has the reason.
+                let responsive = worker.unanswered_calls == 0 && worker.unanswered_orders == 0;
+                let from = from.filter(|_| responsive);
                 let new = from.and_then(|f| worker.extend_lease(&self.setup.bounds, f, now));
                 let until = new.unwrap_or(start.lease_end_ms);
                 let again = Start { lease_end_ms: until, ..start.clone() };
@@ -183,6 +205,8 @@
     /// Sends the holds that are due.
     pub(super) fn send_holds(&mut self, now: Time) {
         let (from, fresh) = (self.lease_start(now), self.is_confirmed(now));
+        let losing = self.answers.is_losing(now);
+        let resend_delay = self.answers.resend_delay(ORDER_TIMEOUT);
         for no in 0..self.workers.len() {
             let w = &mut self.workers[no];
             if w.gone || w.hold_sent.is_some() || w.next_hold > now {
@@ -205,13 +229,15 @@
                 // While the store does not answer, leases count from the answers to holds, so these
                 // have to arrive.
                 () if w.runs.is_empty() && fresh => Duration::from_millis(1900),
+                () if losing => SHORT_HOLD,
                 () => Duration::from_millis(900),
             };
             // Only the first calls: a worker that needs longer has to be heard as well.
             let first = !w.fenced && w.unanswered_calls < 3;
             let limit = match first && self.unsettled_workers.contains(&WorkerNo(no)) {
                 true => ORDER_TIMEOUT,
-                false => wait + Duration::from_millis(700),
+                false if losing && w.fenced && w.unanswered_calls == 0 => wait + resend_delay,
+                false => wait + HOLD_MARGIN,
             };
             w.hold_sent = Some(now);
             let call = WorkerCall::Hold {
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -6,7 +6,7 @@
         ports::{Fault, Held, MAX_ENDS, WorkerCall, WorkerRefusal, WorkerReply},
         shard::{
             jobs::Placement,
-            orders::UNWELL_PAUSE,
+            orders::{ORDER_TIMEOUT, UNWELL_PAUSE, was_given_up},
             state_machine::Shard,
             workers::{Run, RunPhase, Worker, WorkerNo},
         },
@@ -57,6 +57,11 @@
             }
             Ok(WorkerReply::Unwell) => worker.paused_until = now + UNWELL_PAUSE,
             Err(Fault::Unsent) => worker.unanswered_calls += 1,
+            // The call is made again early. It is no sign of a silent worker, unless that has not
+            // answered any other call for as long as an order may take either.
+            Err(_)
+                if was_given_up(&call, now - sent)
+                    && worker.last_answer.is_some_and(|at| now - at < ORDER_TIMEOUT * 2) => {}
             Err(_) => {
                 worker.unanswered_orders += 1;
                 let hold = matches!(call, WorkerCall::Hold { .. });
@@ -67,7 +72,7 @@
         }
         match call {
             WorkerCall::Hold { .. } => self.on_hold_reply(no, sent, reply, now),
-            WorkerCall::Start(start) => self.on_start_reply(no, &start, reply, now),
+            WorkerCall::Start(start) => self.on_start_reply(no, &start, sent, reply, now),
             WorkerCall::Stop { task, run, .. } => self.on_stop_reply(no, &task, run, &reply, now),
             WorkerCall::Pace { task, run, percent, .. } => {
                 if let (Ok(WorkerReply::Done(_)), Some(r)) =
@@ -93,6 +98,8 @@
             // All jobs from before a takeover wait for these workers.
             let calls = match self.unsettled_workers.contains(&no) {
                 true => 1,
+                // The call was given up early and is made again at once.
+                false if reply.is_err() && worker.unanswered_calls == 0 => 0,
                 false => worker.unanswered_calls.max(1),
             };
             worker.next_hold = now + (SILENT_PAUSE.0 * calls).min(SILENT_PAUSE.1);
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -145,7 +145,7 @@
             worker: worker.id.clone(),
             addr: worker.addr,
             call: Box::new(WorkerCall::Start(start)),
-            limit: ORDER_TIMEOUT,
+            limit: self.answers.resend_delay(ORDER_TIMEOUT),
         });
         true
     }
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -3,7 +3,10 @@
 
 use {
     crate::{
-        decide::{gather::AdviceShare, lanes::Lanes, rank::Rank, turns::AdviceTurns},
+        decide::{
+            gather::AdviceShare, lanes::Lanes, rank::Rank, resend::AnswerMonitor,
+            turns::AdviceTurns,
+        },
         ids::{Incarnation, PoolId, WorkerId},
         ports::Bounds,
         shard::{
@@ -99,6 +102,8 @@
     pub(super) advice_stats: BTreeMap<Box<str>, AdviceStats>,
     /// The earliest time of the next scheduling round.
     pub(super) next_round: Time,
+    /// How fast workers answer, and whether calls to them are being lost.
+    pub(super) answers: AnswerMonitor,
     pub(super) lanes: Lanes,
     pub(super) advice_turns: AdviceTurns,
     pub(super) commit: GroupCommit,
@@ -161,6 +166,7 @@
             advice_shares: FxHashMap::default(),
             advice_stats: BTreeMap::new(),
             next_round: now,
+            answers: AnswerMonitor::default(),
             lanes: Lanes::new(),
             advice_turns: AdviceTurns::new(),
             commit,
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -131,6 +131,8 @@
     pub owners: Vec<Owner>,
     /// One in this many orders to workers is carried out late; 0 means none.
     pub late_one_in: u32,
+    /// Whether only starts are late, not stops and holds.
+    pub only_starts_late: bool,
     /// How much later than everything else a new owner receives the configuration.
     pub initial_delay: Duration,
     /// How much later than everything else the owners receive a change of the configuration. A new
@@ -213,6 +215,7 @@
             differences: Differences::default(),
             owners: Vec::new(),
             late_one_in: 0,
+            only_starts_late: false,
             initial_delay: Duration::ZERO,
             config_delay: Duration::ZERO,
             order_count: 0,
