--- a/src/decide/resend.rs
+++ b/src/decide/resend.rs
@@ -14,7 +14,7 @@
 //! *Thresholds:* workers answer within some milliseconds. Below 100 ms, a pause of the owner or a
 //! single lost packet would cause many needless calls. If answers take long because the owner or
 //! the network is overloaded, so does the estimate, and the extra calls cease. A worker that has
-//! ended loses a few starts too, so it takes [`LOSSES`] of them within [`LOSS_MEMORY`] until calls
+//! ended loses a few starts too, so it takes `LOSSES` of them within `LOSS_MEMORY` until calls
 //! count as being lost. Holds of 300 ms are not much shorter than the usual time between two ends at
 //! a busy worker, and the rest of the slack of a short job.
 
