Shard: a task that has crashed workers restarts where the fewest runs are

By the owner's account at each 5 s it ran each time, with a higher run number and a new life of its worker: each restart of a long-running task that crashes its workers was placed on the fullest worker, beside the gang, and took it along. A worker with settled runs counted as one with none at risk.

--- a/src/shard/crash.rs
+++ b/src/shard/crash.rs
@@ -123,10 +123,13 @@
     }
 
     /// Starts tasks that have crashed workers, each alone on one of the workers with the fewest
-    /// runs that began recently. Removes these tasks from the turn if there is any room.
+    /// runs that began recently and, among these, with the fewest runs. Removes these tasks from
+    /// the turn if there is any room.
     ///
     /// Guards against sound tasks being failed along with the task that crashes their worker: tasks
-    /// that begin together lose their worker together and would be placed together again.
+    /// that begin together lose their worker together and would be placed together again. Also
+    /// guards against a sound task that is never done because each restart of a long-running task
+    /// crashes the worker where it runs.
     pub(super) fn place_isolated(&mut self, turn: &mut Turn, round: &Round, now: Time) {
         let Some(part) = self.step_state(turn.key) else { return };
         let crashed = |i: &u32| !part.tasks[*i as usize].crashed_runs.is_empty();
@@ -135,9 +138,12 @@
             return;
         }
         let rooms = self.rooms(turn, round, now).0;
-        let begun = |r: &Room| self.workers[r.index].runs.values().filter(|r| !r.settled).count();
-        let Some(fewest) = rooms.iter().map(begun).min() else { return };
-        let candidates = rooms.iter().filter(|r| begun(r) == fewest);
+        let runs_at_risk = |r: &Room| {
+            let runs = &self.workers[r.index].runs;
+            (runs.values().filter(|r| !r.settled).count(), runs.len())
+        };
+        let Some(fewest) = rooms.iter().map(runs_at_risk).min() else { return };
+        let candidates = rooms.iter().filter(|r| runs_at_risk(r) == fewest);
         let mut candidates: Vec<Room> =
             candidates.map(|r| Room { max_new: r.max_new.min(1), ..*r }).collect();
         let chosen = choose_workers(&turn.step, &isolated, &mut candidates);
--- a/tests/shard_crash_pause.rs
+++ b/tests/shard_crash_pause.rs
@@ -136,6 +136,26 @@
     assert!(three <= limit, "after one crash {one:?}, after three {three:?}");
 }
 
+#[test]
+fn a_restart_after_crashes_spares_workers_that_run_other_tasks() {
+    // Guards against a sound job that is never done, because each restart of a task that crashes its
+    // workers is placed beside it.
+    let mut hand = Harness::new(4);
+    hand.submit(1, "plain", long_running(1));
+    for _ in 0..3 {
+        crash_worker_of(&mut hand, 1);
+    }
+    hand.submit(2, "plain", job(step(2, 1)));
+    for _ in 0..6 {
+        let (_, starts) = crash_only(&mut hand, 1);
+        hand.run(1_500);
+        let sound = [0, 1].map(|index| hand.workers_running(task(2, index)));
+        next_start(&mut hand, 1, starts);
+        let at = hand.starts_of(1)[starts].1;
+        assert!(!sound.concat().contains(&at), "worker {at}, and the others run on {sound:?}");
+    }
+}
+
 /// Slack for the ticks, answers and writes between a time and the start that may follow it.
 const SLACK: Duration = Duration::from_millis(500);
 /// How long a run has to last under one owner to end a row of crashes, with the time after which its
