Callers are admitted by the API key of a customer

Change: src/customers.rs holds the customers of a configuration, with a digest of each key; the digest's text is a fingerprint, so no key reaches a log, an answer or the store. The job API (job_api/authorize.rs) refuses a call without a valid key at once with 401 and the reason. A submission is decided by the configuration at the store, whose revision its write expects; other calls by the one known here as long as it is confirmed within the configuration's bound, otherwise 503 with a time to come back. A key that isn't known is refused as unknown only by a configuration that is confirmed likewise. Jobs belong to the customer. Only its own keys cancel a job; any customer's key reads the state of a job whose number it knows, which is one of five words. Entries that can't be read, repeated names and keys of two customers are logged, and the rest is in force.

Ruled out: keys compared as text (held in memory and printed by Debug); a look-up that asks the store for each call (its time and price).

--- a/src/ids.rs
+++ b/src/ids.rs
@@ -56,6 +56,8 @@
     JobId
     /// A team with quotas.
     TeamId
+    /// A customer whose jobs the shards run, by its name in the configuration.
+    CustomerId
     /// Name that a caller gives in its requests.
     CallerId
     /// The key of a non-idempotent request.
--- a/src/job_api.rs
+++ b/src/job_api.rs
@@ -4,12 +4,14 @@
 //! shard's owner, so that jobs can be submitted while the owner is away. A job's state comes from the
 //! owner, and from the store if the owner doesn't answer.
 
+mod authorize;
 mod queries;
 mod state_queries;
 mod submit;
 
 use {
     crate::{
+        customers::{KeyDigest, bearer_key},
         decide::reads::ReadBudget,
         error::{Error, Kind},
         http::{answer, error_response},
@@ -28,7 +30,9 @@
     hyper::{
         Method, Response,
         body::Body,
-        header::{CONNECTION, CONTENT_TYPE, HOST, HeaderValue},
+        header::{
+            AUTHORIZATION, CONNECTION, CONTENT_TYPE, HOST, HeaderMap, HeaderValue, WWW_AUTHENTICATE,
+        },
         http::request::Parts,
     },
     rustc_hash::FxHashMap,
@@ -50,6 +54,7 @@
 
 const CLOSE_CONNECTION: HeaderValue = HeaderValue::from_static("close");
 const JSON_TYPE: HeaderValue = HeaderValue::from_static("application/json");
+const BEARER: HeaderValue = HeaderValue::from_static("Bearer");
 
 /// Serves callers.
 pub(crate) struct JobApi {
@@ -70,6 +75,8 @@
     host: Box<str>,
     path: Box<str>,
     deadline: Time,
+    /// The API key of the call, or what is wrong with the headers that should carry it.
+    key: Result<KeyDigest, Error>,
 }
 
 impl JobApi {
@@ -101,7 +108,11 @@
             Err(e) => {
                 self.common.metrics.count_refusal(e.kind());
                 self.log_refused(&head, &e, begin);
-                error_response(&e)
+                let mut refusal = error_response(&e);
+                if e.kind() == Kind::Unauthorized {
+                    refusal.headers_mut().insert(WWW_AUTHENTICATE, BEARER);
+                }
+                refusal
             }
         };
         self.common.metrics.observe_request(self.common.now() - begin);
@@ -121,6 +132,12 @@
         let request = self.parse_request(head, begin);
         let config = self.config()?;
         let queue = self.queue(&request, &config)?;
+        let customer = self.authorize(&request, queue, &config)?;
+        // A write that submits a job depends on the configuration in force; other calls are decided
+        // by the one known here, which may still hold a key that was taken away.
+        if customer.is_some() && head.method != Method::POST {
+            self.check_current()?;
+        }
         let rest = request.path[queue.prefix.len()..].trim_start_matches('/');
         match head.method {
             Method::GET if rest.is_empty() => {
@@ -129,7 +146,9 @@
             }
             Method::GET => self.job_state(&request, rest.parse()?, &queue.pool).await,
             Method::POST => self.submit(&request, rest.parse()?, &config, &body).await,
-            Method::DELETE => self.cancel(&request, rest.parse()?, &queue.pool).await,
+            Method::DELETE => {
+                self.cancel(&request, rest.parse()?, &queue.pool, customer.as_ref()).await
+            }
             _ => Err(Kind::BadMethod.into()),
         }
     }
@@ -152,7 +171,9 @@
         let host = text(HOST.as_str()).or(head.uri.host()).unwrap_or("");
         let limit = text(self.common.codec.deadline_header).and_then(|ms| ms.trim().parse().ok());
         let limit = limit.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
-        CallerRequest { host: host.into(), path: head.uri.path().into(), deadline: begin + limit }
+        let deadline = begin + limit;
+        let key = read_key(&head.headers);
+        CallerRequest { host: host.into(), path: head.uri.path().into(), deadline, key }
     }
 
     fn config(&self) -> Result<Config, Error> {
@@ -219,6 +240,23 @@
     }
 }
 
+/// Returns the API key that a call's headers carry.
+fn read_key(headers: &HeaderMap) -> Result<KeyDigest, Error> {
+    let wrong = |why| Error::new(Kind::Unauthorized, why);
+    let mut values = headers.get_all(AUTHORIZATION).iter();
+    let value = values.next().ok_or_else(|| wrong("the call has no key"))?;
+    if values.next().is_some() {
+        return Err(wrong("the call has several keys"));
+    }
+    bearer_key(value.to_str().map_err(|_| wrong("the call's key is not plain text"))?)
+}
+
+/// The error of a call that has to wait for a newer configuration than the one known here.
+fn outdated() -> Error {
+    Error::new(Kind::Stale, "a newer configuration is not known yet")
+        .with_retry_after(STALE_RETRY_AFTER)
+}
+
 impl CallerRequest {
     /// Returns the queue of the request: by its host as given, then by the host without the port.
     fn queue<'a>(&self, config: &'a Config) -> Result<&'a Queue, Error> {
--- a/src/job_api/submit.rs
+++ b/src/job_api/submit.rs
@@ -1,10 +1,10 @@
 //! Submits and cancels jobs.
 
 use {
-    super::{CallerRequest, JobApi, STALE_RETRY_AFTER},
+    super::{CallerRequest, JobApi, outdated},
     crate::{
         error::{Error, Kind},
-        ids::PoolId,
+        ids::{CustomerId, PoolId},
         member_rpc::notify_local_shard,
         ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
         shard::record::{self, JobRecord, ShardNo},
@@ -101,12 +101,18 @@
         job: Job,
         tries: &mut WriteAttempts,
     ) -> Result<(), Error> {
-        let mut record =
-            JobRecord { queue: "".into(), submitted_ms: unix_ms(), job, queue_settings: None };
+        let mut record = JobRecord {
+            queue: "".into(),
+            submitted_ms: unix_ms(),
+            job,
+            queue_settings: None,
+            customer: None,
+        };
         loop {
             // Read again for each attempt: the write must match the configuration in force.
             let config = self.newest_config(request).await?;
             let queue = self.queue(request, &config)?;
+            record.customer = self.authorize(request, queue, &config)?;
             (record.queue, record.queue_settings) =
                 (queue.name.clone(), Some(Box::new(queue.clone())));
             let txn = self.submission_txn(shard, no, config.rev, &record);
@@ -163,10 +169,6 @@
         let limit = self.call_limit(request)?;
         let mut known = self.common.config.subscribe();
         let newest = known.wait_for(|c| c.as_ref().is_some_and(|c| !self.common.is_outdated(c)));
-        let outdated = || {
-            Error::new(Kind::Stale, "a newer configuration is not known yet")
-                .with_retry_after(STALE_RETRY_AFTER)
-        };
         let found = timeout(limit, newest).await.map_err(|_| outdated())?;
         found.map_err(|_| outdated())?.clone().ok_or_else(outdated)
     }
@@ -224,20 +226,27 @@
         Ok(())
     }
 
-    /// Cancels a job.
+    /// Cancels a job for its customer. To other customers there is no such job.
     pub(super) async fn cancel(
         &self,
         request: &CallerRequest,
         no: JobNo,
         pool: &PoolId,
+        customer: Option<&CustomerId>,
     ) -> Result<Bytes, Error> {
         let shard = self.shard(no, pool)?;
         let unanswered = |_| Error::new(Kind::Platform, "the store refuses or doesn't answer");
         let limit = self.call_limit(request)?;
-        if self.services.get(&shard.job_key(no), limit).await.map_err(unanswered)?.is_none() {
+        let Some(item) = self.services.get(&shard.job_key(no), limit).await.map_err(unanswered)?
+        else {
             let there = self.is_stored(request, shard, no).await?;
             log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, there, written = false; "Cancel has no effect; the store has no record of the job.");
             return if there { Ok(Bytes::new()) } else { Err(Kind::NoJob.into()) };
+        };
+        let record: Option<JobRecord> = item.value.as_ref().and_then(|v| record::decode(v));
+        let owner = record.and_then(|r| r.customer);
+        if owner.is_some() && owner.as_ref() != customer {
+            return Err(Error::new(Kind::NoJob, "the job belongs to another customer"));
         }
         let put = Put { key: shard.cancel_key(no), value: Bytes::from_static(b"{}"), lease: 0 };
         let call = StoreCall::Txn(Txn { puts: vec![put], ..Txn::default() });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -49,6 +49,7 @@
 pub mod commit;
 pub mod config;
 pub mod core;
+pub mod customers;
 pub mod decide;
 pub mod effect;
 mod endpoints;
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -15,7 +15,7 @@
 
 use {
     crate::{
-        ids::{Incarnation, PoolId, WorkerId, Zone},
+        ids::{CustomerId, Incarnation, PoolId, WorkerId, Zone},
         work::{Job, JobNo, JobState, Queue},
     },
     bytes::Bytes,
@@ -184,6 +184,10 @@
     /// The settings of the job's queue at submission; `None` in records of older versions.
     #[serde(default, rename = "terms", skip_serializing_if = "Option::is_none")]
     pub queue_settings: Option<Box<Queue>>,
+    /// The customer to whom the job belongs, whatever becomes of the key that it came with; `None`
+    /// for jobs of public queues and of deployments without customers.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<CustomerId>,
 }
 
 /// The stored progress of a job.
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -240,6 +240,18 @@
         });
     }
 
+    /// Logs how many customers the configuration has, and what of their entries is not in force.
+    fn log_customers(&self) {
+        let known = self.config.borrow();
+        let Some(customers) = known.as_ref().and_then(|k| k.queues.customers.as_ref()) else {
+            return;
+        };
+        log::info!(target: "config", did = "customers", customers = customers.iter().count(), keys = customers.key_count(); "Configuration names customers.");
+        for problem in customers.problems() {
+            log::error!(target: "config", did = "customer_problem", problem:% = problem; "Part of the configuration of customers is not in force.");
+        }
+    }
+
     /// Applies the item of the configuration.
     ///
     /// Never goes back to an earlier revision or a lower version. Guards against an item read on
@@ -270,6 +282,7 @@
         if taken {
             log::info!(target: "config", rev = item.rev, version, before = known.map_or(0, |k| k.rev); "Configuration is in force.");
             self.configured_at.store(self.now().0, Ordering::Relaxed);
+            self.log_customers();
         }
     }
 }
--- a/src/work.rs
+++ b/src/work.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        customers::Customers,
         error::{Error, Kind},
         ids::{PoolId, RackId, Zone},
         units::Size,
@@ -245,6 +246,9 @@
     pub slack: Duration,
     /// Cost of placement advice on its steps; `None` if it needs no advice.
     pub advice: Option<AdviceCost>,
+    /// Whether calls need no key. Jobs of such a queue belong to no customer.
+    #[serde(default)]
+    pub public: bool,
 }
 
 /// The cost of placement advice.
@@ -269,6 +273,8 @@
     pub pools: Vec<Pool>,
     /// Largest body that a caller may send, in bytes.
     pub max_body: usize,
+    /// The customers; `None` if the deployment has none, so that calls need no key.
+    pub customers: Option<Customers>,
 }
 
 /// A pool of workers.
--- a/standin/src/site/setup.rs
+++ b/standin/src/site/setup.rs
@@ -55,6 +55,7 @@
         stretch: 2.0,
         slack: Duration::from_secs(5),
         advice: None,
+        public: false,
     };
     let ms = Duration::from_millis;
     let cost = AdviceCost { base: ms(20), each: ms(2), valid: ms(3_000) };
@@ -69,6 +70,7 @@
         ],
         pools: vec![pool("guarded", true), pool("open", false)],
         max_body: 1 << 20,
+        customers: None,
     })
 }
 
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -147,9 +147,16 @@
         self.count(|c| c.asked += 1);
         self.stage.update(|s| {
             let (queue, job) = (drawn.queue.into(), drawn.job.clone());
-            s.world
-                .jobs
-                .insert(no, JobRecord { queue, submitted_ms: unix(), job, queue_settings: None });
+            s.world.jobs.insert(
+                no,
+                JobRecord {
+                    queue,
+                    submitted_ms: unix(),
+                    job,
+                    queue_settings: None,
+                    customer: None,
+                },
+            );
             if drawn.fails {
                 s.world.failing_steps.insert((no, drawn.job.steps.len() as u16 - 1));
             }
--- a/standin/tests/judge.rs
+++ b/standin/tests/judge.rs
@@ -25,7 +25,13 @@
     let job = job([step(1, 200)]);
     world.jobs.insert(
         JOB,
-        JobRecord { queue: "open".into(), submitted_ms: 0, job, queue_settings: None },
+        JobRecord {
+            queue: "open".into(),
+            submitted_ms: 0,
+            job,
+            queue_settings: None,
+            customer: None,
+        },
     );
     (world, Rules::new(5))
 }
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -100,6 +100,7 @@
         stretch: 2.0,
         slack: ms(5_000),
         advice,
+        public: false,
     };
     let cost = AdviceCost { base: ms(20), each: ms(2), valid: ms(2_000) };
     Arc::new(QueueConfig {
@@ -107,6 +108,7 @@
         queues: vec![queue("plain", None), queue("advised", Some(cost))],
         pools: vec![Pool { name: "pool".into(), checks_room: false, standby: false }],
         max_body: 1 << 20,
+        customers: None,
     })
 }
 
@@ -190,8 +192,13 @@
     /// Stores a job that a caller submitted and notifies the owner.
     pub fn submit(&mut self, no: u64, queue: &str, job: Job) {
         let came = UNIX_MS + self.now.0 / 1_000;
-        let record =
-            JobRecord { queue: queue.into(), submitted_ms: came, job, queue_settings: None };
+        let record = JobRecord {
+            queue: queue.into(),
+            submitted_ms: came,
+            job,
+            queue_settings: None,
+            customer: None,
+        };
         self.store.put(SHARD.job_key(JobNo(no)), encode(&record));
         self.deliver(Event::Job(JobNo(no), Box::new(record)));
     }
--- a/tests/release.rs
+++ b/tests/release.rs
@@ -38,6 +38,7 @@
         submitted_ms: unix,
         job: job.clone(),
         queue_settings: None,
+        customer: None,
     };
     let jobs = (1..=60).map(|no| (JobNo(no), record())).collect();
     let cancels = (1..=60).map(JobNo).collect();
--- a/tests/reports/mod.rs
+++ b/tests/reports/mod.rs
@@ -155,7 +155,8 @@
         let mut store = Store::new(1);
         store.put(SHARD.roster_key(), encode(&Roster::default()));
         let (queue, job) = ("plain".into(), job(step(1, 1)));
-        let record = JobRecord { queue, submitted_ms: UNIX_MS, job, queue_settings: None };
+        let record =
+            JobRecord { queue, submitted_ms: UNIX_MS, job, queue_settings: None, customer: None };
         store.put(SHARD.job_key(JOB), encode(&record));
         let mut worker = Worker::new(0);
         worker.listed = lists_worker;
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -4,18 +4,23 @@
     bytes::Bytes,
     dogwoodreach::{
         Error, Kind,
-        ids::{PoolId, WorkerId, Zone},
+        customers::{Customer, Customers, cap_from},
+        ids::{CustomerId, PoolId, WorkerId, Zone},
         ports::{
             Advice, AdviceCall, Bounds, Codec, Fault, Held, Item, Put, SiteSettings, StoreCall,
             StoreReply, Txn, Vm, VmCall, VmLimits, VmPage, VmReply, VmState, Wave, WireRequest,
             WorkerCall, WorkerReply,
         },
+        units::Size,
         work::{Job, JobState, ListedWorker, Queue, QueueConfig},
     },
     serde_json::{Value, json},
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
 };
 
+/// The keys of each customer.
+type Keys = BTreeMap<Box<str>, Vec<Box<str>>>;
+
 /// The wire and item formats of the test site.
 pub static FORMS: Codec = Codec {
     decode_settings: settings,
@@ -93,10 +98,23 @@
     })
 }
 
-/// Reads a configuration: a version and the prefixes of the queues, each of which is also its name.
+/// Reads a configuration: a version, the prefixes of the queues, each of which is also its name, and
+/// the keys of each customer if there are customers. Queues below `/public/` need no key.
 fn queues(bytes: &[u8]) -> Result<QueueConfig, Error> {
-    let (version, prefixes): (u64, Vec<Box<str>>) =
-        serde_json::from_slice(bytes).map_err(|e| Error::new(Kind::BadText, e.to_string()))?;
+    let bad = |e: serde_json::Error| Error::new(Kind::BadText, e.to_string());
+    let mut parts: Vec<Value> = serde_json::from_slice(bytes).map_err(bad)?;
+    parts.resize(3, Value::Null);
+    let (version, prefixes, keys): (u64, Vec<Box<str>>, Option<Keys>) =
+        serde_json::from_value(parts.into()).map_err(bad)?;
+    let customers = keys.map(|keys| {
+        let mut customers = Customers::default();
+        for (name, keys) in &keys {
+            let cap = cap_from(Size::default());
+            let customer = Customer { name: CustomerId::from(&**name), weight: 1.0, cap };
+            customers.add(customer, keys.iter().map(|k| &**k));
+        }
+        customers
+    });
     let queue = |prefix: &str| Queue {
         name: prefix.into(),
         host: "host.example".into(),
@@ -107,12 +125,14 @@
         stretch: 2.0,
         slack: Duration::ZERO,
         advice: None,
+        public: prefix.starts_with("/public/"),
     };
     Ok(QueueConfig {
         version,
         queues: prefixes.iter().map(|p| queue(p)).collect(),
         pools: vec![],
         max_body: 1000,
+        customers,
     })
 }
 
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -128,13 +128,28 @@
 
     /// Sends a caller's request with a deadline of `wait_ms` milliseconds.
     pub async fn send(&self, method: &str, path: &str, body: &str, wait_ms: u64) -> Message<Parts> {
-        let request = Request::builder()
+        self.send_with(&[], method, path, body, wait_ms).await
+    }
+
+    /// Sends a caller's request with these values of the header `Authorization`.
+    pub async fn send_with(
+        &self,
+        authorizations: &[&str],
+        method: &str,
+        path: &str,
+        body: &str,
+        wait_ms: u64,
+    ) -> Message<Parts> {
+        let mut request = Request::builder()
             .method(method)
             .uri(uri(self.callers, path))
             .header("host", "host.example")
-            .header("x-deadline", wait_ms.to_string())
-            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
-            .expect("a request");
+            .header("x-deadline", wait_ms.to_string());
+        for value in authorizations {
+            request = request.header("authorization", *value);
+        }
+        let request =
+            request.body(Full::new(Bytes::copy_from_slice(body.as_bytes()))).expect("a request");
         self.client.send(request, WAIT_LIMIT).await.expect("an answer")
     }
 
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -65,6 +65,7 @@
         prefix: format!("/{name}/").into(),
         priority,
         advice,
+        public: false,
         ..queues().queue_by_name("open").expect("a queue").clone()
     }
 }
@@ -285,6 +286,7 @@
             submitted_ms: UNIX_START_MS + self.now.0 / 1_000,
             job,
             queue_settings: terms,
+            customer: None,
         };
         self.store.put(SHARD.job_key(JobNo(no)), encode(&record));
         self.world.jobs.insert(JobNo(no), record.clone());
--- a/tests/yard_worker.rs
+++ b/tests/yard_worker.rs
@@ -34,7 +34,13 @@
     let mut world = World::new(1, bounds(), queues(), workers(4));
     world.jobs.insert(
         JobNo(1),
-        JobRecord { queue: queue.into(), submitted_ms: 0, job, queue_settings: None },
+        JobRecord {
+            queue: queue.into(),
+            submitted_ms: 0,
+            job,
+            queue_settings: None,
+            customer: None,
+        },
     );
     world
 }
