Customers stay within their caps, over all shards

Ways weighed: one home for each customer that grants starts (a round trip for each start, and a takeover of the home stops the customer everywhere); a fixed division (work waits in one shard beside an unused part of the cap in another: LOST); allotments in the store, moved between shards by demand. The last is built: src/decide/allotment.rs decides, src/shard/caps.rs keeps the counts. A division is one record a customer; its writes expect the owner's row of the takeover and the configuration's revision. An allotment is raised only while the sum is within the cap and lowered only by its own shard, so the sum bounds what runs, whatever the owners know of each other. A successor counts its predecessor's whole allotment until it has heard from the workers, at most as much as the silent ones can hold. After a lowered cap nothing starts until the sum fits again. A step that a cap holds back withholds nothing from other customers. What can never start under its cap is refused at submission with 429 over_cap and the reason.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admit;
 pub mod ahead;
+pub mod allotment;
 pub mod call_queue;
 pub mod cancel;
 pub mod choose;
--- a/src/error.rs
+++ b/src/error.rs
@@ -46,6 +46,8 @@
     QueueFull,
     /// this caller has more than its share waiting
     OverShare,
+    /// the job needs more at once than its customer may have
+    OverCap,
     /// a ring between two duties is full
     RingFull,
     /// no endpoint of this service is ready
@@ -108,10 +110,11 @@
 
 impl Kind {
     /// Every kind, for tables and counters.
-    pub const ALL: [Kind; 31] = [
+    pub const ALL: [Kind; 32] = [
         Late,
         QueueFull,
         OverShare,
+        OverCap,
         RingFull,
         NoEndpoint,
         EndpointRefused,
@@ -148,6 +151,7 @@
             Late => (503, Ran::No, Some(500), "late"),
             QueueFull => (503, Ran::No, Some(500), "queue_full"),
             OverShare => (429, Ran::No, Some(500), "over_share"),
+            OverCap => (429, Ran::No, None, "over_cap"),
             RingFull => (503, Ran::No, Some(200), "ring_full"),
             NoEndpoint => (503, Ran::No, Some(1000), "no_endpoint"),
             EndpointRefused => (503, Ran::No, Some(200), "endpoint_refused"),
--- a/src/job_api/submit.rs
+++ b/src/job_api/submit.rs
@@ -7,7 +7,10 @@
         ids::{CustomerId, PoolId},
         member_rpc::notify_local_shard,
         ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
-        shard::record::{self, JobRecord, ShardNo},
+        shard::{
+            oversized_step,
+            record::{self, JobRecord, ShardNo},
+        },
         shared_state::{Config, unix_ms},
         work::{Job, JobNo},
     },
@@ -113,6 +116,7 @@
             let config = self.newest_config(request).await?;
             let queue = self.queue(request, &config)?;
             record.customer = self.authorize(request, queue, &config)?;
+            check_cap(&record, &config)?;
             (record.queue, record.queue_settings) =
                 (queue.name.clone(), Some(Box::new(queue.clone())));
             let txn = self.submission_txn(shard, no, config.rev, &record);
@@ -295,3 +299,13 @@
         }
     }
 }
+
+/// Returns an error if a step of a job can never start under its customer's cap.
+fn check_cap(record: &JobRecord, config: &Config) -> Result<(), Error> {
+    let customers = config.queues.customers.as_ref();
+    let customer = record.customer.as_ref().and_then(|name| customers?.get(name));
+    match customer.and_then(|c| oversized_step(&record.job, &c.cap)) {
+        Some(why) => Err(Error::new(Kind::OverCap, why)),
+        None => Ok(()),
+    }
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -47,6 +47,7 @@
     job_seconds: HistogramVec,
     unanswered_orders: IntCounterVec,
     ends_noted: IntCounter,
+    division_writes: IntCounter,
     call_seconds: HistogramVec,
     received_bytes: IntCounterVec,
 }
@@ -121,6 +122,11 @@
             ),
             ends_noted: IntCounter::new("dwr_ends_noted_total", "Ends that workers may forget.")
                 .expect("the names are well-formed"),
+            division_writes: IntCounter::new(
+                "dwr_division_writes_total",
+                "Writes of the divisions of customers' caps.",
+            )
+            .expect("the names are well-formed"),
             received_bytes: IntCounterVec::new(
                 Opts::new("dwr_received_bytes_total", "Bytes of the outside's answers."),
                 &["call", "answer"],
@@ -137,7 +143,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retry_counts.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 20] = [
+        let all: [Box<dyn Collector>; 21] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retry_counts.clone()),
             Box::new(m.kv_calls.clone()),
@@ -156,6 +162,7 @@
             Box::new(m.job_seconds.clone()),
             Box::new(m.unanswered_orders.clone()),
             Box::new(m.ends_noted.clone()),
+            Box::new(m.division_writes.clone()),
             Box::new(m.call_seconds.clone()),
             Box::new(m.received_bytes.clone()),
         ];
@@ -248,6 +255,7 @@
             self.run_ends.with_label_values(&[how]).inc_by(*n);
         }
         self.ends_noted.inc_by(tally.acknowledged_ends);
+        self.division_writes.inc_by(tally.division_writes);
         let times = |to: &str, all: &[Duration]| {
             let histogram = self.job_seconds.with_label_values(&[to]);
             all.iter().for_each(|t| histogram.observe(t.as_secs_f64()));
--- a/src/owned_shards.rs
+++ b/src/owned_shards.rs
@@ -3,17 +3,18 @@
 
 use {
     crate::{
-        ids::Incarnation,
+        decide::allotment::Division,
+        ids::{CustomerId, Incarnation},
         member_rpc::{PeerClients, advise_locally},
-        ports::{Advice, AdviceCall, Fault, Item, Rev, StoreCall},
+        ports::{Advice, AdviceCall, Fault, Item, Rev, StoreCall, StoreReply, Txn},
         prefix_watch::{Backoff, PrefixWatch, WatchUpdate},
         service_clients::{CALL_TIMEOUT, ServiceClients, fault_label},
         shard::{
-            event::{Event, Order, Snapshot},
-            record::{self, CommitRow, ShardNo},
+            event::{DivisionReply, Event, Order, Snapshot},
+            record::{self, CommitRow, DIVISIONS_PREFIX, ShardNo, division_key},
         },
         shard_runner::{ShardInput, ShardOutput},
-        shared_state::SharedState,
+        shared_state::{Config, SharedState},
         wave_driver::{WAVE_SHARD, WaveDriver},
         work::{JobNo, ListedWorker},
         worker_list::{Unreadable, WorkerList},
@@ -29,6 +30,8 @@
 
 /// Maximum time for which the store holds a watch of an inbox open without a change.
 const INBOX_WATCH_WAIT: Duration = Duration::from_secs(3);
+/// Maximum time for which the store holds a watch of the divisions open without a change.
+const DIVISIONS_WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time-out of reading a page of the list of machines.
 const MACHINES_TIMEOUT: Duration = Duration::from_millis(800);
 /// The interval at which the list of workers is read.
@@ -107,16 +110,75 @@
         let _ = self.shard_inputs.send(ShardInput::Own(shard, token, Box::new(load))).await;
         self.loaded.notify_one();
         if shard != WAVE_SHARD {
-            return self.follow_inbox(shard, token, rev).await;
+            tokio::join!(self.follow_inbox(shard, token, rev), self.follow_divisions(shard, token));
+            return;
         }
+        // These futures are dropped when this member no longer owns the shard.
         let driver = WaveDriver {
             common: self.common.clone(),
             services: self.services.clone(),
             peers: self.peers.clone(),
             shard_inputs: self.shard_inputs.clone(),
         };
-        // Both futures are dropped when this member no longer owns the shard.
-        tokio::join!(self.follow_inbox(shard, token, rev), driver.drive(token));
+        tokio::join!(
+            self.follow_inbox(shard, token, rev),
+            self.follow_divisions(shard, token),
+            driver.drive(token)
+        );
+    }
+
+    /// Sends the divisions of customers' caps to a shard as they change, once there are customers.
+    async fn follow_divisions(&self, shard: ShardNo, token: u64) {
+        let mut config = self.common.config.subscribe();
+        let has_customers =
+            |c: &Option<Config>| c.as_ref().is_some_and(|c| c.queues.customers.is_some());
+        if config.wait_for(has_customers).await.is_err() {
+            return;
+        }
+        let services = self.services.clone();
+        let mut follow =
+            PrefixWatch::from_shared_prefix(services, DIVISIONS_PREFIX, DIVISIONS_WATCH_WAIT);
+        loop {
+            let (WatchUpdate::Snapshot(items, _) | WatchUpdate::Changes(items, _)) =
+                follow.next().await;
+            for (customer, rev, division) in items.iter().filter_map(parse_division) {
+                let event = Event::Division(customer, rev, division);
+                let _ = self.shard_inputs.send(ShardInput::Event(shard, token, event)).await;
+            }
+        }
+    }
+
+    /// Reads the divisions of customers' caps; none if the deployment is known to have no customers.
+    async fn read_divisions(&self) -> Result<Vec<(CustomerId, Rev, Division)>, Fault> {
+        let config = self.common.config.borrow().clone();
+        if config.is_some_and(|c| c.queues.customers.is_none()) {
+            return Ok(vec![]);
+        }
+        let (items, _) = self.services.read_prefix(DIVISIONS_PREFIX, false).await?;
+        Ok(items.iter().filter_map(parse_division).collect())
+    }
+
+    /// Writes the division of a customer's cap, on the condition that the configuration with the cap
+    /// is in force.
+    async fn write_division(
+        &self,
+        customer: &CustomerId,
+        mut txn: Txn,
+        config_rev: Rev,
+    ) -> Result<DivisionReply, Fault> {
+        txn.expected_revs.push((self.common.codec.config_key.into(), config_rev));
+        match self.services.call_store(&StoreCall::Txn(txn), CALL_TIMEOUT).await? {
+            StoreReply::Done(rev) => Ok(DivisionReply::Done(rev)),
+            StoreReply::Conflict(items) => {
+                let key = division_key(customer);
+                let item = items.iter().find(|i| i.key == key);
+                let (_, rev, division) = item
+                    .and_then(parse_division)
+                    .unwrap_or_else(|| (customer.clone(), 0, Division::default()));
+                Ok(DivisionReply::Conflict(rev, division))
+            }
+            _ => Err(Fault::Bad("not a reply to a write".into())),
+        }
     }
 
     /// Sends the items of a shard's inbox to the shard as they are written.
@@ -136,17 +198,18 @@
     /// Reads the stored state of a shard. Returns it with the revision from which its inbox has to
     /// be followed.
     ///
-    /// The three reads run concurrently, as the shard makes no progress for as long as they take
+    /// The reads run concurrently, as the shard makes no progress for as long as they take
     /// with a slow store. This is safe because only the owner writes the progress and the roster.
     async fn load_shard(&self, shard: ShardNo, commit: Rev) -> Result<(Snapshot, Rev), Fault> {
         let (inbox, begun, roster) =
             (shard.inbox_prefix(), shard.progress_prefix(), shard.roster_key());
-        let (arrived, begun, roster) = tokio::try_join!(
+        let (arrived, begun, roster, divisions) = tokio::try_join!(
             self.services.read_prefix(&inbox, false),
             self.services.read_prefix(&begun, false),
             self.services.get(&roster, CALL_TIMEOUT),
+            self.read_divisions(),
         )?;
-        let mut load = Snapshot { commit_revision: commit, ..Snapshot::default() };
+        let mut load = Snapshot { commit_revision: commit, divisions, ..Snapshot::default() };
         for event in arrived.0.iter().filter_map(|i| inbox_event(&inbox, i)) {
             match event {
                 Event::Job(job, record) => load.jobs.push((job, *record)),
@@ -247,6 +310,13 @@
                 let reply = self.services.call_store(&StoreCall::Txn(txn), CALL_TIMEOUT).await;
                 Some(Event::Stored(number, reply))
             }
+            Order::Divide { customer, txn, config_rev } => {
+                let reply = self.write_division(&customer, txn, config_rev).await;
+                Some(Event::Divided(customer, reply))
+            }
+            Order::ReadDivisions => {
+                Some(Event::Divisions { sent, reply: self.read_divisions().await })
+            }
             Order::ReadCommit => match self.reread_commit_row(shard).await {
                 Ok((_, row)) if row.token != token => {
                     let _ = self.notices.send(ShardOutput::Deposed(shard)).await;
@@ -278,6 +348,16 @@
     }
 }
 
+/// Returns the customer and the division in an item; none if it was removed or can't be parsed.
+fn parse_division(item: &Item) -> Option<(CustomerId, Rev, Division)> {
+    let customer = CustomerId::from(item.key.strip_prefix(DIVISIONS_PREFIX)?);
+    let division = record::decode(item.value.as_ref()?);
+    if division.is_none() {
+        log::error!(target: "owner", customer:% = customer, rev = item.rev; "The division of a customer's cap can't be parsed.");
+    }
+    Some((customer, item.rev, division?))
+}
+
 /// Returns the job number at the end of a key.
 fn job_number(key: &str) -> Option<JobNo> {
     key.rsplit('/').next()?.parse().ok()
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -7,10 +7,12 @@
 mod advice;
 mod assignments;
 mod authority;
+mod caps;
 mod cause;
 mod closing;
 mod commit;
 mod crash;
+mod customer_cap;
 mod diagnosis;
 mod dispatch;
 pub mod event;
@@ -43,8 +45,10 @@
 
 pub use {
     assignments::{CountedRun, TaskPlace},
+    caps::oversized_step,
     cause::{AbsentStep, Cause, Exclusion, Exclusions, Sight},
     closing::{Occupancy, PoolWait},
+    customer_cap::CustomerUsage,
     state_machine::{Setup, Shard},
     stats::{Gauges, Stats},
 };
--- a/src/shard/cause.rs
+++ b/src/shard/cause.rs
@@ -55,6 +55,9 @@
     /// The pool of the step has no workers in this shard.
     #[display("its pool")]
     Pool,
+    /// The cap of the job's customer leaves no room.
+    #[display("its customer's cap")]
+    Cap,
     /// Former owners may have started something at workers that have not replied.
     #[display("workers of a former owner")]
     Unsettled,
--- a/src/shard/diagnosis.rs
+++ b/src/shard/diagnosis.rs
@@ -157,7 +157,7 @@
 
     /// Withholds from later steps whatever a step would take or withhold in the next round.
     fn rehearse_step(&self, key: &StepKey, round: &mut Round, now: Time) {
-        if !self.is_sole_starter(&key.job) {
+        if !self.is_sole_starter(&key.job) || self.is_cap_blocked(key) {
             return;
         }
         let Some(turn) = self.turn(key, round, now) else { return };
@@ -225,6 +225,7 @@
             () if strays > 0 && (turn.step.gang || strays == turn.waiting.len()) => {
                 Some(Cause::Stray)
             }
+            () if self.is_cap_blocked(turn.key) => Some(Cause::Cap),
             () if self.reservations.contains_key(turn.key) => Some(Cause::Gathers),
             () => None,
         }
--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -76,6 +76,7 @@
         self.forget_ended_strays();
         let mut round = self.new_round(now);
         let starving = self.starving_steps(&round, now);
+        self.begin_cap_round();
         let keys = self.round_steps(&starving);
         round.starving_steps = starving;
         for key in &keys {
@@ -267,6 +268,9 @@
             return;
         }
         let Some(mut turn) = self.turn(key, round, now) else { return };
+        if !self.limit_by_cap(&mut turn, round, now) {
+            return;
+        }
         if turn.advice.is_some()
             && self.step_state(key).is_none_or(|p| p.tickets.eligible.is_empty())
         {
@@ -326,6 +330,7 @@
             self.retain_startable(&mut turn, now);
             let Some(part) = self.step_state(key) else { continue };
             turn.waiting.retain(|i| part.tasks[*i as usize].crashed_runs.is_empty());
+            turn.waiting.truncate(self.fitting_in_cap(&turn, round));
             let (mut valid, _) = self.rooms(&turn, round, now);
             valid.retain(|r| !self.is_last_resort(&turn.step, WorkerNo(r.index), now));
             let chosen = choose_workers(&turn.step, &turn.waiting, &mut valid);
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -2,9 +2,9 @@
 
 use {
     crate::{
-        decide::lanes::Peers,
-        ids::{Incarnation, WorkerId},
-        ports::{Advice, AdviceCall, Fault, StoreReply, Txn, WorkerCall, WorkerReply},
+        decide::{allotment::Division, lanes::Peers},
+        ids::{CustomerId, Incarnation, WorkerId},
+        ports::{Advice, AdviceCall, Fault, Rev, StoreReply, Txn, WorkerCall, WorkerReply},
         shard::record::{Closing, CommitRow, JobRecord, Progress, Roster},
         time::Time,
         work::{JobNo, ListedWorker, QueueConfig},
@@ -27,6 +27,18 @@
     pub commit_revision: u64,
     /// Whether the former owner's lease had expired or it had released the shard.
     pub lapsed: bool,
+    /// The divisions of the customers' caps, each with its revision.
+    pub divisions: Vec<(CustomerId, Rev, Division)>,
+}
+
+/// The store's reply to a write of a division.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DivisionReply {
+    /// The division was written with this revision.
+    Done(Rev),
+    /// The division was not written; the store has this one, with its revision, which is 0 if it has
+    /// none.
+    Conflict(Rev, Division),
 }
 
 /// An input of the shard's state machine.
@@ -73,6 +85,17 @@
         /// The listed worker incarnations, or the failure of the read.
         reply: Result<Vec<WorkerId>, Fault>,
     },
+    /// The store's reply to the write of a customer's division.
+    Divided(CustomerId, Result<DivisionReply, Fault>),
+    /// The division of a customer's cap has changed, to one with this revision.
+    Division(CustomerId, Rev, Division),
+    /// All divisions, or the failure to read them.
+    Divisions {
+        /// The time at which the read was sent.
+        sent: Time,
+        /// The divisions with their revisions.
+        reply: Result<Vec<(CustomerId, Rev, Division)>, Fault>,
+    },
     /// The store has confirmed the renewal of this member's lease that was sent at the given time.
     Confirmed(Time),
     /// The members that can make advice calls for this shard, including this member.
@@ -116,6 +139,17 @@
     ReadCommit,
     /// Read the list of machines.
     ReadMachines,
+    /// Write the division of a customer's cap.
+    Divide {
+        /// The customer.
+        customer: CustomerId,
+        /// The write; it also has to expect the configuration.
+        txn: Txn,
+        /// The expected revision of the configuration.
+        config_rev: Rev,
+    },
+    /// Read the divisions of all customers.
+    ReadDivisions,
     /// Drop the shard, because another member owns it.
     Deposed,
 }
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -4,6 +4,7 @@
     crate::{
         decide::crash::remaining_pause,
         shard::{
+            customer_cap::CustomerNo,
             record::{CrashRow, JobRecord, Progress, TaskRow},
             workers::WorkerNo,
         },
@@ -138,6 +139,8 @@
 pub struct ActiveJob {
     /// The name of the job's queue.
     pub queue: Box<str>,
+    /// The customer to whom the job belongs, if any.
+    pub customer: Option<CustomerNo>,
     /// The time at which the job was submitted, in milliseconds of the Unix clock.
     pub submitted_ms: u64,
     /// The specification of the job.
@@ -179,6 +182,7 @@
     ) -> Self {
         let mut active = ActiveJob {
             queue: record.queue,
+            customer: None,
             submitted_ms: record.submitted_ms,
             chain_lengths: longest_chains(&record.job.steps),
             waves: [].into(),
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -30,7 +30,9 @@
             self.queue_snapshots.insert(record.queue.clone(), (record.submitted_ms, terms.clone()));
         }
         self.restore_queues();
-        let active = ActiveJob::new(record, progress, old, now, self.setup.unix_ms);
+        let customer = record.customer.as_ref().map(|name| self.customer_no(name));
+        let mut active = ActiveJob::new(record, progress, old, now, self.setup.unix_ms);
+        active.customer = customer;
         if active.job.times.is_some() {
             self.scheduled_jobs.insert(no);
         }
--- a/src/shard/listing.rs
+++ b/src/shard/listing.rs
@@ -33,6 +33,7 @@
         }
         self.queues = queues;
         self.restore_queues();
+        self.configure_caps(now);
         let all: Vec<_> =
             self.jobs.iter().map(|(no, j)| (*no, reduced.contains(&j.queue))).collect();
         for (no, reduced) in all {
--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        customers::cap_text,
         decide::health::Verdict,
         ports::{EndReason, EndedRun},
         shard::{
@@ -13,7 +14,7 @@
         time::Time,
         work::{JobNo, JobState, StepKey, TaskKey},
     },
-    std::{collections::BTreeMap, mem, time::Duration},
+    std::{cmp::Reverse, collections::BTreeMap, mem, time::Duration},
 };
 
 /// The maximum delay of a start that is attributed to the scheduling round itself.
@@ -25,6 +26,8 @@
 /// The maximum number of absences that are logged at once, the longest ones. The lines of five
 /// shards fit into a member's budget of lines.
 const MAX_LOGGED_ABSENCES: usize = 20;
+/// The maximum number of customers that are logged at once.
+const MAX_LOGGED_CUSTOMERS: usize = 8;
 /// The minimum number of consecutive unanswered calls after which a worker is logged as silent.
 const MIN_SILENT_CALLS: u32 = 3;
 
@@ -77,6 +80,7 @@
         let (shard, summary, count) = (self.setup.shard, self.summary(now), away.len());
         log::info!(target: "shard", "Shard {shard}: {summary}; long-running steps away {count}.");
         away.iter().take(MAX_LOGGED_ABSENCES).for_each(|a| self.log_away(a));
+        self.log_customers(now);
         let lasts =
             |k: &StepKey| self.jobs.get(&k.job).and_then(|j| j.step(k)).is_some_and(|s| s.lasts);
         let since = |k: &StepKey| {
@@ -119,6 +123,17 @@
         }
     }
 
+    /// Logs the customers whose caps keep steps from starting, those that wait longest first.
+    fn log_customers(&self, now: Time) {
+        let mut all = self.customer_usage(now);
+        all.retain(|c| c.wait_time.is_some());
+        all.sort_by_key(|c| Reverse(c.wait_time));
+        for c in all.into_iter().take(MAX_LOGGED_CUSTOMERS) {
+            let waits_ms = millis(c.wait_time.unwrap_or_default());
+            log::info!(target: "shard", did = "capped", shard:% = self.setup.shard, customer:% = c.name, in_use:% = c.in_use, allotted:% = c.allotted, waiting:% = c.waiting, cap = &*cap_text(&c.cap), version = self.queues.version, waits_ms; "Customer waits for its cap.");
+        }
+    }
+
     /// Logs a long-running step that has tasks away, with all facts that decide when they run
     /// again.
     fn log_away(&self, a: &AbsentStep) {
--- a/src/shard/ready_queue.rs
+++ b/src/shard/ready_queue.rs
@@ -182,6 +182,9 @@
     ///
     /// A step that waits for workers which do not exist yet must not come before all others.
     fn can_ever_start(&self, key: &StepKey, round: &Round, now: Time) -> bool {
+        if self.is_cap_blocked(key) {
+            return false;
+        }
         let (Some(turn), Some(step_state)) = (self.turn(key, round, now), self.step_state(key))
         else {
             return false;
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -7,6 +7,7 @@
 //! | `dwr/p/SHARD/JOB` | the owner | the progress of a job; kept for a while after its end |
 //! | `dwr/r/SHARD` | the owner | the workers that may run tasks of this shard |
 //! | `dwr/c/SHARD` | the owner, with every write | fence: each write expects the last one's revision |
+//! | `dwr/q/CUSTOMER` | any owner | the division of a customer's cap among the shards |
 //! | `dwr/t/o/SHARD` | the member that takes over | the owner of the shard and its token |
 //! | `dwr/t/m/MEMBER` | each member, under its lease | that the member is alive, and its address |
 //! | `dwr/t/closing` | the owner of the first shard | the workers whose VMs are due for upkeep |
@@ -32,6 +33,9 @@
 /// Key of the layout.
 pub const LAYOUT_KEY: &str = "dwr/t/layout";
 
+/// Prefix of the keys of the divisions of customers' caps.
+pub const DIVISIONS_PREFIX: &str = "dwr/q/";
+
 /// The number of a shard. A shard is a part of the jobs and of the workers, scheduled by one
 /// member.
 #[derive(
@@ -93,6 +97,11 @@
     }
 }
 
+/// Returns the key of the division of a customer's cap.
+pub fn division_key(customer: &CustomerId) -> Box<str> {
+    format!("{DIVISIONS_PREFIX}{customer}").into()
+}
+
 /// A range of consecutive shards.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ShardRange(
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -159,6 +159,7 @@
             let fits = task.placement == Placement::Waiting && row.run >= task.run;
             Some((step, fits, !task.crashed_runs.is_empty()))
         });
+        let customer = self.jobs.get(&row.task.step.job).and_then(|j| j.customer);
         let blind = wanted.is_none();
         let (step, keep, crash_suspect) = wanted.unwrap_or_default();
         let yields = self.preemptible_at(&row.task.step, &step);
@@ -166,6 +167,9 @@
             run: row.run,
             size: step.reserved(),
             size_unknown: blind,
+            customer: customer.filter(|_| !blind),
+            charge: step.size,
+            adopted: true,
             phase: RunPhase::Running,
             sent_at: now,
             absence_from: Some(now),
@@ -186,7 +190,7 @@
             estimate: Duration::from_millis(step.estimate),
             earlier_report: (now, row.percent),
         };
-        self.workers[no.0].add_run(row.task, run);
+        self.add_run(no, row.task, run);
         if !keep {
             if !blind {
                 self.stray_tasks.insert(row.task);
--- a/src/shard/round.rs
+++ b/src/shard/round.rs
@@ -5,7 +5,7 @@
     crate::{
         decide::ahead::Backlog,
         ids::PoolId,
-        shard::{reservation::GangReservation, workers::WorkerNo},
+        shard::{customer_cap::CustomerNo, reservation::GangReservation, workers::WorkerNo},
         time::Time,
         units::Size,
         work::{AdviceCost, Step, StepKey},
@@ -44,6 +44,8 @@
     /// The number of steps that have searched beyond the free resources, and how many of those are
     /// long-running.
     deep_searches: (usize, usize),
+    /// The parts of customers' caps that are withheld for earlier steps.
+    pub(super) cap_withheld: FxHashMap<CustomerNo, Size>,
     /// The queues whose advice calls cannot be made because no member is free.
     pub(super) advice_blocked: FxHashSet<Box<str>>,
 }
--- a/src/shard/run_end.rs
+++ b/src/shard/run_end.rs
@@ -28,7 +28,7 @@
     /// Processes the end of a run that its worker reported.
     pub(super) fn on_run_end(&mut self, no: WorkerNo, end: &EndedRun, now: Time) {
         self.log_end(no, end, now);
-        let run = self.workers[no.0].remove_run(&end.task, end.run);
+        let run = self.remove_run(no, &end.task, end.run);
         self.round_due = true;
         let saved = match (&run, &*end.checkpoint) {
             (Some(r), "") => r.checkpoint.clone(),
@@ -50,7 +50,7 @@
     /// Handles a run that is no longer on its worker although the worker reported no end.
     pub(super) fn on_run_lost(&mut self, no: WorkerNo, task: &TaskKey, run: u32, now: Time) {
         self.log_lost(no, task, run, now);
-        let Some(old) = self.workers[no.0].remove_run(task, run) else { return };
+        let Some(old) = self.remove_run(no, task, run) else { return };
         self.round_due = true;
         let current = self.has_run(task, no, run);
         if current {
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -83,7 +83,8 @@
     }
 
     /// Adds a run to its worker and orders the start; returns false if the owner or the worker has
-    /// no valid lease.
+    /// no valid lease, or
+    /// if the customer's cap does not allow the run.
     pub(super) fn launch(
         &mut self,
         task: TaskKey,
@@ -95,40 +96,45 @@
     ) -> bool {
         let yields = self.preemptible_at(&task.step, step);
         let Some(from) = self.lease_start(now) else { return false };
+        let Some(job) = self.jobs.get(&task.step.job) else { return false };
+        if !self.cap_allows(job.customer, &step.size) {
+            return false;
+        }
         let worker = &mut self.workers[no.0];
         let Some(until) = worker.extend_lease(&self.setup.bounds, from, now) else { return false };
-        let Some(job) = self.jobs.get(&task.step.job) else { return false };
         let step_state = job.step_states.get(&(task.step.time, task.step.step));
         let ticket = step_state.and_then(|p| p.tickets.eligible.get(&no)).map(|t| t.0.clone());
         let tried =
             step_state.is_some_and(|p| !p.tasks[task.index as usize].crashed_runs.is_empty());
         let text = job.job.text.clone();
-        worker.add_run(
-            task,
-            Run {
-                run,
-                size: step.reserved(),
-                size_unknown: false,
-                phase: RunPhase::Starting,
-                sent_at: now,
-                absence_from: None,
-                was_seen: false,
-                settled: false,
-                crash_suspect: tried,
-                started_at: now,
-                start_count: 1,
-                progress_percent: (0, 0),
-                reported_at: now,
-                checkpoint: saved.clone(),
-                tail_latency_ms: 0,
-                pace: Some(FULL_PACE_PERCENT),
-                latency_target_ms: step.target,
-                is_filler: step.fills,
-                preempt_priority: yields,
-                estimate: Duration::from_millis(step.estimate),
-                earlier_report: (now, 0),
-            },
-        );
+        let started = Run {
+            run,
+            size: step.reserved(),
+            size_unknown: false,
+            customer: job.customer,
+            charge: step.size,
+            adopted: false,
+            phase: RunPhase::Starting,
+            sent_at: now,
+            absence_from: None,
+            was_seen: false,
+            settled: false,
+            crash_suspect: tried,
+            started_at: now,
+            start_count: 1,
+            progress_percent: (0, 0),
+            reported_at: now,
+            checkpoint: saved.clone(),
+            tail_latency_ms: 0,
+            pace: Some(FULL_PACE_PERCENT),
+            latency_target_ms: step.target,
+            is_filler: step.fills,
+            preempt_priority: yields,
+            estimate: Duration::from_millis(step.estimate),
+            earlier_report: (now, 0),
+        };
+        self.add_run(no, task, started);
+        let worker = &mut self.workers[no.0];
         if tried {
             worker.isolated_until = now + ISOLATION_TIME;
         }
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -11,6 +11,7 @@
         ports::Bounds,
         shard::{
             commit::{GroupCommit, WriteOutcome},
+            customer_cap::Caps,
             event::{Event, Order, Snapshot},
             in_flight::InFlight,
             jobs::{ActiveJob, StepState},
@@ -107,6 +108,9 @@
     pub(super) lanes: Lanes,
     pub(super) advice_turns: AdviceTurns,
     pub(super) commit: GroupCommit,
+    pub(super) caps: Caps,
+    /// The revision of the owner's row, as the takeover wrote it.
+    pub(super) owner_rev: u64,
     /// The sequence number of the last change to a job.
     pub(super) last_change: u64,
     /// Jobs with changes that have not been written.
@@ -170,6 +174,9 @@
             lanes: Lanes::new(),
             advice_turns: AdviceTurns::new(),
             commit,
+            caps: Caps::default(),
+            // A takeover writes both rows at once.
+            owner_rev: load.commit_revision,
             last_change: 0,
             dirty_jobs: VecDeque::new(),
             roster_dirty: false,
@@ -193,6 +200,7 @@
     }
 
     fn load(&mut self, load: Snapshot, now: Time) {
+        self.load_divisions(load.divisions, now);
         let mut roster = vec![];
         for (id, addr) in load.roster.workers {
             let no = self.worker_no(&id, addr, now);
@@ -256,6 +264,11 @@
                 let after = self.commit.on_reread(row, self.setup.token, now);
                 self.after_write(after, now);
             }
+            Event::Divided(customer, reply) => self.on_divided(&customer, reply, now),
+            Event::Division(customer, rev, division) => {
+                self.on_division(&customer, rev, division, now)
+            }
+            Event::Divisions { sent, reply } => self.on_divisions(sent, reply, now),
             Event::Machines { sent, reply } => self.on_machines(sent, reply, now),
             Event::Confirmed(sent) => self.on_renewal_confirmed(sent, now),
             Event::Peers(mut peers) => {
@@ -278,6 +291,7 @@
             return mem::take(&mut self.orders);
         }
         self.dispatch(now);
+        self.balance_caps(now);
         self.flush(now);
         self.send_holds(now);
         mem::take(&mut self.orders)
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -18,6 +18,8 @@
     pub run_ends: BTreeMap<&'static str, u64>,
     /// The number of stored ends of runs that were acknowledged to their workers.
     pub acknowledged_ends: u64,
+    /// The number of writes of divisions of customers' caps.
+    pub division_writes: u64,
 }
 
 /// The advice calls of one queue.
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -5,7 +5,7 @@
         decide::{crash::SETTLE_TIME, health::WorkerHealth, pace::Pace},
         ids::{PoolId, WorkerId},
         ports::{Bounds, PresentRun},
-        shard::record::UpkeepTurn,
+        shard::{customer_cap::CustomerNo, record::UpkeepTurn},
         time::Time,
         units::Size,
         work::{JobNo, ListedWorker, TaskKey},
@@ -58,6 +58,12 @@
     pub size: Size,
     /// Whether the resources that it uses are unknown.
     pub size_unknown: bool,
+    /// The customer to whom the run belongs, if any.
+    pub customer: Option<CustomerNo>,
+    /// What the run counts against the customer's cap.
+    pub charge: Size,
+    /// Whether a former owner has started the run.
+    pub adopted: bool,
     /// What is known of the run.
     pub phase: RunPhase,
     /// When the last order for this run was sent.
@@ -357,15 +363,15 @@
         at + left.div_f64(MIN_CLOCK_RATE) + CLOCK_MARGIN
     }
 
-    /// Adds a run and its resources.
-    pub fn add_run(&mut self, task: TaskKey, run: Run) {
+    /// Adds a run and its resources; returns the run of the task that it replaces, if any.
+    pub fn add_run(&mut self, task: TaskKey, run: Run) -> Option<Run> {
         self.used += run.size;
         self.unsized_runs += usize::from(run.size_unknown);
         self.fillers += u32::from(run.is_filler);
         self.serving += u32::from(run.latency_target_ms > 0);
-        if let Some(old) = self.runs.insert(task, run) {
-            self.deduct_run(&old);
-        }
+        let old = self.runs.insert(task, run)?;
+        self.deduct_run(&old);
+        Some(old)
     }
 
     /// Removes a run and returns it, if it has this number.
--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -386,6 +386,8 @@
         }
         Order::Store(number, _) => Some(Event::Stored(number, Err(Fault::Unsent))),
         Order::ReadCommit => Some(Event::CommitRead(Err(Fault::Unsent))),
+        Order::Divide { customer, .. } => Some(Event::Divided(customer, Err(Fault::Unsent))),
+        Order::ReadDivisions => Some(Event::Divisions { sent: now, reply: Err(Fault::Unsent) }),
         Order::ReadMachines => Some(Event::Machines { sent: now, reply: Err(Fault::Unsent) }),
         Order::Deposed => None,
     }
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -275,7 +275,8 @@
                 return false;
             }
             let kept = now.as_ref().filter(|k| k.queues.version >= queues.version);
-            let queues = kept.map_or_else(|| Arc::new(queues), |k| k.queues.clone());
+            let queues = kept.map_or(queues, |k| QueueConfig::clone(&k.queues));
+            let queues = Arc::new(QueueConfig { revision: item.rev, ..queues });
             *now = Some(Config { rev: item.rev, queues });
             true
         });
--- a/src/work.rs
+++ b/src/work.rs
@@ -267,6 +267,8 @@
 pub struct QueueConfig {
     /// Version number; it rises with each change.
     pub version: u64,
+    /// Revision of the configuration's item in the store; 0 if it is unknown.
+    pub revision: u64,
     /// The queues.
     pub queues: Vec<Queue>,
     /// The pools.
--- a/standin/src/site/judge.rs
+++ b/standin/src/site/judge.rs
@@ -4,6 +4,7 @@
 
 use {
     crate::site::{
+        caps::Caps,
         crashes::Crashes,
         stay::Absences,
         wait::Waits,
@@ -82,6 +83,8 @@
     failed: BTreeMap<TaskKey, Vec<(u32, Time, Option<Time>)>>,
     /// Worker crashes under tasks.
     crashes: Crashes,
+    /// The caps of customers.
+    pub caps: Caps,
     /// Long-running tasks that aren't running.
     absences: Absences,
     /// Jobs that have room but don't run.
@@ -130,7 +133,11 @@
             return Ok(());
         }
         let mut stays = std::mem::take(&mut self.absences);
-        let owed = |no| self.is_accepted(no) && !self.cancels.contains_key(&no);
+        let owed = |no| {
+            self.is_accepted(no)
+                && !self.cancels.contains_key(&no)
+                && self.caps.is_below_half(world, no)
+        };
         let text = stays.overdue(world, self.suspended_until, owed);
         self.absences = stays;
         text.map_or(Ok(()), |text| self.breach(world.now, text))
@@ -164,6 +171,7 @@
             || self.refused.contains(&no)
             || self.final_states.contains_key(&no)
             || mine.any(|(_, f)| f.len() >= most)
+            || !self.caps.is_below_half(world, no)
         {
             return vec![];
         }
@@ -178,7 +186,9 @@
                     .map(|index| TaskKey { step: key(*step), index })
                     .find(|t| !self.done.contains_key(t))?;
                 let noted = |a: &u16| self.step_acknowledged(world, key(*a));
-                let may = !world.failing_steps.contains(&(no, *step)) && s.after.iter().all(noted);
+                let may = !world.failing_steps.contains(&(no, *step))
+                    && s.after.iter().all(noted)
+                    && self.caps.fits_cap(world, no, s);
                 may.then_some(own)
             };
             steps.iter().filter_map(open).collect::<Vec<_>>()
@@ -265,6 +275,9 @@
         if self.refused.contains(&task.step.job) {
             return self.breach(at, format!("{task} started, and its job was refused"));
         }
+        if let Some(text) = self.caps.excess_start(world, start, late, at) {
+            return self.breach(at, text);
+        }
         self.check_crash_limit(world, at, task)?;
         self.check_start_times(world, at, worker, task, late)?;
         self.check_repeats(world, at, task_key)
--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod advice;
 pub mod assignments;
+pub mod caps;
 pub mod crashes;
 pub mod judge;
 pub mod plan;
--- a/standin/src/site/setup.rs
+++ b/standin/src/site/setup.rs
@@ -71,6 +71,7 @@
         pools: vec![pool("guarded", true), pool("open", false)],
         max_body: 1 << 20,
         customers: None,
+        revision: 0,
     })
 }
 
--- a/standin/src/site/store.rs
+++ b/standin/src/site/store.rs
@@ -5,7 +5,13 @@
     bytes::Bytes,
     dogwoodreach::{
         Time,
+        decide::allotment::Division,
+        ids::CustomerId,
         ports::{Item, MAX_TXN_ROWS, Rev, StoreCall, StoreReply, Txn},
+        shard::{
+            event::DivisionReply,
+            record::{DIVISIONS_PREFIX, decode, division_key},
+        },
     },
     std::{
         collections::{BTreeMap, VecDeque},
@@ -142,6 +148,38 @@
         StoreReply::Done(self.rev)
     }
 
+    /// Writes the division of a customer's cap; `config_current` says whether the write expects the
+    /// configuration in force.
+    pub fn divide(
+        &mut self,
+        customer: &CustomerId,
+        txn: &Txn,
+        config_current: bool,
+    ) -> DivisionReply {
+        if config_current && let StoreReply::Done(rev) = self.txn(txn) {
+            return DivisionReply::Done(rev);
+        }
+        let (rev, division) = self.division(customer).unwrap_or_default();
+        DivisionReply::Conflict(rev, division)
+    }
+
+    /// Returns the division of a customer's cap and its revision.
+    pub fn division(&self, customer: &CustomerId) -> Option<(Rev, Division)> {
+        let item = self.get(&division_key(customer))?;
+        Some((item.rev, decode(&item.value?)?))
+    }
+
+    /// Returns the divisions of all customers' caps.
+    pub fn divisions(&self) -> Vec<(CustomerId, Rev, Division)> {
+        let names = self.range(DIVISIONS_PREFIX).into_iter();
+        let names = names.filter_map(|(k, _)| Some(k.strip_prefix(DIVISIONS_PREFIX)?.into()));
+        let with_division = |name: CustomerId| {
+            let (rev, division) = self.division(&name)?;
+            Some((name, rev, division))
+        };
+        names.filter_map(with_division).collect()
+    }
+
     /// Writes one item without checking its revision, as the platform does.
     pub fn put(&mut self, key: Box<str>, value: Bytes) -> Rev {
         self.rev += 1;
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -13,11 +13,13 @@
         Time,
         decide::lanes::Peers,
         ids::{Incarnation, WorkerId},
-        ports::{Advice, Bounds, EndReason, Fault, Start, Txn, WorkerCall, WorkerReply},
+        ports::{
+            Advice, Bounds, EndReason, Fault, Put, Start, StoreReply, Txn, WorkerCall, WorkerReply,
+        },
         shard::{
             Setup, Shard,
             event::{Event, Order, Snapshot},
-            record::{CommitRow, JobRecord, Progress, Roster, ShardNo, decode, encode},
+            record::{CommitRow, JobRecord, OwnerRow, Progress, Roster, ShardNo, decode, encode},
             report::JobReport,
         },
         units::Size,
@@ -109,6 +111,7 @@
         pools: vec![Pool { name: "pool".into(), checks_room: false, standby: false }],
         max_body: 1 << 20,
         customers: None,
+        revision: 0,
     })
 }
 
@@ -163,8 +166,7 @@
     /// store.
     pub fn take_over(&mut self) {
         self.token += 1;
-        let row = encode(&CommitRow { token: self.token, number: 0 });
-        let commit = self.store.put(SHARD.commit_key(), row);
+        let commit = write_owner_rows(&mut self.store, self.token);
         self.shard = Shard::new(setup(self.token), load(&self.store, commit), self.now);
         self.pending.clear();
         self.deliver(Event::Queues(queues()));
@@ -346,6 +348,14 @@
                 let read = decode(&row.value.expect("a value")).expect("a row");
                 self.deliver(Event::CommitRead(Ok((row.rev, read))));
             }
+            Order::Divide { customer, txn, .. } => {
+                let reply = Ok(self.store.divide(customer, txn, true));
+                self.deliver(Event::Divided(customer.clone(), reply));
+            }
+            Order::ReadDivisions => {
+                let reply = Ok(self.store.divisions());
+                self.deliver(Event::Divisions { sent, reply });
+            }
             // The harness has no list of machines.
             Order::ReadMachines => {
                 self.deliver(Event::Machines { sent, reply: Err(Fault::Unsent) })
@@ -432,6 +442,20 @@
     Setup { shard: SHARD, member: Incarnation(token), token, bounds: bounds(), unix_ms: UNIX_MS }
 }
 
+/// Writes the rows of a takeover at one revision, and returns it.
+pub fn write_owner_rows(store: &mut Store, token: u64) -> u64 {
+    let owner = OwnerRow { owner: Some(Incarnation(token)), token, control: None };
+    let rows = [
+        (SHARD.owner_key(), encode(&owner)),
+        (SHARD.commit_key(), encode(&CommitRow { token, number: 0 })),
+    ];
+    let puts = rows.map(|(key, value)| Put { key, value, lease: 0 }).into();
+    match store.txn(&Txn { puts, ..Txn::default() }) {
+        StoreReply::Done(rev) => rev,
+        reply => panic!("{reply:?}"),
+    }
+}
+
 /// What a new owner that has written the commit row at this revision loads from the store.
 pub fn load(store: &Store, commit: u64) -> Snapshot {
     let tail = |key: &str| key.rsplit('/').next().and_then(|n| n.parse().ok());
@@ -441,6 +465,7 @@
     let progress = store.range(&SHARD.progress_prefix()).into_iter();
     let roster = store.get(&SHARD.roster_key()).and_then(|i| i.value);
     Snapshot {
+        divisions: store.divisions(),
         jobs: jobs.collect(),
         cancels: cancels.collect(),
         progress: progress.filter_map(|(k, v)| Some((tail(&k)?, decode(&v)?))).collect(),
--- a/tests/reports/mod.rs
+++ b/tests/reports/mod.rs
@@ -248,7 +248,11 @@
                 let (sent, reply) = (self.now, self.worker.answer(&call, self.now));
                 self.deliver(at, Event::Worker { worker, sent, call, reply });
             }
-            Order::Advise { .. } | Order::ReadMachines | Order::Deposed => {}
+            Order::Advise { .. }
+            | Order::ReadMachines
+            | Order::Divide { .. }
+            | Order::ReadDivisions
+            | Order::Deposed => {}
         }
     }
 
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -133,6 +133,7 @@
         pools: vec![],
         max_body: 1000,
         customers,
+        revision: 0,
     })
 }
 
--- a/tests/yard/events.rs
+++ b/tests/yard/events.rs
@@ -12,9 +12,14 @@
         let old = self.store.get(&SHARD.owner_key()).and_then(|i| i.value);
         let token = old.and_then(|v| decode::<OwnerRow>(&v)).map_or(1, |r| r.token + 1);
         let me = Incarnation(100 + token);
-        self.store
-            .put(SHARD.owner_key(), encode(&OwnerRow { owner: Some(me), token, control: None }));
-        let commit = self.store.put(SHARD.commit_key(), encode(&CommitRow { token, number: 0 }));
+        let rows = [
+            (SHARD.owner_key(), encode(&OwnerRow { owner: Some(me), token, control: None })),
+            (SHARD.commit_key(), encode(&CommitRow { token, number: 0 })),
+        ];
+        let puts = rows.map(|(key, value)| Put { key, value, lease: 0 }).into();
+        let StoreReply::Done(commit) = self.store.txn(&Txn { puts, ..Txn::default() }) else {
+            panic!("a takeover without conditions is written");
+        };
         let setup = Setup {
             shard: SHARD,
             member: me,
@@ -95,6 +100,7 @@
             progress,
             roster: roster.and_then(|v| decode::<Roster>(&v)).unwrap_or_default(),
             commit_revision: commit,
+            divisions: self.store.divisions(),
             lapsed: self.owners.last().is_none_or(|o| {
                 o.releasing
                     || (o.ended || o.paused || o.store_cut)
@@ -161,6 +167,7 @@
 
     /// Sends another configuration to the owners.
     pub fn configure(&mut self, queues: Arc<QueueConfig>) {
+        self.record_caps(&queues);
         self.sent_queues = queues.clone();
         let (heard, late) = (queues.clone(), self.initial_delay.max(self.config_delay));
         self.at((self.now + late).0 / 1_000, move |y| y.received_queues = heard);
--- a/tests/yard/mail.rs
+++ b/tests/yard/mail.rs
@@ -11,6 +11,11 @@
             Delivery::Store(owner, number, txn) => self.txn(owner, number, &txn),
             Delivery::LateTxn(txn) => drop(self.store.txn(&txn)),
             Delivery::Reread(owner) => self.reread(owner),
+            Delivery::Divide(owner, customer, txn, rev) => self.divide(owner, customer, txn, rev),
+            Delivery::LateDivide(customer, txn, rev) => {
+                self.write_division(&customer, &txn, rev);
+            }
+            Delivery::ReadDivisions(owner, sent) => self.read_divisions(owner, sent),
             Delivery::AskAdvice(owner, via, call, sent, takes, limit) => {
                 self.ask_advice(owner, via, call, sent, takes, limit);
             }
@@ -80,6 +85,12 @@
                 self.schedule(back, Delivery::Event(owner, event));
             }
             Order::ReadCommit => self.schedule(there, Delivery::Reread(owner)),
+            Order::Divide { customer, txn, config_rev } => {
+                self.schedule(there, Delivery::Divide(owner, customer, txn, config_rev));
+            }
+            Order::ReadDivisions => {
+                self.schedule(there, Delivery::ReadDivisions(owner, now));
+            }
             Order::Deposed => self.owners[owner].ended = true,
         }
     }
@@ -156,6 +167,43 @@
         self.schedule(at, Delivery::Event(owner, Event::Stored(number, reply)));
     }
 
+    fn divide(&mut self, owner: usize, customer: CustomerId, txn: Txn, config_rev: Rev) {
+        let at = self.now + self.store.draw_delay();
+        let timed_out = (self.now + STORE_TIMEOUT, Err(Fault::Unknown));
+        let (at, reply) = match self.draw_outcome(owner) {
+            CallOutcome::Answered => (at, Ok(self.write_division(&customer, &txn, config_rev))),
+            CallOutcome::Refused => (at, Err(Fault::Refused)),
+            CallOutcome::Unanswered => timed_out,
+            CallOutcome::AnswerLost(wait) => {
+                let late = Delivery::LateDivide(customer.clone(), txn, config_rev);
+                self.schedule(self.now + wait, late);
+                timed_out
+            }
+        };
+        self.schedule(at, Delivery::Event(owner, Event::Divided(customer, reply)));
+    }
+
+    fn read_divisions(&mut self, owner: usize, sent: Time) {
+        let (at, reply) = match self.draw_outcome(owner) {
+            CallOutcome::Answered => {
+                (self.now + self.store.draw_delay(), Ok(self.store.divisions()))
+            }
+            CallOutcome::Refused => (self.now + self.store.draw_delay(), Err(Fault::Refused)),
+            CallOutcome::Unanswered | CallOutcome::AnswerLost(_) => {
+                (self.now + STORE_TIMEOUT, Err(Fault::Unknown))
+            }
+        };
+        self.schedule(at, Delivery::Event(owner, Event::Divisions { sent, reply }));
+    }
+
+    /// Draws the outcome of an owner's call to the store.
+    fn draw_outcome(&mut self, owner: usize) -> CallOutcome {
+        match self.owners[owner].store_cut {
+            true => CallOutcome::Unanswered,
+            false => self.store.draw_outcome(),
+        }
+    }
+
     fn reread(&mut self, owner: usize) {
         let row = |i: Item| Some((i.rev, decode::<CommitRow>(&i.value?)?));
         let fate = if self.owners[owner].store_cut {
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, unused_imports)] // each test file uses a part
 
 mod beliefs;
+pub mod customers;
 mod events;
 mod mail;
 
@@ -15,11 +16,14 @@
 
 use {
     assignments::Differences,
+    customers::OtherShard,
     dogwoodreach::{
         Time,
         decide::{call_queue::CallQueue, lanes::Peers},
-        ids::{Incarnation, WorkerId},
-        ports::{AdviceCall, Fault, Item, Txn, WorkerCall, WorkerReply as Reply},
+        ids::{CustomerId, Incarnation, WorkerId},
+        ports::{
+            AdviceCall, Fault, Item, Put, Rev, StoreReply, Txn, WorkerCall, WorkerReply as Reply,
+        },
         shard::{
             Setup, Shard,
             event::{Event, Order, Snapshot},
@@ -89,6 +93,12 @@
     Store(usize, u64, Txn),
     /// A transaction that takes effect late; its answer is lost.
     LateTxn(Txn),
+    /// A write of the division of a cap.
+    Divide(usize, CustomerId, Txn, Rev),
+    /// Such a write that takes effect late; its answer is lost.
+    LateDivide(CustomerId, Txn, Rev),
+    /// A read of all divisions that was sent at this time.
+    ReadDivisions(usize, Time),
     Reread(usize),
     AskAdvice(usize, Incarnation, Box<AdviceCall>, Time, Duration, Duration),
     AnswerAdvice(usize, Incarnation, Box<AdviceCall>, Time, u64),
@@ -181,6 +191,8 @@
     waiting_holds: Vec<(PendingCall, Time)>,
     /// The worker list, with the time of each worker's last report.
     list: BTreeMap<usize, (ListedWorker, Time)>,
+    /// The shard that shares the customers' caps, if there is one.
+    other_shard: Option<OtherShard>,
     rng: fastrand::Rng,
 }
 
@@ -234,9 +246,12 @@
             inbox_seen: Time::ZERO,
             waiting_holds: Vec::new(),
             list: BTreeMap::new(),
+            other_shard: None,
             rng: fastrand::Rng::with_seed(seed),
         };
         yard.world.spread = 0.2;
+        let queues = yard.sent_queues.clone();
+        yard.record_caps(&queues);
         yard.update_list();
         yard.take_over();
         yard
@@ -274,11 +289,16 @@
 
     /// Stores a job of a caller. While the store is down, tries again later.
     pub fn submit(&mut self, no: u64, queue: &str, job: Job) {
+        self.submit_for(None, no, queue, job);
+    }
+
+    /// Stores a job of a customer, as [`Self::submit`] does.
+    pub fn submit_for(&mut self, customer: Option<CustomerId>, no: u64, queue: &str, job: Job) {
         job.check().expect("the job is valid");
         let queue: Box<str> = queue.into();
         if self.store.health == Mode::Down {
             let later = self.now.0 / 1_000 + 500;
-            return self.at(later, move |y| y.submit(no, &queue, job));
+            return self.at(later, move |y| y.submit_for(customer, no, &queue, job));
         }
         let terms = self.world.queues.queue_by_name(&queue).cloned().map(Box::new);
         let record = JobRecord {
@@ -286,7 +306,7 @@
             submitted_ms: UNIX_START_MS + self.now.0 / 1_000,
             job,
             queue_settings: terms,
-            customer: None,
+            customer,
         };
         self.store.put(SHARD.job_key(JobNo(no)), encode(&record));
         self.world.jobs.insert(JobNo(no), record.clone());
@@ -340,6 +360,11 @@
         let result = self.rules.check(&mut self.world);
         if result.is_err() {
             let active = self.owners.iter().filter(|o| !o.ended);
+            let usage = active.clone().flat_map(|o| o.shard.customer_usage(self.now));
+            usage.for_each(|u| eprintln!("customer according to the owner: {u:?}"));
+            for (name, rev, division) in self.store.divisions() {
+                eprintln!("division in the store: {name} at {rev}: {division:?}");
+            }
             let absent = active.flat_map(|o| o.shard.absences(self.now));
             absent
                 .for_each(|a| eprintln!("absent tasks according to the owner: {} {a:?}", a.cause));
@@ -388,6 +413,9 @@
         if ms.is_multiple_of(20) {
             self.broadcast(self.now, Event::Tick);
         }
+        if ms.is_multiple_of(50) {
+            self.run_other_shard();
+        }
         if ms.is_multiple_of(100) {
             self.check_shown_states();
             self.check_beliefs();
