A customer's urgent work stops its less urgent work under its cap

The room of workers is freed by preemption already, the cap was not.

Change: Shard::preempt_for_cap stops as much less urgent work of the same customer as the step is short of, least progress first, under the conditions of preemption for room (the step can still be in time, has waited 0.3 s).

--- a/src/customers.rs
+++ b/src/customers.rs
@@ -48,8 +48,7 @@
 pub struct Customer {
     /// The customer's name, the same in all versions of the configuration.
     pub name: CustomerId,
-    /// The customer's share when all room is in use, and the number of jobs a second that it may
-    /// send with its usual rank.
+    /// The customer's share when all room is in use, as a number of jobs a second.
     pub weight: f64,
     /// The most that the customer may have running over all workers.
     pub cap: Size,
--- a/src/shard/caps.rs
+++ b/src/shard/caps.rs
@@ -54,7 +54,6 @@
         self.caps.customers.push(CustomerCap {
             name: name.clone(),
             cap: listed.map_or(cap_from(Size::default()), |c| c.cap),
-            weight: listed.map_or(f64::INFINITY, |c| c.weight),
             started: Size::default(),
             adopted: Size::default(),
             inherited: Size::default(),
@@ -89,7 +88,6 @@
         let Some(listed) = &self.queues.customers else { return };
         for known in &mut self.caps.customers {
             let Some(customer) = listed.get(&known.name) else { continue };
-            known.weight = customer.weight;
             if known.cap != customer.cap {
                 log::info!(target: "shard", did = "cap_changed", shard:% = self.setup.shard, customer:% = known.name, cap = &*cap_text(&customer.cap), before = &*cap_text(&known.cap), version = self.queues.version; "Cap of a customer has changed.");
                 known.cap = customer.cap;
@@ -207,6 +205,7 @@
         let customer = &mut self.caps.customers[no.0];
         customer.waiting += lacking;
         customer.waiting_since = Some(customer.waiting_since.map_or(since, |t| t.min(since)));
+        self.preempt_for_cap(turn, no, size.times(count as u64).saturating_sub(&room), round, now);
         let phase = (now - since).as_millis() % WITHHOLD_TIME.1.as_millis();
         if phase < WITHHOLD_TIME.0.as_millis() {
             *round.cap_withheld.entry(no).or_default() += lacking;
--- a/src/shard/customer_cap.rs
+++ b/src/shard/customer_cap.rs
@@ -22,8 +22,6 @@
 pub(super) struct CustomerCap {
     pub name: CustomerId,
     pub cap: Size,
-    /// The customer's weight; infinite if the configuration has none.
-    pub weight: f64,
     /// What runs that this owner has started use.
     pub started: Size,
     /// What runs of former owners use, as far as they are known.
--- a/src/shard/preempt.rs
+++ b/src/shard/preempt.rs
@@ -8,7 +8,8 @@
     crate::{
         decide::fit::Room,
         shard::{
-            round::Turn,
+            customer_cap::CustomerNo,
+            round::{Round, Turn},
             state_machine::Shard,
             workers::{RunPhase, WorkerNo},
         },
@@ -63,6 +64,56 @@
         queue.filter(|_| plain).map(|q| q.priority)
     }
 
+    /// Stops less urgent runs of a customer for a step that can still meet its deadline and for which
+    /// the customer's cap is `short` of room.
+    ///
+    /// Load: a customer whose long, less urgent work fills its cap. Its urgent jobs would wait for the
+    /// ends of that work, however much room the workers have.
+    pub(super) fn preempt_for_cap(
+        &mut self,
+        turn: &Turn,
+        customer: CustomerNo,
+        short: Size,
+        round: &mut Round,
+        now: Time,
+    ) {
+        let waited = self.step_state(turn.key).and_then(|p| p.ready_since);
+        if waited.is_none_or(|t| t + MIN_ROOM_WAIT > now)
+            || self.ranks.get(turn.key).is_none_or(|r| r.class() > 0)
+            || !round.try_deep_search(false)
+        {
+            return;
+        }
+        let mut freed = Size::default();
+        let mut victims = vec![];
+        for (no, worker) in self.workers.iter().enumerate() {
+            for (task, run) in worker.runs.iter().filter(|(_, r)| r.customer == Some(customer)) {
+                match (run.phase, run.preempt_priority) {
+                    (RunPhase::Stopping, _) => freed += run.charge,
+                    (RunPhase::Running, Some(p)) if p > turn.priority => {
+                        victims.push((run.progress_percent.1, *task, WorkerNo(no), run.charge));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        let withheld = round.cap_withheld.get(&customer).copied().unwrap_or_default();
+        freed = freed.saturating_sub(&withheld);
+        victims.sort_unstable_by_key(|v| (v.0, v.1));
+        let all = victims.iter().fold(freed, |sum, v| sum + v.3);
+        if turn.step.gang && !short.fits(&all) {
+            return;
+        }
+        for (_, task, no, charge) in victims {
+            if short.fits(&freed) {
+                return;
+            }
+            freed += charge;
+            self.log_stop(no, &task, "more urgent work under its customer's cap");
+            self.stop_run(no, &task, now);
+        }
+    }
+
     /// Stops runs of less urgent queues so that up to `count` tasks find room; returns the workers.
     ///
     /// Stopped runs resume elsewhere from their checkpoints. Room that runs already being stopped
--- a/standin/src/site/caps.rs
+++ b/standin/src/site/caps.rs
@@ -63,12 +63,17 @@
         self.in_use(world, customer).times(2).fits(cap)
     }
 
-    /// Returns whether a step fits into the cap of its job's customer: one task, or a whole gang.
+    /// Returns whether the customer of a job would stay within its cap if a step of the job started:
+    /// one task, or a whole gang.
     pub fn fits_cap(&self, world: &World, job: JobNo, step: &Step) -> bool {
-        let customer = world.jobs.get(&job).and_then(|j| j.customer.as_ref());
-        let cap = customer.and_then(|c| self.history.get(c)?.last());
+        let Some(customer) = world.jobs.get(&job).and_then(|j| j.customer.as_ref()) else {
+            return true;
+        };
+        let Some((_, cap)) = self.history.get(customer).and_then(|all| all.last()) else {
+            return true;
+        };
         let count = if step.gang { step.count.into() } else { 1 };
-        cap.is_none_or(|(_, cap)| step.size.times(count).fits(cap))
+        (self.in_use(world, customer) + step.size.times(count)).fits(cap)
     }
 
     /// Returns what is wrong with a start that has just happened: it brings its customer over its
--- a/tests/shard_caps.rs
+++ b/tests/shard_caps.rs
@@ -154,12 +154,28 @@
     assert_eq!(peak(&mut y, "ann", 10_000), 8);
 }
 
-/// Lets another owner take over if the lease of the newest one has ended.
+#[test]
+fn urgent_work_stops_less_urgent_work_that_fills_the_cap_of_its_customer() {
+    // Urgent jobs would wait for the ends of long ones beside idle workers.
+    let mut y = site(10, &[("ann", cores(4))]);
+    let long = Step { saves: true, ..tasks(4, 20_000) };
+    y.submit_for(customer("ann"), 1, "plain", job(long));
+    y.run_until(2_000);
+    y.submit_for(customer("ann"), 2, "urgent", job(tasks(4, 300)));
+    y.run_until(4_500);
+    assert!(y.unfinished().iter().all(|j| j.0.0 != 2), "{:?}", y.unfinished());
+}
+
+/// Lets another owner take over if the newest one has ended or its lease has. While the store is down,
+/// tries again later.
 fn take_over_lapsed(y: &mut ShardSim) {
     let now = y.now;
+    if y.store.health == Mode::Down {
+        return y.at(now.0 / 1_000 + 200, take_over_lapsed);
+    }
     let owner = y.owner();
-    let away = owner.ended || owner.paused || owner.store_cut;
-    if away && owner.last_confirmed + Duration::from_secs(3) <= now {
+    let lapsed = owner.last_confirmed + Duration::from_secs(3) <= now;
+    if owner.ended || lapsed && (owner.paused || owner.store_cut) {
         y.take_over();
     }
 }
@@ -193,7 +209,7 @@
         match rng.u32(0..9) {
             0 => y.fault(at, |y| {
                 y.kill_owner();
-                y.take_over();
+                take_over_lapsed(y);
             }),
             1 => {
                 y.fault(at, |y| {
