Caps: a division that suits its shards costs a comparison a round

Read in review: each round cloned the division of each customer, whether or not anything was to change; at 310 customers that is each round's largest part. A customer whose steps don't wait for the cap, for whom no other shard waits, and whose sum fits is now left alone. What runs of a former owner may use is known from the loading on, before the first round.

--- a/src/shard/caps.rs
+++ b/src/shard/caps.rs
@@ -225,7 +225,8 @@
         let (shard, owner_rev) = (self.setup.shard, self.owner_rev);
         let unseen = self.caps.unseen;
         for customer in &mut self.caps.customers {
-            if customer.written.is_some()
+            if customer.is_balanced()
+                || customer.written.is_some()
                 || customer.next_write > now
                 || customer.outdated.is_some()
             {
--- a/src/shard/customer_cap.rs
+++ b/src/shard/customer_cap.rs
@@ -94,6 +94,14 @@
         written.iter().chain(&self.unresolved).fold(stored, |least, a| min(&least, a))
     }
 
+    /// Returns whether the division suits this shard and the others.
+    pub fn is_balanced(&self) -> bool {
+        self.waiting == Size::default()
+            && self.others_since.is_none()
+            && self.unresolved.is_none()
+            && self.division.total().fits(&self.cap)
+    }
+
     /// Decides whether the shard lets others go first: those that have waited longer.
     pub fn update_yields(&mut self) {
         self.yields = self.others_since.is_some_and(|o| self.waiting_since.is_none_or(|w| o < w));
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -209,6 +209,7 @@
             roster.push(no);
         }
         self.rosters = vec![roster.into()];
+        self.update_unseen();
         let progress: FxHashMap<JobNo, Progress> = load.progress.into_iter().collect();
         for (no, p) in &progress {
             if p.state.is_final() {
