Shard: early advice calls are counted for each task

Cause: the four early advice calls of a long-running step were counted for the step. A task whose stop never took effect used them up, and another task of the step, whose worker fell silent later, had no tickets when its lease ended.

Change: the count is kept with each task. It is reset as the task no longer waits.

--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -53,6 +53,8 @@
     pub checkpoint: Box<str>,
     /// End time of the last run seen by this owner.
     pub ended_at: Option<Time>,
+    /// The number of advice calls made in a row while the task could not start.
+    pub early_calls: u32,
 }
 
 impl Task {
@@ -81,8 +83,6 @@
     pub pending_workers: FxHashSet<WorkerNo>,
     /// Earliest time for the next advice call.
     pub next_call: Time,
-    /// The number of advice calls made in a row while tasks of the step could not start.
-    pub early_calls: u32,
     /// The times at which the unanswered advice calls were made; for the log only.
     pub call_times: Vec<Time>,
     /// Arrival time of the last answer to an advice call; for the log only.
--- a/src/shard/prefetch.rs
+++ b/src/shard/prefetch.rs
@@ -26,8 +26,8 @@
 /// The time for which a task must have waited before tickets are requested although it cannot
 /// start yet. Most workers report their runs to a new owner within that time.
 const MIN_DELAY: Duration = Duration::from_millis(500);
-/// The maximum number of advice calls in a row for a step whose tasks cannot start. Their tickets
-/// are valid for more than the 6 s within which a long-running task must run again.
+/// The maximum number of advice calls in a row for a task that cannot start. Their tickets are valid
+/// for more than the 6 s within which a long-running task must run again.
 const MAX_EARLY_CALLS: u32 = 4;
 /// The maximum number of steps whose tickets are examined at a time.
 const MAX_DELAYED_STEPS: usize = 100;
@@ -38,6 +38,7 @@
     /// The indices of these tasks.
     tasks: Vec<u32>,
     cost: AdviceCost,
+    /// The least number of early calls that one of the tasks has had.
     early_calls: u32,
 }
 
@@ -105,13 +106,16 @@
             }
             self.renew_early(step, &mut round, now);
             if self.step_state(&step.key).is_some_and(|p| p.tickets.is_pending()) {
-                self.set_early_calls(&step.key, |n| n + 1);
+                step.tasks.iter().for_each(|i| self.set_early_calls(&step.key, *i, |n| n + 1));
             }
         }
     }
 
-    /// Returns the long-running steps that may make an early call, and resets the count of early
-    /// calls of those that no longer need one.
+    /// Returns the long-running steps that may make an early call, with the tasks that need it, and
+    /// resets the count of early calls of tasks that no longer need one.
+    ///
+    /// Calls are counted for each task: one that cannot start for long must not use up the calls of
+    /// the other tasks of its step.
     fn delayed_steps(&mut self, now: Time) -> Vec<DelayedStep> {
         let (mut delayed, mut resumed) = (vec![], vec![]);
         for (no, job) in self.jobs.iter().filter(|(_, j)| !j.state.is_final()) {
@@ -120,31 +124,29 @@
             let by = ahead::call_ahead_horizon(cost.base + cost.each * ASSUMED_WORKERS, now);
             for ((time, step), part) in &job.step_states {
                 let key = StepKey { job: *no, time: *time, step: *step };
-                let tasks = self.delayed_tasks(&key, job, part, by, now);
-                let tickets = &part.tickets;
-                if tasks.is_empty() {
-                    resumed.extend((tickets.early_calls > 0).then_some(key));
-                } else if !tickets.is_pending()
-                    && tickets.next_call <= now
-                    && tickets.early_calls < MAX_EARLY_CALLS
-                {
-                    let early_calls = tickets.early_calls;
+                let mut tasks = self.delayed_tasks(&key, job, part, by, now);
+                let called = (0..).zip(&part.tasks).filter(|(_, t)| t.early_calls > 0);
+                resumed.extend(called.filter(|t| !tasks.contains(&t.0)).map(|t| (key, t.0)));
+                let early_calls = |i: &u32| part.tasks[*i as usize].early_calls;
+                tasks.retain(|i| early_calls(i) < MAX_EARLY_CALLS);
+                let Some(early_calls) = tasks.iter().map(early_calls).min() else { continue };
+                if !part.tickets.is_pending() && part.tickets.next_call <= now {
                     delayed.push(DelayedStep { key, tasks, cost, early_calls });
                 }
             }
         }
-        for key in resumed {
-            self.set_early_calls(&key, |_| 0);
+        for (key, index) in resumed {
+            self.set_early_calls(&key, index, |_| 0);
         }
         delayed.sort_unstable_by_key(|d| (d.early_calls, d.key));
         delayed.truncate(MAX_DELAYED_STEPS);
         delayed
     }
 
-    fn set_early_calls(&mut self, key: &StepKey, count: impl Fn(u32) -> u32) {
+    fn set_early_calls(&mut self, key: &StepKey, index: u32, count: impl Fn(u32) -> u32) {
         let job = self.jobs.get_mut(&key.job);
-        if let Some(part) = job.and_then(|j| j.step_states.get_mut(&(key.time, key.step))) {
-            part.tickets.early_calls = count(part.tickets.early_calls);
+        if let Some(task) = job.and_then(|j| j.task(&TaskKey { step: *key, index })) {
+            task.early_calls = count(task.early_calls);
         }
     }
 
