Shard: advice is requested for tasks on leaving workers

Cause: a long-running task on a leaving worker moves only to workers that advice has named. Nobody asked about a worker that joined after the step was placed, so the task stayed until its worker ended.

Change: a step that has a task on a leaving worker and no room elsewhere asks about workers with room that no call has named, while at least the usual part of the members is idle (decide::ahead).

--- a/src/shard/worker_loss.rs
+++ b/src/shard/worker_loss.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        decide::ahead,
         ids::WorkerId,
         ports::Fault,
         shard::{
@@ -144,5 +145,35 @@
             self.log_stop(no, &task, "worker leaves");
             self.stop_run(no, &task, now);
         }
+        has_room.retain(|_, has| !*has);
+        self.ask_for_vacating(has_room.into_keys().collect(), now);
+    }
+
+    /// Requests advice on workers with room that no call has named yet, for long-running steps that
+    /// have a task on a leaving worker and no room elsewhere.
+    fn ask_for_vacating(&mut self, mut steps: Vec<StepKey>, now: Time) {
+        if steps.is_empty() || !self.may_act(now) {
+            return;
+        }
+        steps.sort_unstable();
+        let mut round = self.new_round(now);
+        for key in &steps {
+            if !ahead::may_call_ahead(self.lanes.idle_count(), self.lanes.len()) {
+                return;
+            }
+            let Some(turn) = self.turn(key, &round, now) else { continue };
+            let size = turn.step.reserved();
+            let asked = |n: &WorkerNo| {
+                let tickets = self.step_state(key).map(|p| &p.tickets);
+                tickets
+                    .is_some_and(|t| t.asked_workers.contains(n) || t.pending_workers.contains(n))
+            };
+            let has_room = |n: &WorkerNo| {
+                size.fits(&self.workers[n.0].free().saturating_sub(&round.all_withheld(*n)))
+            };
+            if turn.usable.iter().any(|n| !asked(n) && has_room(n)) {
+                self.ask_for_missing(&turn, &mut round, now);
+            }
+        }
     }
 }
