Settings: the window over which a customer's jobs are counted

A customer's weight is a number of jobs per second, and nothing says over which time they are counted. Nothing reads it yet.

--- a/src/ports/site.rs
+++ b/src/ports/site.rs
@@ -78,4 +78,7 @@
     pub stop_grace: Duration,
     /// Minimum duration of a lease that the store grants.
     pub min_ttl: Duration,
+    /// Time over which the jobs of a customer are counted against its weight; zero if they are not
+    /// counted.
+    pub share_window: Duration,
 }
--- a/standin/src/site/setup.rs
+++ b/standin/src/site/setup.rs
@@ -39,6 +39,7 @@
         drain_time: ms(2_000),
         stop_grace: ms(10_000),
         min_ttl: ms(3_000),
+        share_window: ms(5_000),
     }
 }
 
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -94,6 +94,7 @@
             drain_time: ms(2000),
             stop_grace: ms(6000),
             min_ttl: ms(1000),
+            share_window: ms(5000),
         },
     })
 }
