Decisions on shares of customers and quotas of jobs

Customers compete for a pool in one order, so that one which sends too much makes the jobs of all others late. decide::share divides a pool by weighted max-min fairness over dominant shares; decide::arrivals counts which jobs exceed a customer's weight over a window, over all shards.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod admit;
 pub mod ahead;
 pub mod allotment;
+pub mod arrivals;
 pub mod call_queue;
 pub mod cancel;
 pub mod choose;
@@ -28,6 +29,7 @@
 pub mod relay;
 pub mod resend;
 pub mod retry;
+pub mod share;
 pub mod standby;
 pub mod suspect;
 mod trust;
