Shard: customers share pools by weight, and jobs over quota go last

Cause: the weight of a customer was read and not used, and a shard knew only its own runs. A customer that sent several times its share made the jobs of all others late.

Change: every 250 ms an owner sums what customers have running and waiting, adds what owners of other shards report (member call usage, every 500 ms, used for 1.5 s), and divides each pool. Rank gains above_share after the priority, and a class for jobs over quota between the late ones and those without value. Without customers nothing is sent and the order is as before. The class shown for a step without value is now 3.

--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -13,12 +13,26 @@
 //! reason.
 //!
 //! A job still has value until three times its objective has passed; the second class ends there.
+//!
+//! Load: customers that compete for a pool. Jobs beyond a customer's quota go behind all others that
+//! still have value. Within a class and priority, the work of customers above their share goes behind
+//! that of the others; [`crate::decide::share`] and [`crate::decide::arrivals`] decide both.
 
-use {crate::work::Queue, std::time::Duration};
+use {
+    crate::{decide::share::Standing, work::Queue},
+    std::time::Duration,
+};
 
 /// Multiple of a job's objective, counted from its arrival, after which the job has no value.
 const VALUE_FACTOR: u64 = 3;
 
+/// Number of classes.
+pub const CLASS_COUNT: usize = 4;
+/// Class of the jobs beyond their customer's quota that still have value.
+const OVER_QUOTA_CLASS: u8 = 2;
+/// Class of the jobs that are too late to have value.
+const NO_VALUE_CLASS: u8 = 3;
+
 /// Divisor of a pool's room that gives the maximum number of tasks of a step in one round. A wider
 /// step runs in several rounds, and its objective allows for them.
 const ROUND_DIVISOR: u64 = 4;
@@ -26,22 +40,28 @@
 /// Rank of a step in the order of starts; the lowest starts first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank {
-    /// Class of the step: 0 if it can be in time, 1 if it is late, 2 if it is too late to have
-    /// value.
+    /// Class of the step, as [`Self::class`] returns it.
     class: u8,
     /// The queue's priority.
     priority: u8,
+    /// Whether the customer holds more than its share of the pool.
+    above_share: bool,
     /// Due time, in milliseconds since the Unix epoch.
     due_ms: u64,
 }
 
 impl Rank {
-    /// Returns 0 for a step that can be in time, 1 for a late one, 2 for one too late to have
-    /// value.
+    /// Returns 0 for a step that can be in time, 1 for a late one, 2 for one of a job beyond its
+    /// customer's quota, 3 for one too late to have value.
     pub fn class(&self) -> usize {
         usize::from(self.class)
     }
 
+    /// Returns whether the step is too late to have value.
+    pub fn is_without_value(&self) -> bool {
+        self.class == NO_VALUE_CLASS
+    }
+
     /// Returns the due time, in milliseconds since the Unix epoch.
     pub fn due_ms(&self) -> u64 {
         self.due_ms
@@ -73,8 +93,9 @@
     critical_path.mul_f64(queue.stretch.max(0.0)) + queue.slack
 }
 
-/// Returns the rank of a step at `now`, in milliseconds since the Unix epoch.
-pub fn rank(queue: &Queue, timing: JobTiming, now: u64) -> Rank {
+/// Returns the rank of a step at `now`, in milliseconds since the Unix epoch. Without customers,
+/// `standing` is the default.
+pub fn rank(queue: &Queue, timing: JobTiming, standing: Standing, now: u64) -> Rank {
     let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
     let objective = ms(job_objective(queue, timing.critical_path));
     let due = timing.arrived_ms.saturating_add(objective);
@@ -84,7 +105,9 @@
     } else if end <= timing.arrived_ms.saturating_add(objective.saturating_mul(VALUE_FACTOR)) {
         1
     } else {
-        2
+        NO_VALUE_CLASS
     };
-    Rank { class, priority: queue.priority, due_ms: due }
+    let class = if standing.over_quota { class.max(OVER_QUOTA_CLASS) } else { class };
+    let above_share = standing.above_share;
+    Rank { class, priority: queue.priority, above_share, due_ms: due }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -110,6 +110,7 @@
 pub mod trace;
 pub mod units;
 pub mod upkeep;
+pub mod usage_exchange;
 pub mod work;
 
 pub use crate::{
--- a/src/member_rpc.rs
+++ b/src/member_rpc.rs
@@ -2,7 +2,7 @@
 //!
 //! A member asks the owner of a shard for the states of jobs, for the number of jobs that wait in a
 //! queue, and for the tasks on its workers; it tells the owner of a job that was stored or
-//! cancelled; and it asks other members to call the store or the advice service for it. Without
+//! cancelled; owners tell each other what customers have in their shards; and a member asks other members to call the store or the advice service for it. Without
 //! these calls members would read the store for each caller's question, a job would wait until a
 //! watch brings it to its shard's owner, and a member that is cut off from the store could not
 //! serve its callers.
@@ -17,7 +17,7 @@
         rpc_clients::RpcClients,
         service_clients::ServiceClients,
         shard::{
-            Occupancy, PoolWait,
+            Occupancy, PoolWait, UsageReport,
             event::Event,
             record::{JobRecord, ShardNo},
             report::JobReport,
@@ -43,6 +43,7 @@
 
 use messages::{
     AdviseReply, AdviseRequest, HeldRequest, JobNotice, QueueLengthRequest, StatesRequest,
+    UsageNotice,
 };
 
 /// Upper bound of the time limits that other members ask for.
@@ -140,6 +141,17 @@
             Ok::<_, ErrorObjectOwned>(())
         }
     })?;
+    let usage_input = input.clone();
+    module.register_async_method("usage", move |params, _, _| {
+        let input = usage_input.clone();
+        async move {
+            let notice: UsageNotice<Box<[UsageReport]>> = params.one()?;
+            let event = Event::Usage(notice.reports.into());
+            // A report that a full queue drops is obsolete with the next one.
+            let _ = input.try_send(ShardInput::Broadcast(event));
+            Ok::<_, ErrorObjectOwned>(())
+        }
+    })?;
     let held_input = input.clone();
     module.register_async_method("held", move |params, _, _| {
         let input = held_input.clone();
@@ -368,6 +380,17 @@
         let _: Option<()> = self.call(addr, "heard", &request, limit).await;
     }
 
+    /// Sends the owner of other shards what customers have in shards of this member.
+    pub async fn report_usage(
+        &self,
+        addr: SocketAddr,
+        reports: Vec<Arc<UsageReport>>,
+        limit: Duration,
+    ) {
+        let reports: Vec<&UsageReport> = reports.iter().map(|r| &**r).collect();
+        let _: Option<()> = self.call(addr, "usage", &UsageNotice { reports }, limit).await;
+    }
+
     /// Asks a member for the tasks on workers of its shards and for how long tasks wait; `None` if
     /// the member doesn't answer or may no longer own the shards.
     pub async fn held_tasks(
--- a/src/member_rpc/messages.rs
+++ b/src/member_rpc/messages.rs
@@ -50,6 +50,12 @@
     pub(super) record: Option<JobRecord>,
 }
 
+/// Notice of what customers have in the shards of a member; `R` is a sequence of reports.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct UsageNotice<R> {
+    pub(super) reports: R,
+}
+
 /// A request for the number of jobs of a queue that have not begun.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct QueueLengthRequest {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -48,6 +48,8 @@
     unanswered_orders: IntCounterVec,
     ends_noted: IntCounter,
     division_writes: IntCounter,
+    over_quota_jobs: IntCounter,
+    customers: IntGaugeVec,
     call_seconds: HistogramVec,
     received_bytes: IntCounterVec,
 }
@@ -127,6 +129,16 @@
                 "Writes of the divisions of customers' caps.",
             )
             .expect("the names are well-formed"),
+            over_quota_jobs: IntCounter::new(
+                "dwr_over_quota_jobs_total",
+                "Jobs beyond their customer's quota.",
+            )
+            .expect("the names are well-formed"),
+            customers: IntGaugeVec::new(
+                Opts::new("dwr_customers", "Customers of the shards here by standing."),
+                &["standing"],
+            )
+            .expect("the names are well-formed"),
             received_bytes: IntCounterVec::new(
                 Opts::new("dwr_received_bytes_total", "Bytes of the outside's answers."),
                 &["call", "answer"],
@@ -143,7 +155,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retry_counts.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 21] = [
+        let all: [Box<dyn Collector>; 23] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retry_counts.clone()),
             Box::new(m.kv_calls.clone()),
@@ -163,6 +175,8 @@
             Box::new(m.unanswered_orders.clone()),
             Box::new(m.ends_noted.clone()),
             Box::new(m.division_writes.clone()),
+            Box::new(m.over_quota_jobs.clone()),
+            Box::new(m.customers.clone()),
             Box::new(m.call_seconds.clone()),
             Box::new(m.received_bytes.clone()),
         ];
@@ -256,6 +270,7 @@
         }
         self.ends_noted.inc_by(tally.acknowledged_ends);
         self.division_writes.inc_by(tally.division_writes);
+        self.over_quota_jobs.inc_by(tally.over_quota_jobs);
         let times = |to: &str, all: &[Duration]| {
             let histogram = self.job_seconds.with_label_values(&[to]);
             all.iter().for_each(|t| histogram.observe(t.as_secs_f64()));
@@ -282,6 +297,14 @@
         }
     }
 
+    /// Sets how many customers wait and how many are above their share, summed over the shards.
+    pub fn set_customers(&self, waiting: usize, above_share: usize) {
+        for (standing, n) in [("waiting", waiting), ("above_share", above_share)] {
+            let n = i64::try_from(n).unwrap_or(i64::MAX);
+            self.customers.with_label_values(&[standing]).set(n);
+        }
+    }
+
     /// Sets the age of this member's information about `what`.
     pub fn set_age(&self, what: &str, age: Duration) {
         let ms = i64::try_from(age.as_millis()).unwrap_or(i64::MAX);
--- a/src/owned_shards.rs
+++ b/src/owned_shards.rs
@@ -10,11 +10,13 @@
         prefix_watch::{Backoff, PrefixWatch, WatchUpdate},
         service_clients::{CALL_TIMEOUT, ServiceClients, fault_label},
         shard::{
+            UsageReport,
             event::{DivisionReply, Event, Order, Snapshot},
             record::{self, CommitRow, DIVISIONS_PREFIX, ShardNo, division_key},
         },
         shard_runner::{ShardInput, ShardOutput},
         shared_state::{Config, SharedState},
+        usage_exchange::{UsageExchange, recipients},
         wave_driver::{WAVE_SHARD, WaveDriver},
         work::{JobNo, ListedWorker},
         worker_list::{Unreadable, WorkerList},
@@ -25,7 +27,11 @@
         sync::{Arc, Mutex},
         time::Duration,
     },
-    tokio::{sync::Notify, task::AbortHandle, time::timeout},
+    tokio::{
+        sync::Notify,
+        task::{AbortHandle, JoinSet},
+        time::timeout,
+    },
 };
 
 /// Maximum time for which the store holds a watch of an inbox open without a change.
@@ -34,6 +40,8 @@
 const DIVISIONS_WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time-out of reading a page of the list of machines.
 const MACHINES_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time-out of a report of customers' usage to another owner; the next one makes it obsolete.
+const USAGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// The interval at which the list of workers is read.
 const LIST_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -50,6 +58,8 @@
     owned: Arc<Mutex<BTreeMap<ShardNo, OwnedShard>>>,
     /// Notified when a shard has been loaded.
     loaded: Arc<Notify>,
+    /// The reports of customers' usage that wait to be sent to other owners.
+    usage: Arc<Mutex<UsageExchange>>,
 }
 
 struct OwnedShard {
@@ -66,8 +76,8 @@
         shard_inputs: Sender<ShardInput>,
         notices: Sender<ShardOutput>,
     ) -> Self {
-        let (owned, loaded) = Default::default();
-        OwnedShards { common, services, peers, shard_inputs, notices, owned, loaded }
+        let (owned, loaded, usage) = Default::default();
+        OwnedShards { common, services, peers, shard_inputs, notices, owned, loaded, usage }
     }
 
     /// Starts to own a shard. `commit_revision` is the revision at which the takeover wrote the
@@ -324,10 +334,34 @@
                 }
                 read => Some(Event::CommitRead(read)),
             },
+            Order::ReportUsage(report) => {
+                self.report_usage(report).await;
+                None
+            }
             Order::Deposed => None,
         }
     }
 
+    /// Passes a report of customers' usage to the other shards of this member, and sends the reports
+    /// of its shards to the owners of other shards if that is due.
+    ///
+    /// A lost report affects only the order of starts, so no report is sent again.
+    async fn report_usage(&self, report: Arc<UsageReport>) {
+        if self.owned.lock().expect("no holder panics").len() > 1 {
+            let event = Event::Usage([UsageReport::clone(&report)].into());
+            let _ = self.shard_inputs.try_send(ShardInput::Broadcast(event));
+        }
+        let due = self.usage.lock().expect("no holder panics").add(report);
+        let Some(reports) = due else { return };
+        let recipients = recipients(&self.common.view.borrow(), self.common.me);
+        let mut calls = JoinSet::new();
+        for addr in recipients {
+            let (peers, reports) = (self.peers.clone(), reports.clone());
+            calls.spawn(async move { peers.report_usage(addr, reports, USAGE_TIMEOUT).await });
+        }
+        calls.join_all().await;
+    }
+
     async fn advise(
         &self,
         via: Incarnation,
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -35,10 +35,13 @@
 mod restart;
 mod round;
 mod run_end;
+mod share_state;
+mod shares;
 mod speculation;
 mod start;
 mod state_machine;
 mod stats;
+mod usage;
 mod worker_loss;
 mod workers;
 mod writes;
@@ -49,6 +52,8 @@
     cause::{AbsentStep, Cause, Exclusion, Exclusions, Sight},
     closing::{Occupancy, PoolWait},
     customer_cap::CustomerUsage,
+    shares::REPORT_INTERVAL,
     state_machine::{Setup, Shard},
     stats::{Gauges, Stats},
+    usage::{Amounts, CustomerReport, UsageReport},
 };
--- a/src/shard/caps.rs
+++ b/src/shard/caps.rs
@@ -8,7 +8,7 @@
 use {
     crate::{
         customers::{cap_from, cap_text},
-        decide::allotment::Division,
+        decide::{allotment::Division, share::DEFAULT_WEIGHT},
         ids::CustomerId,
         ports::{Fault, Put, Rev, Txn},
         shard::{
@@ -54,6 +54,7 @@
         self.caps.customers.push(CustomerCap {
             name: name.clone(),
             cap: listed.map_or(cap_from(Size::default()), |c| c.cap),
+            weight: listed.map(|c| c.weight),
             started: Size::default(),
             adopted: Size::default(),
             inherited: Size::default(),
@@ -82,8 +83,8 @@
         }
     }
 
-    /// Takes the caps of a new configuration. A customer that it lacks keeps its cap, as its jobs
-    /// go on.
+    /// Takes the caps and weights of a new configuration. A customer that it lacks keeps both, as its
+    /// jobs go on.
     pub(super) fn configure_caps(&mut self, now: Time) {
         let Some(listed) = &self.queues.customers else { return };
         for known in &mut self.caps.customers {
@@ -92,6 +93,7 @@
                 log::info!(target: "shard", did = "cap_changed", shard:% = self.setup.shard, customer:% = known.name, cap = &*cap_text(&customer.cap), before = &*cap_text(&known.cap), version = self.queues.version; "Cap of a customer has changed.");
                 known.cap = customer.cap;
             }
+            known.weight = Some(customer.weight);
             // An owner that still has the configuration before may have raised its allotment.
             known.outdated = Some(now);
         }
@@ -100,13 +102,15 @@
 
     /// Adds a run to a worker, and to what its customer uses.
     pub(super) fn add_run(&mut self, no: WorkerNo, task: TaskKey, run: Run) {
+        self.record_run_share(no, &run, true);
         if let Some(used) = self.customer_usage_of(&run) {
             *used += run.charge;
         }
-        if let Some(old) = self.workers[no.0].add_run(task, run)
-            && let Some(used) = self.customer_usage_of(&old)
-        {
-            *used = used.saturating_sub(&old.charge);
+        if let Some(old) = self.workers[no.0].add_run(task, run) {
+            self.record_run_share(no, &old, false);
+            if let Some(used) = self.customer_usage_of(&old) {
+                *used = used.saturating_sub(&old.charge);
+            }
         }
     }
 
@@ -114,6 +118,7 @@
     /// number.
     pub(super) fn remove_run(&mut self, no: WorkerNo, task: &TaskKey, run: u32) -> Option<Run> {
         let old = self.workers[no.0].remove_run(task, run)?;
+        self.record_run_share(no, &old, false);
         if let Some(used) = self.customer_usage_of(&old) {
             *used = used.saturating_sub(&old.charge);
         }
@@ -333,16 +338,23 @@
     /// Returns how the customers stand in this shard, in the order of their names.
     pub fn customer_usage(&self, now: Time) -> Vec<CustomerUsage> {
         let shard = self.setup.shard.0;
-        let usage = |c: &CustomerCap| CustomerUsage {
-            name: c.name.clone(),
-            cap: c.cap,
-            allotted: c.division.allotment(shard).allotted,
-            in_use: c.need(&self.caps.unseen).in_use,
-            waiting: c.waiting,
-            wait_time: c.waiting_since.map(|t| now - t),
+        let usage = |(no, c): (usize, &CustomerCap)| {
+            let (share, entitled_share, waiting_jobs) = self.shares.usage(CustomerNo(no));
+            CustomerUsage {
+                name: c.name.clone(),
+                cap: c.cap,
+                allotted: c.division.allotment(shard).allotted,
+                in_use: c.need(&self.caps.unseen).in_use,
+                waiting: c.waiting,
+                wait_time: c.waiting_since.map(|t| now - t),
+                weight: c.weight.unwrap_or(DEFAULT_WEIGHT),
+                share,
+                entitled_share,
+                waiting_jobs,
+            }
         };
-        let all: BTreeMap<_, _> =
-            self.caps.customers.iter().map(|c| (c.name.clone(), usage(c))).collect();
+        let all = self.caps.customers.iter().enumerate();
+        let all: BTreeMap<_, _> = all.map(|c| (c.1.name.clone(), usage(c))).collect();
         all.into_values().collect()
     }
 }
--- a/src/shard/customer_cap.rs
+++ b/src/shard/customer_cap.rs
@@ -1,4 +1,4 @@
-//! What a shard knows of its customers' caps: their divisions, and what its runs use.
+//! What a shard knows of its customers' caps and weights: their divisions, and what its runs use.
 
 use {
     crate::{
@@ -17,11 +17,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct CustomerNo(pub usize);
 
-/// What a shard knows of a customer's cap.
+/// What a shard knows of a customer's cap and weight.
 #[derive(Clone, Debug)]
 pub(super) struct CustomerCap {
     pub name: CustomerId,
     pub cap: Size,
+    /// The weight in the configuration; `None` if no configuration of this owner had the customer.
+    pub weight: Option<f64>,
     /// What runs that this owner has started use.
     pub started: Size,
     /// What runs of former owners use, as far as they are known.
@@ -77,6 +79,14 @@
     pub waiting: Size,
     /// How long the first of them has been ready.
     pub wait_time: Option<Duration>,
+    /// The customer's weight.
+    pub weight: f64,
+    /// The share that the customer holds over all shards, as a fraction of the total capacity.
+    pub share: f64,
+    /// The share to which it is entitled, as a fraction of the total capacity.
+    pub entitled_share: f64,
+    /// The number of its jobs that wait in the shard.
+    pub waiting_jobs: usize,
 }
 
 impl CustomerCap {
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -5,7 +5,10 @@
         decide::{allotment::Division, lanes::Peers},
         ids::{CustomerId, Incarnation, WorkerId},
         ports::{Advice, AdviceCall, Fault, Rev, StoreReply, Txn, WorkerCall, WorkerReply},
-        shard::record::{Closing, CommitRow, JobRecord, Progress, Roster},
+        shard::{
+            record::{Closing, CommitRow, JobRecord, Progress, Roster},
+            usage::UsageReport,
+        },
         time::Time,
         work::{JobNo, ListedWorker, QueueConfig},
     },
@@ -96,6 +99,8 @@
         /// The divisions with their revisions.
         reply: Result<Vec<(CustomerId, Rev, Division)>, Fault>,
     },
+    /// Reports of owners about what customers have in their shards.
+    Usage(Arc<[UsageReport]>),
     /// The store has confirmed the renewal of this member's lease that was sent at the given time.
     Confirmed(Time),
     /// The members that can make advice calls for this shard, including this member.
@@ -150,6 +155,8 @@
     },
     /// Read the divisions of all customers.
     ReadDivisions,
+    /// Send the report of what customers have in this shard to the owners of all other shards.
+    ReportUsage(Arc<UsageReport>),
     /// Drop the shard, because another member owns it.
     Deposed,
 }
--- a/src/shard/explain.rs
+++ b/src/shard/explain.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        decide::rank::CLASS_COUNT,
         shard::{jobs::Placement, state_machine::Shard},
         time::Time,
         work::{JobNo, StepKey, TaskKey},
@@ -12,10 +13,10 @@
 impl Shard {
     /// Summarizes in one line what the waiting steps wait for and how full the pools are.
     pub(super) fn summary(&self, now: Time) -> Box<str> {
-        let (mut steps, mut tasks, mut unadvised, mut stale) = ([0; 3], 0, 0, 0);
+        let (mut steps, mut tasks, mut unadvised, mut stale) = ([0; CLASS_COUNT], 0, 0, 0);
         let mut without: BTreeMap<&str, u32> = BTreeMap::new();
         for (rank, key) in &self.ready {
-            steps[rank.class().min(2)] += 1;
+            steps[rank.class()] += 1;
             let part =
                 self.jobs.get(&key.job).and_then(|j| j.step_states.get(&(key.time, key.step)));
             let Some(part) = part else { continue };
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        decide::crash::remaining_pause,
+        decide::{arrivals::Arrival, crash::remaining_pause},
         shard::{
             customer_cap::CustomerNo,
             record::{CrashRow, JobRecord, Progress, TaskRow},
@@ -141,6 +141,10 @@
     pub queue: Box<str>,
     /// The customer to whom the job belongs, if any.
     pub customer: Option<CustomerNo>,
+    /// The job's place among the arrivals of its customer.
+    pub arrival: Option<Arrival>,
+    /// Whether the job was submitted beyond the customer's quota, as far as that is known.
+    pub over_quota: bool,
     /// The time at which the job was submitted, in milliseconds of the Unix clock.
     pub submitted_ms: u64,
     /// The specification of the job.
@@ -183,6 +187,8 @@
         let mut active = ActiveJob {
             queue: record.queue,
             customer: None,
+            arrival: None,
+            over_quota: false,
             submitted_ms: record.submitted_ms,
             chain_lengths: longest_chains(&record.job.steps),
             waves: [].into(),
--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -40,9 +40,12 @@
     /// Returns the number of waiting tasks by priority, the age of the worker list, and the longest
     /// absence by cause.
     pub fn gauges(&self, now: Time) -> Gauges {
+        let (waiting_customers, customers_above_share) = self.share_counts();
         let mut levels = Gauges {
             worker_list_age: now - self.reported.listed_at,
             longest_absence: self.reported.away.clone(),
+            waiting_customers,
+            customers_above_share,
             ..Gauges::default()
         };
         for key in self.ranks.keys() {
@@ -81,6 +84,7 @@
         log::info!(target: "shard", "Shard {shard}: {summary}; long-running steps away {count}.");
         away.iter().take(MAX_LOGGED_ABSENCES).for_each(|a| self.log_away(a));
         self.log_customers(now);
+        self.log_shares(now);
         let lasts =
             |k: &StepKey| self.jobs.get(&k.job).and_then(|j| j.step(k)).is_some_and(|s| s.lasts);
         let since = |k: &StepKey| {
--- a/src/shard/ready_queue.rs
+++ b/src/shard/ready_queue.rs
@@ -44,6 +44,7 @@
     /// Updates which steps of a job are ready, and their ranks.
     pub(super) fn update_ready(&mut self, no: JobNo, now: Time) {
         self.compute_waves(no);
+        self.update_quota(no, now);
         let Some(job) = self.jobs.get(&no) else { return };
         let Some(queue) = self.queue_configs.get(&job.queue) else { return };
         let unix = self.unix_ms(now);
@@ -66,7 +67,8 @@
                     .unwrap_or_default(),
                 long_running: s.lasts,
             };
-            ranks.push((key, open.then(|| rank(queue, facts, unix))));
+            let standing = || self.standing(job, &key, &queue.pool);
+            ranks.push((key, open.then(|| rank(queue, facts, standing(), unix))));
         }
         for (key, rank) in ranks {
             match rank {
@@ -154,7 +156,7 @@
                 continue;
             }
             let quiet = round.underused.contains(&queue.pool);
-            if !quiet && rank.class() < 2 {
+            if !quiet && !rank.is_without_value() {
                 continue;
             }
             let min_wait = if quiet { MIN_STARVING_WAIT.0 } else { MIN_STARVING_WAIT.1 };
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -17,6 +17,7 @@
             jobs::{ActiveJob, StepState},
             record::{Closing, Progress, ShardNo},
             reservation::GangReservation,
+            share_state::ShareState,
             stats::{AdviceStats, ReportedValues, Stats},
             workers::{Worker, WorkerNo, millis},
         },
@@ -109,6 +110,7 @@
     pub(super) advice_turns: AdviceTurns,
     pub(super) commit: GroupCommit,
     pub(super) caps: Caps,
+    pub(super) shares: ShareState,
     /// The revision of the owner's row, as the takeover wrote it.
     pub(super) owner_rev: u64,
     /// The sequence number of the last change to a job.
@@ -175,6 +177,7 @@
             advice_turns: AdviceTurns::new(),
             commit,
             caps: Caps::default(),
+            shares: ShareState::default(),
             // A takeover writes both rows at once.
             owner_rev: load.commit_revision,
             last_change: 0,
@@ -270,6 +273,7 @@
                 self.on_division(&customer, rev, division, now)
             }
             Event::Divisions { sent, reply } => self.on_divisions(sent, reply, now),
+            Event::Usage(reports) => self.on_usage(&reports, now),
             Event::Machines { sent, reply } => self.on_machines(sent, reply, now),
             Event::Confirmed(sent) => self.on_renewal_confirmed(sent, now),
             Event::Peers(mut peers) => {
@@ -291,6 +295,7 @@
         if self.deposed {
             return mem::take(&mut self.orders);
         }
+        self.rerank_crossed(now);
         self.dispatch(now);
         self.balance_caps(now);
         self.flush(now);
@@ -325,6 +330,7 @@
         }
         if self.next_rerank <= now {
             self.next_rerank = now + RERANK_INTERVAL;
+            self.update_shares(now);
             self.rerank_ready(now);
             self.start_copies(now);
             self.round_due = true;
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -20,6 +20,8 @@
     pub acknowledged_ends: u64,
     /// The number of writes of divisions of customers' caps.
     pub division_writes: u64,
+    /// The number of jobs that were found to be beyond their customer's quota.
+    pub over_quota_jobs: u64,
 }
 
 /// The advice calls of one queue.
@@ -67,4 +69,8 @@
     pub worker_list_age: Duration,
     /// The longest time for which a long-running task has been away, by cause.
     pub longest_absence: BTreeMap<Cause, Duration>,
+    /// The number of customers whose jobs wait.
+    pub waiting_customers: usize,
+    /// The number of customers above their share of a pool for which work waits.
+    pub customers_above_share: usize,
 }
--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -282,6 +282,7 @@
         let mut waiting: BTreeMap<u8, usize> = BTreeMap::new();
         let mut away: BTreeMap<Cause, Duration> = BTreeMap::new();
         let mut oldest = Duration::ZERO;
+        let (mut waiting_customers, mut above_share) = (0, 0);
         for owned in self.shards.values_mut() {
             metrics.add_tally(&owned.shard.take_stats());
             let levels = owned.shard.gauges(now);
@@ -291,9 +292,12 @@
                 *longest = time.max(*longest);
             }
             oldest = oldest.max(levels.worker_list_age);
+            waiting_customers += levels.waiting_customers;
+            above_share += levels.customers_above_share;
         }
         metrics.set_waiting(&waiting);
         metrics.set_away(&away);
+        metrics.set_customers(waiting_customers, above_share);
         metrics.set_age("workers", oldest);
     }
 
@@ -389,6 +393,6 @@
         Order::Divide { customer, .. } => Some(Event::Divided(customer, Err(Fault::Unsent))),
         Order::ReadDivisions => Some(Event::Divisions { sent: now, reply: Err(Fault::Unsent) }),
         Order::ReadMachines => Some(Event::Machines { sent: now, reply: Err(Fault::Unsent) }),
-        Order::Deposed => None,
+        Order::ReportUsage(_) | Order::Deposed => None,
     }
 }
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -360,7 +360,7 @@
             Order::ReadMachines => {
                 self.deliver(Event::Machines { sent, reply: Err(Fault::Unsent) })
             }
-            Order::Deposed => {}
+            Order::ReportUsage(_) | Order::Deposed => {}
         }
     }
 
--- a/tests/reports/mod.rs
+++ b/tests/reports/mod.rs
@@ -252,6 +252,7 @@
             | Order::ReadMachines
             | Order::Divide { .. }
             | Order::ReadDivisions
+            | Order::ReportUsage(_)
             | Order::Deposed => {}
         }
     }
--- a/tests/yard/mail.rs
+++ b/tests/yard/mail.rs
@@ -58,6 +58,10 @@
     }
 
     pub(super) fn execute(&mut self, owner: usize, order: Order) {
+        if let Order::ReportUsage(report) = order {
+            // Draws no random numbers, so that saved seeds replay as before.
+            return self.usage_reports.push((owner, report));
+        }
         let (now, there) = (self.now, self.now + self.network_delay());
         self.order_count += 1;
         match order {
@@ -91,6 +95,7 @@
             Order::ReadDivisions => {
                 self.schedule(there, Delivery::ReadDivisions(owner, now));
             }
+            Order::ReportUsage(_) => {}
             Order::Deposed => self.owners[owner].ended = true,
         }
     }
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -25,7 +25,7 @@
             AdviceCall, Fault, Item, Put, Rev, StoreReply, Txn, WorkerCall, WorkerReply as Reply,
         },
         shard::{
-            Setup, Shard,
+            Setup, Shard, UsageReport,
             event::{Event, Order, Snapshot},
             record::{
                 Closing, CommitRow, JobRecord, OwnerRow, Progress, Roster, ShardNo, UpkeepTurn,
@@ -151,6 +151,8 @@
     pub config_delay: Duration,
     /// Number of orders that the owners have issued.
     pub order_count: u64,
+    /// The reports for the owners of other shards, each with the index of its owner.
+    pub usage_reports: Vec<(usize, Arc<UsageReport>)>,
     /// The latest configuration sent to the owners. `world.queues` keeps every queue that ever
     /// existed.
     pub sent_queues: Arc<QueueConfig>,
@@ -232,6 +234,7 @@
             initial_delay: Duration::ZERO,
             config_delay: Duration::ZERO,
             order_count: 0,
+            usage_reports: Vec::new(),
             sent_queues,
             received_queues,
             closing: Arc::default(),
