Shard: with customers, runs are stopped only if that costs less than it gains

Cause: a step that could be in time stopped less urgent runs after a fixed wait of 300 ms, whether or not room would become free in time.

Change: the step's expected wait without stops is compared with its slack, and the cost of the stops (stop, restore, work since the last checkpoint) with the time gained. A stop that may still turn out to be unnecessary is postponed. Victims are the runs that lose least, none is made late by it, and a task is stopped a bounded number of times. The same holds for stops under a cap and for gangs. Without customers the former rule is unchanged. Stops are counted by cause and cost.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,6 +17,7 @@
 pub mod forward;
 pub mod gang;
 pub mod gather;
+pub mod headroom;
 pub mod health;
 pub mod lanes;
 pub mod order;
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -11,8 +11,8 @@
     http_body_util::Full,
     hyper::Response,
     prometheus::{
-        GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-        IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
+        Counter, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+        IntGauge, IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -48,6 +48,8 @@
     unanswered_orders: IntCounterVec,
     ends_noted: IntCounter,
     division_writes: IntCounter,
+    preemptions: IntCounterVec,
+    preemption_cost: Counter,
     call_seconds: HistogramVec,
     received_bytes: IntCounterVec,
 }
@@ -127,6 +129,16 @@
                 "Writes of the divisions of customers' caps.",
             )
             .expect("the names are well-formed"),
+            preemptions: counter(
+                "dwr_preemptions_total",
+                "Runs stopped for more urgent work.",
+                "cause",
+            ),
+            preemption_cost: Counter::new(
+                "dwr_preemption_cost_core_seconds_total",
+                "Expected cost of these stops.",
+            )
+            .expect("the names are well-formed"),
             received_bytes: IntCounterVec::new(
                 Opts::new("dwr_received_bytes_total", "Bytes of the outside's answers."),
                 &["call", "answer"],
@@ -143,7 +155,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retry_counts.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 21] = [
+        let all: [Box<dyn Collector>; 23] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retry_counts.clone()),
             Box::new(m.kv_calls.clone()),
@@ -163,6 +175,8 @@
             Box::new(m.unanswered_orders.clone()),
             Box::new(m.ends_noted.clone()),
             Box::new(m.division_writes.clone()),
+            Box::new(m.preemptions.clone()),
+            Box::new(m.preemption_cost.clone()),
             Box::new(m.call_seconds.clone()),
             Box::new(m.received_bytes.clone()),
         ];
@@ -256,6 +270,10 @@
         }
         self.ends_noted.inc_by(tally.acknowledged_ends);
         self.division_writes.inc_by(tally.division_writes);
+        for (cause, n) in &tally.preemptions {
+            self.preemptions.with_label_values(&[cause]).inc_by(*n);
+        }
+        self.preemption_cost.inc_by(tally.preemption_cost);
         let times = |to: &str, all: &[Duration]| {
             let histogram = self.job_seconds.with_label_values(&[to]);
             all.iter().for_each(|t| histogram.observe(t.as_secs_f64()));
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -26,6 +26,7 @@
 mod logging;
 mod orders;
 mod preempt;
+mod preempt_cost;
 mod prefetch;
 mod ready_queue;
 pub mod record;
--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -148,7 +148,9 @@
     fn room_offers(&self, turn: &Turn, round: &Round, now: Time) -> Vec<Offer<WorkerNo>> {
         let Turn { key, ref step, .. } = *turn;
         let size = step.reserved();
-        let stops = self.may_preempt_for(key, now).then_some(turn.priority);
+        // If stops are weighed, the workers are chosen by the ends of runs alone.
+        let stops = !self.weighs_stop_cost() && self.may_preempt_for(key, now);
+        let stops = stops.then_some(turn.priority);
         let asker = self.requester(turn, round, false, now);
         let mut offers = vec![];
         for no in self.permitted_workers(turn) {
@@ -280,7 +282,9 @@
         let last = |all: &Option<Vec<Time>>| all.as_ref().and_then(|a| a.iter().max().copied());
         let without_stops = fit_times(None);
         let mut at = last(&without_stops);
-        if at.is_none_or(|t| t > now + MIN_ROOM_WAIT) && self.may_preempt_for(key, now) {
+        if self.weighs_stop_cost() {
+            at = self.preempt_for_gang(turn, &reserve, at, round, now).or(at);
+        } else if at.is_none_or(|t| t > now + MIN_ROOM_WAIT) && self.may_preempt_for(key, now) {
             let with_stops = last(&fit_times(Some(reserve.priority)));
             let soon = now + self.setup.bounds.stop_time + MIN_ROOM_WAIT;
             if with_stops.is_some_and(|w| w <= soon && at.is_none_or(|t| w + MIN_ROOM_WAIT < t)) {
@@ -346,8 +350,8 @@
                 return;
             }
             free += size;
-            self.log_stop(no, &task, "room for a gang");
-            self.stop_run(no, &task, now);
+            let stop = self.unweighed_stop(no, &task, now);
+            self.preempt_run(&stop, ("gang", "room for a gang"), now);
         }
     }
 
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -55,6 +55,8 @@
     pub ended_at: Option<Time>,
     /// The number of advice calls made in a row while the task could not start.
     pub early_calls: u32,
+    /// The number of times that this owner has stopped a run of the task for more urgent work.
+    pub preemptions: u32,
 }
 
 impl Task {
--- a/src/shard/preempt.rs
+++ b/src/shard/preempt.rs
@@ -15,7 +15,7 @@
         },
         time::Time,
         units::Size,
-        work::{Step, StepKey, TaskKey},
+        work::{Step, TaskKey},
     },
     std::time::Duration,
 };
@@ -42,8 +42,13 @@
         turn: &Turn,
         waiting: &[u32],
         good: &[Room],
+        round: &mut Round,
         now: Time,
     ) -> Vec<(u32, WorkerNo)> {
+        if self.weighs_stop_cost() {
+            let places = self.preempt_by_cost(turn, waiting.len(), good, round, now);
+            return waiting.iter().copied().zip(places).collect();
+        }
         let Turn { key, ref step, .. } = *turn;
         let queue = self.jobs.get(&key.job).and_then(|j| self.queue_configs.get(&j.queue));
         let Some(priority) = queue.map(|q| q.priority) else { return vec![] };
@@ -56,12 +61,15 @@
         waiting.iter().copied().zip(places).collect()
     }
 
-    /// Returns the priority at which runs of a step may be preempted by more urgent work, or `None`
-    /// if they may not be.
-    pub(super) fn preemptible_at(&self, key: &StepKey, step: &Step) -> Option<u8> {
+    /// Returns the priority at which a run of a task may be preempted by more urgent work, or `None`
+    /// if it may not be, and the latest end of the run at which its job is still in time.
+    pub(super) fn preemptible_at(&self, task: &TaskKey, step: &Step) -> (Option<u8>, Time) {
         let plain = step.saves && !step.gang && !step.lasts && !step.fills;
-        let queue = self.jobs.get(&key.job).and_then(|j| self.queue_configs.get(&j.queue));
-        queue.filter(|_| plain).map(|q| q.priority)
+        let queue = self.jobs.get(&task.step.job).and_then(|j| self.queue_configs.get(&j.queue));
+        let queue = queue.filter(|_| plain && !self.is_stopped_too_often(task, step));
+        let weighed = queue.is_some() && self.weighs_stop_cost();
+        let due_at = if weighed { self.latest_end(&task.step) } else { Time::NEVER };
+        (queue.map(|q| q.priority), due_at)
     }
 
     /// Stops less urgent runs of a customer for a step that can still meet its deadline and for which
@@ -77,6 +85,9 @@
         round: &mut Round,
         now: Time,
     ) {
+        if self.weighs_stop_cost() {
+            return self.preempt_for_cap_by_cost(turn, customer, short, round, now);
+        }
         let waited = self.step_state(turn.key).and_then(|p| p.ready_since);
         if waited.is_none_or(|t| t + MIN_ROOM_WAIT > now)
             || self.ranks.get(turn.key).is_none_or(|r| r.class() > 0)
@@ -109,8 +120,8 @@
                 return;
             }
             freed += charge;
-            self.log_stop(no, &task, "more urgent work under its customer's cap");
-            self.stop_run(no, &task, now);
+            let stop = self.unweighed_stop(no, &task, now);
+            self.preempt_run(&stop, ("cap", "more urgent work under its customer's cap"), now);
         }
     }
 
@@ -147,8 +158,8 @@
                     break;
                 }
                 free += freed;
-                self.log_stop(plan.no, &task, "more urgent work");
-                self.stop_run(plan.no, &task, now);
+                let stop = self.unweighed_stop(plan.no, &task, now);
+                self.preempt_run(&stop, ("urgent", "more urgent work"), now);
             }
             places.extend((0..take).map(|_| plan.no));
         }
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -162,7 +162,7 @@
         let customer = self.jobs.get(&row.task.step.job).and_then(|j| j.customer);
         let blind = wanted.is_none();
         let (step, keep, crash_suspect) = wanted.unwrap_or_default();
-        let yields = self.preemptible_at(&row.task.step, &step);
+        let (yields, due_at) = self.preemptible_at(&row.task, &step);
         let run = Run {
             run: row.run,
             size: step.reserved(),
@@ -187,6 +187,8 @@
             latency_target_ms: step.target,
             is_filler: step.fills,
             preempt_priority: yields,
+            due_at,
+            checkpoint_at: now,
             estimate: Duration::from_millis(step.estimate),
             earlier_report: (now, row.percent),
         };
--- a/src/shard/round.rs
+++ b/src/shard/round.rs
@@ -18,6 +18,9 @@
 /// to end, for runs to preempt, and for other workers.
 pub(super) const MAX_DEEP_SEARCHES: usize = 24;
 
+/// The expected ends of a worker's runs, in order, with the resources that each frees.
+pub(super) type Releases = Rc<[(Time, Size)]>;
+
 /// The working state of a round.
 #[derive(Default)]
 pub(super) struct Round {
@@ -48,6 +51,10 @@
     pub(super) cap_withheld: FxHashMap<CustomerNo, Size>,
     /// The queues whose advice calls cannot be made because no member is free.
     pub(super) advice_blocked: FxHashSet<Box<str>>,
+    /// The expected ends of the runs of each worker, in order; empty until they are needed.
+    pub(super) releases: Vec<Option<Releases>>,
+    /// The resources of each worker for which earlier steps wait without stopping anything.
+    pub(super) awaited: Vec<Size>,
 }
 
 /// The resources of one worker that are reserved for a gang.
@@ -99,6 +106,8 @@
             withheld: vec![Size::default(); workers],
             reservations: (0..workers).map(|_| vec![]).collect(),
             demand: vec![0; workers],
+            releases: vec![None; workers],
+            awaited: vec![Size::default(); workers],
             ..Round::default()
         }
     }
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -94,7 +94,7 @@
         saved: Box<str>,
         now: Time,
     ) -> bool {
-        let yields = self.preemptible_at(&task.step, step);
+        let (yields, due_at) = self.preemptible_at(&task, step);
         let Some(from) = self.lease_start(now) else { return false };
         let Some(job) = self.jobs.get(&task.step.job) else { return false };
         if !self.cap_allows(job.customer, &step.size) {
@@ -130,6 +130,8 @@
             latency_target_ms: step.target,
             is_filler: step.fills,
             preempt_priority: yields,
+            due_at,
+            checkpoint_at: now,
             estimate: Duration::from_millis(step.estimate),
             earlier_report: (now, 0),
         };
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -20,6 +20,10 @@
     pub acknowledged_ends: u64,
     /// The number of writes of divisions of customers' caps.
     pub division_writes: u64,
+    /// The number of runs that were stopped for more urgent work, by cause.
+    pub preemptions: BTreeMap<&'static str, u64>,
+    /// The expected cost of these stops, in core seconds.
+    pub preemption_cost: f64,
 }
 
 /// The advice calls of one queue.
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -98,6 +98,11 @@
     /// The priority of the run's queue if the run loses little when preempted; work with a lower
     /// priority number may then preempt it.
     pub preempt_priority: Option<u8>,
+    /// The latest end of the run at which its job is still in time, if it may be preempted.
+    pub due_at: Time,
+    /// The time of the report that first showed the run's last checkpoint; its start if there is
+    /// none.
+    pub checkpoint_at: Time,
     /// The expected duration of its work.
     pub estimate: Duration,
     /// The time of an earlier report, and the progress in it as a percentage; later reports are
@@ -407,8 +412,9 @@
         run.progress_percent.1 = row.percent;
         run.reported_at = now;
         run.tail_latency_ms = row.load;
-        if !row.checkpoint.is_empty() {
+        if !row.checkpoint.is_empty() && run.checkpoint != row.checkpoint {
             run.checkpoint = row.checkpoint.clone();
+            run.checkpoint_at = now;
         }
     }
 }
