--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -11,8 +11,8 @@
     http_body_util::Full,
     hyper::Response,
     prometheus::{
-        GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-        IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
+        Counter, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec,
+        IntGauge, IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -50,6 +50,8 @@
     division_writes: IntCounter,
     over_quota_jobs: IntCounter,
     customers: IntGaugeVec,
+    preemptions: IntCounterVec,
+    preemption_cost: Counter,
     call_seconds: HistogramVec,
     received_bytes: IntCounterVec,
 }
@@ -139,6 +141,16 @@
                 &["standing"],
             )
             .expect("the names are well-formed"),
+            preemptions: counter(
+                "dwr_preemptions_total",
+                "Runs stopped for more urgent work.",
+                "cause",
+            ),
+            preemption_cost: Counter::new(
+                "dwr_preemption_cost_core_seconds_total",
+                "Expected cost of these stops.",
+            )
+            .expect("the names are well-formed"),
             received_bytes: IntCounterVec::new(
                 Opts::new("dwr_received_bytes_total", "Bytes of the outside's answers."),
                 &["call", "answer"],
@@ -155,7 +167,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retry_counts.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 23] = [
+        let all: [Box<dyn Collector>; 25] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retry_counts.clone()),
             Box::new(m.kv_calls.clone()),
@@ -177,6 +189,8 @@
             Box::new(m.division_writes.clone()),
             Box::new(m.over_quota_jobs.clone()),
             Box::new(m.customers.clone()),
+            Box::new(m.preemptions.clone()),
+            Box::new(m.preemption_cost.clone()),
             Box::new(m.call_seconds.clone()),
             Box::new(m.received_bytes.clone()),
         ];
@@ -271,6 +285,10 @@
         self.ends_noted.inc_by(tally.acknowledged_ends);
         self.division_writes.inc_by(tally.division_writes);
         self.over_quota_jobs.inc_by(tally.over_quota_jobs);
+        for (cause, n) in &tally.preemptions {
+            self.preemptions.with_label_values(&[cause]).inc_by(*n);
+        }
+        self.preemption_cost.inc_by(tally.preemption_cost);
         let times = |to: &str, all: &[Duration]| {
             let histogram = self.job_seconds.with_label_values(&[to]);
             all.iter().for_each(|t| histogram.observe(t.as_secs_f64()));
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -22,6 +22,10 @@
     pub division_writes: u64,
     /// The number of jobs that were found to be beyond their customer's quota.
     pub over_quota_jobs: u64,
+    /// The number of runs that were stopped for more urgent work, by cause.
+    pub preemptions: BTreeMap<&'static str, u64>,
+    /// The expected cost of these stops, in core seconds.
+    pub preemption_cost: f64,
 }
 
 /// The advice calls of one queue.
