Shard: tasks wait for their rack while that ends earlier

A step with near or tight that has room elsewhere waits for room on its rack while the expected ends of runs there make that faster, and stops less urgent runs there if that costs less than a run elsewhere. Nothing is reserved for it, and it is examined in every round. Gangs choose their workers within one rack where that ends earlier.

--- a/src/decide/fit.rs
+++ b/src/decide/fit.rs
@@ -22,7 +22,7 @@
     pub free: Size,
     /// Total resources.
     pub total: Size,
-    /// Whether the worker is on the rack where the task runs fastest.
+    /// Whether the worker is on the rack where the task runs fastest; never if there is none.
     pub near: bool,
     /// Whether serving tasks with a latency target run on the worker.
     pub serving: bool,
@@ -44,7 +44,8 @@
 const INTERFERENCE_COST: u64 = 100_000;
 /// Cost of a worker that is suspected of a fault.
 const SUSPECT_COST: u64 = 10_000;
-/// Cost of a worker outside the rack where the task runs fastest.
+/// Cost of a worker outside the rack where the task runs fastest. It exceeds the costs of demand,
+/// fillers and fit together. For a step without such a rack, all workers have it.
 const FAR_RACK_COST: u64 = 1_000;
 /// Cost per waiting task that needs the worker. A worker that only one step may use is worth more
 /// free than full.
@@ -68,7 +69,7 @@
     if room.suspect {
         cost += SUSPECT_COST;
     }
-    if step.near.is_some() && !room.near {
+    if !room.near {
         cost += FAR_RACK_COST;
     }
     if step.fills {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -5,14 +5,14 @@
         error::Kind,
         event::Verdict,
         http::answer,
-        shard::{Cause, Stats},
+        shard::{Cause, RackGain, Stats},
     },
     bytes::Bytes,
     http_body_util::Full,
     hyper::Response,
     prometheus::{
-        GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-        IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
+        Counter, CounterVec, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter,
+        IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
     },
     std::{collections::BTreeMap, time::Duration},
 };
@@ -48,6 +48,9 @@
     unanswered_orders: IntCounterVec,
     ends_noted: IntCounter,
     division_writes: IntCounter,
+    rack_waits: IntCounterVec,
+    rack_wait_seconds: Counter,
+    rack_gain_seconds: CounterVec,
     call_seconds: HistogramVec,
     received_bytes: IntCounterVec,
 }
@@ -127,6 +130,24 @@
                 "Writes of the divisions of customers' caps.",
             )
             .expect("the names are well-formed"),
+            rack_waits: counter(
+                "dwr_rack_waits_total",
+                "Waits of steps for their rack by how they ended.",
+                "outcome",
+            ),
+            rack_wait_seconds: Counter::new(
+                "dwr_rack_wait_seconds_total",
+                "Time that steps waited for their rack.",
+            )
+            .expect("the names are well-formed"),
+            rack_gain_seconds: CounterVec::new(
+                Opts::new(
+                    "dwr_rack_gain_seconds_total",
+                    "Run time saved by waits for racks: expected, gained and lost.",
+                ),
+                &["what"],
+            )
+            .expect("the names are well-formed"),
             received_bytes: IntCounterVec::new(
                 Opts::new("dwr_received_bytes_total", "Bytes of the outside's answers."),
                 &["call", "answer"],
@@ -143,7 +164,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retry_counts.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 21] = [
+        let all: [Box<dyn Collector>; 24] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retry_counts.clone()),
             Box::new(m.kv_calls.clone()),
@@ -163,6 +184,9 @@
             Box::new(m.unanswered_orders.clone()),
             Box::new(m.ends_noted.clone()),
             Box::new(m.division_writes.clone()),
+            Box::new(m.rack_waits.clone()),
+            Box::new(m.rack_wait_seconds.clone()),
+            Box::new(m.rack_gain_seconds.clone()),
             Box::new(m.call_seconds.clone()),
             Box::new(m.received_bytes.clone()),
         ];
@@ -256,6 +280,14 @@
         }
         self.ends_noted.inc_by(tally.acknowledged_ends);
         self.division_writes.inc_by(tally.division_writes);
+        for (outcome, n) in &tally.rack_waits {
+            self.rack_waits.with_label_values(&[outcome]).inc_by(*n);
+        }
+        self.rack_wait_seconds.inc_by(tally.rack_wait_time.as_secs_f64());
+        let RackGain { expected, gained, lost } = tally.rack_gain;
+        for (what, time) in [("expected", expected), ("gained", gained), ("lost", lost)] {
+            self.rack_gain_seconds.with_label_values(&[what]).inc_by(time.as_secs_f64());
+        }
         let times = |to: &str, all: &[Duration]| {
             let histogram = self.job_seconds.with_label_values(&[to]);
             all.iter().for_each(|t| histogram.observe(t.as_secs_f64()));
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -23,16 +23,19 @@
 mod jobs;
 mod lifecycle;
 mod listing;
+mod locality;
 mod logging;
 mod orders;
 mod preempt;
 mod prefetch;
+mod rack_state;
 mod ready_queue;
 pub mod record;
 mod replies;
 pub mod report;
 mod reservation;
 mod restart;
+mod rooms;
 mod round;
 mod run_end;
 mod speculation;
@@ -50,5 +53,5 @@
     closing::{Occupancy, PoolWait},
     customer_cap::CustomerUsage,
     state_machine::{Setup, Shard},
-    stats::{Gauges, Stats},
+    stats::{Gauges, RackGain, Stats},
 };
--- a/src/shard/advice.rs
+++ b/src/shard/advice.rs
@@ -185,6 +185,9 @@
         let job = turn.key.job.0;
         let spread = |n: &WorkerNo| (n.0 as u64 ^ job).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         new.sort_by_key(|(slots, n)| (Reverse(*slots), spread(n)));
+        if let Some(rack) = self.requested_rack(turn.key) {
+            new.sort_by_key(|(_, n)| !self.is_on_rack(*n, rack));
+        }
         new
     }
 
@@ -240,8 +243,15 @@
         let first = usize::try_from(key.job.0).unwrap_or(0) % usable.len().max(1);
         let (before, after) = usable.split_at(first);
         let asked = &part.tickets.asked_workers;
-        let new = after.iter().chain(before).filter(|n| !asked.contains(n));
-        new.take(most).copied().collect()
+        let new = after.iter().chain(before).filter(|n| !asked.contains(n)).copied();
+        match self.requested_rack(key) {
+            // A wait for the rack is possible only at workers that are known to be permitted.
+            Some(rack) => {
+                let (near, far): (Vec<_>, Vec<_>) = new.partition(|n| self.is_on_rack(*n, rack));
+                near.into_iter().chain(far).take(most).collect()
+            }
+            None => new.take(most).collect(),
+        }
     }
 
     /// Renews the expired tickets of workers that have room; if there are none, requests advice on
--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -91,11 +91,12 @@
     }
 
     /// Returns the steps that a round examines, in order: starving steps, then the first ready
-    /// steps, then steps with reservations.
+    /// steps, then steps with reservations and steps that wait for a rack.
     ///
     /// Steps with reservations are included because a gang may reserve resources and then fall
     /// behind later, more urgent steps. If no round examined it, nobody would request its tickets
     /// or release the resources, and jobs would wait beside a pool that is only a quarter in use.
+    /// Likewise, a step that waits for a rack must see the room that becomes free there.
     pub(super) fn round_steps(&self, starving: &[StepKey]) -> Vec<StepKey> {
         let mut keys = starving.to_vec();
         let new = |k: &StepKey| !starving.contains(k);
@@ -104,6 +105,9 @@
         let place = |k: &StepKey| Some((*self.ranks.get(k)?, *k));
         let kept = self.reservations.keys().filter_map(place).filter(|p| p > last && new(&p.1));
         keys.extend(kept.collect::<BTreeSet<_>>().into_iter().map(|p| p.1));
+        let waits = self.rack_waiters().filter_map(place).filter(|p| p > last && new(&p.1));
+        let waits = waits.filter(|p| !self.reservations.contains_key(&p.1));
+        keys.extend(waits.collect::<BTreeSet<_>>().into_iter().map(|p| p.1));
         keys
     }
 
@@ -348,15 +352,17 @@
     /// Starts tasks of a step that need not start all at once.
     fn place_tasks(&mut self, turn: &Turn, round: &mut Round, now: Time) {
         let Turn { key, ref step, ref usable, advice, .. } = *turn;
-        let (valid, mut stale) = self.rooms(turn, round, now);
+        let (mut valid, mut stale) = self.rooms(turn, round, now);
+        let plan = self.wait_for_rack(turn, &mut valid, &mut stale, round, now);
+        let (tasks, _) = turn.waiting.split_at(turn.waiting.len() - plan.waiting);
         // If a healthy worker has capacity, the task waits for that worker's ticket.
         let unfavourable = |r: &Room| self.is_last_resort(step, WorkerNo(r.index), now);
         let (mut last, mut valid): (Vec<_>, Vec<_>) = valid.into_iter().partition(unfavourable);
-        let mut chosen = choose_workers(step, &turn.waiting, &mut valid);
+        let mut chosen = choose_workers(step, tasks, &mut valid);
         if stale.iter().all(unfavourable) {
-            chosen.extend(choose_workers(step, &turn.waiting[chosen.len()..], &mut last));
+            chosen.extend(choose_workers(step, &tasks[chosen.len()..], &mut last));
         }
-        let rest = &turn.waiting[chosen.len()..];
+        let rest = &tasks[chosen.len()..];
         if !rest.is_empty() {
             let good = match round.try_deep_search(step.lasts) {
                 true => self.all_rooms(turn, round, now),
@@ -383,12 +389,17 @@
                     false => self.renew_tickets(key, &wanted, usable, cost, now),
                 }
             }
-            if chosen.is_empty() && round.starving_steps.contains(key) {
+            if chosen.is_empty() && plan.waiting == 0 && round.starving_steps.contains(key) {
                 let preferred = self.preferred_workers(turn, &good, now);
                 withhold(step, &preferred, round);
             }
+            self.add_unplaced(turn, rest.len(), round);
         }
         self.start_tasks(key, step, &chosen, now);
+        self.record_rack_starts(turn, &chosen, now);
+        if plan.waiting > 0 {
+            self.prepare_rack(turn, plan, &stale, round, now);
+        }
     }
 
     /// Returns the workers that can take a task of the step now: first those with a valid ticket,
@@ -447,21 +458,6 @@
         Requester { key: turn.key, priority: turn.priority, ends_at, may_outrank, overdue }
     }
 
-    /// Returns all workers that may run a step, including full ones.
-    fn all_rooms(&self, turn: &Turn, round: &Round, now: Time) -> Vec<Room> {
-        let Some(step_state) = self.step_state(turn.key) else { return vec![] };
-        let may =
-            |no: &&WorkerNo| turn.advice.is_none() || step_state.tickets.eligible.contains_key(no);
-        let requester = self.requester(turn, round, false, now);
-        let room = |no: &WorkerNo| {
-            let mut room = self.room(*no, turn.key, &turn.step, now)?;
-            room.free = room.free.saturating_sub(&round.unavailable(*no, &requester));
-            room.demand = round.demand[no.0];
-            Some(room)
-        };
-        turn.usable.iter().filter(may).filter_map(room).collect()
-    }
-
     /// Returns the number of tasks of a step at a worker.
     pub(super) fn task_count(&self, no: WorkerNo, key: &StepKey) -> u32 {
         let tasks = self.workers[no.0].runs.keys();
--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -9,11 +9,10 @@
     crate::{
         decide::gather::{
             self, MAX_KEEP_TIME, MAX_RESERVED_DIVISOR, MAX_RESERVED_LATE_DIVISOR,
-            MIN_CAPACITY_RATIO, Offer, soonest_placement,
+            MIN_CAPACITY_RATIO, Offer, Placement, earliest_end, soonest_placement,
         },
         shard::{
             advice::chunk_duration,
-            dispatch::choose_workers,
             preempt::MIN_ROOM_WAIT,
             reservation::GangReservation,
             round::{Round, Turn},
@@ -37,17 +36,17 @@
 /// does not wait for the next check.
 const RESERVATION_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// The minimum remaining time that is assumed for a run that should already be over.
-const MIN_REMAINING_TIME: Duration = Duration::from_millis(50);
+pub(super) const MIN_REMAINING_TIME: Duration = Duration::from_millis(50);
 
 impl Shard {
     /// Starts a gang if there is room for all members now; otherwise reserves room for it.
     pub(super) fn place_gang(&mut self, turn: &Turn, round: &mut Round, now: Time) {
-        let Turn { key, ref step, ref waiting, .. } = *turn;
-        let mut valid = self.rooms(turn, round, now).0;
-        let chosen = choose_workers(step, waiting, &mut valid);
-        if chosen.len() == waiting.len() {
-            self.reservations.remove(key);
-            return self.start_tasks(key, step, &chosen, now);
+        let Turn { key, ref waiting, .. } = *turn;
+        let valid = self.rooms(turn, round, now).0;
+        let chosen = self.choose_gang_workers(turn, valid);
+        let complete = chosen.len() == waiting.len();
+        if complete && !self.gang_waits(turn, &chosen, round, now) {
+            return self.start_gang(turn, &chosen, now);
         }
         let overdue = |r: &GangReservation| r.since + MAX_KEEP_TIME <= now;
         if self.reservations.get(key).is_some_and(overdue) {
@@ -66,9 +65,18 @@
         }
         if checked.is_some() || self.reserve_room(turn, round, now) {
             self.check_reservation(turn, round, now);
+        } else if complete {
+            self.end_wait(key, "crowded", now);
+            self.start_gang(turn, &chosen, now);
         }
     }
 
+    fn start_gang(&mut self, turn: &Turn, chosen: &[(u32, WorkerNo)], now: Time) {
+        self.reservations.remove(turn.key);
+        self.start_tasks(turn.key, &turn.step, chosen, now);
+        self.record_rack_starts(turn, chosen, now);
+    }
+
     /// Reserves the workers on which the gang has room soonest; returns whether room was reserved.
     fn reserve_room(&mut self, turn: &Turn, round: &mut Round, now: Time) -> bool {
         let Turn { key, ref step, .. } = *turn;
@@ -81,8 +89,7 @@
         if let Some(part) = part {
             part.next_gang_search = now + GANG_SEARCH_INTERVAL;
         }
-        let offers = self.room_offers(turn, round, now);
-        let Some(places) = soonest_placement(offers, step.count) else {
+        let Some(places) = self.best_places(turn, round, now) else {
             // If the permitted workers are merely busy, requesting advice on more workers would
             // take advice calls from other steps.
             let too_few = self.eventual_slots(turn) < u64::from(step.count) * MIN_CAPACITY_RATIO;
@@ -143,6 +150,34 @@
         first || (kept + more).times(part).fits(&total)
     }
 
+    /// Returns the workers on which a gang has room soonest or, if its run time depends on the racks,
+    /// ends soonest.
+    pub(super) fn best_places(
+        &self,
+        turn: &Turn,
+        round: &Round,
+        now: Time,
+    ) -> Option<Placement<WorkerNo>> {
+        let offers = self.room_offers(turn, round, now);
+        if !self.seeks_rack(&turn.step) {
+            return soonest_placement(offers, turn.step.count);
+        }
+        let mut racks: Vec<&str> = vec![];
+        let with_rack = |offer: Offer<WorkerNo>| {
+            let rack = self.rack_of(offer.worker);
+            let at = racks.iter().position(|r| *r == rack).unwrap_or_else(|| {
+                racks.push(rack);
+                racks.len() - 1
+            });
+            (at, offer)
+        };
+        let offers = offers.into_iter().map(with_rack).collect();
+        let run = self.run_time(turn);
+        earliest_end(offers, turn.step.count, |rack| {
+            run.mul_f64(self.rack_factor(&turn.step, rack.map(|at| racks[at])))
+        })
+    }
+
     /// Returns, for each worker that may run the step, the times at which it gains room for more
     /// members.
     fn room_offers(&self, turn: &Turn, round: &Round, now: Time) -> Vec<Offer<WorkerNo>> {
--- a/src/shard/round.rs
+++ b/src/shard/round.rs
@@ -5,7 +5,10 @@
     crate::{
         decide::ahead::Backlog,
         ids::PoolId,
-        shard::{customer_cap::CustomerNo, reservation::GangReservation, workers::WorkerNo},
+        shard::{
+            customer_cap::CustomerNo, rack_state::RoundLocality, reservation::GangReservation,
+            workers::WorkerNo,
+        },
         time::Time,
         units::Size,
         work::{AdviceCost, Step, StepKey},
@@ -48,6 +51,8 @@
     pub(super) cap_withheld: FxHashMap<CustomerNo, Size>,
     /// The queues whose advice calls cannot be made because no member is free.
     pub(super) advice_blocked: FxHashSet<Box<str>>,
+    /// The expected room on racks.
+    pub(super) locality: RoundLocality,
 }
 
 /// The resources of one worker that are reserved for a gang.
--- a/src/shard/run_end.rs
+++ b/src/shard/run_end.rs
@@ -37,6 +37,7 @@
         let current = self.has_run(&end.task, no, end.run);
         if let Some(run) = &run {
             self.record_outcome(no, end, run, now);
+            self.record_run_time(no, end, run, now);
         }
         self.apply_end(&end.task, end.run, end.reason, saved, current, now);
         if current {
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -15,6 +15,7 @@
             event::{Event, Order, Snapshot},
             in_flight::InFlight,
             jobs::{ActiveJob, StepState},
+            rack_state::Locality,
             record::{Closing, Progress, ShardNo},
             reservation::GangReservation,
             stats::{AdviceStats, ReportedValues, Stats},
@@ -109,6 +110,7 @@
     pub(super) advice_turns: AdviceTurns,
     pub(super) commit: GroupCommit,
     pub(super) caps: Caps,
+    pub(super) locality: Locality,
     /// The revision of the owner's row, as the takeover wrote it.
     pub(super) owner_rev: u64,
     /// The sequence number of the last change to a job.
@@ -175,6 +177,7 @@
             advice_turns: AdviceTurns::new(),
             commit,
             caps: Caps::default(),
+            locality: Locality::default(),
             // A takeover writes both rows at once.
             owner_rev: load.commit_revision,
             last_change: 0,
@@ -327,6 +330,7 @@
             self.next_rerank = now + RERANK_INTERVAL;
             self.rerank_ready(now);
             self.start_copies(now);
+            self.clean_rack_steps(now);
             self.round_due = true;
         }
         if self.commit.begin_reread(now) {
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -20,6 +20,23 @@
     pub acknowledged_ends: u64,
     /// The number of writes of divisions of customers' caps.
     pub division_writes: u64,
+    /// The number of waits for racks that have ended, by how they ended.
+    pub rack_waits: BTreeMap<&'static str, u64>,
+    /// The sum of the durations of these waits.
+    pub rack_wait_time: Duration,
+    /// What these waits gained.
+    pub rack_gain: RackGain,
+}
+
+/// The gain of tasks that waited for a rack over a start elsewhere at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RackGain {
+    /// The gain as expected when the tasks started.
+    pub expected: Duration,
+    /// The observed gain of the tasks that ended earlier than elsewhere.
+    pub gained: Duration,
+    /// The observed loss of the tasks that ended later than elsewhere.
+    pub lost: Duration,
 }
 
 /// The advice calls of one queue.
