--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod headroom;
 pub mod health;
 pub mod lanes;
+pub mod locality;
 pub mod order;
 pub mod pace;
 pub mod place;
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -23,17 +23,20 @@
 mod jobs;
 mod lifecycle;
 mod listing;
+mod locality;
 mod logging;
 mod orders;
 mod preempt;
 mod preempt_cost;
 mod prefetch;
+mod rack_state;
 mod ready_queue;
 pub mod record;
 mod replies;
 pub mod report;
 mod reservation;
 mod restart;
+mod rooms;
 mod round;
 mod run_end;
 mod share_state;
@@ -55,6 +58,6 @@
     customer_cap::CustomerUsage,
     shares::REPORT_INTERVAL,
     state_machine::{Setup, Shard},
-    stats::{Gauges, Stats},
+    stats::{Gauges, RackGain, Stats},
     usage::{Amounts, CustomerReport, UsageReport},
 };
--- a/src/shard/round.rs
+++ b/src/shard/round.rs
@@ -5,7 +5,10 @@
     crate::{
         decide::ahead::Backlog,
         ids::PoolId,
-        shard::{customer_cap::CustomerNo, reservation::GangReservation, workers::WorkerNo},
+        shard::{
+            customer_cap::CustomerNo, rack_state::RoundLocality, reservation::GangReservation,
+            workers::WorkerNo,
+        },
         time::Time,
         units::Size,
         work::{AdviceCost, Step, StepKey},
@@ -55,6 +58,8 @@
     pub(super) releases: Vec<Option<Releases>>,
     /// The resources of each worker for which earlier steps wait without stopping anything.
     pub(super) awaited: Vec<Size>,
+    /// The expected room on racks.
+    pub(super) locality: RoundLocality,
 }
 
 /// The resources of one worker that are reserved for a gang.
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -15,6 +15,7 @@
             event::{Event, Order, Snapshot},
             in_flight::InFlight,
             jobs::{ActiveJob, StepState},
+            rack_state::Locality,
             record::{Closing, Progress, ShardNo},
             reservation::GangReservation,
             share_state::ShareState,
@@ -111,6 +112,7 @@
     pub(super) commit: GroupCommit,
     pub(super) caps: Caps,
     pub(super) shares: ShareState,
+    pub(super) locality: Locality,
     /// The revision of the owner's row, as the takeover wrote it.
     pub(super) owner_rev: u64,
     /// The sequence number of the last change to a job.
@@ -178,6 +180,7 @@
             commit,
             caps: Caps::default(),
             shares: ShareState::default(),
+            locality: Locality::default(),
             // A takeover writes both rows at once.
             owner_rev: load.commit_revision,
             last_change: 0,
@@ -333,6 +336,7 @@
             self.update_shares(now);
             self.rerank_ready(now);
             self.start_copies(now);
+            self.clean_rack_steps(now);
             self.round_due = true;
         }
         if self.commit.begin_reread(now) {
