Shard: jobs are counted by outcome; the log tells urgent steps

Cause: neither logs nor metrics showed how many jobs ended late or without value.

Change: metric dwr_job_outcomes_total{outcome}; field urgent in the lines of waiting steps.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -39,6 +39,7 @@
     ready_gauge: IntGauge,
     answer_seconds: Histogram,
     step_starts: IntCounterVec,
+    job_outcomes: IntCounterVec,
     run_ends: IntCounterVec,
     shard_moves: IntCounterVec,
     waiting_tasks: IntGaugeVec,
@@ -92,6 +93,11 @@
                 "First starts of steps by delay.",
                 "reason",
             ),
+            job_outcomes: counter(
+                "dwr_job_outcomes_total",
+                "Completed jobs: in time, late, or too late.",
+                "outcome",
+            ),
             run_ends: counter("dwr_run_ends_total", "Ends of runs taken in by how.", "how"),
             shard_moves: counter("dwr_shard_moves_total", "What became of shards here.", "what"),
             waiting_tasks: IntGaugeVec::new(
@@ -143,7 +149,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retry_counts.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 21] = [
+        let all: [Box<dyn Collector>; 22] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retry_counts.clone()),
             Box::new(m.kv_calls.clone()),
@@ -154,6 +160,7 @@
             Box::new(m.ready_gauge.clone()),
             Box::new(m.answer_seconds.clone()),
             Box::new(m.step_starts.clone()),
+            Box::new(m.job_outcomes.clone()),
             Box::new(m.run_ends.clone()),
             Box::new(m.shard_moves.clone()),
             Box::new(m.waiting_tasks.clone()),
@@ -251,6 +258,9 @@
         for (reason, n) in &tally.step_starts {
             self.step_starts.with_label_values(&[reason]).inc_by(*n);
         }
+        for (outcome, n) in &tally.job_outcomes {
+            self.job_outcomes.with_label_values(&[outcome]).inc_by(*n);
+        }
         for (how, n) in &tally.run_ends {
             self.run_ends.with_label_values(&[how]).inc_by(*n);
         }
--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         customers::cap_text,
-        decide::health::Verdict,
+        decide::{health::Verdict, rank::outcome, utility::Lateness},
         ports::{EndReason, EndedRun},
         shard::{
             cause::{AbsentStep, Exclusions},
@@ -104,7 +104,8 @@
                 continue;
             };
             let Some(step) = self.jobs.get(&key.job).and_then(|j| j.step(&key)) else { continue };
-            let (cause, class) = (sight.cause(), self.ranks[&key].class());
+            let rank = &self.ranks[&key];
+            let (cause, class, urgent) = (sight.cause(), rank.class(), rank.is_urgent());
             let tickets = &step_state.tickets;
             let (tasks, waits_ms) = (step_state.waiting_count, millis(now - since));
             let reserve = self.reservations.get(&key);
@@ -119,7 +120,7 @@
                 tickets.eligible.len(),
                 tickets.pending_workers.len(),
             );
-            log::info!(target: "shard", did = "waits", job:% = key.job, step:% = key, cause:% = cause, class, waits_ms, tasks, gang = step.gang, each:% = step.reserved(), asked, good, out, kept_ms, at_ms, old; "Step waits.");
+            log::info!(target: "shard", did = "waits", job:% = key.job, step:% = key, cause:% = cause, class, urgent, waits_ms, tasks, gang = step.gang, each:% = step.reserved(), asked, good, out, kept_ms, at_ms, old; "Step waits.");
         }
     }
 
@@ -257,7 +258,18 @@
         let failed = job.failures();
         log::info!(target: "shard", did = "over", job:% = no, state:% = state, queue = &*job.queue, after_ms, failed, stopped; "Job is over.");
         if state == JobState::Done {
-            self.stats.completions.push(Duration::from_millis(after_ms));
+            let took = Duration::from_millis(after_ms);
+            self.stats.completions.push(took);
+            // The occurrences of a recurring job have objectives of their own.
+            let queue = self.queue_configs.get(&job.queue).filter(|_| job.job.times.is_none());
+            if let Some(queue) = queue {
+                let outcome = match outcome(queue, job.objective_time(0), took) {
+                    Lateness::InTime => "in_time",
+                    Lateness::Late => "late",
+                    Lateness::TooLate => "too_late",
+                };
+                *self.stats.job_outcomes.entry(outcome).or_default() += 1;
+            }
         }
     }
 
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -14,6 +14,8 @@
     pub first_starts: Vec<Duration>,
     /// The times from a job's arrival to its completion, one for each job.
     pub completions: Vec<Duration>,
+    /// The number of completed jobs, by whether they ended in time, late, or too late to have value.
+    pub job_outcomes: BTreeMap<&'static str, u64>,
     /// The number of runs that have ended, by the way in which they ended.
     pub run_ends: BTreeMap<&'static str, u64>,
     /// The number of stored ends of runs that were acknowledged to their workers.
