--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -16,10 +16,18 @@
 //!
 //! Load: customers that compete for a pool. Jobs beyond a customer's quota go behind all others that
 //! still have value. Within a class and priority, the work of customers above their share goes behind
-//! that of the others; [`crate::decide::share`] and [`crate::decide::arrivals`] decide both.
+//! that of the others; [`crate::decide::share`] and [`crate::decide::arrivals`] decide both. Steps
+//! whose job may lose value soon come before these classes, and the due time decides only between jobs
+//! with about the same work for their value; see [`crate::decide::utility`].
 
 use {
-    crate::{decide::share::Standing, work::Queue},
+    crate::{
+        decide::{
+            share::Standing,
+            utility::{Deadlines, Lateness, Outlook, Stake, outlook},
+        },
+        work::Queue,
+    },
     std::time::Duration,
 };
 
@@ -28,38 +36,61 @@
 
 /// Number of classes.
 pub const CLASS_COUNT: usize = 4;
-/// Class of the jobs beyond their customer's quota that still have value.
-const OVER_QUOTA_CLASS: u8 = 2;
-/// Class of the jobs that are too late to have value.
-const NO_VALUE_CLASS: u8 = 3;
 
 /// Divisor of a pool's room that gives the maximum number of tasks of a step in one round. A wider
 /// step runs in several rounds, and its objective allows for them.
 const ROUND_DIVISOR: u64 = 4;
 
+/// Class of a step in the order of starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Class {
+    /// Its job may lose value soon.
+    Urgent,
+    /// Its job can wait and still be in time.
+    InTime,
+    /// Its job is late and can wait without losing more value.
+    Late,
+    /// Its job is beyond its customer's quota.
+    OverQuota,
+    /// Its job is too late to have value.
+    TooLate,
+}
+
 /// Rank of a step in the order of starts; the lowest starts first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Rank {
-    /// Class of the step, as [`Self::class`] returns it.
-    class: u8,
+    class: Class,
     /// The queue's priority.
     priority: u8,
     /// Whether the customer holds more than its share of the pool.
     above_share: bool,
+    /// Level of the remaining work for the value at stake; 0 unless the step is urgent.
+    work_level: i8,
+    lateness: Lateness,
     /// Due time, in milliseconds since the Unix epoch.
     due_ms: u64,
 }
 
 impl Rank {
     /// Returns 0 for a step that can be in time, 1 for a late one, 2 for one of a job beyond its
-    /// customer's quota, 3 for one too late to have value.
+    /// customer's quota, 3 for one too late to have value. Urgent steps count by their lateness.
     pub fn class(&self) -> usize {
-        usize::from(self.class)
+        match (self.class, self.lateness) {
+            (Class::TooLate, _) => 3,
+            (Class::OverQuota, _) => 2,
+            (_, Lateness::InTime) => 0,
+            _ => 1,
+        }
+    }
+
+    /// Returns whether the job may lose value soon. Always false without customers.
+    pub fn is_urgent(&self) -> bool {
+        self.class == Class::Urgent
     }
 
     /// Returns whether the step is too late to have value.
     pub fn is_without_value(&self) -> bool {
-        self.class == NO_VALUE_CLASS
+        self.class == Class::TooLate
     }
 
     /// Returns the due time, in milliseconds since the Unix epoch.
@@ -79,6 +110,8 @@
     pub remaining_time: Duration,
     /// Whether the step runs until it is cancelled.
     pub long_running: bool,
+    /// What the job can lose by waiting; `None` if the deployment has no customers.
+    pub stake: Option<Stake>,
 }
 
 /// Returns the number of rounds that the objective allows for `count` tasks in a pool with room for
@@ -93,6 +126,18 @@
     critical_path.mul_f64(queue.stretch.max(0.0)) + queue.slack
 }
 
+/// Returns the value that a job of this queue earned if it took this long from its arrival.
+pub fn outcome(queue: &Queue, critical_path: Duration, took: Duration) -> Lateness {
+    let objective = job_objective(queue, critical_path);
+    if took <= objective {
+        Lateness::InTime
+    } else if took.as_secs_f64() <= objective.as_secs_f64() * VALUE_FACTOR as f64 {
+        Lateness::Late
+    } else {
+        Lateness::TooLate
+    }
+}
+
 /// Returns the rank of a step at `now`, in milliseconds since the Unix epoch. Without customers,
 /// `standing` is the default.
 pub fn rank(queue: &Queue, timing: JobTiming, standing: Standing, now: u64) -> Rank {
@@ -100,14 +145,40 @@
     let objective = ms(job_objective(queue, timing.critical_path));
     let due = timing.arrived_ms.saturating_add(objective);
     let end = now.saturating_add(ms(timing.remaining_time));
-    let class = if timing.long_running || end <= due {
-        0
-    } else if end <= timing.arrived_ms.saturating_add(objective.saturating_mul(VALUE_FACTOR)) {
-        1
-    } else {
-        NO_VALUE_CLASS
+    let value_end = timing.arrived_ms.saturating_add(objective.saturating_mul(VALUE_FACTOR));
+    let outlook = match &timing.stake {
+        // Its task must run again within seconds, and waiting gains nothing.
+        Some(_) if timing.long_running => {
+            Outlook { lateness: Lateness::InTime, urgent_level: Some(0) }
+        }
+        Some(stake) => {
+            let (arrived, remaining) = (timing.arrived_ms, timing.remaining_time);
+            outlook(stake, &Deadlines { arrived, due, value_end, remaining }, now)
+        }
+        None => {
+            let lateness = if timing.long_running || end <= due {
+                Lateness::InTime
+            } else if end <= value_end {
+                Lateness::Late
+            } else {
+                Lateness::TooLate
+            };
+            Outlook { lateness, urgent_level: None }
+        }
+    };
+    let class = match (outlook.urgent_level, outlook.lateness) {
+        (_, Lateness::TooLate) => Class::TooLate,
+        _ if standing.over_quota => Class::OverQuota,
+        (Some(_), _) => Class::Urgent,
+        (None, Lateness::InTime) => Class::InTime,
+        (None, Lateness::Late) => Class::Late,
     };
-    let class = if standing.over_quota { class.max(OVER_QUOTA_CLASS) } else { class };
-    let above_share = standing.above_share;
-    Rank { class, priority: queue.priority, above_share, due_ms: due }
+    Rank {
+        class,
+        priority: queue.priority,
+        above_share: standing.above_share,
+        work_level: outlook.urgent_level.unwrap_or(0),
+        lateness: outlook.lateness,
+        due_ms: due,
+    }
 }
--- a/tests/share.rs
+++ b/tests/share.rs
@@ -221,6 +221,7 @@
                     critical_path: run,
                     remaining_time: run,
                     long_running: false,
+                    stake: None,
                 };
                 let active =
                     if self.shares { standing(&shares, *no, *job) } else { <_>::default() };
