Preemption: with customers, only urgent steps preempt

Cause: with customers, a step that can wait and be in time still stopped runs of an urgent step of a less important queue. The urgent step is ordered first, took the capacity back, and was stopped again.

Change: Rank::may_preempt(): with customers whether the step is urgent, without customers whether it can be in time, as before.

--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -57,6 +57,9 @@
     lateness: Lateness,
     /// Due time, in milliseconds since the Unix epoch.
     due_ms: u64,
+    /// Whether the step may preempt less urgent runs. The keys above determine it, so it does not
+    /// change the order.
+    preempts: bool,
 }
 
 impl Rank {
@@ -71,6 +74,15 @@
         self.class == Class::Urgent
     }
 
+    /// Returns whether the step may stop runs of less urgent queues: with customers if it is urgent,
+    /// without customers if it can be in time.
+    ///
+    /// Prevents repeated preemption with customers: a step that can wait would stop runs of a step
+    /// that is urgent, is ordered before it and takes the freed room back.
+    pub fn may_preempt(&self) -> bool {
+        self.preempts
+    }
+
     /// Returns the due time, in milliseconds since the Unix epoch.
     pub fn due_ms(&self) -> u64 {
         self.due_ms
@@ -155,5 +167,9 @@
         work_level: outlook.urgent_level.unwrap_or(0),
         lateness: outlook.lateness,
         due_ms: due,
+        preempts: match timing.stake {
+            Some(_) => class == Class::Urgent,
+            None => class == Class::InTime,
+        },
     }
 }
--- a/src/shard/preempt.rs
+++ b/src/shard/preempt.rs
@@ -35,8 +35,8 @@
 }
 
 impl Shard {
-    /// Stops less urgent runs to make room for tasks that can still meet their deadline; returns
-    /// the chosen worker of each task.
+    /// Stops less urgent runs to make room for tasks of a step that may preempt; returns the chosen
+    /// worker of each task.
     pub(super) fn preempt(
         &mut self,
         turn: &Turn,
@@ -49,7 +49,7 @@
         let Some(priority) = queue.map(|q| q.priority) else { return vec![] };
         let part = self.jobs.get(&key.job).and_then(|j| j.step_states.get(&(key.time, key.step)));
         let waited = part.and_then(|p| p.ready_since).is_some_and(|t| t + MIN_ROOM_WAIT <= now);
-        if !waited || self.ranks.get(key).is_none_or(|r| r.class() > 0) {
+        if !waited || self.ranks.get(key).is_none_or(|r| !r.may_preempt()) {
             return vec![];
         }
         let places = self.make_room(step, waiting.len(), good, priority, now);
@@ -64,8 +64,8 @@
         queue.filter(|_| plain).map(|q| q.priority)
     }
 
-    /// Stops less urgent runs of a customer for a step that can still meet its deadline and for which
-    /// the customer's cap is `short` of room.
+    /// Stops less urgent runs of a customer for a step that may preempt and for which the customer's
+    /// cap is `short` of room.
     ///
     /// Load: a customer whose long, less urgent work fills its cap. Its urgent jobs would wait for the
     /// ends of that work, however much room the workers have.
@@ -79,7 +79,7 @@
     ) {
         let waited = self.step_state(turn.key).and_then(|p| p.ready_since);
         if waited.is_none_or(|t| t + MIN_ROOM_WAIT > now)
-            || self.ranks.get(turn.key).is_none_or(|r| r.class() > 0)
+            || self.ranks.get(turn.key).is_none_or(|r| !r.may_preempt())
             || !round.try_deep_search(false)
         {
             return;
--- a/tests/shard_overload.rs
+++ b/tests/shard_overload.rs
@@ -123,3 +123,35 @@
     });
     assert_eq!(value, baseline);
 }
+
+#[test]
+fn steps_that_can_wait_do_not_stop_urgent_ones() {
+    // A step of a more important queue that can wait would stop runs of an urgent step, which is
+    // ordered before it and takes the freed capacity back, until either of them ends.
+    let queue = |name, priority, stretch, slack| Queue {
+        stretch,
+        slack: Duration::from_secs(slack),
+        ..yard::queue(name, priority, None)
+    };
+    let config = Arc::new(QueueConfig {
+        queues: vec![queue("patient", 0, 4.0, 600), queue("urgent", 2, 1.0, 1)],
+        customers: Some(Customers::default()),
+        ..(*yard::queues()).clone()
+    });
+    let worker = |_| Worker::new("open", "r1", Size::new(36, 140_000, 0));
+    let mut y = ShardSim::with(7, config, (0..4).map(worker).collect(), 2);
+    y.time_step = Duration::from_millis(5);
+    // The urgent jobs need more than the capacity; each is urgent from its arrival.
+    let mut tasks = 0;
+    for no in 0..20 {
+        let (queue, first) = if no % 2 == 0 { ("urgent", 1) } else { ("patient", 1_000) };
+        let saving = Step { size: Size::new(9, 512, 0), saves: true, ..step(8, 4_500) };
+        tasks += 8;
+        y.at(500 + no * 600, move |y| y.submit(first + no, queue, job([saving])));
+    }
+    y.run_until(30_000);
+    y.run_until_settled(SETTLED_MS);
+    let stops = y.rules.start_count - tasks;
+    println!("{stops} stops of {tasks} tasks");
+    assert!(stops <= tasks / 10, "{stops} stops of {tasks} tasks");
+}
