Utility: estimates that are all too low do not make jobs late on arrival

Cause: the objective is computed from the estimates as they are, the expected end from the estimate times the observed low ratio. With a ratio above 1 a job could count as too late on arrival.

Change: the lateness uses the low ratio only up to 1. tests/utility.rs has the loads 1.02, 1.3 and 2 with estimates 8 times too low.

--- a/src/decide/utility.rs
+++ b/src/decide/utility.rs
@@ -160,7 +160,9 @@
 pub fn outlook(stake: &Stake, deadlines: &Deadlines, now: u64) -> Outlook {
     let Deadlines { arrived, due, value_end, remaining } = *deadlines;
     let likely_end = |ratio: f64| now.saturating_add(millis(remaining.mul_f64(ratio.max(0.0))));
-    let earliest = likely_end(stake.ratios.low);
+    // The objective is computed from the estimates as they are. If all of them are too low, an
+    // expected end by the observed ratio would be past the objective on arrival.
+    let earliest = likely_end(stake.ratios.low.min(1.0));
     let (lateness, loss_at, loss) = if earliest <= due {
         (Lateness::InTime, due, 1.0 - LATE_VALUE)
     } else if earliest <= value_end {
--- a/tests/utility.rs
+++ b/tests/utility.rs
@@ -84,9 +84,26 @@
 /// A kind's rate relative to its usual one, by time in milliseconds.
 type Demand<'a> = dyn Fn(usize, u64) -> f64 + 'a;
 
-/// Simulates `seconds` of arrivals at this rate; returns the jobs of each kind by size.
-fn simulate(by_value: bool, seconds: u64, demand: &Demand) -> Vec<Vec<SimJob>> {
-    let mut rng = fastrand::Rng::with_seed(5);
+/// A load: its name, seed, seconds of arrivals, and the factor by which all estimates are too low.
+#[derive(Clone, Copy)]
+struct Load<'a> {
+    name: &'a str,
+    seed: u64,
+    seconds: u64,
+    underestimate: f64,
+    demand: &'a Demand<'a>,
+}
+
+impl<'a> Load<'a> {
+    fn new(name: &'a str, seconds: u64, demand: &'a Demand) -> Self {
+        Load { name, seed: 5, seconds, underestimate: 1.0, demand }
+    }
+}
+
+/// Simulates a load; returns the jobs of each kind by size.
+fn simulate(by_value: bool, load: &Load) -> Vec<Vec<SimJob>> {
+    let Load { seed, seconds, underestimate, demand, .. } = *load;
+    let mut rng = fastrand::Rng::with_seed(seed);
     let template = queues().queues[0].clone();
     let queue = |k: &Kind| Queue {
         stretch: k.6,
@@ -109,7 +126,7 @@
                 let tasks = (k.3 * (0.3 - 0.7 * (1.0 - rng.f64()).ln())).max(1.0) as u64;
                 let run = k.4 * (0.6 + 0.8 * rng.f64());
                 // Estimates are off by up to 0.9 of the run time.
-                let estimate = run * (0.1 + 1.8 * rng.f64());
+                let estimate = run * (0.1 + 1.8 * rng.f64()) / underestimate;
                 changed.push(jobs.len());
                 jobs.push(SimJob {
                     kind,
@@ -183,9 +200,10 @@
 /// Runs a load with the order by value and with the baseline; returns of each the percentage of the
 /// value that all jobs together could earn, and the percentage of jobs too late to have value.
 /// Panics if a kind's largest tenth is in time less than half as often as the kind by value.
-fn compare(name: &str, seconds: u64, demand: &Demand) -> [(f64, f64); 2] {
+fn compare(load: &Load) -> [(f64, f64); 2] {
+    let name = load.name;
     [true, false].map(|by_value| {
-        let kinds = simulate(by_value, seconds, demand);
+        let kinds = simulate(by_value, load);
         let order = if by_value { "by value" } else { "baseline" };
         for (kind, jobs) in KINDS.iter().zip(&kinds) {
             let wait = |jobs: &[SimJob]| jobs.iter().map(|j| j.wait).max().unwrap_or_default();
@@ -206,18 +224,19 @@
     // By due time alone, jobs start too late to allow for errors, and jobs whose estimate is too
     // low count as lost while they could be in time.
     for (load, most_lost) in [(1.02, 0.1), (1.3, 1.0), (2.0, 5.0)] {
-        let [value, base] = compare(&format!("load {load}"), 60, &|_, _| load);
+        let [value, base] = compare(&Load::new(&format!("load {load}"), 60, &|_, _| load));
         assert!(value.0 > base.0 && value.1 <= base.1.min(most_lost), "{load}: {value:?} {base:?}");
     }
 }
 
 #[test]
 fn a_burst_of_quick_and_wide_jobs_costs_few_jobs() {
-    let [value, base] = compare("burst", 30, &|kind, ms| match (kind, ms / 1_000) {
+    let burst = |kind, ms| match (kind, ms / 1_000) {
         (0, 10..14) => 2.1,
         (1, 10..12) => 5.0,
         _ => 0.85,
-    });
+    };
+    let [value, base] = compare(&Load::new("burst", 30, &burst));
     assert!(value.0 > base.0 && value.1 <= base.1, "{value:?} {base:?}");
 }
 
@@ -229,10 +248,23 @@
         14_480..14_520 => 0.9 * 4_500.0 / ROUND_MS as f64,
         _ => 0.9,
     };
-    let [value, base] = compare("return", 30, &returning);
+    let [value, base] = compare(&Load::new("return", 30, &returning));
     assert!(value.0 > base.0 && value.1 <= base.1, "{value:?} {base:?}");
 }
 
+#[test]
+fn jobs_whose_estimates_are_far_too_low_are_not_given_up() {
+    // The expected end, but not the objective, would be corrected by the observed ratio, so that
+    // every job counted as too late on arrival.
+    for (rate, most_lost) in [(1.02, 0.5), (1.3, 2.5), (2.0, 4.5)] {
+        let name = format!("load {rate}, estimates 8 times too low");
+        let demand = |_, _| rate;
+        let load = Load { underestimate: 8.0, ..Load::new(&name, 60, &demand) };
+        let [value, base] = compare(&load);
+        assert!(value.0 > base.0 && value.1 <= base.1.min(most_lost), "{rate}: {value:?} {base:?}");
+    }
+}
+
 #[test]
 fn single_outliers_do_not_reorder_a_queue() {
     let (mut history, ms) = (RatioHistory::default(), Duration::from_millis);
