Ratios: runs of a former owner are not recorded

Cause: an adopted run counts from its adoption. If its worker reported no progress, the time since the takeover was recorded as its run time.

Change: only runs that this owner has started are recorded. Shard::run_ratios is public for the test.

Twelve later runs at half the speed give 1.9 to 2.2.

--- a/src/shard/ready_queue.rs
+++ b/src/shard/ready_queue.rs
@@ -107,7 +107,7 @@
 
     /// Returns the ratios of observed to estimated run time of a queue; `None` if the deployment has
     /// no customers.
-    fn run_ratios(&self, queue: &str) -> Option<Ratios> {
+    pub fn run_ratios(&self, queue: &str) -> Option<Ratios> {
         self.queues.customers.as_ref()?;
         Some(self.ratio_histories.get(queue).map(RatioHistory::ratios).unwrap_or_default())
     }
--- a/src/shard/run_end.rs
+++ b/src/shard/run_end.rs
@@ -41,10 +41,10 @@
         self.apply_end(&end.task, end.run, end.reason, saved, current, now);
         if current {
             self.record_ended_at(&end.task, now);
-            // A run from a checkpoint did only a part of its task's work.
-            if let (EndReason::Done, Some(run)) =
-                (end.reason, run.filter(|r| r.progress_percent.0 == 0))
-            {
+            // A run from a checkpoint did only a part of its task's work. When an adopted run began
+            // is unknown.
+            let whole = run.filter(|r| r.progress_percent.0 == 0 && !r.adopted);
+            if let (EndReason::Done, Some(run)) = (end.reason, whole) {
                 self.record_step_time(&end.task.step, now - run.started_at);
             }
         }
--- a/tests/shard_overload.rs
+++ b/tests/shard_overload.rs
@@ -6,6 +6,7 @@
 use {
     dogwoodreach::{
         customers::Customers,
+        decide::utility::Ratios,
         units::Size,
         work::{Queue, QueueConfig, Step},
     },
@@ -155,3 +156,35 @@
     println!("{stops} stops of {tasks} tasks");
     assert!(stops <= tasks / 10, "{stops} stops of {tasks} tasks");
 }
+
+#[test]
+fn a_successor_records_only_run_times_of_its_own_runs() {
+    // Of adopted runs without progress it would record the time since the takeover: here three
+    // quarters of the estimate, of runs that took longer than the estimate.
+    let mut y = site(true);
+    y.world.spread = 0.0;
+    let set_speed =
+        |y: &mut ShardSim, speed| y.world.workers.iter_mut().for_each(|w| w.speed = speed);
+    let submit = |y: &mut ShardSim, first: u64| {
+        for no in first..first + 12 {
+            y.submit(no, "quick", job([Step { size: Size::new(5, 512, 0), ..step(1, 4_000) }]));
+        }
+    };
+    set_speed(&mut y, 0.0);
+    y.at(500, move |y| submit(y, 1));
+    y.fault(2_000, move |y| {
+        y.kill_owner();
+        y.take_over();
+    });
+    y.at(4_000, move |y| set_speed(y, 4.0));
+    y.run_until(8_000);
+    let ended = y.progress().values().filter(|p| p.ended_ms > 0).count();
+    assert_eq!((ended, y.rules.start_count), (12, 12));
+    assert_eq!(y.owner().shard.run_ratios("quick"), Some(Ratios::default()));
+    set_speed(&mut y, 0.5);
+    submit(&mut y, 100);
+    y.run_until(20_000);
+    y.run_until_settled(SETTLED_MS);
+    let Ratios { low, high } = y.owner().shard.run_ratios("quick").expect("there are customers");
+    assert!((1.9..2.2).contains(&low) && (1.9..2.2).contains(&high), "{low} {high}");
+}
