Rank: long-running steps have the lowest level

Cause: urgent long-running steps had level 0. The levels of other steps are mostly negative, since their tasks take small fractions of a pool, so long-running steps waited behind nearly all urgent steps of their priority.

Change: their level is i8::MIN.

--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -136,9 +136,10 @@
     let end = now.saturating_add(ms(timing.remaining_time));
     let value_end = timing.arrived_ms.saturating_add(objective.saturating_mul(VALUE_FACTOR));
     let outlook = match &timing.stake {
-        // Its task must run again within seconds, and waiting gains nothing.
+        // Its task must run again within seconds. Waiting gains nothing, and its work has no end by
+        // which it could be compared, so it goes first in its priority.
         Some(_) if timing.long_running => {
-            Outlook { lateness: Lateness::InTime, urgent_level: Some(0) }
+            Outlook { lateness: Lateness::InTime, urgent_level: Some(i8::MIN) }
         }
         Some(stake) => {
             let (arrived, remaining) = (timing.arrived_ms, timing.remaining_time);
--- a/tests/utility.rs
+++ b/tests/utility.rs
@@ -265,6 +265,43 @@
     }
 }
 
+/// Returns a random queue and a time for a step of it, without customers.
+fn random_step(rng: &mut fastrand::Rng) -> (Queue, JobTiming) {
+    let ms = |rng: &mut fastrand::Rng, most| Duration::from_millis(rng.u64(0..most));
+    let queue = Queue {
+        stretch: rng.f64() * 4.0,
+        slack: ms(rng, 3_000),
+        priority: rng.u8(0..3),
+        ..queues().queues[0].clone()
+    };
+    let timing = JobTiming {
+        arrived_ms: rng.u64(0..20_000),
+        critical_path: ms(rng, 10_000),
+        remaining_time: ms(rng, 10_000),
+        long_running: rng.u8(0..8) == 0,
+        stake: None,
+    };
+    (queue, timing)
+}
+
+#[test]
+fn long_running_steps_go_before_urgent_ones_of_their_priority() {
+    // At a level within those of other steps they would wait behind nearly all urgent work, and be
+    // away for longer than the 6 s within which they must run again.
+    for seed in 0..1_000 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (queue, timing) = random_step(&mut rng);
+        let ratios = RatioHistory::default().ratios();
+        let stake = |rng: &mut fastrand::Rng| {
+            Some(Stake { ratios, work: 10f64.powf(rng.f64() * 24.0 - 12.0) })
+        };
+        let lasting = JobTiming { long_running: true, stake: stake(&mut rng), ..timing };
+        let (_, other) = random_step(&mut rng);
+        let other = JobTiming { long_running: false, stake: stake(&mut rng), ..other };
+        assert!(rank(&queue, lasting, 20_000) < rank(&queue, other, 20_000), "seed {seed}");
+    }
+}
+
 #[test]
 fn single_outliers_do_not_reorder_a_queue() {
     let (mut history, ms) = (RatioHistory::default(), Duration::from_millis);
