Ready queue: saturating total capacity, work of tasks only with customers

Cause: the sum of the workers' capacities could overflow, and the work of each step's tasks was computed without customers, where nothing reads it.

Change: Size::saturating_add; the work of tasks is computed with customers only, also for jobs from before the configuration had customers.

--- a/src/shard/ready_queue.rs
+++ b/src/shard/ready_queue.rs
@@ -89,9 +89,14 @@
         }
     }
 
-    /// Computes how many successive waves each step's tasks need, once the workers are known.
+    /// Computes how many successive waves each step's tasks need, and with customers the work of a
+    /// task of each step, once the workers are known.
     fn compute_waves(&mut self, no: JobNo) {
-        let Some(job) = self.jobs.get_mut(&no).filter(|j| j.waves.is_empty()) else { return };
+        let by_value = self.queues.customers.is_some();
+        let missing = |j: &ActiveJob| {
+            j.waves.is_empty() || (by_value && j.task_works.len() < j.job.steps.len())
+        };
+        let Some(job) = self.jobs.get_mut(&no).filter(|j| missing(j)) else { return };
         let Some(queue) = self.queue_configs.get(&job.queue) else { return };
         let Some(pool) = self.pools.get(&queue.pool) else { return };
         let listed = pool.iter().filter_map(|n| self.workers[n.0].list_entry.as_ref());
@@ -99,8 +104,13 @@
         let room = |s: &Step| {
             sizes.iter().fold(0, |sum: u64, size| sum.saturating_add(s.reserved().count(size)))
         };
-        job.waves = job.job.steps.iter().map(|s| round_count(s.count, room(s))).collect();
-        let total = sizes.iter().copied().sum();
+        if job.waves.is_empty() {
+            job.waves = job.job.steps.iter().map(|s| round_count(s.count, room(s))).collect();
+        }
+        if !by_value {
+            return;
+        }
+        let total = sizes.iter().fold(Size::default(), |sum, s| sum.saturating_add(s));
         let work = |s: &Step| task_work(&s.reserved(), &total, Duration::from_millis(s.estimate));
         job.task_works = job.job.steps.iter().map(work).collect();
     }
