Test: without customers the order is the earlier one

Cause: nothing compared rank() without customers with the order before it had customers.

Change: 1,000 fixed seeds of 12 random steps each, all pairs compared with the order by class, priority and due time.

--- a/tests/utility.rs
+++ b/tests/utility.rs
@@ -4,7 +4,7 @@
 use {
     dogwoodreach::{
         decide::{
-            rank::{JobTiming, Rank, rank},
+            rank::{JobTiming, Rank, job_objective, rank},
             utility::{RatioHistory, Ratios, Stake, task_work},
         },
         units::{Cores, Size},
@@ -302,6 +302,44 @@
     }
 }
 
+#[test]
+fn without_customers_the_order_is_that_of_class_priority_and_due_time() {
+    // The keys of the order by value would change the order of deployments without customers.
+    let old_key = |queue: &Queue, timing: &JobTiming, now: u64| {
+        let objective = job_objective(queue, timing.critical_path).as_millis() as u64;
+        let due = timing.arrived_ms + objective;
+        let end = now + timing.remaining_time.as_millis() as u64;
+        let class = if timing.long_running || end <= due {
+            0
+        } else if end <= timing.arrived_ms + 3 * objective {
+            1
+        } else {
+            2
+        };
+        (class, queue.priority, due)
+    };
+    for seed in 0..1_000 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let now = rng.u64(0..40_000);
+        let steps: Vec<_> = (0..12).map(|_| random_step(&mut rng)).collect();
+        let both = |(queue, timing): &(Queue, JobTiming)| {
+            (old_key(queue, timing, now), rank(queue, *timing, now))
+        };
+        let keys: Vec<_> = steps.iter().map(both).collect();
+        for ((old, new), (other_old, other_new)) in
+            keys.iter().flat_map(|a| keys.iter().map(move |b| (a, b)))
+        {
+            assert_eq!(
+                new.cmp(other_new),
+                old.cmp(other_old),
+                "seed {seed}: {old:?} {other_old:?}"
+            );
+            let facts = (new.class(), new.due_ms(), new.is_urgent(), new.may_preempt());
+            assert_eq!(facts, (old.0, old.2, false, old.0 == 0), "seed {seed}");
+        }
+    }
+}
+
 #[test]
 fn single_outliers_do_not_reorder_a_queue() {
     let (mut history, ms) = (RatioHistory::default(), Duration::from_millis);
