--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -69,6 +69,9 @@
     lateness: Lateness,
     /// Due time, in milliseconds since the Unix epoch.
     due_ms: u64,
+    /// Whether the step may preempt less urgent runs. The keys above determine it, so it does not
+    /// change the order.
+    preempts: bool,
 }
 
 impl Rank {
@@ -93,6 +96,15 @@
         self.class == Class::TooLate
     }
 
+    /// Returns whether the step may stop runs of less urgent queues: with customers if it is urgent,
+    /// without customers if it can be in time.
+    ///
+    /// Prevents repeated preemption with customers: a step that can wait would stop runs of a step
+    /// that is urgent, is ordered before it and takes the freed room back.
+    pub fn may_preempt(&self) -> bool {
+        self.preempts
+    }
+
     /// Returns the due time, in milliseconds since the Unix epoch.
     pub fn due_ms(&self) -> u64 {
         self.due_ms
@@ -147,9 +159,10 @@
     let end = now.saturating_add(ms(timing.remaining_time));
     let value_end = timing.arrived_ms.saturating_add(objective.saturating_mul(VALUE_FACTOR));
     let outlook = match &timing.stake {
-        // Its task must run again within seconds, and waiting gains nothing.
+        // Its task must run again within seconds. Waiting gains nothing, and its work has no end by
+        // which it could be compared, so it goes first in its priority.
         Some(_) if timing.long_running => {
-            Outlook { lateness: Lateness::InTime, urgent_level: Some(0) }
+            Outlook { lateness: Lateness::InTime, urgent_level: Some(i8::MIN) }
         }
         Some(stake) => {
             let (arrived, remaining) = (timing.arrived_ms, timing.remaining_time);
@@ -180,5 +193,9 @@
         work_level: outlook.urgent_level.unwrap_or(0),
         lateness: outlook.lateness,
         due_ms: due,
+        preempts: match timing.stake {
+            Some(_) => class == Class::Urgent,
+            None => class == Class::InTime,
+        },
     }
 }
