Shares: an arrival from a clock that is ahead counts once

Cause: an arrival in a bucket of the future was reported with age 0 and later again with its own age, and other owners counted it twice.

Change: the submission time is at most the owner's present when it is counted, and a report ends with the newest bucket.

--- a/src/decide/arrivals.rs
+++ b/src/decide/arrivals.rs
@@ -91,7 +91,9 @@
     /// bucket.
     pub fn report(&self, at_ms: u64, window: Duration) -> Vec<(u64, u32)> {
         let newest = at_ms / BUCKET_MS;
-        let recent = self.buckets.range(newest.saturating_sub(window_buckets(window))..);
+        // An arrival in a later bucket would be reported with age 0 now and with its own age later,
+        // and other owners would count it twice.
+        let recent = self.buckets.range(newest.saturating_sub(window_buckets(window))..=newest);
         recent
             .filter(|(_, b)| b.own > 0)
             .map(|(at, b)| (newest.saturating_sub(*at), b.own))
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -33,7 +33,7 @@
         let customer = record.customer.as_ref().map(|name| self.customer_no(name));
         let mut active = ActiveJob::new(record, progress, old, now, self.setup.unix_ms);
         active.customer = customer;
-        active.arrival = customer.map(|c| self.record_arrival(c, active.submitted_ms));
+        active.arrival = customer.map(|c| self.record_arrival(c, active.submitted_ms, now));
         if active.job.times.is_some() {
             self.scheduled_jobs.insert(no);
         }
--- a/src/shard/shares.rs
+++ b/src/shard/shares.rs
@@ -60,8 +60,15 @@
         self.queues.customers.is_some()
     }
 
-    /// Counts the arrival of a customer's job.
-    pub(super) fn record_arrival(&mut self, customer: CustomerNo, submitted_ms: u64) -> Arrival {
+    /// Counts the arrival of a customer's job. The clock of the member that accepted the job may be
+    /// ahead of the owner's, so that the submission seems to be in the future.
+    pub(super) fn record_arrival(
+        &mut self,
+        customer: CustomerNo,
+        submitted_ms: u64,
+        now: Time,
+    ) -> Arrival {
+        let submitted_ms = submitted_ms.min(self.unix_ms(now));
         self.shares.arrivals_of(customer).add(submitted_ms)
     }
 
--- a/tests/shard_shares.rs
+++ b/tests/shard_shares.rs
@@ -8,11 +8,13 @@
         customers::{Customer, Customers, cap_from},
         ids::CustomerId,
         shard::{
-            Amounts, CustomerReport, CustomerUsage, UsageReport, event::Event, record::ShardNo,
+            Amounts, CustomerReport, CustomerUsage, UsageReport,
+            event::Event,
+            record::{JobRecord, ShardNo, encode},
         },
         units::Size,
         usage_exchange::UsageExchange,
-        work::{Job, QueueConfig, Step},
+        work::{Job, JobNo, QueueConfig, Step},
     },
     std::{
         sync::Arc,
@@ -137,6 +139,29 @@
     assert!(report.customers[0].pools[0].1 == Amounts::from(Size::new(16, 1_024, 0)));
 }
 
+#[test]
+fn a_job_from_a_member_whose_clock_is_ahead_counts_as_submitted_now() {
+    // Its arrival would be in no report for as long as the clock is ahead.
+    let mut y = site(12, &[("ann", HIGH)]);
+    let step = Step { count: 1, estimate: 100, size: Size::new(1, 64, 0), ..Step::default() };
+    let record = JobRecord {
+        queue: "open".into(),
+        submitted_ms: UNIX_START_MS + 3_600_000,
+        job: Job { text: "do it".into(), steps: [step].into(), times: None },
+        queue_settings: None,
+        customer: Some(CustomerId::from("ann")),
+    };
+    y.world.jobs.insert(JobNo(1), record.clone());
+    y.store.put(ShardNo(0).job_key(JobNo(1)), encode(&record));
+    let now = y.now;
+    y.owner().shard.apply(Event::Job(JobNo(1), Box::new(record)), now);
+    y.usage_reports.clear();
+    y.run_until(1_500);
+    let report = &y.usage_reports.last().expect("a report").1;
+    let reported: u32 = report.customers[0].arrivals.iter().map(|(_, n)| n).sum();
+    assert_eq!(reported, 1);
+}
+
 #[test]
 fn a_member_sends_two_messages_per_second_however_many_shards_it_owns() {
     let (mut exchange, mut sent) = (UsageExchange::default(), vec![]);
--- a/tests/share.rs
+++ b/tests/share.rs
@@ -155,6 +155,20 @@
     assert!((110..=135).contains(&within), "{within} of 300 jobs in 30 s are within 4 per second");
 }
 
+#[test]
+fn an_arrival_from_a_clock_that_is_ahead_is_reported_once() {
+    // It would be reported with age 0 now and with its own age later, and be counted twice.
+    let (mut own, mut other) = (Arrivals::default(), Arrivals::default());
+    own.add(12_000);
+    for ms in (10_000..14_000).step_by(500) {
+        other.add_report(0, ms, &own.report(ms, WINDOW));
+    }
+    let later = other.add(13_900);
+    other.count(Some(2), WINDOW, 14_000);
+    assert_eq!(other.is_over_quota(later, 1), Some(false));
+    assert_eq!(own.report(11_000, WINDOW), []);
+}
+
 /// A simulation of the pool, to which each customer sends `rate(customer, ms)` jobs per second.
 struct Load<'a> {
     rate: &'a dyn Fn(usize, u64) -> f64,
