Shares: reports from the future are ignored

Cause: the age of a report was computed with a saturating subtraction, so that a report of a member whose clock is ahead had age 0 for as long as that, and kept out the reports that followed once the clock was right again.

Change: the difference of the clocks counts in both directions when a report arrives and when it is used.

--- a/src/shard/share_state.rs
+++ b/src/shard/share_state.rs
@@ -77,7 +77,7 @@
     /// Returns whether the report is recent enough to be used.
     pub fn is_fresh(&self, unix_ms: u64, now: Time) -> bool {
         // The clocks of two members may differ, so the time of receipt counts as well.
-        let age = Duration::from_millis(unix_ms.saturating_sub(self.at_ms));
+        let age = Duration::from_millis(unix_ms.abs_diff(self.at_ms));
         age.max(now.since(self.received_at)) <= MAX_REPORT_AGE
     }
 }
--- a/src/shard/shares.rs
+++ b/src/shard/shares.rs
@@ -247,7 +247,8 @@
     pub(super) fn on_usage(&mut self, reports: &[UsageReport], now: Time) {
         let (unix, shard) = (self.unix_ms(now), self.setup.shard);
         for report in reports.iter().filter(|r| r.shard != shard) {
-            let age_ms = unix.saturating_sub(report.at_ms);
+            // A report from the future would be used, and replace later ones, until that time.
+            let age_ms = unix.abs_diff(report.at_ms);
             let stamp = (report.token, report.at_ms);
             let known = self.shares.reports.get(&report.shard.0);
             if !self.has_customers()
--- a/tests/shard_shares.rs
+++ b/tests/shard_shares.rs
@@ -202,6 +202,22 @@
     assert_eq!(share_after(&mut y, Some(report(6, now, "ann", 32)), 300), 0.0);
 }
 
+#[test]
+fn reports_of_a_member_whose_clock_is_an_hour_ahead_are_ignored() {
+    // Such a report would keep out those that follow once the clock is right again.
+    let mut y = site(13, &[("ann", HIGH)]);
+    let ahead = y.now + Duration::from_secs(3_600);
+    deliver(&mut y, report(1, ahead, "ann", 16));
+    y.run_until(900);
+    let now = y.now;
+    let known = y.owner().shard.customer_usage(now);
+    assert!(known.iter().all(|u| u.share == 0.0), "{known:?}");
+    let now = y.now;
+    deliver(&mut y, report(1, now, "ann", 16));
+    y.run_until(1_300);
+    assert_eq!(usage(&y, "ann").share, 0.25);
+}
+
 /// Runs two shards in which ann fills all capacity, and bob has as much work in the second one only.
 /// Returns the share of the second shard's capacity that bob has on average, in percent. `lost` says
 /// which reports do not arrive.
