Member calls: a refused or frequent call closes no connections that work

Cause: a member that does not know the call usage answers with an error, and its client, which all calls share, was dropped twice a second. A usage call without an answer in 500 ms also dropped clients of other members.

Change: an answer with an error is CallFailure::Refused and keeps the client; its calls are counted as "refused". RpcClients::notify, used for usage, drops only the client of the member that did not answer.

--- a/src/member_rpc.rs
+++ b/src/member_rpc.rs
@@ -14,7 +14,7 @@
         ports::{Advice, AdviceCall, Fault, WireRequest},
         relay::{self, RelayReply, RelayRequest, RelayedCall, Relayer},
         rpc,
-        rpc_clients::RpcClients,
+        rpc_clients::{CallFailure, RpcClients},
         service_clients::ServiceClients,
         shard::{
             Occupancy, PoolWait, UsageReport,
@@ -388,7 +388,10 @@
         limit: Duration,
     ) {
         let reports: Vec<&UsageReport> = reports.iter().map(|r| &**r).collect();
-        let _: Option<()> = self.call(addr, "usage", &UsageNotice { reports }, limit).await;
+        let Some(secret) = self.secret() else { return };
+        let request = UsageNotice { reports };
+        let answer = self.clients.notify(addr, &secret, "usage", &request, limit).await;
+        let _: Option<()> = self.count("usage", answer);
     }
 
     /// Asks a member for the tasks on workers of its shards and for how long tasks wait; `None` if
@@ -425,8 +428,17 @@
         request: &A,
         limit: Duration,
     ) -> Option<R> {
-        let secret = self.common.view.borrow().layout.as_ref()?.secret.clone();
+        let secret = self.secret()?;
         let answer = self.clients.call(addr, &secret, name, request, limit).await;
+        self.count(name, answer)
+    }
+
+    fn secret(&self) -> Option<Box<str>> {
+        Some(self.common.view.borrow().layout.as_ref()?.secret.as_ref().into())
+    }
+
+    /// Counts the outcome of a call and returns its result.
+    fn count<R>(&self, name: &'static str, answer: Result<R, CallFailure>) -> Option<R> {
         let outcome = answer.as_ref().map_or_else(ToString::to_string, |_| "done".into());
         self.common.metrics.count_call(name, &outcome);
         answer.ok()
--- a/src/rpc_clients.rs
+++ b/src/rpc_clients.rs
@@ -3,7 +3,10 @@
 use {
     crate::rpc,
     derive_more::Display,
-    jsonrpsee::{core::client::ClientT, http_client::HttpClient},
+    jsonrpsee::{
+        core::client::{ClientT, Error as ClientError},
+        http_client::HttpClient,
+    },
     rustc_hash::FxHashMap,
     serde::{Serialize, de::DeserializeOwned},
     std::{
@@ -31,9 +34,12 @@
     /// No answer arrived within the limit.
     #[display("timeout")]
     Timeout,
-    /// The connection failed, or the answer is an error or can't be read.
+    /// The connection failed, or the answer can't be read.
     #[display("failed")]
     Failed,
+    /// The member answered with an error, for instance that it does not know the method.
+    #[display("refused")]
+    Refused,
 }
 
 /// The clients of other members.
@@ -62,7 +68,8 @@
     /// good, and the next call would wait on it again. A middlebox that loses its state silences
     /// the connections to all members at once, so a call without an answer also drops the clients
     /// that have received none since that call was sent. Otherwise a call that is tried again would
-    /// wait for its limit at one member after the other.
+    /// wait for its limit at one member after the other. An answer with an error shows that the
+    /// connection works, so the client is kept.
     ///
     /// # Errors
     ///
@@ -74,30 +81,67 @@
         method: &str,
         request: &A,
         limit: Duration,
+    ) -> Result<R, CallFailure> {
+        let sent = Instant::now();
+        let answer = self.send(addr, secret, method, request, limit).await;
+        self.record(addr, answer.as_ref().err());
+        if answer.as_ref().is_err_and(|f| *f == CallFailure::Timeout) {
+            self.drop_silent(sent);
+        }
+        answer
+    }
+
+    /// Calls a method as [`Self::call`] does, but keeps the clients of other addresses if there is no
+    /// answer. For frequent calls with a short limit, whose loss does no harm.
+    ///
+    /// # Errors
+    ///
+    /// As [`CallFailure`] says.
+    pub async fn notify<A: Serialize, R: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        secret: &str,
+        method: &str,
+        request: &A,
+        limit: Duration,
+    ) -> Result<R, CallFailure> {
+        let answer = self.send(addr, secret, method, request, limit).await;
+        self.record(addr, answer.as_ref().err());
+        answer
+    }
+
+    async fn send<A: Serialize, R: DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        secret: &str,
+        method: &str,
+        request: &A,
+        limit: Duration,
     ) -> Result<R, CallFailure> {
         let client = self.client(addr, secret)?;
         let request = serde_json::value::to_raw_value(request).map_err(|_| CallFailure::Failed)?;
-        let sent = Instant::now();
-        let answer = match timeout(limit, client.request(method, [request])).await {
+        match timeout(limit, client.request(method, [request])).await {
+            Ok(Err(ClientError::Call(_))) => Err(CallFailure::Refused),
             Ok(answer) => answer.map_err(|_| CallFailure::Failed),
             Err(_) => Err(CallFailure::Timeout),
-        };
-        self.record(addr, sent, answer.as_ref().err());
-        answer
+        }
+    }
+
+    /// Records the outcome of a call to `addr`.
+    fn record(&self, addr: SocketAddr, failure: Option<&CallFailure>) {
+        let mut clients = self.lock();
+        if failure.is_some_and(|f| *f != CallFailure::Refused) {
+            clients.by_addr.remove(&addr);
+        } else if let Some(known) = clients.by_addr.get_mut(&addr) {
+            known.answered_at = Instant::now();
+        }
     }
 
-    /// Records the outcome of the call sent to `addr` at `sent`.
-    fn record(&self, addr: SocketAddr, sent: Instant, failure: Option<&CallFailure>) {
+    /// Drops the clients that have received no answer since `sent`, if that is due.
+    fn drop_silent(&self, sent: Instant) {
         let (mut clients, now) = (self.lock(), Instant::now());
-        let Some(failure) = failure else {
-            if let Some(known) = clients.by_addr.get_mut(&addr) {
-                known.answered_at = now;
-            }
-            return;
-        };
-        clients.by_addr.remove(&addr);
         let due = clients.checked_at.is_none_or(|at| at + DROP_INTERVAL <= now);
-        if *failure == CallFailure::Timeout && due {
+        if due {
             clients.checked_at = Some(now);
             clients.by_addr.retain(|_, c| c.answered_at > sent);
         }
--- a/tests/silent_peers.rs
+++ b/tests/silent_peers.rs
@@ -67,6 +67,28 @@
     });
 }
 
+// Guards against connections that are closed because a member of an earlier version does not know a
+// method, and because a frequent call of little importance runs into its short limit.
+#[test]
+fn refused_and_unimportant_calls_close_no_connections_that_work() {
+    run(async {
+        let peers = [Peer::start().await, Peer::start().await];
+        let clients = RpcClients::default();
+        for peer in &peers {
+            assert_eq!(ping(&clients, peer.addr, LONG).await, Ok(true));
+        }
+        let addr = peers[0].addr;
+        let refused = clients.call::<_, ()>(addr, "secret", "unknown", &(), LONG).await;
+        assert_eq!(refused, Err(CallFailure::Refused));
+        // A client that is kept waits on its silent connection; a new one would get an answer.
+        peers[0].link.set(Mode::Silent);
+        let silent = clients.notify::<_, bool>(addr, "secret", "ping", &(), SHORT).await;
+        assert_eq!(silent, Err(CallFailure::Timeout));
+        peers[1].link.set(Mode::Silent);
+        assert_eq!(ping(&clients, peers[1].addr, SHORT).await, Err(CallFailure::Timeout));
+    });
+}
+
 // Guards against a call that waits for its whole limit at a member that lost its power, whose
 // address takes no connections and refuses none.
 #[test]
