Shares: sums of sizes saturate

Cause: Size::times saturates, and adding to the result overflowed, which panics in debug builds. Reports of other owners may also hold any size.

Change: Size::saturating_add, used for all sums of shares.

The test was not run without the change.

--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -126,8 +126,10 @@
         let elapsed = elapsed.min(MAX_UPDATE_TIME);
         (self.updated_at, self.capacity) = (Some(now), capacity);
         self.customers.resize_with(claims.len(), CustomerShares::default);
-        let totals: Vec<Size> =
-            claims.iter().map(|c| c.pools.iter().map(|p| p.running).sum()).collect();
+        let total = |c: &Claim| {
+            c.pools.iter().fold(Size::default(), |sum, p| sum.saturating_add(&p.running))
+        };
+        let totals: Vec<Size> = claims.iter().map(total).collect();
         for (customer, total) in self.customers.iter_mut().zip(&totals) {
             (customer.share, customer.entitled) = (dominant(total, &capacity), 0.0);
         }
@@ -175,7 +177,7 @@
     pub fn record_start(&mut self, customer: usize, pool: usize, size: &Size) -> bool {
         let capacity = self.capacity;
         let Some(known) = self.pool_share(customer, pool) else { return false };
-        known.running += *size;
+        known.running = known.running.saturating_add(size);
         if known.above || !known.contended || !known.exceeds(dominant(&known.running, &capacity)) {
             return false;
         }
@@ -254,7 +256,7 @@
         weight: if claim.weight > 0.0 { claim.weight.min(MAX_WEIGHT) } else { 0.0 },
         elsewhere: dominant(&total.saturating_sub(&held.running), capacity),
         share: dominant(&held.running, capacity),
-        demand: dominant(&(held.running + usable), capacity),
+        demand: dominant(&held.running.saturating_add(&usable), capacity),
     }
 }
 
--- a/src/shard/shares.rs
+++ b/src/shard/shares.rs
@@ -150,7 +150,7 @@
         let mut claims = self.own_claims(now);
         let pools = self.pools.values().flatten();
         let listed = pools.filter_map(|n| self.workers[n.0].list_entry.as_ref());
-        let mut capacity: Size = listed.map(|l| l.capacity).sum();
+        let mut capacity = listed.fold(Size::default(), |sum, l| sum.saturating_add(&l.capacity));
         if self.shares.next_report <= now {
             self.shares.next_report = now + REPORT_INTERVAL;
             let report = self.usage_report(&claims, capacity, now);
@@ -158,11 +158,12 @@
         }
         let unix = self.unix_ms(now);
         for report in self.shares.reports.values().filter(|r| r.is_fresh(unix, now)) {
-            capacity += report.capacity;
+            // The sizes in a report, and those of steps times their counts, may be the largest ones.
+            capacity = capacity.saturating_add(&report.capacity);
             for (no, pool, other) in &report.holdings {
                 let known = holding(&mut claims, *no, *pool);
-                known.running += other.running;
-                known.waiting += other.waiting;
+                known.running = known.running.saturating_add(&other.running);
+                known.waiting = known.waiting.saturating_add(&other.waiting);
             }
         }
         self.shares.shares.update(&claims, capacity, now);
@@ -189,7 +190,8 @@
             let Some(pool) = worker.pool() else { continue };
             let pool = self.shares.pool_index(pool);
             for (no, charge) in worker.runs.values().filter_map(|r| Some((r.customer?, r.charge))) {
-                holding(&mut claims, no, pool).running += charge;
+                let known = &mut holding(&mut claims, no, pool).running;
+                *known = known.saturating_add(&charge);
             }
         }
         let mut waiting: FxHashSet<JobNo> = FxHashSet::default();
@@ -211,7 +213,8 @@
                 continue;
             };
             let pool = self.shares.pool_index(&queue.pool);
-            holding(&mut claims, no, pool).waiting += step.size.times(state.waiting_count.into());
+            let known = &mut holding(&mut claims, no, pool).waiting;
+            *known = known.saturating_add(&step.size.times(state.waiting_count.into()));
             if let Some(since) = state.ready_since.filter(|t| *t + MAX_SHARE_WAIT <= now)
                 && is_wide(step)
             {
--- a/tests/share.rs
+++ b/tests/share.rs
@@ -73,6 +73,13 @@
     let capped = Claim { cap: cores(10), ..claim(1.0, &[(10, 500)]) };
     assert_eq!(above(&[capped, claim(1.0, &[(90, 50)])]), NONE);
     assert_eq!(above(&[]), NONE);
+    // Sums of the largest sizes would overflow.
+    let largest = cores(1).times(u64::MAX);
+    let held = Holding { running: largest, waiting: largest };
+    let claims = [Claim { cap: largest, pools: vec![held; 2], ..claim(1.0, &[]) }];
+    let mut shares = Shares::default();
+    shares.update(&claims, largest, Time::ZERO);
+    shares.record_start(0, 0, &largest);
 }
 
 #[test]
