Shares: an empty list of customers is as none

Cause: with an empty list of customers an owner sent reports.

Change: shares and quotas apply only if the configuration has a customer.

The test was not run without the change.

--- a/src/shard/shares.rs
+++ b/src/shard/shares.rs
@@ -55,9 +55,9 @@
 }
 
 impl Shard {
-    /// Returns whether shares and quotas apply.
+    /// Returns whether shares and quotas apply. An empty list is as none.
     fn has_customers(&self) -> bool {
-        self.queues.customers.is_some()
+        self.queues.customers.as_ref().is_some_and(|c| c.iter().next().is_some())
     }
 
     /// Counts the arrival of a customer's job. The clock of the member that accepted the job may be
--- a/tests/shard_shares.rs
+++ b/tests/shard_shares.rs
@@ -117,13 +117,15 @@
 
 #[test]
 fn nothing_is_reported_or_reordered_without_customers() {
-    let mut y = ShardSim::with(3, queues(), workers(8), 2);
-    y.run_until(500);
-    submit(&mut y, "ann", 1, 40, 500);
-    y.run_until(4_000);
-    assert!(y.usage_reports.is_empty());
-    let now = y.now;
-    assert_eq!(y.owner().shard.gauges(now).customers_above_share, 0);
+    for queues in [queues(), with_weights(1, &[])] {
+        let mut y = ShardSim::with(3, queues, workers(8), 2);
+        y.run_until(500);
+        submit(&mut y, "ann", 1, 40, 500);
+        y.run_until(4_000);
+        assert!(y.usage_reports.is_empty());
+        let now = y.now;
+        assert_eq!(y.owner().shard.gauges(now).customers_above_share, 0);
+    }
 }
 
 #[test]
