Shares: pools that nobody uses are updated

Cause: a pool beyond those of the current claims kept its state, so that a customer could stay above its share of it.

Change: the update goes over all pools that are known.

The test was not run without the change.

--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -133,7 +133,10 @@
         for (customer, total) in self.customers.iter_mut().zip(&totals) {
             (customer.share, customer.entitled) = (dominant(total, &capacity), 0.0);
         }
-        let pool_count = claims.iter().map(|c| c.pools.len()).max().unwrap_or(0);
+        // A pool in which nobody has anything any more is updated as well, so that nobody stays above
+        // its share of it.
+        let known = self.customers.iter().map(|c| c.pools.len());
+        let pool_count = claims.iter().map(|c| c.pools.len()).chain(known).max().unwrap_or(0);
         for pool in 0..pool_count {
             let contended =
                 claims.iter().any(|c| c.pools.get(pool).is_some_and(|p| wants_more(&p.waiting)));
--- a/tests/share.rs
+++ b/tests/share.rs
@@ -62,6 +62,17 @@
     assert_eq!(above(&[claim(1.0, &[(30, 30), (40, 0)]), other]), [0]);
 }
 
+#[test]
+fn a_pool_that_is_no_longer_used_has_no_shares() {
+    // A customer would stay above its share of the pool, also with the first jobs that return.
+    let mut shares = Shares::default();
+    let used = [claim(1.0, &[(0, 0), (90, 50)]), claim(1.0, &[(0, 0), (10, 50)])];
+    shares.update(&used, cores(100), Time::ZERO);
+    assert!(shares.is_above(0, 1));
+    shares.update(&[claim(1.0, &[]), claim(1.0, &[])], cores(100), Time::from_millis(250));
+    assert!(!shares.is_above(0, 1) && !shares.is_above_anywhere(0));
+}
+
 #[test]
 fn weights_and_caps_at_their_limits_are_defined() {
     // A division by a weight of zero would leave every customer without a share.
