--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -13,8 +13,8 @@
 //! pools counts first. Nobody is entitled to more than its runs and its waiting work need.
 //!
 //! A customer that was kept below its entitled share may exceed it for a while. This credit is at
-//! most the entitled share again and halves every 2 s, so that hours without capacity are not made
-//! up for at the expense of the others.
+//! most a quarter of the entitled share and halves every 2 s, so that hours without capacity are not
+//! made up for at the expense of the others.
 
 use {
     crate::{Time, units::Size},
