--- a/src/decide/share.rs
+++ b/src/decide/share.rs
@@ -13,8 +13,8 @@
 //! pools counts first. Nobody is entitled to more than its runs and its waiting work need.
 //!
 //! A customer that was kept below its entitled share may exceed it for a while. This credit is at
-//! most the entitled share again and halves every 2 s, so that hours without capacity are not made
-//! up for at the expense of the others.
+//! most a quarter of the entitled share and halves every 2 s, so that hours without capacity are not
+//! made up for at the expense of the others.
 
 use {
     crate::{Time, units::Size},
@@ -126,12 +126,17 @@
         let elapsed = elapsed.min(MAX_UPDATE_TIME);
         (self.updated_at, self.capacity) = (Some(now), capacity);
         self.customers.resize_with(claims.len(), CustomerShares::default);
-        let totals: Vec<Size> =
-            claims.iter().map(|c| c.pools.iter().map(|p| p.running).sum()).collect();
+        let total = |c: &Claim| {
+            c.pools.iter().fold(Size::default(), |sum, p| sum.saturating_add(&p.running))
+        };
+        let totals: Vec<Size> = claims.iter().map(total).collect();
         for (customer, total) in self.customers.iter_mut().zip(&totals) {
             (customer.share, customer.entitled) = (dominant(total, &capacity), 0.0);
         }
-        let pool_count = claims.iter().map(|c| c.pools.len()).max().unwrap_or(0);
+        // A pool in which nobody has anything any more is updated as well, so that nobody stays above
+        // its share of it.
+        let known = self.customers.iter().map(|c| c.pools.len());
+        let pool_count = claims.iter().map(|c| c.pools.len()).chain(known).max().unwrap_or(0);
         for pool in 0..pool_count {
             let contended =
                 claims.iter().any(|c| c.pools.get(pool).is_some_and(|p| wants_more(&p.waiting)));
@@ -175,7 +180,7 @@
     pub fn record_start(&mut self, customer: usize, pool: usize, size: &Size) -> bool {
         let capacity = self.capacity;
         let Some(known) = self.pool_share(customer, pool) else { return false };
-        known.running += *size;
+        known.running = known.running.saturating_add(size);
         if known.above || !known.contended || !known.exceeds(dominant(&known.running, &capacity)) {
             return false;
         }
@@ -254,7 +259,7 @@
         weight: if claim.weight > 0.0 { claim.weight.min(MAX_WEIGHT) } else { 0.0 },
         elsewhere: dominant(&total.saturating_sub(&held.running), capacity),
         share: dominant(&held.running, capacity),
-        demand: dominant(&(held.running + usable), capacity),
+        demand: dominant(&held.running.saturating_add(&usable), capacity),
     }
 }
 
--- a/src/shard/shares.rs
+++ b/src/shard/shares.rs
@@ -55,13 +55,20 @@
 }
 
 impl Shard {
-    /// Returns whether shares and quotas apply.
+    /// Returns whether shares and quotas apply. An empty list is as none.
     fn has_customers(&self) -> bool {
-        self.queues.customers.is_some()
+        self.queues.customers.as_ref().is_some_and(|c| c.iter().next().is_some())
     }
 
-    /// Counts the arrival of a customer's job.
-    pub(super) fn record_arrival(&mut self, customer: CustomerNo, submitted_ms: u64) -> Arrival {
+    /// Counts the arrival of a customer's job. The clock of the member that accepted the job may be
+    /// ahead of the owner's, so that the submission seems to be in the future.
+    pub(super) fn record_arrival(
+        &mut self,
+        customer: CustomerNo,
+        submitted_ms: u64,
+        now: Time,
+    ) -> Arrival {
+        let submitted_ms = submitted_ms.min(self.unix_ms(now));
         self.shares.arrivals_of(customer).add(submitted_ms)
     }
 
@@ -143,7 +150,7 @@
         let mut claims = self.own_claims(now);
         let pools = self.pools.values().flatten();
         let listed = pools.filter_map(|n| self.workers[n.0].list_entry.as_ref());
-        let mut capacity: Size = listed.map(|l| l.capacity).sum();
+        let mut capacity = listed.fold(Size::default(), |sum, l| sum.saturating_add(&l.capacity));
         if self.shares.next_report <= now {
             self.shares.next_report = now + REPORT_INTERVAL;
             let report = self.usage_report(&claims, capacity, now);
@@ -151,11 +158,12 @@
         }
         let unix = self.unix_ms(now);
         for report in self.shares.reports.values().filter(|r| r.is_fresh(unix, now)) {
-            capacity += report.capacity;
+            // The sizes in a report, and those of steps times their counts, may be the largest ones.
+            capacity = capacity.saturating_add(&report.capacity);
             for (no, pool, other) in &report.holdings {
                 let known = holding(&mut claims, *no, *pool);
-                known.running += other.running;
-                known.waiting += other.waiting;
+                known.running = known.running.saturating_add(&other.running);
+                known.waiting = known.waiting.saturating_add(&other.waiting);
             }
         }
         self.shares.shares.update(&claims, capacity, now);
@@ -182,7 +190,8 @@
             let Some(pool) = worker.pool() else { continue };
             let pool = self.shares.pool_index(pool);
             for (no, charge) in worker.runs.values().filter_map(|r| Some((r.customer?, r.charge))) {
-                holding(&mut claims, no, pool).running += charge;
+                let known = &mut holding(&mut claims, no, pool).running;
+                *known = known.saturating_add(&charge);
             }
         }
         let mut waiting: FxHashSet<JobNo> = FxHashSet::default();
@@ -204,7 +213,8 @@
                 continue;
             };
             let pool = self.shares.pool_index(&queue.pool);
-            holding(&mut claims, no, pool).waiting += step.size.times(state.waiting_count.into());
+            let known = &mut holding(&mut claims, no, pool).waiting;
+            *known = known.saturating_add(&step.size.times(state.waiting_count.into()));
             if let Some(since) = state.ready_since.filter(|t| *t + MAX_SHARE_WAIT <= now)
                 && is_wide(step)
             {
@@ -240,7 +250,8 @@
     pub(super) fn on_usage(&mut self, reports: &[UsageReport], now: Time) {
         let (unix, shard) = (self.unix_ms(now), self.setup.shard);
         for report in reports.iter().filter(|r| r.shard != shard) {
-            let age_ms = unix.saturating_sub(report.at_ms);
+            // A report from the future would be used, and replace later ones, until that time.
+            let age_ms = unix.abs_diff(report.at_ms);
             let stamp = (report.token, report.at_ms);
             let known = self.shares.reports.get(&report.shard.0);
             if !self.has_customers()
--- a/src/units.rs
+++ b/src/units.rs
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Adds `more`, saturating at the largest value in every dimension.
+    /// Adds `more`, saturating at the largest value.
     pub fn saturating_add(&self, more: &Size) -> Size {
         Size {
             cores: Cores(self.cores.0.saturating_add(more.cores.0)),
--- a/tests/shard_shares.rs
+++ b/tests/shard_shares.rs
@@ -8,11 +8,13 @@
         customers::{Customer, Customers, cap_from},
         ids::CustomerId,
         shard::{
-            Amounts, CustomerReport, CustomerUsage, UsageReport, event::Event, record::ShardNo,
+            Amounts, CustomerReport, CustomerUsage, UsageReport,
+            event::Event,
+            record::{JobRecord, ShardNo, encode},
         },
         units::Size,
         usage_exchange::UsageExchange,
-        work::{Job, QueueConfig, Step},
+        work::{Job, JobNo, QueueConfig, Step},
     },
     std::{
         sync::Arc,
@@ -115,13 +117,15 @@
 
 #[test]
 fn nothing_is_reported_or_reordered_without_customers() {
-    let mut y = ShardSim::with(3, queues(), workers(8), 2);
-    y.run_until(500);
-    submit(&mut y, "ann", 1, 40, 500);
-    y.run_until(4_000);
-    assert!(y.usage_reports.is_empty());
-    let now = y.now;
-    assert_eq!(y.owner().shard.gauges(now).customers_above_share, 0);
+    for queues in [queues(), with_weights(1, &[])] {
+        let mut y = ShardSim::with(3, queues, workers(8), 2);
+        y.run_until(500);
+        submit(&mut y, "ann", 1, 40, 500);
+        y.run_until(4_000);
+        assert!(y.usage_reports.is_empty());
+        let now = y.now;
+        assert_eq!(y.owner().shard.gauges(now).customers_above_share, 0);
+    }
 }
 
 #[test]
@@ -137,6 +141,29 @@
     assert!(report.customers[0].pools[0].1 == Amounts::from(Size::new(16, 1_024, 0)));
 }
 
+#[test]
+fn a_job_from_a_member_whose_clock_is_ahead_counts_as_submitted_now() {
+    // Its arrival would be in no report for as long as the clock is ahead.
+    let mut y = site(12, &[("ann", HIGH)]);
+    let step = Step { count: 1, estimate: 100, size: Size::new(1, 64, 0), ..Step::default() };
+    let record = JobRecord {
+        queue: "open".into(),
+        submitted_ms: UNIX_START_MS + 3_600_000,
+        job: Job { text: "do it".into(), steps: [step].into(), times: None },
+        queue_settings: None,
+        customer: Some(CustomerId::from("ann")),
+    };
+    y.world.jobs.insert(JobNo(1), record.clone());
+    y.store.put(ShardNo(0).job_key(JobNo(1)), encode(&record));
+    let now = y.now;
+    y.owner().shard.apply(Event::Job(JobNo(1), Box::new(record)), now);
+    y.usage_reports.clear();
+    y.run_until(1_500);
+    let report = &y.usage_reports.last().expect("a report").1;
+    let reported: u32 = report.customers[0].arrivals.iter().map(|(_, n)| n).sum();
+    assert_eq!(reported, 1);
+}
+
 #[test]
 fn a_member_sends_two_messages_per_second_however_many_shards_it_owns() {
     let (mut exchange, mut sent) = (UsageExchange::default(), vec![]);
@@ -177,6 +204,22 @@
     assert_eq!(share_after(&mut y, Some(report(6, now, "ann", 32)), 300), 0.0);
 }
 
+#[test]
+fn reports_of_a_member_whose_clock_is_an_hour_ahead_are_ignored() {
+    // Such a report would keep out those that follow once the clock is right again.
+    let mut y = site(13, &[("ann", HIGH)]);
+    let ahead = y.now + Duration::from_secs(3_600);
+    deliver(&mut y, report(1, ahead, "ann", 16));
+    y.run_until(900);
+    let now = y.now;
+    let known = y.owner().shard.customer_usage(now);
+    assert!(known.iter().all(|u| u.share == 0.0), "{known:?}");
+    let now = y.now;
+    deliver(&mut y, report(1, now, "ann", 16));
+    y.run_until(1_300);
+    assert_eq!(usage(&y, "ann").share, 0.25);
+}
+
 /// Runs two shards in which ann fills all capacity, and bob has as much work in the second one only.
 /// Returns the share of the second shard's capacity that bob has on average, in percent. `lost` says
 /// which reports do not arrive.
--- a/tests/share.rs
+++ b/tests/share.rs
@@ -62,6 +62,17 @@
     assert_eq!(above(&[claim(1.0, &[(30, 30), (40, 0)]), other]), [0]);
 }
 
+#[test]
+fn a_pool_that_is_no_longer_used_has_no_shares() {
+    // A customer would stay above its share of the pool, also with the first jobs that return.
+    let mut shares = Shares::default();
+    let used = [claim(1.0, &[(0, 0), (90, 50)]), claim(1.0, &[(0, 0), (10, 50)])];
+    shares.update(&used, cores(100), Time::ZERO);
+    assert!(shares.is_above(0, 1));
+    shares.update(&[claim(1.0, &[]), claim(1.0, &[])], cores(100), Time::from_millis(250));
+    assert!(!shares.is_above(0, 1) && !shares.is_above_anywhere(0));
+}
+
 #[test]
 fn weights_and_caps_at_their_limits_are_defined() {
     // A division by a weight of zero would leave every customer without a share.
@@ -73,6 +84,13 @@
     let capped = Claim { cap: cores(10), ..claim(1.0, &[(10, 500)]) };
     assert_eq!(above(&[capped, claim(1.0, &[(90, 50)])]), NONE);
     assert_eq!(above(&[]), NONE);
+    // Sums of the largest sizes would overflow.
+    let largest = cores(1).times(u64::MAX);
+    let held = Holding { running: largest, waiting: largest };
+    let claims = [Claim { cap: largest, pools: vec![held; 2], ..claim(1.0, &[]) }];
+    let mut shares = Shares::default();
+    shares.update(&claims, largest, Time::ZERO);
+    shares.record_start(0, 0, &largest);
 }
 
 #[test]
@@ -155,6 +173,20 @@
     assert!((110..=135).contains(&within), "{within} of 300 jobs in 30 s are within 4 per second");
 }
 
+#[test]
+fn an_arrival_from_a_clock_that_is_ahead_is_reported_once() {
+    // It would be reported with age 0 now and with its own age later, and be counted twice.
+    let (mut own, mut other) = (Arrivals::default(), Arrivals::default());
+    own.add(12_000);
+    for ms in (10_000..14_000).step_by(500) {
+        other.add_report(0, ms, &own.report(ms, WINDOW));
+    }
+    let later = other.add(13_900);
+    other.count(Some(2), WINDOW, 14_000);
+    assert_eq!(other.is_over_quota(later, 1), Some(false));
+    assert_eq!(own.report(11_000, WINDOW), []);
+}
+
 /// A simulation of the pool, to which each customer sends `rate(customer, ms)` jobs per second.
 struct Load<'a> {
     rate: &'a dyn Fn(usize, u64) -> f64,
