--- a/src/cli.rs
+++ b/src/cli.rs
@@ -11,6 +11,7 @@
     lexopt::{Arg, Parser, ValueExt},
     serde::Serialize,
     std::{
+        collections::BTreeSet,
         ffi::OsString,
         fmt,
         fs::File,
@@ -33,6 +34,9 @@
       put a text in force; --base is the version that it was edited from
   dogwoodreach show --to ADDR --secret-file FILE
       show what is in force, and what runs and waits
+  dogwoodreach show --shards ADDR[,ADDR...]
+      show the shards of these members: their customers, pools and workers; here
+      ADDR is a member's address for metrics, like 10.20.1.11:9464
   dogwoodreach drain --to ADDR --secret-file FILE
       stop a member once its requests have ended
   dogwoodreach trace ID FILES...
@@ -57,6 +61,9 @@
   6  the member cannot be reached; nothing was changed
 ";
 
+/// The maximum number of members that `show --shards` asks.
+const MAX_ADDRESSES: usize = 200;
+
 /// A parsed command line.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
@@ -85,6 +92,13 @@
     },
     /// Shows what is in force, and what runs and waits.
     Show(Target),
+    /// Shows the shards of members.
+    ShowShards {
+        /// The members' addresses for metrics, each once.
+        addrs: Vec<SocketAddr>,
+        /// Whether to write JSON.
+        json: bool,
+    },
     /// Stops a member once its requests have ended.
     Drain(Target),
     /// Shows the log lines of one job, step or task in order of time.
@@ -176,6 +190,7 @@
     secret: Option<OsString>,
     base: Option<OsString>,
     by: Option<OsString>,
+    shards: Option<OsString>,
     json: bool,
     away: bool,
     help: bool,
@@ -221,7 +236,12 @@
             by: options.by.take().map(|v| v.string().map(Box::from)).transpose()?,
             target: target(&mut options, "submit")?,
         },
-        "show" => Command::Show(target(&mut options, "show")?),
+        "show" => match options.shards.take() {
+            Some(word) => {
+                Command::ShowShards { addrs: parse_addresses(word)?, json: take_json(&mut options) }
+            }
+            None => Command::Show(target(&mut options, "show")?),
+        },
         "drain" => Command::Drain(target(&mut options, "drain")?),
         "trace" => trace_command(&mut options)?,
         other => return Err(format!("no command is called {other:?}; try --help").into()),
@@ -262,6 +282,7 @@
             Arg::Long("secret-file") => (&mut options.secret, "--secret-file"),
             Arg::Long("base") => (&mut options.base, "--base"),
             Arg::Long("by") => (&mut options.by, "--by"),
+            Arg::Long("shards") => (&mut options.shards, "--shards"),
             other => return Err(other.unexpected()),
         };
         if slot.replace(parser.value()?).is_some() {
@@ -280,6 +301,7 @@
             (&self.secret, "--secret-file"),
             (&self.base, "--base"),
             (&self.by, "--by"),
+            (&self.shards, "--shards"),
         ];
         let named = named.into_iter().find(|(value, _)| value.is_some()).map(|(_, name)| name);
         let flags = [(self.json, "--json"), (self.away, "--away")];
@@ -325,6 +347,21 @@
     word.parse().map_err(|_: lexopt::Error| format!("--to cannot be {word:?}; {remedy}").into())
 }
 
+/// Parses addresses that are separated by commas. One that stands twice counts once.
+fn parse_addresses(word: OsString) -> Result<Vec<SocketAddr>, lexopt::Error> {
+    let word = word.string()?;
+    let remedy = "IP numbers and ports, like 10.0.0.1:9464,10.0.0.2:9464";
+    let one = |part: &str| {
+        let wrong = |_| format!("--shards cannot have {part:?}; {remedy}");
+        part.trim().parse::<SocketAddr>().map_err(wrong)
+    };
+    let addrs: BTreeSet<SocketAddr> = word.split(',').map(one).collect::<Result<_, _>>()?;
+    if addrs.len() > MAX_ADDRESSES {
+        return Err(format!("--shards takes up to {MAX_ADDRESSES} addresses").into());
+    }
+    Ok(addrs.into_iter().collect())
+}
+
 fn take_json(options: &mut Options) -> bool {
     std::mem::take(&mut options.json)
 }
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -7,13 +7,14 @@
         ids::{SubmissionId, Version},
         member,
         messages::{Show, Submit},
-        operators, settings,
+        operators, settings, show_shards,
         text::{Plan, diff},
         trace,
     },
     std::{
         fs,
         io::{self, Read},
+        net::SocketAddr,
         path::{Path, PathBuf},
     },
     tokio::runtime::Builder,
@@ -28,6 +29,7 @@
         Command::Serve { settings } => return serve(&settings),
         Command::Submit { text, base, by, target } => return submit(&text, base, by, &target),
         Command::Show(target) => return show(&target),
+        Command::ShowShards { addrs, json } => return show_shards(&addrs, json),
         Command::Drain(target) => return drain(&target),
         Command::Away { files, json } => return away(&files, json),
         Command::Trace { id, files, json } => return trace(&id, &files, json),
@@ -160,6 +162,30 @@
     })
 }
 
+fn show_shards(addrs: &[SocketAddr], json: bool) -> Exit {
+    let runtime = match Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => return fail(Exit::Refused, &e.to_string(), json),
+    };
+    let report = runtime.block_on(show_shards::ask(addrs));
+    let exit = match &*report.errors {
+        [] => Exit::Done,
+        errors if errors.iter().any(|e| e.unreachable) => Exit::Unreachable,
+        _ => Exit::Refused,
+    };
+    if json {
+        write_json(&report);
+        return exit;
+    }
+    if !report.members.is_empty() {
+        print_line(format_args!("{report}"));
+    }
+    for error in &report.errors {
+        fail(exit, &format!("{}: {}", error.addr, error.cause), false);
+    }
+    exit
+}
+
 fn drain(target: &Target) -> Exit {
     with_secret(target, async |secret: &str| {
         operators::drain(target.to, secret).await?;
--- a/src/shard.rs
+++ b/src/shard.rs
@@ -39,6 +39,7 @@
 mod start;
 mod state_machine;
 mod stats;
+pub mod view;
 mod worker_loss;
 mod workers;
 mod writes;
--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -29,7 +29,7 @@
 /// The maximum number of customers that are logged at once.
 const MAX_LOGGED_CUSTOMERS: usize = 8;
 /// The minimum number of consecutive unanswered calls after which a worker is logged as silent.
-const MIN_SILENT_CALLS: u32 = 3;
+pub(super) const MIN_SILENT_CALLS: u32 = 3;
 
 impl Shard {
     /// Returns the statistics since the last call and resets them.
--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -14,6 +14,7 @@
             event::{Event, Order, Snapshot},
             record::ShardNo,
             report::JobReport,
+            view::ShardView,
         },
         shared_state::SharedState,
         time::Time,
@@ -67,6 +68,8 @@
     /// A request for the number of jobs of a queue that have not begun in these shards. The reply
     /// is `None` if this member may no longer own one of the shards.
     QueueLength(Box<str>, Box<[ShardNo]>, oneshot::Sender<Option<u64>>),
+    /// A request for what operators see of all shards.
+    View(oneshot::Sender<Vec<ShardView>>),
 }
 
 /// An output of [`ShardRunner`].
@@ -202,6 +205,10 @@
                 let one = |s| self.certain_shard(s, now).map(|shard| shard.queued_jobs(&queue));
                 let _ = reply.send(shards.iter().map(one).sum());
             }
+            ShardInput::View(reply) => {
+                let now = self.common.now();
+                let _ = reply.send(self.shards.values().map(|o| o.shard.view(now)).collect());
+            }
         }
     }
 
--- a/src/site.rs
+++ b/src/site.rs
@@ -16,6 +16,7 @@
         metrics::Metrics,
         owned_shards::OwnedShards,
         ports::{Codec, SiteSettings, StoreCall},
+        shard_page::{self, ShardPage},
         shard_runner::{ShardInput, ShardRunner},
         shared_state::SharedState,
         table_sync::{self, TableSync},
@@ -215,13 +216,20 @@
         async move { answer(status, "") }
     }));
     let (pages, shared) = (common.metrics.clone(), common.clone());
+    let shard_page = Arc::new(ShardPage::new(common.clone(), shard_inputs.clone()));
     tokio::spawn(serve(metrics, PAGE_SERVER_LIMITS, pending(), move |head, _| {
         let now = shared.now();
         pages.set_age("configuration", now - shared.configured_at());
         pages.set_age("configuration_confirmed", now - shared.confirmed_at());
         pages.set_age("store", shared.last_answer().map_or(Duration::MAX, |at| now - at));
-        let page = pages.page(head.uri.path());
-        async move { page }
+        let (path, pages, shard_page) =
+            (head.uri.path().to_owned(), pages.clone(), shard_page.clone());
+        async move {
+            match &*path {
+                shard_page::PATH => shard_page.serve().await,
+                other => pages.page(other),
+            }
+        }
     }));
     let entry = Arc::new(JobApi::new(common.clone(), shard_inputs));
     let stop = async move {
