--- a/standin/src/site/judge.rs
+++ b/standin/src/site/judge.rs
@@ -6,16 +6,18 @@
     crate::site::{
         caps::Caps,
         crashes::Crashes,
+        keys::Keys,
+        starvation::Starvation,
         stay::Absences,
-        wait::Waits,
+        wait::{Waits, due},
         worker::{Note, World},
     },
     derive_more::Display,
     dogwoodreach::{
         Time,
         ports::{EndReason, Start},
-        shard::record::{JobRecord, Progress, ShardNo, TaskRow},
-        work::{JobNo, JobState, Step, StepKey, TaskKey},
+        shard::record::{Progress, ShardNo, TaskRow},
+        work::{JobNo, JobState, StepKey, TaskKey},
     },
     std::{
         collections::{BTreeMap, BTreeSet, HashSet},
@@ -61,6 +63,8 @@
     pub time_rules: bool,
     /// The rules with a time bound are suspended until this time.
     pub suspended_until: Time,
+    /// Until this time, no customer counts as starving.
+    pub disturbed_until: Time,
     /// Whether any fault has been injected.
     pub had_faults: bool,
     /// Jobs for which a cancel was sent, with the time of its acknowledgement ([`Time::NEVER`]
@@ -68,27 +72,31 @@
     pub cancels: BTreeMap<JobNo, Time>,
     /// Accepted jobs, with the time of their acceptance.
     pub accepted: BTreeMap<JobNo, Time>,
-    refused: BTreeSet<JobNo>,
+    pub(super) refused: BTreeSet<JobNo>,
     /// Final states of jobs, as reported to callers.
-    final_states: BTreeMap<JobNo, JobState>,
+    pub(super) final_states: BTreeMap<JobNo, JobState>,
     /// Latest token of each shard.
     tokens: BTreeMap<ShardNo, u64>,
     /// Runs that completed: run number, end time, and time of the owner's acknowledgement. An
     /// acknowledgement after the worker's lease has lapsed doesn't count, and the acknowledgement
     /// of one run doesn't cover other runs of the task.
-    done: BTreeMap<TaskKey, Vec<(u32, Time, Option<Time>)>>,
+    pub(super) done: BTreeMap<TaskKey, Vec<(u32, Time, Option<Time>)>>,
     /// Time of the latest start of each task.
     starts: BTreeMap<TaskKey, Time>,
     /// Runs that failed: run number, end time, and time of the owner's acknowledgement.
-    failed: BTreeMap<TaskKey, Vec<(u32, Time, Option<Time>)>>,
+    pub(super) failed: BTreeMap<TaskKey, Vec<(u32, Time, Option<Time>)>>,
     /// Worker crashes under tasks.
     crashes: Crashes,
     /// The caps of customers.
     pub caps: Caps,
+    /// The API keys of customers.
+    pub keys: Keys,
+    /// Customers that have work and nothing running.
+    pub starvation: Starvation,
     /// Long-running tasks that aren't running.
     absences: Absences,
     /// Jobs that have room but don't run.
-    waits: Waits,
+    pub(super) waits: Waits,
     /// Number of starts.
     pub start_count: u64,
 }
@@ -99,12 +107,19 @@
         Rules { seed, unix_ms: UNIX_START_MS, time_rules: true, ..Rules::default() }
     }
 
-    fn breach(&self, at: Time, text: String) -> Verdict {
+    pub(super) fn breach(&self, at: Time, text: String) -> Verdict {
         Err(Breach { seed: self.seed, at, text: text.into() })
     }
 
     /// Records that a fault is active now.
     pub fn record_fault(&mut self, now: Time) {
+        self.disturbed_until = self.disturbed_until.max(now + FAULT_GRACE);
+        self.record_planned(now);
+    }
+
+    /// Records that there is planned work of operators now, which suspends the rules with a time bound
+    /// too, except for the one for starving customers.
+    pub fn record_planned(&mut self, now: Time) {
         self.had_faults = true;
         self.suspended_until = self.suspended_until.max(now + FAULT_GRACE);
     }
@@ -124,7 +139,8 @@
         }
         self.check_running(world)?;
         self.check_long_running(world)?;
-        self.check_waiting(world)
+        self.check_waiting(world)?;
+        self.check_starving(world)
     }
 
     /// Checks that no long-running task stays down for long while there is room for it.
@@ -145,66 +161,10 @@
 
     /// Whether a job was accepted. If the test records no acceptances, every job counts as
     /// accepted.
-    fn is_accepted(&self, no: JobNo) -> bool {
+    pub(super) fn is_accepted(&self, no: JobNo) -> bool {
         self.accepted.is_empty() || self.accepted.contains_key(&no)
     }
 
-    /// Checks that no job without an active run waits for long while there is room for it.
-    fn check_waiting(&mut self, world: &World) -> Verdict {
-        if !self.time_rules {
-            return Ok(());
-        }
-        let mut waits = std::mem::take(&mut self.waits);
-        let text = waits.overdue(world, self.suspended_until, |no| self.ready_tasks(world, no));
-        self.waits = waits;
-        text.map_or(Ok(()), |text| self.breach(world.now, text))
-    }
-
-    /// The tasks of a job that are ready to start, at most one for each step.
-    fn ready_tasks(&self, world: &World, no: JobNo) -> Vec<TaskKey> {
-        let Some(record) = world.jobs.get(&no) else { return vec![] };
-        let most = world.queue(no).map_or(0, |q| q.attempts) as usize;
-        let key = TaskKey { step: StepKey { job: no, time: 0, step: 0 }, index: 0 };
-        let mut mine = self.failed.range(key..).take_while(|(t, _)| t.step.job == no);
-        if !self.is_accepted(no)
-            || self.cancels.contains_key(&no)
-            || self.refused.contains(&no)
-            || self.final_states.contains_key(&no)
-            || mine.any(|(_, f)| f.len() >= most)
-            || !self.caps.is_below_half(world, no)
-        {
-            return vec![];
-        }
-        let steps = (0_u16..).zip(&record.job.steps).collect::<Vec<_>>();
-        let times = record.job.times.map_or(1, |t| t.count);
-        let came =
-            (0..times).filter(|t| due(record, *t, self.unix_ms).is_none_or(|d| d <= world.now));
-        let all = came.flat_map(|time| {
-            let key = move |step| StepKey { job: no, time, step };
-            let open = |(step, s): &(u16, &Step)| {
-                let own = (0..if s.gang { 1 } else { s.count })
-                    .map(|index| TaskKey { step: key(*step), index })
-                    .find(|t| !self.done.contains_key(t))?;
-                let noted = |a: &u16| self.step_acknowledged(world, key(*a));
-                let may = !world.failing_steps.contains(&(no, *step))
-                    && s.after.iter().all(noted)
-                    && self.caps.fits_cap(world, no, s);
-                may.then_some(own)
-            };
-            steps.iter().filter_map(open).collect::<Vec<_>>()
-        });
-        all.collect()
-    }
-
-    /// Whether the owner has acknowledged the completion of all tasks of a step.
-    fn step_acknowledged(&self, world: &World, key: StepKey) -> bool {
-        let count = world.step(key).map_or(0, |s| s.count);
-        (0..count).all(|index| {
-            let ends = self.done.get(&task_key(world, TaskKey { step: key, index }));
-            ends.is_some_and(|e| e.iter().any(|r| r.2.is_some()))
-        })
-    }
-
     /// Checks that no worker runs more than its size allows, that no task runs twice at once
     /// (except speculative copies), and that cancelled tasks stop in time.
     fn check_running(&self, world: &World) -> Verdict {
@@ -492,14 +452,7 @@
 
 /// The key under which a task is tracked: task 0 of the step for a gang, otherwise the task
 /// itself.
-fn task_key(world: &World, task: TaskKey) -> TaskKey {
+pub(super) fn task_key(world: &World, task: TaskKey) -> TaskKey {
     let gang = world.step(task.step).is_some_and(|s| s.gang);
     TaskKey { index: if gang { 0 } else { task.index }, ..task }
 }
-
-/// Due time of an occurrence of a timed job; `unix_ms` is the Unix time at [`Time::ZERO`] in
-/// milliseconds.
-fn due(record: &JobRecord, time: u32, unix: u64) -> Option<Time> {
-    let times = record.job.times?;
-    Some(Time::from_millis((times.first + u64::from(time) * times.every).saturating_sub(unix)))
-}
--- a/standin/src/site/stay.rs
+++ b/standin/src/site/stay.rs
@@ -54,7 +54,9 @@
         self.next = now + CHECK_INTERVAL;
         let runs: HashSet<TaskKey> =
             world.workers.iter().flat_map(|w| &w.runs).map(|r| r.start.task).collect();
-        let all = world.jobs.keys().filter(|no| owed(**no)).flat_map(|no| world.long_running(*no));
+        let lasting = world.jobs.iter().filter(|(_, j)| j.job.steps.iter().any(|s| s.lasts));
+        let mine = lasting.map(|(no, _)| *no).filter(|no| owed(*no));
+        let all = mine.flat_map(|no| world.long_running(no));
         let absent: Vec<TaskKey> = all.filter(|t| !runs.contains(t)).collect();
         self.absences.retain(|t, _| absent.binary_search(t).is_ok());
         let fault_free = fault_free(suspended_until, now);
@@ -106,10 +108,10 @@
         let size = step.reserved();
         let room = |at: usize| {
             let w = &self.workers[at];
-            let sound =
-                w.up && !w.cut_off && !w.unresponsive && !w.unwell && !w.failing && w.speed >= 1.0;
+            let sound = w.up && !w.cut_off && !w.unresponsive && !w.unwell && !w.failing;
+            let quick = w.speed * w.machine_speed >= 1.0;
             let labelled = step.needs.as_ref().is_none_or(|l| w.labels.contains(l));
-            if !sound || w.leaving_since.is_some() || w.pool != queue.pool || !labelled {
+            if !sound || !quick || w.leaving_since.is_some() || w.pool != queue.pool || !labelled {
                 return 0;
             }
             let free: Size = w.size.saturating_sub(&self.used(at));
--- a/standin/src/site/wait.rs
+++ b/standin/src/site/wait.rs
@@ -3,13 +3,15 @@
 
 use {
     crate::site::{
+        judge::{Rules, Verdict, task_key},
         stay::{CHECK_INTERVAL, ROOM_DURATION, ROOM_FACTOR, fault_free},
         worker::World,
     },
     dogwoodreach::{
         Time,
+        shard::record::JobRecord,
         units::Size,
-        work::{JobNo, TaskKey},
+        work::{JobNo, Step, StepKey, TaskKey},
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -58,6 +60,69 @@
     }
 }
 
+impl Rules {
+    /// Checks that no job without an active run waits for long while there is room for it.
+    pub(super) fn check_waiting(&mut self, world: &World) -> Verdict {
+        if !self.time_rules {
+            return Ok(());
+        }
+        let mut waits = std::mem::take(&mut self.waits);
+        let ready = |no| {
+            let tasks = self.ready_tasks(world, no);
+            let owed = tasks.is_empty() || self.caps.is_below_half(world, no);
+            if owed { tasks } else { vec![] }
+        };
+        let text = waits.overdue(world, self.suspended_until, ready);
+        self.waits = waits;
+        text.map_or(Ok(()), |text| self.breach(world.now, text))
+    }
+
+    /// The tasks of a job that are ready to start and that the cap of its customer allows, at most one
+    /// for each step.
+    pub(super) fn ready_tasks(&self, world: &World, no: JobNo) -> Vec<TaskKey> {
+        let Some(record) = world.jobs.get(&no) else { return vec![] };
+        let most = world.queue(no).map_or(0, |q| q.attempts) as usize;
+        let key = TaskKey { step: StepKey { job: no, time: 0, step: 0 }, index: 0 };
+        let mut mine = self.failed.range(key..).take_while(|(t, _)| t.step.job == no);
+        if !self.is_accepted(no)
+            || self.cancels.contains_key(&no)
+            || self.refused.contains(&no)
+            || self.final_states.contains_key(&no)
+            || mine.any(|(_, f)| f.len() >= most)
+        {
+            return vec![];
+        }
+        let steps = (0_u16..).zip(&record.job.steps).collect::<Vec<_>>();
+        let times = record.job.times.map_or(1, |t| t.count);
+        let came =
+            (0..times).filter(|t| due(record, *t, self.unix_ms).is_none_or(|d| d <= world.now));
+        let all = came.flat_map(|time| {
+            let key = move |step| StepKey { job: no, time, step };
+            let open = |(step, s): &(u16, &Step)| {
+                let own = (0..if s.gang { 1 } else { s.count })
+                    .map(|index| TaskKey { step: key(*step), index })
+                    .find(|t| !self.done.contains_key(t))?;
+                let noted = |a: &u16| self.step_acknowledged(world, key(*a));
+                let may = !world.failing_steps.contains(&(no, *step))
+                    && s.after.iter().all(noted)
+                    && self.caps.fits_cap(world, no, s);
+                may.then_some(own)
+            };
+            steps.iter().filter_map(open).collect::<Vec<_>>()
+        });
+        all.collect()
+    }
+
+    /// Whether the owner has acknowledged the completion of all tasks of a step.
+    fn step_acknowledged(&self, world: &World, key: StepKey) -> bool {
+        let count = world.step(key).map_or(0, |s| s.count);
+        (0..count).all(|index| {
+            let ends = self.done.get(&task_key(world, TaskKey { step: key, index }));
+            ends.is_some_and(|e| e.iter().any(|r| r.2.is_some()))
+        })
+    }
+}
+
 impl World {
     /// Whether a pool that is less than half in use has room for a task twice over (for a gang,
     /// for all of its tasks twice over).
@@ -77,3 +142,10 @@
         idle && self.slots(task, wanted) >= wanted
     }
 }
+
+/// Due time of an occurrence of a timed job; `unix_ms` is the Unix time at [`Time::ZERO`] in
+/// milliseconds.
+pub(super) fn due(record: &JobRecord, time: u32, unix: u64) -> Option<Time> {
+    let times = record.job.times?;
+    Some(Time::from_millis((times.first + u64::from(time) * times.every).saturating_sub(unix)))
+}
--- a/standin/src/site/worker.rs
+++ b/standin/src/site/worker.rs
@@ -77,6 +77,8 @@
     pub failing: bool,
     /// Speed relative to a healthy worker.
     pub speed: f64,
+    /// Speed of its kind of machine relative to the nominal one; it outlasts restarts.
+    pub machine_speed: f64,
     /// Time at which the worker announced that it leaves.
     pub leaving_since: Option<Time>,
     /// Active runs, including those that are being stopped.
@@ -173,6 +175,7 @@
             unwell: false,
             failing: false,
             speed: 1.0,
+            machine_speed: 1.0,
             leaving_since: None,
             runs: Vec::new(),
             token: 0,
@@ -454,7 +457,7 @@
         let w = &mut self.workers[at];
         let fresh = Worker::new(w.pool.as_str(), w.rack.as_str(), w.size);
         let old = std::mem::replace(w, fresh);
-        w.labels = old.labels;
+        (w.labels, w.machine_speed) = (old.labels, old.machine_speed);
         (w.incarnation, w.clock_rate, w.up) = (old.incarnation + 1, old.clock_rate, false);
         if old.leaving_since.is_none() {
             let tasks = old.runs.iter().map(|r| r.start.task);
--- a/standin/src/site/worker/time.rs
+++ b/standin/src/site/worker/time.rs
@@ -84,7 +84,7 @@
         let room = || w.size.cores.0.saturating_sub(self.used(at).cores.0) as f64;
         let share = if step.fills { room() / step.size.cores.0.max(1) as f64 } else { 1.0 };
         let slower = if far { self.bounds.remote_factor } else { 1.0 };
-        w.speed * f64::from(run.percent) / 100.0 * share.min(1.0) / slower
+        w.speed * w.machine_speed * f64::from(run.percent) / 100.0 * share.min(1.0) / slower
     }
 
     fn is_gang(&self, run: &Run) -> bool {
