--- a/src/shard/view.rs
+++ b/src/shard/view.rs
@@ -179,6 +179,18 @@
     }
 }
 
+impl Limits {
+    /// Returns the amounts of `size` where there is a limit. The parts of a cap without limit are
+    /// large numbers that mean nothing.
+    fn replace(&self, size: &Size) -> Self {
+        Limits {
+            cores: self.cores.map(|_| size.cores),
+            memory: self.memory.map(|_| size.memory),
+            accels: self.accels.map(|_| size.accels),
+        }
+    }
+}
+
 /// What waits in a shard for one customer, or for none.
 #[derive(Clone, Copy, Default)]
 struct WaitingSum {
@@ -248,7 +260,7 @@
             CustomerView {
                 running: usage.in_use,
                 cap: (&usage.cap).into(),
-                allotted: (&usage.allotted).into(),
+                allotted: Limits::from(&usage.cap).replace(&usage.allotted),
                 weight: listed.and_then(|c| c.get(&usage.name)).map(|c| c.weight),
                 waiting_tasks: sum.tasks,
                 waiting: sum.size,
--- a/tests/show_shards.rs
+++ b/tests/show_shards.rs
@@ -10,7 +10,7 @@
         ids::CustomerId,
         shard::{
             record::ShardNo,
-            view::{MAX_WORKERS, MemberView, ShardView, WorkerState},
+            view::{Limits, MAX_WORKERS, MemberView, ShardView, WorkerState},
         },
         show_shards::{AskError, ShardsReport},
         units::Size,
@@ -61,6 +61,8 @@
     assert_eq!(bob.running.cores.0 / 1_000 + bob.waiting_tasks, 30);
     assert!(bob.waiting_tasks > 0 && bob.longest_wait_ms > 1_000, "{bob:?}");
     assert_eq!((ann.cap.cores.map(|c| c.0), bob.cap.cores), (Some(6_000), None));
+    assert_eq!((ann.allotted.cores.map(|c| c.0), ann.allotted.memory), (Some(6_000), None));
+    assert_eq!(bob.allotted, Limits::default(), "a part of no limit is shown as a number");
     assert_eq!(
         (ann.weight, view.waiting_tasks),
         (Some(1.0), ann.waiting_tasks + bob.waiting_tasks)
