--- a/standin/src/site/stay.rs
+++ b/standin/src/site/stay.rs
@@ -109,7 +109,7 @@
         let room = |at: usize| {
             let w = &self.workers[at];
             let sound = w.up && !w.cut_off && !w.unresponsive && !w.unwell && !w.failing;
-            let quick = w.speed * w.machine_speed >= 1.0;
+            let quick = w.speed >= 1.0;
             let labelled = step.needs.as_ref().is_none_or(|l| w.labels.contains(l));
             if !sound || !quick || w.leaving_since.is_some() || w.pool != queue.pool || !labelled {
                 return 0;
