Members: no view for a requester that has gone

Cause: on a busy owner, a request for `/shards` that had timed out still cost the pass over all steps and workers.

Change: the request is dropped if its receiver is.

Measured: test show_shards (6) passes; the case itself has no test.

--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -205,6 +205,8 @@
                 let one = |s| self.certain_shard(s, now).map(|shard| shard.queued_jobs(&queue));
                 let _ = reply.send(shards.iter().map(one).sum());
             }
+            // A requester that timed out has dropped its receiver.
+            ShardInput::View(reply) if reply.is_closed() => {}
             ShardInput::View(reply) => {
                 let now = self.common.now();
                 let _ = reply.send(self.shards.values().map(|o| o.shard.view(now)).collect());
