View of shards: sums of sizes saturate

Cause: sizes come from callers, and the sum of two huge waiting steps ended a debug build with an overflow.

Measured: test show_shards (6) passes, with a new test of two steps of 2^64 - 1 mebibytes.

--- a/src/shard/view.rs
+++ b/src/shard/view.rs
@@ -202,7 +202,7 @@
 impl WaitingSum {
     fn add(&mut self, tasks: u64, each: Size, wait_ms: u64) {
         self.tasks += tasks;
-        self.size += each.times(tasks);
+        self.size = self.size.saturating_add(&each.times(tasks));
         self.longest_wait_ms = self.longest_wait_ms.max(wait_ms);
     }
 }
@@ -319,8 +319,8 @@
         });
         sum.workers += 1;
         sum.unsound += usize::from(worker.state != WorkerState::Sound);
-        sum.used += worker.used;
-        sum.capacity += worker.capacity;
+        sum.used = sum.used.saturating_add(&worker.used);
+        sum.capacity = sum.capacity.saturating_add(&worker.capacity);
     }
     pools.into_values().collect()
 }
--- a/src/show_shards.rs
+++ b/src/show_shards.rs
@@ -210,11 +210,11 @@
 
     /// Adds what a shard shows; shards with a newer configuration come later.
     fn add(&mut self, shard: ShardNo, customer: &CustomerView) {
-        self.running += customer.running;
+        self.running = self.running.saturating_add(&customer.running);
         (self.cap, self.weight) = (customer.cap, customer.weight);
-        self.waiting_tasks += customer.waiting_tasks;
-        self.waiting += customer.waiting;
-        self.capped += customer.capped;
+        self.waiting_tasks = self.waiting_tasks.saturating_add(customer.waiting_tasks);
+        self.waiting = self.waiting.saturating_add(&customer.waiting);
+        self.capped = self.capped.saturating_add(&customer.capped);
         self.longest_wait_ms = self.longest_wait_ms.max(customer.longest_wait_ms);
         self.shards.push(shard);
     }
--- a/src/units.rs
+++ b/src/units.rs
@@ -122,6 +122,15 @@
         }
     }
 
+    /// Adds in every dimension, saturating at the largest value.
+    pub fn saturating_add(&self, other: &Size) -> Size {
+        Size {
+            cores: Cores(self.cores.0.saturating_add(other.cores.0)),
+            memory: Memory(self.memory.0.saturating_add(other.memory.0)),
+            accels: Accels(self.accels.0.saturating_add(other.accels.0)),
+        }
+    }
+
     /// Multiplies every dimension by `n`, saturating at the largest value.
     pub fn times(&self, n: u64) -> Size {
         Size {
--- a/tests/show_shards.rs
+++ b/tests/show_shards.rs
@@ -13,7 +13,7 @@
             view::{Limits, MAX_WORKERS, MemberView, ShardView, WorkerState},
         },
         show_shards::{AskError, ShardsReport},
-        units::Size,
+        units::{Memory, Size},
         work::{Job, Step},
     },
     serde_json::Value,
@@ -93,6 +93,36 @@
     assert_eq!(view.pools.iter().map(|p| p.workers).sum::<usize>(), MAX_WORKERS + 20);
 }
 
+#[test]
+fn sums_of_huge_sizes_saturate() {
+    // Sizes come from callers, and the sum of two huge waiting steps must not end the owner.
+    let caps = [("ann", Size::default())];
+    let mut y = ShardSim::with(4, with_customers(1, &caps), workers(8), 2);
+    let huge = Size { memory: Memory(u64::MAX), ..Size::new(1, 0, 0) };
+    for no in 1..3 {
+        let step = Step { size: huge, ..tasks(2, 4_000).steps[0].clone() };
+        let job = Job { steps: [step].into(), ..tasks(2, 4_000) };
+        y.submit_for(Some(CustomerId::from("ann")), no, "open", job);
+    }
+    y.run_until(1_000);
+    let shard = view(&y);
+    assert_eq!(shard.customers[0].waiting_tasks, 4);
+    assert_eq!(shard.customers[0].waiting.memory, Memory(u64::MAX));
+    let mut other = shard.clone();
+    (other.shard, other.customers[0].waiting_tasks) = (ShardNo(1), u64::MAX);
+    let page = MemberView {
+        member: dogwoodreach::ids::Incarnation(1),
+        node: "node-1".into(),
+        shard_count: 2,
+        shards: vec![shard, other],
+    };
+    let addr = SocketAddr::from(([10, 0, 0, 1], 1));
+    let report = ShardsReport::new(BTreeMap::from([(addr, Ok(page))]));
+    assert_eq!(report.customers[0].waiting.memory, Memory(u64::MAX));
+    assert_eq!(report.customers[0].waiting_tasks, u64::MAX);
+    assert!(report.to_string().contains("customer ann"));
+}
+
 #[test]
 fn of_two_members_that_show_a_shard_the_later_owner_counts() {
     // A former owner that has not learnt of its successor shows the shard too, and its customers would
