--- a/standin/src/soak/customers.rs
+++ b/standin/src/soak/customers.rs
@@ -89,7 +89,8 @@
         let no = JobNo(drawn.no);
         self.judge(|s| s.rules.refused(s.world.now, no));
         for method in ["POST", "GET", "DELETE", "POST"] {
-            let accepted = self.send_with_key(method, drawn, key).await == Some(200);
+            let status = self.send_with_key(method, drawn, key).await;
+            let accepted = status.is_some_and(|s| (200..300).contains(&s));
             if accepted && method == "POST" {
                 self.judge(|s| s.rules.accepted(s.world.now, no));
             }
