--- a/standin/src/site/starvation.rs
+++ b/standin/src/site/starvation.rs
@@ -18,7 +18,7 @@
     },
 };
 
-/// The longest time for which a customer may starve. Time in which something is amiss doesn't count.
+/// The longest time for which a customer may starve. Time while an unplanned fault is active doesn't count.
 const MAX_STARVATION: Duration = Duration::from_secs(10);
 /// Interval between two checks.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
