--- a/src/show_shards.rs
+++ b/src/show_shards.rs
@@ -21,7 +21,9 @@
 /// Time-out of a member's answer.
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// The maximum size of a page, in bytes; 64 shards of full size take less.
-const MAX_PAGE_BYTES: usize = 16 << 20;
+const MAX_PAGE_BYTES: usize = 32 << 20;
+/// The maximum number of members that are asked at once; bounds the memory that pages take.
+const MAX_CONCURRENT_CALLS: usize = 8;
 /// The maximum number of customers, and of unsound workers, in the text.
 const MAX_ROWS: usize = 50;
 /// The maximum length of what a member's error answer adds to an error, in characters.
@@ -101,16 +103,18 @@
     pub shards: Vec<ShardNo>,
 }
 
-/// Asks members for their shards, all at the same time.
+/// Asks members for their shards, up to [`MAX_CONCURRENT_CALLS`] at once.
 pub async fn ask(addrs: &[SocketAddr]) -> ShardsReport {
     let client = Client::new(1);
     let mut calls = JoinSet::new();
-    for addr in addrs.iter().copied() {
-        let client = client.clone();
-        calls.spawn(async move { (addr, fetch(&client, addr).await) });
-    }
+    let mut rest = addrs.iter().copied();
     let mut pages = BTreeMap::new();
-    while let Some(done) = calls.join_next().await {
+    loop {
+        for addr in rest.by_ref().take(MAX_CONCURRENT_CALLS - calls.len()) {
+            let client = client.clone();
+            calls.spawn(async move { (addr, fetch(&client, addr).await) });
+        }
+        let Some(done) = calls.join_next().await else { break };
         // A call neither panics nor is aborted.
         let Ok((addr, page)) = done else { continue };
         pages.insert(addr, page);
