--- a/src/shard.rs
+++ b/src/shard.rs
@@ -46,6 +46,7 @@
 mod state_machine;
 mod stats;
 mod usage;
+pub mod view;
 mod worker_loss;
 mod workers;
 mod writes;
