Advice: calls for a step that requests a rack name workers elsewhere too

The sort by rack overrode the sort by room, so that with a full rack the first calls named only its workers, and no worker elsewhere was permitted until a later call had been answered. Workers with slots now come first again, alternately one on the rack and one elsewhere, in first calls and renewals. Rack workers are more than half of a call only where no others of their group are left.

--- a/src/shard/advice.rs
+++ b/src/shard/advice.rs
@@ -185,10 +185,34 @@
         let job = turn.key.job.0;
         let spread = |n: &WorkerNo| (n.0 as u64 ^ job).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         new.sort_by_key(|(slots, n)| (Reverse(*slots), spread(n)));
-        if let Some(rack) = self.requested_rack(turn.key) {
-            new.sort_by_key(|(_, n)| !self.is_on_rack(*n, rack));
+        match self.requested_rack(turn.key) {
+            Some(rack) => self.alternate_racks(rack, new),
+            None => new,
         }
-        new
+    }
+
+    /// Orders workers for the calls of a step that requests a rack: those with slots first, and
+    /// within each group alternately one on the rack and one elsewhere.
+    ///
+    /// A wait for the rack is possible only at workers that are known to be permitted. But if a
+    /// call named only workers of a full rack, the step could start nowhere until the next call has
+    /// been answered.
+    fn alternate_racks(&self, rack: &str, all: Vec<(u32, WorkerNo)>) -> Vec<(u32, WorkerNo)> {
+        let (roomy, full): (Vec<_>, Vec<_>) = all.into_iter().partition(|w| w.0 > 0);
+        let alternate = |group: Vec<(u32, WorkerNo)>, near_first: bool| {
+            let (near, far): (Vec<_>, Vec<_>) =
+                group.into_iter().partition(|w| self.is_on_rack(w.1, rack));
+            let (mut first, mut second) = match near_first {
+                true => (near.into_iter(), far.into_iter()),
+                false => (far.into_iter(), near.into_iter()),
+            };
+            let pairs = std::iter::from_fn(move || match (first.next(), second.next()) {
+                (None, None) => None,
+                (a, b) => Some(a.into_iter().chain(b)),
+            });
+            pairs.flatten()
+        };
+        alternate(roomy, true).chain(alternate(full, false)).collect()
     }
 
     /// Returns the number of tasks of a step for which a worker will have room after `duration`.
@@ -244,13 +268,15 @@
         let (before, after) = usable.split_at(first);
         let asked = &part.tickets.asked_workers;
         let new = after.iter().chain(before).filter(|n| !asked.contains(n)).copied();
-        match self.requested_rack(key) {
-            // A wait for the rack is possible only at workers that are known to be permitted.
-            Some(rack) => {
-                let (near, far): (Vec<_>, Vec<_>) = new.partition(|n| self.is_on_rack(*n, rack));
-                near.into_iter().chain(far).take(most).collect()
+        let step = self.jobs.get(&key.job).and_then(|j| j.step(key));
+        match (self.requested_rack(key), step) {
+            (Some(rack), Some(step)) => {
+                let size = step.reserved();
+                let slots = |n: WorkerNo| (u32::from(size.fits(&self.workers[n.0].free())), n);
+                let all = self.alternate_racks(rack, new.map(slots).collect());
+                all.into_iter().map(|w| w.1).take(most).collect()
             }
-            None => new.take(most).collect(),
+            _ => new.take(most).collect(),
         }
     }
 
--- a/tests/shard_locality.rs
+++ b/tests/shard_locality.rs
@@ -7,7 +7,7 @@
     dogwoodreach::{
         shard::{Stats, record::UpkeepTurn},
         units::Size,
-        work::{JobNo, QueueConfig, Step},
+        work::{AdviceCost, JobNo, QueueConfig, Step},
     },
     std::{collections::BTreeSet, sync::Arc, time::Duration},
     yard::{ShardSim, job, queue, queues, step, worker::Worker},
@@ -199,3 +199,40 @@
         assert!(seen.completions.iter().all(|t| *t < Duration::from_secs(30)), "{seen:?}");
     }
 }
+
+#[test]
+fn a_step_with_advice_starts_elsewhere_in_time_beside_a_full_rack() {
+    // Guards against calls that name only workers of the full rack: until later calls have been
+    // answered, the step may use no other worker, although more than half of the pool is free. It
+    // then started after 2.85 s, just within the 3 s in which a job must start. One call takes 1.1 s.
+    for seed in 1..4 {
+        let worker = |i: usize| {
+            let rack = if i < 90 { "r1" } else { "r2" };
+            let mut worker = Worker::new("open", rack, Size::new(4, 16_384, 0));
+            worker.labels = vec!["kind".into(), rack.into()];
+            worker
+        };
+        let us = Duration::from_micros;
+        let cost =
+            AdviceCost { base: us(700_000), each: us(10_400), valid: Duration::from_secs(2) };
+        let mut config = QueueConfig::clone(&queues());
+        config.queues.push(queue("slow-advice", 1, Some(cost)));
+        let mut yard = ShardSim::with(seed, Arc::new(config), (0..210).map(worker).collect(), 8);
+        yard.world.advice.share = 30;
+        yard.kill_owner();
+        yard.world.bounds.remote_factor = 3.0;
+        yard.take_over();
+        submit_at(&mut yard, 3_000, 1, near(360, 60_000));
+        for no in 2..6 {
+            yard.at(4_000, move |y| y.submit(no, "slow-advice", job([near(4, 600)])));
+        }
+        yard.run_until(3_900);
+        assert_eq!(yard.run_count(JobNo(1)), 360, "the rack is full");
+        let mut started = BTreeSet::new();
+        for until in (4_000..=6_000).step_by(50) {
+            yard.run_until(until);
+            started.extend((2..6).filter(|no| yard.run_count(JobNo(*no)) > 0));
+        }
+        assert_eq!(started.len(), 4, "seed {seed}: {started:?}");
+    }
+}
