Locality: overdue and hopeless waits end beyond 64 examinations

Steps beyond the examinations of a round kept to their last decision without a check of the wait's limit, of the bound in an underused pool or of the loss of the rack. These three are now checked first; the forecast of a rack is still computed once per round.

--- a/src/shard/locality.rs
+++ b/src/shard/locality.rs
@@ -119,7 +119,17 @@
             return none;
         };
         if !round.locality.try_examine() {
-            return kept;
+            // A wait ends in time even if too many other steps are examined before this one.
+            self.ensure_forecast(turn, &rack, round, now);
+            let outcome = match () {
+                () if round.locality.rack_workers(&turn.pool, &rack).is_empty() => {
+                    self.blocked_cause(turn, &rack, &[])
+                }
+                () if !self.may_wait(turn, Duration::ZERO, round, now) => "overdue",
+                () => return kept,
+            };
+            self.end_wait(key, outcome, now);
+            return none;
         }
         let slots = self.slot_waits(turn, &rack, None, round, now);
         let ahead = self.tasks_ahead(turn, &rack, round);
--- a/src/shard/locality/forecast.rs
+++ b/src/shard/locality/forecast.rs
@@ -33,6 +33,17 @@
 }
 
 impl Shard {
+    /// Computes the forecast of a rack if no earlier step of the round has needed it.
+    pub(super) fn ensure_forecast(&self, turn: &Turn, rack: &str, round: &mut Round, now: Time) {
+        let place = (turn.pool.clone(), Box::from(rack));
+        if round.locality.racks.contains_key(&place) {
+            return;
+        }
+        let on_rack = turn.usable.iter().filter(|n| self.is_on_rack(**n, rack));
+        let releases = on_rack.map(|n| (*n, self.corrected_releases(*n, now))).collect();
+        round.locality.racks.insert(place, RackForecast { releases, claimed: Size::default() });
+    }
+
     /// Returns, in ascending order, the times until there is room on a rack for one more task of a
     /// step. Room that the step can use at once counts as 0. If `stops` is given, runs that may be
     /// stopped for work of that priority count as ending after a stop.
@@ -44,13 +55,8 @@
         round: &mut Round,
         now: Time,
     ) -> Vec<Duration> {
+        self.ensure_forecast(turn, rack, round, now);
         let place = (turn.pool.clone(), Box::from(rack));
-        if !round.locality.racks.contains_key(&place) {
-            let on_rack = turn.usable.iter().filter(|n| self.is_on_rack(**n, rack));
-            let releases = on_rack.map(|n| (*n, self.corrected_releases(*n, now))).collect();
-            let forecast = RackForecast { releases, claimed: Size::default() };
-            round.locality.racks.insert(place.clone(), forecast);
-        }
         let Some(forecast) = round.locality.racks.get(&place) else { return vec![] };
         let Some(state) = self.step_state(turn.key) else { return vec![] };
         let (size, step) = (turn.step.reserved(), &turn.step);
--- a/tests/shard_locality.rs
+++ b/tests/shard_locality.rs
@@ -236,3 +236,42 @@
         assert_eq!(started.len(), 4, "seed {seed}: {started:?}");
     }
 }
+
+#[test]
+fn waits_end_in_time_if_more_steps_wait_than_a_round_examines() {
+    // Guards against waits beyond their limits: a round examines the waits of 64 steps, and the
+    // others kept to their last decision. Here 3 steps may wait for 2.1 s, and 64 steps that come
+    // before them in the order wait for 6 s.
+    for seed in 1..4 {
+        let worker = |i: usize| {
+            let rack = if i < 90 { "r1" } else { "r2" };
+            let mut worker = Worker::new("open", rack, Size::new(4, 16_384, 0));
+            worker.labels = vec!["kind".into(), rack.into()];
+            worker
+        };
+        let mut config = QueueConfig::clone(&queues());
+        config.queues.push(queue("quick", 0, None));
+        for queue in config.queues.iter_mut().filter(|q| *q.pool.as_str() == *"open") {
+            (queue.stretch, queue.slack) = (1.5, Duration::from_millis(250));
+        }
+        let mut yard = ShardSim::with(seed, Arc::new(config), (0..150).map(worker).collect(), 2);
+        yard.kill_owner();
+        yard.world.bounds.remote_factor = 3.0;
+        yard.take_over();
+        submit_at(&mut yard, 3_000, 1, near(4, 2_000));
+        submit_at(&mut yard, 3_000, 2, near(356, 7_000));
+        for no in 10..13 {
+            submit_at(&mut yard, 4_000, no, near(1, 4_000));
+        }
+        yard.at(4_100, |y| y.submit(100, "quick", job([(); 80].map(|()| near(5, 20_000)))));
+        let waiting =
+            |yard: &ShardSim| (10..13).filter(|no| yard.run_count(JobNo(*no)) == 0).count();
+        yard.run_until(4_900);
+        assert_eq!(waiting(&yard), 3);
+        assert!(yard.run_count(JobNo(100)) < 90, "64 of 80 steps wait");
+        yard.run_until(6_300);
+        assert!(yard.run_count(JobNo(100)) < 90, "64 of 80 steps still wait");
+        assert_eq!(waiting(&yard), 0, "seed {seed}");
+        yard.run_until_settled(90_000);
+    }
+}
