Locality: the wait in an underused pool counts from when the step is ready

The 1.5 s of a job without a run were counted from the begin of its wait, which may follow an advice call of up to 1 s.

Measured: locality, shard_locality (8 tests, 5.9 s) and shard_gang pass; no test shows the bound itself.

--- a/src/shard/locality.rs
+++ b/src/shard/locality.rs
@@ -30,7 +30,8 @@
 
 /// The maximum number of racks that are compared for a step whose tasks should share one.
 const MAX_COMPARED_RACKS: usize = 3;
-/// The longest wait of a job without a run in an underused pool: half of the 3 s in which a job must
+/// The longest time from which a step is ready until its wait ends, if its job has no run and its
+/// pool is underused: half of the 3 s in which a job must
 /// run beside free room, since an advice call takes up to 1 s more.
 const MAX_UNDERUSED_WAIT: Duration = Duration::from_millis(1500);
 /// Multiple of a job's objective after which it has no value, as in [`crate::decide::rank`].
@@ -167,7 +168,7 @@
         now: Time,
     ) -> bool {
         let Some(state) = self.locality.steps.get(turn.key) else { return true };
-        let since = state.wait.map_or(now, |w| w.since);
+        let since = self.step_state(turn.key).and_then(|p| p.ready_since).unwrap_or(now);
         let must_start = || {
             let parts =
                 self.jobs.get(&turn.key.job).into_iter().flat_map(|j| j.step_states.values());
