Preemption by cost: runs that are stopping already count as room

Two causes of stops that were not needed:

- Half of a step's slack may be shorter than a stop.
Room that becomes free later than that, but before a stop could end, did not count.
It does now, at all three places.
- Once a task of a step started, its worker was left out of the search for room, with all runs that were still stopping there.

Two urgent steps in one round stop 20 runs for 20 tasks; that was so before (a repeated stop does not pay while the first ones are pending), and is now guarded by a test.

--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -363,9 +363,7 @@
                 false => vec![],
             };
             if !step.fills {
-                let taken = |r: &Room| chosen.iter().any(|c| c.1.0 == r.index);
-                let good: Vec<Room> = good.iter().filter(|r| !taken(r)).copied().collect();
-                let places = self.preempt(turn, rest, &good, round, now);
+                let places = self.preempt_beside(turn, &chosen, &good, round, now);
                 withhold(step, &places, round);
             }
             if let Some(cost) = advice {
--- a/src/shard/preempt.rs
+++ b/src/shard/preempt.rs
@@ -35,9 +35,46 @@
 }
 
 impl Shard {
+    /// Makes room for the tasks of a step that are not among `chosen`, which start in this round.
+    ///
+    /// A worker with a chosen task is left out, except for long-running steps if stops are weighed:
+    /// runs that are stopping there would not count as room for the step, and others would be stopped
+    /// as well. If other steps counted on such workers too, 105 of 117 urgent jobs of a burst were in
+    /// time, otherwise 112.
+    pub(super) fn preempt_beside(
+        &mut self,
+        turn: &Turn,
+        chosen: &[(u32, WorkerNo)],
+        good: &[Room],
+        round: &mut Round,
+        now: Time,
+    ) -> Vec<(u32, WorkerNo)> {
+        let rest = &turn.waiting[chosen.len()..];
+        let weighed = self.weighs_stop_cost() && turn.step.lasts;
+        let after = |r: &Room| {
+            let starts = chosen.iter().filter(|c| c.1.0 == r.index).count() as u32;
+            let (same_step, max_new) = (r.same_step + starts, r.max_new.saturating_sub(starts));
+            (weighed || starts == 0).then_some(Room { same_step, max_new, ..*r })
+        };
+        let good: Vec<Room> = good.iter().filter_map(after).collect();
+        if !weighed {
+            return self.preempt(turn, rest, &good, round, now);
+        }
+        // Until the chosen tasks have started, the free room of their workers includes theirs.
+        for (_, no) in chosen {
+            round.awaited[no.0] += turn.step.reserved();
+        }
+        let places = self.preempt(turn, rest, &good, round, now);
+        for (_, no) in chosen {
+            let left = round.awaited[no.0].saturating_sub(&turn.step.reserved());
+            round.awaited[no.0] = left;
+        }
+        places
+    }
+
     /// Stops less urgent runs to make room for tasks that can still meet their deadline; returns
     /// the chosen worker of each task.
-    pub(super) fn preempt(
+    fn preempt(
         &mut self,
         turn: &Turn,
         waiting: &[u32],
--- a/src/shard/preempt_cost.rs
+++ b/src/shard/preempt_cost.rs
@@ -120,6 +120,13 @@
         rank.due_ms().checked_sub(end).map(Duration::from_millis)
     }
 
+    /// Returns the time until which a step with this slack waits for room that becomes free without
+    /// further stops. A stop takes `stop_time`, so room that is free by then is never too late. An
+    /// earlier time would leave out the runs that are stopping already, and stop others as well.
+    fn room_deadline(&self, slack: Duration, now: Time) -> Time {
+        now + tolerable_wait(slack).max(self.setup.bounds.stop_time)
+    }
+
     /// Returns the cost of stopping a run, and what decides whether it is stopped rather than
     /// others.
     fn victim(&self, run: &Run, now: Time) -> Victim {
@@ -229,7 +236,7 @@
     ) -> Vec<WorkerNo> {
         let Some(slack) = self.step_slack(turn.key, now) else { return vec![] };
         let size = turn.step.reserved();
-        let (by, soon) = (now + tolerable_wait(slack), now + self.setup.bounds.stop_time);
+        let (by, soon) = (self.room_deadline(slack, now), now + self.setup.bounds.stop_time);
         let offers = self.earliest_room(turn, count, good, round, now);
         let in_time = offers.partition_point(|o| o.0 <= by);
         let expected_wait =
@@ -271,7 +278,7 @@
         round: &mut Round,
         now: Time,
     ) -> Vec<(WorkerNo, Vec<PlannedStop>)> {
-        let (size, by) = (turn.step.reserved(), now + tolerable_wait(gain.slack));
+        let (size, by) = (turn.step.reserved(), self.room_deadline(gain.slack, now));
         let asker = self.requester(turn, round, false, now);
         let (mut sources, mut next) = (vec![], BinaryHeap::new());
         for room in good {
@@ -333,7 +340,7 @@
         if !round.try_deep_search(false) {
             return;
         }
-        let by = now + tolerable_wait(slack);
+        let by = self.room_deadline(slack, now);
         let withheld = round.cap_withheld.get(&customer).copied().unwrap_or_default();
         let wanted = short + withheld;
         let (mut ends, mut victims) = (vec![], vec![]);
--- a/tests/shard_preempt.rs
+++ b/tests/shard_preempt.rs
@@ -37,6 +37,11 @@
 /// Returns a site with the bounds and objectives of the deployment on which the overload was recorded:
 /// urgent jobs have to end within 1.5 times their run time and 250 ms.
 fn site(seed: u64, weighed: bool, count: usize) -> ShardSim {
+    site_with(seed, weighed, count, 200)
+}
+
+/// Returns the site with another bound for the time of a stop, in milliseconds.
+fn site_with(seed: u64, weighed: bool, count: usize, stop_ms: u64) -> ShardSim {
     let cap = Size::new(1 << 20, 1 << 30, 0);
     let base = if weighed { with_customers(1, &[("ann", cap)]) } else { queues() };
     let queue = |q: &Queue| {
@@ -47,7 +52,7 @@
     let queues = Arc::new(QueueConfig { queues, ..(*base).clone() });
     let mut y = ShardSim::with(seed, queues, workers(count), 2);
     y.world.bounds = Bounds {
-        stop_time: Duration::from_millis(200),
+        stop_time: Duration::from_millis(stop_ms),
         restore_time: Duration::from_millis(600),
         checkpoint_interval: Duration::from_millis(500),
         ..y.world.bounds
@@ -203,6 +208,55 @@
     assert!(out.stops > 4 * CORES && out.most_runs <= 9, "{out:?}");
 }
 
+#[test]
+fn steps_with_little_slack_stop_no_more_than_they_need() {
+    // A stop would be repeated in the next round, or by the next step, if the runs that are stopping
+    // did not count as room.
+    let mut y = site(7, true, 40);
+    submit(&mut y, 0, 500, CORES as u32, 30_000);
+    for i in 0..2 {
+        // The slack is 325 ms at first (1.5 times the run time and 250 ms, less the run time) and
+        // less than 300 ms when the step is ready.
+        submit(&mut y, URGENT + i, 3_000, 10, 150);
+    }
+    y.run_until(6_000);
+    let out = outcome(&mut y);
+    assert!(out.urgent == (2, 2) && (1..=20).contains(&out.stops), "{out:?}");
+}
+
+#[test]
+fn a_step_with_little_slack_waits_for_room_that_is_free_before_a_stop_ends() {
+    // Half of the slack is shorter than a stop. Runs would be stopped for each of the 30 tasks, though
+    // some have room sooner without.
+    let mut y = site(7, true, 40);
+    submit(&mut y, 0, 500, CORES as u32, 30_000);
+    for i in 0..3 {
+        submit(&mut y, URGENT + i, 3_000 + i * 60, 10, 200);
+    }
+    y.run_until(6_000);
+    let out = outcome(&mut y);
+    assert!(out.urgent.0 == 3 && (1..=24).contains(&out.stops), "{out:?}");
+}
+
+#[test]
+fn a_long_running_step_stops_no_more_than_it_needs() {
+    // As above, in the rounds until the first stops have ended. Once a task had started, the runs that
+    // were still stopping at its worker would not count as room for the others.
+    let mut y = site_with(8, true, 40, 1_500);
+    submit(&mut y, 0, 500, CORES as u32, 30_000);
+    let size = Size::new(1, 64, 0);
+    let lasting = Step { count: 8, estimate: 20_000_000, size, lasts: true, ..Step::default() };
+    y.at(3_000, move |y| {
+        y.submit_for(Some(CustomerId::from("ann")), URGENT, "urgent", job([lasting]));
+    });
+    y.run_until(9_000);
+    let out = outcome(&mut y);
+    let lasting = y.world.workers.iter().flat_map(|w| &w.runs);
+    let lasting = lasting.filter(|r| r.start.task.step.job == JobNo(URGENT)).count();
+    assert_eq!(lasting, 8, "{out:?}");
+    assert_eq!(out.stops, 8, "{out:?}");
+}
+
 /// Prints the time of a round at 350 workers with 1,000 waiting steps, by cost and by a fixed wait:
 /// `cargo test --test shard_preempt -- --ignored --nocapture`.
 #[test]
