Preemption under a cap: nothing is stopped for a part of a step in one wave

Only gangs were all-or-nothing. A step wider than its cap runs in several waves and still gains by parts.

Victims are filtered by customer before they are weighed, and a step whose slack is shorter than a stop no longer uses one of the round's searches.

--- a/src/shard/preempt_cost.rs
+++ b/src/shard/preempt_cost.rs
@@ -147,10 +147,11 @@
     }
 
     /// Returns the runs of a worker that may be stopped for work of this priority and would not end
-    /// by themselves until `by`, those that lose most first.
+    /// by themselves until `by`, those that lose most first; only runs of `customer` if it is given.
     fn victims(
         &self,
         no: WorkerNo,
+        customer: Option<CustomerNo>,
         priority: u8,
         by: Time,
         now: Time,
@@ -162,7 +163,9 @@
             return vec![];
         }
         let may = |r: &Run| {
-            r.phase == RunPhase::Running && r.preempt_priority.is_some_and(|p| p > priority)
+            r.phase == RunPhase::Running
+                && r.preempt_priority.is_some_and(|p| p > priority)
+                && (customer.is_none() || r.customer == customer)
         };
         let candidates = worker.runs.iter().filter(|(_, r)| may(r));
         let mut all: Vec<_> = candidates
@@ -283,7 +286,7 @@
         let (mut sources, mut next) = (vec![], BinaryHeap::new());
         for room in good {
             let no = WorkerNo(room.index);
-            let victims = self.victims(no, turn.priority, by, now);
+            let victims = self.victims(no, None, turn.priority, by, now);
             if victims.is_empty() {
                 continue;
             }
@@ -317,16 +320,19 @@
                 next.push(Reverse((cost.total(), at)));
             }
         }
-        let waves = self
-            .jobs
-            .get(&turn.key.job)
-            .and_then(|j| j.waves.get(usize::from(turn.key.step)).copied());
-        if chosen.len() < count && !turn.step.lasts && waves.is_none_or(|w| w <= 1) {
+        if chosen.len() < count && self.is_all_or_nothing(turn) {
             return vec![];
         }
         chosen
     }
 
+    /// Returns whether a step gains from stops only if all its tasks start in time.
+    fn is_all_or_nothing(&self, turn: &Turn) -> bool {
+        let job = self.jobs.get(&turn.key.job);
+        let waves = job.and_then(|j| j.waves.get(usize::from(turn.key.step)).copied());
+        turn.step.gang || (!turn.step.lasts && waves.is_none_or(|w| w <= 1))
+    }
+
     /// Stops runs of a customer for a step that its cap holds back, if that pays.
     pub(super) fn preempt_for_cap_by_cost(
         &mut self,
@@ -337,7 +343,8 @@
         now: Time,
     ) {
         let Some(slack) = self.step_slack(turn.key, now) else { return };
-        if !round.try_deep_search(false) {
+        // A stop would come too late, so the search is left to other steps.
+        if slack < self.setup.bounds.stop_time || !round.try_deep_search(false) {
             return;
         }
         let by = self.room_deadline(slack, now);
@@ -359,10 +366,9 @@
                     _ => ends.push((expected_end(run, now).max(now), run.charge)),
                 }
             }
-            let own = self.victims(no, turn.priority, by, now);
+            let own = self.victims(no, Some(customer), turn.priority, by, now);
             victims.extend(own.into_iter().filter_map(|(v, stop)| {
-                let run = runs.get(&stop.task).filter(of_customer)?;
-                Some((v, PlannedStop { size: run.charge, ..stop }))
+                Some((v, PlannedStop { size: runs.get(&stop.task)?.charge, ..stop }))
             }));
         }
         ends.sort_unstable_by_key(|e| e.0);
@@ -391,7 +397,11 @@
         }
         let expected_wait = fits_at.map_or(Duration::MAX, |at| at - now);
         let pays = preemption_pays(combined_cost(&stops, &short), Gain { expected_wait, slack });
-        if !pays || (turn.step.gang && !wanted.fits(&free_in_time)) {
+        // A step wider than the cap runs in several waves.
+        let whole = turn.step.size.times(turn.step.count.into());
+        let in_one_wave = whole.fits(&self.caps.customers[customer.0].cap);
+        let all_or_nothing = in_one_wave && self.is_all_or_nothing(turn);
+        if !pays || (all_or_nothing && !wanted.fits(&free_in_time)) {
             return;
         }
         for stop in stops {
@@ -447,7 +457,7 @@
             no,
             free: self.free_by(no, None, soon, now),
             claimed: Size::default(),
-            victims: self.victims(no, priority, soon, now),
+            victims: self.victims(no, None, priority, soon, now),
             slots: 1,
         };
         source.next_slot(&wanted)
--- a/tests/shard_caps.rs
+++ b/tests/shard_caps.rs
@@ -166,6 +166,20 @@
     assert!(y.unfinished().iter().all(|j| j.0.0 != 2), "{:?}", y.unfinished());
 }
 
+#[test]
+fn nothing_is_stopped_under_a_cap_for_a_part_of_a_step_in_one_wave() {
+    // The runs that may be stopped would be stopped although the step's last tasks are late anyway.
+    let mut y = site(11, &[("ann", cores(4))]);
+    let long = Step { saves: true, ..tasks(2, 20_000) };
+    y.submit_for(customer("ann"), 1, "plain", job(long));
+    y.submit_for(customer("ann"), 3, "plain", job(tasks(2, 20_000)));
+    y.run_until(2_000);
+    y.submit_for(customer("ann"), 2, "urgent", job(tasks(4, 300)));
+    y.run_until(6_000);
+    let stats = y.owners.last_mut().expect("an owner").shard.take_stats();
+    assert_eq!(stats.preemptions.values().sum::<u64>(), 0);
+}
+
 /// Lets another owner take over if the newest one has ended or its lease has. While the store is down,
 /// tries again later.
 fn take_over_lapsed(y: &mut ShardSim) {
