--- a/tests/shard_preempt.rs
+++ b/tests/shard_preempt.rs
@@ -140,12 +140,9 @@
         (name, now, before)
     };
     for (name, now, before) in loads.map(both) {
-        // A burst needs stops, but fewer core seconds may be lost than by a fixed wait.
-        if name.contains("burst") {
-            assert!(now.cost < before.cost, "{name}: {now:?}, {before:?}");
-        } else {
-            assert!(now.stops * 2 <= before.stops, "{name}: {now:?}, {before:?}");
-        }
+        // A burst needs more stops: at most three fifths of the baseline, otherwise half.
+        let most = if name.contains("burst") { before.stops * 3 / 5 } else { before.stops / 2 };
+        assert!(now.stops <= most, "{name}: {now:?}, {before:?}");
         assert!(now.cost * 2.0 <= before.cost, "{name}: {now:?}, {before:?}");
         // A stop that is postponed sometimes comes too late.
         assert!(now.urgent.1 * 100 >= before.urgent.1 * 98, "{name}: {now:?}, {before:?}");
