Members: an owner that is too slow gives up its shards

One VM in six loses 87% of its processor time for 4.6 s, and the timing of the start decides whether the owner of a pool is among them. A pass of its loop over the shards then takes 45 to 167 ms instead of 1 to 10, up to 1,700 events queue up, and a third of the jobs has no value. Its lease stays valid, so no other member takes over. Ruled out: cost of scheduling at normal speed (passes of an overloaded owner take at most 10 ms).

Change: an owner whose passes take 40 ms and more for 0.4 s releases its shards, marks its row as slow and ranks behind the others for 10 s. Members without shards time a fixed computation and rank behind as well while it takes three times as long as before.

--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -21,6 +21,7 @@
 pub mod lanes;
 pub mod order;
 pub mod pace;
+pub mod pace_monitor;
 pub mod place;
 pub mod quota;
 pub mod rank;
--- a/src/member_table.rs
+++ b/src/member_table.rs
@@ -35,9 +35,9 @@
 pub const TAKEOVER_GRACE: Duration = Duration::from_secs(1);
 /// Additional delay of a takeover for each rank of the candidate.
 pub const RANK_DELAY: Duration = Duration::from_millis(300);
-/// Additional delay of a member that reaches the store only through other members. The members that
-/// the store serves directly may learn late that a shard has no owner.
-pub const RELAYED_DELAY: Duration = Duration::from_secs(2);
+/// Additional delay of a member that reaches the store only through other members, or was too slow
+/// for its shards. The other members may learn late that a shard has no owner.
+pub const UNFIT_DELAY: Duration = Duration::from_secs(2);
 /// Maximum time since the store's last answer for a member that takes over shards.
 pub const MAX_STORE_SILENCE: Duration = Duration::from_millis(1500);
 /// Minimum number of cores assumed for a member, also for one that reports none.
@@ -65,6 +65,8 @@
     stopping: bool,
     /// Whether this member reaches the store only through other members.
     relayed: bool,
+    /// Whether this member was recently too slow for its shards.
+    slow: bool,
     last_answer: Option<Time>,
     /// Since when the store has answered without a gap of [`MAX_STORE_SILENCE`].
     answering_since: Time,
@@ -141,6 +143,7 @@
             retry_at: BTreeMap::new(),
             stopping: false,
             relayed: false,
+            slow: false,
             last_answer: None,
             answering_since: Time::ZERO,
         }
@@ -184,6 +187,12 @@
         self.relayed = relayed;
     }
 
+    /// Records whether this member was recently too slow for its shards. If so, it takes over a
+    /// shard only after all others had the chance to.
+    pub fn set_slow(&mut self, slow: bool) {
+        self.slow = slow;
+    }
+
     /// Returns the takeovers that have to be written now.
     pub fn due_takeovers(&mut self, now: Time) -> Vec<Takeover> {
         let mut takeovers = vec![];
@@ -386,16 +395,17 @@
         let since = unowned.since.max(self.answering_since);
         let skips_grace = unowned.owner.is_none() || unowned.process_ended;
         let grace = if skips_grace { Duration::ZERO } else { TAKEOVER_GRACE };
-        let relay_delay = if self.relayed { RELAYED_DELAY } else { Duration::ZERO };
+        let delay = if self.relayed || self.slow { UNFIT_DELAY } else { Duration::ZERO };
         let Some(rank) = self.takeover_rank(shard) else { return Time::NEVER };
-        (since + grace + relay_delay + RANK_DELAY * rank).max(not_before)
+        (since + grace + delay + RANK_DELAY * rank).max(not_before)
     }
 
     /// Returns this member's rank among the candidates for a shard. The member that would own the
     /// fewest shards per core comes first; the rendezvous hash breaks ties.
     ///
-    /// Members that reach the store only through others rank behind all that the store serves
-    /// directly. Guards against an owner that can't read its shard.
+    /// Members that reach the store only through others, and those that were too slow for their
+    /// shards, rank behind all others. Guards against an owner that can't read its shard, and
+    /// against a shard that returns to the slow member that has just given it up.
     fn takeover_rank(&self, shard: ShardNo) -> Option<u32> {
         let mut counts: BTreeMap<Incarnation, usize> = BTreeMap::new();
         for owner in self.owners.values().filter_map(|(_, o)| o.owner) {
@@ -412,11 +422,11 @@
             let share = self.members.get(id).map_or(0.0, |(_, m)| m.cores).max(MIN_CORES);
             (counts.get(id).copied().unwrap_or(0) + 1) as f64 / share
         };
-        let relayed = |id: &Incarnation| match *id == self.me {
-            true => self.relayed,
-            false => self.members.get(id).is_some_and(|(_, m)| m.relayed),
+        let unfit = |id: &Incarnation| match *id == self.me {
+            true => self.relayed || self.slow,
+            false => self.members.get(id).is_some_and(|(_, m)| m.relayed || m.slow),
         };
-        order.sort_by(|a, b| relayed(a).cmp(&relayed(b)).then_with(|| load(a).total_cmp(&load(b))));
+        order.sort_by(|a, b| unfit(a).cmp(&unfit(b)).then_with(|| load(a).total_cmp(&load(b))));
         order.iter().position(|id| *id == self.me).and_then(|p| u32::try_from(p).ok())
     }
 }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -48,6 +48,7 @@
 struct RowStatus {
     draining: bool,
     relayed: bool,
+    slow: bool,
 }
 
 impl Membership {
@@ -78,7 +79,8 @@
         loop {
             let due = Instant::now() + RENEW_INTERVAL;
             let draining = self.common.is_stopping();
-            let status = RowStatus { draining, relayed: self.common.store_routes.yields_shards() };
+            let relayed = self.common.store_routes.yields_shards();
+            let status = RowStatus { draining, relayed, slow: *self.common.slow.borrow() };
             let stale = registered.is_some_and(|(r, s)| {
                 s != status || self.common.view.borrow().must_register(self.common.me, r)
             });
@@ -109,7 +111,7 @@
                             .send(ShardInput::Broadcast(Event::Confirmed(sent)))
                             .await;
                     }
-                    self.wait_for_renewal(due, draining).await;
+                    self.wait_for_renewal(due, status).await;
                 }
                 Ok(StoreReply::NoLease) => return,
                 _ => pause.wait().await,
@@ -117,12 +119,14 @@
         }
     }
 
-    /// Waits until the next renewal is due. Returns early if this member is stopping, so that its
-    /// row is marked as draining at once.
-    async fn wait_for_renewal(&self, due: Instant, draining: bool) {
+    /// Waits until the next renewal is due. Returns early if this member is stopping or has become
+    /// slow, so that its row says so at once.
+    async fn wait_for_renewal(&self, due: Instant, status: RowStatus) {
+        let mut slow = self.common.slow.subscribe();
         tokio::select! {
             () = sleep_until(due) => {}
-            () = self.common.wait_for_stop(), if !draining => {}
+            () = self.common.wait_for_stop(), if !status.draining => {}
+            _ = slow.wait_for(|s| *s), if !status.slow => {}
         }
     }
 
@@ -134,6 +138,7 @@
             draining: status.draining,
             cores: site.cores,
             relayed: status.relayed,
+            slow: status.slow,
         };
         let put = Put { key: member_key(self.common.me), value: record::encode(&row), lease };
         let txn = Txn { puts: vec![put], ..Txn::default() };
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -240,8 +240,8 @@
         self.verdicts.with_label_values(&["answered"]).inc();
     }
 
-    /// Counts a change of a shard's ownership at this member: taken over, lost, released, deposed
-    /// or settled.
+    /// Counts a change of a shard's ownership at this member: taken over, lost, released, given up,
+    /// deposed or settled.
     pub fn count_move(&self, what: &str) {
         self.shard_moves.with_label_values(&[what]).inc();
     }
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -155,6 +155,9 @@
     /// Whether the member reaches the store only through other members.
     #[serde(default)]
     pub relayed: bool,
+    /// Whether the member was recently too slow for the shards that it owned.
+    #[serde(default)]
+    pub slow: bool,
 }
 
 /// The ownership of a shard.
--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        decide::pace_monitor::PaceMonitor,
         ids::WorkerId,
         ports::Fault,
         shard::{
@@ -34,6 +35,9 @@
 const METRICS_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum time that shards get to finish their writes before they are released.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Maximum time that shards get to finish their writes if this member is too slow for them. Their next
+/// owner learns from the workers what has not been written.
+const SLOW_RELEASE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of further inputs processed before the shards' orders are passed on.
 const MAX_BATCH: usize = 64;
 
@@ -77,11 +81,14 @@
     Releasable(ShardNo, usize),
     /// This member has lost a shard to another owner.
     Deposed(ShardNo),
+    /// This member is too slow for its shards and gives them up.
+    Slow,
 }
 
 /// A shard that this member owns.
 struct OwnedShard {
     token: u64,
+    since: Time,
     /// Whether the shard has processed an event since its last round.
     has_new_events: bool,
     shard: Shard,
@@ -97,6 +104,7 @@
     /// Failure events of orders that were dropped because the queue was full; processed with the
     /// next tick.
     deferred_events: Vec<(ShardNo, u64, Event)>,
+    pace: PaceMonitor,
     /// The time of the latest [`Event::Confirmed`].
     confirmed_at: Option<Time>,
     /// Time of the next update of the metrics.
@@ -117,6 +125,7 @@
     ) -> Self {
         let (shards, deferred_events) = (BTreeMap::new(), vec![]);
         let next_metrics = Time::ZERO;
+        let pace = PaceMonitor::new(common.now());
         ShardRunner {
             common,
             input,
@@ -124,6 +133,7 @@
             notices,
             shards,
             deferred_events,
+            pace,
             confirmed_at: None,
             next_metrics,
             release_by: None,
@@ -149,6 +159,7 @@
             let Some(input) = input else {
                 self.tick().await;
                 self.run_rounds().await;
+                self.check_pace().await;
                 continue;
             };
             self.process(input).await;
@@ -157,12 +168,28 @@
                 self.process(input).await;
             }
             self.run_rounds().await;
+            self.check_pace().await;
             // The queue of inputs may be full again at once: the tasks that carry out the orders have to
             // run in between.
             yield_now().await;
         }
     }
 
+    /// Measures the pass that has just ended, and gives all shards up if this member is too slow for
+    /// them and may do so.
+    async fn check_pace(&mut self) {
+        let now = self.common.now();
+        self.pace.record_pass(now);
+        let Some(since) = self.shards.values().map(|o| o.since).max() else { return };
+        let may_give_up = self.release_by.is_none() && *self.common.may_give_up.borrow();
+        if may_give_up && self.pace.is_slow(since, now) {
+            self.pace = PaceMonitor::new(now);
+            self.release_by = Some(now + SLOW_RELEASE_TIMEOUT);
+            let _ = self.notices.send(ShardOutput::Slow).await;
+            self.release_settled().await;
+        }
+    }
+
     async fn process(&mut self, input: ShardInput) {
         match input {
             ShardInput::Own(shard, token, load) => self.start_shard(shard, token, *load).await,
@@ -224,8 +251,12 @@
         let bounds = self.common.site.borrow().bounds;
         let (me, unix) = (self.common.me, self.common.start_unix_ms);
         let setup = Setup { shard: no, member: me, token, bounds, unix_ms: unix };
-        let shard = Shard::new(setup, load, self.common.now());
-        self.shards.insert(no, OwnedShard { token, has_new_events: true, shard });
+        let since = self.common.now();
+        if self.shards.is_empty() {
+            self.pace = PaceMonitor::new(since);
+        }
+        let shard = Shard::new(setup, load, since);
+        self.shards.insert(no, OwnedShard { token, since, has_new_events: true, shard });
         let config = self.common.config.borrow().clone();
         if let Some(config) = config {
             self.process_event(no, token, Event::Queues(config.queues));
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -79,6 +79,10 @@
     confirmed_at: AtomicU64,
     /// Whether this member has a row in the table.
     registered: AtomicBool,
+    /// Whether this member was recently too slow for its shards.
+    pub slow: watch::Sender<bool>,
+    /// Whether this member may give up the shards that it owns.
+    pub may_give_up: watch::Sender<bool>,
     /// Time of the last change of the configuration known here.
     configured_at: AtomicU64,
 }
@@ -106,6 +110,8 @@
             waves: watch::Sender::default(),
             view: watch::Sender::new(Arc::default()),
             stop: watch::Sender::new(false),
+            slow: watch::Sender::new(false),
+            may_give_up: watch::Sender::new(false),
             store_routes: Arc::default(),
             advice_queue: Mutex::default(),
             clock: Clock::start(),
--- a/src/table_sync.rs
+++ b/src/table_sync.rs
@@ -8,6 +8,7 @@
 use {
     crate::{
         clock::boot_time,
+        decide::pace_monitor::SpeedMonitor,
         ids::Incarnation,
         layout::{ListMonitor, MAX_LIST_WAIT, create_layout},
         member_table::{MemberTable, Takeover, TakeoverOutcome, member_key},
@@ -26,7 +27,15 @@
         work::{ListedWorker, QueueConfig},
     },
     async_channel::{Receiver, Sender},
-    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
+    sha2::{Digest, Sha256},
+    std::{
+        collections::BTreeSet,
+        hint::black_box,
+        mem,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tokio::time::{sleep, timeout},
 };
 
@@ -40,9 +49,15 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum number of attempts to write the release of a shard while the outcome is unknown.
 const RELEASE_ATTEMPTS: u32 = 3;
-/// Minimum interval at which a member that the store doesn't serve gives up its shards. If it owns
-/// shards again by then, no other member was able to take them over.
+/// Minimum interval at which a member gives up its shards because the store doesn't serve it or it
+/// is too slow. If it owns shards again by then, no other member was able to take them over.
 const GIVE_UP_INTERVAL: Duration = Duration::from_secs(10);
+/// Number of bytes that are hashed to measure the speed of the processor: some tens of microseconds,
+/// which is little for each half a second and long against the resolution of the clock.
+const COMPUTATION_BYTES: usize = 32 << 10;
+/// How long a member counts as slow after it has given up its shards for that reason. Without
+/// shards it can't measure its pace.
+const SLOW_PERIOD: Duration = Duration::from_secs(10);
 
 /// Pause between two watches of the table, per member: all members together make at most 500
 /// watches per second.
@@ -123,8 +138,13 @@
     making_layout: bool,
     /// Time at which this member was told to stop; `None` while it runs on.
     stopping_since: Option<Time>,
-    /// Last time at which this member gave up its shards because the store didn't serve it.
+    /// Last time at which this member gave up its shards while it was not stopping.
     last_give_up: Option<Time>,
+    /// Time until which this member counts as too slow for shards.
+    slow_until: Option<Time>,
+    /// The speed of this member while it owns no shards.
+    speed: SpeedMonitor,
+    next_computation: Time,
 }
 
 /// The messages to the [`TableSync`].
@@ -168,7 +188,7 @@
             let _ = stop.send(SyncMessage::Stop).await;
         });
         let table = MemberTable::new(common.me);
-        let (making_layout, stopping, last_give_up) = (false, None, None);
+        let (making_layout, stopping, last_give_up, slow_until) = (false, None, None, None);
         let this = TableSync {
             common,
             services,
@@ -179,6 +199,9 @@
             making_layout,
             stopping_since: stopping,
             last_give_up,
+            slow_until,
+            speed: SpeedMonitor::default(),
+            next_computation: Time::ZERO,
         };
         this.run_loop(messages).await;
     }
@@ -195,7 +218,12 @@
                 self.handle(message).await;
             }
             self.table.set_relayed(self.common.store_routes.is_direct_lost());
-            self.give_up().await;
+            self.update_slow();
+            self.give_up_unserved().await;
+            let may_give_up = self.may_give_up(self.common.now());
+            self.common
+                .may_give_up
+                .send_if_modified(|m| mem::replace(m, may_give_up) != may_give_up);
             let takeovers = self.table.due_takeovers(self.common.now());
             takeovers.into_iter().for_each(|t| self.spawn_takeover(t));
             if self.table.lacks_layout() && !self.making_layout && self.stopping_since.is_none() {
@@ -243,6 +271,7 @@
                 self.table.remove_owned(shard, now);
                 self.publish(vec![shard]).await;
             }
+            SyncMessage::Notice(ShardOutput::Slow) => self.mark_slow(),
             SyncMessage::Notice(ShardOutput::Order(..)) => {}
             SyncMessage::Released(shard, left) => {
                 self.table.remove_owned(shard, now);
@@ -259,20 +288,55 @@
         }
     }
 
-    /// Gives up all shards while the store serves other members directly, but not this one.
-    async fn give_up(&mut self) {
-        let (now, me) = (self.common.now(), self.common.me);
+    /// Returns whether this member may give up its shards: it owns some, hasn't given up any of
+    /// late, and others can take them over.
+    fn may_give_up(&self, now: Time) -> bool {
         let allowed = self.last_give_up.is_none_or(|at| at + GIVE_UP_INTERVAL <= now);
         let owns = self.stopping_since.is_none() && !self.table.owned().is_empty();
-        let others = || !self.common.view.borrow().relay_candidates(me).is_empty();
-        if owns && allowed && self.common.store_routes.yields_shards() && others() {
-            self.last_give_up = Some(now);
+        owns && allowed && !self.common.view.borrow().relay_candidates(self.common.me).is_empty()
+    }
+
+    fn record_give_up(&mut self, now: Time) {
+        self.last_give_up = Some(now);
+        self.common.metrics.count_move("given_up");
+    }
+
+    /// Gives up all shards while the store serves other members directly, but not this one.
+    async fn give_up_unserved(&mut self) {
+        let now = self.common.now();
+        if self.common.store_routes.yields_shards() && self.may_give_up(now) {
             let shards = self.table.owned().len();
             log::warn!(target: "table", did = "yields", shards; "The store doesn't serve this member; its shards are given up.");
+            self.record_give_up(now);
             let _ = self.shard_inputs.send(ShardInput::Release).await;
         }
     }
 
+    /// Marks this member as slow, because it gives up its shards as too slow for them.
+    fn mark_slow(&mut self) {
+        let now = self.common.now();
+        let shards = self.table.owned().len();
+        log::warn!(target: "table", did = "slow", shards; "This member is too slow for its shards; they are given up.");
+        self.slow_until = Some(now + SLOW_PERIOD);
+        self.update_slow();
+        self.record_give_up(now);
+    }
+
+    /// Updates whether this member counts as slow: for some time after it has given up its shards, and
+    /// while it has no shards and computes more slowly than before.
+    fn update_slow(&mut self) {
+        let now = self.common.now();
+        if self.table.owned().is_empty() && self.next_computation <= now {
+            self.next_computation = now + RENEW_INTERVAL;
+            self.speed.record_computation(time_computation());
+        }
+        self.slow_until = self.slow_until.filter(|until| *until > now);
+        let slow =
+            self.slow_until.is_some() || (self.table.owned().is_empty() && self.speed.is_slow());
+        self.table.set_slow(slow);
+        self.common.slow.send_if_modified(|s| mem::replace(s, slow) != slow);
+    }
+
     /// Publishes the changed table and notifies the tasks that the change concerns.
     async fn publish(&mut self, lost: Vec<ShardNo>) {
         for shard in lost {
@@ -357,6 +421,13 @@
     }
 }
 
+/// Returns how long a fixed computation takes.
+fn time_computation() -> Duration {
+    let begun = Instant::now();
+    black_box(Sha256::digest(black_box([0_u8; COMPUTATION_BYTES])));
+    begun.elapsed()
+}
+
 /// Logs the outcome of a takeover.
 fn log_takeover(me: Incarnation, takeover: &Takeover, outcome: &TakeoverOutcome) {
     let token = if let TakeoverOutcome::Done(_, token) = outcome { *token } else { takeover.token };
--- a/tests/table.rs
+++ b/tests/table.rs
@@ -6,8 +6,8 @@
         decide::lanes::Peers,
         ids::{Incarnation, Zone},
         member_table::{
-            MAX_STORE_SILENCE, MemberTable, RANK_DELAY, RELAYED_DELAY, TAKEOVER_GRACE, Takeover,
-            TakeoverOutcome, member_key,
+            MAX_STORE_SILENCE, MemberTable, RANK_DELAY, TAKEOVER_GRACE, Takeover, TakeoverOutcome,
+            UNFIT_DELAY, member_key,
         },
         ports::{Item, Rev},
         shard::record::{self, LAYOUT_KEY, Layout, MemberRow, OwnerRow, ShardNo},
@@ -89,7 +89,14 @@
     }
 
     fn join_at(&mut self, member: Incarnation, control: SocketAddr, draining: bool, cores: f64) {
-        let row = MemberRow { control, zone: Zone::from("z"), draining, cores, relayed: false };
+        let row = MemberRow {
+            control,
+            zone: Zone::from("z"),
+            draining,
+            cores,
+            relayed: false,
+            slow: false,
+        };
         self.write(member_key(member), record::encode(&row));
     }
 
@@ -476,7 +483,7 @@
     assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(served));
     cell.leave(served);
     // Each member knows only its own state, so that it waits for all that are left.
-    cell.advance(TAKEOVER_GRACE + RELAYED_DELAY + RANK_DELAY * 2 + Duration::from_millis(60));
+    cell.advance(TAKEOVER_GRACE + UNFIT_DELAY + RANK_DELAY * 2 + Duration::from_millis(60));
     assert!(cut.contains(&cell.owner(ShardNo(0)).expect("owned").owner.expect("a member")));
 }
 
@@ -485,10 +492,47 @@
     let (mut cell, first, served, cut) = cut_off();
     for member in cut {
         let (control, zone) = (address(member), Zone::from("z"));
-        let row = MemberRow { control, zone, draining: false, cores: 1.0, relayed: true };
+        let row =
+            MemberRow { control, zone, draining: false, cores: 1.0, relayed: true, slow: false };
         cell.write(member_key(member), record::encode(&row));
     }
     cell.leave(first);
     cell.advance(TAKEOVER_GRACE + Duration::from_millis(60));
     assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(served));
 }
+
+/// Releases the shard of a cell whose owner counts as slow; returns the cell and the former owner.
+fn given_up(members: u64) -> (Cell, Incarnation) {
+    let mut cell = Cell::new(1, members);
+    cell.advance(SETTLE_TIME);
+    let row = cell.owner(ShardNo(0)).expect("owned");
+    let slow = row.owner.expect("a member");
+    let now = cell.now;
+    cell.table(slow).set_slow(true);
+    let (control, zone) = (address(slow), Zone::from("z"));
+    let member =
+        MemberRow { control, zone, draining: false, cores: 100.0, relayed: false, slow: true };
+    cell.write(member_key(slow), record::encode(&member));
+    let released = OwnerRow { owner: None, token: row.token, control: None };
+    cell.write(ShardNo(0).owner_key(), record::encode(&released));
+    cell.table(slow).remove_owned(ShardNo(0), now);
+    (cell, slow)
+}
+
+#[test]
+fn a_shard_that_a_slow_member_gives_up_goes_to_another_at_once() {
+    // Guards against a shard that returns to the member with the most cores, which has no shard now
+    // but is too slow for one.
+    let (mut cell, slow) = given_up(5);
+    cell.advance(Duration::from_millis(60));
+    let owner = cell.owner(ShardNo(0)).expect("owned").owner;
+    assert!(owner.is_some_and(|o| o != slow), "{owner:?}");
+}
+
+#[test]
+fn a_slow_member_that_is_alone_takes_its_shard_back() {
+    // Guards against a shard without an owner while no other member is left.
+    let (mut cell, slow) = given_up(1);
+    cell.advance(UNFIT_DELAY + RANK_DELAY + Duration::from_secs(1));
+    assert_eq!(cell.owner(ShardNo(0)).expect("owned").owner, Some(slow));
+}
