--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,6 +24,7 @@
 pub mod locality;
 pub mod order;
 pub mod pace;
+pub mod pace_monitor;
 pub mod place;
 pub mod quota;
 pub mod rank;
