--- a/src/show_shards.rs
+++ b/src/show_shards.rs
@@ -106,7 +106,7 @@
     pub shards: Vec<ShardNo>,
 }
 
-/// Asks members for their shards, up to [`MAX_CONCURRENT_CALLS`] at once.
+/// Asks members for their shards, up to eight at once.
 pub async fn ask(addrs: &[SocketAddr]) -> ShardsReport {
     let client = Client::new(1);
     let mut calls = JoinSet::new();
