--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -369,7 +369,7 @@
                 false => vec![],
             };
             if !step.fills {
-                let places = self.preempt_beside(turn, &chosen, &good, round, now);
+                let places = self.preempt_beside(turn, rest, &chosen, &good, round, now);
                 withhold(step, &places, round);
             }
             if let Some(cost) = advice {
--- a/src/shard/preempt.rs
+++ b/src/shard/preempt.rs
@@ -35,7 +35,7 @@
 }
 
 impl Shard {
-    /// Makes room for the tasks of a step that are not among `chosen`, which start in this round.
+    /// Makes room for the tasks `rest` of a step, of which those in `chosen` start in this round.
     ///
     /// A worker with a chosen task is left out, except for long-running steps if stops are weighed:
     /// runs that are stopping there would not count as room for the step, and others would be stopped
@@ -44,12 +44,12 @@
     pub(super) fn preempt_beside(
         &mut self,
         turn: &Turn,
+        rest: &[u32],
         chosen: &[(u32, WorkerNo)],
         good: &[Room],
         round: &mut Round,
         now: Time,
     ) -> Vec<(u32, WorkerNo)> {
-        let rest = &turn.waiting[chosen.len()..];
         let weighed = self.weighs_stop_cost() && turn.step.lasts;
         let after = |r: &Room| {
             let starts = chosen.iter().filter(|c| c.1.0 == r.index).count() as u32;
--- a/tests/shard_preempt.rs
+++ b/tests/shard_preempt.rs
@@ -55,6 +55,8 @@
         stop_time: Duration::from_millis(stop_ms),
         restore_time: Duration::from_millis(600),
         checkpoint_interval: Duration::from_millis(500),
+        // No job is over its customer's quota.
+        share_window: Duration::ZERO,
         ..y.world.bounds
     };
     y.kill_owner();
--- a/tests/utility.rs
+++ b/tests/utility.rs
@@ -373,7 +373,8 @@
         } else if end <= timing.arrived_ms + 3 * objective {
             1
         } else {
-            2
+            // Class 2 is that of jobs over quota.
+            3
         };
         (class, queue.priority, due)
     };
