--- a/src/lib.rs
+++ b/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod rpc_clients;
 mod table_sync;
 pub mod table_view;
+mod table_writes;
 pub mod vm_cache;
 #[rustfmt::skip]
 #[allow(missing_docs, dead_code, clippy::all, clippy::unwrap_used)] // generated
