--- a/src/decide/utility.rs
+++ b/src/decide/utility.rs
@@ -24,8 +24,8 @@
 
 /// A step is urgent if its job may lose value within this time, plus one part in
 /// [`HORIZON_DIVISOR`] of the objective. The time covers a stop, a restore and an advice call before
-/// the start. Without the part of the objective, long jobs start too late to allow for errors, which
-/// lost 0.008 of the value in the trials of `docs/design/overload.md`.
+/// the start. Without the part of the objective, long jobs start too late to allow for errors of
+/// their estimates.
 const MIN_HORIZON: Duration = Duration::from_secs(2);
 const HORIZON_DIVISOR: u32 = 4;
 /// Value of a job that ends late, as a fraction of the value of a job in time.
--- a/src/shard/preempt.rs
+++ b/src/shard/preempt.rs
@@ -39,8 +39,8 @@
     ///
     /// A worker with a chosen task is left out, except for long-running steps if stops are weighed:
     /// runs that are stopping there would not count as room for the step, and others would be stopped
-    /// as well. If other steps counted on such workers too, 105 of 117 urgent jobs of a burst were in
-    /// time, otherwise 112.
+    /// as well. Other steps do not count on such workers: in a burst they would wait for stops that
+    /// come too late.
     pub(super) fn preempt_beside(
         &mut self,
         turn: &Turn,
@@ -231,9 +231,15 @@
         // Runs with the least progress are stopped first, since the others end soon anyway.
         victims.sort_unstable_by_key(|v| (v.0, v.1));
         let all = victims.iter().fold(free, |sum, v| sum + v.2);
-        let most = if apart > 0 { apart.saturating_sub(room.same_step).into() } else { u64::MAX };
-        let slots = size.count(&all).min(most).min(room.max_new.into());
+        let slots = size.count(&all).min(max_slots(apart, room));
         let victims = victims.into_iter().map(|v| (v.1, v.2)).collect();
         (slots > 0).then_some(PreemptionPlan { no: WorkerNo(room.index), free, slots, victims })
     }
 }
+
+/// Returns how many more tasks of a step a worker may get, regardless of its resources; `apart` is
+/// the maximum number of tasks of the step on one worker, or 0.
+pub(super) fn max_slots(apart: u32, room: &Room) -> u64 {
+    let most = if apart > 0 { apart.saturating_sub(room.same_step) } else { u32::MAX };
+    most.min(room.max_new).into()
+}
--- a/src/shard/preempt_cost.rs
+++ b/src/shard/preempt_cost.rs
@@ -17,6 +17,7 @@
         },
         shard::{
             customer_cap::CustomerNo,
+            preempt::max_slots,
             prefetch::expected_end,
             reservation::GangReservation,
             round::{Releases, Round, Turn},
@@ -205,7 +206,7 @@
         for room in good {
             let no = WorkerNo(room.index);
             let claimed = round.unavailable(no, &asker) + round.awaited[no.0];
-            let most = max_slots(turn, room).min(count as u64);
+            let most = max_slots(turn.step.apart, room).min(count as u64);
             let releases = self.round_releases(no, round, now);
             let (mut free, mut known) = (self.workers[no.0].free(), 0);
             let ends = [(now, Size::default())].into_iter().chain(releases.iter().copied());
@@ -298,7 +299,7 @@
                 free: free.fold(self.workers[no.0].free(), |sum, r| sum + r.1),
                 claimed: round.unavailable(no, &asker) + round.awaited[no.0] + size.times(own),
                 victims,
-                slots: max_slots(turn, room).saturating_sub(own),
+                slots: max_slots(turn.step.apart, room).saturating_sub(own),
             };
             if let Some(stops) = source.next_slot(&size) {
                 let cost = combined_cost(&stops, &size);
@@ -490,12 +491,3 @@
         PlannedStop { no, task: *task, cost, size }
     }
 }
-
-/// Returns how many more tasks of a step a worker may get, regardless of its resources.
-fn max_slots(turn: &Turn, room: &Room) -> u64 {
-    let most = match turn.step.apart {
-        0 => u32::MAX,
-        apart => apart.saturating_sub(room.same_step),
-    };
-    most.min(room.max_new).into()
-}
--- a/tests/shard_locality.rs
+++ b/tests/shard_locality.rs
@@ -13,15 +13,20 @@
     yard::{ShardSim, job, queue, queues, step, worker::Worker},
 };
 
+/// A worker of the pool `open` with four cores on a rack.
+fn rack_worker(rack: &str) -> Worker {
+    let mut worker = Worker::new("open", rack, Size::new(4, 16_384, 0));
+    worker.labels = vec!["kind".into(), rack.into()];
+    worker
+}
+
 /// Three racks of four workers with four cores each, in the pool `open`, where a task takes `factor`
 /// times as long away from its rack. The owner assumes that it takes `assumed` times as long; with
 /// 1.0 it starts tasks elsewhere at once.
 fn racks(seed: u64, factor: f64, assumed: f64) -> ShardSim {
     let worker = |i: usize| {
         let rack = ["r1", "r2", "r3"][i / 4];
-        let mut worker = Worker::new("open", rack, Size::new(4, 16_384, 0));
-        worker.labels = vec!["kind".into(), rack.into()];
-        worker
+        rack_worker(rack)
     };
     let mut config = QueueConfig::clone(&queues());
     config.queues.push(queue("quick", 0, None));
@@ -208,9 +213,7 @@
     for seed in 1..4 {
         let worker = |i: usize| {
             let rack = if i < 90 { "r1" } else { "r2" };
-            let mut worker = Worker::new("open", rack, Size::new(4, 16_384, 0));
-            worker.labels = vec!["kind".into(), rack.into()];
-            worker
+            rack_worker(rack)
         };
         let us = Duration::from_micros;
         let cost =
@@ -245,9 +248,7 @@
     for seed in 1..4 {
         let worker = |i: usize| {
             let rack = if i < 90 { "r1" } else { "r2" };
-            let mut worker = Worker::new("open", rack, Size::new(4, 16_384, 0));
-            worker.labels = vec!["kind".into(), rack.into()];
-            worker
+            rack_worker(rack)
         };
         let mut config = QueueConfig::clone(&queues());
         config.queues.push(queue("quick", 0, None));
