--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import bisect
+import contextlib
 import json
 import os
 import random
@@ -56,10 +57,11 @@
     """A minimal HTTP/1.1 server; `handle(method, path, query, headers, body)` returns (status, object)
     or None for a call that gets no answer."""
 
-    def __init__(self, handle):
+    def __init__(self, handle, connections=None):
         self.handle = handle
         self.server = None
         self.open = set()
+        self.slots = asyncio.Semaphore(connections) if connections else contextlib.nullcontext()
 
     def stop(self):
         """Stops to listen and breaks what is open."""
@@ -75,29 +77,8 @@
     async def connection(self, reader, writer):
         self.open.add(writer)
         try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                lines = head.decode("latin-1").split("\r\n")
-                method, target, _ = lines[0].split(" ", 2)
-                headers = {}
-                for line in lines[1:]:
-                    if ":" in line:
-                        name, value = line.split(":", 1)
-                        headers[name.strip().lower()] = value.strip()
-                length = int(headers.get("content-length", "0"))
-                body = await reader.readexactly(length) if length else b""
-                path, _, query = target.partition("?")
-                answer = self.handle(method, path, query, headers, body)
-                if asyncio.iscoroutine(answer):
-                    answer = await answer
-                if answer is None:
-                    await asyncio.sleep(3600)
-                status, value = answer
-                data = b"" if value is None else json.dumps(value, separators=(",", ":")).encode()
-                writer.write((f"HTTP/1.1 {status} {REASONS.get(status, 'Answer')}\r\n"
-                              f"content-type: application/json\r\ncontent-length: {len(data)}\r\n\r\n"
-                              ).encode() + data)
-                await writer.drain()
+            async with self.slots:
+                await self.requests(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError,
                 asyncio.CancelledError):
             pass
@@ -105,6 +86,31 @@
             self.open.discard(writer)
             writer.close()
 
+    async def requests(self, reader, writer):
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            lines = head.decode("latin-1").split("\r\n")
+            method, target, _ = lines[0].split(" ", 2)
+            headers = {}
+            for line in lines[1:]:
+                if ":" in line:
+                    name, value = line.split(":", 1)
+                    headers[name.strip().lower()] = value.strip()
+            length = int(headers.get("content-length", "0"))
+            body = await reader.readexactly(length) if length else b""
+            path, _, query = target.partition("?")
+            answer = self.handle(method, path, query, headers, body)
+            if asyncio.iscoroutine(answer):
+                answer = await answer
+            if answer is None:
+                await asyncio.sleep(3600)
+            status, value = answer
+            data = b"" if value is None else json.dumps(value, separators=(",", ":")).encode()
+            writer.write((f"HTTP/1.1 {status} {REASONS.get(status, 'Answer')}\r\n"
+                          f"content-type: application/json\r\ncontent-length: {len(data)}\r\n\r\n"
+                          ).encode() + data)
+            await writer.drain()
+
 
 async def call(addr, method, path, headers=None, body=None, limit=3.0):
     """Makes one call on a connection of its own; returns (status, object), or None without an answer."""
@@ -284,7 +290,7 @@
         self.server = None
 
     async def start(self, addr=("127.0.0.1", 0)):
-        self.server = await Server(self.handle).start(*addr)
+        self.server = await Server(self.handle, connections=64).start(*addr)
         self.addr = self.server.addr
         self.beat()
         asyncio.create_task(self.live())
