--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -280,9 +280,9 @@
 class Worker:
     """One incarnation of a worker; starts whatever it is told to start."""
 
-    def __init__(self, play, name, service, zone, rack, capacity):
+    def __init__(self, play, name, service, zone, rack, capacity, kind="a"):
         self.play, self.id, self.service, self.zone, self.rack = play, name, service, zone, rack
-        self.capacity = capacity
+        self.capacity, self.kind = capacity, kind
         self.fence, self.clock0 = 0, time.monotonic()
         self.running, self.ended, self.last_end = {}, [], 0
         self.closed, self.deadline, self.any_end = {}, 0, asyncio.Event()
@@ -303,7 +303,7 @@
         self.seq += 1
         entry = {"Service": self.service, "Address": "%s:%d" % self.addr, "Zone": self.zone,
                  "Version": "v1", "Slots": 8, "State": self.state, "ColdRemainingMs": 0,
-                 "Capacity": self.capacity, "Labels": ["a", self.rack], "ClockMs": self.clock(),
+                 "Capacity": self.capacity, "Labels": [self.kind, self.rack], "ClockMs": self.clock(),
                  "Seq": self.seq}
         if self.state == "draining":
             entry["RemainingMs"] = 2000
@@ -521,7 +521,7 @@
             # Its entry goes after three heartbeat intervals of silence.
             await asyncio.sleep(down_s)
             new = Worker(self, f"i-{random.getrandbits(48):012x}", worker.service, worker.zone, worker.rack,
-                         worker.capacity)
+                         worker.capacity, worker.kind)
             await new.start(addr)
             self.workers.append(new)
             self.machines[machine] = new
@@ -540,7 +540,7 @@
             for m, w in self.machines.items():
                 state = "up" if w.up else "upkeep" if m in self.in_upkeep else "down"
                 rows.append({"Machine": m, "Pool": w.service, "State": state,
-                             "Zone": w.zone, "Labels": ["a", w.rack], "Capacity": w.capacity,
+                             "Zone": w.zone, "Labels": [w.kind, w.rack], "Capacity": w.capacity,
                              "Id": w.id if w.up else ""})
             return 200, {"Machines": rows, "NextToken": ""}
         return 400, None
@@ -574,14 +574,16 @@
         asyncio.create_task(self.crash(worker, BOUNDS["MaintenanceS"], back))
         return 200, {}
 
-    async def start(self, config, services):
-        """`services`: rows of name, count, capacity."""
+    async def start(self, config, services, kinds=("a",)):
+        """`services`: rows of name, count, capacity; the kinds of workers take turns."""
+        # Also where the script is told to end, its processes are ended: `finish` runs.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         self.store = await Store(self.record).start()
         self.cloud = await Server(self.cloud_call).start()
         for name, count, capacity in services:
             for i in range(count):
                 w = Worker(self, f"i-{random.getrandbits(48):012x}", name, f"z{i % 3}",
-                           f"r{i % 3}-{i // 5}", capacity)
+                           f"r{i % 3}-{i // 5}", capacity, kinds[i % len(kinds)])
                 await w.start()
                 self.workers.append(w)
                 self.machines[f"m-{name}-{i}"] = w
