Shard: the log and the metrics say why a run counts as lost

Cause: "Run is gone without an end" was the same line for five causes (the worker doesn't report the run, it is over, it has restarted, its lease is over, it has refused the start), and nothing said that a worker lists only its first ends. Change: the line names its cause and whether the worker's last list was cut off; a line at each change of that; dwr_runs_lost_total{cause} and dwr_end_lists_cut_off_total.

--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -41,6 +41,8 @@
     step_starts: IntCounterVec,
     job_outcomes: IntCounterVec,
     run_ends: IntCounterVec,
+    lost_runs: IntCounterVec,
+    cut_off_lists: IntCounter,
     shard_moves: IntCounterVec,
     waiting_tasks: IntGaugeVec,
     ages: IntGaugeVec,
@@ -106,6 +108,12 @@
                 "outcome",
             ),
             run_ends: counter("dwr_run_ends_total", "Ends of runs taken in by how.", "how"),
+            lost_runs: counter("dwr_runs_lost_total", "Runs that count as lost by cause.", "cause"),
+            cut_off_lists: IntCounter::new(
+                "dwr_end_lists_cut_off_total",
+                "Answers of workers that list only the first of their ends.",
+            )
+            .expect("the names are well-formed"),
             shard_moves: counter("dwr_shard_moves_total", "What became of shards here.", "what"),
             waiting_tasks: IntGaugeVec::new(
                 Opts::new("dwr_waiting_tasks", "Tasks that could start and wait."),
@@ -194,7 +202,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retry_counts.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 29] = [
+        let all: [Box<dyn Collector>; 31] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retry_counts.clone()),
             Box::new(m.kv_calls.clone()),
@@ -207,6 +215,8 @@
             Box::new(m.step_starts.clone()),
             Box::new(m.job_outcomes.clone()),
             Box::new(m.run_ends.clone()),
+            Box::new(m.lost_runs.clone()),
+            Box::new(m.cut_off_lists.clone()),
             Box::new(m.shard_moves.clone()),
             Box::new(m.waiting_tasks.clone()),
             Box::new(m.ages.clone()),
@@ -316,6 +326,10 @@
         for (how, n) in &tally.run_ends {
             self.run_ends.with_label_values(&[how]).inc_by(*n);
         }
+        for (cause, n) in &tally.lost_runs {
+            self.lost_runs.with_label_values(&[&cause.to_string()]).inc_by(*n);
+        }
+        self.cut_off_lists.inc_by(tally.cut_off_lists);
         self.ends_noted.inc_by(tally.acknowledged_ends);
         self.division_writes.inc_by(tally.division_writes);
         self.over_quota_jobs.inc_by(tally.over_quota_jobs);
--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -8,7 +8,7 @@
         shard::{
             cause::{AbsentStep, Exclusions},
             state_machine::Shard,
-            stats::{Gauges, Stats},
+            stats::{Gauges, LossCause, Stats},
             workers::{WorkerNo, millis},
         },
         time::Time,
@@ -239,13 +239,31 @@
         log::log!(target: "shard", level, did = "end", job:% = end.task.step.job, task:% = end.task, run = end.run, how, worker:% = worker.id, took_ms, asked, number = end.number; "Run has ended.");
     }
 
-    /// Logs a run that is gone without a reported end.
-    pub(super) fn log_lost(&self, no: WorkerNo, task: &TaskKey, run: u32, now: Time) {
+    /// Logs and counts a run that is gone without a reported end.
+    pub(super) fn log_lost(
+        &mut self,
+        no: WorkerNo,
+        task: &TaskKey,
+        run: u32,
+        cause: LossCause,
+        now: Time,
+    ) {
         let worker = &self.workers[no.0];
         let Some(old) = worker.runs.get(task).filter(|r| r.run == run) else { return };
+        *self.stats.lost_runs.entry(cause).or_default() += 1;
         let heard_ms = worker.last_answer.map_or(0, |h| millis(now - h));
         let (ran_ms, percent) = (millis(now - old.started_at), old.progress_percent.1);
-        log::info!(target: "shard", did = "lost", job:% = task.step.job, task:% = task, run, worker:% = worker.id, phase:? = old.phase, ran_ms, percent, heard_ms, silent = worker.unanswered_calls; "Run is gone without an end.");
+        log::info!(target: "shard", did = "lost", job:% = task.step.job, task:% = task, run, worker:% = worker.id, cause:% = cause, cut_off = worker.cut_off, phase:? = old.phase, ran_ms, percent, heard_ms, silent = worker.unanswered_calls; "Run is gone without an end.");
+    }
+
+    /// Records whether a worker listed only the first of its ends; logs each change.
+    pub(super) fn record_cut_off(&mut self, no: WorkerNo, cut_off: bool) {
+        let worker = &mut self.workers[no.0];
+        self.stats.cut_off_lists += u64::from(cut_off);
+        if mem::replace(&mut worker.cut_off, cut_off) != cut_off {
+            let said = if cut_off { "only its first ends" } else { "all its ends again" };
+            log::info!(target: "shard", did = "cut_off", worker:% = worker.id, cut_off, received = worker.last_end_number, stored = worker.stored_end_number, unstored = worker.unstored_ends.len(), runs = worker.runs.len(), fenced = worker.fenced; "Worker lists {said}.");
+        }
     }
 
     /// Logs that a run was ordered to stop, and why.
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -7,6 +7,7 @@
         shard::{
             event::Order,
             state_machine::Shard,
+            stats::LossCause,
             workers::{Run, RunPhase, WorkerNo, millis},
         },
         time::Time,
@@ -109,7 +110,7 @@
             reply => {
                 self.on_refused_start(no, start, &reply, now);
                 if first {
-                    self.on_run_lost(no, &start.task, start.run, now);
+                    self.on_run_lost(no, &start.task, start.run, LossCause::Refused, now);
                 } else {
                     // An earlier start may still be carried out.
                     self.stop_run(no, &start.task, now);
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -8,6 +8,7 @@
             jobs::Placement,
             orders::{ORDER_TIMEOUT, UNWELL_PAUSE, was_given_up},
             state_machine::Shard,
+            stats::LossCause,
             workers::{Run, RunPhase, Worker, WorkerNo},
         },
         time::Time,
@@ -107,6 +108,8 @@
         };
         worker.next_hold = now;
         let complete = held.ended.len() < MAX_ENDS;
+        self.record_cut_off(no, !complete);
+        let worker = &mut self.workers[no.0];
         if !worker.fenced {
             worker.inherit_lease(held.clock_ms, &self.setup.bounds);
         }
@@ -222,7 +225,7 @@
             .map(|(t, r)| (*t, r.run))
             .collect();
         for (task, run) in gone {
-            self.on_run_lost(no, &task, run, now);
+            self.on_run_lost(no, &task, run, LossCause::Unreported, now);
         }
     }
 
--- a/src/shard/restart.rs
+++ b/src/shard/restart.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ports::Held,
-    shard::{state_machine::Shard, workers::WorkerNo},
+    shard::{state_machine::Shard, stats::LossCause, workers::WorkerNo},
     time::Time,
 };
 
@@ -43,7 +43,7 @@
         }
         worker.restart(held.born_ms, now);
         for (task, run) in &lost {
-            self.on_run_lost(no, task, *run, now);
+            self.on_run_lost(no, task, *run, LossCause::WorkerRestarted, now);
         }
         for (task, run) in suspects.into_iter().filter(|s| lost.contains(s)) {
             self.count_crash(&task, run, now);
--- a/src/shard/run_end.rs
+++ b/src/shard/run_end.rs
@@ -5,6 +5,7 @@
     shard::{
         jobs::Placement,
         state_machine::Shard,
+        stats::LossCause,
         workers::{RunPhase, WorkerNo},
     },
     time::Time,
@@ -55,8 +56,15 @@
     }
 
     /// Handles a run that is no longer on its worker although the worker reported no end.
-    pub(super) fn on_run_lost(&mut self, no: WorkerNo, task: &TaskKey, run: u32, now: Time) {
-        self.log_lost(no, task, run, now);
+    pub(super) fn on_run_lost(
+        &mut self,
+        no: WorkerNo,
+        task: &TaskKey,
+        run: u32,
+        cause: LossCause,
+        now: Time,
+    ) {
+        self.log_lost(no, task, run, cause, now);
         let Some(old) = self.remove_run(no, task, run) else { return };
         self.round_due = true;
         let current = self.has_run(task, no, run);
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -5,6 +5,26 @@
     std::{collections::BTreeMap, time::Duration},
 };
 
+/// Why a run counts as lost.
+#[derive(Clone, Copy, Debug, derive_more::Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LossCause {
+    /// Its worker reports it neither as running nor as ended.
+    #[display("unreported")]
+    Unreported,
+    /// Its worker is over.
+    #[display("worker_over")]
+    WorkerOver,
+    /// Its worker has restarted.
+    #[display("worker_restarted")]
+    WorkerRestarted,
+    /// Its lease has certainly expired.
+    #[display("lapsed")]
+    Lapsed,
+    /// Its worker has refused the start.
+    #[display("refused")]
+    Refused,
+}
+
 /// Events since the statistics were last collected.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Stats {
@@ -18,6 +38,10 @@
     pub job_outcomes: BTreeMap<&'static str, u64>,
     /// The number of runs that have ended, by the way in which they ended.
     pub run_ends: BTreeMap<&'static str, u64>,
+    /// The number of runs that count as lost because no end was reported, by cause.
+    pub lost_runs: BTreeMap<LossCause, u64>,
+    /// The number of answers of workers that list only the first of their ends.
+    pub cut_off_lists: u64,
     /// The number of stored ends of runs that were acknowledged to their workers.
     pub acknowledged_ends: u64,
     /// The number of writes of divisions of customers' caps.
--- a/src/shard/worker_loss.rs
+++ b/src/shard/worker_loss.rs
@@ -9,6 +9,7 @@
             event::Order,
             orders::ORDER_TIMEOUT,
             state_machine::Shard,
+            stats::LossCause,
             workers::{RunPhase, Worker, WorkerNo},
         },
         time::Time,
@@ -30,17 +31,17 @@
         let suspects = self.suspect_runs(no);
         self.workers[no.0].gone = true;
         self.roster_dirty = true;
-        self.forget_runs(no, now);
+        self.forget_runs(no, LossCause::WorkerOver, now);
         for (task, run) in suspects {
             self.count_crash(&task, run, now);
         }
         self.workers[no.0].unstored_ends.clear();
     }
 
-    fn forget_runs(&mut self, no: WorkerNo, now: Time) {
+    fn forget_runs(&mut self, no: WorkerNo, cause: LossCause, now: Time) {
         let all: Vec<_> = self.workers[no.0].runs.iter().map(|(t, r)| (*t, r.run)).collect();
         for (task, run) in all {
-            self.on_run_lost(no, &task, run, now);
+            self.on_run_lost(no, &task, run, cause, now);
         }
     }
 
@@ -101,7 +102,7 @@
             }
             if !w.runs.is_empty() {
                 log::info!(target: "shard", worker:% = w.id, runs = w.runs.len(), silent = w.unanswered_calls; "Worker has lapsed.");
-                self.forget_runs(no, now);
+                self.forget_runs(no, LossCause::Lapsed, now);
             }
             let w = &mut self.workers[no.0];
             let lost = w.list_entry.is_none() && w.unanswered_calls > 3;
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -148,6 +148,8 @@
     pub last_end_number: u64,
     /// The number of the last end of a run that is stored.
     pub stored_end_number: u64,
+    /// Whether its last answer listed only the first of its ends.
+    pub cut_off: bool,
     /// Ends that were received and are not stored yet: number, job and sequence number of the
     /// change.
     pub unstored_ends: VecDeque<(u64, JobNo, u64)>,
@@ -214,6 +216,7 @@
             unsized_runs: 0,
             last_end_number: 0,
             stored_end_number: 0,
+            cut_off: false,
             unstored_ends: VecDeque::new(),
             hold_sent: None,
             next_hold: now,
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -205,6 +205,7 @@
             r#"dwr_age_milliseconds{what="store"}"#,
             r#"dwr_call_seconds_count{call="store_txn"}"#,
             r#"dwr_ends_noted_total"#,
+            r#"dwr_end_lists_cut_off_total"#,
         ] {
             assert!(page.contains(name), "{name} is missing");
         }
