Shard: a run beyond a list of ends that was cut off is not lost

Cause: a worker lists the first 500 ends that are not acknowledged, and while the store is down none is. A run that was neither running nor among these 500 was taken for lost (`drop_missing_runs`), and its task started again. Change: such a run has ended, and how is unknown: its room is free, its task waits until the worker lists the end (`Worker::unlisted_ends`); a whole list without it, a restart, the worker's end or the end of its lease settles it. Long-running tasks restart at once. The worker stays in the roster and counts as occupied. While a list is cut off the worker is polled each 0.9 s, as it can't report another end, and writes begin without waiting for others to join. Why it works: `Running` is never cut off, so a run that the worker has had and doesn't report there has ended; only the 500 are no proof that its end is unknown to the worker. The fake workers of the shard's tests now list 500 ends at a time, as real ones do.

--- a/src/shard/closing.rs
+++ b/src/shard/closing.rs
@@ -109,8 +109,10 @@
     }
 
     fn occupancy_of(&self, w: &Worker) -> Occupancy {
+        // An end that the worker has not listed is lost with its VM.
+        let all = w.runs.keys().chain(w.unlisted_ends.keys());
         let count =
-            |lasts: bool| w.runs.keys().filter(|t| self.is_long_running(t) == lasts).count() as u32;
+            |lasts: bool| all.clone().filter(|t| self.is_long_running(t) == lasts).count() as u32;
         Occupancy {
             worker: w.id.clone(),
             closed: w.is_draining(),
--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -149,7 +149,8 @@
     fn forget_ended_strays(&mut self) {
         let workers = &self.workers;
         let stopping = |t: &TaskKey, w: &Worker| {
-            !w.gone && w.runs.get(t).is_some_and(|r| r.phase == RunPhase::Stopping)
+            let ends = w.runs.get(t).is_some_and(|r| r.phase == RunPhase::Stopping);
+            !w.gone && (ends || w.unlisted_ends.contains_key(t))
         };
         self.stray_tasks.retain(|t| workers.iter().any(|w| stopping(t, w)));
     }
--- a/src/shard/explain.rs
+++ b/src/shard/explain.rs
@@ -124,9 +124,13 @@
             for (index, task) in (0..).zip(&part.tasks) {
                 let Placement::Assigned(at) = task.placement else { continue };
                 let worker = &self.workers[at.0];
-                let phase = worker.runs.get(&TaskKey { step: key, index }).map(|r| r.phase);
-                let _ =
-                    write!(text, "\n    task {index} run {} at {}: {phase:?}", task.run, worker.id);
+                let key = TaskKey { step: key, index };
+                let _ = write!(text, "\n    task {index} run {} at {}: ", task.run, worker.id);
+                let _ = match (worker.runs.get(&key), worker.unlisted_ends.get(&key)) {
+                    (Some(run), _) => write!(text, "{:?}", run.phase),
+                    (_, Some(_)) => write!(text, "ended, and its end is not listed yet"),
+                    _ => write!(text, "unknown"),
+                };
             }
         }
         text.into()
--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -233,8 +233,8 @@
         let level =
             if end.reason == EndReason::Done { log::Level::Debug } else { log::Level::Info };
         let worker = &self.workers[no.0];
-        let began = worker.runs.get(&end.task).filter(|r| r.run == end.run);
-        let took_ms = began.map_or(0, |r| millis(now - r.started_at));
+        let began = worker.find_run(&end.task, end.run);
+        let took_ms = began.map_or(0, |r| millis(r.ended_by.unwrap_or(now) - r.started_at));
         let asked = began.is_some_and(|r| r.phase == super::workers::RunPhase::Stopping);
         log::log!(target: "shard", level, did = "end", job:% = end.task.step.job, task:% = end.task, run = end.run, how, worker:% = worker.id, took_ms, asked, number = end.number; "Run has ended.");
     }
@@ -249,7 +249,7 @@
         now: Time,
     ) {
         let worker = &self.workers[no.0];
-        let Some(old) = worker.runs.get(task).filter(|r| r.run == run) else { return };
+        let Some(old) = worker.find_run(task, run) else { return };
         *self.stats.lost_runs.entry(cause).or_default() += 1;
         let heard_ms = worker.last_answer.map_or(0, |h| millis(now - h));
         let (ran_ms, percent) = (millis(now - old.started_at), old.progress_percent.1);
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -213,7 +213,7 @@
             if w.gone || w.hold_sent.is_some() || w.next_hold > now {
                 continue;
             }
-            let wanted = w.list_entry.is_some() || !w.runs.is_empty() || !w.fenced;
+            let wanted = w.list_entry.is_some() || w.has_runs() || !w.fenced;
             if !wanted {
                 continue;
             }
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -14,9 +14,13 @@
         time::Time,
         work::{JobState, TaskKey},
     },
+    rustc_hash::FxHashSet,
     std::time::Duration,
 };
 
+/// The interval between two hold calls to a worker that lists only its first ends: it has nothing
+/// new to report until some of them are acknowledged.
+const CUT_OFF_HOLD_INTERVAL: Duration = Duration::from_millis(900);
 /// The interval between two hold calls to a worker while ends of its runs wait to be stored.
 const UNSTORED_HOLD_INTERVAL: Duration = Duration::from_millis(120);
 /// The pause before the next call to a silent worker for each unanswered call, and the maximum
@@ -122,11 +126,12 @@
             }
         }
         self.observe_runs(no, &held, now);
-        self.drop_missing_runs(no, sent, &held, now);
+        self.remove_missing_runs(no, sent, &held, complete, now);
         self.adjust_filler_pace(no, now);
         let worker = &mut self.workers[no.0];
         if !worker.unstored_ends.is_empty() {
-            worker.next_hold = now + UNSTORED_HOLD_INTERVAL;
+            let interval = if complete { UNSTORED_HOLD_INTERVAL } else { CUT_OFF_HOLD_INTERVAL };
+            worker.next_hold = now + interval;
         }
         if first {
             self.round_due = true;
@@ -192,6 +197,7 @@
             preempt_priority: yields,
             due_at,
             checkpoint_at: now,
+            ended_by: None,
             estimate: Duration::from_millis(step.estimate),
             earlier_report: (now, row.percent),
         };
@@ -213,22 +219,48 @@
         self.unready_if_placed(&row.task.step);
     }
 
-    /// Records as lost the runs that the worker must know of, since they were listed before the
-    /// request was sent, but that its reply reports neither as running nor as ended.
-    fn drop_missing_runs(&mut self, no: WorkerNo, sent: Time, held: &Held, now: Time) {
-        let there =
-            |t: &TaskKey, r: u32| held.running.iter().any(|row| row.task == *t && row.run == r);
-        let gone: Vec<_> = self.workers[no.0]
-            .runs
-            .iter()
-            .filter(|(t, r)| r.absence_from.is_some_and(|k| k < sent) && !there(t, r.run))
-            .map(|(t, r)| (*t, r.run))
-            .collect();
-        for (task, run) in gone {
-            self.on_run_lost(no, &task, run, LossCause::Unreported, now);
+    /// Removes the runs that the worker must know of, since they were listed before the request was
+    /// sent, but that its reply reports neither as running nor as ended.
+    ///
+    /// They are lost if the reply lists all ends. A worker that lists only its first ends may have
+    /// completed them; their tasks then wait for the ends. A long-running task has to run again
+    /// however its run has ended, so it doesn't wait.
+    fn remove_missing_runs(
+        &mut self,
+        no: WorkerNo,
+        sent: Time,
+        held: &Held,
+        complete: bool,
+        now: Time,
+    ) {
+        let present: FxHashSet<(TaskKey, u32)> =
+            held.running.iter().map(|row| (row.task, row.run)).collect();
+        let worker = &self.workers[no.0];
+        let missing = worker.runs.iter().filter(|(t, r)| {
+            r.absence_from.is_some_and(|from| from < sent) && !present.contains(&(**t, r.run))
+        });
+        let mut missing: Vec<_> = missing.map(|(t, r)| (*t, r.run)).collect();
+        if complete {
+            missing.extend(worker.unlisted_ends.iter().map(|(t, r)| (*t, r.run)));
+        }
+        for (task, run) in missing {
+            if complete || self.is_long_running(&task) {
+                self.on_run_lost(no, &task, run, LossCause::Unreported, now);
+            } else {
+                self.await_end(no, &task, run, now);
+            }
         }
     }
 
+    /// Frees the resources of a run that has certainly ended, and keeps the run until the worker
+    /// lists its end.
+    fn await_end(&mut self, no: WorkerNo, task: &TaskKey, run: u32, now: Time) {
+        let Some(run) = self.remove_run(no, task, run) else { return };
+        self.round_due = true;
+        let run = Run { ended_by: Some(now), ..run };
+        self.workers[no.0].unlisted_ends.insert(*task, run);
+    }
+
     /// Marks the job of a task as running if it is still queued.
     pub(super) fn mark_running(&mut self, task: &TaskKey) {
         if let Some(job) = self.jobs.get_mut(&task.step.job)
--- a/src/shard/restart.rs
+++ b/src/shard/restart.rs
@@ -32,7 +32,7 @@
         let suspects = self.suspect_runs(no);
         let worker = &mut self.workers[no.0];
         log::info!(target: "shard", worker:% = worker.id, runs = worker.runs.len(); "Worker has restarted.");
-        let mut lost = vec![];
+        let mut lost: Vec<_> = worker.unlisted_ends.iter().map(|(t, r)| (*t, r.run)).collect();
         for (task, run) in &mut worker.runs {
             let present = held.running.iter().any(|r| r.task == *task && r.run == run.run);
             match run.was_seen {
--- a/src/shard/run_end.rs
+++ b/src/shard/run_end.rs
@@ -6,7 +6,7 @@
         jobs::Placement,
         state_machine::Shard,
         stats::LossCause,
-        workers::{RunPhase, WorkerNo},
+        workers::{Run, RunPhase, WorkerNo},
     },
     time::Time,
     work::{JobState, TaskKey},
@@ -29,7 +29,8 @@
     /// Processes the end of a run that its worker reported.
     pub(super) fn on_run_end(&mut self, no: WorkerNo, end: &EndedRun, now: Time) {
         self.log_end(no, end, now);
-        let run = self.remove_run(no, &end.task, end.run);
+        let run = self.take_run(no, &end.task, end.run);
+        let ended_by = run.as_ref().and_then(|r| r.ended_by).unwrap_or(now);
         self.round_due = true;
         let saved = match (&run, &*end.checkpoint) {
             (Some(r), "") => r.checkpoint.clone(),
@@ -37,8 +38,8 @@
         };
         let current = self.has_run(&end.task, no, end.run);
         if let Some(run) = &run {
-            self.record_outcome(no, end, run, now);
-            self.record_run_time(no, end, run, now);
+            self.record_outcome(no, end, run, ended_by);
+            self.record_run_time(no, end, run, ended_by);
         }
         self.apply_end(&end.task, end.run, end.reason, saved, current, now);
         if current {
@@ -47,7 +48,7 @@
             // is unknown.
             let whole = run.filter(|r| r.progress_percent.0 == 0 && !r.adopted);
             if let (EndReason::Done, Some(run)) = (end.reason, whole) {
-                self.record_step_time(&end.task.step, now - run.started_at);
+                self.record_step_time(&end.task.step, ended_by - run.started_at);
             }
         }
         let place = self.mark_changed(end.task.step.job);
@@ -55,6 +56,13 @@
         self.finish_if_done(end.task.step.job, now);
     }
 
+    /// Removes a run from a worker, also if its end was not listed yet; returns it if it has this
+    /// number.
+    fn take_run(&mut self, no: WorkerNo, task: &TaskKey, run: u32) -> Option<Run> {
+        let unlisted = self.workers[no.0].remove_unlisted_end(task, run);
+        unlisted.or_else(|| self.remove_run(no, task, run))
+    }
+
     /// Handles a run that is no longer on its worker although the worker reported no end.
     pub(super) fn on_run_lost(
         &mut self,
@@ -65,7 +73,7 @@
         now: Time,
     ) {
         self.log_lost(no, task, run, cause, now);
-        let Some(old) = self.remove_run(no, task, run) else { return };
+        let Some(old) = self.take_run(no, task, run) else { return };
         self.round_due = true;
         let current = self.has_run(task, no, run);
         if current {
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -132,6 +132,7 @@
             preempt_priority: yields,
             due_at,
             checkpoint_at: now,
+            ended_by: None,
             estimate: Duration::from_millis(step.estimate),
             earlier_report: (now, 0),
         };
--- a/src/shard/worker_loss.rs
+++ b/src/shard/worker_loss.rs
@@ -39,7 +39,9 @@
     }
 
     fn forget_runs(&mut self, no: WorkerNo, cause: LossCause, now: Time) {
-        let all: Vec<_> = self.workers[no.0].runs.iter().map(|(t, r)| (*t, r.run)).collect();
+        let worker = &self.workers[no.0];
+        let all: Vec<_> =
+            worker.runs.iter().chain(&worker.unlisted_ends).map(|(t, r)| (*t, r.run)).collect();
         for (task, run) in all {
             self.on_run_lost(no, &task, run, cause, now);
         }
@@ -49,7 +51,7 @@
     pub(super) fn query_machines(&mut self, now: Time) {
         let (unsettled, workers) = (&self.unsettled_workers, &self.workers);
         let unconfirmed = |n: usize, w: &Worker| {
-            let counts = !w.runs.is_empty() || unsettled.contains(&WorkerNo(n));
+            let counts = w.has_runs() || unsettled.contains(&WorkerNo(n));
             !w.gone && counts && w.unanswered_calls > 0
         };
         let due = self.next_vm_list.is_some_and(|t| t <= now);
@@ -100,8 +102,8 @@
             if w.gone || w.lease_end(&self.setup.bounds) > now {
                 continue;
             }
-            if !w.runs.is_empty() {
-                log::info!(target: "shard", worker:% = w.id, runs = w.runs.len(), silent = w.unanswered_calls; "Worker has lapsed.");
+            if w.has_runs() {
+                log::info!(target: "shard", worker:% = w.id, runs = w.runs.len(), unlisted = w.unlisted_ends.len(), silent = w.unanswered_calls; "Worker has lapsed.");
                 self.forget_runs(no, LossCause::Lapsed, now);
             }
             let w = &mut self.workers[no.0];
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -103,6 +103,8 @@
     /// The time of the report that first showed the run's last checkpoint; its start if there is
     /// none.
     pub checkpoint_at: Time,
+    /// The time by which it had certainly ended, if the worker has not listed its end yet.
+    pub ended_by: Option<Time>,
     /// The expected duration of its work.
     pub estimate: Duration,
     /// The time of an earlier report, and the progress in it as a percentage; later reports are
@@ -136,6 +138,9 @@
     pub upkeep_turn: UpkeepTurn,
     /// The runs that the worker has or may have.
     pub runs: FxHashMap<TaskKey, Run>,
+    /// The runs that have certainly ended and whose ends the worker has not listed yet. They use no
+    /// resources.
+    pub unlisted_ends: FxHashMap<TaskKey, Run>,
     /// The sum of the resources of its runs.
     pub used: Size,
     /// The number of its runs that are fillers.
@@ -210,6 +215,7 @@
             leaves_at: None,
             upkeep_turn: UpkeepTurn::Open,
             runs: FxHashMap::default(),
+            unlisted_ends: FxHashMap::default(),
             used: Size::default(),
             fillers: 0,
             serving: 0,
@@ -244,6 +250,7 @@
             leaves_at: self.leaves_at,
             upkeep_turn: self.upkeep_turn,
             runs: mem::take(&mut self.runs),
+            unlisted_ends: mem::take(&mut self.unlisted_ends),
             used: self.used,
             fillers: self.fillers,
             serving: self.serving,
@@ -299,7 +306,18 @@
     pub fn needs_roster(&self) -> bool {
         let live =
             self.list_entry.is_some() && self.leaves_at.is_none() && self.unanswered_calls < 3;
-        !self.gone && (live || !self.runs.is_empty() || !self.fenced)
+        !self.gone && (live || self.has_runs() || !self.fenced)
+    }
+
+    /// Returns whether the worker has or may have runs, or runs whose ends it has not listed.
+    pub fn has_runs(&self) -> bool {
+        !self.runs.is_empty() || !self.unlisted_ends.is_empty()
+    }
+
+    /// Returns a run, also if it has ended and the worker has not listed its end.
+    pub fn find_run(&self, task: &TaskKey, run: u32) -> Option<&Run> {
+        let both = [&self.runs, &self.unlisted_ends];
+        both.into_iter().filter_map(|runs| runs.get(task)).find(|r| r.run == run)
     }
 
     /// Returns the pool of the worker, if it is listed.
@@ -392,6 +410,12 @@
         Some(old)
     }
 
+    /// Removes a run whose end the worker had not listed yet and returns it, if it has this number.
+    pub fn remove_unlisted_end(&mut self, task: &TaskKey, run: u32) -> Option<Run> {
+        self.unlisted_ends.get(task).filter(|r| r.run == run)?;
+        self.unlisted_ends.remove(task)
+    }
+
     fn deduct_run(&mut self, run: &Run) {
         self.used = self.used.saturating_sub(&run.size);
         self.unsized_runs -= usize::from(run.size_unknown);
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -9,7 +9,7 @@
             in_flight::InFlight,
             record::{CommitRow, Roster, encode},
             state_machine::Shard,
-            workers::{WorkerNo, millis},
+            workers::{Worker, WorkerNo, millis},
         },
         time::Time,
         work::JobNo,
@@ -28,7 +28,10 @@
     /// the shard call the workers again.
     pub(super) fn flush(&mut self, now: Time) {
         let over = |no: &JobNo| self.jobs.get(no).is_some_and(|j| j.state.is_final());
-        let urgent = self.is_roster_due() || self.dirty_jobs.iter().any(over);
+        // A worker lists its next ends only once the first are stored.
+        let waits = |w: &Worker| w.cut_off && !w.gone && w.unanswered_calls == 0;
+        let cut_off = self.workers.iter().any(waits);
+        let urgent = cut_off || self.is_roster_due() || self.dirty_jobs.iter().any(over);
         self.begin_write(urgent, now);
     }
 
--- a/tests/hand/worker.rs
+++ b/tests/hand/worker.rs
@@ -5,8 +5,8 @@
         Time,
         ids::WorkerId,
         ports::{
-            EndReason, EndedRun, Fault, Held, PresentRun, Start, WorkerCall, WorkerRefusal,
-            WorkerReply as Reply,
+            EndReason, EndedRun, Fault, Held, MAX_ENDS, PresentRun, Start, WorkerCall,
+            WorkerRefusal, WorkerReply as Reply,
         },
         units::Size,
         work::{ListedWorker, TaskKey},
@@ -132,7 +132,8 @@
             }
             WorkerCall::Hold { seen, .. } => {
                 self.ends.retain(|e| e.number > *seen);
-                let (running, ended) = (self.running.clone(), self.ends.clone());
+                let ended = self.ends.iter().take(MAX_ENDS).cloned().collect();
+                let running = self.running.clone();
                 return Ok(Reply::Held(Held {
                     clock_ms: clock,
                     born_ms: Some(self.born_ms),
