Shard: a worker whose list of ends is cut off has answered

Cause: a successor counted a worker as heard (`fenced`) only when its list of ends was whole. Ends are acknowledged once all workers of the roster are heard, and a worker lists its next ends only once the first are acknowledged. The bound by the leases starts when most workers are heard, so it did not end the wait either. Change: `fenced` says that the worker refuses former owners: from its first answer under the new token. Leases are renewed, new jobs start, the majority counts, and once it holds for the whole roster ends are acknowledged (`excludes_former_owners`). `is_known` says that the worker has listed all its ends; old jobs start once it holds for all. A worker that answers isn't passed over as former owners' leases end; one that has answered and falls silent is when its own lease ends.

--- a/model/shard.pml
+++ b/model/shard.pml
@@ -19,6 +19,8 @@
  *            The drift of clocks is left out: the product's bounds carry a margin for it. Nothing is
  *            stored or noted. B doesn't reach the third worker, where alone A starts the task.
  *            -DNEWS besides: the job is stored at any time, and each owner hears of it by itself.
+ * -DCUT with PROOF: the first worker lists only its first ends, and not the task's, until an owner has
+ * noted some of them.
  *
  * Invariants, as assertions: OnePlace, OnceNoted (nothing starts after an end that was noted),
  * Kept (an end that was noted is stored).
@@ -100,6 +102,23 @@
 
 bool noted;
 
+#ifdef CUT
+bool cut = true;                /* the first worker doesn't list the task's end */
+bool whole;                     /* the first worker has listed all its ends to B, or is over */
+#ifdef REACH_CUT
+bool late;                      /* B has heard all workers while a list was cut off */
+#endif
+#define LISTS(w) ((w) != 0 || !cut)
+#ifdef MUT_FIRST                /* B takes a list that is cut off for a whole one */
+#define WHOLE true
+#else
+#define WHOLE whole
+#endif
+#else
+#define LISTS(w) true
+#define WHOLE true
+#endif
+
 #ifdef NEWS
 #define FOUND 1                 /* stored before the takeover: B finds it in the store */
 #define HEARD_OF 2              /* stored after that: B hears of it, and takes it for new */
@@ -200,11 +219,18 @@
 #ifdef LAPSE
   :: m == A -> heard[w] = HEARD
 #endif
-  :: m == B -> fenced[w] = true
+  :: m == B ->
+       fenced[w] = true;
+#ifdef CUT
+       whole = whole || (w == 0 && !cut);
+#ifdef REACH_CUT
+       late = late || (cut && FENCED == WORKERS);
+#endif
+#endif
   :: else -> skip
   fi;
   if
-  :: done[w] > 0 && !ended[m] -> ended[m] = true; at[m] = NOBODY
+  :: done[w] > 0 && !ended[m] && LISTS(w) -> ended[m] = true; at[m] = NOBODY
   :: else -> skip
   fi;
   if
@@ -263,7 +289,10 @@
             :: else -> skip
             fi;
             if
-            :: done[w] == last[m] -> ended[m] = true; at[m] = NOBODY
+            :: done[w] == last[m] && LISTS(w) -> ended[m] = true; at[m] = NOBODY
+#ifdef MUT_CUT                  /* it takes a run whose end isn't listed for one that is lost */
+            :: done[w] == last[m] && !LISTS(w) -> at[m] = NOBODY
+#endif
             :: done[w] != last[m] -> at[m] = NOBODY
             :: skip             /* the answer is lost */
             fi
@@ -314,7 +343,7 @@
 #ifdef MUT_EARLY                /* ... before it knows that nobody else can start anything */
   :: atomic { ACTS(m) && sure[m] && !noted ->
 #else
-  :: atomic { ACTS(m) && sure[m] && !noted && (m == A || settled) ->
+  :: atomic { ACTS(m) && sure[m] && !noted && (m == A || FENCED == WORKERS) ->
 #endif
 #endif
        if
@@ -328,6 +357,13 @@
        assert(!noted || stored) /* Kept */
 #endif
      }
+#ifdef CUT
+  /* It notes ends of other tasks, so that the worker lists the next ones. */
+  :: atomic {
+       ACTS(m) && cut && (m == A || FENCED == WORKERS) && ADMITS(m, 0) && known[AT(m, 0)] == life[0] ->
+       cut = false
+     }
+#endif
 #endif
   od
 }
@@ -378,7 +414,12 @@
        :: else ->
             /* Another life has answered: the one that was meant is over. */
             if
-            :: m == B -> fenced[w] = true; stray[w] = false; known[AT(m, w)] = life[w]; listed[AT(m, w)] = false
+            :: m == B ->
+                 fenced[w] = true;
+#ifdef CUT
+                 whole = whole || w == 0;
+#endif
+                 stray[w] = false; known[AT(m, w)] = life[w]; listed[AT(m, w)] = false
             :: m == A ->
                  at[A] = (at[A] == w -> NOBODY : at[A]);
                  known[AT(m, w)] = life[w]; listed[AT(m, w)] = false
@@ -442,6 +483,9 @@
        ended[B] = stored; sure[B] = stored;
        asked[0] = roster[0]; asked[1] = roster[1];
        fenced[0] = !roster[0]; fenced[1] = !roster[1];
+#ifdef CUT
+       whole = !roster[0];
+#endif
 #ifdef LAPSE
        asked[2] = roster[2]; fenced[2] = !roster[2]; listed[AT(B, 2)] = roster[2];
 #endif
@@ -462,11 +506,14 @@
 #endif
   :: atomic { owns[B] && !settled && (FENCED == WORKERS || wait == 0) ->
 #else
-  :: atomic { owns[B] && !settled && FENCED == WORKERS ->
+  :: atomic { owns[B] && !settled && FENCED == WORKERS && WHOLE ->
 #endif
 #ifdef REACH_SETTLED
        assert(false);
 #endif
+#ifdef REACH_CUT
+       assert(!late);
+#endif
 #ifdef REACH_LAPSED
        assert(FENCED == WORKERS);
 #endif
@@ -486,7 +533,10 @@
        :: has[w] > 0 && done[w] == 0 -> done[w] = has[w]; has[w] = 0
        :: has[w] > 0 -> has[w] = 0
        :: !crashed && w == 0 ->
-            crashed = true; life[w] = true; high[w] = 0; has[w] = 0; barred[w] = 0; done[w] = 0
+            crashed = true; life[w] = true; high[w] = 0; has[w] = 0; barred[w] = 0; done[w] = 0;
+#ifdef CUT
+            cut = false
+#endif
        :: else -> skip
        fi;
 #ifdef REACH_END
--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -5,7 +5,7 @@
     crate::{
         shard::{
             state_machine::Shard,
-            workers::{CLOCK_MARGIN, MIN_CLOCK_RATE, WorkerNo, millis},
+            workers::{CLOCK_MARGIN, MIN_CLOCK_RATE, Worker, WorkerNo, millis},
         },
         time::Time,
         work::JobNo,
@@ -59,6 +59,13 @@
         now - self.confirmed_at <= RENEWAL_VALID
     }
 
+    /// Returns whether no former owner can start a task any more: every worker that it may use has
+    /// answered this owner, is over, or has no lease left.
+    pub(super) fn excludes_former_owners(&self) -> bool {
+        let excludes = |w: &Worker| w.fenced || w.gone;
+        self.unsettled_workers.iter().all(|n| excludes(&self.workers[n.0]))
+    }
+
     /// Returns whether no other owner can have started a task of the job without this owner knowing
     /// of it.
     ///
@@ -85,9 +92,10 @@
     /// Removes workers from `unsettled_workers` once it is known what former owners started there; the
     /// shard is settled when none is left.
     ///
-    /// Guards against a second run of a task that still runs at an unreachable worker: no job from
-    /// before the takeover starts until every worker that may run something has replied, or until
-    /// all leases of former owners have expired. Once more than half of the former roster's workers
+    /// Guards against a second run of a task that still runs at an unreachable worker, or that has
+    /// ended on a worker which has not listed that end yet: no job from before the takeover starts
+    /// until every worker that may run something has listed all its ends, or until all leases of
+    /// former owners have expired. Once more than half of the former roster's workers
     /// have replied to this owner, no former owner can grant a lease that counts from a later time.
     pub(super) fn settle(&mut self, now: Time) {
         if self.unsettled_workers.is_empty() {
@@ -107,11 +115,22 @@
         let since = self.majority_at.map(|t| t.max(former_until));
         // A successor of this owner may have renewed the leases since.
         let lapsed = since.is_some_and(|t| t + lease <= now) && self.is_confirmed(now);
-        self.unsettled_workers.retain(|n| !lapsed && !fenced(n));
+        let bounds = &self.setup.bounds;
+        // This owner has renewed the leases of a worker that has answered it.
+        let has_lapsed = |w: &Worker| {
+            lapsed && (!w.fenced || (w.unanswered_calls > 0 && w.lease_end(bounds) <= now))
+        };
+        let by_lapse = &mut self.settled_by_lapse;
+        self.unsettled_workers.retain(|n| {
+            let worker = &workers[n.0];
+            let is_known = worker.gone || worker.is_known;
+            *by_lapse |= !is_known && has_lapsed(worker);
+            !is_known && !has_lapsed(worker)
+        });
         if self.unsettled_workers.is_empty() {
             self.reported.settled_at = Some(now);
-            log::info!(target: "shard", did = "settled", shard:% = self.setup.shard, token = self.setup.token, after_ms = millis(now - self.owned_since), by_lapse = lapsed; "Shard is settled.");
-            if !lapsed {
+            log::info!(target: "shard", did = "settled", shard:% = self.setup.shard, token = self.setup.token, after_ms = millis(now - self.owned_since), by_lapse = self.settled_by_lapse; "Shard is settled.");
+            if !self.settled_by_lapse {
                 self.count_former_crashes(now);
             }
             self.round_due = true;
--- a/src/shard/caps.rs
+++ b/src/shard/caps.rs
@@ -166,7 +166,8 @@
     /// the workers that have not answered yet, and of those with runs of an unknown size.
     pub(super) fn update_unseen(&mut self) {
         let blind = |w: &&Worker| !w.gone && w.unsized_runs > 0;
-        let unheard = self.unsettled_workers.iter().map(|no| &self.workers[no.0]);
+        let unsettled = self.unsettled_workers.iter().map(|no| &self.workers[no.0]);
+        let unheard = unsettled.filter(|w| !w.fenced);
         let all = unheard.chain(self.workers.iter().filter(blind));
         self.caps.unseen = all.fold(Size::default(), |sum, w| {
             let capacity = w.list_entry.as_ref().map(|l| l.capacity);
--- a/src/shard/closing.rs
+++ b/src/shard/closing.rs
@@ -116,7 +116,7 @@
         Occupancy {
             worker: w.id.clone(),
             closed: w.is_draining(),
-            known: w.fenced,
+            known: w.is_known,
             leaving: w.leaves_at.is_some(),
             finite_count: count(false),
             long_running_count: count(true),
--- a/src/shard/explain.rs
+++ b/src/shard/explain.rs
@@ -81,8 +81,9 @@
         if job.inherited && !self.unsettled_workers.is_empty() {
             let _ = write!(
                 text,
-                "; {} workers of former owners have not replied",
-                self.unsettled_workers.len()
+                "; {} workers of former owners have not listed all their ends, {} of them have not replied",
+                self.unsettled_workers.len(),
+                self.unsettled_workers.iter().filter(|n| !self.workers[n.0].fenced).count(),
             );
         }
         if !self.queue_configs.contains_key(&job.queue) {
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -213,7 +213,7 @@
             if w.gone || w.hold_sent.is_some() || w.next_hold > now {
                 continue;
             }
-            let wanted = w.list_entry.is_some() || w.has_runs() || !w.fenced;
+            let wanted = w.list_entry.is_some() || w.has_runs() || !w.is_known;
             if !wanted {
                 continue;
             }
@@ -223,7 +223,7 @@
             let from = from.filter(|_| w.fenced && w.unanswered_calls == 0);
             let until = from.and_then(|f| w.extend_lease(&self.setup.bounds, f, now));
             let wait = match () {
-                () if !w.fenced || !w.unstored_ends.is_empty() || w.unanswered_calls > 0 => {
+                () if !w.is_known || !w.unstored_ends.is_empty() || w.unanswered_calls > 0 => {
                     Duration::ZERO
                 }
                 () if w.runs.values().any(is_rejected) => Duration::ZERO,
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -117,8 +117,9 @@
         if !worker.fenced {
             worker.inherit_lease(held.clock_ms, &self.setup.bounds);
         }
-        let first = !worker.fenced && complete;
-        worker.fenced |= complete;
+        let news = !worker.fenced || (complete && !worker.is_known);
+        worker.fenced = true;
+        worker.is_known |= complete;
         for end in &held.ended {
             if end.number > self.workers[no.0].last_end_number {
                 self.workers[no.0].last_end_number = end.number;
@@ -133,7 +134,7 @@
             let interval = if complete { UNSTORED_HOLD_INTERVAL } else { CUT_OFF_HOLD_INTERVAL };
             worker.next_hold = now + interval;
         }
-        if first {
+        if news {
             self.round_due = true;
         }
     }
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -80,8 +80,11 @@
     pub(super) workers: Vec<Worker>,
     pub(super) worker_numbers: FxHashMap<WorkerId, WorkerNo>,
     pub(super) pools: FxHashMap<PoolId, Vec<WorkerNo>>,
-    /// Workers that a former owner may have used and that have not answered this owner yet.
+    /// Workers that a former owner may have used and that have not listed all their ends to this
+    /// owner yet.
     pub(super) unsettled_workers: FxHashSet<WorkerNo>,
+    /// Whether a worker was removed from `unsettled_workers` because its leases had expired.
+    pub(super) settled_by_lapse: bool,
     /// Tasks of which a run other than the current one is still being stopped.
     pub(super) stray_tasks: FxHashSet<TaskKey>,
     /// The time at which this owner took over the shard.
@@ -165,6 +168,7 @@
             worker_numbers: FxHashMap::default(),
             pools: FxHashMap::default(),
             unsettled_workers: FxHashSet::default(),
+            settled_by_lapse: false,
             stray_tasks: FxHashSet::default(),
             owned_since: now,
             majority_at: None,
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -124,6 +124,9 @@
     /// Whether the worker has answered a call with this owner's token, so that it rejects former
     /// owners.
     pub fenced: bool,
+    /// Whether the worker has listed all its ends to this owner, so that it has no run and no end
+    /// of former owners that this owner doesn't know.
+    pub is_known: bool,
     /// Whether the stored roster includes it, so that it may receive starts.
     pub rostered: bool,
     /// Whether the worker has ended, so that nothing can run on it any more.
@@ -208,6 +211,7 @@
             addr,
             list_entry: None,
             fenced: false,
+            is_known: false,
             rostered: false,
             gone: false,
             born_ms: None,
@@ -306,7 +310,7 @@
     pub fn needs_roster(&self) -> bool {
         let live =
             self.list_entry.is_some() && self.leaves_at.is_none() && self.unanswered_calls < 3;
-        !self.gone && (live || self.has_runs() || !self.fenced)
+        !self.gone && (live || self.has_runs() || !self.is_known)
     }
 
     /// Returns whether the worker has or may have runs, or runs whose ends it has not listed.
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -160,11 +160,12 @@
     /// Marks the ends of runs whose jobs are stored, so that the worker's next hold acknowledges
     /// them.
     ///
-    /// This waits until the shard is settled. While a worker of the roster has not answered, a
-    /// former owner without newer knowledge may start the task there again, once it has heard that
-    /// the incarnation in which the task ended is over.
+    /// This waits until all workers of the roster have answered. While one has not, a former owner
+    /// without newer knowledge may start the task there again, once it has heard that the
+    /// incarnation in which the task ended is over. It must not wait until the shard is settled: a
+    /// worker with many ends lists the next ones only once the first are acknowledged.
     pub(super) fn acknowledge_ends(&mut self, now: Time) {
-        if !self.unsettled_workers.is_empty() {
+        if !self.excludes_former_owners() {
             return;
         }
         let busy: Vec<JobNo> = self.in_flight.jobs.iter().map(|f| f.0).collect();
--- a/tests/shard_many_ends.rs
+++ b/tests/shard_many_ends.rs
@@ -6,10 +6,16 @@
     dogwoodreach::{
         ports::{EndReason, MAX_ENDS, WorkerCall},
         units::Size,
-        work::{Step, TaskKey},
+        work::{Job, Step, TaskKey},
+    },
+    hand::{
+        Harness, job, step, task,
+        worker::{NORMAL, SILENT},
+    },
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
     },
-    hand::{Harness, job, step, task},
-    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// A step whose tasks are so small that a worker has room for thousands.
@@ -185,3 +191,128 @@
     hand.run_until("all is over", 3_000, |h| all_over(h, 2));
     assert_eq!(count(&hand), 0);
 }
+
+/// Jobs whose second step waits while thousands of runs of the first end without an owner.
+fn ownerless(workers: usize, jobs: u64, tasks: u32) -> Harness {
+    let mut hand = Harness::new(workers);
+    for no in 1..=jobs {
+        let next = Step { after: [0].into(), ..small(2) };
+        hand.submit(no, "plain", Job { steps: [small(tasks), next].into(), ..job(small(1)) });
+    }
+    let all = jobs as usize * tasks as usize;
+    let running = |h: &Harness| h.workers.iter().map(|w| w.running.len()).sum::<usize>();
+    hand.run_until("all run", 2_000, |h| running(h) == all);
+    hand.run(500);
+    end_all(&mut hand, EndReason::Done);
+    hand
+}
+
+/// Ends what runs, until all jobs are over.
+fn finish(hand: &mut Harness, jobs: u64, ms: u64) {
+    let deadline = hand.now + Duration::from_millis(ms);
+    while !all_over(hand, jobs) {
+        assert!(hand.now < deadline, "not all is over after {ms} ms");
+        hand.run(200);
+        end_all(hand, EndReason::Done);
+    }
+    assert_eq!(repeated(hand), 0);
+}
+
+// Guards against jobs that never go on: the successor took a list that was cut off for no answer,
+// and acknowledged no end as long as a worker had not answered.
+#[test]
+fn a_successor_reads_lists_that_are_cut_off_to_their_end() {
+    let mut hand = ownerless(3, 3, 600);
+    hand.take_over();
+    hand.submit(9, "plain", job(small(3)));
+    hand.run_until("a new job starts", 500, |h| h.starts_of(9).len() == 3);
+    finish(&mut hand, 3, 5_000);
+}
+
+// Guards against the same at thousands of ends, while the owner changes again and the store is away.
+#[test]
+fn another_successor_goes_on_where_the_first_one_ended() {
+    let mut hand = ownerless(4, 12, 1_000);
+    let left = |h: &Harness| h.workers.iter().map(|w| w.ends.len()).sum::<usize>();
+    for _ in 0..2 {
+        let before = left(&hand);
+        hand.take_over();
+        hand.run_until("ends are acknowledged", 1_000, |h| left(h) < before);
+    }
+    hand.store_up = false;
+    hand.run(4_500);
+    assert!(hand.workers.iter().any(|w| w.ends.len() > MAX_ENDS));
+    assert_eq!(hand.starts().iter().filter(|s| s.2.task.step.step == 1).count(), 0);
+    hand.store_up = true;
+    finish(&mut hand, 12, 10_000);
+}
+
+// Guards against tasks that are done and start again: their ends were not listed yet as the leases of
+// the former owner were over.
+#[test]
+fn old_jobs_wait_for_a_list_that_is_cut_off_for_longer_than_a_lease() {
+    let mut hand = ownerless(3, 3, 600);
+    hand.store_up = false;
+    hand.take_over();
+    hand.run(30_000);
+    assert_eq!(repeated(&hand), 0);
+    hand.store_up = true;
+    finish(&mut hand, 3, 5_000);
+}
+
+// Guards against runs that end with their lease while the new owner still reads ends.
+#[test]
+fn leases_are_renewed_while_a_list_is_cut_off() {
+    let mut hand = with_jobs(1, 2, 600);
+    let ended: Vec<TaskKey> = (0..600).map(|i| task(1, i)).collect();
+    ended.iter().for_each(|t| hand.end(*t, EndReason::Done));
+    hand.take_over();
+    hand.call_log.clear();
+    hand.store_up = false;
+    hand.run(3_000);
+    assert!(hand.workers[0].ends.len() > MAX_ENDS);
+    let last = hand.leases(0).last().map(|l| l.0);
+    assert!(last.is_some_and(|at| hand.now - at < Duration::from_secs(1)), "{last:?}");
+}
+
+// Guards against old jobs that wait for ever for a worker that falls silent with unlisted ends.
+#[test]
+fn a_worker_that_falls_silent_with_unlisted_ends_is_given_up_after_its_lease() {
+    let mut hand = ownerless(3, 3, 600);
+    hand.store_up = false;
+    hand.take_over();
+    hand.run(1_000);
+    hand.workers[0].hook = SILENT;
+    hand.store_up = true;
+    hand.run(15_000);
+    assert_eq!(repeated(&hand), 0, "its lease isn't over");
+    hand.run_until("its tasks run again", 15_000, |h| repeated(h) > 0);
+    hand.workers[0].hook = NORMAL;
+    for _ in 0..25 {
+        hand.run(200);
+        end_all(&mut hand, EndReason::Done);
+    }
+    assert!(all_over(&hand, 3));
+}
+
+// Guards against a successor that doesn't wait for the ends of a worker which the list lacks and on
+// which nothing runs.
+#[test]
+fn a_worker_with_unlisted_ends_stays_in_the_roster() {
+    let mut hand = with_jobs(2, 2, 600);
+    hand.store_up = false;
+    end_all(&mut hand, EndReason::Done);
+    hand.run(1_000);
+    hand.workers[0].listed = false;
+    hand.deliver_list();
+    hand.workers[0].hook = SILENT;
+    hand.store_up = true;
+    hand.run(1_000);
+    hand.take_over();
+    hand.run(10_000);
+    assert_eq!(repeated(&hand), 0);
+    hand.workers[0].hook = NORMAL;
+    hand.workers[0].listed = true;
+    hand.deliver_list();
+    finish(&mut hand, 2, 5_000);
+}
