Shard: a worker with ends that are not stored stays in the roster

What callers would see: tasks that are done run again. Cause: the store was down and has dropped the entry of a worker whose runs have all ended. With no entry and no run the next roster left the worker out, and that write holds only as many jobs as fit. If the owner dies before the rest is stored, its successor doesn't know of the worker, takes the jobs without stored ends for work that waits, and starts it again; when the worker is back, its ends are acknowledged. Nor was such a worker polled, so its ends were never acknowledged while it was not listed. Change: a worker whose ends are not stored counts as open (`Worker::is_settled`), so it is in the roster and is polled.

--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -306,11 +306,15 @@
         matches!(self.upkeep_turn, UpkeepTurn::Closing | UpkeepTurn::Forced)
     }
 
-    /// Returns whether the stored roster has to include the worker because something may run on it.
+    /// Returns whether the stored roster has to include the worker: something may run on it, or it
+    /// has ends that are not stored.
+    ///
+    /// Guards against a second run of a task that is done: a successor doesn't wait for a worker that
+    /// the roster lacks, and would start the tasks of such ends again.
     pub fn needs_roster(&self) -> bool {
         let live =
             self.list_entry.is_some() && self.leaves_at.is_none() && self.unanswered_calls < 3;
-        !self.gone && (live || self.has_runs() || !self.is_known)
+        !self.gone && (live || !self.is_settled())
     }
 
     /// Returns whether the worker has or may have runs, or runs whose ends it has not listed.
@@ -318,6 +322,12 @@
         !self.runs.is_empty() || !self.unlisted_ends.is_empty()
     }
 
+    /// Returns whether the worker has no run, and no end that this owner doesn't know or has not
+    /// stored.
+    pub fn is_settled(&self) -> bool {
+        self.is_known && !self.has_runs() && self.unstored_ends.is_empty()
+    }
+
     /// Returns a run, also if it has ended and the worker has not listed its end.
     pub fn find_run(&self, task: &TaskKey, run: u32) -> Option<&Run> {
         let both = [&self.runs, &self.unlisted_ends];
--- a/tests/shard_takeover.rs
+++ b/tests/shard_takeover.rs
@@ -10,6 +10,8 @@
             event::{Event, Order},
             record::{CommitRow, encode},
         },
+        units::Size,
+        work::Step,
     },
     hand::{
         Harness, SHARD, job, load, setup, step, task,
@@ -147,3 +149,41 @@
     }
     assert_eq!(waiting, 2, "each worker is asked again");
 }
+
+// Guards against a successor that starts tasks again which are done: the store was down, so it lost the
+// entry of their worker, and the next roster lacked that worker before all its ends were stored.
+#[test]
+fn a_worker_with_ends_that_are_not_stored_stays_in_the_roster() {
+    let mut hand = Harness::new(1);
+    // One write holds fewer rows than there are jobs.
+    let jobs = 1..=40;
+    jobs.clone().for_each(|no| {
+        hand.submit(no, "plain", job(Step { size: Size::new(0, 1, 0), ..step(2, 0) }))
+    });
+    hand.run(500);
+    hand.store_up = false;
+    jobs.clone().for_each(|no| hand.end(task(no, 0), EndReason::Done));
+    jobs.clone().for_each(|no| hand.end(task(no, 1), EndReason::Done));
+    hand.run(500);
+    hand.workers[0].listed = false;
+    hand.deliver_list();
+    hand.workers[0].hook = SILENT;
+    hand.workers.push(Worker::new(1));
+    hand.deliver_list();
+    hand.run(500);
+    let over =
+        |h: &Harness| jobs.clone().filter(|no| h.stored_progress(*no).state.is_final()).count();
+    hand.store_up = true;
+    let lists_new = |h: &Harness| load(&h.store, 0).roster.workers.iter().any(|w| &*w.0.0 == "w1");
+    hand.run_until("the roster is written", 1_000, lists_new);
+    assert!(over(&hand) < 40);
+    hand.take_over();
+    hand.call_log.clear();
+    hand.run(5_000);
+    assert_eq!(hand.starts().len(), 0, "the ends of their last runs are not known");
+    hand.workers[0].hook = NORMAL;
+    hand.workers[0].listed = true;
+    hand.deliver_list();
+    hand.run_until("all ends are noted", 2_000, |h| h.workers[0].ends.is_empty());
+    assert_eq!(hand.starts().len(), 0);
+}
