Store: an empty page that isn't the last one is no end of a range

What callers would see: work that is lost or done twice, as an owner that loads its shard doesn't know of jobs or of ends that are stored. Cause: `ServiceClients::read_prefix` asks for the next page after the last key of a page. A page without items that says that more follow has no such key, and the range counted as whole. The store's page promises "about 500 items or 1 MB" and doesn't say that a page has an item. Change: the read errs, and its callers repeat it as after any fault.

--- a/src/service_clients.rs
+++ b/src/service_clients.rs
@@ -256,7 +256,7 @@
     ///
     /// # Errors
     ///
-    /// As [`ServiceClients::get`].
+    /// As [`ServiceClients::get`]; [`Fault::Bad`] also if an empty page isn't the last one.
     pub async fn read_prefix(&self, prefix: &str, stale: bool) -> Result<(Vec<Item>, Rev), Fault> {
         let (mut items, mut first, mut after) = (vec![], None, Box::<str>::from(""));
         loop {
@@ -272,6 +272,8 @@
             items.extend(page);
             match last {
                 Some(last) if more => after = last,
+                // Without a last key the next page can't be requested.
+                None if more => return Err(Fault::Bad("an empty page isn't the last one".into())),
                 _ => return Ok((items, rev)),
             }
         }
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -235,7 +235,9 @@
         (404, _) => StoreReply::NoLease,
         (412, _) => StoreReply::Conflict(items(&v)),
         (_, StoreCall::Get { .. }) => StoreReply::Item(Some(item(&v)).filter(|i| i.rev > 0)),
-        (_, StoreCall::Range { .. }) => StoreReply::Page(items(&v["items"]), false, rev),
+        (_, StoreCall::Range { .. }) => {
+            StoreReply::Page(items(&v["items"]), v["more"] == true, rev)
+        }
         (_, StoreCall::Watch { .. }) => StoreReply::Events(items(&v["events"]), rev),
         (_, StoreCall::Txn(_)) => StoreReply::Done(rev),
         (_, StoreCall::CreateLease { ttl }) => {
