Workers: a long list that arrives in parts is an answer

What callers would see: jobs that don't go on after a takeover, or tasks that are taken for lost with a worker that answers. Cause: a hold had one limit for the whole of its answer, 0.5 to 0.7 s beyond its wait. Change: the limit holds for the beginning of the answer. While parts keep coming (0.7 s between two) it may take 3 s more; what is silent from the start, or stops midway, is noticed as soon as before. Ranges and watches had this rule. Measured: tests/cut_off_lists.rs, a_list_that_arrives_in_parts_is_an_answer: failed before (Err(Unknown)), passes.

--- a/src/service_clients.rs
+++ b/src/service_clients.rs
@@ -39,6 +39,9 @@
 const PART_TIMEOUT: Duration = Duration::from_millis(700);
 /// Time limit for the transfer of a large reply: 10 MB over a link of 10 Mbit/s.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time limit for the transfer of a worker's list of runs and ends. Shorter than a lease, which the
+/// next call renews.
+const LIST_TIMEOUT: Duration = Duration::from_secs(3);
 /// A character that sorts after all characters of keys; it ends the range of a prefix.
 const RANGE_END_CHAR: char = '~';
 /// Maximum length of the reply to a write, in bytes.
@@ -296,6 +299,10 @@
 
     /// Calls a worker.
     ///
+    /// `limit` is the time until the first byte of the reply to a hold, and until the end of the reply
+    /// to other calls. A worker with thousands of runs and ends behind a slow link answers a hold for
+    /// longer; it would count as silent.
+    ///
     /// # Errors
     ///
     /// As [`ServiceClients::call_store`].
@@ -307,7 +314,16 @@
         limit: Duration,
     ) -> Result<WorkerReply, Fault> {
         let begin = Instant::now();
-        let answer = self.send(addr, (self.codec.encode_worker)(worker, call), limit).await;
+        let wire = (self.codec.encode_worker)(worker, call);
+        let limits = match call {
+            WorkerCall::Hold { .. } => CallLimits {
+                frame_timeout: PART_TIMEOUT,
+                total_timeout: limit + LIST_TIMEOUT,
+                ..CallLimits::new(limit)
+            },
+            _ => CallLimits::new(limit),
+        };
+        let answer = self.send(addr, wire, &limits).await;
         let reply =
             answer.and_then(|(status, body)| (self.codec.decode_worker)(call, status, &body));
         let result = match &reply {
@@ -341,7 +357,8 @@
     pub async fn call_advice(&self, call: &AdviceCall, limit: Duration) -> Result<Advice, Fault> {
         let addr = self.site.borrow().advice_addr.ok_or(Fault::Unsent)?;
         let begin = Instant::now();
-        let answer = self.send(addr, (self.codec.encode_advice)(call), limit).await;
+        let answer =
+            self.send(addr, (self.codec.encode_advice)(call), &CallLimits::new(limit)).await;
         let reply = answer.and_then(|(status, body)| (self.codec.decode_advice)(status, &body));
         let answered = !matches!(reply, Err(Fault::Unsent | Fault::Unknown));
         self.health.record_call(&self.health.advice, "advice", answered);
@@ -374,7 +391,8 @@
         let addr = self.site.borrow().vms_addr.ok_or(Fault::Unsent)?;
         let (mut all, mut token) = (vec![], Box::<str>::from(""));
         loop {
-            let answer = self.send(addr, (self.codec.encode_vms)(&token), limit).await;
+            let answer =
+                self.send(addr, (self.codec.encode_vms)(&token), &CallLimits::new(limit)).await;
             let page = answer.and_then(|(status, body)| (self.codec.decode_vms)(status, &body));
             self.metrics.count_call("vms", page.as_ref().map_or_else(fault_label, |_| "done"));
             let page = page?;
@@ -393,7 +411,7 @@
     /// As [`ServiceClients::list_vms`].
     pub async fn call_vm(&self, call: &VmCall, limit: Duration) -> Result<VmReply, Fault> {
         let addr = self.site.borrow().vms_addr.ok_or(Fault::Unsent)?;
-        let answer = self.send(addr, (self.codec.encode_vm)(call), limit).await;
+        let answer = self.send(addr, (self.codec.encode_vm)(call), &CallLimits::new(limit)).await;
         let reply = answer.and_then(|(status, body)| (self.codec.decode_vm)(status, &body));
         let result = match &reply {
             Ok(VmReply::Begun) => "done",
@@ -405,8 +423,8 @@
     }
 
     /// Sends a call and returns the reply.
-    async fn send(&self, addr: SocketAddr, wire: WireRequest, limit: Duration) -> WireReply {
-        self.exchange(request(addr, &wire)?, &CallLimits::new(limit)).await
+    async fn send(&self, addr: SocketAddr, wire: WireRequest, limits: &CallLimits) -> WireReply {
+        self.exchange(request(addr, &wire)?, limits).await
     }
 
     async fn exchange(&self, request: Request<Full<Bytes>>, limits: &CallLimits) -> WireReply {
--- a/tests/cut_off_lists.rs
+++ b/tests/cut_off_lists.rs
@@ -4,7 +4,11 @@
 mod site;
 
 use {
-    dogwoodreach::{metrics::Metrics, ports::Fault, service_clients::ServiceClients},
+    dogwoodreach::{
+        metrics::Metrics,
+        ports::{Fault, WorkerCall, WorkerReply},
+        service_clients::ServiceClients,
+    },
     serde_json::json,
     site::forms::FORMS,
     std::{
@@ -12,6 +16,7 @@
         net::{SocketAddr, TcpListener, TcpStream},
         sync::Arc,
         thread,
+        time::{Duration, Instant},
     },
     tokio::{runtime::Builder, sync::watch},
 };
@@ -62,3 +67,26 @@
     let read = runtime.block_on(clients(store).read_prefix("dwr/", false));
     assert!(matches!(read, Err(Fault::Bad(_))), "{read:?}");
 }
+
+// Guards against a worker that counts as silent because its list is long and the link is slow: its
+// runs would be taken for lost, and a successor would never hear it.
+#[test]
+fn a_list_that_arrives_in_parts_is_an_answer() {
+    let limit = Duration::from_millis(200);
+    let worker = serve(move |link, _| {
+        let (begin, mut left) = (Instant::now(), 1_000_000);
+        write_head(link, left);
+        // Parts keep coming until the time for the beginning of an answer is over.
+        while begin.elapsed() < limit * 2 && left > 1 {
+            link.write_all(b" ").expect("a part");
+            left -= 1;
+            thread::yield_now();
+        }
+        link.write_all(&vec![b' '; left]).expect("the rest");
+    });
+    let hold = WorkerCall::Hold { until: None, token: 1, seen: 0, wait: Duration::ZERO };
+    let runtime = Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let clients = clients(worker);
+    let reply = runtime.block_on(clients.call_worker(worker, &"w1".into(), &hold, limit));
+    assert!(matches!(reply, Ok(WorkerReply::Held(_))), "{reply:?}");
+}
