Shard: a worker that can list further ends is asked at once

Cause: while a worker's list is cut off it is polled each 0.9 s, and at once after an acknowledgement. An answer that was on its way while ends were acknowledged set the next poll back to 0.9 s, so a drain could pause once for that time. Change: if more is acknowledged than the answered call said, the next call goes out at once. Besides, only a worker's first answer begins a round of its own; that a list is whole takes effect by `settle`, which does the same.

--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -76,7 +76,7 @@
             }
         }
         match call {
-            WorkerCall::Hold { .. } => self.on_hold_reply(no, sent, reply, now),
+            WorkerCall::Hold { seen, .. } => self.on_hold_reply(no, sent, seen, reply, now),
             WorkerCall::Start(start) => self.on_start_reply(no, &start, sent, reply, now),
             WorkerCall::Stop { task, run, .. } => self.on_stop_reply(no, &task, run, &reply, now),
             WorkerCall::Pace { task, run, percent, .. } => {
@@ -94,6 +94,7 @@
         &mut self,
         no: WorkerNo,
         sent: Time,
+        seen: u64,
         reply: Result<WorkerReply, Fault>,
         now: Time,
     ) {
@@ -117,7 +118,7 @@
         if !worker.fenced {
             worker.inherit_lease(held.clock_ms, &self.setup.bounds);
         }
-        let news = !worker.fenced || (complete && !worker.is_known);
+        let first = !worker.fenced;
         worker.fenced = true;
         worker.is_known |= complete;
         for end in &held.ended {
@@ -131,10 +132,14 @@
         self.adjust_filler_pace(no, now);
         let worker = &mut self.workers[no.0];
         if !worker.unstored_ends.is_empty() {
-            let interval = if complete { UNSTORED_HOLD_INTERVAL } else { CUT_OFF_HOLD_INTERVAL };
-            worker.next_hold = now + interval;
+            worker.next_hold = match () {
+                () if complete => now + UNSTORED_HOLD_INTERVAL,
+                // The next call acknowledges ends, so the worker can list further ones.
+                () if worker.stored_end_number > seen => now,
+                () => now + CUT_OFF_HOLD_INTERVAL,
+            };
         }
-        if news {
+        if first {
             self.round_due = true;
         }
     }
