Shard: a worker with thousands of ends is asked less often

Cause: each write acknowledges the ends of some 27 jobs, and each acknowledgement called for the worker's list at once: 500 ends again, to learn of a few. Change: while a list is cut off, the next call waits until it acknowledges 250 ends or all that are known, at most 0.9 s (`Worker::can_list_more`). While the store is down, a worker with such a list is asked once a second. Memory: a run whose end isn't listed takes what it took while it ran.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -241,6 +241,7 @@
                 false => wait + HOLD_MARGIN,
             };
             w.hold_sent = Some(now);
+            w.acknowledged_end_number = w.stored_end_number;
             let call = WorkerCall::Hold {
                 until,
                 token: self.setup.token,
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -18,8 +18,8 @@
     std::time::Duration,
 };
 
-/// The interval between two hold calls to a worker that lists only its first ends: it has nothing
-/// new to report until some of them are acknowledged.
+/// The interval between two hold calls to a worker that lists only its first ends, while too few of
+/// them can be acknowledged for it to list many others.
 const CUT_OFF_HOLD_INTERVAL: Duration = Duration::from_millis(900);
 /// The interval between two hold calls to a worker while ends of its runs wait to be stored.
 const UNSTORED_HOLD_INTERVAL: Duration = Duration::from_millis(120);
@@ -76,7 +76,7 @@
             }
         }
         match call {
-            WorkerCall::Hold { seen, .. } => self.on_hold_reply(no, sent, seen, reply, now),
+            WorkerCall::Hold { .. } => self.on_hold_reply(no, sent, reply, now),
             WorkerCall::Start(start) => self.on_start_reply(no, &start, sent, reply, now),
             WorkerCall::Stop { task, run, .. } => self.on_stop_reply(no, &task, run, &reply, now),
             WorkerCall::Pace { task, run, percent, .. } => {
@@ -94,7 +94,6 @@
         &mut self,
         no: WorkerNo,
         sent: Time,
-        seen: u64,
         reply: Result<WorkerReply, Fault>,
         now: Time,
     ) {
@@ -134,8 +133,7 @@
         if !worker.unstored_ends.is_empty() {
             worker.next_hold = match () {
                 () if complete => now + UNSTORED_HOLD_INTERVAL,
-                // The next call acknowledges ends, so the worker can list further ones.
-                () if worker.stored_end_number > seen => now,
+                () if worker.can_list_more() => now,
                 () => now + CUT_OFF_HOLD_INTERVAL,
             };
         }
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -4,7 +4,7 @@
     crate::{
         decide::{crash::SETTLE_TIME, health::WorkerHealth, pace::Pace},
         ids::{PoolId, WorkerId},
-        ports::{Bounds, PresentRun},
+        ports::{Bounds, MAX_ENDS, PresentRun},
         shard::{customer_cap::CustomerNo, record::UpkeepTurn},
         time::Time,
         units::Size,
@@ -27,6 +27,8 @@
 /// Leases are requested this much shorter than the worker's maximum, so that the worker never
 /// truncates them.
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
+/// Minimum number of ends that a call acknowledges to a worker that lists only its first ends.
+const MIN_ACKNOWLEDGED_ENDS: u64 = MAX_ENDS as u64 / 2;
 /// Maximum length of a lease: the time for which a long-running task may be absent. If nothing
 /// shows that a lost worker has ended, its tasks cannot start elsewhere before the end of its
 /// lease.
@@ -156,6 +158,8 @@
     pub last_end_number: u64,
     /// The number of the last end of a run that is stored.
     pub stored_end_number: u64,
+    /// The number of the last end that the last hold call acknowledged.
+    pub acknowledged_end_number: u64,
     /// Whether its last answer listed only the first of its ends.
     pub cut_off: bool,
     /// Ends that were received and are not stored yet: number, job and sequence number of the
@@ -226,6 +230,7 @@
             unsized_runs: 0,
             last_end_number: 0,
             stored_end_number: 0,
+            acknowledged_end_number: 0,
             cut_off: false,
             unstored_ends: VecDeque::new(),
             hold_sent: None,
@@ -328,6 +333,16 @@
         self.is_known && !self.has_runs() && self.unstored_ends.is_empty()
     }
 
+    /// Returns whether a hold call would acknowledge so many ends that the worker can list many
+    /// others, or all that it has.
+    ///
+    /// Guards against hundreds of calls for a worker with thousands of ends, each of which lists 500
+    /// of them again to acknowledge a few.
+    pub fn can_list_more(&self) -> bool {
+        let acknowledged = self.stored_end_number - self.acknowledged_end_number;
+        !self.cut_off || self.unstored_ends.is_empty() || acknowledged >= MIN_ACKNOWLEDGED_ENDS
+    }
+
     /// Returns a run, also if it has ended and the worker has not listed its end.
     pub fn find_run(&self, task: &TaskKey, run: u32) -> Option<&Run> {
         let both = [&self.runs, &self.unlisted_ends];
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -180,7 +180,9 @@
                 w.stored_end_number = number;
                 *acknowledged += 1;
                 w.unstored_ends.pop_front();
-                w.next_hold = now;
+                if w.can_list_more() {
+                    w.next_hold = now;
+                }
             }
         }
     }
