--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -46,7 +46,7 @@
                 [--cores N] [--memory SIZE] [--accels N] [--slots N] [--through-link]
 standin link --to ADDR                      a TCP forwarder with faults on request
 standin soak [--seed N] [--minutes N] [--members N] [--workers N] [--untimed] [--planned]
-             [--no-customers] [--binary PATH] [--json]       random faults, with a judge of the scheduler's guarantees
+             [--no-customers] [--small-tasks N] [--binary PATH] [--json]   random faults, with a judge of the scheduler's guarantees
 ";
 
 type Result<T> = std::result::Result<T, Box<dyn error::Error>>;
--- a/standin/src/site/plan.rs
+++ b/standin/src/site/plan.rs
@@ -288,6 +288,18 @@
     }
 }
 
+/// Number of tasks of a job of [`draw_small_tasks`].
+pub const SMALL_TASKS: u32 = 100;
+
+/// Draws a job of tasks of which a worker has room for thousands, and of a last one after them.
+pub fn draw_small_tasks(rng: &mut fastrand::Rng) -> DrawnJob {
+    let size = Size::new(0, 1, 0);
+    let small = Step { size, ..step(SMALL_TASKS, rng.u64(2_000..5_000)) };
+    let last = Step { size, after: [0].into(), ..step(1, 300) };
+    let (no, job) = (rng.u64(..), job([small, last]));
+    DrawnJob { no, queue: "open", job, fails: false, cancel: None, resubmit: false }
+}
+
 fn draw_spec(rng: &mut fastrand::Rng, unix: u64) -> Job {
     let (few, ms) = (rng.u32(1..5), rng.u64(300..1_500));
     let saving = Step { saves: true, ..step(few, 2 * ms) };
--- a/standin/src/site/worker.rs
+++ b/standin/src/site/worker.rs
@@ -153,6 +153,8 @@
     pub notes: Vec<Note>,
     /// Maximum relative deviation of a task's work from its estimate.
     pub spread: f64,
+    /// Number of reports that listed only the first ends of their worker.
+    pub cut_off_lists: u64,
     /// Checkpoints that workers have reported.
     checkpoints: BTreeSet<Box<str>>,
     rng: fastrand::Rng,
@@ -214,6 +216,7 @@
             advice: Service::new(seed),
             notes: Vec::new(),
             spread: 0.0,
+            cut_off_lists: 0,
             checkpoints: BTreeSet::new(),
             rng: fastrand::Rng::with_seed(seed),
         }
@@ -401,8 +404,10 @@
         self.checkpoints.extend(rows.iter().map(|r| r.checkpoint.clone()));
         let w = &self.workers[at];
         let ended: Vec<EndedRun> = w.ended.iter().take(MAX_ENDS).map(|(e, _)| e.clone()).collect();
+        self.cut_off_lists += u64::from(ended.len() < w.ended.len());
         self.checkpoints.extend(ended.iter().map(|e| e.checkpoint.clone()));
-        Held { clock_ms: w.clock(self.now), born_ms: None, running: rows, ended }
+        let clock_ms = self.workers[at].clock(self.now);
+        Held { clock_ms, born_ms: None, running: rows, ended }
     }
 
     /// Whether a worker has ends that aren't acknowledged.
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -44,6 +44,8 @@
     pub planned: bool,
     /// Whether there are customers, overload, unequal workers and data on racks.
     pub customers: bool,
+    /// Number of small tasks that are submitted at once every [`callers::SMALL_TASKS_INTERVAL`].
+    pub small_tasks: u32,
     /// Directory for the members' logs and settings.
     pub dir: PathBuf,
     /// Path of the members' binary.
@@ -60,6 +62,8 @@
     skipped: u64,
     counts: Counts,
     starts: u64,
+    /// Number of workers' reports that listed only the first ends.
+    cut_off_lists: u64,
     /// The first breach.
     breach: Option<String>,
     /// Recorded worker events and lines of the members' logs that concern the breach.
@@ -80,6 +84,7 @@
         timed: true,
         planned: false,
         customers: true,
+        small_tasks: 0,
         dir: target.join("soak"),
         binary: near.join("dogwoodreach-platform"),
     };
@@ -96,6 +101,7 @@
             Long("untimed") => options.timed = false,
             Long("planned") => options.planned = true,
             Long("no-customers") => options.customers = false,
+            Long("small-tasks") => options.small_tasks = args.value()?.parse()?,
             Long("binary") => options.binary = args.value()?.into(),
             Long("json") => json = true,
             _ => return Err(arg.unexpected().into()),
@@ -125,7 +131,10 @@
     println!("seed {}", report.seed);
     report.faults.iter().chain(&report.customers).for_each(|f| println!("  {f}"));
     println!("{} faults were skipped: their member was down", report.skipped);
-    println!("{}; {} starts", report.counts, report.starts);
+    println!(
+        "{}; {} starts, {} lists of ends cut off",
+        report.counts, report.starts, report.cut_off_lists
+    );
     match &report.breach {
         Some(breach) => println!("BROKEN {breach}"),
         None => println!("no promise was broken"),
@@ -159,15 +168,17 @@
         false => (vec![], vec![]),
     };
     let more = customers::play(&stage, &callers, begin, &changes, &overloads);
-    let both = async {
-        tokio::join!(load, more);
+    let small = callers.submit_small_tasks(options.small_tasks, begin + options.length);
+    let all_load = async {
+        tokio::join!(load, more, small);
     };
-    stage.until_breach(both).await;
+    stage.until_breach(all_load).await;
     let calm = async { while all.join_next().await.is_some() {} };
     stage.until_breach(calm).await;
     finish(&stage, &callers).await;
     members.end(&stage).await;
-    let (breach, starts) = stage.update(|s| (s.breach.clone(), s.rules.start_count));
+    let (breach, starts, cut_off_lists) =
+        stage.update(|s| (s.breach.clone(), s.rules.start_count, s.world.cut_off_lists));
     let told = |b: &Breach| [stage.read(|s| s.events_of(&b.text)), members.lines(&b.text)].concat();
     let lines = breach.as_ref().map(told).unwrap_or_default();
     Ok(Report {
@@ -181,6 +192,7 @@
         skipped: playing.skipped(),
         counts: callers.counts(),
         starts,
+        cut_off_lists,
         breach: breach.map(|b| b.to_string()),
         lines,
         logs: options.dir.clone(),
--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -47,6 +47,8 @@
 const LATER_QUERIES: usize = 12;
 /// Range of the pauses before these queries, in milliseconds.
 const LATER_PAUSE_MS: Range<u64> = 20..400;
+/// Interval between two submissions of small tasks.
+pub const SMALL_TASKS_INTERVAL: Duration = Duration::from_secs(8);
 /// Number of workers for each job a second; it sets the rate of submissions.
 const WORKERS_PER_RATE: f64 = 3.5;
 
@@ -129,8 +131,7 @@
     pub fn burst(&self, count: u32) {
         for _ in 0..count {
             let mut drawn = self.draw(|r| plan::draw_job(r, self.workers, unix()));
-            let of_job = |t: &Tenants| t.of_job(drawn.no).clone();
-            let customer = self.stage.read(|s| s.tenants.as_ref().map(of_job));
+            let customer = self.customer_of(drawn.no);
             if customer.is_some() {
                 customers::place_data(drawn.no, &mut drawn.job);
             }
@@ -138,6 +139,25 @@
         }
     }
 
+    /// Returns the customer of a job, if there are customers.
+    fn customer_of(&self, no: u64) -> Option<CustomerId> {
+        let of_job = |t: &Tenants| t.of_job(no).clone();
+        self.stage.read(|s| s.tenants.as_ref().map(of_job))
+    }
+
+    /// Submits `count` small tasks in jobs of 100 every [`SMALL_TASKS_INTERVAL`] until a time, so
+    /// that workers have more ends than one report lists while the store is away.
+    pub async fn submit_small_tasks(&self, count: u32, until: Instant) {
+        while count > 0 && Instant::now() < until {
+            for _ in 0..count.div_ceil(plan::SMALL_TASKS) {
+                let drawn = self.draw(plan::draw_small_tasks);
+                let customer = self.customer_of(drawn.no);
+                self.submit_job(drawn, customer);
+            }
+            sleep(SMALL_TASKS_INTERVAL).await;
+        }
+    }
+
     /// Submits a job of a customer, and follows it until it is over.
     pub fn submit_job(&self, drawn: DrawnJob, customer: Option<CustomerId>) {
         self.set_waiting(JobNo(drawn.no), "its acceptance".into());
