Shard: names of what a worker has outstanding

Cause: `Worker::is_settled`, `Run::settled` and the settled shard were three things of one name; two comments still said that unsettled workers have not replied. Change: `Worker::has_outstanding_runs`; the comments. No change of behaviour. Measured: tests/shard_many_ends.rs (14) and shard_takeover.rs (6) pass.

--- a/src/shard/cause.rs
+++ b/src/shard/cause.rs
@@ -58,7 +58,7 @@
     /// The cap of the job's customer leaves no room.
     #[display("its customer's cap")]
     Cap,
-    /// Former owners may have started something at workers that have not replied.
+    /// Former owners may have started something at workers that have not listed all their ends.
     #[display("workers of a former owner")]
     Unsettled,
     /// A start order has not been answered.
@@ -190,7 +190,7 @@
     pub round: bool,
     /// The age of the list of workers.
     pub listed: Duration,
-    /// Number of workers used by former owners that have not replied to this owner.
+    /// Number of workers used by former owners that have not listed all their ends to this owner.
     pub unsettled: usize,
 }
 
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -213,7 +213,7 @@
             if w.gone || w.hold_sent.is_some() || w.next_hold > now {
                 continue;
             }
-            let wanted = w.list_entry.is_some() || !w.is_settled();
+            let wanted = w.list_entry.is_some() || w.has_outstanding_runs();
             if !wanted {
                 continue;
             }
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -319,7 +319,7 @@
     pub fn needs_roster(&self) -> bool {
         let live =
             self.list_entry.is_some() && self.leaves_at.is_none() && self.unanswered_calls < 3;
-        !self.gone && (live || !self.is_settled())
+        !self.gone && (live || self.has_outstanding_runs())
     }
 
     /// Returns whether the worker has or may have runs, or runs whose ends it has not listed.
@@ -327,14 +327,13 @@
         !self.runs.is_empty() || !self.unlisted_ends.is_empty()
     }
 
-    /// Returns whether the worker has no run, and no end that this owner doesn't know or has not
-    /// stored.
-    pub fn is_settled(&self) -> bool {
-        self.is_known && !self.has_runs() && self.unstored_ends.is_empty()
+    /// Returns whether the worker has or may have runs, or ends that this owner doesn't know or has
+    /// not stored.
+    pub fn has_outstanding_runs(&self) -> bool {
+        !self.is_known || self.has_runs() || !self.unstored_ends.is_empty()
     }
 
-    /// Returns whether a hold call would acknowledge so many ends that the worker can list many
-    /// others, or all that it has.
+    /// Returns whether the next hold call acknowledges enough ends for the worker to list many others.
     ///
     /// Guards against hundreds of calls for a worker with thousands of ends, each of which lists 500
     /// of them again to acknowledge a few.
