Logs and metrics: how an owner learnt of a cancel, and how old its view of the inbox is

Change: the row of a cancel has the time at which the caller asked; did=cancelled has source, after_ms and inbox_ms, did=start has inbox_ms; dwr_cancels_total{source}, dwr_job_seconds{to="cancel"}, dwr_cancel_requests_total{outcome} and the age of the inbox. No decision is changed; rows of an earlier version, {}, are read as before.

--- a/src/job_api/submit.rs
+++ b/src/job_api/submit.rs
@@ -5,11 +5,11 @@
     crate::{
         error::{Error, Kind},
         ids::{CustomerId, PoolId},
-        member_rpc::notify_local_shard,
+        member_rpc::{InboxChange, notify_local_shard},
         ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
         shard::{
             oversized_step,
-            record::{self, JobRecord, ShardNo},
+            record::{self, CancelRecord, JobRecord, ShardNo},
         },
         shared_state::{Config, unix_ms},
         work::{Job, JobNo},
@@ -124,7 +124,7 @@
             match self.services.call_store(&StoreCall::Txn(txn), limit).await {
                 Ok(StoreReply::Done(_)) => {
                     self.common.record_confirmed(sent);
-                    self.notify_owner(shard, no, Some(record));
+                    self.notify_owner(shard, no, InboxChange::Job(record));
                     return Ok(());
                 }
                 Ok(StoreReply::Conflict(items)) => {
@@ -244,6 +244,7 @@
         let Some(item) = self.services.get(&shard.job_key(no), limit).await.map_err(unanswered)?
         else {
             let there = self.is_stored(request, shard, no).await?;
+            self.common.metrics.count_cancel(if there { "over" } else { "no_job" });
             log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, there, written = false; "Cancel has no effect; the store has no record of the job.");
             return if there { Ok(Bytes::new()) } else { Err(Kind::NoJob.into()) };
         };
@@ -252,16 +253,21 @@
         if owner.is_some() && owner.as_ref() != customer {
             return Err(Error::new(Kind::NoJob, "the job belongs to another customer"));
         }
-        let put = Put { key: shard.cancel_key(no), value: Bytes::from_static(b"{}"), lease: 0 };
+        let cancel = CancelRecord { asked_ms: unix_ms() };
+        let put = Put { key: shard.cancel_key(no), value: record::encode(&cancel), lease: 0 };
         let call = StoreCall::Txn(Txn { puts: vec![put], ..Txn::default() });
         let mut tries = WriteAttempts::default();
         match self.repeat_write(request, &call, &mut tries).await {
             Ok(()) => {
-                self.notify_owner(shard, no, None);
+                self.notify_owner(shard, no, InboxChange::Cancel(cancel));
+                self.common.metrics.count_cancel("written");
                 log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, tries = tries.failed_count; "Job is cancelled.");
                 Ok(Bytes::new())
             }
-            Err(e) => Err(tries.final_error(e)),
+            Err(e) => {
+                self.common.metrics.count_cancel("failed");
+                Err(tries.final_error(e))
+            }
         }
     }
 
@@ -269,14 +275,14 @@
     ///
     /// The owner's watch of the store may hang for seconds while changes are made. Without the notice,
     /// accepted jobs would wait until that watch ends.
-    fn notify_owner(&self, shard: ShardNo, no: JobNo, record: Option<JobRecord>) {
+    fn notify_owner(&self, shard: ShardNo, no: JobNo, change: InboxChange) {
         let Some((owner, addr)) = self.common.view.borrow().owner(shard) else { return };
         if owner == self.common.me {
-            return notify_local_shard(&self.shard_inputs, shard, no, record);
+            return notify_local_shard(&self.shard_inputs, shard, no, change);
         }
         let peers = self.peers.clone();
         tokio::spawn(
-            async move { peers.notify_job(addr, shard, no, record, NOTICE_TIMEOUT).await },
+            async move { peers.notify_job(addr, shard, no, change, NOTICE_TIMEOUT).await },
         );
     }
 
--- a/src/member_rpc.rs
+++ b/src/member_rpc.rs
@@ -18,8 +18,8 @@
         service_clients::ServiceClients,
         shard::{
             Occupancy, PoolWait, UsageReport,
-            event::Event,
-            record::{JobRecord, ShardNo},
+            event::{CancelSource, Event},
+            record::{CancelRecord, JobRecord, ShardNo},
             report::JobReport,
         },
         shard_runner::ShardInput,
@@ -137,7 +137,11 @@
         async move {
             let request: JobNotice = params.one()?;
             let job: JobNo = request.job.parse().map_err(bad_params)?;
-            notify_local_shard(&input, request.shard, job, request.record);
+            let change = match request.record {
+                Some(record) => InboxChange::Job(record),
+                None => InboxChange::Cancel(request.cancel),
+            };
+            notify_local_shard(&input, request.shard, job, change);
             Ok::<_, ErrorObjectOwned>(())
         }
     })?;
@@ -233,16 +237,24 @@
     receiver.await.ok()
 }
 
-/// Notifies this member's shards of a stored job, or of a job's cancellation if `record` is `None`.
+/// A change of a shard's inbox.
+pub(crate) enum InboxChange {
+    /// The job was stored.
+    Job(JobRecord),
+    /// A cancel of the job was stored.
+    Cancel(CancelRecord),
+}
+
+/// Notifies this member's shards of a change that concerns a job.
 pub(crate) fn notify_local_shard(
     input: &Sender<ShardInput>,
     shard: ShardNo,
     job: JobNo,
-    record: Option<JobRecord>,
+    change: InboxChange,
 ) {
-    let event = match record {
-        Some(record) => Event::Job(job, Box::new(record)),
-        None => Event::Cancel(job),
+    let event = match change {
+        InboxChange::Job(record) => Event::Job(job, Box::new(record)),
+        InboxChange::Cancel(record) => Event::Cancel(job, record, CancelSource::Notice),
     };
     // A notice that a full queue drops is read from the store later.
     let _ = input.try_send(ShardInput::PeerEvent(shard, event));
@@ -366,17 +378,20 @@
         self.call(addr, "states", &request, limit).await.flatten()
     }
 
-    /// Notifies the owner of a shard of a stored job, or of a job's cancellation if `record` is
-    /// `None`.
+    /// Notifies the owner of a shard of a change that concerns a job.
     pub async fn notify_job(
         &self,
         addr: SocketAddr,
         shard: ShardNo,
         job: JobNo,
-        record: Option<JobRecord>,
+        change: InboxChange,
         limit: Duration,
     ) {
-        let request = JobNotice { shard, job: job.to_string().into(), record };
+        let (record, cancel) = match change {
+            InboxChange::Job(record) => (Some(record), CancelRecord::default()),
+            InboxChange::Cancel(cancel) => (None, cancel),
+        };
+        let request = JobNotice { shard, job: job.to_string().into(), record, cancel };
         let _: Option<()> = self.call(addr, "heard", &request, limit).await;
     }
 
--- a/src/member_rpc/messages.rs
+++ b/src/member_rpc/messages.rs
@@ -4,7 +4,7 @@
     crate::{
         ids::WorkerId,
         ports::{Advice, Fault},
-        shard::record::{JobRecord, ShardNo},
+        shard::record::{CancelRecord, JobRecord, ShardNo},
         time::millis,
     },
     serde::{Deserialize, Serialize},
@@ -48,6 +48,9 @@
     pub(super) shard: ShardNo,
     pub(super) job: Box<str>,
     pub(super) record: Option<JobRecord>,
+    /// The cancel; members of an earlier version don't send it.
+    #[serde(default)]
+    pub(super) cancel: CancelRecord,
 }
 
 /// Notice of what customers have in the shards of a member; `R` is a sequence of reports.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -43,6 +43,8 @@
     run_ends: IntCounterVec,
     lost_runs: IntCounterVec,
     cut_off_lists: IntCounter,
+    cancels: IntCounterVec,
+    cancel_requests: IntCounterVec,
     shard_moves: IntCounterVec,
     waiting_tasks: IntGaugeVec,
     ages: IntGaugeVec,
@@ -114,6 +116,16 @@
                 "Answers of workers that list only the first of their ends.",
             )
             .expect("the names are well-formed"),
+            cancels: counter(
+                "dwr_cancels_total",
+                "Cancels that owners learnt of, by how they did.",
+                "source",
+            ),
+            cancel_requests: counter(
+                "dwr_cancel_requests_total",
+                "Requests to cancel a job by what became of them.",
+                "outcome",
+            ),
             shard_moves: counter("dwr_shard_moves_total", "What became of shards here.", "what"),
             waiting_tasks: IntGaugeVec::new(
                 Opts::new("dwr_waiting_tasks", "Tasks that could start and wait."),
@@ -202,7 +214,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retry_counts.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 31] = [
+        let all: [Box<dyn Collector>; 33] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retry_counts.clone()),
             Box::new(m.kv_calls.clone()),
@@ -217,6 +229,8 @@
             Box::new(m.run_ends.clone()),
             Box::new(m.lost_runs.clone()),
             Box::new(m.cut_off_lists.clone()),
+            Box::new(m.cancels.clone()),
+            Box::new(m.cancel_requests.clone()),
             Box::new(m.shard_moves.clone()),
             Box::new(m.waiting_tasks.clone()),
             Box::new(m.ages.clone()),
@@ -309,6 +323,12 @@
         self.verdicts.with_label_values(&["answered"]).inc();
     }
 
+    /// Counts a caller's request to cancel a job: `written`, `over` if the job has ended, `no_job`, or
+    /// `failed`.
+    pub fn count_cancel(&self, outcome: &str) {
+        self.cancel_requests.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a change of a shard's ownership at this member: taken over, lost, released, given up,
     /// deposed or settled.
     pub fn count_move(&self, what: &str) {
@@ -330,6 +350,9 @@
             self.lost_runs.with_label_values(&[&cause.to_string()]).inc_by(*n);
         }
         self.cut_off_lists.inc_by(tally.cut_off_lists);
+        for (source, n) in &tally.cancels {
+            self.cancels.with_label_values(&[&source.to_string()]).inc_by(*n);
+        }
         self.ends_noted.inc_by(tally.acknowledged_ends);
         self.division_writes.inc_by(tally.division_writes);
         self.over_quota_jobs.inc_by(tally.over_quota_jobs);
@@ -351,6 +374,7 @@
         };
         times("start", &tally.first_starts);
         times("completion", &tally.completions);
+        times("cancel", &tally.cancel_delays);
     }
 
     /// Sets how many tasks wait, by priority; a priority that isn't in the map has none.
--- a/src/owned_shards.rs
+++ b/src/owned_shards.rs
@@ -11,8 +11,8 @@
         service_clients::{CALL_TIMEOUT, ServiceClients, fault_label},
         shard::{
             UsageReport,
-            event::{DivisionReply, Event, Order, Snapshot},
-            record::{self, CommitRow, DIVISIONS_PREFIX, ShardNo, division_key},
+            event::{CancelSource, DivisionReply, Event, Order, Snapshot},
+            record::{self, CancelRecord, CommitRow, DIVISIONS_PREFIX, ShardNo, division_key},
         },
         shard_runner::{ShardInput, ShardOutput},
         shared_state::{Config, SharedState},
@@ -196,10 +196,18 @@
         let inbox = shard.inbox_prefix();
         let mut follow =
             PrefixWatch::from_revision(self.services.clone(), &inbox, INBOX_WATCH_WAIT, rev);
+        let mut reported = None;
         loop {
-            let (WatchUpdate::Snapshot(items, _) | WatchUpdate::Changes(items, _)) =
-                follow.next().await;
-            for event in items.iter().filter_map(|i| inbox_event(&inbox, i)) {
+            let update = follow.poll().await;
+            let (items, source) = match &update {
+                Some(WatchUpdate::Snapshot(items, _)) => (&items[..], CancelSource::Reread),
+                Some(WatchUpdate::Changes(items, _)) => (&items[..], CancelSource::Watch),
+                None => (&[][..], CancelSource::Watch),
+            };
+            let changes = items.iter().filter_map(|i| inbox_event(&inbox, i, source));
+            let seen = follow.complete_at().filter(|at| reported.replace(*at) != Some(*at));
+            let seen = seen.map(|at| self.common.time_of(at));
+            for event in changes.chain(seen.map(Event::InboxSeen)) {
                 let _ = self.shard_inputs.send(ShardInput::Event(shard, token, event)).await;
             }
         }
@@ -213,17 +221,20 @@
     async fn load_shard(&self, shard: ShardNo, commit: Rev) -> Result<(Snapshot, Rev), Fault> {
         let (inbox, begun, roster) =
             (shard.inbox_prefix(), shard.progress_prefix(), shard.roster_key());
+        let read_at = self.common.now();
         let (arrived, begun, roster, divisions) = tokio::try_join!(
             self.services.read_prefix(&inbox, false),
             self.services.read_prefix(&begun, false),
             self.services.get(&roster, CALL_TIMEOUT),
             self.read_divisions(),
         )?;
-        let mut load = Snapshot { commit_revision: commit, divisions, ..Snapshot::default() };
-        for event in arrived.0.iter().filter_map(|i| inbox_event(&inbox, i)) {
+        let mut load =
+            Snapshot { commit_revision: commit, divisions, read_at, ..Snapshot::default() };
+        let changes = arrived.0.iter().filter_map(|i| inbox_event(&inbox, i, CancelSource::Load));
+        for event in changes {
             match event {
                 Event::Job(job, record) => load.jobs.push((job, *record)),
-                Event::Cancel(job) => load.cancels.push(job),
+                Event::Cancel(job, record, _) => load.cancels.push((job, record)),
                 _ => {}
             }
         }
@@ -397,8 +408,9 @@
     key.rsplit('/').next()?.parse().ok()
 }
 
-/// Returns the event for an item of an inbox; none if the item was removed.
-fn inbox_event(inbox: &str, item: &Item) -> Option<Event> {
+/// Returns the event for an item of an inbox; none if the item was removed. `source` says where the
+/// item comes from.
+fn inbox_event(inbox: &str, item: &Item, source: CancelSource) -> Option<Event> {
     let value = item.value.as_ref()?;
     let (kind, _) = item.key.strip_prefix(inbox)?.split_once('/')?;
     let job = job_number(&item.key)?;
@@ -410,7 +422,13 @@
             }
             Some(Event::Job(job, Box::new(record?)))
         }
-        "c" => Some(Event::Cancel(job)),
+        "c" => {
+            let record: Option<CancelRecord> = record::decode(value);
+            if record.is_none() {
+                log::error!(target: "owner", job:% = job, rev = item.rev; "The record of a cancel can't be parsed; the job is cancelled all the same.");
+            }
+            Some(Event::Cancel(job, record.unwrap_or_default(), source))
+        }
         _ => None,
     }
 }
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -6,12 +6,13 @@
         ids::{CustomerId, Incarnation, WorkerId},
         ports::{Advice, AdviceCall, Fault, Rev, StoreReply, Txn, WorkerCall, WorkerReply},
         shard::{
-            record::{Closing, CommitRow, JobRecord, Progress, Roster},
+            record::{CancelRecord, Closing, CommitRow, JobRecord, Progress, Roster},
             usage::UsageReport,
         },
         time::Time,
         work::{JobNo, ListedWorker, QueueConfig},
     },
+    derive_more::Display,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -21,7 +22,7 @@
     /// Jobs that have not ended.
     pub jobs: Vec<(JobNo, JobRecord)>,
     /// Jobs that their callers have cancelled.
-    pub cancels: Vec<JobNo>,
+    pub cancels: Vec<(JobNo, CancelRecord)>,
     /// The progress of jobs, including those that have ended.
     pub progress: Vec<(JobNo, Progress)>,
     /// The workers to which earlier owners may have given work.
@@ -32,6 +33,25 @@
     pub lapsed: bool,
     /// The divisions of the customers' caps, each with its revision.
     pub divisions: Vec<(CustomerId, Rev, Division)>,
+    /// The snapshot has all changes of the inbox that were stored before this time.
+    pub read_at: Time,
+}
+
+/// How an owner learnt of a cancel.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+pub enum CancelSource {
+    /// It was in the store when the owner took the shard over.
+    #[display("load")]
+    Load,
+    /// The member that the caller had asked sent a notice.
+    #[display("notice")]
+    Notice,
+    /// The watch of the inbox delivered it.
+    #[display("watch")]
+    Watch,
+    /// The inbox was read again.
+    #[display("reread")]
+    Reread,
 }
 
 /// The store's reply to a write of a division.
@@ -50,7 +70,9 @@
     /// A job was stored.
     Job(JobNo, Box<JobRecord>),
     /// A cancel of a job was stored.
-    Cancel(JobNo),
+    Cancel(JobNo, CancelRecord, CancelSource),
+    /// All changes of the inbox that were stored before this time have been delivered.
+    InboxSeen(Time),
     /// The complete list of this shard's workers.
     Listed(Vec<ListedWorker>),
     /// A new version of the configuration of queues.
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         shard::{
+            event::CancelSource,
             jobs::ActiveJob,
-            record::{JobRecord, Progress},
+            record::{CancelRecord, JobRecord, Progress},
             state_machine::Shard,
         },
         time::Time,
@@ -74,18 +75,27 @@
     /// A cancel may be read before its job when a range is read again after the store has lost its
     /// history. If the cancel were ignored, the job would run although its caller was told that it
     /// was cancelled.
-    pub(super) fn cancel(&mut self, no: JobNo, now: Time) {
-        match self.jobs.get(&no) {
-            Some(job) if !job.state.is_final() => self.end_job(no, JobState::Cancelled, now),
-            Some(_) => {}
-            None if self.finished_jobs.contains_key(&no) => {}
-            None => {
-                let unix = self.unix_ms(now);
-                if self.early_cancels.insert(no) {
-                    self.purge_queue.push_back((unix + self.retention_ms(), no));
-                }
+    pub(super) fn on_cancel(
+        &mut self,
+        no: JobNo,
+        record: &CancelRecord,
+        source: CancelSource,
+        now: Time,
+    ) {
+        let known = match self.jobs.get(&no) {
+            Some(job) if !job.state.is_final() => true,
+            Some(_) => return,
+            None if self.finished_jobs.contains_key(&no) || self.early_cancels.contains(&no) => {
+                return;
             }
+            None => false,
+        };
+        self.log_cancel(no, record, source, known, now);
+        if known {
+            return self.end_job(no, JobState::Cancelled, now);
         }
+        self.early_cancels.insert(no);
+        self.purge_queue.push_back((self.unix_ms(now) + self.retention_ms(), no));
     }
 
     /// Ends a job: none of its tasks starts any more, and its runs are stopped.
--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -7,6 +7,8 @@
         ports::{EndReason, EndedRun},
         shard::{
             cause::{AbsentStep, Exclusions},
+            event::CancelSource,
+            record::CancelRecord,
             state_machine::Shard,
             stats::{Gauges, LossCause, Stats},
             workers::{WorkerNo, millis},
@@ -43,6 +45,7 @@
         let (waiting_customers, customers_above_share) = self.share_counts();
         let mut levels = Gauges {
             worker_list_age: now - self.reported.listed_at,
+            inbox_age: now - self.inbox_seen,
             longest_absence: self.reported.away.clone(),
             waiting_customers,
             customers_above_share,
@@ -211,7 +214,8 @@
         let (worker, listed_ms) =
             (&self.workers[first.0].id, millis(now - self.reported.listed_at));
         let (after_ms, delay_ms, tasks) = (unix.saturating_sub(came), millis(delay), starts.len());
-        log::info!(target: "shard", did = "start", job:% = key.job, step:% = key, run, tasks, worker:% = worker, queue = &*queue, each:% = each, gang, delay_ms, reason, advice_ms, after_ms, listed_ms; "Step starts.");
+        let inbox_ms = millis(now - self.inbox_seen);
+        log::info!(target: "shard", did = "start", job:% = key.job, step:% = key, run, tasks, worker:% = worker, queue = &*queue, each:% = each, gang, delay_ms, reason, advice_ms, after_ms, listed_ms, inbox_ms; "Step starts.");
         *self.stats.step_starts.entry(reason).or_default() += 1;
         if !begun {
             job.start_counted = true;
@@ -219,6 +223,23 @@
         }
     }
 
+    /// Logs and counts a cancel that this owner has learnt of.
+    pub(super) fn log_cancel(
+        &mut self,
+        no: JobNo,
+        record: &CancelRecord,
+        source: CancelSource,
+        known: bool,
+        now: Time,
+    ) {
+        *self.stats.cancels.entry(source).or_default() += 1;
+        let after_ms = self.unix_ms(now).checked_sub(record.asked_ms);
+        let after_ms = after_ms.filter(|_| record.asked_ms > 0);
+        self.stats.cancel_delays.extend(after_ms.map(Duration::from_millis));
+        let inbox_ms = millis(now - self.inbox_seen);
+        log::info!(target: "shard", did = "cancelled", job:% = no, known, source:% = source, after_ms:? = after_ms, inbox_ms; "Cancel of a job was received.");
+    }
+
     /// Logs and counts the end of a run.
     pub(super) fn log_end(&mut self, no: WorkerNo, end: &EndedRun, now: Time) {
         let how = match end.reason {
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -97,6 +97,15 @@
     }
 }
 
+/// A caller's request to cancel a job.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct CancelRecord {
+    /// Unix time at which the caller asked, in milliseconds; 0 if a member of an earlier version wrote
+    /// the record.
+    #[serde(default)]
+    pub asked_ms: u64,
+}
+
 /// Returns the key of the division of a customer's cap.
 pub fn division_key(customer: &CustomerId) -> Box<str> {
     format!("{DIVISIONS_PREFIX}{customer}").into()
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -12,7 +12,7 @@
         shard::{
             commit::{GroupCommit, WriteOutcome},
             customer_cap::Caps,
-            event::{Event, Order, Snapshot},
+            event::{CancelSource, Event, Order, Snapshot},
             in_flight::InFlight,
             jobs::{ActiveJob, StepState},
             rack_state::Locality,
@@ -87,6 +87,8 @@
     pub(super) settled_by_lapse: bool,
     /// Tasks of which a run other than the current one is still being stopped.
     pub(super) stray_tasks: FxHashSet<TaskKey>,
+    /// All changes of the inbox that were stored before this time are known.
+    pub(super) inbox_seen: Time,
     /// The time at which this owner took over the shard.
     pub(super) owned_since: Time,
     /// The time by which most workers of the roster had answered this owner for the first time.
@@ -171,6 +173,7 @@
             settled_by_lapse: false,
             stray_tasks: FxHashSet::default(),
             owned_since: now,
+            inbox_seen: load.read_at,
             majority_at: None,
             former_lapsed: load.lapsed,
             ready: BTreeSet::new(),
@@ -236,8 +239,8 @@
                 self.admit_job(no, record, progress.get(&no), true, now);
             }
         }
-        for no in load.cancels {
-            self.cancel(no, now);
+        for (no, record) in load.cancels {
+            self.on_cancel(no, &record, CancelSource::Load, now);
         }
     }
 
@@ -258,10 +261,8 @@
                     self.admit_job(no, *record, None, false, now);
                 }
             }
-            Event::Cancel(no) => {
-                log::info!(target: "shard", did = "cancelled", job:% = no, known = self.jobs.contains_key(&no); "Cancel of a job was received.");
-                self.cancel(no, now);
-            }
+            Event::Cancel(no, record, source) => self.on_cancel(no, &record, source, now),
+            Event::InboxSeen(at) => self.inbox_seen = self.inbox_seen.max(at),
             Event::Listed(list) => self.on_list(list, now),
             Event::Queues(queues) => self.configure(queues, now),
             Event::Worker { worker, sent, call, reply } => {
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -1,7 +1,10 @@
 //! Statistics of a shard's decisions for the metrics, and the values that the shard last reported.
 
 use {
-    crate::{shard::cause::Cause, time::Time},
+    crate::{
+        shard::{cause::Cause, event::CancelSource},
+        time::Time,
+    },
     std::{collections::BTreeMap, time::Duration},
 };
 
@@ -40,6 +43,10 @@
     pub run_ends: BTreeMap<&'static str, u64>,
     /// The number of runs that count as lost because no end was reported, by cause.
     pub lost_runs: BTreeMap<LossCause, u64>,
+    /// The number of cancels that this owner learnt of, by how it did.
+    pub cancels: BTreeMap<CancelSource, u64>,
+    /// The times from a caller's request to cancel a job until this owner learnt of it.
+    pub cancel_delays: Vec<Duration>,
     /// The number of answers of workers that list only the first of their ends.
     pub cut_off_lists: u64,
     /// The number of stored ends of runs that were acknowledged to their workers.
@@ -114,6 +121,8 @@
     pub waiting_tasks: BTreeMap<u8, usize>,
     /// The age of the worker list.
     pub worker_list_age: Duration,
+    /// The age of what is known of the inbox.
+    pub inbox_age: Duration,
     /// The longest time for which a long-running task has been away, by cause.
     pub longest_absence: BTreeMap<Cause, Duration>,
     /// The number of customers whose jobs wait.
--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -321,7 +321,7 @@
         self.next_metrics = now + METRICS_INTERVAL;
         let mut waiting: BTreeMap<u8, usize> = BTreeMap::new();
         let mut away: BTreeMap<Cause, Duration> = BTreeMap::new();
-        let mut oldest = Duration::ZERO;
+        let (mut oldest, mut inbox_age) = (Duration::ZERO, Duration::ZERO);
         let (mut waiting_customers, mut above_share) = (0, 0);
         for owned in self.shards.values_mut() {
             metrics.add_tally(&owned.shard.take_stats());
@@ -332,6 +332,7 @@
                 *longest = time.max(*longest);
             }
             oldest = oldest.max(levels.worker_list_age);
+            inbox_age = inbox_age.max(levels.inbox_age);
             waiting_customers += levels.waiting_customers;
             above_share += levels.customers_above_share;
         }
@@ -339,6 +340,7 @@
         metrics.set_away(&away);
         metrics.set_customers(waiting_customers, above_share);
         metrics.set_age("workers", oldest);
+        metrics.set_age("inbox", inbox_age);
     }
 
     /// Passes an event to its shard; the next [`Self::run_rounds`] passes the shard's orders on.
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -128,6 +128,11 @@
         self.clock.now()
     }
 
+    /// Returns the time at which [`boot_time`](clock::boot_time) was `at`.
+    pub fn time_of(&self, at: Duration) -> Time {
+        self.now() - (clock::boot_time() - at)
+    }
+
     /// Creates clients for the calling thread that call all services directly, without a relay.
     pub fn direct_clients(self: &Arc<Self>) -> ServiceClients {
         let common = self.clone();
--- a/src/table_sync.rs
+++ b/src/table_sync.rs
@@ -7,7 +7,6 @@
 
 use {
     crate::{
-        clock::boot_time,
         decide::pace_monitor::SpeedMonitor,
         ids::Incarnation,
         layout::MAX_LIST_WAIT,
@@ -80,7 +79,7 @@
             None => {}
         }
         if let Some(at) = follow.complete_at() {
-            common.record_confirmed(common.now() - (boot_time() - at));
+            common.record_confirmed(common.time_of(at));
         }
         // The thread that serves callers may have applied this configuration already, so compare
         // with what was last sent to the shards.
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -18,8 +18,11 @@
         },
         shard::{
             Setup, Shard,
-            event::{Event, Order, Snapshot},
-            record::{CommitRow, JobRecord, OwnerRow, Progress, Roster, ShardNo, decode, encode},
+            event::{CancelSource, Event, Order, Snapshot},
+            record::{
+                CancelRecord, CommitRow, JobRecord, OwnerRow, Progress, Roster, ShardNo, decode,
+                encode,
+            },
             report::JobReport,
         },
         units::Size,
@@ -167,7 +170,7 @@
     pub fn take_over(&mut self) {
         self.token += 1;
         let commit = write_owner_rows(&mut self.store, self.token);
-        self.shard = Shard::new(setup(self.token), load(&self.store, commit), self.now);
+        self.shard = Shard::new(setup(self.token), load(&self.store, commit, self.now), self.now);
         self.pending.clear();
         self.deliver(Event::Queues(queues()));
         self.deliver(Event::Peers(Peers {
@@ -214,8 +217,9 @@
 
     /// Stores the cancellation of a job and notifies the owner.
     pub fn cancel(&mut self, no: u64) {
-        self.store.put(SHARD.cancel_key(JobNo(no)), "{}".into());
-        self.deliver(Event::Cancel(JobNo(no)));
+        let record = CancelRecord { asked_ms: UNIX_MS + self.now.0 / 1_000 };
+        self.store.put(SHARD.cancel_key(JobNo(no)), encode(&record));
+        self.deliver(Event::Cancel(JobNo(no), record, CancelSource::Watch));
     }
 
     /// Delivers the current list of workers to the owner.
@@ -456,12 +460,12 @@
     }
 }
 
-/// What a new owner that has written the commit row at this revision loads from the store.
-pub fn load(store: &Store, commit: u64) -> Snapshot {
+/// What a new owner that has written the commit row at this revision loads from the store now.
+pub fn load(store: &Store, commit: u64, now: Time) -> Snapshot {
     let tail = |key: &str| key.rsplit('/').next().and_then(|n| n.parse().ok());
     let of = |kind: &str| store.range(&format!("{}{kind}/", SHARD.inbox_prefix()));
     let jobs = of("j").into_iter().filter_map(|(k, v)| Some((tail(&k)?, decode(&v)?)));
-    let cancels = of("c").into_iter().filter_map(|(k, _)| tail(&k));
+    let cancels = of("c").into_iter().filter_map(|(k, v)| Some((tail(&k)?, decode(&v)?)));
     let progress = store.range(&SHARD.progress_prefix()).into_iter();
     let roster = store.get(&SHARD.roster_key()).and_then(|i| i.value);
     Snapshot {
@@ -471,6 +475,7 @@
         progress: progress.filter_map(|(k, v)| Some((tail(&k)?, decode(&v)?))).collect(),
         roster: roster.and_then(|v| decode(&v)).unwrap_or_default(),
         commit_revision: commit,
+        read_at: now,
         lapsed: false,
     }
 }
--- a/tests/release.rs
+++ b/tests/release.rs
@@ -8,7 +8,7 @@
         shard::{
             Setup, Shard,
             event::{Event, Order, Snapshot},
-            record::{JobRecord, ShardNo},
+            record::{CancelRecord, JobRecord, ShardNo},
         },
         work::{Job, JobNo, Step},
     },
@@ -41,7 +41,7 @@
         customer: None,
     };
     let jobs = (1..=60).map(|no| (JobNo(no), record())).collect();
-    let cancels = (1..=60).map(JobNo).collect();
+    let cancels = (1..=60).map(|no| (JobNo(no), CancelRecord::default())).collect();
     let mut shard =
         Shard::new(setup, Snapshot { jobs, cancels, ..Snapshot::default() }, Time::ZERO);
     let (mut ms, mut rev, mut writes) = (0, 0, 0);
--- a/tests/reports/mod.rs
+++ b/tests/reports/mod.rs
@@ -12,8 +12,8 @@
         ports::{EndReason, Fault, StoreReply, Txn, WorkerCall},
         shard::{
             Shard,
-            event::{Event, Order, Snapshot},
-            record::{CommitRow, JobRecord, Progress, Roster, decode, encode},
+            event::{CancelSource, Event, Order, Snapshot},
+            record::{CancelRecord, CommitRow, JobRecord, Progress, Roster, decode, encode},
             report::JobReport,
         },
         work::{JobNo, JobState},
@@ -203,7 +203,7 @@
         let (at, token) = (self.owners.len(), self.owners.len() as u64 + 1);
         let row = encode(&CommitRow { token, number: 0 });
         let commit = self.store.put(SHARD.commit_key(), row);
-        let loaded = Snapshot { lapsed: true, ..load(&self.store, commit) };
+        let loaded = Snapshot { lapsed: true, ..load(&self.store, commit, self.now) };
         let shard = Shard::new(setup(token), loaded, self.now);
         let renewed = Some(self.now);
         self.owners.push(Owner {
@@ -297,11 +297,11 @@
             Move::Cancel => {
                 self.cancelled = true;
                 self.owners.iter_mut().for_each(|o| o.notice = true);
-                self.store.put(SHARD.cancel_key(JOB), "{}".into());
+                self.store.put(SHARD.cancel_key(JOB), encode(&CancelRecord::default()));
             }
             Move::Notice(at) => {
                 self.owners[at].notice = false;
-                self.deliver(at, Event::Cancel(JOB));
+                self.deliver(at, Event::Cancel(JOB, CancelRecord::default(), CancelSource::Watch));
             }
             Move::Store(at) => self.store_call(at),
             Move::Answer(at) => self.answer_call(at),
--- a/tests/shard_takeover.rs
+++ b/tests/shard_takeover.rs
@@ -130,7 +130,7 @@
     hand.run(500);
     let row = encode(&CommitRow { token: 2, number: 0 });
     let commit = hand.store.put(SHARD.commit_key(), row);
-    let mut shard = Shard::new(setup(2), load(&hand.store, commit), hand.now);
+    let mut shard = Shard::new(setup(2), load(&hand.store, commit, hand.now), hand.now);
     let listed = hand.workers.iter().filter_map(Worker::entry).collect();
     let mut orders = shard.handle(Event::Confirmed(hand.now), hand.now);
     orders.extend(shard.handle(Event::Listed(listed), hand.now));
@@ -174,7 +174,8 @@
     let over =
         |h: &Harness| jobs.clone().filter(|no| h.stored_progress(*no).state.is_final()).count();
     hand.store_up = true;
-    let lists_new = |h: &Harness| load(&h.store, 0).roster.workers.iter().any(|w| &*w.0.0 == "w1");
+    let lists_new =
+        |h: &Harness| load(&h.store, 0, h.now).roster.workers.iter().any(|w| &*w.0.0 == "w1");
     hand.run_until("the roster is written", 1_000, lists_new);
     assert!(over(&hand) < 40);
     hand.take_over();
--- a/tests/yard/events.rs
+++ b/tests/yard/events.rs
@@ -96,7 +96,8 @@
         let roster = self.store.get(&SHARD.roster_key()).and_then(|i| i.value);
         Snapshot {
             jobs: jobs.filter_map(|(j, v)| Some((j, decode(&v)?))).collect(),
-            cancels: of("c").into_iter().map(|c| c.0).collect(),
+            cancels: of("c").into_iter().filter_map(|(j, v)| Some((j, decode(&v)?))).collect(),
+            read_at: self.now,
             progress,
             roster: roster.and_then(|v| decode::<Roster>(&v)).unwrap_or_default(),
             commit_revision: commit,
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -26,10 +26,10 @@
         },
         shard::{
             Setup, Shard, UsageReport,
-            event::{Event, Order, Snapshot},
+            event::{CancelSource, Event, Order, Snapshot},
             record::{
-                Closing, CommitRow, JobRecord, OwnerRow, Progress, Roster, ShardNo, UpkeepTurn,
-                decode, encode,
+                CancelRecord, Closing, CommitRow, JobRecord, OwnerRow, Progress, Roster, ShardNo,
+                UpkeepTurn, decode, encode,
             },
             report::JobReport,
         },
@@ -332,9 +332,10 @@
         if self.store.health == Mode::Down {
             return self.at(self.now.0 / 1_000 + 500, move |y| y.cancel(no));
         }
-        self.store.put(SHARD.cancel_key(JobNo(no)), "{}".into());
+        let record = CancelRecord { asked_ms: UNIX_START_MS + self.now.0 / 1_000 };
+        self.store.put(SHARD.cancel_key(JobNo(no)), encode(&record));
         self.rules.cancels.entry(JobNo(no)).or_insert(self.now);
-        self.send_inbox_change(Event::Cancel(JobNo(no)));
+        self.send_inbox_change(Event::Cancel(JobNo(no), record, CancelSource::Watch));
     }
 
     /// Advances virtual time to this number of milliseconds.
