Shard: tests of an owner that hears nothing of its inbox

Cause: an owner starts tasks however old its view of the inbox is, so also those of a job whose cancel it has missed. The bound is that of the deployment (Bounds::cancel_lag, the settings' Bounds.cancel_ms); the simulations tell owners up to when they have heard of everything. No decision is changed.

--- a/src/ports/site.rs
+++ b/src/ports/site.rs
@@ -72,6 +72,8 @@
     pub serving_delay: Duration,
     /// Maximum delay until an acknowledged change of the configuration is visible.
     pub config_lag: Duration,
+    /// Time for which tasks of a job may still start after its cancel was acknowledged.
+    pub cancel_lag: Duration,
     /// Time for which a worker may still get tasks after it has announced that it leaves.
     pub drain_time: Duration,
     /// Maximum time that stopping this process may take.
--- a/standin/src/site/setup.rs
+++ b/standin/src/site/setup.rs
@@ -2,7 +2,7 @@
 //! that build jobs.
 
 use {
-    crate::site::worker::Worker,
+    crate::site::{judge::CANCEL_GRACE, worker::Worker},
     dogwoodreach::{
         ports::{Bounds, VmLimits},
         units::Size,
@@ -36,6 +36,7 @@
         target_grace: ms(4_000),
         serving_delay: ms(2_000),
         config_lag: ms(3_000),
+        cancel_lag: CANCEL_GRACE,
         drain_time: ms(2_000),
         stop_grace: ms(10_000),
         min_ttl: ms(3_000),
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -67,6 +67,8 @@
     pub store_up: bool,
     /// Whether the store confirms the member's lease on every tick.
     pub lease_confirmed: bool,
+    /// Whether the owner hears of changes of its inbox.
+    pub inbox_heard: bool,
     /// Whether the advice service answers. Each ticket holds the time of its issue, in
     /// milliseconds.
     pub advice_up: bool,
@@ -150,6 +152,7 @@
             lost_reads: 0,
             store_up: true,
             lease_confirmed: true,
+            inbox_heard: true,
             advice_up: true,
             advice_delay: Duration::ZERO,
             hold_delay: Duration::ZERO,
@@ -219,7 +222,9 @@
     pub fn cancel(&mut self, no: u64) {
         let record = CancelRecord { asked_ms: UNIX_MS + self.now.0 / 1_000 };
         self.store.put(SHARD.cancel_key(JobNo(no)), encode(&record));
-        self.deliver(Event::Cancel(JobNo(no), record, CancelSource::Watch));
+        if self.inbox_heard {
+            self.deliver(Event::Cancel(JobNo(no), record, CancelSource::Watch));
+        }
     }
 
     /// Delivers the current list of workers to the owner.
@@ -298,6 +303,9 @@
         if self.lease_confirmed {
             self.deliver(Event::Confirmed(self.now));
         }
+        if self.inbox_heard {
+            self.deliver(Event::InboxSeen(self.now));
+        }
         self.deliver(Event::Tick);
     }
 
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -91,6 +91,7 @@
             target_grace: ms(4000),
             serving_delay: ms(4500),
             config_lag: ms(2000),
+            cancel_lag: ms(3000),
             drain_time: ms(2000),
             stop_grace: ms(6000),
             min_ttl: ms(1000),
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -60,6 +60,9 @@
 /// Time without a report after which a worker is dropped from the worker list.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest time until a change of the inbox reaches the owners.
+const INBOX_DELAY: Duration = Duration::from_millis(50);
+
 type Action = Box<dyn FnOnce(&mut ShardSim)>;
 
 /// A queue with this name, priority and cost of advice, and otherwise as the queue `open`.
@@ -123,7 +126,7 @@
     pub stalled: bool,
     /// Whether it is releasing the shard: it only writes its remaining changes.
     pub releasing: bool,
-    /// Whether it is cut off from the store.
+    /// Whether it is cut off from the store. Other members still tell it of cancels.
     pub store_cut: bool,
     /// The workers that its calls don't reach.
     pub unreached: BTreeSet<usize>,
@@ -318,8 +321,9 @@
 
     /// Sends a change of the inbox to the owners. Changes arrive in order.
     fn send_inbox_change(&mut self, event: Event) {
-        self.inbox_seen =
-            self.inbox_seen.max(self.now + Duration::from_millis(self.rng.u64(1..50)));
+        self.inbox_seen = self
+            .inbox_seen
+            .max(self.now + Duration::from_millis(self.rng.u64(1..INBOX_DELAY.as_millis() as u64)));
         self.broadcast(self.inbox_seen, event);
     }
 
@@ -416,6 +420,7 @@
         }
         if ms.is_multiple_of(20) {
             self.broadcast(self.now, Event::Tick);
+            self.broadcast(self.now, Event::InboxSeen(self.now - INBOX_DELAY));
         }
         if ms.is_multiple_of(50) {
             self.run_other_shard();
