Inbox: a change that one watch has missed comes with the next

Cause: an empty reply to a watch carries a revision, and the watch went on from there. If the store left a change out of that reply, the owner learnt of it with the next reading of the whole inbox, up to 8 s later. And a view counted as complete up to nine tenths of an empty watch's wait, although the reply itself may have been delayed. Change: a watch of the inbox goes on from the last revision that came with changes or with a page; a page moves it on, so that the store still remembers it. What is known counts from when the call was sent.

--- a/src/prefix_watch.rs
+++ b/src/prefix_watch.rs
@@ -84,6 +84,9 @@
     rechecks_changes: bool,
     /// Whether the next watch call doesn't wait.
     skip_wait: bool,
+    /// Whether decisions depend on the age of what is known: nothing is taken as seen that a reply may
+    /// not cover, and a call that fails is followed by one that doesn't wait.
+    bounds_age: bool,
     /// The time up to which all changes have been seen, by [`boot_time`].
     complete_at: Option<Duration>,
     backoff: Backoff,
@@ -96,7 +99,7 @@
         let (prefix, last_read) = (prefix.into(), Instant::now());
         let (after_rev, reread_interval, change_pause, pause_next) =
             (None, None, Duration::ZERO, false);
-        let (rechecks_changes, skip_wait, complete_at) = (true, false, None);
+        let (rechecks_changes, skip_wait, bounds_age, complete_at) = (true, false, false, None);
         PrefixWatch {
             services,
             prefix,
@@ -108,12 +111,14 @@
             last_read,
             rechecks_changes,
             skip_wait,
+            bounds_age,
             complete_at,
             backoff,
         }
     }
 
-    /// Creates a watch that starts at a revision at which the prefix was read.
+    /// Creates a watch that starts at a revision at which the prefix was read, for decisions that
+    /// depend on the age of what is known.
     ///
     /// It resumes after faults, as long as the store remembers the changes, because the prefix may be
     /// too large to be read again for each broken connection. It pauses after each change (see
@@ -131,6 +136,7 @@
             reread_interval,
             change_pause,
             rechecks_changes: false,
+            bounds_age: true,
             ..PrefixWatch::from_snapshot(services, prefix, wait)
         }
     }
@@ -189,7 +195,8 @@
         }
         if self.reread_interval.is_some_and(|interval| self.last_read.elapsed() >= interval) {
             self.last_read = Instant::now();
-            if let Ok((items, rev)) = self.services.read_prefix(&self.prefix, false).await {
+            if let Ok((items, rev)) = self.read_prefix().await {
+                self.after_rev = Some(rev.max(after));
                 return Some(WatchUpdate::Snapshot(items, rev));
             }
         }
@@ -199,10 +206,14 @@
         let call = StoreCall::Watch { prefix: self.prefix.clone(), after, wait };
         match self.services.call_store(&call, wait + WATCH_MARGIN).await {
             Ok(StoreReply::Events(items, rev)) => {
-                self.after_rev = Some(rev.max(after));
-                // An empty reply at the end of the wait shows that nothing has changed meanwhile.
+                // A watch may miss a change whose revision its empty reply includes.
+                if !(self.bounds_age && items.is_empty()) {
+                    self.after_rev = Some(rev.max(after));
+                }
+                // An empty reply at the end of the wait shows that nothing has changed meanwhile,
+                // unless the reply itself was delayed.
                 let waited = wait.mul_f64(FULL_WAIT_FRACTION);
-                let full = items.is_empty() && begin.elapsed() >= waited;
+                let full = items.is_empty() && begin.elapsed() >= waited && !self.bounds_age;
                 self.complete_at = Some(if full { sent + waited } else { sent });
                 if !items.is_empty() {
                     self.backoff.reset();
@@ -219,6 +230,7 @@
             _ => {
                 self.backoff.wait().await;
                 self.after_rev = self.after_rev.filter(|_| self.reread_interval.is_some());
+                self.skip_wait = self.bounds_age;
             }
         }
         None
--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -56,6 +56,10 @@
     muted: Vec<String>,
     /// Prefixes whose watches get no events.
     suppressed: Vec<String>,
+    /// Prefix whose ranges are refused; empty if there is none.
+    unreadable: String,
+    /// Prefix whose next changes are missing from the reply to one watch; empty if there is none.
+    hidden: String,
     /// Prefix of keys whose writes are applied and get no reply; empty if there is none.
     withheld: String,
     /// A prefix and the number of its watches that are still to be refused.
@@ -184,6 +188,21 @@
         }
     }
 
+    /// Refuses all later ranges of exactly this prefix.
+    pub fn refuse_ranges(&self, prefix: &str) {
+        self.state.lock().expect("state").unreadable = prefix.into();
+    }
+
+    /// Leaves the next changes of `prefix` out of the reply to one watch. Its revision includes them.
+    pub fn hide_changes(&self, prefix: &str) {
+        self.state.lock().expect("state").hidden = prefix.into();
+    }
+
+    /// Returns whether the changes named by [`Store::hide_changes`] have been left out.
+    pub fn has_hidden(&self) -> bool {
+        self.state.lock().expect("state").hidden.is_empty()
+    }
+
     /// Sends no reply to later writes of keys that begin with `prefix`, which are applied; an empty
     /// prefix ends it.
     pub fn withhold_replies(&self, prefix: &str) {
@@ -260,6 +279,9 @@
                     return None;
                 }
                 let (events, rev) = self.state.lock().expect("state").events_since(prefix, after);
+                if !events.is_empty() && self.state.lock().expect("state").take_hidden(prefix) {
+                    return Some((vec![], rev));
+                }
                 if !events.is_empty() {
                     return Some((events, rev));
                 }
@@ -316,6 +338,14 @@
         true
     }
 
+    fn take_hidden(&mut self, prefix: &str) -> bool {
+        let hides = !self.hidden.is_empty() && self.hidden == prefix;
+        if hides {
+            self.hidden.clear();
+        }
+        hides
+    }
+
     fn events_since(&self, prefix: &str, after: u64) -> (Vec<Value>, u64) {
         if self.suppressed.iter().any(|b| b == prefix) {
             return (vec![], after);
@@ -350,6 +380,9 @@
             }
             "/range" => {
                 let prefix = text(request, "prefix");
+                if !prefix.is_empty() && prefix == self.unreadable {
+                    return (503, json!({}));
+                }
                 self.ranges.push(prefix.into());
                 let after = text(request, "after");
                 let keys = self.rows.keys().filter(|k| k.starts_with(prefix) && &***k > after);
