Shard: nothing starts while the owner may have missed a cancel

What callers saw: tasks of a job that started, and ran to their end, seconds after its cancelling was acknowledged. Cause: what an owner knows of cancels comes by one notice that isn't repeated, a watch and pages, and nothing that starts a task asked how old that view is. An owner whose lease is confirmed, or that acts on its workers' answers, started for as long as its watch was silent. Change: the watch says up to when all changes have been seen; a start, a copy and a start that is sent again need a view younger than nine tenths of the bound on starts after a cancel. Running tasks, leases, ends and stops go on.

--- a/src/owned_shards.rs
+++ b/src/owned_shards.rs
@@ -34,8 +34,9 @@
     },
 };
 
-/// Maximum time for which the store holds a watch of an inbox open without a change.
-const INBOX_WATCH_WAIT: Duration = Duration::from_secs(3);
+/// Number of watches of an inbox that fit into the bound on starts after a cancel: if one of them gets
+/// no answer, the next one still completes in time.
+const WATCHES_PER_CANCEL_LAG: u32 = 4;
 /// Maximum time for which the store holds a watch of the divisions open without a change.
 const DIVISIONS_WATCH_WAIT: Duration = Duration::from_secs(10);
 /// Time-out of reading a page of the list of machines.
@@ -194,8 +195,8 @@
     /// Sends the items of a shard's inbox to the shard as they are written.
     async fn follow_inbox(&self, shard: ShardNo, token: u64, rev: Rev) {
         let inbox = shard.inbox_prefix();
-        let mut follow =
-            PrefixWatch::from_revision(self.services.clone(), &inbox, INBOX_WATCH_WAIT, rev);
+        let wait = self.common.site.borrow().bounds.cancel_lag / WATCHES_PER_CANCEL_LAG;
+        let mut follow = PrefixWatch::from_revision(self.services.clone(), &inbox, wait, rev);
         let mut reported = None;
         loop {
             let update = follow.poll().await;
--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -1,5 +1,5 @@
-//! Decides whether this owner may start work and renew leases while the store does not answer, and
-//! which jobs it may start while runs of former owners may still exist.
+//! Decides whether this owner may start work and renew leases while the store does not answer, whether
+//! it may have missed a cancel, and which jobs it may start while runs of former owners may still exist.
 
 use {
     crate::{
@@ -16,11 +16,35 @@
 /// Time after sending a renewal of the member's lease during which its confirmation proves that the
 /// lease is valid; shorter than the shortest lease.
 const RENEWAL_VALID: Duration = Duration::from_millis(1900);
+/// Divisor of the bound on starts after a cancel that gives the safety margin. The margin covers the
+/// transit of a start and clocks that differ.
+const CANCEL_MARGIN_DIVISOR: u32 = 10;
 /// Maximum age of a worker's reply that still shows that the worker obeys this owner.
 const REPLY_VALID: Duration = Duration::from_millis(2600);
 
 impl Shard {
-    /// Returns whether this owner may start work and renew leases.
+    /// Returns whether this owner may start tasks.
+    pub(super) fn may_start(&self, now: Time) -> bool {
+        self.may_act(now) && self.knows_cancels(now)
+    }
+
+    /// Returns whether this owner knows of every cancel that was acknowledged so long ago that no task
+    /// of its job may start any more.
+    ///
+    /// Guards against starting tasks of a cancelled job: the store may serve the member that was asked
+    /// to cancel it, but not this owner's watch, while this owner's lease is confirmed.
+    pub(super) fn knows_cancels(&self, now: Time) -> bool {
+        let bound = self.setup.bounds.cancel_lag;
+        now - self.inbox_seen <= bound - bound / CANCEL_MARGIN_DIVISOR
+    }
+
+    /// Records that all changes of the inbox that were stored before `seen` have been delivered.
+    pub(super) fn on_inbox_seen(&mut self, seen: Time, now: Time) {
+        self.round_due |= !self.knows_cancels(now);
+        self.inbox_seen = self.inbox_seen.max(seen);
+    }
+
+    /// Returns whether this owner may act and renew leases.
     pub(super) fn may_act(&self, now: Time) -> bool {
         self.lease_start(now).is_some()
     }
--- a/src/shard/cause.rs
+++ b/src/shard/cause.rs
@@ -49,6 +49,9 @@
     /// The owner is cut off and may start nothing.
     #[display("the owner's lease")]
     Lease,
+    /// The owner may have missed a cancel and may start nothing.
+    #[display("the owner's inbox")]
+    Inbox,
     /// The queue of the step is unknown.
     #[display("its queue")]
     Queue,
--- a/src/shard/diagnosis.rs
+++ b/src/shard/diagnosis.rs
@@ -219,6 +219,7 @@
         let old = self.jobs.get(&turn.key.job).is_some_and(|j| j.inherited);
         match () {
             () if !self.may_act(now) => Some(Cause::Lease),
+            () if !self.knows_cancels(now) => Some(Cause::Inbox),
             () if !self.is_sole_starter(&turn.key.job) => {
                 Some(if old { Cause::Unsettled } else { Cause::Lease })
             }
--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -67,7 +67,8 @@
     /// Runs a scheduling round: goes through the steps in order and starts every task for which a
     /// worker has room.
     pub(super) fn dispatch(&mut self, now: Time) {
-        if !self.round_due || self.ready.is_empty() || self.next_round > now || !self.may_act(now) {
+        let is_due = self.round_due && self.next_round <= now;
+        if !is_due || self.ready.is_empty() || !self.may_start(now) {
             return;
         }
         self.round_due = false;
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -59,7 +59,7 @@
             Err(Fault::Unknown) => self.answers.record_loss(now),
             Err(_) => {}
         }
-        let from = self.lease_start(now);
+        let (from, knows_cancels) = (self.lease_start(now), self.knows_cancels(now));
         let worker = &mut self.workers[no.0];
         let Some(run) = worker.runs.get_mut(&start.task).filter(|r| r.run == start.run) else {
             return;
@@ -71,6 +71,7 @@
         let first = run.start_count == 1;
         let more =
             run.start_count < MAX_START_ATTEMPTS && from.is_some() && worker.leaves_at.is_none();
+        let more = more && knows_cancels;
         match reply {
             Ok(WorkerReply::Done(_)) => {
                 run.phase = RunPhase::Running;
--- a/src/shard/prefetch.rs
+++ b/src/shard/prefetch.rs
@@ -216,7 +216,7 @@
     /// Returns whether this owner may start no task of the job now, but perhaps by the time `by`.
     fn bar_may_end(&self, no: &JobNo, job: &ActiveJob, by: Time, now: Time) -> bool {
         match () {
-            () if !self.may_act(now) => true,
+            () if !self.may_start(now) => true,
             () if self.is_sole_starter(no) => false,
             () => !job.inherited || self.unsettled_workers.iter().all(|n| self.may_end(*n, by)),
         }
--- a/src/shard/speculation.rs
+++ b/src/shard/speculation.rs
@@ -26,7 +26,7 @@
 impl Shard {
     /// Starts copies of slow tasks on spare workers.
     pub(super) fn start_copies(&mut self, now: Time) {
-        if !self.may_act(now) {
+        if !self.may_start(now) {
             return;
         }
         let copyable = |s: &Step| s.copies && !s.gang && !s.lasts && !s.fills;
--- a/src/shard/start.rs
+++ b/src/shard/start.rs
@@ -82,9 +82,8 @@
         }
     }
 
-    /// Adds a run to its worker and orders the start; returns false if the owner or the worker has
-    /// no valid lease, or
-    /// if the customer's cap does not allow the run.
+    /// Adds a run to its worker and orders the start; returns false if the owner may start nothing, the
+    /// worker has no valid lease, or the customer's cap does not allow the run.
     pub(super) fn launch(
         &mut self,
         task: TaskKey,
@@ -95,7 +94,9 @@
         now: Time,
     ) -> bool {
         let (yields, due_at) = self.preemptible_at(&task, step);
-        let Some(from) = self.lease_start(now) else { return false };
+        let Some(from) = self.lease_start(now).filter(|_| self.knows_cancels(now)) else {
+            return false;
+        };
         let Some(job) = self.jobs.get(&task.step.job) else { return false };
         if !self.cap_allows(job.customer, &step.size) {
             return false;
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -262,7 +262,7 @@
                 }
             }
             Event::Cancel(no, record, source) => self.on_cancel(no, &record, source, now),
-            Event::InboxSeen(at) => self.inbox_seen = self.inbox_seen.max(at),
+            Event::InboxSeen(seen) => self.on_inbox_seen(seen, now),
             Event::Listed(list) => self.on_list(list, now),
             Event::Queues(queues) => self.configure(queues, now),
             Event::Worker { worker, sent, call, reply } => {
