Callers: tests of cancels that reach the store before their job

Cause: a cancel is acknowledged without a write where the store has no record of the job: 410 if a second reading finds none, 200 if it finds one. A job whose write is still on its way is then stored and run, and its owner can't hear of the cancel.

--- a/tests/site/store.rs
+++ b/tests/site/store.rs
@@ -56,6 +56,8 @@
     muted: Vec<String>,
     /// Prefixes whose watches get no events.
     suppressed: Vec<String>,
+    /// An item that is written as soon as a read has not found it.
+    written_on_miss: Option<(String, String)>,
     /// Prefix whose ranges are refused; empty if there is none.
     unreadable: String,
     /// Prefix whose next changes are missing from the reply to one watch; empty if there is none.
@@ -188,6 +190,12 @@
         }
     }
 
+    /// Writes an item right after the next read of its key, which does not find it.
+    pub fn write_on_miss(&self, key: &str, value: &str) {
+        let item = (key.into(), value.into());
+        self.state.lock().expect("state").written_on_miss = Some(item);
+    }
+
     /// Refuses all later ranges of exactly this prefix.
     pub fn refuse_ranges(&self, prefix: &str) {
         self.state.lock().expect("state").unreadable = prefix.into();
@@ -376,7 +384,12 @@
         match path {
             "/get" => {
                 self.gets += 1;
-                (200, self.item(text(request, "key")))
+                let key = text(request, "key");
+                let item = self.item(key);
+                if let Some((_, value)) = self.written_on_miss.take_if(|(k, _)| k == key) {
+                    self.write(key, Some((value, 0)));
+                }
+                (200, item)
             }
             "/range" => {
                 let prefix = text(request, "prefix");
