Callers: a cancel is stored although the store has no record of its job

What callers saw: a cancel answered 410 (or 200, where the job came between two readings), and the job then ran to its end. Cause: a cancel wrote nothing where the store had no record of the job, although the write of the job could still be on its way: its answer lost and carried out later, or under way at another member. Change: the cancel is written unless the job's progress says that it is over. One that found no job says whose job it may end, so that a customer can't cancel another's. The owner keeps it as it keeps a cancel that it reads before its job, ends the job as it comes, and removes the row after the retention of states. The answer is 410 as before. Cost: one write for a cancel of a job that isn't there, where there was none; a read less where the job isn't there. Test changed: what_is_not_there_or_not_well_formed_is_told_apart asked for an empty inbox after such a cancel; it now asks for exactly that cancel.

--- a/src/job_api.rs
+++ b/src/job_api.rs
@@ -18,11 +18,11 @@
         ids::PoolId,
         member_rpc::{PeerClients, relaying_clients},
         service_clients::ServiceClients,
-        shard::record::ShardNo,
+        shard::record::{self, Progress, ShardNo},
         shard_runner::ShardInput,
         shared_state::{Config, SharedState},
         time::Time,
-        work::{JobNo, Queue},
+        work::{JobNo, JobState, Queue},
     },
     async_channel::Sender,
     bytes::Bytes,
@@ -221,6 +221,22 @@
         }
     }
 
+    /// Returns the state of a job that has begun, as the store has it.
+    ///
+    /// Returns an error if the store doesn't answer; its kind is that of a request without effect.
+    async fn stored_state(
+        &self,
+        request: &CallerRequest,
+        shard: ShardNo,
+        job: JobNo,
+    ) -> Result<Option<JobState>, Error> {
+        let unanswered = |_| Error::new(Kind::Platform, "the store doesn't answer");
+        let limit = self.call_limit(request)?;
+        let item = self.services.get(&shard.progress_key(job), limit).await.map_err(unanswered)?;
+        let progress = item.and_then(|i| record::decode::<Progress>(i.value.as_ref()?));
+        Ok(progress.map(|p| p.state))
+    }
+
     /// Returns whether the store has a job: its record, or its progress once it has begun.
     ///
     /// Returns an error if the store doesn't answer; its kind is that of a request without effect.
--- a/src/job_api/submit.rs
+++ b/src/job_api/submit.rs
@@ -9,10 +9,10 @@
         ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
         shard::{
             oversized_step,
-            record::{self, CancelRecord, JobRecord, ShardNo},
+            record::{self, CancelRecord, CancelScope, JobRecord, ShardNo},
         },
         shared_state::{Config, unix_ms},
-        work::{Job, JobNo},
+        work::{Job, JobNo, JobState},
     },
     bytes::Bytes,
     std::time::Duration,
@@ -231,6 +231,9 @@
     }
 
     /// Cancels a job for its customer. To other customers there is no such job.
+    ///
+    /// The cancel is also stored if the store has no such job: the write of the job may still be on its
+    /// way. Without the stored cancel, the job would run although its caller was told that there is none.
     pub(super) async fn cancel(
         &self,
         request: &CallerRequest,
@@ -239,36 +242,50 @@
         customer: Option<&CustomerId>,
     ) -> Result<Bytes, Error> {
         let shard = self.shard(no, pool)?;
+        let Some(scope) = self.cancel_scope(request, shard, no, customer).await? else {
+            self.common.metrics.count_cancel("over");
+            log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, written = false; "Cancel has no effect; the job is over.");
+            return Ok(Bytes::new());
+        };
+        let found = scope == CancelScope::Checked;
+        let cancel = CancelRecord { asked_ms: unix_ms(), scope };
+        let put = Put { key: shard.cancel_key(no), value: record::encode(&cancel), lease: 0 };
+        let call = StoreCall::Txn(Txn { puts: vec![put], ..Txn::default() });
+        let mut tries = WriteAttempts::default();
+        if let Err(e) = self.repeat_write(request, &call, &mut tries).await {
+            self.common.metrics.count_cancel("failed");
+            return Err(tries.final_error(e));
+        }
+        self.notify_owner(shard, no, InboxChange::Cancel(cancel));
+        self.common.metrics.count_cancel(if found { "written" } else { "no_job" });
+        log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, found, written = true, tries = tries.failed_count; "Job is cancelled.");
+        if found { Ok(Bytes::new()) } else { Err(Kind::NoJob.into()) }
+    }
+
+    /// Returns whose job a cancel may end; `None` if the job is over.
+    ///
+    /// Returns an error if the job belongs to another customer, or if the store doesn't answer.
+    async fn cancel_scope(
+        &self,
+        request: &CallerRequest,
+        shard: ShardNo,
+        no: JobNo,
+        customer: Option<&CustomerId>,
+    ) -> Result<Option<CancelScope>, Error> {
         let unanswered = |_| Error::new(Kind::Platform, "the store refuses or doesn't answer");
         let limit = self.call_limit(request)?;
-        let Some(item) = self.services.get(&shard.job_key(no), limit).await.map_err(unanswered)?
-        else {
-            let there = self.is_stored(request, shard, no).await?;
-            self.common.metrics.count_cancel(if there { "over" } else { "no_job" });
-            log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, there, written = false; "Cancel has no effect; the store has no record of the job.");
-            return if there { Ok(Bytes::new()) } else { Err(Kind::NoJob.into()) };
+        let item = self.services.get(&shard.job_key(no), limit).await.map_err(unanswered)?;
+        let Some(item) = item else {
+            let state = self.stored_state(request, shard, no).await?;
+            let over = state.is_some_and(JobState::is_final);
+            return Ok((!over).then(|| CancelScope::Customer(customer.cloned())));
         };
         let record: Option<JobRecord> = item.value.as_ref().and_then(|v| record::decode(v));
         let owner = record.and_then(|r| r.customer);
         if owner.is_some() && owner.as_ref() != customer {
             return Err(Error::new(Kind::NoJob, "the job belongs to another customer"));
         }
-        let cancel = CancelRecord { asked_ms: unix_ms() };
-        let put = Put { key: shard.cancel_key(no), value: record::encode(&cancel), lease: 0 };
-        let call = StoreCall::Txn(Txn { puts: vec![put], ..Txn::default() });
-        let mut tries = WriteAttempts::default();
-        match self.repeat_write(request, &call, &mut tries).await {
-            Ok(()) => {
-                self.notify_owner(shard, no, InboxChange::Cancel(cancel));
-                self.common.metrics.count_cancel("written");
-                log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, tries = tries.failed_count; "Job is cancelled.");
-                Ok(Bytes::new())
-            }
-            Err(e) => {
-                self.common.metrics.count_cancel("failed");
-                Err(tries.final_error(e))
-            }
-        }
+        Ok(Some(CancelScope::Checked))
     }
 
     /// Notifies the shard's owner of what was stored, without waiting for its answer.
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -32,6 +32,8 @@
         }
         self.restore_queues();
         let customer = record.customer.as_ref().map(|name| self.customer_no(name));
+        let early_cancel = self.early_cancels.remove(&no);
+        let cancelled = early_cancel.as_ref().is_some_and(|s| s.includes(record.customer.as_ref()));
         let mut active = ActiveJob::new(record, progress, old, now, self.setup.unix_ms);
         active.customer = customer;
         active.arrival = customer.map(|c| self.record_arrival(c, active.submitted_ms, now));
@@ -40,9 +42,11 @@
         }
         self.jobs.insert(no, active);
         self.log_known(no, now);
-        if self.early_cancels.remove(&no) {
+        if early_cancel.is_some() {
             // The job's progress is kept from the job's end, not from its cancel.
             self.purge_queue.retain(|(_, n)| *n != no);
+        }
+        if cancelled {
             return self.end_job(no, JobState::Cancelled, now);
         }
         self.create_due_steps(no, now);
@@ -83,19 +87,25 @@
         now: Time,
     ) {
         let known = match self.jobs.get(&no) {
-            Some(job) if !job.state.is_final() => true,
-            Some(_) => return,
-            None if self.finished_jobs.contains_key(&no) || self.early_cancels.contains(&no) => {
-                return;
+            Some(job) if job.state.is_final() => return,
+            Some(job) => {
+                let customer = job.customer.map(|c| &self.caps.customers[c.0].name);
+                if !record.scope.includes(customer) {
+                    return;
+                }
+                true
             }
+            None if self.finished_jobs.contains_key(&no) => return,
+            None if self.early_cancels.get(&no) == Some(&record.scope) => return,
             None => false,
         };
         self.log_cancel(no, record, source, known, now);
         if known {
             return self.end_job(no, JobState::Cancelled, now);
         }
-        self.early_cancels.insert(no);
-        self.purge_queue.push_back((self.unix_ms(now) + self.retention_ms(), no));
+        if self.early_cancels.insert(no, record.scope.clone()).is_none() {
+            self.purge_queue.push_back((self.unix_ms(now) + self.retention_ms(), no));
+        }
     }
 
     /// Ends a job: none of its tasks starts any more, and its runs are stopped.
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -98,12 +98,36 @@
 }
 
 /// A caller's request to cancel a job.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CancelRecord {
     /// Unix time at which the caller asked, in milliseconds; 0 if a member of an earlier version wrote
     /// the record.
     #[serde(default)]
     pub asked_ms: u64,
+    /// Whose job may be cancelled.
+    #[serde(default)]
+    pub scope: CancelScope,
+}
+
+/// Whose job a request to cancel it may end.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CancelScope {
+    /// The member that wrote the request has found the job to be the caller's.
+    #[default]
+    Checked,
+    /// The job was not stored yet: it is cancelled if it belongs to this customer, or to none.
+    Customer(Option<CustomerId>),
+}
+
+impl CancelScope {
+    /// Returns whether the request may end a job of this customer.
+    pub fn includes(&self, customer: Option<&CustomerId>) -> bool {
+        match self {
+            CancelScope::Checked => true,
+            CancelScope::Customer(caller) => customer.is_none() || customer == caller.as_ref(),
+        }
+    }
 }
 
 /// Returns the key of the division of a customer's cap.
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -16,7 +16,7 @@
             in_flight::InFlight,
             jobs::{ActiveJob, StepState},
             rack_state::Locality,
-            record::{Closing, Progress, ShardNo},
+            record::{CancelScope, Closing, Progress, ShardNo},
             reservation::GangReservation,
             share_state::ShareState,
             stats::{AdviceStats, ReportedValues, Stats},
@@ -76,7 +76,7 @@
     /// Jobs with occurrences that are not due yet.
     pub(super) scheduled_jobs: BTreeSet<JobNo>,
     /// Cancelled jobs whose record has not arrived yet.
-    pub(super) early_cancels: FxHashSet<JobNo>,
+    pub(super) early_cancels: FxHashMap<JobNo, CancelScope>,
     pub(super) workers: Vec<Worker>,
     pub(super) worker_numbers: FxHashMap<WorkerId, WorkerNo>,
     pub(super) pools: FxHashMap<PoolId, Vec<WorkerNo>>,
@@ -165,7 +165,7 @@
             finished_jobs: FxHashMap::default(),
             purge_queue: VecDeque::new(),
             scheduled_jobs: BTreeSet::new(),
-            early_cancels: FxHashSet::default(),
+            early_cancels: FxHashMap::default(),
             workers: vec![],
             worker_numbers: FxHashMap::default(),
             pools: FxHashMap::default(),
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -220,7 +220,8 @@
 
     /// Stores the cancellation of a job and notifies the owner.
     pub fn cancel(&mut self, no: u64) {
-        let record = CancelRecord { asked_ms: UNIX_MS + self.now.0 / 1_000 };
+        let record =
+            CancelRecord { asked_ms: UNIX_MS + self.now.0 / 1_000, ..CancelRecord::default() };
         self.store.put(SHARD.cancel_key(JobNo(no)), encode(&record));
         if self.inbox_heard {
             self.deliver(Event::Cancel(JobNo(no), record, CancelSource::Watch));
--- a/tests/site.rs
+++ b/tests/site.rs
@@ -60,7 +60,8 @@
         assert_eq!(member.status("POST", JOB_PATH, r#"{"text": "t", "steps": []}"#).await, 400);
         assert_eq!(member.status("POST", JOB_PATH, &"x".repeat(1001)).await, 413);
         assert_eq!(member.status("PUT", JOB_PATH, JOB).await, 405);
-        assert!(member.inbox().is_empty());
+        // The job's write could still be on its way, so its cancel is stored.
+        assert_eq!(member.inbox(), ["dwr/in/000/c/00000000000000a1"]);
     });
 }
 
--- a/tests/site_keys.rs
+++ b/tests/site_keys.rs
@@ -127,6 +127,23 @@
     });
 }
 
+#[test]
+fn another_customer_cannot_cancel_a_job_before_it_is_stored() {
+    // Guards against a cancel that is stored before its job and ends the job of another customer.
+    run(async {
+        let member = member("keys-early").await;
+        assert_eq!(status(&member, "k3", "DELETE", PATH).await, 410);
+        assert_eq!(status(&member, "k1", "POST", PATH).await, 200);
+        let next = "/a/00000000000000b9";
+        assert_eq!(status(&member, "k1", "DELETE", next).await, 410);
+        assert_eq!(status(&member, "k1", "POST", next).await, 200);
+        let state = async |path| member.send_with(&["Bearer k1"], "GET", path, "", 1000).await.1;
+        let cancelled = async || &state(next).await[..] == b"cancelled";
+        member.wait_until("the cancelled state of the customer's own job", cancelled).await;
+        assert_ne!(&state(PATH).await[..], b"cancelled");
+    });
+}
+
 #[test]
 fn a_key_that_was_taken_away_admits_nothing_at_a_member_without_a_store() {
     // The member can't hear that the key was taken away, and would answer by it for good.
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -336,7 +336,10 @@
         if self.store.health == Mode::Down {
             return self.at(self.now.0 / 1_000 + 500, move |y| y.cancel(no));
         }
-        let record = CancelRecord { asked_ms: UNIX_START_MS + self.now.0 / 1_000 };
+        let record = CancelRecord {
+            asked_ms: UNIX_START_MS + self.now.0 / 1_000,
+            ..CancelRecord::default()
+        };
         self.store.put(SHARD.cancel_key(JobNo(no)), encode(&record));
         self.rules.cancels.entry(JobNo(no)).or_insert(self.now);
         self.send_inbox_change(Event::Cancel(JobNo(no), record, CancelSource::Watch));
