Owners without a store ask all members for the cancels that they have acknowledged

What callers would see: with starts bound to the age of the owner's view, all waiting work would stand still while the store is away. Cause: only the store tells an owner of cancels for certain, and nothing told 'away for me' from 'away for all'. A cancel is acknowledged by a member and by nobody else, so if all have answered, and know the same members, its view is complete up to when it asked. If one doesn't answer, nothing starts: it may have acknowledged one.

--- a/src/job_api/submit.rs
+++ b/src/job_api/submit.rs
@@ -3,6 +3,7 @@
 use {
     super::{CallerRequest, JobApi, outdated},
     crate::{
+        cancel_log::AcknowledgedCancel,
         error::{Error, Kind},
         ids::{CustomerId, PoolId},
         member_rpc::{InboxChange, notify_local_shard},
@@ -256,6 +257,9 @@
             self.common.metrics.count_cancel("failed");
             return Err(tries.final_error(e));
         }
+        let entry = AcknowledgedCancel { shard, job: no, record: cancel.clone() };
+        let now = self.common.now();
+        self.common.cancel_log.lock().expect("no holder panics").record(entry, now);
         self.notify_owner(shard, no, InboxChange::Cancel(cancel));
         self.common.metrics.count_cancel(if found { "written" } else { "no_job" });
         log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, found, written = true, tries = tries.failed_count; "Job is cancelled.");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,6 +42,8 @@
 pub mod attempts;
 pub mod bucket;
 mod callers;
+pub mod cancel_log;
+mod cancel_search;
 pub mod claims;
 pub mod cli;
 mod clock;
--- a/src/member_rpc.rs
+++ b/src/member_rpc.rs
@@ -9,6 +9,7 @@
 
 use {
     crate::{
+        cancel_log::AcknowledgedCancel,
         gate::Gate,
         ids::WorkerId,
         ports::{Advice, AdviceCall, Fault, WireRequest},
@@ -42,8 +43,8 @@
 mod messages;
 
 use messages::{
-    AdviseReply, AdviseRequest, HeldRequest, JobNotice, QueueLengthRequest, StatesRequest,
-    UsageNotice,
+    AdviseReply, AdviseRequest, CancelsReply, CancelsRequest, HeldRequest, JobNotice,
+    QueueLengthRequest, StatesRequest, UsageNotice,
 };
 
 /// Upper bound of the time limits that other members ask for.
@@ -145,6 +146,11 @@
             Ok::<_, ErrorObjectOwned>(())
         }
     })?;
+    let cancels_common = common.clone();
+    module.register_async_method("cancels", move |params, _, _| {
+        let common = cancels_common.clone();
+        async move { Ok::<_, ErrorObjectOwned>(local_cancels(&common, &params.one()?)) }
+    })?;
     let usage_input = input.clone();
     module.register_async_method("usage", move |params, _, _| {
         let input = usage_input.clone();
@@ -226,6 +232,17 @@
     reply
 }
 
+/// Returns the cancels that this member has lately acknowledged.
+fn local_cancels(common: &SharedState, request: &CancelsRequest) -> CancelsReply {
+    if common.view.borrow().members_hash() != request.members {
+        return None;
+    }
+    let age = Duration::from_millis(request.age_ms);
+    let log = common.cancel_log.lock().expect("no holder panics");
+    let cancels = log.last(age, common.now())?;
+    Some(cancels.into_iter().map(|c| (c.shard, c.job.to_string().into(), c.record)).collect())
+}
+
 /// Returns the states of jobs, as the shards of this member know them; `None` if their input queue
 /// is full.
 pub(crate) async fn local_states(
@@ -395,6 +412,23 @@
         let _: Option<()> = self.call(addr, "heard", &request, limit).await;
     }
 
+    /// Asks a member for the cancels that it has acknowledged in the last `age`; `None` if it doesn't
+    /// answer, can't name them all, or knows other members than those that `members` is the hash of.
+    pub async fn acknowledged_cancels(
+        &self,
+        addr: SocketAddr,
+        age: Duration,
+        members: u64,
+        limit: Duration,
+    ) -> Option<Vec<AcknowledgedCancel>> {
+        let request = CancelsRequest { age_ms: millis(age), members };
+        let reply: CancelsReply = self.call(addr, "cancels", &request, limit).await.flatten();
+        let read = |(shard, job, record): (ShardNo, Box<str>, CancelRecord)| {
+            Some(AcknowledgedCancel { shard, job: job.parse().ok()?, record })
+        };
+        reply?.into_iter().map(read).collect()
+    }
+
     /// Sends the owner of other shards what customers have in shards of this member.
     pub async fn report_usage(
         &self,
--- a/src/member_rpc/messages.rs
+++ b/src/member_rpc/messages.rs
@@ -53,6 +53,18 @@
     pub(super) cancel: CancelRecord,
 }
 
+/// A request for the cancels that a member has acknowledged in the last `age_ms` milliseconds.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct CancelsRequest {
+    pub(super) age_ms: u64,
+    /// The hash of the members that the asking member knows.
+    pub(super) members: u64,
+}
+
+/// The answer to a [`CancelsRequest`]; `None` if the asked member can't name them all or knows other
+/// members.
+pub(super) type CancelsReply = Option<Box<[(ShardNo, Box<str>, CancelRecord)]>>;
+
 /// Notice of what customers have in the shards of a member; `R` is a sequence of reports.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct UsageNotice<R> {
--- a/src/owned_shards.rs
+++ b/src/owned_shards.rs
@@ -16,6 +16,7 @@
         },
         shard_runner::{ShardInput, ShardOutput},
         shared_state::{Config, SharedState},
+        time::Time,
         usage_exchange::{UsageExchange, recipients},
         wave_driver::{WAVE_SHARD, WaveDriver},
         work::{JobNo, ListedWorker},
@@ -66,6 +67,9 @@
 struct OwnedShard {
     token: u64,
     task: AbortHandle,
+    /// All cancels that were acknowledged before this time have been delivered; `None` until the shard
+    /// has been loaded.
+    inbox_seen: Option<Time>,
 }
 
 impl OwnedShards {
@@ -87,7 +91,7 @@
     pub fn begin_owning(&self, shard: ShardNo, token: u64, commit: Rev, lapsed: bool) {
         let this = self.clone();
         let task = tokio::spawn(async move { this.run_shard(shard, token, commit, lapsed).await });
-        let owned = OwnedShard { token, task: task.abort_handle() };
+        let owned = OwnedShard { token, task: task.abort_handle(), inbox_seen: None };
         let previous = self.owned.lock().expect("no holder panics").insert(shard, owned);
         if let Some(previous) = previous {
             previous.task.abort();
@@ -117,8 +121,10 @@
             }
         };
         load.lapsed = lapsed;
+        let read_at = load.read_at;
         log::info!(target: "owner", did = "owned", shard:% = shard, token, jobs = load.jobs.len(), roster = load.roster.workers.len(), rev; "Shard is owned.");
         let _ = self.shard_inputs.send(ShardInput::Own(shard, token, Box::new(load))).await;
+        self.record_inbox_seen(shard, token, read_at);
         self.loaded.notify_one();
         if shard != WAVE_SHARD {
             tokio::join!(self.follow_inbox(shard, token, rev), self.follow_divisions(shard, token));
@@ -205,15 +211,37 @@
                 Some(WatchUpdate::Changes(items, _)) => (&items[..], CancelSource::Watch),
                 None => (&[][..], CancelSource::Watch),
             };
-            let changes = items.iter().filter_map(|i| inbox_event(&inbox, i, source));
-            let seen = follow.complete_at().filter(|at| reported.replace(*at) != Some(*at));
-            let seen = seen.map(|at| self.common.time_of(at));
-            for event in changes.chain(seen.map(Event::InboxSeen)) {
+            for event in items.iter().filter_map(|i| inbox_event(&inbox, i, source)) {
                 let _ = self.shard_inputs.send(ShardInput::Event(shard, token, event)).await;
             }
+            let seen = follow.complete_at().filter(|at| reported.replace(*at) != Some(*at));
+            if let Some(at) = seen {
+                self.report_inbox_seen(shard, token, self.common.time_of(at)).await;
+            }
+        }
+    }
+
+    /// Tells a shard that all cancels that were acknowledged before `seen` have been delivered to it.
+    pub(crate) async fn report_inbox_seen(&self, shard: ShardNo, token: u64, seen: Time) {
+        let event = Event::InboxSeen(seen);
+        let _ = self.shard_inputs.send(ShardInput::Event(shard, token, event)).await;
+        self.record_inbox_seen(shard, token, seen);
+    }
+
+    fn record_inbox_seen(&self, shard: ShardNo, token: u64, seen: Time) {
+        let mut owned = self.owned.lock().expect("no holder panics");
+        if let Some(owned) = owned.get_mut(&shard).filter(|o| o.token == token) {
+            owned.inbox_seen = owned.inbox_seen.max(Some(seen));
         }
     }
 
+    /// Returns the loaded shards that this member owns, each with its token and the time before which all
+    /// acknowledged cancels have been delivered to it.
+    pub(crate) fn inbox_views(&self) -> Vec<(ShardNo, u64, Time)> {
+        let owned = self.owned.lock().expect("no holder panics");
+        owned.iter().filter_map(|(s, o)| Some((*s, o.token, o.inbox_seen?))).collect()
+    }
+
     /// Reads the stored state of a shard. Returns it with the revision from which its inbox has to
     /// be followed.
     ///
--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -38,7 +38,7 @@
         now - self.inbox_seen <= bound - bound / CANCEL_MARGIN_DIVISOR
     }
 
-    /// Records that all changes of the inbox that were stored before `seen` have been delivered.
+    /// Records that all cancels that were acknowledged before `seen` have been delivered.
     pub(super) fn on_inbox_seen(&mut self, seen: Time, now: Time) {
         self.round_due |= !self.knows_cancels(now);
         self.inbox_seen = self.inbox_seen.max(seen);
--- a/src/shard/event.rs
+++ b/src/shard/event.rs
@@ -33,7 +33,7 @@
     pub lapsed: bool,
     /// The divisions of the customers' caps, each with its revision.
     pub divisions: Vec<(CustomerId, Rev, Division)>,
-    /// The snapshot has all changes of the inbox that were stored before this time.
+    /// The snapshot has all cancels that were acknowledged before this time.
     pub read_at: Time,
 }
 
@@ -52,6 +52,9 @@
     /// The inbox was read again.
     #[display("reread")]
     Reread,
+    /// A member that acknowledged it named it when it was asked.
+    #[display("members")]
+    Members,
 }
 
 /// The store's reply to a write of a division.
@@ -71,7 +74,7 @@
     Job(JobNo, Box<JobRecord>),
     /// A cancel of a job was stored.
     Cancel(JobNo, CancelRecord, CancelSource),
-    /// All changes of the inbox that were stored before this time have been delivered.
+    /// All cancels that were acknowledged before this time have been delivered.
     InboxSeen(Time),
     /// The complete list of this shard's workers.
     Listed(Vec<ListedWorker>),
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -87,7 +87,7 @@
     pub(super) settled_by_lapse: bool,
     /// Tasks of which a run other than the current one is still being stopped.
     pub(super) stray_tasks: FxHashSet<TaskKey>,
-    /// All changes of the inbox that were stored before this time are known.
+    /// All cancels that were acknowledged before this time are known.
     pub(super) inbox_seen: Time,
     /// The time at which this owner took over the shard.
     pub(super) owned_since: Time,
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -121,7 +121,7 @@
     pub waiting_tasks: BTreeMap<u8, usize>,
     /// The age of the worker list.
     pub worker_list_age: Duration,
-    /// The age of what is known of the inbox.
+    /// The age of what is known of cancels.
     pub inbox_age: Duration,
     /// The longest time for which a long-running task has been away, by cause.
     pub longest_absence: BTreeMap<Cause, Duration>,
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::{
+        cancel_log::CancelLog,
         clock::{self, Clock},
         decide::call_queue::CallQueue,
         ids::Incarnation,
@@ -70,6 +71,8 @@
     pub store_routes: Arc<StoreRoutes>,
     /// The advice calls that this member has in flight, for itself and for other members.
     pub advice_queue: Mutex<CallQueue>,
+    /// The cancels that this member has lately acknowledged.
+    pub cancel_log: Mutex<CancelLog>,
     clock: Clock,
     /// Time of the store's last answer; [`Time::ZERO`] if it never has answered.
     last_answer: AtomicU64,
@@ -114,6 +117,7 @@
             may_give_up: watch::Sender::new(false),
             store_routes: Arc::default(),
             advice_queue: Mutex::default(),
+            cancel_log: Mutex::default(),
             clock: Clock::start(),
             last_answer: AtomicU64::new(0),
             outdated_rev: AtomicU64::new(0),
--- a/src/site.rs
+++ b/src/site.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        cancel_search::search_cancels,
         cli::{self, Exit},
         error::{Error, Kind},
         http::{Limits, answer, serve},
@@ -135,7 +136,7 @@
     let owner = OwnedShards::new(
         common.clone(),
         services.clone(),
-        peers,
+        peers.clone(),
         shard_inputs.clone(),
         notices.clone(),
     );
@@ -143,6 +144,8 @@
     tokio::spawn(signals.handle_signals(common.clone(), settings));
     tokio::spawn(ShardRunner::new(common.clone(), events, order_tx, notices).run());
     tokio::spawn(owner.clone().poll_workers());
+    let inputs = shard_inputs.clone();
+    tokio::spawn(search_cancels(common.clone(), peers, owner.clone(), inputs));
     tokio::spawn(log_calls(common.clone()));
     tokio::spawn(owner.clone().run_orders(orders));
     tokio::spawn(table_sync::follow_config(common.clone(), services.clone(), shard_inputs.clone()));
--- a/src/table_view.rs
+++ b/src/table_view.rs
@@ -9,6 +9,7 @@
         shard::record::{Closing, Layout, MemberRow, ShardNo},
     },
     std::{collections::BTreeMap, net::SocketAddr, sync::Arc},
+    xxhash_rust::xxh3::Xxh3Default,
 };
 
 /// A snapshot of the table for the other threads and tasks of this member.
@@ -59,6 +60,13 @@
         peers
     }
 
+    /// Returns a hash of the ids of all live members.
+    pub fn members_hash(&self) -> u64 {
+        let mut hasher = Xxh3Default::new();
+        self.members.keys().for_each(|m| hasher.update(&m.0.to_le_bytes()));
+        hasher.digest()
+    }
+
     /// Returns the number of live members with a lower id than this one.
     pub fn id_rank(&self, me: Incarnation) -> usize {
         self.members.keys().take_while(|m| **m < me).count()
