--- a/tests/shard_inbox.rs
+++ b/tests/shard_inbox.rs
@@ -61,3 +61,34 @@
     hand.inbox_heard = true;
     hand.run_until("the third start", 100, |h| h.starts().len() == 3);
 }
+
+#[test]
+fn stops_of_a_cancelled_job_are_repeated_until_they_are_answered() {
+    // Guards against a run that goes on because the order to stop it was lost.
+    let mut hand = Harness::new(1);
+    hand.submit(1, "plain", job(step(1, 1)));
+    hand.run_until("a start", 500, |h| h.workers[0].running.len() == 1);
+    hand.workers[0].hook = ONLY_HOLDS;
+    hand.cancel(1);
+    hand.run(3_000);
+    assert_eq!(hand.workers[0].running.len(), 1, "the stops were lost");
+    hand.workers[0].hook = NORMAL;
+    hand.run_until("its stop", 600, |h| h.workers[0].running.is_empty());
+}
+
+#[test]
+fn a_successor_knows_a_cancel_whose_end_was_not_stored() {
+    // Guards against a successor that starts tasks of a job which its predecessor knew to be
+    // cancelled, and had not stored as such.
+    let mut hand = Harness::new(1);
+    hand.submit(1, "plain", job(step(2, 4)));
+    hand.run_until("a start", 500, |h| h.workers[0].running.len() == 1);
+    hand.store_up = false;
+    hand.cancel(1);
+    hand.run(100);
+    hand.store_up = true;
+    hand.take_over();
+    hand.run(5_000);
+    assert_eq!((hand.starts_of(1).len(), hand.workers[0].running.len()), (1, 0));
+    assert_eq!(hand.state(1), Some(JobState::Cancelled));
+}
