--- a/src/cancel_log.rs
+++ b/src/cancel_log.rs
@@ -50,13 +50,20 @@
         }
     }
 
-    /// Returns the cancels of the last `age`; `None` if the log doesn't reach back so far.
-    pub fn last(&self, age: Duration, now: Time) -> Option<Vec<AcknowledgedCancel>> {
+    /// Returns the cancels in these shards of the last `age`; `None` if the log doesn't reach back so
+    /// far.
+    pub fn last(
+        &self,
+        shards: &[ShardNo],
+        age: Duration,
+        now: Time,
+    ) -> Option<Vec<AcknowledgedCancel>> {
         let from = now - age;
         if from < self.complete_since {
             return None;
         }
         let first = self.cancels.partition_point(|(at, _)| *at < from);
-        Some(self.cancels.range(first..).map(|(_, c)| c.clone()).collect())
+        let recent = self.cancels.range(first..).map(|(_, c)| c);
+        Some(recent.filter(|c| shards.contains(&c.shard)).cloned().collect())
     }
 }
--- a/src/cancel_search.rs
+++ b/src/cancel_search.rs
@@ -1,19 +1,23 @@
 //! Asks all members for the cancels that they have acknowledged, while this member can't read the inboxes
-//! of its shards.
+//! of its shards: the store is away or slow, or refuses this member.
 //!
-//! *Failure:* the store is away, slow, or refuses this member. Nothing may start once a cancel could have
-//! been missed, so all waiting work would stand still for as long as that lasts. The members that acknowledge
-//! cancels know them without the store. If one of them doesn't answer, it may have acknowledged a cancel,
-//! and waiting work stays where it is.
+//! Nothing may start once a cancel could have been missed, so all waiting work would stand still for as
+//! long as that lasts. The members that acknowledge cancels know them without the store. If one of them
+//! doesn't answer, it may have acknowledged a cancel, and waiting work stays where it is.
 
 use {
     crate::{
         cancel_log::AcknowledgedCancel,
+        ids::Incarnation,
         member_rpc::PeerClients,
-        owned_shards::OwnedShards,
-        shard::event::{CancelSource, Event},
+        owned_shards::{InboxView, OwnedShards},
+        shard::{
+            event::{CancelSource, Event},
+            record::ShardNo,
+        },
         shard_runner::ShardInput,
         shared_state::SharedState,
+        time::Time,
     },
     async_channel::Sender,
     std::{sync::Arc, time::Duration},
@@ -43,49 +47,73 @@
     loop {
         sleep(CHECK_INTERVAL).await;
         let (views, sent) = (owned_shards.inbox_views(), common.now());
-        let Some(oldest) = views.iter().map(|v| v.2).min() else { continue };
+        let Some(oldest) = views.iter().map(|v| v.seen).min() else { continue };
         if sent - oldest < max_age(common.site.borrow().bounds.cancel_lag) {
             continue;
         }
-        let (cancels, complete) = ask_members(&common, &peers, sent - oldest).await;
-        for cancel in cancels {
-            let token = views.iter().find(|v| v.0 == cancel.shard).map(|v| v.1);
-            let Some(token) = token else { continue };
+        let shards: Arc<[ShardNo]> = views.iter().map(|v| v.shard).collect();
+        let answers = ask_members(&common, &peers, shards, sent - oldest).await;
+        let complete = is_complete(&common, &answers, oldest);
+        common.metrics.count_call("cancel_search", if complete { "done" } else { "incomplete" });
+        for cancel in answers.into_iter().filter_map(|a| a.cancels).flatten() {
+            let Some(view) = views.iter().find(|v| v.shard == cancel.shard) else { continue };
             let event = Event::Cancel(cancel.job, cancel.record, CancelSource::Members);
-            let _ = shard_inputs.send(ShardInput::Event(cancel.shard, token, event)).await;
+            let _ = shard_inputs.send(ShardInput::Event(view.shard, view.token, event)).await;
         }
-        common.metrics.count_call("cancel_search", if complete { "done" } else { "incomplete" });
         if !complete {
             sleep(RETRY_PAUSE).await;
             continue;
         }
-        for (shard, token, _) in views {
+        for InboxView { shard, token, .. } in views {
             owned_shards.report_inbox_seen(shard, token, sent).await;
         }
     }
 }
 
-/// Returns the cancels that members have acknowledged in the last `age`, and whether all members have
-/// named theirs.
+/// The answer of one member.
+struct Answer {
+    member: Incarnation,
+    /// The cancels that it has acknowledged; `None` if it can't name them all or doesn't answer.
+    cancels: Option<Vec<AcknowledgedCancel>>,
+}
+
+/// Asks all members of the table for the cancels that they have acknowledged in the last `age`.
 async fn ask_members(
     common: &Arc<SharedState>,
     peers: &PeerClients,
+    shards: Arc<[ShardNo]>,
     age: Duration,
-) -> (Vec<AcknowledgedCancel>, bool) {
+) -> Vec<Answer> {
     let view = common.view.borrow().clone();
-    let members = view.members_hash();
+    let hash = view.members_hash();
     // The members count back from when they are asked, which is later.
     let age = age + QUESTION_TIMEOUT;
-    let own = common.cancel_log.lock().expect("no holder panics").last(age, common.now());
     let mut questions = JoinSet::new();
-    for (_, row) in view.members.iter().filter(|(m, _)| **m != common.me) {
-        let (peers, addr) = (peers.clone(), row.control);
+    for (member, row) in view.members.iter().filter(|(m, _)| **m != common.me) {
+        let (peers, shards) = (peers.clone(), shards.clone());
+        let (member, addr) = (*member, row.control);
         questions.spawn(async move {
-            peers.acknowledged_cancels(addr, age, members, QUESTION_TIMEOUT).await
+            let limit = QUESTION_TIMEOUT;
+            let cancels = peers.acknowledged_cancels(member, addr, &shards, age, hash, limit).await;
+            Answer { member, cancels }
         });
     }
-    let answers = questions.join_all().await;
-    let complete = own.is_some() && answers.iter().all(Option::is_some);
-    let cancels = own.into_iter().chain(answers.into_iter().flatten()).flatten().collect();
-    (cancels, complete)
+    let mut answers = questions.join_all().await;
+    let cancels = common.last_cancels(&shards, age);
+    answers.push(Answer { member: common.me, cancels });
+    answers
+}
+
+/// Returns whether the answers name all cancels that were acknowledged since `oldest`; logs why not.
+fn is_complete(common: &SharedState, answers: &[Answer], oldest: Time) -> bool {
+    let lacking: Vec<Incarnation> =
+        answers.iter().filter(|a| a.cancels.is_none()).map(|a| a.member).collect();
+    // A member that is gone may have acknowledged cancels that the view of the inbox lacks.
+    let is_gone = common.member_gone_at() >= oldest;
+    if let Some(first) = lacking.first() {
+        log::info!(target: "owner", did = "unsearched", members = answers.len(), lacking = lacking.len(), first:% = first; "Members don't name all cancels that they have acknowledged.");
+    } else if is_gone {
+        log::info!(target: "owner", did = "unsearched", members = answers.len(), lacking = 0; "A member that may have acknowledged cancels is gone.");
+    }
+    lacking.is_empty() && !is_gone
 }
--- a/src/job_api.rs
+++ b/src/job_api.rs
@@ -5,6 +5,7 @@
 //! owner, and from the store if the owner doesn't answer.
 
 mod authorize;
+mod cancel;
 mod queries;
 mod state_queries;
 mod submit;
--- a/src/job_api/submit.rs
+++ b/src/job_api/submit.rs
@@ -1,19 +1,17 @@
-//! Submits and cancels jobs.
+//! Submits jobs.
 
 use {
     super::{CallerRequest, JobApi, outdated},
     crate::{
-        cancel_log::AcknowledgedCancel,
         error::{Error, Kind},
-        ids::{CustomerId, PoolId},
         member_rpc::{InboxChange, notify_local_shard},
         ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
         shard::{
             oversized_step,
-            record::{self, CancelRecord, CancelScope, JobRecord, ShardNo},
+            record::{self, JobRecord, ShardNo},
         },
         shared_state::{Config, unix_ms},
-        work::{Job, JobNo, JobState},
+        work::{Job, JobNo},
     },
     bytes::Bytes,
     std::time::Duration,
@@ -33,9 +31,9 @@
 
 /// Counts the failed attempts of one write.
 #[derive(Default)]
-struct WriteAttempts {
+pub(super) struct WriteAttempts {
     /// Number of attempts that were refused or whose outcome is unknown.
-    failed_count: u32,
+    pub(super) failed_count: u32,
     /// Whether a failed attempt may have taken effect or may do so later.
     maybe_applied: bool,
     /// Number of attempts that failed because the configuration had changed.
@@ -47,7 +45,7 @@
     ///
     /// A caller that gets status 503 relies on its job never running. So once the outcome of one attempt
     /// is unknown, the answer says so, whatever the other attempts returned.
-    fn final_error(&self, error: Error) -> Error {
+    pub(super) fn final_error(&self, error: Error) -> Error {
         if self.maybe_applied { Kind::OutcomeUnknown.into() } else { error }
     }
 }
@@ -215,13 +213,18 @@
     }
 
     /// Waits before the next attempt; returns an error if no attempt is left.
-    async fn wait_retry(&self, fault: &Fault, tries: &mut WriteAttempts) -> Result<(), Error> {
+    pub(super) async fn wait_retry(
+        &self,
+        fault: &Fault,
+        tries: &mut WriteAttempts,
+    ) -> Result<(), Error> {
         let kind = match fault {
             Fault::Refused => Kind::Platform,
             Fault::Unsent => Kind::KvDown,
             Fault::Unknown | Fault::TooLarge | Fault::Bad(_) => Kind::OutcomeUnknown,
         };
         tries.failed_count += 1;
+        tries.maybe_applied |= kind == Kind::OutcomeUnknown;
         if tries.failed_count >= MAX_ATTEMPTS {
             let error = Error::new(Kind::Platform, "the store refuses or doesn't answer");
             return Err(error.with_retry_after(STORE_RETRY_AFTER));
@@ -231,72 +234,11 @@
         Ok(())
     }
 
-    /// Cancels a job for its customer. To other customers there is no such job.
-    ///
-    /// The cancel is also stored if the store has no such job: the write of the job may still be on its
-    /// way. Without the stored cancel, the job would run although its caller was told that there is none.
-    pub(super) async fn cancel(
-        &self,
-        request: &CallerRequest,
-        no: JobNo,
-        pool: &PoolId,
-        customer: Option<&CustomerId>,
-    ) -> Result<Bytes, Error> {
-        let shard = self.shard(no, pool)?;
-        let Some(scope) = self.cancel_scope(request, shard, no, customer).await? else {
-            self.common.metrics.count_cancel("over");
-            log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, written = false; "Cancel has no effect; the job is over.");
-            return Ok(Bytes::new());
-        };
-        let found = scope == CancelScope::Checked;
-        let cancel = CancelRecord { asked_ms: unix_ms(), scope };
-        let put = Put { key: shard.cancel_key(no), value: record::encode(&cancel), lease: 0 };
-        let call = StoreCall::Txn(Txn { puts: vec![put], ..Txn::default() });
-        let mut tries = WriteAttempts::default();
-        if let Err(e) = self.repeat_write(request, &call, &mut tries).await {
-            self.common.metrics.count_cancel("failed");
-            return Err(tries.final_error(e));
-        }
-        let entry = AcknowledgedCancel { shard, job: no, record: cancel.clone() };
-        let now = self.common.now();
-        self.common.cancel_log.lock().expect("no holder panics").record(entry, now);
-        self.notify_owner(shard, no, InboxChange::Cancel(cancel));
-        self.common.metrics.count_cancel(if found { "written" } else { "no_job" });
-        log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, found, written = true, tries = tries.failed_count; "Job is cancelled.");
-        if found { Ok(Bytes::new()) } else { Err(Kind::NoJob.into()) }
-    }
-
-    /// Returns whose job a cancel may end; `None` if the job is over.
-    ///
-    /// Returns an error if the job belongs to another customer, or if the store doesn't answer.
-    async fn cancel_scope(
-        &self,
-        request: &CallerRequest,
-        shard: ShardNo,
-        no: JobNo,
-        customer: Option<&CustomerId>,
-    ) -> Result<Option<CancelScope>, Error> {
-        let unanswered = |_| Error::new(Kind::Platform, "the store refuses or doesn't answer");
-        let limit = self.call_limit(request)?;
-        let item = self.services.get(&shard.job_key(no), limit).await.map_err(unanswered)?;
-        let Some(item) = item else {
-            let state = self.stored_state(request, shard, no).await?;
-            let over = state.is_some_and(JobState::is_final);
-            return Ok((!over).then(|| CancelScope::Customer(customer.cloned())));
-        };
-        let record: Option<JobRecord> = item.value.as_ref().and_then(|v| record::decode(v));
-        let owner = record.and_then(|r| r.customer);
-        if owner.is_some() && owner.as_ref() != customer {
-            return Err(Error::new(Kind::NoJob, "the job belongs to another customer"));
-        }
-        Ok(Some(CancelScope::Checked))
-    }
-
     /// Notifies the shard's owner of what was stored, without waiting for its answer.
     ///
     /// The owner's watch of the store may hang for seconds while changes are made. Without the notice,
     /// accepted jobs would wait until that watch ends.
-    fn notify_owner(&self, shard: ShardNo, no: JobNo, change: InboxChange) {
+    pub(super) fn notify_owner(&self, shard: ShardNo, no: JobNo, change: InboxChange) {
         let Some((owner, addr)) = self.common.view.borrow().owner(shard) else { return };
         if owner == self.common.me {
             return notify_local_shard(&self.shard_inputs, shard, no, change);
@@ -308,7 +250,7 @@
     }
 
     /// Makes an idempotent write, with retries.
-    async fn repeat_write(
+    pub(super) async fn repeat_write(
         &self,
         request: &CallerRequest,
         call: &StoreCall,
@@ -321,7 +263,6 @@
                 Err(fault @ (Fault::Refused | Fault::Unsent)) => fault,
                 _ => Fault::Unknown,
             };
-            tries.maybe_applied |= fault == Fault::Unknown;
             self.wait_retry(&fault, tries).await?;
         }
     }
--- a/src/member_rpc.rs
+++ b/src/member_rpc.rs
@@ -11,7 +11,7 @@
     crate::{
         cancel_log::AcknowledgedCancel,
         gate::Gate,
-        ids::WorkerId,
+        ids::{Incarnation, WorkerId},
         ports::{Advice, AdviceCall, Fault, WireRequest},
         relay::{self, RelayReply, RelayRequest, RelayedCall, Relayer},
         rpc,
@@ -234,12 +234,11 @@
 
 /// Returns the cancels that this member has lately acknowledged.
 fn local_cancels(common: &SharedState, request: &CancelsRequest) -> CancelsReply {
-    if common.view.borrow().members_hash() != request.members {
+    if request.member != common.me || common.view.borrow().members_hash() != request.members {
         return None;
     }
     let age = Duration::from_millis(request.age_ms);
-    let log = common.cancel_log.lock().expect("no holder panics");
-    let cancels = log.last(age, common.now())?;
+    let cancels = common.last_cancels(&request.shards, age)?;
     Some(cancels.into_iter().map(|c| (c.shard, c.job.to_string().into(), c.record)).collect())
 }
 
@@ -412,17 +411,22 @@
         let _: Option<()> = self.call(addr, "heard", &request, limit).await;
     }
 
-    /// Asks a member for the cancels that it has acknowledged in the last `age`; `None` if it doesn't
-    /// answer, can't name them all, or knows other members than those that `members` is the hash of.
+    /// Asks a member for the cancels in these shards that it has acknowledged in the last `age`; `None` if
+    /// it doesn't answer, can't name them all, or knows other members than those that `members` is the hash of.
     pub async fn acknowledged_cancels(
         &self,
+        member: Incarnation,
         addr: SocketAddr,
+        shards: &[ShardNo],
         age: Duration,
         members: u64,
         limit: Duration,
     ) -> Option<Vec<AcknowledgedCancel>> {
-        let request = CancelsRequest { age_ms: millis(age), members };
-        let reply: CancelsReply = self.call(addr, "cancels", &request, limit).await.flatten();
+        let secret = self.secret()?;
+        let age_ms = millis(age);
+        let request = CancelsRequest { member, shards: shards.into(), age_ms, members };
+        let answer = self.clients.notify(addr, &secret, "cancels", &request, limit).await;
+        let reply: CancelsReply = self.count("cancels", answer).flatten();
         let read = |(shard, job, record): (ShardNo, Box<str>, CancelRecord)| {
             Some(AcknowledgedCancel { shard, job: job.parse().ok()?, record })
         };
--- a/src/member_rpc/messages.rs
+++ b/src/member_rpc/messages.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        ids::WorkerId,
+        ids::{Incarnation, WorkerId},
         ports::{Advice, Fault},
         shard::record::{CancelRecord, JobRecord, ShardNo},
         time::millis,
@@ -56,13 +56,17 @@
 /// A request for the cancels that a member has acknowledged in the last `age_ms` milliseconds.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct CancelsRequest {
+    /// The asked process. Another one that has its address knows nothing of its cancels.
+    pub(super) member: Incarnation,
+    /// The shards whose cancels are wanted.
+    pub(super) shards: Box<[ShardNo]>,
     pub(super) age_ms: u64,
     /// The hash of the members that the asking member knows.
     pub(super) members: u64,
 }
 
-/// The answer to a [`CancelsRequest`]; `None` if the asked member can't name them all or knows other
-/// members.
+/// The answer to a [`CancelsRequest`]; `None` if the asked member can't name them all, knows other
+/// members, or is another process than the asked one.
 pub(super) type CancelsReply = Option<Box<[(ShardNo, Box<str>, CancelRecord)]>>;
 
 /// Notice of what customers have in the shards of a member; `R` is a sequence of reports.
--- a/src/owned_shards.rs
+++ b/src/owned_shards.rs
@@ -6,7 +6,7 @@
         decide::allotment::Division,
         ids::{CustomerId, Incarnation},
         member_rpc::{PeerClients, advise_locally},
-        ports::{Advice, AdviceCall, Fault, Item, Rev, StoreCall, StoreReply, Txn},
+        ports::{Advice, AdviceCall, Fault, Item, Rev, StoreCall, StoreReply, Txn, WorkerCall},
         prefix_watch::{Backoff, PrefixWatch, WatchUpdate},
         service_clients::{CALL_TIMEOUT, ServiceClients, fault_label},
         shard::{
@@ -72,6 +72,15 @@
     inbox_seen: Option<Time>,
 }
 
+/// What a shard knows of its inbox.
+pub(crate) struct InboxView {
+    pub shard: ShardNo,
+    /// The token of the shard's owner.
+    pub token: u64,
+    /// All cancels that were acknowledged before this time have been delivered to the shard.
+    pub seen: Time,
+}
+
 impl OwnedShards {
     /// Creates a set without shards.
     pub fn new(
@@ -235,11 +244,13 @@
         }
     }
 
-    /// Returns the loaded shards that this member owns, each with its token and the time before which all
-    /// acknowledged cancels have been delivered to it.
-    pub(crate) fn inbox_views(&self) -> Vec<(ShardNo, u64, Time)> {
+    /// Returns what the loaded shards that this member owns know of their inboxes.
+    pub(crate) fn inbox_views(&self) -> Vec<InboxView> {
         let owned = self.owned.lock().expect("no holder panics");
-        owned.iter().filter_map(|(s, o)| Some((*s, o.token, o.inbox_seen?))).collect()
+        let view = |(shard, o): (&ShardNo, &OwnedShard)| {
+            Some(InboxView { shard: *shard, token: o.token, seen: o.inbox_seen? })
+        };
+        owned.iter().filter_map(view).collect()
     }
 
     /// Reads the stored state of a shard. Returns it with the revision from which its inbox has to
@@ -340,6 +351,9 @@
     async fn execute_order(&self, shard: ShardNo, token: u64, order: Order) -> Option<Event> {
         let sent = self.common.now();
         match order {
+            Order::Worker { worker, call, .. } if self.is_outdated(shard, &call, sent) => {
+                Some(Event::Worker { worker, sent, call, reply: Err(Fault::Unsent) })
+            }
             Order::Worker { worker, addr, call, limit } => {
                 let reply = self.services.call_worker(addr, &worker, &call, limit).await;
                 Some(Event::Worker { worker, sent, call, reply })
@@ -382,6 +396,17 @@
         }
     }
 
+    /// Returns whether the order is a start that must not be sent any more, because the shard may have missed
+    /// a cancel since it was given.
+    ///
+    /// Guards against a member that is suspended between the decision to start a task and the call.
+    fn is_outdated(&self, shard: ShardNo, call: &WorkerCall, now: Time) -> bool {
+        let owned = self.owned.lock().expect("no holder panics");
+        let seen = owned.get(&shard).and_then(|o| o.inbox_seen);
+        let bound = self.common.site.borrow().bounds.cancel_lag;
+        matches!(call, WorkerCall::Start(_)) && seen.is_none_or(|seen| now - seen > bound)
+    }
+
     /// Passes a report of customers' usage to the other shards of this member, and sends the reports
     /// of its shards to the owners of other shards if that is due.
     ///
--- a/src/prefix_watch.rs
+++ b/src/prefix_watch.rs
@@ -19,9 +19,8 @@
 const REREAD_INTERVAL: Duration = Duration::from_secs(5);
 /// Pause after a change, for a watch whose changes also reach this member by direct notices.
 ///
-/// Each change ends a watch call, so that 20 jobs a second cost 20 watch calls a second. An owner
-/// watches its inbox only in case another member's notice was lost; the pause delays only such a
-/// job.
+/// Each change ends a watch call, so that 20 jobs a second cost 20 watch calls a second. The pause delays
+/// only jobs and cancels of which another member's notice was lost.
 const CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// Interval like [`REREAD_INTERVAL`], for prefixes that hundreds of members watch.
 const SHARED_REREAD_INTERVAL: Duration = Duration::from_secs(30);
@@ -199,6 +198,7 @@
                 self.after_rev = Some(rev.max(after));
                 return Some(WatchUpdate::Snapshot(items, rev));
             }
+            self.skip_wait = self.bounds_age;
         }
         // A suspended machine has not waited.
         let (sent, begin) = (boot_time(), Instant::now());
--- a/src/shard/authority.rs
+++ b/src/shard/authority.rs
@@ -17,8 +17,8 @@
 /// lease is valid; shorter than the shortest lease.
 const RENEWAL_VALID: Duration = Duration::from_millis(1900);
 /// Divisor of the bound on starts after a cancel that gives the safety margin. The margin covers the
-/// transit of a start and clocks that differ.
-const CANCEL_MARGIN_DIVISOR: u32 = 10;
+/// time limit of a start and clocks that differ.
+const CANCEL_MARGIN_DIVISOR: u32 = 6;
 /// Maximum age of a worker's reply that still shows that the worker obeys this owner.
 const REPLY_VALID: Duration = Duration::from_millis(2600);
 
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -33,7 +33,8 @@
         self.restore_queues();
         let customer = record.customer.as_ref().map(|name| self.customer_no(name));
         let early_cancel = self.early_cancels.remove(&no);
-        let cancelled = early_cancel.as_ref().is_some_and(|s| s.includes(record.customer.as_ref()));
+        let cancelled =
+            early_cancel.as_ref().is_some_and(|c| c.scope.includes(record.customer.as_ref()));
         let mut active = ActiveJob::new(record, progress, old, now, self.setup.unix_ms);
         active.customer = customer;
         active.arrival = customer.map(|c| self.record_arrival(c, active.submitted_ms, now));
@@ -77,8 +78,8 @@
     /// Cancels a job, even if the job itself becomes known only later.
     ///
     /// A cancel may be read before its job when a range is read again after the store has lost its
-    /// history. If the cancel were ignored, the job would run although its caller was told that it
-    /// was cancelled.
+    /// history, and it may be stored before its job. If the cancel were ignored, the job would run although
+    /// its caller was told that it was cancelled.
     pub(super) fn on_cancel(
         &mut self,
         no: JobNo,
@@ -86,26 +87,40 @@
         source: CancelSource,
         now: Time,
     ) {
-        let known = match self.jobs.get(&no) {
-            Some(job) if job.state.is_final() => return,
-            Some(job) => {
-                let customer = job.customer.map(|c| &self.caps.customers[c.0].name);
-                if !record.scope.includes(customer) {
-                    return;
-                }
-                true
+        let Some(job) = self.jobs.get(&no) else {
+            if !self.finished_jobs.contains_key(&no) {
+                self.keep_early_cancel(no, record, source, now);
             }
-            None if self.finished_jobs.contains_key(&no) => return,
-            None if self.early_cancels.get(&no) == Some(&record.scope) => return,
-            None => false,
+            return;
         };
-        self.log_cancel(no, record, source, known, now);
-        if known {
-            return self.end_job(no, JobState::Cancelled, now);
+        let customer = job.customer.map(|c| &self.caps.customers[c.0].name);
+        if !job.state.is_final() && record.scope.includes(customer) {
+            self.log_cancel(no, record, source, true, now);
+            self.end_job(no, JobState::Cancelled, now);
+        }
+    }
+
+    /// Keeps the cancel of a job that is not known, for the retention of states after its last request.
+    fn keep_early_cancel(
+        &mut self,
+        no: JobNo,
+        record: &CancelRecord,
+        source: CancelSource,
+        now: Time,
+    ) {
+        let known = self.early_cancels.get(&no).cloned();
+        if known.as_ref().is_some_and(|k| k.asked_ms >= record.asked_ms && k.scope == record.scope)
+        {
+            return;
         }
-        if self.early_cancels.insert(no, record.scope.clone()).is_none() {
-            self.purge_queue.push_back((self.unix_ms(now) + self.retention_ms(), no));
+        self.log_cancel(no, record, source, false, now);
+        let mut merged = record.clone();
+        if let Some(known) = known {
+            merged.merge(known);
+            self.purge_queue.retain(|(_, n)| *n != no);
         }
+        self.early_cancels.insert(no, merged);
+        self.purge_queue.push_back((self.unix_ms(now) + self.retention_ms(), no));
     }
 
     /// Ends a job: none of its tasks starts any more, and its runs are stopped.
--- a/src/shard/record.rs
+++ b/src/shard/record.rs
@@ -116,8 +116,9 @@
     /// The member that wrote the request has found the job to be the caller's.
     #[default]
     Checked,
-    /// The job was not stored yet: it is cancelled if it belongs to this customer, or to none.
-    Customer(Option<CustomerId>),
+    /// The job was not stored yet: it is cancelled if it belongs to the customer of one of the callers, or
+    /// to none.
+    Callers(Vec<Option<CustomerId>>),
 }
 
 impl CancelScope {
@@ -125,7 +126,24 @@
     pub fn includes(&self, customer: Option<&CustomerId>) -> bool {
         match self {
             CancelScope::Checked => true,
-            CancelScope::Customer(caller) => customer.is_none() || customer == caller.as_ref(),
+            CancelScope::Callers(all) => {
+                customer.is_none() || all.iter().any(|c| c.as_ref() == customer)
+            }
+        }
+    }
+}
+
+impl CancelRecord {
+    /// Adds an earlier request for the same job to this one.
+    pub fn merge(&mut self, earlier: CancelRecord) {
+        self.asked_ms = self.asked_ms.max(earlier.asked_ms);
+        match (&mut self.scope, earlier.scope) {
+            (CancelScope::Callers(all), CancelScope::Callers(more)) => {
+                all.extend(more);
+                all.sort_unstable();
+                all.dedup();
+            }
+            (scope, _) => *scope = CancelScope::Checked,
         }
     }
 }
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -16,7 +16,7 @@
             in_flight::InFlight,
             jobs::{ActiveJob, StepState},
             rack_state::Locality,
-            record::{CancelScope, Closing, Progress, ShardNo},
+            record::{CancelRecord, Closing, Progress, ShardNo},
             reservation::GangReservation,
             share_state::ShareState,
             stats::{AdviceStats, ReportedValues, Stats},
@@ -76,7 +76,7 @@
     /// Jobs with occurrences that are not due yet.
     pub(super) scheduled_jobs: BTreeSet<JobNo>,
     /// Cancelled jobs whose record has not arrived yet.
-    pub(super) early_cancels: FxHashMap<JobNo, CancelScope>,
+    pub(super) early_cancels: FxHashMap<JobNo, CancelRecord>,
     pub(super) workers: Vec<Worker>,
     pub(super) worker_numbers: FxHashMap<WorkerId, WorkerNo>,
     pub(super) pools: FxHashMap<PoolId, Vec<WorkerNo>>,
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -151,8 +151,9 @@
             }
             job.stored_seq = 0;
         }
-        for gone in flight.purged.into_iter().rev() {
-            self.purge_queue.push_front(gone);
+        // A job of which only the cancel was known may have come meanwhile.
+        for (at, no) in flight.purged.into_iter().rev().filter(|g| !self.jobs.contains_key(&g.1)) {
+            self.purge_queue.push_front((at, no));
         }
         self.roster_dirty |= flight.roster.is_some();
     }
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -3,7 +3,7 @@
 
 use {
     crate::{
-        cancel_log::CancelLog,
+        cancel_log::{AcknowledgedCancel, CancelLog},
         clock::{self, Clock},
         decide::call_queue::CallQueue,
         ids::Incarnation,
@@ -12,6 +12,7 @@
         prefix_watch::WatchUpdate,
         relay::StoreRoutes,
         service_clients::ServiceClients,
+        shard::record::ShardNo,
         table_view::TableView,
         time::{Time, millis},
         work::QueueConfig,
@@ -72,7 +73,7 @@
     /// The advice calls that this member has in flight, for itself and for other members.
     pub advice_queue: Mutex<CallQueue>,
     /// The cancels that this member has lately acknowledged.
-    pub cancel_log: Mutex<CancelLog>,
+    cancel_log: Mutex<CancelLog>,
     clock: Clock,
     /// Time of the store's last answer; [`Time::ZERO`] if it never has answered.
     last_answer: AtomicU64,
@@ -80,6 +81,8 @@
     outdated_rev: AtomicU64,
     /// Last time at which the configuration known here was certainly the store's latest.
     confirmed_at: AtomicU64,
+    /// Last time at which a member was found to be gone from the table.
+    member_gone_at: AtomicU64,
     /// Whether this member has a row in the table.
     registered: AtomicBool,
     /// Whether this member was recently too slow for its shards.
@@ -122,6 +125,7 @@
             last_answer: AtomicU64::new(0),
             outdated_rev: AtomicU64::new(0),
             confirmed_at: AtomicU64::new(0),
+            member_gone_at: AtomicU64::new(0),
             registered: AtomicBool::new(false),
             configured_at: AtomicU64::new(0),
         }
@@ -206,6 +210,31 @@
         let _ = stop.wait_for(|s| *s).await;
     }
 
+    /// Records a cancel, before its caller gets the answer.
+    pub fn record_cancel(&self, cancel: AcknowledgedCancel) {
+        self.cancel_log.lock().expect("no holder panics").record(cancel, self.now());
+    }
+
+    /// Returns the cancels in these shards that this member has acknowledged in the last `age`; `None` if
+    /// it can't name them all.
+    pub fn last_cancels(
+        &self,
+        shards: &[ShardNo],
+        age: Duration,
+    ) -> Option<Vec<AcknowledgedCancel>> {
+        self.cancel_log.lock().expect("no holder panics").last(shards, age, self.now())
+    }
+
+    /// Records that a member is gone from the table.
+    pub fn record_member_gone(&self) {
+        self.member_gone_at.store(self.now().0, Ordering::Relaxed);
+    }
+
+    /// Returns the last time at which a member was found to be gone from the table.
+    pub fn member_gone_at(&self) -> Time {
+        Time(self.member_gone_at.load(Ordering::Relaxed))
+    }
+
     /// Records whether this member has a row in the table.
     pub fn set_registered(&self, registered: bool) {
         self.registered.store(registered, Ordering::Relaxed);
--- a/src/table_sync.rs
+++ b/src/table_sync.rs
@@ -343,7 +343,7 @@
             self.owned_shards.end_owning(shard).await;
         }
         let view = self.table.view();
-        self.log_members(&view.members.keys().copied().collect());
+        self.record_members(&view.members.keys().copied().collect());
         self.common.metrics.set_level("shards", self.table.owned().len());
         self.common.metrics.set_level("members", view.members.len());
         let peers = view.available_members();
@@ -361,10 +361,11 @@
         }
     }
 
-    /// Logs members that have registered or whose rows are gone.
-    fn log_members(&self, now: &BTreeSet<Incarnation>) {
+    /// Records and logs members that have registered or whose rows are gone.
+    fn record_members(&self, now: &BTreeSet<Incarnation>) {
         let (view, members) = (self.common.view.borrow(), now.len());
         for gone in view.members.keys().filter(|m| !now.contains(m)) {
+            self.common.record_member_gone();
             log::info!(target: "table", member:% = gone, members, rev = view.rev; "Member is gone.");
         }
         for joined in now.iter().filter(|m| !view.members.contains_key(m)) {
--- a/tests/cancel_log.rs
+++ b/tests/cancel_log.rs
@@ -15,7 +15,9 @@
 }
 
 fn jobs(log: &CancelLog, age_ms: u64, now_ms: u64) -> Option<Vec<u64>> {
-    let cancels = log.last(Duration::from_millis(age_ms), Time::from_millis(now_ms))?;
+    let (age, now) = (Duration::from_millis(age_ms), Time::from_millis(now_ms));
+    assert_eq!(log.last(&[ShardNo(1)], age, now).unwrap_or_default(), [], "of another shard");
+    let cancels = log.last(&[ShardNo(0)], age, now)?;
     Some(cancels.iter().map(|c| c.job.0).collect())
 }
 
--- a/tests/shard_cancel_first.rs
+++ b/tests/shard_cancel_first.rs
@@ -3,11 +3,42 @@
 mod hand;
 
 use {
-    dogwoodreach::work::JobState,
-    hand::{Harness, job, step},
+    dogwoodreach::{
+        ids::CustomerId,
+        shard::{
+            event::{CancelSource, Event},
+            record::{CancelRecord, CancelScope, JobRecord, decode, encode},
+        },
+        work::{JobNo, JobState},
+    },
+    hand::{Harness, SHARD, UNIX_MS, job, step},
     standin::site::setup::bounds,
+    std::time::Duration,
 };
 
+/// Stores a cancel as a member that found no job does, and notifies the owner.
+fn cancel_by(hand: &mut Harness, no: u64, customer: &str) {
+    let scope = CancelScope::Callers(vec![Some(CustomerId::from(customer))]);
+    let mut record = CancelRecord { asked_ms: UNIX_MS + hand.now.0 / 1_000, scope };
+    let stored = hand.store.get(&SHARD.cancel_key(JobNo(no))).and_then(|i| decode(&i.value?));
+    stored.into_iter().for_each(|s| record.merge(s));
+    hand.store.put(SHARD.cancel_key(JobNo(no)), encode(&record));
+    hand.deliver(Event::Cancel(JobNo(no), record, CancelSource::Watch));
+}
+
+/// Carries out the late write of a customer's job, and notifies the owner.
+fn late_write(hand: &mut Harness, no: u64, customer: &str) {
+    let record = JobRecord {
+        queue: "plain".into(),
+        submitted_ms: UNIX_MS + hand.now.0 / 1_000,
+        job: job(step(1, 1)),
+        queue_settings: None,
+        customer: Some(CustomerId::from(customer)),
+    };
+    hand.store.put(SHARD.job_key(JobNo(no)), encode(&record));
+    hand.deliver(Event::Job(JobNo(no), Box::new(record)));
+}
+
 #[test]
 fn a_job_cancelled_before_it_is_heard_of_never_starts() {
     // The store has compacted its history, so the owner reads the whole range again, in which the
@@ -40,3 +71,44 @@
     assert_eq!(harness.stored_progress(1).state, JobState::Cancelled);
     harness.run_until("its removal", 20_000, |h| h.state(1).is_none());
 }
+
+#[test]
+fn a_cancel_of_another_customer_does_not_undo_an_early_cancel() {
+    // Guards against a cancel that is forgotten as another customer asks to cancel the same number.
+    let mut hand = Harness::new(1);
+    cancel_by(&mut hand, 1, "ann");
+    hand.run(200);
+    cancel_by(&mut hand, 1, "bob");
+    hand.run(200);
+    late_write(&mut hand, 1, "ann");
+    hand.run(4_000);
+    assert!(hand.starts_of(1).is_empty(), "the job runs: {:?}", hand.state(1));
+    assert_eq!(hand.state(1), Some(JobState::Cancelled));
+}
+
+#[test]
+fn a_cancel_of_another_customer_does_not_undo_an_early_cancel_for_a_successor() {
+    // Guards against a row with the last request alone, which is all that a successor reads.
+    let mut hand = Harness::new(1);
+    cancel_by(&mut hand, 1, "ann");
+    cancel_by(&mut hand, 1, "bob");
+    hand.take_over();
+    hand.run(200);
+    late_write(&mut hand, 1, "ann");
+    hand.run(4_000);
+    assert!(hand.starts_of(1).is_empty(), "the job runs: {:?}", hand.state(1));
+}
+
+#[test]
+fn an_early_cancel_is_kept_from_its_last_acknowledgement() {
+    // Guards against a second cancel that is forgotten with the first.
+    let mut hand = Harness::new(1);
+    cancel_by(&mut hand, 1, "ann");
+    let kept = bounds().state_retention + Duration::from_secs(10);
+    hand.run(kept.as_millis() as u64 - 1_000);
+    cancel_by(&mut hand, 1, "ann");
+    hand.run(4_500);
+    late_write(&mut hand, 1, "ann");
+    hand.run(1_000);
+    assert!(hand.starts_of(1).is_empty(), "the job runs: {:?}", hand.state(1));
+}
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -11,6 +11,7 @@
     dogwoodreach::{
         cli::Exit,
         http::{Client, Message, uri},
+        ports::Codec,
         site,
     },
     forms::FORMS,
@@ -74,6 +75,16 @@
 
     /// Starts a member with an existing store and waits until the member is ready.
     pub async fn join(name: &str, store: Store, store_addr: SocketAddr) -> TestMember {
+        TestMember::join_with(&FORMS, name, store, store_addr).await
+    }
+
+    /// Starts a member with this wire format, as [`TestMember::join`] does.
+    pub async fn join_with(
+        codec: &'static Codec,
+        name: &str,
+        store: Store,
+        store_addr: SocketAddr,
+    ) -> TestMember {
         let (callers, ready, metrics) = (free_addr(), free_addr(), free_addr());
         let settings = json!({
             "callers": callers, "ready": ready, "control": free_addr(), "metrics": metrics,
@@ -81,7 +92,7 @@
         });
         let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string()).expect("written");
-        let thread = thread::spawn(move || site::run(&FORMS, &path));
+        let thread = thread::spawn(move || site::run(codec, &path));
         let member = TestMember {
             store,
             store_addr,
--- a/tests/site_cancel.rs
+++ b/tests/site_cancel.rs
@@ -11,7 +11,15 @@
             WriteFault::{Delayed, Refused},
         },
     },
-    std::future::Future,
+    dogwoodreach::{
+        ids::Incarnation,
+        rpc_clients::RpcClients,
+        shard::record::{Layout, MemberRow},
+        table_view::TableView,
+    },
+    serde::de::DeserializeOwned,
+    serde_json::{Value, json},
+    std::{future::Future, time::Duration},
 };
 
 const JOB: &str = r#"{"text": "t", "steps": [{"count": 1}]}"#;
@@ -65,36 +73,94 @@
     text.lines().find_map(|l| l.strip_prefix(&*line)?.parse().ok()).unwrap_or(0)
 }
 
+/// Two members whose store answers neither of them while `silent`.
+struct Pair {
+    all: [TestMember; 2],
+}
+
+impl Pair {
+    async fn new(name: &str) -> Pair {
+        let first = TestMember::new(name).await;
+        let addr = first.store.serve();
+        let second = TestMember::join(&format!("{name}-2"), first.store.clone(), addr).await;
+        Pair { all: [first, second] }
+    }
+
+    fn silence(&self, silent: bool) {
+        let fault = silent.then_some(AddrFault::Silent);
+        self.all.iter().for_each(|m| m.store.set_fault(m.store_addr, fault));
+    }
+
+    /// Returns how often an owner has asked all members for cancels, with this outcome.
+    async fn searches(&self, outcome: &str) -> u64 {
+        let [first, second] = &self.all;
+        calls(first, "cancel_search", outcome).await + calls(second, "cancel_search", outcome).await
+    }
+
+    /// Adds the row of a member with this address, and waits until both members know it.
+    async fn add_row(&self, control: &str) {
+        let row = format!(r#"{{"control": "{control}", "zone": "z", "draining": false}}"#);
+        self.all[0].store.put("dwr/t/m/00000000000000ff", &row);
+        for member in &self.all {
+            let known = async || {
+                let page = member.page("/metrics").await.1;
+                let line = r#"dwr_level{what="members"} 3"#;
+                String::from_utf8_lossy(&page).lines().any(|l| l == line)
+            };
+            member.wait_until("three members", known).await;
+        }
+    }
+
+    /// Checks that no search is complete while the store is silent.
+    async fn assert_incomplete(&self) {
+        let done = self.searches("done").await;
+        self.silence(true);
+        let incomplete = async || self.searches("incomplete").await >= 2;
+        self.all[0].wait_until("two incomplete searches", incomplete).await;
+        assert_eq!(self.searches("done").await, done);
+    }
+}
+
 #[test]
 fn an_owner_without_a_store_asks_all_members_for_cancels() {
     // Guards against work that stands still while the store is away for all, and against an owner
     // that takes the answers of some members for those of all.
     run(async {
-        let owner = TestMember::new("cancel-search").await;
-        let own = owner.store.serve();
-        let other = TestMember::join("cancel-search-other", owner.store.clone(), own).await;
-        let asks = async |answer| {
-            calls(&owner, "cancel_search", answer).await
-                + calls(&other, "cancel_search", answer).await
-        };
-        owner.store.set_fault(owner.store_addr, Some(AddrFault::Silent));
-        owner.store.set_fault(own, Some(AddrFault::Silent));
-        owner.wait_until("three answers of all", async || asks("done").await >= 3).await;
-        owner.store.set_fault(owner.store_addr, None);
-        owner.store.set_fault(own, None);
-        // A member that nobody reaches: it may have acknowledged cancels.
-        let row = r#"{"control": "127.0.0.1:9", "zone": "z", "draining": false}"#;
-        owner.store.put("dwr/t/m/00000000000000ff", row);
-        let three = async |m: &TestMember| {
-            let page = m.page("/metrics").await.1;
-            String::from_utf8_lossy(&page).lines().any(|l| l == r#"dwr_level{what="members"} 3"#)
+        let pair = Pair::new("cancel-search").await;
+        pair.silence(true);
+        let done = async || pair.searches("done").await >= 3;
+        pair.all[0].wait_until("three complete searches", done).await;
+        pair.silence(false);
+        pair.add_row("127.0.0.1:9").await;
+        pair.assert_incomplete().await;
+    });
+}
+
+#[test]
+fn a_process_does_not_answer_for_another_one_that_had_its_address() {
+    // Guards against an owner that takes the empty log of a process that has just started for that
+    // of its predecessor, which may have acknowledged cancels before it ended.
+    run(async {
+        let member = TestMember::new("cancel-address").await;
+        let key = member.store.keys("dwr/t/m/").remove(0);
+        let row: MemberRow = item(&member, &key);
+        let layout: Layout = item(&member, "dwr/t/layout");
+        let me: Incarnation = key["dwr/t/m/".len()..].parse().expect("an id");
+        let view = TableView { members: [(me, row.clone())].into(), ..TableView::default() };
+        let ask = async |member: Incarnation, members: u64| {
+            let request =
+                json!({"member": member, "shards": [0], "age_ms": 1000, "members": members});
+            let (clients, limit) = (RpcClients::default(), Duration::from_secs(5));
+            let answer: Result<Value, _> =
+                clients.call(row.control, &layout.secret, "cancels", &request, limit).await;
+            answer.expect("an answer")
         };
-        owner.wait_until("three members", async || three(&owner).await).await;
-        owner.wait_until("three members", async || three(&other).await).await;
-        let done = asks("done").await;
-        owner.store.set_fault(owner.store_addr, Some(AddrFault::Silent));
-        owner.store.set_fault(own, Some(AddrFault::Silent));
-        owner.wait_until("two incomplete", async || asks("incomplete").await >= 2).await;
-        assert_eq!(asks("done").await, done);
+        assert_eq!(ask(me, view.members_hash()).await, json!([]));
+        assert_eq!(ask(Incarnation(me.0 ^ 1), view.members_hash()).await, Value::Null);
+        assert_eq!(ask(me, view.members_hash() ^ 1).await, Value::Null, "another table");
     });
 }
+
+fn item<T: DeserializeOwned>(member: &TestMember, key: &str) -> T {
+    serde_json::from_str(&member.store.get(key).expect("an item").0).expect("JSON")
+}
--- a/tests/site_keys.rs
+++ b/tests/site_keys.rs
@@ -7,7 +7,10 @@
     common::{
         TestMember,
         forms::FORMS,
-        store::{AddrFault, Store},
+        store::{
+            AddrFault, Store,
+            WriteFault::{Delayed, Refused},
+        },
     },
     std::future::Future,
 };
@@ -144,6 +147,24 @@
     });
 }
 
+#[test]
+fn a_second_customers_cancel_leaves_the_first_ones_in_force() {
+    // Guards against a request of another customer that replaces the stored cancel of a job whose
+    // write is still on its way.
+    run(async {
+        let member = member("keys-second").await;
+        member.store.plan_faults(&[Delayed, Refused]);
+        let post = member.send_with(&["Bearer k1"], "POST", PATH, JOB, 3000).await;
+        assert_eq!(post.0.status, 504);
+        assert_eq!(status(&member, "k1", "DELETE", PATH).await, 410);
+        assert_eq!(status(&member, "k3", "DELETE", PATH).await, 410);
+        member.store.apply_delayed();
+        let state = async || member.send_with(&["Bearer k1"], "GET", PATH, "", 1000).await.1;
+        let cancelled = async || &state().await[..] == b"cancelled";
+        member.wait_until("the cancelled state", cancelled).await;
+    });
+}
+
 #[test]
 fn a_key_that_was_taken_away_admits_nothing_at_a_member_without_a_store() {
     // The member can't hear that the key was taken away, and would answer by it for good.
