Soak: a start after a cancel is judged unless its own sender or the store is disturbed

Cause: any fault of any machine, planned work and waves of cancels suspended the two rules on cancelled jobs for all members while it lasted and for 5 s. Change: the soak's starts are excused by disturbances of the member that sent them (known by its token) or of the store, runs that go on also by those of later owners, of their worker and by late orders, for 3 s each. The rule on starts after a noted end follows the senders too. New faults with a generator of their own: the store refuses the owner (some then all members), or the owner's connections to it go silent, each with a wave of cancels.

--- a/standin/src/site/judge.rs
+++ b/standin/src/site/judge.rs
@@ -5,6 +5,7 @@
 use {
     crate::site::{
         caps::Caps,
+        contact::Contact,
         crashes::Crashes,
         keys::Keys,
         starvation::Starvation,
@@ -63,6 +64,11 @@
     pub time_rules: bool,
     /// The rules with a time bound are suspended until this time.
     pub suspended_until: Time,
+    /// Whether the rules on starts and on cancelled jobs are suspended for each machine alone, as
+    /// `contact` says, rather than for all until `suspended_until`.
+    pub per_machine: bool,
+    /// Which machines are in touch.
+    pub contact: Contact,
     /// Until this time, no customer counts as starving.
     pub disturbed_until: Time,
     /// Whether any fault has been injected.
@@ -184,7 +190,11 @@
                 }
                 let cancel = self.cancels.get(&task.step.job).filter(|_| self.time_rules);
                 let Some(cancel) = cancel else { continue };
-                let since = self.suspended_until.max(*cancel).max(run.started_at);
+                let excused = match self.per_machine {
+                    true => self.contact.run_excused(run.start.token, at),
+                    false => self.suspended_until,
+                };
+                let since = excused.max(*cancel).max(run.started_at);
                 if world.now > since + overdue {
                     return self
                         .breach(world.now, format!("{task} runs on, cancelled at {cancel}"));
@@ -239,7 +249,7 @@
             return self.breach(at, text);
         }
         self.check_crash_limit(world, at, task)?;
-        self.check_start_times(world, at, worker, task, late)?;
+        self.check_start_times(world, at, worker, start, late)?;
         self.check_repeats(world, at, task_key)
     }
 
@@ -249,22 +259,30 @@
         text.map_or(Ok(()), |text| self.breach(at, text))
     }
 
+    /// Time until which the owner with this token is excused from the rules for starts that have a time
+    /// bound.
+    pub fn start_excused(&self, token: u64) -> Time {
+        if self.per_machine { self.contact.sender_excused(token) } else { self.suspended_until }
+    }
+
     /// Checks the rules for starts that have a time bound.
     fn check_start_times(
         &self,
         world: &World,
         at: Time,
         worker: usize,
-        task: TaskKey,
+        start: &Start,
         late: bool,
     ) -> Verdict {
-        if late || at < self.suspended_until || !self.time_rules {
+        let task = start.task;
+        if late || at < self.start_excused(start.token) || !self.time_rules {
             return Ok(());
         }
         if let Some(c) = self.cancels.get(&task.step.job).filter(|c| at > **c + CANCEL_GRACE) {
             return self.breach(at, format!("{task} started, its job was cancelled at {c}"));
         }
-        let leaving = world.workers[worker].leaving_since;
+        // A worker tells the store with a heartbeat that it leaves, which a fault of others may delay.
+        let leaving = world.workers[worker].leaving_since.filter(|_| at >= self.suspended_until);
         if let Some(d) = leaving.filter(|d| at > *d + world.bounds.drain_time) {
             return self
                 .breach(at, format!("{task} started at {}, leaving at {d}", world.id(worker)));
@@ -410,6 +428,17 @@
         self.breach(world.now, format!("{task} is noted as done, and it isn't stored"))
     }
 
+    /// Records that a caller is about to cancel a job.
+    pub fn cancelling(&mut self, job: JobNo) {
+        self.cancels.entry(job).or_insert(Time::NEVER);
+    }
+
+    /// Records that a cancel was acknowledged, which the first acknowledgement settles.
+    pub fn cancelled(&mut self, at: Time, job: JobNo) {
+        let first = self.cancels.entry(job).or_insert(at);
+        *first = at.min(*first);
+    }
+
     /// Records that a caller's submission was accepted.
     pub fn accepted(&mut self, at: Time, job: JobNo) -> Verdict {
         self.accepted.entry(job).or_insert(at);
--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -5,6 +5,7 @@
 pub mod advice;
 pub mod assignments;
 pub mod caps;
+pub mod contact;
 pub mod crashes;
 pub mod customers;
 pub mod judge;
--- a/standin/src/site/plan.rs
+++ b/standin/src/site/plan.rs
@@ -1,13 +1,16 @@
 //! The faults and jobs of a soak, drawn from a seed so that a run can be repeated.
 
 use {
-    crate::site::setup::{job, step},
+    crate::site::{
+        contact::Part,
+        setup::{job, step},
+    },
     derive_more::Display,
     dogwoodreach::{
         units::Size,
         work::{Job, Occurrences, Step},
     },
-    std::time::Duration,
+    std::{ops::Range, time::Duration},
 };
 
 /// Maximum time between the starts of two faults.
@@ -15,6 +18,9 @@
 /// Time before the first fault.
 const FIRST_FAULT_MS: u64 = 2_000;
 
+/// Range of the gaps between two faults of [`unheard`].
+const UNHEARD_GAP_MS: Range<u64> = 5_000..15_000;
+
 /// A kind of fault. Members and workers are given by index, milliseconds and rates by number.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
 pub enum Fault {
@@ -81,6 +87,15 @@
     /// The store rejects the calls of one member and serves the others.
     #[display("the store refuses member {_0}")]
     Refusing(usize),
+    /// The store rejects the calls of the shard's owner and serves the others.
+    #[display("the store refuses the owner")]
+    RefusingOwner,
+    /// The store rejects the calls of all members, of which there are this many.
+    #[display("the store refuses all {_0} members")]
+    RefusingAll(usize),
+    /// The owner's open connections to the store stay open but carry no more data.
+    #[display("the owner's connections to the store are silent")]
+    SilentOwner,
     /// The store's answers take this many milliseconds longer.
     #[display("the store takes {_0} ms more")]
     Slow(u64),
@@ -135,6 +150,27 @@
         matches!(self, Burst(_) | Cancels | Config | Leave(_) | Reload(_) | Stop(_) | Storm(_))
     }
 
+    /// The parts that are not in touch during the fault, by the rules of the deployment. Work that is
+    /// planned at the store and what callers do disturb none.
+    pub fn disturbed(&self, members: usize) -> Vec<Part> {
+        use Fault::{
+            Crash, CutCallers, CutOff, CutStore, CutWorkers, Down, Forget, Freeze, FreezeAll, Hung,
+            Kill, KillAll, Late, Losing, Refusing, RefusingAll, Replace, Silent, SilentCallers,
+            SilentStore, Slow, Stop, Unwell,
+        };
+        match *self {
+            Kill(m) | Freeze(m) | Stop(m) | Replace(m) | CutStore(m) | SilentStore(m)
+            | CutWorkers(m) | CutCallers(m) | SilentCallers(m) | Refusing(m) => {
+                vec![Part::Member(m)]
+            }
+            KillAll | FreezeAll => (0..members).map(Part::Member).collect(),
+            Down | Losing(_) | Slow(_) | Forget | RefusingAll(_) => vec![Part::Store],
+            Crash(w) | CutOff(w) | Silent(w) | Unwell(w) | Hung(w) => vec![Part::Worker(w)],
+            Late(_) => vec![Part::Orders],
+            _ => vec![],
+        }
+    }
+
     /// Whether a member's orders may reach workers long after it decided on them, or a member may
     /// not learn of a new configuration, because it is frozen or cut off.
     pub fn delays_orders(&self) -> bool {
@@ -197,6 +233,33 @@
     all
 }
 
+/// Draws the faults of a soak of this length that keep the shard's owner from hearing of cancels, each
+/// with a wave of cancels. Their generator is their own, so that the other faults of a seed stay the same.
+pub fn unheard(seed: u64, length: Duration, members: usize) -> Vec<Planned> {
+    let mut rng = fastrand::Rng::with_seed(!seed);
+    let (mut all, mut at) = (Vec::new(), FIRST_FAULT_MS);
+    let ms = Duration::from_millis;
+    loop {
+        at += rng.u64(UNHEARD_GAP_MS);
+        let (refuses, lasts) = (rng.bool(), rng.u64(2_000..7_000));
+        let (all_after, all_lasts) = (rng.bool(), rng.u64(300..1_000));
+        let cancels_at = at + rng.u64(0..if refuses { lasts } else { 1_000 });
+        if u128::from(at + lasts) >= length.as_millis() {
+            return all;
+        }
+        if refuses {
+            all.push(Planned { fault: Fault::RefusingOwner, at: ms(at), lasts: ms(lasts) });
+        } else {
+            all.push(Planned { fault: Fault::SilentOwner, at: ms(at), lasts: ms(100) });
+        }
+        all.push(Planned { fault: Fault::Cancels, at: ms(cancels_at), lasts: ms(100) });
+        if refuses && all_after {
+            let fault = Fault::RefusingAll(members);
+            all.push(Planned { fault, at: ms(at + lasts), lasts: ms(all_lasts) });
+        }
+    }
+}
+
 /// Number of kinds of faults that [`fault`] draws.
 const KIND_COUNT: u8 = 37;
 
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -14,7 +14,7 @@
     lexopt::prelude::*,
     member::Members,
     serde::Serialize,
-    stage::{Counts, Stage},
+    stage::{Counts, Held, Stage},
     standin::site::{customers as tenants, judge::Breach, plan, worker::World},
     std::{
         path::PathBuf,
@@ -62,6 +62,7 @@
     skipped: u64,
     counts: Counts,
     starts: u64,
+    held: Held,
     /// Number of workers' reports that listed only the first ends.
     cut_off_lists: u64,
     /// The first breach.
@@ -135,6 +136,7 @@
         "{}; {} starts, {} lists of ends cut off",
         report.counts, report.starts, report.cut_off_lists
     );
+    println!("{}", report.held);
     match &report.breach {
         Some(breach) => println!("BROKEN {breach}"),
         None => println!("no promise was broken"),
@@ -150,7 +152,11 @@
     }
     std::fs::create_dir_all(&options.dir)?;
     let draw = if options.planned { plan::planned_work } else { plan::faults };
-    let faults = draw(options.seed, options.length, options.members, options.workers);
+    let mut faults = draw(options.seed, options.length, options.members, options.workers);
+    if !options.planned {
+        faults.extend(plan::unheard(options.seed, options.length, options.members));
+        faults.sort_by_key(|f| f.at);
+    }
     let stage = Stage::new(options);
     let serving = serve::start(&stage, options).await?;
     let members = Members::start(options, &stage, &serving).await?;
@@ -177,8 +183,8 @@
     stage.until_breach(calm).await;
     finish(&stage, &callers).await;
     members.end(&stage).await;
-    let (breach, starts, cut_off_lists) =
-        stage.update(|s| (s.breach.clone(), s.rules.start_count, s.world.cut_off_lists));
+    let (breach, starts, held, cut_off_lists) =
+        stage.update(|s| (s.breach.clone(), s.rules.start_count, s.held, s.world.cut_off_lists));
     let told = |b: &Breach| [stage.read(|s| s.events_of(&b.text)), members.lines(&b.text)].concat();
     let lines = breach.as_ref().map(told).unwrap_or_default();
     Ok(Report {
@@ -192,6 +198,7 @@
         skipped: playing.skipped(),
         counts: callers.counts(),
         starts,
+        held,
         cut_off_lists,
         breach: breach.map(|b| b.to_string()),
         lines,
--- a/standin/src/soak/play.rs
+++ b/standin/src/soak/play.rs
@@ -102,12 +102,25 @@
             Fault::FreezeOwner => Fault::Freeze(owner()),
             Fault::CutOwner => Fault::CutStore(owner()),
             Fault::OwnerApart => Fault::CutWorkers(owner()),
+            Fault::RefusingOwner => Fault::Refusing(owner()),
+            Fault::SilentOwner => Fault::SilentStore(owner()),
             Fault::ConfigKill(m) => {
                 self.configure();
                 Fault::Kill(m)
             }
             other => other,
         };
+        let disturbed = fault.disturbed(self.serving.stores.len());
+        self.update_state(|s| s.disturbed.extend(&disturbed));
+        self.carry_out(fault, until).await;
+        self.update_state(|s| {
+            disturbed.iter().for_each(|p| {
+                s.disturbed.iter().position(|d| d == p).map(|at| s.disturbed.swap_remove(at));
+            });
+        });
+    }
+
+    async fn carry_out(&self, fault: Fault, until: Instant) {
         match fault {
             Fault::Kill(m) | Fault::Freeze(m) | Fault::Stop(m) | Fault::Replace(m) => {
                 if self.members.acquire(m) {
@@ -251,6 +264,7 @@
         match fault {
             Fault::CutWorkers(m) => switch(&mut self.cut_off, m, on),
             Fault::Refusing(m) => switch(&mut self.refusing, m, on),
+            Fault::RefusingAll(n) => (0..n).for_each(|m| switch(&mut self.refusing, m, on)),
             Fault::Down => self.store.health = if on { Mode::Down } else { Mode::Up },
             Fault::Losing(n) => self.store.health = if on { Mode::Losing(n) } else { Mode::Up },
             Fault::Slow(ms) => self.store_delay = Duration::from_millis(if on { ms } else { 0 }),
--- a/standin/src/soak/stage.rs
+++ b/standin/src/soak/stage.rs
@@ -16,6 +16,7 @@
     platform_standin::lists,
     serde::Serialize,
     standin::site::{
+        contact::Part,
         customers::{self, Tenant, Tenants},
         judge::{Breach, FAULT_GRACE, Rules, Verdict},
         setup,
@@ -23,7 +24,7 @@
         worker::{Note, World},
     },
     std::{
-        collections::{BTreeMap, BTreeSet, VecDeque},
+        collections::{BTreeSet, VecDeque},
         future::Future,
         sync::{Arc, Mutex},
         time::{Duration, Instant, SystemTime},
@@ -58,6 +59,19 @@
     pub unanswered: u64,
 }
 
+/// Number of ticks of the time with faults in which the rules on cancelled jobs hold.
+#[derive(Clone, Copy, Debug, Default, Display, Serialize)]
+#[display(
+    "the rules on cancelled jobs held for the owner in {held} of {ticks} ticks, {undisturbed} of them without any fault"
+)]
+pub struct Held {
+    pub ticks: u64,
+    /// The owner and the store were in touch.
+    pub held: u64,
+    /// There was neither a fault nor planned work of any kind.
+    pub undisturbed: u64,
+}
+
 /// The simulated environment of the members.
 pub struct State {
     pub world: World,
@@ -79,6 +93,10 @@
     pub faults: usize,
     /// Number of active faults that aren't planned work.
     pub unplanned: usize,
+    /// Parts that are disturbed now, once for each of their faults.
+    pub disturbed: Vec<Part>,
+    /// Share of the time in which the rules on cancelled jobs hold.
+    pub held: Held,
     /// Number of active faults that delay orders.
     pub delaying: usize,
     /// Last moment of a fault that isn't planned work.
@@ -86,8 +104,6 @@
     pub rng: fastrand::Rng,
     /// Recorded events of workers, each with its job.
     events: VecDeque<(JobNo, String)>,
-    /// The member that took over the shard with each token.
-    owners: BTreeMap<u64, usize>,
 }
 
 /// Handle to the shared state, with a notification for changes of the store.
@@ -116,6 +132,7 @@
         let mut rules = Rules::new(seed);
         rules.time_rules = options.timed;
         rules.unix_ms = unix();
+        rules.per_machine = true;
         let state = State {
             world,
             store: Store::new(seed),
@@ -128,15 +145,16 @@
             store_delay: Duration::ZERO,
             faults: 0,
             unplanned: 0,
+            disturbed: Vec::new(),
+            held: Held::default(),
             delaying: 0,
             last_unplanned: None,
             rng: fastrand::Rng::with_seed(seed),
             events: VecDeque::new(),
-            owners: BTreeMap::new(),
         };
         let (state, moved) = (Arc::new(Mutex::new(state)), Arc::new(Notify::new()));
         let stage = Stage { begin: Instant::now(), state, store_changed: moved };
-        let ticking = stage.clone();
+        let (ticking, length) = (stage.clone(), Time::ZERO + options.length);
         tokio::spawn(async move {
             loop {
                 tokio::time::sleep(TICK).await;
@@ -148,6 +166,9 @@
                         s.rules.record_fault(s.world.now);
                         s.last_unplanned = Some(s.world.now);
                     }
+                    if s.world.now < length {
+                        s.count_held();
+                    }
                 });
             }
         });
@@ -213,6 +234,8 @@
     fn judge(&mut self) {
         self.record_events();
         self.mark_late();
+        let now = self.world.now;
+        self.disturbed.iter().for_each(|p| self.rules.contact.disturb(*p, now));
         if self.delaying > 0 {
             self.rules.caps.record_delay(self.world.now);
         }
@@ -229,6 +252,15 @@
         }
     }
 
+    /// Counts whether the owner's starts are judged now.
+    fn count_held(&mut self) {
+        let (now, latest) = (self.world.now, self.rules.contact.owners.last_key_value());
+        let Some((token, _)) = latest.filter(|_| self.rules.time_rules) else { return };
+        self.held.ticks += 1;
+        self.held.held += u64::from(now >= self.rules.start_excused(*token));
+        self.held.undisturbed += u64::from(now >= self.rules.suspended_until);
+    }
+
     /// Records the new events of workers for the report.
     fn record_events(&mut self) {
         for note in &self.world.notes {
@@ -368,7 +400,7 @@
         {
             let Some(row) = decode::<OwnerRow>(value) else { return Ok(()) };
             let member = row.control.and_then(|a| crate::soak::member::member_at(a.ip()));
-            self.owners.extend(member.map(|m| (row.token, m)));
+            self.rules.contact.owners.extend(member.map(|m| (row.token, m)));
             return self.rules.check_token(now, shard, row.token);
         }
         let Some((_, job)) = key.strip_prefix("dwr/p/").and_then(|k| k.split_once('/')) else {
@@ -382,12 +414,12 @@
 
     /// Whether the owner with this token is cut off from the workers.
     pub fn is_cut_off(&self, token: u64) -> bool {
-        self.owners.get(&token).is_some_and(|m| self.cut_off.contains(m))
+        self.rules.contact.owners.get(&token).is_some_and(|m| self.cut_off.contains(m))
     }
 
     /// The member that took over last, or member 0 if there was no takeover.
     pub fn owner(&self) -> usize {
-        self.owners.last_key_value().map_or(0, |(_, member)| *member)
+        self.rules.contact.owners.last_key_value().map_or(0, |(_, member)| *member)
     }
 
     /// Draws the outcome of a member's call to the store.
--- a/standin/tests/judge.rs
+++ b/standin/tests/judge.rs
@@ -10,6 +10,7 @@
         work::{JobNo, JobState, Step, StepKey, TaskKey},
     },
     standin::site::{
+        contact::Part,
         judge::{Breach, Rules},
         setup::{bounds, job, queues, step, workers},
         worker::World,
@@ -226,3 +227,67 @@
     let broken = until(&mut world, &mut rules, 12_000).expect_err("the task isn't running");
     assert!(broken.at >= Time::from_millis(2_000 + 3_000), "{broken}");
 }
+
+/// A world whose clock stands at 9 s, with a judge that knows of two owners: member 0 with token 1, and
+/// member 1 with token 2.
+fn world_with_owners(cancelled: Time) -> (World, Rules) {
+    let (mut world, mut rules) = world_with_job();
+    world.jobs.entry(JOB).and_modify(|r| r.job.steps[0].estimate = 60_000);
+    world.advance(Time::from_millis(9_000));
+    rules.per_machine = true;
+    rules.contact.owners = [(1, 0), (2, 1)].into();
+    rules.record_fault(world.now);
+    rules.cancelled(cancelled, JOB);
+    (world, rules)
+}
+
+#[test]
+fn a_start_after_a_cancel_counts_whatever_happens_to_others() {
+    // Guards against a rule that is hardly ever in force, because something always fails somewhere.
+    let started = |part: Part, at: u64| {
+        let (mut world, mut rules) = world_with_owners(Time::from_millis(6_900));
+        rules.contact.disturb(part, Time::from_millis(at));
+        start(&mut world);
+        rules.check(&mut world)
+    };
+    for other in [Part::Member(1), Part::Worker(2), Part::Orders] {
+        assert_breach(started(other, 9_000), "its job was cancelled");
+    }
+    for part in [Part::Member(0), Part::Store] {
+        assert_eq!(started(part, 6_010), Ok(()), "{part:?} was not in touch");
+        assert_breach(started(part, 6_000), "its job was cancelled");
+    }
+}
+
+#[test]
+fn a_run_goes_on_only_beside_a_fault_of_its_own() {
+    // Guards against an owner that forgets a stop, and against blaming it for a worker out of reach.
+    let runs_on = |part: Part| {
+        let (mut world, mut rules) = world_with_owners(Time::NEVER);
+        start(&mut world);
+        rules.cancelled(Time::from_millis(9_000), JOB);
+        rules.contact.disturb(part, Time::from_millis(6_500));
+        world.advance(Time::from_millis(12_010));
+        let before = rules.check(&mut world);
+        world.advance(Time::from_millis(12_510));
+        (before, rules.check(&mut world))
+    };
+    for other in [Part::Member(2), Part::Worker(3)] {
+        assert_breach(runs_on(other).0, "runs on, cancelled");
+    }
+    let own = [Part::Member(0), Part::Member(1), Part::Worker(2), Part::Orders, Part::Store];
+    for (before, after) in own.map(runs_on) {
+        assert_eq!(before, Ok(()));
+        assert_breach(after, "runs on, cancelled");
+    }
+}
+
+#[test]
+fn the_first_acknowledgement_of_a_cancel_counts() {
+    // Guards against a caller's later cancels of one job that set back the time from which it may not start.
+    let (mut world, mut rules) = world_with_owners(Time::from_millis(2_000));
+    rules.cancelling(JOB);
+    rules.cancelled(Time::from_millis(8_900), JOB);
+    start(&mut world);
+    assert_breach(rules.check(&mut world), "its job was cancelled");
+}
--- a/standin/tests/plan.rs
+++ b/standin/tests/plan.rs
@@ -1,7 +1,7 @@
 //! Tests that the faults and jobs of a soak depend on its seed alone and include all kinds.
 
 use {
-    standin::site::plan::{draw_job, faults},
+    standin::site::plan::{Fault, draw_job, faults, unheard},
     std::{collections::BTreeSet, mem::discriminant, time::Duration},
 };
 
@@ -47,3 +47,14 @@
     assert!(all.iter().any(|d| d.fails) && all.iter().any(|d| d.resubmit));
     assert!(all.iter().any(|d| d.cancel.is_some()));
 }
+
+#[test]
+fn the_owner_is_kept_from_hearing_of_cancels() {
+    // Guards against a soak in which no fault keeps cancels from the owner alone.
+    let all = unheard(3, LENGTH, 5);
+    assert_eq!(all, unheard(3, LENGTH, 5));
+    for fault in [Fault::RefusingOwner, Fault::RefusingAll(5), Fault::SilentOwner, Fault::Cancels] {
+        assert!(all.iter().any(|f| f.fault == fault), "{fault}");
+    }
+    assert!(all.iter().all(|f| f.at < LENGTH));
+}
