Soak: cancels of jobs whose acceptance is unclear are judged

Cause: only cancels of accepted jobs that were answered 2xx counted; jobs whose submission had no clear answer could start at any time. Change: 2xx or 410 acknowledges the cancel of any job, and the first acknowledgement counts. One caller in ten, drawn from a generator of its own, submits once and cancels within 0.3 s without waiting for the answer.

--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -9,7 +9,6 @@
     },
     bytes::Bytes,
     dogwoodreach::{
-        Time,
         http::{Client, Failure, uri},
         ids::CustomerId,
         shard::record::JobRecord,
@@ -52,6 +51,11 @@
 /// Number of workers for each job a second; it sets the rate of submissions.
 const WORKERS_PER_RATE: f64 = 3.5;
 
+/// One in this number of callers cancels its job without waiting for the answer to its submission.
+const LEAVE_PERIOD: u32 = 10;
+/// Range of the time between such a caller's submission and its cancel, in milliseconds.
+const LEAVE_MS: Range<u64> = 0..300;
+
 /// All callers of a soak.
 #[derive(Clone)]
 pub struct Callers {
@@ -78,6 +82,13 @@
     Unclear,
 }
 
+/// Draws whether the caller of a job cancels it unanswered, and when, from a generator of the job's own,
+/// so that all others stay as they are.
+fn draw_leave(drawn: &DrawnJob) -> Option<Duration> {
+    let mut rng = fastrand::Rng::with_seed(!drawn.no);
+    (rng.u32(0..LEAVE_PERIOD) == 0).then(|| Duration::from_millis(rng.u64(LEAVE_MS)))
+}
+
 impl Callers {
     /// Creates the callers without any jobs.
     pub fn new(stage: &Stage, members: &Members, options: &Options) -> Self {
@@ -195,8 +206,16 @@
             self.open.lock().expect("no holder panics").remove(&no);
             return;
         }
-        match self.submit(&drawn).await {
-            Submission::Accepted => {
+        let leaves = draw_leave(&drawn);
+        let leave = async {
+            if let Some(after) = leaves {
+                sleep(after).await;
+                self.cancel(&drawn).await;
+            }
+        };
+        let most = if leaves.is_some() { 1 } else { MAX_SUBMITS };
+        match tokio::join!(self.submit(&drawn, most), leave).0 {
+            Submission::Accepted if leaves.is_none() => {
                 self.count(|c| c.accepted += 1);
                 let (over, told) = oneshot::channel();
                 tokio::join!(self.follow(&drawn, over), self.query_later(&drawn, told));
@@ -205,12 +224,13 @@
                 self.count(|c| c.refused += 1);
                 self.judge(|s| s.rules.refused(s.world.now, no));
             }
-            Submission::Unclear => {
-                self.count(|c| c.unclear += 1);
-                self.set_waiting(no, "a cancel, its acceptance is unclear".into());
-                self.cancel(&drawn, false).await;
+            submission => {
+                let accepted = submission == Submission::Accepted;
+                self.count(|c| if accepted { c.accepted += 1 } else { c.unclear += 1 });
+                self.set_waiting(no, "a cancel, its caller has left or wasn't answered".into());
+                self.cancel(&drawn).await;
                 sleep(MAX_WRITE_DELAY).await;
-                self.cancel(&drawn, false).await;
+                self.cancel(&drawn).await;
             }
         }
         self.open.lock().expect("no holder panics").remove(&no);
@@ -228,10 +248,10 @@
         });
     }
 
-    /// Submits a job, at several members if it isn't accepted.
-    async fn submit(&self, drawn: &DrawnJob) -> Submission {
+    /// Submits a job up to `most` times, at several members, until it is accepted.
+    async fn submit(&self, drawn: &DrawnJob, most: usize) -> Submission {
         let mut submission = Submission::Refused;
-        for _ in 0..MAX_SUBMITS {
+        for _ in 0..most {
             match self.send("POST", drawn, jobs::job(&drawn.job)).await {
                 Some((200..=299, _)) => {
                     self.judge(|s| s.rules.accepted(s.world.now, JobNo(drawn.no)));
@@ -274,7 +294,7 @@
             if !cancelled && (due || in_wave || (calm && lasts)) {
                 cancelled = true;
                 self.set_waiting(no, "its cancel".into());
-                self.cancel(drawn, true).await;
+                self.cancel(drawn).await;
             }
             if again.is_some_and(|a| begin.elapsed() >= a) {
                 again = None;
@@ -347,19 +367,12 @@
     }
 
     /// Sends cancels of a job until a member confirms one.
-    async fn cancel(&self, drawn: &DrawnJob, accepted: bool) {
+    async fn cancel(&self, drawn: &DrawnJob) {
         let no = JobNo(drawn.no);
-        self.stage.update(|s| *s.rules.cancels.entry(no).or_insert(Time::NEVER));
+        self.stage.update(|s| s.rules.cancelling(no));
         while !self.stage.has_breach() {
-            match self.send("DELETE", drawn, Bytes::new()).await {
-                Some((200..=299, _)) => {
-                    if accepted {
-                        self.stage.update(|s| s.rules.cancels.insert(no, s.world.now));
-                    }
-                    return;
-                }
-                Some((410, _)) if !accepted => return,
-                _ => {}
+            if let Some((200..=299 | 410, _)) = self.send("DELETE", drawn, Bytes::new()).await {
+                return self.stage.update(|s| s.rules.cancelled(s.world.now, no));
             }
             self.pause(200, 700).await;
         }
