Soak: cancels that come before their job is stored

Cause: no fault delayed a submission for so long that its caller's cancel was answered first, except by chance. Change: the faults that keep cancels unheard include a store that loses half of its answers for 0.3 to 1 s, and a member that stands still for 3 to 5.5 s, each with a burst of 30 jobs.

--- a/standin/src/site/judge.rs
+++ b/standin/src/site/judge.rs
@@ -439,6 +439,11 @@
         *first = at.min(*first);
     }
 
+    /// Number of jobs whose cancel was acknowledged.
+    pub fn cancel_count(&self) -> usize {
+        self.cancels.values().filter(|at| **at != Time::NEVER).count()
+    }
+
     /// Records that a caller's submission was accepted.
     pub fn accepted(&mut self, at: Time, job: JobNo) -> Verdict {
         self.accepted.entry(job).or_insert(at);
--- a/standin/src/site/plan.rs
+++ b/standin/src/site/plan.rs
@@ -20,6 +20,8 @@
 
 /// Range of the gaps between two faults of [`unheard`].
 const UNHEARD_GAP_MS: Range<u64> = 5_000..15_000;
+/// Number of jobs that come as one of these faults delays their submissions.
+const UNHEARD_BURST: u32 = 30;
 
 /// A kind of fault. Members and workers are given by index, milliseconds and rates by number.
 #[derive(Clone, Copy, Debug, Display, PartialEq)]
@@ -233,29 +235,41 @@
     all
 }
 
-/// Draws the faults of a soak of this length that keep the shard's owner from hearing of cancels, each
-/// with a wave of cancels. Their generator is their own, so that the other faults of a seed stay the same.
+/// Draws the faults of a soak of this length that keep cancels from the shard's owner, or cancels from
+/// coming after their jobs. Their generator is their own, so that the other faults of a seed stay the same.
 pub fn unheard(seed: u64, length: Duration, members: usize) -> Vec<Planned> {
     let mut rng = fastrand::Rng::with_seed(!seed);
     let (mut all, mut at) = (Vec::new(), FIRST_FAULT_MS);
     let ms = Duration::from_millis;
     loop {
         at += rng.u64(UNHEARD_GAP_MS);
-        let (refuses, lasts) = (rng.bool(), rng.u64(2_000..7_000));
-        let (all_after, all_lasts) = (rng.bool(), rng.u64(300..1_000));
-        let cancels_at = at + rng.u64(0..if refuses { lasts } else { 1_000 });
-        if u128::from(at + lasts) >= length.as_millis() {
+        let (long, short) = (rng.u64(2_000..7_000), rng.u64(300..1_000));
+        if u128::from(at + long + short) >= length.as_millis() {
             return all;
         }
-        if refuses {
-            all.push(Planned { fault: Fault::RefusingOwner, at: ms(at), lasts: ms(lasts) });
-        } else {
-            all.push(Planned { fault: Fault::SilentOwner, at: ms(at), lasts: ms(100) });
-        }
-        all.push(Planned { fault: Fault::Cancels, at: ms(cancels_at), lasts: ms(100) });
-        if refuses && all_after {
-            let fault = Fault::RefusingAll(members);
-            all.push(Planned { fault, at: ms(at + lasts), lasts: ms(all_lasts) });
+        let mut plan = |fault, after, lasts| {
+            all.push(Planned { fault, at: ms(at + after), lasts: ms(lasts) });
+        };
+        match rng.u32(0..4) {
+            0 => {
+                plan(Fault::RefusingOwner, 0, long);
+                plan(Fault::Cancels, rng.u64(0..long), 100);
+                if rng.bool() {
+                    plan(Fault::RefusingAll(members), long, short);
+                }
+            }
+            1 => {
+                plan(Fault::SilentOwner, 0, 100);
+                plan(Fault::Cancels, rng.u64(0..1_000), 100);
+            }
+            2 => {
+                plan(Fault::Losing(2), 0, short);
+                plan(Fault::Burst(UNHEARD_BURST), 0, 100);
+            }
+            _ => {
+                plan(Fault::Freeze(rng.usize(0..members)), 0, 2_000 + long / 2);
+                plan(Fault::Burst(UNHEARD_BURST), 100, 100);
+            }
         }
     }
 }
--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -62,6 +62,8 @@
     skipped: u64,
     counts: Counts,
     starts: u64,
+    /// Number of acknowledged cancels.
+    cancels: usize,
     held: Held,
     /// Number of workers' reports that listed only the first ends.
     cut_off_lists: u64,
@@ -136,7 +138,7 @@
         "{}; {} starts, {} lists of ends cut off",
         report.counts, report.starts, report.cut_off_lists
     );
-    println!("{}", report.held);
+    println!("{} cancels were acknowledged; {}", report.cancels, report.held);
     match &report.breach {
         Some(breach) => println!("BROKEN {breach}"),
         None => println!("no promise was broken"),
@@ -198,6 +200,7 @@
         skipped: playing.skipped(),
         counts: callers.counts(),
         starts,
+        cancels: stage.read(|s| s.rules.cancel_count()),
         held,
         cut_off_lists,
         breach: breach.map(|b| b.to_string()),
--- a/standin/tests/plan.rs
+++ b/standin/tests/plan.rs
@@ -53,8 +53,10 @@
     // Guards against a soak in which no fault keeps cancels from the owner alone.
     let all = unheard(3, LENGTH, 5);
     assert_eq!(all, unheard(3, LENGTH, 5));
-    for fault in [Fault::RefusingOwner, Fault::RefusingAll(5), Fault::SilentOwner, Fault::Cancels] {
+    use Fault::{Burst, Cancels, Losing, RefusingAll, RefusingOwner, SilentOwner};
+    for fault in [RefusingOwner, RefusingAll(5), SilentOwner, Cancels, Losing(2), Burst(30)] {
         assert!(all.iter().any(|f| f.fault == fault), "{fault}");
     }
+    assert!(all.iter().any(|f| matches!(f.fault, Fault::Freeze(_))));
     assert!(all.iter().all(|f| f.at < LENGTH));
 }
