Soak: a caller that has left doesn't cancel its job at once again

Cause: callers that had cancelled unanswered cancelled again as soon as their submission was answered, which hid that the first cancel, acknowledged before the job was stored, had no effect.

--- a/standin/src/soak/callers.rs
+++ b/standin/src/soak/callers.rs
@@ -228,7 +228,10 @@
                 let accepted = submission == Submission::Accepted;
                 self.count(|c| if accepted { c.accepted += 1 } else { c.unclear += 1 });
                 self.set_waiting(no, "a cancel, its caller has left or wasn't answered".into());
-                self.cancel(&drawn).await;
+                // Another cancel would hide that the first one didn't reach a job that is stored later.
+                if leaves.is_none() {
+                    self.cancel(&drawn).await;
+                }
                 sleep(MAX_WRITE_DELAY).await;
                 self.cancel(&drawn).await;
             }
