Soak: the added faults lengthen no bound on caps

Cause: members that stand still lengthen the judge's bound on caps to 18 s, so that kind among the added faults weakened that rule.

--- a/standin/src/site/plan.rs
+++ b/standin/src/site/plan.rs
@@ -250,7 +250,7 @@
         let mut plan = |fault, after, lasts| {
             all.push(Planned { fault, at: ms(at + after), lasts: ms(lasts) });
         };
-        match rng.u32(0..4) {
+        match rng.u32(0..3) {
             0 => {
                 plan(Fault::RefusingOwner, 0, long);
                 plan(Fault::Cancels, rng.u64(0..long), 100);
@@ -262,14 +262,10 @@
                 plan(Fault::SilentOwner, 0, 100);
                 plan(Fault::Cancels, rng.u64(0..1_000), 100);
             }
-            2 => {
+            _ => {
                 plan(Fault::Losing(2), 0, short);
                 plan(Fault::Burst(UNHEARD_BURST), 0, 100);
             }
-            _ => {
-                plan(Fault::Freeze(rng.usize(0..members)), 0, 2_000 + long / 2);
-                plan(Fault::Burst(UNHEARD_BURST), 100, 100);
-            }
         }
     }
 }
--- a/standin/tests/plan.rs
+++ b/standin/tests/plan.rs
@@ -57,6 +57,6 @@
     for fault in [RefusingOwner, RefusingAll(5), SilentOwner, Cancels, Losing(2), Burst(30)] {
         assert!(all.iter().any(|f| f.fault == fault), "{fault}");
     }
-    assert!(all.iter().any(|f| matches!(f.fault, Fault::Freeze(_))));
+    assert!(!all.iter().any(|f| f.fault.delays_orders()), "bounds on caps would be longer");
     assert!(all.iter().all(|f| f.at < LENGTH));
 }
