Metrics and a log line of an owner's writes, polls, passes and waiting ends

Cause: nothing told apart whether an owner's ends wait for its queue, its writes or its loop. Change: counters of writes, of the ends and other changes in them, of polls of workers whose ends aren't stored; a histogram of the time from a job's end until it is stored; levels of inputs and unwritten jobs, ages of the oldest unstored end and the longest pass; one line of them each half second while there is something to write. Result: no change of decisions.

--- a/src/decide/pace_monitor.rs
+++ b/src/decide/pace_monitor.rs
@@ -40,8 +40,8 @@
         PaceMonitor { last_pass: now, slow_time: Duration::ZERO }
     }
 
-    /// Records that a pass has ended at `now`.
-    pub fn record_pass(&mut self, now: Time) {
+    /// Records that a pass has ended at `now`; returns how long it took.
+    pub fn record_pass(&mut self, now: Time) -> Duration {
         let took = now - self.last_pass;
         self.last_pass = now;
         if took >= SLOW_PASS {
@@ -49,6 +49,7 @@
         } else {
             self.slow_time = self.slow_time.saturating_sub(took * RECOVERY_FACTOR);
         }
+        took
     }
 
     /// Returns whether the member is too slow for its shards, the latest of which it has owned since
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -52,6 +52,9 @@
     job_seconds: HistogramVec,
     unanswered_orders: IntCounterVec,
     ends_noted: IntCounter,
+    unstored_polls: IntCounter,
+    shard_writes: IntCounterVec,
+    end_stored_seconds: Histogram,
     division_writes: IntCounter,
     over_quota_jobs: IntCounter,
     customers: IntGaugeVec,
@@ -155,6 +158,24 @@
             ),
             ends_noted: IntCounter::new("dwr_ends_noted_total", "Ends that workers may forget.")
                 .expect("the names are well-formed"),
+            unstored_polls: IntCounter::new(
+                "dwr_unstored_polls_total",
+                "Holds sent to workers whose listed ends are not stored yet.",
+            )
+            .expect("the names are well-formed"),
+            shard_writes: counter(
+                "dwr_shard_writes_total",
+                "Writes of shards, and the ends and other changes of jobs in them.",
+                "what",
+            ),
+            end_stored_seconds: Histogram::with_opts(
+                HistogramOpts::new(
+                    "dwr_end_stored_seconds",
+                    "From a job's end until it is stored.",
+                )
+                .buckets(CALL_BUCKETS.to_vec()),
+            )
+            .expect("the names are well-formed"),
             division_writes: IntCounter::new(
                 "dwr_division_writes_total",
                 "Writes of the divisions of customers' caps.",
@@ -214,7 +235,7 @@
             m.verdicts.with_label_values(&[kind.answer().label]);
             m.retry_counts.with_label_values(&[kind.answer().label]);
         }
-        let all: [Box<dyn Collector>; 33] = [
+        let all: [Box<dyn Collector>; 36] = [
             Box::new(m.verdicts.clone()),
             Box::new(m.retry_counts.clone()),
             Box::new(m.kv_calls.clone()),
@@ -238,6 +259,9 @@
             Box::new(m.job_seconds.clone()),
             Box::new(m.unanswered_orders.clone()),
             Box::new(m.ends_noted.clone()),
+            Box::new(m.unstored_polls.clone()),
+            Box::new(m.shard_writes.clone()),
+            Box::new(m.end_stored_seconds.clone()),
             Box::new(m.division_writes.clone()),
             Box::new(m.over_quota_jobs.clone()),
             Box::new(m.customers.clone()),
@@ -354,6 +378,15 @@
             self.cancels.with_label_values(&[&source.to_string()]).inc_by(*n);
         }
         self.ends_noted.inc_by(tally.acknowledged_ends);
+        self.unstored_polls.inc_by(tally.unstored_polls);
+        let ends = tally.end_delays.len() as u64;
+        let written =
+            [("write", tally.writes), ("change", tally.written_changes), ("end", ends)];
+        for (what, n) in written {
+            self.shard_writes.with_label_values(&[what]).inc_by(n);
+        }
+        let stored = &self.end_stored_seconds;
+        tally.end_delays.iter().for_each(|t| stored.observe(t.as_secs_f64()));
         self.division_writes.inc_by(tally.division_writes);
         self.over_quota_jobs.inc_by(tally.over_quota_jobs);
         for (cause, n) in &tally.preemptions {
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -175,6 +175,8 @@
     pub changed_seq: u64,
     /// The sequence number of the last change that is stored, or being written.
     pub stored_seq: u64,
+    /// The time at which this owner decided that the job is over.
+    pub ended_at: Option<Time>,
     /// Whether a write of the job's end has begun, whatever its outcome.
     pub end_sent: bool,
 }
@@ -207,6 +209,7 @@
             start_counted: false,
             changed_seq: 0,
             stored_seq: 0,
+            ended_at: None,
             end_sent: false,
         };
         for row in progress.map_or(&[][..], |p| &p.tasks) {
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -127,6 +127,7 @@
     pub(super) fn end_job(&mut self, no: JobNo, state: JobState, now: Time) {
         let Some(job) = self.jobs.get_mut(&no) else { return };
         job.prior_state = mem::replace(&mut job.state, state);
+        job.ended_at = Some(now);
         let runs = job.assigned_runs(no);
         let parts: Vec<_> = job.step_states.keys().copied().collect();
         self.log_over(no, state, runs.len(), now);
--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -46,6 +46,8 @@
         let mut levels = Gauges {
             worker_list_age: now - self.reported.listed_at,
             inbox_age: now - self.inbox_seen,
+            unwritten_jobs: self.unwritten_jobs(),
+            unstored_end_age: self.oldest_end().map_or(Duration::ZERO, |at| now - at),
             longest_absence: self.reported.away.clone(),
             waiting_customers,
             customers_above_share,
@@ -61,6 +63,13 @@
         levels
     }
 
+    /// Returns the time of the earliest end of a job that is not stored yet.
+    fn oldest_end(&self) -> Option<Time> {
+        let written = self.in_flight.jobs.iter().map(|f| &f.0);
+        let unstored = self.dirty_jobs.iter().chain(written);
+        unstored.filter_map(|no| self.jobs.get(no)?.ended_at).min()
+    }
+
     /// Logs that the number of listed workers has changed.
     pub(super) fn log_listed(&mut self, count: usize, now: Time) {
         let before_ms = millis(now - self.reported.listed_at);
--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -242,6 +242,7 @@
                 false if losing && w.fenced && w.unanswered_calls == 0 => wait + resend_delay,
                 false => wait + HOLD_MARGIN,
             };
+            self.stats.unstored_polls += u64::from(!w.unstored_ends.is_empty());
             w.hold_sent = Some(now);
             w.acknowledged_end_number = w.stored_end_number;
             let call = WorkerCall::Hold {
--- a/src/shard/stats.rs
+++ b/src/shard/stats.rs
@@ -51,6 +51,15 @@
     pub cut_off_lists: u64,
     /// The number of stored ends of runs that were acknowledged to their workers.
     pub acknowledged_ends: u64,
+    /// The number of holds sent to workers that list ends which are not stored yet. Such a hold
+    /// brings nothing but the ends that came since the one before.
+    pub unstored_polls: u64,
+    /// The number of writes of the shard's changes that have begun.
+    pub writes: u64,
+    /// The number of changes of jobs that go on in these writes.
+    pub written_changes: u64,
+    /// The times from a job's end until it was stored, one for each job.
+    pub end_delays: Vec<Duration>,
     /// The number of writes of divisions of customers' caps.
     pub division_writes: u64,
     /// The number of jobs that were found to be beyond their customer's quota.
@@ -123,6 +132,10 @@
     pub worker_list_age: Duration,
     /// The age of what is known of cancels.
     pub inbox_age: Duration,
+    /// The number of jobs whose current state may not be stored yet.
+    pub unwritten_jobs: usize,
+    /// The longest time since the end of a job whose end is not stored yet.
+    pub unstored_end_age: Duration,
     /// The longest time for which a long-running task has been away, by cause.
     pub longest_absence: BTreeMap<Cause, Duration>,
     /// The number of customers whose jobs wait.
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -49,6 +49,7 @@
             return;
         }
         let (number, rev) = self.commit.begin(now);
+        self.stats.writes += 1;
         let shard = self.setup.shard;
         let row = CommitRow { token: self.setup.token, number };
         let mut txn = Txn::default();
@@ -116,6 +117,7 @@
                 txn.removed_keys.push(shard.job_key(no));
                 txn.removed_keys.push(shard.cancel_key(no));
             }
+            self.stats.written_changes += u64::from(!over);
             flight.jobs.push((no, job.changed_seq, over.then_some(progress)));
         }
     }
@@ -125,7 +127,8 @@
         let flight = mem::take(&mut self.in_flight);
         for (no, _, over) in flight.jobs {
             let Some(progress) = over else { continue };
-            self.jobs.remove(&no);
+            let ended_at = self.jobs.remove(&no).and_then(|j| j.ended_at);
+            self.stats.end_delays.extend(ended_at.map(|at| now - at));
             self.finished_jobs.insert(no, progress.state);
             self.purge_queue.push_back((progress.ended_ms + self.retention_ms(), no));
         }
--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -11,18 +11,18 @@
         ids::WorkerId,
         ports::Fault,
         shard::{
-            Cause, Occupancy, PoolWait, Setup, Shard,
+            Cause, Gauges, Occupancy, PoolWait, Setup, Shard, Stats,
             event::{Event, Order, Snapshot},
             record::ShardNo,
             report::JobReport,
             view::ShardView,
         },
         shared_state::SharedState,
-        time::Time,
+        time::{Time, millis},
         work::JobNo,
     },
     async_channel::{Receiver, Sender, TrySendError},
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{collections::BTreeMap, mem, sync::Arc, time::Duration},
     tokio::{
         sync::oneshot,
         task::yield_now,
@@ -108,6 +108,8 @@
     /// next tick.
     deferred_events: Vec<(ShardNo, u64, Event)>,
     pace: PaceMonitor,
+    /// Duration of the longest pass since the last update of the metrics.
+    longest_pass: Duration,
     /// The time of the latest [`Event::Confirmed`].
     confirmed_at: Option<Time>,
     /// Time of the next update of the metrics.
@@ -137,6 +139,7 @@
             shards,
             deferred_events,
             pace,
+            longest_pass: Duration::ZERO,
             confirmed_at: None,
             next_metrics,
             release_by: None,
@@ -182,7 +185,7 @@
     /// them and may do so.
     async fn check_pace(&mut self) {
         let now = self.common.now();
-        self.pace.record_pass(now);
+        self.longest_pass = self.longest_pass.max(self.pace.record_pass(now));
         let Some(since) = self.shards.values().map(|o| o.since).max() else { return };
         let may_give_up = self.release_by.is_none() && *self.common.may_give_up.borrow();
         if may_give_up && self.pace.is_slow(since, now) {
@@ -323,9 +326,15 @@
         let mut away: BTreeMap<Cause, Duration> = BTreeMap::new();
         let (mut oldest, mut inbox_age) = (Duration::ZERO, Duration::ZERO);
         let (mut waiting_customers, mut above_share) = (0, 0);
-        for owned in self.shards.values_mut() {
-            metrics.add_tally(&owned.shard.take_stats());
+        let (mut unwritten, mut end_age) = (0, Duration::ZERO);
+        let (inputs, pass) = (self.input.len(), mem::take(&mut self.longest_pass));
+        for (shard, owned) in &mut self.shards {
+            let tally = owned.shard.take_stats();
+            metrics.add_tally(&tally);
             let levels = owned.shard.gauges(now);
+            log_work(*shard, &tally, &levels, inputs, pass);
+            unwritten += levels.unwritten_jobs;
+            end_age = end_age.max(levels.unstored_end_age);
             levels.waiting_tasks.iter().for_each(|(p, n)| *waiting.entry(*p).or_default() += n);
             for (cause, time) in levels.longest_absence {
                 let longest = away.entry(cause).or_default();
@@ -341,6 +350,10 @@
         metrics.set_customers(waiting_customers, above_share);
         metrics.set_age("workers", oldest);
         metrics.set_age("inbox", inbox_age);
+        metrics.set_age("unstored_end", end_age);
+        metrics.set_age("pass", pass);
+        metrics.set_level("shard_inputs", inputs);
+        metrics.set_level("unwritten_jobs", unwritten);
     }
 
     /// Passes an event to its shard; the next [`Self::run_rounds`] passes the shard's orders on.
@@ -421,6 +434,17 @@
     }
 }
 
+/// Logs the work of a shard's owner since the last update of the metrics, and what waits.
+fn log_work(shard: ShardNo, tally: &Stats, levels: &Gauges, inputs: usize, pass: Duration) {
+    let (writes, changes, ends) = (tally.writes, tally.written_changes, tally.end_delays.len());
+    if writes == 0 && levels.unwritten_jobs == 0 {
+        return;
+    }
+    let stored_ms = tally.end_delays.iter().max().map_or(0, |t| millis(*t));
+    let (pass_ms, end_ms) = (millis(pass), millis(levels.unstored_end_age));
+    log::info!(target: "owner", did = "work", shard:% = shard, inputs, pass_ms, writes, ends, changes, polls = tally.unstored_polls, stored_ms, unwritten = levels.unwritten_jobs, end_ms; "Owner's work.");
+}
+
 /// Returns the event that reports an order as not sent.
 fn unsent_result(order: Order, now: Time) -> Option<Event> {
     match order {
