--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -380,8 +380,7 @@
         self.ends_noted.inc_by(tally.acknowledged_ends);
         self.unstored_polls.inc_by(tally.unstored_polls);
         let ends = tally.end_delays.len() as u64;
-        let written =
-            [("write", tally.writes), ("change", tally.written_changes), ("end", ends)];
+        let written = [("write", tally.writes), ("change", tally.written_changes), ("end", ends)];
         for (what, n) in written {
             self.shard_writes.with_label_values(&[what]).inc_by(n);
         }
