Calls to workers whose ends wait to be stored are bounded together

Callers saw: after a burst, jobs are told as completed 5 to 7 s after their last task has ended, until the traffic stops. Cause: a worker whose ends aren't stored was called each 120 ms and answered at once with the same list. Change: the interval grows with the number of such workers, from 120 to 900 ms, and a worker is called as soon as its ends are stored. Few workers are called as before.

--- a/src/shard/commit.rs
+++ b/src/shard/commit.rs
@@ -17,7 +17,7 @@
 /// each call is charged for, so changes within this interval share a write.
 const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(20);
 /// The minimum interval before a non-urgent write, such as the ends of tasks whose jobs continue.
-/// Must not exceed 120 ms, the time after which a worker is asked again while ends are unwritten.
+/// Must not exceed the minimum time after which a worker is asked again while ends are unwritten.
 const MIN_LAZY_WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// The first and the longest pause after a refused write; the pause doubles with each refusal.
 const WRITE_BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(400));
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -21,8 +21,12 @@
 /// The interval between two hold calls to a worker that lists only its first ends, while too few of
 /// them can be acknowledged for it to list many others.
 const CUT_OFF_HOLD_INTERVAL: Duration = Duration::from_millis(900);
-/// The interval between two hold calls to a worker while ends of its runs wait to be stored.
-const UNSTORED_HOLD_INTERVAL: Duration = Duration::from_millis(120);
+/// The minimum and the maximum interval between two hold calls to a worker while ends of its runs
+/// wait to be stored. Such a worker answers at once.
+pub(super) const UNSTORED_HOLD_INTERVAL: (Duration, Duration) =
+    (Duration::from_millis(120), Duration::from_millis(900));
+/// The average interval between these calls to all workers.
+const UNSTORED_HOLD_SPACING: Duration = Duration::from_millis(4);
 /// The pause before the next call to a silent worker for each unanswered call, and the maximum
 /// pause.
 const SILENT_PAUSE: (Duration, Duration) = (Duration::from_millis(150), Duration::from_millis(900));
@@ -110,7 +114,7 @@
             worker.next_hold = now + (SILENT_PAUSE.0 * calls).min(SILENT_PAUSE.1);
             return;
         };
-        worker.next_hold = now;
+        (worker.next_hold, worker.listed_at) = (now, now);
         let complete = held.ended.len() < MAX_ENDS;
         self.record_cut_off(no, !complete);
         let worker = &mut self.workers[no.0];
@@ -129,10 +133,11 @@
         self.observe_runs(no, &held, now);
         self.remove_missing_runs(no, sent, &held, complete, now);
         self.adjust_filler_pace(no, now);
+        let pause = self.unstored_hold_interval();
         let worker = &mut self.workers[no.0];
         if !worker.unstored_ends.is_empty() {
             worker.next_hold = match () {
-                () if complete => now + UNSTORED_HOLD_INTERVAL,
+                () if complete => now + pause,
                 () if worker.can_list_more() => now,
                 () => now + CUT_OFF_HOLD_INTERVAL,
             };
@@ -142,6 +147,16 @@
         }
     }
 
+    /// Returns the interval between two hold calls to a worker whose ends wait to be stored.
+    ///
+    /// It grows with their number, because the calls delay the writes that these workers wait for.
+    fn unstored_hold_interval(&self) -> Duration {
+        let waiting = self.workers.iter().filter(|w| !w.unstored_ends.is_empty()).count();
+        let spaced =
+            UNSTORED_HOLD_SPACING.saturating_mul(u32::try_from(waiting).unwrap_or(u32::MAX));
+        spaced.clamp(UNSTORED_HOLD_INTERVAL.0, UNSTORED_HOLD_INTERVAL.1)
+    }
+
     /// Processes the list of runs that a worker reports.
     fn observe_runs(&mut self, no: WorkerNo, held: &Held, now: Time) {
         for row in &held.running {
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -8,6 +8,7 @@
             event::Order,
             in_flight::InFlight,
             record::{CommitRow, Roster, encode},
+            replies::UNSTORED_HOLD_INTERVAL,
             state_machine::Shard,
             workers::{Worker, WorkerNo, millis},
         },
@@ -188,6 +189,10 @@
                     w.next_hold = now;
                 }
             }
+            if w.unstored_ends.is_empty() {
+                let at = w.listed_at + UNSTORED_HOLD_INTERVAL.0;
+                w.next_hold = w.next_hold.min(at.max(now));
+            }
         }
     }
 
