Ends of jobs are written before other changes

Callers saw: a job's end is told seconds after its last task has ended while an owner is busy. Change: two queues, ends first; the row of a cancel is removed with the end only if the job was cancelled, else with its progress.

--- a/src/shard.rs
+++ b/src/shard.rs
@@ -45,6 +45,7 @@
 mod start;
 mod state_machine;
 mod stats;
+mod unwritten;
 mod usage;
 pub mod view;
 mod worker_loss;
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -182,6 +182,11 @@
 }
 
 impl ActiveJob {
+    /// Returns whether the job has a change that is neither stored nor being written.
+    pub fn is_unwritten(&self) -> bool {
+        self.changed_seq > self.stored_seq
+    }
+
     /// Builds a job from its record and its stored progress. `epoch_ms` is the Unix time at
     /// [`Time::ZERO`], in milliseconds.
     pub fn new(
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -138,6 +138,9 @@
             self.stop_run(at, &task, now);
         }
         self.scheduled_jobs.remove(&no);
+        if self.jobs.get(&no).is_some_and(ActiveJob::is_unwritten) {
+            self.unwritten.push(no, true);
+        }
         self.mark_changed(no);
     }
 
--- a/src/shard/logging.rs
+++ b/src/shard/logging.rs
@@ -66,7 +66,7 @@
     /// Returns the time of the earliest end of a job that is not stored yet.
     fn oldest_end(&self) -> Option<Time> {
         let written = self.in_flight.jobs.iter().map(|f| &f.0);
-        let unstored = self.dirty_jobs.iter().chain(written);
+        let unstored = written.chain(self.unwritten.ended().take(1));
         unstored.filter_map(|no| self.jobs.get(no)?.ended_at).min()
     }
 
--- a/src/shard/state_machine.rs
+++ b/src/shard/state_machine.rs
@@ -20,6 +20,7 @@
             reservation::GangReservation,
             share_state::ShareState,
             stats::{AdviceStats, ReportedValues, Stats},
+            unwritten::UnwrittenJobs,
             workers::{Worker, WorkerNo, millis},
         },
         time::Time,
@@ -125,7 +126,7 @@
     /// The sequence number of the last change to a job.
     pub(super) last_change: u64,
     /// Jobs with changes that have not been written.
-    pub(super) dirty_jobs: VecDeque<JobNo>,
+    pub(super) unwritten: UnwrittenJobs,
     /// Whether the roster has to be written.
     pub(super) roster_dirty: bool,
     /// The rosters of which the store has one: the last that is known to be stored, and those
@@ -194,7 +195,7 @@
             // A takeover writes both rows at once.
             owner_rev: load.commit_revision,
             last_change: 0,
-            dirty_jobs: VecDeque::new(),
+            unwritten: UnwrittenJobs::default(),
             roster_dirty: false,
             rosters: vec![],
             in_flight: InFlight::default(),
@@ -378,12 +379,12 @@
 
     /// Returns whether every change is stored.
     pub fn is_flushed(&self) -> bool {
-        self.deposed || (self.dirty_jobs.is_empty() && !self.commit.is_busy())
+        self.deposed || (self.unwritten.is_empty() && !self.commit.is_busy())
     }
 
     /// Returns the number of jobs whose current state may not be stored yet.
     pub fn unwritten_jobs(&self) -> usize {
-        self.dirty_jobs.len() + self.in_flight.jobs.len()
+        self.unwritten.len() + self.in_flight.jobs.len()
     }
 
     /// Writes the remaining changes without making scheduling decisions, because the shard is about
@@ -428,8 +429,8 @@
     pub(super) fn mark_changed(&mut self, no: JobNo) -> u64 {
         self.last_change += 1;
         if let Some(job) = self.jobs.get_mut(&no) {
-            if job.changed_seq <= job.stored_seq {
-                self.dirty_jobs.push_back(no);
+            if !job.is_unwritten() {
+                self.unwritten.push(no, job.state.is_final());
             }
             job.changed_seq = self.last_change;
         }
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -13,7 +13,7 @@
             workers::{Worker, WorkerNo, millis},
         },
         time::Time,
-        work::JobNo,
+        work::{JobNo, JobState},
     },
     std::mem,
 };
@@ -28,11 +28,10 @@
     /// soon. The ends of tasks are collected for longer, because each write has a cost and makes
     /// the shard call the workers again.
     pub(super) fn flush(&mut self, now: Time) {
-        let over = |no: &JobNo| self.jobs.get(no).is_some_and(|j| j.state.is_final());
         // A worker lists its next ends only once the first are stored.
         let waits = |w: &Worker| w.cut_off && !w.gone && w.unanswered_calls == 0;
         let cut_off = self.workers.iter().any(waits);
-        let urgent = cut_off || self.is_roster_due() || self.dirty_jobs.iter().any(over);
+        let urgent = cut_off || self.is_roster_due() || self.unwritten.has_ended();
         self.begin_write(urgent, now);
     }
 
@@ -41,7 +40,7 @@
     pub(super) fn begin_write(&mut self, urgent: bool, now: Time) {
         let unix = self.unix_ms(now);
         let purge = self.purge_queue.front().is_some_and(|(at, _)| *at <= unix);
-        if self.dirty_jobs.is_empty() && !self.is_roster_due() && !purge {
+        if self.unwritten.is_empty() && !self.is_roster_due() && !purge {
             // The end of a run whose job is already stored triggers no write that would acknowledge
             // it.
             return self.acknowledge_ends(now);
@@ -106,8 +105,8 @@
     fn write_jobs(&mut self, txn: &mut Txn, flight: &mut InFlight, unix: u64) {
         let shard = self.setup.shard;
         while row_count(txn) + 3 <= MAX_PAYLOAD_ROWS + 2 {
-            let Some(no) = self.dirty_jobs.pop_front() else { break };
-            let Some(job) = self.jobs.get_mut(&no) else { continue };
+            let Some(no) = self.unwritten.pop() else { break };
+            let Some(job) = self.jobs.get_mut(&no).filter(|j| j.is_unwritten()) else { continue };
             let over = job.state.is_final();
             let progress = job.progress(if over { unix } else { 0 }, self.setup.unix_ms);
             job.stored_seq = job.changed_seq;
@@ -116,6 +115,9 @@
             txn.puts.push(Put { key: shard.progress_key(no), value, lease: 0 });
             if over {
                 txn.removed_keys.push(shard.job_key(no));
+            }
+            // The row of a cancel that came too late is removed with the job's progress.
+            if job.state == JobState::Cancelled {
                 txn.removed_keys.push(shard.cancel_key(no));
             }
             self.stats.written_changes += u64::from(!over);
@@ -150,8 +152,8 @@
         let flight = mem::take(&mut self.in_flight);
         for (no, ..) in flight.jobs.into_iter().rev() {
             let Some(job) = self.jobs.get_mut(&no) else { continue };
-            if job.stored_seq == job.changed_seq {
-                self.dirty_jobs.push_front(no);
+            if !job.is_unwritten() {
+                self.unwritten.push_front(no, job.state.is_final());
             }
             job.stored_seq = 0;
         }
