Members pause between two questions for states to an owner

Callers saw: an owner that was saturated by a burst stays so at its usual load. Change: a member pauses twice as long as the last call took, 200 ms at most; what was asked meanwhile goes with the next call. A call is in flight a third of the time at most, whoever asks.

--- a/src/job_api/state_queries.rs
+++ b/src/job_api/state_queries.rs
@@ -13,21 +13,28 @@
         mem,
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
+        time::{Duration, Instant},
     },
-    tokio::sync::oneshot,
+    tokio::{sync::oneshot, time::sleep},
 };
 
 /// Maximum number of jobs in one call.
 const MAX_BATCH: usize = 256;
+/// The pause after a call, as a multiple of the time that the call took. A saturated owner answers
+/// slowly, and callers ask it again while it is late with their jobs' ends.
+const PAUSE_FACTOR: u32 = 2;
+/// The maximum pause after a call.
+const MAX_PAUSE: Duration = Duration::from_millis(200);
 
-/// Asks owners for the states of jobs, with one call at a time to each owner. A call carries all jobs
-/// that were requested during the call before.
+/// Asks owners for the states of jobs, with one call at a time to each owner and a pause between two.
+/// A call carries all jobs that were requested since the call before.
 ///
 /// One call for each caller's request used most of the processor time of a busy owner, and each call
 /// that timed out cost a new connection. With batches, an owner gets fewer calls the slower it answers.
 pub(super) struct StateQueries {
     peers: PeerClients,
-    /// Queries for the next call to each owner; an owner has an entry while a call to it is in flight.
+    /// Queries for the next call to each owner; an owner has an entry while a call to it is in flight
+    /// or the pause after one lasts.
     queued: Mutex<FxHashMap<Incarnation, Vec<Query>>>,
 }
 
@@ -58,7 +65,7 @@
         receiver.await.ok().flatten()
     }
 
-    /// Adds a query to the next call to an owner; returns whether no call to it is in flight.
+    /// Adds a query to the next call to an owner; returns whether a call to it may begin.
     fn enqueue(&self, owner: Incarnation, query: Query) -> bool {
         let mut queued = self.queries();
         let idle = !queued.contains_key(&owner);
@@ -70,12 +77,15 @@
     async fn run(self: Arc<Self>, owner: Incarnation, addr: SocketAddr) {
         while let Some(batch) = self.next_batch(owner) {
             let jobs: Box<[(ShardNo, JobNo)]> = batch.iter().map(|q| (q.shard, q.job)).collect();
+            let sent = Instant::now();
             let states = self.peers.job_states(addr, &jobs, OWNER_TIMEOUT).await;
+            let took = sent.elapsed();
             let mut states = states.unwrap_or_default().into_iter();
             for query in batch {
                 // Sending fails if the request has ended meanwhile; then it needs no answer.
                 let _ = query.reply.send(states.next().flatten());
             }
+            sleep((took * PAUSE_FACTOR).min(MAX_PAUSE)).await;
         }
     }
 
