Test: an owner that stays saturated after a burst (red)

The simulation handled each event of an owner at once, so no test could show an overload that outlives its cause. tests/yard/saturated.rs adds a thread with limited processor time, off by default: one first-in-first-out queue, up to 65 inputs a pass (ticks first), one round a pass, orders carried out by the same thread before the next pass. A call and its reply cost 0.75 ms each, other inputs a fifth. A job's caller asks each 0.5 s from its last task's end until the end is stored.

240 workers, 7 tasks of 0.8 s a job, 31 jobs a second, four times as many from 6 to 10 s. All tasks left over have ended at 17.8 s; starts are at the usual rate from 16 s on, the thread stays busy until 28 s.

--- a/tests/yard/mail.rs
+++ b/tests/yard/mail.rs
@@ -36,6 +36,7 @@
     }
 
     fn deliver_event(&mut self, at: usize, event: Event) {
+        let limited = self.thread.as_ref().is_some_and(|t| t.owner == at);
         let owner = &mut self.owners[at];
         match (owner.ended, owner.paused, &event) {
             (true, _, _) | (false, true, Event::Tick) => {}
@@ -50,6 +51,7 @@
             (false, false, _) if owner.releasing => {}
             (false, false, Event::Tick) if owner.stalled => {}
             (false, false, _) if owner.stalled => owner.shard.apply(event, self.now),
+            (false, false, _) if limited => self.queue_event(event),
             _ => {
                 let orders = owner.shard.handle(event, self.now);
                 orders.into_iter().for_each(|o| self.execute(at, o));
--- a/tests/yard/mod.rs
+++ b/tests/yard/mod.rs
@@ -7,6 +7,7 @@
 pub mod customers;
 mod events;
 mod mail;
+pub mod saturated;
 
 pub use standin::site::{
     advice, assignments, judge as rules,
@@ -198,6 +199,8 @@
     list: BTreeMap<usize, (ListedWorker, Time)>,
     /// The shard that shares the customers' caps, if there is one.
     other_shard: Option<OtherShard>,
+    /// The thread of an owner whose processor time is limited, if there is one.
+    pub thread: Option<saturated::OwnerThread>,
     rng: fastrand::Rng,
 }
 
@@ -253,6 +256,7 @@
             waiting_holds: Vec::new(),
             list: BTreeMap::new(),
             other_shard: None,
+            thread: None,
             rng: fastrand::Rng::with_seed(seed),
         };
         yard.world.spread = 0.2;
@@ -368,6 +372,7 @@
     }
 
     fn check_rules(&mut self) {
+        self.record_task_ends();
         let result = self.rules.check(&mut self.world);
         if result.is_err() {
             let active = self.owners.iter().filter(|o| !o.ended);
@@ -398,6 +403,9 @@
             if let Some(job) = job {
                 let progress = decode(&value).expect("stored progress is readable");
                 assert_kept(self.rules.check_progress(&self.world, job, &progress));
+                if let Some(thread) = self.thread.as_mut().filter(|_| progress.state.is_final()) {
+                    thread.stored.entry(job).or_insert(self.now);
+                }
             }
         }
     }
