Writes of shards on a thread of their own, their results before other inputs

Callers saw: ends of jobs told late by a saturated owner. Cause: a write and its answer took some three turns of the runtime that also carries out all calls to workers; at 20 ms a turn the owner made 18 to 22 writes a second while the store answered in 4 ms, and each end that isn't stored causes further calls. Change: a thread with clients of its own carries out the writes; the shards' loop takes their results before its other inputs. An idle member has one more thread; an owner one more connection to the store.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod service_health;
 mod shard_page;
 mod shard_runner;
+mod shard_writes;
 mod shared_state;
 mod wave_driver;
 pub mod worker_list;
--- a/src/owned_shards.rs
+++ b/src/owned_shards.rs
@@ -12,7 +12,7 @@
         shard::{
             UsageReport,
             event::{CancelSource, DivisionReply, Event, Order, Snapshot},
-            record::{self, CancelRecord, CommitRow, DIVISIONS_PREFIX, ShardNo, division_key},
+            record::{self, CancelRecord, DIVISIONS_PREFIX, ShardNo, division_key},
         },
         shard_runner::{ShardInput, ShardOutput},
         shared_state::{Config, SharedState},
@@ -54,8 +54,6 @@
     services: ServiceClients,
     peers: PeerClients,
     shard_inputs: Sender<ShardInput>,
-    /// Sends notices of lost shards to the task that applies the table.
-    notices: Sender<ShardOutput>,
     /// The owned shards, each with its task that loads it and follows its inbox.
     owned: Arc<Mutex<BTreeMap<ShardNo, OwnedShard>>>,
     /// Notified when a shard has been loaded.
@@ -88,10 +86,9 @@
         services: ServiceClients,
         peers: PeerClients,
         shard_inputs: Sender<ShardInput>,
-        notices: Sender<ShardOutput>,
     ) -> Self {
         let (owned, loaded, usage) = Default::default();
-        OwnedShards { common, services, peers, shard_inputs, notices, owned, loaded, usage }
+        OwnedShards { common, services, peers, shard_inputs, owned, loaded, usage }
     }
 
     /// Starts to own a shard. `commit_revision` is the revision at which the takeover wrote the
@@ -342,13 +339,13 @@
             let ShardOutput::Order(shard, token, order) = out else { continue };
             let this = self.clone();
             tokio::spawn(async move {
-                let Some(event) = this.execute_order(shard, token, order).await else { return };
+                let Some(event) = this.execute_order(shard, order).await else { return };
                 let _ = this.shard_inputs.send(ShardInput::Event(shard, token, event)).await;
             });
         }
     }
 
-    async fn execute_order(&self, shard: ShardNo, token: u64, order: Order) -> Option<Event> {
+    async fn execute_order(&self, shard: ShardNo, order: Order) -> Option<Event> {
         let sent = self.common.now();
         match order {
             Order::Worker { worker, call, .. } if self.is_outdated(shard, &call, sent) => {
@@ -370,10 +367,6 @@
                 let reply = self.services.live_workers(MACHINES_TIMEOUT).await;
                 Some(Event::Machines { sent, reply })
             }
-            Order::Store(number, txn) => {
-                let reply = self.services.call_store(&StoreCall::Txn(txn), CALL_TIMEOUT).await;
-                Some(Event::Stored(number, reply))
-            }
             Order::Divide { customer, txn, config_rev } => {
                 let reply = self.write_division(&customer, txn, config_rev).await;
                 Some(Event::Divided(customer, reply))
@@ -381,18 +374,12 @@
             Order::ReadDivisions => {
                 Some(Event::Divisions { sent, reply: self.read_divisions().await })
             }
-            Order::ReadCommit => match self.reread_commit_row(shard).await {
-                Ok((_, row)) if row.token != token => {
-                    let _ = self.notices.send(ShardOutput::Deposed(shard)).await;
-                    None
-                }
-                read => Some(Event::CommitRead(read)),
-            },
             Order::ReportUsage(report) => {
                 self.report_usage(report).await;
                 None
             }
-            Order::Deposed => None,
+            // `shard_writes` carries out the writes.
+            Order::Store(..) | Order::ReadCommit | Order::Deposed => None,
         }
     }
 
@@ -437,14 +424,6 @@
         let addr = self.common.view.borrow().members.get(&via).map(|m| m.control);
         self.peers.advise(addr.ok_or(Fault::Unsent)?, call, takes, limit).await
     }
-
-    async fn reread_commit_row(&self, shard: ShardNo) -> Result<(Rev, CommitRow), Fault> {
-        let bad = || Fault::Bad("not a commit row".into());
-        let item = self.services.get(&shard.commit_key(), CALL_TIMEOUT).await?.ok_or_else(bad)?;
-        let row: CommitRow =
-            record::decode(item.value.as_ref().ok_or_else(bad)?).ok_or_else(bad)?;
-        Ok((item.rev, row))
-    }
 }
 
 /// Returns the customer and the division in an item; none if it was removed or can't be parsed.
--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -101,7 +101,10 @@
 pub(crate) struct ShardRunner {
     common: Arc<SharedState>,
     input: Receiver<ShardInput>,
+    /// The results of writes, which are processed before all other inputs.
+    written: Receiver<ShardInput>,
     orders: Sender<ShardOutput>,
+    writes: Sender<ShardOutput>,
     notices: Sender<ShardOutput>,
     shards: BTreeMap<ShardNo, OwnedShard>,
     /// Failure events of orders that were dropped because the queue was full; processed with the
@@ -121,11 +124,16 @@
 impl ShardRunner {
     /// Creates a runner without shards.
     ///
-    /// Orders of shards go to `orders`, news of released and lost shards to `notices`.
+    /// Inputs come from `input`, results of writes from `written`, so that none of them waits behind
+    /// replies of workers: callers wait for the ends of their jobs to be stored, and each end that is
+    /// not stored causes further calls.
+    ///
+    /// Writes of shards go to `writes`, their other orders to `orders`, news of released and lost shards to `notices`.
     pub fn new(
         common: Arc<SharedState>,
-        input: Receiver<ShardInput>,
+        (input, written): (Receiver<ShardInput>, Receiver<ShardInput>),
         orders: Sender<ShardOutput>,
+        writes: Sender<ShardOutput>,
         notices: Sender<ShardOutput>,
     ) -> Self {
         let (shards, deferred_events) = (BTreeMap::new(), vec![]);
@@ -134,7 +142,9 @@
         ShardRunner {
             common,
             input,
+            written,
             orders,
+            writes,
             notices,
             shards,
             deferred_events,
@@ -157,6 +167,7 @@
             let input = tokio::select! {
                 biased;
                 _ = ticks.tick(), if !self.shards.is_empty() => None,
+                Ok(written) = self.written.recv() => Some(written),
                 received = self.input.recv() => match received {
                     Ok(input) => Some(input),
                     Err(_) => return,
@@ -170,7 +181,9 @@
             };
             self.process(input).await;
             for _ in 0..MAX_BATCH {
-                let Ok(input) = self.input.try_recv() else { break };
+                let Ok(input) = self.written.try_recv().or_else(|_| self.input.try_recv()) else {
+                    break;
+                };
                 self.process(input).await;
             }
             self.run_rounds().await;
@@ -409,9 +422,13 @@
     /// Passes an order on. If the queue is full, the shard gets an event with the next tick that the
     /// order was not carried out.
     fn pass_order(&mut self, no: ShardNo, token: u64, order: Order) {
-        let Err(e) = self.orders.try_send(ShardOutput::Order(no, token, order)) else { return };
+        let (queue, name) = match order {
+            Order::Store(..) | Order::ReadCommit => (&self.writes, "writes"),
+            _ => (&self.orders, "orders"),
+        };
+        let Err(e) = queue.try_send(ShardOutput::Order(no, token, order)) else { return };
         let (TrySendError::Full(out) | TrySendError::Closed(out)) = e;
-        self.common.metrics.ring_full.with_label_values(&["orders"]).inc();
+        self.common.metrics.ring_full.with_label_values(&[name]).inc();
         let ShardOutput::Order(_, _, order) = out else { return };
         if let Some(event) = unsent_result(order, self.common.now()) {
             self.deferred_events.push((no, token, event));
--- a/src/site.rs
+++ b/src/site.rs
@@ -1,7 +1,7 @@
 //! A member on a site: its threads, its signals, and its shutdown.
 //!
-//! A member has three threads, each with a runtime of its own: one serves callers, one serves other
-//! members, and one owns shards. A machine has a fraction of a core for the member, so that more
+//! A member has four threads, each with a runtime of its own: one serves callers, one serves other
+//! members, one owns shards, and one writes the shards' changes. A machine has a fraction of a core for the member, so that more
 //! threads would only cause more context switches.
 
 use {
@@ -19,6 +19,7 @@
         ports::{Codec, SiteSettings, StoreCall},
         shard_page::{self, ShardPage},
         shard_runner::{ShardInput, ShardRunner},
+        shard_writes,
         shared_state::SharedState,
         table_sync::{self, TableSync},
     },
@@ -133,16 +134,20 @@
     let services = member_rpc::relaying_clients(&common, &peers);
     let (order_tx, orders) = bounded(ORDER_QUEUE_LEN);
     let (notices, notice_rx) = bounded(ORDER_QUEUE_LEN);
-    let owner = OwnedShards::new(
-        common.clone(),
-        services.clone(),
-        peers.clone(),
-        shard_inputs.clone(),
-        notices.clone(),
-    );
+    let owner =
+        OwnedShards::new(common.clone(), services.clone(), peers.clone(), shard_inputs.clone());
+    let (writes, write_orders) = bounded(ORDER_QUEUE_LEN);
+    let (results, written) = bounded(ORDER_QUEUE_LEN);
+    let (shared, lost) = (common.clone(), notices.clone());
+    spawn_thread("writes", common.me, move || {
+        shard_writes::run(shared, write_orders, results, lost)
+    })
+    .map_err(|e| Error::new(Kind::BadSettings, e.to_string()))?;
     let (lease, lease_rx) = watch::channel(0);
     tokio::spawn(signals.handle_signals(common.clone(), settings));
-    tokio::spawn(ShardRunner::new(common.clone(), events, order_tx, notices).run());
+    tokio::spawn(
+        ShardRunner::new(common.clone(), (events, written), order_tx, writes, notices).run(),
+    );
     tokio::spawn(owner.clone().poll_workers());
     let inputs = shard_inputs.clone();
     tokio::spawn(search_cancels(common.clone(), peers, owner.clone(), inputs));
