Withhold for starving steps only what ending runs won't release

Cause: a starving step that can't start withheld its whole size at the worker that it waits for, whatever will be free there once the runs that it waits for have ended. Two steps that need the same worker one after the other both withheld there, together more than the worker has.

Change: a starving step claims its size from the time at which the ends of runs give it room. Withheld is the claim less what those runs release by then, so later steps may use the room that the step can't use yet and won't need. A step that finds no room beside earlier claims claims nothing there and goes on to its next worker.

--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -390,8 +390,7 @@
                 }
             }
             if chosen.is_empty() && plan.waiting == 0 && round.starving_steps.contains(key) {
-                let preferred = self.preferred_workers(turn, &good, now);
-                withhold(step, &preferred, round);
+                self.withhold_preferred(turn, &good, round, now);
             }
             self.add_unplaced(turn, rest.len(), round);
         }
--- a/src/shard/ready_queue.rs
+++ b/src/shard/ready_queue.rs
@@ -274,36 +274,56 @@
         waiting.filter_map(|t| t.ended_at.or(step_state.ready_since)).min()
     }
 
-    /// Returns the workers on which a starving step should wait for capacity: those with the most
-    /// free resources first.
-    pub(super) fn preferred_workers(
+    /// Withholds room for a starving step, beginning with the workers that have most free, where its
+    /// tasks can start once runs have ended.
+    ///
+    /// Room that other steps can use until then without delaying it stays free: what those runs
+    /// release needn't be withheld. Two steps that need the same worker in turn would otherwise
+    /// withhold more than it has, and small steps would wait beside it.
+    pub(super) fn withhold_preferred(
         &self,
         turn: &Turn,
         good: &[Room],
+        round: &mut Round,
         now: Time,
-    ) -> Vec<(u32, WorkerNo)> {
+    ) {
         let Turn { key, ref step, .. } = *turn;
         if self.step_state(key).and_then(|p| p.ready_since).is_none_or(|t| t + MIN_ROOM_WAIT > now)
         {
-            return vec![];
+            return;
         }
         let size = step.reserved();
         let mut all: Vec<&Room> = good.iter().collect();
         all.sort_by_key(|r| Reverse((r.free.accels, r.free.cores)));
-        let mut preferred = vec![];
+        let mut left = turn.waiting.len();
         for room in all {
-            let most =
-                size.count(&self.eventual_free(WorkerNo(room.index))).min(room.max_new.into());
-            let cap = match step.apart {
-                0 => most,
-                apart => most.min(apart.saturating_sub(room.same_step).into()),
+            let no = WorkerNo(room.index);
+            let most = match step.apart {
+                0 => room.max_new,
+                apart => room.max_new.min(apart.saturating_sub(room.same_step)),
             };
-            for _ in 0..cap {
-                let Some(index) = turn.waiting.get(preferred.len()) else { return preferred };
-                preferred.push((*index, WorkerNo(room.index)));
+            let releases = self.expected_releases(no, None, now);
+            for _ in 0..most {
+                if left == 0 {
+                    return;
+                }
+                let claimed = round.claimed(no) + size;
+                let Some(released) = self.release_for(no, &claimed, &releases) else { break };
+                round.claim(no, size, &released);
+                left -= 1;
             }
         }
-        preferred
+    }
+
+    /// Returns what runs of a worker release until it has room for `size`; `None` if it will not.
+    fn release_for(&self, no: WorkerNo, size: &Size, releases: &[(Time, Size)]) -> Option<Size> {
+        let free = self.workers[no.0].free();
+        let mut released = Size::default();
+        let mut next = releases.iter();
+        while !size.fits(&(free + released)) {
+            released += next.next()?.1;
+        }
+        Some(released)
     }
 
     /// Returns the resources of a worker that long-running tasks do not use.
--- a/src/shard/round.rs
+++ b/src/shard/round.rs
@@ -40,6 +40,9 @@
     pub(super) starving_steps: Vec<StepKey>,
     /// The resources of each worker that are withheld for steps earlier in the order.
     withheld: Vec<Size>,
+    /// The resources of each worker that steps earlier in the order need to start there, now or once
+    /// runs have ended.
+    claimed: Vec<Size>,
     /// The resources of each worker that are reserved for gangs until they start.
     reservations: Vec<Vec<WorkerReservation>>,
     /// The number of waiting tasks that compete for each worker, in percent. Each step divides its
@@ -109,6 +112,7 @@
     pub(super) fn new(workers: usize) -> Self {
         Round {
             withheld: vec![Size::default(); workers],
+            claimed: vec![Size::default(); workers],
             reservations: (0..workers).map(|_| vec![]).collect(),
             demand: vec![0; workers],
             releases: vec![None; workers],
@@ -166,6 +170,20 @@
     /// Withholds resources of a worker from later steps.
     pub(super) fn withhold(&mut self, no: WorkerNo, size: Size) {
         self.withheld[no.0] += size;
+        self.claimed[no.0] += size;
+    }
+
+    /// Returns the resources of a worker that earlier steps need to start there.
+    pub(super) fn claimed(&self, no: WorkerNo) -> Size {
+        self.claimed[no.0]
+    }
+
+    /// Withholds resources of a worker for a step that can start there once runs have released
+    /// `released`; these are not withheld.
+    pub(super) fn claim(&mut self, no: WorkerNo, size: Size, released: &Size) {
+        self.claimed[no.0] += size;
+        let rest = self.claimed[no.0].saturating_sub(released);
+        self.withheld[no.0] = self.withheld[no.0].max(&rest);
     }
 
     /// Adds the reservation of a gang.
--- a/tests/shard_waits.rs
+++ b/tests/shard_waits.rs
@@ -321,3 +321,26 @@
     yard.run_until(20_000);
     assert_eq!(yard.stored_state(2), Some(JobState::Done));
 }
+
+#[test]
+fn small_tasks_use_what_a_starving_task_leaves_of_its_worker_and_no_more() {
+    // Guards against small tasks that wait beside room which a starving task can't use yet and won't
+    // need, and against ones that take the room that it waits for.
+    for seed in 1..4 {
+        let mut yard = quiet_pool(seed, 3);
+        // One of the three workers, with 16 cores, has accelerators.
+        let one = |cores, ms| {
+            let size = Size::new(cores, 1_024, 0);
+            job([Step { needs: Some("gpu".into()), size, ..step(1, ms) }])
+        };
+        yard.submit(1, "plain", one(10, 12_000));
+        yard.at(500, move |y| y.submit(2, "plain", one(11, 500)));
+        for no in 3..43 {
+            yard.at(5_000 + 500 * no, move |y| y.submit(no, "plain", one(3, 2_000)));
+        }
+        yard.run_until(9_500);
+        assert_eq!(yard.stored_state(3), Some(JobState::Done), "seed {seed}");
+        yard.run_until(16_000);
+        assert_eq!(yard.stored_state(2), Some(JobState::Done), "seed {seed}");
+    }
+}
