Questions for states: no pause after an unanswered call, none for callers that have left

Change: a pause follows answered calls alone, as long as twice the call; closed questions are dropped.

--- a/src/job_api/state_queries.rs
+++ b/src/job_api/state_queries.rs
@@ -20,11 +20,9 @@
 
 /// Maximum number of jobs in one call.
 const MAX_BATCH: usize = 256;
-/// The pause after a call, as a multiple of the time that the call took. A saturated owner answers
-/// slowly, and callers ask it again while it is late with their jobs' ends.
+/// The pause after an answered call, as a multiple of the time that the call took. A saturated owner
+/// answers slowly, and callers ask it again while it is late with their jobs' ends.
 const PAUSE_FACTOR: u32 = 2;
-/// The maximum pause after a call.
-const MAX_PAUSE: Duration = Duration::from_millis(200);
 
 /// Asks owners for the states of jobs, with one call at a time to each owner and a pause between two.
 /// A call carries all jobs that were requested since the call before.
@@ -79,13 +77,13 @@
             let jobs: Box<[(ShardNo, JobNo)]> = batch.iter().map(|q| (q.shard, q.job)).collect();
             let sent = Instant::now();
             let states = self.peers.job_states(addr, &jobs, OWNER_TIMEOUT).await;
-            let took = sent.elapsed();
+            let pause = states.as_ref().map_or(Duration::ZERO, |_| sent.elapsed() * PAUSE_FACTOR);
             let mut states = states.unwrap_or_default().into_iter();
             for query in batch {
                 // Sending fails if the request has ended meanwhile; then it needs no answer.
                 let _ = query.reply.send(states.next().flatten());
             }
-            sleep((took * PAUSE_FACTOR).min(MAX_PAUSE)).await;
+            sleep(pause).await;
         }
     }
 
@@ -94,6 +92,8 @@
     fn next_batch(&self, owner: Incarnation) -> Option<Vec<Query>> {
         let mut queued = self.queries();
         let all = queued.get_mut(&owner)?;
+        // A request that has ended meanwhile has dropped its receiver.
+        all.retain(|q| !q.reply.is_closed());
         if all.is_empty() {
             queued.remove(&owner);
             return None;
