Workers that leave or stop a run are called as often as before

Cause (review): with the longer interval, ends of a leaving worker's last 0.9 s would be lost with it, and room that a stop frees be seen late; the field listed_at had no effect. Change: the short interval for these; the field is gone.

--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -23,7 +23,7 @@
 const CUT_OFF_HOLD_INTERVAL: Duration = Duration::from_millis(900);
 /// The minimum and the maximum interval between two hold calls to a worker while ends of its runs
 /// wait to be stored. Such a worker answers at once.
-pub(super) const UNSTORED_HOLD_INTERVAL: (Duration, Duration) =
+const UNSTORED_HOLD_INTERVAL: (Duration, Duration) =
     (Duration::from_millis(120), Duration::from_millis(900));
 /// The average interval between these calls to all workers.
 const UNSTORED_HOLD_SPACING: Duration = Duration::from_millis(4);
@@ -114,7 +114,7 @@
             worker.next_hold = now + (SILENT_PAUSE.0 * calls).min(SILENT_PAUSE.1);
             return;
         };
-        (worker.next_hold, worker.listed_at) = (now, now);
+        worker.next_hold = now;
         let complete = held.ended.len() < MAX_ENDS;
         self.record_cut_off(no, !complete);
         let worker = &mut self.workers[no.0];
@@ -133,7 +133,7 @@
         self.observe_runs(no, &held, now);
         self.remove_missing_runs(no, sent, &held, complete, now);
         self.adjust_filler_pace(no, now);
-        let pause = self.unstored_hold_interval();
+        let pause = self.unstored_hold_interval(no);
         let worker = &mut self.workers[no.0];
         if !worker.unstored_ends.is_empty() {
             worker.next_hold = match () {
@@ -149,11 +149,18 @@
 
     /// Returns the interval between two hold calls to a worker whose ends wait to be stored.
     ///
-    /// It grows with their number, because the calls delay the writes that these workers wait for.
-    fn unstored_hold_interval(&self) -> Duration {
+    /// It grows with the number of such workers, because the calls delay the writes that they wait
+    /// for. A worker that leaves or is stopping a run is called often: its next end frees resources
+    /// that others wait for, or is lost with the worker.
+    fn unstored_hold_interval(&self, no: WorkerNo) -> Duration {
+        let worker = &self.workers[no.0];
+        let stopping = worker.runs.values().any(|r| r.phase == RunPhase::Stopping);
+        if worker.leaves_at.is_some() || stopping {
+            return UNSTORED_HOLD_INTERVAL.0;
+        }
         let waiting = self.workers.iter().filter(|w| !w.unstored_ends.is_empty()).count();
-        let spaced =
-            UNSTORED_HOLD_SPACING.saturating_mul(u32::try_from(waiting).unwrap_or(u32::MAX));
+        let waiting = u32::try_from(waiting).unwrap_or(u32::MAX);
+        let spaced = UNSTORED_HOLD_SPACING.saturating_mul(waiting);
         spaced.clamp(UNSTORED_HOLD_INTERVAL.0, UNSTORED_HOLD_INTERVAL.1)
     }
 
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -171,8 +171,6 @@
     pub hold_sent: Option<Time>,
     /// The time at which the next hold is due, unless a hold is unanswered.
     pub next_hold: Time,
-    /// The time of the last answer to a hold.
-    pub listed_at: Time,
     /// The time at which the worker gave its last answer.
     pub last_answer: Option<Time>,
     /// The number of unanswered calls since the worker's last answer.
@@ -239,7 +237,6 @@
             unstored_ends: VecDeque::new(),
             hold_sent: None,
             next_hold: now,
-            listed_at: now,
             last_answer: None,
             unanswered_calls: 0,
             unanswered_orders: 0,
