Changes of jobs that go on get a part of each write

Callers saw nothing; found by review. Cause: ends always came first, so while they fill all writes the end of a task of a job that goes on was never acknowledged, and its worker lists ever more ends; and most ends left a second entry among the changes, which began a write by itself. Change: one change for three ends while both wait; an end that completes its job is marked once; written jobs are skipped.

--- a/src/shard/run_end.rs
+++ b/src/shard/run_end.rs
@@ -51,9 +51,9 @@
                 self.record_step_time(&end.task.step, ended_by - run.started_at);
             }
         }
+        self.finish_if_done(end.task.step.job, now);
         let place = self.mark_changed(end.task.step.job);
         self.workers[no.0].unstored_ends.push_back((end.number, end.task.step.job, place));
-        self.finish_if_done(end.task.step.job, now);
     }
 
     /// Removes a run from a worker, also if its end was not listed yet; returns it if it has this
--- a/src/shard/unwritten.rs
+++ b/src/shard/unwritten.rs
@@ -2,13 +2,19 @@
 
 use {crate::work::JobNo, std::collections::VecDeque};
 
-/// The jobs with changes that have not been written: ends, which callers wait for, before all others.
+/// The number of ends that are written for each other change while both wait. A worker lists its
+/// ends until the changes that they cause are stored.
+const ENDS_PER_CHANGE: u32 = 3;
+
+/// The jobs with changes that have not been written: ends, which callers wait for, and others.
 ///
 /// A job that ends while an earlier change waits is in both queues; its second turn is skipped.
 #[derive(Debug, Default)]
 pub(super) struct UnwrittenJobs {
     ended: VecDeque<JobNo>,
     changed: VecDeque<JobNo>,
+    /// The number of ends that were taken since the last other change.
+    ends_taken: u32,
 }
 
 impl UnwrittenJobs {
@@ -24,7 +30,22 @@
 
     /// Removes and returns the job that is written next.
     pub fn pop(&mut self) -> Option<JobNo> {
-        self.ended.pop_front().or_else(|| self.changed.pop_front())
+        let turn = self.ends_taken >= ENDS_PER_CHANGE && !self.changed.is_empty();
+        if !turn && let Some(no) = self.ended.pop_front() {
+            self.ends_taken += 1;
+            return Some(no);
+        }
+        self.ends_taken = 0;
+        self.changed.pop_front()
+    }
+
+    /// Removes the first jobs of both queues for which `is_written` returns true.
+    pub fn skip_written(&mut self, is_written: impl Fn(&JobNo) -> bool) {
+        for queue in [&mut self.ended, &mut self.changed] {
+            while queue.front().is_some_and(&is_written) {
+                queue.pop_front();
+            }
+        }
     }
 
     /// Returns whether no job waits.
--- a/src/shard/writes.rs
+++ b/src/shard/writes.rs
@@ -8,7 +8,6 @@
             event::Order,
             in_flight::InFlight,
             record::{CommitRow, Roster, encode},
-            replies::UNSTORED_HOLD_INTERVAL,
             state_machine::Shard,
             workers::{Worker, WorkerNo, millis},
         },
@@ -135,6 +134,8 @@
             self.finished_jobs.insert(no, progress.state);
             self.purge_queue.push_back((progress.ended_ms + self.retention_ms(), no));
         }
+        let jobs = &self.jobs;
+        self.unwritten.skip_written(|no| jobs.get(no).is_none_or(|j| !j.is_unwritten()));
         for (_, no) in flight.purged {
             self.finished_jobs.remove(&no);
             self.early_cancels.remove(&no);
@@ -191,10 +192,6 @@
                     w.next_hold = now;
                 }
             }
-            if w.unstored_ends.is_empty() {
-                let at = w.listed_at + UNSTORED_HOLD_INTERVAL.0;
-                w.next_hold = w.next_hold.min(at.max(now));
-            }
         }
     }
 
--- a/tests/shard_unstored.rs
+++ b/tests/shard_unstored.rs
@@ -111,9 +111,12 @@
     hand.run(300);
     hand.end(task(1, 1), EndReason::Done);
     hand.run(300);
+    let writes = hand.store.writes;
     hand.store_up = true;
     hand.run_until("told as over", 2_000, |h| h.state(1) == Some(JobState::Done));
-    hand.run(300);
     assert!(hand.shard.is_flushed());
+    hand.run(300);
+    // The write of the change that was on its way, and that of the end.
+    assert_eq!(hand.store.writes, writes + 2);
     assert_eq!(hand.shard.unwritten_jobs(), 0);
 }
