Saturate sums of sizes

Cause: two entries of the worker list with capacities near the largest number overflow the sum over a pool. In builds with overflow checks this ends the owner (shard/dispatch.rs, is_underused); in others the sum wraps. Change: Size adds with saturation; its parts no longer add by themselves.

--- a/src/units.rs
+++ b/src/units.rs
@@ -1,48 +1,26 @@
 //! Sizes of workers and tasks.
 
 use {
-    derive_more::{Add, AddAssign, Sum},
     displaydoc::Display,
     serde::{Deserialize, Serialize},
-    std::{fmt, str::FromStr},
+    std::{
+        fmt,
+        iter::Sum,
+        ops::{Add, AddAssign},
+        str::FromStr,
+    },
 };
 
 /// Processors, in thousandths of a core.
 #[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Add,
-    AddAssign,
-    Sum,
-    Serialize,
-    Deserialize,
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Cores(pub u64);
 
 /// Memory, in mebibytes.
 #[derive(
-    Clone,
-    Copy,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    Add,
-    AddAssign,
-    Sum,
-    Serialize,
-    Deserialize,
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
 #[serde(transparent)]
 pub struct Memory(pub u64);
@@ -58,9 +36,6 @@
     PartialOrd,
     Ord,
     Hash,
-    Add,
-    AddAssign,
-    Sum,
     Serialize,
     Deserialize,
     derive_more::Display,
@@ -69,10 +44,8 @@
 #[serde(transparent)]
 pub struct Accels(pub u64);
 
-/// The resources that a task needs or a worker has.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Add, AddAssign, Sum, Serialize, Deserialize,
-)]
+/// The resources that a task needs or a worker has. Sums saturate at the largest value.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Size {
     /// Processors.
     pub cores: Cores,
@@ -158,6 +131,25 @@
     }
 }
 
+impl Add for Size {
+    type Output = Size;
+    fn add(self, more: Size) -> Size {
+        self.saturating_add(&more)
+    }
+}
+
+impl AddAssign for Size {
+    fn add_assign(&mut self, more: Size) {
+        *self = *self + more;
+    }
+}
+
+impl Sum for Size {
+    fn sum<I: Iterator<Item = Size>>(sizes: I) -> Size {
+        sizes.fold(Size::default(), Size::add)
+    }
+}
+
 impl fmt::Display for Cores {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.0.is_multiple_of(1000) {
--- a/tests/hand/worker.rs
+++ b/tests/hand/worker.rs
@@ -27,7 +27,7 @@
 /// Gives no answer to any call.
 pub const SILENT: Hook = |_| Some(Err(Fault::Unknown));
 
-/// A worker with 4 cores in the pool `pool`, which a test controls by its fields.
+/// A worker in the pool `pool`, with 4 cores at first, which a test controls by its fields.
 pub struct Worker {
     pub id: WorkerId,
     index: usize,
@@ -37,6 +37,7 @@
     pub listed: bool,
     /// The time until it leaves, once it has announced that.
     pub leaves_in: Option<Duration>,
+    pub capacity: Size,
     pub hook: Hook,
     /// The rate of its clock, as a factor of real time.
     pub clock_rate: f64,
@@ -61,6 +62,7 @@
             restarts: 0,
             listed: true,
             leaves_in: None,
+            capacity: Size::new(4, 16_384, 0),
             hook: NORMAL,
             clock_rate: 1.0,
             clock_start: Time::ZERO,
@@ -98,7 +100,7 @@
             zone: "z".into(),
             draining: self.leaves_in.is_some(),
             min_stay: self.leaves_in,
-            capacity: Size::new(4, 16_384, 0),
+            capacity: self.capacity,
             labels: ["kind".into(), "rack".into()].into(),
         })
     }
--- /dev/null
+++ b/tests/shard_absurd_values.rs
@@ -0,0 +1,104 @@
+//! Values of other programs that parse and are absurd: sizes, times and numbers near the largest.
+
+mod hand;
+
+use {
+    arbtest::{
+        arbitrary::{Result, Unstructured},
+        arbtest,
+    },
+    dogwoodreach::{
+        ports::Fault,
+        units::{Accels, Cores, Memory, Size},
+        work::Step,
+    },
+    hand::{
+        Harness, job, step, task,
+        worker::{Hook, NORMAL, SILENT, Worker},
+    },
+    std::time::Duration,
+};
+
+/// Plays of each test.
+const PLAYS: u64 = 40;
+/// Size of the input of a play, in bytes.
+const INPUT_LEN: u64 = 512;
+
+fn amount(u: &mut Unstructured<'_>) -> Result<u64> {
+    u.choose(&[0, 1, 1 << 53, i64::MAX as u64, u64::MAX / 1_000, u64::MAX]).copied()
+}
+
+fn size(u: &mut Unstructured<'_>) -> Result<Size> {
+    Ok(Size { cores: Cores(amount(u)?), memory: Memory(amount(u)?), accels: Accels(amount(u)?) })
+}
+
+fn odd_worker(at: usize, capacity: Size, leaves_in: Option<Duration>, hook: Hook) -> Worker {
+    let mut worker = Worker::new(at);
+    (worker.capacity, worker.leaves_in, worker.hook) = (capacity, leaves_in, hook);
+    worker
+}
+
+/// Runs `play` with different inputs, and then checks that a new job starts on a sound worker.
+fn check(play: impl Fn(&mut Harness, &mut Unstructured<'_>) -> Result<()>) {
+    for seed in 0..PLAYS {
+        let whole = |u: &mut Unstructured<'_>| {
+            let mut hand = Harness::new(3);
+            hand.submit(1, "plain", job(step(2, 1)));
+            hand.run(200);
+            play(&mut hand, u)?;
+            hand.run(1_000);
+            hand.submit(2, "plain", job(Step { gang: true, ..step(2, 1) }));
+            hand.run_until("a job starts beside absurd values", 5_000, |h| {
+                (0..2).all(|i| h.workers_running(task(2, i)).iter().any(|w| *w < 3))
+            });
+            assert!((0..2).all(|i| still_runs(&hand, i)), "the first job still runs");
+            Ok(())
+        };
+        arbtest(whole).seed(seed << 32 | INPUT_LEN).run();
+    }
+}
+
+fn still_runs(hand: &Harness, index: u32) -> bool {
+    hand.workers_running(task(1, index)).len() == 1
+}
+
+#[test]
+fn an_entry_that_comes_and_goes_stops_no_other() {
+    // Guards against an owner that ends or starts nothing while an entry appears and disappears.
+    check(|hand, u| {
+        hand.workers.push(odd_worker(3, size(u)?, None, SILENT));
+        for round in 0..20 {
+            hand.workers[3].listed = round % 2 == 0;
+            hand.deliver_list();
+            hand.run(100);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn an_absurd_entry_under_the_id_of_a_living_worker_stops_no_other() {
+    // Guards against an owner that ends as a worker with runs seems to grow or shrink.
+    check(|hand, u| {
+        let former = hand.workers[0].capacity;
+        hand.workers[0].capacity = size(u)?;
+        hand.deliver_list();
+        hand.run(500);
+        hand.workers[0].capacity = former;
+        hand.deliver_list();
+        Ok(())
+    });
+}
+
+#[test]
+fn an_unanswered_worker_of_absurd_size_stops_no_other() {
+    // Guards against an owner that ends when such a worker is lost.
+    check(|hand, u| {
+        hand.workers.push(odd_worker(3, size(u)?, None, NORMAL));
+        hand.deliver_list();
+        hand.run(500);
+        hand.workers[3].hook = |_| Some(Err(Fault::Unknown));
+        hand.run(10_000);
+        Ok(())
+    });
+}
