Saturate the end of a worker's lease

Cause: a worker that reports a clock near the largest number overflows the end of its lease (shard/workers.rs, extend_lease), which ends the owner in builds with overflow checks and gives a lease of the past in others. Change: the sums saturate. Measured: workers_of_absurd_size_stop_no_other and a_living_worker_that_reports_absurd_numbers_stops_no_other failed before (attempt to add with overflow), 40 seeded plays of each pass.

--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -390,7 +390,7 @@
         let (clock, at) = self.clock?;
         let length =
             bounds.max_lease.saturating_sub(LEASE_MARGIN).min(MAX_LEASE).saturating_sub(now - from);
-        let until = clock + millis(now - at) + millis(length);
+        let until = clock.saturating_add(millis(now - at)).saturating_add(millis(length));
         self.lease_until = self.lease_until.max(until);
         Some(self.lease_until)
     }
@@ -402,7 +402,7 @@
     /// take the leases of the worker's runs for expired and start the runs a second time. Former
     /// owners can give no later lease, since the worker has seen the new token.
     pub fn inherit_lease(&mut self, clock: u64, bounds: &Bounds) {
-        self.lease_until = self.lease_until.max(clock + millis(bounds.max_lease));
+        self.lease_until = self.lease_until.max(clock.saturating_add(millis(bounds.max_lease)));
     }
 
     /// Returns the time at which the lease of all runs on the worker has certainly ended.
--- a/tests/shard_absurd_values.rs
+++ b/tests/shard_absurd_values.rs
@@ -8,7 +8,7 @@
         arbtest,
     },
     dogwoodreach::{
-        ports::Fault,
+        ports::{EndReason, EndedRun, Fault, Held, PresentRun, WorkerCall, WorkerReply as Reply},
         units::{Accels, Cores, Memory, Size},
         work::Step,
     },
@@ -23,11 +23,42 @@
 const PLAYS: u64 = 40;
 /// Size of the input of a play, in bytes.
 const INPUT_LEN: u64 = 512;
+/// Longest time in a message: 100 years.
+const MAX_TIME: Duration = Duration::from_secs(100 * 365 * 24 * 3600);
+/// Reports numbers near the largest.
+const ABSURD: Hook = |call| {
+    let (task, run) = (task(u64::MAX, u32::MAX), u32::MAX);
+    Some(Ok(match call {
+        WorkerCall::Hold { .. } => Reply::Held(Held {
+            clock_ms: u64::MAX,
+            born_ms: Some(u64::MAX),
+            running: vec![PresentRun {
+                task,
+                run,
+                checkpoint: "".into(),
+                percent: 100,
+                load: u64::MAX,
+            }],
+            ended: vec![EndedRun {
+                number: u64::MAX,
+                task,
+                run,
+                reason: EndReason::Failed,
+                checkpoint: "".into(),
+            }],
+        }),
+        _ => Reply::Done(u64::MAX),
+    }))
+};
 
 fn amount(u: &mut Unstructured<'_>) -> Result<u64> {
     u.choose(&[0, 1, 1 << 53, i64::MAX as u64, u64::MAX / 1_000, u64::MAX]).copied()
 }
 
+fn time(u: &mut Unstructured<'_>) -> Result<Duration> {
+    Ok(Duration::from_millis(amount(u)?).min(MAX_TIME))
+}
+
 fn size(u: &mut Unstructured<'_>) -> Result<Size> {
     Ok(Size { cores: Cores(amount(u)?), memory: Memory(amount(u)?), accels: Accels(amount(u)?) })
 }
@@ -62,6 +93,21 @@
     hand.workers_running(task(1, index)).len() == 1
 }
 
+#[test]
+fn workers_of_absurd_size_stop_no_other() {
+    // Guards against sums over workers that overflow and end the owner.
+    check(|hand, u| {
+        for at in 3..u.int_in_range(4..=6)? {
+            let hook = *u.choose(&[SILENT, ABSURD])?;
+            let (capacity, leaves_in) = (size(u)?, u.arbitrary::<bool>()?);
+            let leaves_in = if leaves_in { Some(time(u)?) } else { None };
+            hand.workers.push(odd_worker(at, capacity, leaves_in, hook));
+        }
+        hand.deliver_list();
+        Ok(())
+    });
+}
+
 #[test]
 fn an_entry_that_comes_and_goes_stops_no_other() {
     // Guards against an owner that ends or starts nothing while an entry appears and disappears.
@@ -90,6 +136,21 @@
     });
 }
 
+#[test]
+fn a_living_worker_that_reports_absurd_numbers_stops_no_other() {
+    // Guards against clocks, ends and runs near the largest number, reported once.
+    check(|hand, _| {
+        hand.workers.push(Worker::new(3));
+        hand.deliver_list();
+        hand.run(500);
+        hand.workers[3].hook = ABSURD;
+        hand.run(1_000);
+        hand.workers[3].hook = NORMAL;
+        hand.run(500);
+        Ok(())
+    });
+}
+
 #[test]
 fn an_unanswered_worker_of_absurd_size_stops_no_other() {
     // Guards against an owner that ends when such a worker is lost.
