Saturate the objective of a job

Cause: an estimate near 2^63 ms, an occurrence due near the end of time, or a stretch of 1e300 overflows the sums and products that give a job's objective and its slack (jobs.rs, rank.rs, locality.rs, gangs.rs, advice.rs). Durations panic in every build, so that one job of a caller or one queue ended the owner. Change: these saturate; such a job has no deadline that can be missed.

--- a/src/decide/rank.rs
+++ b/src/decide/rank.rs
@@ -133,9 +133,11 @@
     u32::try_from(u64::from(count).div_ceil(round_size)).unwrap_or(u32::MAX)
 }
 
-/// Returns the objective of a job: how long it may take from its arrival.
+/// Returns the objective of a job: how long it may take from its arrival; `Duration::MAX` on
+/// overflow.
 pub fn job_objective(queue: &Queue, critical_path: Duration) -> Duration {
-    critical_path.mul_f64(queue.stretch.max(0.0)) + queue.slack
+    let stretched = critical_path.as_secs_f64() * queue.stretch.max(0.0);
+    Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX).saturating_add(queue.slack)
 }
 
 /// Returns the value that a job of this queue earned if it took this long from its arrival.
--- a/src/shard/advice.rs
+++ b/src/shard/advice.rs
@@ -331,8 +331,9 @@
         let roomy = self.has_room_by(key, &workers, now + duration, now);
         let Some(job) = self.jobs.get_mut(&key.job) else { return true };
         let Some(queue) = self.queue_configs.get(&job.queue) else { return true };
-        let due = job.submitted_ms.max(job.due_ms(key.time))
-            + super::workers::millis(job_objective(queue, job.objective_time(key.time)));
+        let objective = job_objective(queue, job.objective_time(key.time));
+        let due = job.submitted_ms.max(job.due_ms(key.time));
+        let due = due.saturating_add(super::workers::millis(objective));
         // A long-running task that is not running does not give precedence to other pools.
         let takes_turns = duration > LONG_CALL && !job.step(key).is_some_and(|s| s.lasts);
         let Some(part) = job.step_states.get_mut(&(key.time, key.step)) else { return true };
--- a/src/shard/gangs.rs
+++ b/src/shard/gangs.rs
@@ -396,6 +396,8 @@
         let Some(job) = self.jobs.get(&key.job) else { return false };
         let left = job.chain_lengths.get(usize::from(key.step)).copied().unwrap_or_default();
         let begin = self.unix_ms(now + self.setup.bounds.stop_time);
-        self.ranks.get(key).is_some_and(|r| r.may_preempt() && begin + millis(left) <= r.due_ms())
+        self.ranks
+            .get(key)
+            .is_some_and(|r| r.may_preempt() && begin.saturating_add(millis(left)) <= r.due_ms())
     }
 }
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -320,7 +320,8 @@
                 .unwrap_or(0);
             let runs = waves.saturating_add(u32::try_from(fails).unwrap_or(u32::MAX));
             let begin = step.after.iter().map(|a| ends[usize::from(*a)]).max().unwrap_or_default();
-            ends.push(begin + Duration::from_millis(step.estimate).saturating_mul(runs));
+            let length = Duration::from_millis(step.estimate).saturating_mul(runs);
+            ends.push(begin.saturating_add(length));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/src/shard/locality.rs
+++ b/src/shard/locality.rs
@@ -79,9 +79,10 @@
         let rest = if chain > estimate { rest } else { Duration::ZERO };
         let objective = job_objective(queue, job.objective_time(key.time));
         let arrived = Duration::from_millis(job.submitted_ms.max(job.due_ms(key.time)));
-        let end = Duration::from_millis(self.unix_ms(now)) + run + rest;
+        let end = Duration::from_millis(self.unix_ms(now)).saturating_add(run).saturating_add(rest);
         // A job that is late already can wait until it would have no value at all.
-        let slack = [1, VALUE_FACTOR].map(|n| (arrived + objective * n).checked_sub(end));
+        let latest = |n: u32| arrived.saturating_add(objective.saturating_mul(n));
+        let slack = [1, VALUE_FACTOR].map(|n| latest(n).checked_sub(end));
         let slack = slack[0].or(slack[1]).unwrap_or_default();
         Some(Terms { run, factor, slack })
     }
--- a/tests/shard_absurd_values.rs
+++ b/tests/shard_absurd_values.rs
@@ -9,14 +9,15 @@
     },
     dogwoodreach::{
         ports::{EndReason, EndedRun, Fault, Held, PresentRun, WorkerCall, WorkerReply as Reply},
+        shard::event::Event,
         units::{Accels, Cores, Memory, Size},
-        work::Step,
+        work::{AdviceCost, Job, Occurrences, Queue, QueueConfig, Step},
     },
     hand::{
-        Harness, job, step, task,
+        Harness, job, queues, step, task,
         worker::{Hook, NORMAL, SILENT, Worker},
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Plays of each test.
@@ -69,6 +70,47 @@
     worker
 }
 
+fn odd_step(u: &mut Unstructured<'_>, at: u16) -> Result<Step> {
+    Ok(Step {
+        count: u.int_in_range(1..=40)?,
+        size: if u.arbitrary()? { size(u)? } else { Size::new(0, 1, 0) },
+        estimate: amount(u)?,
+        after: if at > 0 && u.arbitrary()? { [at - 1].into() } else { [].into() },
+        saves: u.arbitrary()?,
+        gang: u.arbitrary()?,
+        tight: u.arbitrary()?,
+        near: if u.arbitrary()? { Some("rack".into()) } else { None },
+        apart: *u.choose(&[0, 1, u32::MAX])?,
+        copies: u.arbitrary()?,
+        lasts: u.arbitrary()?,
+        target: amount(u)?,
+        fills: u.arbitrary()?,
+        may_miss: *u.choose(&[None, Some(0), Some(u32::MAX)])?,
+        ..Step::default()
+    })
+}
+
+fn odd_job(u: &mut Unstructured<'_>) -> Result<Job> {
+    let steps = (0..u.int_in_range(1..=3)?).map(|at| odd_step(u, at)).collect::<Result<_>>()?;
+    let times = match u.arbitrary()? {
+        true => Some(Occurrences { count: 2, first: amount(u)?, every: amount(u)? }),
+        false => None,
+    };
+    Ok(Job { text: "odd".into(), steps, times })
+}
+
+fn odd_queue(u: &mut Unstructured<'_>) -> Result<Queue> {
+    let cost = AdviceCost { base: time(u)?, each: time(u)?, valid: time(u)? };
+    Ok(Queue {
+        name: "odd".into(),
+        attempts: *u.choose(&[0, 1, u32::MAX])?,
+        stretch: *u.choose(&[0.0, 2.0, 1e300, f64::MAX, -1.0])?,
+        slack: time(u)?,
+        advice: if u.arbitrary()? { Some(cost) } else { None },
+        ..queues().queues[0].clone()
+    })
+}
+
 /// Runs `play` with different inputs, and then checks that a new job starts on a sound worker.
 fn check(play: impl Fn(&mut Harness, &mut Unstructured<'_>) -> Result<()>) {
     for seed in 0..PLAYS {
@@ -136,6 +178,36 @@
     });
 }
 
+#[test]
+fn jobs_of_absurd_size_or_estimate_stop_no_other() {
+    // Guards against an owner that ends over an estimate near the largest number.
+    check(|hand, u| {
+        for no in 10..u.int_in_range(11..=14)? {
+            let queue = *u.choose(&["plain", "advised"])?;
+            hand.submit(no, queue, odd_job(u)?);
+            hand.run(100);
+        }
+        hand.take_over();
+        Ok(())
+    });
+}
+
+#[test]
+fn a_queue_of_absurd_limits_stops_no_other() {
+    // Guards against an owner that ends over a time or factor in the configuration.
+    check(|hand, u| {
+        let mut config = QueueConfig::clone(&queues());
+        config.queues.push(odd_queue(u)?);
+        hand.deliver(Event::Queues(Arc::new(config)));
+        for no in 10..13 {
+            hand.submit(no, "odd", job(step(1, 1)));
+            hand.run(200);
+        }
+        hand.submit(13, "odd", odd_job(u)?);
+        Ok(())
+    });
+}
+
 #[test]
 fn a_living_worker_that_reports_absurd_numbers_stops_no_other() {
     // Guards against clocks, ends and runs near the largest number, reported once.
