--- a/src/units.rs
+++ b/src/units.rs
@@ -144,6 +144,12 @@
     }
 }
 
+impl Sum for Cores {
+    fn sum<I: Iterator<Item = Cores>>(cores: I) -> Cores {
+        Cores(cores.fold(0, |sum, c| sum.saturating_add(c.0)))
+    }
+}
+
 impl Sum for Size {
     fn sum<I: Iterator<Item = Size>>(sizes: I) -> Size {
         sizes.fold(Size::default(), Size::add)
