End the member if one of its tasks panics

Cause: the tasks that a member can't do without (shards, orders, workers, membership, table, the load and inbox of a shard) were spawned and their ends unseen. A panic in the owner's task left a member that renewed its lease, kept its shards and started nothing. Change: a guard in each such task and in the two threads records a panic that unwinds through it; the member logs did=panicked with the task, ends, and its lease lapses, so that others take its shards over. The tasks of single orders, requests and connections aren't covered: a bad reply ends its own call only.

--- a/src/error.rs
+++ b/src/error.rs
@@ -104,13 +104,15 @@
     NoJob,
     /// this method is not served here
     BadMethod,
+    /// a task of this member has panicked
+    Panicked,
 }
 
 use Kind::*;
 
 impl Kind {
     /// Every kind, for tables and counters.
-    pub const ALL: [Kind; 32] = [
+    pub const ALL: [Kind; 33] = [
         Late,
         QueueFull,
         OverShare,
@@ -143,6 +145,7 @@
         OutcomeUnknown,
         NoJob,
         BadMethod,
+        Panicked,
     ];
 
     /// The status, retry time and label of this kind.
@@ -180,6 +183,7 @@
             OutcomeUnknown => (504, Ran::Unknown, None, "outcome_unknown"),
             NoJob => (410, Ran::No, None, "no_job"),
             BadMethod => (405, Ran::No, None, "bad_method"),
+            Panicked => (500, Ran::Unknown, None, "panicked"),
         };
         let back = match back {
             Some(ms) => Some(Duration::from_millis(ms)),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod core;
 pub mod customers;
 pub mod decide;
+pub mod duties;
 pub mod effect;
 mod endpoints;
 mod error;
--- a/src/owned_shards.rs
+++ b/src/owned_shards.rs
@@ -99,7 +99,8 @@
     /// shard.
     pub fn begin_owning(&self, shard: ShardNo, token: u64, commit: Rev, lapsed: bool) {
         let this = self.clone();
-        let task = tokio::spawn(async move { this.run_shard(shard, token, commit, lapsed).await });
+        let run = async move { this.run_shard(shard, token, commit, lapsed).await };
+        let task = tokio::spawn(self.common.duties.clone().run("shard", run));
         let owned = OwnedShard { token, task: task.abort_handle(), inbox_seen: None };
         let previous = self.owned.lock().expect("no holder panics").insert(shard, owned);
         if let Some(previous) = previous {
--- a/src/shared_state.rs
+++ b/src/shared_state.rs
@@ -6,6 +6,7 @@
         cancel_log::{AcknowledgedCancel, CancelLog},
         clock::{self, Clock},
         decide::call_queue::CallQueue,
+        duties::Duties,
         ids::Incarnation,
         metrics::Metrics,
         ports::{Codec, Item, Rev, SiteSettings, Wave},
@@ -68,6 +69,8 @@
     pub view: watch::Sender<Arc<TableView>>,
     /// Whether this member is stopping.
     pub stop: watch::Sender<bool>,
+    /// The tasks and threads that this member can't do without.
+    pub duties: Duties,
     /// Chooses whether calls to the store go direct or through other members.
     pub store_routes: Arc<StoreRoutes>,
     /// The advice calls that this member has in flight, for itself and for other members.
@@ -111,6 +114,7 @@
             me,
             start_unix_ms: unix_ms(),
             metrics,
+            duties: Duties::default(),
             site: watch::Sender::new(Arc::new(site)),
             config: watch::Sender::new(None),
             waves: watch::Sender::default(),
--- a/src/site.rs
+++ b/src/site.rs
@@ -8,6 +8,7 @@
     crate::{
         cancel_search::search_cancels,
         cli::{self, Exit},
+        duties::Duties,
         error::{Error, Kind},
         http::{Limits, answer, serve},
         ids::Incarnation,
@@ -37,6 +38,7 @@
         runtime::{Builder, Runtime},
         signal::unix::{Signal, SignalKind, signal},
         sync::{oneshot, watch},
+        task::JoinHandle,
         time::{Instant, sleep, timeout, timeout_at},
     },
 };
@@ -109,14 +111,14 @@
     let (ended, end) = oneshot::channel();
     let Listeners { callers, ready, control, metrics } = listeners;
     let (shared, sender) = (common.clone(), shard_inputs.clone());
-    spawn_thread("callers", me, move || async move {
+    spawn_thread("callers", &common, move || async move {
         let served = serve_callers(shared, callers, ready, metrics, sender).await;
         let _ = ended.send(());
         served
     })
     .map_err(failed)?;
     let (shared, sender) = (common.clone(), shard_inputs.clone());
-    spawn_thread("control", me, move || member_rpc::serve(shared, control, sender))
+    spawn_thread("control", &common, move || member_rpc::serve(shared, control, sender))
         .map_err(failed)?;
     runtime.block_on(own_shards(common, signals, settings.into(), (shard_inputs, events), end))
 }
@@ -141,31 +143,30 @@
         notices.clone(),
     );
     let (lease, lease_rx) = watch::channel(0);
-    tokio::spawn(signals.handle_signals(common.clone(), settings));
-    tokio::spawn(ShardRunner::new(common.clone(), events, order_tx, notices).run());
-    tokio::spawn(owner.clone().poll_workers());
-    let inputs = shard_inputs.clone();
-    tokio::spawn(search_cancels(common.clone(), peers, owner.clone(), inputs));
-    tokio::spawn(log_calls(common.clone()));
-    tokio::spawn(owner.clone().run_orders(orders));
-    tokio::spawn(table_sync::follow_config(common.clone(), services.clone(), shard_inputs.clone()));
+    let duties = &common.duties;
+    spawn_duty(duties, "signals", signals.handle_signals(common.clone(), settings));
+    let runner = ShardRunner::new(common.clone(), events, order_tx, notices);
+    spawn_duty(duties, "shards", runner.run());
+    spawn_duty(duties, "workers", owner.clone().poll_workers());
+    let search = search_cancels(common.clone(), peers, owner.clone(), shard_inputs.clone());
+    spawn_duty(duties, "cancels", search);
+    spawn_duty(duties, "counts", log_calls(common.clone()));
+    spawn_duty(duties, "orders", owner.clone().run_orders(orders));
+    let config = table_sync::follow_config(common.clone(), services.clone(), shard_inputs.clone());
+    spawn_duty(duties, "configuration", config);
     let membership = Membership {
         common: common.clone(),
         services: services.clone(),
         shard_inputs: shard_inputs.clone(),
         lease,
     };
-    tokio::spawn(membership.run());
-    let released = tokio::spawn(TableSync::run(
-        common.clone(),
-        services.clone(),
-        owner,
-        shard_inputs,
-        notice_rx,
-    ));
+    spawn_duty(duties, "membership", membership.run());
+    let sync = TableSync::run(common.clone(), services.clone(), owner, shard_inputs, notice_rx);
+    let released = spawn_duty(duties, "table", sync);
     tokio::select! {
         () = common.wait_for_stop() => {}
         _ = &mut callers => return Err(Error::new(Kind::BadSettings, "caller server failed")),
+        failure = common.duties.failure() => return Err(failure),
     }
     let grace = common.site.borrow().bounds.stop_grace;
     let deadline = Instant::now() + grace.saturating_sub(SHUTDOWN_MARGIN);
@@ -346,17 +347,26 @@
     fastrand::seed(xxhash_rust::xxh3::xxh3_64(format!("{me} {thread}").as_bytes()));
 }
 
+fn spawn_duty(
+    duties: &Duties,
+    name: &'static str,
+    duty: impl Future<Output = ()> + Send + 'static,
+) -> JoinHandle<()> {
+    tokio::spawn(duties.clone().run(name, duty))
+}
+
 fn spawn_thread<F>(
     name: &'static str,
-    me: Incarnation,
+    common: &SharedState,
     run: impl FnOnce() -> F + Send + 'static,
 ) -> io::Result<()>
 where
     F: Future<Output = io::Result<()>>,
 {
+    let (me, duties) = (common.me, common.duties.clone());
     thread::Builder::new().name(name.into()).spawn(move || {
         seed_rng(me, name);
-        let done = new_runtime().and_then(|r| r.block_on(run()));
+        let done = new_runtime().and_then(|r| r.block_on(duties.run(name, run())));
         if let Err(e) = done {
             log::error!(target: "site", "The thread {name} has ended: {e}.");
         }
--- a/src/table_sync.rs
+++ b/src/table_sync.rs
@@ -173,7 +173,8 @@
         let (sender, messages) = async_channel::bounded(256);
         let follow =
             PrefixWatch::from_shared_prefix(services.clone(), TABLE_PREFIX, TABLE_WATCH_WAIT);
-        tokio::spawn(follow_table(common.clone(), follow, sender.clone()));
+        let follow = follow_table(common.clone(), follow, sender.clone());
+        tokio::spawn(common.duties.clone().run("table watch", follow));
         let notice_tx = sender.clone();
         tokio::spawn(async move {
             while let Ok(out) = notices.recv().await {
@@ -376,11 +377,12 @@
     fn spawn_takeover(&self, takeover: Takeover) {
         let (services, sender, me) = (self.services.clone(), self.sender.clone(), self.common.me);
         let control = self.table.control_addr();
-        tokio::spawn(async move {
+        let task = async move {
             let outcome = take_over(&services, me, control, &takeover).await;
             log_takeover(me, &takeover, &outcome);
             let _ = sender.send(SyncMessage::TakeoverDone(takeover, outcome)).await;
-        });
+        };
+        tokio::spawn(self.common.duties.clone().run("takeover", task));
     }
 
     /// Writes the release of a shard. The token stays in the row, so that the next owner has a
@@ -389,19 +391,20 @@
         let (services, sender) = (self.services.clone(), self.sender.clone());
         let row = self.table.owner_row(shard);
         let attempts = if self.stopping_since.is_some() { 1 } else { RELEASE_ATTEMPTS };
-        tokio::spawn(async move {
+        let task = async move {
             if let Some((rev, row)) = row {
                 write_release(&services, shard, rev, row, attempts).await;
             }
             let _ = sender.send(SyncMessage::Released(shard, left)).await;
-        });
+        };
+        tokio::spawn(self.common.duties.clone().run("release", task));
     }
 
     /// Creates the layout, unless another member does.
     fn spawn_layout(&self) {
         let (services, sender) = (self.services.clone(), self.sender.clone());
         let common = self.common.clone();
-        tokio::spawn(async move {
+        let task = async move {
             // Members that start together have to see each other first. Two members count the
             // workers, in case one of them fails; the others wait, as each read of the list costs
             // capacity of the store and one layout is enough.
@@ -416,7 +419,8 @@
                 sleep(RENEW_INTERVAL).await;
             }
             let _ = sender.send(SyncMessage::LayoutDone).await;
-        });
+        };
+        tokio::spawn(self.common.duties.clone().run("layout", task));
     }
 }
 
