--- a/src/shard_runner.rs
+++ b/src/shard_runner.rs
@@ -128,7 +128,8 @@
     /// replies of workers: callers wait for the ends of their jobs to be stored, and each end that is
     /// not stored causes further calls.
     ///
-    /// Writes of shards go to `writes`, their other orders to `orders`, news of released and lost shards to `notices`.
+    /// Writes of shards go to `writes`, their other orders to `orders`, news of released and lost
+    /// shards to `notices`.
     pub fn new(
         common: Arc<SharedState>,
         (input, written): (Receiver<ShardInput>, Receiver<ShardInput>),
--- a/src/site.rs
+++ b/src/site.rs
@@ -1,8 +1,8 @@
 //! A member on a site: its threads, its signals, and its shutdown.
 //!
 //! A member has four threads, each with a runtime of its own: one serves callers, one serves other
-//! members, one owns shards, and one writes the shards' changes. A machine has a fraction of a core for the member, so that more
-//! threads would only cause more context switches.
+//! members, one owns shards, and one writes the shards' changes. A machine has a fraction of a core
+//! for the member, so that more threads would mostly cause context switches.
 
 use {
     crate::{
