--- a/src/service_clients.rs
+++ b/src/service_clients.rs
@@ -17,15 +17,14 @@
             VmCall, VmReply, VmState, WireRequest, WorkerCall, WorkerReply,
         },
         relay::{RelayedCall, Relayer, StoreRoutes, WireReply},
-        service_health::{Latency, LatencyChange, Reachability, ReachabilityChange},
-        time::Time,
+        service_health::ServiceHealth,
     },
     bytes::Bytes,
     http_body_util::Full,
     hyper::Request,
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, PoisonError},
+        sync::Arc,
         time::{Duration, Instant},
     },
     tokio::sync::watch,
@@ -63,18 +62,10 @@
     site: watch::Receiver<Arc<SiteSettings>>,
     metrics: Arc<Metrics>,
     on_answer: Arc<dyn Fn() + Send + Sync>,
-    health: Arc<Health>,
+    health: Arc<ServiceHealth>,
     routes: Option<(Arc<StoreRoutes>, Relayer)>,
 }
 
-/// Tracks whether the services answer this thread and how fast the store answers.
-struct Health {
-    start: Instant,
-    store: Mutex<Reachability>,
-    advice: Mutex<Reachability>,
-    latency: Mutex<Latency>,
-}
-
 impl ServiceClients {
     /// Creates clients that read the addresses from the settings at each call.
     ///
@@ -85,9 +76,7 @@
         metrics: Arc<Metrics>,
         on_answer: Arc<dyn Fn() + Send + Sync>,
     ) -> Self {
-        let (store, advice, latency) = Default::default();
-        let health = Health { start: Instant::now(), store, advice, latency };
-        let (client, health) = (Client::new(MAX_IDLE_CONNECTIONS), Arc::new(health));
+        let (client, health) = (Client::new(MAX_IDLE_CONNECTIONS), Arc::default());
         ServiceClients { client, codec, site, metrics, on_answer, health, routes: None }
     }
 
@@ -130,7 +119,7 @@
         if answered && !waits && !matches!(call, StoreCall::Range { .. }) {
             self.health.record_latency(begin.elapsed());
         }
-        self.health.record_call(&self.health.store, "store", answered);
+        self.health.record_store_call(answered);
         self.metrics.count_call(name, store_result_name(&reply));
         reply
     }
@@ -361,7 +350,7 @@
             self.send(addr, (self.codec.encode_advice)(call), &CallLimits::new(limit)).await;
         let reply = answer.and_then(|(status, body)| (self.codec.decode_advice)(status, &body));
         let answered = !matches!(reply, Err(Fault::Unsent | Fault::Unknown));
-        self.health.record_call(&self.health.advice, "advice", answered);
+        self.health.record_advice_call(answered);
         if answered {
             self.metrics.observe_call("advice", begin.elapsed());
         }
@@ -437,43 +426,6 @@
     }
 }
 
-impl Health {
-    /// Records whether a service answered a call; logs when it is lost and when it answers again.
-    fn record_call(&self, reachability: &Mutex<Reachability>, service: &str, answered: bool) {
-        let now = Time::ZERO + self.start.elapsed();
-        let change =
-            reachability.lock().unwrap_or_else(PoisonError::into_inner).record(answered, now);
-        match change {
-            Some(ReachabilityChange::Lost(since)) => {
-                let ms = (now - since).as_millis() as u64;
-                log::warn!(target: "outside", service, since_ms = ms; "Service is lost.");
-            }
-            Some(ReachabilityChange::Restored(after)) => {
-                let ms = after.as_millis() as u64;
-                log::info!(target: "outside", service, after_ms = ms; "Service answers again.");
-            }
-            None => {}
-        }
-    }
-
-    /// Records the duration of a call to the store; logs when the store is slow and when it is quick
-    /// again.
-    fn record_latency(&self, duration: Duration) {
-        let change = self.latency.lock().unwrap_or_else(PoisonError::into_inner).record(duration);
-        match change {
-            Some(LatencyChange::Slow(median)) => {
-                let median_ms = median.as_millis() as u64;
-                log::warn!(target: "outside", median_ms; "Store is slow.");
-            }
-            Some(LatencyChange::Quick(median)) => {
-                let median_ms = median.as_millis() as u64;
-                log::info!(target: "outside", median_ms; "Store is quick again.");
-            }
-            None => {}
-        }
-    }
-}
-
 fn request(addr: SocketAddr, wire: &WireRequest) -> Result<Request<Full<Bytes>>, Fault> {
     let mut b = Request::builder().method(wire.method).uri(uri(addr, &wire.path));
     for (name, value) in &wire.headers {
--- a/src/service_health.rs
+++ b/src/service_health.rs
@@ -6,7 +6,11 @@
 
 use {
     crate::time::Time,
-    std::{collections::VecDeque, time::Duration},
+    std::{
+        collections::VecDeque,
+        sync::{Mutex, PoisonError},
+        time::{Duration, Instant},
+    },
 };
 
 /// Minimum number of consecutive calls without an answer after which a service counts as lost.
@@ -98,3 +102,66 @@
         Some(if slow { LatencyChange::Slow(median) } else { LatencyChange::Quick(median) })
     }
 }
+
+/// Tracks whether the services answer one thread and how fast the store answers, and logs each change.
+#[derive(Debug)]
+pub struct ServiceHealth {
+    start: Instant,
+    store: Mutex<Reachability>,
+    advice: Mutex<Reachability>,
+    latency: Mutex<Latency>,
+}
+
+impl Default for ServiceHealth {
+    fn default() -> Self {
+        let (store, advice, latency) = Default::default();
+        ServiceHealth { start: Instant::now(), store, advice, latency }
+    }
+}
+
+impl ServiceHealth {
+    /// Records whether the store answered a call.
+    pub fn record_store_call(&self, answered: bool) {
+        self.record_call(&self.store, "store", answered);
+    }
+
+    /// Records whether the advice service answered a call.
+    pub fn record_advice_call(&self, answered: bool) {
+        self.record_call(&self.advice, "advice", answered);
+    }
+
+    /// Records whether a service answered a call; logs when it is lost and when it answers again.
+    fn record_call(&self, reachability: &Mutex<Reachability>, service: &str, answered: bool) {
+        let now = Time::ZERO + self.start.elapsed();
+        let change =
+            reachability.lock().unwrap_or_else(PoisonError::into_inner).record(answered, now);
+        match change {
+            Some(ReachabilityChange::Lost(since)) => {
+                let ms = (now - since).as_millis() as u64;
+                log::warn!(target: "outside", service, since_ms = ms; "Service is lost.");
+            }
+            Some(ReachabilityChange::Restored(after)) => {
+                let ms = after.as_millis() as u64;
+                log::info!(target: "outside", service, after_ms = ms; "Service answers again.");
+            }
+            None => {}
+        }
+    }
+
+    /// Records the duration of a call to the store; logs when the store is slow and when it is quick
+    /// again.
+    pub fn record_latency(&self, duration: Duration) {
+        let change = self.latency.lock().unwrap_or_else(PoisonError::into_inner).record(duration);
+        match change {
+            Some(LatencyChange::Slow(median)) => {
+                let median_ms = median.as_millis() as u64;
+                log::warn!(target: "outside", median_ms; "Store is slow.");
+            }
+            Some(LatencyChange::Quick(median)) => {
+                let median_ms = median.as_millis() as u64;
+                log::info!(target: "outside", median_ms; "Store is quick again.");
+            }
+            None => {}
+        }
+    }
+}
