--- a/review/bed.py
+++ b/review/bed.py
@@ -252,7 +252,8 @@
         self.ended, self.begin = asyncio.Event(), time.monotonic()
         self.fault = lambda path, body: None
         self.seq, self.life, self.born, self.down = 0, 0, None, False
-        self.listed, self.recent, self.connections, self.old = 0, {}, {}, {}
+        self.listed, self.recent, self.connections = 0, {}, {}
+        self.state, self.kind, self.exited = "ready", "a", False
 
     async def start(self):
         self.port = await serve(self.handle, life=lambda: self.life, connections=self.connections)
@@ -264,11 +265,26 @@
             self.bed.on_end(self, row["start"], "lost with the worker")
         self.running, self.finished, self.past, self.listed = {}, [], {}, 0
         self.life, self.down, self.recent = self.life + 1, True, {}
-        self.bed.record.note("worker %s (%s) crashes" % (self.id, self.service))
+        self.bed.record.note("worker %s (%s) is down" % (self.id, self.service))
+
+    def drain(self):
+        """A planned shutdown begins: the worker reports it, and goes on serving for a while."""
+        self.state = "draining"
+        self.bed.store.put("servers/" + self.id, self.entry())
+        self.bed.record.note("worker %s (%s) reports draining" % (self.id, self.service))
+
+    def exit(self):
+        """The drained process exits: its connections are reset, its entry is removed."""
+        self.crash()
+        self.exited = True
+        for writer in list(self.connections):
+            writer.transport.abort()
+        self.bed.store.remove("servers/" + self.id)
 
     def restart(self, same_id=True):
         """The worker starts again under the id that it had; it knows nothing of before, and counts anew."""
         self.count, self.fence, self.until, self.begin, self.seq = 0, 0, 0, time.monotonic(), 0
+        self.state, self.exited = "ready", False
         self.life, self.down, self.born = self.life + 1, False, int(time.time() * 1000) if same_id else None
         self.bed.store.put("servers/" + self.id, self.entry())
         self.bed.record.note("worker %s (%s) has started%s" % (self.id, self.service, " again under its id" if same_id else ""))
@@ -299,7 +315,7 @@
 
     def entry(self):
         self.seq += 1
-        return json.dumps({**({} if self.born is None else {"born": self.born}), "Service": self.service, "Address": "127.0.0.1:%d" % self.port, "Zone": "upper-hill", "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0, "Capacity": {"Cpu": self.cpu, "MemMb": 65536, "Gpu": 0}, "Labels": ["a", self.rack], "ClockMs": self.clock(), "Seq": self.seq}).encode()
+        return json.dumps({**({} if self.born is None else {"born": self.born}), "Service": self.service, "Address": "127.0.0.1:%d" % self.port, "Zone": "upper-hill", "Version": "v1", "Slots": 8, "State": self.state, **({"RemainingMs": 2000} if self.state == "draining" else {}), "ColdRemainingMs": 0, "Capacity": {"Cpu": self.cpu, "MemMb": 65536, "Gpu": 0}, "Labels": [self.kind, self.rack], "ClockMs": self.clock(), "Seq": self.seq}).encode()
 
     def clock(self):
         return int((time.monotonic() - self.begin) * 1000) + 1000
@@ -328,7 +344,7 @@
 
     async def handle(self, method, path, query, headers, body):
         if self.down:
-            return SILENT
+            return RESET if self.exited else SILENT
         if path == "/health":
             return 200, {}
         if headers.get("x-expect-instance", self.id) != self.id:
@@ -481,7 +497,7 @@
                     self.store.put("servers/" + w.id, w.entry())
 
     async def cloud(self, method, path, query, headers, body):
-        rows = [{"Machine": w.machine, "Pool": w.service, "State": "up", "Zone": "upper-hill", "Labels": ["a", w.rack], "Capacity": {"Cpu": w.cpu, "MemMb": 65536, "Gpu": 0}, "Id": w.id} for w in self.workers]
+        rows = [{"Machine": w.machine, "Pool": w.service, "State": "up", "Zone": "upper-hill", "Labels": [w.kind, w.rack], "Capacity": {"Cpu": w.cpu, "MemMb": 65536, "Gpu": 0}, "Id": w.id} for w in self.workers]
         return 200, {"Machines": rows, "NextToken": None}
 
     def configure(self, routes, services):
