--- a/review/bed.py
+++ b/review/bed.py
@@ -59,7 +59,12 @@
     return lines[0], headers, body
 
 
-async def serve(handle, port=0, life=lambda: 0, connections=None):
+async def serve(handle, port=0):
+    """Serves HTTP on 127.0.0.1; returns the port."""
+    return (await serve_with(handle, port))[0]
+
+
+async def serve_with(handle, port=0, life=lambda: 0, connections=None):
     """Serves HTTP on 127.0.0.1. `handle` returns a status and a body, SILENT or RESET. A connection that was
     opened in an earlier `life` of the server goes silent."""
     async def connection(reader, writer):
@@ -91,7 +96,7 @@
                 connections.pop(writer, None)
             writer.close()
     server = await asyncio.start_server(connection, "127.0.0.1", port, limit=1 << 22, backlog=512)
-    return server.sockets[0].getsockname()[1]
+    return server.sockets[0].getsockname()[1], server
 
 
 class Record:
@@ -256,9 +261,21 @@
         self.state, self.kind, self.exited = "ready", "a", False
 
     async def start(self):
-        self.port = await serve(self.handle, life=lambda: self.life, connections=self.connections)
+        await self.listen()
         asyncio.ensure_future(self.run())
 
+    async def listen(self):
+        self.port, self.server = await serve_with(self.handle, life=lambda: self.life, connections=self.connections)
+
+    async def move(self):
+        """The worker's former address is given up, and it listens at another."""
+        old = self.port
+        self.server.close()
+        while True:
+            await self.listen()
+            if self.port != old:
+                return
+
     def crash(self):
         """The worker's machine loses power: all that runs there is gone, and its connections go silent."""
         for row in self.running.values():
@@ -273,34 +290,24 @@
         self.bed.store.put("servers/" + self.id, self.entry())
         self.bed.record.note("worker %s (%s) reports draining" % (self.id, self.service))
 
-    def exit(self):
-        """The drained process exits: its connections are reset, its entry is removed."""
+    def exit(self, planned=True):
+        """The process ends: its connections are reset. After a planned end its entry is removed."""
         self.crash()
         self.exited = True
         for writer in list(self.connections):
             writer.transport.abort()
-        self.bed.store.remove("servers/" + self.id)
+        if planned:
+            self.bed.store.remove("servers/" + self.id)
 
-    def restart(self, same_id=True):
+    def restart(self):
         """The worker starts again under the id that it had; it knows nothing of before, and counts anew."""
         self.count, self.fence, self.until, self.begin, self.seq = 0, 0, 0, time.monotonic(), 0
         self.state, self.exited = "ready", False
-        self.life, self.down, self.born = self.life + 1, False, int(time.time() * 1000) if same_id else None
+        self.life, self.down, self.born = self.life + 1, False, int(time.time() * 1000)
         self.bed.store.put("servers/" + self.id, self.entry())
-        self.bed.record.note("worker %s (%s) has started%s" % (self.id, self.service, " again under its id" if same_id else ""))
+        self.bed.record.note("worker %s (%s) has started again under its id, at port %d" % (self.id, self.service, self.port))
         asyncio.ensure_future(self.reset_old(dict(self.connections)))
 
-    def replace(self):
-        """After a crash: a new worker with a new id at the same address."""
-        old = self.id
-        self.id = "i-%08x" % random.getrandbits(32)
-        self.restart(same_id=False)
-        self.bed.record.note("the worker at the address of %s is %s" % (old, self.id))
-        async def expire():
-            await asyncio.sleep(3)
-            self.bed.store.remove("servers/" + old)
-        asyncio.ensure_future(expire())
-
     async def reset_old(self, old):
         """The machine is up again and doesn't know its former connections: it resets each at the next packet
         that it gets there, which is at the latest the member's keep-alive probe, a second after the last one."""
@@ -497,7 +504,7 @@
                     self.store.put("servers/" + w.id, w.entry())
 
     async def cloud(self, method, path, query, headers, body):
-        rows = [{"Machine": w.machine, "Pool": w.service, "State": "up", "Zone": "upper-hill", "Labels": [w.kind, w.rack], "Capacity": {"Cpu": w.cpu, "MemMb": 65536, "Gpu": 0}, "Id": w.id} for w in self.workers]
+        rows = [{"Machine": w.machine, "Pool": w.service, "State": "down" if w.down else "up", "Zone": "upper-hill", "Labels": [w.kind, w.rack], "Capacity": {"Cpu": w.cpu, "MemMb": 65536, "Gpu": 0}, "Id": w.id} for w in self.workers]
         return 200, {"Machines": rows, "NextToken": None}
 
     def configure(self, routes, services):
