A job's number is conditional in every shard that may have the job

Cause: a job lies in the shard of the pool that its queue had when it was accepted, but the write of a submission, the reading of its conflict and the search after an unknown outcome looked only in the shard of the pool that the queue has now. In addition the shard was computed before the loop that waits for a newer configuration.

Change: Layout::possible_job_shards names all shards that may have a job. The write expects the number to be unused in all of them; a conflict in any of them is the job. Where there are more shards than a write may have conditions, the others are read first: a job there was accepted under an earlier revision of the configuration, which the write expects to be unchanged.

--- a/src/job_api.rs
+++ b/src/job_api.rs
@@ -202,13 +202,17 @@
         request.queue(config).or_else(|unknown| self.check_current().and(Err(unknown)))
     }
 
-    /// Returns the shard of a job whose queue uses this pool.
-    fn shard(&self, job: JobNo, pool: &PoolId) -> Result<ShardNo, Error> {
+    /// Returns the shards that may have a job whose queue uses this pool now; the first is the one
+    /// of a job that is accepted now.
+    ///
+    /// A job stays in its shard although its queue moves to another pool. Whoever looked in the shard
+    /// of the present pool alone would take an accepted job for unknown, and accept it again.
+    fn job_shards(&self, job: JobNo, pool: &PoolId) -> Result<Box<[ShardNo]>, Error> {
         let layout = self.common.view.borrow().layout.clone();
         match layout {
             None => Err(Error::new(Kind::Stale, "the table of shards is not known yet")
                 .with_retry_after(STALE_RETRY_AFTER)),
-            Some(layout) => Ok(layout.job_shard(job, pool)),
+            Some(layout) => Ok(layout.possible_job_shards(job, pool)),
         }
     }
 
@@ -238,22 +242,26 @@
         Ok(progress.map(|p| p.state))
     }
 
-    /// Returns whether the store has a job: its record, or its progress once it has begun.
+    /// Returns which of these shards has a job in the store: its record, or its progress once it has
+    /// begun.
     ///
     /// Returns an error if the store doesn't answer; its kind is that of a request without effect.
-    async fn is_stored(
+    async fn find_stored(
         &self,
         request: &CallerRequest,
-        shard: ShardNo,
+        shards: &[ShardNo],
         job: JobNo,
-    ) -> Result<bool, Error> {
+    ) -> Result<Option<ShardNo>, Error> {
         let unanswered = |_| Error::new(Kind::Platform, "the store doesn't answer");
-        let limit = self.call_limit(request)?;
-        if self.services.get(&shard.job_key(job), limit).await.map_err(unanswered)?.is_some() {
-            return Ok(true);
+        for &shard in shards {
+            for key in [shard.job_key(job), shard.progress_key(job)] {
+                let limit = self.call_limit(request)?;
+                if self.services.get(&key, limit).await.map_err(unanswered)?.is_some() {
+                    return Ok(Some(shard));
+                }
+            }
         }
-        let limit = self.call_limit(request)?;
-        Ok(self.services.get(&shard.progress_key(job), limit).await.map_err(unanswered)?.is_some())
+        Ok(None)
     }
 }
 
--- a/src/job_api/cancel.rs
+++ b/src/job_api/cancel.rs
@@ -13,7 +13,6 @@
         work::{JobNo, JobState},
     },
     bytes::Bytes,
-    std::{collections::BTreeSet, iter},
 };
 
 /// Maximum number of attempts to add a request to those that are stored for the same job.
@@ -46,9 +45,10 @@
             return Err(Error::new(Kind::Stale, "this member is not in the table")
                 .with_retry_after(STALE_RETRY_AFTER));
         }
-        let home = self.shard(no, pool)?;
+        let shards = self.job_shards(no, pool)?;
+        let home = shards[0];
         let mut tries = WriteAttempts::default();
-        let (shard, known, written) = match self.find_job(request, no, home, customer).await? {
+        let (shard, known, written) = match self.find_job(request, no, &shards, customer).await? {
             Found::Over => {
                 self.common.metrics.count_cancel("over");
                 log::info!(target: "entry", did = "cancel", job:% = no, shard:% = home, written = false; "Cancel has no effect; the job is over.");
@@ -74,19 +74,15 @@
         if known { Ok(Bytes::new()) } else { Err(Kind::NoJob.into()) }
     }
 
-    /// Looks for a job in its queue's shard, then in those that it would have if its queue had used
-    /// another pool when it was submitted.
+    /// Looks for a job in the shards that may have it.
     async fn find_job(
         &self,
         request: &CallerRequest,
         no: JobNo,
-        home: ShardNo,
+        shards: &[ShardNo],
         customer: Option<&CustomerId>,
     ) -> Result<Found, Error> {
-        let layout = self.common.view.borrow().layout.clone();
-        let pools = layout.iter().flat_map(|l| l.pools.keys().map(|pool| l.job_shard(no, pool)));
-        let others: BTreeSet<ShardNo> = pools.filter(|s| *s != home).collect();
-        for shard in iter::once(home).chain(others) {
+        for &shard in shards {
             match self.find_job_in(request, no, shard, customer).await? {
                 Found::Nothing => {}
                 found => return Ok(found),
--- a/src/job_api/queries.rs
+++ b/src/job_api/queries.rs
@@ -38,7 +38,7 @@
         job: JobNo,
         pool: &PoolId,
     ) -> Result<Bytes, Error> {
-        let shard = self.shard(job, pool)?;
+        let shard = self.job_shards(job, pool)?[0];
         let report = self.ask_owner(shard, job).await;
         if let Some(JobReport::Current(state)) = report {
             log::debug!(target: "entry", did = "reported", job:% = job, shard:% = shard, state:% = state; "State is told from the owner.");
--- a/src/job_api/submit.rs
+++ b/src/job_api/submit.rs
@@ -5,7 +5,7 @@
     crate::{
         error::{Error, Kind},
         member_rpc::{InboxChange, notify_local_shard},
-        ports::{Fault, Item, Put, StoreCall, StoreReply, Txn},
+        ports::{Fault, Item, MAX_TXN_ROWS, Put, StoreCall, StoreReply, Txn},
         shard::{
             oversized_step,
             record::{self, JobRecord, ShardNo},
@@ -24,6 +24,9 @@
 const MAX_ATTEMPTS: u32 = 2;
 /// Maximum number of repeats of a write that failed only because the configuration had changed.
 const MAX_CONFIG_RETRIES: u32 = 8;
+/// Maximum number of shards on whose contents the write of a job depends, with two rows for each: the
+/// job itself and the configuration take a row each.
+const MAX_CONDITION_SHARDS: usize = (MAX_TXN_ROWS - 2) / 2;
 
 /// Delay after which a caller may retry after a refusal by the store: the store refuses one machine
 /// for a short time only, and meanwhile the caller may use another member.
@@ -52,8 +55,8 @@
 
 /// Why the write of a job was in conflict.
 enum ConflictCause {
-    /// The job is already stored.
-    Job,
+    /// The job is already stored, in this shard.
+    Job(ShardNo),
     /// Another configuration is in force.
     Config,
     /// The cause is neither a stored job nor another configuration.
@@ -81,11 +84,10 @@
             return Err(Error::new(Kind::KvDown, "the store doesn't answer")
                 .with_retry_after(STORE_RETRY_AFTER));
         }
-        let shard = self.shard(no, &self.queue(request, config)?.pool)?;
         let (begin, steps) = (self.common.now(), job.steps.len());
         let mut tries = WriteAttempts::default();
-        match self.write_job(request, shard, no, job, &mut tries).await {
-            Ok(()) => {
+        match self.write_job(request, no, job, &mut tries).await {
+            Ok(shard) => {
                 let took_ms = (self.common.now() - begin).as_millis() as u64;
                 log::info!(target: "entry", did = "taken", job:% = no, shard:% = shard, steps, config = config.rev, tries = tries.failed_count, moves = tries.config_conflicts, unclear = tries.maybe_applied, took_ms; "Job is taken in.");
                 Ok(Bytes::new())
@@ -94,15 +96,14 @@
         }
     }
 
-    /// Writes a job to the store, with retries.
+    /// Writes a job to the store, with retries. Returns the shard that has it.
     async fn write_job(
         &self,
         request: &CallerRequest,
-        shard: ShardNo,
         no: JobNo,
         job: Job,
         tries: &mut WriteAttempts,
-    ) -> Result<(), Error> {
+    ) -> Result<ShardNo, Error> {
         let mut record = JobRecord {
             queue: "".into(),
             submitted_ms: unix_ms(),
@@ -118,17 +119,23 @@
             check_cap(&record, &config)?;
             (record.queue, record.queue_settings) =
                 (queue.name.clone(), Some(Box::new(queue.clone())));
-            let txn = self.submission_txn(shard, no, config.rev, &record);
+            let shards = self.job_shards(no, &queue.pool)?;
+            let (conditions, others) = shards.split_at(shards.len().min(MAX_CONDITION_SHARDS));
+            // A job in one of the others was accepted under an earlier configuration, so it is stored.
+            if let Some(shard) = self.find_stored(request, others, no).await? {
+                return Ok(shard);
+            }
+            let txn = self.submission_txn(conditions, no, config.rev, &record);
             let (limit, sent) = (self.call_limit(request)?, self.common.now());
             match self.services.call_store(&StoreCall::Txn(txn), limit).await {
                 Ok(StoreReply::Done(_)) => {
                     self.common.record_confirmed(sent);
-                    self.notify_owner(shard, no, InboxChange::Job(record));
-                    return Ok(());
+                    self.notify_owner(shards[0], no, InboxChange::Job(record));
+                    return Ok(shards[0]);
                 }
                 Ok(StoreReply::Conflict(items)) => {
-                    match self.classify_conflict(shard, no, config.rev, &items) {
-                        ConflictCause::Job => return Ok(()),
+                    match self.classify_conflict(conditions, no, config.rev, &items) {
+                        ConflictCause::Job(shard) => return Ok(shard),
                         ConflictCause::Config if tries.config_conflicts < MAX_CONFIG_RETRIES => {
                             tries.config_conflicts += 1
                         }
@@ -141,8 +148,8 @@
                 Err(Fault::TooLarge) if tries.config_conflicts < MAX_CONFIG_RETRIES => {
                     // The reply to a conflict carries the configuration, which made it too large, even
                     // if only the job was in conflict.
-                    if self.is_stored(request, shard, no).await? {
-                        return Ok(());
+                    if let Some(shard) = self.find_stored(request, &shards, no).await? {
+                        return Ok(shard);
                     }
                     self.common.note_newer_config(config.rev);
                     tries.config_conflicts += 1;
@@ -154,8 +161,8 @@
                 }
                 _ => {
                     tries.maybe_applied = true;
-                    if self.is_stored(request, shard, no).await? {
-                        return Ok(());
+                    if let Some(shard) = self.find_stored(request, &shards, no).await? {
+                        return Ok(shard);
                     }
                     self.wait_retry(&Fault::Unknown, tries).await?;
                 }
@@ -176,17 +183,15 @@
         found.map_err(|_| outdated())?.clone().ok_or_else(outdated)
     }
 
-    /// Returns the write that stores a job, on the conditions that its number is unused and that
-    /// the configuration is unchanged.
-    fn submission_txn(&self, shard: ShardNo, no: JobNo, rev: u64, record: &JobRecord) -> Txn {
-        let (key, value) = (shard.job_key(no), record::encode(record));
+    /// Returns the write that stores a job in the first of these shards, on the conditions that its
+    /// number is unused in all of them and that the configuration is unchanged.
+    fn submission_txn(&self, shards: &[ShardNo], no: JobNo, rev: u64, record: &JobRecord) -> Txn {
+        let keys = shards.iter().flat_map(|s| [s.job_key(no), s.progress_key(no)]);
+        let config = (self.common.codec.config_key.into(), rev);
+        let put = Put { key: shards[0].job_key(no), value: record::encode(record), lease: 0 };
         Txn {
-            expected_revs: vec![
-                (key.clone(), 0),
-                (shard.progress_key(no), 0),
-                (self.common.codec.config_key.into(), rev),
-            ],
-            puts: vec![Put { key, value, lease: 0 }],
+            expected_revs: keys.map(|key| (key, 0)).chain([config]).collect(),
+            puts: vec![put],
             removed_keys: vec![],
         }
     }
@@ -194,14 +199,15 @@
     /// Finds the cause of a conflict by the items that the store returned with it.
     fn classify_conflict(
         &self,
-        shard: ShardNo,
+        shards: &[ShardNo],
         no: JobNo,
         rev: u64,
         items: &[Item],
     ) -> ConflictCause {
-        let (job, progress) = (shard.job_key(no), shard.progress_key(no));
-        if items.iter().any(|i| i.rev != 0 && (i.key == job || i.key == progress)) {
-            return ConflictCause::Job;
+        let stored = |key: &str| items.iter().any(|i| i.rev != 0 && *i.key == *key);
+        let has_job = |s: &&ShardNo| stored(&s.job_key(no)) || stored(&s.progress_key(no));
+        if let Some(shard) = shards.iter().find(has_job) {
+            return ConflictCause::Job(*shard);
         }
         match items.iter().find(|i| &*i.key == self.common.codec.config_key) {
             Some(config) if config.rev != rev => {
--- a/src/layout.rs
+++ b/src/layout.rs
@@ -12,6 +12,7 @@
     },
     std::{
         collections::{BTreeMap, BTreeSet},
+        iter,
         net::SocketAddr,
         time::Duration,
     },
@@ -123,14 +124,32 @@
         home.unwrap_or_else(|| span.shard_for(xxh3_64(worker.rack().as_bytes())))
     }
 
-    /// Returns the shard of a job whose queue uses this pool. It depends on the layout alone, which
-    /// no version of the configuration changes.
+    /// Returns the shard of a job that is accepted while its queue uses this pool. It depends on the
+    /// layout alone, which no version of the configuration changes.
     pub fn job_shard(&self, job: JobNo, pool: &PoolId) -> ShardNo {
-        self.span(pool).shard_for(xxh3_64(&job.0.to_le_bytes()))
+        job_shard_in(self.span(pool), job)
+    }
+
+    /// Returns the shards that may have a job whose queue uses this pool now: first the one of a job
+    /// that is accepted now, then those of a job that was accepted while its queue used another pool.
+    pub fn possible_job_shards(&self, job: JobNo, pool: &PoolId) -> Box<[ShardNo]> {
+        let first = self.job_shard(job, pool);
+        let spans = self.pools.values().copied().chain([self.all_shards()]);
+        let others: BTreeSet<ShardNo> =
+            spans.map(|span| job_shard_in(span, job)).filter(|s| *s != first).collect();
+        iter::once(first).chain(others).collect()
     }
 
     /// Returns the shards of a pool; a pool that is not in the layout uses all shards.
     fn span(&self, pool: &PoolId) -> ShardRange {
-        self.pools.get(pool).copied().unwrap_or(ShardRange(0, self.shards))
+        self.pools.get(pool).copied().unwrap_or(self.all_shards())
+    }
+
+    fn all_shards(&self) -> ShardRange {
+        ShardRange(0, self.shards)
     }
 }
+
+fn job_shard_in(span: ShardRange, job: JobNo) -> ShardNo {
+    span.shard_for(xxh3_64(&job.0.to_le_bytes()))
+}
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -205,3 +205,19 @@
     workers.reverse();
     assert_eq!(create_layout(&workers, "s".into()), before);
 }
+
+#[test]
+fn a_job_is_looked_for_wherever_its_queue_may_have_been() {
+    // Guards against a job that nobody finds after its queue has moved: its shard is that of the pool
+    // by which it was accepted, which may even be missing from the layout.
+    let layout = create_layout(&large_deployment(), "s".into());
+    let pools = ["quoting", "engineering", "unknown"].map(PoolId::from);
+    for job in (0..200).map(JobNo) {
+        for now in &pools {
+            let shards = layout.possible_job_shards(job, now);
+            assert_eq!(shards[0], layout.job_shard(job, now));
+            assert!(pools.iter().all(|before| shards.contains(&layout.job_shard(job, before))));
+            assert_eq!(shards.iter().collect::<BTreeSet<_>>().len(), shards.len());
+        }
+    }
+}
