The state of a job is looked for wherever the job may be

Cause: GET asked the owner of, and read, only the shard of the pool that the queue has now.

Change: the owner of that shard is asked first, as it knows nearly every job; only if it doesn't, the owners of the other shards that may have the job are asked at once, and only if none of them vouches for a state the store is read, shard by shard, or in the one shard whose owner is unsure. The budget of these reads counts three for each shard, so that the store keeps as much for its renewals as before.

With one shard a query reads as before.

--- a/src/job_api/queries.rs
+++ b/src/job_api/queries.rs
@@ -15,7 +15,10 @@
         work::{JobNo, JobState},
     },
     bytes::Bytes,
-    std::{collections::BTreeMap, net::SocketAddr, sync::MutexGuard, time::Duration},
+    std::{
+        collections::BTreeMap, future::Future, net::SocketAddr, slice, sync::MutexGuard,
+        time::Duration,
+    },
     tokio::{task::JoinSet, time::timeout},
 };
 
@@ -30,77 +33,109 @@
 impl JobApi {
     /// Returns the state of a job, as the body of the answer.
     ///
-    /// If the owner does not vouch for a state, the store is read. Returns an error at once if the
-    /// budget of these reads is used up (see [`ReadBudget`]).
+    /// If no owner vouches for a state, the store is read. Returns an error at once if the budget of
+    /// these reads is used up (see [`ReadBudget`]).
     pub(super) async fn job_state(
         &self,
         request: &CallerRequest,
         job: JobNo,
         pool: &PoolId,
     ) -> Result<Bytes, Error> {
-        let shard = self.job_shards(job, pool)?[0];
-        let report = self.ask_owner(shard, job).await;
-        if let Some(JobReport::Current(state)) = report {
+        let shards = self.job_shards(job, pool)?;
+        let answer = self.ask_owners(&shards, job).await;
+        if let Some((shard, JobReport::Current(state))) = answer {
             log::debug!(target: "entry", did = "reported", job:% = job, shard:% = shard, state:% = state; "State is told from the owner.");
             return Ok((self.common.codec.encode_state)(state));
         }
-        if !self.admit_read() {
+        let candidates = answer.as_ref().map_or(&*shards, |(shard, _)| slice::from_ref(shard));
+        if !self.admit_read(candidates.len()) {
             let why = "the owner of the job's shard did not report its state";
             return Err(Error::new(Kind::Peer, why).with_retry_after(STATE_RETRY_AFTER));
         }
-        let stored = self.read_state(request, shard, job).await?;
-        let state = report.map_or(stored, |r| r.with_stored(stored));
-        log::info!(target: "entry", did = "asked", job:% = job, shard:% = shard, state:% = state, stored:% = stored, owner_answered = report.is_some(); "State is told from the store.");
+        let (shard, stored) = self.read_state(request, candidates, job).await?;
+        let state = answer.map_or(stored, |(_, report)| report.with_stored(stored));
+        log::info!(target: "entry", did = "asked", job:% = job, shard:% = shard, state:% = state, stored:% = stored, owner_answered = answer.is_some(); "State is told from the store.");
         Ok((self.common.codec.encode_state)(state))
     }
 
+    /// Returns the state that an owner of these shards reports, with the shard; `None` if none of them
+    /// knows the job or answers.
+    ///
+    /// The owner of the first shard knows nearly every job, so the others are asked only after it.
+    async fn ask_owners(&self, shards: &[ShardNo], job: JobNo) -> Option<(ShardNo, JobReport)> {
+        let (&first, others) = shards.split_first()?;
+        if let Some(report) = self.ask_owner(first, job).await {
+            return Some((first, report));
+        }
+        let mut calls = JoinSet::new();
+        for &shard in others {
+            let call = self.ask_owner(shard, job);
+            calls.spawn(async move { Some((shard, call.await?)) });
+        }
+        while let Some(answer) = calls.join_next().await {
+            if let Ok(Some(found)) = answer {
+                return Some(found);
+            }
+        }
+        None
+    }
+
     /// Returns the state that the shard's owner reports; `None` if it doesn't know the job or
     /// doesn't answer.
-    async fn ask_owner(&self, shard: ShardNo, job: JobNo) -> Option<JobReport> {
-        let (owner, addr) = self.common.view.borrow().owner(shard)?;
-        if owner == self.common.me {
-            let answer = local_states(&self.shard_inputs, [(shard, job)].into());
-            return timeout(OWNER_TIMEOUT, answer).await.ok()??.pop()?;
+    fn ask_owner(
+        &self,
+        shard: ShardNo,
+        job: JobNo,
+    ) -> impl Future<Output = Option<JobReport>> + use<> {
+        let owner = self.common.view.borrow().owner(shard);
+        let (me, input) = (self.common.me, self.shard_inputs.clone());
+        let queries = self.state_queries.clone();
+        async move {
+            let (owner, addr) = owner?;
+            if owner == me {
+                let answer = local_states(&input, [(shard, job)].into());
+                return timeout(OWNER_TIMEOUT, answer).await.ok()??.pop()?;
+            }
+            queries.query((owner, addr), shard, job).await
         }
-        self.state_queries.query((owner, addr), shard, job).await
     }
 
-    /// Returns whether the store may be read for one more state; if so, counts the reads against
-    /// the budget.
-    fn admit_read(&self) -> bool {
+    /// Returns whether the store may be read for the state of one more job, in this number of shards;
+    /// if so, counts the reads against the budget.
+    fn admit_read(&self, shards: usize) -> bool {
         let rate = self.common.site.borrow().read_rate;
         let members = self.common.view.borrow().members.len();
-        self.read_budget().admit_query(rate, members, self.common.now())
+        self.read_budget().admit_query(shards, rate, members, self.common.now())
     }
 
     fn read_budget(&self) -> MutexGuard<'_, ReadBudget> {
         self.read_budget.lock().expect("no holder panics")
     }
 
-    /// Returns the state of a job by its progress and its record in the store.
+    /// Returns the state of a job by its progress and its record in the store, and the shard that has
+    /// them.
     ///
     /// A job's record is removed by the same write that adds its progress, so a job that ends between
     /// the two reads would be missed by both. The progress is therefore read again after the record
-    /// was found absent; only if it is still absent is there no such job.
+    /// was found absent; only if it is still absent does the shard not have the job.
     async fn read_state(
         &self,
         request: &CallerRequest,
-        shard: ShardNo,
+        shards: &[ShardNo],
         job: JobNo,
-    ) -> Result<JobState, Error> {
-        let progress = shard.progress_key(job);
-        if let Some(item) = self.read_item(request, &progress).await? {
-            self.read_budget().refund_reads(1);
-            return parse_state(&item);
-        }
-        if self.read_item(request, &shard.job_key(job)).await?.is_some() {
-            self.read_budget().refund_reads(2);
-            return Ok(JobState::Queued);
-        }
-        match self.read_item(request, &progress).await? {
-            Some(item) => parse_state(&item),
-            None => Err(Kind::NoJob.into()),
+    ) -> Result<(ShardNo, JobState), Error> {
+        let mut reads = 0;
+        for &shard in shards {
+            let progress = shard.progress_key(job);
+            for key in [progress.clone(), shard.job_key(job), progress.clone()] {
+                reads += 1;
+                let Some(item) = self.read_item(request, &key).await? else { continue };
+                self.read_budget().refund_reads(shards.len(), reads);
+                let state = if key == progress { parse_state(&item)? } else { JobState::Queued };
+                return Ok((shard, state));
+            }
         }
+        Err(Kind::NoJob.into())
     }
 
     async fn read_item(&self, request: &CallerRequest, key: &str) -> Result<Option<Item>, Error> {
--- a/tests/reads.rs
+++ b/tests/reads.rs
@@ -14,7 +14,7 @@
     for n in 0..queries {
         let now = Time::from_millis(second * 1_000 + n * 1_000 / queries);
         let admitted =
-            reads.iter_mut().filter_map(|r| r.admit_query(RATE, MEMBERS, now).then_some(()));
+            reads.iter_mut().filter_map(|r| r.admit_query(1, RATE, MEMBERS, now).then_some(()));
         asked += if ours { admitted.count() } else { MEMBERS } as u64;
     }
     asked
@@ -51,7 +51,7 @@
         let mut reads = std::mem::take(&mut reads);
         (0..1_000)
             .take_while(|_| {
-                reads.admit_query(400.0, 4, now).then(|| reads.refund_reads(needs)).is_some()
+                reads.admit_query(1, 400.0, 4, now).then(|| reads.refund_reads(1, needs)).is_some()
             })
             .count()
     };
@@ -62,7 +62,16 @@
 #[test]
 fn a_store_with_a_small_share_for_each_settles_one_question_at_a_time() {
     let mut reads = ReadBudget::default();
-    assert!(reads.admit_query(4.0, 100, Time::ZERO));
-    assert!(!reads.admit_query(4.0, 100, Time::from_millis(1_000)));
-    assert!(reads.admit_query(4.0, 100, Time::from_millis(400_000)));
+    assert!(reads.admit_query(1, 4.0, 100, Time::ZERO));
+    assert!(!reads.admit_query(1, 4.0, 100, Time::from_millis(1_000)));
+    assert!(reads.admit_query(1, 4.0, 100, Time::from_millis(400_000)));
+}
+
+#[test]
+fn a_query_for_a_job_in_any_of_many_shards_is_answered_in_the_end() {
+    // Guards against a state that is never told, as its reads exceed all that a member may save.
+    let mut reads = ReadBudget::default();
+    let admitted =
+        (0..10).filter(|s| reads.admit_query(16, 40.0, 4, Time::from_millis(s * 10_000)));
+    assert_eq!(admitted.count(), 10 / 2);
 }
--- a/tests/site_queue_moved.rs
+++ b/tests/site_queue_moved.rs
@@ -121,3 +121,17 @@
         member.wait_until("the state of the job", told).await;
     });
 }
+
+#[test]
+fn the_state_of_a_job_is_told_without_its_owner_after_its_queue_has_moved() {
+    // Guards against a read of the store in the shard of the queue's present pool only.
+    run(async {
+        let member = submit_and_move("moved-ownerless").await;
+        let row = r#"{"control": "127.0.0.1:1", "zone": "z", "draining": false}"#;
+        member.store.put("dwr/t/m/00000000000000ff", row);
+        member.store.put("dwr/t/o/001", r#"{"owner": "00000000000000ff", "token": 9}"#);
+        let passed = async || member.status("GET", "/a/", "").await != 200;
+        member.wait_until("the other owner", passed).await;
+        assert_eq!(member.send("GET", PATH, "", 1000).await.1[..], b"queued"[..]);
+    });
+}
