A job keeps the pool by which it was accepted

Cause: above 100 workers each pool has shards of its own, and a job stays in its shard. But the owner took the pool of a job from the newest version of its queue, and had no workers of that pool.

Change: a job has its pool, the one in the queue's settings that its record keeps. Priority, attempts, advice, caps and objective still follow the newest version. The pools of unfinished jobs count as served, so that the workers of a pool that left the configuration are still known. If no worker of a job's pool is listed, and the shard has workers of its queue's present pool, the job gets that pool: with one shard for all pools it would otherwise wait for ever for a pool that was replaced.

--- a/src/shard/advice.rs
+++ b/src/shard/advice.rs
@@ -330,7 +330,10 @@
         let unix = self.unix_ms(now);
         let roomy = self.has_room_by(key, &workers, now + duration, now);
         let Some(job) = self.jobs.get_mut(&key.job) else { return true };
-        let Some(queue) = self.queue_configs.get(&job.queue) else { return true };
+        let (Some(queue), Some(pool)) = (self.queue_configs.get(&job.queue), job.pool.clone())
+        else {
+            return true;
+        };
         let objective = job_objective(queue, job.objective_time(key.time));
         let due = job.submitted_ms.max(job.due_ms(key.time));
         let due = due.saturating_add(super::workers::millis(objective));
@@ -343,17 +346,17 @@
         let left = Duration::from_millis(due.saturating_sub(unix));
         let may_call = !takes_turns
             || self.lanes.has_spare_lane(now)
-            || self.advice_turns.may_call(&queue.pool, roomy, now);
+            || self.advice_turns.may_call(&pool, roomy, now);
         let by = now + left;
         let Some((via, end)) = may_call.then(|| self.lanes.pick(duration, by, now)).flatten()
         else {
             if takes_turns {
-                self.advice_turns.record_wait(&queue.pool, roomy, now);
+                self.advice_turns.record_wait(&pool, roomy, now);
             }
             return false;
         };
         if duration > LONG_CALL {
-            self.advice_turns.record_call(&queue.pool, via, duration, now);
+            self.advice_turns.record_call(&pool, via, duration, now);
         }
         part.tickets.pending_workers.extend(&workers);
         part.tickets.call_times.push(now);
--- a/src/shard/closing.rs
+++ b/src/shard/closing.rs
@@ -95,12 +95,14 @@
         let mut needs: BTreeMap<&PoolId, u64> = BTreeMap::new();
         for (_, key) in &self.ready {
             let Some(job) = self.jobs.get(&key.job) else { continue };
-            let Some(queue) = self.queue_configs.get(&job.queue) else { continue };
+            let (Some(queue), Some(pool)) = (self.queue_configs.get(&job.queue), &job.pool) else {
+                continue;
+            };
             let Some(part) = job.step_states.get(&(key.time, key.step)) else { continue };
             let unrestricted = job.step(key).is_some_and(|s| s.needs.is_none() && !s.fills);
             let advised = queue.advice.is_none() || !part.tickets.eligible.is_empty();
             if let (true, true, Some(since)) = (unrestricted, advised, part.ready_since) {
-                let waits = needs.entry(&queue.pool).or_default();
+                let waits = needs.entry(pool).or_default();
                 *waits = (*waits).max(millis(now - since));
             }
         }
@@ -196,7 +198,7 @@
         };
         let part = job.step_states.get(&(key.time, key.step));
         let good = |no| part.is_some_and(|p| p.tickets.eligible.contains_key(no));
-        let all = self.pools.get(&queue.pool).into_iter().flatten();
+        let all = job.pool.as_ref().and_then(|p| self.pools.get(p)).into_iter().flatten();
         let open = all.filter(|n| {
             let w = &self.workers[n.0];
             w.is_usable(now) && (queue.advice.is_none() || good(n))
--- a/src/shard/dispatch.rs
+++ b/src/shard/dispatch.rs
@@ -233,7 +233,7 @@
     /// unknown.
     pub(super) fn turn<'a>(&self, key: &'a StepKey, round: &Round, now: Time) -> Option<Turn<'a>> {
         let job = self.jobs.get(&key.job)?;
-        let queue = self.queue_configs.get(&job.queue)?;
+        let (queue, pool) = (self.queue_configs.get(&job.queue)?, job.pool.as_ref()?);
         let step_state = job.step_states.get(&(key.time, key.step))?;
         let waiting =
             (0..).zip(&step_state.tasks).filter(|(_, t)| t.placement == Placement::Waiting);
@@ -243,13 +243,13 @@
             () if self.may_use_draining(step_state, &step, now) => &round.with_draining,
             () => &round.usable,
         };
-        let usable = usable.get(&queue.pool).or(round.usable.get(&queue.pool))?.clone();
+        let usable = usable.get(pool).or(round.usable.get(pool))?.clone();
         Some(Turn {
             key,
             step,
             queue: queue.name.clone(),
             priority: queue.priority,
-            pool: queue.pool.clone(),
+            pool: pool.clone(),
             waiting: waiting.map(|(i, _)| i).collect(),
             usable,
             advice: queue.advice,
--- a/src/shard/jobs.rs
+++ b/src/shard/jobs.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         decide::{arrivals::Arrival, crash::remaining_pause},
+        ids::PoolId,
         shard::{
             customer_cap::CustomerNo,
             record::{CrashRow, JobRecord, Progress, TaskRow},
@@ -141,6 +142,8 @@
 pub struct ActiveJob {
     /// The name of the job's queue.
     pub queue: Box<str>,
+    /// The pool whose workers run the job; `None` until it is known.
+    pub pool: Option<PoolId>,
     /// The customer to whom the job belongs, if any.
     pub customer: Option<CustomerNo>,
     /// The job's place among the arrivals of its customer.
@@ -198,6 +201,7 @@
     ) -> Self {
         let mut active = ActiveJob {
             queue: record.queue,
+            pool: record.queue_settings.map(|q| q.pool),
             customer: None,
             arrival: None,
             over_quota: false,
--- a/src/shard/lifecycle.rs
+++ b/src/shard/lifecycle.rs
@@ -36,6 +36,9 @@
         let cancelled =
             early_cancel.as_ref().is_some_and(|c| c.scope.includes(record.customer.as_ref()));
         let mut active = ActiveJob::new(record, progress, old, now, self.setup.unix_ms);
+        if active.pool.is_none() {
+            active.pool = self.queue_configs.get(&active.queue).map(|q| q.pool.clone());
+        }
         active.customer = customer;
         active.arrival = customer.map(|c| self.record_arrival(c, active.submitted_ms, now));
         if active.job.times.is_some() {
--- a/src/shard/listing.rs
+++ b/src/shard/listing.rs
@@ -34,6 +34,7 @@
         self.queues = queues;
         self.restore_queues();
         self.configure_caps(now);
+        self.assign_pools(now);
         let all: Vec<_> =
             self.jobs.iter().map(|(no, j)| (*no, reduced.contains(&j.queue))).collect();
         for (no, reduced) in all {
@@ -102,20 +103,56 @@
                 self.pools.entry(pool).or_default().push(no);
             }
         }
+        self.assign_pools(now);
         self.log_listed(seen.len(), now);
         self.end_replaced(&seen, now);
         self.roster_dirty |= self.workers.iter().any(|w| w.rostered != w.needs_roster());
         self.round_due = true;
     }
 
-    /// Returns the pools that the configuration or a queue of an unfinished job names; none before
+    /// Gives each unfinished job without a pool the one that its queue uses.
+    ///
+    /// A job keeps the pool by which it was accepted, wherever its queue moves: its shard has the
+    /// workers of that pool, perhaps no others. Only if no worker of it is listed does the job get the
+    /// pool of its queue, as far as the shard has workers of that: the operators have replaced the one
+    /// by the other, and the job would wait for ever.
+    fn assign_pools(&mut self, now: Time) {
+        let mut changed = vec![];
+        for (no, job) in self.jobs.iter_mut().filter(|(_, j)| !j.state.is_final()) {
+            if job.pool.as_ref().is_some_and(|p| self.pools.contains_key(p)) {
+                continue;
+            }
+            let Some(queue) = self.queue_configs.get(&job.queue) else { continue };
+            if job.pool.is_some() && !self.pools.contains_key(&queue.pool) {
+                continue;
+            }
+            if let Some(former) = job.pool.replace(queue.pool.clone()) {
+                log::info!(target: "shard", did = "repooled", shard:% = self.setup.shard, job:% = no, former:%, pool:% = queue.pool; "Pool of a job has no workers; the job gets that of its queue.");
+                (job.waves, job.task_works) = Default::default();
+            }
+            changed.push(*no);
+        }
+        for no in changed {
+            self.update_ready(no, now);
+        }
+    }
+
+    /// Returns the pools that the configuration, a queue or an unfinished job names; none before
     /// the configuration is known.
     ///
     /// Guards against entries of other programs in the worker list. A new owner would wait for such
     /// a worker before it starts the jobs of its predecessor.
     fn served_pools(&self) -> FxHashSet<PoolId> {
         let pools = self.queues.pools.iter().map(|p| &p.name);
-        pools.chain(self.queue_configs.values().map(|q| &q.pool)).cloned().collect()
+        let named: FxHashSet<&PoolId> =
+            pools.chain(self.queue_configs.values().map(|q| &q.pool)).collect();
+        if named.is_empty() {
+            return FxHashSet::default();
+        }
+        let of_jobs = self.jobs.values().filter(|j| !j.state.is_final());
+        let named: FxHashSet<&PoolId> =
+            named.into_iter().chain(of_jobs.filter_map(|j| j.pool.as_ref())).collect();
+        named.into_iter().cloned().collect()
     }
 
     /// Treats workers as gone if a newer worker incarnation has their address.
--- a/src/shard/ready_queue.rs
+++ b/src/shard/ready_queue.rs
@@ -54,7 +54,9 @@
         self.compute_waves(no);
         self.update_quota(no, now);
         let Some(job) = self.jobs.get(&no) else { return };
-        let Some(queue) = self.queue_configs.get(&job.queue) else { return };
+        let (Some(queue), Some(pool)) = (self.queue_configs.get(&job.queue), &job.pool) else {
+            return;
+        };
         let unix = self.unix_ms(now);
         let ratios = self.run_ratios(&job.queue);
         let (mut ranks, mut work): (Vec<(StepKey, Option<Rank>)>, _) = (vec![], (None, 0.0));
@@ -80,7 +82,7 @@
                 long_running: s.lasts,
                 stake: ratios.map(|ratios| Stake { ratios, work: work.1 }),
             };
-            let standing = || self.standing(job, &key, &queue.pool);
+            let standing = || self.standing(job, &key, pool);
             ranks.push((key, open.then(|| rank(queue, facts, standing(), unix))));
         }
         for (key, rank) in ranks {
@@ -99,8 +101,7 @@
             j.waves.is_empty() || (by_value && j.task_works.len() < j.job.steps.len())
         };
         let Some(job) = self.jobs.get_mut(&no).filter(|j| missing(j)) else { return };
-        let Some(queue) = self.queue_configs.get(&job.queue) else { return };
-        let Some(pool) = self.pools.get(&queue.pool) else { return };
+        let Some(pool) = job.pool.as_ref().and_then(|p| self.pools.get(p)) else { return };
         let listed = pool.iter().filter_map(|n| self.workers[n.0].list_entry.as_ref());
         let sizes: Vec<Size> = listed.map(|l| l.capacity).collect();
         let room = |s: &Step| {
@@ -200,13 +201,12 @@
         let (mut all, mut absent) = (vec![], vec![]);
         for (rank, key) in self.ready.iter().rev() {
             let Some(job) = self.jobs.get(&key.job) else { continue };
-            let Some(queue) = self.queue_configs.get(&job.queue) else { continue };
             if job.step(key).is_some_and(|s| s.lasts) {
                 let since = self.away_since(key);
                 absent.extend(since.filter(|t| *t + AWAY_LIMIT <= now).map(|t| (t, *key)));
                 continue;
             }
-            let quiet = round.underused.contains(&queue.pool);
+            let quiet = job.pool.as_ref().is_some_and(|p| round.underused.contains(p));
             if !quiet && !rank.is_without_value() {
                 continue;
             }
--- a/src/shard/shares.rs
+++ b/src/shard/shares.rs
@@ -209,10 +209,8 @@
             else {
                 continue;
             };
-            let Some(queue) = self.queue_configs.get(&job.queue).filter(|_| !job.over_quota) else {
-                continue;
-            };
-            let pool = self.shares.pool_index(&queue.pool);
+            let Some(pool) = job.pool.as_ref().filter(|_| !job.over_quota) else { continue };
+            let pool = self.shares.pool_index(pool);
             let known = &mut holding(&mut claims, no, pool).waiting;
             *known = known.saturating_add(&step.size.times(state.waiting_count.into()));
             if let Some(since) = state.ready_since.filter(|t| *t + MAX_SHARE_WAIT <= now)
--- a/src/shard/speculation.rs
+++ b/src/shard/speculation.rs
@@ -136,7 +136,7 @@
         let key = &task.step;
         let job = self.jobs.get(&key.job)?;
         let queue = self.queue_configs.get(&job.queue)?;
-        let all = self.pools.get(&queue.pool)?;
+        let all = self.pools.get(job.pool.as_ref()?)?;
         if !self.is_underused(all) {
             return None;
         }
--- a/standin/src/soak/stage.rs
+++ b/standin/src/soak/stage.rs
@@ -338,7 +338,7 @@
         let mut queues = (*self.world.queues).clone();
         queues.version += 3;
         change(&mut queues, self.tenants.as_mut());
-        self.world.queues = Arc::new(queues);
+        self.world.configure(Arc::new(queues));
         self.write_config();
     }
 
