A cancel without a job is stored wherever the job may be accepted

Cause: the cancel was stored in the shard of the pool that the queue had at that moment only.

A cancel of a job that is found is written to the job's shard alone, as before.

--- a/src/job_api/cancel.rs
+++ b/src/job_api/cancel.rs
@@ -7,16 +7,19 @@
         error::{Error, Kind},
         ids::{CustomerId, PoolId},
         member_rpc::InboxChange,
-        ports::{Fault, Put, StoreCall, StoreReply, Txn},
+        ports::{Fault, MAX_TXN_ROWS, Put, StoreCall, StoreReply, Txn},
         shard::record::{self, CancelRecord, CancelScope, JobRecord, ShardNo},
         shared_state::unix_ms,
         work::{JobNo, JobState},
     },
     bytes::Bytes,
+    std::slice,
 };
 
 /// Maximum number of attempts to add a request to those that are stored for the same job.
 const MAX_MERGES: u32 = 4;
+/// Maximum number of shards in which one write stores a cancel: each takes a condition and a row.
+const MAX_CANCEL_SHARDS: usize = MAX_TXN_ROWS / 2;
 
 /// What the store has of a job that is to be cancelled.
 enum Found {
@@ -46,31 +49,34 @@
                 .with_retry_after(STALE_RETRY_AFTER));
         }
         let shards = self.job_shards(no, pool)?;
-        let home = shards[0];
         let mut tries = WriteAttempts::default();
-        let (shard, known, written) = match self.find_job(request, no, &shards, customer).await? {
+        let found = self.find_job(request, no, &shards, customer).await?;
+        let (cancelled_in, written) = match &found {
             Found::Over => {
                 self.common.metrics.count_cancel("over");
-                log::info!(target: "entry", did = "cancel", job:% = no, shard:% = home, written = false; "Cancel has no effect; the job is over.");
+                log::info!(target: "entry", did = "cancel", job:% = no, written = false; "Cancel has no effect; the job is over.");
                 return Ok(Bytes::new());
             }
             Found::Job(shard) => {
-                (shard, true, self.write_cancel(request, shard, no, &mut tries).await)
+                (slice::from_ref(shard), self.write_cancel(request, *shard, no, &mut tries).await)
             }
             Found::Nothing => {
-                let written = self.write_early_cancel(request, home, no, customer, &mut tries);
-                (home, false, written.await)
+                let written = self.write_early_cancel(request, &shards, no, customer, &mut tries);
+                (&*shards, written.await)
             }
         };
         let cancel = written.map_err(|e| {
             self.common.metrics.count_cancel("failed");
             tries.final_error(e)
         })?;
-        let entry = AcknowledgedCancel { shard, job: no, record: cancel.clone() };
-        self.common.record_cancel(entry);
-        self.notify_owner(shard, no, InboxChange::Cancel(cancel));
+        for &shard in cancelled_in {
+            let entry = AcknowledgedCancel { shard, job: no, record: cancel.clone() };
+            self.common.record_cancel(entry);
+            self.notify_owner(shard, no, InboxChange::Cancel(cancel.clone()));
+        }
+        let known = matches!(found, Found::Job(_));
         self.common.metrics.count_cancel(if known { "written" } else { "no_job" });
-        log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, known, written = true, tries = tries.failed_count; "Job is cancelled.");
+        log::info!(target: "entry", did = "cancel", job:% = no, shard:% = cancelled_in[0], known, written = true, tries = tries.failed_count; "Job is cancelled.");
         if known { Ok(Bytes::new()) } else { Err(Kind::NoJob.into()) }
     }
 
@@ -133,31 +139,55 @@
     }
 
     /// Stores the cancel of a job that the store doesn't have, together with those that other callers have
-    /// asked for.
+    /// asked for, in each of these shards.
+    ///
+    /// The job may be accepted in any of them: its queue may move to another pool before its write is
+    /// done.
     async fn write_early_cancel(
         &self,
         request: &CallerRequest,
-        shard: ShardNo,
+        shards: &[ShardNo],
         no: JobNo,
         customer: Option<&CustomerId>,
         tries: &mut WriteAttempts,
     ) -> Result<CancelRecord, Error> {
         let scope = CancelScope::Callers(vec![customer.cloned()]);
-        let (mut cancel, mut rev) = (CancelRecord { asked_ms: unix_ms(), scope }, 0);
+        let mut cancel = CancelRecord { asked_ms: unix_ms(), scope };
+        for part in shards.chunks(MAX_CANCEL_SHARDS) {
+            self.merge_cancel(request, part, no, &mut cancel, tries).await?;
+        }
+        Ok(cancel)
+    }
+
+    /// Merges a cancel with those that are stored for the same job in these shards, and stores it.
+    async fn merge_cancel(
+        &self,
+        request: &CallerRequest,
+        shards: &[ShardNo],
+        no: JobNo,
+        cancel: &mut CancelRecord,
+        tries: &mut WriteAttempts,
+    ) -> Result<(), Error> {
+        let mut expected_revs: Vec<_> = shards.iter().map(|s| (s.cancel_key(no), 0)).collect();
         for _ in 0..MAX_MERGES {
             let limit = self.call_limit(request)?;
-            let expected_revs = vec![(shard.cancel_key(no), rev)];
-            let txn = Txn { expected_revs, puts: vec![put(shard, no, &cancel)], ..Txn::default() };
+            let puts = shards.iter().map(|s| put(*s, no, cancel)).collect();
+            let txn = Txn { expected_revs: expected_revs.clone(), puts, removed_keys: Vec::new() };
             let fault = match self.services.call_store(&StoreCall::Txn(txn), limit).await {
-                Ok(StoreReply::Done(_)) => return Ok(cancel),
+                Ok(StoreReply::Done(_)) => return Ok(()),
                 Ok(StoreReply::Conflict(items)) => {
-                    let item = items.first();
-                    rev = item.map_or(0, |i| i.rev);
-                    match item.and_then(|i| record::decode(i.value.as_ref()?)) {
+                    let written = cancel.clone();
+                    let mut is_stored = true;
+                    for (key, rev) in &mut expected_revs {
+                        let item = items.iter().find(|i| i.key == *key);
+                        *rev = item.map_or(0, |i| i.rev);
+                        let stored = item.and_then(|i| record::decode(i.value.as_ref()?));
+                        is_stored &= stored.as_ref() == Some(&written);
+                        stored.into_iter().for_each(|s| cancel.merge(s));
+                    }
+                    if is_stored {
                         // An earlier attempt has taken effect.
-                        Some(stored) if stored == cancel => return Ok(cancel),
-                        Some(stored) => cancel.merge(stored),
-                        None => {}
+                        return Ok(());
                     }
                     continue;
                 }
--- a/tests/site_queue_moved.rs
+++ b/tests/site_queue_moved.rs
@@ -135,3 +135,20 @@
         assert_eq!(member.send("GET", PATH, "", 1000).await.1[..], b"queued"[..]);
     });
 }
+
+#[test]
+fn a_job_that_is_submitted_after_its_cancel_and_a_move_of_its_queue_does_not_run() {
+    // Guards against a cancel that is stored in the shard of the queue's former pool only.
+    run(async {
+        for more in [0, 20] {
+            let member = start_member(&format!("moved-cancel-first-{more}"), more).await;
+            assert_eq!(member.status("DELETE", PATH, "").await, 410);
+            assert_eq!(member.status("DELETE", PATH, "").await, 410);
+            move_queues(&member).await;
+            assert_eq!(member.status("POST", PATH, JOB).await, 200);
+            let cancelled =
+                async || &member.send("GET", PATH, "", 1000).await.1[..] == b"cancelled";
+            member.wait_until("the cancelled state", cancelled).await;
+        }
+    });
+}
