A worker that has drained and restarted under its id serves again

Cause: Worker::leaves_at belongs to the process that announced its end, but was kept over a restart and cleared by nothing.

Ruled out by the order of what an owner hears: clearing it at a report of the new process alone isn't enough, as the list may still have the former announcement, which would set it again; clearing it at an entry "ready" alone would take the planned end for a crash if the list tells of the restart before the report does.

Change: the entry says when the process started ("born"), as the reports do, and whether a worker is leaving follows from its entry each time either changes: an announcement of a former process says nothing of the present one; an entry of a process that no report has shown yet leaves the former announcement in force until the report, which needs it. Without "born" the newest entry decides.

--- a/src/shard/listing.rs
+++ b/src/shard/listing.rs
@@ -5,20 +5,15 @@
         ids::{PoolId, WorkerId},
         shard::{
             state_machine::Shard,
-            workers::{Worker, WorkerNo, millis},
+            workers::{Worker, WorkerNo},
         },
         time::Time,
         work::{JobNo, JobState, ListedWorker, QueueConfig},
     },
     rustc_hash::FxHashSet,
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc},
 };
 
-/// How long a leaving worker is assumed to stay if it does not say when it shuts down.
-const DEFAULT_LEAVE: Duration = Duration::from_secs(2);
-/// The maximum age of a worker list that is processed.
-const MAX_LIST_AGE: Duration = Duration::from_millis(700);
-
 impl Shard {
     pub(super) fn configure(&mut self, queues: Arc<QueueConfig>, now: Time) {
         if queues.version < self.queues.version {
@@ -86,12 +81,8 @@
             let no = self.worker_no(&listed.id, listed.addr, now);
             seen.insert(no);
             let worker = &mut self.workers[no.0];
-            if listed.draining && worker.leaves_at.is_none() {
-                let left = listed.min_stay.unwrap_or(DEFAULT_LEAVE);
-                worker.leaves_at = Some(now + left.saturating_sub(MAX_LIST_AGE));
-                log::info!(target: "shard", worker:% = listed.id, left_ms = millis(left), runs = worker.runs.len(); "Worker is leaving.");
-            }
             worker.list_entry = Some(listed);
+            worker.update_leaving(now);
         }
         self.pools.clear();
         for no in 0..self.workers.len() {
--- a/src/shard/restart.rs
+++ b/src/shard/restart.rs
@@ -18,7 +18,10 @@
         match (worker.born_ms, held.born_ms) {
             (Some(known), Some(born)) if born < known => return true,
             (Some(known), Some(born)) if born > known => self.restart_worker(no, held, now),
-            (None, born) => worker.born_ms = born,
+            (None, Some(born)) => {
+                worker.born_ms = Some(born);
+                worker.update_leaving(now);
+            }
             _ => {}
         }
         false
@@ -42,6 +45,7 @@
             }
         }
         worker.restart(held.born_ms, now);
+        self.roster_dirty |= worker.rostered != worker.needs_roster();
         for (task, run) in &lost {
             self.on_run_lost(no, task, *run, LossCause::WorkerRestarted, now);
         }
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -11,7 +11,7 @@
         work::{JobNo, ListedWorker, TaskKey},
     },
     rustc_hash::FxHashMap,
-    std::{collections::VecDeque, mem, net::SocketAddr, time::Duration},
+    std::{cmp::Ordering, collections::VecDeque, mem, net::SocketAddr, time::Duration},
 };
 
 /// The lowest rate at which a worker's clock may run, relative to the owner's.
@@ -29,6 +29,10 @@
 const LEASE_MARGIN: Duration = Duration::from_millis(200);
 /// Minimum number of ends that a call acknowledges to a worker that lists only its first ends.
 const MIN_ACKNOWLEDGED_ENDS: u64 = MAX_ENDS as u64 / 2;
+/// How long a leaving worker is assumed to stay if it does not say when it shuts down.
+const DEFAULT_LEAVE: Duration = Duration::from_secs(2);
+/// The maximum age of a worker list that is processed.
+const MAX_LIST_AGE: Duration = Duration::from_millis(700);
 /// Maximum length of a lease: the time for which a long-running task may be absent. If nothing
 /// shows that a lost worker has ended, its tasks cannot start elsewhere before the end of its
 /// lease.
@@ -139,7 +143,7 @@
     pub born_ms: Option<u64>,
     /// The time at which this owner first learnt of the worker.
     pub first_seen: Time,
-    /// The time at which the worker shuts down, if it is leaving.
+    /// The time at which the worker's process shuts down, if it is leaving.
     pub leaves_at: Option<Time>,
     /// The worker's turn in a wave of upkeep.
     pub upkeep_turn: UpkeepTurn,
@@ -252,13 +256,13 @@
         }
     }
 
-    /// Resets everything that ends with the worker's process. Its runs are kept.
+    /// Resets everything that ends with the worker's process. Its runs are kept, and so is what
+    /// belongs to its id: its entry in the list, its place in the roster and its turn of upkeep.
     pub fn restart(&mut self, born_ms: Option<u64>, now: Time) {
         let fresh = Worker::new(self.id.clone(), self.addr, now);
         *self = Worker {
             list_entry: self.list_entry.take(),
             rostered: self.rostered,
-            leaves_at: self.leaves_at,
             upkeep_turn: self.upkeep_turn,
             runs: mem::take(&mut self.runs),
             unlisted_ends: mem::take(&mut self.unlisted_ends),
@@ -271,6 +275,25 @@
             born_ms,
             ..fresh
         };
+        self.update_leaving(now);
+    }
+
+    /// Updates whether the worker is leaving by its entry in the list, if there is one.
+    ///
+    /// The list and the worker's reports tell of a restart in either order, and only a process that
+    /// has announced its end is leaving. Its former announcement would keep the new process without
+    /// tasks for ever; a report of the new process that is taken for the former one would lay the
+    /// planned end to the tasks.
+    pub fn update_leaving(&mut self, now: Time) {
+        let Some(entry) = &self.list_entry else { return };
+        let order = entry.born_ms.zip(self.born_ms).map(|(listed, known)| listed.cmp(&known));
+        if order == Some(Ordering::Less) || (order != Some(Ordering::Greater) && !entry.draining) {
+            self.leaves_at = None;
+        } else if entry.draining && self.leaves_at.is_none() {
+            let left = entry.min_stay.unwrap_or(DEFAULT_LEAVE);
+            self.leaves_at = Some(now + left.saturating_sub(MAX_LIST_AGE));
+            log::info!(target: "shard", worker:% = self.id, left_ms = millis(left), runs = self.runs.len(); "Worker is leaving.");
+        }
     }
 
     /// Returns whether the worker may receive starts.
--- a/src/work.rs
+++ b/src/work.rs
@@ -318,6 +318,8 @@
     pub zone: Zone,
     /// Whether the worker is leaving.
     pub draining: bool,
+    /// When the worker's process started, in milliseconds of the Unix clock, if the entry says so.
+    pub born_ms: Option<u64>,
     /// Minimum time for which a leaving worker stays.
     pub min_stay: Option<Duration>,
     /// Total resources of the worker.
--- a/standin/src/site/worker.rs
+++ b/standin/src/site/worker.rs
@@ -239,6 +239,7 @@
             addr: ([10, 0, 0, 1], 1000 + at as u16).into(),
             zone: Zone::from("z1"),
             draining: w.leaving_since.is_some(),
+            born_ms: None,
             min_stay: w.leaving_since.map(|d| LEAVE_NOTICE.saturating_sub(self.now.since(d))),
             capacity: w.size,
             labels: w.labels.clone().into(),
--- a/tests/hand/worker.rs
+++ b/tests/hand/worker.rs
@@ -99,6 +99,7 @@
             addr: ([127, 0, 0, 1], 9_000 + self.index as u16).into(),
             zone: "z".into(),
             draining: self.leaves_in.is_some(),
+            born_ms: Some(self.born_ms),
             min_stay: self.leaves_in,
             capacity: self.capacity,
             labels: ["kind".into(), "rack".into()].into(),
--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -44,6 +44,7 @@
         addr: format!("10.0.{}.{}:7", no / 200, no % 200).parse().expect("an address"),
         zone: Zone::from(&*format!("z{zone}")),
         draining: false,
+        born_ms: None,
         min_stay: None,
         capacity: Default::default(),
         labels: ["kind", rack].map(Box::from).into(),
--- a/tests/shard_restart.rs
+++ b/tests/shard_restart.rs
@@ -8,7 +8,11 @@
         ports::{EndReason, Fault, WorkerCall},
         work::Step,
     },
-    hand::{Harness, job, step, task, worker::NORMAL},
+    hand::{
+        Harness, job, step, task,
+        worker::{NORMAL, ONLY_HOLDS},
+    },
+    std::time::Duration,
 };
 
 /// A harness whose first worker has reported ends of runs in its former life.
@@ -100,3 +104,77 @@
     harness.run_until("a new run", 5_000, again);
     assert!(harness.workers[at].running.is_empty(), "two runs at once");
 }
+
+/// Lets the first worker drain and start again under its id, and delivers the new list before or
+/// after the first report of the new process.
+fn drain_and_restart(harness: &mut Harness, list_first: bool) {
+    harness.workers[0].leaves_in = Some(Duration::from_millis(2_000));
+    harness.deliver_list();
+    harness.run(2_300);
+    let now = harness.now;
+    harness.workers[0].restart(now);
+    if !list_first {
+        harness.run(700);
+    }
+    harness.deliver_list();
+    harness.run(700);
+}
+
+// Guards against a process that gets no tasks because the former one was leaving.
+#[test]
+fn a_worker_serves_again_after_each_drain_and_restart() {
+    for list_first in [false, true] {
+        let mut harness = Harness::new(1);
+        for no in 1..4 {
+            drain_and_restart(&mut harness, list_first);
+            harness.submit(no, "plain", job(step(1, 1)));
+            harness.run_until("a start", 1_000, |h| h.workers_running(task(no, 0)) == [0]);
+        }
+    }
+}
+
+// Guards against a start on a process that drains by the newest list, as it is new.
+#[test]
+fn a_new_process_that_drains_at_once_gets_no_task() {
+    for list_first in [false, true] {
+        let mut harness = Harness::new(1);
+        drain_and_restart(&mut harness, list_first);
+        harness.workers[0].leaves_in = Some(Duration::from_millis(2_000));
+        harness.deliver_list();
+        harness.submit(1, "plain", job(step(1, 1)));
+        harness.run(2_000);
+        assert!(harness.starts_of(1).is_empty());
+    }
+}
+
+// Guards against tasks that are blamed for the planned end of their worker's process.
+#[test]
+fn a_planned_end_is_no_crash_whichever_tells_of_the_restart_first() {
+    for list_first in [false, true] {
+        let mut harness = Harness::new(1);
+        harness.submit(1, "plain", job(step(1, 1)));
+        harness.run_until("a start", 1_000, |h| h.workers_running(task(1, 0)) == [0]);
+        harness.run(100);
+        harness.workers[0].hook = ONLY_HOLDS;
+        drain_and_restart(&mut harness, list_first);
+        harness.run_until("a new run", 3_000, |h| h.workers_running(task(1, 0)) == [0]);
+        harness.run(1_000);
+        assert!(harness.stored_progress(1).crashes.is_empty());
+    }
+}
+
+// Guards against an owner that takes the last entry of the former process for one of the new process.
+#[test]
+fn a_new_owner_that_reads_the_list_between_two_processes_uses_the_second() {
+    let mut harness = Harness::new(1);
+    harness.workers[0].leaves_in = Some(Duration::from_millis(2_000));
+    harness.deliver_list();
+    harness.run(2_000);
+    harness.take_over();
+    let now = harness.now;
+    harness.workers[0].restart(now);
+    harness.run(500);
+    harness.deliver_list();
+    harness.submit(1, "plain", job(step(1, 1)));
+    harness.run_until("a start", 2_000, |h| h.workers_running(task(1, 0)) == [0]);
+}
--- a/tests/site/forms.rs
+++ b/tests/site/forms.rs
@@ -163,6 +163,7 @@
         addr: addr.unwrap_or(([127, 0, 0, 1], 1).into()),
         zone: Zone::from("z"),
         draining: false,
+        born_ms: None,
         min_stay: None,
         capacity: Default::default(),
         labels: Box::new([]),
