Nothing starts on a restarted worker by its former process's entry

A worker may start again under its id as one of another kind or with less room. For up to the age of the list after the first report of the new process, owners still placed tasks by the former entry: a task could start without the label it requires, or beyond the room of a worker that doesn't check it.

Cause: the entry in the list was kept over a restart, whichever process it was of.

Change: a worker whose entry is older than its process counts as not listed until the list has the new one. The worker registers as it starts, so this lasts as long as a reading of the list.

--- a/src/shard/diagnosis.rs
+++ b/src/shard/diagnosis.rs
@@ -332,7 +332,7 @@
         let w = &self.workers[no.0];
         let held = matches!(w.health.verdict(now), Verdict::Quarantined { .. });
         match () {
-            () if w.gone || w.list_entry.is_none() => Some(Exclusion::Unlisted),
+            () if w.gone || !w.is_listed() => Some(Exclusion::Unlisted),
             () if !w.fenced => Some(Exclusion::Unfenced),
             () if !w.rostered => Some(Exclusion::Unrostered),
             () if w.leaves_at.is_some() => Some(Exclusion::Leaving),
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -296,6 +296,15 @@
         }
     }
 
+    /// Returns whether the list has the worker's present process, as far as is known. A former
+    /// process may have been of another kind or size.
+    pub fn is_listed(&self) -> bool {
+        let entry = self.list_entry.as_ref();
+        entry.is_some_and(|e| {
+            e.born_ms.zip(self.born_ms).is_none_or(|(listed, known)| listed >= known)
+        })
+    }
+
     /// Returns whether the worker may receive starts.
     ///
     /// A worker with runs of unknown size may not. A new owner finds runs of jobs that are over,
@@ -320,7 +329,7 @@
             && self.rostered
             && !self.gone
             && self.leaves_at.is_none()
-            && self.list_entry.is_some()
+            && self.is_listed()
             && self.unanswered_calls == 0
             && self.unsized_runs == 0
             && self.paused_until <= now
--- a/tests/shard_restart.rs
+++ b/tests/shard_restart.rs
@@ -6,6 +6,8 @@
 use {
     dogwoodreach::{
         ports::{EndReason, Fault, WorkerCall},
+        shard::event::Event,
+        units::Size,
         work::Step,
     },
     hand::{
@@ -50,6 +52,7 @@
     assert_eq!(harness.workers_running(task(1, 0)), [0]);
     let now = harness.now;
     harness.workers[0].restart(now);
+    harness.deliver_list();
     harness.run_until("a start", 6_000, |h| h.workers_running(task(1, 0)) == [0]);
     harness.run(30_000);
     assert_eq!(harness.workers_running(task(1, 0)), [0]);
@@ -163,6 +166,26 @@
     }
 }
 
+// Guards against a task that the former process had room for and the new one doesn't.
+#[test]
+fn nothing_starts_by_the_former_process_s_entry() {
+    let mut harness = Harness::new(1);
+    let former = harness.workers[0].entry();
+    let now = harness.now;
+    harness.workers[0].restart(now);
+    harness.workers[0].capacity = Size::new(1, 16_384, 0);
+    harness.run(300);
+    harness.deliver(Event::Listed(former.into_iter().collect()));
+    harness.submit(1, "plain", job(step(1, 2)));
+    harness.submit(2, "plain", job(step(1, 1)));
+    harness.run(500);
+    assert!(harness.starts().is_empty());
+    harness.deliver_list();
+    harness.run_until("a start", 1_000, |h| h.workers_running(task(2, 0)) == [0]);
+    harness.run(500);
+    assert!(harness.starts_of(1).is_empty());
+}
+
 // Guards against an owner that takes the last entry of the former process for one of the new process.
 #[test]
 fn a_new_owner_that_reads_the_list_between_two_processes_uses_the_second() {
