A worker that restarts under its id at another address is called there

Shard::worker_no finds a worker by its id and left its address as it was; as the worker is listed, it was never taken for gone either.

Change: the newest entry that is not of a former process gives the address. The worker is called there at once, and the roster is written again, as a new owner calls the workers at the addresses that the roster has.

Evidence: the new test in tests/shard_restart.rs (three restarts at other addresses, then a new owner) fails without the change and passes with it.

--- a/src/shard/listing.rs
+++ b/src/shard/listing.rs
@@ -81,6 +81,10 @@
             let no = self.worker_no(&listed.id, listed.addr, now);
             seen.insert(no);
             let worker = &mut self.workers[no.0];
+            if worker.move_to(&listed, now) {
+                // A new owner calls the workers of the roster at the addresses that it has.
+                self.roster_dirty = true;
+            }
             worker.list_entry = Some(listed);
             worker.update_leaving(now);
         }
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -278,6 +278,18 @@
         self.update_leaving(now);
     }
 
+    /// Takes over the address of the worker's entry in the list; returns whether it is another one.
+    ///
+    /// A worker that starts again under its id may do so at another address.
+    pub fn move_to(&mut self, entry: &ListedWorker, now: Time) -> bool {
+        if entry.addr == self.addr || self.is_former(entry) {
+            return false;
+        }
+        log::info!(target: "shard", worker:% = self.id, former:% = self.addr, addr:% = entry.addr; "Worker has another address.");
+        (self.addr, self.next_hold) = (entry.addr, now);
+        true
+    }
+
     /// Updates whether the worker is leaving by its entry in the list, if there is one.
     ///
     /// The list and the worker's reports tell of a restart in either order, and only a process that
@@ -299,10 +311,12 @@
     /// Returns whether the list has the worker's present process, as far as is known. A former
     /// process may have been of another kind or size.
     pub fn is_listed(&self) -> bool {
-        let entry = self.list_entry.as_ref();
-        entry.is_some_and(|e| {
-            e.born_ms.zip(self.born_ms).is_none_or(|(listed, known)| listed >= known)
-        })
+        self.list_entry.as_ref().is_some_and(|entry| !self.is_former(entry))
+    }
+
+    /// Returns whether an entry is of a process that ended before the present one started.
+    fn is_former(&self, entry: &ListedWorker) -> bool {
+        entry.born_ms.zip(self.born_ms).is_some_and(|(listed, known)| listed < known)
     }
 
     /// Returns whether the worker may receive starts.
--- a/tests/hand/mod.rs
+++ b/tests/hand/mod.rs
@@ -326,10 +326,13 @@
                 let (worker, call) = (worker.clone(), call.clone());
                 self.deliver(Event::Worker { worker, sent, call, reply: Err(Fault::Unknown) });
             }
-            Order::Worker { worker, call, limit, .. } => {
+            Order::Worker { worker, addr, call, limit } => {
                 let at = self.index_of(worker);
                 let other = Ok(WorkerReply::Other);
-                let reply = at.map_or(other, |at| self.workers[at].answer(call, self.now));
+                let reply = at.map_or(other, |at| match &mut self.workers[at] {
+                    w if w.port == addr.port() => w.answer(call, self.now),
+                    _ => Err(Fault::Unknown),
+                });
                 if reply == Err(Fault::Unknown) && self.now < sent + *limit {
                     return self.pending.push((sent, order));
                 }
--- a/tests/hand/worker.rs
+++ b/tests/hand/worker.rs
@@ -31,6 +31,8 @@
 pub struct Worker {
     pub id: WorkerId,
     index: usize,
+    /// The port at which it takes orders.
+    pub port: u16,
     /// How many incarnations came before this one.
     restarts: u32,
     /// Whether the list of workers has it.
@@ -59,6 +61,7 @@
         Worker {
             id: WorkerId::from(&*format!("w{index}")),
             index,
+            port: 9_000 + index as u16,
             restarts: 0,
             listed: true,
             leaves_in: None,
@@ -96,7 +99,7 @@
         self.listed.then(|| ListedWorker {
             id: self.id.clone(),
             pool: "pool".into(),
-            addr: ([127, 0, 0, 1], 9_000 + self.index as u16).into(),
+            addr: ([127, 0, 0, 1], self.port).into(),
             zone: "z".into(),
             draining: self.leaves_in.is_some(),
             born_ms: Some(self.born_ms),
--- a/tests/shard_restart.rs
+++ b/tests/shard_restart.rs
@@ -201,3 +201,25 @@
     harness.submit(1, "plain", job(step(1, 1)));
     harness.run_until("a start", 2_000, |h| h.workers_running(task(1, 0)) == [0]);
 }
+
+// Guards against calls to the former address, at which nobody answers, for ever; a new owner knows
+// only the address in the roster.
+#[test]
+fn a_worker_that_restarts_at_another_address_is_used_there() {
+    let mut harness = Harness::new(1);
+    for no in 1..4 {
+        let now = harness.now;
+        harness.workers[0].restart(now);
+        harness.workers[0].port = 9_100 + no as u16;
+        harness.run(2_000);
+        harness.deliver_list();
+        harness.submit(no, "plain", job(step(1, 1)));
+        harness.run_until("a start", 2_000, |h| h.workers_running(task(no, 0)) == [0]);
+        harness.run(1_000);
+        harness.end(task(no, 0), EndReason::Done);
+        harness.run_until("done", 2_000, |h| h.stored_progress(no).state.is_final());
+    }
+    harness.workers[0].listed = false;
+    harness.take_over();
+    harness.run_until("a call", 1_000, |h| h.workers[0].token == h.token);
+}
