A hold acknowledges nothing after one without an answer

Cause: starts go on while a hold waits on a connection to the former process. That hold fails, no report has shown the new process yet, and the next hold still acknowledged by the former numbers.

Change: after a hold that wasn't answered with a list, the next one acknowledges no end, as another process may answer it. The worker lists the unforgotten ends once more, of which the owner skips those that it has.

--- a/src/shard/orders.rs
+++ b/src/shard/orders.rs
@@ -244,11 +244,11 @@
             };
             self.stats.unstored_polls += u64::from(!w.unstored_ends.is_empty());
             w.hold_sent = Some(now);
-            w.acknowledged_end_number = w.stored_end_number;
+            w.acknowledged_end_number = w.acknowledged_end();
             let call = WorkerCall::Hold {
                 until,
                 token: self.setup.token,
-                seen: w.stored_end_number,
+                seen: w.acknowledged_end_number,
                 wait,
             };
             self.orders.push(Order::Worker {
--- a/src/shard/replies.rs
+++ b/src/shard/replies.rs
@@ -103,6 +103,7 @@
     ) {
         let worker = &mut self.workers[no.0];
         worker.hold_sent = None;
+        worker.hold_failed = !matches!(reply, Ok(WorkerReply::Held(_)));
         let Ok(WorkerReply::Held(held)) = reply else {
             // All jobs from before a takeover wait for these workers.
             let calls = match self.unsettled_workers.contains(&no) {
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -173,6 +173,8 @@
     pub unstored_ends: VecDeque<(u64, JobNo, u64)>,
     /// The time at which the unanswered hold was sent; `None` if no hold is unanswered.
     pub hold_sent: Option<Time>,
+    /// Whether the last hold got no answer, so that another process may answer the next one.
+    pub hold_failed: bool,
     /// The time at which the next hold is due, unless a hold is unanswered.
     pub next_hold: Time,
     /// The time at which the worker gave its last answer.
@@ -240,6 +242,7 @@
             cut_off: false,
             unstored_ends: VecDeque::new(),
             hold_sent: None,
+            hold_failed: false,
             next_hold: now,
             last_answer: None,
             unanswered_calls: 0,
@@ -381,6 +384,14 @@
         !self.is_known || self.has_runs() || !self.unstored_ends.is_empty()
     }
 
+    /// Returns the number of the last end that the next hold acknowledges.
+    ///
+    /// It is 0 after a hold without an answer. The numbers of ends begin anew with each process, and a
+    /// new one would forget ends that it has not listed; their tasks would run again.
+    pub fn acknowledged_end(&self) -> u64 {
+        if self.hold_failed { 0 } else { self.stored_end_number }
+    }
+
     /// Returns whether the next hold call acknowledges enough ends for the worker to list many others.
     ///
     /// Guards against hundreds of calls for a worker with thousands of ends, each of which lists 500
--- a/tests/shard_restart.rs
+++ b/tests/shard_restart.rs
@@ -223,3 +223,28 @@
     harness.take_over();
     harness.run_until("a call", 1_000, |h| h.workers[0].token == h.token);
 }
+
+// Guards against a hold that acknowledges ends of the former process to the new one, which forgets ends
+// that it has never listed: their tasks would run again.
+#[test]
+fn an_end_of_the_new_process_is_listed_after_a_hold_that_the_former_one_left_unanswered() {
+    let mut harness = with_restarted_worker();
+    for no in 1..4 {
+        let now = harness.now;
+        harness.workers[0].restart(now);
+        harness.workers[0].hook = |call| match call {
+            WorkerCall::Hold { .. } => Some(Err(Fault::Unknown)),
+            _ => None,
+        };
+        harness.submit(no, "plain", job(step(1, 1)));
+        harness.run_until("a start", 1_000, |h| h.workers_running(task(no, 0)) == [0]);
+        harness.run(100);
+        harness.end(task(no, 0), EndReason::Done);
+        harness.run(2_700);
+        harness.workers[0].hook = NORMAL;
+        harness.run_until("done", 2_000, |h| h.stored_progress(no).state.is_final());
+        assert_eq!(harness.starts_of(no).len(), 1);
+        harness.deliver_list();
+        harness.run(1_000);
+    }
+}
