The list names the new process in a test of its restart

a_restart_of_the_worker_ends_the_wait_for_its_ends failed in a run of all tests since nothing starts by the entry of a former process: its harness lists workers only when it is told to, members list them each 0.6 s. The test delivers the list after the restart; its bounds are unchanged, and it passes.

--- a/tests/shard_many_ends.rs
+++ b/tests/shard_many_ends.rs
@@ -171,6 +171,7 @@
     hand.run(1_000);
     let now = hand.now;
     hand.workers[0].restart(now);
+    hand.deliver_list();
     hand.store_up = true;
     hand.run_until("the others run again", 3_000, |h| h.workers[0].running.len() == 800 - MAX_ENDS);
     end_all(&mut hand, EndReason::Done);
