Soak: versions of the configuration that move queues between pools

Cause: nothing played moves of queues with shards for each pool, so that the review had to find a job accepted twice and another that stopped.

--- a/standin/src/soak.rs
+++ b/standin/src/soak.rs
@@ -44,6 +44,8 @@
     pub planned: bool,
     /// Whether there are customers, overload, unequal workers and data on racks.
     pub customers: bool,
+    /// Whether each version of the configuration exchanges the pools of two queues.
+    pub moves: bool,
     /// Number of small tasks that are submitted at once every [`callers::SMALL_TASKS_INTERVAL`].
     pub small_tasks: u32,
     /// Directory for the members' logs and settings.
@@ -87,6 +89,7 @@
         timed: true,
         planned: false,
         customers: true,
+        moves: false,
         small_tasks: 0,
         dir: target.join("soak"),
         binary: near.join("dogwoodreach-platform"),
@@ -104,6 +107,7 @@
             Long("untimed") => options.timed = false,
             Long("planned") => options.planned = true,
             Long("no-customers") => options.customers = false,
+            Long("moves") => options.moves = true,
             Long("small-tasks") => options.small_tasks = args.value()?.parse()?,
             Long("binary") => options.binary = args.value()?.into(),
             Long("json") => json = true,
--- a/standin/src/soak/play.rs
+++ b/standin/src/soak/play.rs
@@ -10,13 +10,14 @@
             stage::{Stage, State},
         },
     },
-    dogwoodreach::ids::WorkerId,
+    dogwoodreach::{ids::WorkerId, work::Queue},
     platform_standin::lists,
     standin::site::{
         plan::{Fault, Planned},
         store::Mode,
     },
     std::{
+        mem,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -215,11 +216,16 @@
         }
     }
 
-    /// Writes the next version of the configuration, which gives each queue a little more slack.
+    /// Writes the next version of the configuration, which gives each queue a little more slack and
+    /// may exchange the pools of two queues.
     fn configure(&self) {
         self.update_state(|s| {
+            let moves = s.moves;
             s.reconfigure(|queues, _| {
                 queues.queues.iter_mut().for_each(|q| q.slack += Duration::from_millis(1));
+                if moves {
+                    exchange_pools(&mut queues.queues);
+                }
             });
         });
     }
@@ -288,3 +294,12 @@
         set.remove(&member);
     }
 }
+
+/// Exchanges the pools of the queues `plain` and `open`.
+fn exchange_pools(queues: &mut [Queue]) {
+    let at = |name: &str| queues.iter().position(|q| &*q.name == name);
+    if let (Some(a), Some(b)) = (at("plain"), at("open")) {
+        let pool = queues[a].pool.clone();
+        queues[a].pool = mem::replace(&mut queues[b].pool, pool);
+    }
+}
