--- a/tests/layout.rs
+++ b/tests/layout.rs
@@ -222,3 +222,15 @@
         }
     }
 }
+
+#[test]
+fn jobs_of_a_pool_that_the_layout_lacks_lie_where_its_workers_are() {
+    // Guards against jobs that never start, as their shard has none of the pool's workers.
+    let layout = create_layout(&large_deployment(), "s".into());
+    let pool = PoolId::from("added");
+    let shard = |no: usize| layout.worker_shard(&worker(2_000 + no, "added", 0, "added-r1"));
+    let of_workers: BTreeSet<ShardNo> = (0..10).map(shard).collect();
+    let of_jobs: BTreeSet<ShardNo> =
+        (0..200).map(|no| layout.job_shard(JobNo(no), &pool)).collect();
+    assert!(of_jobs.is_subset(&of_workers), "{of_jobs:?} {of_workers:?}");
+}
