Cancels of one number stay apart in each shard; clearer conditions of leaving

A cancel without a job was merged with those of all shards, so that a request that a member had checked in one shard would have counted in the others too. Each shard now keeps its own (tests/site_cancel.rs, site_keys.rs, site_queue_moved.rs pass). Whether a worker is leaving is one match, without a change of behaviour.

--- a/src/decide/reads.rs
+++ b/src/decide/reads.rs
@@ -2,9 +2,9 @@
 //!
 //! *Load pattern:* callers repeatedly query thousands of jobs while the owner of their shard is
 //! away, is still reading the shard, answers late, or is not sure of its lease. *Without it:* each
-//! query becomes two or three reads in each shard that may have the job. Together they use up the store's capacity for all members. The
-//! store then refuses writes and lease renewals, also those of the owner, so jobs end even later,
-//! more of them are queried, and the load outlasts its cause.
+//! query becomes two or three reads in each shard that may have the job. Together they use up the
+//! store's capacity for all members. The store then refuses writes and lease renewals, also those of
+//! the owner, so jobs end even later, more of them are queried, and the load outlasts its cause.
 //!
 //! *Thresholds:* a quarter of the store's capacity, divided equally among all members, so that
 //! owners have the rest for ends, starts and takeovers. Up to a second of unused reads is saved,
--- a/src/job_api/cancel.rs
+++ b/src/job_api/cancel.rs
@@ -13,7 +13,6 @@
         work::{JobNo, JobState},
     },
     bytes::Bytes,
-    std::slice,
 };
 
 /// Maximum number of attempts to add a request to those that are stored for the same job.
@@ -21,6 +20,12 @@
 /// Maximum number of shards in which one write stores a cancel: each takes a condition and a row.
 const MAX_CANCEL_SHARDS: usize = MAX_TXN_ROWS / 2;
 
+/// The cancel of a job, as a shard's inbox has it.
+struct ShardCancel {
+    shard: ShardNo,
+    record: CancelRecord,
+}
+
 /// What the store has of a job that is to be cancelled.
 enum Found {
     /// The record of an unfinished job of the caller, in this shard.
@@ -51,32 +56,29 @@
         let shards = self.job_shards(no, pool)?;
         let mut tries = WriteAttempts::default();
         let found = self.find_job(request, no, &shards, customer).await?;
-        let (cancelled_in, written) = match &found {
+        let written = match found {
             Found::Over => {
                 self.common.metrics.count_cancel("over");
-                log::info!(target: "entry", did = "cancel", job:% = no, written = false; "Cancel has no effect; the job is over.");
+                log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shards[0], written = false; "Cancel has no effect; the job is over.");
                 return Ok(Bytes::new());
             }
-            Found::Job(shard) => {
-                (slice::from_ref(shard), self.write_cancel(request, *shard, no, &mut tries).await)
-            }
+            Found::Job(shard) => self.write_cancel(request, shard, no, &mut tries).await,
             Found::Nothing => {
-                let written = self.write_early_cancel(request, &shards, no, customer, &mut tries);
-                (&*shards, written.await)
+                self.write_early_cancel(request, &shards, no, customer, &mut tries).await
             }
         };
-        let cancel = written.map_err(|e| {
+        let cancels = written.map_err(|e| {
             self.common.metrics.count_cancel("failed");
             tries.final_error(e)
         })?;
-        for &shard in cancelled_in {
-            let entry = AcknowledgedCancel { shard, job: no, record: cancel.clone() };
+        let known = matches!(found, Found::Job(_));
+        for ShardCancel { shard, record } in cancels {
+            let entry = AcknowledgedCancel { shard, job: no, record: record.clone() };
             self.common.record_cancel(entry);
-            self.notify_owner(shard, no, InboxChange::Cancel(cancel.clone()));
+            self.notify_owner(shard, no, InboxChange::Cancel(record));
+            log::info!(target: "entry", did = "cancel", job:% = no, shard:% = shard, known, written = true, tries = tries.failed_count; "Job is cancelled.");
         }
-        let known = matches!(found, Found::Job(_));
         self.common.metrics.count_cancel(if known { "written" } else { "no_job" });
-        log::info!(target: "entry", did = "cancel", job:% = no, shard:% = cancelled_in[0], known, written = true, tries = tries.failed_count; "Job is cancelled.");
         if known { Ok(Bytes::new()) } else { Err(Kind::NoJob.into()) }
     }
 
@@ -131,11 +133,12 @@
         shard: ShardNo,
         no: JobNo,
         tries: &mut WriteAttempts,
-    ) -> Result<CancelRecord, Error> {
-        let cancel = CancelRecord { asked_ms: unix_ms(), scope: CancelScope::Checked };
-        let call = StoreCall::Txn(Txn { puts: vec![put(shard, no, &cancel)], ..Txn::default() });
+    ) -> Result<Box<[ShardCancel]>, Error> {
+        let record = CancelRecord { asked_ms: unix_ms(), scope: CancelScope::Checked };
+        let cancel = ShardCancel { shard, record };
+        let call = StoreCall::Txn(Txn { puts: vec![cancel.put(no)], ..Txn::default() });
         self.repeat_write(request, &call, tries).await?;
-        Ok(cancel)
+        Ok([cancel].into())
     }
 
     /// Stores the cancel of a job that the store doesn't have, together with those that other callers have
@@ -150,40 +153,43 @@
         no: JobNo,
         customer: Option<&CustomerId>,
         tries: &mut WriteAttempts,
-    ) -> Result<CancelRecord, Error> {
+    ) -> Result<Box<[ShardCancel]>, Error> {
         let scope = CancelScope::Callers(vec![customer.cloned()]);
-        let mut cancel = CancelRecord { asked_ms: unix_ms(), scope };
-        for part in shards.chunks(MAX_CANCEL_SHARDS) {
-            self.merge_cancel(request, part, no, &mut cancel, tries).await?;
+        let record = CancelRecord { asked_ms: unix_ms(), scope };
+        let in_shard = |shard: &ShardNo| ShardCancel { shard: *shard, record: record.clone() };
+        let mut cancels: Box<[ShardCancel]> = shards.iter().map(in_shard).collect();
+        for part in cancels.chunks_mut(MAX_CANCEL_SHARDS) {
+            self.merge_cancels(request, no, part, tries).await?;
         }
-        Ok(cancel)
+        Ok(cancels)
     }
 
-    /// Merges a cancel with those that are stored for the same job in these shards, and stores it.
-    async fn merge_cancel(
+    /// Merges each cancel with the one that its shard has for the job, and stores them.
+    async fn merge_cancels(
         &self,
         request: &CallerRequest,
-        shards: &[ShardNo],
         no: JobNo,
-        cancel: &mut CancelRecord,
+        cancels: &mut [ShardCancel],
         tries: &mut WriteAttempts,
     ) -> Result<(), Error> {
-        let mut expected_revs: Vec<_> = shards.iter().map(|s| (s.cancel_key(no), 0)).collect();
+        let mut expected_revs: Vec<_> =
+            cancels.iter().map(|c| (c.shard.cancel_key(no), 0)).collect();
         for _ in 0..MAX_MERGES {
             let limit = self.call_limit(request)?;
-            let puts = shards.iter().map(|s| put(*s, no, cancel)).collect();
-            let txn = Txn { expected_revs: expected_revs.clone(), puts, removed_keys: Vec::new() };
+            let puts = cancels.iter().map(|c| c.put(no)).collect();
+            let txn = Txn { expected_revs: expected_revs.clone(), puts, removed_keys: vec![] };
             let fault = match self.services.call_store(&StoreCall::Txn(txn), limit).await {
                 Ok(StoreReply::Done(_)) => return Ok(()),
                 Ok(StoreReply::Conflict(items)) => {
-                    let written = cancel.clone();
                     let mut is_stored = true;
-                    for (key, rev) in &mut expected_revs {
+                    for (cancel, (key, rev)) in cancels.iter_mut().zip(&mut expected_revs) {
                         let item = items.iter().find(|i| i.key == *key);
                         *rev = item.map_or(0, |i| i.rev);
                         let stored = item.and_then(|i| record::decode(i.value.as_ref()?));
-                        is_stored &= stored.as_ref() == Some(&written);
-                        stored.into_iter().for_each(|s| cancel.merge(s));
+                        if stored.as_ref() != Some(&cancel.record) {
+                            is_stored = false;
+                            stored.into_iter().for_each(|s| cancel.record.merge(s));
+                        }
                     }
                     if is_stored {
                         // An earlier attempt has taken effect.
@@ -200,6 +206,8 @@
     }
 }
 
-fn put(shard: ShardNo, no: JobNo, cancel: &CancelRecord) -> Put {
-    Put { key: shard.cancel_key(no), value: record::encode(cancel), lease: 0 }
+impl ShardCancel {
+    fn put(&self, no: JobNo) -> Put {
+        Put { key: self.shard.cancel_key(no), value: record::encode(&self.record), lease: 0 }
+    }
 }
--- a/src/shard/listing.rs
+++ b/src/shard/listing.rs
@@ -108,9 +108,9 @@
     /// Gives each unfinished job without a pool the one that its queue uses.
     ///
     /// A job keeps the pool by which it was accepted, wherever its queue moves: its shard has the
-    /// workers of that pool, perhaps no others. Only if no worker of it is listed does the job get the
-    /// pool of its queue, as far as the shard has workers of that: the operators have replaced the one
-    /// by the other, and the job would wait for ever.
+    /// workers of that pool, perhaps no others. Only if that pool has no listed worker, and the shard
+    /// has some of the queue's pool, does the job change to that one: it would wait for ever for a
+    /// pool that the operators have replaced.
     fn assign_pools(&mut self, now: Time) {
         let mut changed = vec![];
         for (no, job) in self.jobs.iter_mut().filter(|(_, j)| !j.state.is_final()) {
@@ -122,7 +122,7 @@
                 continue;
             }
             if let Some(former) = job.pool.replace(queue.pool.clone()) {
-                log::info!(target: "shard", did = "repooled", shard:% = self.setup.shard, job:% = no, former:%, pool:% = queue.pool; "Pool of a job has no workers; the job gets that of its queue.");
+                log::info!(target: "shard", did = "pool_changed", shard:% = self.setup.shard, job:% = no, former:%, pool:% = queue.pool; "Pool of a job has no workers; the job gets that of its queue.");
                 (job.waves, job.task_works) = Default::default();
             }
             changed.push(*no);
--- a/src/shard/workers.rs
+++ b/src/shard/workers.rs
@@ -11,7 +11,7 @@
         work::{JobNo, ListedWorker, TaskKey},
     },
     rustc_hash::FxHashMap,
-    std::{cmp::Ordering, collections::VecDeque, mem, net::SocketAddr, time::Duration},
+    std::{collections::VecDeque, mem, net::SocketAddr, time::Duration},
 };
 
 /// The lowest rate at which a worker's clock may run, relative to the owner's.
@@ -295,19 +295,22 @@
 
     /// Updates whether the worker is leaving by its entry in the list, if there is one.
     ///
-    /// The list and the worker's reports tell of a restart in either order, and only a process that
-    /// has announced its end is leaving. Its former announcement would keep the new process without
-    /// tasks for ever; a report of the new process that is taken for the former one would lay the
-    /// planned end to the tasks.
+    /// Guards against a new process that never gets a task because the former one was leaving, and
+    /// against tasks that are blamed for the planned end of their worker's process. The list and the
+    /// worker's reports tell of a restart in either order.
     pub fn update_leaving(&mut self, now: Time) {
         let Some(entry) = &self.list_entry else { return };
-        let order = entry.born_ms.zip(self.born_ms).map(|(listed, known)| listed.cmp(&known));
-        if order == Some(Ordering::Less) || (order != Some(Ordering::Greater) && !entry.draining) {
-            self.leaves_at = None;
-        } else if entry.draining && self.leaves_at.is_none() {
-            let left = entry.min_stay.unwrap_or(DEFAULT_LEAVE);
-            self.leaves_at = Some(now + left.saturating_sub(MAX_LIST_AGE));
-            log::info!(target: "shard", worker:% = self.id, left_ms = millis(left), runs = self.runs.len(); "Worker is leaving.");
+        let unreported = entry.born_ms.zip(self.born_ms).is_some_and(|(listed, b)| listed > b);
+        match () {
+            () if self.is_former(entry) => self.leaves_at = None,
+            () if entry.draining && self.leaves_at.is_none() => {
+                let left = entry.min_stay.unwrap_or(DEFAULT_LEAVE);
+                self.leaves_at = Some(now + left.saturating_sub(MAX_LIST_AGE));
+                log::info!(target: "shard", worker:% = self.id, left_ms = millis(left), runs = self.runs.len(); "Worker is leaving.");
+            }
+            // A report has to find that the former process's end was planned.
+            () if entry.draining || unreported => {}
+            () => self.leaves_at = None,
         }
     }
 
