After an unknown outcome only the written shard is read

Cause: a submission whose outcome was unknown read all shards that may have the job, twice as many reads as before with two pools, while the store is in trouble.

Change: only the shard of the write is read. A job that another shard has is in conflict with the next attempt, and after the last one the caller is told that the outcome is unknown, as before.

Tests: site, site_inbox, site_queue_moved pass.

--- a/src/job_api/submit.rs
+++ b/src/job_api/submit.rs
@@ -161,7 +161,8 @@
                 }
                 _ => {
                     tries.maybe_applied = true;
-                    if let Some(shard) = self.find_stored(request, &shards, no).await? {
+                    // A job in another shard is in conflict with the next attempt.
+                    if let Some(shard) = self.find_stored(request, &shards[..1], no).await? {
                         return Ok(shard);
                     }
                     self.wait_retry(&Fault::Unknown, tries).await?;
