--- a/tests/site_queue_moved.rs
+++ b/tests/site_queue_moved.rs
@@ -152,3 +152,17 @@
         }
     });
 }
+
+#[test]
+fn a_cancel_that_was_checked_in_one_shard_counts_in_that_shard_only() {
+    // Guards against a cancel that ends another customer's job: where no member has compared the job
+    // with the caller, the owner does.
+    run(async {
+        let member = start_member("moved-checked", 0).await;
+        let checked = r#"{"asked_ms": 1, "scope": "checked"}"#;
+        member.store.put("dwr/in/001/c/00000000000000e7", checked);
+        assert_eq!(member.status("DELETE", PATH, "").await, 410);
+        let other = member.store.get("dwr/in/000/c/00000000000000e7").expect("a cancel").0;
+        assert!(other.contains("callers"), "{other}");
+    });
+}
