--- a/standin/src/site/mod.rs
+++ b/standin/src/site/mod.rs
@@ -11,6 +11,7 @@
 pub mod judge;
 pub mod keys;
 pub mod plan;
+mod pools;
 pub mod setup;
 pub mod starvation;
 pub mod stay;
--- a/standin/src/site/worker.rs
+++ b/standin/src/site/worker.rs
@@ -256,22 +256,6 @@
         self.queues.queue_by_name(&self.jobs.get(&job)?.queue)
     }
 
-    /// Replaces the configuration.
-    pub fn configure(&mut self, queues: Arc<QueueConfig>) {
-        for new in &queues.queues {
-            if let Some(old) = self.queues.queue_by_name(&new.name).filter(|o| o.pool != new.pool) {
-                self.former_pools.entry(new.name.clone()).or_default().insert(old.pool.clone());
-            }
-        }
-        self.queues = queues;
-    }
-
-    /// The pools that may run a job: those that its queue uses or has used.
-    pub fn pools(&self, job: JobNo) -> BTreeSet<&PoolId> {
-        let Some(queue) = self.queue(job) else { return BTreeSet::new() };
-        self.former_pools.get(&queue.name).into_iter().flatten().chain([&queue.pool]).collect()
-    }
-
     /// Resources used by a worker's runs, including those that are being stopped.
     pub fn used(&self, at: usize) -> Size {
         let counted =
