--- a/review/bed3.py
+++ b/review/bed3.py
@@ -710,7 +710,7 @@
     async def submit(self, route, job, number=None, tries=5, members=None):
         number = number or "%016x" % random.getrandbits(64)
         self.jobs[number] = dict(job, Route=route, sent=now(), accepted=None)
-        body = json.dumps(job).encode()
+        body = json.dumps(job, separators=(",", ":")).encode()
         for attempt in range(tries):
             member = random.choice(members or [m for m in self.members if m.process.returncode is None] or self.members)
             status, _ = await self.ask(member, "POST", route["Prefix"] + number, route["Host"], body)
