--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""One accepted job of 4,100 steps keeps every other job of the deployment from starting."""
+"""One accepted job of 4,100 steps keeps almost every other job of the deployment from starting."""
 import asyncio, os, sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
